Set up the workspace, the domain types and the ports

The ports come first so that adapters, stand-ins and decisions can be written against them side by side. No behaviour yet; go build and go vet of core pass.

--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,120 @@
+// Package fleet names the things that the system looks after: instances,
+// their places, services and model versions. It holds no behaviour beyond
+// parsing and printing.
+package fleet
+
+import (
+	"encoding/hex"
+	"net/netip"
+
+	"github.com/zeebo/blake3"
+
+	"chivespindle.example/core/failure"
+)
+
+// InstanceID names one process of the system on one instance for the whole
+// life of that instance. A replacement has another id.
+type InstanceID string
+
+// Zone names an availability zone, unique over all regions.
+type Zone string
+
+// Region names a region.
+type Region string
+
+// ServiceName names a service of the operator's text.
+type ServiceName string
+
+// Workspace names a customer, the unit of request limits.
+type Workspace string
+
+// Role is the part that a process plays.
+type Role string
+
+const (
+	// RoleEntry takes requests from callers.
+	RoleEntry Role = "entry"
+	// RoleAgent stands beside one backend server.
+	RoleAgent Role = "agent"
+	// RoleOperator is a command-line client that may read status.
+	RoleOperator Role = "operator"
+)
+
+// Place is where an instance runs.
+type Place struct {
+	Zone   Zone   `cbor:"1,keyasint" json:"zone"`
+	Region Region `cbor:"2,keyasint" json:"region"`
+}
+
+// Instance is one line of the platform's instance list. The list lags: an
+// instance may have gone, or be missing, for tens of seconds.
+type Instance struct {
+	ID      InstanceID  `json:"id"`
+	Role    Role        `json:"role"`
+	Service ServiceName `json:"service,omitempty"` // empty for an entry
+	Place
+	// PeerAddr is the UDP address of the process's QUIC listener.
+	PeerAddr netip.AddrPort `json:"peer_addr"`
+	// CallerAddr is the TCP address for callers; zero for an agent.
+	CallerAddr netip.AddrPort `json:"caller_addr,omitzero"`
+	// Leaving is true once the platform has announced the instance's end.
+	Leaving bool `json:"leaving"`
+}
+
+// DigestSize is the length of a Digest in bytes.
+const DigestSize = 32
+
+// Digest is a BLAKE3-256 digest. Its text form is 64 lower-case hex digits.
+type Digest [DigestSize]byte
+
+// DigestOf returns the digest of data.
+func DigestOf(data []byte) Digest {
+	return blake3.Sum256(data)
+}
+
+// ParseDigest reads the text form of a digest.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != DigestSize {
+		return Digest{}, failure.Invalid.New("digest must be %d hex digits, got %q", 2*DigestSize, text)
+	}
+	copy(d[:], raw)
+	return d, nil
+}
+
+// String returns the text form.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// IsZero reports whether d is the zero digest, which names nothing.
+func (d Digest) IsZero() bool { return d == Digest{} }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	parsed, err := ParseDigest(string(text))
+	if err != nil {
+		return err
+	}
+	*d = parsed
+	return nil
+}
+
+// Version is one intended state of a model: a name for people and the digest
+// of its manifest, which pins every byte. Two versions are equal only if both
+// fields are.
+type Version struct {
+	Name     string `cbor:"1,keyasint" json:"name"`
+	Manifest Digest `cbor:"2,keyasint" json:"manifest"`
+}
+
+// IsZero reports whether v names no version.
+func (v Version) IsZero() bool { return v == Version{} }
+
+// String returns "name@" and the first twelve digits of the digest.
+func (v Version) String() string {
+	const shownDigits = 12
+	return v.Name + "@" + v.Manifest.String()[:shownDigits]
+}
--- /dev/null
+++ b/core/gossip/ports.go
@@ -0,0 +1,13 @@
+package gossip
+
+import (
+	"context"
+
+	"chivespindle.example/core/fleet"
+)
+
+// InstanceList is the platform's list of live and leaving instances. It lags
+// by seconds to minutes and may be unavailable; the last answer then stays.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]fleet.Instance, error)
+}
--- /dev/null
+++ b/core/revision/revision.go
@@ -0,0 +1,2 @@
+// Package revision decides which state of the operator's text is in force.
+package revision
--- /dev/null
+++ b/core/serving/ports.go
@@ -0,0 +1,79 @@
+package serving
+
+import (
+	"context"
+
+	"chivespindle.example/core/fleet"
+)
+
+// Load is an engine's own report of its work. It lags.
+type Load struct {
+	Running int     `cbor:"1,keyasint" json:"running"`
+	Waiting int     `cbor:"2,keyasint" json:"waiting"`
+	KVUsed  float64 `cbor:"3,keyasint" json:"kv_used"` // share of the KV cache, 0 to 1
+	Slots   int     `cbor:"4,keyasint" json:"slots"`   // requests it runs at once; 0: not told
+}
+
+// EngineStatus is what an engine reports of itself.
+type EngineStatus struct {
+	// Boot names one life of the engine's process; it changes at each restart.
+	Boot string `json:"boot"`
+	// Loaded is the version that answers are computed from; zero if none.
+	Loaded fleet.Version `json:"loaded"`
+	// Loading is true while an order is being carried out; the engine answers
+	// no requests then.
+	Loading    bool     `json:"loading"`
+	Adapters   []string `json:"adapters"`
+	EngineRole string   `json:"role"`
+	// Fence is the highest fencing number the engine has seen; 0 for an
+	// engine that ignores them.
+	Fence uint64 `json:"fence"`
+	Load  Load   `json:"load"`
+}
+
+// Order tells an engine to change what it serves. Zero fields are left as
+// they are.
+type Order struct {
+	Fence    uint64        `json:"fence"`
+	Version  fleet.Version `json:"version"`
+	Adapters []string      `json:"adapters"`
+	Role     string        `json:"role"`
+}
+
+// Engine gives orders to one model engine. Order returns failure.Refused when
+// the engine has seen a higher fencing number. An Order that fails otherwise
+// may or may not have been carried out; Status tells.
+type Engine interface {
+	Status(ctx context.Context) (EngineStatus, error)
+	Order(ctx context.Context, order Order) error
+}
+
+// Call is a request as it is passed to a backend server.
+type Call struct {
+	ID             string // unique per attempt; the answer must repeat it
+	IdempotencyKey string // empty if the caller gave none
+	Traceparent    string // W3C trace context of the agent's span
+	Path           string // path below the service, "" for the default call
+	Priority       int    // RFC 9218 urgency, 0 (highest) to 7
+	Body           []byte
+}
+
+// Piece is one part of a streamed answer.
+type Piece struct {
+	Data []byte
+}
+
+// Answer is the end of a streamed answer.
+type Answer struct {
+	ID      string        // the Call's ID as the server repeated it
+	Status  int           // HTTP status of the server
+	Version fleet.Version // the version that computed it; zero for a plain service
+}
+
+// Backend passes calls to one backend server, model engine or plain service.
+type Backend interface {
+	// Do passes the call on and hands over each piece as it comes; it stops
+	// when emit fails or ctx ends. A failure whose outcome is failure.NotRun
+	// means the server never got the call or said that it did not run it.
+	Do(ctx context.Context, call Call, emit func(Piece) error) (Answer, error)
+}
