--- /dev/null
+++ b/adapters/platform/doc.go
@@ -0,0 +1,8 @@
+// Package platform meets the platform's services over HTTP: the configuration
+// service (revision.Source), the instance list (gossip.InstanceList) and the
+// places that hold weights (weights.Source). Their protocol is described in
+// docs/PLATFORM.md.
+//
+// Every failure is a type of package failure, or Canceled. Nothing here tries
+// again: when to repeat a call is decided by its caller.
+package platform
--- /dev/null
+++ b/adapters/platform/instances.go
@@ -0,0 +1,104 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/gossip"
+)
+
+const (
+	// MaxListBytes bounds the encoded list. At about 250 bytes a line it
+	// leaves room for some 30,000 instances.
+	MaxListBytes = 8 << 20
+
+	instancesPath = "/v1/instances"
+)
+
+// InstanceListOptions shapes an InstanceList. Zero fields get their defaults.
+type InstanceListOptions struct {
+	// BaseURL is the address of the service by IP number.
+	BaseURL string
+	// Client sends the requests; nil for one of its own.
+	Client *http.Client
+	// Timeout bounds a call; DefaultTimeout.
+	Timeout time.Duration
+}
+
+// InstanceList reads the platform's list of instances. It implements
+// gossip.InstanceList and is safe for use by many goroutines.
+type InstanceList struct {
+	*client
+	timeout time.Duration
+}
+
+var _ gossip.InstanceList = (*InstanceList)(nil)
+
+// NewInstanceList returns a reader of the list; failure.Invalid if the options
+// are wrong. It makes no call.
+func NewInstanceList(options InstanceListOptions) (*InstanceList, error) {
+	client, err := newClient(options.BaseURL, options.Client)
+	if err != nil {
+		return nil, err
+	}
+	return &InstanceList{client: client, timeout: orDefault(options.Timeout, DefaultTimeout)}, nil
+}
+
+// Instances returns the whole list or a failure, never a part: a list that
+// lost lines would look like instances that have gone.
+func (l *InstanceList) Instances(ctx context.Context) ([]fleet.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	response, err := l.get(ctx, instancesPath)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	body, err := readBody(ctx, response, MaxListBytes, instancesPath)
+	if err != nil {
+		return nil, err
+	}
+	return decodeInstances(body)
+}
+
+// decodeInstances reads the JSON form of the list. Unknown fields are
+// skipped, so that the platform can add some.
+func decodeInstances(body []byte) ([]fleet.Instance, error) {
+	var instances []fleet.Instance
+	if err := json.Unmarshal(body, &instances); err != nil {
+		return nil, failure.Corrupt.Wrap(err, "decode instance list")
+	}
+	if instances == nil {
+		return nil, failure.Corrupt.New("instance list is null, want an array")
+	}
+	seen := make(map[fleet.InstanceID]bool, len(instances))
+	for position, instance := range instances {
+		if err := checkInstance(instance); err != nil {
+			return nil, failure.Corrupt.Wrap(err, "instance list, line %d", position)
+		}
+		if seen[instance.ID] {
+			return nil, failure.Corrupt.New("instance list, line %d: %q occurs twice", position, instance.ID)
+		}
+		seen[instance.ID] = true
+	}
+	return instances, nil
+}
+
+func checkInstance(instance fleet.Instance) error {
+	if instance.ID == "" {
+		return failure.Invalid.New("id is empty")
+	}
+	if instance.Role != fleet.RoleEntry && instance.Role != fleet.RoleAgent {
+		return failure.Invalid.New("%q has role %q, want %q or %q",
+			instance.ID, instance.Role, fleet.RoleEntry, fleet.RoleAgent)
+	}
+	if !instance.PeerAddr.IsValid() || instance.PeerAddr.Port() == 0 {
+		return failure.Invalid.New("%q has peer_addr %q, want an IP number and a port",
+			instance.ID, instance.PeerAddr)
+	}
+	return nil
+}
