--- /dev/null
+++ b/core/fleettext/values.go
@@ -0,0 +1,168 @@
+package fleettext
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxNameBytes is the length of the longest name.
+const MaxNameBytes = 63
+
+var (
+	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	integerPattern = regexp.MustCompile(`^[0-9]{1,9}$`)
+	decimalPattern = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,2})?$`)
+	ratePattern    = regexp.MustCompile(`^([0-9]{1,9})(B|KB|MB|GB)$`)
+)
+
+// valueError says why a value is refused.
+type valueError struct{ reason string }
+
+func (e valueError) Error() string { return e.reason }
+
+func badValue(format string, args ...any) error {
+	return valueError{reason: fmt.Sprintf(format, args...)}
+}
+
+func parseName(value string) (string, error) {
+	if len(value) > MaxNameBytes {
+		return "", badValue("name has %d bytes, at most %d are allowed", len(value), MaxNameBytes)
+	}
+	if !namePattern.MatchString(value) {
+		return "", badValue("bad name %q: want letters, digits, '.', '_' and '-', a letter or digit first", value)
+	}
+	return value, nil
+}
+
+// parseNames reads a comma-separated list and returns it sorted.
+func parseNames(value string) ([]string, error) {
+	var names []string
+	for item := range strings.SplitSeq(value, ",") {
+		name, err := parseName(strings.TrimSpace(item))
+		if err != nil {
+			return nil, err
+		}
+		if slices.Contains(names, name) {
+			return nil, badValue("%q is listed twice", name)
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func showNames[T ~string](names []T) string {
+	items := make([]string, len(names))
+	for i, name := range names {
+		items[i] = string(name)
+	}
+	return strings.Join(items, ", ")
+}
+
+func parseInteger(value string, low, high int) (int, error) {
+	if !integerPattern.MatchString(value) {
+		return 0, badValue("%q is not a whole number", value)
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < low || n > high {
+		return 0, badValue("%s is out of range: want %d to %d", value, low, high)
+	}
+	return n, nil
+}
+
+func parseDecimal(value string, low, high float64) (float64, error) {
+	if !decimalPattern.MatchString(value) {
+		return 0, badValue("%q is not a number with at most two decimals", value)
+	}
+	x, err := strconv.ParseFloat(value, 64)
+	if err != nil || x < low || x > high {
+		return 0, badValue("%s is out of range: want %s to %s", value, showDecimal(low), showDecimal(high))
+	}
+	return x, nil
+}
+
+func showDecimal(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
+
+func parseDuration(value string, low, high time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		return 0, badValue("%q is not a duration such as 30s or 2m", value)
+	}
+	if d < low || d > high {
+		return 0, badValue("%s is out of range: want %s to %s", value, showDuration(low), showDuration(high))
+	}
+	return d, nil
+}
+
+// Sizes that a rate is written in; decimal, as links are.
+var rateUnits = []struct {
+	name  string
+	bytes int64
+}{{"GB", 1e9}, {"MB", 1e6}, {"KB", 1e3}, {"B", 1}}
+
+// maxRate is the highest rate in bytes a second.
+const maxRate = int64(1e12)
+
+// parseRate reads bytes a second: "50MB", "0".
+func parseRate(value string) (int64, error) {
+	if value == "0" {
+		return 0, nil
+	}
+	match := ratePattern.FindStringSubmatch(value)
+	if match == nil {
+		return 0, badValue("%q is not a rate such as 50MB (units B, KB, MB, GB) or 0", value)
+	}
+	n, err := strconv.ParseInt(match[1], 10, 64)
+	if err != nil {
+		return 0, badValue("%q is not a rate", value)
+	}
+	for _, unit := range rateUnits {
+		if unit.name != match[2] {
+			continue
+		}
+		if n > maxRate/unit.bytes {
+			return 0, badValue("%s is out of range: want at most %s", value, showRate(maxRate))
+		}
+		n *= unit.bytes
+		break
+	}
+	return n, nil
+}
+
+func showRate(rate int64) string {
+	if rate == 0 {
+		return "0"
+	}
+	for _, unit := range rateUnits {
+		if rate%unit.bytes == 0 {
+			return strconv.FormatInt(rate/unit.bytes, 10) + unit.name
+		}
+	}
+	return strconv.FormatInt(rate, 10) + "B"
+}
+
+func parseChoice[T ~string](value string, choices ...T) (T, error) {
+	if slices.Contains(choices, T(value)) {
+		return T(value), nil
+	}
+	var none T
+	return none, badValue("%q is not one of %s", value, showNames(choices))
+}
+
+func showInteger(n int) string { return strconv.Itoa(n) }
+
+// showDuration writes "1h" where time.Duration writes "1h0m0s".
+func showDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
