Add the transport between processes and its certificates

QUIC with certificates on both sides, one stream per exchange, CBOR messages and raw bytes in length-prefixed frames.

--- /dev/null
+++ b/adapters/peer/link.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"chivespindle.example/adapters/keys"
+)
+
+// link is one connection with what the endpoint needs to know of it.
+type link struct {
+	conn    *quic.Conn
+	peer    keys.Identity
+	addr    netip.AddrPort
+	dialled bool
+
+	mu       sync.Mutex
+	active   int       // streams in use
+	lastUsed time.Time // when active last fell to 0
+	retired  bool      // not used for new streams; closed once unused
+	doubted  bool      // a stream stalled
+	heard    uint64    // packets received when the doubt arose
+}
+
+func newLink(conn *quic.Conn, dialled bool) (*link, error) {
+	peer, err := keys.IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+	if err != nil {
+		return nil, err
+	}
+	return &link{
+		conn:     conn,
+		peer:     peer,
+		addr:     addrPortOf(conn.RemoteAddr()),
+		dialled:  dialled,
+		lastUsed: time.Now(),
+	}, nil
+}
+
+func addrPortOf(addr net.Addr) netip.AddrPort {
+	udp, ok := addr.(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	port := udp.AddrPort()
+	return netip.AddrPortFrom(port.Addr().Unmap(), port.Port())
+}
+
+// acquire counts one more stream. It returns false on a retired link.
+func (l *link) acquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired {
+		return false
+	}
+	l.active++
+	return true
+}
+
+func (l *link) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active--
+	l.lastUsed = time.Now()
+}
+
+// retire keeps new streams off the link. Running ones go on.
+func (l *link) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+}
+
+// retireIfUnused retires the link if it has no streams and either is retired
+// already or had none since before. It reports whether the link may be closed.
+func (l *link) retireIfUnused(before time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.active > 0 {
+		return false
+	}
+	if !l.retired && l.lastUsed.After(before) {
+		return false
+	}
+	l.retired = true
+	return true
+}
+
+// doubt notes that a stream on the link stalled. Either the peer is slow, or
+// the link is dead and QUIC has not noticed yet. In the second case each new
+// request would be sent into the void, with an unknown outcome, until the idle
+// timeout. See usable.
+func (l *link) doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubted = true
+	l.heard = l.conn.ConnectionStats().PacketsReceived
+}
+
+// usable reports whether new streams may go over the link. Silence since a
+// stall makes it unusable: a new connection then either works or fails within
+// the handshake timeout, with nothing sent. If the peer was merely slow, that
+// costs one handshake. Any packet since the stall clears the doubt.
+func (l *link) usable() bool {
+	if context.Cause(l.conn.Context()) != nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retired {
+		return false
+	}
+	if !l.doubted {
+		return true
+	}
+	l.doubted = l.conn.ConnectionStats().PacketsReceived == l.heard
+	return !l.doubted
+}
--- /dev/null
+++ b/adapters/peer/metrics.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+)
+
+// Reasons of refusals, a tag of the counter "refusals" and a field in logs.
+const (
+	refusedHandshakeFailed = "handshake"       // certificate missing or not accepted, or the peer gave up
+	refusedHandshakeLimit  = "handshake_limit" // too many unfinished handshakes
+	refusedRole            = "role"            // Options.Allow said no
+	refusedKind            = "kind"            // no such kind
+	refusedCertificate     = "certificate"     // not accepted any more since a reload
+)
+
+// Strangers cause refusals at any rate they like, so only some are logged.
+// The counter has them all.
+const (
+	refusalLogsPerSecond = 5
+	refusalLogsBurst     = 20
+)
+
+// metrics are the endpoint's counters. Sides are "dialled" and "accepted".
+type metrics struct {
+	scope      tally.Scope
+	logger     *zap.Logger
+	logs       *rate.Limiter
+	dialled    sideMetrics
+	accepted   sideMetrics
+	dialFailed tally.Counter
+	kinds      map[Kind]*kindMetrics
+}
+
+type sideMetrics struct {
+	opened tally.Counter
+	closed tally.Counter
+	live   tally.Gauge
+}
+
+type kindMetrics struct {
+	opened   tally.Counter
+	served   tally.Counter
+	sent     tally.Counter // bytes of frames
+	received tally.Counter // bytes of frames
+}
+
+func newMetrics(scope tally.Scope, logger *zap.Logger) *metrics {
+	m := &metrics{
+		scope:      scope,
+		logger:     logger,
+		logs:       rate.NewLimiter(rate.Every(time.Second/refusalLogsPerSecond), refusalLogsBurst),
+		dialled:    newSideMetrics(scope, "dialled"),
+		accepted:   newSideMetrics(scope, "accepted"),
+		dialFailed: scope.Counter("dials_failed"),
+		kinds:      make(map[Kind]*kindMetrics),
+	}
+	for kind, name := range kindNames {
+		m.kinds[kind] = newKindMetrics(scope.Tagged(map[string]string{"kind": name}))
+	}
+	return m
+}
+
+func newSideMetrics(scope tally.Scope, side string) sideMetrics {
+	tagged := scope.Tagged(map[string]string{"side": side})
+	return sideMetrics{
+		opened: tagged.Counter("connections_opened"),
+		closed: tagged.Counter("connections_closed"),
+		live:   tagged.Gauge("connections"),
+	}
+}
+
+func newKindMetrics(scope tally.Scope) *kindMetrics {
+	return &kindMetrics{
+		opened:   scope.Counter("streams_opened"),
+		served:   scope.Counter("streams_served"),
+		sent:     scope.Counter("bytes_sent"),
+		received: scope.Counter("bytes_received"),
+	}
+}
+
+func (m *metrics) refused(reason string, fields ...zap.Field) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
+	if !m.logs.Allow() {
+		return
+	}
+	m.logger.Warn("peer_refused", append([]zap.Field{zap.String("reason", reason)}, fields...)...)
+}
--- /dev/null
+++ b/adapters/peer/peer.go
@@ -0,0 +1,170 @@
+// Package peer is the transport between the system's own processes: QUIC with
+// certificates on both sides, one stream per exchange, CBOR messages and raw
+// bytes in length-prefixed frames.
+//
+// An Endpoint is client and server over one UDP socket. Connections are made
+// on demand, one per address, kept while they are in use, and closed by the
+// side that dialled them once they have been unused for a while. Only the
+// dialling side opens streams.
+//
+// On the wire, the first byte of each stream is its Kind. Frames follow in
+// both directions, see frame.go. The reasons and the measurements are in
+// docs/design/peer-transport.md.
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+// Kind tells what an exchange is about. It is the first byte on each stream.
+type Kind uint8
+
+// The kinds of exchange. The values are part of the wire format.
+const (
+	KindGossip  Kind = 1 // membership and load between processes
+	KindConfig  Kind = 2 // changes of the operator's text
+	KindChunk   Kind = 3 // weights
+	KindRequest Kind = 4 // a caller's request and its answer
+	KindReport  Kind = 5 // state of a backend server and its engine
+	KindStatus  Kind = 6 // what an operator sees
+)
+
+var kindNames = map[Kind]string{
+	KindGossip:  "gossip",
+	KindConfig:  "config",
+	KindChunk:   "chunk",
+	KindRequest: "request",
+	KindReport:  "report",
+	KindStatus:  "status",
+}
+
+// String returns the word used in logs and metrics.
+func (k Kind) String() string {
+	if name, ok := kindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// urgencies order the kinds on one connection, 0 first, as in RFC 9218. A
+// chunk of weights and a live request to the same peer share a connection;
+// without an order, the request would wait behind megabytes of the chunk.
+var urgencies = map[Kind]int8{
+	KindRequest: 1,
+	KindConfig:  2,
+	KindGossip:  3,
+	KindReport:  3,
+	KindStatus:  4,
+	KindChunk:   6,
+}
+
+// Defaults of Options.
+const (
+	DefaultIdleTimeout      = 20 * time.Second
+	DefaultKeepAlive        = 5 * time.Second
+	DefaultHandshakeTimeout = 2 * time.Second
+	DefaultUnusedTimeout    = time.Minute
+	DefaultMaxStreams       = 256
+	DefaultMaxMessage       = 1 << 20
+)
+
+// Handler serves the streams that peers open.
+type Handler interface {
+	// ServeStream serves one exchange and returns when it is done. The stream
+	// is then closed: what was sent is still delivered, what still arrives is
+	// dropped. ctx ends with the stream, the connection or the endpoint; the
+	// handler must return soon after, since Close waits for it.
+	ServeStream(ctx context.Context, from keys.Identity, kind Kind, s *Stream)
+}
+
+// Options are the settings of an Endpoint.
+type Options struct {
+	// Listen is the UDP address, used for accepting and dialling.
+	Listen netip.AddrPort
+	// Keys holds the own certificate and the authority. Required.
+	Keys *keys.Store
+	// Handler serves streams of peers. Without one, the endpoint accepts no
+	// connections.
+	Handler Handler
+	// Logger and Metrics may be nil.
+	Logger  *zap.Logger
+	Metrics tally.Scope
+	// IdleTimeout is how long nothing may arrive on a connection until it is
+	// taken for dead.
+	IdleTimeout time.Duration
+	// KeepAlive is how often the dialling side of a quiet connection asks
+	// whether the other is there. It must be less than half of IdleTimeout.
+	KeepAlive time.Duration
+	// HandshakeTimeout bounds the making of a connection, and the whole of
+	// Open.
+	HandshakeTimeout time.Duration
+	// UnusedTimeout is how long a dialled connection is kept without streams.
+	UnusedTimeout time.Duration
+	// MaxStreams bounds the streams that one peer may have open at a time on
+	// one connection. Open waits while the other side's bound is reached.
+	MaxStreams int
+	// MaxMessage bounds one CBOR message, in bytes, both ways.
+	MaxMessage int
+	// Allow decides whether a peer may open a stream of a kind. Nil means
+	// DefaultAllow.
+	Allow func(from keys.Identity, kind Kind) bool
+}
+
+// DefaultAllow lets entries and agents open every kind, and an operator, who
+// is only a reader, KindStatus.
+func DefaultAllow(from keys.Identity, kind Kind) bool {
+	switch from.Role {
+	case fleet.RoleEntry, fleet.RoleAgent:
+		return true
+	case fleet.RoleOperator:
+		return kind == KindStatus
+	default:
+		return false
+	}
+}
+
+func (o Options) withDefaults() (Options, error) {
+	if o.Keys == nil {
+		return o, failure.Internal.New("peer: Options.Keys must be set")
+	}
+	if !o.Listen.IsValid() {
+		return o, failure.Invalid.New("listen address must be an IP number and a port")
+	}
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.KeepAlive, DefaultKeepAlive)
+	setDefault(&o.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&o.UnusedTimeout, DefaultUnusedTimeout)
+	setDefault(&o.MaxStreams, DefaultMaxStreams)
+	setDefault(&o.MaxMessage, DefaultMaxMessage)
+	if o.KeepAlive > o.IdleTimeout/2 {
+		return o, failure.Invalid.New("keep-alive %s must be at most half of the idle timeout %s", o.KeepAlive, o.IdleTimeout)
+	}
+	if o.MaxMessage > maxFrameLength {
+		return o, failure.Invalid.New("message bound %d must be at most %d bytes", o.MaxMessage, maxFrameLength)
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
+	if o.Allow == nil {
+		o.Allow = DefaultAllow
+	}
+	return o, nil
+}
+
+func setDefault[T time.Duration | int](value *T, fallback T) {
+	if *value <= 0 {
+		*value = fallback
+	}
+}
