Choose a backend server for each request

Explain takes the time as Pick does, since ages and ejections depend on it. Own requests are taken off the reported load as counted when the report came, so they are not counted twice.

--- /dev/null
+++ b/core/balance/bench_test.go
@@ -0,0 +1,41 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+
+	"chivespindle.example/core/balance"
+)
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 3500} {
+		servers := targetFleet()[:n]
+		for _, keyed := range []bool{false, true} {
+			b.Run(fmt.Sprintf("servers=%d/prefix=%t", n, keyed), func(b *testing.B) {
+				s := balance.NewSnapshot(placeOf(0), servers, newTracker(), balance.Settings{})
+				rnd := newRand(1)
+				r := anyRequest
+				b.ReportAllocs()
+				for b.Loop() {
+					if keyed {
+						r.PrefixKey++
+					}
+					choice, err := s.Pick(start, rnd, r)
+					if err != nil {
+						b.Fatal(err)
+					}
+					choice.Release(balance.Result{At: start, Kind: balance.Succeeded})
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkNewSnapshot(b *testing.B) {
+	servers := targetFleet()
+	tracker := newTracker()
+	b.ReportAllocs()
+	for b.Loop() {
+		balance.NewSnapshot(placeOf(0), servers, tracker, balance.Settings{})
+	}
+}
--- /dev/null
+++ b/core/balance/outlier.go
@@ -0,0 +1,164 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minResults is how many results a failure rate needs before it counts.
+	minResults = 8
+	// failWeight and latencyWeight are the weights of the newest sample in
+	// the moving averages.
+	failWeight    = 0.1
+	latencyWeight = 0.2
+	// stallStrikes is what a stall counts in failures: it cost the caller a
+	// whole timeout and a dead link does not mend by itself.
+	stallStrikes = 2
+	// defaultBusy is the pause after a refusal that named none.
+	defaultBusy = 250 * time.Millisecond
+)
+
+// ticket is the open end of one Choice.
+type ticket struct {
+	tracker  *Tracker
+	group    *group
+	state    *state
+	settings *Settings
+}
+
+// finish takes the request off the counts and learns from its end.
+func (tk *ticket) finish(result Result) {
+	tk.group.inFlight.Add(-1)
+	tk.state.inFlight.Add(-1)
+	now := tk.tracker.since(result.At)
+	if result.FirstPiece > 0 {
+		tk.state.sampleLatency(now, result.FirstPiece)
+	}
+	switch result.Kind {
+	case Succeeded:
+		tk.state.succeed(now, tk.settings)
+	case Failed:
+		tk.fail(now, 1)
+	case Stalled:
+		tk.fail(now, stallStrikes)
+	case Declined:
+		pause := result.RetryAfter
+		if pause <= 0 {
+			pause = defaultBusy
+		}
+		tk.state.busyUntil.Store(now + int64(pause))
+	case Abandoned:
+	}
+}
+
+func (st *state) sampleLatency(now instant, sample time.Duration) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	mean := math.Float64frombits(st.latency.Load())
+	if mean == 0 {
+		mean = sample.Seconds()
+	}
+	mean += latencyWeight * (sample.Seconds() - mean)
+	st.latency.Store(math.Float64bits(mean))
+	st.latencyAt.Store(now)
+}
+
+func (st *state) succeed(now instant, settings *Settings) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.strikes = 0
+	st.results++
+	st.failRate -= failWeight * st.failRate
+	if st.ejections > 0 && now >= st.warmFrom.Load()+int64(settings.SlowStart) {
+		st.ejections = 0
+	}
+}
+
+// fail counts a failure and ejects the server if it was one too many.
+//
+// A server that fails fast looks idle, so least-of-two alone would send it
+// ever more requests and callers would see most of them fail. Ejection takes
+// it out for a time that doubles with each relapse, jittered so that the
+// entries do not all come back to it at once. At most half of a service's
+// servers are out: if more seem to fail, the fault is likelier on this side.
+func (tk *ticket) fail(now instant, strikes int) {
+	jitter := tk.tracker.jitter()
+	g := tk.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := tk.state
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.strikes += strikes
+	st.results++
+	st.failRate += failWeight * (1 - st.failRate)
+	if !st.failing(tk.settings) || now < st.ejectedUntil.Load() {
+		return
+	}
+	if !g.mayEject(now) {
+		return
+	}
+	length := backoff(tk.settings.EjectBase, tk.settings.EjectMax, st.ejections, jitter)
+	end := now + int64(length)
+	st.ejectedUntil.Store(end)
+	st.warmFrom.Store(end)
+	st.ejections++
+	st.strikes = 0
+	st.results = 0
+	st.failRate = 0
+}
+
+// failing reports whether the failures suffice for an ejection. One failure
+// does after a return, until the server has lasted through its slow start.
+func (st *state) failing(settings *Settings) bool {
+	if st.ejections > 0 {
+		return st.strikes > 0
+	}
+	if st.strikes >= settings.EjectAfter {
+		return true
+	}
+	return st.results >= minResults && st.failRate >= settings.EjectRate
+}
+
+// mayEject reports whether one more of the group may be ejected.
+func (g *group) mayEject(now instant) bool {
+	out := 1
+	for _, st := range g.members {
+		if now < st.ejectedUntil.Load() {
+			out++
+		}
+	}
+	return 2*out <= len(g.members)
+}
+
+// trimEjections ends the ejections that would leave more than half of a
+// shrunken group out, those that end first first. It counts ejections that
+// may be over already, which errs towards ending one too many.
+func (g *group) trimEjections() {
+	var out []*state
+	for _, st := range g.members {
+		if st.ejectedUntil.Load() != unset {
+			out = append(out, st)
+		}
+	}
+	excess := len(out) - len(g.members)/2
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(out, func(a, b *state) int {
+		return int(min(1, max(-1, a.ejectedUntil.Load()-b.ejectedUntil.Load())))
+	})
+	for _, st := range out[:excess] {
+		st.ejectedUntil.Store(unset)
+	}
+}
+
+// backoff returns base doubled for each earlier ejection, at most limit, times
+// jitter.
+func backoff(base, limit time.Duration, earlier int, jitter float64) time.Duration {
+	length := float64(base) * math.Pow(2, float64(earlier))
+	length = min(length, float64(limit))
+	return time.Duration(length * jitter)
+}
--- /dev/null
+++ b/core/balance/pick_test.go
@@ -0,0 +1,306 @@
+package balance_test
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/balance"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+var anyRequest = balance.Request{Service: spindle}
+
+var _ = Describe("Pick", func() {
+	// The caller waits behind a queue while most servers have room. One server
+	// just became idle; every entry holds the same reports, 2 s old, and the
+	// next come in 2 s. An entry that takes the least reported server sends
+	// everything there, and so do all others.
+	It("does not send every entry to the server that became idle", func() {
+		const entries, each, count = 50, 4, 20
+		servers := serversAt(apapa, count, 12)
+		servers[0].Report.Load.Running = 0
+		now := start.Add(2 * time.Second)
+
+		leastReported := entries * each // all of them to servers[0], by definition
+		spread := map[fleet.InstanceID]int{}
+		for entry := range entries {
+			s := snapshotOf(newTracker(), servers)
+			rnd := newRand(uint64(entry))
+			for range each {
+				choice, err := s.Pick(now, rnd, anyRequest)
+				Expect(err).NotTo(HaveOccurred())
+				spread[choice.ID]++
+			}
+		}
+
+		mean := entries * each / count
+		AddReportEntry("requests at the idle server",
+			fmt.Sprintf("%d, least reported %d, mean %d", spread[servers[0].ID], leastReported, mean))
+		Expect(spread[servers[0].ID]).To(BeNumerically("<=", 3*mean))
+		Expect(spread[servers[0].ID]).To(BeNumerically(">", mean))
+		for id, n := range spread {
+			Expect(n).To(BeNumerically("<=", 3*mean), "server %s", id)
+		}
+	})
+
+	// The caller would wait at a busy server next to an idle one: this entry
+	// just sent its requests to one of two, and no report shows it yet.
+	It("counts its own requests before any report does", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 2, 0))
+		counts := pickN(s, newRand(3), 20, anyRequest)
+		Expect(counts).To(HaveLen(2))
+		Expect(counts).To(HaveEach(BeNumerically("~", 10, 1)))
+	})
+
+	// The caller would cross zones for nothing, or wait in a full zone while
+	// the next one idles.
+	DescribeTable("takes near servers until they are loaded",
+		func(nearRunning, farRunning int, far fleet.Place, want string) {
+			servers := append(serversAt(apapa, 3, nearRunning), serversAt(far, 3, farRunning)...)
+			s := snapshotOf(newTracker(), servers)
+			choice, err := s.Pick(start, newRand(5), anyRequest)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(choice.Zone)).To(Equal(want))
+		},
+		Entry("idle zone", 0, 0, apapa2, "apapa-1"),
+		Entry("half loaded zone, idle neighbour", 8, 0, apapa2, "apapa-1"),
+		Entry("loaded zone, idle neighbour", 13, 0, apapa2, "apapa-2"),
+		Entry("loaded zone, idle region", 13, 0, kano, "sharada-1"),
+		Entry("all alike loaded", 14, 14, kano, "apapa-1"),
+		Entry("full zone, loaded region", 20, 15, kano, "sharada-1"),
+	)
+
+	// The caller is told at once that nothing ran and when to come back,
+	// rather than waiting for a server that cannot take the request.
+	DescribeTable("refuses what no server can take as not run",
+		func(change func(*balance.Server), want *errorx.Type) {
+			servers := serversAt(apapa, 3, 0)
+			for i := range servers {
+				change(&servers[i])
+			}
+			s := snapshotOf(newTracker(), servers)
+			_, err := s.Pick(start, newRand(5), anyRequest)
+			Expect(errorx.IsOfType(err, want)).To(BeTrue(), "%v", err)
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+			Expect(failure.RetryAfter(err)).To(And(BeNumerically(">=", time.Second), BeNumerically("<", 3*time.Second)))
+		},
+		Entry("all full", func(s *balance.Server) { s.Report.Load.Waiting = 20 }, balance.AllFull),
+		Entry("all draining", func(s *balance.Server) { s.Draining = true }, balance.NoServer),
+		Entry("another service", func(s *balance.Server) { s.Service = "luettelo" }, balance.NoServer),
+	)
+
+	// Every caller refused at once would be back at once, and be refused
+	// again: the pauses must differ.
+	It("spreads the pauses of refused requests", func() {
+		s := snapshotOf(newTracker(), nil)
+		rnd := newRand(5)
+		pauses := map[time.Duration]bool{}
+		for range 100 {
+			_, err := s.Pick(start, rnd, anyRequest)
+			pauses[failure.RetryAfter(err).Truncate(100*time.Millisecond)] = true
+		}
+		Expect(len(pauses)).To(BeNumerically(">", 15))
+	})
+
+	// Callers would be refused for ever: every report says full, then the
+	// reports stop, while the servers finish their work.
+	It("does not believe an old report that a server is full", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 3, 20))
+		_, err := s.Pick(start, newRand(5), anyRequest)
+		Expect(errorx.IsOfType(err, balance.AllFull)).To(BeTrue())
+		_, err = s.Pick(start.Add(5*time.Second), newRand(5), anyRequest)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// A server whose reports stopped was idle when they did. Callers would be
+	// sent to it by preference for as long as it stays silent.
+	It("takes a server without news for an average one", func() {
+		servers := serversAt(apapa, 2, 8)
+		servers[0].Report.Load.Running = 0
+		servers[0].Report.Received = start.Add(-time.Minute)
+		costs := map[fleet.InstanceID]float64{}
+		for _, c := range snapshotOf(newTracker(), servers).Explain(start, anyRequest) {
+			costs[c.ID] = c.Others
+		}
+		Expect(costs[servers[0].ID]).To(BeNumerically("~", 4, 0.1))
+	})
+
+	// The least important requests give way first: what is left of a nearly
+	// full fleet is for those whose caller cannot wait.
+	It("keeps the last room for urgent requests", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 2, 18))
+		low, high := anyRequest, anyRequest
+		low.Priority = 7
+		_, err := s.Pick(start, newRand(5), low)
+		Expect(errorx.IsOfType(err, balance.AllFull)).To(BeTrue())
+		_, err = s.Pick(start, newRand(5), high)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// A retry would go back to the server that just failed it.
+	It("passes over servers that the request has tried", func() {
+		servers := serversAt(apapa, 3, 0)
+		r := anyRequest
+		r.Exclude = []fleet.InstanceID{servers[0].ID, servers[2].ID}
+		Expect(pickN(snapshotOf(newTracker(), servers), newRand(5), 10, r)).To(HaveLen(1))
+		r.Exclude = append(r.Exclude, servers[1].ID)
+		_, err := snapshotOf(newTracker(), servers).Pick(start, newRand(5), r)
+		Expect(errorx.IsOfType(err, balance.NoServer)).To(BeTrue())
+	})
+
+	// A parts order asked again must reach the server that holds its record,
+	// also while that server drains; anywhere else it could run twice.
+	It("sends a request with a home there or nowhere", func() {
+		servers := serversAt(apapa, 4, 0)
+		servers[2].Draining = true
+		s := snapshotOf(newTracker(), servers)
+		r := anyRequest
+		r.Require = servers[2].ID
+		Expect(pickN(s, newRand(5), 5, r)).To(Equal(map[fleet.InstanceID]int{servers[2].ID: 5}))
+		r.Require = "gone"
+		_, err := s.Pick(start, newRand(5), r)
+		Expect(errorx.IsOfType(err, balance.NoServer)).To(BeTrue())
+	})
+
+	// Callers meet a server with empty caches and wait longer there than
+	// elsewhere; a server that just loaded must get its share by and by.
+	DescribeTable("starts a new server slowly",
+		func(servingFor time.Duration, low, high int) {
+			servers := serversAt(apapa, 10, 0)
+			servers[0].ServingSince = start.Add(-servingFor)
+			s := snapshotOf(newTracker(), servers)
+			counts := pickN(s, newRand(5), 100, anyRequest)
+			Expect(counts[servers[0].ID]).To(And(BeNumerically(">=", low), BeNumerically("<=", high)))
+		},
+		Entry("just loaded", time.Duration(0), 0, 3),
+		Entry("half way", 7*time.Second, 3, 9),
+		Entry("warm", time.Minute, 8, 12),
+	)
+
+	It("starts a server slowly after a change of version", func() {
+		tracker := newTracker()
+		servers := serversAt(apapa, 10, 0)
+		servers[0].Version = fleet.Version{Name: "1"}
+		snapshotOf(tracker, servers)
+		servers[0].Version = fleet.Version{Name: "2"}
+		counts := pickN(snapshotOf(tracker, servers), newRand(5), 100, anyRequest)
+		Expect(counts[servers[0].ID]).To(BeNumerically("<=", 3))
+	})
+
+	It("keeps the adaptive limit of a server", func() {
+		servers := serversAt(apapa, 2, 0)
+		servers[0].Limit = 3
+		counts := pickN(snapshotOf(newTracker(), servers), newRand(5), 15, anyRequest)
+		Expect(counts).To(Equal(map[fleet.InstanceID]int{servers[0].ID: 3, servers[1].ID: 12}))
+	})
+})
+
+var _ = Describe("prefix affinity", func() {
+	key := func(k uint64) balance.Request { return balance.Request{Service: spindle, PrefixKey: k} }
+
+	It("gathers one prefix on one server while that has room", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 10, 0))
+		Expect(pickN(s, newRand(5), 4, key(42))).To(HaveLen(1))
+	})
+
+	It("spreads many prefixes over the servers", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 10, 0))
+		counts := map[fleet.InstanceID]int{}
+		for k := range uint64(2000) {
+			choice, err := s.Pick(start, newRand(5), key(k+1))
+			Expect(err).NotTo(HaveOccurred())
+			choice.Release(balance.Result{At: start, Kind: balance.Succeeded})
+			counts[choice.ID]++
+		}
+		Expect(counts).To(HaveLen(10))
+		Expect(counts).To(HaveEach(BeNumerically("~", 200, 60)))
+	})
+
+	// Callers of one popular prefix would queue at its server while nine idle.
+	It("bounds the load of a popular prefix", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 10, 0))
+		counts := pickN(s, newRand(5), 100, key(42))
+		Expect(counts).To(HaveEach(BeNumerically("<=", 14)))
+	})
+
+	It("moves only the prefixes of a server that goes", func() {
+		servers := serversAt(apapa, 10, 0)
+		before, after := snapshotOf(newTracker(), servers), snapshotOf(newTracker(), servers[1:])
+		for k := range uint64(500) {
+			was, err := before.Pick(start, newRand(5), key(k+1))
+			Expect(err).NotTo(HaveOccurred())
+			was.Release(balance.Result{At: start})
+			is, err := after.Pick(start, newRand(5), key(k+1))
+			Expect(err).NotTo(HaveOccurred())
+			is.Release(balance.Result{At: start})
+			if was.ID != servers[0].ID {
+				Expect(is.ID).To(Equal(was.ID))
+			}
+		}
+	})
+
+	It("shows the operator where a prefix leads", func() {
+		s := snapshotOf(newTracker(), serversAt(apapa, 10, 0))
+		choice, err := s.Pick(start, newRand(5), key(42))
+		Expect(err).NotTo(HaveOccurred())
+		for _, c := range s.Explain(start, key(42)) {
+			Expect(c.Preferred).To(Equal(c.ID == choice.ID))
+		}
+	})
+})
+
+var _ = Describe("Tracker", func() {
+	// A double release, or one lost at a change of snapshot, would make a
+	// server look idle or busy for ever.
+	It("counts requests exactly over snapshots and goroutines", func() {
+		tracker := newTracker()
+		servers := serversAt(apapa, 5, 0)
+		var snapshots sync.Map
+		snapshots.Store("now", snapshotOf(tracker, servers))
+		var traffic sync.WaitGroup
+		for worker := range 8 {
+			traffic.Go(func() {
+				rnd := newRand(uint64(worker))
+				for range 300 {
+					s, _ := snapshots.Load("now")
+					choice, err := s.(*balance.Snapshot).Pick(start, rnd, anyRequest)
+					if err != nil {
+						continue
+					}
+					choice.Release(balance.Result{At: start, Kind: balance.Succeeded, FirstPiece: time.Millisecond})
+					choice.Release(balance.Result{At: start, Kind: balance.Failed})
+				}
+			})
+		}
+		for range 100 {
+			snapshots.Store("now", snapshotOf(tracker, servers))
+		}
+		traffic.Wait()
+		for _, server := range servers {
+			Expect(tracker.InFlight(spindle, server.ID)).To(BeZero())
+		}
+	})
+
+	It("forgets a server that is gone once its requests have ended", func() {
+		tracker := newTracker()
+		servers := serversAt(apapa, 2, 0)
+		s := snapshotOf(tracker, servers)
+		r := anyRequest
+		r.Require = servers[0].ID
+		choice, err := s.Pick(start, newRand(5), r)
+		Expect(err).NotTo(HaveOccurred())
+		snapshotOf(tracker, servers[1:])
+		Expect(tracker.Len()).To(Equal(2))
+		choice.Release(balance.Result{At: start})
+		snapshotOf(tracker, servers[1:])
+		Expect(tracker.Len()).To(Equal(1))
+		snapshotOf(tracker, nil)
+		Expect(tracker.Len()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/core/balance/subset_test.go
@@ -0,0 +1,109 @@
+package balance_test
+
+import (
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/balance"
+	"chivespindle.example/core/fleet"
+)
+
+// The target: 410 entries before 3,500 servers in 3 regions of 3 zones.
+const (
+	targetEntries = 410
+	targetServers = 3500
+	targetZones   = 9
+	subsetSize    = 128
+)
+
+func placeOf(i int) fleet.Place {
+	zone := i % targetZones
+	return fleet.Place{
+		Zone:   fleet.Zone(fmt.Sprintf("zone-%d", zone)),
+		Region: fleet.Region(fmt.Sprintf("region-%d", zone/3)),
+	}
+}
+
+func targetFleet() []balance.Server {
+	servers := make([]balance.Server, targetServers)
+	for i := range servers {
+		servers[i] = balance.Server{
+			ID:      fleet.InstanceID(fmt.Sprintf("server-%d", i)),
+			Place:   placeOf(i),
+			Service: spindle,
+		}
+	}
+	return servers
+}
+
+func entryID(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("entry-%d", i)) }
+
+var _ = Describe("Subset", func() {
+	It("covers every server of the target fleet evenly", func() {
+		servers := targetFleet()
+		entriesOf := map[fleet.InstanceID]int{}
+		for i := range targetEntries {
+			subset := balance.Subset(entryID(i), placeOf(i), servers, subsetSize)
+			Expect(subset).To(HaveLen(subsetSize))
+			for _, server := range subset {
+				entriesOf[server.ID]++
+			}
+		}
+		counts := make([]int, 0, len(servers))
+		for _, server := range servers {
+			counts = append(counts, entriesOf[server.ID])
+		}
+		slices.Sort(counts)
+		mean := float64(targetEntries*subsetSize) / targetServers
+		AddReportEntry("entries of a server", fmt.Sprintf("min %d p1 %d mean %.1f p99 %d max %d",
+			counts[0], counts[targetServers/100], mean, counts[targetServers*99/100], counts[targetServers-1]))
+		Expect(counts[0]).To(BeNumerically(">=", 2))
+		Expect(counts[targetServers/100]).To(BeNumerically(">=", mean/3))
+		Expect(counts[targetServers*99/100]).To(BeNumerically("<=", 2*mean))
+	})
+
+	It("takes half from its own zone and some from every region", func() {
+		zones, regions := map[fleet.Zone]int{}, map[fleet.Region]int{}
+		for _, server := range balance.Subset("entry-1", placeOf(1), targetFleet(), subsetSize) {
+			zones[server.Zone]++
+			regions[server.Region]++
+		}
+		Expect(zones[placeOf(1).Zone]).To(Equal(subsetSize / 2))
+		Expect(regions[placeOf(1).Region]).To(Equal(subsetSize * 3 / 4))
+		Expect(regions).To(HaveLen(3))
+	})
+
+	// A restart of one server would make hundreds of entries connect anew.
+	It("changes by one server when one goes", func() {
+		servers := targetFleet()
+		before := idsOf(balance.Subset("entry-1", placeOf(1), servers, subsetSize))
+		for i := range 50 {
+			after := idsOf(balance.Subset("entry-1", placeOf(1), slices.Delete(slices.Clone(servers), i, i+1), subsetSize))
+			lost := slices.DeleteFunc(slices.Clone(before), func(id fleet.InstanceID) bool { return slices.Contains(after, id) })
+			Expect(len(lost)).To(BeNumerically("<=", 1))
+		}
+	})
+
+	DescribeTable("fills up from what there is",
+		func(near, region, far, n, want int) {
+			servers := slices.Concat(serversAt(apapa, near, 0), serversAt(apapa2, region, 0), serversAt(kano, far, 0))
+			Expect(balance.Subset("entry-1", apapa, servers, n)).To(HaveLen(want))
+		},
+		Entry("fewer than asked", 2, 2, 2, 10, 6),
+		Entry("none near", 0, 0, 20, 10, 10),
+		Entry("all near", 20, 0, 0, 10, 10),
+		Entry("few near", 1, 1, 20, 10, 10),
+		Entry("none asked", 5, 5, 5, 0, 0),
+	)
+})
+
+func idsOf(servers []balance.Server) []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, len(servers))
+	for i := range servers {
+		ids[i] = servers[i].ID
+	}
+	return ids
+}
