Add the engine and plain service stand-ins and their adapters

The agent needs something to speak to. The stand-in engine batches, stages, loads and streams by its protocol, with faults a test can set and counts of what it ran; the adapters implement serving.Engine, serving.Backend and weights.Stage with the outcome of every failure. Each attempt has a connection of its own, since net/http repeats a request with an Idempotency-Key on a kept connection that dies.

The plain service has no specs yet.

--- /dev/null
+++ b/standin/engine/backend/admin.go
@@ -0,0 +1,64 @@
+package backend
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+)
+
+// Counts is a number per name.
+type Counts map[string]int
+
+// Clone returns a copy, never nil.
+func (c Counts) Clone() Counts {
+	if c == nil {
+		return Counts{}
+	}
+	return maps.Clone(c)
+}
+
+// Max returns the largest number, 0 if there is none.
+func (c Counts) Max() int {
+	largest := 0
+	for _, n := range c {
+		largest = max(largest, n)
+	}
+	return largest
+}
+
+// Admin is what a harness may do to a stand-in over HTTP. F is its type of
+// faults.
+type Admin[F any] struct {
+	Counters func() any // encoded as JSON
+	Faults   func(F)    // replaces all faults
+	Restart  func()     // a new life of the process; nil if there is none
+}
+
+// Handler serves GET /admin/counters, POST /admin/faults and POST
+// /admin/restart.
+func (a Admin[F]) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/counters", func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, a.Counters())
+	})
+	mux.HandleFunc("POST /admin/faults", a.setFaults)
+	if a.Restart != nil {
+		mux.HandleFunc("POST /admin/restart", func(w http.ResponseWriter, _ *http.Request) {
+			a.Restart()
+			w.WriteHeader(http.StatusNoContent)
+		})
+	}
+	return mux
+}
+
+func (a Admin[F]) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults F
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&faults); err != nil {
+		WriteProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	a.Faults(faults)
+	WriteJSON(w, http.StatusOK, faults)
+}
--- /dev/null
+++ b/standin/engine/backend/backend.go
@@ -0,0 +1,142 @@
+// Package backend holds what the stand-ins of backend servers share: the
+// listener, the faults that a test sets, the admin port and the counts.
+package backend
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"chivespindle.example/core/failure"
+)
+
+// Headers of the protocol (docs/PLATFORM-ENGINE.md).
+const (
+	HeaderRequestID      = "Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderPriority       = "Priority"
+	HeaderOutcome        = "Request-Outcome"
+)
+
+// MaxBody bounds the body of one call in bytes.
+const MaxBody = 8 << 20
+
+// Clock is the source of time, replaced in tests.
+type Clock interface {
+	Now() time.Time
+	After(pause time.Duration) <-chan time.Time
+}
+
+// WallClock is the Clock of the machine.
+type WallClock struct{}
+
+// Now implements Clock.
+func (WallClock) Now() time.Time { return time.Now() }
+
+// After implements Clock.
+func (WallClock) After(pause time.Duration) <-chan time.Time { return time.After(pause) }
+
+// Server serves a handler on a loopback address.
+type Server struct {
+	mu     sync.Mutex
+	server *http.Server
+	addr   netip.AddrPort
+}
+
+// Start listens on listen ("127.0.0.1:0" picks a port) and serves handler
+// until Close. An address outside 127.0.0.0/8 is failure.Invalid: a stand-in
+// is for one machine.
+func (s *Server) Start(listen string, handler http.Handler) (netip.AddrPort, error) {
+	addr, err := netip.ParseAddrPort(listen)
+	if err != nil {
+		return netip.AddrPort{}, failure.Invalid.Wrap(err, "listen address %q", listen)
+	}
+	if !addr.Addr().Is4() || !addr.Addr().IsLoopback() {
+		return netip.AddrPort{}, failure.Invalid.New("listen address %q is outside 127.0.0.0/8", listen)
+	}
+	listener, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return netip.AddrPort{}, failure.Unavailable.Wrap(err, "listen on %s", listen)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	s.mu.Lock()
+	s.server = server
+	s.addr = netip.MustParseAddrPort(listener.Addr().String())
+	s.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return s.Addr(), nil
+}
+
+// Addr returns the address that Start listens on; zero before Start.
+func (s *Server) Addr() netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addr
+}
+
+// URL returns the base URL of the server, without a slash at its end.
+func (s *Server) URL() string { return "http://" + s.Addr().String() }
+
+// Close stops listening and cuts every connection, as a killed process does.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	server := s.server
+	s.server = nil
+	s.mu.Unlock()
+	if server == nil {
+		return nil
+	}
+	if err := server.Close(); err != nil {
+		return failure.Unavailable.Wrap(err, "close the listener")
+	}
+	return nil
+}
+
+// WriteJSON answers with status and value as JSON.
+func WriteJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// Problem is the body of an answer that tells why a request was declined.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// WriteProblem answers with status and a reason.
+func WriteProblem(w http.ResponseWriter, status int, reason string) {
+	WriteJSON(w, status, Problem{Error: reason})
+}
+
+// WriteNotRun answers with status and says that the request was not run.
+func WriteNotRun(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(HeaderOutcome, failure.NotRun.String())
+	WriteProblem(w, status, reason)
+}
+
+const (
+	defaultUrgency = 3 // RFC 9218, section 4.1
+	lowestUrgency  = 7
+)
+
+// Urgency reads the urgency of a Priority header (RFC 9218), 0 (highest) to
+// 7. What cannot be read counts as the default of 3.
+func Urgency(header string) int {
+	for _, member := range strings.Split(header, ",") {
+		value, found := strings.CutPrefix(strings.TrimSpace(member), "u=")
+		if !found {
+			continue
+		}
+		urgency, err := strconv.Atoi(value)
+		if err == nil && urgency >= 0 && urgency <= lowestUrgency {
+			return urgency
+		}
+	}
+	return defaultUrgency
+}
--- /dev/null
+++ b/standin/engine/calls_test.go
@@ -0,0 +1,213 @@
+package engine_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/joomcode/errorx"
+
+	adapter "chivespindle.example/adapters/engine"
+	"chivespindle.example/adapters/engine/attempt"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/serving"
+	"chivespindle.example/standin/engine"
+	"chivespindle.example/standin/engine/backend"
+)
+
+// shortStall is a progress deadline for specs in which it must pass.
+const shortStall = 50 * time.Millisecond
+
+var _ = Describe("serving.Backend of an engine", func() {
+	It("streams the whole answer of the loaded version", func(ctx SpecContext) {
+		e, client := start(engine.Options{})
+		r := newRelease("v1")
+		load(ctx, client, r)
+
+		got := do(ctx, client, callOf("a1", "fault 17", 9))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.last).To(BeTrue())
+		Expect(got.tokens).To(Equal(engine.ExpectedTokens("fault 17", 9, r.version)))
+		Expect(got.answer).To(Equal(serving.Answer{ID: "a1", Status: 200, Version: r.version}))
+
+		counters := e.Counters()
+		Expect(counters.ExecutionsByKey).To(Equal(backend.Counts{"key-a1": 1}))
+		Expect(counters.ExecutionsByID).To(Equal(backend.Counts{"a1": 1}))
+		Expect(counters.AnswersByVersion).To(Equal(backend.Counts{r.version.String(): 1}))
+		Expect(counters.Mixed).To(BeZero())
+	})
+
+	// The caller must never see an answer that looks whole and is not its
+	// own. Each fault spoils the answer in another way; the client hands over
+	// lines only until the spoiled one and never the last line, and since the
+	// engine ran the call nobody may say that it did not.
+	DescribeTable("cuts a spoiled answer and leaves its outcome unknown",
+		func(ctx SpecContext, faults engine.Faults, kind *errorx.Type, tokens int) {
+			e, client := start(engine.Options{}, stallAfter(shortStall))
+			load(ctx, client, newRelease("v1"))
+			e.SetFaults(faults)
+
+			got := do(ctx, client, callOf("a1", "p", 8))
+			Expect(errorx.IsOfType(got.err, kind)).To(BeTrue(), "%v", got.err)
+			Expect(failure.OutcomeOf(got.err)).To(Equal(failure.Unknown))
+			Expect(got.last).To(BeFalse())
+			Expect(got.tokens).To(HaveLen(tokens))
+			Expect(e.Counters().ExecutionsByKey).To(Equal(backend.Counts{"key-a1": 1}))
+		},
+		Entry("stall", engine.Faults{Faults: backend.Faults{Stall: true}}, failure.Timeout, 4),
+		Entry("die in the middle", engine.Faults{Faults: backend.Faults{Die: 1}}, failure.Unavailable, 4),
+		Entry("wrong id", engine.Faults{Faults: backend.Faults{WrongID: 1}}, failure.Corrupt, 0),
+		Entry("version change in the stream", engine.Faults{ChangeVersion: 1}, failure.Corrupt, 8),
+	)
+
+	// Two callers ask at once and the engine sends each the other's answer.
+	// Both must get an error and no word of the other's text.
+	It("hands over nothing of swapped answers", func(ctx SpecContext) {
+		e, client := start(engine.Options{})
+		load(ctx, client, newRelease("v1"))
+		e.SetFaults(engine.Faults{Faults: backend.Faults{Swap: 1}})
+
+		first := running(ctx, client, callOf("a1", "one", 5))
+		second := running(ctx, client, callOf("a2", "two", 5))
+		for _, done := range []<-chan result{first, second} {
+			var got result
+			Eventually(ctx, done).Should(Receive(&got))
+			Expect(errorx.IsOfType(got.err, failure.Corrupt)).To(BeTrue(), "%v", got.err)
+			Expect(got.tokens).To(BeEmpty())
+		}
+		Expect(do(ctx, client, callOf("a3", "three", 5)).err).NotTo(HaveOccurred())
+	})
+
+	It("says not run if nothing listens", func(ctx SpecContext) {
+		e, client := start(engine.Options{})
+		Expect(e.Close()).To(Succeed())
+		got := do(ctx, client, callOf("a1", "p", 1))
+		Expect(errorx.IsOfType(got.err, failure.Unavailable)).To(BeTrue(), "%v", got.err)
+		Expect(failure.OutcomeOf(got.err)).To(Equal(failure.NotRun))
+	})
+
+	It("says not run if no version is loaded", func(ctx SpecContext) {
+		e, client := start(engine.Options{})
+		got := do(ctx, client, callOf("a1", "p", 1))
+		Expect(failure.OutcomeOf(got.err)).To(Equal(failure.NotRun))
+		Expect(got.answer.Status).To(Equal(503))
+		Expect(e.Counters().ExecutionsByID).To(BeEmpty())
+	})
+
+	DescribeTable("says not run for a request that the engine declines",
+		func(ctx SpecContext, call serving.Call) {
+			e, client := start(engine.Options{})
+			load(ctx, client, newRelease("v1"))
+			got := do(ctx, client, call)
+			Expect(errorx.IsOfType(got.err, failure.Invalid)).To(BeTrue(), "%v", got.err)
+			Expect(failure.OutcomeOf(got.err)).To(Equal(failure.NotRun))
+			Expect(e.Counters().ExecutionsByID).To(BeEmpty())
+		},
+		Entry("not JSON", serving.Call{ID: "a1", Body: []byte("x")}),
+		Entry("no tokens asked for", serving.Call{ID: "a1", Body: []byte(`{"prompt":"p"}`)}),
+		Entry("no id", serving.Call{Body: []byte(`{"prompt":"p","max_tokens":1}`)}),
+		Entry("another path", serving.Call{ID: "a1", Path: "orders", Body: []byte(`{"role":"none"}`)}),
+	)
+
+	// One slot is held by an answer that stalls. A full queue must be told at
+	// once, as not run; those that wait run by urgency, then by arrival.
+	It("runs what waits by priority and declines what does not fit", func(ctx SpecContext) {
+		e, client := start(engine.Options{Slots: 1, MaxWaiting: 3})
+		load(ctx, client, newRelease("v1"))
+		e.SetFaults(engine.Faults{Faults: backend.Faults{Stall: true}})
+		waiting := func() int { return e.Status().Load.Waiting }
+
+		held := running(ctx, client, callOf("held", "p", 1))
+		Eventually(ctx, func() int { return e.Status().Load.Running }).Should(Equal(1))
+		order := make(chan string, 3)
+		for i, priority := range []int{5, 1, 5} {
+			call := callOf(fmt.Sprintf("w%d", i), "p", 1)
+			call.Priority = priority
+			go func() {
+				if do(ctx, client, call).err == nil {
+					order <- call.ID
+				}
+			}()
+			Eventually(ctx, waiting).Should(Equal(i + 1))
+		}
+		full := do(ctx, client, callOf("full", "p", 1))
+		Expect(failure.OutcomeOf(full.err)).To(Equal(failure.NotRun))
+
+		e.SetFaults(engine.Faults{})
+		var ran []string
+		for range 3 {
+			var id string
+			Eventually(ctx, order).Should(Receive(&id))
+			ran = append(ran, id)
+		}
+		Expect(ran).To(Equal([]string{"w1", "w0", "w2"}))
+		var got result
+		Eventually(ctx, held).Should(Receive(&got))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(e.Counters().ExecutionsByID).NotTo(HaveKey("full"))
+	})
+
+	// The caller gives up, in the queue or in the middle of its answer. The
+	// engine must stop and free the slot, and the next answer over a new
+	// connection must be clean.
+	DescribeTable("cancels",
+		func(ctx SpecContext, before func(e *engine.Engine, client *adapter.Client), ran bool) {
+			e, client := start(engine.Options{Slots: 1, MaxWaiting: 1})
+			load(ctx, client, newRelease("v1"))
+			e.SetFaults(engine.Faults{Faults: backend.Faults{Stall: true}})
+			if before != nil {
+				before(e, client)
+			}
+			callCtx, cancel := context.WithCancel(ctx)
+			call := running(callCtx, client, callOf("a1", "p", 8))
+			Eventually(ctx, func() int {
+				load := e.Status().Load
+				return load.Running + load.Waiting
+			}).Should(BeNumerically(">=", map[bool]int{true: 1, false: 2}[ran]))
+			cancel()
+
+			var got result
+			Eventually(ctx, call).Should(Receive(&got))
+			Expect(errorx.IsOfType(got.err, attempt.Canceled)).To(BeTrue(), "%v", got.err)
+			Expect(failure.OutcomeOf(got.err)).To(Equal(failure.Unknown))
+			Expect(got.last).To(BeFalse())
+			Eventually(ctx, func() int { return e.Counters().Cancelled }).Should(Equal(1))
+
+			e.SetFaults(engine.Faults{})
+			Eventually(ctx, func() int { return e.Status().Load.Running }).Should(BeZero())
+			Expect(do(ctx, client, callOf("a2", "p", 2)).err).NotTo(HaveOccurred())
+		},
+		Entry("an answer", nil, true),
+		Entry("a wait", func(e *engine.Engine, client *adapter.Client) {
+			running(context.Background(), client, callOf("held", "p", 2))
+			Eventually(func() int { return e.Status().Load.Running }).Should(Equal(1))
+		}, false),
+	)
+
+	// The agent pins a version. An engine that answers from another must be
+	// cut before its first word reaches the caller.
+	It("asks about the version before it hands over a piece", func(ctx SpecContext) {
+		wrong := failure.Refused.New("not the pinned version")
+		_, client := start(engine.Options{}, func(o *adapter.Options) {
+			o.CheckVersion = func(fleet.Version) error { return wrong }
+		})
+		load(ctx, client, newRelease("v1"))
+		got := do(ctx, client, callOf("a1", "p", 3))
+		Expect(errorx.IsOfType(got.err, failure.Refused)).To(BeTrue(), "%v", got.err)
+		Expect(failure.OutcomeOf(got.err)).To(Equal(failure.Unknown))
+		Expect(got.tokens).To(BeEmpty())
+	})
+
+	It("stops when the receiver fails", func(ctx SpecContext) {
+		_, client := start(engine.Options{})
+		load(ctx, client, newRelease("v1"))
+		gone := failure.WithOutcome(failure.Unavailable.New("gone"), failure.NotRun)
+		_, err := client.Do(ctx, callOf("a1", "p", 3), func(serving.Piece) error { return gone })
+		Expect(err).To(MatchError(ContainSubstring("gone")))
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+	})
+})
--- /dev/null
+++ b/standin/engine/staging.go
@@ -0,0 +1,153 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/weights"
+	"chivespindle.example/standin/engine/backend"
+)
+
+// maxManifest bounds an encoded manifest in bytes.
+const maxManifest = 16 << 20
+
+// stagedVersion is what the engine keeps of one version before it loads it.
+type stagedVersion struct {
+	manifest *weights.Manifest // nil until it was put
+	chunks   map[int][]byte
+}
+
+// stage returns the entry of a manifest, made if there is none. The caller
+// holds mu.
+func (e *Engine) stage(manifest fleet.Digest) *stagedVersion {
+	staged := e.staged[manifest]
+	if staged == nil {
+		staged = &stagedVersion{chunks: make(map[int][]byte)}
+		e.staged[manifest] = staged
+	}
+	return staged
+}
+
+func (e *Engine) putManifest(w http.ResponseWriter, r *http.Request) {
+	digest, raw, ok := readStaged(w, r, maxManifest)
+	if !ok {
+		return
+	}
+	manifest, err := weights.Decode(raw, digest)
+	if err != nil {
+		backend.WriteProblem(w, http.StatusUnprocessableEntity, err.Error())
+		return
+	}
+	e.mu.Lock()
+	e.stage(digest).manifest = &manifest
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) putChunk(w http.ResponseWriter, r *http.Request) {
+	index, ok := chunkIndex(w, r)
+	if !ok {
+		return
+	}
+	digest, data, ok := readStaged(w, r, weights.MaxChunkBytes)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	e.stage(digest).chunks[index] = data
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) getChunk(w http.ResponseWriter, r *http.Request) {
+	digest, ok := manifestDigest(w, r)
+	if !ok {
+		return
+	}
+	index, ok := chunkIndex(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	var data []byte
+	if staged := e.staged[digest]; staged != nil {
+		data = staged.chunks[index]
+	}
+	corrupt := e.faults.CorruptStage
+	e.mu.Unlock()
+	if data == nil {
+		backend.WriteProblem(w, http.StatusNotFound, "the chunk is not staged")
+		return
+	}
+	if corrupt && len(data) > 0 {
+		data = bytes.Clone(data)
+		data[len(data)/2] ^= 1
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+func (e *Engine) listChunks(w http.ResponseWriter, r *http.Request) {
+	digest, ok := manifestDigest(w, r)
+	if !ok {
+		return
+	}
+	indexes := []int{}
+	e.mu.Lock()
+	if staged := e.staged[digest]; staged != nil {
+		indexes = slices.AppendSeq(indexes, maps.Keys(staged.chunks))
+	}
+	e.mu.Unlock()
+	slices.Sort(indexes)
+	backend.WriteJSON(w, http.StatusOK, indexes)
+}
+
+func (e *Engine) dropStaged(w http.ResponseWriter, r *http.Request) {
+	digest, ok := manifestDigest(w, r)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	delete(e.staged, digest)
+	e.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// readStaged reads the digest of the path and the body; it has answered if ok
+// is false.
+func readStaged(w http.ResponseWriter, r *http.Request, limit int64) (digest fleet.Digest, data []byte, ok bool) {
+	digest, ok = manifestDigest(w, r)
+	if !ok {
+		return digest, nil, false
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		backend.WriteProblem(w, http.StatusRequestEntityTooLarge, err.Error())
+		return digest, nil, false
+	}
+	return digest, data, true
+}
+
+func manifestDigest(w http.ResponseWriter, r *http.Request) (fleet.Digest, bool) {
+	digest, err := fleet.ParseDigest(r.PathValue("manifest"))
+	if err != nil {
+		backend.WriteProblem(w, http.StatusBadRequest, err.Error())
+		return fleet.Digest{}, false
+	}
+	return digest, true
+}
+
+func chunkIndex(w http.ResponseWriter, r *http.Request) (int, bool) {
+	index, err := strconv.Atoi(r.PathValue("index"))
+	if err != nil || index < 0 || index >= weights.MaxChunks {
+		backend.WriteProblem(w, http.StatusBadRequest, "the chunk index is not a number in range")
+		return 0, false
+	}
+	return index, true
+}
