Decide on retries and pay them from a budget

Not run may be repeated for any request, unknown only for an idempotent one, ran and a partly delivered answer never; attempts, deadline and the budget bound the rest. A token bucket filled by a tenth of each request and one token a second; backoff with full jitter. go test -race passes.

--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,245 @@
+// Package retry decides whether a failed attempt of a request is repeated.
+//
+// Retries are paid from a budget that requests fill, so that an outage does
+// not multiply the load on what is left.
+//
+// Safe for concurrent use: every method of Budget, and of Policy if its Rand
+// is; a *rand.Rand is not.
+package retry
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"chivespindle.example/core/failure"
+)
+
+// Rand is the source of chance. A *rand.Rand of math/rand/v2 fits.
+type Rand interface {
+	// Float64 returns a number in [0, 1).
+	Float64() float64
+}
+
+// Budget is a token bucket. Every request puts in a part of a token, time a
+// few more, and every retry takes one out.
+type Budget struct {
+	ratio     float64
+	perSecond float64
+	burst     float64
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+}
+
+// BudgetOptions make a Budget. Zero fields take the default.
+type BudgetOptions struct {
+	// Ratio is the number of retries that each request pays for; 0.1.
+	Ratio float64
+	// PerSecond is the number of retries a second that are free, for callers
+	// of little traffic; 1.
+	PerSecond float64
+	// Burst is the most tokens kept, and those at the start; 20.
+	Burst float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(now time.Time, o BudgetOptions) *Budget {
+	const (
+		defaultRatio     = 0.1
+		defaultPerSecond = 1
+		defaultBurst     = 20
+	)
+	b := &Budget{ratio: defaultRatio, perSecond: defaultPerSecond, burst: defaultBurst, last: now}
+	if o.Ratio > 0 {
+		b.ratio = o.Ratio
+	}
+	if o.PerSecond > 0 {
+		b.perSecond = o.PerSecond
+	}
+	if o.Burst > 0 {
+		b.burst = o.Burst
+	}
+	b.tokens = b.burst
+	return b
+}
+
+// Deposit counts one new request; not a retry.
+func (b *Budget) Deposit(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.tokens = min(b.burst, b.tokens+b.ratio)
+}
+
+// Withdraw pays for one retry and reports whether there was enough.
+func (b *Budget) Withdraw(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Tokens returns the number of retries that could be paid for now.
+func (b *Budget) Tokens(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	return b.tokens
+}
+
+// refill adds what time brought. A time that goes back brings nothing.
+func (b *Budget) refill(now time.Time) {
+	passed := now.Sub(b.last)
+	if passed <= 0 {
+		return
+	}
+	b.last = now
+	b.tokens = min(b.burst, b.tokens+passed.Seconds()*b.perSecond)
+}
+
+// Attempt is a failed attempt of a request.
+type Attempt struct {
+	// Outcome is what the failure says of it; see failure.OutcomeOf.
+	Outcome    failure.Outcome
+	Idempotent bool
+	// Delivered is true once any part of an answer went to the caller.
+	Delivered bool
+	// Number counts the attempts made, this one included; 1 for the first.
+	Number   int
+	Deadline time.Time // of the request; zero: none
+}
+
+// Reason says why an attempt is or is not repeated.
+type Reason string
+
+const (
+	// Granted: the attempt is repeated.
+	Granted Reason = "granted"
+	// Delivered: the caller has a part of the answer; another attempt's
+	// would not continue it.
+	Delivered Reason = "delivered"
+	// HasRun: the request ran.
+	HasRun Reason = "ran"
+	// MayHaveRun: the request may have run and must not run twice.
+	MayHaveRun Reason = "may_have_run"
+	// TooMany: the attempts are used up.
+	TooMany Reason = "attempts"
+	// TooLate: the deadline leaves no time for another.
+	TooLate Reason = "deadline"
+	// Spent: the budget is empty.
+	Spent Reason = "budget"
+)
+
+// Decision is the answer of MayRetry.
+type Decision struct {
+	Retry  bool
+	Pause  time.Duration // before the next attempt
+	Reason Reason
+}
+
+// Options make a Policy. Zero fields take the default.
+type Options struct {
+	// Budget pays for retries; required.
+	Budget *Budget
+	// Rand is required.
+	Rand Rand
+	// MaxAttempts counts the first one too; 3.
+	MaxAttempts int
+	// BackoffBase and BackoffMax bound the pause before a retry, drawn from 0
+	// to BackoffBase doubled for each retry before; 20 ms and 500 ms.
+	BackoffBase time.Duration
+	BackoffMax  time.Duration
+	// MinTime is the least time before the deadline that makes an attempt
+	// worth it; 50 ms.
+	MinTime time.Duration
+}
+
+// Policy decides on retries.
+type Policy struct {
+	budget      *Budget
+	rnd         Rand
+	maxAttempts int
+	backoffBase time.Duration
+	backoffMax  time.Duration
+	minTime     time.Duration
+}
+
+// New returns a Policy.
+func New(o Options) *Policy {
+	const (
+		defaultMaxAttempts = 3
+		defaultBackoffBase = 20 * time.Millisecond
+		defaultBackoffMax  = 500 * time.Millisecond
+		defaultMinTime     = 50 * time.Millisecond
+	)
+	p := &Policy{
+		budget:      o.Budget,
+		rnd:         o.Rand,
+		maxAttempts: defaultMaxAttempts,
+		backoffBase: defaultBackoffBase,
+		backoffMax:  defaultBackoffMax,
+		minTime:     defaultMinTime,
+	}
+	if o.MaxAttempts > 0 {
+		p.maxAttempts = o.MaxAttempts
+	}
+	if o.BackoffBase > 0 {
+		p.backoffBase = o.BackoffBase
+	}
+	if o.BackoffMax > 0 {
+		p.backoffMax = o.BackoffMax
+	}
+	if o.MinTime > 0 {
+		p.minTime = o.MinTime
+	}
+	return p
+}
+
+// MayRetry decides on a failed attempt and takes a token if it grants one.
+func (p *Policy) MayRetry(now time.Time, a Attempt) Decision {
+	if reason := forbidden(a); reason != "" {
+		return Decision{Reason: reason}
+	}
+	if a.Number >= p.maxAttempts {
+		return Decision{Reason: TooMany}
+	}
+	pause := p.Backoff(a.Number)
+	if !a.Deadline.IsZero() && now.Add(pause+p.minTime).After(a.Deadline) {
+		return Decision{Reason: TooLate}
+	}
+	if !p.budget.Withdraw(now) {
+		return Decision{Reason: Spent}
+	}
+	return Decision{Retry: true, Pause: pause, Reason: Granted}
+}
+
+// forbidden returns why the attempt must never be repeated, "" if it may be.
+func forbidden(a Attempt) Reason {
+	switch {
+	case a.Delivered:
+		return Delivered
+	case a.Outcome == failure.NotRun:
+		return ""
+	case a.Outcome == failure.Ran:
+		return HasRun
+	case !a.Idempotent:
+		return MayHaveRun
+	default:
+		return ""
+	}
+}
+
+// Backoff returns a pause drawn evenly from 0 to the bound after attempt
+// number (full jitter), so that requests which failed together do not come
+// back together.
+func (p *Policy) Backoff(number int) time.Duration {
+	bound := float64(p.backoffBase) * math.Pow(2, float64(max(0, number-1)))
+	bound = min(bound, float64(p.backoffMax))
+	return time.Duration(bound * p.rnd.Float64())
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,177 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/retry"
+)
+
+var start = time.Date(2031, 5, 6, 7, 8, 9, 0, time.UTC)
+
+func newPolicy(budget *retry.Budget) *retry.Policy {
+	return retry.New(retry.Options{Budget: budget, Rand: rand.New(rand.NewPCG(1, 1))})
+}
+
+var _ = Describe("MayRetry", func() {
+	// A technician orders a mast chain. An attempt fails; sending it again
+	// after it may have run would order a second one, and after a part of an
+	// answer was shown would show the begin of another answer.
+	DescribeTable("by what is known of the attempt",
+		func(outcome failure.Outcome, idempotent, delivered bool, want retry.Reason) {
+			d := newPolicy(retry.NewBudget(start, retry.BudgetOptions{})).MayRetry(start, retry.Attempt{
+				Outcome: outcome, Idempotent: idempotent, Delivered: delivered, Number: 1,
+			})
+			Expect(d.Reason).To(Equal(want))
+			Expect(d.Retry).To(Equal(want == retry.Granted))
+		},
+		Entry("not run, idempotent", failure.NotRun, true, false, retry.Granted),
+		Entry("not run, not idempotent", failure.NotRun, false, false, retry.Granted),
+		Entry("unknown, idempotent", failure.Unknown, true, false, retry.Granted),
+		Entry("unknown, not idempotent", failure.Unknown, false, false, retry.MayHaveRun),
+		Entry("ran, idempotent", failure.Ran, true, false, retry.HasRun),
+		Entry("ran, not idempotent", failure.Ran, false, false, retry.HasRun),
+		Entry("not run, part delivered", failure.NotRun, true, true, retry.Delivered),
+		Entry("unknown, idempotent, part delivered", failure.Unknown, true, true, retry.Delivered),
+		Entry("ran, part delivered", failure.Ran, false, true, retry.Delivered),
+	)
+
+	DescribeTable("by attempts and time",
+		func(number int, left time.Duration, want retry.Reason) {
+			attempt := retry.Attempt{Outcome: failure.NotRun, Number: number}
+			if left != 0 {
+				attempt.Deadline = start.Add(left)
+			}
+			d := newPolicy(retry.NewBudget(start, retry.BudgetOptions{})).MayRetry(start, attempt)
+			Expect(d.Reason).To(Equal(want))
+		},
+		Entry("first, no deadline", 1, time.Duration(0), retry.Granted),
+		Entry("second", 2, time.Minute, retry.Granted),
+		Entry("third and last", 3, time.Minute, retry.TooMany),
+		Entry("time for another", 1, 100*time.Millisecond, retry.Granted),
+		Entry("no time for another", 1, 40*time.Millisecond, retry.TooLate),
+		Entry("deadline passed", 1, -time.Second, retry.TooLate),
+	)
+
+	It("takes no token for a retry it does not grant", func() {
+		budget := retry.NewBudget(start, retry.BudgetOptions{})
+		p := newPolicy(budget)
+		p.MayRetry(start, retry.Attempt{Outcome: failure.Unknown, Number: 1})
+		p.MayRetry(start, retry.Attempt{Outcome: failure.NotRun, Number: 3})
+		p.MayRetry(start, retry.Attempt{Outcome: failure.NotRun, Number: 1, Deadline: start})
+		Expect(budget.Tokens(start)).To(BeNumerically("==", 20))
+	})
+
+	// Every server fails for a minute. Without a budget each request would be
+	// sent three times, and the servers that come back meet three times the
+	// load, fail again, and callers see an outage that does not end.
+	It("keeps the load of an outage near that of the requests", func() {
+		const perSecond, seconds = 100, 60
+		budget := retry.NewBudget(start, retry.BudgetOptions{})
+		p := newPolicy(budget)
+		sent := 0
+		for i := range perSecond * seconds {
+			now := start.Add(time.Duration(i) * time.Second / perSecond)
+			budget.Deposit(now)
+			attempt := retry.Attempt{Outcome: failure.NotRun, Number: 1}
+			sent++
+			for p.MayRetry(now, attempt).Retry {
+				attempt.Number++
+				sent++
+			}
+		}
+		requests := perSecond * seconds
+		AddReportEntry("attempts for each request", float64(sent)/float64(requests))
+		Expect(sent).To(BeNumerically("<=", requests*110/100+seconds+20))
+		Expect(sent).To(BeNumerically(">=", requests*105/100))
+	})
+
+	// The requests that failed together would come back together.
+	It("draws pauses from the whole range, which doubles", func() {
+		p := newPolicy(retry.NewBudget(start, retry.BudgetOptions{}))
+		for number, bound := range map[int]time.Duration{1: 20, 2: 40, 3: 80, 6: 500, 60: 500} {
+			low, high := time.Hour, time.Duration(0)
+			for range 200 {
+				pause := p.Backoff(number)
+				low, high = min(low, pause), max(high, pause)
+			}
+			bound *= time.Millisecond
+			Expect(high).To(And(BeNumerically("<", bound), BeNumerically(">", bound*9/10)))
+			Expect(low).To(BeNumerically("<", bound/10))
+		}
+	})
+})
+
+var _ = Describe("Budget", func() {
+	It("gives a caller of little traffic a retry a second", func() {
+		budget := retry.NewBudget(start, retry.BudgetOptions{Burst: 2})
+		Expect(budget.Withdraw(start)).To(BeTrue())
+		Expect(budget.Withdraw(start)).To(BeTrue())
+		Expect(budget.Withdraw(start)).To(BeFalse())
+		Expect(budget.Withdraw(start.Add(time.Second))).To(BeTrue())
+		Expect(budget.Withdraw(start.Add(time.Second))).To(BeFalse())
+	})
+
+	// A clock set back and on again would fill the bucket from nothing.
+	It("gains nothing from a clock that goes back", func() {
+		budget := retry.NewBudget(start, retry.BudgetOptions{Burst: 1})
+		Expect(budget.Withdraw(start)).To(BeTrue())
+		Expect(budget.Withdraw(start.Add(-time.Hour))).To(BeFalse())
+		Expect(budget.Withdraw(start)).To(BeFalse())
+	})
+
+	It("pays each token once over goroutines", func() {
+		budget := retry.NewBudget(start, retry.BudgetOptions{Burst: 50})
+		var paid atomic.Int64
+		var workers sync.WaitGroup
+		for range 8 {
+			workers.Go(func() {
+				for range 100 {
+					if budget.Withdraw(start) {
+						paid.Add(1)
+					}
+				}
+			})
+		}
+		workers.Wait()
+		Expect(paid.Load()).To(BeEquivalentTo(50))
+	})
+})
+
+// Over any run of requests and failures, retries never exceed what the
+// requests, the time and the first burst paid for.
+func TestBudgetBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := retry.BudgetOptions{
+			Ratio:     rapid.Float64Range(0.01, 1).Draw(t, "ratio"),
+			PerSecond: rapid.Float64Range(0.1, 10).Draw(t, "per second"),
+			Burst:     rapid.Float64Range(1, 50).Draw(t, "burst"),
+		}
+		budget := retry.NewBudget(start, o)
+		now := start
+		var requests, retries float64
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				budget.Deposit(now)
+				requests++
+			case 1:
+				if budget.Withdraw(now) {
+					retries++
+				}
+			default:
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			}
+		}
+		paid := o.Burst + o.Ratio*requests + o.PerSecond*now.Sub(start).Seconds()
+		NewWithT(t).Expect(retries).To(BeNumerically("<=", paid+1e-6))
+	})
+}
