Decide which revision is in force

Keeper never goes back, keeps the text in force when a revision names two, reports a refused text once, and at the start waits for the platform and peers before it takes the highest revision.

--- a/core/fleettext/delta.go
+++ b/core/fleettext/delta.go
@@ -1,6 +1,8 @@
 package fleettext
 
 import (
+	"slices"
+
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 )
@@ -24,25 +26,41 @@
 	Removed []string `cbor:"4,keyasint,omitempty"`
 }
 
-// NewDelta returns what leads from base to result. A nil base stands for
-// nothing; the Delta then holds the whole text.
-func NewDelta(base, result *Fleet) Delta {
-	d := Delta{Result: result.digest}
-	if base == nil {
-		d.Changed = result.Sections()
-		return d
-	}
-	d.Base = base.digest
+// Outline is what must be remembered of a state of the text to work out what
+// has changed since: a small part of the Fleet's memory. The zero value
+// stands for nothing.
+type Outline struct {
+	digest   fleet.Digest
+	sections map[string]fleet.Digest
+}
+
+// Digest names the state.
+func (o Outline) Digest() fleet.Digest { return o.digest }
+
+// Outline returns the outline of f.
+func (f *Fleet) Outline() Outline {
+	o := Outline{digest: f.digest, sections: make(map[string]fleet.Digest, len(f.sections))}
+	for _, s := range f.sections {
+		o.sections[s.Name] = s.Digest
+	}
+	return o
+}
+
+// NewDelta returns what leads from base to result. From the zero Outline it
+// is the whole text.
+func NewDelta(base Outline, result *Fleet) Delta {
+	d := Delta{Base: base.digest, Result: result.digest}
 	for _, s := range result.sections {
-		if old := base.section(s.Name); old == nil || old.Digest != s.Digest {
+		if base.sections[s.Name] != s.Digest {
 			d.Changed = append(d.Changed, s.Section)
 		}
 	}
-	for _, s := range base.sections {
-		if result.section(s.Name) == nil {
-			d.Removed = append(d.Removed, s.Name)
+	for name := range base.sections {
+		if result.section(name) == nil {
+			d.Removed = append(d.Removed, name)
 		}
 	}
+	slices.Sort(d.Removed)
 	return d
 }
 
@@ -75,6 +93,7 @@
 		// text gives lines that belong together.
 		return Load(file, Join(f.Sections()))
 	}
+	forgetLines(changed)
 	if f.digest != d.Result {
 		return nil, failure.Corrupt.New("text has digest %s after the change, want %s", f.digest, d.Result)
 	}
--- a/core/fleettext/load.go
+++ b/core/fleettext/load.go
@@ -34,6 +34,7 @@
 	if err := faults.err(); err != nil {
 		return nil, err
 	}
+	forgetLines(sections)
 	return f, nil
 }
 
--- a/core/fleettext/section.go
+++ b/core/fleettext/section.go
@@ -85,8 +85,9 @@
 
 func compareSections(a, b Section) int { return strings.Compare(a.Name, b.Name) }
 
-// parsedSection is a section whose own pairs are in order. It is immutable
-// and shared by the states of the text that contain it.
+// parsedSection is a section whose own pairs are in order. Once its text is
+// accepted it is immutable, and shared by the states of the text that contain
+// it.
 type parsedSection struct {
 	Section
 	id    sectionID
@@ -105,6 +106,15 @@
 	return s.line
 }
 
+// forgetLines frees what only faults need. It takes most of the memory of an
+// accepted text.
+func forgetLines(sections []*parsedSection) {
+	for _, s := range sections {
+		s.lines = nil
+		s.held = nil
+	}
+}
+
 // pair is one key with a value that is not empty.
 type pair struct{ key, value string }
 
--- /dev/null
+++ b/core/revision/keeper_test.go
@@ -0,0 +1,247 @@
+package revision_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/joomcode/errorx"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/fleettext"
+	"chivespindle.example/core/revision"
+)
+
+var _ = Describe("Keeper at the start", func() {
+	var k *revision.Keeper
+	BeforeEach(func() { k = revision.New(start, revision.Options{}) })
+
+	DescribeTable("waits until it has heard enough",
+		func(platformAnswers bool, peers int, readyAfter float64) {
+			if platformAnswers {
+				k.Offer(start, platform(5, "a"))
+			}
+			for i := range peers {
+				k.Offer(start, fromPeer(fleet.InstanceID(rune('p'+i)), 5, "a"))
+			}
+			const never = 14.0 // the last tick at which claims of the start still hold
+			for now := 0.0; now <= never; now += 0.5 {
+				k.Tick(at(now))
+				_, ready := k.InForce()
+				Expect(ready).To(Equal(readyAfter >= 0 && now >= readyAfter), "after %v s", now)
+			}
+		},
+		Entry("the platform and three peers: at once", true, 3, 0.0),
+		Entry("the platform and one peer", true, 1, 2.0),
+		Entry("three peers, the platform is down", false, 3, 2.0),
+		Entry("the platform alone: a new fleet", true, 0, 10.0),
+		Entry("one peer, the platform is down", false, 1, 10.0),
+		Entry("nobody: never", false, 0, -1.0),
+	)
+
+	It("does not go back to a stale platform's text", func() {
+		// The fleet has revision 7 in force. One process is replaced. The
+		// platform answers its first read from a copy that still holds 5; its
+		// peers say 7. Had it taken 5, callers of this instance would get an
+		// older model than a moment before.
+		k.Offer(at(0.1), platform(5, "old"))
+		for _, peer := range []fleet.InstanceID{"p", "q", "r"} {
+			k.Hear(at(0.2), claim(peer, 7, "new"))
+		}
+		tickUntil(k, 14)
+		Expect(inForce(k)).To(BeZero())
+		want, ok := k.Want(at(14))
+		Expect(ok).To(BeTrue())
+		Expect(want).To(Equal(revision.Want{
+			Revision: 7, Digest: digest("new"), Peers: []fleet.InstanceID{"p", "q", "r"},
+		}))
+		d := k.Offer(at(14.1), fromPeer("q", 7, "new"))
+		Expect(d.Reason).To(Equal(revision.Taken))
+		Expect(inForce(k)).To(Equal(revision.Revision(7)))
+	})
+
+	It("does not count a pause as waiting", func() {
+		// A process reads the stale platform and is then paused for a minute.
+		// Its peers' answers lie unread in its sockets. It wakes up, its timer
+		// fires first, and it would take the platform's old text for want of
+		// any other.
+		k.Offer(at(0.1), platform(5, "old"))
+		Expect(k.Tick(at(60)).Reason).To(Equal(revision.Nothing))
+		Expect(inForce(k)).To(BeZero())
+		k.Offer(at(60.1), fromPeer("p", 7, "new"))
+		for now := 60.5; now < 64; now += 0.5 {
+			k.Tick(at(now))
+		}
+		Expect(inForce(k)).To(Equal(revision.Revision(7)))
+	})
+
+	It("goes on without a text that nobody can give any more", func() {
+		// The one peer that says 7 dies before it could send the text. The
+		// platform is stale at 5. The process stays not ready while the claim
+		// holds; after that, waiting longer could mean for ever.
+		k.Offer(at(0), platform(5, "old"))
+		k.Hear(at(0), claim("p", 7, "new"))
+		tickUntil(k, 15)
+		Expect(inForce(k)).To(BeZero())
+		Expect(k.Tick(at(15.5)).Reason).To(Equal(revision.Taken))
+		Expect(inForce(k)).To(Equal(revision.Revision(5)))
+	})
+
+	It("takes the text that most peers have in force when a revision names two", func() {
+		// The platform was restored from an old copy and has used revision 7 a
+		// second time. The fleet keeps the first text. A process that starts
+		// now must join the fleet, not the platform, and raise the alarm.
+		k.Offer(start, platform(7, "second"))
+		k.Offer(start, fromPeer("p", 7, "first"))
+		k.Offer(start, fromPeer("q", 7, "first"))
+		d := k.Offer(start, fromPeer("r", 7, "second"))
+		Expect(d.Reason).To(Equal(revision.Taken))
+		state, _ := k.InForce()
+		Expect(state.Digest).To(Equal(digest("first")))
+		Expect(d.Events).To(HaveLen(2))
+		Expect(d.Events[1]).To(Equal(revision.Conflict{
+			Revision: 7, Kept: digest("first"), Other: digest("second"), Source: revision.FromPlatform,
+		}))
+	})
+
+	It("takes the platform's text of two that equally many peers have in force", func() {
+		k.Offer(start, fromPeer("p", 7, "first"))
+		k.Offer(start, fromPeer("q", 7, "second"))
+		k.Offer(start, platform(7, "second"))
+		tickUntil(k, 2)
+		state, _ := k.InForce()
+		Expect(state.Digest).To(Equal(digest("second")))
+	})
+
+	It("takes an older text from its peers when the platform's has faults", func() {
+		// The operator has just published a text with a fault: all processes
+		// refused it and have 7 in force. A process that starts must do the same.
+		d := k.Offer(start, platformRefused(8))
+		Expect(d.Reason).To(Equal(revision.RefusedText))
+		Expect(d.Events).To(HaveLen(1))
+		k.Offer(start, fromPeer("p", 7, "a"))
+		tickUntil(k, 2)
+		Expect(inForce(k)).To(Equal(revision.Revision(7)))
+		Expect(k.Status().Refused).To(HaveLen(1))
+	})
+
+	It("stays not ready when it refuses what its peers have in force", func() {
+		// Its program is older than theirs and does not know a key of their
+		// text. An older text would be a step back, so it serves nothing.
+		k.Offer(start, platform(7, "a"))
+		refused := fromPeer("p", 8, "b")
+		refused.Fleet, refused.Refusal = nil, &fleettext.CheckError{}
+		k.Offer(start, refused)
+		tickUntil(k, 14)
+		Expect(inForce(k)).To(BeZero())
+		_, ok := k.Want(at(14))
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("Keeper with a text in force", func() {
+	var k *revision.Keeper
+	BeforeEach(func() {
+		k = revision.New(start, revision.Options{})
+		k.Offer(start, platform(7, "a"))
+		tickUntil(k, 10)
+		Expect(inForce(k)).To(Equal(revision.Revision(7)))
+	})
+
+	DescribeTable("answers each kind of offer",
+		func(c revision.Candidate, reason revision.Reason, want revision.Revision) {
+			d := k.Offer(at(20), c)
+			Expect(d.Reason).To(Equal(reason))
+			Expect(d.InForce).To(Equal(reason == revision.Taken || reason == revision.Duplicate))
+			Expect(inForce(k)).To(Equal(want))
+		},
+		Entry("a higher revision", platform(8, "b"), revision.Taken, revision.Revision(8)),
+		Entry("a higher revision of a peer", fromPeer("p", 9, "b"), revision.Taken, revision.Revision(9)),
+		Entry("a higher revision of the same text", platform(8, "a"), revision.Taken, revision.Revision(8)),
+		Entry("a lower revision", platform(6, "b"), revision.Stale, revision.Revision(7)),
+		Entry("the same once more", platform(7, "a"), revision.Duplicate, revision.Revision(7)),
+		Entry("the same revision with another text", platform(7, "b"), revision.Conflicting, revision.Revision(7)),
+		Entry("the same revision with faults", platformRefused(7), revision.Conflicting, revision.Revision(7)),
+		Entry("a higher revision with faults", platformRefused(8), revision.RefusedText, revision.Revision(7)),
+		Entry("a lower revision with faults", platformRefused(6), revision.Stale, revision.Revision(7)),
+		Entry("no text", revision.ReadDocument(revision.Document{}), revision.Nothing, revision.Revision(7)),
+	)
+
+	It("tells what changed", func() {
+		d := k.Offer(at(20), platform(8, "b"))
+		Expect(d.Events).To(HaveLen(1))
+		raised := d.Events[0].(revision.Raised)
+		Expect(raised.From).To(Equal(revision.Revision(7)))
+		Expect(raised.Changes).To(HaveLen(2))
+		Expect(raised.Changes[0].String()).To(Equal("service a removed"))
+	})
+
+	It("raises one alarm for each other text of its revision", func() {
+		Expect(k.Offer(at(20), platform(7, "b")).Events).To(HaveLen(1))
+		Expect(k.Offer(at(21), platform(7, "b")).Events).To(BeEmpty())
+		Expect(k.Hear(at(22), claim("p", 7, "b")).Events).To(BeEmpty())
+		Expect(k.Hear(at(23), claim("p", 7, "c")).Events).To(HaveLen(1))
+		Expect(k.Status().Conflicts).To(HaveLen(2))
+		k.Offer(at(24), platform(8, "b"))
+		Expect(k.Status().Conflicts).To(BeEmpty())
+	})
+
+	It("reports a refused text once, with file, line and reason, until a good one comes", func() {
+		d := k.Offer(at(20), platformRefused(8))
+		Expect(d.Events).To(HaveLen(1))
+		faults := d.Events[0].(revision.Refused).Faults.Faults
+		Expect(faults).To(HaveLen(1))
+		Expect(faults[0].String()).To(Equal(`fleet.ini:3: unknown key "size" in [fleet]: want one of name`))
+		Expect(k.Offer(at(21), platformRefused(8)).Events).To(BeEmpty())
+		Expect(k.Status().Refused).To(HaveLen(1))
+		k.Offer(at(22), platform(9, "b"))
+		Expect(k.Status().Refused).To(BeEmpty())
+	})
+
+	It("watches after the platform's last answer, not after its own revision", func() {
+		// A refused text is newer than the one in force. A watch after the one
+		// in force would be answered at once, again and again, by every watcher.
+		k.Offer(at(20), platformRefused(8))
+		Expect(k.WatchAfter()).To(Equal(revision.Revision(8)))
+		k.Offer(at(21), platform(6, "old"))
+		Expect(k.WatchAfter()).To(Equal(revision.Revision(6)))
+	})
+
+	It("wants the highest revision that a peer has in force", func() {
+		Expect(k.Hear(at(20), claim("p", 8, "b")).Reason).To(Equal(revision.Behind))
+		Expect(k.Hear(at(20), claim("q", 9, "c")).Reason).To(Equal(revision.Behind))
+		Expect(k.Hear(at(20), claim("r", 6, "d")).Reason).To(Equal(revision.Stale))
+		want, _ := k.Want(at(21))
+		Expect(want).To(Equal(revision.Want{Revision: 9, Digest: digest("c"), Peers: []fleet.InstanceID{"q"}}))
+		k.Offer(at(22), fromPeer("q", 9, "c"))
+		_, ok := k.Want(at(22))
+		Expect(ok).To(BeFalse())
+	})
+
+	It("sends a peer only what changed since the text that it has", func() {
+		k.Offer(at(20), platform(8, "b"))
+		full := k.Delta(digest("unknown"))
+		Expect(full.Changed).To(HaveLen(2))
+		delta := k.Delta(digest("a"))
+		Expect(delta.Changed).To(HaveLen(1))
+		Expect(delta.Removed).To(Equal([]string{"service a"}))
+
+		c, err := revision.ReadDelta(claim("me", 8, "b"), load("a"), delta)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Fleet.Digest()).To(Equal(digest("b")))
+		_, err = revision.ReadDelta(claim("me", 8, "b"), load("c"), delta)
+		Expect(errorx.IsOfType(err, fleettext.WrongBase)).To(BeTrue())
+		delta.Changed[0].Text += "max_attempts=1\n"
+		_, err = revision.ReadDelta(claim("me", 8, "b"), load("a"), delta)
+		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue())
+	})
+
+	It("remembers a bounded number of claims and keeps the highest", func() {
+		k = revision.New(start, revision.Options{})
+		for i := range 1000 {
+			k.Hear(start, claim(fleet.InstanceID(rune('A'+i)), revision.Revision(i+1), "b"))
+		}
+		want, _ := k.Want(start)
+		Expect(want.Revision).To(Equal(revision.Revision(1000)))
+	})
+})
