--- /dev/null
+++ b/adapters/platform/decode_test.go
@@ -0,0 +1,61 @@
+package platform
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/failure"
+)
+
+// FuzzDecodeInstances: whatever the platform sends, the decoder fails as
+// Corrupt or returns a list that keeps its rules and survives a round trip.
+func FuzzDecodeInstances(f *testing.F) {
+	f.Add([]byte(`[]`))
+	f.Add([]byte(`null`))
+	f.Add([]byte(`[{"id":"a","role":"entry","zone":"z","region":"r","peer_addr":"127.0.0.1:1",` +
+		`"caller_addr":"127.0.0.1:2","leaving":true}]`))
+	f.Add([]byte(`[{"id":"b","role":"agent","service":"s","peer_addr":"[::1]:1","leaving":false},null]`))
+	f.Add([]byte(`[{"id":"c","role":"agent","peer_addr":"[fe80::1%lo]:9","caller_addr":""}]`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		instances, err := decodeInstances(body)
+		if err != nil {
+			if !errorx.IsOfType(err, failure.Corrupt) || instances != nil {
+				t.Fatalf("got %v with %d instances, want Corrupt and none", err, len(instances))
+			}
+			return
+		}
+		encoded, err := json.Marshal(instances)
+		if err != nil {
+			t.Fatalf("encode: %v", err)
+		}
+		again, err := decodeInstances(encoded)
+		if err != nil {
+			t.Fatalf("decode again: %v", err)
+		}
+		if !reflect.DeepEqual(again, instances) {
+			t.Fatalf("round trip changed %v to %v", instances, again)
+		}
+	})
+}
+
+var _ = DescribeTable("a Retry-After header",
+	func(header string, want time.Duration) {
+		now := time.Date(2026, time.March, 2, 8, 0, 0, 0, time.UTC)
+		Expect(parsePause(header, now)).To(Equal(want))
+	},
+	Entry("of seconds", "120", 2*time.Minute),
+	Entry("of no time", "0", time.Duration(0)),
+	Entry("of a date", "Mon, 02 Mar 2026 08:00:30 GMT", 30*time.Second),
+	Entry("of a past date", "Mon, 02 Mar 2026 07:00:00 GMT", time.Duration(0)),
+	Entry("beyond the bound", "999999", maxPause),
+	Entry("of a date beyond the bound", "Mon, 02 Mar 2037 08:00:00 GMT", maxPause),
+	Entry("that is negative", "-5", defaultPause),
+	Entry("that cannot be read", "soon", defaultPause),
+	Entry("that is missing", "", defaultPause),
+)
--- a/adapters/platform/helpers_test.go
+++ b/adapters/platform/helpers_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -108,3 +110,15 @@
 	go func() { done <- call(ctx) }()
 	return done, cancel
 }
+
+// cutAfter returns a handler that promises size bytes, sends part and closes
+// the connection.
+func cutAfter(part string, size int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Config-Revision", "1")
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = io.WriteString(w, part)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+}
--- /dev/null
+++ b/adapters/platform/instances_test.go
@@ -0,0 +1,139 @@
+package platform_test
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/platform"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	standin "chivespindle.example/standin/platform"
+)
+
+// manualClock is a clock that a spec moves.
+type manualClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newManualClock() *manualClock {
+	return &manualClock{now: time.Date(2026, time.March, 2, 8, 0, 0, 0, time.UTC)}
+}
+
+func (c *manualClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *manualClock) Advance(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(by)
+}
+
+var _ = Describe("InstanceList", func() {
+	It("returns every field of every instance, ordered by id", func(ctx SpecContext) {
+		service := standin.NewInstanceList(standin.InstanceListOptions{})
+		entry := entryInstance("entry-1")
+		agent := entryInstance("agent-1")
+		agent.Role = fleet.RoleAgent
+		agent.Service = "spindle-pool"
+		agent.CallerAddr = entryInstance("").CallerAddr
+		agent.Leaving = true
+		service.Set(entry)
+		service.Set(agent)
+		list := instanceList(platform.InstanceListOptions{BaseURL: serve(service)})
+		Expect(list.Instances(ctx)).To(Equal([]fleet.Instance{agent, entry}))
+		Expect(service.Calls()).To(BeEquivalentTo(1))
+	})
+
+	It("returns an empty list as one", func(ctx SpecContext) {
+		list := instanceList(platform.InstanceListOptions{
+			BaseURL: serve(standin.NewInstanceList(standin.InstanceListOptions{})),
+		})
+		Expect(list.Instances(ctx)).To(BeEmpty())
+	})
+
+	// The caller sees an instance for one lag after it has gone, and misses a
+	// new one for as long. The platform's list is behind; nothing in the
+	// answer shows it, so that the core has to hear of both from peers.
+	It("shows changes after the lag", func(ctx SpecContext) {
+		clock := newManualClock()
+		service := standin.NewInstanceList(standin.InstanceListOptions{Now: clock.Now})
+		old := entryInstance("old")
+		service.Set(old)
+		list := instanceList(platform.InstanceListOptions{BaseURL: serve(service)})
+		Expect(list.Instances(ctx)).To(ConsistOf(old))
+
+		service.SetLag(30 * time.Second)
+		Expect(service.Remove("old")).To(BeTrue())
+		replacement := entryInstance("replacement")
+		service.Set(replacement)
+		clock.Advance(29 * time.Second)
+		Expect(list.Instances(ctx)).To(ConsistOf(old))
+		clock.Advance(time.Second)
+		Expect(list.Instances(ctx)).To(ConsistOf(replacement))
+	})
+
+	DescribeTable("an answer that is refused as Corrupt",
+		func(ctx SpecContext, body, reason string) {
+			list := instanceList(platform.InstanceListOptions{
+				BaseURL: serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					_, _ = io.WriteString(w, body)
+				})),
+			})
+			instances, err := list.Instances(ctx)
+			Expect(err).To(beOfType(failure.Corrupt))
+			Expect(err).To(MatchError(ContainSubstring(reason)))
+			Expect(instances).To(BeNil())
+		},
+		Entry("empty", ``, "unexpected end of JSON input"),
+		Entry("null", `null`, "want an array"),
+		Entry("an object", `{}`, "cannot unmarshal object"),
+		Entry("cut short", `[{"id":"a","role":"entry"`, "unexpected end of JSON input"),
+		Entry("followed by more", `[] []`, "after top-level value"),
+		Entry("with a null line", `[null]`, "line 0, cause: chivespindle.invalid: id is empty"),
+		Entry("without an id", `[{"role":"entry","peer_addr":"127.0.0.1:1"}]`, "line 0, cause: chivespindle.invalid: id is empty"),
+		Entry("with an unknown role", `[{"id":"a","role":"boss","peer_addr":"127.0.0.1:1"}]`, `"a" has role "boss"`),
+		Entry("without a peer address", `[{"id":"a","role":"entry"}]`, `"a" has peer_addr`),
+		Entry("with a host name", `[{"id":"a","role":"entry","peer_addr":"localhost:1"}]`, "ParseAddr"),
+		Entry("with port 0", `[{"id":"a","role":"entry","peer_addr":"127.0.0.1:0"}]`, `"a" has peer_addr`),
+		Entry("with one id twice", `[{"id":"a","role":"entry","peer_addr":"127.0.0.1:1"},`+
+			`{"id":"a","role":"entry","peer_addr":"127.0.0.1:2"}]`, `line 1: "a" occurs twice`),
+	)
+
+	It("skips fields that it does not know", func(ctx SpecContext) {
+		body := `[{"id":"a","role":"entry","peer_addr":"127.0.0.1:1","rack":"r7"}]`
+		list := instanceList(platform.InstanceListOptions{
+			BaseURL: serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, body)
+			})),
+		})
+		Expect(list.Instances(ctx)).To(HaveLen(1))
+	})
+
+	// The caller sees Unavailable and no list. The connection dies within the
+	// body; half a list would look like instances that have gone.
+	It("never returns half a list", func(ctx SpecContext) {
+		list := instanceList(platform.InstanceListOptions{BaseURL: serve(cutAfter("[]", 100))})
+		instances, err := list.Instances(ctx)
+		Expect(err).To(beOfType(failure.Unavailable))
+		Expect(instances).To(BeNil())
+	})
+
+	It("refuses a list beyond the bound", func(ctx SpecContext) {
+		list := instanceList(platform.InstanceListOptions{
+			BaseURL: serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, platform.MaxListBytes+1))
+			})),
+		})
+		_, err := list.Instances(ctx)
+		Expect(err).To(beOfType(failure.Corrupt))
+	})
+})
