--- /dev/null
+++ b/core/serving/events.go
@@ -0,0 +1,127 @@
+package serving
+
+import (
+	"time"
+
+	"chivespindle.example/core/fleet"
+)
+
+// Event is something that happened to a replica; see Changeover.Step.
+type Event interface{ event() }
+
+type (
+	// Tick is posted several times within Options.PauseLimit. Deadlines are
+	// looked at, and the engine's status is read every Options.PollEvery.
+	Tick struct{}
+	// TargetChanged: the text in force pins Version; zero if it pins none.
+	TargetChanged struct{ Version fleet.Version }
+	// ChunksComplete: all chunks of Version are staged and verified.
+	ChunksComplete struct{ Version fleet.Version }
+	// TurnGranted answers AskTurn: the replica may leave service now.
+	TurnGranted struct{ Version fleet.Version }
+	// Drained: no request is in progress any more. Drain repeats the number of
+	// the StopAdmitting that it answers.
+	Drained struct{ Drain uint64 }
+	// DrainDeadline: requests are still in progress at the deadline that
+	// StopAdmitting named. A Tick after the deadline does the same.
+	DrainDeadline struct{}
+	// OrderDone: the engine accepted the order.
+	OrderDone struct{ Attempt uint64 }
+	// OrderFailed: the order failed. failure.Refused means that the engine has
+	// seen a higher fencing number; after any other error the order may or may
+	// not have been carried out.
+	OrderFailed struct {
+		Attempt uint64
+		Err     error
+	}
+	// StatusRead is the engine's status. Asked is when the question was sent.
+	StatusRead struct {
+		Status EngineStatus
+		Asked  time.Time
+	}
+	// EngineRestarted: the engine was seen to have restarted, before its
+	// status could be read.
+	EngineRestarted struct{}
+	// Paused: the process has found that it was paused.
+	Paused struct{}
+	// Woke: the text in force and the neighbours have been read again. Asked is
+	// when the first of these readings began; it must lie after the pause.
+	Woke struct{ Asked time.Time }
+	// Leaving: the instance has begun its planned stop.
+	Leaving struct{}
+)
+
+func (Tick) event()            {}
+func (TargetChanged) event()   {}
+func (ChunksComplete) event()  {}
+func (TurnGranted) event()     {}
+func (Drained) event()         {}
+func (DrainDeadline) event()   {}
+func (OrderDone) event()       {}
+func (OrderFailed) event()     {}
+func (StatusRead) event()      {}
+func (EngineRestarted) event() {}
+func (Paused) event()          {}
+func (Woke) event()            {}
+func (Leaving) event()         {}
+
+// Action is something that the caller of Changeover.Step has to do.
+type Action interface{ action() }
+
+type (
+	// StartFetch: fetch the chunks that are not staged yet, then post
+	// ChunksComplete. Chunks of the manifests in Reuse with an equal digest
+	// need not be fetched.
+	StartFetch struct {
+		Version fleet.Version
+		Reuse   []fleet.Digest
+	}
+	// StopFetch: fetch no more of Version.
+	StopFetch struct{ Version fleet.Version }
+	// AskTurn: post TurnGranted once the rollout allows this replica to leave
+	// service for Version. A later AskTurn or any change of phase replaces it.
+	AskTurn struct{ Version fleet.Version }
+	// StopAdmitting: admit no request from now on, and post Drained when none
+	// is in progress, or DrainDeadline. Requests in progress are never cut.
+	StopAdmitting struct {
+		Drain    uint64
+		Deadline time.Time
+	}
+	// ResumeAdmitting: the change is put off; go on serving Version.
+	ResumeAdmitting struct{ Version fleet.Version }
+	// SendOrder: send Order and post OrderDone or OrderFailed. After NotAfter,
+	// by the clock read just before sending, it must not be sent any more, and
+	// the process posts OrderFailed with failure.Timeout.
+	SendOrder struct {
+		Attempt  uint64
+		Order    Order
+		NotAfter time.Time
+	}
+	// ReadStatus: read the engine's status and post StatusRead. If it cannot
+	// be read, nothing is posted; a Tick asks again.
+	ReadStatus struct{}
+	// StartServing: admit requests, answered from Version.
+	StartServing struct{ Version fleet.Version }
+	// DropStage: the chunks of this manifest are not needed any more.
+	DropStage struct{ Manifest fleet.Digest }
+	// ReadAgain: the process was paused; read the text in force and the
+	// neighbours again, then post Woke.
+	ReadAgain struct{}
+	// Alarm: the replica cannot go on by itself.
+	Alarm struct{ Reason string }
+	// StandDown: another process has taken over. No order will follow.
+	StandDown struct{ Err error }
+)
+
+func (StartFetch) action()      {}
+func (StopFetch) action()       {}
+func (AskTurn) action()         {}
+func (StopAdmitting) action()   {}
+func (ResumeAdmitting) action() {}
+func (SendOrder) action()       {}
+func (ReadStatus) action()      {}
+func (StartServing) action()    {}
+func (DropStage) action()       {}
+func (ReadAgain) action()       {}
+func (Alarm) action()           {}
+func (StandDown) action()       {}
