Refuse connections once a stand-in is closed

The queue spec took the order in which three clients reported for the order in which the engine ran them; it is replaced by one as strict that steps a manual clock and checks after each step which request runs. And Close right after Start returned while the listener still accepted, since http.Server closes only listeners that Serve has reached; a client then got a reset, an unknown outcome, where a refused connection was due. Close now closes the listener itself and waits.

--- a/standin/engine/backend/backend.go
+++ b/standin/engine/backend/backend.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -43,9 +44,11 @@
 
 // Server serves a handler on a loopback address.
 type Server struct {
-	mu     sync.Mutex
-	server *http.Server
-	addr   netip.AddrPort
+	mu       sync.Mutex
+	server   *http.Server
+	listener net.Listener
+	served   chan struct{} // closed when nothing serves any more
+	addr     netip.AddrPort
 }
 
 // Start listens on listen ("127.0.0.1:0" picks a port) and serves handler
@@ -64,11 +67,17 @@
 		return netip.AddrPort{}, failure.Unavailable.Wrap(err, "listen on %s", listen)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	served := make(chan struct{})
 	s.mu.Lock()
 	s.server = server
+	s.listener = listener
+	s.served = served
 	s.addr = netip.MustParseAddrPort(listener.Addr().String())
 	s.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
 	return s.Addr(), nil
 }
 
@@ -83,15 +92,22 @@
 func (s *Server) URL() string { return "http://" + s.Addr().String() }
 
 // Close stops listening and cuts every connection, as a killed process does.
+// When it returns a connection is refused: http.Server closes only listeners
+// that Serve has reached, so one closed right after Start would go on
+// accepting for a moment, and its clients would not learn that they were not
+// served.
 func (s *Server) Close() error {
 	s.mu.Lock()
-	server := s.server
+	server, listener, served := s.server, s.listener, s.served
 	s.server = nil
 	s.mu.Unlock()
 	if server == nil {
 		return nil
 	}
-	if err := server.Close(); err != nil {
+	_ = listener.Close()
+	err := server.Close()
+	<-served
+	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return failure.Unavailable.Wrap(err, "close the listener")
 	}
 	return nil
--- a/standin/engine/calls_test.go
+++ b/standin/engine/calls_test.go
@@ -113,42 +113,37 @@
 		Entry("another path", serving.Call{ID: "a1", Path: "orders", Body: []byte(`{"role":"none"}`)}),
 	)
 
-	// One slot is held by an answer that stalls. A full queue must be told at
-	// once, as not run; those that wait run by urgency, then by arrival.
+	// One slot is held by a long answer. A full queue must be told at once, as
+	// not run; those that wait run by urgency, then by arrival. Each answer
+	// takes one step of the clock, so that only one can run at each step.
 	It("runs what waits by priority and declines what does not fit", func(ctx SpecContext) {
-		e, client := start(engine.Options{Slots: 1, MaxWaiting: 3})
+		clock := &manualClock{now: time.Unix(1000, 0)}
+		e, client := start(engine.Options{Slots: 1, MaxWaiting: 3, TokenTime: time.Second, Clock: clock})
 		load(ctx, client, newRelease("v1"))
-		e.SetFaults(engine.Faults{Faults: backend.Faults{Stall: true}})
-		waiting := func() int { return e.Status().Load.Waiting }
 
-		held := running(ctx, client, callOf("held", "p", 1))
+		calls := []<-chan result{running(ctx, client, callOf("held", "p", 1))}
 		Eventually(ctx, func() int { return e.Status().Load.Running }).Should(Equal(1))
-		order := make(chan string, 3)
 		for i, priority := range []int{5, 1, 5} {
 			call := callOf(fmt.Sprintf("w%d", i), "p", 1)
 			call.Priority = priority
-			go func() {
-				if do(ctx, client, call).err == nil {
-					order <- call.ID
-				}
-			}()
-			Eventually(ctx, waiting).Should(Equal(i + 1))
+			calls = append(calls, running(ctx, client, call))
+			Eventually(ctx, func() int { return e.Status().Load.Waiting }).Should(Equal(i + 1))
 		}
 		full := do(ctx, client, callOf("full", "p", 1))
 		Expect(failure.OutcomeOf(full.err)).To(Equal(failure.NotRun))
 
-		e.SetFaults(engine.Faults{})
-		var ran []string
-		for range 3 {
-			var id string
-			Eventually(ctx, order).Should(Receive(&id))
-			ran = append(ran, id)
+		ran := backend.Counts{}
+		for _, id := range []string{"held", "w1", "w0", "w2"} {
+			ran[id] = 1
+			Eventually(ctx, clock.pending).Should(Equal(1))
+			Expect(e.Counters().ExecutionsByID).To(Equal(ran))
+			clock.advance(time.Second)
+		}
+		for _, call := range calls {
+			var got result
+			Eventually(ctx, call).Should(Receive(&got))
+			Expect(got.err).NotTo(HaveOccurred())
 		}
-		Expect(ran).To(Equal([]string{"w1", "w0", "w2"}))
-		var got result
-		Eventually(ctx, held).Should(Receive(&got))
-		Expect(got.err).NotTo(HaveOccurred())
-		Expect(e.Counters().ExecutionsByID).NotTo(HaveKey("full"))
 	})
 
 	// The caller gives up, in the queue or in the middle of its answer. The
--- a/standin/engine/helpers_test.go
+++ b/standin/engine/helpers_test.go
@@ -142,6 +142,13 @@
 	return ch
 }
 
+// pending returns how many wait for the clock.
+func (c *manualClock) pending() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.alarms)
+}
+
 func (c *manualClock) advance(pause time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
