Abort the answers that a stopped stand-in owes

A handler that Stop ended returned without an answer, for which net/http sent an empty 200: a waiting watch saw a broken text where a dead service closes the connection.

--- a/adapters/platform/config_test.go
+++ b/adapters/platform/config_test.go
@@ -107,6 +107,17 @@
 		Eventually(failures).Should(Receive(beOfType(failure.Unavailable)))
 	})
 
+	// The caller of a watch sees Unavailable. The service's process dies while
+	// the watch waits, so that the connection closes without an answer.
+	It("ends a waiting watch when the service dies", func() {
+		server, err := standin.Start(service, standin.AnyPort)
+		Expect(err).NotTo(HaveOccurred())
+		source := configSource(platform.ConfigOptions{BaseURL: server.URL(), Wait: longWait})
+		_, failures := watch(source, first.Revision)
+		server.Stop()
+		Eventually(failures).Should(Receive(beOfType(failure.Unavailable)))
+	})
+
 	// The caller of a watch sees Timeout after the wait and the margin. The
 	// service falls silent while the watch waits and its link stays open, so
 	// that nothing but the watch's own deadline can end it.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -80,10 +80,16 @@
 
 // track counts the running handlers, since http.Server.Close does not wait
 // for them: without it a test could end while a handler still writes.
+//
+// A handler that Stop ends before its answer is aborted. net/http would
+// otherwise send an empty 200 for it, which no service that dies does.
 func (s *Server) track(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.handlers.Add(1)
 		defer s.handlers.Done()
 		next.ServeHTTP(w, r)
+		if r.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
 	})
 }
