--- a/adapters/settings/load.go
+++ b/adapters/settings/load.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap/zapcore"
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
@@ -211,9 +212,17 @@
 		l.requireFor("platform.origin_url", " beside an engine")
 		l.requireFor("platform.store_url", " beside an engine")
 	}
-	if s.Role != fleet.RoleEntry {
-		return
+	if s.Trace.Spans == SpansToLog && s.Log.Level > zapcore.InfoLevel {
+		l.conflict("trace.spans", fmt.Sprintf("is log, but spans have level info and [log] level is %s", s.Log.Level))
+	}
+	if s.Role == fleet.RoleEntry {
+		l.checkEntry()
 	}
+}
+
+// checkEntry checks values of an entry that must fit each other.
+func (l *loader) checkEntry() {
+	s := l.settings
 	if s.Listen.Callers.Port() == s.Listen.Ops.Port() && overlap(s) {
 		l.conflict("listen.ops", fmt.Sprintf("takes the address of callers, %s", s.Listen.Callers))
 	}
--- a/adapters/settings/table.go
+++ b/adapters/settings/table.go
@@ -167,7 +167,7 @@
 		key("log", "level", everyRole(), level(func(s *Settings) *zapcore.Level { return &s.Log.Level }, levels), defaultTo("info"),
 			"Least severe level that is logged."),
 		key("trace", "spans", everyRole(), word(func(s *Settings) *SpanOutput { return &s.Trace.Spans }, SpansToLog, SpansOff), defaultTo(string(SpansOff)),
-			"Where trace spans go: one log line each, or nowhere. Trace contexts are passed on in either case."),
+			"Where trace spans go: one log line each, at level info, or nowhere. Trace contexts are passed on in either case."),
 	}
 }
 
