--- /dev/null
+++ b/adapters/telemetry/trace.go
@@ -0,0 +1,220 @@
+package telemetry
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/failure"
+)
+
+// SpanEvent is the event of the log line that tells of a span.
+const SpanEvent = "span"
+
+// Bounds on what spans may take. With these a full queue holds a few
+// megabytes at most.
+const (
+	spanQueue         = 2048 // spans that wait to be written
+	spanBatch         = 256
+	spanDelay         = time.Second // longest wait of a span in the queue
+	spanWriteTimeout  = 5 * time.Second
+	spanAttributes    = 32
+	spanEvents        = 8
+	spanLinks         = 4
+	attributeMaxRunes = 256
+)
+
+const (
+	traceIDKey    = "trace_id"
+	spanIDKey     = "span_id"
+	parentIDKey   = "parent_id"
+	nameKey       = "name"
+	serviceKey    = "service"
+	durationKey   = "duration_ms"
+	errorKey      = "error"
+	startKey      = "start"
+	attrKeyPrefix = "attr."
+)
+
+// reservedKeys are the keys of a span line. An attribute of such a name gets
+// attrKeyPrefix, so that no line has a key twice.
+var reservedKeys = []string{
+	TimeKey, LevelKey, EventKey, traceIDKey, spanIDKey, parentIDKey, nameKey,
+	serviceKey, durationKey, errorKey, startKey,
+}
+
+// Tracer starts the spans of a process and writes the ended ones, in batches
+// and beside the traffic. When spans come faster than they are written, the
+// queue drops the newest; ending a span never waits.
+type Tracer struct {
+	trace.Tracer
+
+	provider *sdktrace.TracerProvider // nil if spans are off
+	ended    atomic.Uint64
+	written  atomic.Uint64
+}
+
+// SpanStats counts the spans of a process since its start.
+type SpanStats struct {
+	// Ended counts the sampled spans that ended.
+	Ended uint64
+	// Written counts those that the log got. The others are waiting or were
+	// dropped; after Shutdown, they were dropped.
+	Written uint64
+}
+
+// NewTracer returns a tracer that writes one log line per span at level info:
+// trace_id, span_id, parent_id, name, service, start, duration_ms, error and
+// the attributes. A parent that was not sampled is followed. A nil logger
+// turns spans off: nothing is recorded, but a trace context that came in is
+// still passed on. So does a logger that drops events of level info.
+//
+// The caller ends it with Shutdown, after the last span.
+func NewTracer(service string, logger *zap.Logger) *Tracer {
+	if logger == nil || !logger.Core().Enabled(zap.InfoLevel) {
+		return &Tracer{Tracer: noop.NewTracerProvider().Tracer(service)}
+	}
+	t := &Tracer{}
+	exporter := &lineExporter{logger: logger, service: service, written: &t.written}
+	queue := sdktrace.NewBatchSpanProcessor(exporter,
+		sdktrace.WithMaxQueueSize(spanQueue),
+		sdktrace.WithMaxExportBatchSize(spanBatch),
+		sdktrace.WithBatchTimeout(spanDelay),
+		sdktrace.WithExportTimeout(spanWriteTimeout),
+	)
+	t.provider = sdktrace.NewTracerProvider(
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.AlwaysSample())),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", service))),
+		sdktrace.WithRawSpanLimits(spanLimits()),
+		sdktrace.WithSpanProcessor(countingProcessor{SpanProcessor: queue, ended: &t.ended}),
+	)
+	t.Tracer = t.provider.Tracer(service)
+	return t
+}
+
+func spanLimits() sdktrace.SpanLimits {
+	limits := sdktrace.NewSpanLimits()
+	limits.AttributeValueLengthLimit = attributeMaxRunes
+	limits.AttributeCountLimit = spanAttributes
+	limits.EventCountLimit = spanEvents
+	limits.LinkCountLimit = spanLinks
+	return limits
+}
+
+// Stats returns the counts so far.
+func (t *Tracer) Stats() SpanStats {
+	return SpanStats{Ended: t.ended.Load(), Written: t.written.Load()}
+}
+
+// Shutdown writes the spans that wait and stops. It gives up when ctx ends,
+// with failure.Timeout.
+func (t *Tracer) Shutdown(ctx context.Context) error {
+	if t.provider == nil {
+		return nil
+	}
+	if err := t.provider.Shutdown(ctx); err != nil {
+		return failure.Timeout.Wrap(err, "spans are left unwritten")
+	}
+	return nil
+}
+
+// countingProcessor counts the ended spans before they meet the queue, which
+// does not tell how many it drops.
+type countingProcessor struct {
+	sdktrace.SpanProcessor
+	ended *atomic.Uint64
+}
+
+// OnEnd implements sdktrace.SpanProcessor.
+func (p countingProcessor) OnEnd(span sdktrace.ReadOnlySpan) {
+	if span.SpanContext().IsSampled() {
+		p.ended.Add(1)
+	}
+	p.SpanProcessor.OnEnd(span)
+}
+
+// lineExporter writes spans as log lines.
+type lineExporter struct {
+	logger  *zap.Logger
+	service string
+	written *atomic.Uint64
+}
+
+// ExportSpans implements sdktrace.SpanExporter.
+func (e *lineExporter) ExportSpans(ctx context.Context, spans []sdktrace.ReadOnlySpan) error {
+	for _, span := range spans {
+		if ctx.Err() != nil {
+			// Stats shows the rest as not written. An error returned here would
+			// go to the library's own log, which is not key=value.
+			return nil
+		}
+		e.logger.Info(SpanEvent, e.fields(span)...)
+		e.written.Add(1)
+	}
+	return nil
+}
+
+// Shutdown implements sdktrace.SpanExporter.
+func (e *lineExporter) Shutdown(context.Context) error { return nil }
+
+func (e *lineExporter) fields(span sdktrace.ReadOnlySpan) []zap.Field {
+	duration := span.EndTime().Sub(span.StartTime())
+	fields := []zap.Field{
+		zap.String(traceIDKey, span.SpanContext().TraceID().String()),
+		zap.String(spanIDKey, span.SpanContext().SpanID().String()),
+		zap.String(parentIDKey, parentID(span)),
+		zap.String(nameKey, span.Name()),
+		zap.String(serviceKey, e.service),
+		zap.Time(startKey, span.StartTime()),
+		zap.Float64(durationKey, float64(duration.Microseconds())/1000),
+	}
+	if status := span.Status(); status.Code == codes.Error {
+		fields = append(fields, zap.String(errorKey, status.Description))
+	}
+	for _, attr := range span.Attributes() {
+		fields = append(fields, zap.String(attributeKey(attr.Key), attr.Value.String()))
+	}
+	return fields
+}
+
+// parentID returns the id of the span above, "" for the first of a trace.
+func parentID(span sdktrace.ReadOnlySpan) string {
+	if !span.Parent().SpanID().IsValid() {
+		return ""
+	}
+	return span.Parent().SpanID().String()
+}
+
+func attributeKey(key attribute.Key) string {
+	if slices.Contains(reservedKeys, string(key)) {
+		return attrKeyPrefix + string(key)
+	}
+	return string(key)
+}
+
+// traceparentKey is the name under which W3C Trace Context carries the span.
+const traceparentKey = "traceparent"
+
+// Inject returns the W3C traceparent of the span in ctx, "" if there is none.
+func Inject(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[traceparentKey]
+}
+
+// Extract returns ctx with the remote span that a W3C traceparent names, and
+// ctx itself if the text is empty or not valid.
+func Extract(ctx context.Context, traceparent string) context.Context {
+	carrier := propagation.MapCarrier{traceparentKey: traceparent}
+	return propagation.TraceContext{}.Extract(ctx, carrier)
+}
