--- a/core/fleettext/delta.go
+++ b/core/fleettext/delta.go
@@ -7,7 +7,7 @@
 	"chivespindle.example/core/fleet"
 )
 
-// WrongBase: a Delta was made for another state of the text than the one it
+// WrongBase means that a Delta was made for another state of the text than the one it
 // was applied to. The receiver asks for the whole text, which is the Delta
 // from nothing.
 var WrongBase = failure.Namespace.NewType("wrong_base")
@@ -76,7 +76,7 @@
 		return nil, err
 	}
 	faults := &faultList{file: file}
-	changed := parseSections(Join(d.Changed), faults)
+	changed := parseSections(Join(d.Changed), nil, faults)
 	sections := append(kept, changed...)
 	if size := joinedSize(sections); size > MaxBytes {
 		faults.add(1, "text has %d bytes, at most %d are allowed", size, MaxBytes)
--- a/core/fleettext/fleettext.go
+++ b/core/fleettext/fleettext.go
@@ -179,8 +179,12 @@
 	return sections
 }
 
-// section returns the parsed section of that name, nil without one.
+// section returns the parsed section of that name, nil without one. A nil
+// Fleet has none.
 func (f *Fleet) section(name string) *parsedSection {
+	if f == nil {
+		return nil
+	}
 	i, found := slices.BinarySearchFunc(f.sections, name, func(s *parsedSection, name string) int {
 		return compareSections(s.Section, Section{Name: name})
 	})
--- a/core/fleettext/lines.go
+++ b/core/fleettext/lines.go
@@ -11,10 +11,19 @@
 // keySeparator stands between a key and its value.
 const keySeparator = "="
 
-var (
-	headerPattern = regexp.MustCompile(`^\[([^\[\]]*)\][ \t]*([;#].*)?$`)
-	keyPattern    = regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
-)
+var headerPattern = regexp.MustCompile(`^\[([^\[\]]*)\][ \t]*([;#].*)?$`)
+
+// isKey reports whether name has the form of a key: [a-z][a-z0-9_]*.
+func isKey(name string) bool {
+	for i, c := range []byte(name) {
+		lower := 'a' <= c && c <= 'z'
+		later := c == '_' || '0' <= c && c <= '9'
+		if !lower && (i == 0 || !later) {
+			return false
+		}
+	}
+	return name != ""
+}
 
 // block is one section of a text as the line index sees it.
 type block struct {
@@ -22,6 +31,8 @@
 	line  int
 	lines map[string]int // line of each key
 	held  []string       // keys whose values were refused already
+	// clean is what ini.v1 may read: the header and the accepted pairs.
+	clean []byte
 }
 
 // lineIndex remembers where sections and keys stand, which ini.v1 does not,
@@ -32,8 +43,6 @@
 type lineIndex struct {
 	faults *faultList
 	blocks []block
-	// clean is what ini.v1 may read: the accepted headers and pairs.
-	clean bytes.Buffer
 
 	seen    map[sectionID]int
 	current *block // nil before the first header and in a refused section
@@ -99,9 +108,10 @@
 		return
 	}
 	x.seen[id] = number
-	x.blocks = append(x.blocks, block{id: id, line: number, lines: map[string]int{}})
+	x.blocks = append(x.blocks, block{
+		id: id, line: number, lines: map[string]int{}, clean: []byte(id.header()),
+	})
 	x.current = &x.blocks[len(x.blocks)-1]
-	x.clean.WriteString(id.header())
 }
 
 func (x *lineIndex) pair(number int, line string) {
@@ -112,7 +122,7 @@
 	}
 	key = strings.TrimSpace(key)
 	value = strings.TrimSpace(value)
-	if !keyPattern.MatchString(key) {
+	if !isKey(key) {
 		x.faults.add(number, "bad key %q: want lower-case letters, digits and _", key)
 		return
 	}
@@ -133,5 +143,6 @@
 		x.current.held = append(x.current.held, key)
 		return
 	}
-	x.clean.WriteString(line + "\n")
+	x.current.clean = append(x.current.clean, line...)
+	x.current.clean = append(x.current.clean, '\n')
 }
--- a/core/fleettext/load.go
+++ b/core/fleettext/load.go
@@ -24,12 +24,29 @@
 // that faults are reported under. A refused text gives a failure.Invalid that
 // wraps a *CheckError with all faults; see AsCheckError.
 func Load(file string, text []byte) (*Fleet, error) {
+	return load(file, text, nil)
+}
+
+// Reload is Load for a process that has the state base already. It comes to
+// the same result and reads only the sections that changed, so that a change
+// of one section in a text near MaxBytes does not cost a node a good part of
+// a second.
+func Reload(file string, text []byte, base *Fleet) (*Fleet, error) {
+	f, err := load(file, text, base)
+	if err != nil && base != nil {
+		// Lines of shared sections are not known any more.
+		return load(file, text, nil)
+	}
+	return f, err
+}
+
+func load(file string, text []byte, base *Fleet) (*Fleet, error) {
 	faults := &faultList{file: file}
 	checkWhole(text, faults)
 	if err := faults.err(); err != nil {
 		return nil, err
 	}
-	sections := parseSections(text, faults)
+	sections := parseSections(text, base, faults)
 	f := assemble(sections, faults)
 	if err := faults.err(); err != nil {
 		return nil, err
@@ -52,26 +69,33 @@
 }
 
 // parseSections reads the sections of text and checks each by itself.
-func parseSections(text []byte, faults *faultList) []*parsedSection {
+// Sections that stand in base as they are, nil for nothing, are taken from it.
+func parseSections(text []byte, base *Fleet, faults *faultList) []*parsedSection {
 	index := indexLines(text, faults)
-	file, err := ini.LoadSources(iniOptions, index.clean.Bytes())
-	if err != nil {
-		faults.add(1, "text is not INI: %s", err)
-		return nil
-	}
-	var sections []*parsedSection
+	sections := make([]*parsedSection, 0, len(index.blocks))
 	for i := range index.blocks {
 		b := &index.blocks[i]
-		sections = append(sections, parseSection(b, pairsOf(file, b), faults))
+		source := fleet.DigestOf(b.clean)
+		if known := base.section(b.id.String()); known != nil && known.source == source {
+			sections = append(sections, known)
+			continue
+		}
+		s := parseSection(b, faults)
+		s.source = source
+		sections = append(sections, s)
 	}
 	return sections
 }
 
 // pairsOf returns the pairs of one section that have a value.
-func pairsOf(file *ini.File, b *block) []pair {
-	section := file.Section(b.id.String())
+func pairsOf(b *block, faults *faultList) []pair {
+	file, err := ini.LoadSources(iniOptions, b.clean)
+	if err != nil {
+		faults.add(b.line, "section [%s] is not INI: %s", b.id, err)
+		return nil
+	}
 	var pairs []pair
-	for _, k := range section.Keys() {
+	for _, k := range file.Section(b.id.String()).Keys() {
 		if value := k.Value(); value != "" {
 			pairs = append(pairs, pair{key: k.Name(), value: value})
 		}
@@ -79,7 +103,8 @@
 	return pairs
 }
 
-func parseSection(b *block, pairs []pair, faults *faultList) *parsedSection {
+func parseSection(b *block, faults *faultList) *parsedSection {
+	pairs := pairsOf(b, faults)
 	s := &parsedSection{
 		Section: canonicalSection(b.id, pairs),
 		id:      b.id,
--- a/core/fleettext/section.go
+++ b/core/fleettext/section.go
@@ -94,6 +94,8 @@
 	line  int
 	lines map[string]int
 	held  []string
+	// source is the digest of what ini.v1 read.
+	source fleet.Digest
 	// value is one of *fleetSettings, *versionSettings, *serviceSettings, *Limits.
 	value any
 }
@@ -107,9 +109,13 @@
 }
 
 // forgetLines frees what only faults need. It takes most of the memory of an
-// accepted text.
+// accepted text. Sections that are shared with another Fleet have none, and
+// must not be written to.
 func forgetLines(sections []*parsedSection) {
 	for _, s := range sections {
+		if s.lines == nil {
+			continue
+		}
 		s.lines = nil
 		s.held = nil
 	}
--- a/core/fleettext/values.go
+++ b/core/fleettext/values.go
@@ -13,7 +13,6 @@
 const MaxNameBytes = 63
 
 var (
-	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 	integerPattern = regexp.MustCompile(`^[0-9]{1,9}$`)
 	decimalPattern = regexp.MustCompile(`^[0-9]{1,9}(\.[0-9]{1,2})?$`)
 	ratePattern    = regexp.MustCompile(`^([0-9]{1,9})(B|KB|MB|GB)$`)
@@ -32,12 +31,24 @@
 	if len(value) > MaxNameBytes {
 		return "", badValue("name has %d bytes, at most %d are allowed", len(value), MaxNameBytes)
 	}
-	if !namePattern.MatchString(value) {
+	if !isName(value) {
 		return "", badValue("bad name %q: want letters, digits, '.', '_' and '-', a letter or digit first", value)
 	}
 	return value, nil
 }
 
+// isName reports whether name has the form [A-Za-z0-9][A-Za-z0-9._-]*.
+func isName(name string) bool {
+	for i, c := range []byte(name) {
+		first := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		later := c == '.' || c == '_' || c == '-'
+		if !first && (i == 0 || !later) {
+			return false
+		}
+	}
+	return name != ""
+}
+
 // parseNames reads a comma-separated list and returns it sorted.
 func parseNames(value string) ([]string, error) {
 	var names []string
--- a/core/revision/candidate.go
+++ b/core/revision/candidate.go
@@ -1,6 +1,7 @@
 package revision
 
 import (
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/fleettext"
 )
@@ -31,13 +32,14 @@
 	Refusal *fleettext.CheckError
 }
 
-// ReadDocument checks a document of the platform.
-func ReadDocument(doc Document) Candidate {
+// ReadDocument checks a document of the platform. base is the text in force,
+// nil for none; what did not change since is not read again.
+func ReadDocument(doc Document, base *fleettext.Fleet) Candidate {
 	c := Candidate{Revision: doc.Revision, From: FromPlatform}
 	if doc.Revision == 0 {
 		return c
 	}
-	f, err := fleettext.Load(TextName, doc.Text)
+	f, err := fleettext.Reload(TextName, doc.Text, base)
 	if err != nil {
 		c.Digest = fleet.DigestOf(doc.Text)
 		c.Refusal = fleettext.AsCheckError(err)
@@ -49,9 +51,15 @@
 }
 
 // ReadDelta checks what a peer sent to lead from base, nil for nothing, to
-// the text that it has in force. A text that this process refuses makes a
-// candidate with a Refusal. Failures: fleettext.WrongBase, failure.Corrupt.
+// the text that it claims to have in force. A text that this process refuses
+// makes a candidate with a Refusal. Failures: fleettext.WrongBase;
+// failure.Corrupt if the text is not the one of the claim. A peer may have
+// moved on while it was asked, so its claim must come with the delta: else
+// one revision would name another one's text here.
 func ReadDelta(claim Claim, base *fleettext.Fleet, delta fleettext.Delta) (Candidate, error) {
+	if delta.Result != claim.Digest {
+		return Candidate{}, failure.Corrupt.New("peer %s sent the text %s for %s", claim.Peer, delta.Result, claim.Digest)
+	}
 	c := Candidate{Revision: claim.Revision, From: FromPeer, Peer: claim.Peer, Digest: delta.Result}
 	f, err := fleettext.Apply(TextName, base, delta)
 	if err == nil {
--- a/core/revision/keeper_test.go
+++ b/core/revision/keeper_test.go
@@ -164,7 +164,7 @@
 		Entry("the same revision with faults", platformRefused(7), revision.Conflicting, revision.Revision(7)),
 		Entry("a higher revision with faults", platformRefused(8), revision.RefusedText, revision.Revision(7)),
 		Entry("a lower revision with faults", platformRefused(6), revision.Stale, revision.Revision(7)),
-		Entry("no text", revision.ReadDocument(revision.Document{}), revision.Nothing, revision.Revision(7)),
+		Entry("no text", revision.ReadDocument(revision.Document{}, nil), revision.Nothing, revision.Revision(7)),
 	)
 
 	It("tells what changed", func() {
@@ -231,6 +231,8 @@
 		Expect(c.Fleet.Digest()).To(Equal(digest("b")))
 		_, err = revision.ReadDelta(claim("me", 8, "b"), load("c"), delta)
 		Expect(errorx.IsOfType(err, fleettext.WrongBase)).To(BeTrue())
+		_, err = revision.ReadDelta(claim("me", 8, "c"), load("a"), delta)
+		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue())
 		delta.Changed[0].Text += "max_attempts=1\n"
 		_, err = revision.ReadDelta(claim("me", 8, "b"), load("a"), delta)
 		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue())
--- a/core/revision/readplan.go
+++ b/core/revision/readplan.go
@@ -18,7 +18,7 @@
 	// a second.
 	StartSpread time.Duration
 	// Retry is the shortest wait after the first failed read, and while
-	// behind; the longest is five times that. Both double each time until
+	// behind; the longest is six times that. Both double each time until
 	// the wait is that of a process with which all is well. Default 2 s.
 	Retry time.Duration
 	// MinWatchPeriod is the shortest time between two watches of one
@@ -38,7 +38,7 @@
 // wide since a change or an outage of the platform reaches the whole fleet in
 // one moment: 3,910 processes that all read within a second would use up two
 // seconds of the platform's whole allowance, and keep in step from then on.
-const retrySpread = 5
+const retrySpread = 6
 
 // ReadPlan says when a process reads the platform by itself, beside what its
 // peers tell it: rarely, so that one that is cut off from its peers recovers
--- a/core/revision/revision_suite_test.go
+++ b/core/revision/revision_suite_test.go
@@ -41,11 +41,11 @@
 func digest(variant string) fleet.Digest { return load(variant).Digest() }
 
 func platform(r revision.Revision, variant string) revision.Candidate {
-	return revision.ReadDocument(revision.Document{Revision: r, Text: text(variant)})
+	return revision.ReadDocument(revision.Document{Revision: r, Text: text(variant)}, nil)
 }
 
 func platformRefused(r revision.Revision) revision.Candidate {
-	return revision.ReadDocument(revision.Document{Revision: r, Text: []byte("[fleet]\nname = ffsan\nsize = 3\n")})
+	return revision.ReadDocument(revision.Document{Revision: r, Text: []byte("[fleet]\nname = ffsan\nsize = 3\n")}, nil)
 }
 
 func claim(peer fleet.InstanceID, r revision.Revision, variant string) revision.Claim {
