Count at most MaxGap of a gap as waiting at the start

A control loop that ticks a little less often than MaxGap would never have come into force, since every gap was taken for a pause.

--- a/core/revision/keeper.go
+++ b/core/revision/keeper.go
@@ -36,8 +36,8 @@
 	// ClaimTTL is how long a claim holds without being heard again; default
 	// 15 s. It must be longer than LongWait and a few heartbeats.
 	ClaimTTL time.Duration
-	// MaxGap is the longest time between two calls that counts as waiting;
-	// default 1 s.
+	// MaxGap is the most that the time between two calls counts as waiting;
+	// default 1 s. It must be shorter than Wait.
 	MaxGap time.Duration
 }
 
@@ -176,8 +176,8 @@
 	}
 }
 
-// Tick lets time pass. Until a text is in force it must be called more often
-// than once in MaxGap, else the time does not count as waiting.
+// Tick lets time pass. It is to be called at least every MaxGap until a text
+// is in force; less often, the start takes longer.
 func (k *Keeper) Tick(now time.Time) Decision {
 	k.advance(now)
 	return k.reconsider(Decision{Reason: Nothing})
--- a/core/revision/keeper_test.go
+++ b/core/revision/keeper_test.go
@@ -75,6 +75,16 @@
 		Expect(inForce(k)).To(Equal(revision.Revision(7)))
 	})
 
+	It("starts late, but starts, if it is called rarely", func() {
+		k.Offer(start, platform(5, "a"))
+		for now := 3.0; now < 30; now += 3 { // each counts as one second
+			Expect(inForce(k)).To(BeZero())
+			k.Tick(at(now))
+		}
+		k.Tick(at(30))
+		Expect(inForce(k)).To(Equal(revision.Revision(5)))
+	})
+
 	It("goes on without a text that nobody can give any more", func() {
 		// The one peer that says 7 dies before it could send the text. The
 		// platform is stale at 5. The process stays not ready while the claim
--- a/core/revision/startup.go
+++ b/core/revision/startup.go
@@ -11,10 +11,11 @@
 // advance takes note of the time. A process that was paused has not waited:
 // what others said meanwhile lies unread in its sockets, and after LongWait
 // it would take the platform's stale text a moment before it reads that its
-// peers are ahead. So a long gap moves the start on instead.
+// peers are ahead. So of a long gap only MaxGap counts: too little to reach
+// Wait, and enough for a slow process to come to its end.
 func (k *Keeper) advance(now time.Time) {
 	if gap := now.Sub(k.lastCall); gap > k.opts.MaxGap {
-		k.started = k.started.Add(gap)
+		k.started = k.started.Add(gap - k.opts.MaxGap)
 	}
 	k.lastCall = now
 	for peer, claim := range k.claims {
