Test the transport between processes and its keys

Reloaded keys now take effect on standing connections: dialled ones are made anew for the next exchange, accepted ones whose peer is not accepted any more take no new streams.

--- a/adapters/keys/keys.go
+++ b/adapters/keys/keys.go
@@ -7,9 +7,9 @@
 // connections run: handshakes that start after the reload use the new files.
 //
 // A connection that was made before a reload goes on; TLS does not ask for
-// certificates again. Its owner asks Store.Check from time to time and ends
-// the connections whose peer the new authority does not know (package peer
-// does this).
+// certificates again. Its owner watches Generation and asks Check, and takes
+// the connections out of use whose peer is not accepted any more. Package peer
+// does this.
 package keys
 
 import (
@@ -18,6 +18,7 @@
 	"errors"
 	"io/fs"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,8 +58,9 @@
 
 // Store holds what was read from Files. It is safe for concurrent use.
 type Store struct {
-	files   Files
-	current atomic.Pointer[material]
+	files    Files
+	current  atomic.Pointer[material]
+	reloadMu sync.Mutex
 }
 
 // material is one consistent reading of the three files. It is never changed.
@@ -67,6 +69,7 @@
 	authority   *x509.CertPool
 	identity    Identity
 	secret      []byte // encoding of the private key, source of derived keys
+	generation  uint64 // 1 after Load, one more after each Reload
 }
 
 // Load reads and checks the files.
@@ -75,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	read.generation = 1
 	s := &Store{files: files}
 	s.current.Store(read)
 	return s, nil
@@ -84,13 +88,17 @@
 // The identity cannot change: an instance keeps its id for life, and peers
 // know it by that id.
 func (s *Store) Reload() error {
+	s.reloadMu.Lock()
+	defer s.reloadMu.Unlock()
 	read, err := readMaterial(s.files)
 	if err != nil {
 		return err
 	}
-	if old := s.Identity(); read.identity != old {
-		return IdentityChanged.New("%s: names %s, this process is %s", s.files.Certificate, read.identity, old)
+	old := s.current.Load()
+	if read.identity != old.identity {
+		return IdentityChanged.New("%s: names %s, this process is %s", s.files.Certificate, read.identity, old.identity)
 	}
+	read.generation = old.generation + 1
 	s.current.Store(read)
 	return nil
 }
@@ -98,6 +106,10 @@
 // Identity returns who this process is.
 func (s *Store) Identity() Identity { return s.current.Load().identity }
 
+// Generation tells two readings of the files apart: it is 1 after Load and one
+// more after each Reload that succeeded.
+func (s *Store) Generation() uint64 { return s.current.Load().generation }
+
 // Expires returns the end of the own certificate. After it, no peer accepts
 // new connections of this process.
 func (s *Store) Expires() time.Time { return s.current.Load().certificate.Leaf.NotAfter }
--- /dev/null
+++ b/adapters/keys/keys_suite_test.go
@@ -0,0 +1,13 @@
+package keys_test
+
+import (
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestKeys(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "adapters/keys")
+}
--- a/adapters/peer/dial.go
+++ b/adapters/peer/dial.go
@@ -85,13 +85,14 @@
 	defer e.work.Done()
 	ctx, cancel := context.WithTimeout(e.ctx, e.opts.HandshakeTimeout)
 	defer cancel()
+	generation := e.opts.Keys.Generation()
 	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), e.opts.Keys.ClientTLS(), e.clientConfig())
 	if err != nil {
 		e.metrics.dialFailed.Inc(1)
 		e.opts.Logger.Debug("peer_dial_failed", zap.Stringer("addr", addr), zap.Error(err))
 		return nil, err
 	}
-	l, err := newLink(conn, true)
+	l, err := newLink(conn, true, generation)
 	if err != nil {
 		_ = conn.CloseWithError(connRefused, "")
 		return nil, err
--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -8,7 +8,6 @@
 	"os"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
@@ -78,6 +77,7 @@
 	}
 	e.ctx, e.cancel = context.WithCancelCause(context.Background())
 	e.pool = newPool(e.dial)
+	e.gate.generation = opts.Keys.Generation
 	e.gate.onLimit = func(from netip.AddrPort) {
 		e.metrics.refused(refusedHandshakeLimit, zap.Stringer("from", from))
 	}
@@ -173,8 +173,7 @@
 		if err != nil {
 			return failure.Unavailable.Wrap(err, "accept connections on %s", e.addr)
 		}
-		e.gate.completed(conn.Context())
-		e.accept(conn)
+		e.accept(conn, e.gate.completed(conn.Context()))
 	}
 }
 
@@ -253,6 +252,3 @@
 	}
 	return e.metrics.accepted
 }
-
-// sweepInterval is how often connections are looked through.
-const sweepInterval = time.Second
--- a/adapters/peer/errors.go
+++ b/adapters/peer/errors.go
@@ -34,6 +34,7 @@
 	streamAborted  quic.StreamErrorCode = 1 // the exchange was given up
 	streamRefused  quic.StreamErrorCode = 2 // the role may not open this kind; no handler saw it
 	streamCorrupt  quic.StreamErrorCode = 3 // the frames cannot be read
+	streamRetired  quic.StreamErrorCode = 4 // the connection takes no new streams; no handler saw it
 )
 
 // Codes on connections, part of the wire format.
@@ -50,10 +51,11 @@
 
 // streamFailure turns an error of quic-go into a failure of the system.
 //
-// Outcomes are Unknown but for two cases in which the other side itself says
-// that no handler saw the stream: it refused the kind, or it refused the
-// connection during the handshake. TLS 1.3 lets a client send before the
-// server has judged its certificate, so the second reaches the client here.
+// Outcomes are Unknown but for the cases in which the other side itself says
+// that no handler saw the stream: it refused the kind, it takes no new streams
+// on the connection, or it refused the connection during the handshake. TLS 1.3
+// lets a client send before the server has judged its certificate, so the last
+// reaches the client here.
 func streamFailure(err error, doing string) error {
 	if known := errorx.Cast(err); known != nil {
 		return known
@@ -62,6 +64,9 @@
 		if streamErr.Remote && streamErr.ErrorCode == streamRefused {
 			return notOpened(failure.Refused.Wrap(err, "%s: the peer refused the stream", doing))
 		}
+		if isRetired(streamErr) {
+			return notOpened(ConnectionLost.Wrap(err, "%s: the peer takes no new streams on this connection", doing))
+		}
 		return Aborted.Wrap(err, "%s", doing)
 	}
 	if transportErr, ok := errors.AsType[*quic.TransportError](err); ok && refusedHandshake(transportErr) {
@@ -73,6 +78,10 @@
 	return ConnectionLost.Wrap(err, "%s", doing)
 }
 
+func isRetired(err *quic.StreamError) bool {
+	return err.Remote && err.ErrorCode == streamRetired
+}
+
 func refusedHandshake(err *quic.TransportError) bool {
 	return err.Remote && (err.ErrorCode.IsCryptoError() || err.ErrorCode == quic.ConnectionRefused)
 }
--- a/adapters/peer/gate.go
+++ b/adapters/peer/gate.go
@@ -29,6 +29,7 @@
 // gate admits handshakes.
 type gate struct {
 	unverified *rate.Limiter
+	generation func() uint64 // of the keys
 	onLimit    func(from netip.AddrPort)
 	onFailed   func(from netip.AddrPort, cause error)
 
@@ -47,9 +48,10 @@
 // handshake is one admitted, unfinished handshake, kept in the connection's
 // context.
 type handshake struct {
-	gate *gate
-	from netip.AddrPort
-	once sync.Once
+	gate       *gate
+	from       netip.AddrPort
+	generation uint64 // of the keys when it began
+	once       sync.Once
 }
 
 type handshakeKey struct{}
@@ -65,7 +67,7 @@
 		g.onLimit(from)
 		return nil, failure.RateLimited.New("too many unfinished handshakes")
 	}
-	h := &handshake{gate: g, from: from}
+	h := &handshake{gate: g, from: from, generation: g.generation()}
 	ctx = context.WithValue(ctx, handshakeKey{}, h)
 	context.AfterFunc(ctx, func() {
 		if h.finish() {
@@ -96,11 +98,15 @@
 	}
 }
 
-// completed notes that the handshake of an accepted connection is done.
-func (g *gate) completed(ctx context.Context) {
-	if h, ok := ctx.Value(handshakeKey{}).(*handshake); ok {
-		h.finish()
+// completed notes that the handshake of an accepted connection is done, and
+// returns the generation of the keys with which it began.
+func (g *gate) completed(ctx context.Context) uint64 {
+	h, ok := ctx.Value(handshakeKey{}).(*handshake)
+	if !ok {
+		return 0
 	}
+	h.finish()
+	return h.generation
 }
 
 // finish reports whether it is the first call.
--- a/adapters/peer/helpers_test.go
+++ b/adapters/peer/helpers_test.go
@@ -4,19 +4,28 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/netip"
+	"sync/atomic"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/goleak"
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/standin/pki"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
+// patience bounds the wait for something that must happen.
+const patience = 10 * time.Second
+
 // note is the message that the tests exchange.
 type note struct {
 	Text    string        `cbor:"1,keyasint"`
@@ -42,6 +51,20 @@
 	}
 }
 
+// hold takes a note and then waits for the end of the exchange.
+func hold(ctx context.Context, _ keys.Identity, _ peer.Kind, s *peer.Stream) {
+	_ = s.Recv(&note{})
+	<-ctx.Done()
+}
+
+// checkLeaks fails the spec if a goroutine outlives its cleanups.
+func checkLeaks() {
+	before := goleak.IgnoreCurrent()
+	ginkgo.DeferCleanup(func() {
+		gomega.Eventually(func() error { return goleak.Find(before) }, patience).Should(gomega.Succeed())
+	})
+}
+
 func newAuthority() *pki.Authority {
 	ginkgo.GinkgoHelper()
 	authority, err := pki.NewAuthority()
@@ -49,16 +72,21 @@
 	return authority
 }
 
-// storeOf issues and loads a certificate.
-func storeOf(authority *pki.Authority, role fleet.Role, id fleet.InstanceID) *keys.Store {
+// loadFiles issues and loads a certificate.
+func loadFiles(authority *pki.Authority, dir string, role fleet.Role, id fleet.InstanceID) *keys.Store {
 	ginkgo.GinkgoHelper()
-	files, err := authority.WriteFiles(ginkgo.GinkgoT().TempDir(), role, id)
+	files, err := authority.WriteFiles(dir, role, id)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	store, err := keys.Load(files)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	return store
 }
 
+func storeOf(authority *pki.Authority, role fleet.Role, id fleet.InstanceID) *keys.Store {
+	ginkgo.GinkgoHelper()
+	return loadFiles(authority, ginkgo.GinkgoT().TempDir(), role, id)
+}
+
 // start runs an endpoint until the spec ends.
 func start(opts peer.Options) *peer.Endpoint {
 	ginkgo.GinkgoHelper()
@@ -68,14 +96,58 @@
 	endpoint, err := peer.New(opts)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	done := make(chan error, 1)
-	go func() { done <- endpoint.Run(context.Background()) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { done <- endpoint.Run(ctx) }()
 	ginkgo.DeferCleanup(func() {
-		gomega.Expect(endpoint.Close()).To(gomega.Succeed())
-		gomega.Eventually(done).Should(gomega.Receive(gomega.BeNil()))
+		cancel()
+		gomega.Eventually(done, patience).Should(gomega.Receive(gomega.BeNil()))
 	})
 	return endpoint
 }
 
+// pair is an agent that serves and an entry that asks.
+type pair struct {
+	authority  *pki.Authority
+	serverKeys *keys.Store
+	server     *peer.Endpoint
+	client     *peer.Endpoint
+	counts     tally.TestScope // of both
+}
+
+func newPair(handler handlerFunc, change func(server, client *peer.Options)) pair {
+	ginkgo.GinkgoHelper()
+	p := pair{authority: newAuthority(), counts: tally.NewTestScope("", nil)}
+	server := peer.Options{Keys: storeOf(p.authority, fleet.RoleAgent, "agent-1"), Handler: handler, Metrics: p.counts}
+	client := peer.Options{Keys: storeOf(p.authority, fleet.RoleEntry, "entry-1"), Metrics: p.counts}
+	if change != nil {
+		change(&server, &client)
+	}
+	p.serverKeys = server.Keys
+	p.server = start(server)
+	p.client = start(client)
+	return p
+}
+
+// open opens a stream from the client to the server.
+func (p pair) open(kind peer.Kind) *peer.Stream {
+	ginkgo.GinkgoHelper()
+	s, err := p.client.Open(context.Background(), p.server.Addr(), "", kind)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(s.Abort)
+	return s
+}
+
+// count returns one counter, by its name and tags as tally prints them.
+func (p pair) count(name string) func() int64 {
+	return func() int64 {
+		counter, ok := p.counts.Snapshot().Counters()[name]
+		if !ok {
+			return 0
+		}
+		return counter.Value()
+	}
+}
+
 // ask sends one note and returns the answer.
 func ask(client *peer.Endpoint, addr netip.AddrPort, kind peer.Kind, text string) (string, error) {
 	s, err := client.Open(context.Background(), addr, "", kind)
@@ -83,6 +155,7 @@
 		return "", err
 	}
 	defer s.Abort()
+	s.SetStall(patience)
 	if err := s.Send(note{Text: text}); err != nil {
 		return "", err
 	}
@@ -98,3 +171,61 @@
 	}
 	return got.Text, nil
 }
+
+// expectNotRun checks the type and the outcome of a failed Open.
+func expectNotRun(err error) {
+	ginkgo.GinkgoHelper()
+	gomega.Expect(err).To(beOfType(failure.Unavailable))
+	gomega.Expect(failure.OutcomeOf(err)).To(gomega.Equal(failure.NotRun))
+}
+
+// relay forwards datagrams between one client and a server. While cut, it
+// drops them, as a stalled link does.
+type relay struct {
+	front *net.UDPConn
+	back  *net.UDPConn
+	cut   atomic.Bool
+	peer  atomic.Pointer[netip.AddrPort]
+}
+
+func newRelay(to netip.AddrPort) *relay {
+	ginkgo.GinkgoHelper()
+	front, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	back, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(to))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	r := &relay{front: front, back: back}
+	go r.forward()
+	go r.answer()
+	ginkgo.DeferCleanup(func() { _ = front.Close(); _ = back.Close() })
+	return r
+}
+
+func (r *relay) addr() netip.AddrPort { return r.front.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func (r *relay) forward() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, from, err := r.front.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		r.peer.Store(&from)
+		if !r.cut.Load() {
+			_, _ = r.back.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relay) answer() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, err := r.back.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil && !r.cut.Load() {
+			_, _ = r.front.WriteToUDPAddrPort(buf[:n], *r.peer.Load())
+		}
+	}
+}
--- a/adapters/peer/link.go
+++ b/adapters/peer/link.go
@@ -18,8 +18,10 @@
 	peer    keys.Identity
 	addr    netip.AddrPort
 	dialled bool
+	expires time.Time // end of the peer's certificate
 
 	mu       sync.Mutex
+	checked  uint64    // generation of the keys that accepted the peer
 	active   int       // streams in use
 	lastUsed time.Time // when active last fell to 0
 	retired  bool      // not used for new streams; closed once unused
@@ -27,8 +29,11 @@
 	heard    uint64    // packets received when the doubt arose
 }
 
-func newLink(conn *quic.Conn, dialled bool) (*link, error) {
-	peer, err := keys.IdentityOf(conn.ConnectionState().TLS.PeerCertificates[0])
+// newLink takes the identity from the handshake. generation is the one of the
+// keys before the handshake began, so that a reload during it is not missed.
+func newLink(conn *quic.Conn, dialled bool, generation uint64) (*link, error) {
+	cert := conn.ConnectionState().TLS.PeerCertificates[0]
+	peer, err := keys.IdentityOf(cert)
 	if err != nil {
 		return nil, err
 	}
@@ -37,6 +42,8 @@
 		peer:     peer,
 		addr:     addrPortOf(conn.RemoteAddr()),
 		dialled:  dialled,
+		expires:  cert.NotAfter,
+		checked:  generation,
 		lastUsed: time.Now(),
 	}, nil
 }
@@ -68,11 +75,14 @@
 	l.lastUsed = time.Now()
 }
 
-// retire keeps new streams off the link. Running ones go on.
-func (l *link) retire() {
+// retire keeps new streams off the link. Running ones go on. It reports
+// whether the link was in use until now.
+func (l *link) retire() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	was := l.retired
 	l.retired = true
+	return !was
 }
 
 // retireIfUnused retires the link if it has no streams and either is retired
@@ -90,6 +100,33 @@
 	return true
 }
 
+// outdated reports whether new streams must not use the link any more, since
+// keys were reloaded or the peer's certificate has ended.
+//
+// A reload outdates every dialled link: the next exchange makes a connection
+// with the new files, which both sides judge anew. An accepted link is outdated
+// only if the peer's certificates are not accepted by the new authority; a
+// peer that is still good finds nothing changed.
+func (l *link) outdated(store *keys.Store, now time.Time) bool {
+	if now.After(l.expires) {
+		return true
+	}
+	generation := store.Generation()
+	l.mu.Lock()
+	same := l.checked == generation
+	l.mu.Unlock()
+	if same {
+		return false
+	}
+	if l.dialled || store.Check(l.conn.ConnectionState().TLS.PeerCertificates) != nil {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.checked = generation
+	return false
+}
+
 // doubt notes that a stream on the link stalled. Either the peer is slow, or
 // the link is dead and QUIC has not noticed yet. In the second case each new
 // request would be sent into the void, with an unknown outcome, until the idle
--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -14,7 +14,7 @@
 	refusedHandshakeLimit  = "handshake_limit" // too many unfinished handshakes
 	refusedRole            = "role"            // Options.Allow said no
 	refusedKind            = "kind"            // no such kind
-	refusedCertificate     = "certificate"     // not accepted any more since a reload
+	refusedCertificate     = "certificate"     // accepted once, but not any more
 )
 
 // Strangers cause refusals at any rate they like, so only some are logged.
@@ -89,3 +89,14 @@
 	}
 	m.logger.Warn("peer_refused", append([]zap.Field{zap.String("reason", reason)}, fields...)...)
 }
+
+// outdated notes that a connection takes no new streams any more. For a
+// dialled one that is the usual effect of a reload, for an accepted one it is
+// a refusal.
+func (m *metrics) outdated(l *link) {
+	if !l.dialled {
+		m.refused(refusedCertificate, zap.Stringer("peer", l.peer), zap.Stringer("from", l.addr))
+		return
+	}
+	m.logger.Info("peer_connection_outdated", zap.Stringer("peer", l.peer), zap.Stringer("addr", l.addr))
+}
--- a/adapters/peer/serve.go
+++ b/adapters/peer/serve.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -9,8 +10,8 @@
 )
 
 // accept starts to serve a connection whose handshake is done.
-func (e *Endpoint) accept(conn *quic.Conn) {
-	l, err := newLink(conn, false)
+func (e *Endpoint) accept(conn *quic.Conn, generation uint64) {
+	l, err := newLink(conn, false, generation)
 	if err != nil || !e.register(l) {
 		_ = conn.CloseWithError(connRefused, "")
 		return
@@ -52,12 +53,14 @@
 		return
 	}
 	if !l.acquire() {
-		refuse(raw, streamRefused)
+		refuse(raw, streamRetired)
 		return
 	}
 	traffic := e.metrics.kinds[kind]
 	traffic.served.Inc(1)
-	s := newStream(e.ctx, raw, l, kind, e.opts.MaxMessage, traffic)
+	// The connection's end ends the stream, so it needs no parent. With one, Close
+	// would reset the streams before it says that the process ends.
+	s := newStream(context.Background(), raw, l, kind, e.opts.MaxMessage, traffic)
 	s.kindSent = true // only the side that opens a stream sends it
 	defer s.Close()
 	e.opts.Handler.ServeStream(s.ctx, l.peer, kind, s)
@@ -87,44 +90,3 @@
 	raw.CancelRead(code)
 	raw.CancelWrite(code)
 }
-
-// sweep closes unused connections until the endpoint is closed.
-func (e *Endpoint) sweep() {
-	defer e.work.Done()
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case now := <-ticker.C:
-			e.sweepOnce(now)
-		}
-	}
-}
-
-func (e *Endpoint) sweepOnce(now time.Time) {
-	dialled, accepted := 0, 0
-	for _, l := range e.snapshot() {
-		if !l.dialled {
-			accepted++
-			continue
-		}
-		dialled++
-		if l.retireIfUnused(now.Add(-e.opts.UnusedTimeout)) {
-			_ = l.conn.CloseWithError(connUnused, "")
-		}
-	}
-	e.metrics.dialled.live.Update(float64(dialled))
-	e.metrics.accepted.live.Update(float64(accepted))
-}
-
-func (e *Endpoint) snapshot() []*link {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	links := make([]*link, 0, len(e.links))
-	for l := range e.links {
-		links = append(links, l)
-	}
-	return links
-}
--- a/adapters/peer/stream.go
+++ b/adapters/peer/stream.go
@@ -294,11 +294,15 @@
 	return true
 }
 
-// failed turns err into a failure. A stall casts doubt on the connection.
+// failed turns err into a failure. A stall casts doubt on the connection, and
+// the peer may have said that the connection takes no more streams.
 func (s *Stream) failed(err error, doing string) error {
 	if isStreamDeadline(err) {
 		s.link.doubt()
 	}
+	if streamErr, ok := errors.AsType[*quic.StreamError](err); ok && isRetired(streamErr) {
+		s.link.retire()
+	}
 	return streamFailure(err, doing)
 }
 
