Add the Makefile, the linters and the test runner

staticcheck is pinned and run with all checks. housecheck finds what it does not know: sleeps and skipped specs in tests, untyped errors, I/O and the clock in core, long functions and files. testrun passes over the tests that KNOWN-RED.txt lists and over no others: each is left out of its package's run and run alone, so that a suite with a red spec still fails for the next one. The tools are a module outside the workspace.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,99 @@
+# Everything that a developer runs. It needs Go and make; the libraries come
+# through the Go module proxy.
+
+# How many packages are built or tested at once, and threads of the linter.
+P ?= 4
+# How long each fuzz target runs.
+FUZZTIME ?= 10s
+
+GO ?= go
+BIN := bin
+TOOLS := $(BIN)/tools
+
+MODULES := core adapters daemon cmd standin
+PACKAGES := $(MODULES:%=./%/...)
+SOURCES := $(MODULES) tools
+
+# The linter is pinned here and run through the module proxy, so that it is in
+# the requirements of no module.
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+# The tools stand outside the workspace.
+TOOLS_GO := GOWORK=off $(GO) -C tools
+
+.PHONY: all
+all: build
+
+.PHONY: build
+build: ## the two programs, into bin/
+	$(GO) build -trimpath -p $(P) -o $(BIN)/ ./cmd/...
+
+.PHONY: test
+test: $(TOOLS)/testrun ## the tests of all modules
+	$(TOOLS)/testrun -p $(P) $(PACKAGES)
+	$(TOOLS_GO) test -count=1 -p $(P) ./...
+
+.PHONY: race
+race: $(TOOLS)/testrun ## the tests of all modules with the race detector
+	$(TOOLS)/testrun -p $(P) -race $(PACKAGES)
+
+.PHONY: lint
+lint: lint-format lint-vet lint-staticcheck lint-house ## all linters
+
+.PHONY: lint-format
+lint-format:
+	@unformatted=$$(gofmt -l $(SOURCES)); \
+	if [ -n "$$unformatted" ]; then echo "gofmt is due:"; echo "$$unformatted"; exit 1; fi
+
+.PHONY: lint-vet
+lint-vet:
+	$(GO) vet -p $(P) $(PACKAGES)
+	$(TOOLS_GO) vet -p $(P) ./...
+
+.PHONY: lint-staticcheck
+lint-staticcheck:
+	GOMAXPROCS=$(P) $(GO) run $(STATICCHECK) $(PACKAGES)
+	cd tools && GOWORK=off GOMAXPROCS=$(P) $(GO) run $(STATICCHECK) ./...
+
+.PHONY: lint-house
+lint-house: $(TOOLS)/housecheck
+	$(TOOLS)/housecheck .
+
+.PHONY: fuzz
+fuzz: ## every fuzz target for FUZZTIME
+	@GO="$(GO)" tools/fuzz $(P) $(FUZZTIME) $(PACKAGES)
+
+.PHONY: generate
+generate: ## the committed generated files
+	$(GO) generate $(PACKAGES)
+
+.PHONY: demo
+demo: ## a small fleet on this machine, with stand-ins of the platform
+	$(GO) run ./standin/cmd/demo
+
+.PHONY: bench
+bench: ## the measurements of the design notes
+	$(GO) run ./standin/cmd/bench
+
+.PHONY: capacity
+capacity: ## the slopes of docs/CAPACITY.md
+	$(GO) run ./standin/cmd/capacity
+
+.PHONY: versions
+versions: ## what the checks run with
+	@$(GO) version
+	@$(MAKE) --version | head -n 1
+	@$(GO) run $(STATICCHECK) -version
+
+# The tools are built each time; go build does nothing if they are current.
+.PHONY: $(TOOLS)/testrun $(TOOLS)/housecheck
+$(TOOLS)/testrun $(TOOLS)/housecheck:
+	@$(TOOLS_GO) build -p $(P) -o ../$(TOOLS)/ ./$(notdir $@)
+
+.PHONY: clean
+clean: ## what the other targets leave
+	rm -rf $(BIN)
+
+.PHONY: help
+help: ## this list
+	@sed -n 's/^\([a-z]*\):.*## \(.*\)/\1\t\2/p' $(MAKEFILE_LIST)
--- /dev/null
+++ b/tools/housecheck/check.go
@@ -0,0 +1,234 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Sizes that a reader can hold; the first size that is too long.
+const (
+	longFunction = 60  // lines
+	longFile     = 500 // lines
+)
+
+// Finding is one breach of a rule.
+type Finding struct {
+	Path string
+	Line int
+	Text string
+}
+
+// String returns "path:line: text".
+func (f Finding) String() string { return fmt.Sprintf("%s:%d: %s", f.Path, f.Line, f.Text) }
+
+// scope says in which files a rule holds.
+type scope func(file string) bool
+
+func inTests(file string) bool      { return strings.HasSuffix(file, "_test.go") }
+func outsideTests(file string) bool { return !inTests(file) && !within("tools")(file) }
+func inCore(file string) bool       { return !inTests(file) && within("core")(file) }
+
+// inProduct holds the code that runs at the users', not the stand-ins.
+func inProduct(file string) bool {
+	return !inTests(file) && (within("core")(file) || within("adapters")(file) || within("daemon")(file) || within("cmd")(file))
+}
+
+func within(module string) scope {
+	return func(file string) bool { return strings.HasPrefix(file, module+"/") }
+}
+
+// useRule forbids names of a package.
+type useRule struct {
+	where   scope
+	pkg     string   // import path
+	names   []string // empty for the whole package
+	because string
+}
+
+var useRules = []useRule{
+	{inTests, "time", []string{"Sleep"}, "a sleep proves nothing; wait for the event or inject a clock"},
+	{outsideTests, "errors", []string{"New"}, "every failure has a type; see core/failure"},
+	{outsideTests, "fmt", []string{"Errorf"}, "every failure has a type; see core/failure"},
+	{inCore, "time", []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"},
+		"decisions take the time from outside"},
+	{inCore, "os", nil, "decisions do no I/O"},
+	{inCore, "net", nil, "decisions do no I/O"},
+	{inCore, "net/http", nil, "decisions do no I/O"},
+	{inProduct, "os/exec", nil, "a process starts no other process"},
+	{inProduct, "net/http/httputil", nil, "no ready-made proxy"},
+}
+
+// narrowedSpecs are the ginkgo names that leave specs out of a run.
+var narrowedSpecs = narrowed("Describe", "Context", "When", "It", "Specify", "DescribeTable", "DescribeTableSubtree", "Entry")
+
+func narrowed(names ...string) []string {
+	var all []string
+	for _, name := range names {
+		all = append(all, "F"+name, "P"+name, "X"+name)
+	}
+	return append(all, "Skip", "Pending")
+}
+
+// checkTree returns the findings of every Go file below root, by path and
+// line. It fails if a file cannot be read or parsed.
+func checkTree(root fs.FS) ([]Finding, error) {
+	var findings []Finding
+	err := fs.WalkDir(root, ".", func(name string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			return skipDir(name)
+		}
+		if path.Ext(name) != ".go" {
+			return nil
+		}
+		source, err := fs.ReadFile(root, name)
+		if err != nil {
+			return err
+		}
+		found, err := checkFile(name, source)
+		findings = append(findings, found...)
+		return err
+	})
+	return findings, err
+}
+
+// skipDir leaves out what the go command leaves out.
+func skipDir(name string) error {
+	base := path.Base(name)
+	hidden := strings.HasPrefix(base, ".") || strings.HasPrefix(base, "_")
+	if name != "." && (hidden || base == "testdata") {
+		return fs.SkipDir
+	}
+	return nil
+}
+
+func checkFile(name string, source []byte) ([]Finding, error) {
+	files := token.NewFileSet()
+	file, err := parser.ParseFile(files, name, source, parser.ParseComments|parser.SkipObjectResolution)
+	if err != nil {
+		return nil, err
+	}
+	c := &checker{name: name, files: files, file: file, imports: importNames(file)}
+	c.lines = bytes.Count(source, []byte("\n"))
+	c.checkImports()
+	c.checkUses()
+	if !ast.IsGenerated(file) {
+		c.checkLengths()
+	}
+	slices.SortStableFunc(c.findings, func(a, b Finding) int { return a.Line - b.Line })
+	return c.findings, nil
+}
+
+// checker gathers the findings of one file.
+type checker struct {
+	name     string
+	files    *token.FileSet
+	file     *ast.File
+	lines    int
+	imports  map[string]string // import path by its name in the file
+	findings []Finding
+}
+
+func (c *checker) add(pos token.Pos, format string, args ...any) {
+	line := c.files.Position(pos).Line
+	c.findings = append(c.findings, Finding{Path: c.name, Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+func importPath(spec *ast.ImportSpec) string {
+	text, err := strconv.Unquote(spec.Path.Value)
+	if err != nil {
+		return "" // the parser takes no such import
+	}
+	return text
+}
+
+func importNames(file *ast.File) map[string]string {
+	names := make(map[string]string)
+	for _, spec := range file.Imports {
+		name := path.Base(importPath(spec))
+		if spec.Name != nil {
+			name = spec.Name.Name
+		}
+		names[name] = importPath(spec)
+	}
+	return names
+}
+
+func (c *checker) checkImports() {
+	for _, spec := range c.file.Imports {
+		for _, rule := range useRules {
+			if len(rule.names) == 0 && rule.pkg == importPath(spec) && rule.where(c.name) {
+				c.add(spec.Pos(), "imports %s: %s", rule.pkg, rule.because)
+			}
+		}
+	}
+}
+
+func (c *checker) checkUses() {
+	ast.Inspect(c.file, func(node ast.Node) bool {
+		switch n := node.(type) {
+		case *ast.SelectorExpr:
+			c.checkSelector(n)
+		case *ast.CallExpr:
+			c.checkSpec(n)
+		}
+		return true
+	})
+}
+
+func (c *checker) checkSelector(selector *ast.SelectorExpr) {
+	pkg, isName := selector.X.(*ast.Ident)
+	if !isName {
+		return
+	}
+	for _, rule := range useRules {
+		used := rule.pkg == c.imports[pkg.Name] && slices.Contains(rule.names, selector.Sel.Name)
+		if used && rule.where(c.name) {
+			c.add(selector.Pos(), "%s.%s: %s", pkg.Name, selector.Sel.Name, rule.because)
+		}
+	}
+}
+
+// checkSpec finds specs that are focused, pending or skipped. go test passes
+// over the others, or over these, without failing.
+func (c *checker) checkSpec(call *ast.CallExpr) {
+	if !inTests(c.name) {
+		return
+	}
+	switch fun := call.Fun.(type) {
+	case *ast.Ident:
+		if slices.Contains(narrowedSpecs, fun.Name) {
+			c.add(call.Pos(), "%s: no spec is focused, pending or skipped", fun.Name)
+		}
+	case *ast.SelectorExpr:
+		if slices.Contains([]string{"Skip", "Skipf", "SkipNow"}, fun.Sel.Name) {
+			c.add(call.Pos(), "%s: no test is skipped", fun.Sel.Name)
+		}
+	}
+}
+
+func (c *checker) checkLengths() {
+	if c.lines >= longFile {
+		c.add(c.file.Package, "the file has %d lines; files stay under %d", c.lines, longFile)
+	}
+	for _, decl := range c.file.Decls {
+		function, isFunction := decl.(*ast.FuncDecl)
+		if !isFunction {
+			continue
+		}
+		lines := c.files.Position(function.End()).Line - c.files.Position(function.Pos()).Line + 1
+		if lines >= longFunction {
+			c.add(function.Pos(), "%s has %d lines; functions stay under %d", function.Name.Name, lines, longFunction)
+		}
+	}
+}
--- /dev/null
+++ b/tools/testrun/known.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"regexp"
+	"strings"
+)
+
+// maxKnownRed is the longest list of known red tests that a run takes.
+const maxKnownRed = 3
+
+// knownRed is a test that fails for a fault which is not mended yet.
+type knownRed struct {
+	pkg   string // directory below the root, as in "core/gossip"
+	name  string // name of a Go test, or the whole text of a ginkgo spec
+	cause string
+	issue string
+}
+
+// goTestName tells a Go test from the text of a spec.
+var goTestName = regexp.MustCompile(`^(Test|Fuzz|Example)\w*$`)
+
+func (k knownRed) isGoTest() bool { return goTestName.MatchString(k.name) }
+
+// pattern matches the test's own name and no longer one. Ginkgo matches it
+// against the suite's description, a space and the spec's text.
+func (k knownRed) pattern() string {
+	if k.isGoTest() {
+		return "^" + k.name + "$"
+	}
+	return " " + regexp.QuoteMeta(k.name) + "$"
+}
+
+func (k knownRed) String() string {
+	return fmt.Sprintf("%s: %s; %s; %s", k.pkg, k.name, k.cause, k.issue)
+}
+
+// readKnown reads the list. A missing file is an empty list.
+func readKnown(path string) ([]knownRed, error) {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return parseKnown(path, string(data))
+}
+
+// parseKnown reads lines of the form "package: test; cause; issue". Blank
+// lines and lines that start with # are left out.
+func parseKnown(path, text string) ([]knownRed, error) {
+	var known []knownRed
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		test, err := parseLine(line)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", path, i+1, err)
+		}
+		known = append(known, test)
+	}
+	if len(known) > maxKnownRed {
+		return nil, fmt.Errorf("%s: lists %d tests; %d at most, mend some first", path, len(known), maxKnownRed)
+	}
+	return known, nil
+}
+
+var errForm = errors.New(`must be "package: test; cause; issue"`)
+
+func parseLine(line string) (knownRed, error) {
+	fields := strings.Split(line, ";")
+	if len(fields) != 3 {
+		return knownRed{}, errForm
+	}
+	pkg, name, _ := strings.Cut(fields[0], ":")
+	test := knownRed{
+		pkg:   strings.Trim(strings.TrimSpace(pkg), "./"),
+		name:  strings.TrimSpace(name),
+		cause: strings.TrimSpace(fields[1]),
+		issue: strings.TrimSpace(fields[2]),
+	}
+	if test.pkg == "" || test.name == "" || test.cause == "" || test.issue == "" {
+		return knownRed{}, errForm
+	}
+	return test, nil
+}
--- /dev/null
+++ b/tools/testrun/runner.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/onsi/ginkgo/v2/types"
+)
+
+// runner runs go test from the working directory, the root of the workspace.
+type runner struct {
+	out      io.Writer
+	parallel int
+	race     bool
+}
+
+// runListed runs the packages with the list of known red tests at path. It
+// returns true if no test failed but those.
+func (r *runner) runListed(ctx context.Context, path string, patterns []string) (bool, error) {
+	known, err := readKnown(path)
+	if err != nil {
+		return false, err
+	}
+	dirs, err := r.list(ctx, patterns)
+	if err != nil {
+		return false, err
+	}
+	byPackage := make(map[string][]knownRed)
+	for _, test := range known {
+		if !slices.Contains(dirs, "./"+test.pkg) {
+			return false, fmt.Errorf("%s: %s is no package of this run", path, test.pkg)
+		}
+		byPackage["./"+test.pkg] = append(byPackage["./"+test.pkg], test)
+	}
+	return r.runAll(ctx, dirs, byPackage)
+}
+
+func (r *runner) runAll(ctx context.Context, dirs []string, byPackage map[string][]knownRed) (bool, error) {
+	var untouched []string
+	green := true
+	for _, dir := range dirs {
+		tests, listed := byPackage[dir]
+		if !listed {
+			untouched = append(untouched, dir)
+			continue
+		}
+		passed, err := r.goTest(ctx, []string{dir}, skipping(tests))
+		if err != nil {
+			return false, err
+		}
+		green = green && passed
+	}
+	if len(untouched) > 0 {
+		passed, err := r.goTest(ctx, untouched, extraArgs{})
+		if err != nil {
+			return false, err
+		}
+		green = green && passed
+	}
+	for _, dir := range dirs {
+		for _, test := range byPackage[dir] {
+			if err := r.runAlone(ctx, test); err != nil {
+				return false, err
+			}
+		}
+	}
+	return green, nil
+}
+
+// extraArgs are arguments of go test for one package.
+type extraArgs struct {
+	flags []string // before the package
+	specs []string // for ginkgo, after it
+}
+
+// skipping leaves the tests out of a run.
+func skipping(tests []knownRed) extraArgs {
+	var args extraArgs
+	var goTests []string
+	for _, test := range tests {
+		if test.isGoTest() {
+			goTests = append(goTests, test.pattern())
+			continue
+		}
+		args.specs = append(args.specs, "-ginkgo.skip="+test.pattern())
+	}
+	if len(goTests) > 0 {
+		args.flags = []string{"-skip=" + strings.Join(goTests, "|")}
+	}
+	return args
+}
+
+// list returns the directories of the packages that the patterns match, as
+// "./core/gossip".
+func (r *runner) list(ctx context.Context, patterns []string) ([]string, error) {
+	var out bytes.Buffer
+	command := exec.CommandContext(ctx, "go", append([]string{"list", "-f", "{{.Dir}}"}, patterns...)...)
+	command.Stdout = &out
+	command.Stderr = os.Stderr
+	if err := command.Run(); err != nil {
+		return nil, fmt.Errorf("go list: %w", err)
+	}
+	root, err := os.Getwd()
+	if err != nil {
+		return nil, err
+	}
+	var dirs []string
+	for _, dir := range strings.Fields(out.String()) {
+		relative, err := filepath.Rel(root, dir)
+		if err != nil {
+			return nil, err
+		}
+		dirs = append(dirs, "./"+filepath.ToSlash(relative))
+	}
+	return dirs, nil
+}
+
+// goTest runs the tests of packages and shows what go test prints. It returns
+// false if one failed.
+func (r *runner) goTest(ctx context.Context, dirs []string, extra extraArgs) (bool, error) {
+	command := r.command(ctx, dirs, extra)
+	command.Stdout = r.out
+	command.Stderr = r.out
+	return passed(command.Run())
+}
+
+func (r *runner) command(ctx context.Context, dirs []string, extra extraArgs) *exec.Cmd {
+	args := []string{"test", "-count=1", "-p=" + strconv.Itoa(r.parallel)}
+	if r.race {
+		args = append(args, "-race")
+	}
+	args = append(args, extra.flags...)
+	args = append(args, dirs...)
+	if len(extra.specs) > 0 {
+		args = append(append(args, "-args"), extra.specs...)
+	}
+	return exec.CommandContext(ctx, "go", args...)
+}
+
+// passed tells a failing run from one that could not be started.
+func passed(err error) (bool, error) {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+// runAlone runs one known red test and prints how it went. It fails if that
+// cannot be told, since then something else is wrong.
+func (r *runner) runAlone(ctx context.Context, test knownRed) error {
+	judge := r.specFailed
+	if test.isGoTest() {
+		judge = r.goTestFailed
+	}
+	failed, err := judge(ctx, test)
+	if err != nil {
+		return fmt.Errorf("known red test %s: %w", test, err)
+	}
+	if failed {
+		_, err = fmt.Fprintf(r.out, "KNOWN RED, passed over: %s\n", test)
+		return err
+	}
+	_, err = fmt.Fprintf(r.out, "KNOWN RED, but it passed this time; if it is mended, take it off the list: %s\n", test)
+	return err
+}
+
+var errNotOne = errors.New("the name does not fit exactly one test that ran")
+
+// specFailed runs one ginkgo spec.
+func (r *runner) specFailed(ctx context.Context, test knownRed) (bool, error) {
+	dir, err := os.MkdirTemp("", "testrun")
+	if err != nil {
+		return false, err
+	}
+	defer os.RemoveAll(dir)
+	report := filepath.Join(dir, "report.json")
+	command := r.command(ctx, []string{"./" + test.pkg}, extraArgs{specs: []string{
+		"-ginkgo.focus=" + test.pattern(), "-ginkgo.json-report=" + report,
+	}})
+	command.Stdout = r.out
+	command.Stderr = r.out
+	if _, err := passed(command.Run()); err != nil {
+		return false, err
+	}
+	data, err := os.ReadFile(report)
+	if err != nil {
+		return false, err
+	}
+	return specVerdict(data)
+}
+
+// specVerdict reads ginkgo's report of a run of one spec.
+func specVerdict(data []byte) (failed bool, err error) {
+	var suites []types.Report
+	if err := json.Unmarshal(data, &suites); err != nil {
+		return false, err
+	}
+	var ran []types.SpecReport
+	for _, suite := range suites {
+		for _, spec := range suite.SpecReports {
+			isSpec := spec.LeafNodeType == types.NodeTypeIt
+			if isSpec && spec.State != types.SpecStateSkipped && spec.State != types.SpecStatePending {
+				ran = append(ran, spec)
+			}
+		}
+	}
+	if len(ran) != 1 {
+		return false, errNotOne
+	}
+	return ran[0].Failed(), nil
+}
+
+// testEvent is the part of an event of go test -json that is read here.
+type testEvent struct {
+	Action string
+	Test   string
+	Output string
+}
+
+// suiteStart is what ginkgo prints when a Go test runs a suite.
+const suiteStart = "Running Suite: "
+
+var errSuite = errors.New("it is a whole suite; list its red specs")
+
+// goTestFailed runs one Go test.
+func (r *runner) goTestFailed(ctx context.Context, test knownRed) (bool, error) {
+	var out bytes.Buffer
+	command := r.command(ctx, []string{"./" + test.pkg}, extraArgs{flags: []string{"-json", "-run=" + test.pattern()}})
+	command.Stdout = &out
+	command.Stderr = r.out
+	if _, err := passed(command.Run()); err != nil {
+		return false, err
+	}
+	return r.goTestVerdict(&out, test.name)
+}
+
+// goTestVerdict reads the events of a run of one Go test and shows its output.
+func (r *runner) goTestVerdict(events io.Reader, name string) (failed bool, err error) {
+	decoder := json.NewDecoder(events)
+	for {
+		var event testEvent
+		err := decoder.Decode(&event)
+		if errors.Is(err, io.EOF) {
+			return false, errNotOne
+		}
+		if err != nil {
+			return false, err
+		}
+		if strings.HasPrefix(event.Output, suiteStart) {
+			return false, errSuite
+		}
+		if _, err := io.WriteString(r.out, event.Output); err != nil {
+			return false, err
+		}
+		if event.Test == name && (event.Action == "pass" || event.Action == "fail") {
+			return event.Action == "fail", nil
+		}
+	}
+}
