--- /dev/null
+++ b/adapters/engine/attempt/attempt_suite_test.go
@@ -0,0 +1,13 @@
+package attempt_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestAttempt(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "one attempt over HTTP")
+}
--- /dev/null
+++ b/adapters/engine/attempt/attempt_test.go
@@ -0,0 +1,256 @@
+package attempt_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/joomcode/errorx"
+
+	"chivespindle.example/adapters/engine/attempt"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/serving"
+)
+
+// Deadlines: one that no sound spec reaches, and one that must pass.
+const (
+	patient = time.Minute
+	short   = 50 * time.Millisecond
+)
+
+// server runs handler and counts the connections that it takes.
+type server struct {
+	*httptest.Server
+	mu          sync.Mutex
+	connections int
+}
+
+func serve(handler http.HandlerFunc) *server {
+	s := &server{Server: httptest.NewUnstartedServer(handler)}
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.connections++
+		}
+	}
+	s.Start()
+	DeferCleanup(s.Close)
+	return s
+}
+
+func (s *server) addr() netip.AddrPort { return netip.MustParseAddrPort(s.Listener.Addr().String()) }
+
+func (s *server) taken() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connections
+}
+
+func request(body string) attempt.Request {
+	call := serving.Call{ID: "a1", IdempotencyKey: "order-1", Priority: 2, Traceparent: "00-01-02-01"}
+	return attempt.Request{
+		Method: http.MethodPost,
+		Path:   "/v1/call/parts",
+		Header: attempt.CallHeader(call),
+		Body:   []byte(body),
+		First:  patient,
+		Stall:  patient,
+	}
+}
+
+// send makes an attempt and reads its answer.
+func send(ctx context.Context, client *attempt.Client, r attempt.Request) (string, error) {
+	a, err := client.Send(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := a.ReadAll(1 << 20)
+	return string(body), err
+}
+
+// runs counts the requests that a server ran.
+type runs struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (r *runs) add() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.n++
+	return r.n
+}
+
+func (r *runs) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.n
+}
+
+// abortSecond answers requests and keeps their connections, but closes the
+// connection of the second as it arrives, after it ran it.
+func (r *runs) abortSecond(_ http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	if r.add() == 2 {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+var _ = Describe("an attempt", func() {
+	// A service answers one order and keeps the connection; when the second
+	// order arrives on it, the service runs it and the connection dies. A
+	// client that sends the order again makes the workshop pay for a second
+	// mast chain, so the attempt must end as unknown after one run.
+	DescribeTable("is sent once when its connection dies",
+		func(ctx SpecContext, body string) {
+			var ran runs
+			s := serve(ran.abortSecond)
+			client := attempt.New(s.addr())
+			_, err := send(ctx, client, request(body))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = send(ctx, client, request(body))
+			Expect(errorx.IsOfType(err, failure.Unavailable)).To(BeTrue(), "%v", err)
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+			Expect(ran.count()).To(Equal(2))
+			Expect(s.taken()).To(Equal(2), "each attempt has a connection of its own")
+		},
+		Entry("with a body", "mast chain"),
+		Entry("without a body", ""),
+	)
+
+	// The same service with the usual client of net/http, to show that the
+	// spec above provokes what it guards against: the second order runs twice.
+	It("would be sent twice by a client that keeps connections", func(ctx SpecContext) {
+		var ran runs
+		s := serve(ran.abortSecond)
+		usual := s.Client()
+		for range 2 {
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL, strings.NewReader("mast chain"))
+			Expect(err).NotTo(HaveOccurred())
+			r.Header.Set("Idempotency-Key", "order-1")
+			response, err := usual.Do(r)
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = io.Copy(io.Discard, response.Body)
+			Expect(response.Body.Close()).To(Succeed())
+		}
+		Expect(ran.count()).To(Equal(3))
+	})
+
+	It("is not sent on by a redirect", func(ctx SpecContext) {
+		var ran runs
+		s := serve(func(w http.ResponseWriter, r *http.Request) {
+			ran.add()
+			http.Redirect(w, r, "/v1/elsewhere", http.StatusTemporaryRedirect)
+		})
+		a, err := attempt.New(s.addr()).Send(ctx, request("x"))
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Close()
+		Expect(a.Status).To(Equal(http.StatusTemporaryRedirect))
+		Expect(ran.count()).To(Equal(1))
+	})
+
+	It("carries the call's headers", func(ctx SpecContext) {
+		got := make(chan http.Header, 1)
+		s := serve(func(_ http.ResponseWriter, r *http.Request) { got <- r.Header })
+		_, err := send(ctx, attempt.New(s.addr()), request("x"))
+		Expect(err).NotTo(HaveOccurred())
+		header := <-got
+		Expect(header.Get("Request-Id")).To(Equal("a1"))
+		Expect(header.Get("Idempotency-Key")).To(Equal("order-1"))
+		Expect(header.Get("Priority")).To(Equal("u=2"))
+		Expect(header.Get("Traceparent")).To(Equal("00-01-02-01"))
+		Expect(attempt.CallHeader(serving.Call{ID: "a1"})).NotTo(HaveKey("Idempotency-Key"))
+	})
+
+	DescribeTable("believes the server's word only on an error status",
+		func(ctx SpecContext, status int, outcome string, want failure.Outcome, pause time.Duration) {
+			s := serve(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Request-Outcome", outcome)
+				w.Header().Set("Retry-After", "3")
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, "why")
+			})
+			a, err := attempt.New(s.addr()).Send(ctx, request("x"))
+			Expect(err).NotTo(HaveOccurred())
+			defer a.Close()
+			err = a.Declined(failure.Unavailable)
+			Expect(failure.OutcomeOf(err)).To(Equal(want))
+			Expect(failure.RetryAfter(err)).To(Equal(pause))
+			Expect(err).To(MatchError(ContainSubstring(`"why"`)))
+		},
+		Entry("503 not run", 503, "not_run", failure.NotRun, 3*time.Second),
+		Entry("503 without a word", 503, "", failure.Unknown, 3*time.Second),
+		Entry("503 ran", 503, "ran", failure.Unknown, 3*time.Second),
+		Entry("400 not run", 400, "not_run", failure.NotRun, 3*time.Second),
+		Entry("200 not run", 200, "not_run", failure.Unknown, 3*time.Second),
+	)
+
+	// A server stalls and its connection stays open, so no error ever comes.
+	// Wherever it stalls the attempt must end by its own clock, and as
+	// unknown, since the server has had the request or part of it.
+	DescribeTable("ends when nothing moves",
+		func(ctx SpecContext, handler http.HandlerFunc, body string) {
+			release := make(chan struct{})
+			s := serve(func(w http.ResponseWriter, r *http.Request) {
+				handler(w, r)
+				<-release
+			})
+			DeferCleanup(func() { close(release) })
+			r := request(body)
+			r.First = short
+			r.Stall = short
+			_, err := send(ctx, attempt.New(s.addr()), r)
+			Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		},
+		Entry("before its answer", func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}, "x"),
+		Entry("in its answer", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, "half")
+			_ = http.NewResponseController(w).Flush()
+		}, "x"),
+		Entry("in the body it is sent", func(http.ResponseWriter, *http.Request) {}, strings.Repeat("x", 32<<20)),
+	)
+
+	It("was not run if its caller had given up before", func(ctx SpecContext) {
+		s := serve(func(http.ResponseWriter, *http.Request) { Fail("the request was sent") })
+		gone, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err := send(gone, attempt.New(s.addr()), request("x"))
+		Expect(errorx.IsOfType(err, attempt.Canceled)).To(BeTrue(), "%v", err)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+	})
+
+	It("ends at its caller's deadline", func(ctx SpecContext) {
+		release := make(chan struct{})
+		s := serve(func(http.ResponseWriter, *http.Request) { <-release })
+		DeferCleanup(func() { close(release) })
+		limited, cancel := context.WithTimeout(ctx, short)
+		defer cancel()
+		_, err := send(limited, attempt.New(s.addr()), request("x"))
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+	})
+
+	It("does not read more than it was allowed", func(ctx SpecContext) {
+		s := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "12345") })
+		a, err := attempt.New(s.addr()).Send(ctx, request("x"))
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Close()
+		_, err = a.ReadAll(4)
+		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue(), "%v", err)
+	})
+})
