Say which options of ini.v1 are a second defence

A trial on a scratch copy removed safeguards one by one: nine of eleven removals fail a test; the two that do not are options that the line index already covers. No change of behaviour; go test -race of the package passes.

--- a/core/fleettext/load.go
+++ b/core/fleettext/load.go
@@ -10,9 +10,9 @@
 )
 
 // iniOptions switch off what would surprise a reader of the text. Values are
-// taken with Key.Value, which does not expand %(name)s, and only keys that a
-// section holds itself are asked for, so that nothing is inherited from a
-// section whose name is a prefix.
+// taken with Key.Value, which does not expand %(name)s. Two options are a
+// second line of defence: the line index refuses quoted values itself, and as
+// each section is parsed alone there is none to inherit from.
 var iniOptions = ini.LoadOptions{
 	IgnoreContinuation:      true,
 	PreserveSurroundedQuote: true,
