Run the whole path: weights from the origin and a request from a caller

Adds the daemon with its two roles, the node that both share (text in force, gossip), the swarm that moves chunks, the callers' interface and its client, and a demo that runs all as separate processes.

--- /dev/null
+++ b/adapters/callerhttp/answers.go
@@ -0,0 +1,78 @@
+package callerhttp
+
+import (
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+// AddressAnswer is the body of GET /v1/addresses, best address first.
+type AddressAnswer struct {
+	Addresses  []netip.AddrPort `json:"addresses"`
+	TTLSeconds int              `json:"ttl_seconds"`
+}
+
+func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	near := fleet.Place{
+		Zone:   fleet.Zone(r.URL.Query().Get("zone")),
+		Region: fleet.Region(r.URL.Query().Get("region")),
+	}
+	result := s.opts.Addresses.Addresses(near)
+	answer := AddressAnswer{TTLSeconds: wholeSeconds(result.TTL), Addresses: []netip.AddrPort{}}
+	answer.Addresses = append(answer.Addresses, result.Addresses...)
+	w.Header().Set("Cache-Control", "max-age="+strconv.Itoa(answer.TTLSeconds))
+	writeJSON(w, http.StatusOK, answer)
+}
+
+// KeyAnswer is the body of POST /v1/keys/{service}.
+type KeyAnswer struct {
+	Key string `json:"idempotency_key"`
+}
+
+func (s *Server) issueKey(w http.ResponseWriter, r *http.Request) {
+	key, err := s.opts.Keys.IssueKey(fleet.ServiceName(r.PathValue("service")))
+	if err != nil {
+		s.refuse(w, "", err)
+		return
+	}
+	writeJSON(w, http.StatusOK, KeyAnswer{Key: key})
+}
+
+// statusByType maps failures to HTTP statuses; all others are 502 or 503 by
+// whether coming back makes sense.
+var statusByType = []struct {
+	kind   *errorx.Type
+	status int
+}{
+	{calls.UnknownService, http.StatusNotFound},
+	{calls.BadRequest, http.StatusBadRequest},
+	{calls.OverLimit, http.StatusTooManyRequests},
+	{calls.DeadlinePassed, http.StatusGatewayTimeout},
+	{failure.Timeout, http.StatusGatewayTimeout},
+	{calls.Duplicate, http.StatusConflict},
+}
+
+func statusOf(err error) int {
+	for _, row := range statusByType {
+		if errorx.IsOfType(err, row.kind) {
+			return row.status
+		}
+	}
+	if failure.OutcomeOf(err) == failure.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+func typeName(err error) string {
+	if e := errorx.Cast(err); e != nil {
+		return e.Type().FullName()
+	}
+	return failure.Internal.FullName()
+}
--- a/core/serving/ports.go
+++ b/core/serving/ports.go
@@ -60,7 +60,10 @@
 
 // Piece is one part of a streamed answer.
 type Piece struct {
-	Data []byte
+	// Status is the HTTP status of the server, set on the first piece and 0
+	// on the others.
+	Status int
+	Data   []byte
 }
 
 // Answer is the end of a streamed answer.
--- /dev/null
+++ b/daemon/agent/traffic.go
@@ -0,0 +1,228 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/serving"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// requestStall is the progress deadline of the exchange with an entry,
+	// apart from the time in which the backend server works.
+	requestStall = 10 * time.Second
+	// reportEvery is the time between two reports without an urgent change.
+	reportEvery = 500 * time.Millisecond
+	// busyRetry is when a caller may come back to a full server.
+	busyRetry = 500 * time.Millisecond
+)
+
+// ServeStream implements peer.Handler.
+func (a *Agent) ServeStream(ctx context.Context, from keys.Identity, kind peer.Kind, s *peer.Stream) {
+	switch kind {
+	case peer.KindGossip:
+		a.node.ServeGossip(ctx, from, s)
+	case peer.KindConfig:
+		a.node.ServeConfig(ctx, from, s)
+	case peer.KindChunk:
+		if a.swarm != nil {
+			a.swarm.ServeChunk(ctx, from, s)
+		}
+	case peer.KindReport:
+		a.serveReport(ctx, s)
+	case peer.KindRequest:
+		if from.Role == fleet.RoleEntry {
+			a.serveRequest(ctx, from, s)
+		}
+	}
+}
+
+// serveReport pushes reports until the entry goes away.
+func (a *Agent) serveReport(ctx context.Context, s *peer.Stream) {
+	s.SetStall(requestStall)
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		p := a.report.Load()
+		report := p.Report
+		report.ClockMS = a.clockMS()
+		if err := s.Send(report); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.next:
+		case <-ticker.C:
+		}
+	}
+}
+
+// clockMS is the agent's own clock, which entries echo.
+func (a *Agent) clockMS() int64 {
+	return time.Since(a.started).Milliseconds() + 1
+}
+
+func (a *Agent) serveRequest(ctx context.Context, from keys.Identity, s *peer.Stream) {
+	s.SetStall(requestStall)
+	var req wire.Request
+	if err := s.Recv(&req); err != nil {
+		return
+	}
+	body, err := a.readBody(s, req)
+	if err != nil {
+		return
+	}
+	ctx, span := a.opts.Tracer.Start(telemetry.Extract(ctx, req.Traceparent), "agent.request")
+	defer span.End()
+	started := time.Now()
+	end := a.run(ctx, s, req, body)
+	a.logRequest(from, req, end, started)
+	if err := s.Send(wire.AnswerPart{End: &end}); err != nil {
+		return
+	}
+	_ = s.CloseSend()
+}
+
+func (a *Agent) readBody(s *peer.Stream, req wire.Request) ([]byte, error) {
+	if req.BodyBytes < 0 || req.BodyBytes > a.opts.MaxBody {
+		return nil, failure.Invalid.New("body of %d bytes, at most %d", req.BodyBytes, a.opts.MaxBody)
+	}
+	body := make([]byte, 0, req.BodyBytes)
+	buf := make([]byte, peer.MaxRawFrame)
+	for len(body) < req.BodyBytes {
+		piece, err := s.RecvBytes(buf)
+		if err != nil {
+			return nil, err
+		}
+		body = append(body, piece...)
+	}
+	a.traffic.down.Add(int64(len(body)))
+	return body, nil
+}
+
+func (a *Agent) logRequest(from keys.Identity, req wire.Request, end wire.AnswerEnd, started time.Time) {
+	a.opts.Metrics.Tagged(map[string]string{"outcome": outcomeOf(end).String()}).Counter("requests").Inc(1)
+	a.opts.Logger.Info("request", zap.String("request_id", req.ID), zap.String("entry", string(from.ID)),
+		zap.Stringer("outcome", outcomeOf(end)), zap.String("reason", end.Reason),
+		zap.Stringer("version", end.Version), zap.Duration("took", time.Since(started)))
+}
+
+func outcomeOf(end wire.AnswerEnd) failure.Outcome {
+	switch end.Outcome {
+	case wire.OutcomeRan:
+		return failure.Ran
+	case wire.OutcomeNotRun:
+		return failure.NotRun
+	default:
+		return failure.Unknown
+	}
+}
+
+// run passes one request on and returns how it ended. The answer's pieces go
+// to the entry as they come.
+func (a *Agent) run(ctx context.Context, s *peer.Stream, req wire.Request, body []byte) wire.AnswerEnd {
+	running := a.work.enter()
+	defer a.work.exit()
+	if running > int64(a.opts.MaxInFlight) {
+		return notRun(req, failure.WithRetryAfter(calls.Overloaded.New("%d requests run here", running-1), busyRetry))
+	}
+	version, err := a.gate.Load().Admit(time.Now())
+	if err != nil {
+		return notRun(req, err)
+	}
+	remaining := a.remaining(req)
+	if remaining <= 0 {
+		return notRun(req, calls.DeadlinePassed.New("the deadline passed on the way here"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	return a.pass(ctx, s, req, body, version)
+}
+
+// remaining is the time left for a request. What the request lost on the way
+// is subtracted: an entry that was paused between reading its clock and
+// sending would otherwise have work done that nobody waits for any more. The
+// entry echoes this agent's clock, so the clocks of two instances are never
+// compared.
+func (a *Agent) remaining(req wire.Request) time.Duration {
+	remaining := time.Duration(req.RemainingMS) * time.Millisecond
+	if req.ClockEcho == 0 {
+		return remaining
+	}
+	late := time.Duration(a.clockMS()-req.ClockEcho) * time.Millisecond
+	return remaining - max(0, late)
+}
+
+func notRun(req wire.Request, err error) wire.AnswerEnd {
+	return wire.AnswerEnd{
+		Outcome:      wire.OutcomeNotRun,
+		ID:           req.ID,
+		Reason:       err.Error(),
+		RetryAfterMS: failure.RetryAfter(err).Milliseconds(),
+	}
+}
+
+// pass sends the request to the backend server. The answer must name the
+// version that the request was admitted for; otherwise it is cut, and the
+// entry does not see the end that makes it whole.
+func (a *Agent) pass(ctx context.Context, s *peer.Stream, req wire.Request, body []byte, version fleet.Version) wire.AnswerEnd {
+	call := serving.Call{
+		ID:             req.ID,
+		IdempotencyKey: req.IdempotencyKey,
+		Traceparent:    telemetry.Inject(ctx),
+		Path:           req.Path,
+		Priority:       req.Priority,
+		Body:           body,
+	}
+	begun := false
+	answer, err := a.opts.Backend.Do(ctx, call, func(p serving.Piece) error {
+		if !begun {
+			begun = true
+			if err := s.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(p.Status), Version: version}}); err != nil {
+				return err
+			}
+		}
+		a.traffic.up.Add(int64(len(p.Data)))
+		return s.Send(wire.AnswerPart{Piece: p.Data})
+	})
+	if err == nil {
+		err = serving.CheckAnswer(version, answer.Version)
+	}
+	if err != nil {
+		return failed(req, err)
+	}
+	if !begun {
+		_ = s.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(answer.Status), Version: version}})
+	}
+	return wire.AnswerEnd{Outcome: wire.OutcomeRan, ID: answer.ID, Status: answer.Status, Version: answer.Version}
+}
+
+func statusOr200(status int) int {
+	const ok = 200
+	if status == 0 {
+		return ok
+	}
+	return status
+}
+
+func failed(req wire.Request, err error) wire.AnswerEnd {
+	end := notRun(req, err)
+	switch failure.OutcomeOf(err) {
+	case failure.NotRun:
+	case failure.Ran:
+		end.Outcome = wire.OutcomeRan
+	default:
+		end.Outcome = wire.OutcomeUnknown
+	}
+	return end
+}
--- /dev/null
+++ b/daemon/control/control.go
@@ -0,0 +1,130 @@
+// Package control runs the one goroutine that owns a process's control state.
+//
+// Everything that may change the state is a typed event with an Apply method.
+// Events are applied one after another, so state needs no locks; goroutines
+// that move bytes only post events and read published snapshots.
+package control
+
+import (
+	"context"
+	"time"
+
+	"chivespindle.example/core/failure"
+)
+
+// queueLength bounds the events that wait. A full queue makes Post wait, which
+// slows the goroutine that produces events and never the loop.
+const queueLength = 1024
+
+// Event is one thing that happened. Apply runs on the loop's goroutine and
+// must not block on I/O.
+type Event interface {
+	Apply(now time.Time)
+}
+
+// Func adapts a function to Event, for events without fields of their own.
+type Func func(now time.Time)
+
+// Apply implements Event.
+func (f Func) Apply(now time.Time) { f(now) }
+
+// Ticker is told the time at every tick of the loop.
+type Ticker interface {
+	Tick(now time.Time)
+}
+
+// Loop applies events and ticks on one goroutine.
+type Loop struct {
+	events  chan Event
+	done    chan struct{}
+	tickers []Ticker
+	every   time.Duration
+	clock   func() time.Time
+}
+
+// Options of a Loop. Zero values give a tick of 50 ms and the system clock.
+type Options struct {
+	Every time.Duration
+	Clock func() time.Time
+}
+
+// New returns a loop that does nothing until Run.
+func New(opts Options) *Loop {
+	const defaultEvery = 50 * time.Millisecond
+	if opts.Every == 0 {
+		opts.Every = defaultEvery
+	}
+	if opts.Clock == nil {
+		opts.Clock = time.Now
+	}
+	return &Loop{
+		events: make(chan Event, queueLength),
+		done:   make(chan struct{}),
+		every:  opts.Every,
+		clock:  opts.Clock,
+	}
+}
+
+// AddTicker registers t. It must be called before Run.
+func (l *Loop) AddTicker(t Ticker) { l.tickers = append(l.tickers, t) }
+
+// Post queues e. It waits while the queue is full and reports false when the
+// loop or ctx has ended; e is then not applied.
+func (l *Loop) Post(ctx context.Context, e Event) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
+	select {
+	case l.events <- e:
+		return true
+	case <-l.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Do queues f and waits until it has been applied.
+func (l *Loop) Do(ctx context.Context, f func(now time.Time)) error {
+	applied := make(chan struct{})
+	e := Func(func(now time.Time) {
+		f(now)
+		close(applied)
+	})
+	if !l.Post(ctx, e) {
+		return failure.Unavailable.New("control loop has ended")
+	}
+	select {
+	case <-applied:
+		return nil
+	case <-l.done:
+		return failure.Unavailable.New("control loop has ended")
+	case <-ctx.Done():
+		return failure.Timeout.Wrap(ctx.Err(), "control loop is busy")
+	}
+}
+
+// Run applies events until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
+	ticker := time.NewTicker(l.every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-l.events:
+			e.Apply(l.clock())
+		case <-ticker.C:
+			l.tick(l.clock())
+		}
+	}
+}
+
+func (l *Loop) tick(now time.Time) {
+	for _, t := range l.tickers {
+		t.Tick(now)
+	}
+}
--- /dev/null
+++ b/daemon/entry/dispatch.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/balance"
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/fleettext"
+	"chivespindle.example/core/retry"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// answerStall is how long an agent may send nothing while a request runs.
+	// It is longer than the engine's own progress deadline at the agent, whose
+	// word on the outcome is better than a guess made here.
+	answerStall = 15 * time.Second
+	// notReadyRetry is when a caller may come back to an entry without a text.
+	notReadyRetry = time.Second
+	// fullRetry is when a caller may come back to a full entry.
+	fullRetry = time.Second
+)
+
+// Dispatch implements calls.Dispatcher.
+func (e *Entry) Dispatch(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
+	running := e.running.Add(1)
+	defer e.running.Add(-1)
+	if running > int64(e.opts.MaxInFlight) {
+		return calls.End{}, notRun(calls.Overloaded.New("%d requests run on this entry", running-1), fullRetry)
+	}
+	p := e.picture.Load()
+	if p.config == nil {
+		return calls.End{}, notRun(calls.NotReady.New("no text is in force yet"), notReadyRetry)
+	}
+	service, ok := p.config.Fleet.Service(r.Service)
+	if !ok {
+		return calls.End{}, failure.WithOutcome(calls.UnknownService.New("no service %q", r.Service), failure.NotRun)
+	}
+	r.Priority = priorityOf(r, p.config.Fleet)
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return e.attempts(ctx, r, service, sink)
+}
+
+func notRun(err *errorx.Error, comeBack time.Duration) error {
+	return failure.WithRetryAfter(failure.WithOutcome(err, failure.NotRun), comeBack)
+}
+
+// priorityOf returns the request's own urgency, else its workspace's.
+func priorityOf(r calls.Request, text *fleettext.Fleet) int {
+	if r.Priority >= 0 {
+		return r.Priority
+	}
+	if limits, ok := text.Limits(r.Workspace); ok {
+		return limits.Priority
+	}
+	return fleettext.DefaultPriority
+}
+
+// attempts tries a request at one server after another while that is safe.
+func (e *Entry) attempts(ctx context.Context, r calls.Request, service fleettext.Service, sink calls.Sink) (calls.End, error) {
+	e.budget.Deposit(time.Now())
+	policy := retry.New(retry.Options{Budget: e.budget, Rand: sharedRand{}, MaxAttempts: service.MaxAttempts})
+	var tried []fleet.InstanceID
+	for number := 1; ; number++ {
+		a := &attempt{entry: e, request: r, sink: sink, number: number}
+		end, err := a.run(ctx, tried)
+		if err == nil {
+			return end, nil
+		}
+		tried = append(tried, a.server)
+		decision := policy.MayRetry(time.Now(), retry.Attempt{
+			Outcome:    failure.OutcomeOf(err),
+			Idempotent: !r.NonIdempotent,
+			Delivered:  a.delivered,
+			Number:     number,
+			Deadline:   r.Deadline,
+		})
+		if !decision.Retry || ctx.Err() != nil || a.server == "" {
+			return calls.End{}, err
+		}
+		e.opts.Metrics.Counter("retries").Inc(1)
+		e.opts.Logger.Info("request tried again", zap.String("request_id", r.ID),
+			zap.String("server", string(a.server)), zap.Int("attempt", number), zap.Error(err))
+		if !sleep(ctx, decision.Pause) {
+			return calls.End{}, err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// attempt is one try of a request at one server.
+type attempt struct {
+	entry     *Entry
+	request   calls.Request
+	sink      calls.Sink
+	number    int
+	server    fleet.InstanceID // empty if none could be picked
+	delivered bool             // the caller has a part of the answer
+	first     time.Duration    // time to the first piece
+	started   time.Time
+}
+
+func (a *attempt) run(ctx context.Context, tried []fleet.InstanceID) (calls.End, error) {
+	e := a.entry
+	ctx, span := e.opts.Tracer.Start(ctx, "entry.attempt")
+	defer span.End()
+	a.started = time.Now()
+	p := e.picture.Load()
+	choice, err := p.servers.Pick(a.started, sharedRand{}, balance.Request{
+		Service:   a.request.Service,
+		PrefixKey: a.request.PrefixKey,
+		Priority:  a.request.Priority,
+		Exclude:   tried,
+	})
+	if err != nil {
+		return calls.End{}, err
+	}
+	a.server = choice.Server.ID
+	end, err := a.exchange(ctx, choice.Server, p.reports[a.server])
+	choice.Release(a.result(ctx, err))
+	return end, err
+}
+
+// result tells the balancer how the attempt went, as far as it says something
+// of the server.
+func (a *attempt) result(ctx context.Context, err error) balance.Result {
+	result := balance.Result{At: time.Now(), FirstPiece: a.first, RetryAfter: failure.RetryAfter(err)}
+	switch {
+	case err == nil:
+		result.Kind = balance.Succeeded
+	case errors.Is(ctx.Err(), context.Canceled):
+		result.Kind = balance.Abandoned
+	case errorx.IsOfType(err, failure.Refused):
+		result.Kind = balance.Declined
+	case errorx.IsOfType(err, failure.Timeout), errorx.IsOfType(err, calls.DeadlinePassed):
+		result.Kind = balance.Stalled
+	default:
+		result.Kind = balance.Failed
+	}
+	return result
+}
+
+// exchange sends the request to an agent and hands the answer to the caller.
+func (a *attempt) exchange(ctx context.Context, server balance.Server, clock clockReading) (calls.End, error) {
+	s, err := a.entry.opts.Endpoint.Open(ctx, server.Addr, server.ID, peer.KindRequest)
+	if err != nil {
+		return calls.End{}, err
+	}
+	defer s.Abort()
+	s.SetStall(answerStall)
+	if err := a.send(ctx, s, clock); err != nil {
+		return calls.End{}, err
+	}
+	end, err := a.receive(s, server)
+	if err != nil && ctx.Err() != nil {
+		return calls.End{}, a.endedBy(ctx, err)
+	}
+	return end, err
+}
+
+// endedBy says that the deadline or the caller ended the exchange, not the
+// agent. What the agent had said of the outcome stands.
+func (a *attempt) endedBy(ctx context.Context, err error) error {
+	outcome := failure.OutcomeOf(err)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return failure.WithOutcome(calls.DeadlinePassed.Wrap(err, "the deadline passed while the request ran"), outcome)
+	}
+	return failure.WithOutcome(calls.Interrupted.Wrap(err, "the caller went away"), outcome)
+}
+
+// send sends the request and its body. Once the first byte is out, only the
+// agent can say that the request was not run.
+func (a *attempt) send(ctx context.Context, s *peer.Stream, clock clockReading) error {
+	now := time.Now()
+	head := wire.Request{
+		ID:             a.request.ID,
+		Service:        a.request.Service,
+		Path:           a.request.Path,
+		Workspace:      a.request.Workspace,
+		IdempotencyKey: a.request.IdempotencyKey,
+		NonIdempotent:  a.request.NonIdempotent,
+		Priority:       a.request.Priority,
+		Traceparent:    telemetry.Inject(ctx),
+		RemainingMS:    a.request.Deadline.Sub(now).Milliseconds(),
+		BodyBytes:      len(a.request.Body),
+	}
+	if clock.clockMS > 0 {
+		head.ClockEcho = clock.clockMS + now.Sub(clock.received).Milliseconds()
+	}
+	if err := s.Send(head); err != nil {
+		return interrupted(err, "send the request")
+	}
+	for body := a.request.Body; len(body) > 0; {
+		n := min(len(body), peer.MaxRawFrame)
+		if err := s.SendBytes(body[:n]); err != nil {
+			return interrupted(err, "send the body")
+		}
+		body = body[n:]
+	}
+	return nil
+}
+
+// interrupted says that the exchange broke off: whether the request ran is not
+// known.
+func interrupted(err error, doing string) error {
+	kind := calls.Interrupted
+	if errorx.IsOfType(err, failure.Timeout) {
+		kind = failure.Timeout
+	}
+	return failure.WithOutcome(kind.Wrap(err, "%s", doing), failure.Unknown)
+}
+
+// receive hands the answer on until its end.
+func (a *attempt) receive(s *peer.Stream, server balance.Server) (calls.End, error) {
+	for {
+		var part wire.AnswerPart
+		if err := s.Recv(&part); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = calls.Interrupted.New("the agent ended the answer early")
+			}
+			return calls.End{}, interrupted(err, "receive the answer")
+		}
+		switch {
+		case part.Begin != nil:
+			if err := a.begin(*part.Begin); err != nil {
+				return calls.End{}, err
+			}
+		case part.End != nil:
+			return a.finish(*part.End, server)
+		default:
+			if err := a.sink.Piece(part.Piece); err != nil {
+				return calls.End{}, failure.WithOutcome(errorx.Cast(err), failure.Unknown)
+			}
+		}
+	}
+}
+
+func (a *attempt) begin(b wire.AnswerBegin) error {
+	a.first = time.Since(a.started)
+	a.delivered = true
+	if err := a.sink.Begin(calls.Begin{Status: b.Status, Version: b.Version}); err != nil {
+		return failure.WithOutcome(errorx.Cast(err), failure.Unknown)
+	}
+	return nil
+}
+
+// finish checks that the end is that of this request. An answer that names
+// another request is cut: its pieces may be another caller's.
+func (a *attempt) finish(end wire.AnswerEnd, server balance.Server) (calls.End, error) {
+	if end.ID != a.request.ID {
+		return calls.End{}, failure.WithOutcome(failure.Corrupt.New("the answer names request %q", end.ID), failure.Unknown)
+	}
+	pause := time.Duration(end.RetryAfterMS) * time.Millisecond
+	switch end.Outcome {
+	case wire.OutcomeRan:
+		return calls.End{Version: end.Version, Server: server.ID}, nil
+	case wire.OutcomeNotRun:
+		return calls.End{}, notRun(failure.Refused.New("%s: %s", server.ID, end.Reason), pause)
+	default:
+		err := failure.WithOutcome(calls.Interrupted.New("%s: %s", server.ID, end.Reason), failure.Unknown)
+		return calls.End{}, err
+	}
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,296 @@
+// Package entry is the role that takes requests from callers: it picks a
+// backend server for each, tries again where that is safe, and answers which
+// entry addresses callers should use.
+//
+// The control state belongs to the control loop, which publishes an immutable
+// picture; requests only read it.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/addressing"
+	"chivespindle.example/core/balance"
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/gossip"
+	"chivespindle.example/core/retry"
+	"chivespindle.example/core/revision"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/node"
+)
+
+const (
+	// subsetSize is how many backend servers of a service an entry routes to.
+	// It keeps reports and connections of a node independent of the fleet's
+	// size: 3,500 servers would not fit in a node's memory and traffic.
+	subsetSize = 24
+	// rebuildEvery bounds how often the picture is made anew for changes of
+	// load alone.
+	rebuildEvery = 50 * time.Millisecond
+)
+
+// Options of an Entry. All are needed.
+type Options struct {
+	Self        fleet.Instance
+	Loop        *control.Loop
+	Endpoint    *peer.Endpoint
+	AddressTTL  time.Duration
+	MaxInFlight int
+	Tracer      *telemetry.Tracer
+	Logger      *zap.Logger
+	Metrics     tally.Scope
+}
+
+// Entry is the role. It is made with New, given its node with Attach, and then
+// driven by the control loop.
+type Entry struct {
+	opts     Options
+	ctx      context.Context
+	node     *node.Node
+	tracker  *balance.Tracker
+	budget   *retry.Budget
+	answerer *addressing.Answerer
+	running  atomic.Int64
+
+	subs        map[fleet.InstanceID]*subscription
+	leaving     bool
+	dirty       bool
+	nextRebuild time.Time
+
+	picture atomic.Pointer[picture]
+}
+
+// picture is what requests read. It never changes.
+type picture struct {
+	config  *revision.State // nil while no text is in force
+	servers *balance.Snapshot
+	entries []addressing.Entry
+	reports map[fleet.InstanceID]clockReading
+}
+
+// clockReading is an agent's clock as its last report gave it.
+type clockReading struct {
+	clockMS  int64
+	received time.Time
+}
+
+// sharedRand is the source of chance that all goroutines may use.
+type sharedRand struct{}
+
+// IntN returns a number in [0, n).
+func (sharedRand) IntN(n int) int { return rand.IntN(n) }
+
+// Float64 returns a number in [0, 1).
+func (sharedRand) Float64() float64 { return rand.Float64() }
+
+// New returns an entry. What it starts ends with ctx.
+func New(ctx context.Context, now time.Time, opts Options) *Entry {
+	e := &Entry{
+		opts:     opts,
+		ctx:      ctx,
+		tracker:  balance.NewTracker(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		budget:   retry.NewBudget(now, retry.BudgetOptions{}),
+		answerer: addressing.New(addressing.Options{TTL: opts.AddressTTL, Rand: sharedRand{}}),
+		subs:     make(map[fleet.InstanceID]*subscription),
+	}
+	e.picture.Store(&picture{servers: balance.NewSnapshot(opts.Self.Place, nil, e.tracker, balance.Settings{})})
+	return e
+}
+
+// Attach gives the entry its node. It must be called before the loop runs.
+func (e *Entry) Attach(n *node.Node) { e.node = n }
+
+// Tick implements control.Ticker.
+func (e *Entry) Tick(now time.Time) {
+	if e.dirty && !now.Before(e.nextRebuild) {
+		e.rebuild(now)
+	}
+}
+
+// Changed is told after the text in force or the view has changed.
+func (e *Entry) Changed(now time.Time) {
+	e.subscribe(now)
+	e.rebuild(now)
+	e.node.UpdateSelf(now, e.describe)
+}
+
+func (e *Entry) describe(r *gossip.Record) {
+	r.Leaving = e.leaving
+	r.State = gossip.StateStarting
+	if e.node.InForce() != nil {
+		r.State = gossip.StateServing
+	}
+}
+
+// rebuild publishes a new picture.
+func (e *Entry) rebuild(now time.Time) {
+	e.dirty = false
+	e.nextRebuild = now.Add(rebuildEvery)
+	p := &picture{
+		config:  e.node.InForce(),
+		entries: e.entries(),
+		reports: make(map[fleet.InstanceID]clockReading, len(e.subs)),
+	}
+	var servers []balance.Server
+	for id, s := range e.subs {
+		if s.reported {
+			servers = append(servers, s.server())
+			p.reports[id] = clockReading{clockMS: s.report.ClockMS, received: s.received}
+		}
+	}
+	slices.SortFunc(servers, func(a, b balance.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	p.servers = balance.NewSnapshot(e.opts.Self.Place, servers, e.tracker, balance.Settings{})
+	e.picture.Store(p)
+}
+
+// entries lists the entry instances for address answers, this one included.
+func (e *Entry) entries() []addressing.Entry {
+	self := e.opts.Self
+	load := float64(e.running.Load()) / float64(max(1, e.opts.MaxInFlight))
+	all := []addressing.Entry{{ID: self.ID, Place: self.Place, Addr: self.CallerAddr, Leaving: e.leaving, Load: load}}
+	for _, p := range e.node.View().Peers {
+		if p.Role != fleet.RoleEntry || !p.CallerAddr.IsValid() {
+			continue
+		}
+		all = append(all, addressing.Entry{ID: p.ID, Place: p.Place, Addr: p.CallerAddr, Leaving: p.Going(), Silent: p.Silent})
+	}
+	return all
+}
+
+// Addresses implements calls.AddressBook.
+func (e *Entry) Addresses(near fleet.Place) addressing.Result {
+	return e.answerer.Answer(time.Now(), near, e.picture.Load().entries)
+}
+
+// Ready reports whether requests can be taken, and why not.
+func (e *Entry) Ready() (bool, string) {
+	if e.picture.Load().config == nil {
+		return false, "no text is in force yet"
+	}
+	return true, ""
+}
+
+// Leave begins the planned stop: other entries stop naming this one.
+func (e *Entry) Leave(ctx context.Context) error {
+	return e.opts.Loop.Do(ctx, func(now time.Time) {
+		e.leaving = true
+		e.node.UpdateSelf(now, e.describe)
+		e.rebuild(now)
+		e.opts.Logger.Info("leaving", zap.Int64("in_flight", e.running.Load()))
+	})
+}
+
+// Status is what an operator sees of an entry.
+type Status struct {
+	ID       fleet.InstanceID  `json:"id"`
+	Role     fleet.Role        `json:"role"`
+	Place    fleet.Place       `json:"place"`
+	Revision revision.Revision `json:"revision"`
+	Leaving  bool              `json:"leaving"`
+	InFlight int64             `json:"in_flight"`
+	Config   ConfigStatus      `json:"config"`
+	Services []ServiceStatus   `json:"services"`
+	Fleet    []Member          `json:"fleet"`
+}
+
+// ConfigStatus tells of the text.
+type ConfigStatus struct {
+	Name             string            `json:"name"`
+	Digest           fleet.Digest      `json:"digest"`
+	PlatformRevision revision.Revision `json:"platform_revision"`
+	Refused          []string          `json:"refused,omitempty"`
+	Conflicts        int               `json:"conflicts"`
+}
+
+// ServiceStatus sums up a service.
+type ServiceStatus struct {
+	Service  fleet.ServiceName `json:"service"`
+	Target   fleet.Version     `json:"target"`
+	Replicas int               `json:"replicas"`
+	Serving  int               `json:"serving"` // the target, or open for a plain service
+	Leaving  int               `json:"leaving"`
+	Silent   int               `json:"silent"`
+}
+
+// Member is one process of the fleet as this entry sees it.
+type Member struct {
+	ID       fleet.InstanceID  `json:"id"`
+	Role     fleet.Role        `json:"role"`
+	Service  fleet.ServiceName `json:"service,omitempty"`
+	Place    fleet.Place       `json:"place"`
+	State    gossip.State      `json:"state"`
+	Serving  fleet.Version     `json:"serving"`
+	Revision revision.Revision `json:"revision"`
+	Leaving  bool              `json:"leaving"`
+	Silent   bool              `json:"silent"`
+}
+
+// Status returns the present status. Safe for any goroutine.
+func (e *Entry) Status() Status {
+	view := e.node.View()
+	s := Status{
+		ID:       e.opts.Self.ID,
+		Role:     fleet.RoleEntry,
+		Place:    e.opts.Self.Place,
+		Leaving:  view.Self.Leaving,
+		InFlight: e.running.Load(),
+	}
+	config := e.node.ConfigStatus()
+	s.Config = ConfigStatus{PlatformRevision: config.PlatformRevision, Conflicts: len(config.Conflicts)}
+	for _, r := range config.Refused {
+		s.Config.Refused = append(s.Config.Refused, r.Faults.Error())
+	}
+	s.Fleet = append(s.Fleet, member(gossip.Peer{Record: view.Self}))
+	for _, p := range view.Peers {
+		s.Fleet = append(s.Fleet, member(p))
+	}
+	if state := e.node.InForce(); state != nil {
+		s.Revision = state.Revision
+		s.Config.Digest = state.Digest
+		s.Config.Name = state.Fleet.Name()
+		s.Services = serviceStatus(state, view)
+	}
+	return s
+}
+
+func member(p gossip.Peer) Member {
+	return Member{ID: p.ID, Role: p.Role, Service: p.Service, Place: p.Place, State: p.State,
+		Serving: p.Serving, Revision: p.Revision, Leaving: p.Going(), Silent: p.Silent}
+}
+
+func serviceStatus(state *revision.State, view *gossip.View) []ServiceStatus {
+	var all []ServiceStatus
+	for service := range state.Fleet.Services() {
+		s := ServiceStatus{Service: service.Name, Target: service.Version}
+		for _, p := range view.Service(service.Name) {
+			s.Replicas++
+			switch {
+			case p.Silent:
+				s.Silent++
+			case p.Going():
+				s.Leaving++
+			case p.State == gossip.StateServing && p.Serving == service.Version:
+				s.Serving++
+			}
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// IssueKey implements calls.KeyIssuer.
+func (e *Entry) IssueKey(service fleet.ServiceName) (string, error) {
+	return "", failure.WithOutcome(calls.NotReady.New("keys are not issued yet"), failure.NotRun)
+}
--- /dev/null
+++ b/daemon/wire/wire.go
@@ -0,0 +1,146 @@
+// Package wire holds the messages that processes of the system send each
+// other over the peer transport. The codec is CBOR with integer keys: a field
+// that a later release adds is ignored by an earlier one, and a number is
+// never used again.
+package wire
+
+import (
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/gossip"
+	"chivespindle.example/core/revision"
+	"chivespindle.example/core/serving"
+)
+
+// Gossip is what neighbours send each other, at every heartbeat and when
+// something changed. Stream: peer.KindGossip, long-lived, both directions.
+type Gossip struct {
+	Records  []gossip.Record   `cbor:"1,keyasint,omitempty"`
+	Revision revision.Revision `cbor:"2,keyasint"`
+	Digest   fleet.Digest      `cbor:"3,keyasint"`
+}
+
+// ConfigAsk asks a peer for the text in force. Stream: peer.KindConfig, one
+// ask and one answer.
+type ConfigAsk struct {
+	// Digest is that of the text that the asker has in force; zero for none.
+	Digest fleet.Digest `cbor:"1,keyasint"`
+}
+
+// ConfigHead opens the answer; Sections messages of fleettext.Section follow.
+// They lead from the text with the digest Base, zero for nothing, to the one
+// with Digest. Revision 0 means that the peer has no text in force.
+type ConfigHead struct {
+	Revision revision.Revision `cbor:"1,keyasint"`
+	Digest   fleet.Digest      `cbor:"2,keyasint"`
+	Base     fleet.Digest      `cbor:"3,keyasint"`
+	Removed  []string          `cbor:"4,keyasint,omitempty"`
+	Sections int               `cbor:"5,keyasint"`
+}
+
+// ChunkOpen opens a stream of peer.KindChunk. With Exchange the stream stays
+// and carries ChunkNews both ways; without it the answer is one ChunkHead and
+// the chunk's bytes.
+type ChunkOpen struct {
+	Manifest fleet.Digest `cbor:"1,keyasint"`
+	Exchange bool         `cbor:"2,keyasint"`
+	Index    int          `cbor:"3,keyasint"`
+}
+
+// ChunkNews tells a neighbour what changed since the last ChunkNews. Have and
+// Seen are indexes; the first message of a stream lists all.
+type ChunkNews struct {
+	Have []int `cbor:"1,keyasint,omitempty"`
+	Seen []int `cbor:"2,keyasint,omitempty"`
+}
+
+// ChunkStatus answers a chunk request.
+type ChunkStatus uint8
+
+const (
+	// ChunkFollows: Bytes bytes of the chunk follow.
+	ChunkFollows ChunkStatus = iota + 1
+	// ChunkBusy: all upload slots are taken; ask again later or elsewhere.
+	ChunkBusy
+	// ChunkMissing: this process does not hold the chunk.
+	ChunkMissing
+)
+
+// ChunkHead opens the answer to a chunk request.
+type ChunkHead struct {
+	Status ChunkStatus `cbor:"1,keyasint"`
+	Bytes  int         `cbor:"2,keyasint"`
+}
+
+// Request opens a stream of peer.KindRequest; BodyBytes bytes of body follow
+// in raw frames. The answer is any number of AnswerPart with Piece and one
+// with End.
+type Request struct {
+	ID             string            `cbor:"1,keyasint"`
+	Service        fleet.ServiceName `cbor:"2,keyasint"`
+	Path           string            `cbor:"3,keyasint,omitempty"`
+	Workspace      fleet.Workspace   `cbor:"4,keyasint,omitempty"`
+	IdempotencyKey string            `cbor:"5,keyasint,omitempty"`
+	NonIdempotent  bool              `cbor:"6,keyasint,omitempty"`
+	Priority       int               `cbor:"7,keyasint"`
+	Traceparent    string            `cbor:"8,keyasint,omitempty"`
+	// RemainingMS is the time left until the caller's deadline as the entry
+	// sent it; ClockEcho lets the agent subtract what was lost on the way.
+	RemainingMS int64 `cbor:"9,keyasint"`
+	// ClockEcho is the agent's own clock of its last report plus the time
+	// since that report came in, in ms; 0 if there was none.
+	ClockEcho int64 `cbor:"10,keyasint,omitempty"`
+	BodyBytes int   `cbor:"11,keyasint"`
+}
+
+// AnswerPart is one part of the answer to a Request: one AnswerBegin, then
+// pieces, then one AnswerEnd. A request that was not run has only the end.
+type AnswerPart struct {
+	Piece []byte       `cbor:"1,keyasint,omitempty"`
+	End   *AnswerEnd   `cbor:"2,keyasint,omitempty"`
+	Begin *AnswerBegin `cbor:"3,keyasint,omitempty"`
+}
+
+// AnswerBegin says what is known once the backend server answers.
+type AnswerBegin struct {
+	Status  int           `cbor:"1,keyasint"`
+	Version fleet.Version `cbor:"2,keyasint"`
+}
+
+// Outcome codes on the wire. They are separate from failure.Outcome so that
+// the zero value of a garbled message reads as unknown.
+const (
+	OutcomeUnknown = 0
+	OutcomeNotRun  = 1
+	OutcomeRan     = 2
+)
+
+// AnswerEnd closes an answer. For OutcomeRan it follows the last piece.
+type AnswerEnd struct {
+	Outcome int           `cbor:"1,keyasint"`
+	ID      string        `cbor:"2,keyasint"`
+	Status  int           `cbor:"3,keyasint,omitempty"`
+	Version fleet.Version `cbor:"4,keyasint"`
+	Reason  string        `cbor:"5,keyasint,omitempty"`
+	// RetryAfterMS is when the caller may come back; 0: not told.
+	RetryAfterMS int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// ReportAsk opens a stream of peer.KindReport.
+type ReportAsk struct{}
+
+// Report is what an agent pushes to an entry that subscribed with a stream of
+// peer.KindReport: at once on any change of State, Leaving or Serving, and
+// every half second.
+type Report struct {
+	Service fleet.ServiceName `cbor:"1,keyasint"`
+	State   gossip.State      `cbor:"2,keyasint"`
+	Leaving bool              `cbor:"3,keyasint"`
+	// Admitting is false while the agent refuses requests as not run.
+	Admitting bool          `cbor:"4,keyasint"`
+	Serving   fleet.Version `cbor:"5,keyasint"`
+	Load      serving.Load  `cbor:"6,keyasint"`
+	// ClockMS is the agent's monotonic clock in ms since its start.
+	ClockMS int64 `cbor:"7,keyasint"`
+	// Incarnation is the start time of the agent, part of the keys it issues.
+	Incarnation uint64 `cbor:"8,keyasint"`
+}
--- /dev/null
+++ b/standin/harness/harness.go
@@ -0,0 +1,231 @@
+// Package harness starts a small fleet on loopback: the platform's stand-ins
+// and backend servers in this process, and the system's own programs as
+// separate processes. The demo, the whole-path tests and the capacity
+// measurement share it.
+package harness
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/standin/engine"
+	"chivespindle.example/standin/pki"
+	"chivespindle.example/standin/plainservice"
+	"chivespindle.example/standin/platform"
+)
+
+// Options of a Fleet.
+type Options struct {
+	// Daemon is the path of the chivespindled program.
+	Daemon string
+	// Dir takes settings, keys and logs; it must exist.
+	Dir string
+	// OriginBytesPerSecond limits the origin's link; 0: not limited.
+	OriginBytesPerSecond int64
+	// LinkBytesPerSecond is put into the agents' settings; 0: unknown.
+	LinkBytesPerSecond int64
+	// ListLag is how late the instance list shows changes.
+	ListLag time.Duration
+	// Spans writes trace spans to the logs.
+	Spans bool
+}
+
+// Fleet is a running set of stand-ins and processes.
+type Fleet struct {
+	opts      Options
+	Config    *platform.ConfigService
+	Instances *platform.InstanceList
+	Origin    *platform.WeightServer
+	Store     *platform.WeightServer
+	authority *pki.Authority
+	servers   []*platform.Server
+	urls      map[string]string
+
+	mu        sync.Mutex
+	processes map[fleet.InstanceID]*Process
+	Engines   map[fleet.InstanceID]*engine.Engine
+	Plain     map[fleet.InstanceID]*plainservice.Service
+}
+
+// Names of the stand-ins that the settings point to.
+const (
+	configServer    = "config"
+	instancesServer = "instances"
+	originServer    = "origin"
+	storeServer     = "store"
+)
+
+// storeRequestRate is the store's request limit for a loopback fleet.
+const storeRequestRate = 20
+
+// New starts the stand-ins. The caller must Close the fleet.
+func New(opts Options) (*Fleet, error) {
+	authority, err := pki.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	if err := authority.Save(opts.Dir); err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		opts:      opts,
+		Config:    platform.NewConfigService(platform.ConfigOptions{}),
+		Instances: platform.NewInstanceList(platform.InstanceListOptions{Lag: opts.ListLag}),
+		Origin:    platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: opts.OriginBytesPerSecond}),
+		Store:     platform.NewWeightServer(platform.WeightOptions{RequestsPerSecond: storeRequestRate}),
+		authority: authority,
+		urls:      make(map[string]string),
+		processes: make(map[fleet.InstanceID]*Process),
+		Engines:   make(map[fleet.InstanceID]*engine.Engine),
+		Plain:     make(map[fleet.InstanceID]*plainservice.Service),
+	}
+	if err := f.startPlatform(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startPlatform() error {
+	handlers := []struct {
+		name    string
+		handler http.Handler
+	}{
+		{configServer, f.Config},
+		{instancesServer, f.Instances},
+		{originServer, f.Origin},
+		{storeServer, f.Store},
+	}
+	for _, h := range handlers {
+		server, err := platform.Start(h.handler, loopbackAny)
+		if err != nil {
+			return err
+		}
+		f.servers = append(f.servers, server)
+		f.urls[h.name] = server.URL()
+	}
+	return nil
+}
+
+// AddModel makes a model's weights known to the origin and the store.
+func (f *Fleet) AddModel(spec platform.ModelSpec) (platform.Model, error) {
+	model, err := platform.NewModel(spec)
+	if err != nil {
+		return platform.Model{}, err
+	}
+	for _, server := range []*platform.WeightServer{f.Origin, f.Store} {
+		if _, err := server.Add(model.Manifest, model.Chunks); err != nil {
+			return platform.Model{}, err
+		}
+	}
+	return model, nil
+}
+
+// Process returns a started process.
+func (f *Fleet) Process(id fleet.InstanceID) *Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.processes[id]
+}
+
+// Close kills what still runs and stops the stand-ins.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		p.Kill()
+	}
+	for _, e := range f.Engines {
+		_ = e.Close()
+	}
+	for _, p := range f.Plain {
+		_ = p.Close()
+	}
+	for _, s := range f.servers {
+		s.Stop()
+	}
+}
+
+// loopbackAny asks the kernel for a free port.
+const loopbackAny = "127.0.0.1:0"
+
+// freePorts returns n ports that were free for both TCP and UDP a moment ago.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var ports []netip.AddrPort
+	var open []io.Closer
+	defer func() {
+		for _, c := range open {
+			_ = c.Close()
+		}
+	}()
+	for len(ports) < n {
+		tcp, err := net.Listen("tcp", loopbackAny)
+		if err != nil {
+			return nil, failure.Unavailable.Wrap(err, "find a free port")
+		}
+		open = append(open, tcp)
+		addr := tcp.Addr().(*net.TCPAddr).AddrPort()
+		udp, err := net.ListenPacket("udp", addr.String())
+		if err != nil {
+			continue
+		}
+		open = append(open, udp)
+		ports = append(ports, addr)
+	}
+	return ports, nil
+}
+
+// write puts a file under the fleet's directory and returns its path.
+func (f *Fleet) write(name, text string) (string, error) {
+	path := filepath.Join(f.opts.Dir, name)
+	const ownerOnly = 0o600
+	if err := os.WriteFile(path, []byte(text), ownerOnly); err != nil {
+		return "", failure.Unavailable.Wrap(err, "write %s", path)
+	}
+	return path, nil
+}
+
+func (f *Fleet) commonSettings(id fleet.InstanceID, place fleet.Place, role fleet.Role) (string, error) {
+	files, err := f.authority.WriteFiles(filepath.Join(f.opts.Dir, string(id)), role, id)
+	if err != nil {
+		return "", err
+	}
+	spans := "off"
+	if f.opts.Spans {
+		spans = "log"
+	}
+	return fmt.Sprintf(`[instance]
+id = %s
+zone = %s
+region = %s
+%%s
+[listen]
+%%s
+[platform]
+config_url = %s
+instances_url = %s
+origin_url = %s
+store_url = %s
+watch_wait = 5s
+list_every = 200ms
+[tls]
+authority = %s
+certificate = %s
+key = %s
+[trace]
+spans = %s
+[limits]
+drain_timeout = 10s
+`, id, place.Zone, place.Region,
+		f.urls[configServer], f.urls[instancesServer], f.urls[originServer], f.urls[storeServer],
+		files.Authority, files.Certificate, files.Key, spans), nil
+}
