Decide how one agent gathers the chunks of a manifest

First working version: rendezvous owners for draws from the origin, paced in a pseudo-random order, takeover by rank, a quota for each member that bounds the fleet's draws without coordination, rarest first from bounded neighbours, upload slots.

--- /dev/null
+++ b/core/spread/settings.go
@@ -0,0 +1,95 @@
+package spread
+
+import (
+	"time"
+
+	"chivespindle.example/core/weights"
+)
+
+// Policy weighs time to all replicas against bytes from the origin.
+type Policy string
+
+const (
+	// PolicyTime takes over a late chunk soon, at the price of a few chunks
+	// that leave the origin twice. It is the default.
+	PolicyTime Policy = "time"
+	// PolicyOrigin waits long before a chunk leaves the origin again.
+	PolicyOrigin Policy = "origin"
+)
+
+// Settings of a plan. A zero field takes the default.
+type Settings struct {
+	Policy Policy
+	// OriginCopies is the hard limit of copies that the whole fleet draws from
+	// the origin, bytes of failed draws included. Default 3.5.
+	OriginCopies float64
+	// OriginRate is what the origin's link carries, in bytes a second. Default
+	// 1.25e9, a link of 10 Gbit/s. Give it rather too high than too low: the
+	// schedule slows down by itself when the origin is slower, but never runs
+	// ahead of this rate.
+	OriginRate int64
+	// MaxFetches is the number of concurrent downloads. Default 4.
+	MaxFetches int
+	// PerPeer is the number of concurrent downloads from one peer. Default 1.
+	PerPeer int
+	// MaxUploads is the number of concurrent uploads. Default 3.
+	MaxUploads int
+	// MaxNeighbours is the number of neighbours that a member chooses; it may
+	// be chosen by as many more. Default 8.
+	MaxNeighbours int
+	// ListenTime is how long a member that has heard from fewer than half of
+	// its neighbours waits before it first draws from the origin. Default 1s.
+	ListenTime time.Duration
+	// Takeover is how long the second in rank waits for a chunk that shows up
+	// nowhere. Default 32 chunks at OriginRate, at least 1s; for PolicyOrigin
+	// four times that.
+	Takeover time.Duration
+	// OrphanTime is how long the first in rank waits for a chunk that exists
+	// somewhere but at no neighbour. Default four times Takeover.
+	OrphanTime time.Duration
+
+	// pace is the time in which the origin sends one average chunk.
+	pace time.Duration
+}
+
+const (
+	defaultOriginCopies  = 3.5
+	defaultOriginRate    = 1_250_000_000
+	defaultMaxFetches    = 4
+	defaultPerPeer       = 1
+	defaultMaxUploads    = 3
+	defaultMaxNeighbours = 8
+	defaultListenTime    = time.Second
+
+	takeoverChunks = 32
+	takeoverMin    = time.Second
+	patience       = 4 // factor of PolicyOrigin over PolicyTime, and of OrphanTime over Takeover
+)
+
+func (s Settings) withDefaults(m weights.Manifest) Settings {
+	if s.Policy == "" {
+		s.Policy = PolicyTime
+	}
+	orDefault(&s.OriginCopies, defaultOriginCopies)
+	orDefault(&s.OriginRate, defaultOriginRate)
+	orDefault(&s.MaxFetches, defaultMaxFetches)
+	orDefault(&s.PerPeer, defaultPerPeer)
+	orDefault(&s.MaxUploads, defaultMaxUploads)
+	orDefault(&s.MaxNeighbours, defaultMaxNeighbours)
+	orDefault(&s.ListenTime, defaultListenTime)
+	copyTime := float64(m.TotalBytes()) / float64(s.OriginRate) * float64(time.Second)
+	s.pace = max(1, time.Duration(copyTime)/time.Duration(max(1, len(m.Chunks))))
+	takeover := max(takeoverMin, takeoverChunks*s.pace)
+	if s.Policy == PolicyOrigin {
+		takeover *= patience
+	}
+	orDefault(&s.Takeover, takeover)
+	orDefault(&s.OrphanTime, patience*s.Takeover)
+	return s
+}
+
+func orDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
