Let a measurement stand a link in for the peer socket

Options.Socket replaces the bound socket, so that a link of limited rate or a cut one can be put under real QUIC traffic. Ruled out: limiting in the chunk exchange alone, which would leave live requests outside the limit and make yielding unmeasurable.

--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -89,6 +89,13 @@
 	return e, nil
 }
 
+func (e *Endpoint) packetConn() net.PacketConn {
+	if e.opts.Socket == nil {
+		return e.socket
+	}
+	return e.opts.Socket(e.socket)
+}
+
 // listen makes the QUIC transport. The key of stateless resets comes from the
 // private key, so that a restarted process can tell its peers at once that
 // their old connections are gone; with a random key they would find out by
@@ -97,7 +104,7 @@
 	_ = os.Setenv(quietBufferWarning, "true") // fails only on a malformed name
 	resetKey := quic.StatelessResetKey(e.opts.Keys.Secret("stateless reset"))
 	e.transport = &quic.Transport{
-		Conn:                e.socket,
+		Conn:                e.packetConn(),
 		StatelessResetKey:   &resetKey,
 		VerifySourceAddress: e.gate.verifySource,
 		ConnContext:         e.gate.admit,
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"time"
 
@@ -117,6 +118,10 @@
 	// Allow decides whether a peer may open a stream of a kind. Nil means
 	// DefaultAllow.
 	Allow func(from keys.Identity, kind Kind) bool
+	// Socket, if set, returns what stands for the bound socket, such as a link
+	// of limited rate or one that is cut, in a measurement. Nil means the
+	// socket itself.
+	Socket func(*net.UDPConn) net.PacketConn
 }
 
 // DefaultAllow lets entries and agents open every kind, and an operator, who
