Gossip: short record forms, pending sets, probing of lost neighbours

Lost neighbours are now tried beside the working ones, one at a time. Changes inside a zone stay inside it unless they matter outside, and relayed records leave out the identity.

--- /dev/null
+++ b/core/gossip/cost_test.go
@@ -0,0 +1,114 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/gossip"
+)
+
+// measure reports what control costs each process of a group: the ticks until
+// all know all, bytes in quiet times, and the bytes of one change, each sent
+// plus received.
+func measure(b *testing.B, each int, in []fleet.Place) {
+	for range b.N {
+		g := newGroup(each, in)
+		size := float64(len(g.tables))
+		g.publish()
+		ticks := 0
+		for !g.agreed() {
+			g.tick()
+			ticks++
+		}
+		b.ReportMetric(float64(ticks), "start-s")
+		b.ReportMetric(2*float64(g.bytes)/size, "start-B")
+		g.ticks(20)
+		g.bytes = 0
+		const seconds = 30
+		g.ticks(seconds)
+		quiet := float64(g.bytes)
+		b.ReportMetric(2*quiet/size/seconds, "quiet-B/s")
+		b.ReportMetric(2*float64(len(g.links))/size, "links")
+		g.bytes = 0
+		const perTick = 5
+		for i := range seconds {
+			for j := range perTick {
+				id := g.ids()[(i*perTick+j)%len(g.tables)]
+				g.tables[id].UpdateSelf(func(r *gossip.Record) { r.State = gossip.StateChanging })
+			}
+			g.tick()
+		}
+		b.ReportMetric(2*(float64(g.bytes)-quiet)/size/seconds/perTick, "change-B")
+		b.ReportMetric(0, "ns/op")
+	}
+}
+
+// BenchmarkZone is one zone of the target size.
+func BenchmarkZone(b *testing.B) { measure(b, 434, places(1, 1)) }
+
+// BenchmarkFleet is nine zones in three regions; links are those of the target.
+func BenchmarkFleet(b *testing.B) { measure(b, 30, places(3, 3)) }
+
+// BenchmarkSecond is the work of one process in one second at the target size
+// of 3,910 processes: twelve neighbours, of whom six are of the zone and pass
+// on twenty heartbeats each, and one view.
+func BenchmarkSecond(b *testing.B) {
+	const links = 12
+	zones := places(3, 3)
+	now := time.Now()
+	self := member("i-self", zones[0])
+	table := gossip.New(gossip.Options{Self: self})
+	var all []gossip.Record
+	var list []fleet.Instance
+	for i := range 3910 {
+		r := member(fleet.InstanceID(fmt.Sprintf("i-%019d", i)), zones[i%len(zones)])
+		r.Change = 1
+		all = append(all, r)
+		list = append(list, instance(r))
+	}
+	table.SetListed(now, list)
+	for i := range links {
+		table.Merge(now, all[i].ID, all)
+		table.Sent(now, all[i].ID, all)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for n := range b.N {
+		now = now.Add(time.Second)
+		table.Beat(now)
+		table.Neighbours(now)
+		for i := range links {
+			from := all[i].ID
+			table.Merge(now, from, beats(all, n, i))
+			table.Sent(now, from, table.Delta(now, from))
+		}
+		table.View(now)
+	}
+}
+
+func beats(all []gossip.Record, n, link int) []gossip.Record {
+	var message []gossip.Record
+	for i := range 20 {
+		r := all[(n*20+i)*9%len(all)]
+		message = append(message, gossip.Record{ID: r.ID, Incarnation: r.Incarnation, Change: r.Change, Beat: uint64(n + 1)})
+	}
+	return message
+}
+
+// BenchmarkEncode reports the encoded size of each form of a record.
+func BenchmarkEncode(b *testing.B) {
+	whole := member("i-0a1b2c3d4e5f60718", places(1, 1)[0])
+	whole.Change = 100
+	whole.Beat = 100_000
+	for range b.N {
+		raw, err := cbor.Marshal(whole)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(raw)), "whole-B")
+	}
+}
--- a/core/gossip/exchange.go
+++ b/core/gossip/exchange.go
@@ -31,20 +31,30 @@
 		t.oweRecord(l, rec.ID)
 		return false
 	case rec.ID == t.self.id:
-		t.mergeSelf(l, rec)
+		t.mergeSelf(now, l, rec)
 		return false
 	case t.buried(rec):
 		return false
 	}
 	e := t.ensure(now, rec.ID)
+	held := e.rec.mark()
+	changed := t.accept(e, rec)
+	if e.heard && held.older(e.rec.mark()) {
+		t.hear(now, e, from)
+	}
+	t.noteHolder(l, e, rec)
+	return changed
+}
+
+// noteHolder notes what the neighbour has shown to hold, and what it or others
+// may therefore lack.
+func (t *Table) noteHolder(l *link, e *entry, rec Record) {
 	if l.known[e].older(rec.mark()) {
 		l.known[e] = rec.mark()
 	}
-	if rec.IsHeartbeat() {
-		t.mergeHeartbeat(now, e, from, rec)
-		return false
+	for _, other := range t.links {
+		other.pending[e] = true
 	}
-	return t.mergeWhole(now, e, from, rec)
 }
 
 // buried reports whether rec is no newer than what was forgotten.
@@ -61,51 +71,54 @@
 }
 
 func (t *Table) oweRecord(l *link, id fleet.InstanceID) {
-	e := t.entries[id]
-	if id == t.self.id {
-		e = t.self
+	e := t.find(id)
+	if e == nil || !e.heard {
+		return
 	}
-	if e != nil && e.heard {
-		l.owed[e] = true
+	l.owed[e] = true
+	if e != t.self {
+		l.pending[e] = true
 	}
 }
 
-// mergeSelf never changes the own record. A lower incarnation is this
-// process's predecessor and is overwritten by the own record in time. Higher
-// numbers than the own ones can only come from another living process under
-// the same id.
-func (t *Table) mergeSelf(l *link, rec Record) {
-	l.known[t.self] = rec.mark()
-	if t.self.rec.mark().older(rec.mark()) {
-		t.duplicate = rec
+func (t *Table) find(id fleet.InstanceID) *entry {
+	if id == t.self.id {
+		return t.self
 	}
+	return t.entries[id]
 }
 
-func (t *Table) mergeHeartbeat(now time.Time, e *entry, from fleet.InstanceID, rec Record) {
+// accept takes rec over if it is newer than what is held and complete with
+// it. It reports whether the state changed.
+func (t *Table) accept(e *entry, rec Record) bool {
 	held := e.rec.mark()
-	sameState := e.heard && held.incarnation == rec.Incarnation && held.change == rec.Change
-	if !sameState || rec.Beat <= held.beat {
-		return
+	if !held.older(rec.mark()) {
+		return false
 	}
-	e.rec.Beat = rec.Beat
-	e.rec.Revision = max(e.rec.Revision, rec.Revision)
-	t.hear(now, e, from)
+	switch {
+	case rec.IsWhole():
+		t.replace(e, rec)
+	case !e.heard || held.incarnation != rec.Incarnation:
+		return false
+	case !rec.IsHeartbeat():
+		t.replace(e, e.rec.beaten(rec).changed(rec))
+	case held.change == rec.Change:
+		e.rec = e.rec.beaten(rec)
+	}
+	return held.olderState(e.rec.mark())
 }
 
-func (t *Table) mergeWhole(now time.Time, e *entry, from fleet.InstanceID, rec Record) bool {
-	held := e.rec.mark()
-	if e.heard && !held.older(rec.mark()) {
-		return false
+func (t *Table) replace(e *entry, rec Record) {
+	before := e.rec
+	if !e.heard || before.identity() != rec.identity() {
+		t.membersChanged()
+	}
+	if !e.heard || before.Incarnation != rec.Incarnation || before.wide() != rec.wide() {
+		e.wideChange = rec.Change
 	}
-	changed := !e.heard || held.olderState(rec.mark())
-	sized := e.heard && e.rec.Zone == rec.Zone
 	e.rec = rec
 	e.heard = true
-	t.hear(now, e, from)
-	if !sized {
-		t.countZone()
-	}
-	return changed
+	delete(t.unheard, e)
 }
 
 func (t *Table) hear(now time.Time, e *entry, from fleet.InstanceID) {
@@ -114,15 +127,25 @@
 	e.lost = false
 	if from == e.id {
 		e.lastDirect = now
+		delete(t.zoneFailures, e.zone())
 	}
 }
 
+// link returns what is known of a neighbour. A new one may lack everything
+// that is held.
 func (t *Table) link(id fleet.InstanceID) *link {
 	l := t.links[id]
 	if l == nil {
-		l = &link{known: map[*entry]mark{}, owed: map[*entry]bool{}}
+		l = &link{known: map[*entry]mark{}, owed: map[*entry]bool{}, pending: map[*entry]bool{}}
+		for _, e := range t.entries {
+			if e.heard {
+				l.pending[e] = true
+			}
+		}
 		t.links[id] = l
 	}
+	neighbour := t.entries[id]
+	l.inZone = neighbour != nil && neighbour.zone() == t.self.rec.Zone
 	return l
 }
 
@@ -134,7 +157,8 @@
 	urgentSelf
 	urgentChange
 	urgentAsk
-	urgentBeat
+	urgentBeat    // of the own zone
+	urgentSummary // of other zones, for a new neighbour
 	urgentNothing
 )
 
@@ -151,15 +175,17 @@
 func (t *Table) Delta(now time.Time, to fleet.InstanceID) []Record {
 	t.observe(now)
 	l := t.link(to)
+	t.askForUnheard(now, l)
 	batch := []outgoing{t.selfFor(l)}
-	inZone := t.inOwnZone(to)
-	for _, e := range t.entries {
-		if e.id == to {
-			continue
-		}
-		out := t.entryFor(now, l, e, inZone)
-		if out.urgency != urgentNothing {
+	for e := range l.pending {
+		out := t.entryFor(now, l, e)
+		switch {
+		case e.id == to && !l.isPast(e):
+			delete(l.pending, e)
+		case out.urgency != urgentNothing:
 			batch = append(batch, out)
+		case !t.behindOf(l, e):
+			delete(l.pending, e)
 		}
 	}
 	// The shuffle keeps equal ones from starving behind a full message.
@@ -181,6 +207,18 @@
 	return cmp.Compare(b.gained, a.gained)
 }
 
+// isPast reports whether the neighbour speaks of itself under an incarnation
+// older than the one held of it; it has to learn that, see overtakeNamesake.
+func (l *link) isPast(e *entry) bool {
+	mark, known := l.known[e]
+	return known && mark.incarnation < e.rec.Incarnation
+}
+
+// behindOf reports whether the neighbour has shown a newer state of e.
+func (t *Table) behindOf(l *link, e *entry) bool {
+	return e.rec.mark().olderState(l.known[e])
+}
+
 func (t *Table) noteAsk(now time.Time, rec Record) {
 	if !rec.IsAsk() {
 		return
@@ -190,52 +228,74 @@
 	}
 }
 
-func (t *Table) inOwnZone(id fleet.InstanceID) bool {
-	e := t.entries[id]
-	return e != nil && e.zone() == t.self.rec.Zone
-}
-
-// selfFor returns the own record, whole if the neighbour lacks the state. A
-// heartbeat to a neighbour carries the digest of the text as well, so that two
-// texts under one revision are noticed.
+// selfFor returns the own record in the shortest form that the neighbour can
+// take. It always carries the digest of the text, so that two texts under one
+// revision are noticed.
 func (t *Table) selfFor(l *link) outgoing {
-	rec := t.self.rec
-	mark, sent := l.known[t.self]
 	urgent := urgentSelf
-	if rec.Leaving {
+	if t.self.rec.Leaving {
 		urgent = urgentLeaving
 	}
-	if sent && !mark.olderState(rec.mark()) && !l.owed[t.self] {
-		rec = rec.heartbeat()
-		rec.ConfigDigest = t.self.rec.ConfigDigest
-	}
+	rec := t.shortest(l, t.self)
+	rec.ConfigDigest = t.self.rec.ConfigDigest
 	return outgoing{urgency: urgent, rec: rec}
 }
 
+// shortest returns e's record in the shortest form that is enough for the
+// neighbour. If the neighbour lacks more than is known here, it asks.
+func (t *Table) shortest(l *link, e *entry) Record {
+	mark, known := l.known[e]
+	held := e.rec.mark()
+	switch {
+	case !known && e != t.self && !e.rec.Leaving:
+		return e.rec.heartbeat()
+	case l.owed[e] || mark.incarnation < held.incarnation:
+		return e.rec
+	case mark.olderState(held):
+		return e.rec.update()
+	default:
+		return e.rec.heartbeat()
+	}
+}
+
 // entryFor weighs what a neighbour should hear of e.
 //
 // A new neighbour gets a heartbeat of everyone and asks for what it lacks:
-// most of what two neighbours hold is the same, and a heartbeat is a fifth of
-// a whole record. After that, changes are sent whole, and heartbeats inside
-// the zone only, once they have gained relayEvery.
-func (t *Table) entryFor(now time.Time, l *link, e *entry, inZone bool) outgoing {
+// most of what two neighbours hold is the same. After that it gets changes:
+// all those of the own zone if it is of the zone, else those that matter
+// outside. Heartbeats are passed on inside the zone only, and only once they
+// have gained relayEvery.
+func (t *Table) entryFor(now time.Time, l *link, e *entry) outgoing {
 	mark, known := l.known[e]
 	held := e.rec.mark()
+	local := l.inZone && e.zone() == t.self.rec.Zone
+	out := outgoing{urgency: urgentNothing, rec: t.shortest(l, e)}
 	switch {
-	case t.shouldAsk(now, e, mark, known):
+	case t.shouldAsk(now, l, e):
 		return outgoing{urgency: urgentAsk, rec: Record{ID: e.id}}
 	case !e.heard:
-		return outgoing{urgency: urgentNothing}
-	case l.owed[e], known && mark.olderState(held), !known && e.rec.Leaving:
-		return outgoing{urgency: changeUrgency(e.rec), rec: e.rec}
-	case known && held.olderState(mark):
-		return outgoing{urgency: urgentNothing}
+	case l.owed[e], known && t.changedFor(mark, e, local), !known && e.rec.Leaving:
+		out.urgency = changeUrgency(e.rec)
+	case known && mark.olderState(held):
+	case !known && local:
+		out.urgency = urgentBeat
+		out.gained = held.beat
 	case !known:
-		return outgoing{urgency: urgentBeat, gained: held.beat, rec: e.rec.heartbeat()}
-	case !inZone || e.zone() != t.self.rec.Zone || held.beat < mark.beat+t.relayEvery():
-		return outgoing{urgency: urgentNothing}
+		out.urgency = urgentSummary
+	case local && !held.olderState(mark) && held.beat >= mark.beat+t.relayEvery():
+		out.urgency = urgentBeat
+		out.gained = held.beat - mark.beat
 	}
-	return outgoing{urgency: urgentBeat, gained: held.beat - mark.beat, rec: e.rec.heartbeat()}
+	return out
+}
+
+// changedFor reports whether e has changed since mark in a way that matters to
+// the neighbour.
+func (t *Table) changedFor(m mark, e *entry, local bool) bool {
+	if local || m.incarnation != e.rec.Incarnation {
+		return m.olderState(e.rec.mark())
+	}
+	return m.change < e.wideChange
 }
 
 func changeUrgency(rec Record) urgency {
@@ -245,21 +305,31 @@
 	return urgentChange
 }
 
+// shouldAsk reports whether the neighbour is to be asked for e's record: it
+// has shown a newer state, or the platform lists e and nothing is held.
+func (t *Table) shouldAsk(now time.Time, l *link, e *entry) bool {
+	if t.behindOf(l, e) {
+		return e.asked.IsZero() || now.Sub(e.asked) >= t.opt.AskEvery
+	}
+	return !e.heard && e.listed && t.unheardDue(now, e)
+}
+
 // askListedFactor times AskEvery is the pause between asks for a process that
 // is listed and that no neighbour has shown: mostly it has not started yet.
 const askListedFactor = 15
 
-// shouldAsk reports whether the neighbour is to be asked for e's whole record:
-// it has shown a newer state, or the platform lists e and nothing is held.
-func (t *Table) shouldAsk(now time.Time, e *entry, m mark, known bool) bool {
-	since := now.Sub(e.asked)
-	if known && (!e.heard || e.rec.mark().olderState(m)) {
-		return e.asked.IsZero() || since >= t.opt.AskEvery
-	}
-	if e.heard || !e.listed {
-		return false
+func (t *Table) unheardDue(now time.Time, e *entry) bool {
+	return e.asked.IsZero() || now.Sub(e.asked) >= askListedFactor*t.opt.AskEvery
+}
+
+// askForUnheard asks a neighbour at random, so that no neighbour is always the
+// one asked.
+func (t *Table) askForUnheard(now time.Time, l *link) {
+	for e := range t.unheard {
+		if t.unheardDue(now, e) && t.opt.Rand.IntN(len(t.links)) == 0 {
+			l.pending[e] = true
+		}
 	}
-	return e.asked.IsZero() || since >= askListedFactor*t.opt.AskEvery
 }
 
 // Sent tells that the neighbour has acknowledged records of a Delta.
@@ -267,14 +337,11 @@
 	t.observe(now)
 	l := t.link(to)
 	for _, rec := range records {
-		e := t.entries[rec.ID]
-		if rec.ID == t.self.id {
-			e = t.self
-		}
+		e := t.find(rec.ID)
 		if e == nil || rec.IsAsk() {
 			continue
 		}
-		if !rec.IsHeartbeat() {
+		if rec.IsWhole() {
 			delete(l.owed, e)
 		}
 		if l.known[e].older(rec.mark()) {
@@ -283,8 +350,9 @@
 	}
 }
 
-// PeerReset forgets what a neighbour holds: a new connection starts over,
-// since the process at the other end may be a new one.
+// PeerReset forgets what a neighbour holds. It is called when a connection
+// opens, since the process at the other end may be a new one, and when one
+// closes.
 func (t *Table) PeerReset(to fleet.InstanceID) {
 	delete(t.links, to)
 }
--- a/core/gossip/overlay.go
+++ b/core/gossip/overlay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,24 +23,30 @@
 // the highest rendezvous weights; one in the next zone of the region; one in
 // every other region. With equal views the rings connect each zone and each
 // region, and every region has a link to every other, so that the graph is
-// connected whatever the hashes give. A neighbour that cannot be heard is left
-// out for a while.
+// connected whatever the hashes give.
+//
+// A neighbour that cannot be heard is lost and replaced. One of the lost is
+// tried at a time, beside the others and not in place of one that works: two
+// parts that have lost each other would else take turns in dropping the links
+// that they still have, or never look for each other again.
 func (t *Table) Neighbours(now time.Time) []Contact {
 	t.observe(now)
 	groups := t.group(now)
 	var chosen []*entry
 	chosen = t.chooseZone(chosen, groups.zone)
-	chosen = appendBest(chosen, t.nextZone(groups.region))
+	chosen = appendBest(chosen, t.nextZone(groups))
 	for _, members := range groups.regions {
 		chosen = appendBest(chosen, members)
 	}
+	chosen = t.appendProbe(chosen, groups.lost)
 	return t.choose(now, chosen)
 }
 
 type candidates struct {
-	zone    []*entry
-	region  map[fleet.Zone][]*entry
-	regions map[fleet.Region][]*entry
+	zone    []*entry                  // of the own zone
+	region  map[fleet.Zone][]*entry   // of the other zones of the region
+	regions map[fleet.Region][]*entry // of the other regions
+	lost    []*entry
 }
 
 func (t *Table) group(now time.Time) candidates {
@@ -50,7 +57,11 @@
 			continue
 		}
 		place := e.place()
+		if e.lost || t.unreachable(place.Zone) {
+			c.lost = append(c.lost, e)
+		}
 		switch {
+		case e.lost:
 		case place.Zone == own.Zone:
 			c.zone = append(c.zone, e)
 		case place.Region == own.Region:
@@ -69,6 +80,23 @@
 	return e.listed || e.heard && !t.silent(e, now)
 }
 
+// appendProbe appends one of the lost: the one being tried already, if any.
+func (t *Table) appendProbe(chosen, lost []*entry) []*entry {
+	if len(lost) == 0 {
+		return chosen
+	}
+	probe := lost[t.opt.Rand.IntN(len(lost))]
+	for _, e := range lost {
+		if t.chosen[e] {
+			probe = e
+		}
+	}
+	if slices.Contains(chosen, probe) {
+		return chosen
+	}
+	return append(chosen, probe)
+}
+
 // chooseZone appends the next member of the ring and the highest weights.
 func (t *Table) chooseZone(chosen, members []*entry) []*entry {
 	if len(members) == 0 || t.opt.ZoneNeighbours <= 0 {
@@ -92,22 +120,27 @@
 	return chosen
 }
 
-// nextZone returns the members of the zone that follows the own one by name.
-func (t *Table) nextZone(zones map[fleet.Zone][]*entry) []*entry {
-	var names []fleet.Zone
-	for name := range zones {
-		names = append(names, name)
-	}
-	if len(names) == 0 {
-		return nil
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		if name > t.self.rec.Zone {
-			return zones[name]
+// maxFailures is how many members of a zone may be lost in a row before the
+// next zone is taken: a zone that is down would else be tried member by member
+// while there is no link to any other.
+const maxFailures = 2
+
+// unreachable reports whether no member of a zone could be heard lately.
+func (t *Table) unreachable(zone fleet.Zone) bool {
+	return zone != t.self.rec.Zone && t.zoneFailures[zone] >= maxFailures
+}
+
+// nextZone returns the members of the zone that follows the own one by name
+// and can be reached.
+func (t *Table) nextZone(c candidates) []*entry {
+	names := slices.Sorted(maps.Keys(c.region))
+	own, _ := slices.BinarySearch(names, t.self.rec.Zone)
+	for _, name := range slices.Concat(names[own:], names[:own]) {
+		if !t.unreachable(name) {
+			return c.region[name]
 		}
 	}
-	return zones[names[0]]
+	return nil
 }
 
 func appendBest(chosen, members []*entry) []*entry {
@@ -128,19 +161,15 @@
 // choose notes since when each neighbour has been expected to be heard.
 func (t *Table) choose(now time.Time, chosen []*entry) []Contact {
 	contacts := make([]Contact, 0, len(chosen))
-	wanted := make(map[*entry]bool, len(chosen))
+	former := t.chosen
+	t.chosen = make(map[*entry]bool, len(chosen))
 	for _, e := range chosen {
-		wanted[e] = true
-		if e.chosenAt.IsZero() {
+		if !former[e] {
 			e.chosenAt = now
 		}
+		t.chosen[e] = true
 		contacts = append(contacts, Contact{ID: e.id, Addr: e.addr()})
 	}
-	for _, e := range t.entries {
-		if !wanted[e] {
-			e.chosenAt = time.Time{}
-		}
-	}
 	slices.SortFunc(contacts, func(a, b Contact) int { return cmp.Compare(a.ID, b.ID) })
 	return contacts
 }
--- a/core/gossip/record.go
+++ b/core/gossip/record.go
@@ -8,8 +8,8 @@
 	"chivespindle.example/core/revision"
 )
 
-// State is what a process says it is doing. An empty State marks a Record that
-// is not whole: a heartbeat or an ask.
+// State is what a process says it is doing. An empty State marks a heartbeat
+// or an ask.
 type State string
 
 const (
@@ -28,9 +28,13 @@
 	StateServing State = "serving"
 )
 
-// Record is what one process says of itself. Beat, Revision and ConfigDigest
-// are fast fields; every other field is slow, and a change of one raises
-// Change.
+// Record is what one process says of itself. It has three kinds of fields:
+// the identity, which stays for an incarnation; the state, whose changes raise
+// Change; and the fast fields Beat, Revision and ConfigDigest.
+//
+// On the wire a Record may be short. A whole one has all fields; an update
+// lacks the identity; a heartbeat has the counters and Revision only; an ask
+// has the ID only.
 type Record struct {
 	ID fleet.InstanceID `cbor:"1,keyasint"`
 	// Incarnation is the process's start time in Unix milliseconds: of two
@@ -63,21 +67,51 @@
 	ConfigDigest fleet.Digest `cbor:"16,keyasint,omitzero"`
 }
 
+// IsWhole reports whether r carries the identity.
+func (r Record) IsWhole() bool { return r.Role != "" && r.State != "" }
+
 // IsAsk reports whether the sender asks for the whole record of r.ID, which it
 // does not hold.
 func (r Record) IsAsk() bool { return r.Incarnation == 0 }
 
-// IsHeartbeat reports whether r carries fast fields only. The slow fields are
-// then those of the named Change.
+// IsHeartbeat reports whether r carries no state. The state is then that of
+// the named Change.
 func (r Record) IsHeartbeat() bool { return r.State == "" && !r.IsAsk() }
 
-// heartbeat returns the short form that is passed on to those who hold r's
-// slow fields already.
+// heartbeat returns the form for those who hold r's state already.
 func (r Record) heartbeat() Record {
 	return Record{ID: r.ID, Incarnation: r.Incarnation, Change: r.Change, Beat: r.Beat, Revision: r.Revision}
 }
 
-// slow returns r without what may change at every heartbeat.
+// update returns the form for those who hold r's identity already.
+func (r Record) update() Record {
+	return r.heartbeat().changed(r)
+}
+
+// beaten returns r with the fast fields of newer. Only the process itself
+// sends the digest of its text, so a relayed revision comes without one; an
+// old digest must not stand beside a new revision.
+func (r Record) beaten(newer Record) Record {
+	r.Beat = newer.Beat
+	if r.Revision != newer.Revision || !newer.ConfigDigest.IsZero() {
+		r.ConfigDigest = newer.ConfigDigest
+	}
+	r.Revision = newer.Revision
+	return r
+}
+
+// changed returns r with the state of newer.
+func (r Record) changed(newer Record) Record {
+	r.Change = newer.Change
+	r.Leaving = newer.Leaving
+	r.State = newer.State
+	r.Serving = newer.Serving
+	r.Target = newer.Target
+	r.Turn = newer.Turn
+	return r
+}
+
+// slow returns r without the fast fields and the counter of the others.
 func (r Record) slow() Record {
 	r.Change = 0
 	r.Beat = 0
@@ -86,6 +120,31 @@
 	return r
 }
 
+// identity is what stays for an incarnation.
+type identity struct {
+	role       fleet.Role
+	service    fleet.ServiceName
+	place      fleet.Place
+	peerAddr   netip.AddrPort
+	callerAddr netip.AddrPort
+}
+
+func (r Record) identity() identity {
+	return identity{role: r.Role, service: r.Service, place: r.Place, peerAddr: r.PeerAddr, callerAddr: r.CallerAddr}
+}
+
+// wide is the part of the state that matters outside the zone.
+type wide struct {
+	leaving bool
+	out     bool
+	serving fleet.Version
+}
+
+func (r Record) wide() wide {
+	out := r.State == StateStarting || r.State == StateChanging
+	return wide{leaving: r.Leaving, out: out, serving: r.Serving}
+}
+
 func (r Record) mark() mark {
 	return mark{incarnation: r.Incarnation, change: r.Change, beat: r.Beat}
 }
--- a/core/gossip/table.go
+++ b/core/gossip/table.go
@@ -28,7 +28,7 @@
 	// AvoidFor is how long a neighbour that could not be heard is left out of
 	// the overlay; default 30 s.
 	AvoidFor time.Duration
-	// MaxRecords bounds the records of one Delta; default 512.
+	// MaxRecords bounds the records of one Delta; default 256.
 	MaxRecords int
 	// ZoneNeighbours is the number of neighbours chosen in the own
 	// availability zone; default 3.
@@ -41,7 +41,7 @@
 	setDefault(&o.ForgetAfter, 60*time.Second)
 	setDefault(&o.AskEvery, 2*time.Second)
 	setDefault(&o.AvoidFor, 30*time.Second)
-	setDefault(&o.MaxRecords, 512)
+	setDefault(&o.MaxRecords, 256)
 	setDefault(&o.ZoneNeighbours, 3)
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(Rendezvous("gossip", o.Self.ID), o.Self.Incarnation))
@@ -57,7 +57,7 @@
 
 // relayedPerSecond bounds the heartbeats that cross one link of a zone in a
 // second, however large the zone grows.
-const relayedPerSecond = 40
+const relayedPerSecond = 20
 
 // Table is one process's soft copy of the fleet.
 type Table struct {
@@ -68,28 +68,39 @@
 	// forgotten keeps a deleted record from coming back by a neighbour that
 	// has not deleted it yet.
 	forgotten map[fleet.InstanceID]tombstone
-	duplicate Record
-	lastSeen  time.Time
-	zoneSize  int
+	// unheard are listed processes of which no record is held.
+	unheard map[*entry]bool
+	chosen  map[*entry]bool // neighbours at present
+	// zoneFailures counts neighbours lost in a row, per zone.
+	zoneFailures map[fleet.Zone]int
+	namesake     namesake
+	lastSeen     time.Time
+	zoneSize     int
+	zoneStale    bool    // zoneSize must be counted again
+	roster       *roster // shared by views until the members change
 }
 
 // entry is what is known of one process.
 type entry struct {
-	id       fleet.InstanceID
-	rec      Record // ID only while nothing was heard
-	heard    bool   // rec is whole
-	listed   bool
-	instance fleet.Instance // the platform's line, zero if never listed
+	id    fleet.InstanceID
+	rec   Record // ID only while nothing was heard
+	heard bool   // rec is whole
+	// wideChange is the Change with which the part of the state that matters
+	// outside the zone came.
+	wideChange uint64
+	listed     bool
+	instance   fleet.Instance // the platform's line, zero if never listed
 
 	// basis is when something new was heard last, or when listening began.
 	basis      time.Time
+	firstSeen  time.Time
 	lastHeard  time.Time // zero if never
 	lastDirect time.Time // last heartbeat from the process itself
 	unlistedAt time.Time // when the list stopped naming it, or its first sight
 	lost       bool      // chosen as a neighbour and not to be heard
 
 	asked      time.Time // last ask for the whole record
-	chosenAt   time.Time // zero if not a neighbour at present
+	chosenAt   time.Time // as a neighbour
 	avoidUntil time.Time
 	ringPlace  uint64 // place on the ring of its zone
 	weight     uint64 // rendezvous weight for this process
@@ -97,9 +108,13 @@
 
 // link is what one neighbour is known to hold.
 type link struct {
-	known map[*entry]mark
+	inZone bool // the neighbour is of the own zone
+	known  map[*entry]mark
 	// owed are entries whose whole record the neighbour has asked for.
 	owed map[*entry]bool
+	// pending are entries that may have something for the neighbour. Without
+	// it each Delta would look at the whole fleet.
+	pending map[*entry]bool
 }
 
 type tombstone struct {
@@ -115,7 +130,11 @@
 		entries:   map[fleet.InstanceID]*entry{},
 		links:     map[fleet.InstanceID]*link{},
 		forgotten: map[fleet.InstanceID]tombstone{},
+		unheard:   map[*entry]bool{},
+		chosen:    map[*entry]bool{},
 		zoneSize:  1,
+
+		zoneFailures: map[fleet.Zone]int{},
 	}
 	rec := opt.Self
 	if rec.State == "" {
@@ -142,9 +161,10 @@
 // Self returns the process's own record.
 func (t *Table) Self() Record { return t.self.rec }
 
-// UpdateSelf lets edit change the own record. A changed slow field raises
-// Change. ID, Incarnation and the counters are not the caller's to change, and
-// Turn cannot fall.
+// UpdateSelf lets edit change the own record. A change of the state raises
+// Change; a change of the identity, such as an address, begins a new
+// incarnation. ID and the counters are not the caller's to change, and Turn
+// cannot fall.
 func (t *Table) UpdateSelf(edit func(*Record)) {
 	before := t.self.rec
 	after := before
@@ -160,6 +180,9 @@
 	if after.slow() != before.slow() {
 		after.Change++
 	}
+	if after.identity() != before.identity() {
+		after.Incarnation++
+	}
 	t.self.rec = after
 }
 
@@ -168,6 +191,7 @@
 func (t *Table) Beat(now time.Time) {
 	t.observe(now)
 	t.self.rec.Beat++
+	t.overtakeNamesake(now)
 	t.forget(now)
 }
 
@@ -184,6 +208,9 @@
 		e := t.ensure(now, instance.ID)
 		e.instance = instance
 		e.listed = true
+		if !e.heard {
+			t.unheard[e] = true
+		}
 	}
 	for id, e := range t.entries {
 		if e.listed && !named[id] {
@@ -192,14 +219,7 @@
 		}
 	}
 	t.forget(now)
-	t.countZone()
-}
-
-// Duplicate returns a record that another process spreads under this
-// process's id and that is newer than its own. Two processes with one id
-// overwrite each other everywhere; the caller has to stop.
-func (t *Table) Duplicate() (Record, bool) {
-	return t.duplicate, t.duplicate.ID != ""
+	t.membersChanged()
 }
 
 func (t *Table) ensure(now time.Time, id fleet.InstanceID) *entry {
@@ -209,11 +229,19 @@
 	}
 	e = t.newEntry(id)
 	e.basis = now
+	e.firstSeen = now
 	e.unlistedAt = now
 	t.entries[id] = e
+	t.membersChanged()
 	return e
 }
 
+// membersChanged drops what is derived from who is there and where.
+func (t *Table) membersChanged() {
+	t.zoneStale = true
+	t.roster = nil
+}
+
 // observe notices that the process itself was not running. A process that
 // wakes after a pause has heard nothing for that time, through its own fault:
 // without this it would see the whole fleet silent, leave all its neighbours
@@ -236,26 +264,22 @@
 			continue
 		}
 		e.basis = now
-		if !e.chosenAt.IsZero() {
-			e.chosenAt = now
-		}
+		e.chosenAt = now
 	}
 }
 
 // markLost finds chosen neighbours that cannot be heard. Nobody passes on
 // heartbeats across zones, so this is the only notice of them.
 func (t *Table) markLost(now time.Time) {
-	for _, e := range t.entries {
-		if e.chosenAt.IsZero() || e.lost {
-			continue
-		}
+	for e := range t.chosen {
 		heard := latest(e.chosenAt, e.lastDirect)
 		if now.Sub(heard) <= t.opt.SilentAfter {
 			continue
 		}
+		delete(t.chosen, e)
 		e.avoidUntil = now.Add(t.jitter(t.opt.AvoidFor))
 		e.lost = now.Sub(latest(e.basis, e.chosenAt)) > t.opt.SilentAfter
-		e.chosenAt = time.Time{}
+		t.zoneFailures[e.zone()]++
 	}
 }
 
@@ -274,6 +298,7 @@
 // passed on once more. It grows with the zone, so that the cost per link
 // stays at relayedPerSecond heartbeats.
 func (t *Table) relayEvery() uint64 {
+	t.countZone()
 	perBeat := max(1, int(relayedPerSecond*t.opt.BeatEvery/time.Second))
 	return uint64(max(1, (t.zoneSize+perBeat-1)/perBeat))
 }
@@ -287,6 +312,10 @@
 }
 
 func (t *Table) countZone() {
+	if !t.zoneStale {
+		return
+	}
+	t.zoneStale = false
 	t.zoneSize = 1
 	for _, e := range t.entries {
 		if e.zone() == t.self.rec.Zone {
@@ -330,10 +359,14 @@
 func (t *Table) drop(now time.Time, id fleet.InstanceID, e *entry) {
 	delete(t.entries, id)
 	delete(t.links, id)
+	delete(t.unheard, e)
+	delete(t.chosen, e)
 	for _, l := range t.links {
 		delete(l.known, e)
 		delete(l.owed, e)
+		delete(l.pending, e)
 	}
+	t.membersChanged()
 	if !e.heard {
 		return
 	}
--- a/core/gossip/view.go
+++ b/core/gossip/view.go
@@ -20,6 +20,8 @@
 	ListedLeaving bool
 	// Behind: somebody holds a newer state of it than this Record.
 	Behind bool
+	// FirstSeen is when it was first listed or heard.
+	FirstSeen time.Time
 	// LastHeard is when something new was heard last; zero if never.
 	LastHeard time.Time
 }
@@ -32,6 +34,15 @@
 	zone    fleet.Zone
 }
 
+// roster is the order of a view's peers and its indexes. It changes only when
+// processes come, go or change their identity, so views share it.
+type roster struct {
+	entries       []*entry // read by the table only
+	byID          map[fleet.InstanceID]int
+	byService     map[fleet.ServiceName][]int
+	byServiceZone map[serviceZone][]int
+}
+
 // View is an immutable snapshot of a Table, safe for any goroutine.
 type View struct {
 	// At is when the snapshot was taken.
@@ -41,38 +52,61 @@
 	// Peers are all other known processes, sorted by id.
 	Peers []Peer
 
-	byID          map[fleet.InstanceID]int
-	byService     map[fleet.ServiceName][]Peer
-	byServiceZone map[serviceZone][]Peer
+	roster *roster
 }
 
 // View returns a snapshot of what is known now.
 func (t *Table) View(now time.Time) *View {
 	t.observe(now)
-	v := &View{
-		At:            now,
-		Self:          t.self.rec,
-		Peers:         make([]Peer, 0, len(t.entries)),
-		byID:          make(map[fleet.InstanceID]int, len(t.entries)),
-		byService:     map[fleet.ServiceName][]Peer{},
-		byServiceZone: map[serviceZone][]Peer{},
+	if t.roster == nil {
+		t.roster = t.newRoster()
 	}
+	v := &View{At: now, Self: t.self.rec, Peers: make([]Peer, len(t.roster.entries)), roster: t.roster}
 	behind := t.behind()
+	for i, e := range t.roster.entries {
+		v.Peers[i] = t.peer(e, now, behind[e])
+	}
+	return v
+}
+
+func (t *Table) newRoster() *roster {
+	r := &roster{
+		byID:          make(map[fleet.InstanceID]int, len(t.entries)),
+		byService:     map[fleet.ServiceName][]int{},
+		byServiceZone: map[serviceZone][]int{},
+	}
 	for _, e := range t.entries {
 		if e.heard || e.listed {
-			v.Peers = append(v.Peers, t.peer(e, now, behind[e]))
+			r.entries = append(r.entries, e)
 		}
 	}
-	v.index()
-	return v
+	slices.SortFunc(r.entries, func(a, b *entry) int { return cmp.Compare(a.id, b.id) })
+	for i, e := range r.entries {
+		r.byID[e.id] = i
+		service := e.service()
+		if service == "" {
+			continue
+		}
+		key := serviceZone{service: service, zone: e.zone()}
+		r.byService[service] = append(r.byService[service], i)
+		r.byServiceZone[key] = append(r.byServiceZone[key], i)
+	}
+	return r
+}
+
+func (e *entry) service() fleet.ServiceName {
+	if e.heard {
+		return e.rec.Service
+	}
+	return e.instance.Service
 }
 
 // behind returns the entries of which some neighbour holds a newer state.
 func (t *Table) behind() map[*entry]bool {
 	found := map[*entry]bool{}
 	for _, l := range t.links {
-		for e, m := range l.known {
-			if e.rec.mark().olderState(m) {
+		for e := range l.pending {
+			if e.rec.mark().olderState(l.known[e]) {
 				found[e] = true
 			}
 		}
@@ -87,6 +121,7 @@
 		Listed:        e.listed,
 		ListedLeaving: e.listed && e.instance.Leaving,
 		Behind:        behind,
+		FirstSeen:     e.firstSeen,
 		LastHeard:     e.lastHeard,
 	}
 	if !e.heard {
@@ -99,36 +134,30 @@
 	return p
 }
 
-func (v *View) index() {
-	slices.SortFunc(v.Peers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
-	for i, p := range v.Peers {
-		v.byID[p.ID] = i
-		if p.Service == "" {
-			continue
-		}
-		v.byService[p.Service] = append(v.byService[p.Service], p)
-		key := serviceZone{service: p.Service, zone: p.Zone}
-		v.byServiceZone[key] = append(v.byServiceZone[key], p)
-	}
-}
-
 // Peer returns what is known of a process.
 func (v *View) Peer(id fleet.InstanceID) (Peer, bool) {
-	i, ok := v.byID[id]
+	i, ok := v.roster.byID[id]
 	if !ok {
 		return Peer{}, false
 	}
 	return v.Peers[i], true
 }
 
-// Service returns the other replicas of a service, sorted by id. The caller
-// must not change the slice.
+// Service returns the other replicas of a service, sorted by id.
 func (v *View) Service(name fleet.ServiceName) []Peer {
-	return v.byService[name]
+	return v.pick(v.roster.byService[name])
 }
 
 // ServiceZone returns the other replicas of a service in one availability
-// zone, sorted by id. The caller must not change the slice.
+// zone, sorted by id.
 func (v *View) ServiceZone(name fleet.ServiceName, zone fleet.Zone) []Peer {
-	return v.byServiceZone[serviceZone{service: name, zone: zone}]
+	return v.pick(v.roster.byServiceZone[serviceZone{service: name, zone: zone}])
+}
+
+func (v *View) pick(places []int) []Peer {
+	peers := make([]Peer, len(places))
+	for i, place := range places {
+		peers[i] = v.Peers[place]
+	}
+	return peers
 }
--- a/core/rollout/view.go
+++ b/core/rollout/view.go
@@ -1,6 +1,8 @@
 package rollout
 
 import (
+	"time"
+
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 )
@@ -15,14 +17,22 @@
 	}
 	for _, p := range peers {
 		r := replicaOf(p)
-		if p.Silent && !p.LastHeard.IsZero() {
-			r.SilentFor = view.At.Sub(p.LastHeard)
+		if p.Silent {
+			r.SilentFor = view.At.Sub(lastSign(p))
 		}
 		replicas = append(replicas, r)
 	}
 	return replicas
 }
 
+// lastSign returns when p was heard last, or first seen if it never spoke.
+func lastSign(p gossip.Peer) time.Time {
+	if p.LastHeard.IsZero() {
+		return p.FirstSeen
+	}
+	return p.LastHeard
+}
+
 func replicaOf(p gossip.Peer) Replica {
 	return Replica{
 		ID:       p.ID,
