--- a/core/spread/driver_test.go
+++ b/core/spread/driver_test.go
@@ -25,6 +25,7 @@
 	now       time.Time
 	begun     time.Time
 	events    events
+	posted    int
 	rand      *rand.Rand
 	manifest  weights.Manifest
 	digest    fleet.Digest
@@ -49,6 +50,7 @@
 	seen  int // size of the last Seen sent
 	down  bool
 	ready time.Duration
+	wake  time.Time
 }
 
 type event struct {
@@ -99,14 +101,15 @@
 }
 
 func (d *driver) at(after time.Duration, do func()) {
-	heap.Push(&d.events, event{d.now.Add(after), len(d.events) + int(d.now.Sub(d.begun)), do})
+	d.posted++
+	heap.Push(&d.events, event{d.now.Add(after), d.posted, do})
 }
 
 // start begins an agent anew, with chunks that its stage has kept.
 func (d *driver) start(a *agent, held ...int) {
 	a.plan = spread.New(spread.Options{Self: a.Member, Manifest: d.manifest, ManifestDigest: d.digest,
 		Settings: d.settings, Rand: rand.New(rand.NewPCG(d.rand.Uint64(), 1)), Start: d.now})
-	a.links, a.seen, a.down, a.ready = map[*agent]bool{}, 0, false, 0
+	a.links, a.seen, a.down, a.ready, a.wake = map[*agent]bool{}, 0, false, 0, time.Time{}
 	a.plan.Held(d.now, held)
 	a.plan.SetMembers(d.now, d.list)
 	plan := a.plan
@@ -192,9 +195,7 @@
 	if a.plan.Complete() && a.ready == 0 {
 		a.ready = d.now.Sub(d.begun)
 	}
-	if wake := a.plan.Wake(d.now); !wake.IsZero() {
-		d.wake(a, wake.Sub(d.now))
-	}
+	d.wake(a)
 	if a.plan.Seen().Count() == a.seen {
 		return
 	}
@@ -207,10 +208,14 @@
 	}
 }
 
-func (d *driver) wake(a *agent, after time.Duration) {
-	plan := a.plan
-	d.at(after, func() {
-		if a.plan == plan {
+func (d *driver) wake(a *agent) {
+	plan, at := a.plan, a.plan.Wake(d.now)
+	if at.IsZero() || (a.wake.After(d.now) && !at.Before(a.wake)) {
+		return
+	}
+	a.wake = at
+	d.at(at.Sub(d.now), func() {
+		if a.plan == plan && a.wake.Equal(at) {
 			d.step(a)
 		}
 	})
