--- /dev/null
+++ b/adapters/opsclient/types.go
@@ -0,0 +1,152 @@
+package opsclient
+
+import (
+	"chivespindle.example/core/balance"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/gossip"
+	"chivespindle.example/core/revision"
+	"chivespindle.example/core/serving"
+	"chivespindle.example/core/spread"
+)
+
+// Status is what a process says of itself: *EntryStatus or *AgentStatus.
+type Status interface {
+	// Process is the id of the process.
+	Process() fleet.InstanceID
+}
+
+// Process implements Status.
+func (s *EntryStatus) Process() fleet.InstanceID { return s.ID }
+
+// Process implements Status.
+func (s *AgentStatus) Process() fleet.InstanceID { return s.ID }
+
+// EntryStatus is the status of an entry, which knows the whole fleet.
+type EntryStatus struct {
+	ID       fleet.InstanceID  `json:"id"`
+	Role     fleet.Role        `json:"role"`
+	Place    fleet.Place       `json:"place"`
+	Revision revision.Revision `json:"revision"` // in force here; 0: none yet
+	Leaving  bool              `json:"leaving"`
+	InFlight int64             `json:"in_flight"`
+	Config   ConfigStatus      `json:"config"`
+	Services []ServiceStatus   `json:"services"`
+	Fleet    []Member          `json:"fleet"` // the entry itself included
+}
+
+// ConfigStatus tells of the text.
+type ConfigStatus struct {
+	Name   string       `json:"name"`
+	Digest fleet.Digest `json:"digest"`
+	// PlatformRevision is the platform's last answer to this process, which
+	// may be stale and may be a text that was refused.
+	PlatformRevision revision.Revision `json:"platform_revision"`
+	// Refused holds the faults of each text above the one in force, one
+	// "file:line: reason" a line.
+	Refused []string `json:"refused,omitempty"`
+	// Conflicts counts other texts under the revision in force.
+	Conflicts int `json:"conflicts"`
+}
+
+// ServiceStatus sums up a service. Replicas that are silent do not count as
+// leaving, and neither as serving.
+type ServiceStatus struct {
+	Service  fleet.ServiceName `json:"service"`
+	Target   fleet.Version     `json:"target"` // zero for a plain service
+	Replicas int               `json:"replicas"`
+	Serving  int               `json:"serving"` // the target, or open for a plain service
+	Leaving  int               `json:"leaving"`
+	Silent   int               `json:"silent"`
+}
+
+// Member is one process of the fleet as an entry sees it. What it does is
+// fresh within a second; its Revision is so in the entry's own zone only, and
+// older elsewhere.
+type Member struct {
+	ID       fleet.InstanceID  `json:"id"`
+	Role     fleet.Role        `json:"role"`
+	Service  fleet.ServiceName `json:"service,omitempty"`
+	Place    fleet.Place       `json:"place"`
+	State    gossip.State      `json:"state"`
+	Serving  fleet.Version     `json:"serving"`
+	Revision revision.Revision `json:"revision"`
+	Leaving  bool              `json:"leaving"`
+	Silent   bool              `json:"silent"`
+}
+
+// AgentStatus is the status of an agent and of its backend server.
+type AgentStatus struct {
+	ID          fleet.InstanceID   `json:"id"`
+	Role        fleet.Role         `json:"role"`
+	Service     fleet.ServiceName  `json:"service"`
+	Place       fleet.Place        `json:"place"`
+	State       gossip.State       `json:"state"`
+	Phase       string             `json:"phase,omitempty"` // of the change to the target
+	Serving     fleet.Version      `json:"serving"`
+	Target      fleet.Version      `json:"target"`
+	Leaving     bool               `json:"leaving"`
+	Admitting   bool               `json:"admitting"`
+	Refusing    string             `json:"refusing,omitempty"` // why requests are refused
+	Waiting     string             `json:"waiting,omitempty"`  // what a change waits for
+	Revision    revision.Revision  `json:"revision"`
+	InFlight    int64              `json:"in_flight"`
+	Load        serving.Load       `json:"load"`
+	Drawn       Drawn              `json:"drawn"`
+	Gathers     []Gather           `json:"gathers"`
+	KnownPeers  int                `json:"known_peers"`
+	SilentPeers []fleet.InstanceID `json:"silent_peers"`
+}
+
+// Drawn counts the bytes of chunks by where they came from.
+type Drawn struct {
+	OriginBytes int64 `json:"origin_bytes"`
+	StoreBytes  int64 `json:"store_bytes"`
+	PeerBytes   int64 `json:"peer_bytes"`
+}
+
+// Gather is the work on one version's chunks.
+type Gather struct {
+	Version fleet.Version   `json:"version"`
+	Known   bool            `json:"manifest_known"`
+	Paused  bool            `json:"paused"`
+	Links   int             `json:"links"`
+	Plan    spread.Progress `json:"plan"`
+}
+
+// Explanation tells how an entry would choose a backend server for a request
+// now.
+type Explanation struct {
+	Entry    fleet.InstanceID  `json:"entry"`
+	Revision revision.Revision `json:"revision"`
+	Service  fleet.ServiceName `json:"service"`
+	Prefix   string            `json:"prefix,omitempty"`
+	Priority int               `json:"priority"`
+	// Candidates are the servers that the entry chooses from, nearest tier
+	// first.
+	Candidates []Candidate `json:"candidates"`
+	// Unknown are the replicas that the entry cannot choose.
+	Unknown []UnknownServer `json:"unknown"`
+}
+
+// Candidate is one server as the entry's balancer sees it; see
+// balance.Candidate.
+type Candidate struct {
+	ID       fleet.InstanceID `json:"id"`
+	Tier     string           `json:"tier"` // zone, region or fleet
+	Verdict  balance.Verdict  `json:"verdict"`
+	InFlight int              `json:"in_flight"`
+	Others   float64          `json:"others"`
+	Slots    float64          `json:"slots"`
+	Cost     float64          `json:"cost"`
+	// ReportAgeMS is negative if the server never reported.
+	ReportAgeMS int64 `json:"report_age_ms"`
+	EjectedMS   int64 `json:"ejected_ms"` // time left of an ejection
+	Preferred   bool  `json:"preferred"`
+}
+
+// UnknownServer is a replica that the entry does not choose from, and why.
+type UnknownServer struct {
+	ID     fleet.InstanceID `json:"id"`
+	Place  fleet.Place      `json:"place"`
+	Reason string           `json:"reason"`
+}
