Drive separate processes through the whole path in tests

Two entries, seven agents and the stand-ins: every service answers with the right and whole answer, a caller's trace goes through entry and agent, and a version changes and goes back under live requests with nothing lost, run twice or mixed. The harness gains restarts on the same ports, a second agent beside one backend server, and ports below the kernel's own range, since a port from there could be taken between its choice and the start.

--- /dev/null
+++ b/cmd/wholepath/fleet_test.go
@@ -0,0 +1,317 @@
+package wholepath_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/revision"
+	"chivespindle.example/daemon/agent"
+	"chivespindle.example/daemon/entry"
+	"chivespindle.example/standin/engine"
+	"chivespindle.example/standin/harness"
+	"chivespindle.example/standin/plainservice"
+	"chivespindle.example/standin/platform"
+)
+
+// Services of the tests' fleets.
+const (
+	pool   fleet.ServiceName = "spindle-pool"
+	assist fleet.ServiceName = "workshop-assist" // depends on pool
+	orders fleet.ServiceName = "workshop-api"    // plain, depends on assist
+)
+
+// The fleets' places: two zones of one region.
+var (
+	apapa = fleet.Place{Zone: "apapa-hall", Region: "lagos"}
+	ikeja = fleet.Place{Zone: "ikeja-hall", Region: "lagos"}
+)
+
+// Small models keep a change of version short; a fleet's engines tell them
+// apart by their bytes all the same.
+const (
+	modelBytes = 2 << 20
+	chunkBytes = 128 << 10
+)
+
+// testFleet is a fleet and what its operator has asked for so far.
+type testFleet struct {
+	*harness.Fleet
+	dir     string
+	entries []*harness.Process
+	agents  []fleet.InstanceID
+
+	mu       sync.Mutex
+	intended map[string]bool
+}
+
+// newFleet starts the stand-ins of a fleet. It is closed after the Describe
+// that called this in its BeforeAll; then, if a spec has failed, its logs are
+// shown.
+func newFleet(options harness.Options) *testFleet {
+	GinkgoHelper()
+	options.Daemon = daemonPath()
+	options.Dir = GinkgoT().TempDir()
+	f, err := harness.New(options)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Close)
+	return &testFleet{Fleet: f, dir: options.Dir, intended: make(map[string]bool)}
+}
+
+// model makes a version known to the origin and the store.
+func (f *testFleet) model(name string, seed uint64) fleet.Version {
+	GinkgoHelper()
+	m, err := f.AddModel(platform.ModelSpec{Name: name, Bytes: modelBytes, ChunkBytes: chunkBytes, Seed: seed})
+	Expect(err).NotTo(HaveOccurred())
+	return m.Version
+}
+
+// addEntry starts an entry.
+func (f *testFleet) addEntry(id fleet.InstanceID, place fleet.Place) *harness.Process {
+	GinkgoHelper()
+	p, err := f.StartEntry(id, place)
+	Expect(err).NotTo(HaveOccurred())
+	f.entries = append(f.entries, p)
+	return p
+}
+
+// addAgent starts a backend server and its agent.
+func (f *testFleet) addAgent(id fleet.InstanceID, place fleet.Place, spec harness.AgentSpec) {
+	GinkgoHelper()
+	_, err := f.StartAgent(id, place, spec)
+	Expect(err).NotTo(HaveOccurred())
+	f.agents = append(f.agents, id)
+}
+
+// modelSpec describes an engine that checks fencing numbers.
+func modelSpec(service fleet.ServiceName, tokenTime time.Duration) harness.AgentSpec {
+	return harness.AgentSpec{Service: service, Engine: &engine.Options{
+		Slots: 8, MaxWaiting: 8, TokenTime: tokenTime, LoadTime: 300 * time.Millisecond, CheckFence: true,
+	}}
+}
+
+func plainSpec(service fleet.ServiceName, delay time.Duration) harness.AgentSpec {
+	return harness.AgentSpec{Service: service, Plain: &plainservice.Options{Delay: delay}}
+}
+
+// textOf is an operator's text in which both model services name one version.
+func textOf(v fleet.Version) string {
+	return fmt.Sprintf(`[fleet]
+name = ffsan
+[version %[1]s]
+manifest = %[2]s
+[service %[3]s]
+kind = model
+version = %[1]s
+max_unavailable = 2
+engine_fencing = checked
+[service %[4]s]
+kind = model
+version = %[1]s
+depends_on = %[3]s
+engine_fencing = checked
+[service %[5]s]
+kind = plain
+depends_on = %[4]s
+`, v.Name, v.Manifest, pool, assist, orders)
+}
+
+// publish puts a text that names v in the configuration service.
+func (f *testFleet) publish(v fleet.Version) revision.Revision {
+	f.mu.Lock()
+	f.intended[harness.VersionText(v)] = true
+	f.mu.Unlock()
+	return f.Config.SetText([]byte(textOf(v)))
+}
+
+func (f *testFleet) isIntended(version string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.intended[version]
+}
+
+// client is a caller near a place that knows every entry as a seed.
+func (f *testFleet) client(near fleet.Place) *callerclient.Client {
+	var seeds []netip.AddrPort
+	for _, p := range f.entries {
+		seeds = append(seeds, p.Instance.CallerAddr)
+	}
+	return callerclient.New(callerclient.Options{Seeds: seeds, Near: near})
+}
+
+// modelLoad starts callers that ask for tokens.
+func (f *testFleet) modelLoad(callers, tokens int, services ...fleet.ServiceName) *harness.Load {
+	return harness.StartLoad(f.client(apapa), harness.LoadSpec{
+		Models: services, Callers: callers, MaxTokens: tokens, Deadline: 10 * time.Second, Intended: f.isIntended})
+}
+
+// plainLoad starts callers of work that must run at most once.
+func (f *testFleet) plainLoad(callers int, services ...fleet.ServiceName) *harness.Load {
+	return harness.StartLoad(f.client(apapa), harness.LoadSpec{
+		Plain: services, Callers: callers, Deadline: 10 * time.Second, Intended: f.isIntended})
+}
+
+// answersAfter waits until a load has n answers more than it has now.
+func answersAfter(load *harness.Load, n int) {
+	GinkgoHelper()
+	before := load.Tally().Answers
+	Eventually(func() int { return load.Tally().Answers }).Should(BeNumerically(">=", before+n))
+}
+
+// expectWhole checks that callers got every answer, each right, and that no
+// engine ran on bytes of another version.
+func (f *testFleet) expectWhole(t harness.Tally) {
+	GinkgoHelper()
+	AddReportEntry("callers saw", fmt.Sprintf("answers=%d refusals=%d unknown=%d", t.Answers, t.Refusals, t.Unknown))
+	Expect(t.Answers).To(BeNumerically(">", 0))
+	Expect(t.Lost).To(BeZero(), "lost requests")
+	Expect(t.WrongVersion).To(BeZero(), "answers of a version that was not asked for")
+	Expect(t.Wrong).To(BeZero(), "answers to other requests")
+	Expect(f.Mixed()).To(BeZero(), "requests that ran on mixed weights")
+}
+
+// modelAgents are the agents beside engines, of one service or of all.
+func (f *testFleet) modelAgents(services ...fleet.ServiceName) []fleet.InstanceID {
+	var ids []fleet.InstanceID
+	for _, id := range f.agents {
+		if _, ok := f.Engines[id]; ok && (len(services) == 0 || slices.Contains(services, f.Process(id).Instance.Service)) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// behind lists those of ids whose engines have not loaded v.
+func (f *testFleet) behind(v fleet.Version, ids ...fleet.InstanceID) []fleet.InstanceID {
+	var late []fleet.InstanceID
+	for _, id := range ids {
+		if s := f.Engines[id].Status(); s.Loaded != v || s.Loading {
+			late = append(late, id)
+		}
+	}
+	return late
+}
+
+// waitLoaded waits until all engines, or those of ids, have loaded v.
+func (f *testFleet) waitLoaded(v fleet.Version, ids ...fleet.InstanceID) {
+	GinkgoHelper()
+	if len(ids) == 0 {
+		ids = f.modelAgents()
+	}
+	Eventually(f.behind).WithArguments(append([]any{v}, anys(ids)...)...).Should(BeEmpty())
+}
+
+func anys[T any](items []T) []any {
+	list := make([]any, len(items))
+	for i, item := range items {
+		list[i] = item
+	}
+	return list
+}
+
+// waitAdmitting waits until every entry has a text and every agent takes
+// requests.
+func (f *testFleet) waitAdmitting() {
+	GinkgoHelper()
+	for _, p := range f.entries {
+		Eventually(entryStatus).WithArguments(p).Should(HaveField("Revision", Not(BeZero())))
+	}
+	for _, id := range f.agents {
+		Eventually(agentStatus).WithArguments(f.Process(id)).Should(HaveField("Admitting", BeTrue()), "%s", id)
+	}
+}
+
+// waitRouted waits until each entry answers for each service.
+func (f *testFleet) waitRouted(services ...fleet.ServiceName) {
+	GinkgoHelper()
+	for _, p := range f.entries {
+		for _, service := range services {
+			Eventually(func() error {
+				_, err := f.askAt(p, service, "are you there", 1)
+				return err
+			}).Should(Succeed(), "%s through %s", service, p.Instance.ID)
+		}
+	}
+}
+
+// askAt sends one request through an entry.
+func (f *testFleet) askAt(p *harness.Process, service fleet.ServiceName, prompt string, tokens int) (callerclient.Answer, error) {
+	body, err := json.Marshal(harness.Prompt{Prompt: prompt, MaxTokens: tokens})
+	if err != nil {
+		return callerclient.Answer{}, err
+	}
+	r := callerclient.Request{Service: service, Deadline: 20 * time.Second, Body: body}
+	return f.client(apapa).DoAt(context.Background(), p.Instance.CallerAddr, r)
+}
+
+// entryStatus and agentStatus read /status of a process.
+func entryStatus(p *harness.Process) (entry.Status, error) { return statusOf[entry.Status](p) }
+
+func agentStatus(p *harness.Process) (agent.Status, error) { return statusOf[agent.Status](p) }
+
+// operator reads the operators' ports.
+var operator = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func statusOf[T any](p *harness.Process) (T, error) {
+	var status T
+	resp, err := operator.Get("http://" + p.Ops.String() + "/status")
+	if err != nil {
+		return status, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return status, json.NewDecoder(resp.Body).Decode(&status)
+}
+
+// revisionOf reads the revision that a process has in force.
+func revisionOf(p *harness.Process) (revision.Revision, error) {
+	status, err := statusOf[struct {
+		Revision revision.Revision `json:"revision"`
+	}](p)
+	return status.Revision, err
+}
+
+// all lists the running processes that the tests know.
+func (f *testFleet) all() []*harness.Process {
+	list := slices.Clone(f.entries)
+	for _, id := range f.agents {
+		list = append(list, f.Process(id))
+	}
+	return list
+}
+
+// waitRevision waits until every process has the revision in force.
+func (f *testFleet) waitRevision(want revision.Revision) {
+	GinkgoHelper()
+	for _, p := range f.all() {
+		Eventually(revisionOf).WithArguments(p).Should(Equal(want), "%s", p.Instance.ID)
+	}
+}
+
+// showLogs prints the ends of the logs if the spec has failed.
+func (f *testFleet) showLogs() {
+	if f == nil || !CurrentSpecReport().Failed() {
+		return
+	}
+	const shown = 6000
+	files, err := os.ReadDir(f.dir)
+	if err != nil {
+		return
+	}
+	for _, file := range files {
+		if strings.HasSuffix(file.Name(), ".log") {
+			GinkgoWriter.Printf("--- %s\n%s\n", file.Name(), logTail(f.dir+"/"+file.Name(), shown))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/wholepath/path_test.go
@@ -0,0 +1,164 @@
+package wholepath_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/standin/harness"
+	"chivespindle.example/standin/plainservice"
+)
+
+var _ = Describe("The whole path", Ordered, ContinueOnFailure, func() {
+	var f *testFleet
+	var r1, r2 fleet.Version
+
+	BeforeAll(func() {
+		f = newFleet(harness.Options{Spans: true, OriginBytesPerSecond: 40 << 20})
+		r1, r2 = f.model("r1", 1), f.model("r2", 2)
+		f.publish(r1)
+		f.addEntry("entry-1", apapa)
+		f.addEntry("entry-2", ikeja)
+		const tokenTime = 2 * time.Millisecond
+		f.addAgent("pool-1", apapa, modelSpec(pool, tokenTime))
+		f.addAgent("pool-2", apapa, modelSpec(pool, tokenTime))
+		f.addAgent("pool-3", ikeja, modelSpec(pool, tokenTime))
+		f.addAgent("assist-1", apapa, modelSpec(assist, tokenTime))
+		f.addAgent("assist-2", ikeja, modelSpec(assist, tokenTime))
+		f.addAgent("orders-1", apapa, plainSpec(orders, 20*time.Millisecond))
+		f.addAgent("orders-2", ikeja, plainSpec(orders, 20*time.Millisecond))
+		f.waitLoaded(r1)
+		f.waitAdmitting()
+		f.waitRouted(pool, assist)
+	})
+	AfterEach(func() { f.showLogs() })
+
+	// A caller asks either entry for each of three services: a model service,
+	// one that depends on it, and a plain one. Each answer is whole, is the one
+	// to the caller's own request, and names the version that the operator's
+	// text pins; the plain service has run the work once.
+	It("brings each caller the whole answer to its own request", func() {
+		for i, p := range f.entries {
+			for _, service := range []fleet.ServiceName{pool, assist} {
+				prompt := harness.Prompt{Prompt: fmt.Sprintf("yarn break %d", i), MaxTokens: 12}
+				answer, err := f.askAt(p, service, prompt.Prompt, prompt.MaxTokens)
+				Expect(err).NotTo(HaveOccurred())
+				version, whole := harness.CheckAnswer(answer.Body, prompt)
+				Expect(whole).To(BeTrue(), "%s", answer.Body)
+				Expect(version).To(Equal(harness.VersionText(r1)))
+				Expect(answer.Version).To(Equal(version))
+			}
+			key := fmt.Sprintf("order %d", i)
+			answer, err := f.client(apapa).DoAt(context.Background(), p.Instance.CallerAddr, callerclient.Request{
+				Service: orders, Path: "orders", IdempotencyKey: key, NonIdempotent: true, Body: []byte("two cones")})
+			Expect(err).NotTo(HaveOccurred())
+			var receipt plainservice.Receipt
+			Expect(json.Unmarshal(answer.Body, &receipt)).To(Succeed())
+			Expect(receipt).To(SatisfyAll(
+				HaveField("Key", key), HaveField("Path", "orders"), HaveField("Execution", 1), HaveField("Body", []byte("two cones"))))
+			Expect(f.Executions()).To(HaveKeyWithValue(key, 1))
+		}
+	})
+
+	// A caller sends a request within a trace of its own. The spans of the
+	// entry and of the agent belong to that trace, each the child of the hop
+	// before it, so that the caller's tracing shows where its time went.
+	It("continues the caller's trace at every hop", func() {
+		const traceID, callerSpan = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
+		body, err := json.Marshal(harness.Prompt{Prompt: "trace me", MaxTokens: 3})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.client(apapa).Do(context.Background(), callerclient.Request{
+			Service: pool, Body: body, Traceparent: "00-" + traceID + "-" + callerSpan + "-01"})
+		Expect(err).NotTo(HaveOccurred())
+
+		var spans map[string]span
+		Eventually(func() map[string]span {
+			spans = f.spansOf(traceID)
+			return spans
+		}).Should(SatisfyAll(HaveKey("entry.request"), HaveKey("entry.attempt"), HaveKey("agent.request")))
+		Expect(spans["entry.request"].parent).To(Equal(callerSpan))
+		Expect(spans["entry.attempt"].parent).To(Equal(spans["entry.request"].id))
+		Expect(spans["agent.request"].parent).To(Equal(spans["entry.attempt"].id))
+	})
+
+	// The operator names another version while callers go on asking, and then
+	// the former one again. Replicas go out of service a few at a time, finish
+	// what runs, load and come back; a dependent waits for what it depends on.
+	// Callers see some refusals to try again, and every answer whole and of one
+	// version that was asked for; work that must run once runs once.
+	It("changes the version under live requests and goes back", func() {
+		models, plain := f.modelLoad(8, 16, pool, assist), f.plainLoad(4, orders)
+		answersAfter(models, 50)
+		for _, v := range []fleet.Version{r2, r1} {
+			f.publish(v)
+			Eventually(f.behindInOrder).WithArguments(v).Should(BeEmpty())
+			answersAfter(models, 50)
+			answer, err := f.askAt(f.entries[0], assist, "which one is it", 4)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Version).To(Equal(harness.VersionText(v)))
+		}
+		f.expectWhole(models.Stop())
+		orders := plain.Stop()
+		f.expectWhole(orders)
+		Expect(f.Duplicates()).To(BeZero())
+		Expect(f.notOnce(orders.RanKeys)).To(BeEmpty(), "keys that were answered and did not run once")
+	})
+})
+
+// behindInOrder lists the engines that have not loaded v, and checks that no
+// dependent has begun to before a replica of its zone of what it depends on
+// has. The dependents are looked at first: what these need was there before.
+func (f *testFleet) behindInOrder(g Gomega, v fleet.Version) []fleet.InstanceID {
+	begun := make(map[fleet.Zone]bool)
+	for _, id := range f.modelAgents(assist) {
+		s := f.Engines[id].Status()
+		begun[f.zoneOf(id)] = begun[f.zoneOf(id)] || s.Loading || s.Loaded == v
+	}
+	late := f.behind(v, f.modelAgents(pool)...)
+	for zone := range begun {
+		ready := slices.ContainsFunc(f.modelAgents(pool), func(id fleet.InstanceID) bool {
+			return f.zoneOf(id) == zone && !slices.Contains(late, id)
+		})
+		g.Expect(begun[zone] && !ready).To(BeFalse(), "%s loads in %s before any of %s has", assist, zone, pool)
+	}
+	return append(late, f.behind(v, f.modelAgents(assist)...)...)
+}
+
+func (f *testFleet) zoneOf(id fleet.InstanceID) fleet.Zone { return f.Process(id).Instance.Place.Zone }
+
+// notOnce lists the keys that the plain services have not run exactly once.
+func (f *testFleet) notOnce(keys []string) []string {
+	executions := f.Executions()
+	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return executions[key] == 1 })
+}
+
+// span is one line of a log that tells of a span.
+type span struct{ id, parent string }
+
+var spanLine = regexp.MustCompile(`event=span instance=\S+ trace_id=(\w+) span_id=(\w+) parent_id=(\w*) name=(\S+)`)
+
+// spansOf finds the spans of one trace in all logs, by name.
+func (f *testFleet) spansOf(traceID string) map[string]span {
+	spans := make(map[string]span)
+	for _, p := range f.all() {
+		log, err := os.ReadFile(p.Log)
+		if err != nil {
+			continue
+		}
+		for _, m := range spanLine.FindAllStringSubmatch(string(log), -1) {
+			if m[1] == traceID {
+				spans[m[4]] = span{id: m[2], parent: m[3]}
+			}
+		}
+	}
+	return spans
+}
--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -158,7 +159,18 @@
 // loopbackAny asks the kernel for a free port.
 const loopbackAny = "127.0.0.1:0"
 
+// Ports of processes lie below those that the kernel gives to connections and
+// to listeners that ask for any. A port from there could be taken by anyone on
+// the machine in the moment between its choice and the process's start.
+const (
+	lowestPort  = 10000
+	portChoices = 20000
+	// portTries bounds the search; a machine has few thousands in use.
+	portTries = 10 * portChoices
+)
+
 // freePorts returns n ports that were free for both TCP and UDP a moment ago.
+// They are chosen at random, since other tests may choose at the same time.
 func freePorts(n int) ([]netip.AddrPort, error) {
 	var ports []netip.AddrPort
 	var open []io.Closer
@@ -167,13 +179,17 @@
 			_ = c.Close()
 		}
 	}()
-	for len(ports) < n {
-		tcp, err := net.Listen("tcp", loopbackAny)
+	for range portTries {
+		if len(ports) == n {
+			return ports, nil
+		}
+		port := uint16(lowestPort + rand.IntN(portChoices))
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+		tcp, err := net.Listen("tcp", addr.String())
 		if err != nil {
-			return nil, failure.Unavailable.Wrap(err, "find a free port")
+			continue
 		}
 		open = append(open, tcp)
-		addr := tcp.Addr().(*net.TCPAddr).AddrPort()
 		udp, err := net.ListenPacket("udp", addr.String())
 		if err != nil {
 			continue
@@ -181,7 +197,7 @@
 		open = append(open, udp)
 		ports = append(ports, addr)
 	}
-	return ports, nil
+	return nil, failure.Unavailable.New("no %d free ports on 127.0.0.1", n)
 }
 
 // write puts a file under the fleet's directory and returns its path.
--- a/standin/harness/load.go
+++ b/standin/harness/load.go
@@ -29,6 +29,7 @@
 	Latencies    []time.Duration
 	NotRunKeys   []string // keys of non-idempotent requests whose last word was "not run"
 	RanKeys      []string // keys of non-idempotent requests that were answered
+	UnknownKeys  []string // keys of non-idempotent requests that ended otherwise
 }
 
 // Load sends requests until it is stopped.
@@ -205,6 +206,8 @@
 			t.Lost++
 			if failure.OutcomeOf(err) == failure.NotRun {
 				t.NotRunKeys = append(t.NotRunKeys, key)
+			} else {
+				t.UnknownKeys = append(t.UnknownKeys, key)
 			}
 		})
 		return
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync"
 	"syscall"
 	"time"
 
@@ -22,10 +21,16 @@
 	Ops      netip.AddrPort
 	Log      string // path of its log
 
-	cmd  *exec.Cmd
-	once sync.Once
-	done chan struct{}
-	err  error
+	settings string  // path of its settings
+	backend  backend // of an agent
+	cmd      *exec.Cmd
+	done     chan struct{}
+	err      error
+}
+
+// backend is what an agent's settings say of its backend server.
+type backend struct {
+	kind, url string
 }
 
 // Kill ends the process at once, as a power cut would.
@@ -85,11 +90,11 @@
 
 // StartAgent starts a backend server and its agent.
 func (f *Fleet) StartAgent(id fleet.InstanceID, place fleet.Place, spec AgentSpec) (*Process, error) {
-	kind, url, err := f.startBackend(id, spec)
+	server, err := f.startBackend(id, spec)
 	if err != nil {
 		return nil, err
 	}
-	return f.startAgentProcess(id, place, spec.Service, kind, url)
+	return f.startAgentProcess(id, place, spec.Service, server)
 }
 
 // RestartAgent starts the agent of a backend server that still runs anew,
@@ -100,35 +105,55 @@
 		return nil, failure.NotFound.New("no process %s", id)
 	}
 	old.Kill()
-	kind, url := "plain", ""
-	if e, ok := f.Engines[id]; ok {
-		kind, url = "engine", e.URL()
-	} else {
-		url = f.Plain[id].URL()
+	return f.startAgentProcess(id, old.Instance.Place, old.Instance.Service, old.backend)
+}
+
+// Restart starts a process anew with the settings that it had, ports too, as
+// a supervisor on the instance does.
+func (f *Fleet) Restart(id fleet.InstanceID) (*Process, error) {
+	old := f.Process(id)
+	if old == nil {
+		return nil, failure.NotFound.New("no process %s", id)
+	}
+	old.Kill()
+	p, err := f.run(old.Instance, old.Ops, old.settings)
+	if err != nil {
+		return nil, err
 	}
-	return f.startAgentProcess(id, old.Instance.Place, old.Instance.Service, kind, url)
+	p.backend = old.backend
+	return p, nil
 }
 
-func (f *Fleet) startBackend(id fleet.InstanceID, spec AgentSpec) (kind, url string, err error) {
+// StartSecondAgent starts another agent, named id, beside the backend server
+// that the agent of stands beside already, as a mistaken supervisor does.
+func (f *Fleet) StartSecondAgent(id, of fleet.InstanceID) (*Process, error) {
+	first := f.Process(of)
+	if first == nil {
+		return nil, failure.NotFound.New("no process %s", of)
+	}
+	return f.startAgentProcess(id, first.Instance.Place, first.Instance.Service, first.backend)
+}
+
+func (f *Fleet) startBackend(id fleet.InstanceID, spec AgentSpec) (backend, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if spec.Engine != nil {
 		e := engine.New(*spec.Engine)
 		if _, err := e.Start(loopbackAny); err != nil {
-			return "", "", err
+			return backend{}, err
 		}
 		f.Engines[id] = e
-		return "engine", e.URL(), nil
+		return backend{kind: "engine", url: e.URL()}, nil
 	}
 	p := plainservice.New(*spec.Plain)
 	if _, err := p.Start(loopbackAny); err != nil {
-		return "", "", err
+		return backend{}, err
 	}
 	f.Plain[id] = p
-	return "plain", p.URL(), nil
+	return backend{kind: "plain", url: p.URL()}, nil
 }
 
-func (f *Fleet) startAgentProcess(id fleet.InstanceID, place fleet.Place, service fleet.ServiceName, kind, url string) (*Process, error) {
+func (f *Fleet) startAgentProcess(id fleet.InstanceID, place fleet.Place, service fleet.ServiceName, server backend) (*Process, error) {
 	ports, err := freePorts(2)
 	if err != nil {
 		return nil, err
@@ -139,9 +164,14 @@
 	}
 	listen := fmt.Sprintf("peer = %s\nops = %s\n", ports[0], ports[1])
 	text := fmt.Sprintf(common, "service = "+string(service)+"\n", listen)
-	text += fmt.Sprintf("[backend]\nkind = %s\nurl = %s\n[link]\nbytes_per_second = %d\n", kind, url, f.opts.LinkBytesPerSecond)
+	text += fmt.Sprintf("[backend]\nkind = %s\nurl = %s\n[link]\nbytes_per_second = %d\n", server.kind, server.url, f.opts.LinkBytesPerSecond)
 	instance := fleet.Instance{ID: id, Role: fleet.RoleAgent, Service: service, Place: place, PeerAddr: ports[0]}
-	return f.start(instance, ports[1], text)
+	p, err := f.start(instance, ports[1], text)
+	if err != nil {
+		return nil, err
+	}
+	p.backend = server
+	return p, nil
 }
 
 func (f *Fleet) start(instance fleet.Instance, ops netip.AddrPort, settings string) (*Process, error) {
@@ -149,18 +179,23 @@
 	if err != nil {
 		return nil, err
 	}
+	return f.run(instance, ops, path)
+}
+
+// run starts a program with a settings file and lists its instance.
+func (f *Fleet) run(instance fleet.Instance, ops netip.AddrPort, settings string) (*Process, error) {
 	logPath := filepath.Join(f.opts.Dir, string(instance.ID)+".log")
 	log, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, failure.Unavailable.Wrap(err, "open log")
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(f.opts.Daemon, string(instance.Role), "--settings", path)
+	cmd := exec.Command(f.opts.Daemon, string(instance.Role), "--settings", settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return nil, failure.Unavailable.Wrap(err, "start %s", instance.ID)
 	}
-	p := &Process{Instance: instance, Ops: ops, Log: logPath, cmd: cmd, done: make(chan struct{})}
+	p := &Process{Instance: instance, Ops: ops, Log: logPath, settings: settings, cmd: cmd, done: make(chan struct{})}
 	go func() {
 		p.err = cmd.Wait()
 		close(p.done)
