Kill agents at work in the tests of the whole path

An agent beside an engine and one beside the plain service are killed while their servers run requests. Every idempotent request is answered in the end; work that must run once ran once if answered, never twice, and not at all if the last word was not_run.

--- a/cmd/wholepath/path_test.go
+++ b/cmd/wholepath/path_test.go
@@ -112,6 +112,38 @@
 		Expect(f.Duplicates()).To(BeZero())
 		Expect(f.notOnce(orders.RanKeys)).To(BeEmpty(), "keys that were answered and did not run once")
 	})
+
+	// Two agents are killed with kill -9, each while its server works for
+	// callers: one beside an engine, one beside the plain service. Their entries
+	// only find that nothing comes any more. Idempotent requests are tried at
+	// another server, by the entry or by the caller, and all are answered. For
+	// work that must run once the caller is told ran, not_run or unknown: it ran
+	// once if the word is ran, never if it is not_run, and never twice.
+	It("loses nothing and repeats nothing when agents are killed", func() {
+		models, plain := f.modelLoad(8, 30, pool), f.plainLoad(8, orders)
+		answersAfter(models, 20)
+		answersAfter(plain, 20)
+		f.killAtWork("pool-1", func() int { return f.Engines["pool-1"].Status().Load.Running })
+		f.killAtWork("orders-1", func() int { return f.Plain["orders-1"].Status().Running })
+		answersAfter(models, 50)
+		answersAfter(plain, 50)
+		f.expectWhole(models.Stop())
+
+		t := plain.Stop()
+		AddReportEntry("work that must run once", fmt.Sprintf("ran=%d not_run=%d unknown=%d refusals=%d",
+			len(t.RanKeys), len(t.NotRunKeys), len(t.UnknownKeys), t.Refusals))
+		Expect(t.Lost).To(Equal(len(t.NotRunKeys) + len(t.UnknownKeys)))
+		Expect(t.Wrong).To(BeZero(), "answers to other requests")
+		Expect(f.Duplicates()).To(BeZero())
+		Expect(f.notOnce(t.RanKeys)).To(BeEmpty(), "keys that were answered and did not run once")
+		Expect(f.thatRan(t.NotRunKeys)).To(BeEmpty(), "keys that ran though the last word was not_run")
+
+		for _, id := range []fleet.InstanceID{"pool-1", "orders-1"} {
+			_, err := f.RestartAgent(id)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		f.waitAdmitting()
+	})
 })
 
 // behindInOrder lists the engines that have not loaded v, and checks that no
@@ -141,6 +173,19 @@
 	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return executions[key] == 1 })
 }
 
+// thatRan lists the keys that some plain service has run.
+func (f *testFleet) thatRan(keys []string) []string {
+	executions := f.Executions()
+	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return executions[key] == 0 })
+}
+
+// killAtWork kills an agent as soon as its backend server runs requests.
+func (f *testFleet) killAtWork(id fleet.InstanceID, running func() int) {
+	GinkgoHelper()
+	Eventually(running).WithPolling(time.Millisecond).Should(BeNumerically(">", 0), "requests at %s", id)
+	f.Process(id).Kill()
+}
+
 // span is one line of a log that tells of a span.
 type span struct{ id, parent string }
 
