--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -321,6 +321,10 @@
 }
 
 // sourceOf returns from where and from when on a chunk can be drawn.
+//
+// The store is the last resort, for a chunk that the origin sent corrupt and
+// while the origin is down or this member's quota is used up. Unless this
+// member ranks first, it then leaves time to those that still have quota.
 func (p *Plan) sourceOf(queue int, next draw) (SourceKind, time.Time) {
 	d := &p.draws
 	due := d.opened
@@ -332,7 +336,7 @@
 	quota := d.charged < p.roster.quota
 	atOrigin := later(due, d.origin.until)
 	atStore := later(due, d.store.until)
-	if !d.origin.down() && tried.bad != SourceOrigin {
+	if queue != queueOwn && !d.origin.down() && tried.bad != SourceOrigin {
 		atStore = later(due.Add(storeAfter*p.settings.Takeover), d.store.until)
 	}
 	switch {
@@ -340,7 +344,7 @@
 		return SourceStore, atStore
 	case tried.bad == SourceStore, tried.bad == SourceOrigin && d.store.down():
 		return SourceOrigin, atOrigin
-	case tried.bad == SourceOrigin, atStore.Before(atOrigin):
+	case tried.bad == SourceOrigin, d.origin.down() && atStore.Before(atOrigin):
 		return SourceStore, atStore
 	default:
 		return SourceOrigin, atOrigin
--- a/core/spread/driver_test.go
+++ b/core/spread/driver_test.go
@@ -15,12 +15,12 @@
 	chunkBytes = 1 << 20
 	latency    = time.Millisecond
 	stallTime  = time.Second
-	slots      = 3 // uploads and downloads at once, each at a third of a link
+	tendTime   = 250 * time.Millisecond // between looks at the neighbours
 )
 
 // driver steps the plans of a small fleet by a table of messages. A transfer
-// takes a fixed time: slots chunk times from a peer, and from the origin the
-// same or its share of the origin's link, if that is longer.
+// takes one chunk time for each transfer on the busier of its two links when
+// it starts, which is what a link does that sends one after the other.
 type driver struct {
 	now       time.Time
 	begun     time.Time
@@ -47,10 +47,12 @@
 	spread.Member
 	plan  *spread.Plan
 	links map[*agent]bool
-	seen  int // size of the last Seen sent
-	down  bool
-	ready time.Duration
-	wake  time.Time
+	// uploads and downloads that run
+	uploads, downloads int
+	seen               int // size of the last Seen sent
+	down               bool
+	ready              time.Duration
+	wake               time.Time
 }
 
 type event struct {
@@ -89,7 +91,6 @@
 	}
 	d.begun = d.now
 	d.settings.OriginRate = int64(4 * float64(chunks*chunkBytes) / copiesTime.Seconds())
-	d.settings.MaxFetches, d.settings.MaxUploads = slots, slots
 	for i := range n {
 		a := &agent{Member: spread.Member{ID: fleet.InstanceID(fmt.Sprintf("agent-%03d", i))}}
 		a.Region = fleet.Region(fmt.Sprint("region-", i%3))
@@ -120,7 +121,7 @@
 		}
 		d.connect(a)
 		d.step(a)
-		d.at(100*time.Millisecond, tend)
+		d.at(tendTime, tend)
 	}
 	d.at(time.Duration(d.rand.IntN(20))*time.Millisecond, tend)
 }
@@ -242,7 +243,11 @@
 		return
 	}
 	plan, source := a.plan, b.plan
-	d.at(slots*d.chunkTime, func() {
+	a.downloads++
+	b.uploads++
+	d.at(d.chunkTime*time.Duration(max(a.downloads, b.uploads)), func() {
+		a.downloads--
+		b.uploads--
 		source.Released(a.ID)
 		switch {
 		case a.plan != plan || a.down:
@@ -270,7 +275,8 @@
 			return
 		}
 	}
-	took := slots * d.chunkTime
+	a.downloads++
+	took := d.chunkTime * time.Duration(a.downloads)
 	if f.Source == spread.SourceOrigin {
 		d.drawing++
 		d.drawn++
@@ -278,6 +284,7 @@
 	}
 	plan := a.plan
 	d.at(took, func() {
+		a.downloads--
 		if f.Source == spread.SourceOrigin {
 			d.drawing--
 		}
--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -32,7 +32,8 @@
 	MaxFetches int
 	// PerPeer is the number of concurrent downloads from one peer. Default 1.
 	PerPeer int
-	// MaxUploads is the number of concurrent uploads. Default 3.
+	// MaxUploads is the number of concurrent uploads. Default MaxFetches: with
+	// fewer, members wait for slots while links idle.
 	MaxUploads int
 	// MaxNeighbours is the number of neighbours that a member chooses; it may
 	// be chosen by as many more. Default 8.
@@ -57,7 +58,6 @@
 	defaultOriginRate    = 1_250_000_000
 	defaultMaxFetches    = 4
 	defaultPerPeer       = 1
-	defaultMaxUploads    = 3
 	defaultMaxNeighbours = 8
 	defaultListenTime    = time.Second
 
@@ -74,7 +74,7 @@
 	orDefault(&s.OriginRate, defaultOriginRate)
 	orDefault(&s.MaxFetches, defaultMaxFetches)
 	orDefault(&s.PerPeer, defaultPerPeer)
-	orDefault(&s.MaxUploads, defaultMaxUploads)
+	orDefault(&s.MaxUploads, s.MaxFetches)
 	orDefault(&s.MaxNeighbours, defaultMaxNeighbours)
 	orDefault(&s.ListenTime, defaultListenTime)
 	copyTime := float64(m.TotalBytes()) / float64(s.OriginRate) * float64(time.Second)
--- a/core/spread/uploads.go
+++ b/core/spread/uploads.go
@@ -6,24 +6,30 @@
 	"chivespindle.example/core/fleet"
 )
 
+// patientAsks is the number of refusals after which a slot is kept for an
+// asker.
+const patientAsks = 16
+
 // uploads grants this member's upload slots.
 type uploads struct {
 	slots   int
 	running map[fleet.InstanceID]int
 	total   int
-	// refused is when an asker was first refused since it was last granted.
-	refused map[fleet.InstanceID]waiter
+	// waiting holds the askers refused since they were last granted a slot.
+	waiting map[fleet.InstanceID]waiter
 }
 
+// waiter is an asker that was refused.
 type waiter struct {
 	since, last time.Time
+	refusals    int
 }
 
 func newUploads(slots int) uploads {
 	return uploads{
 		slots:   slots,
 		running: map[fleet.InstanceID]int{},
-		refused: map[fleet.InstanceID]waiter{},
+		waiting: map[fleet.InstanceID]waiter{},
 	}
 }
 
@@ -31,15 +37,16 @@
 // ends with one Released; a refused peer is told that this member is busy. The
 // agent first checks that it holds the chunk.
 //
-// A free slot goes to the asker that waits longest, if it asked lately, so
-// that askers with short pauses do not shut others out.
+// A free slot goes to whoever asks first, which keeps the link busy. Only an
+// asker that was refused many times has the next slot kept for it: askers that
+// happen to come back at better moments could else shut it out for long.
 func (p *Plan) Accept(now time.Time, to fleet.InstanceID, chunk int) bool {
 	u := &p.uploads
-	if !p.have.Has(chunk) || u.total+u.waitingBefore(now, to, p.fetchTime) >= u.slots {
+	if !p.have.Has(chunk) || u.total+u.keptFrom(now, to, p.fetchTime) >= u.slots {
 		u.refuse(now, to)
 		return false
 	}
-	delete(u.refused, to)
+	delete(u.waiting, to)
 	u.running[to]++
 	u.total++
 	return true
@@ -58,28 +65,30 @@
 	}
 }
 
-// waitingBefore counts the askers that wait longer than this one. Those that
-// asked longer ago than fresh are forgotten: they went elsewhere.
-func (u *uploads) waitingBefore(now time.Time, to fleet.InstanceID, fresh time.Duration) int {
-	own, waits := u.refused[to]
-	before := 0
-	for id, other := range u.refused {
+// keptFrom counts the slots kept for askers before this one. An asker that has
+// not come back for the time fresh has found the chunk elsewhere.
+func (u *uploads) keptFrom(now time.Time, to fleet.InstanceID, fresh time.Duration) int {
+	own := u.waiting[to]
+	kept := 0
+	for id, other := range u.waiting {
 		if now.Sub(other.last) > fresh {
-			delete(u.refused, id)
+			delete(u.waiting, id)
 			continue
 		}
-		if id != to && (!waits || other.since.Before(own.since)) {
-			before++
+		before := own.refusals < patientAsks || other.since.Before(own.since)
+		if id != to && other.refusals >= patientAsks && before {
+			kept++
 		}
 	}
-	return before
+	return kept
 }
 
 func (u *uploads) refuse(now time.Time, to fleet.InstanceID) {
-	w := u.refused[to]
-	if w.since.IsZero() {
+	w := u.waiting[to]
+	if w.refusals == 0 {
 		w.since = now
 	}
 	w.last = now
-	u.refused[to] = w
+	w.refusals++
+	u.waiting[to] = w
 }
