Add the command-line client

Operators check and compare texts and settings offline, see what the fleet or one process does, follow a rollout and ask why a server is chosen; callers ask for addresses and keys and send requests whose answers stream. Exit codes tell a wrong command line, refused input, a timeout and the outcome of a request apart, and every error is one typed line or one JSON object.

The golden files are whole sessions against statuses recorded from a running fleet. A spec holds the client's types to what the daemon sends. Without connections of its own for each request, net/http sent a keyed request twice when a used connection broke: the spec for that saw 2 orders instead of 1.

--- a/adapters/opsclient/opsclient.go
+++ b/adapters/opsclient/opsclient.go
@@ -31,7 +31,7 @@
 // fleet of 4,000 processes has under 2 MB.
 const maxAnswerBytes = 32 << 20
 
-// WrongRole: the address is that of a process of another role.
+// WrongRole means that the address is that of a process of another role.
 var WrongRole = failure.Invalid.NewSubtype("wrong_role")
 
 // Client asks processes by address. It may be used by many goroutines.
--- /dev/null
+++ b/cmd/chivespindle/explain.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/spf13/cobra"
+
+	"chivespindle.example/adapters/opsclient"
+	"chivespindle.example/core/balance"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+func (c *client) newExplainCommand() *cobra.Command {
+	priority := noUrgency
+	var prefix string
+	command := &cobra.Command{
+		Use:   "explain SERVICE",
+		Short: "Show why each server would or would not be chosen",
+		Long: `Show how an entry would choose a backend server of the service for a request
+now. Entries choose by what each knows, so the answer holds for that entry. With
+several --ops, the first that answers is shown.`,
+		Example: "  chivespindle explain spindle-pool --prefix fault-log --ops 127.0.0.1:7101",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			q := opsclient.Question{Service: fleet.ServiceName(args[0]), Prefix: prefix, Priority: int(priority)}
+			return c.explain(command.Context(), q)
+		},
+		ValidArgsFunction: cobra.NoFileCompletions,
+	}
+	command.Flags().StringVar(&prefix, "prefix", "", "name of the request's prompt prefix")
+	command.Flags().Var(&priority, "priority", "urgency of the request, u=0 (first) to u=7")
+	return command
+}
+
+func (c *client) explain(ctx context.Context, q opsclient.Question) error {
+	client, err := c.newOpsClient()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel, err := c.withTimeout(ctx, questionTimeout)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	explanation, err := c.explainAny(ctx, client, q)
+	if err != nil {
+		return err
+	}
+	return c.print(explainReport{explanation})
+}
+
+// explainAny asks one address after the other, each for its share of the time.
+func (c *client) explainAny(ctx context.Context, client *opsclient.Client, q opsclient.Question) (*opsclient.Explanation, error) {
+	deadline, _ := ctx.Deadline()
+	share := time.Until(deadline) / time.Duration(len(c.flags.ops))
+	var last error
+	for _, addr := range c.flags.ops {
+		limited, cancel := context.WithTimeout(ctx, share)
+		explanation, err := client.Explain(limited, addr, q)
+		cancel()
+		if err == nil {
+			return explanation, nil
+		}
+		last = err
+		if !errorx.HasTrait(err, failure.Temporary) {
+			break // the next entry would say the same
+		}
+	}
+	return nil, last
+}
+
+// explainReport shows an explanation. Its JSON is the entry's answer.
+type explainReport struct{ *opsclient.Explanation }
+
+func (r explainReport) writeText(w io.Writer) {
+	fmt.Fprintf(w, "%s at revision %d, for a request to %s with priority u=%d", r.Entry, r.Revision, r.Service, r.Priority)
+	if r.Prefix != "" {
+		fmt.Fprintf(w, " and prefix %s", r.Prefix)
+	}
+	fmt.Fprintln(w)
+	t := newTable("SERVER", "TIER", "VERDICT", "COST", "IN-FLIGHT", "OTHERS", "SLOTS", "REPORT", "WHY")
+	for _, s := range r.Candidates {
+		t.row(string(s.ID), s.Tier, string(s.Verdict), decimal(s.Cost), strconv.Itoa(s.InFlight),
+			decimal(s.Others), strconv.FormatFloat(s.Slots, 'f', -1, 64), ageText(s.ReportAgeMS), whyText(s))
+	}
+	for _, s := range r.Unknown {
+		t.row(string(s.ID), none, "unknown", none, none, none, none, none, s.Reason)
+	}
+	t.write(w)
+	if len(r.Candidates)+len(r.Unknown) == 0 {
+		fmt.Fprintln(w, "the entry knows no server of the service")
+	}
+}
+
+// decimal gives two decimals, which tell costs apart.
+func decimal(value float64) string {
+	const decimals = 2
+	return strconv.FormatFloat(value, 'f', decimals, 64)
+}
+
+func ageText(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
+
+// reasons says in words what a verdict means.
+var reasons = map[balance.Verdict]string{
+	balance.Eligible: "may be chosen",
+	balance.Excluded: "the request has tried it already",
+	balance.Draining: "takes no new work: it leaves or changes its version",
+	balance.Ejected:  "its recent answers failed or stalled",
+	balance.Busy:     "refused a request a moment ago and asked for a pause",
+	balance.Full:     "its slots and its short queue are taken",
+}
+
+func whyText(s opsclient.Candidate) string {
+	var parts []string
+	if reason, known := reasons[s.Verdict]; known {
+		parts = append(parts, reason)
+	}
+	if s.EjectedMS > 0 {
+		parts = append(parts, "taken back in "+ageText(s.EjectedMS))
+	}
+	if s.Preferred {
+		parts = append(parts, "the prefix leads here")
+	}
+	return strings.Join(parts, "; ")
+}
--- /dev/null
+++ b/cmd/chivespindle/internal/callstream/callstream_test.go
@@ -0,0 +1,119 @@
+package callstream_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/adapters/callerhttp"
+	"chivespindle.example/cmd/chivespindle/internal/callstream"
+	"chivespindle.example/core/failure"
+)
+
+func start(handler http.HandlerFunc) netip.AddrPort {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+var request = callerclient.Request{Service: "workshop-api", IdempotencyKey: "k-1", NonIdempotent: true, Body: []byte("{}")}
+
+// whole answers as an entry does.
+func whole(w http.ResponseWriter, pieces ...string) {
+	w.Header().Set("Trailer", callerhttp.HeaderOutcome)
+	for _, piece := range pieces {
+		_, _ = io.WriteString(w, piece)
+		_ = http.NewResponseController(w).Flush()
+	}
+	w.Header().Set(callerhttp.HeaderOutcome, failure.Ran.String())
+}
+
+var _ = Describe("Send", func() {
+	// A technician reads along while the engine generates. The entry here holds
+	// the second piece back until the first one was passed on: a client that
+	// gathers the answer would wait for ever.
+	It("passes each piece on as it comes", func(ctx SpecContext) {
+		passed := make(chan string, 2)
+		addr := start(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", callerhttp.HeaderOutcome)
+			_, _ = io.WriteString(w, "first")
+			_ = http.NewResponseController(w).Flush()
+			Expect(<-passed).To(Equal("first"))
+			whole(w, "second")
+		})
+		answer, err := callstream.New().Send(ctx, []netip.AddrPort{addr}, request, writerFunc(func(p []byte) (int, error) {
+			passed <- string(p)
+			return len(p), nil
+		}))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Bytes).To(BeEquivalentTo(len("firstsecond")))
+	}, NodeTimeout(10*time.Second))
+
+	// A parts order reaches the entry, which dies before it answers. The order
+	// may have run: it must not be sent again, neither to this entry by the
+	// HTTP library nor to the next one.
+	It("sends once when the connection breaks after the request", func(ctx SpecContext) {
+		var orders atomic.Int32
+		var broken atomic.Bool
+		entry := start(func(w http.ResponseWriter, _ *http.Request) {
+			if !broken.Load() { // a first request leaves a connection that could be used again
+				whole(w, "good")
+				return
+			}
+			orders.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		next := start(func(http.ResponseWriter, *http.Request) { orders.Add(1) })
+		client := callstream.New()
+		_, err := client.Send(ctx, []netip.AddrPort{entry}, request, io.Discard)
+		Expect(err).NotTo(HaveOccurred())
+		broken.Store(true)
+		answer, err := client.Send(ctx, []netip.AddrPort{entry, next}, request, io.Discard)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown), "%v", err)
+		Expect(answer.Entry).To(Equal(entry))
+		Expect(orders.Load()).To(BeEquivalentTo(1))
+	})
+
+	DescribeTable("takes the outcome of a refusal from its header",
+		func(ctx SpecContext, header, body string, outcome failure.Outcome) {
+			addr := start(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(callerhttp.HeaderOutcome, header)
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(w, body)
+			})
+			_, err := callstream.New().Send(ctx, []netip.AddrPort{addr}, request, io.Discard)
+			Expect(err).To(HaveOccurred())
+			Expect(failure.OutcomeOf(err)).To(Equal(outcome))
+		},
+		Entry("not run", "not_run", `{"reason":"full"}`, failure.NotRun),
+		Entry("ran", "ran", `{"reason":"taken before"}`, failure.Ran),
+		Entry("unknown", "unknown", `{"reason":"cut"}`, failure.Unknown),
+		Entry("a word of a later version", "maybe", `{"reason":"?"}`, failure.Unknown),
+		Entry("a body that is cut", "not_run", `{"reas`, failure.NotRun),
+	)
+
+	It("says unknown when the answer cannot be written", func(ctx SpecContext) {
+		addr := start(func(w http.ResponseWriter, _ *http.Request) { whole(w, "good") })
+		full := writerFunc(func([]byte) (int, error) { return 0, io.ErrShortWrite })
+		_, err := callstream.New().Send(ctx, []netip.AddrPort{addr}, request, full)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		Expect(err.Error()).To(ContainSubstring("the answer cannot be written"))
+	})
+
+	It("says not run when there is nobody to ask", func() {
+		_, err := callstream.New().Send(context.Background(), nil, request, io.Discard)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+	})
+})
+
+type writerFunc func(p []byte) (int, error)
+
+func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- /dev/null
+++ b/cmd/chivespindle/internal/follow/event.go
@@ -0,0 +1,174 @@
+package follow
+
+import (
+	"fmt"
+	"strings"
+
+	"chivespindle.example/adapters/opsclient"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/gossip"
+	"chivespindle.example/core/revision"
+)
+
+// Kind says what an Event tells of.
+type Kind string
+
+// Kinds of events.
+const (
+	// RevisionInForce: the entry has another text in force.
+	RevisionInForce Kind = "revision"
+	// TextIsRefused: the entry refuses a text above the one in force.
+	TextIsRefused Kind = "refused"
+	// TextsConflict: there is another text under the revision in force.
+	TextsConflict Kind = "conflict"
+	// ServiceChanged: other numbers of a service's replicas.
+	ServiceChanged Kind = "service"
+	// InstanceChanged: one replica is new or does something else.
+	InstanceChanged Kind = "instance"
+	// InstanceGone: one replica is not listed any more.
+	InstanceGone Kind = "gone"
+	// Finished: the rollout is at its end.
+	Finished Kind = "finished"
+	// Unanswered: no entry answers at present.
+	Unanswered Kind = "unanswered"
+)
+
+// Event is one change. Fields that its kind does not have are zero.
+type Event struct {
+	Kind     Kind              `json:"event"`
+	Entry    fleet.InstanceID  `json:"entry,omitempty"`
+	Fleet    string            `json:"fleet,omitempty"`
+	Revision revision.Revision `json:"revision,omitempty"`
+	Service  *Progress         `json:"service,omitempty"`
+	Instance *opsclient.Member `json:"instance,omitempty"`
+	Reason   string            `json:"reason,omitempty"`
+}
+
+// String returns the event as one line.
+func (e Event) String() string {
+	switch e.Kind {
+	case RevisionInForce:
+		if e.Revision == 0 {
+			return fmt.Sprintf("no text is in force at %s", e.Entry)
+		}
+		return fmt.Sprintf("revision %d of fleet %s is in force at %s", e.Revision, e.Fleet, e.Entry)
+	case TextIsRefused:
+		return fmt.Sprintf("%s refuses a text: %s", e.Entry, oneLine(e.Reason))
+	case TextsConflict:
+		return fmt.Sprintf("%s knows of another text under revision %d", e.Entry, e.Revision)
+	case ServiceChanged:
+		return e.Service.String()
+	case InstanceChanged:
+		return describeInstance(*e.Instance)
+	case InstanceGone:
+		return fmt.Sprintf("%s %s: gone", e.Instance.Service, e.Instance.ID)
+	case Finished:
+		return fmt.Sprintf("finished: every replica serves revision %d", e.Revision)
+	default:
+		return oneLine(e.Reason)
+	}
+}
+
+func oneLine(text string) string { return strings.ReplaceAll(text, "\n", "; ") }
+
+func describeInstance(m opsclient.Member) string {
+	state := string(m.State)
+	switch {
+	case m.State == "":
+		state = "not heard of"
+	case m.Serving.IsZero():
+	case m.State == gossip.StateServing:
+		state += " " + m.Serving.String()
+	default:
+		state += ", serves " + m.Serving.String()
+	}
+	if m.Leaving {
+		state += ", leaving"
+	}
+	if m.Silent {
+		state += ", silent"
+	}
+	return fmt.Sprintf("%s %s: %s", m.Service, m.ID, state)
+}
+
+// Progress counts the replicas of a service by how far they are. Each counts
+// once.
+type Progress struct {
+	Service  fleet.ServiceName `json:"service"`
+	Target   fleet.Version     `json:"target"` // zero for a plain service
+	Replicas int               `json:"replicas"`
+	Serving  int               `json:"serving"` // the target
+	Changing int               `json:"changing"`
+	Staged   int               `json:"staged"`
+	Fetching int               `json:"fetching"`
+	Starting int               `json:"starting"`
+	Other    int               `json:"other"` // serving another version
+	Silent   int               `json:"silent"`
+	Leaving  int               `json:"leaving"` // silent or not
+}
+
+// progressOf counts the replicas, and returns those that are to serve the
+// target and do not.
+func progressOf(service opsclient.ServiceStatus, members []opsclient.Member) (Progress, []opsclient.Member) {
+	p := Progress{Service: service.Service, Target: service.Target}
+	var waiting []opsclient.Member
+	for _, m := range members {
+		if m.Role != fleet.RoleAgent || m.Service != service.Service {
+			continue
+		}
+		p.Replicas++
+		counter := p.counter(m)
+		*counter++
+		if counter != &p.Serving && counter != &p.Leaving {
+			waiting = append(waiting, m)
+		}
+	}
+	return p, waiting
+}
+
+// counter returns the field that a replica counts in.
+func (p *Progress) counter(m opsclient.Member) *int {
+	switch {
+	case m.Leaving:
+		return &p.Leaving
+	case m.Silent:
+		return &p.Silent
+	case m.State == gossip.StateServing && m.Serving == p.Target:
+		return &p.Serving
+	case m.State == gossip.StateChanging:
+		return &p.Changing
+	case m.State == gossip.StateStaged:
+		return &p.Staged
+	case m.State == gossip.StateFetching:
+		return &p.Fetching
+	case m.State == gossip.StateServing:
+		return &p.Other
+	default:
+		return &p.Starting
+	}
+}
+
+// Done reports whether every replica that stays serves the target.
+func (p Progress) Done() bool {
+	return p.Serving > 0 && p.Serving == p.Replicas-p.Leaving
+}
+
+// String returns the progress as one line.
+func (p Progress) String() string {
+	text := fmt.Sprintf("%s: %d of %d serve", p.Service, p.Serving, p.Replicas)
+	if !p.Target.IsZero() {
+		text += " " + p.Target.String()
+	}
+	for _, part := range []struct {
+		count int
+		words string
+	}{
+		{p.Changing, "changing"}, {p.Staged, "staged"}, {p.Fetching, "fetching"}, {p.Starting, "starting"},
+		{p.Other, "on another version"}, {p.Silent, "silent"}, {p.Leaving, "leaving"},
+	} {
+		if part.count > 0 {
+			text += fmt.Sprintf(", %d %s", part.count, part.words)
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/chivespindle/internal/follow/follow.go
@@ -0,0 +1,225 @@
+// Package follow compares successive statuses of a fleet: what changed from
+// one to the next, and whether a rollout has come to its end. It does no I/O.
+package follow
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"chivespindle.example/adapters/opsclient"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/revision"
+)
+
+// TextRefused means that the fleet refuses the highest text, so that the
+// rollout will not begin.
+var TextRefused = failure.Refused.NewSubtype("text")
+
+// Options of a Follower.
+type Options struct {
+	// Services are those to follow; empty for all of the text.
+	Services []fleet.ServiceName
+	// AtLeast is the revision that must be in force before a rollout can be
+	// at its end; 0 for the highest that is seen.
+	AtLeast revision.Revision
+	// Instances adds an event for each change of one replica.
+	Instances bool
+}
+
+// Follower holds what the statuses so far have told. It is not safe for
+// concurrent use.
+type Follower struct {
+	opts    Options
+	highest revision.Revision // seen anywhere
+
+	entry     fleet.InstanceID
+	revision  revision.Revision // in force in the status shown last
+	platform  revision.Revision
+	refused   []string
+	conflicts int
+	progress  map[fleet.ServiceName]Progress
+	members   map[fleet.InstanceID]opsclient.Member
+	waiting   []opsclient.Member // replicas that do not serve their target
+	missing   []fleet.ServiceName
+}
+
+// New returns a Follower that has seen nothing.
+func New(opts Options) *Follower {
+	return &Follower{opts: opts, highest: opts.AtLeast}
+}
+
+// Observe takes the next status and returns what changed. A status older than
+// one that was shown before is passed over: the entry that sent it is behind,
+// and the fleet has not gone back.
+func (f *Follower) Observe(s *opsclient.EntryStatus) []Event {
+	f.raise(s)
+	if s.Revision < f.revision {
+		return nil
+	}
+	events := f.observeText(s)
+	members := make(map[fleet.InstanceID]opsclient.Member, len(s.Fleet))
+	for _, m := range s.Fleet {
+		members[m.ID] = m
+	}
+	if f.opts.Instances && f.members != nil {
+		events = append(events, f.instanceEvents(members)...)
+	}
+	events = append(events, f.observeServices(s)...)
+	f.members = members
+	return events
+}
+
+// raise finds the highest revision. A process may have one in force of which
+// the answering entry has not heard.
+func (f *Follower) raise(s *opsclient.EntryStatus) {
+	f.highest = max(f.highest, s.Revision, s.Config.PlatformRevision)
+	for _, m := range s.Fleet {
+		f.highest = max(f.highest, m.Revision)
+	}
+}
+
+func (f *Follower) observeText(s *opsclient.EntryStatus) []Event {
+	var events []Event
+	if s.Revision != f.revision || f.entry == "" {
+		events = append(events, Event{Kind: RevisionInForce, Entry: s.ID, Revision: s.Revision, Fleet: s.Config.Name})
+	}
+	for _, faults := range s.Config.Refused {
+		if !slices.Contains(f.refused, faults) {
+			events = append(events, Event{Kind: TextIsRefused, Entry: s.ID, Reason: faults})
+		}
+	}
+	if s.Config.Conflicts > f.conflicts {
+		events = append(events, Event{Kind: TextsConflict, Entry: s.ID, Revision: s.Revision})
+	}
+	f.entry = s.ID
+	f.revision = s.Revision
+	f.platform = s.Config.PlatformRevision
+	f.refused = s.Config.Refused
+	f.conflicts = s.Config.Conflicts
+	return events
+}
+
+func (f *Follower) observeServices(s *opsclient.EntryStatus) []Event {
+	var events []Event
+	before := f.progress
+	f.progress = make(map[fleet.ServiceName]Progress)
+	f.waiting = nil
+	f.missing = slices.Clone(f.opts.Services)
+	for _, service := range s.Services {
+		if !f.follows(service.Service) {
+			continue
+		}
+		f.missing = slices.DeleteFunc(f.missing, func(n fleet.ServiceName) bool { return n == service.Service })
+		now, waiting := progressOf(service, s.Fleet)
+		f.progress[service.Service] = now
+		f.waiting = append(f.waiting, waiting...)
+		if now != before[service.Service] {
+			events = append(events, Event{Kind: ServiceChanged, Service: &now})
+		}
+	}
+	return events
+}
+
+func (f *Follower) follows(service fleet.ServiceName) bool {
+	return len(f.opts.Services) == 0 || slices.Contains(f.opts.Services, service)
+}
+
+func (f *Follower) instanceEvents(members map[fleet.InstanceID]opsclient.Member) []Event {
+	var events []Event
+	for _, id := range slices.Sorted(maps.Keys(members)) {
+		now := members[id]
+		if before, known := f.members[id]; f.concerns(now) && (!known || differs(before, now)) {
+			events = append(events, Event{Kind: InstanceChanged, Instance: &now})
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.members)) {
+		before := f.members[id]
+		if _, still := members[id]; f.concerns(before) && !still {
+			events = append(events, Event{Kind: InstanceGone, Instance: &before})
+		}
+	}
+	return events
+}
+
+func (f *Follower) concerns(m opsclient.Member) bool {
+	return m.Role == fleet.RoleAgent && f.follows(m.Service)
+}
+
+// differs leaves the revision out: it is heard late from other zones.
+func differs(a, b opsclient.Member) bool {
+	a.Revision = b.Revision
+	return a != b
+}
+
+// Done reports whether every replica of the services serves its target in the
+// highest revision that was seen, those that leave set aside. A service
+// without a replica is not served. The error tells why that cannot come:
+// TextRefused, or failure.NotFound for a service that the text does not have.
+func (f *Follower) Done() (bool, error) {
+	if f.revision < f.highest {
+		// The platform's highest text may be one that was refused. One that a
+		// process has in force was not.
+		if len(f.refused) > 0 && f.platform == f.highest {
+			return false, TextRefused.New("%s refuses revision %d: %s", f.entry, f.platform, strings.Join(f.refused, "; "))
+		}
+		return false, nil
+	}
+	if f.revision == 0 {
+		return false, nil
+	}
+	if len(f.missing) > 0 {
+		return false, failure.NotFound.New("revision %d has no service %s", f.revision, joinNames(f.missing))
+	}
+	for _, p := range f.progress {
+		if !p.Done() {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
+// Revision is the revision in force in the status shown last.
+func (f *Follower) Revision() revision.Revision { return f.revision }
+
+// Pending says in a few words what is not at its end.
+func (f *Follower) Pending() string {
+	if f.revision < f.highest {
+		return fmt.Sprintf("revision %d is not in force at %s, which has %d", f.highest, f.entry, f.revision)
+	}
+	var reasons []string
+	for _, name := range slices.Sorted(maps.Keys(f.progress)) {
+		if p := f.progress[name]; !p.Done() {
+			reasons = append(reasons, p.String())
+		}
+	}
+	return strings.Join(append(reasons, describeWaiting(f.waiting)...), "; ")
+}
+
+// maxNamed bounds the replicas that one line names.
+const maxNamed = 8
+
+func describeWaiting(waiting []opsclient.Member) []string {
+	if len(waiting) == 0 {
+		return nil
+	}
+	var names []string
+	for _, m := range waiting[:min(len(waiting), maxNamed)] {
+		names = append(names, string(m.ID))
+	}
+	text := "waiting for " + strings.Join(names, ", ")
+	if len(waiting) > maxNamed {
+		text += " and others"
+	}
+	return []string{text}
+}
+
+func joinNames(names []fleet.ServiceName) string {
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/cmd/chivespindle/session_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/callerhttp"
+	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/addressing"
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// session is one run of the program beside servers that stand for a fleet.
+type session struct {
+	args  string // split at blanks; {NAME} is the address of a server
+	stdin string
+	// servers by name; a name has five letters, as a port has five digits, so
+	// that columns stay as they are.
+	servers map[string]netip.AddrPort
+}
+
+// result is what a session left.
+type result struct {
+	code           int
+	stdout, stderr string
+}
+
+// run runs the session with a clock that goes on by half a second at each look.
+func (s session) run(ctx context.Context) result {
+	var stdout, stderr bytes.Buffer
+	now := time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
+	c := &client{
+		stdin: strings.NewReader(s.stdin), stdout: &stdout, stderr: &stderr,
+		now: func() time.Time {
+			now = now.Add(500 * time.Millisecond)
+			return now
+		},
+		// No session waits: an hour stands for a pause that time ends.
+		pause: func(_ context.Context, d time.Duration) bool { return d < time.Hour },
+		build: build{Version: "v1.2.3", Revision: "0f1e2d3c", Modified: true, Go: "go1.26"},
+	}
+	args := s.args
+	for name, addr := range s.servers {
+		args = strings.ReplaceAll(args, "{"+name+"}", addr.String())
+	}
+	code := c.run(ctx, strings.Fields(args))
+	return result{code: code, stdout: s.hide(stdout.String()), stderr: s.hide(stderr.String())}
+}
+
+var requestID = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`)
+
+// hide puts names in place of what differs from run to run.
+func (s session) hide(text string) string {
+	for name, addr := range s.servers {
+		text = strings.ReplaceAll(text, addr.String(), fmt.Sprintf("127.0.0.1:%05s", name))
+	}
+	return requestID.ReplaceAllString(text, "REQUEST-ID")
+}
+
+// expectGolden compares a whole session with the file of that name.
+func (s session) expectGolden(name string) {
+	GinkgoHelper()
+	r := s.run(context.Background())
+	page := fmt.Sprintf("$ chivespindle %s\nexit code %d\n--- standard output\n%s--- standard error\n%s",
+		s.args, r.code, r.stdout, r.stderr)
+	file := filepath.Join("testdata", "golden", name+".txt")
+	if *update {
+		Expect(os.WriteFile(file, []byte(page), 0o644)).To(Succeed())
+	}
+	want, err := os.ReadFile(file)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(page).To(Equal(string(want)))
+}
+
+func start(handler http.Handler) netip.AddrPort {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// recorded returns a recorded status, with each odd word of edits replaced by
+// the next.
+func recorded(name string, edits ...string) []byte {
+	page, err := os.ReadFile(filepath.Join("testdata", "status", name+".json"))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i < len(edits); i += 2 {
+		Expect(string(page)).To(ContainSubstring(edits[i]))
+		page = bytes.ReplaceAll(page, []byte(edits[i]), []byte(edits[i+1]))
+	}
+	return page
+}
+
+// process answers /status with the pages, one after the other and then the
+// last again.
+func process(pages ...[]byte) netip.AddrPort {
+	var asked atomic.Int32
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		n := int(asked.Add(1))
+		_, _ = w.Write(pages[min(n, len(pages))-1])
+	})
+	return start(mux)
+}
+
+// nobody returns an address where nobody listens.
+func nobody() netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// frozen takes connections and never answers, like a paused process.
+func frozen() netip.AddrPort {
+	hang := make(chan struct{})
+	addr := start(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hang }))
+	DeferCleanup(func() { close(hang) })
+	return addr
+}
+
+// callers is the callers' interface of an entry with a dispatcher that does as
+// the service's name says.
+type callers struct{ addr netip.AddrPort }
+
+func newEntry() netip.AddrPort {
+	tracer := telemetry.NewTracer("test", nil)
+	DeferCleanup(func() { Expect(tracer.Shutdown(context.Background())).To(Succeed()) })
+	entry := &callers{}
+	server, err := callerhttp.New(callerhttp.Options{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: entry, Addresses: entry, Keys: entry,
+		MaxBody: 1000, DefaultDeadline: time.Second, Tracer: tracer, Logger: zap.NewNop(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	entry.addr = server.Addr()
+	go func() { _ = server.Run() }()
+	DeferCleanup(func() { Expect(server.Shutdown(context.Background())).To(Succeed()) })
+	return entry.addr
+}
+
+func (e *callers) Addresses(near fleet.Place) addressing.Result {
+	if near.Zone == "empty-hall" {
+		return addressing.Result{TTL: time.Second}
+	}
+	return addressing.Result{Addresses: []netip.AddrPort{e.addr}, TTL: 10 * time.Second}
+}
+
+func (e *callers) IssueKey(service fleet.ServiceName) (string, error) {
+	if service == "nothing" {
+		return "", failure.WithOutcome(calls.UnknownService.New("no service %q", service), failure.NotRun)
+	}
+	return "agent-3.1795000000000.1795000012345.5f0c9a", nil
+}
+
+func (e *callers) Dispatch(_ context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
+	switch r.Service {
+	case "full":
+		err := failure.WithOutcome(calls.Overloaded.New("9 requests run on this entry"), failure.NotRun)
+		return calls.End{}, failure.WithRetryAfter(err, 1400*time.Millisecond)
+	case "lost":
+		return calls.End{}, failure.WithOutcome(calls.Interrupted.New("agent-1: it went away"), failure.Unknown)
+	case "repeated":
+		return calls.End{}, failure.WithOutcome(calls.Duplicate.New("key %s was taken before", r.IdempotencyKey), failure.Ran)
+	}
+	version := fleet.Version{Name: "r3", Manifest: fleet.DigestOf([]byte("r3"))}
+	if err := sink.Begin(calls.Begin{Status: http.StatusOK, Version: version}); err != nil {
+		return calls.End{}, err
+	}
+	said := fmt.Sprintf("%s|%s|%t|%d|%d|%s\n", r.Path, r.Workspace, r.NonIdempotent, r.Priority, len(r.IdempotencyKey), r.Body)
+	if err := sink.Piece([]byte(said)); err != nil {
+		return calls.End{}, err
+	}
+	if r.Service == "cut" {
+		return calls.End{}, failure.WithOutcome(calls.Interrupted.New("agent-1: it went away"), failure.Unknown)
+	}
+	return calls.End{Version: version}, nil
+}
--- /dev/null
+++ b/cmd/chivespindle/status.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"chivespindle.example/adapters/opsclient"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/revision"
+)
+
+func (c *client) newStatusCommand() *cobra.Command {
+	var instances, instance bool
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show what the fleet or one process does",
+		Long: `Show what the fleet does, as an entry sees it: of each service the target
+version and how many replicas serve it, the revisions in force, and texts that
+are refused or in conflict. With several --ops, the answer with the highest
+revision is shown, and all are listed and compared.
+
+An entry hears the revision of a process in another availability zone only when
+that process changes, so the table of revisions may be behind for those.`,
+		Example: `  chivespindle status --ops 127.0.0.1:7101
+  chivespindle status --instances --ops 127.0.0.1:7101
+  chivespindle status --instance --ops 127.0.0.1:7201`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if instance {
+				return c.instanceStatus(command.Context())
+			}
+			return c.fleetStatus(command.Context(), instances)
+		},
+	}
+	command.Flags().BoolVar(&instances, "instances", false, "list the processes of the fleet")
+	command.Flags().BoolVar(&instance, "instance", false, "show the process at --ops itself, an agent or an entry")
+	command.MarkFlagsMutuallyExclusive("instances", "instance")
+	return command
+}
+
+// fleetReport is the fleet's state as one entry sees it.
+type fleetReport struct {
+	Entry     fleet.InstanceID          `json:"entry"`
+	Revision  revision.Revision         `json:"revision"`
+	Config    opsclient.ConfigStatus    `json:"config"`
+	Services  []opsclient.ServiceStatus `json:"services"`
+	Revisions []revisionCount           `json:"revisions"`
+	Instances []opsclient.Member        `json:"instances,omitempty"`
+	Entries   []entryAnswer             `json:"entries"`
+	Conflicts []string                  `json:"conflicts"` // between the entries that were asked
+}
+
+// revisionCount is how many processes that are not silent have a revision in
+// force, as far as the entry has heard.
+type revisionCount struct {
+	Revision  revision.Revision `json:"revision"`
+	Processes int               `json:"processes"`
+}
+
+func (c *client) fleetStatus(ctx context.Context, instances bool) error {
+	client, err := c.newOpsClient()
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	ctx, cancel, err := c.withTimeout(ctx, questionTimeout)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	s, err := askEntries(ctx, client, c.flags.ops)
+	if err != nil {
+		return err
+	}
+	return c.print(newFleetReport(s, instances))
+}
+
+func newFleetReport(s *survey, instances bool) *fleetReport {
+	status := s.best().status
+	members := s.freshen(status.Fleet)
+	r := &fleetReport{
+		Entry:     status.ID,
+		Revision:  status.Revision,
+		Config:    status.Config,
+		Services:  status.Services,
+		Revisions: countRevisions(members),
+		Entries:   s.entries(),
+		Conflicts: s.disagreements(),
+	}
+	if instances {
+		r.Instances = members
+	}
+	return r
+}
+
+func countRevisions(members []opsclient.Member) []revisionCount {
+	list := []revisionCount{}
+	counts := make(map[revision.Revision]int)
+	for _, m := range members {
+		if !m.Silent {
+			counts[m.Revision]++
+		}
+	}
+	for r, n := range counts {
+		list = append(list, revisionCount{Revision: r, Processes: n})
+	}
+	slices.SortFunc(list, func(a, b revisionCount) int { return cmp.Compare(b.Revision, a.Revision) })
+	return list
+}
+
+func (r *fleetReport) writeText(w io.Writer) {
+	if r.Revision == 0 {
+		fmt.Fprintf(w, "no text is in force at %s\n", r.Entry)
+	} else {
+		fmt.Fprintf(w, "fleet %s, revision %d in force at %s, digest %s\n",
+			r.Config.Name, r.Revision, r.Entry, shortDigest(r.Config.Digest))
+	}
+	fmt.Fprintf(w, "platform's last answer: revision %d\n", r.Config.PlatformRevision)
+	r.writeFaults(w)
+	r.writeServices(w)
+	t := newTable("REVISION", "PROCESSES")
+	for _, n := range r.Revisions {
+		t.row(revisionText(n.Revision), strconv.Itoa(n.Processes))
+	}
+	t.write(w)
+	if len(r.Instances) > 0 {
+		writeInstances(w, r.Instances)
+	}
+	r.writeEntries(w)
+}
+
+func (r *fleetReport) writeFaults(w io.Writer) {
+	for _, faults := range r.Config.Refused {
+		for line := range strings.Lines(faults) {
+			fmt.Fprintf(w, "refused text: %s\n", strings.TrimSuffix(line, "\n"))
+		}
+	}
+	if r.Config.Conflicts > 0 {
+		fmt.Fprintf(w, "conflict: %d other texts under revision %d\n", r.Config.Conflicts, r.Revision)
+	}
+	for _, conflict := range r.Conflicts {
+		fmt.Fprintf(w, "conflict: %s\n", conflict)
+	}
+}
+
+func (r *fleetReport) writeServices(w io.Writer) {
+	t := newTable("SERVICE", "TARGET", "REPLICAS", "SERVING", "LEAVING", "SILENT")
+	for _, s := range r.Services {
+		t.row(string(s.Service), versionText(s.Target), strconv.Itoa(s.Replicas),
+			strconv.Itoa(s.Serving), strconv.Itoa(s.Leaving), strconv.Itoa(s.Silent))
+	}
+	t.write(w)
+}
+
+func writeInstances(w io.Writer, members []opsclient.Member) {
+	t := newTable("INSTANCE", "ROLE", "SERVICE", "ZONE", "REGION", "STATE", "SERVING", "REVISION")
+	for _, m := range members {
+		t.row(string(m.ID), string(m.Role), orDash(string(m.Service)), string(m.Place.Zone), string(m.Place.Region),
+			memberState(m), versionText(m.Serving), revisionText(m.Revision))
+	}
+	t.write(w)
+}
+
+func memberState(m opsclient.Member) string {
+	words := []string{orDash(string(m.State))}
+	if m.Leaving {
+		words = append(words, "leaving")
+	}
+	if m.Silent {
+		words = append(words, "silent")
+	}
+	return strings.Join(words, ",")
+}
+
+// writeEntries lists the entries that were asked, unless there is one and it
+// is the one shown.
+func (r *fleetReport) writeEntries(w io.Writer) {
+	if len(r.Entries) == 1 {
+		return
+	}
+	t := newTable("OPS", "ENTRY", "REVISION", "DIGEST", "PLATFORM", "ANSWER")
+	for _, e := range r.Entries {
+		if e.Error != "" {
+			t.row(e.Ops.String(), "-", "-", "-", "-", e.Error+": "+e.Reason)
+			continue
+		}
+		t.row(e.Ops.String(), string(e.ID), revisionText(e.Revision), shortDigest(e.Digest), revisionText(e.Platform), "good")
+	}
+	t.write(w)
+}
--- a/daemon/entry/explain.go
+++ b/daemon/entry/explain.go
@@ -158,9 +158,9 @@
 	case r.Going():
 		return "it leaves"
 	case replicas > subsetSize:
-		return "no load report; this entry follows only a part of the replicas"
+		return "no load report; this entry follows a part of the replicas only"
 	default:
-		return "no load report yet"
+		return "its agent sends no load report"
 	}
 }
 
