--- a/daemon/swarm/gather.go
+++ b/daemon/swarm/gather.go
@@ -15,6 +15,11 @@
 // tried again.
 const relinkAfter = 300 * time.Millisecond
 
+// newsEvery is the time between two news to a neighbour. Each costs about a
+// hundred bytes on each of up to sixteen links; news for every chunk would be
+// most of a node's control traffic.
+const newsEvery = 100 * time.Millisecond
+
 // gather is one version being gathered and given to peers.
 type gather struct {
 	swarm    *Swarm
@@ -31,6 +36,8 @@
 	links    map[fleet.InstanceID]*link
 	retryAt  map[fleet.InstanceID]time.Time
 	running  map[uint64]context.CancelFunc
+	waiting  []chan struct{} // askers that wait for an upload slot
+	nextNews time.Time
 	paused   bool
 	reported bool
 }
@@ -125,7 +132,10 @@
 		return
 	}
 	g.link(now)
-	g.tellNews()
+	if !now.Before(g.nextNews) {
+		g.nextNews = now.Add(newsEvery)
+		g.tellNews()
+	}
 	if !g.paused {
 		g.startFetches(now)
 	}
@@ -174,11 +184,12 @@
 		g.swarm.opts.Logger.Debug("chunk fetch failed", zap.Stringer("version", g.version),
 			zap.Int("chunk", f.Chunk), zap.String("peer", string(f.Peer)), zap.Error(r.err))
 	} else {
+		g.swarm.opts.Logger.Debug("chunk fetched", zap.Stringer("version", g.version),
+			zap.Int("chunk", f.Chunk), zap.Stringer("source", f.Source), zap.String("peer", string(f.Peer)))
 		for _, id := range g.plan.Done(now, f.ID) {
 			g.cancelFetch(id)
 		}
 	}
-	g.tellNews()
 	if !g.paused {
 		g.startFetches(now)
 	}
--- a/daemon/swarm/link.go
+++ b/daemon/swarm/link.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/fleet"
@@ -30,6 +28,7 @@
 	closed   chan struct{}
 	sentHave *weights.Set
 	sentSeen *weights.Set
+	heard    bool // the neighbour has told what it has
 }
 
 func newLink(member spread.Member, dialer fleet.InstanceID, s *peer.Stream, chunks int) *link {
@@ -82,13 +81,16 @@
 		s.Abort()
 		return
 	}
-	g.swarm.post(func(now time.Time) { g.linked(now, newLink(m, g.swarm.opts.Self.ID, s, len(g.manifest.Chunks)), first) })
+	g.swarm.post(func(now time.Time) {
+		g.linked(now, newLink(m, g.swarm.opts.Self.ID, s, len(g.manifest.Chunks)), &first)
+	})
 }
 
-// linked adds an open exchange. Two neighbours that chose each other may open
-// one each at the same time; both keep the one that the lesser id opened, so
-// that neither closes the one that the other keeps.
-func (g *gather) linked(now time.Time, l *link, first wire.ChunkNews) {
+// linked adds an open exchange; first is what the neighbour has told, nil if
+// nothing yet. Two neighbours that chose each other may open one each at the
+// same time; both keep the one that the lesser id opened, so that neither
+// closes the one that the other keeps.
+func (g *gather) linked(now time.Time, l *link, first *wire.ChunkNews) {
 	id := l.member.ID
 	old, ok := g.links[id]
 	if g.ctx.Err() != nil || ok && old.dialer != l.dialer && old.dialer < l.dialer {
@@ -101,10 +103,14 @@
 	}
 	g.links[id] = l
 	g.plan.PeerUp(now, l.member)
-	g.heard(now, id, first)
+	if first != nil {
+		g.heard(now, id, *first)
+	}
 	go g.readNews(l)
 	go g.writeNews(l)
-	g.tellNews()
+	// The first news go out even if there is nothing to tell: the neighbour
+	// draws from the origin only once it has heard what others hold.
+	l.tell(g.plan.Have(), g.plan.Seen())
 	if !g.paused {
 		g.startFetches(now)
 	}
@@ -150,19 +156,23 @@
 	}
 }
 
-// heard takes a neighbour's news. Indexes that the manifest does not have are
-// left out: they come from a peer that is broken.
+// heard takes a neighbour's news; the first tell all that it has. Indexes that
+// the manifest does not have are left out: they come from a peer that is
+// broken.
 func (g *gather) heard(now time.Time, from fleet.InstanceID, news wire.ChunkNews) {
-	if g.ctx.Err() != nil || g.links[from] == nil {
+	l := g.links[from]
+	if g.ctx.Err() != nil || l == nil {
 		return
 	}
 	chunks := len(g.manifest.Chunks)
-	g.plan.PeerGot(now, from, valid(news.Have, chunks))
-	seen := weights.NewSet(chunks)
-	for _, i := range valid(news.Seen, chunks) {
-		seen.Add(i)
+	g.plan.PeerSeen(now, weights.SetOf(chunks, valid(news.Seen, chunks)...))
+	have := valid(news.Have, chunks)
+	if l.heard {
+		g.plan.PeerGot(now, from, have)
+		return
 	}
-	g.plan.PeerSeen(now, seen)
+	l.heard = true
+	g.plan.PeerHas(now, from, weights.SetOf(chunks, have...))
 }
 
 func valid(indexes []int, chunks int) []int {
@@ -178,20 +188,25 @@
 // tellNews queues for each neighbour what it has not been told.
 func (g *gather) tellNews() {
 	for _, l := range g.links {
-		have := missing(g.plan.Have(), l.sentHave)
-		seen := missing(g.plan.Seen(), l.sentSeen)
-		if len(have) == 0 && len(seen) == 0 {
-			continue
-		}
-		select {
-		case l.news <- wire.ChunkNews{Have: have, Seen: seen}:
-			addAll(l.sentHave, have)
-			addAll(l.sentSeen, seen)
-		default:
+		have, seen := g.plan.Have(), g.plan.Seen()
+		if l.sentHave.Count() < have.Count() || l.sentSeen.Count() < seen.Count() {
+			l.tell(have, seen)
 		}
 	}
 }
 
+// tell queues what the neighbour has not been told. If its queue is full the
+// next call tells it.
+func (l *link) tell(have, seen *weights.Set) {
+	news := wire.ChunkNews{Have: missing(have, l.sentHave), Seen: missing(seen, l.sentSeen)}
+	select {
+	case l.news <- news:
+		addAll(l.sentHave, news.Have)
+		addAll(l.sentSeen, news.Seen)
+	default:
+	}
+}
+
 // missing lists what is in all and not in sent.
 func missing(all, sent *weights.Set) []int {
 	return slices.Collect(all.Minus(sent))
@@ -203,49 +218,25 @@
 	}
 }
 
-// ServeChunk answers a stream of peer.KindChunk. It runs on a traffic
-// goroutine.
-func (s *Swarm) ServeChunk(ctx context.Context, from keys.Identity, st *peer.Stream) {
-	st.SetStall(s.opts.Stall)
-	var open wire.ChunkOpen
-	if err := st.Recv(&open); err != nil {
-		st.Abort()
-		return
-	}
-	if open.Exchange {
-		s.acceptExchange(ctx, from, st, open)
-		return
-	}
-	s.giveChunk(ctx, from, st, open)
-}
-
-// acceptExchange answers with an empty first ChunkNews and hands the stream to
-// the control loop. A version that is not gathered here is refused; the
+// acceptExchange takes a neighbour's exchange into use. A version that is not
+// gathered here, or a neighbour that is not known here yet, is refused; the
 // neighbour asks again, since this process may only be late.
 func (s *Swarm) acceptExchange(ctx context.Context, from keys.Identity, st *peer.Stream, open wire.ChunkOpen) {
 	var accepted bool
-	err := s.opts.Loop.Do(ctx, func(time.Time) {
-		g, ok := s.gathers[open.Manifest]
-		accepted = ok && g.plan != nil
-	})
-	if err != nil || !accepted {
-		st.Abort()
-		return
-	}
-	if err := st.Send(wire.ChunkNews{}); err != nil {
-		st.Abort()
-		return
-	}
 	st.SetStall(0)
-	s.post(func(now time.Time) {
+	err := s.opts.Loop.Do(ctx, func(now time.Time) {
 		g, ok := s.gathers[open.Manifest]
 		member, listed := s.member(from.ID)
 		if !ok || g.plan == nil || !listed {
-			st.Abort()
 			return
 		}
-		g.linked(now, newLink(member, from.ID, st, len(g.manifest.Chunks)), wire.ChunkNews{})
+		accepted = true
+		g.linked(now, newLink(member, from.ID, st, len(g.manifest.Chunks)), nil)
 	})
+	if err != nil || !accepted {
+		st.Abort()
+		return
+	}
 	select {
 	case <-st.Context().Done():
 	case <-ctx.Done():
@@ -260,84 +251,3 @@
 	}
 	return spread.Member{}, false
 }
-
-// giveChunk sends one chunk, or the manifest, to a peer.
-func (s *Swarm) giveChunk(ctx context.Context, from keys.Identity, st *peer.Stream, open wire.ChunkOpen) {
-	defer func() { _ = st.CloseSend() }()
-	data, status := s.takeUpload(ctx, from.ID, open)
-	if status != wire.ChunkFollows {
-		_ = st.Send(wire.ChunkHead{Status: status})
-		return
-	}
-	if open.Index != manifestIndex {
-		defer s.releaseUpload(from.ID, open.Manifest)
-	}
-	if err := s.sendChunk(ctx, st, data); err != nil {
-		s.opts.Logger.Debug("chunk upload ended early", zap.String("peer", string(from.ID)), zap.Error(err))
-		st.Abort()
-	}
-}
-
-func (s *Swarm) takeUpload(ctx context.Context, from fleet.InstanceID, open wire.ChunkOpen) ([]byte, wire.ChunkStatus) {
-	status := wire.ChunkMissing
-	var data []byte
-	err := s.opts.Loop.Do(ctx, func(now time.Time) {
-		g, ok := s.gathers[open.Manifest]
-		if !ok || g.plan == nil {
-			return
-		}
-		if open.Index == manifestIndex {
-			data, status = g.raw, wire.ChunkFollows
-			return
-		}
-		status = g.acceptUpload(now, from, open.Index)
-	})
-	if err != nil {
-		return nil, wire.ChunkMissing
-	}
-	if status != wire.ChunkFollows || open.Index == manifestIndex {
-		return data, status
-	}
-	data, err = s.opts.Stage.Get(ctx, open.Manifest, open.Index)
-	if err != nil {
-		s.opts.Logger.Warn("stage cannot give a chunk", zap.Int("chunk", open.Index), zap.Error(err))
-		s.releaseUpload(from, open.Manifest)
-		return nil, wire.ChunkMissing
-	}
-	return data, wire.ChunkFollows
-}
-
-func (g *gather) acceptUpload(now time.Time, from fleet.InstanceID, index int) wire.ChunkStatus {
-	if index < 0 || index >= len(g.manifest.Chunks) || !g.plan.Have().Has(index) {
-		return wire.ChunkMissing
-	}
-	if !g.plan.Accept(now, from, index) {
-		return wire.ChunkBusy
-	}
-	return wire.ChunkFollows
-}
-
-func (s *Swarm) releaseUpload(from fleet.InstanceID, manifest fleet.Digest) {
-	s.post(func(time.Time) {
-		if g, ok := s.gathers[manifest]; ok && g.plan != nil {
-			g.plan.Released(from)
-		}
-	})
-}
-
-func (s *Swarm) sendChunk(ctx context.Context, st *peer.Stream, data []byte) error {
-	if err := st.Send(wire.ChunkHead{Status: wire.ChunkFollows, Bytes: len(data)}); err != nil {
-		return err
-	}
-	for start := 0; start < len(data); start += PieceBytes {
-		piece := data[start:min(start+PieceBytes, len(data))]
-		if err := s.opts.Up.WaitN(ctx, len(piece)); err != nil {
-			return err
-		}
-		if err := st.SendBytes(piece); err != nil {
-			return err
-		}
-	}
-	s.opts.Metrics.Counter("weights_given_bytes").Inc(int64(len(data)))
-	return nil
-}
--- /dev/null
+++ b/standin/bench/burst/fleet.go
@@ -0,0 +1,330 @@
+// Package burst measures how a new version reaches a fleet: the agents' own
+// code over real QUIC on loopback, each behind a link of limited rate, with
+// the stand-ins of the origin and the engines.
+package burst
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/settings"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/process"
+	"chivespindle.example/standin/engine"
+	"chivespindle.example/standin/pki"
+	"chivespindle.example/standin/platform"
+)
+
+// Sizes of the measurement. The origin sends four copies and a machine two in
+// the time T, as the brief says; all that counts is the ratio.
+const (
+	ModelBytes  = 4 << 20
+	ChunkBytes  = 32 << 10
+	MachineRate = 2 << 20
+	OriginRate  = 2 * MachineRate
+
+	regions        = 3
+	zonesPerRegion = 3
+
+	service fleet.ServiceName = "spindle-pool"
+)
+
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// member is one agent with its engine and its link.
+type member struct {
+	id      fleet.InstanceID
+	place   fleet.Place
+	engine  *engine.Engine
+	link    *Link
+	scope   tally.TestScope
+	process *process.Agent
+	ended   chan struct{}
+	stop    func()
+	down    bool
+}
+
+// Fleet is a fleet of agents in this process.
+type Fleet struct {
+	dir       string
+	config    *platform.ConfigService
+	instances *platform.InstanceList
+	origin    *platform.WeightServer
+	store     *platform.WeightServer
+	servers   []*platform.Server
+	authority *pki.Authority
+	members   []*member
+	versions  int
+	logger    *zap.Logger
+}
+
+// NewFleet starts n agents beside empty engines.
+func NewFleet(n int, logger *zap.Logger) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "chivespindle-burst-")
+	if err != nil {
+		return nil, failure.Unavailable.Wrap(err, "work folder")
+	}
+	authority, err := pki.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		dir:       dir,
+		config:    platform.NewConfigService(platform.ConfigOptions{}),
+		instances: platform.NewInstanceList(platform.InstanceListOptions{}),
+		origin:    platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: OriginRate}),
+		store:     platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: MachineRate, RequestsPerSecond: 10}),
+		authority: authority,
+		logger:    logger,
+	}
+	if err := f.start(n); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(n int) error {
+	if err := f.authority.Save(f.dir); err != nil {
+		return err
+	}
+	for _, server := range []func() (*platform.Server, error){
+		func() (*platform.Server, error) { return platform.Start(f.config, anyPort.String()) },
+		func() (*platform.Server, error) { return platform.Start(f.instances, anyPort.String()) },
+		func() (*platform.Server, error) { return platform.Start(f.origin, anyPort.String()) },
+		func() (*platform.Server, error) { return platform.Start(f.store, anyPort.String()) },
+	} {
+		s, err := server()
+		if err != nil {
+			return err
+		}
+		f.servers = append(f.servers, s)
+	}
+	for i := range n {
+		if err := f.add(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) add(i int) error {
+	region := i % regions
+	zone := i / regions % zonesPerRegion
+	m := &member{
+		id:     fleet.InstanceID(fmt.Sprintf("agent-%03d", i)),
+		place:  fleet.Place{Region: fleet.Region(fmt.Sprintf("region-%d", region)), Zone: fleet.Zone(fmt.Sprintf("zone-%d-%d", region, zone))},
+		engine: engine.New(engine.Options{Slots: 8, MaxWaiting: 8, TokenTime: 2 * time.Millisecond, CheckFence: true}),
+	}
+	if _, err := m.engine.Start(anyPort.String()); err != nil {
+		return err
+	}
+	f.members = append(f.members, m)
+	return f.run(m)
+}
+
+// run starts the agent of a member, also again after it was killed.
+func (f *Fleet) run(m *member) error {
+	files, err := f.authority.WriteFiles(filepath.Join(f.dir, string(m.id)), fleet.RoleAgent, m.id)
+	if err != nil {
+		return err
+	}
+	m.link = NewLink(MachineRate)
+	m.scope = tally.NewTestScope("", nil)
+	s := f.settings(m, settings.TLS{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key, ReloadEvery: time.Hour})
+	m.process, err = process.NewAgent(s, f.logger, process.Options{Socket: m.link.Socket, Down: m.link.Down, Metrics: m.scope})
+	if err != nil {
+		return err
+	}
+	f.instances.Set(m.process.Self())
+	var group run.Group
+	for _, actor := range m.process.Actors() {
+		group.Add(actor.Execute, actor.Interrupt)
+	}
+	stop := make(chan struct{})
+	var once sync.Once
+	m.stop = func() { once.Do(func() { close(stop) }) }
+	group.Add(func() error { <-stop; return nil }, func(error) { m.stop() })
+	m.ended = make(chan struct{})
+	go func(ended chan struct{}) {
+		_ = group.Run()
+		close(ended)
+	}(m.ended)
+	m.down = false
+	return nil
+}
+
+// kill ends an agent without a word to anybody: its link is dead first.
+func (m *member) kill() {
+	m.link.Cut(func(netip.AddrPort) bool { return true })
+	m.down = true
+	m.stop()
+	<-m.ended
+	m.process.Close()
+}
+
+func (f *Fleet) settings(m *member, tls settings.TLS) *settings.Settings {
+	return &settings.Settings{
+		Role:     fleet.RoleAgent,
+		Instance: settings.Instance{ID: m.id, Zone: m.place.Zone, Region: m.place.Region, Service: service},
+		Listen:   settings.Listen{Peer: anyPort, Ops: anyPort},
+		Platform: settings.Platform{
+			ConfigURL: f.servers[0].URL(), InstancesURL: f.servers[1].URL(), OriginURL: f.servers[2].URL(), StoreURL: f.servers[3].URL(),
+			WatchWait: 30 * time.Second, ListEvery: time.Second, CallTimeout: 2 * time.Second,
+		},
+		TLS:     tls,
+		Backend: settings.Backend{Kind: settings.BackendEngine, URL: m.engine.URL()},
+		Link:    settings.Link{BytesPerSecond: MachineRate, WeightsShare: 0.8, StallTimeout: time.Second},
+		Limits:  settings.Limits{MaxInFlight: 1024, DrainTimeout: 10 * time.Second, MemoryLimit: 64 << 20},
+		Trace:   settings.Trace{Spans: settings.SpansOff},
+		Agent:   settings.Agent{Stage: settings.StageEngine, UploadSlots: 3, Fetches: 4},
+	}
+}
+
+// Close ends all agents and stand-ins.
+func (f *Fleet) Close() {
+	for _, m := range f.members {
+		if !m.down && m.stop != nil {
+			m.stop()
+		}
+	}
+	for _, m := range f.members {
+		if !m.down && m.ended != nil {
+			<-m.ended
+			m.process.Close()
+		}
+		_ = m.engine.Close()
+	}
+	for _, s := range f.servers {
+		s.Stop()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// newVersion makes another version of the model known to origin and store.
+func (f *Fleet) newVersion() (fleet.Version, error) {
+	f.versions++
+	model, err := platform.NewModel(platform.ModelSpec{
+		Name: fmt.Sprintf("r%d", f.versions), Bytes: ModelBytes, ChunkBytes: ChunkBytes, Seed: uint64(f.versions)})
+	if err != nil {
+		return fleet.Version{}, err
+	}
+	for _, s := range []*platform.WeightServer{f.origin, f.store} {
+		if _, err := s.Add(model.Manifest, model.Chunks); err != nil {
+			return fleet.Version{}, err
+		}
+	}
+	return model.Version, nil
+}
+
+// publish writes the operator's text.
+func (f *Fleet) publish(v fleet.Version, policy string) {
+	f.config.SetText([]byte(fmt.Sprintf(`[fleet]
+name = burst
+[version %[1]s]
+manifest = %[2]s
+[service %[3]s]
+kind = model
+version = %[1]s
+max_unavailable = %[4]d
+spread = %[5]s
+origin_rate = %[6]dB
+`, v.Name, v.Manifest, service, len(f.members), policy, OriginRate)))
+}
+
+// serving counts the living agents whose engine has loaded v.
+func (f *Fleet) serving(v fleet.Version) (serving, living int) {
+	for _, m := range f.members {
+		if m.down {
+			continue
+		}
+		living++
+		if s := m.engine.Status(); s.Loaded == v && !s.Loading {
+			serving++
+		}
+	}
+	return serving, living
+}
+
+// behind names living agents that do not serve v, for a report.
+func (f *Fleet) behind(v fleet.Version) string {
+	var ids []string
+	for _, m := range f.members {
+		if s := m.engine.Status(); !m.down && s.Loaded != v {
+			ids = append(ids, string(m.id))
+		}
+	}
+	slices.Sort(ids)
+	return strings.Join(ids, ",")
+}
+
+// waitServing waits until all living agents serve v and returns how long that
+// took from since.
+func (f *Fleet) waitServing(v fleet.Version, since time.Time, most time.Duration) (time.Duration, error) {
+	for {
+		serving, living := f.serving(v)
+		took := time.Since(since)
+		if serving == living {
+			return took, nil
+		}
+		if took > most {
+			return took, failure.Timeout.New("%d of %d serve %s after %s; behind: %s", serving, living, v.Name, most, f.behind(v))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// mixed counts requests that engines ran on bytes which do not match their
+// version.
+func (f *Fleet) mixed() int {
+	sum := 0
+	for _, m := range f.members {
+		sum += m.engine.Counters().Mixed
+	}
+	return sum
+}
+
+// controlBytes sums what all agents sent between each other apart from the
+// chunks themselves.
+func (f *Fleet) controlBytes() int64 {
+	var sum int64
+	for _, m := range f.members {
+		for _, c := range m.scope.Snapshot().Counters() {
+			switch {
+			case strings.HasSuffix(c.Name(), sentBytes):
+				sum += c.Value()
+			case strings.HasSuffix(c.Name(), givenBytes):
+				sum -= c.Value()
+			}
+		}
+	}
+	return sum
+}
+
+// Names of the metrics that make up the control bytes.
+const (
+	sentBytes  = "bytes_sent"
+	givenBytes = "weights_given_bytes"
+)
+
+// copies turns bytes into copies of the model.
+func copies(bytes uint64) float64 { return float64(bytes) / ModelBytes }
+
+// Bound is the least time in which n instances can have a copy.
+func Bound(n int) time.Duration {
+	oneFromOrigin := float64(ModelBytes) / OriginRate
+	oneAtMachine := float64(ModelBytes) / MachineRate
+	all := float64(n) * ModelBytes / float64(OriginRate+n*MachineRate)
+	return time.Duration(max(oneFromOrigin, oneAtMachine, all) * float64(time.Second))
+}
--- /dev/null
+++ b/standin/cmd/bench/log.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"os"
+	"runtime/pprof"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"chivespindle.example/adapters/telemetry"
+)
+
+// fileLogger writes debug logs to a file, for a look into a measurement.
+func fileLogger(path string) *zap.Logger {
+	file, err := os.Create(path)
+	if err != nil {
+		fail(err)
+	}
+	return telemetry.NewLogger(zapcore.DebugLevel, file)
+}
+
+// startProfile writes a processor profile until the returned function is
+// called; an empty path writes none.
+func startProfile(path string) (stop func()) {
+	if path == "" {
+		return func() {}
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		fail(err)
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		fail(err)
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}
+}
