--- a/standin/cmd/backend/command.go
+++ b/standin/cmd/backend/command.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 
+	"chivespindle.example/core/failure"
 	"chivespindle.example/standin/engine"
 	"chivespindle.example/standin/engine/backend"
 	"chivespindle.example/standin/plainservice"
@@ -55,6 +56,9 @@
 		Short: "Run a model engine",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkSlots(options.Slots); err != nil {
+				return err
+			}
 			return serve(cmd.Context(), cmd.OutOrStdout(), "engine", engine.New(options), at)
 		},
 	}
@@ -77,6 +81,9 @@
 		Short: "Run a plain service",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := checkSlots(options.Slots); err != nil {
+				return err
+			}
 			return serve(cmd.Context(), cmd.OutOrStdout(), "plain", plainservice.New(options), at)
 		},
 	}
@@ -87,6 +94,13 @@
 	return command
 }
 
+func checkSlots(slots int) error {
+	if slots < 1 {
+		return failure.Invalid.New("--slots must be at least 1, got %d", slots)
+	}
+	return nil
+}
+
 func addListens(command *cobra.Command, at *listens) {
 	command.Flags().StringVar(&at.calls, "listen", anyPort, "loopback address of the backend server")
 	command.Flags().StringVar(&at.admin, "admin", anyPort, "loopback address of the counters and faults")
