Measure how a change of the text reaches every process

The watchers now ask on every 0.2 to 2 s through an outage: with the plan for rare reads their wait doubled up to ten minutes, so that a change after an hour's outage would have been minutes late.

--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -20,6 +20,12 @@
 	// firstReads is how many reads of the list after the start are made at
 	// ListEvery by every process, so that a new fleet finds itself quickly.
 	firstReads = 5
+	// watchRetry and watchRetryMost bound the wait before a watch that failed
+	// is tried again: a fifth to all of five times these. The few watchers ask
+	// on through an outage, so that a change is in force seconds after its end
+	// however long it was; 27 of them make some twenty calls a second.
+	watchRetry     = 200 * time.Millisecond
+	watchRetryMost = 400 * time.Millisecond
 	// roleCheckEvery is how often a process looks whether it has become a
 	// watcher.
 	roleCheckEvery = 500 * time.Millisecond
@@ -29,7 +35,7 @@
 // the process is one of its zone's watchers, watches it. It ends with ctx.
 func (n *Node) FollowText(ctx context.Context) error {
 	reads := revision.NewReadPlan(revision.ReadOptions{}, n.newRand())
-	watches := revision.NewReadPlan(revision.ReadOptions{}, n.newRand())
+	watches := revision.NewReadPlan(revision.ReadOptions{Retry: watchRetry, Mean: watchRetryMost}, n.newRand())
 	nextRead := time.Now().Add(n.firstRead(reads))
 	watching, wasBehind := false, true
 	for ctx.Err() == nil {
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -31,14 +31,6 @@
 // that the news of its leaving have gone out.
 const lingerTime = 300 * time.Millisecond
 
-// AgentOptions are what a measurement may replace. The zero value is what the
-// program uses.
-type AgentOptions struct {
-	// Up and Down stand for the machine's link in a measurement; nil: the link
-	// of this machine.
-	Up, Down swarm.Limiter
-}
-
 // Agent is an assembled agent process.
 type Agent struct {
 	*base
@@ -55,9 +47,9 @@
 }
 
 // NewAgent puts an agent together. It takes no stream before it runs.
-func NewAgent(s *settings.Settings, logger *zap.Logger, opts AgentOptions) (*Agent, error) {
+func NewAgent(s *settings.Settings, logger *zap.Logger, opts Options) (*Agent, error) {
 	handler := &late{}
-	b, err := newBase(s, logger, handler)
+	b, err := newBase(s, logger, handler, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -70,10 +62,10 @@
 	return p, nil
 }
 
-func (p *Agent) assemble(opts AgentOptions) error {
+func (p *Agent) assemble(opts Options) error {
 	s := p.settings
 	roleOptions := agent.Options{
-		Self:         p.self(),
+		Self:         p.Self(),
 		Loop:         p.loop,
 		Fetches:      s.Agent.Fetches,
 		UploadSlots:  s.Agent.UploadSlots,
@@ -105,14 +97,15 @@
 	return err
 }
 
-func (p *Agent) self() fleet.Instance {
+// Self is the process as the instance list shows it.
+func (p *Agent) Self() fleet.Instance {
 	self := p.settings.Self()
 	self.PeerAddr = p.endpoint.Addr()
 	return self
 }
 
 // connectBackend makes the adapters of the backend server.
-func (p *Agent) connectBackend(o *agent.Options, opts AgentOptions) error {
+func (p *Agent) connectBackend(o *agent.Options, opts Options) error {
 	addr, err := addrOf(p.settings.Backend.URL)
 	if err != nil {
 		return err
@@ -129,8 +122,8 @@
 }
 
 // connectWeights makes the sources of weights and the limits of the link.
-func (p *Agent) connectWeights(o *agent.Options, client *engine.Client, opts AgentOptions) error {
-	up, down := newShareLimit(opts.Up), newShareLimit(opts.Down)
+func (p *Agent) connectWeights(o *agent.Options, client *engine.Client, opts Options) error {
+	up, down := newShareLimit(nil), newShareLimit(opts.Down)
 	o.UpLimit, o.DownLimit = up, down
 	origin, err := p.source(p.settings.Platform.OriginURL, down)
 	if err != nil {
@@ -140,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	self := p.self()
+	self := p.Self()
 	o.Swarm = swarm.Options{
 		Self:       spread.Member{ID: self.ID, Place: self.Place, Addr: self.PeerAddr},
 		Loop:       p.loop,
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,9 +24,9 @@
 }
 
 // NewEntry puts an entry together and binds its addresses.
-func NewEntry(s *settings.Settings, logger *zap.Logger) (*Entry, error) {
+func NewEntry(s *settings.Settings, logger *zap.Logger, opts Options) (*Entry, error) {
 	handler := &late{}
-	b, err := newBase(s, logger, handler)
+	b, err := newBase(s, logger, handler, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -41,7 +42,7 @@
 func (p *Entry) assemble() error {
 	s := p.settings
 	p.role = entry.New(p.ctx, time.Now(), entry.Options{
-		Self:        p.self(),
+		Self:        p.Self(),
 		Loop:        p.loop,
 		Endpoint:    p.endpoint,
 		AddressTTL:  s.Entry.AddressTTL,
@@ -74,13 +75,18 @@
 		Metrics: p.page,
 		Status:  func() any { return p.role.Status() },
 		Ready:   p.role.Ready,
+		Extra:   map[string]http.Handler{"GET /explain": p.role.ExplainHandler()},
 	})
 	return err
 }
 
-func (p *Entry) self() fleet.Instance {
+// Self is the process as the instance list shows it, with its bound addresses.
+func (p *Entry) Self() fleet.Instance {
 	self := p.settings.Self()
 	self.PeerAddr = p.endpoint.Addr()
+	if p.callers != nil {
+		self.CallerAddr = p.callers.Addr()
+	}
 	return self
 }
 
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -22,10 +23,10 @@
 	"chivespindle.example/adapters/settings"
 	"chivespindle.example/adapters/telemetry"
 	"chivespindle.example/core/failure"
-	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/node"
+	"chivespindle.example/daemon/swarm"
 )
 
 // Actor is one long-running part of a process. Execute runs until it is done
@@ -35,7 +36,7 @@
 	Interrupt func(error)
 }
 
-// DuplicateID: another process runs under this process's id and is newer.
+// DuplicateID is the failure of a process whose id is taken: another process runs under this process's id and is newer.
 var DuplicateID = failure.Namespace.NewType("duplicate_id")
 
 // base is what both roles are made of.
@@ -56,8 +57,20 @@
 	fatal       chan error
 }
 
+// Options are what a measurement may replace. The zero value is what the
+// programs use.
+type Options struct {
+	// Socket stands for the machine's link under the peers' traffic; nil: the
+	// bound socket.
+	Socket func(*net.UDPConn) net.PacketConn
+	// Down limits weights that come in beside the link's share; nil: not.
+	Down swarm.Limiter
+	// Metrics takes the process's metrics; nil: a scope of its own.
+	Metrics tally.Scope
+}
+
 // newBase opens what both roles need. Streams of peers go to handler.
-func newBase(s *settings.Settings, logger *zap.Logger, handler peer.Handler) (*base, error) {
+func newBase(s *settings.Settings, logger *zap.Logger, handler peer.Handler, opts Options) (*base, error) {
 	files := keys.Files{Authority: s.TLS.Authority, Certificate: s.TLS.Certificate, Key: s.TLS.Key}
 	store, err := keys.Load(files)
 	if err != nil {
@@ -76,6 +89,9 @@
 	}
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	b.metrics, b.page, b.closer = telemetry.NewMetrics()
+	if opts.Metrics != nil {
+		b.metrics = opts.Metrics
+	}
 	b.tracer = telemetry.NewTracer("chivespindled-"+string(s.Role), spanLogger(s, logger))
 	b.endpoint, err = peer.New(peer.Options{
 		Listen:  s.Listen.Peer,
@@ -83,6 +99,7 @@
 		Handler: handler,
 		Logger:  logger,
 		Metrics: b.metrics,
+		Socket:  opts.Socket,
 	})
 	if err != nil {
 		b.cancel()
@@ -213,6 +230,9 @@
 	}
 }
 
+// Node gives access to the text in force and the view of the fleet.
+func (b *base) Node() *node.Node { return b.node }
+
 // close releases what newBase opened.
 func (b *base) close() {
 	b.cancel()
@@ -238,8 +258,3 @@
 	}
 	return addr, nil
 }
-
-// placeOf is the instance's place.
-func placeOf(s *settings.Settings) fleet.Place {
-	return fleet.Place{Zone: s.Instance.Zone, Region: s.Instance.Region}
-}
--- a/standin/bench/burst/cases.go
+++ b/standin/bench/burst/cases.go
@@ -76,7 +76,7 @@
 	r := Result{
 		Case:          c,
 		Instances:     len(f.members),
-		OriginCopies:  copies(f.origin.ManifestBytesSent(version.Manifest)),
+		OriginCopies:  copies(f.Origin.ManifestBytesSent(version.Manifest)),
 		TimeOverBound: took.Seconds() / bound.Seconds(),
 		Mixed:         f.mixed() - mixedBefore,
 		ControlBytes:  float64(f.controlBytes()-controlBefore) / float64(len(f.members)) / took.Seconds(),
@@ -130,13 +130,13 @@
 
 func (f *Fleet) corrupt() (heal func()) {
 	const badChunks = 6
-	f.origin.FailNext(platform.FaultCorrupt, badChunks)
+	f.Origin.FailNext(platform.FaultCorrupt, badChunks)
 	victims := f.victims()
 	for _, m := range victims {
 		m.engine.SetFaults(engine.Faults{CorruptStage: true})
 	}
 	return func() {
-		f.origin.ClearFaults()
+		f.Origin.ClearFaults()
 		for _, m := range victims {
 			m.engine.SetFaults(engine.Faults{})
 		}
@@ -145,7 +145,7 @@
 
 func (f *Fleet) stall(bound time.Duration) (heal func()) {
 	const stalledTransfers = 4
-	f.origin.FailNext(platform.FaultStall, stalledTransfers)
+	f.Origin.FailNext(platform.FaultStall, stalledTransfers)
 	time.Sleep(bound / 3)
 	var release []func()
 	for _, m := range f.victims() {
@@ -159,8 +159,8 @@
 	})
 	return func() {
 		timer.Stop()
-		f.origin.ClearFaults()
-		f.origin.ReleaseStalled()
+		f.Origin.ClearFaults()
+		f.Origin.ReleaseStalled()
 	}
 }
 
--- a/standin/bench/burst/fleet.go
+++ b/standin/bench/burst/fleet.go
@@ -6,14 +6,10 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/oklog/run"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -21,8 +17,8 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/daemon/process"
+	"chivespindle.example/standin/bench/local"
 	"chivespindle.example/standin/engine"
-	"chivespindle.example/standin/pki"
 	"chivespindle.example/standin/platform"
 )
 
@@ -40,8 +36,6 @@
 	service fleet.ServiceName = "spindle-pool"
 )
 
-var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
-
 // member is one agent with its engine and its link.
 type member struct {
 	id      fleet.InstanceID
@@ -50,84 +44,43 @@
 	link    *Link
 	scope   tally.TestScope
 	process *process.Agent
-	ended   chan struct{}
-	stop    func()
+	running *local.Running
 	down    bool
 }
 
 // Fleet is a fleet of agents in this process.
 type Fleet struct {
-	dir       string
-	config    *platform.ConfigService
-	instances *platform.InstanceList
-	origin    *platform.WeightServer
-	store     *platform.WeightServer
-	servers   []*platform.Server
-	authority *pki.Authority
-	members   []*member
-	versions  int
-	logger    *zap.Logger
+	*local.Platform
+	members  []*member
+	versions int
+	logger   *zap.Logger
 }
 
 // NewFleet starts n agents beside empty engines.
 func NewFleet(n int, logger *zap.Logger) (*Fleet, error) {
-	dir, err := os.MkdirTemp("", "chivespindle-burst-")
-	if err != nil {
-		return nil, failure.Unavailable.Wrap(err, "work folder")
-	}
-	authority, err := pki.NewAuthority()
+	const storeRequests = 10
+	p, err := local.NewPlatform(local.Options{
+		OriginBytesPerSecond: OriginRate, StoreBytesPerSecond: MachineRate, StoreRequestsPerSecond: storeRequests})
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{
-		dir:       dir,
-		config:    platform.NewConfigService(platform.ConfigOptions{}),
-		instances: platform.NewInstanceList(platform.InstanceListOptions{}),
-		origin:    platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: OriginRate}),
-		store:     platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: MachineRate, RequestsPerSecond: 10}),
-		authority: authority,
-		logger:    logger,
-	}
-	if err := f.start(n); err != nil {
-		f.Close()
-		return nil, err
-	}
-	return f, nil
-}
-
-func (f *Fleet) start(n int) error {
-	if err := f.authority.Save(f.dir); err != nil {
-		return err
-	}
-	for _, server := range []func() (*platform.Server, error){
-		func() (*platform.Server, error) { return platform.Start(f.config, anyPort.String()) },
-		func() (*platform.Server, error) { return platform.Start(f.instances, anyPort.String()) },
-		func() (*platform.Server, error) { return platform.Start(f.origin, anyPort.String()) },
-		func() (*platform.Server, error) { return platform.Start(f.store, anyPort.String()) },
-	} {
-		s, err := server()
-		if err != nil {
-			return err
-		}
-		f.servers = append(f.servers, s)
-	}
+	f := &Fleet{Platform: p, logger: logger}
 	for i := range n {
 		if err := f.add(i); err != nil {
-			return err
+			f.Close()
+			return nil, err
 		}
 	}
-	return nil
+	return f, nil
 }
 
 func (f *Fleet) add(i int) error {
-	region := i % regions
-	zone := i / regions % zonesPerRegion
 	m := &member{
 		id:     fleet.InstanceID(fmt.Sprintf("agent-%03d", i)),
-		place:  fleet.Place{Region: fleet.Region(fmt.Sprintf("region-%d", region)), Zone: fleet.Zone(fmt.Sprintf("zone-%d-%d", region, zone))},
+		place:  local.PlaceOf(i, regions, zonesPerRegion),
 		engine: engine.New(engine.Options{Slots: 8, MaxWaiting: 8, TokenTime: 2 * time.Millisecond, CheckFence: true}),
 	}
-	if _, err := m.engine.Start(anyPort.String()); err != nil {
+	if _, err := m.engine.Start(local.AnyPort.String()); err != nil {
 		return err
 	}
 	f.members = append(f.members, m)
@@ -136,31 +89,21 @@
 
 // run starts the agent of a member, also again after it was killed.
 func (f *Fleet) run(m *member) error {
-	files, err := f.authority.WriteFiles(filepath.Join(f.dir, string(m.id)), fleet.RoleAgent, m.id)
+	s, err := f.Settings(fleet.RoleAgent, m.id, m.place)
 	if err != nil {
 		return err
 	}
+	s.Instance.Service = service
+	s.Backend = settings.Backend{Kind: settings.BackendEngine, URL: m.engine.URL()}
+	s.Link.BytesPerSecond = MachineRate
 	m.link = NewLink(MachineRate)
 	m.scope = tally.NewTestScope("", nil)
-	s := f.settings(m, settings.TLS{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key, ReloadEvery: time.Hour})
 	m.process, err = process.NewAgent(s, f.logger, process.Options{Socket: m.link.Socket, Down: m.link.Down, Metrics: m.scope})
 	if err != nil {
 		return err
 	}
-	f.instances.Set(m.process.Self())
-	var group run.Group
-	for _, actor := range m.process.Actors() {
-		group.Add(actor.Execute, actor.Interrupt)
-	}
-	stop := make(chan struct{})
-	var once sync.Once
-	m.stop = func() { once.Do(func() { close(stop) }) }
-	group.Add(func() error { <-stop; return nil }, func(error) { m.stop() })
-	m.ended = make(chan struct{})
-	go func(ended chan struct{}) {
-		_ = group.Run()
-		close(ended)
-	}(m.ended)
+	f.Instances.Set(m.process.Self())
+	m.running = local.Run(m.process.Actors())
 	m.down = false
 	return nil
 }
@@ -169,47 +112,25 @@
 func (m *member) kill() {
 	m.link.Cut(func(netip.AddrPort) bool { return true })
 	m.down = true
-	m.stop()
-	<-m.ended
+	m.running.Stop()
 	m.process.Close()
 }
 
-func (f *Fleet) settings(m *member, tls settings.TLS) *settings.Settings {
-	return &settings.Settings{
-		Role:     fleet.RoleAgent,
-		Instance: settings.Instance{ID: m.id, Zone: m.place.Zone, Region: m.place.Region, Service: service},
-		Listen:   settings.Listen{Peer: anyPort, Ops: anyPort},
-		Platform: settings.Platform{
-			ConfigURL: f.servers[0].URL(), InstancesURL: f.servers[1].URL(), OriginURL: f.servers[2].URL(), StoreURL: f.servers[3].URL(),
-			WatchWait: 30 * time.Second, ListEvery: time.Second, CallTimeout: 2 * time.Second,
-		},
-		TLS:     tls,
-		Backend: settings.Backend{Kind: settings.BackendEngine, URL: m.engine.URL()},
-		Link:    settings.Link{BytesPerSecond: MachineRate, WeightsShare: 0.8, StallTimeout: time.Second},
-		Limits:  settings.Limits{MaxInFlight: 1024, DrainTimeout: 10 * time.Second, MemoryLimit: 64 << 20},
-		Trace:   settings.Trace{Spans: settings.SpansOff},
-		Agent:   settings.Agent{Stage: settings.StageEngine, UploadSlots: 3, Fetches: 4},
-	}
-}
-
 // Close ends all agents and stand-ins.
 func (f *Fleet) Close() {
 	for _, m := range f.members {
-		if !m.down && m.stop != nil {
-			m.stop()
+		if !m.down && m.running != nil {
+			m.running.Interrupt()
 		}
 	}
 	for _, m := range f.members {
-		if !m.down && m.ended != nil {
-			<-m.ended
+		if !m.down && m.running != nil {
+			m.running.Stop()
 			m.process.Close()
 		}
 		_ = m.engine.Close()
 	}
-	for _, s := range f.servers {
-		s.Stop()
-	}
-	_ = os.RemoveAll(f.dir)
+	f.Platform.Close()
 }
 
 // newVersion makes another version of the model known to origin and store.
@@ -220,7 +141,7 @@
 	if err != nil {
 		return fleet.Version{}, err
 	}
-	for _, s := range []*platform.WeightServer{f.origin, f.store} {
+	for _, s := range []*platform.WeightServer{f.Origin, f.Store} {
 		if _, err := s.Add(model.Manifest, model.Chunks); err != nil {
 			return fleet.Version{}, err
 		}
@@ -230,7 +151,7 @@
 
 // publish writes the operator's text.
 func (f *Fleet) publish(v fleet.Version, policy string) {
-	f.config.SetText([]byte(fmt.Sprintf(`[fleet]
+	f.Config.SetText([]byte(fmt.Sprintf(`[fleet]
 name = burst
 [version %[1]s]
 manifest = %[2]s
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -14,16 +15,18 @@
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/standin/bench/burst"
+	"chivespindle.example/standin/bench/relay"
 )
 
 // gcPercent keeps the collector of this process from becoming the bottleneck.
 const gcPercent = 400
 
 func main() {
-	only := flag.String("only", "", "run only this measurement")
+	only := flag.String("only", "", "comma-separated measurements to run: burst, config; all if empty")
 	sizes := flag.String("sizes", "16,32,64", "fleet sizes of the burst")
 	policies := flag.String("policies", "time,origin", "policies of the burst")
 	faults := flag.String("faults", "none,kill,corrupt,stall,partition,newversion", "faults of the burst at the largest size")
+	processes := flag.String("processes", "9,27,81", "numbers of processes of the configuration measurement")
 	verbose := flag.String("log", "", "write the processes' logs to this file")
 	profile := flag.String("cpuprofile", "", "write a processor profile to this file")
 	flag.Parse()
@@ -31,16 +34,44 @@
 	// All processes of a fleet share this one's collector; each would have its
 	// own.
 	debug.SetGCPercent(gcPercent)
-	if *only != "" && *only != "burst" {
-		fail(failure.Invalid.New("no measurement %q", *only))
-	}
 	logger := zap.NewNop()
 	if *verbose != "" {
 		logger = fileLogger(*verbose)
 	}
-	if err := runBursts(split(*sizes), split(*policies), split(*faults), logger); err != nil {
-		fail(err)
+	measurements := []measurement{
+		{"config", func() error { return runConfig(split(*processes), logger) }},
+		{"burst", func() error { return runBursts(split(*sizes), split(*policies), split(*faults), logger) }},
+	}
+	for _, m := range measurements {
+		if *only != "" && !slices.Contains(split(*only), m.name) {
+			continue
+		}
+		if err := m.run(); err != nil {
+			fail(err)
+		}
+	}
+}
+
+// measurement is one part of the bench.
+type measurement struct {
+	name string
+	run  func() error
+}
+
+// runConfig measures the way of a change at several sizes.
+func runConfig(sizes []string, logger *zap.Logger) error {
+	for _, text := range sizes {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return failure.Invalid.Wrap(err, "size %q", text)
+		}
+		r, err := relay.Measure(n, logger)
+		fmt.Println(r)
+		if err != nil {
+			return err
+		}
 	}
+	return nil
 }
 
 func fail(err error) {
