Name the operators' client by one name in the commands

A local variable hid the type of the program's own run; the body of a declined answer is no part of the package's interface. No change of behaviour; go test -race of the packages passes.

--- a/adapters/opsclient/opsclient.go
+++ b/adapters/opsclient/opsclient.go
@@ -173,8 +173,8 @@
 	return failure.Unavailable.Wrap(err, "%s cannot be asked", addr)
 }
 
-// Decline is the body of an answer that is none to the question.
-type Decline struct {
+// decline is the body of an answer that is none to the question.
+type decline struct {
 	Error  string `json:"error"` // type of the failure
 	Reason string `json:"reason"`
 }
@@ -196,7 +196,7 @@
 	if !known {
 		kind = failure.Refused
 	}
-	var d Decline
+	var d decline
 	if err := json.Unmarshal(body, &d); err == nil && d.Reason != "" {
 		return kind.New("%s: %s", addr, d.Reason)
 	}
--- a/cmd/chivespindle/explain.go
+++ b/cmd/chivespindle/explain.go
@@ -40,17 +40,17 @@
 }
 
 func (c *client) explain(ctx context.Context, q opsclient.Question) error {
-	client, err := c.newOpsClient()
+	ops, err := c.newOpsClient()
 	if err != nil {
 		return err
 	}
-	defer client.Close()
+	defer ops.Close()
 	ctx, cancel, err := c.withTimeout(ctx, questionTimeout)
 	if err != nil {
 		return err
 	}
 	defer cancel()
-	explanation, err := c.explainAny(ctx, client, q)
+	explanation, err := c.explainAny(ctx, ops, q)
 	if err != nil {
 		return err
 	}
@@ -58,13 +58,13 @@
 }
 
 // explainAny asks one address after the other, each for its share of the time.
-func (c *client) explainAny(ctx context.Context, client *opsclient.Client, q opsclient.Question) (*opsclient.Explanation, error) {
+func (c *client) explainAny(ctx context.Context, ops *opsclient.Client, q opsclient.Question) (*opsclient.Explanation, error) {
 	deadline, _ := ctx.Deadline()
 	share := time.Until(deadline) / time.Duration(len(c.flags.ops))
 	var last error
 	for _, addr := range c.flags.ops {
 		limited, cancel := context.WithTimeout(ctx, share)
-		explanation, err := client.Explain(limited, addr, q)
+		explanation, err := ops.Explain(limited, addr, q)
 		cancel()
 		if err == nil {
 			return explanation, nil
--- a/cmd/chivespindle/instance.go
+++ b/cmd/chivespindle/instance.go
@@ -19,11 +19,11 @@
 )
 
 func (c *client) instanceStatus(ctx context.Context) error {
-	client, err := c.newOpsClient()
+	ops, err := c.newOpsClient()
 	if err != nil {
 		return err
 	}
-	defer client.Close()
+	defer ops.Close()
 	if len(c.flags.ops) > 1 {
 		return Usage.New("--instance shows one process; give --ops once")
 	}
@@ -32,7 +32,7 @@
 		return err
 	}
 	defer cancel()
-	status, err := client.Status(ctx, c.flags.ops[0])
+	status, err := ops.Status(ctx, c.flags.ops[0])
 	if err != nil {
 		return err
 	}
--- a/cmd/chivespindle/request.go
+++ b/cmd/chivespindle/request.go
@@ -108,7 +108,8 @@
 		return withCall(err, call)
 	}
 	call.end(failure.Ran, 0)
-	return c.printCall(call)
+	c.printCall(call)
+	return nil
 }
 
 func (c *client) send(ctx context.Context, caller *callerclient.Client, call *callReport, r callerclient.Request) error {
@@ -220,13 +221,12 @@
 	_, _ = fmt.Fprintln(w, line) // the exit code tells the outcome as well
 }
 
-func (c *client) printCall(call *callReport) error {
+func (c *client) printCall(call *callReport) {
 	if c.flags.output == outputJSON {
-		_ = json.NewEncoder(c.stderr).Encode(call) // the exit code tells as well
-		return nil
+		_ = json.NewEncoder(c.stderr).Encode(call) // the exit code tells the outcome as well
+		return
 	}
 	call.writeText(c.stderr)
-	return nil
 }
 
 // withCall returns err with what is known of the request, for its report.
--- a/cmd/chivespindle/status.go
+++ b/cmd/chivespindle/status.go
@@ -65,17 +65,17 @@
 }
 
 func (c *client) fleetStatus(ctx context.Context, instances bool) error {
-	client, err := c.newOpsClient()
+	ops, err := c.newOpsClient()
 	if err != nil {
 		return err
 	}
-	defer client.Close()
+	defer ops.Close()
 	ctx, cancel, err := c.withTimeout(ctx, questionTimeout)
 	if err != nil {
 		return err
 	}
 	defer cancel()
-	s, err := askEntries(ctx, client, c.flags.ops)
+	s, err := askEntries(ctx, ops, c.flags.ops)
 	if err != nil {
 		return err
 	}
--- a/cmd/chivespindle/survey.go
+++ b/cmd/chivespindle/survey.go
@@ -28,12 +28,12 @@
 
 // askEntries asks all addresses at once. It fails only if none answers, with
 // the first one's failure.
-func askEntries(ctx context.Context, client *opsclient.Client, addresses []netip.AddrPort) (*survey, error) {
+func askEntries(ctx context.Context, ops *opsclient.Client, addresses []netip.AddrPort) (*survey, error) {
 	s := &survey{answers: make([]surveyAnswer, len(addresses))}
 	var wait sync.WaitGroup
 	for i, addr := range addresses {
 		wait.Go(func() {
-			status, err := client.Entry(ctx, addr)
+			status, err := ops.Entry(ctx, addr)
 			s.answers[i] = surveyAnswer{ops: addr, status: status, err: err}
 		})
 	}
