--- a/adapters/platform/client.go
+++ b/adapters/platform/client.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -91,25 +90,38 @@
 // Close closes the connections that are not in use.
 func (c *client) Close() { c.http.CloseIdleConnections() }
 
+// call is one GET request.
+type call struct {
+	path string
+	// conditional is true if "304 Not Modified" is an answer to it.
+	conditional bool
+	// etag is sent as If-None-Match; "" for none.
+	etag string
+}
+
 // get sends one request. The caller closes the body of the response, whose
-// status is 200 or one of also.
-func (c *client) get(ctx context.Context, path string, also ...int) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+// status is 200, or 304 for a conditional call.
+func (c *client) get(ctx context.Context, call call) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+call.path, nil)
 	if err != nil {
-		return nil, failure.Internal.Wrap(err, "build request for %s", path)
+		return nil, failure.Internal.Wrap(err, "build request for %s", call.path)
+	}
+	if call.etag != "" {
+		request.Header.Set("If-None-Match", call.etag)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, transferFailure(ctx, err, path)
+		return nil, transferFailure(ctx, err, call.path)
 	}
-	if response.StatusCode == http.StatusOK || slices.Contains(also, response.StatusCode) {
+	unchanged := call.conditional && response.StatusCode == http.StatusNotModified
+	if response.StatusCode == http.StatusOK || unchanged {
 		return response, nil
 	}
 	defer response.Body.Close()
 	// Reading a short answer to its end keeps the connection; it does not
 	// matter whether that works.
 	_, _ = io.CopyN(io.Discard, response.Body, maxDrainBytes)
-	return nil, statusFailure(response, path)
+	return nil, statusFailure(response, call.path)
 }
 
 // statusFailure classifies an answer that carries nothing of use.
--- a/adapters/platform/config.go
+++ b/adapters/platform/config.go
@@ -75,7 +75,7 @@
 func (s *ConfigSource) Read(ctx context.Context) (revision.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	return s.fetch(ctx, configPath)
+	return s.fetch(ctx, call{path: configPath})
 }
 
 // Watch waits until the service answers with a revision other than after, or
@@ -90,7 +90,7 @@
 	waiting, cancel := context.WithTimeout(ctx, s.wait+s.margin)
 	defer cancel()
 	path := fmt.Sprintf("%s?after=%d&wait=%s", configPath, after, s.wait)
-	document, err := s.fetch(waiting, path, http.StatusNotModified)
+	document, err := s.fetch(waiting, call{path: path, conditional: true})
 	if err != nil || document.Revision != 0 {
 		return document, err
 	}
@@ -100,10 +100,9 @@
 	return s.Read(ctx)
 }
 
-// fetch returns the zero document for http.StatusNotModified, which only a
-// watch accepts.
-func (s *ConfigSource) fetch(ctx context.Context, path string, also ...int) (revision.Document, error) {
-	response, err := s.get(ctx, path, also...)
+// fetch returns the zero document for an answer without change.
+func (s *ConfigSource) fetch(ctx context.Context, call call) (revision.Document, error) {
+	response, err := s.get(ctx, call)
 	if err != nil {
 		return revision.Document{}, err
 	}
@@ -115,7 +114,7 @@
 	if err != nil {
 		return revision.Document{}, err
 	}
-	text, err := readBody(ctx, response, MaxTextBytes, path)
+	text, err := readBody(ctx, response, MaxTextBytes, call.path)
 	if err != nil {
 		return revision.Document{}, err
 	}
--- a/adapters/platform/doc.go
+++ b/adapters/platform/doc.go
@@ -4,5 +4,7 @@
 // docs/PLATFORM.md.
 //
 // Every failure is a type of package failure, or Canceled. Nothing here tries
-// again: when to repeat a call is decided by its caller.
+// again, but for net/http, which repeats a request on a new connection when a
+// kept one had closed before any answer: when to repeat a call is decided by
+// its caller.
 package platform
--- a/adapters/platform/instances.go
+++ b/adapters/platform/instances.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"chivespindle.example/core/failure"
@@ -34,6 +36,15 @@
 type InstanceList struct {
 	*client
 	timeout time.Duration
+
+	mu   sync.Mutex
+	last taggedList // the last list that came with an ETag
+}
+
+// taggedList is a list and the ETag that the service gave it.
+type taggedList struct {
+	etag      string
+	instances []fleet.Instance
 }
 
 var _ gossip.InstanceList = (*InstanceList)(nil)
@@ -50,19 +61,44 @@
 
 // Instances returns the whole list or a failure, never a part: a list that
 // lost lines would look like instances that have gone.
+//
+// A list that has not changed since the last call is answered without a body.
+// At 3,910 instances the body is 0.6 MB, so that every reader would otherwise
+// spend its whole allowance on a list that changes about once a minute.
 func (l *InstanceList) Instances(ctx context.Context) ([]fleet.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	response, err := l.get(ctx, instancesPath)
+	last := l.lastList()
+	response, err := l.get(ctx, call{path: instancesPath, conditional: last.etag != "", etag: last.etag})
 	if err != nil {
 		return nil, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotModified {
+		return slices.Clone(last.instances), nil
+	}
 	body, err := readBody(ctx, response, MaxListBytes, instancesPath)
 	if err != nil {
 		return nil, err
 	}
-	return decodeInstances(body)
+	instances, err := decodeInstances(body)
+	if err != nil {
+		return nil, err
+	}
+	l.keep(taggedList{etag: response.Header.Get("ETag"), instances: slices.Clone(instances)})
+	return instances, nil
+}
+
+func (l *InstanceList) lastList() taggedList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
+}
+
+func (l *InstanceList) keep(list taggedList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = list
 }
 
 // decodeInstances reads the JSON form of the list. Unknown fields are
--- a/adapters/platform/instances_test.go
+++ b/adapters/platform/instances_test.go
@@ -60,6 +60,35 @@
 		Expect(list.Instances(ctx)).To(BeEmpty())
 	})
 
+	It("carries an unchanged list once, and a changed one again", func(ctx SpecContext) {
+		service := standin.NewInstanceList(standin.InstanceListOptions{})
+		first := entryInstance("entry-1")
+		service.Set(first)
+		list := instanceList(platform.InstanceListOptions{BaseURL: serve(service)})
+		var carried []uint64
+		for range 3 {
+			instances, err := list.Instances(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(instances).To(Equal([]fleet.Instance{first}))
+			instances[0].ID = "changed by the caller"
+			carried = append(carried, service.BytesSent())
+		}
+		Expect(carried).To(HaveEach(carried[0]))
+
+		service.SetLeaving("entry-1", true)
+		first.Leaving = true
+		Expect(list.Instances(ctx)).To(Equal([]fleet.Instance{first}))
+		Expect(service.Calls()).To(BeEquivalentTo(4))
+	})
+
+	It("refuses an answer without change that it did not ask for", func(ctx SpecContext) {
+		list := instanceList(platform.InstanceListOptions{
+			BaseURL: serve(answering(http.StatusNotModified, "", "")),
+		})
+		_, err := list.Instances(ctx)
+		Expect(err).To(beOfType(failure.Refused))
+	})
+
 	// The caller sees an instance for one lag after it has gone, and misses a
 	// new one for as long. The platform's list is behind; nothing in the
 	// answer shows it, so that the core has to hear of both from peers.
--- a/adapters/platform/weights.go
+++ b/adapters/platform/weights.go
@@ -75,7 +75,7 @@
 	path := weightsPath + manifest.String()
 	ctx, progress := watchProgress(ctx, s.stall, path)
 	defer progress.stop()
-	response, err := s.get(ctx, path)
+	response, err := s.get(ctx, call{path: path})
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +95,7 @@
 	path := fmt.Sprintf("%s%s/chunks/%d", weightsPath, manifest, chunk.Index)
 	ctx, progress := watchProgress(ctx, s.stall, path)
 	defer progress.stop()
-	response, err := s.get(ctx, path)
+	response, err := s.get(ctx, call{path: path})
 	if err != nil {
 		return nil, err
 	}
--- a/standin/cmd/standins/admin.go
+++ b/standin/cmd/standins/admin.go
@@ -166,7 +166,9 @@
 	ConfigCallsLastSecond    int               `json:"config_calls_last_second"`
 	ConfigPeakCallsPerSecond int               `json:"config_peak_calls_per_second"`
 	ConfigWaiting            int               `json:"config_waiting"`
+	ConfigBytes              uint64            `json:"config_bytes"`
 	InstancesCalls           uint64            `json:"instances_calls"`
+	InstancesBytes           uint64            `json:"instances_bytes"`
 	OriginRequests           uint64            `json:"origin_requests"`
 	OriginBytes              uint64            `json:"origin_bytes"`
 	OriginTransfers          int               `json:"origin_transfers"`
@@ -184,7 +186,9 @@
 		ConfigCallsLastSecond:    a.config.CallsLastSecond(),
 		ConfigPeakCallsPerSecond: a.config.PeakCallsPerSecond(),
 		ConfigWaiting:            a.config.Waiting(),
+		ConfigBytes:              a.config.BytesSent(),
 		InstancesCalls:           a.list.Calls(),
+		InstancesBytes:           a.list.BytesSent(),
 		OriginRequests:           a.origin.Requests(),
 		OriginBytes:              a.origin.BytesSent(),
 		OriginTransfers:          a.origin.Transfers(),
--- a/standin/cmd/standins/standins_suite_test.go
+++ b/standin/cmd/standins/standins_suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,5 +10,7 @@
 
 func TestStandins(t *testing.T) {
 	RegisterFailHandler(Fail)
+	// Long enough for a machine that is busy with other tests.
+	SetDefaultEventuallyTimeout(30 * time.Second)
 	RunSpecs(t, "standin/cmd/standins")
 }
--- a/standin/platform/answer.go
+++ b/standin/platform/answer.go
@@ -14,6 +14,13 @@
 	http.Error(w, "too many requests", http.StatusTooManyRequests)
 }
 
+// writeBody returns how many bytes the network took. Fewer than all means that
+// the client has left, which is no failure of the service.
+func writeBody(w http.ResponseWriter, body []byte) uint64 {
+	n, _ := w.Write(body)
+	return uint64(n)
+}
+
 func clockOrDefault(now func() time.Time) func() time.Time {
 	if now == nil {
 		return time.Now
--- a/standin/platform/config.go
+++ b/standin/platform/config.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chivespindle.example/core/failure"
@@ -37,6 +38,7 @@
 	ceiling int
 	calls   *callCounter // every call that arrived
 	granted *callCounter // calls below the ceiling
+	sent    atomic.Uint64
 
 	mu      sync.Mutex
 	kept    []revision.Document // oldest first, never empty
@@ -124,6 +126,9 @@
 // PeakCallsPerSecond returns the most calls that any one second held.
 func (s *ConfigService) PeakCallsPerSecond() int { return s.calls.peakWindow() }
 
+// BytesSent returns the body bytes of texts given to the network so far.
+func (s *ConfigService) BytesSent() uint64 { return s.sent.Load() }
+
 // Waiting returns the number of watches that wait now.
 func (s *ConfigService) Waiting() int {
 	s.mu.Lock()
@@ -187,8 +192,7 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.Header().Set("Content-Length", strconv.Itoa(len(document.Text)))
-	// A failed write means that the client has left.
-	_, _ = w.Write(document.Text)
+	s.sent.Add(writeBody(w, document.Text))
 }
 
 // await returns when the answer of a watch is due, false if its client left.
--- a/standin/platform/instances.go
+++ b/standin/platform/instances.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chivespindle.example/core/fleet"
@@ -34,6 +35,7 @@
 	outage *outage
 	now    func() time.Time
 	calls  *callCounter
+	sent   atomic.Uint64
 
 	mu      sync.Mutex
 	lag     time.Duration
@@ -117,6 +119,9 @@
 // Calls returns the number of calls so far, also those that met an outage.
 func (l *InstanceList) Calls() uint64 { return l.calls.sum() }
 
+// BytesSent returns the body bytes of lists given to the network so far.
+func (l *InstanceList) BytesSent() uint64 { return l.sent.Load() }
+
 // Visible returns what a reader sees now, ordered by id.
 func (l *InstanceList) Visible() []fleet.Instance {
 	l.mu.Lock()
@@ -159,8 +164,13 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	etag := strconv.Quote(fleet.DigestOf(body).String())
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	// A failed write means that the client has left.
-	_, _ = w.Write(body)
+	l.sent.Add(writeBody(w, body))
 }
