Measure what callers see while servers fail

Adds bench=requests: two entries, six engines and two plain services with their agents as separate processes; one agent or engine is slowed, killed, frozen, stalled or drained while requests flow; round robin and random straight to the same engines as baselines; twice the capacity with two priorities.

--- /dev/null
+++ b/standin/bench/requests/fleet.go
@@ -0,0 +1,161 @@
+// Package requests measures what callers see while servers fail: separate
+// processes on loopback, counted by the callers and the stand-ins.
+package requests
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/standin/engine"
+	"chivespindle.example/standin/harness"
+	"chivespindle.example/standin/plainservice"
+	"chivespindle.example/standin/platform"
+)
+
+// Sizes of the measurement: six engines that answer 16 tokens in 80 ms, four
+// at a time, so 300 requests a second in all.
+const (
+	model fleet.ServiceName = "spindle-pool"
+	plain fleet.ServiceName = "workshop-api"
+
+	engines   = 6
+	plains    = 2
+	slots     = 4
+	queue     = 4
+	tokens    = 16
+	tokenTime = 5 * time.Millisecond
+	capacity  = engines * slots * float64(time.Second) / float64(tokens*tokenTime)
+
+	settle = 30 * time.Second
+)
+
+var places = []fleet.Place{
+	{Zone: "apapa-hall", Region: "lagos"},
+	{Zone: "apapa-hall-2", Region: "lagos"},
+}
+
+// Fleet is a running fleet under measurement.
+type Fleet struct {
+	*harness.Fleet
+	dir      string
+	entries  []netip.AddrPort
+	intended string
+}
+
+// NewFleet starts two entries, six engines and two plain services with their
+// agents. daemon is the path of chivespindled.
+func NewFleet(daemon string) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "chivespindle-requests-")
+	if err != nil {
+		return nil, failure.Unavailable.Wrap(err, "work folder")
+	}
+	h, err := harness.New(harness.Options{Daemon: daemon, Dir: dir, ListLag: time.Second})
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Fleet: h, dir: dir}
+	if err := f.start(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	f.Fleet.Close()
+	_ = os.RemoveAll(f.dir)
+}
+
+func (f *Fleet) start() error {
+	const modelBytes, chunkBytes = 1 << 20, 128 << 10
+	m, err := f.AddModel(platform.ModelSpec{Name: "r1", Bytes: modelBytes, ChunkBytes: chunkBytes, Seed: 1})
+	if err != nil {
+		return err
+	}
+	f.intended = harness.VersionText(m.Version)
+	f.Config.SetText([]byte(fmt.Sprintf("[fleet]\nname = requests\n[version r1]\nmanifest = %s\n[service %s]\nkind = model\nversion = r1\n[service %s]\nkind = plain\n",
+		m.Version.Manifest, model, plain)))
+	for i, place := range places {
+		p, err := f.StartEntry(fleet.InstanceID(fmt.Sprintf("entry-%d", i+1)), place)
+		if err != nil {
+			return err
+		}
+		f.entries = append(f.entries, p.Instance.CallerAddr)
+	}
+	for i := range engines {
+		spec := harness.AgentSpec{Service: model, Engine: &engine.Options{Slots: slots, MaxWaiting: queue, TokenTime: tokenTime}}
+		if _, err := f.StartAgent(engineID(i), places[i%len(places)], spec); err != nil {
+			return err
+		}
+	}
+	for i := range plains {
+		spec := harness.AgentSpec{Service: plain, Plain: &plainservice.Options{Delay: tokenTime}}
+		if _, err := f.StartAgent(fleet.InstanceID(fmt.Sprintf("plain-%d", i+1)), places[i%len(places)], spec); err != nil {
+			return err
+		}
+	}
+	return f.waitServing(m.Version)
+}
+
+func engineID(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("engine-%d", i+1)) }
+
+// waitServing waits until all engines serve and requests are answered.
+func (f *Fleet) waitServing(v fleet.Version) error {
+	deadline := time.Now().Add(settle)
+	for _, e := range f.Engines {
+		for e.Status().Loaded != v {
+			if time.Now().After(deadline) {
+				return failure.Timeout.New("the fleet does not serve after %s", settle)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return f.waitAnswers(deadline)
+}
+
+// waitAnswers asks until both services answer.
+func (f *Fleet) waitAnswers(deadline time.Time) error {
+	load := harness.StartLoad(f.client(), f.spec(1))
+	defer load.Stop()
+	const enough = 10
+	for load.Tally().Answers < enough {
+		if time.Now().After(deadline) {
+			return failure.Timeout.New("requests are not answered after %s", settle)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+func (f *Fleet) client() *callerclient.Client {
+	return callerclient.New(callerclient.Options{Seeds: f.entries})
+}
+
+func (f *Fleet) spec(callers int) harness.LoadSpec {
+	return harness.LoadSpec{
+		Models: []fleet.ServiceName{model, model, model, model}, Plain: []fleet.ServiceName{plain},
+		Callers: callers, MaxTokens: tokens, Deadline: 5 * time.Second,
+		Intended: func(version string) bool { return version == f.intended },
+	}
+}
+
+// percentile returns a percentile of durations in milliseconds.
+func percentile(all []time.Duration, percent int) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(all)
+	slices.Sort(sorted)
+	return float64(sorted[(len(sorted)-1)*percent/100].Microseconds()) / 1000
+}
+
+// DaemonPath is where make build puts the daemon.
+func DaemonPath(bin string) string { return filepath.Join(bin, "chivespindled") }
--- /dev/null
+++ b/standin/bench/requests/overload.go
@@ -0,0 +1,140 @@
+package requests
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/standin/harness"
+)
+
+const (
+	// overload is the offered load in capacities.
+	overload = 2
+	// oneInHigh of the requests have high priority.
+	oneInHigh        = 5
+	highPriority     = "u=0"
+	lowPriority      = "u=6"
+	overloadTime     = 6 * time.Second
+	overloadWarmUp   = 2 * time.Second
+	overloadDeadline = 2 * time.Second
+)
+
+// OverloadResult is what a run at twice the capacity came to.
+type OverloadResult struct {
+	High, Low class
+	// Seconds is the time over which answers were counted.
+	Seconds float64
+	Wrong   int
+	// SlowestRefusal is the longest time that a refusal took.
+	SlowestRefusal time.Duration
+}
+
+// class counts the requests of one priority.
+type class struct {
+	Offered, Served, Refused, Unknown int
+	Latencies                         []time.Duration
+}
+
+// String returns the line that bench prints.
+func (r OverloadResult) String() string {
+	served := r.High.Served + r.Low.Served
+	offered := r.High.Offered + r.Low.Offered
+	return fmt.Sprintf("bench=requests fault=overload policy=chivespindle requests=%d answered=%d lost=0 unknown=%d duplicates=0 wrong=%d p50_ms=%.0f p99_ms=%.0f not_run_but_ran=0 high_served=%.3f low_served=%.3f goodput=%.3f refusal_ms=%d",
+		offered, served, r.High.Unknown+r.Low.Unknown, r.Wrong,
+		percentile(r.High.Latencies, 50), percentile(r.High.Latencies, 99),
+		share(r.High.Served, r.High.Offered), share(r.Low.Served, r.Low.Offered),
+		float64(served)/r.Seconds/capacity, r.SlowestRefusal.Milliseconds())
+}
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// RunOverload offers twice the capacity, each request once, and counts what is
+// served after a warm-up.
+func (f *Fleet) RunOverload() OverloadResult {
+	client := f.client()
+	rate := overload * capacity
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer ticker.Stop()
+	r := OverloadResult{Seconds: (overloadTime - overloadWarmUp).Seconds()}
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	started := time.Now()
+	for n := 0; time.Since(started) < overloadTime; n++ {
+		<-ticker.C
+		counted := time.Since(started) >= overloadWarmUp
+		asked.Go(func() {
+			o := f.askOnce(client, n%oneInHigh == 0)
+			if !counted {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			r.add(n%oneInHigh == 0, o)
+		})
+	}
+	asked.Wait()
+	return r
+}
+
+// outcome is how one request ended.
+type outcome struct {
+	served, wrong bool
+	failure       failure.Outcome
+	took          time.Duration
+}
+
+func (r *OverloadResult) add(high bool, o outcome) {
+	c := &r.Low
+	if high {
+		c = &r.High
+	}
+	c.Offered++
+	switch {
+	case o.wrong:
+		r.Wrong++
+	case o.served:
+		c.Served++
+		c.Latencies = append(c.Latencies, o.took)
+	case o.failure == failure.NotRun:
+		c.Refused++
+		r.SlowestRefusal = max(r.SlowestRefusal, o.took)
+	default:
+		c.Unknown++
+	}
+}
+
+func (f *Fleet) askOnce(client *callerclient.Client, high bool) outcome {
+	prompt := harness.Prompt{Prompt: "fault log " + uuid.NewString(), MaxTokens: tokens}
+	body, err := json.Marshal(prompt)
+	if err != nil {
+		return outcome{wrong: true}
+	}
+	priority := lowPriority
+	if high {
+		priority = highPriority
+	}
+	started := time.Now()
+	answer, err := client.Do(context.Background(), callerclient.Request{
+		Service: model, Priority: priority, Deadline: overloadDeadline, Body: body})
+	o := outcome{took: time.Since(started)}
+	if err != nil {
+		o.failure = failure.OutcomeOf(err)
+		return o
+	}
+	version, whole := harness.CheckAnswer(answer.Body, prompt)
+	o.served = whole && version == f.intended
+	o.wrong = !o.served
+	return o
+}
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -16,17 +16,19 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/standin/bench/burst"
 	"chivespindle.example/standin/bench/relay"
+	"chivespindle.example/standin/bench/requests"
 )
 
 // gcPercent keeps the collector of this process from becoming the bottleneck.
 const gcPercent = 400
 
 func main() {
-	only := flag.String("only", "", "comma-separated measurements to run: burst, config; all if empty")
+	only := flag.String("only", "", "comma-separated measurements to run: requests, config, burst; all if empty")
 	sizes := flag.String("sizes", "16,32,64", "fleet sizes of the burst")
 	policies := flag.String("policies", "time,origin", "policies of the burst")
 	faults := flag.String("faults", "none,kill,corrupt,stall,partition,newversion", "faults of the burst at the largest size")
 	processes := flag.String("processes", "9,27,81", "numbers of processes of the configuration measurement")
+	bin := flag.String("bin", "bin", "folder of the built programs")
 	verbose := flag.String("log", "", "write the processes' logs to this file")
 	profile := flag.String("cpuprofile", "", "write a processor profile to this file")
 	flag.Parse()
@@ -39,6 +41,7 @@
 		logger = fileLogger(*verbose)
 	}
 	measurements := []measurement{
+		{"requests", func() error { return runRequests(*bin) }},
 		{"config", func() error { return runConfig(split(*processes), logger) }},
 		{"burst", func() error { return runBursts(split(*sizes), split(*policies), split(*faults), logger) }},
 	}
@@ -58,6 +61,33 @@
 	run  func() error
 }
 
+// runRequests measures what callers see under each fault, beside baselines.
+func runRequests(bin string) error {
+	f, err := requests.NewFleet(requests.DaemonPath(bin))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for _, fault := range requests.Faults() {
+		r, err := f.Run(fault)
+		fmt.Println(r)
+		if err != nil {
+			return err
+		}
+	}
+	for _, fault := range []requests.Fault{requests.FaultNone, requests.FaultSlow} {
+		for name := range requests.Baselines() {
+			r, err := f.RunBaseline(name, fault)
+			fmt.Println(r)
+			if err != nil {
+				return err
+			}
+		}
+	}
+	fmt.Println(f.RunOverload())
+	return nil
+}
+
 // runConfig measures the way of a change at several sizes.
 func runConfig(sizes []string, logger *zap.Logger) error {
 	for _, text := range sizes {
