--- a/cmd/chivespindle/caller_test.go
+++ b/cmd/chivespindle/caller_test.go
@@ -39,6 +39,7 @@
 	func(name, args string, beside func() servers) {
 		session{args: args, stdin: `{"prompt":"E14"}`, servers: beside()}.expectGolden(name)
 	},
+	func(name, _ string, _ func() servers) string { return name },
 	Entry(nil, "addresses", "addresses --zone apapa-hall --region lagos --entry {ENTRY}", oneEntry),
 	Entry(nil, "addresses-json", "addresses --output json --entry {NOONE} --entry {ENTRY}", secondEntry),
 	Entry(nil, "addresses-none", "addresses --zone empty-hall --entry {ENTRY}", oneEntry),
--- a/cmd/chivespindle/fleet_test.go
+++ b/cmd/chivespindle/fleet_test.go
@@ -38,6 +38,7 @@
 	func(name, args string, beside func() servers) {
 		session{args: args, servers: beside()}.expectGolden(name)
 	},
+	func(name, _ string, _ func() servers) string { return name },
 	Entry(nil, "status", "status --ops {ENTRY}",
 		func() servers { return servers{"ENTRY": process(recorded("rollout-6"))} }),
 	Entry(nil, "status-json", "status --output json --ops {ENTRY}",
--- a/cmd/chivespindle/offline_test.go
+++ b/cmd/chivespindle/offline_test.go
@@ -13,6 +13,7 @@
 
 var _ = DescribeTable("Offline sessions",
 	func(name, stdin, args string) { session{args: args, stdin: stdin}.expectGolden(name) },
+	func(name, _, _ string) string { return name },
 	Entry(nil, "help", "", "--help"),
 	Entry(nil, "help-follow", "", "help follow"),
 	Entry(nil, "version", "", "version"),
@@ -55,6 +56,7 @@
 		Expect(r.stderr).To(ContainSubstring(part))
 		Expect(strings.Count(r.stderr, "\n")).To(Equal(1), "one line")
 	},
+	func(args string, _ int, _ string) string { return args },
 	Entry(nil, "statsu", 2, `unknown command "statsu" for "chivespindle" Did you mean this? status`),
 	Entry(nil, "settings chek", 2, `unknown command "chek"`),
 	Entry(nil, "status --nothing", 2, "unknown flag: --nothing"),
