--- a/adapters/platform/instances_test.go
+++ b/adapters/platform/instances_test.go
@@ -3,7 +3,7 @@
 import (
 	"io"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,28 +15,6 @@
 	standin "chivespindle.example/standin/platform"
 )
 
-// manualClock is a clock that a spec moves.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func newManualClock() *manualClock {
-	return &manualClock{now: time.Date(2026, time.March, 2, 8, 0, 0, 0, time.UTC)}
-}
-
-func (c *manualClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) Advance(by time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(by)
-}
-
 var _ = Describe("InstanceList", func() {
 	It("returns every field of every instance, ordered by id", func(ctx SpecContext) {
 		service := standin.NewInstanceList(standin.InstanceListOptions{})
@@ -93,8 +71,9 @@
 	// new one for as long. The platform's list is behind; nothing in the
 	// answer shows it, so that the core has to hear of both from peers.
 	It("shows changes after the lag", func(ctx SpecContext) {
-		clock := newManualClock()
-		service := standin.NewInstanceList(standin.InstanceListOptions{Now: clock.Now})
+		var seconds atomic.Int64
+		now := func() time.Time { return time.Unix(seconds.Load(), 0) }
+		service := standin.NewInstanceList(standin.InstanceListOptions{Now: now})
 		old := entryInstance("old")
 		service.Set(old)
 		list := instanceList(platform.InstanceListOptions{BaseURL: serve(service)})
@@ -104,9 +83,9 @@
 		Expect(service.Remove("old")).To(BeTrue())
 		replacement := entryInstance("replacement")
 		service.Set(replacement)
-		clock.Advance(29 * time.Second)
+		seconds.Add(29)
 		Expect(list.Instances(ctx)).To(ConsistOf(old))
-		clock.Advance(time.Second)
+		seconds.Add(1)
 		Expect(list.Instances(ctx)).To(ConsistOf(replacement))
 	})
 
--- a/adapters/platform/weights_test.go
+++ b/adapters/platform/weights_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -143,8 +144,9 @@
 	})
 
 	It("says how long to pause when the store limits requests", func(ctx SpecContext) {
-		clock := newManualClock()
-		store := holding(standin.WeightOptions{RequestsPerSecond: 0.25, Now: clock.Now}, made)
+		var elapsed atomic.Int64
+		now := func() time.Time { return time.Unix(0, elapsed.Load()) }
+		store := holding(standin.WeightOptions{RequestsPerSecond: 0.25, Now: now}, made)
 		source := weightSource(platform.WeightOptions{BaseURL: serve(store)})
 		_, err := source.Chunk(ctx, made.Version.Manifest, chunk)
 		Expect(err).NotTo(HaveOccurred())
@@ -152,7 +154,7 @@
 		Expect(err).To(beOfType(failure.RateLimited))
 		pause := failure.RetryAfter(err)
 		Expect(pause).To(BeNumerically(">", 0))
-		clock.Advance(pause)
+		elapsed.Add(int64(pause))
 		_, err = source.Chunk(ctx, made.Version.Manifest, chunk)
 		Expect(err).NotTo(HaveOccurred())
 	})
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,28 +17,6 @@
 	"chivespindle.example/standin/platform"
 )
 
-// manualClock is a clock that a spec moves.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *manualClock) Now() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) Advance(by time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(by)
-}
-
-func newManualClock() *manualClock {
-	return &manualClock{now: time.Date(2026, time.March, 2, 8, 0, 0, 0, time.UTC)}
-}
-
 // ask passes one request to a handler and returns what it answered.
 func ask(handler http.Handler, method, target string) *httptest.ResponseRecorder {
 	recorder := httptest.NewRecorder()
@@ -75,8 +52,9 @@
 
 var _ = Describe("ConfigService", func() {
 	It("counts every call and refuses those beyond its ceiling", func() {
-		clock := newManualClock()
-		service := platform.NewConfigService(platform.ConfigOptions{CallsPerSecond: 2, Now: clock.Now})
+		now := time.Unix(0, 0)
+		clock := func() time.Time { return now }
+		service := platform.NewConfigService(platform.ConfigOptions{CallsPerSecond: 2, Now: clock})
 		codes := func() []int {
 			var codes []int
 			for range 3 {
@@ -85,10 +63,10 @@
 			return codes
 		}
 		Expect(codes()).To(Equal([]int{200, 200, 429}))
-		clock.Advance(time.Second - 1)
+		now = now.Add(time.Second - 1)
 		Expect(codes()).To(Equal([]int{429, 429, 429}))
 		Expect(service.CallsLastSecond()).To(Equal(6))
-		clock.Advance(1)
+		now = now.Add(1)
 		Expect(service.CallsLastSecond()).To(Equal(3))
 		Expect(codes()).To(Equal([]int{200, 200, 429}))
 		Expect(service.Calls()).To(BeEquivalentTo(9))
@@ -123,23 +101,23 @@
 
 var _ = Describe("InstanceList", func() {
 	It("shows a change once it is as old as the lag, also a lag made shorter", func() {
-		clock := newManualClock()
-		list := platform.NewInstanceList(platform.InstanceListOptions{Lag: time.Minute, Now: clock.Now})
+		now := time.Unix(0, 0)
+		clock := func() time.Time { return now }
+		list := platform.NewInstanceList(platform.InstanceListOptions{Lag: time.Minute, Now: clock})
 		list.Set(fleet.Instance{ID: "a"})
 		Expect(list.Visible()).To(BeEmpty())
-		clock.Advance(time.Minute)
+		now = now.Add(time.Minute)
 		Expect(list.Visible()).To(HaveLen(1))
 
 		Expect(list.SetLeaving("a", true)).To(BeTrue())
 		Expect(list.Visible()[0].Leaving).To(BeFalse())
-		clock.Advance(10 * time.Second)
+		now = now.Add(10 * time.Second)
 		list.SetLag(10 * time.Second)
 		Expect(list.Visible()[0].Leaving).To(BeTrue())
 	})
 
 	It("hides nothing again when the lag grows", func() {
-		clock := newManualClock()
-		list := platform.NewInstanceList(platform.InstanceListOptions{Now: clock.Now})
+		list := platform.NewInstanceList(platform.InstanceListOptions{})
 		list.Set(fleet.Instance{ID: "a"})
 		list.SetLag(time.Hour)
 		Expect(list.Visible()).To(HaveLen(1))
