--- /dev/null
+++ b/core/admission/concurrency_test.go
@@ -0,0 +1,89 @@
+package admission_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/admission"
+)
+
+// server is a backend server that runs slots requests at once at full speed;
+// more wait in proportion.
+type server struct {
+	slots   int
+	latency time.Duration
+}
+
+func (s server) at(inFlight int) time.Duration {
+	return s.latency * time.Duration(max(inFlight, s.slots)) / time.Duration(s.slots)
+}
+
+// load keeps a server as full as its limit and demand allow, from one second
+// to another.
+func load(c *admission.Concurrency, s server, from, to, demand int) {
+	for second := from; second < to; second++ {
+		inFlight := min(c.Limit(), demand)
+		for i := range 20 {
+			now := after(float64(second) + float64(i)/20)
+			c.Observe(now, admission.Sample{Latency: s.at(inFlight), InFlight: inFlight})
+		}
+	}
+}
+
+var _ = Describe("Concurrency", func() {
+	newLimit := func() *admission.Concurrency {
+		return admission.NewConcurrency(start, admission.ConcurrencyOptions{Initial: 4})
+	}
+
+	// Beyond what a server runs at once, callers only wait longer there while
+	// other servers have room; below, they wait although the server idles.
+	DescribeTable("finds the size of a server",
+		func(slots int) {
+			c := newLimit()
+			load(c, server{slots, 100 * time.Millisecond}, 0, 300, 1000)
+			AddReportEntry("limit", fmt.Sprintf("%d for %d slots", c.Limit(), slots))
+			Expect(c.Limit()).To(And(BeNumerically(">=", slots), BeNumerically("<=", 3*slots)))
+		},
+		Entry("small", 4), Entry("medium", 16), Entry("large", 64),
+	)
+
+	It("follows a server that becomes smaller", func() {
+		c := newLimit()
+		load(c, server{32, 100 * time.Millisecond}, 0, 300, 1000)
+		load(c, server{8, 100 * time.Millisecond}, 300, 330, 1000)
+		Expect(c.Limit()).To(BeNumerically("<=", 24))
+	})
+
+	// The model becomes slower for good. A limit that took that for load
+	// would stay at the least for ever.
+	It("recovers when a server became slower for good", func() {
+		c := newLimit()
+		load(c, server{16, 100 * time.Millisecond}, 0, 100, 1000)
+		load(c, server{16, 500 * time.Millisecond}, 100, 400, 1000)
+		Expect(c.Limit()).To(BeNumerically(">=", 16))
+	})
+
+	It("does not rise while it is not needed", func() {
+		c := newLimit()
+		load(c, server{64, 100 * time.Millisecond}, 0, 300, 3)
+		Expect(c.Limit()).To(Equal(4))
+	})
+
+	It("falls when the server refuses, down to its least", func() {
+		c := newLimit()
+		for i := range 2000 {
+			c.Observe(after(float64(i)/10), admission.Sample{InFlight: c.Limit(), Declined: true})
+		}
+		Expect(c.Limit()).To(Equal(2))
+	})
+
+	It("stays within its bounds", func() {
+		c := admission.NewConcurrency(start, admission.ConcurrencyOptions{Max: 10, Initial: 100})
+		Expect(c.Limit()).To(Equal(10))
+		load(c, server{64, 100 * time.Millisecond}, 0, 100, 1000)
+		Expect(c.Limit()).To(Equal(10))
+	})
+})
--- /dev/null
+++ b/core/admission/room_test.go
@@ -0,0 +1,289 @@
+package admission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"chivespindle.example/core/admission"
+)
+
+// request is one request of the queue model.
+type request struct {
+	priority int
+	arrives  time.Time
+	deadline time.Time
+	took     time.Duration // how long it runs
+	started  time.Time
+}
+
+// ends orders running requests by their end.
+type ends []*request
+
+func (e ends) Len() int           { return len(e) }
+func (e ends) Less(i, j int) bool { return e[i].end().Before(e[j].end()) }
+func (e ends) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *ends) Push(x any)        { *e = append(*e, x.(*request)) }
+func (e *ends) Pop() any {
+	last := len(*e) - 1
+	r := (*e)[last]
+	*e = (*e)[:last]
+	return r
+}
+
+func (r *request) end() time.Time { return r.started.Add(r.took) }
+
+// counts are what became of the requests of one priority.
+type counts struct{ offered, inTime, late, refused, shed int }
+
+// model is a server with slots behind a Room; its clock jumps from event to
+// event.
+type model struct {
+	room    *admission.Room[*request]
+	running ends
+	by      [8]counts
+	busy    time.Duration // run for requests that ended in time
+	last    time.Time     // the last end
+}
+
+// play offers the requests as they arrive and runs until all have ended.
+func (m *model) play(requests []*request) {
+	for i, r := range requests {
+		m.runUntil(r.arrives)
+		m.by[r.priority].offered++
+		offered := m.room.Offer(r.arrives, admission.Urgency{Priority: r.priority, Deadline: r.deadline}, uint64(i), r)
+		switch offered.Entrance {
+		case admission.Started:
+			m.start(r.arrives, r)
+		case admission.Refused:
+			m.by[r.priority].refused++
+		}
+		m.apply(r.arrives, offered.Changes)
+	}
+	m.runUntil(requests[len(requests)-1].arrives.Add(time.Hour))
+}
+
+func (m *model) runUntil(until time.Time) {
+	for len(m.running) > 0 && !m.running[0].end().After(until) {
+		r := heap.Pop(&m.running).(*request)
+		m.last = r.end()
+		if r.end().After(r.deadline) {
+			m.by[r.priority].late++
+		} else {
+			m.by[r.priority].inTime++
+			m.busy += r.took
+		}
+		m.apply(r.end(), m.room.Done(r.end(), r.took))
+	}
+}
+
+func (m *model) start(now time.Time, r *request) {
+	r.started = now
+	heap.Push(&m.running, r)
+}
+
+func (m *model) apply(now time.Time, changes admission.Changes[*request]) {
+	for _, r := range changes.Started {
+		m.start(now, r)
+	}
+	for _, s := range changes.Shed {
+		m.by[s.Handle.priority].shed++
+		Expect(s.RetryAfter).To(BeNumerically(">=", time.Second))
+	}
+}
+
+// arrivals returns requests at load times what slots can do, each of which
+// runs for half a second to one and a half; highShare of them are urgent.
+func arrivals(rnd *rand.Rand, slots int, load, highShare float64, seconds int) []*request {
+	var requests []*request
+	rate := load * float64(slots)
+	for at := 0.0; at < float64(seconds); at += rnd.ExpFloat64() / rate {
+		r := &request{priority: 4, arrives: after(at)}
+		if rnd.Float64() < highShare {
+			r.priority = 1
+		}
+		r.deadline = r.arrives.Add(3 * time.Second)
+		r.took = time.Duration((0.5 + rnd.Float64()) * float64(time.Second))
+		requests = append(requests, r)
+	}
+	return requests
+}
+
+var _ = Describe("Room", func() {
+	const slots, seconds = 16, 120
+	newRoom := func() *admission.Room[*request] {
+		return admission.NewRoom[*request](admission.RoomOptions{Rand: newRand(1), Slots: slots})
+	}
+
+	// Twice as much work comes as the server can do. In a plain queue every
+	// request waits for longer than its caller does, and nobody is served.
+	DescribeTable("keeps goodput and what is important under overload",
+		func(load, highShare float64) {
+			m := &model{room: newRoom()}
+			m.play(arrivals(newRand(5), slots, load, highShare, seconds))
+			high, low := m.by[1], m.by[4]
+			goodput := m.busy.Seconds() / (slots * m.last.Sub(start).Seconds())
+			served := float64(high.inTime) / float64(high.offered)
+			AddReportEntry("overload", fmt.Sprintf("load %.1f: goodput %.3f, urgent served %.4f, late %d of %d, urgent %+v, other %+v",
+				load, goodput, served, high.late+low.late, high.offered+low.offered, high, low))
+			Expect(goodput).To(BeNumerically(">", 0.9))
+			Expect(served).To(BeNumerically(">", 0.99))
+			Expect(high.late + low.late).To(BeNumerically("<=", (high.offered+low.offered)/100))
+		},
+		Entry("twice, a fifth urgent", 2.0, 0.2),
+		Entry("twice, two fifths urgent", 2.0, 0.4),
+		Entry("five times, a tenth urgent", 5.0, 0.1),
+	)
+
+	It("refuses next to nothing while there is room", func() {
+		m := &model{room: newRoom()}
+		m.play(arrivals(newRand(5), slots, 0.8, 0.2, seconds))
+		refused := m.by[1].refused + m.by[4].refused + m.by[1].shed + m.by[4].shed
+		Expect(refused).To(BeNumerically("<=", (m.by[1].offered+m.by[4].offered)/100))
+	})
+
+	fill := func(r *admission.Room[*request], n int) {
+		for range n {
+			Expect(r.Offer(start, admission.Urgency{}, 0, nil).Entrance).To(Equal(admission.Started))
+		}
+	}
+
+	// The caller waits until its time is up and is then refused, though it
+	// was clear from the start.
+	It("refuses at once what cannot be done in time", func() {
+		r := newRoom()
+		fill(r, slots)
+		offered := r.Offer(start, admission.Urgency{Deadline: after(1)}, 1, nil)
+		Expect(offered.Entrance).To(Equal(admission.Refused))
+		Expect(offered.RetryAfter).To(And(BeNumerically(">=", time.Second), BeNumerically("<", 3*time.Second)))
+	})
+
+	// An urgent request pushes another back; that one's caller would wait on
+	// without hope.
+	It("sheds at once what an urgent request makes too late", func() {
+		r := newRoom()
+		fill(r, slots)
+		low := &request{priority: 7}
+		need := 1.5 + 1.0/slots + 0.01
+		Expect(r.Offer(start, admission.Urgency{Priority: 7, Deadline: after(need)}, 1, low).Entrance).To(Equal(admission.Waits))
+		offered := r.Offer(start, admission.Urgency{Priority: 0, Deadline: after(5)}, 2, nil)
+		Expect(offered.Entrance).To(Equal(admission.Waits))
+		Expect(offered.Changes.Shed).To(HaveLen(1))
+		Expect(offered.Changes.Shed[0].Handle).To(BeIdenticalTo(low))
+	})
+
+	It("lets the newest of the least important give way when it is full", func() {
+		r := admission.NewRoom[*request](admission.RoomOptions{Rand: newRand(1), Slots: 1, MaxWaiting: 2})
+		fill(r, 1)
+		first, second := &request{}, &request{}
+		r.Offer(start, admission.Urgency{Priority: 5}, 1, first)
+		r.Offer(start, admission.Urgency{Priority: 5}, 2, second)
+		Expect(r.Offer(start, admission.Urgency{Priority: 5}, 3, nil).Entrance).To(Equal(admission.Refused))
+		offered := r.Offer(start, admission.Urgency{Priority: 4}, 4, nil)
+		Expect(offered.Entrance).To(Equal(admission.Waits))
+		Expect(offered.Changes.Shed[0].Handle).To(BeIdenticalTo(second))
+	})
+
+	It("tells the waiting ones also while no slot comes free", func() {
+		r := newRoom()
+		fill(r, slots)
+		waiting := &request{}
+		Expect(r.Offer(start, admission.Urgency{Deadline: after(3)}, 1, waiting).Entrance).To(Equal(admission.Waits))
+		Expect(r.Expire(after(1)).Shed).To(BeEmpty())
+		Expect(r.Expire(after(2)).Shed).To(HaveLen(1))
+		_, left := r.Load()
+		Expect(left).To(BeZero())
+	})
+
+	It("starts waiting ones in order of importance, then of arrival", func() {
+		r := newRoom()
+		fill(r, slots)
+		late, early, urgent := &request{}, &request{}, &request{}
+		r.Offer(start, admission.Urgency{Priority: 3}, 1, early)
+		r.Offer(start, admission.Urgency{Priority: 3}, 2, late)
+		r.Offer(start, admission.Urgency{Priority: 0}, 3, urgent)
+		for _, want := range []*request{urgent, early, late} {
+			started := r.Done(start, time.Second).Started
+			Expect(started).To(HaveLen(1))
+			Expect(started[0]).To(BeIdenticalTo(want))
+		}
+	})
+
+	It("forgets a caller that leaves", func() {
+		r := newRoom()
+		fill(r, slots)
+		r.Offer(start, admission.Urgency{}, 1, &request{})
+		Expect(r.Leave(1)).To(BeTrue())
+		Expect(r.Leave(1)).To(BeFalse())
+		Expect(r.Done(start, time.Second).Started).To(BeEmpty())
+	})
+
+	It("starts waiting ones when it gets more slots", func() {
+		r := newRoom()
+		fill(r, slots)
+		r.Offer(start, admission.Urgency{}, 1, &request{})
+		Expect(r.SetSlots(start, slots+1).Started).To(HaveLen(1))
+	})
+})
+
+// Every request has one fate, no more run than there are slots, and no slot
+// idles while a request waits.
+func TestRoomLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		r := admission.NewRoom[int](admission.RoomOptions{Rand: newRand(1), Slots: slots, MaxWaiting: 5})
+		now := start
+		running := 0
+		waits := map[int]bool{}
+		apply := func(c admission.Changes[int]) {
+			for _, id := range c.Started {
+				g.Expect(waits[id]).To(BeTrue())
+				delete(waits, id)
+				running++
+			}
+			for _, s := range c.Shed {
+				g.Expect(waits[s.Handle]).To(BeTrue())
+				delete(waits, s.Handle)
+			}
+		}
+		for id := range rapid.IntRange(0, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				u := admission.Urgency{Priority: rapid.IntRange(-1, 9).Draw(t, "priority")}
+				u.Deadline = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(t, "left")) * time.Millisecond)
+				offered := r.Offer(now, u, uint64(id), id)
+				switch offered.Entrance {
+				case admission.Started:
+					running++
+				case admission.Waits:
+					waits[id] = true
+				}
+				apply(offered.Changes)
+			case 2:
+				if running > 0 {
+					running--
+					apply(r.Done(now, time.Duration(rapid.IntRange(0, 2000).Draw(t, "took"))*time.Millisecond))
+				}
+			case 3:
+				apply(r.Expire(now))
+			default:
+				left := r.Leave(uint64(id / 2))
+				g.Expect(left).To(Equal(waits[id/2]))
+				delete(waits, id/2)
+			}
+			nowRunning, nowWaiting := r.Load()
+			g.Expect(nowRunning).To(Equal(running))
+			g.Expect(nowWaiting).To(Equal(len(waits)))
+			g.Expect(running).To(BeNumerically("<=", slots))
+			g.Expect(running == slots || len(waits) == 0).To(BeTrue())
+		}
+	})
+}
