--- a/adapters/peer/dial.go
+++ b/adapters/peer/dial.go
@@ -29,8 +29,9 @@
 func (e *Endpoint) Open(ctx context.Context, addr netip.AddrPort, want fleet.InstanceID, kind Kind) (*Stream, error) {
 	traffic, known := e.metrics.kinds[kind]
 	if !known {
-		return nil, failure.Internal.New("no such kind of stream: %d", kind)
+		return nil, notOpened(failure.Internal.New("no such kind of stream: %d", kind))
 	}
+	addr = netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
 	waiting, cancel := context.WithTimeout(ctx, e.opts.HandshakeTimeout)
 	defer cancel()
 	var last error
--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -26,6 +26,10 @@
 	maxConnectionWindow     = 4 << 20
 )
 
+// wantedBuffer is the socket buffer that quic-go asks for, in bytes. The kernel
+// reports twice of what it grants.
+const wantedBuffer = 7 << 20
+
 // quietBufferWarning is quic-go's switch for a line that it prints through
 // package log when the kernel caps the socket buffer.
 const quietBufferWarning = "QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING"
@@ -44,10 +48,11 @@
 	ctx    context.Context // ends with Close
 	cancel context.CancelCauseFunc
 
-	mu     sync.Mutex
-	links  map[*link]struct{}
-	closed bool
-	work   sync.WaitGroup // dials, connections and handlers; grows only while not closed
+	mu       sync.Mutex
+	links    map[*link]struct{}
+	closed   bool
+	draining bool           // accepted connections take no streams
+	work     sync.WaitGroup // dials, connections and handlers; grows only while not closed
 
 	closeOnce sync.Once
 }
@@ -112,6 +117,7 @@
 	if e.opts.Handler == nil {
 		return nil
 	}
+	defer e.warnSmallBuffer()
 	listener, err := e.transport.Listen(e.opts.Keys.ServerTLS(), e.serverConfig())
 	if err != nil {
 		return failure.Internal.Wrap(err, "listen")
@@ -120,6 +126,23 @@
 	return nil
 }
 
+// warnSmallBuffer says in a line of ours what quic-go would print: with a small
+// buffer the kernel drops packets of a burst, which shows as slow transfers.
+func (e *Endpoint) warnSmallBuffer() {
+	raw, err := e.socket.SyscallConn()
+	if err != nil {
+		return
+	}
+	var size int
+	_ = raw.Control(func(fd uintptr) {
+		size, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF)
+	})
+	if err == nil && size < wantedBuffer {
+		e.opts.Logger.Warn("udp_buffer_small", zap.Int("bytes", size), zap.Int("wanted", wantedBuffer),
+			zap.String("hint", "raise net.core.rmem_max"))
+	}
+}
+
 func (e *Endpoint) handshakeFailed(from netip.AddrPort, cause error) {
 	if e.ctx.Err() != nil {
 		return
@@ -185,7 +208,8 @@
 }
 
 // Close tells the peers, ends all connections and streams, releases the
-// address and waits for the handlers. It must not be called by a handler.
+// address and waits for the handlers. What was sent but has not arrived is
+// lost; see Drain. It must not be called by a handler.
 func (e *Endpoint) Close() error {
 	e.closeOnce.Do(e.shutDown)
 	return nil
@@ -233,8 +257,10 @@
 		return false
 	}
 	e.links[l] = struct{}{}
-	side := e.side(l)
-	side.opened.Inc(1)
+	if e.draining && !l.dialled {
+		l.retire()
+	}
+	e.side(l).opened.Inc(1)
 	context.AfterFunc(l.conn.Context(), func() { e.unregister(l) })
 	return true
 }
--- a/adapters/peer/link.go
+++ b/adapters/peer/link.go
@@ -12,6 +12,12 @@
 	"chivespindle.example/adapters/keys"
 )
 
+// linger is how long a connection stays open after its last stream ended here.
+// The end of a QUIC connection drops what is still on its way: closed at once,
+// the last bytes of an answer that was just sent would be lost. A second is
+// many round trips, so a lost packet is sent again within it.
+const linger = time.Second
+
 // link is one connection with what the endpoint needs to know of it.
 type link struct {
 	conn    *quic.Conn
@@ -85,15 +91,16 @@
 	return !was
 }
 
-// retireIfUnused retires the link if it has no streams and either is retired
-// already or had none since before. It reports whether the link may be closed.
-func (l *link) retireIfUnused(before time.Time) bool {
+// retireIfUnused retires the link if it had no streams for the time unused, or
+// for linger if it is retired already. It reports whether the link may be
+// closed.
+func (l *link) retireIfUnused(now time.Time, unused time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.active > 0 {
-		return false
+	if l.retired {
+		unused = linger
 	}
-	if !l.retired && l.lastUsed.After(before) {
+	if l.active > 0 || now.Sub(l.lastUsed) < max(unused, linger) {
 		return false
 	}
 	l.retired = true
--- a/adapters/peer/recovery_test.go
+++ b/adapters/peer/recovery_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
@@ -144,6 +145,39 @@
 		}, patience).Should(gomega.Equal("y"))
 	})
 
+	// A planned stop. The exchange that runs gets its whole answer. One that
+	// starts now is refused, and its caller knows that nothing was run. Drain
+	// returns only after the answer had time to arrive, so that the Close that
+	// follows cuts nothing off.
+	ginkgo.It("drain before a planned stop", func() {
+		entered, answer := make(chan struct{}, 2), make(chan struct{})
+		p := newPair(func(_ context.Context, _ keys.Identity, _ peer.Kind, s *peer.Stream) {
+			entered <- struct{}{}
+			<-answer
+			_ = s.SendBytes(make([]byte, peer.MaxRawFrame))
+		}, nil)
+		running := p.open(peer.KindRequest)
+		gomega.Expect(running.Send(note{})).To(gomega.Succeed())
+		gomega.Eventually(entered, patience).Should(gomega.Receive())
+		late, cancel := context.WithCancel(context.Background())
+		cancel()
+		gomega.Expect(p.server.Drain(late)).To(beOfType(failure.Timeout))
+		_, err := ask(p.client, p.server.Addr(), peer.KindRequest, "x")
+		expectNotRun(err)
+		got := make(chan []byte, 1)
+		go func() {
+			data, _ := running.RecvBytes(nil)
+			got <- data
+		}()
+		close(answer)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		gomega.Expect(p.server.Drain(ctx)).To(gomega.Succeed())
+		gomega.Expect(p.server.Close()).To(gomega.Succeed())
+		gomega.Eventually(got, patience).Should(gomega.Receive(gomega.HaveLen(peer.MaxRawFrame)))
+		gomega.Expect(entered).NotTo(gomega.Receive())
+	})
+
 	ginkgo.It("and streams end when either side is closed, and Open fails from then on", func() {
 		p := newPair(hold, nil)
 		s := p.open(peer.KindRequest)
--- a/adapters/peer/stream.go
+++ b/adapters/peer/stream.go
@@ -33,11 +33,12 @@
 	stall atomic.Int64 // nanoseconds, 0 for none
 
 	sendMu   sync.Mutex
-	kindSent bool // guarded by sendMu
-	sendErr  error
+	kindSent bool
+	finished bool  // by CloseSend
+	sendErr  error // of all later sends
 
 	recvMu  sync.Mutex
-	recvErr error
+	recvErr error // of all later receives
 
 	endMu    sync.Mutex
 	sendDone bool
@@ -225,12 +226,16 @@
 	}
 	s.sendMu.Lock()
 	defer s.sendMu.Unlock()
+	if s.finished {
+		return nil
+	}
 	if s.sendErr != nil {
 		return s.sendErr
 	}
 	if err := s.raw.Close(); err != nil {
 		return s.failed(err, "finish sending")
 	}
+	s.finished = true
 	s.sendErr = Aborted.New("send: the stream was finished")
 	s.half(&s.sendDone)
 	return nil
--- a/adapters/peer/sweep.go
+++ b/adapters/peer/sweep.go
@@ -1,6 +1,12 @@
 package peer
 
-import "time"
+import (
+	"context"
+	"math"
+	"time"
+
+	"chivespindle.example/core/failure"
+)
 
 // sweepInterval is how often connections are looked through.
 const sweepInterval = time.Second
@@ -41,11 +47,11 @@
 	if l.outdated(e.opts.Keys, now) && l.retire() {
 		e.metrics.outdated(l)
 	}
-	unusedSince := now.Add(-e.opts.UnusedTimeout)
+	unused := e.opts.UnusedTimeout
 	if !l.dialled {
-		unusedSince = time.Time{}
+		unused = math.MaxInt64
 	}
-	if l.retireIfUnused(unusedSince) {
+	if l.retireIfUnused(now, unused) {
 		_ = l.conn.CloseWithError(connUnused, "")
 	}
 }
@@ -60,6 +66,53 @@
 	return links
 }
 
+// drainInterval is how often Drain looks whether streams still run.
+const drainInterval = 20 * time.Millisecond
+
+// Drain prepares a planned stop. From its call on, peers' new streams are
+// refused with the outcome failure.NotRun, while those that run go on. It
+// returns once the last has ended and its answer had a second to arrive, or
+// with failure.Timeout when ctx ends before. Open still works. Call Close, or
+// end the context of Run, afterwards.
+//
+// An answer that the peer is slower to read than that, and that is larger than
+// the flow-control window, may lose its end.
+func (e *Endpoint) Drain(ctx context.Context) error {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		running := e.drainStep()
+		if running == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return failure.Timeout.Wrap(context.Cause(ctx), "drain: connections with running or fresh exchanges: %d", running)
+		case <-ticker.C:
+		}
+	}
+}
+
+// drainStep retires the accepted connections and returns how many of them
+// cannot be closed yet.
+func (e *Endpoint) drainStep() int {
+	running := 0
+	now := time.Now()
+	for _, l := range e.snapshot() {
+		if l.dialled {
+			continue
+		}
+		l.retire()
+		if !l.retireIfUnused(now, linger) {
+			running++
+		}
+	}
+	return running
+}
+
 // Stats is what an endpoint's live connections have cost so far. Bytes and
 // packets are those of QUIC, without the headers of UDP and IP.
 type Stats struct {
--- a/adapters/peer/trust_test.go
+++ b/adapters/peer/trust_test.go
@@ -193,7 +193,8 @@
 		_, err := ask(left, p.server.Addr(), peer.KindRequest, "after")
 		expectNotRun(err)
 		running.Abort()
-		gomega.Eventually(func() int { return p.client.Stats().Dialled }, patience).Should(gomega.Equal(1))
+		p.client.Sweep(time.Now().Add(peer.Linger))
+		gomega.Expect(p.client.Stats().Dialled).To(gomega.Equal(1))
 	})
 })
 
