--- a/adapters/peer/bench_test.go
+++ b/adapters/peer/bench_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
+	"sync"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -35,43 +37,83 @@
 	return run(fleet.RoleAgent, handler), run(fleet.RoleEntry, nil)
 }
 
+const chunkSize = 4 << 20
+
+// sendChunk answers any message with a chunk, in frames of len(data).
+func sendChunk(s *peer.Stream, data []byte) {
+	_ = s.Recv(&note{})
+	for range chunkSize / len(data) {
+		if s.SendBytes(data) != nil {
+			return
+		}
+	}
+}
+
+// fetchChunk asks for one chunk.
+func fetchChunk(client *peer.Endpoint, addr netip.AddrPort, buf []byte) error {
+	s, err := client.Open(context.Background(), addr, "", peer.KindChunk)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	err = s.Send(note{})
+	for err == nil {
+		_, err = s.RecvBytes(buf)
+	}
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
 // BenchmarkChunk fetches chunks of 4 MiB in raw frames of one size.
 func BenchmarkChunk(b *testing.B) {
-	const chunkSize = 4 << 20
 	for _, frame := range []int{64 << 10, 128 << 10, 256 << 10} {
 		b.Run(fmt.Sprintf("frame=%dKiB", frame>>10), func(b *testing.B) {
 			data := make([]byte, frame)
 			server, client := benchPair(b, func(_ context.Context, _ keys.Identity, _ peer.Kind, s *peer.Stream) {
-				_ = s.Recv(&note{})
-				for range chunkSize / frame {
-					if s.SendBytes(data) != nil {
-						return
-					}
-				}
+				sendChunk(s, data)
 			})
 			buf := make([]byte, frame)
 			b.SetBytes(chunkSize)
 			b.ReportAllocs()
 			for b.Loop() {
-				s, err := client.Open(context.Background(), server.Addr(), "", peer.KindChunk)
-				if err != nil {
+				if err := fetchChunk(client, server.Addr(), buf); err != nil {
 					b.Fatal(err)
 				}
-				if err := s.Send(note{}); err != nil {
-					b.Fatal(err)
-				}
-				for err == nil {
-					_, err = s.RecvBytes(buf)
-				}
-				if !errors.Is(err, io.EOF) {
-					b.Fatal(err)
-				}
-				s.Close()
 			}
 		})
 	}
 }
 
+// BenchmarkExchangeBesideChunks asks as BenchmarkExchange, while chunks flow
+// over the same connection in the direction of the answers.
+func BenchmarkExchangeBesideChunks(b *testing.B) {
+	data := make([]byte, peer.MaxRawFrame)
+	server, client := benchPair(b, func(ctx context.Context, from keys.Identity, kind peer.Kind, s *peer.Stream) {
+		if kind == peer.KindChunk {
+			sendChunk(s, data)
+			return
+		}
+		echo(ctx, from, kind, s)
+	})
+	var chunks sync.WaitGroup
+	for range 4 {
+		chunks.Go(func() {
+			buf := make([]byte, peer.MaxRawFrame)
+			for fetchChunk(client, server.Addr(), buf) == nil {
+			}
+		})
+	}
+	for b.Loop() {
+		if _, err := ask(client, server.Addr(), peer.KindRequest, "x"); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = client.Close()
+	chunks.Wait()
+}
+
 // BenchmarkExchange asks and gets an answer on a standing connection.
 func BenchmarkExchange(b *testing.B) {
 	server, client := benchPair(b, echo)
--- a/adapters/peer/peermeasure/count.go
+++ b/adapters/peer/peermeasure/count.go
@@ -61,6 +61,9 @@
 	start, cpuStart := endpoint.Stats(), cpuNow()
 	pause(ctx, idle)
 	end, cpuEnd := endpoint.Stats(), cpuNow()
+	if ctx.Err() != nil {
+		return failure.Unavailable.Wrap(ctx.Err(), "interrupted before the measurement was done")
+	}
 
 	connections := end.Dialled + end.Accepted
 	perSecond := float64(traffic(end)-traffic(start)) / idle.Seconds() / float64(connections)
