Believe a load report by a part, and for as long as requests run

A server's report moves the estimate of its other load from the mean of its tier by three tenths, and fades at the mean time that requests take here. Believed in full and with a fixed half-life, reports made entries swing together.

Latency is kept for Explain.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -126,9 +126,10 @@
 	Slots    float64 // requests the server runs at once
 	// Cost is what two servers are compared by, the penalty of a farther tier
 	// not included: expected requests for each slot after this one, raised
-	// for a slow or a cold server.
+	// for a cold server.
 	Cost      float64
 	ReportAge time.Duration // negative: never reported
+	Latency   time.Duration // mean time to the first piece, as this entry saw it; 0: not known
 	EjectedIn time.Duration // time left of an ejection, 0 if none
 	Preferred bool          // the server that the prefix key leads to
 }
@@ -157,6 +158,7 @@
 	At   time.Time // when it ended
 	Kind ResultKind
 	// FirstPiece is the time to the first piece of the answer; 0: none came.
+	// It is shown by Explain and decides nothing.
 	FirstPiece time.Duration
 	// RetryAfter is the pause that a Declined request was given.
 	RetryAfter time.Duration
--- a/core/balance/explain.go
+++ b/core/balance/explain.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 )
 
@@ -44,6 +45,7 @@
 		Slots:     m.slots,
 		Cost:      k.cost(m),
 		ReportAge: age,
+		Latency:   time.Duration(math.Float64frombits(m.state.latency.Load()) * float64(time.Second)),
 		EjectedIn: ejectedIn,
 		Preferred: preferred,
 	}
--- a/core/balance/outlier.go
+++ b/core/balance/outlier.go
@@ -3,16 +3,18 @@
 import (
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 )
 
 const (
 	// minResults is how many results a failure rate needs before it counts.
 	minResults = 8
-	// failWeight and latencyWeight are the weights of the newest sample in
-	// the moving averages.
-	failWeight    = 0.1
-	latencyWeight = 0.2
+	// failWeight, latencyWeight and durationWeight are the weights of the
+	// newest sample in the moving averages.
+	failWeight     = 0.1
+	latencyWeight  = 0.2
+	durationWeight = 0.05
 	// stallStrikes is what a stall counts in failures: it cost the caller a
 	// whole timeout and a dead link does not mend by itself.
 	stallStrikes = 2
@@ -26,6 +28,7 @@
 	group    *group
 	state    *state
 	settings *Settings
+	picked   instant
 }
 
 // finish takes the request off the counts and learns from its end.
@@ -34,11 +37,12 @@
 	tk.state.inFlight.Add(-1)
 	now := tk.tracker.since(result.At)
 	if result.FirstPiece > 0 {
-		tk.state.sampleLatency(now, result.FirstPiece)
+		average(&tk.state.latency, result.FirstPiece, latencyWeight)
 	}
 	switch result.Kind {
 	case Succeeded:
 		tk.state.succeed(now, tk.settings)
+		average(&tk.group.duration, time.Duration(now-tk.picked), durationWeight)
 	case Failed:
 		tk.fail(now, 1)
 	case Stalled:
@@ -53,16 +57,15 @@
 	}
 }
 
-func (st *state) sampleLatency(now instant, sample time.Duration) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	mean := math.Float64frombits(st.latency.Load())
-	if mean == 0 {
-		mean = sample.Seconds()
+// average moves a mean, kept as the bits of a float64 in seconds, towards a
+// sample. A sample lost to another goroutine's does no harm to a mean.
+func average(mean *atomic.Uint64, sample time.Duration, weight float64) {
+	value := math.Float64frombits(mean.Load())
+	if value == 0 {
+		value = sample.Seconds()
 	}
-	mean += latencyWeight * (sample.Seconds() - mean)
-	st.latency.Store(math.Float64bits(mean))
-	st.latencyAt.Store(now)
+	value += weight * (sample.Seconds() - value)
+	mean.Store(math.Float64bits(value))
 }
 
 func (st *state) succeed(now instant, settings *Settings) {
--- a/core/balance/pick.go
+++ b/core/balance/pick.go
@@ -28,11 +28,6 @@
 	sampleTries = 6
 	// coldShare is what a server at the begin of its slow start counts.
 	coldShare = 0.1
-	// maxSlow bounds how much a slow server's cost is raised.
-	maxSlow = 4
-	// latencyHalfLife is the age at which a latency counts half, so that a
-	// server once slow is tried again.
-	latencyHalfLife = 10 * time.Second
 	// lowestPriority is the least urgent of RFC 9218.
 	lowestPriority = 7
 )
@@ -71,7 +66,7 @@
 	m.state.inFlight.Add(1)
 	return Choice{
 		Server:   m.Server,
-		ticket:   ticket{tracker: s.tracker, group: p.group, state: m.state, settings: &s.settings},
+		ticket:   ticket{tracker: s.tracker, group: p.group, state: m.state, settings: &s.settings, picked: k.at},
 		released: new(atomic.Bool),
 	}, nil
 }
@@ -93,8 +88,8 @@
 	now      time.Time
 	at       instant
 	request  *Request
-	mean     float64 // others' requests for each slot over the service
-	room     float64 // requests for each slot that this priority may fill
+	life     time.Duration // time constant with which reports fade
+	room     float64       // requests for each slot that this priority may fill
 }
 
 func newPicking(s *Snapshot, p *pool, now time.Time, r *Request) picking {
@@ -106,7 +101,7 @@
 		now:      now,
 		at:       s.tracker.since(now),
 		request:  r,
-		mean:     p.others / p.slots,
+		life:     p.reportLife(&s.settings),
 		room:     (1 + s.settings.QueueShare) * (1 - s.settings.ReserveShare*priority/lowestPriority),
 	}
 }
@@ -311,16 +306,21 @@
 	if m.Limit > 0 && own >= float64(m.Limit) {
 		return true
 	}
-	others := m.others * m.weight(k.now, k.settings.ReportHalfLife)
+	others := m.others * m.freshness(k.now, k.life)
 	return own+others+1 > math.Ceil(m.slots*k.room)
 }
 
-// othersNow estimates the requests that are not this entry's. As the report
-// ages it fades to the mean of the service: without news a server is neither
-// avoided nor sought.
+// othersNow estimates the requests that are not this entry's: the mean of the
+// server's tier, moved by a part towards the server's own report, which
+// shrinks to nothing as the report ages.
+//
+// A report tells what a server did some seconds ago, and all entries react to
+// it at once. Believed in full, it makes them swing together from server to
+// server; the mean of many reports does not swing.
 func (k *picking) othersNow(m *member) float64 {
-	w := m.weight(k.now, k.settings.ReportHalfLife)
-	return w*m.others + (1-w)*k.mean*m.slots
+	mean := k.pool.tierOthers[m.tier] * m.slots
+	trust := k.settings.ReportTrust * m.freshness(k.now, k.life)
+	return mean + trust*(m.others-mean)
 }
 
 // loadAfter is the number of requests at the server were this one added.
@@ -328,28 +328,14 @@
 	return float64(m.state.inFlight.Load()) + k.othersNow(m) + 1
 }
 
-// weighted is loadAfter, raised for a slow or a cold server.
+// weighted is loadAfter, raised for a cold server. A slow server needs no
+// raise of its own: it keeps its requests for longer.
 func (k *picking) weighted(m *member) float64 {
-	return k.loadAfter(m) * k.slowness(m) / k.warmth(m)
+	return k.loadAfter(m) / k.warmth(m)
 }
 
 func (k *picking) cost(m *member) float64 { return k.weighted(m) / m.slots }
 
-// slowness is at least 1, and more for a server whose first pieces come later
-// than the mean of the service.
-func (k *picking) slowness(m *member) float64 {
-	latency := math.Float64frombits(m.state.latency.Load())
-	if latency == 0 || k.pool.meanLatency == 0 {
-		return 1
-	}
-	ratio := min(maxSlow, latency/k.pool.meanLatency)
-	if ratio <= 1 {
-		return 1
-	}
-	age := max(0, k.at-m.state.latencyAt.Load())
-	return 1 + (ratio-1)*math.Exp2(-float64(age)/float64(latencyHalfLife))
-}
-
 // warmth is the share that a server in its slow start counts, from coldShare
 // to 1. A server that just loaded has empty caches; a full share at once
 // would make its first callers wait and could fail it again.
--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -12,8 +12,12 @@
 	// ReserveShare is the share of a server's room that is kept from requests
 	// of the lowest priority, and proportionally less from those between; 0.1.
 	ReserveShare float64
-	// ReportHalfLife is the age at which a load report counts half; 2 s.
-	ReportHalfLife time.Duration
+	// ReportTrust is how far a new report moves the estimate for a server
+	// from the mean of its tier; 0.3.
+	ReportTrust float64
+	// ReportLife is the time constant with which a report fades until this
+	// entry has seen how long requests take, then it is that time; 3 s.
+	ReportLife time.Duration
 	// SpillAt is the cost above which farther servers are looked at; 0.7.
 	SpillAt float64
 	// RegionPenalty and FleetPenalty are added to the cost of a server in
@@ -50,7 +54,8 @@
 		DefaultSlots:   16,
 		QueueShare:     0.25,
 		ReserveShare:   0.1,
-		ReportHalfLife: 2 * time.Second,
+		ReportTrust:    0.3,
+		ReportLife:     3 * time.Second,
 		SpillAt:        0.7,
 		RegionPenalty:  0.1,
 		FleetPenalty:   0.3,
@@ -70,7 +75,8 @@
 	orDefault(&s.DefaultSlots, d.DefaultSlots)
 	orDefault(&s.QueueShare, d.QueueShare)
 	orDefault(&s.ReserveShare, d.ReserveShare)
-	orDefault(&s.ReportHalfLife, d.ReportHalfLife)
+	orDefault(&s.ReportTrust, d.ReportTrust)
+	orDefault(&s.ReportLife, d.ReportLife)
 	orDefault(&s.SpillAt, d.SpillAt)
 	orDefault(&s.RegionPenalty, d.RegionPenalty)
 	orDefault(&s.FleetPenalty, d.FleetPenalty)
--- a/core/balance/snapshot.go
+++ b/core/balance/snapshot.go
@@ -19,12 +19,12 @@
 
 // pool holds the servers of one service.
 type pool struct {
-	group       *group
-	members     []member
-	tiers       [tierCount][]*member
-	slots       float64 // sum
-	others      float64 // sum
-	meanLatency float64 // seconds, over servers that have one; 0: none
+	group      *group
+	members    []member
+	tiers      [tierCount][]*member
+	slots      float64            // sum
+	others     float64            // sum
+	tierOthers [tierCount]float64 // mean for each slot
 }
 
 // member is one server with what the snapshot fixes about it.
@@ -103,25 +103,25 @@
 
 // finish fills in what depends on all members.
 func (p *pool) finish() {
-	known := 0
+	var tierSlots [tierCount]float64
 	for i := range p.members {
 		m := &p.members[i]
 		p.tiers[m.tier] = append(p.tiers[m.tier], m)
 		p.slots += m.slots
 		p.others += m.others
-		if latency := math.Float64frombits(m.state.latency.Load()); latency > 0 {
-			p.meanLatency += latency
-			known++
-		}
+		tierSlots[m.tier] += m.slots
+		p.tierOthers[m.tier] += m.others
 	}
-	if known > 0 {
-		p.meanLatency /= float64(known)
+	for tier, slots := range tierSlots {
+		if slots > 0 {
+			p.tierOthers[tier] /= slots
+		}
 	}
 }
 
-// weight is how much the server's last report still counts, 1 for a new one,
-// halving with each half-life; 0 if it never came.
-func (m *member) weight(now time.Time, halfLife time.Duration) float64 {
+// freshness is how much the server's last report still says of it, from 1 for
+// a new one to 0; life is its time constant.
+func (m *member) freshness(now time.Time, life time.Duration) float64 {
 	if m.Report.Received.IsZero() {
 		return 0
 	}
@@ -129,5 +129,22 @@
 	if age <= 0 {
 		return 1
 	}
-	return math.Exp2(-float64(age) / float64(halfLife))
+	return math.Exp(-float64(age) / float64(life))
+}
+
+// The bounds of the time constant with which reports fade.
+const (
+	minReportLife = 200 * time.Millisecond
+	maxReportLife = time.Minute
+)
+
+// reportLife is the time constant with which reports fade: what a server was
+// doing says nothing once those requests have ended.
+func (p *pool) reportLife(settings *Settings) time.Duration {
+	seconds := math.Float64frombits(p.group.duration.Load())
+	if seconds == 0 {
+		return settings.ReportLife
+	}
+	life := time.Duration(seconds * float64(time.Second))
+	return min(max(life, minReportLife), maxReportLife)
 }
--- a/core/balance/tracker.go
+++ b/core/balance/tracker.go
@@ -58,7 +58,8 @@
 
 // group holds the servers of one service.
 type group struct {
-	inFlight atomic.Int64 // sum over the members
+	inFlight atomic.Int64  // sum over the members
+	duration atomic.Uint64 // bits of a float64: mean seconds of a request; 0: not known
 	states   map[fleet.InstanceID]*state
 
 	mu      sync.Mutex
@@ -80,8 +81,7 @@
 	ejectedUntil atomic.Int64
 	busyUntil    atomic.Int64
 	warmFrom     atomic.Int64  // slow start after a return; unset until first looked at
-	latency      atomic.Uint64 // bits of a float64, seconds; 0: none
-	latencyAt    atomic.Int64
+	latency      atomic.Uint64 // bits of a float64: mean seconds to the first piece; 0: none
 
 	mu        sync.Mutex // guards the fields up to the blank line
 	strikes   int        // failures in a row
