Run non-idempotent requests at most once, at the home of their key

Agents keep the record of core/once; entries send a non-idempotent request to its key's home alone and issue keys that name one. Work that was passed on goes on to its end though the caller or the entry goes away, so that asking again finds the answer. An entry says "not run" of such a request only on the home's word or if the caller says that it asks for the first time: that one ask was not passed on says nothing of an earlier one with the same key.

Found by hand before: the same key sent twice through two entries ran twice on a plain service (execution 1, then 2).

Also: answers without a body (204, 304) carry their outcome in a header, since they have no trailer and were told as cut; a refusal's reason no longer repeats the type that stands in its own field.

--- a/adapters/callerclient/client.go
+++ b/adapters/callerclient/client.go
@@ -58,11 +58,13 @@
 	Workspace      fleet.Workspace
 	IdempotencyKey string
 	NonIdempotent  bool
-	Priority       string // such as "u=1"
-	Prefix         string
-	Traceparent    string
-	Deadline       time.Duration
-	Body           []byte
+	// FirstAsk says that the key was not asked with before.
+	FirstAsk    bool
+	Priority    string // such as "u=1"
+	Prefix      string
+	Traceparent string
+	Deadline    time.Duration
+	Body        []byte
 }
 
 // Answer is a whole answer.
@@ -178,13 +180,17 @@
 		return Answer{}, sendFailure(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get(callerhttp.HeaderOutcome) != "" {
+	outcome := resp.Header.Get(callerhttp.HeaderOutcome)
+	if outcome != "" && !callerhttp.Bodyless(resp.StatusCode) {
 		return Answer{}, refusalOf(resp)
 	}
 	answer := Answer{Status: resp.StatusCode, Version: resp.Header.Get(callerhttp.HeaderVersion), Entry: entry}
 	answer.FirstByte = time.Since(started)
 	answer.Body, err = io.ReadAll(resp.Body)
-	if err != nil || resp.Trailer.Get(callerhttp.HeaderOutcome) != failure.Ran.String() {
+	if outcome == "" {
+		outcome = resp.Trailer.Get(callerhttp.HeaderOutcome)
+	}
+	if err != nil || outcome != failure.Ran.String() {
 		return answer, failure.WithOutcome(calls.Interrupted.New("the answer was cut after %d bytes", len(answer.Body)), failure.Unknown)
 	}
 	return answer, nil
@@ -216,6 +222,9 @@
 	if r.NonIdempotent {
 		set(callerhttp.HeaderNonIdempotent, "?1")
 	}
+	if r.FirstAsk {
+		set(callerhttp.HeaderFirstAsk, "?1")
+	}
 	if r.Deadline > 0 {
 		set(callerhttp.HeaderDeadline, r.Deadline.String())
 	}
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -23,6 +23,7 @@
 const (
 	HeaderWorkspace     = "Chivespindle-Workspace"
 	HeaderNonIdempotent = "Chivespindle-Non-Idempotent"
+	HeaderFirstAsk      = "Chivespindle-First-Ask"
 	HeaderDeadline      = "Chivespindle-Deadline"
 	HeaderPrefix        = "Chivespindle-Prefix"
 	HeaderKey           = "Idempotency-Key"
@@ -61,7 +62,7 @@
 		s.fail(sink, id, err)
 		return
 	}
-	sink.finish(end)
+	sink.finish()
 }
 
 func (s *Server) logRequest(req calls.Request, started time.Time, end calls.End, err error) {
@@ -92,12 +93,15 @@
 		Workspace:      fleet.Workspace(r.Header.Get(HeaderWorkspace)),
 		IdempotencyKey: r.Header.Get(HeaderKey),
 		Body:           body,
-		PrefixKey:      prefixKey(r.Header.Get(HeaderPrefix)),
+		PrefixKey:      PrefixKey(r.Header.Get(HeaderPrefix)),
 	}
 	if len(req.IdempotencyKey) > maxKeyBytes {
 		return calls.Request{}, badRequest("%s is longer than %d bytes", HeaderKey, maxKeyBytes)
 	}
-	if req.NonIdempotent, err = parseMark(r.Header.Get(HeaderNonIdempotent)); err != nil {
+	if req.NonIdempotent, err = parseMark(r.Header, HeaderNonIdempotent); err != nil {
+		return calls.Request{}, err
+	}
+	if req.FirstAsk, err = parseMark(r.Header, HeaderFirstAsk); err != nil {
 		return calls.Request{}, err
 	}
 	if req.NonIdempotent && req.IdempotencyKey == "" {
@@ -130,8 +134,8 @@
 	return failure.WithOutcome(calls.BadRequest.New(format, args...), failure.NotRun)
 }
 
-// prefixKey folds a caller's prefix name to a number; 0 stands for none.
-func prefixKey(name string) uint64 {
+// PrefixKey folds a caller's prefix name to a number; 0 stands for none.
+func PrefixKey(name string) uint64 {
 	if name == "" {
 		return 0
 	}
@@ -140,14 +144,15 @@
 	return h.Sum64()
 }
 
-func parseMark(text string) (bool, error) {
+func parseMark(header http.Header, name string) (bool, error) {
+	text := header.Get(name)
 	switch text {
 	case "", "?0":
 		return false, nil
 	case "?1":
 		return true, nil
 	}
-	return false, badRequest("%s must be ?1 or ?0, got %q", HeaderNonIdempotent, text)
+	return false, badRequest("%s must be ?1 or ?0, got %q", name, text)
 }
 
 // parsePriority reads the urgency of an RFC 9218 Priority field. Parameters
@@ -190,7 +195,11 @@
 func (k *sink) Begin(b calls.Begin) error {
 	k.begun = true
 	h := k.w.Header()
-	h.Set("Trailer", HeaderOutcome)
+	if Bodyless(b.Status) {
+		h.Set(HeaderOutcome, failure.Ran.String())
+	} else {
+		h.Set("Trailer", HeaderOutcome)
+	}
 	if !b.Version.IsZero() {
 		h.Set(HeaderVersion, versionText(b.Version))
 		h.Set("Content-Type", "application/x-ndjson")
@@ -199,6 +208,12 @@
 	return nil
 }
 
+// Bodyless reports whether answers of a status have no body and so no
+// trailer; their outcome is a header.
+func Bodyless(status int) bool {
+	return status == http.StatusNoContent || status == http.StatusNotModified
+}
+
 func (k *sink) Piece(p []byte) error {
 	if _, err := k.w.Write(p); err != nil {
 		return calls.Interrupted.Wrap(err, "caller is gone")
@@ -209,9 +224,8 @@
 	return nil
 }
 
-func (k *sink) finish(end calls.End) {
+func (k *sink) finish() {
 	k.w.Header().Set(HeaderOutcome, failure.Ran.String())
-	_ = end
 }
 
 func versionText(v fleet.Version) string {
@@ -243,7 +257,7 @@
 		RequestID: id,
 		Outcome:   outcome.String(),
 		Error:     typeName(err),
-		Reason:    err.Error(),
+		Reason:    reasonText(err),
 	}
 	if pause := failure.RetryAfter(err); pause > 0 {
 		refusal.RetryAfterMS = pause.Milliseconds()
@@ -253,6 +267,12 @@
 	writeJSON(w, statusOf(err), refusal)
 }
 
+// reasonText is the message of a failure without its type, which has a field
+// of its own.
+func reasonText(err error) string {
+	return strings.TrimPrefix(err.Error(), typeName(err)+": ")
+}
+
 // wholeSeconds rounds up, since Retry-After has no fractions and a caller that
 // comes back early is refused again.
 func wholeSeconds(pause time.Duration) int {
--- a/cmd/chivespindle/internal/callstream/callstream.go
+++ b/cmd/chivespindle/internal/callstream/callstream.go
@@ -84,7 +84,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer.RequestID = resp.Header.Get(callerhttp.HeaderRequestID)
-	if outcome := resp.Header.Get(callerhttp.HeaderOutcome); outcome != "" {
+	if outcome := resp.Header.Get(callerhttp.HeaderOutcome); outcome != "" && !callerhttp.Bodyless(resp.StatusCode) {
 		return answer, refusal(resp, outcome)
 	}
 	answer.Status = resp.StatusCode
@@ -167,6 +167,8 @@
 		return unknown(calls.Interrupted.Wrap(ctx.Err(), "given up after %d bytes of the answer", answer.Bytes))
 	case err != nil:
 		return unknown(calls.Interrupted.Wrap(err, "the answer was cut after %d bytes", answer.Bytes))
+	case callerhttp.Bodyless(resp.StatusCode):
+		return nil
 	case !announced(resp):
 		return unknown(calls.Interrupted.New("status %d from a server that is no entry", resp.StatusCode))
 	case resp.Trailer.Get(callerhttp.HeaderOutcome) != failure.Ran.String():
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -24,6 +24,10 @@
 	IdempotencyKey string
 	// NonIdempotent marks work that must run at most once. It needs a key.
 	NonIdempotent bool
+	// FirstAsk is the caller's word that it has not asked with this key
+	// before. Only then can a non-idempotent request that could not be handed
+	// to its home be called not run: an earlier ask may have run there.
+	FirstAsk bool
 	// Priority is the RFC 9218 urgency, 0 (highest) to 7; -1: none given, the
 	// workspace's default holds.
 	Priority int
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -19,6 +19,7 @@
 	"chivespindle.example/core/fleettext"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/linkshare"
+	"chivespindle.example/core/once"
 	"chivespindle.example/core/revision"
 	"chivespindle.example/core/serving"
 	"chivespindle.example/daemon/control"
@@ -70,6 +71,7 @@
 	swarm    *swarm.Swarm
 	change   *serving.Changeover
 	work     *inFlight
+	register *once.Register
 	traffic  trafficBytes
 	upShare  *linkshare.Share
 	dnShare  *linkshare.Share
@@ -106,6 +108,10 @@
 		ctx:     ctx,
 		started: time.Now(),
 		work:    newInFlight(),
+		register: once.New(once.Options{
+			Self:        opts.Self.ID,
+			Incarnation: once.Incarnation(opts.Incarnation),
+		}),
 		upShare: linkshare.New(opts.Link),
 		dnShare: linkshare.New(opts.Link),
 	}
--- a/daemon/agent/change.go
+++ b/daemon/agent/change.go
@@ -127,12 +127,13 @@
 }
 
 // readAgain reads the text and waits for a neighbour's word after a pause,
-// then lets the change-over go on.
+// then lets the change-over go on. What it says is as old as since: a pause
+// that comes meanwhile has a reading of its own.
 func (a *Agent) readAgain(since time.Time) {
 	a.opts.Logger.Warn("this process was paused; it reads everything again")
 	for a.ctx.Err() == nil {
 		if a.node.Reread(a.ctx, since) {
-			a.post(serving.Woke{})
+			a.post(serving.Woke{Asked: since})
 			return
 		}
 		select {
--- /dev/null
+++ b/daemon/agent/once.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/once"
+	"chivespindle.example/core/serving"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// runningRetry is when a caller may ask again for work that still runs.
+	runningRetry = time.Second
+	// maxKeptAnswer bounds the answer that is collected for the record.
+	maxKeptAnswer = 16 << 10
+)
+
+// ListRead is told the platform's instance list each time that it was read.
+// The register follows the list and not the heartbeats: a silent home may have
+// run a key, so it stays the home until the platform takes it off.
+func (a *Agent) ListRead(now time.Time, list []fleet.Instance) {
+	var members []fleet.InstanceID
+	for _, i := range list {
+		if i.Role == fleet.RoleAgent && i.Service == a.opts.Self.Service && !i.Leaving {
+			members = append(members, i.ID)
+		}
+	}
+	a.register.SetMembers(now, members)
+}
+
+// askedAt is when the caller's ask reached an entry, by this agent's clock and
+// rather too early; zero if it cannot be told.
+func (a *Agent) askedAt(now time.Time, req wire.Request) time.Time {
+	if req.ClockEcho == 0 {
+		return time.Time{}
+	}
+	late := time.Duration(max(0, a.clockMS()-req.ClockEcho)) * time.Millisecond
+	return now.Add(-late - time.Duration(req.AskedMS)*time.Millisecond)
+}
+
+// runOnce serves a request that must run at most once.
+func (a *Agent) runOnce(ctx context.Context, s *peer.Stream, req wire.Request, body []byte) wire.AnswerEnd {
+	key, err := once.ParseKey(req.Workspace, req.IdempotencyKey)
+	if err != nil {
+		return decided(notRun(req, err))
+	}
+	now := time.Now()
+	facts := once.Facts{Asked: a.askedAt(now, req)}
+	digest := digestOf(req, body)
+	version, refused := a.admit(now, req)
+	if refused != nil {
+		return a.closeKey(req, key, digest, facts, refused)
+	}
+	verdict := a.register.Begin(now, key, digest, facts)
+	if verdict.Action != once.Run {
+		return a.repeat(s, req, verdict)
+	}
+	return a.passOnce(ctx, s, req, body, version, key)
+}
+
+// digestOf names the work: the path counts as much as the body.
+func digestOf(req wire.Request, body []byte) fleet.Digest {
+	named := append([]byte(req.Path), 0)
+	return fleet.DigestOf(append(named, body...))
+}
+
+// closeKey answers a request that this agent cannot take now. Whether the
+// caller may be told "not run" depends on what is known of the key.
+func (a *Agent) closeKey(req wire.Request, key once.Key, digest fleet.Digest, facts once.Facts, refused error) wire.AnswerEnd {
+	verdict := a.register.Close(time.Now(), key, digest, facts)
+	end := refusal(req, verdict)
+	if verdict.Outcome == failure.NotRun {
+		end.Reason = refused.Error()
+		end.RetryAfterMS = failure.RetryAfter(refused).Milliseconds()
+	}
+	return end
+}
+
+// passOnce passes the work on. It goes on to its end though the entry or the
+// caller goes away, so that asking again finds the answer.
+func (a *Agent) passOnce(ctx context.Context, s *peer.Stream, req wire.Request, body []byte, version fleet.Version, key once.Key) wire.AnswerEnd {
+	if !a.register.Passed(key) {
+		return decided(notRun(req, calls.Duplicate.New("the key was taken meanwhile")))
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.remaining(req))
+	defer cancel()
+	var kept []byte
+	out := &answerStream{stream: s, version: version}
+	end := a.passTo(ctx, req, body, version, func(p serving.Piece) error {
+		if len(kept) <= maxKeptAnswer {
+			kept = append(kept, p.Data...)
+		}
+		_ = out.piece(p)
+		return nil
+	})
+	result := once.Result{Outcome: outcomeOf(end), Status: statusOr200(end.Status), Version: end.Version}
+	if len(kept) <= maxKeptAnswer {
+		result.Body, result.BodyKept = kept, true
+	}
+	a.register.Finish(time.Now(), key, result)
+	if end.Outcome == wire.OutcomeRan {
+		_ = out.begin(end.Status)
+	}
+	return decided(end)
+}
+
+func decided(end wire.AnswerEnd) wire.AnswerEnd {
+	end.Decided = true
+	return end
+}
+
+// repeat answers an ask with a key on record.
+func (a *Agent) repeat(s *peer.Stream, req wire.Request, v once.Verdict) wire.AnswerEnd {
+	if v.Action != once.Done || !v.Result.BodyKept {
+		return refusal(req, v)
+	}
+	out := &answerStream{stream: s, version: v.Result.Version}
+	if err := out.piece(serving.Piece{Status: v.Result.Status, Data: v.Result.Body}); err != nil {
+		return refusal(req, v)
+	}
+	return decided(wire.AnswerEnd{Outcome: wire.OutcomeRan, ID: req.ID, Status: v.Result.Status, Version: v.Result.Version})
+}
+
+// refusal turns a verdict without an answer into the end of one.
+func refusal(req wire.Request, v once.Verdict) wire.AnswerEnd {
+	end := decided(wire.AnswerEnd{ID: req.ID, Duplicate: true})
+	switch v.Action {
+	case once.Running:
+		end.Reason = "a request with this key runs now"
+		end.RetryAfterMS = runningRetry.Milliseconds()
+	case once.Done:
+		end.Outcome = wire.OutcomeRan
+		end.Reason = "it ran before; its answer was too large to keep"
+	default:
+		end.Reason = "key " + string(v.Reason)
+		end.Duplicate = false
+		if v.Outcome == failure.NotRun {
+			end.Outcome = wire.OutcomeNotRun
+		}
+	}
+	return end
+}
--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -128,25 +128,42 @@
 	}
 }
 
-// run passes one request on and returns how it ended. The answer's pieces go
-// to the entry as they come.
+// run serves one request and returns how it ended. The answer's pieces go to
+// the entry as they come.
 func (a *Agent) run(ctx context.Context, s *peer.Stream, req wire.Request, body []byte) wire.AnswerEnd {
-	running := a.work.enter()
+	a.work.enter()
 	defer a.work.exit()
-	if running > int64(a.opts.MaxInFlight) {
-		return notRun(req, failure.WithRetryAfter(calls.Overloaded.New("%d requests run here", running-1), busyRetry))
+	if req.NonIdempotent {
+		return a.runOnce(ctx, s, req, body)
 	}
-	version, err := a.gate.Load().Admit(time.Now())
+	version, err := a.admit(time.Now(), req)
 	if err != nil {
 		return notRun(req, err)
 	}
-	remaining := a.remaining(req)
-	if remaining <= 0 {
-		return notRun(req, calls.DeadlinePassed.New("the deadline passed on the way here"))
-	}
-	ctx, cancel := context.WithTimeout(ctx, remaining)
+	ctx, cancel := context.WithTimeout(ctx, a.remaining(req))
 	defer cancel()
-	return a.pass(ctx, s, req, body, version)
+	out := &answerStream{stream: s, version: version}
+	end := a.passTo(ctx, req, body, version, out.piece)
+	if end.Outcome == wire.OutcomeRan {
+		_ = out.begin(end.Status)
+	}
+	return end
+}
+
+// admit returns the version that a request is answered from, or why it is not
+// passed on. The request is counted already, see inFlight.
+func (a *Agent) admit(now time.Time, req wire.Request) (fleet.Version, error) {
+	if running := a.work.count(); running > int64(a.opts.MaxInFlight) {
+		return fleet.Version{}, failure.WithRetryAfter(calls.Overloaded.New("%d requests run here", running-1), busyRetry)
+	}
+	version, err := a.gate.Load().Admit(now)
+	if err != nil {
+		return fleet.Version{}, err
+	}
+	if a.remaining(req) <= 0 {
+		return fleet.Version{}, calls.DeadlinePassed.New("the deadline passed on the way here")
+	}
+	return version, nil
 }
 
 // remaining is the time left for a request. What the request lost on the way
@@ -172,10 +189,10 @@
 	}
 }
 
-// pass sends the request to the backend server. The answer must name the
-// version that the request was admitted for; otherwise it is cut, and the
-// entry does not see the end that makes it whole.
-func (a *Agent) pass(ctx context.Context, s *peer.Stream, req wire.Request, body []byte, version fleet.Version) wire.AnswerEnd {
+// passTo sends the request to the backend server and hands its answer's pieces
+// to emit. The answer must name the version that the request was admitted for;
+// otherwise it is cut, and the entry does not see the end that makes it whole.
+func (a *Agent) passTo(ctx context.Context, req wire.Request, body []byte, version fleet.Version, emit func(serving.Piece) error) wire.AnswerEnd {
 	call := serving.Call{
 		ID:             req.ID,
 		IdempotencyKey: req.IdempotencyKey,
@@ -184,16 +201,9 @@
 		Priority:       req.Priority,
 		Body:           body,
 	}
-	begun := false
 	answer, err := a.opts.Backend.Do(ctx, call, func(p serving.Piece) error {
-		if !begun {
-			begun = true
-			if err := s.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(p.Status), Version: version}}); err != nil {
-				return err
-			}
-		}
 		a.traffic.up.Add(int64(len(p.Data)))
-		return s.Send(wire.AnswerPart{Piece: p.Data})
+		return emit(p)
 	})
 	if err == nil {
 		err = serving.CheckAnswer(version, answer.Version)
@@ -201,12 +211,32 @@
 	if err != nil {
 		return failed(req, err)
 	}
-	if !begun {
-		_ = s.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(answer.Status), Version: version}})
-	}
 	return wire.AnswerEnd{Outcome: wire.OutcomeRan, ID: answer.ID, Status: answer.Status, Version: answer.Version}
 }
 
+// answerStream sends an answer to the entry.
+type answerStream struct {
+	stream  *peer.Stream
+	version fleet.Version
+	begun   bool
+}
+
+// begin opens the answer unless a piece has.
+func (o *answerStream) begin(status int) error {
+	if o.begun {
+		return nil
+	}
+	o.begun = true
+	return o.stream.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(status), Version: o.version}})
+}
+
+func (o *answerStream) piece(p serving.Piece) error {
+	if err := o.begin(p.Status); err != nil {
+		return err
+	}
+	return o.stream.Send(wire.AnswerPart{Piece: p.Data})
+}
+
 func statusOr200(status int) int {
 	const ok = 200
 	if status == 0 {
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -33,6 +33,11 @@
 
 // Dispatch implements calls.Dispatcher.
 func (e *Entry) Dispatch(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
+	end, err := e.serve(ctx, r, sink)
+	return end, atMostOnce(r, err)
+}
+
+func (e *Entry) serve(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
 	running := e.running.Add(1)
 	defer e.running.Add(-1)
 	if running > int64(e.opts.MaxInFlight) {
@@ -52,6 +57,28 @@
 	return e.attempts(ctx, r, service, sink)
 }
 
+// atMostOnce corrects what may be said of a non-idempotent request that ended
+// without the word of its key's home. That this ask was not passed on says
+// nothing of an earlier one with the same key, which the home may have run;
+// only a caller that asks for the first time may be told "not run".
+func atMostOnce(r calls.Request, err error) error {
+	if !r.NonIdempotent || r.FirstAsk || failure.OutcomeOf(err) != failure.NotRun || isDecided(err) {
+		return err
+	}
+	if typed := errorx.Cast(err); typed != nil {
+		return failure.WithOutcome(typed, failure.Unknown)
+	}
+	return err
+}
+
+var decidedProperty = errorx.RegisterProperty("decided_by_home")
+
+func isDecided(err error) bool {
+	value, ok := errorx.ExtractProperty(err, decidedProperty)
+	decided, isBool := value.(bool)
+	return ok && isBool && decided
+}
+
 func notRun(err *errorx.Error, comeBack time.Duration) error {
 	return failure.WithRetryAfter(failure.WithOutcome(err, failure.NotRun), comeBack)
 }
@@ -71,9 +98,14 @@
 func (e *Entry) attempts(ctx context.Context, r calls.Request, service fleettext.Service, sink calls.Sink) (calls.End, error) {
 	e.budget.Deposit(time.Now())
 	policy := retry.New(retry.Options{Budget: e.budget, Rand: sharedRand{}, MaxAttempts: service.MaxAttempts})
+	home, err := e.homeOf(r)
+	if err != nil {
+		return calls.End{}, err
+	}
 	var tried []fleet.InstanceID
+	asked := time.Now()
 	for number := 1; ; number++ {
-		a := &attempt{entry: e, request: r, sink: sink, number: number}
+		a := &attempt{entry: e, request: r, sink: sink, number: number, home: home, asked: asked}
 		end, err := a.run(ctx, tried)
 		if err == nil {
 			return end, nil
@@ -86,7 +118,7 @@
 			Number:     number,
 			Deadline:   r.Deadline,
 		})
-		if !decision.Retry || ctx.Err() != nil || a.server == "" {
+		if !decision.Retry || ctx.Err() != nil || a.server == "" || isDecided(err) {
 			return calls.End{}, err
 		}
 		e.opts.Metrics.Counter("retries").Inc(1)
@@ -115,6 +147,8 @@
 	request   calls.Request
 	sink      calls.Sink
 	number    int
+	home      fleet.InstanceID // of the key of a non-idempotent request, else empty
+	asked     time.Time        // when the caller's ask came
 	server    fleet.InstanceID // empty if none could be picked
 	delivered bool             // the caller has a part of the answer
 	first     time.Duration    // time to the first piece
@@ -132,6 +166,7 @@
 		PrefixKey: a.request.PrefixKey,
 		Priority:  a.request.Priority,
 		Exclude:   tried,
+		Require:   a.home,
 	})
 	if err != nil {
 		return calls.End{}, err
@@ -204,6 +239,7 @@
 		Traceparent:    telemetry.Inject(ctx),
 		RemainingMS:    a.request.Deadline.Sub(now).Milliseconds(),
 		BodyBytes:      len(a.request.Body),
+		AskedMS:        now.Sub(a.asked).Milliseconds() + 1,
 	}
 	if clock.clockMS > 0 {
 		head.ClockEcho = clock.clockMS + now.Sub(clock.received).Milliseconds()
@@ -271,14 +307,28 @@
 	if end.ID != a.request.ID {
 		return calls.End{}, failure.WithOutcome(failure.Corrupt.New("the answer names request %q", end.ID), failure.Unknown)
 	}
-	pause := time.Duration(end.RetryAfterMS) * time.Millisecond
+	if end.Outcome == wire.OutcomeRan && !end.Duplicate {
+		return calls.End{Version: end.Version, Server: server.ID}, nil
+	}
+	return calls.End{}, endFailure(end, server.ID)
+}
+
+// endFailure turns the end of an answer that is none into an error.
+func endFailure(end wire.AnswerEnd, server fleet.InstanceID) error {
+	kind, outcome := calls.Interrupted, failure.Unknown
+	switch {
+	case end.Duplicate:
+		kind = calls.Duplicate
+	case end.Outcome == wire.OutcomeNotRun:
+		kind = failure.Refused
+	}
 	switch end.Outcome {
 	case wire.OutcomeRan:
-		return calls.End{Version: end.Version, Server: server.ID}, nil
+		outcome = failure.Ran
 	case wire.OutcomeNotRun:
-		return calls.End{}, notRun(failure.Refused.New("%s: %s", server.ID, end.Reason), pause)
-	default:
-		err := failure.WithOutcome(calls.Interrupted.New("%s: %s", server.ID, end.Reason), failure.Unknown)
-		return calls.End{}, err
+		outcome = failure.NotRun
 	}
+	err := failure.WithOutcome(kind.New("%s: %s", server, end.Reason), outcome)
+	err = err.WithProperty(decidedProperty, end.Decided)
+	return failure.WithRetryAfter(err, time.Duration(end.RetryAfterMS)*time.Millisecond)
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -21,8 +21,6 @@
 	"chivespindle.example/adapters/telemetry"
 	"chivespindle.example/core/addressing"
 	"chivespindle.example/core/balance"
-	"chivespindle.example/core/calls"
-	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/retry"
@@ -80,10 +78,12 @@
 	reports map[fleet.InstanceID]clockReading
 }
 
-// clockReading is an agent's clock as its last report gave it.
+// clockReading is an agent's clock as its last report gave it, and which life
+// of its process that clock belongs to.
 type clockReading struct {
-	clockMS  int64
-	received time.Time
+	clockMS     int64
+	received    time.Time
+	incarnation uint64
 }
 
 // sharedRand is the source of chance that all goroutines may use.
@@ -147,7 +147,7 @@
 	for id, s := range e.subs {
 		if s.reported {
 			servers = append(servers, s.server())
-			p.reports[id] = clockReading{clockMS: s.report.ClockMS, received: s.received}
+			p.reports[id] = clockReading{clockMS: s.report.ClockMS, received: s.received, incarnation: s.report.Incarnation}
 		}
 	}
 	slices.SortFunc(servers, func(a, b balance.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
@@ -289,8 +289,3 @@
 	}
 	return all
 }
-
-// IssueKey implements calls.KeyIssuer.
-func (e *Entry) IssueKey(service fleet.ServiceName) (string, error) {
-	return "", failure.WithOutcome(calls.NotReady.New("keys are not issued yet"), failure.NotRun)
-}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -49,6 +49,9 @@
 	// OnChange is called on the control loop after the text in force or the
 	// view has changed.
 	OnChange func(now time.Time)
+	// OnList is called on the control loop each time that the instance list was
+	// read; may be nil.
+	OnList func(now time.Time, list []fleet.Instance)
 	// OnDuplicate is called on the control loop when another process spreads
 	// news under this process's id.
 	OnDuplicate func(other gossip.Record)
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -181,6 +181,9 @@
 
 func (n *Node) listRead(now time.Time, list []fleet.Instance) {
 	n.table.SetListed(now, list)
+	if n.opts.OnList != nil {
+		n.opts.OnList(now, list)
+	}
 	n.dirty = true
 	n.connect(now)
 }
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -82,7 +82,7 @@
 		return err
 	}
 	p.role = agent.New(p.ctx, roleOptions)
-	if err := p.attachNode(p.role.Changed); err != nil {
+	if err := p.attachNode(p.role.Changed, p.role.ListRead); err != nil {
 		return err
 	}
 	p.role.Attach(p.node)
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -23,6 +23,7 @@
 	"chivespindle.example/adapters/settings"
 	"chivespindle.example/adapters/telemetry"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/node"
@@ -124,8 +125,9 @@
 	return nil
 }
 
-// attachNode makes the node that tells changed of changes.
-func (b *base) attachNode(changed func(now time.Time)) error {
+// attachNode makes the node that tells changed of changes and listRead, if not
+// nil, of the instance list.
+func (b *base) attachNode(changed func(now time.Time), listRead func(now time.Time, list []fleet.Instance)) error {
 	s := b.settings
 	config, err := platform.NewConfigSource(platform.ConfigOptions{
 		BaseURL: s.Platform.ConfigURL, Timeout: s.Platform.CallTimeout, Wait: s.Platform.WatchWait})
@@ -153,6 +155,7 @@
 		Logger:      b.logger,
 		Metrics:     b.metrics,
 		OnChange:    changed,
+		OnList:      listRead,
 		OnDuplicate: b.duplicate,
 	})
 	b.loop.AddTicker(b.node)
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -90,6 +90,9 @@
 	// since that report came in, in ms; 0 if there was none.
 	ClockEcho int64 `cbor:"10,keyasint,omitempty"`
 	BodyBytes int   `cbor:"11,keyasint"`
+	// AskedMS is how long before the sending the caller's ask reached the
+	// entry; tries of one ask share that moment.
+	AskedMS int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // AnswerPart is one part of the answer to a Request: one AnswerBegin, then
@@ -123,6 +126,12 @@
 	Reason  string        `cbor:"5,keyasint,omitempty"`
 	// RetryAfterMS is when the caller may come back; 0: not told.
 	RetryAfterMS int64 `cbor:"6,keyasint,omitempty"`
+	// Decided is true if Outcome is what the home of the idempotency key
+	// knows of the key, not only of this ask.
+	Decided bool `cbor:"7,keyasint,omitempty"`
+	// Duplicate is true if a request with the key was taken before and its
+	// answer is not given here.
+	Duplicate bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ReportAsk opens a stream of peer.KindReport.
--- a/standin/harness/load.go
+++ b/standin/harness/load.go
@@ -193,12 +193,31 @@
 	return fmt.Sprintf("%s@%s", v.Name, v.Manifest)
 }
 
+// issueKey asks for a key until there is one.
+func (l *Load) issueKey(service fleet.ServiceName) (string, error) {
+	var key string
+	var err error
+	for range askTimes {
+		key, err = l.client.IssueKey(context.Background(), service)
+		if err == nil {
+			return key, nil
+		}
+		const pause = 50 * time.Millisecond
+		time.Sleep(max(pause, failure.RetryAfter(err)))
+	}
+	return "", err
+}
+
 // callPlain sends work that must run at most once.
 func (l *Load) callPlain(spec LoadSpec, service fleet.ServiceName) {
-	key := uuid.NewString()
+	key, err := l.issueKey(service)
+	if err != nil {
+		l.count(func(t *Tally) { t.Lost++ })
+		return
+	}
 	body := []byte("parts order " + key)
 	started := time.Now()
-	answer, err := l.persist(callerclient.Request{Service: service, Path: "orders", IdempotencyKey: key,
+	answer, err := l.persist(callerclient.Request{Service: service, Path: "orders", FirstAsk: true, IdempotencyKey: key,
 		NonIdempotent: true, Deadline: spec.Deadline, Body: body})
 	took := time.Since(started)
 	if err != nil {
