Changeover: number the fetches and expire orders

A late ChunksComplete from before an engine's restart would have been taken for the present fetch. The gate opens after a pause once the engine's status is read, since only orders need the text and the neighbours.

--- a/core/serving/changeover.go
+++ b/core/serving/changeover.go
@@ -139,6 +139,7 @@
 	lastOrdered fleet.Version
 	deadline    time.Time // of the phase
 	drain       uint64    // number of the last StopAdmitting
+	fetch       uint64    // number of the last StartFetch
 
 	failures      int // loads of the goal that failed
 	claimFailures int
@@ -200,7 +201,10 @@
 	}
 }
 
-// Gate returns the state that traffic is checked against from now on.
+// Gate returns the state that traffic is checked against from now on. After a
+// pause it closes until the engine's status has been read again; the text and
+// the neighbours are needed for orders only, and a replica that cannot reach
+// them goes on serving what it served.
 func (c *Changeover) Gate() GateState {
 	return GateState{
 		Pinned:       c.target,
@@ -212,7 +216,7 @@
 		MaxStatusAge: c.opt.MaxStatusAge,
 		Changing:     !c.admitting,
 		Leaving:      c.phase == PhaseLeaving,
-		Paused:       c.paused,
+		Paused:       c.statusAt.Before(c.pausedAt),
 		StoodDown:    c.phase == PhaseDown,
 	}
 }
@@ -242,7 +246,7 @@
 	case TargetChanged:
 		c.targetChanged(now, e.Version)
 	case ChunksComplete:
-		c.chunksComplete(now, e.Version)
+		c.chunksComplete(e)
 	case TurnGranted:
 		c.turnGranted(now, e.Version)
 	case Drained:
@@ -320,12 +324,12 @@
 	}
 }
 
-func (c *Changeover) chunksComplete(now time.Time, v fleet.Version) {
-	if v != c.goal || c.phase != PhaseFetching {
+func (c *Changeover) chunksComplete(e ChunksComplete) {
+	if c.phase != PhaseFetching || e.Fetch != c.fetch || e.Version != c.goal {
 		return
 	}
-	delete(c.partial, v.Manifest)
-	c.staged[v.Manifest] = true
+	delete(c.partial, c.goal.Manifest)
+	c.staged[c.goal.Manifest] = true
 	for manifest := range c.partial {
 		c.dropStage(manifest)
 	}
--- a/core/serving/changeover_test.go
+++ b/core/serving/changeover_test.go
@@ -78,6 +78,14 @@
 	return b.read()
 }
 
+// fetch completes the fetch just started.
+func (b *bench) fetch() fleet.Version {
+	GinkgoHelper()
+	start := must[serving.StartFetch](b.last)
+	b.step(serving.ChunksComplete{Fetch: start.Fetch, Version: start.Version})
+	return start.Version
+}
+
 // claimed returns a bench whose engine was found with loaded and claimed.
 func claimed(target, loaded fleet.Version) *bench {
 	GinkgoHelper()
@@ -93,8 +101,7 @@
 func serve(v fleet.Version) *bench {
 	GinkgoHelper()
 	b := claimed(v, fleet.Version{})
-	must[serving.StartFetch](b.last)
-	b.step(serving.ChunksComplete{Version: v})
+	b.fetch()
 	must[serving.AskTurn](b.last)
 	b.step(serving.TurnGranted{Version: v})
 	b.accept()
@@ -106,9 +113,8 @@
 	It("takes a replica from one version to the next without serving both", func() {
 		b := serve(v1)
 		b.step(serving.TargetChanged{Version: v2})
-		Expect(must[serving.StartFetch](b.last).Version).To(Equal(v2))
 		Expect(b.machine.Serving()).To(Equal(v1))
-		b.step(serving.ChunksComplete{Version: v2})
+		Expect(b.fetch()).To(Equal(v2))
 		Expect(b.machine.State()).To(Equal(gossip.StateStaged))
 		b.step(serving.TurnGranted{Version: v2})
 		stop := must[serving.StopAdmitting](b.last)
@@ -125,7 +131,7 @@
 
 	It("stands down for good when the engine refuses its newest number", func() {
 		b := claimed(v1, fleet.Version{})
-		b.step(serving.ChunksComplete{Version: v1})
+		b.fetch()
 		b.step(serving.TurnGranted{Version: v1})
 		order := must[serving.SendOrder](b.last)
 		b.step(serving.OrderFailed{Attempt: order.Attempt, Err: failure.Refused.New("higher fence")})
--- a/core/serving/events.go
+++ b/core/serving/events.go
@@ -15,8 +15,12 @@
 	Tick struct{}
 	// TargetChanged: the text in force pins Version; zero if it pins none.
 	TargetChanged struct{ Version fleet.Version }
-	// ChunksComplete: all chunks of Version are staged and verified.
-	ChunksComplete struct{ Version fleet.Version }
+	// ChunksComplete: all chunks of Version are staged and verified. Fetch
+	// repeats the number of the StartFetch that it answers.
+	ChunksComplete struct {
+		Fetch   uint64
+		Version fleet.Version
+	}
 	// TurnGranted answers AskTurn: the replica may leave service now.
 	TurnGranted struct{ Version fleet.Version }
 	// Drained: no request is in progress any more. Drain repeats the number of
@@ -73,6 +77,7 @@
 	// ChunksComplete. Chunks of the manifests in Reuse with an equal digest
 	// need not be fetched.
 	StartFetch struct {
+		Fetch   uint64
 		Version fleet.Version
 		Reuse   []fleet.Digest
 	}
@@ -89,9 +94,9 @@
 	}
 	// ResumeAdmitting: the change is put off; go on serving Version.
 	ResumeAdmitting struct{ Version fleet.Version }
-	// SendOrder: send Order and post OrderDone or OrderFailed. After NotAfter,
-	// by the clock read just before sending, it must not be sent any more, and
-	// the process posts OrderFailed with failure.Timeout.
+	// SendOrder: send Order and post OrderDone or OrderFailed. Just before
+	// sending, Expired is asked: an order that has expired must not be sent,
+	// and the process posts OrderFailed with failure.Timeout.
 	SendOrder struct {
 		Attempt  uint64
 		Order    Order
@@ -113,6 +118,12 @@
 	StandDown struct{ Err error }
 )
 
+// Expired reports whether the process was held up so long since the order was
+// decided that it may have been paused. Either clock may show it.
+func (a SendOrder) Expired(now time.Time) bool {
+	return now.After(a.NotAfter) || now.Round(0).After(a.NotAfter.Round(0))
+}
+
 func (StartFetch) action()      {}
 func (StopFetch) action()       {}
 func (AskTurn) action()         {}
--- a/core/serving/orders.go
+++ b/core/serving/orders.go
@@ -80,6 +80,9 @@
 		delete(c.staged, c.ordered.Manifest)
 		c.failures++
 		c.backOff(now, c.failures)
+		if c.failures == c.opt.MaxFailures {
+			c.do(Alarm{Reason: "the engine failed to load " + c.ordered.String() + " several times"})
+		}
 	}
 	c.reclaim(now)
 }
@@ -274,7 +277,8 @@
 	}
 	c.phase = PhaseFetching
 	c.makeRoom()
-	c.do(StartFetch{Version: c.goal, Reuse: c.reusable()})
+	c.fetch++
+	c.do(StartFetch{Fetch: c.fetch, Version: c.goal, Reuse: c.reusable()})
 	c.partial[c.goal.Manifest] = true
 }
 
