--- a/core/serving/changeover.go
+++ b/core/serving/changeover.go
@@ -325,7 +325,8 @@
 }
 
 func (c *Changeover) chunksComplete(e ChunksComplete) {
-	if c.phase != PhaseFetching || e.Fetch != c.fetch || e.Version != c.goal {
+	late := e.Fetch != 0 && e.Fetch != c.fetch
+	if c.phase != PhaseFetching || late || e.Version != c.goal {
 		return
 	}
 	delete(c.partial, c.goal.Manifest)
--- a/core/serving/events.go
+++ b/core/serving/events.go
@@ -16,7 +16,8 @@
 	// TargetChanged: the text in force pins Version; zero if it pins none.
 	TargetChanged struct{ Version fleet.Version }
 	// ChunksComplete: all chunks of Version are staged and verified. Fetch
-	// repeats the number of the StartFetch that it answers.
+	// repeats the number of the StartFetch that it answers; it may be 0 if the
+	// caller makes sure that none comes late, after an engine's restart say.
 	ChunksComplete struct {
 		Fetch   uint64
 		Version fleet.Version
