Test that a refusal for want of room holds

The former test passed with the safeguard taken out: a closed record dropped in the same step left the same mark.

--- a/core/once/register_test.go
+++ b/core/once/register_test.go
@@ -146,18 +146,22 @@
 	})
 
 	// A burst of new keys must neither grow the process past its memory nor
-	// push out the record of an order that runs.
+	// push out the record of an order that runs. The key refused for want of
+	// room stays refused for asks from before, also when there is room again.
 	It("refuses new keys when the record is full, and means it", func() {
+		refusedKey := issuedKey(9, start.Add(time.Second))
 		for n := range uint64(maxKeys) {
 			begin(r, start, issuedKey(n, start))
 		}
 		told := start.Add(time.Second)
-		Expect(begin(r, told, issuedKey(9, start))).To(Equal(once.Verdict{Outcome: failure.NotRun, Reason: once.Busy}))
+		Expect(begin(r, told, refusedKey)).To(Equal(once.Verdict{Outcome: failure.NotRun, Reason: once.Busy}))
 		Expect(r.Len()).To(Equal(maxKeys))
-		r.Abandon(told, issuedKey(0, start))
-		later := start.Add(2*keep + 2*time.Second)
-		held := r.Begin(later, issuedKey(9, start), bodyOf("order"), once.Facts{Asked: start})
+		Expect(r.Passed(issuedKey(0, start))).To(BeTrue())
+		r.Finish(told, issuedKey(0, start), once.Result{Outcome: failure.Ran})
+		later := told.Add(keep + time.Second)
+		held := r.Begin(later, refusedKey, bodyOf("order"), once.Facts{Asked: start})
 		Expect(held).To(Equal(once.Verdict{Outcome: failure.NotRun, Reason: once.Closed}))
+		Expect(begin(r, later.Add(time.Second), refusedKey).Action).To(Equal(once.Run))
 	})
 
 	It("bounds the bytes of kept answers and drops the oldest", func() {
