Tell an early answer from a refusal at the end of sending

quic-go reports a bare error when a stream is finished that the peer has cancelled, so a refused stream could look like a lost connection, with an unknown outcome. CloseSend now takes the stream's own reason, and is no failure when the peer merely reads no more. Refusals are counted before the peer learns of them.

--- a/adapters/peer/contract_test.go
+++ b/adapters/peer/contract_test.go
@@ -95,6 +95,26 @@
 		gomega.Eventually(got, patience).Should(gomega.Receive(gomega.Equal("one way")))
 	})
 
+	// A server answers without reading the rest of a long request. The client's
+	// sends fail from some point on, its end of sending is no failure, and it
+	// gets the answer.
+	ginkgo.It("brings an answer that was given before the request was read", func() {
+		p := newPair(func(_ context.Context, _ keys.Identity, _ peer.Kind, s *peer.Stream) {
+			_ = s.Send(note{Text: "no"})
+		}, nil)
+		s := p.open(peer.KindRequest)
+		gomega.Eventually(func() error { return s.SendBytes(make([]byte, 1000)) }, patience).Should(beOfType(peer.Aborted))
+		var got note
+		gomega.Expect(s.Recv(&got)).To(gomega.Succeed())
+		gomega.Expect(got.Text).To(gomega.Equal("no"))
+		gomega.Expect(s.Recv(&got)).To(gomega.MatchError(io.EOF))
+		quick := p.open(peer.KindRequest)
+		gomega.Expect(quick.Send(note{})).To(gomega.Succeed())
+		gomega.Expect(quick.Recv(&got)).To(gomega.Succeed())
+		gomega.Expect(quick.Recv(&got)).To(gomega.MatchError(io.EOF))
+		gomega.Expect(quick.CloseSend()).To(gomega.Succeed())
+	})
+
 	ginkgo.It("lets the peer speak first", func() {
 		p := newPair(func(_ context.Context, _ keys.Identity, _ peer.Kind, s *peer.Stream) {
 			_ = s.Send(note{Text: "first"})
--- a/adapters/peer/errors.go
+++ b/adapters/peer/errors.go
@@ -78,6 +78,12 @@
 	return ConnectionLost.Wrap(err, "%s", doing)
 }
 
+// isFinished tells a peer that reads no more from one that gave up.
+func isFinished(err error) bool {
+	streamErr, ok := errors.AsType[*quic.StreamError](err)
+	return ok && streamErr.Remote && streamErr.ErrorCode == streamFinished
+}
+
 func isRetired(err *quic.StreamError) bool {
 	return err.Remote && err.ErrorCode == streamRetired
 }
--- a/adapters/peer/serve.go
+++ b/adapters/peer/serve.go
@@ -48,8 +48,8 @@
 		return
 	}
 	if reason := e.refusal(l, kind); reason != "" {
-		refuse(raw, streamRefused)
 		e.metrics.refused(reason, zap.Stringer("peer", l.peer), zap.Stringer("from", l.addr), zap.Stringer("kind", kind))
+		refuse(raw, streamRefused)
 		return
 	}
 	if !l.acquire() {
--- a/adapters/peer/stream.go
+++ b/adapters/peer/stream.go
@@ -70,7 +70,7 @@
 	if errors.Is(cause, quic.ErrStreamClosed) {
 		return
 	}
-	if streamErr, ok := errors.AsType[*quic.StreamError](cause); ok && streamErr.Remote && streamErr.ErrorCode == streamFinished {
+	if isFinished(cause) {
 		s.half(&s.sendDone)
 		return
 	}
@@ -96,7 +96,8 @@
 // Send sends one CBOR message. It returns when the transport has taken the
 // bytes, not when they have arrived. A failure leaves the stream unusable for
 // sending, but for a message that cannot be encoded or is TooLarge, of which
-// nothing was sent.
+// nothing was sent. It fails with Aborted when the peer reads no more; an answer
+// that the peer gave before can still be received.
 func (s *Stream) Send(v any) error {
 	buf := buffers.Get().(*bytes.Buffer)
 	defer putBuffer(buf)
@@ -232,8 +233,13 @@
 	if s.sendErr != nil {
 		return s.sendErr
 	}
-	if err := s.raw.Close(); err != nil {
-		return s.failed(err, "finish sending")
+	if s.raw.Close() != nil {
+		// quic-go's error is bare; the reason is the stream's.
+		cause := context.Cause(s.raw.Context())
+		if !isFinished(cause) {
+			s.sendErr = s.failed(cause, "finish sending")
+			return s.sendErr
+		}
 	}
 	s.finished = true
 	s.sendErr = Aborted.New("send: the stream was finished")
--- a/adapters/peer/trust_test.go
+++ b/adapters/peer/trust_test.go
@@ -194,7 +194,7 @@
 		expectNotRun(err)
 		running.Abort()
 		p.client.Sweep(time.Now().Add(peer.Linger))
-		gomega.Expect(p.client.Stats().Dialled).To(gomega.Equal(1))
+		gomega.Eventually(func() int { return p.client.Stats().Dialled }, patience).Should(gomega.Equal(1))
 	})
 })
 
