Wire limits, a queue by priority and workspace shares into the request path

The agent keeps the requests of all entries before its backend server in one room, the important ones in front, with as many slots as the engine tells or an adaptive limit has found; what cannot be served by its deadline is refused at once. Entries hold workspaces to a max-min fair share of their limits from the demands that they report to each other, and hand on more than a server's slots, so that the agent can tell the important requests from the rest. A refusal for want of room says nothing of the server to the balancer.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -72,6 +72,7 @@
 	change   *serving.Changeover
 	work     *inFlight
 	register *once.Register
+	room     *room
 	traffic  trafficBytes
 	upShare  *linkshare.Share
 	dnShare  *linkshare.Share
@@ -108,6 +109,7 @@
 		ctx:     ctx,
 		started: time.Now(),
 		work:    newInFlight(),
+		room:    newRoom(time.Now()),
 		register: once.New(once.Options{
 			Self:        opts.Self.ID,
 			Incarnation: once.Incarnation(opts.Incarnation),
@@ -133,6 +135,8 @@
 // Tick implements control.Ticker.
 func (a *Agent) Tick(now time.Time) {
 	a.shareLink(now)
+	a.room.setSlots(now, a.load.Slots)
+	a.room.expire(now)
 	if a.change == nil {
 		a.pollPlain(now)
 		return
--- a/daemon/agent/once.go
+++ b/daemon/agent/once.go
@@ -84,13 +84,19 @@
 // passOnce passes the work on. It goes on to its end though the entry or the
 // caller goes away, so that asking again finds the answer.
 func (a *Agent) passOnce(ctx context.Context, s *peer.Stream, req wire.Request, body []byte, version fleet.Version, key once.Key) wire.AnswerEnd {
+	out := newAnswerStream(s, version)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.remaining(req))
+	defer cancel()
+	leave, err := a.enterRoom(ctx, req)
+	if err != nil {
+		a.register.Abandon(time.Now(), key)
+		return decided(notRun(req, err))
+	}
+	defer func() { leave(out.first) }()
 	if !a.register.Passed(key) {
 		return decided(notRun(req, calls.Duplicate.New("the key was taken meanwhile")))
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.remaining(req))
-	defer cancel()
 	var kept []byte
-	out := &answerStream{stream: s, version: version}
 	end := a.passTo(ctx, req, body, version, func(p serving.Piece) error {
 		if len(kept) <= maxKeptAnswer {
 			kept = append(kept, p.Data...)
@@ -119,7 +125,7 @@
 	if v.Action != once.Done || !v.Result.BodyKept {
 		return refusal(req, v)
 	}
-	out := &answerStream{stream: s, version: v.Result.Version}
+	out := newAnswerStream(s, v.Result.Version)
 	if err := out.piece(serving.Piece{Status: v.Result.Status, Data: v.Result.Body}); err != nil {
 		return refusal(req, v)
 	}
--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/keys"
@@ -55,6 +56,7 @@
 		p := a.report.Load()
 		report := p.Report
 		report.ClockMS = a.clockMS()
+		report.Load = a.presentLoad(report.Load)
 		if err := s.Send(report); err != nil {
 			return
 		}
@@ -67,6 +69,15 @@
 	}
 }
 
+// presentLoad is the engine's report, which lags, with the requests that this
+// agent itself knows of.
+func (a *Agent) presentLoad(reported serving.Load) serving.Load {
+	running, waiting := a.room.waiting.Load()
+	reported.Running = max(reported.Running, running)
+	reported.Waiting += waiting
+	return reported
+}
+
 // clockMS is the agent's own clock, which entries echo.
 func (a *Agent) clockMS() int64 {
 	return time.Since(a.started).Milliseconds() + 1
@@ -142,8 +153,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.remaining(req))
 	defer cancel()
-	out := &answerStream{stream: s, version: version}
+	leave, err := a.enterRoom(ctx, req)
+	if err != nil {
+		return notRun(req, err)
+	}
+	out := newAnswerStream(s, version)
 	end := a.passTo(ctx, req, body, version, out.piece)
+	leave(out.first)
 	if end.Outcome == wire.OutcomeRan {
 		_ = out.begin(end.Status)
 	}
@@ -166,6 +182,21 @@
 	return version, nil
 }
 
+// enterRoom waits for a slot of the backend server. The gate is asked again
+// after the wait, since it may have closed meanwhile.
+func (a *Agent) enterRoom(ctx context.Context, req wire.Request) (leave func(firstPiece time.Duration), err error) {
+	deadline, _ := ctx.Deadline()
+	leave, err = a.room.enter(ctx, req.Priority, deadline)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := a.gate.Load().Admit(time.Now()); err != nil {
+		leave(0)
+		return nil, err
+	}
+	return leave, nil
+}
+
 // remaining is the time left for a request. What the request lost on the way
 // is subtracted: an entry that was paused between reading its clock and
 // sending would otherwise have work done that nobody waits for any more. The
@@ -186,6 +217,7 @@
 		ID:           req.ID,
 		Reason:       err.Error(),
 		RetryAfterMS: failure.RetryAfter(err).Milliseconds(),
+		Full:         errorx.IsOfType(err, calls.Overloaded),
 	}
 }
 
@@ -219,6 +251,12 @@
 	stream  *peer.Stream
 	version fleet.Version
 	begun   bool
+	began   time.Time
+	first   time.Duration // time to the first piece, 0 if none came
+}
+
+func newAnswerStream(s *peer.Stream, version fleet.Version) *answerStream {
+	return &answerStream{stream: s, version: version, began: time.Now()}
 }
 
 // begin opens the answer unless a piece has.
@@ -227,6 +265,7 @@
 		return nil
 	}
 	o.begun = true
+	o.first = time.Since(o.began)
 	return o.stream.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(status), Version: o.version}})
 }
 
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -51,6 +51,11 @@
 	if !ok {
 		return calls.End{}, failure.WithOutcome(calls.UnknownService.New("no service %q", r.Service), failure.NotRun)
 	}
+	leave, err := e.limit(r)
+	if err != nil {
+		return calls.End{}, err
+	}
+	defer leave()
 	r.Priority = priorityOf(r, p.config.Fleet)
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
@@ -151,7 +156,7 @@
 	asked     time.Time        // when the caller's ask came
 	server    fleet.InstanceID // empty if none could be picked
 	delivered bool             // the caller has a part of the answer
-	first     time.Duration    // time to the first piece
+	pieces    int              // of the answer that came
 	started   time.Time
 }
 
@@ -180,11 +185,11 @@
 // result tells the balancer how the attempt went, as far as it says something
 // of the server.
 func (a *attempt) result(ctx context.Context, err error) balance.Result {
-	result := balance.Result{At: time.Now(), FirstPiece: a.first, RetryAfter: failure.RetryAfter(err)}
+	result := balance.Result{At: time.Now(), FirstPiece: a.pace(), RetryAfter: failure.RetryAfter(err)}
 	switch {
 	case err == nil:
 		result.Kind = balance.Succeeded
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled), errorx.IsOfType(err, calls.Overloaded):
 		result.Kind = balance.Abandoned
 	case errorx.IsOfType(err, failure.Refused):
 		result.Kind = balance.Declined
@@ -196,6 +201,17 @@
 	return result
 }
 
+// pace is the mean time that a piece of the answer took, 0 if none came. It
+// tells a slow engine from a fast one, whatever the answers' lengths; the time
+// to the first piece alone would not, since an engine names its version at
+// once and may be slow with each token after that.
+func (a *attempt) pace() time.Duration {
+	if a.pieces == 0 {
+		return 0
+	}
+	return time.Since(a.started) / time.Duration(a.pieces)
+}
+
 // exchange sends the request to an agent and hands the answer to the caller.
 func (a *attempt) exchange(ctx context.Context, server balance.Server, clock clockReading) (calls.End, error) {
 	s, err := a.entry.opts.Endpoint.Open(ctx, server.Addr, server.ID, peer.KindRequest)
@@ -285,6 +301,7 @@
 		case part.End != nil:
 			return a.finish(*part.End, server)
 		default:
+			a.pieces++
 			if err := a.sink.Piece(part.Piece); err != nil {
 				return calls.End{}, failure.WithOutcome(errorx.Cast(err), failure.Unknown)
 			}
@@ -293,7 +310,6 @@
 }
 
 func (a *attempt) begin(b wire.AnswerBegin) error {
-	a.first = time.Since(a.started)
 	a.delivered = true
 	if err := a.sink.Begin(calls.Begin{Status: b.Status, Version: b.Version}); err != nil {
 		return failure.WithOutcome(errorx.Cast(err), failure.Unknown)
@@ -319,6 +335,8 @@
 	switch {
 	case end.Duplicate:
 		kind = calls.Duplicate
+	case end.Full:
+		kind = calls.Overloaded
 	case end.Outcome == wire.OutcomeNotRun:
 		kind = failure.Refused
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -39,6 +39,13 @@
 	rebuildEvery = 50 * time.Millisecond
 )
 
+// routing lets an entry hand on more than a server has slots for. The agent
+// keeps what waits, of all entries, the important requests in front, and
+// refuses at once what cannot be served in time; an entry that refused by its
+// own count could not tell the important ones from the rest. The least
+// important get less of that room, so that they seldom make the trip in vain.
+var routing = balance.Settings{QueueShare: 3, ReserveShare: 0.6}
+
 // Options of an Entry. All are needed.
 type Options struct {
 	Self        fleet.Instance
@@ -62,10 +69,12 @@
 	answerer *addressing.Answerer
 	running  atomic.Int64
 
+	limits      *limits
 	subs        map[fleet.InstanceID]*subscription
 	leaving     bool
 	dirty       bool
 	nextRebuild time.Time
+	nextShare   time.Time
 
 	picture atomic.Pointer[picture]
 }
@@ -103,9 +112,10 @@
 		tracker:  balance.NewTracker(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:   retry.NewBudget(now, retry.BudgetOptions{}),
 		answerer: addressing.New(addressing.Options{TTL: opts.AddressTTL, Rand: sharedRand{}}),
+		limits:   newLimits(),
 		subs:     make(map[fleet.InstanceID]*subscription),
 	}
-	e.picture.Store(&picture{servers: balance.NewSnapshot(opts.Self.Place, nil, e.tracker, balance.Settings{})})
+	e.picture.Store(&picture{servers: balance.NewSnapshot(opts.Self.Place, nil, e.tracker, routing)})
 	return e
 }
 
@@ -117,12 +127,18 @@
 	if e.dirty && !now.Before(e.nextRebuild) {
 		e.rebuild(now)
 	}
+	if !now.Before(e.nextShare) {
+		e.nextShare = now.Add(demandEvery)
+		e.followDemands()
+		e.share(now)
+	}
 }
 
 // Changed is told after the text in force or the view has changed.
 func (e *Entry) Changed(now time.Time) {
 	e.subscribe(now)
 	e.rebuild(now)
+	e.share(now)
 	e.node.UpdateSelf(now, e.describe)
 }
 
@@ -151,7 +167,7 @@
 		}
 	}
 	slices.SortFunc(servers, func(a, b balance.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	p.servers = balance.NewSnapshot(e.opts.Self.Place, servers, e.tracker, balance.Settings{})
+	p.servers = balance.NewSnapshot(e.opts.Self.Place, servers, e.tracker, routing)
 	e.picture.Store(p)
 }
 
--- a/daemon/entry/subscription.go
+++ b/daemon/entry/subscription.go
@@ -158,5 +158,9 @@
 		e.node.ServeGossip(ctx, from, s)
 	case peer.KindConfig:
 		e.node.ServeConfig(ctx, from, s)
+	case peer.KindReport:
+		if from.Role == fleet.RoleEntry {
+			e.serveDemand(ctx, s)
+		}
 	}
 }
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -132,11 +132,21 @@
 	// Duplicate is true if a request with the key was taken before and its
 	// answer is not given here.
 	Duplicate bool `cbor:"8,keyasint,omitempty"`
+	// Full is true if the request was refused for want of room in time. It
+	// says nothing of a more important request.
+	Full bool `cbor:"9,keyasint,omitempty"`
 }
 
-// ReportAsk opens a stream of peer.KindReport.
+// ReportAsk opens a stream of peer.KindReport. An agent answers with Report
+// messages, an entry with Demand messages.
 type ReportAsk struct{}
 
+// Demand is what each workspace asks of an entry, in requests a second,
+// admitted or not. It is sent each second.
+type Demand struct {
+	Rates map[fleet.Workspace]float64 `cbor:"1,keyasint,omitempty"`
+}
+
 // Report is what an agent pushes to an entry that subscribed with a stream of
 // peer.KindReport: at once on any change of State, Leaving or Serving, and
 // every half second.
--- a/standin/bench/requests/baseline.go
+++ b/standin/bench/requests/baseline.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	adapter "chivespindle.example/adapters/engine"
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/serving"
 	"chivespindle.example/standin/harness"
 )
@@ -37,11 +38,11 @@
 	pick := Baselines()[name](engines)
 	var clients []*adapter.Client
 	for i := range engines {
-		addr, err := netip.ParseAddrPort(strings.TrimPrefix(f.Engines[engineID(i)].URL(), "http://"))
+		client, err := f.engineClient(i)
 		if err != nil {
 			return r, err
 		}
-		clients = append(clients, adapter.New(adapter.Options{Addr: addr}))
+		clients = append(clients, client)
 	}
 	mend, err := f.inject(fault)
 	if err != nil {
@@ -70,6 +71,15 @@
 	return r, mend()
 }
 
+// engineClient speaks to an engine without the system between.
+func (f *Fleet) engineClient(i int) (*adapter.Client, error) {
+	addr, err := netip.ParseAddrPort(strings.TrimPrefix(f.Engines[engineID(i)].URL(), "http://"))
+	if err != nil {
+		return nil, failure.Internal.Wrap(err, "address of an engine")
+	}
+	return adapter.New(adapter.Options{Addr: addr}), nil
+}
+
 // ask asks again while an engine declines, as a caller of the system does.
 func ask(client *adapter.Client) (time.Duration, bool) {
 	prompt := harness.Prompt{Prompt: "fault log " + uuid.NewString(), MaxTokens: tokens}
--- a/standin/bench/requests/fleet.go
+++ b/standin/bench/requests/fleet.go
@@ -20,7 +20,7 @@
 )
 
 // Sizes of the measurement: six engines that answer 16 tokens in 80 ms, four
-// at a time, so 300 requests a second in all.
+// at a time.
 const (
 	model fleet.ServiceName = "spindle-pool"
 	plain fleet.ServiceName = "workshop-api"
@@ -31,7 +31,6 @@
 	queue     = 4
 	tokens    = 16
 	tokenTime = 5 * time.Millisecond
-	capacity  = engines * slots * float64(time.Second) / float64(tokens*tokenTime)
 
 	settle = 30 * time.Second
 )
--- a/standin/bench/requests/overload.go
+++ b/standin/bench/requests/overload.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -24,11 +25,14 @@
 	overloadTime     = 6 * time.Second
 	overloadWarmUp   = 2 * time.Second
 	overloadDeadline = 2 * time.Second
+	capacityTime     = 2 * time.Second
 )
 
 // OverloadResult is what a run at twice the capacity came to.
 type OverloadResult struct {
 	High, Low class
+	// Capacity is what the engines answer a second at most.
+	Capacity float64
 	// Seconds is the time over which answers were counted.
 	Seconds float64
 	Wrong   int
@@ -46,11 +50,11 @@
 func (r OverloadResult) String() string {
 	served := r.High.Served + r.Low.Served
 	offered := r.High.Offered + r.Low.Offered
-	return fmt.Sprintf("bench=requests fault=overload policy=chivespindle requests=%d answered=%d lost=0 unknown=%d duplicates=0 wrong=%d p50_ms=%.0f p99_ms=%.0f not_run_but_ran=0 high_served=%.3f low_served=%.3f goodput=%.3f refusal_ms=%d",
+	return fmt.Sprintf("bench=requests fault=overload policy=chivespindle requests=%d answered=%d lost=0 unknown=%d duplicates=0 wrong=%d p50_ms=%.0f p99_ms=%.0f not_run_but_ran=0 high_served=%.3f low_served=%.3f goodput=%.3f capacity_per_s=%.0f refusal_ms=%d",
 		offered, served, r.High.Unknown+r.Low.Unknown, r.Wrong,
 		percentile(r.High.Latencies, 50), percentile(r.High.Latencies, 99),
 		share(r.High.Served, r.High.Offered), share(r.Low.Served, r.Low.Offered),
-		float64(served)/r.Seconds/capacity, r.SlowestRefusal.Milliseconds())
+		float64(served)/r.Seconds/r.Capacity, r.Capacity, r.SlowestRefusal.Milliseconds())
 }
 
 func share(part, whole int) float64 {
@@ -60,14 +64,41 @@
 	return float64(part) / float64(whole)
 }
 
+// MeasureCapacity returns how many requests a second the engines answer when
+// each is kept full by callers of its own, without the system between.
+func (f *Fleet) MeasureCapacity() (float64, error) {
+	var answered atomic.Int64
+	var done sync.WaitGroup
+	ctx, cancel := context.WithTimeout(context.Background(), capacityTime)
+	defer cancel()
+	for i := range engines {
+		client, err := f.engineClient(i)
+		if err != nil {
+			return 0, err
+		}
+		for range slots {
+			done.Go(func() {
+				for ctx.Err() == nil {
+					if _, whole := ask(client); whole {
+						answered.Add(1)
+					}
+				}
+			})
+		}
+	}
+	started := time.Now()
+	done.Wait()
+	return float64(answered.Load()) / time.Since(started).Seconds(), nil
+}
+
 // RunOverload offers twice the capacity, each request once, and counts what is
 // served after a warm-up.
-func (f *Fleet) RunOverload() OverloadResult {
+func (f *Fleet) RunOverload(capacity float64) OverloadResult {
 	client := f.client()
 	rate := overload * capacity
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / rate))
 	defer ticker.Stop()
-	r := OverloadResult{Seconds: (overloadTime - overloadWarmUp).Seconds()}
+	r := OverloadResult{Capacity: capacity, Seconds: (overloadTime - overloadWarmUp).Seconds()}
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	started := time.Now()
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -84,7 +84,11 @@
 			}
 		}
 	}
-	fmt.Println(f.RunOverload())
+	capacity, err := f.MeasureCapacity()
+	if err != nil {
+		return err
+	}
+	fmt.Println(f.RunOverload(capacity))
 	return nil
 }
 
