--- a/Makefile
+++ b/Makefile
@@ -68,15 +68,15 @@
 	$(GO) generate $(PACKAGES)
 
 .PHONY: demo
-demo: ## a small fleet on this machine, with stand-ins of the platform
+demo: build ## a small fleet on this machine, with stand-ins of the platform
 	$(GO) run ./standin/cmd/demo
 
 .PHONY: bench
-bench: ## the measurements of the design notes
+bench: build ## the measurements of the design notes
 	$(GO) run ./standin/cmd/bench
 
 .PHONY: capacity
-capacity: ## the slopes of docs/CAPACITY.md
+capacity: build ## the slopes of docs/CAPACITY.md
 	$(GO) run ./standin/cmd/capacity
 
 .PHONY: versions
