--- a/core/balance/bench_test.go
+++ b/core/balance/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"chivespindle.example/core/balance"
+	"chivespindle.example/core/serving"
 )
 
 func BenchmarkPick(b *testing.B) {
@@ -39,3 +40,30 @@
 		balance.NewSnapshot(placeOf(0), servers, tracker, balance.Settings{})
 	}
 }
+
+// BenchmarkPickRefused is the cost of a request that no server can take.
+func BenchmarkPickRefused(b *testing.B) {
+	for _, n := range []int{20, 200, 3500} {
+		servers := targetFleet()[:n]
+		for i := range servers {
+			servers[i].Report = balance.Report{Load: serving.Load{Running: slots, Waiting: slots, Slots: slots}, Received: start}
+		}
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			s := balance.NewSnapshot(placeOf(0), servers, newTracker(), balance.Settings{})
+			rnd := newRand(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := s.Pick(start, rnd, anyRequest); err == nil {
+					b.Fatal("a full server was picked")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkAssign(b *testing.B) {
+	servers, entries := targetFleet(), targetRoll(targetEntries)
+	for b.Loop() {
+		balance.Assign(entries[0], entries, servers, 24)
+	}
+}
--- a/core/balance/subset.go
+++ b/core/balance/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,10 @@
 // servers; all of them if there are no more than n. It depends on nothing but
 // its arguments, and a server that comes or goes changes it by at most that
 // one: a changed list does not make every entry connect anew.
+//
+// It does not look at the other entries, so how many of them keep a server is
+// left to chance: with less than about fifteen on average some servers are
+// kept by none and idle. Assign has no such bound.
 func Subset(entryID fleet.InstanceID, self fleet.Place, servers []Server, n int) []Server {
 	if n <= 0 {
 		return nil
@@ -29,9 +34,12 @@
 		return slices.Clone(servers)
 	}
 	tiers := rankTiers(entryID, self, servers)
-	quotas := quotasOf(tiers, n)
+	var sizes [tierCount]int
+	for tier, members := range tiers {
+		sizes[tier] = len(members)
+	}
 	var chosen []int
-	for tier, quota := range quotas {
+	for tier, quota := range quotasOf(sizes, n) {
 		for _, c := range tiers[tier][:quota] {
 			chosen = append(chosen, c.index)
 		}
@@ -64,21 +72,22 @@
 	return tiers
 }
 
-// quotasOf splits n over the tiers by their shares; what a small tier cannot
-// fill goes to the nearest that can.
-func quotasOf(tiers [tierCount][]ranked, n int) [tierCount]int {
-	zone := int(zoneShare * float64(n))
-	region := int(regionShare * float64(n))
+// quotasOf splits n over tiers of the given sizes by their shares, rounded in
+// favour of the nearer ones; what a small tier cannot fill goes to the nearest
+// that can.
+func quotasOf(sizes [tierCount]int, n int) [tierCount]int {
+	zone := int(math.Ceil(zoneShare * float64(n)))
+	region := min(n-zone, int(math.Ceil(regionShare*float64(n))))
 	quotas := [tierCount]int{zone, region, n - zone - region}
 	left := 0
 	for tier := range quotas {
-		if short := quotas[tier] - len(tiers[tier]); short > 0 {
+		if short := quotas[tier] - sizes[tier]; short > 0 {
 			quotas[tier] -= short
 			left += short
 		}
 	}
 	for tier := range quotas {
-		more := min(left, len(tiers[tier])-quotas[tier])
+		more := min(left, sizes[tier]-quotas[tier])
 		quotas[tier] += more
 		left -= more
 	}
--- a/core/balance/subset_test.go
+++ b/core/balance/subset_test.go
@@ -100,6 +100,76 @@
 	)
 })
 
+func targetRoll(n int) []balance.Entry {
+	entries := make([]balance.Entry, n)
+	for i := range entries {
+		entries[i] = balance.Entry{ID: entryID(i), Place: placeOf(i)}
+	}
+	return entries
+}
+
+var _ = Describe("Assign", func() {
+	// A few hundred servers idle while the others are overloaded: with the
+	// small subsets that a node's budget of reports allows, chance leaves
+	// them out of all.
+	DescribeTable("gives every server of the target fleet to as many entries",
+		func(n, keepers int) {
+			servers, entries := targetFleet(), targetRoll(targetEntries)
+			keepersOf := map[fleet.InstanceID]int{}
+			var sizes []int
+			for _, e := range entries {
+				kept := balance.Assign(e, entries, servers, n)
+				sizes = append(sizes, len(kept))
+				for _, server := range kept {
+					keepersOf[server.ID]++
+				}
+			}
+			slices.Sort(sizes)
+			mean := float64(keepers*targetServers) / targetEntries
+			AddReportEntry("servers of an entry", fmt.Sprintf("min %d mean %.1f max %d", sizes[0], mean, sizes[len(sizes)-1]))
+			Expect(keepersOf).To(HaveLen(targetServers))
+			Expect(keepersOf).To(HaveEach(keepers))
+			Expect(float64(sizes[0])).To(BeNumerically(">", mean/3))
+			Expect(float64(sizes[len(sizes)-1])).To(BeNumerically("<", 2*mean))
+		},
+		Entry("by few", 24, 4),
+		Entry("by many", 128, 15),
+	)
+
+	It("changes only the servers of an entry that goes", func() {
+		servers, entries := targetFleet(), targetRoll(targetEntries)
+		gone := idsOf(balance.Assign(entries[7], entries, servers, 24))
+		for _, e := range entries[100:120] {
+			before := idsOf(balance.Assign(e, entries, servers, 24))
+			after := idsOf(balance.Assign(e, slices.Concat(entries[:7], entries[8:]), servers, 24))
+			for _, id := range after {
+				Expect(slices.Contains(before, id) || slices.Contains(gone, id)).To(BeTrue())
+			}
+			Expect(len(after)).To(BeNumerically(">=", len(before)))
+		}
+	})
+
+	It("leaves no server out when zones have few entries or none", func() {
+		servers := targetFleet()[:300]
+		entries := targetRoll(13)[7:]
+		seen := map[fleet.InstanceID]bool{}
+		for _, e := range entries {
+			kept := balance.Assign(e, entries, servers, 24)
+			Expect(len(kept)).To(BeNumerically("<=", 2*4*300/6))
+			for _, server := range kept {
+				seen[server.ID] = true
+			}
+		}
+		Expect(seen).To(HaveLen(300))
+	})
+
+	It("gives all servers of a small fleet to every entry", func() {
+		servers := targetFleet()[:16]
+		Expect(balance.Assign(targetRoll(1)[0], targetRoll(8), servers, 24)).To(Equal(servers))
+		Expect(balance.Assign(targetRoll(1)[0], nil, targetFleet()[:100], 24)).To(HaveLen(100))
+	})
+})
+
 func idsOf(servers []balance.Server) []fleet.InstanceID {
 	ids := make([]fleet.InstanceID, len(servers))
 	for i := range servers {
