Make no new connections for key files that did not change

Cause: each look at the key files, every 30 s, was a new generation, and connections of an older one are replaced; so every process of the fleet made all its connections anew twice a minute (seen in the demo's logs as peer_connection_outdated 30 s after the start). Ruled out: an expired certificate, a changed authority. Files are now compared by digest. A spec that failed first (generation 3, want 2) holds it.

Also counts an entry's requests and their time by service and outcome.

--- a/adapters/keys/keys.go
+++ b/adapters/keys/keys.go
@@ -13,6 +13,7 @@
 package keys
 
 import (
+	"bytes"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
@@ -26,6 +27,7 @@
 	"github.com/zeebo/blake3"
 
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
 )
 
 // Failures of Load and Reload. Each message names the file and the reason.
@@ -69,7 +71,8 @@
 	authority   *x509.CertPool
 	identity    Identity
 	secret      []byte // encoding of the private key, source of derived keys
-	generation  uint64 // 1 after Load, one more after each Reload
+	generation  uint64 // 1 after Load, one more after each Reload that found other files
+	content     fleet.Digest
 }
 
 // Load reads and checks the files.
@@ -85,6 +88,8 @@
 }
 
 // Reload reads the files again. On failure the old material stays in force.
+// Files that did not change are no new generation: connections are made anew
+// for each generation, and files are looked at every half minute.
 // The identity cannot change: an instance keeps its id for life, and peers
 // know it by that id.
 func (s *Store) Reload() error {
@@ -98,6 +103,9 @@
 	if read.identity != old.identity {
 		return IdentityChanged.New("%s: names %s, this process is %s", s.files.Certificate, read.identity, old.identity)
 	}
+	if read.content == old.content {
+		return nil
+	}
 	read.generation = old.generation + 1
 	s.current.Store(read)
 	return nil
@@ -107,7 +115,7 @@
 func (s *Store) Identity() Identity { return s.current.Load().identity }
 
 // Generation tells two readings of the files apart: it is 1 after Load and one
-// more after each Reload that succeeded.
+// more after each Reload that found other files.
 func (s *Store) Generation() uint64 { return s.current.Load().generation }
 
 // Expires returns the end of the own certificate. After it, no peer accepts
@@ -144,7 +152,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return checkMaterial(files, pair, pool)
+	read, err := checkMaterial(files, pair, pool)
+	if err != nil {
+		return nil, err
+	}
+	read.content = fleet.DigestOf(bytes.Join([][]byte{authorityPEM, certPEM, keyPEM}, []byte{0}))
+	return read, nil
 }
 
 func checkMaterial(files Files, pair tls.Certificate, pool *x509.CertPool) (*material, error) {
--- a/adapters/keys/keys_test.go
+++ b/adapters/keys/keys_test.go
@@ -134,6 +134,11 @@
 		must(next.WriteFiles(dir, fleet.RoleEntry, "e1"))
 		gomega.Expect(store.Reload()).To(gomega.Succeed())
 		gomega.Expect(store.Generation()).To(gomega.BeEquivalentTo(2))
+
+		// A process looks at its files every half minute. Were each look a new
+		// generation, every connection would be made anew as often.
+		gomega.Expect(store.Reload()).To(gomega.Succeed())
+		gomega.Expect(store.Generation()).To(gomega.BeEquivalentTo(2))
 		gomega.Expect(store.Check(parse(next.Issue(fleet.RoleAgent, "a1")))).To(gomega.Succeed())
 	})
 
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -33,8 +33,18 @@
 
 // Dispatch implements calls.Dispatcher.
 func (e *Entry) Dispatch(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
+	started := time.Now()
 	end, err := e.serve(ctx, r, sink)
-	return end, atMostOnce(r, err)
+	err = atMostOnce(r, err)
+	if errorx.IsOfType(err, calls.UnknownService) {
+		return end, err
+	}
+	outcome := failure.Ran
+	if err != nil {
+		outcome = failure.OutcomeOf(err)
+	}
+	e.metrics.ended(r.Service, outcome, time.Since(started))
+	return end, err
 }
 
 func (e *Entry) serve(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -70,6 +70,7 @@
 	running  atomic.Int64
 
 	limits      *limits
+	metrics     requestMetrics
 	subs        map[fleet.InstanceID]*subscription
 	leaving     bool
 	dirty       bool
@@ -113,6 +114,7 @@
 		budget:   retry.NewBudget(now, retry.BudgetOptions{}),
 		answerer: addressing.New(addressing.Options{TTL: opts.AddressTTL, Rand: sharedRand{}}),
 		limits:   newLimits(),
+		metrics:  requestMetrics{scope: opts.Metrics},
 		subs:     make(map[fleet.InstanceID]*subscription),
 	}
 	e.picture.Store(&picture{servers: balance.NewSnapshot(opts.Self.Place, nil, e.tracker, routing)})
