--- a/cmd/chivespindled/command.go
+++ b/cmd/chivespindled/command.go
@@ -74,9 +74,9 @@
 
 func newMember(s *settings.Settings, logger *zap.Logger) (member, error) {
 	if s.Role == fleet.RoleEntry {
-		return process.NewEntry(s, logger)
+		return process.NewEntry(s, logger, process.Options{})
 	}
-	return process.NewAgent(s, logger, process.AgentOptions{})
+	return process.NewAgent(s, logger, process.Options{})
 }
 
 // serve runs a process until it is told to stop or fails.
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -82,6 +82,7 @@
 	known       bool // the text in force has the service
 	targetSince revision.Revision
 	turnFor     fleet.Version // a turn is asked for; zero if none
+	nextTurn    time.Time     // when it is looked at again without news
 	blocked     bool
 	reason      string
 	boot        string
@@ -143,7 +144,9 @@
 	}
 	a.step(now, serving.Tick{})
 	a.swarm.Tick(now)
-	a.takeTurn(now)
+	if !a.turnFor.IsZero() && !now.Before(a.nextTurn) {
+		a.takeTurn(now)
+	}
 }
 
 // Changed is told after the text in force or the view has changed.
--- a/daemon/agent/change.go
+++ b/daemon/agent/change.go
@@ -49,6 +49,7 @@
 		a.swarm.Stop(action.Version.Manifest)
 	case serving.AskTurn:
 		a.turnFor = action.Version
+		a.nextTurn = now
 	case serving.StopAdmitting:
 		a.publish(now)
 		a.work.whenIdle(func() { a.post(serving.Drained{Drain: action.Drain}) })
@@ -180,8 +181,13 @@
 	return members
 }
 
+// turnEvery is how often a waiting replica looks at its turn when nothing new
+// was heard. A look goes through all replicas of the service.
+const turnEvery = 200 * time.Millisecond
+
 // takeTurn asks the rollout's rule whether the replica may leave service now.
 func (a *Agent) takeTurn(now time.Time) {
+	a.nextTurn = now.Add(turnEvery)
 	state := a.node.InForce()
 	if a.change == nil || state == nil {
 		return
--- a/daemon/swarm/gather.go
+++ b/daemon/swarm/gather.go
@@ -38,6 +38,7 @@
 	running  map[uint64]context.CancelFunc
 	waiting  []chan struct{} // askers that wait for an upload slot
 	nextNews time.Time
+	nextLink time.Time
 	paused   bool
 	reported bool
 }
@@ -131,7 +132,10 @@
 	if g.plan == nil {
 		return
 	}
-	g.link(now)
+	if !now.Before(g.nextLink) {
+		g.nextLink = now.Add(relinkAfter)
+		g.link(now)
+	}
 	if !now.Before(g.nextNews) {
 		g.nextNews = now.Add(newsEvery)
 		g.tellNews()
