--- /dev/null
+++ b/core/serving/gate_test.go
@@ -0,0 +1,142 @@
+package serving_test
+
+import (
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/serving"
+)
+
+// open returns a gate that lets requests through at now.
+func open(now time.Time, edits ...func(*serving.GateState)) serving.GateState {
+	g := serving.GateState{
+		Pinned: v2, Before: v1, Intended: v1, Verified: v1.Manifest,
+		Status: serving.EngineStatus{Boot: "b", Loaded: v1}, StatusAt: now, MaxStatusAge: 3 * time.Second,
+	}
+	for _, edit := range edits {
+		edit(&g)
+	}
+	return g
+}
+
+var _ = Describe("GateState", func() {
+	now := time.Now()
+	type gate = serving.GateState
+
+	// Each row is one thing that does not agree. Letting the request through
+	// would answer a caller from partial, mixed or unintended weights; saying
+	// anything but "not run" would keep a job from being sent elsewhere.
+	DescribeTable("refuses as not run", func(reason serving.Reason, edit func(*gate)) {
+		_, err := open(now, edit).Admit(now)
+		Expect(errorx.IsOfType(err, failure.Refused)).To(BeTrue())
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+		Expect(serving.ReasonOf(err)).To(Equal(reason))
+	},
+		Entry("nothing is known", serving.ReasonNoVersion, func(g *gate) { *g = gate{} }),
+		Entry("the engine has another version", serving.ReasonOtherVersion, func(g *gate) { g.Status.Loaded = v2 }),
+		Entry("one name, other bytes", serving.ReasonOtherVersion, func(g *gate) { g.Status.Loaded.Manifest = v2.Manifest }),
+		Entry("the engine is loading", serving.ReasonChanging, func(g *gate) { g.Status.Loading = true }),
+		Entry("the replica is draining", serving.ReasonChanging, func(g *gate) { g.Changing = true }),
+		Entry("the report is old", serving.ReasonStatusOld, func(g *gate) { g.StatusAt = now.Add(-4 * time.Second) }),
+		Entry("the monotonic clock stood still", serving.ReasonStatusOld, func(g *gate) { g.StatusAt = now.Round(0).Add(-time.Hour) }),
+		Entry("the process was paused", serving.ReasonPaused, func(g *gate) { g.Paused = true }),
+		Entry("the instance is leaving", serving.ReasonLeaving, func(g *gate) { g.Leaving = true }),
+		Entry("another process took over", serving.ReasonStoodDown, func(g *gate) { g.StoodDown = true }),
+		Entry("the bytes were not verified", serving.ReasonUnverified, func(g *gate) { g.Verified = v2.Manifest }),
+		Entry("a version that the text does not allow", serving.ReasonUnpinned, func(g *gate) { g.Intended = v3 }),
+		Entry("a plain service that is not up", serving.ReasonNoVersion, func(g *gate) { g.Plain = true }),
+	)
+
+	It("admits for the version before until the pinned one is ready", func() {
+		Expect(open(now).Admit(now)).To(Equal(v1))
+		ready := open(now, func(g *gate) { g.Intended, g.Verified, g.Status.Loaded = v2, v2.Manifest, v2 })
+		Expect(ready.Admit(now)).To(Equal(v2))
+		Expect(gate{Plain: true, Open: true}.Admit(now)).To(Equal(fleet.Version{}))
+	})
+
+	// The engine changes over between the admission and the answer. The answer
+	// is whole but of another version, and the request may have run: it must
+	// neither be shown nor be called not run.
+	It("does not pass on an answer of another version", func() {
+		Expect(serving.CheckAnswer(v1, v1)).To(Succeed())
+		err := open(now).CheckAnswer(v2)
+		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue())
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		Expect(serving.ReasonOf(err)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("Fence", func() {
+	// A predecessor had the number 5 terms high and has orders on the wire.
+	// The successor starts a term above what the engine reports, so every one
+	// of those is lower than its first.
+	It("starts a term above the number reported and rises with each order", func() {
+		var f serving.Fence
+		_, err := f.Next()
+		Expect(errorx.IsOfType(err, failure.Internal)).To(BeTrue())
+		Expect(f.TakeOver(5<<20 + 17)).To(Succeed())
+		claim, err := f.Claim()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claim).To(Equal(serving.Order{Fence: 6<<20 + 1}))
+		Expect(f.Next()).To(Equal(uint64(6<<20 + 2)))
+		Expect(f.Observe(6<<20 + 2)).To(Succeed())
+		Expect(f.Checked()).To(BeTrue())
+		Expect(f.Observe(0)).To(Succeed(), "the engine has restarted")
+	})
+
+	It("never climbs over a successor", func() {
+		var f serving.Fence
+		Expect(f.TakeOver(0)).To(Succeed())
+		err := f.Observe(2 << 20)
+		Expect(errorx.IsOfType(err, serving.Superseded)).To(BeTrue())
+		Expect(f.TakeOver(2 << 20)).NotTo(Succeed())
+		_, err = f.Next()
+		Expect(errorx.IsOfType(err, serving.Superseded)).To(BeTrue())
+		Expect(f.Observe(0)).NotTo(Succeed())
+		Expect(f.IsSuperseded()).To(BeTrue())
+	})
+})
+
+var _ = Describe("PauseDetector", func() {
+	It("suspects a pause by either clock", func() {
+		now := time.Now()
+		d := serving.NewPauseDetector(2 * time.Second)
+		Expect(d.Suspect(now)).To(BeTrue(), "before the first tick")
+		d.Tick(now)
+		Expect(d.Suspect(now.Add(2 * time.Second))).To(BeFalse())
+		Expect(d.Suspect(now.Add(2*time.Second + 1))).To(BeTrue())
+		Expect(d.Suspect(now.Round(0).Add(3*time.Second))).To(BeTrue(), "wall clock alone")
+		Expect(d.Tick(now.Add(time.Minute))).To(BeTrue())
+		Expect(d.Tick(now.Add(time.Minute))).To(BeFalse())
+	})
+
+	It("asks for everything again, and takes no answer to an old question", func() {
+		now := time.Now()
+		var f serving.Freshness
+		f.Read(serving.ReadingConfig, now)
+		f.Read(serving.ReadingEngine, now)
+		f.Read(serving.ReadingMembers, now)
+		Expect(f.Fresh()).To(BeTrue())
+		f.Invalidate(now.Add(time.Second))
+		Expect(f.Read(serving.ReadingEngine, now)).To(BeFalse())
+		Expect(f.Read(serving.ReadingConfig, now.Add(time.Second))).To(BeTrue())
+		Expect(f.Missing()).To(Equal([]serving.Reading{serving.ReadingEngine, serving.ReadingMembers}))
+		Expect(serving.ReadingMembers.String()).To(Equal("members"))
+	})
+
+	// The control loop decides on an order, the process is stopped, and the
+	// goroutine that sends wakes an hour later. By then another process may
+	// give the orders, and an engine that ignores numbers would obey.
+	It("lets an order expire by either clock", func() {
+		now := time.Now()
+		order := serving.SendOrder{NotAfter: now.Add(2 * time.Second)}
+		Expect(order.Expired(now.Add(time.Second))).To(BeFalse())
+		Expect(order.Expired(now.Add(3 * time.Second))).To(BeTrue())
+		Expect(order.Expired(now.Round(0).Add(time.Hour))).To(BeTrue())
+	})
+})
