Agent: never let the control loop wait for its own queue

As the change-over stopped admitting with no request in progress, the control loop itself posted the event that says so. With its queue full, as after a pause in which neighbours spoke on, it waited for room that only it could make: the process stood still for ever and went on reporting what it was before.

Ruled out: a longer queue, which only makes it rarer; applying the event in place, since the change-over is in the middle of a step then. The event is posted from a goroutine of its own.

--- a/daemon/agent/change.go
+++ b/daemon/agent/change.go
@@ -52,7 +52,7 @@
 		a.nextTurn = now
 	case serving.StopAdmitting:
 		a.publish(now)
-		a.work.whenIdle(func() { a.post(serving.Drained{Drain: action.Drain}) })
+		a.work.whenIdle(func() { go a.post(serving.Drained{Drain: action.Drain}) })
 	case serving.ResumeAdmitting, serving.StartServing:
 		a.turnFor = fleet.Version{}
 		a.publish(now)
@@ -73,6 +73,8 @@
 	}
 }
 
+// post queues an event. The control loop itself must not call it: it would
+// wait for room in a full queue that only it can empty, for ever.
 func (a *Agent) post(event serving.Event) {
 	a.opts.Loop.Post(a.ctx, control.Func(func(now time.Time) { a.step(now, event) }))
 }
