Agent: tell entries at once though the load has just changed

A change of load alone replaced the published report and its channel without closing the old one. Streams wait on the channel of the report that they sent last, so news of leaving, or of a closed gate, that came after such a change lay until the next regular report, up to half a second, while each request sent here was refused.

Ruled out: closing the channel at each change of load, which would send a report to every entry for every reading. The channel now stays until a change that entries must hear of at once.

Before: the spec 'tells entries at once that it leaves, though its load has just changed' found the channel open after Leave. After: closed.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -97,7 +97,8 @@
 	status atomic.Pointer[Status]
 }
 
-// published is a report with a channel that closes when the next one is there.
+// published is a report with a channel that closes when there is one that
+// entries must hear of at once.
 type published struct {
 	wire.Report
 	next chan struct{}
@@ -224,10 +225,14 @@
 	if before.Report == report {
 		return
 	}
-	a.report.Store(&published{Report: report, next: make(chan struct{})})
-	if urgent(before.Report, report) {
-		close(before.next)
+	if !urgent(before.Report, report) {
+		// Streams wait on the channel of the report that they sent last, so it
+		// stays until a change that they must hear of at once.
+		a.report.Store(&published{Report: report, next: before.next})
+		return
 	}
+	a.report.Store(&published{Report: report, next: make(chan struct{})})
+	close(before.next)
 }
 
 // urgent reports whether entries should hear of a change at once. A change of
