Agent: give the answer on record while the gate is closed

An ask with the key of work that had run, while the agent could take nothing new, was told 'ran' with the reason that the answer was too large to keep, though it lay in the record. The caller, who must not ask for a new key then, never got it from a server that leaves.

Ruled out: asking the register before the gate, since a key that is let run there and then refused would have to be abandoned again. What Close says is answered as any other verdict.

Before: the spec 'answers by the record of the key while its gate is closed' got no body. After: the stored answer.

--- a/daemon/agent/once.go
+++ b/daemon/agent/once.go
@@ -54,7 +54,7 @@
 	digest := digestOf(req, body)
 	version, refused := a.admit(now, req)
 	if refused != nil {
-		return a.closeKey(req, key, digest, facts, refused)
+		return a.closeKey(s, req, key, digest, facts, refused)
 	}
 	verdict := a.register.Begin(now, key, digest, facts)
 	if verdict.Action != once.Run {
@@ -70,10 +70,11 @@
 }
 
 // closeKey answers a request that this agent cannot take now. Whether the
-// caller may be told "not run" depends on what is known of the key.
-func (a *Agent) closeKey(req wire.Request, key once.Key, digest fleet.Digest, facts once.Facts, refused error) wire.AnswerEnd {
+// caller may be told "not run" depends on what is known of the key. An answer
+// on record needs no backend server, so it is given.
+func (a *Agent) closeKey(s *peer.Stream, req wire.Request, key once.Key, digest fleet.Digest, facts once.Facts, refused error) wire.AnswerEnd {
 	verdict := a.register.Close(time.Now(), key, digest, facts)
-	end := refusal(req, verdict)
+	end := a.repeat(s, req, verdict)
 	if verdict.Outcome == failure.NotRun {
 		end.Reason = refused.Error()
 		end.RetryAfterMS = failure.RetryAfter(refused).Milliseconds()
