Agent: keep no answer that names another request

The agent left the test of an answer's id to the entry. The entry cut a swapped answer, but the register had kept it by then as what ran under the key, and the next ask with the key got the other caller's answer, whole and under its own id.

Ruled out: a test at the record alone, since a swapped answer must not end as run for idempotent requests either.

Before: with answers swapped by the server, asking again gave 'goods of yours' to 'mine'. After: both are unknown, the first time and again (spec 'keeps no answer that names another request').

--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -222,8 +222,9 @@
 }
 
 // passTo sends the request to the backend server and hands its answer's pieces
-// to emit. The answer must name the version that the request was admitted for;
-// otherwise it is cut, and the entry does not see the end that makes it whole.
+// to emit. The answer must name the request, and the version that it was
+// admitted for; otherwise it is cut, and the entry does not see the end that
+// makes it whole, nor does the record keep it.
 func (a *Agent) passTo(ctx context.Context, req wire.Request, body []byte, version fleet.Version, emit func(serving.Piece) error) wire.AnswerEnd {
 	call := serving.Call{
 		ID:             req.ID,
@@ -238,7 +239,7 @@
 		return emit(p)
 	})
 	if err == nil {
-		err = serving.CheckAnswer(version, answer.Version)
+		err = checkAnswer(req, version, answer)
 	}
 	if err != nil {
 		return failed(req, err)
@@ -246,6 +247,14 @@
 	return wire.AnswerEnd{Outcome: wire.OutcomeRan, ID: answer.ID, Status: answer.Status, Version: answer.Version}
 }
 
+func checkAnswer(req wire.Request, version fleet.Version, answer serving.Answer) error {
+	if answer.ID != req.ID {
+		err := failure.Corrupt.New("the answer names request %q", answer.ID)
+		return failure.WithOutcome(err, failure.Unknown)
+	}
+	return serving.CheckAnswer(version, answer.Version)
+}
+
 // answerStream sends an answer to the entry.
 type answerStream struct {
 	stream  *peer.Stream
