Agent: end no failed answer as a whole one

A failure of the backend server with the outcome 'ran' ended the answer as run, which to the entry is the mark of a whole answer: half an answer would have got the trailer. No adapter gives that outcome today; the port does not forbid it.

Ruled out: the mark Duplicate, which means that an earlier ask was taken. Such a failure is unknown now.

Before: the spec 'calls no answer whole that failed, whatever the failure says' saw the end of a whole answer. After: unknown.

--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -293,13 +293,10 @@
 	return status
 }
 
+// failed ends a request whose answer failed. Only a whole answer ends as run.
 func failed(req wire.Request, err error) wire.AnswerEnd {
 	end := notRun(req, err)
-	switch failure.OutcomeOf(err) {
-	case failure.NotRun:
-	case failure.Ran:
-		end.Outcome = wire.OutcomeRan
-	default:
+	if failure.OutcomeOf(err) != failure.NotRun {
 		end.Outcome = wire.OutcomeUnknown
 	}
 	return end
