--- /dev/null
+++ b/daemon/agent/agent_suite_test.go
@@ -0,0 +1,16 @@
+package agent_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/daemon/internal/daemontest"
+)
+
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(daemontest.Patience)
+	RunSpecs(t, "Agent")
+}
