Notice a stalled answer in the stall timeout

The transport may take the end of a request's body after the answer has begun; that late read replaced the short deadline between bytes by the long one before the first. A caller of a stalled engine then hung for 30 s in place of 5 s. Body reads no longer move the deadline once the answer has begun.

Also: the wait for the first byte lasts until the body of the answer begins, not its header; a chunk of a told length is read into memory of that length; a response header has at most 64 KiB; 422 on a call is Invalid. Specs for redirects without a body, a goroutine left behind, a failing version check that claims not run.

--- a/adapters/engine/answer_test.go
+++ b/adapters/engine/answer_test.go
@@ -145,3 +145,19 @@
 		g.Expect(errByByte == nil).To(Equal(err == nil))
 	})
 }
+
+// BenchmarkAnswerReader is the price of one token's line.
+func BenchmarkAnswerReader(b *testing.B) {
+	const tokens = 1000
+	lines := []string{first}
+	for seq := range tokens {
+		lines = append(lines, fmt.Sprintf(`{"id":"a","seq":%d,"token":"word"}`, seq))
+	}
+	text := join(append(lines, last(tokens, first))...)
+	for b.Loop() {
+		if _, err := readAll(strings.NewReader(text)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokens, "ns/token")
+}
--- a/adapters/engine/attempt/attempt.go
+++ b/adapters/engine/attempt/attempt.go
@@ -53,14 +53,19 @@
 // the rest of a cancelled answer may still lie in it; and a server that
 // closes an idle connection as the request arrives leaves the outcome
 // unknown. A connection that was never used before and never is again has
-// none of them, and beside the server it costs a fraction of a millisecond.
+// none of them. What it costs is in docs/PLATFORM-ENGINE.md.
 func New(addr netip.AddrPort) *Client {
-	const connectTimeout = 2 * time.Second
+	const (
+		connectTimeout = 2 * time.Second
+		maxHeader      = 64 << 10
+	)
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	transport := &http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true, // pieces are handed on as the server sent them
+
+		MaxResponseHeaderBytes: maxHeader,
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
@@ -75,9 +80,10 @@
 	Path   string // unescaped, from the root
 	Header http.Header
 	Body   []byte
-	// First is the longest time until the answer begins, Stall the longest
-	// time without progress after that and while the body is sent. Both are
-	// needed since a stalled server does not close its connection.
+	// First is the longest time from the end of Body to the first byte of the
+	// answer's body, Stall the longest time without progress after that and
+	// while Body is sent. Both are needed since a stalled server does not
+	// close its connection.
 	First time.Duration
 	Stall time.Duration
 }
@@ -101,6 +107,7 @@
 	Status   int
 	Header   http.Header
 	body     io.ReadCloser
+	length   int64 // of body; -1 if the server did not tell
 	deadline *deadline
 	stall    time.Duration
 }
@@ -136,11 +143,11 @@
 		d.end()
 		return nil, err
 	}
-	d.extend(r.Stall)
 	return &Attempt{
 		Status:   response.StatusCode,
 		Header:   response.Header,
 		body:     response.Body,
+		length:   response.ContentLength,
 		deadline: d,
 		stall:    r.Stall,
 	}, nil
@@ -176,20 +183,38 @@
 func (a *Attempt) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if n > 0 {
-		a.deadline.extend(a.stall)
+		a.deadline.received(a.stall)
 	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
-	return n, failure.WithOutcome(a.deadline.classify(err, "the answer"), failure.Unknown)
+	return n, a.typed(err)
 }
 
-// ReadAll returns the rest of the body, failure.Corrupt if it is longer than
-// limit.
+// typed gives a failure of the body its type, if it has none yet.
+func (a *Attempt) typed(err error) error {
+	if errorx.Cast(err) != nil {
+		return err
+	}
+	return failure.WithOutcome(a.deadline.classify(err, "the answer"), failure.Unknown)
+}
+
+// ReadAll returns the whole body, failure.Corrupt if it is longer than limit.
+// A body of a length that the server told takes no more memory than that.
 func (a *Attempt) ReadAll(limit int64) ([]byte, error) {
+	if a.length > limit {
+		return nil, failure.Corrupt.New("the answer is longer than %d bytes", limit)
+	}
+	if a.length >= 0 {
+		data := make([]byte, a.length)
+		if _, err := io.ReadFull(a, data); err != nil {
+			return nil, a.typed(err)
+		}
+		return data, nil
+	}
 	data, err := io.ReadAll(io.LimitReader(a, limit+1))
 	if err != nil {
-		return nil, err
+		return nil, a.typed(err)
 	}
 	if int64(len(data)) > limit {
 		return nil, failure.Corrupt.New("the answer is longer than %d bytes", limit)
@@ -233,9 +258,9 @@
 func (p *progressReader) Read(b []byte) (int, error) {
 	n, err := p.reader.Read(b)
 	if p.reader.Len() > 0 {
-		p.deadline.extend(p.stall)
+		p.deadline.sent(p.stall)
 	} else {
-		p.deadline.extend(p.first)
+		p.deadline.sent(p.first)
 	}
 	return n, err
 }
--- a/adapters/engine/attempt/attempt_test.go
+++ b/adapters/engine/attempt/attempt_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
 
 	"chivespindle.example/adapters/engine/attempt"
 	"chivespindle.example/core/failure"
@@ -107,6 +109,18 @@
 	}
 }
 
+// five answers five bytes and tells length, or none if it is negative.
+func five(length int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if length >= 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(length))
+		}
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "12345")
+	}
+}
+
 var _ = Describe("an attempt", func() {
 	// A service answers one order and keeps the connection; when the second
 	// order arrives on it, the service runs it and the connection dies. A
@@ -147,18 +161,22 @@
 		Expect(ran.count()).To(Equal(3))
 	})
 
-	It("is not sent on by a redirect", func(ctx SpecContext) {
-		var ran runs
-		s := serve(func(w http.ResponseWriter, r *http.Request) {
-			ran.add()
-			http.Redirect(w, r, "/v1/elsewhere", http.StatusTemporaryRedirect)
-		})
-		a, err := attempt.New(s.addr()).Send(ctx, request("x"))
-		Expect(err).NotTo(HaveOccurred())
-		defer a.Close()
-		Expect(a.Status).To(Equal(http.StatusTemporaryRedirect))
-		Expect(ran.count()).To(Equal(1))
-	})
+	DescribeTable("is not sent on by a redirect",
+		func(ctx SpecContext, body string) {
+			var ran runs
+			s := serve(func(w http.ResponseWriter, r *http.Request) {
+				ran.add()
+				http.Redirect(w, r, "/v1/elsewhere", http.StatusTemporaryRedirect)
+			})
+			a, err := attempt.New(s.addr()).Send(ctx, request(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer a.Close()
+			Expect(a.Status).To(Equal(http.StatusTemporaryRedirect))
+			Expect(ran.count()).To(Equal(1))
+		},
+		Entry("with a body", "x"),
+		Entry("without a body", ""),
+	)
 
 	It("carries the call's headers", func(ctx SpecContext) {
 		got := make(chan http.Header, 1)
@@ -214,6 +232,10 @@
 			Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
 			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
 		},
+		Entry("after its header", func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_ = http.NewResponseController(w).Flush()
+		}, "x"),
 		Entry("before its answer", func(_ http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
 		}, "x"),
@@ -225,6 +247,36 @@
 		Entry("in the body it is sent", func(http.ResponseWriter, *http.Request) {}, strings.Repeat("x", 32<<20)),
 	)
 
+	// A server begins its answer before it has read the whole body, reads the
+	// rest, and stalls. The rest of the body must not start the long wait for
+	// a first byte again: the caller would hang on half an answer for that
+	// long. The spec's own timeout is there for a client that does.
+	It("ends a stalled answer in time though the body was taken late", func(ctx SpecContext) {
+		begun := make(chan struct{})
+		release := make(chan struct{})
+		s := serve(func(w http.ResponseWriter, r *http.Request) {
+			control := http.NewResponseController(w)
+			_ = control.EnableFullDuplex()
+			_, _ = io.WriteString(w, "half")
+			_ = control.Flush()
+			<-begun
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-release
+		})
+		DeferCleanup(func() { close(release) })
+		r := request(strings.Repeat("x", 32<<20))
+		r.First = time.Hour
+		r.Stall = 500 * time.Millisecond
+		a, err := attempt.New(s.addr()).Send(ctx, r)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Close()
+		_, err = io.ReadFull(a, make([]byte, len("half")))
+		Expect(err).NotTo(HaveOccurred())
+		close(begun)
+		_, err = a.Read(make([]byte, 1))
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
+	}, SpecTimeout(30*time.Second))
+
 	It("was not run if its caller had given up before", func(ctx SpecContext) {
 		s := serve(func(http.ResponseWriter, *http.Request) { Fail("the request was sent") })
 		gone, cancel := context.WithCancel(ctx)
@@ -245,12 +297,52 @@
 		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
 	})
 
-	It("does not read more than it was allowed", func(ctx SpecContext) {
-		s := serve(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "12345") })
-		a, err := attempt.New(s.addr()).Send(ctx, request("x"))
+	DescribeTable("reads a whole body of no more than it was allowed",
+		func(ctx SpecContext, handler http.HandlerFunc, limit int64, kind *errorx.Type) {
+			a, err := attempt.New(serve(handler).addr()).Send(ctx, request("x"))
+			Expect(err).NotTo(HaveOccurred())
+			defer a.Close()
+			data, err := a.ReadAll(limit)
+			if kind == nil {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(data)).To(Equal("12345"))
+				return
+			}
+			Expect(errorx.IsOfType(err, kind)).To(BeTrue(), "%v", err)
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		},
+		Entry("of a told length", five(5), int64(5), nil),
+		Entry("of a told length, too long", five(5), int64(4), failure.Corrupt),
+		Entry("of a told length, cut", five(6), int64(9), failure.Unavailable),
+		Entry("of no told length", five(-1), int64(5), nil),
+		Entry("of no told length, too long", five(-1), int64(4), failure.Corrupt),
+	)
+
+	// An agent runs for months. Attempts that end early must leave no
+	// goroutine, or it grows until the instance kills it.
+	It("leaves nothing behind however it ends", func(ctx SpecContext) {
+		before := goleak.IgnoreCurrent()
+		release := make(chan struct{})
+		s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				<-release
+			}
+		}))
+		client := attempt.New(netip.MustParseAddrPort(s.Listener.Addr().String()))
+		stalled := request("x")
+		stalled.First = short
+		_, err := send(ctx, client, stalled)
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
+		limited, cancel := context.WithTimeout(ctx, short)
+		defer cancel()
+		_, err = send(limited, client, request("x"))
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
+		whole := request("")
+		whole.Method = http.MethodGet
+		_, err = send(ctx, client, whole)
 		Expect(err).NotTo(HaveOccurred())
-		defer a.Close()
-		_, err = a.ReadAll(4)
-		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue(), "%v", err)
+		close(release)
+		s.Close()
+		Expect(goleak.Find(before)).To(Succeed())
 	})
 })
--- a/adapters/engine/attempt/deadline.go
+++ b/adapters/engine/attempt/deadline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,6 +19,9 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
+
+	mu       sync.Mutex
+	answered bool // bytes of the answer came
 }
 
 func newDeadline(parent context.Context, pause time.Duration) *deadline {
@@ -27,10 +31,31 @@
 	return d
 }
 
-func (d *deadline) extend(pause time.Duration) { d.timer.Reset(pause) }
+// sent extends the deadline when a part of the request's body was taken. It
+// does nothing once the answer has begun: the transport may take the end of
+// the body after that, and the long wait for a first byte would replace the
+// short one between bytes, so that a stalled answer hangs.
+func (d *deadline) sent(pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.answered {
+		d.timer.Reset(pause)
+	}
+}
+
+// received extends the deadline when a part of the answer came.
+func (d *deadline) received(pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answered = true
+	d.timer.Reset(pause)
+}
 
 func (d *deadline) end() {
+	d.mu.Lock()
+	d.answered = true // no later read of the body starts the timer again
 	d.timer.Stop()
+	d.mu.Unlock()
 	d.cancel(nil)
 }
 
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -116,7 +116,12 @@
 // version. A manifest that it finds to differ from its digest is
 // failure.Corrupt.
 func (c *Client) PutManifest(ctx context.Context, manifest fleet.Digest, raw []byte) error {
-	return c.control(ctx, control{method: http.MethodPut, path: stagingPath(manifest) + "/manifest", body: raw})
+	return c.control(ctx, control{
+		method: http.MethodPut,
+		path:   stagingPath(manifest) + "/manifest",
+		body:   raw,
+		kinds:  map[int]*errorx.Type{http.StatusUnprocessableEntity: failure.Corrupt},
+	})
 }
 
 // Put implements weights.Stage.
@@ -200,11 +205,9 @@
 		return failure.NotFound
 	case http.StatusConflict:
 		return failure.Refused
-	case http.StatusUnprocessableEntity:
-		return failure.Corrupt
 	case http.StatusTooManyRequests:
 		return failure.RateLimited
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return failure.Invalid
 	default:
 		return failure.Unavailable
--- a/adapters/plainservice/plainservice.go
+++ b/adapters/plainservice/plainservice.go
@@ -39,7 +39,7 @@
 type Options struct {
 	Addr          netip.AddrPort // the service's HTTP address
 	StatusTimeout time.Duration  // longest wait for a status
-	FirstTimeout  time.Duration  // longest wait for an answer to begin
+	FirstTimeout  time.Duration  // longest wait for the first byte of an answer
 	StallTimeout  time.Duration  // longest time without a byte after that
 }
 
--- a/standin/engine/calls_test.go
+++ b/standin/engine/calls_test.go
@@ -58,7 +58,7 @@
 			Expect(got.tokens).To(HaveLen(tokens))
 			Expect(e.Counters().ExecutionsByKey).To(Equal(backend.Counts{"key-a1": 1}))
 		},
-		Entry("stall", engine.Faults{Faults: backend.Faults{Stall: true}}, failure.Timeout, 4),
+		Entry("stall", engine.Faults{Faults: backend.Faults{Stall: true}}, failure.Timeout, 4, SpecTimeout(30*time.Second)),
 		Entry("die in the middle", engine.Faults{Faults: backend.Faults{Die: 1}}, failure.Unavailable, 4),
 		Entry("wrong id", engine.Faults{Faults: backend.Faults{WrongID: 1}}, failure.Corrupt, 0),
 		Entry("version change in the stream", engine.Faults{ChangeVersion: 1}, failure.Corrupt, 8),
@@ -146,6 +146,19 @@
 		}
 	})
 
+	It("takes its time, and more under the fault", func(ctx SpecContext) {
+		clock := &manualClock{now: time.Unix(1000, 0)}
+		e, client := start(engine.Options{TokenTime: time.Second, Clock: clock})
+		load(ctx, client, newRelease("v1"))
+		e.SetFaults(engine.Faults{Faults: backend.Faults{SlowMS: 500}})
+		call := running(ctx, client, callOf("a1", "p", 1))
+		Eventually(ctx, clock.pending).Should(Equal(1))
+		clock.advance(time.Second)
+		Expect(clock.pending()).To(Equal(1))
+		clock.advance(500 * time.Millisecond)
+		Eventually(ctx, call).Should(Receive())
+	})
+
 	// The caller gives up, in the queue or in the middle of its answer. The
 	// engine must stop and free the slot, and the next answer over a new
 	// connection must be clean.
@@ -186,7 +199,7 @@
 	// The agent pins a version. An engine that answers from another must be
 	// cut before its first word reaches the caller.
 	It("asks about the version before it hands over a piece", func(ctx SpecContext) {
-		wrong := failure.Refused.New("not the pinned version")
+		wrong := failure.WithOutcome(failure.Refused.New("not the pinned version"), failure.NotRun)
 		_, client := start(engine.Options{}, func(o *adapter.Options) {
 			o.CheckVersion = func(fleet.Version) error { return wrong }
 		})
--- a/standin/engine/helpers_test.go
+++ b/standin/engine/helpers_test.go
@@ -32,9 +32,13 @@
 	return e, adapter.New(o)
 }
 
-// stallAfter shortens a client's progress deadline.
+// stallAfter shortens a client's progress deadline. The wait for the first
+// line is long, so that no other clock can end a stalled answer.
 func stallAfter(pause time.Duration) func(*adapter.Options) {
-	return func(o *adapter.Options) { o.StallTimeout = pause }
+	return func(o *adapter.Options) {
+		o.StallTimeout = pause
+		o.FirstLineTimeout = time.Hour
+	}
 }
 
 // release is a version and its bytes.
--- a/standin/engine/orders_test.go
+++ b/standin/engine/orders_test.go
@@ -95,7 +95,7 @@
 
 		e.SetFaults(engine.Faults{Faults: backend.Faults{Stall: true}})
 		runs := running(ctx, client, callOf("a2", "p", 4))
-		Eventually(ctx, func() int { return e.Status().Load.Running }).Should(Equal(1))
+		Eventually(ctx, func() int { return e.Counters().ExecutionsByID["a2"] }).Should(Equal(1))
 		load(ctx, client, v2)
 		var got result
 		Eventually(ctx, runs).Should(Receive(&got))
