Let the program's specs wait for its output without a race

Eventually with a context in front formats its next argument to see whether it is a duration, which reads the output buffer while the program writes it. The race detector reported it in one of six runs so far; the context is now given by WithContext.

--- a/standin/cmd/backend/command_test.go
+++ b/standin/cmd/backend/command_test.go
@@ -33,7 +33,7 @@
 	command.SetArgs(args)
 	p := program{done: make(chan error, 1), stop: stop}
 	go func() { p.done <- command.ExecuteContext(ctx) }()
-	Eventually(ctx, out).Should(gbytes.Say("event=listening .*\n"))
+	Eventually(out).WithContext(ctx).Should(gbytes.Say("event=listening .*\n"))
 	for _, pair := range strings.Fields(string(out.Contents())) {
 		key, value, _ := strings.Cut(pair, "=")
 		switch key {
