--- a/core/admission/room.go
+++ b/core/admission/room.go
@@ -101,8 +101,8 @@
 // NewRoom returns an empty room.
 func NewRoom[T any](o RoomOptions) *Room[T] {
 	const (
-		defaultSlots         = 16
-		defaultTook          = time.Second
+		defaultSlots       = 16
+		defaultTook        = time.Second
 		waitingForEachSlot = 4
 	)
 	orDefault(&o.Slots, defaultSlots)
