--- a/core/gossip/cost_test.go
+++ b/core/gossip/cost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -43,6 +44,16 @@
 			g.tick()
 		}
 		b.ReportMetric(2*(float64(g.bytes)-quiet)/size/seconds/perTick, "change-B")
+		for !g.agreed() {
+			g.tick()
+		}
+		g.tables[g.ids()[0]].UpdateSelf(func(r *gossip.Record) { r.Leaving = true })
+		hops := 0
+		for !g.agreed() {
+			g.tick()
+			hops++
+		}
+		b.ReportMetric(float64(hops), "leaving-hops")
 		b.ReportMetric(0, "ns/op")
 	}
 }
@@ -75,6 +86,10 @@
 		table.Merge(now, all[i].ID, all)
 		table.Sent(now, all[i].ID, all)
 	}
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	heap := float64(memory.HeapAlloc)
 	b.ReportAllocs()
 	b.ResetTimer()
 	for n := range b.N {
@@ -88,6 +103,7 @@
 		}
 		table.View(now)
 	}
+	b.ReportMetric(heap, "heap-B")
 }
 
 func beats(all []gossip.Record, n, link int) []gossip.Record {
@@ -102,13 +118,22 @@
 // BenchmarkEncode reports the encoded size of each form of a record.
 func BenchmarkEncode(b *testing.B) {
 	whole := member("i-0a1b2c3d4e5f60718", places(1, 1)[0])
-	whole.Change = 100
-	whole.Beat = 100_000
+	whole.Change, whole.Beat = 100, 100_000
+	heartbeat := gossip.Record{ID: whole.ID, Incarnation: whole.Incarnation, Change: whole.Change, Beat: whole.Beat, Revision: whole.Revision}
+	update := heartbeat
+	update.State, update.Serving, update.Target = whole.State, whole.Serving, whole.Target
 	for range b.N {
-		raw, err := cbor.Marshal(whole)
-		if err != nil {
-			b.Fatal(err)
-		}
-		b.ReportMetric(float64(len(raw)), "whole-B")
+		b.ReportMetric(encoded(b, whole), "whole-B")
+		b.ReportMetric(encoded(b, update), "update-B")
+		b.ReportMetric(encoded(b, heartbeat), "heartbeat-B")
+		b.ReportMetric(encoded(b, gossip.Record{ID: whole.ID}), "ask-B")
+	}
+}
+
+func encoded(b *testing.B, r gossip.Record) float64 {
+	raw, err := cbor.Marshal(r)
+	if err != nil {
+		b.Fatal(err)
 	}
+	return float64(len(raw))
 }
