--- a/core/serving/events.go
+++ b/core/serving/events.go
@@ -10,31 +10,33 @@
 type Event interface{ event() }
 
 type (
-	// Tick is posted several times within Options.PauseLimit. Deadlines are
-	// looked at, and the engine's status is read every Options.PollEvery.
+	// Tick is posted several times within ChangeoverOptions.PauseLimit. Deadlines are
+	// looked at, and the engine's status is read every PollEvery.
 	Tick struct{}
-	// TargetChanged: the text in force pins Version; zero if it pins none.
+	// TargetChanged says that the text in force pins Version; zero if it pins
+	// none.
 	TargetChanged struct{ Version fleet.Version }
-	// ChunksComplete: all chunks of Version are staged and verified. Fetch
-	// repeats the number of the StartFetch that it answers; it may be 0 if the
-	// caller makes sure that none comes late, after an engine's restart say.
+	// ChunksComplete says that all chunks of Version are staged and verified.
+	// Fetch repeats the number of the StartFetch that it answers; it may be 0
+	// if the caller makes sure that none comes late, after an engine's restart
+	// say.
 	ChunksComplete struct {
 		Fetch   uint64
 		Version fleet.Version
 	}
 	// TurnGranted answers AskTurn: the replica may leave service now.
 	TurnGranted struct{ Version fleet.Version }
-	// Drained: no request is in progress any more. Drain repeats the number of
-	// the StopAdmitting that it answers.
+	// Drained says that no request is in progress any more. Drain repeats the
+	// number of the StopAdmitting that it answers.
 	Drained struct{ Drain uint64 }
-	// DrainDeadline: requests are still in progress at the deadline that
-	// StopAdmitting named. A Tick after the deadline does the same.
+	// DrainDeadline says that requests are still in progress at the deadline
+	// that StopAdmitting named. A Tick after the deadline does the same.
 	DrainDeadline struct{}
-	// OrderDone: the engine accepted the order.
+	// OrderDone says that the engine accepted the order.
 	OrderDone struct{ Attempt uint64 }
-	// OrderFailed: the order failed. failure.Refused means that the engine has
-	// seen a higher fencing number; after any other error the order may or may
-	// not have been carried out.
+	// OrderFailed says that the order failed. failure.Refused means that the
+	// engine has seen a higher fencing number; after any other error the order
+	// may or may not have been carried out.
 	OrderFailed struct {
 		Attempt uint64
 		Err     error
@@ -44,15 +46,16 @@
 		Status EngineStatus
 		Asked  time.Time
 	}
-	// EngineRestarted: the engine was seen to have restarted, before its
-	// status could be read.
+	// EngineRestarted says that the engine was seen to have restarted, before
+	// its status could be read.
 	EngineRestarted struct{}
-	// Paused: the process has found that it was paused.
+	// Paused says that the process has found that it was paused.
 	Paused struct{}
-	// Woke: the text in force and the neighbours have been read again. Asked is
-	// when the first of these readings began; it must lie after the pause.
+	// Woke says that the text in force and the neighbours have been read again.
+	// Asked is when the first of these readings began; it must lie after the
+	// pause.
 	Woke struct{ Asked time.Time }
-	// Leaving: the instance has begun its planned stop.
+	// Leaving says that the instance has begun its planned stop.
 	Leaving struct{}
 )
 
@@ -74,7 +77,7 @@
 type Action interface{ action() }
 
 type (
-	// StartFetch: fetch the chunks that are not staged yet, then post
+	// StartFetch asks to fetch the chunks that are not staged yet, then post
 	// ChunksComplete. Chunks of the manifests in Reuse with an equal digest
 	// need not be fetched.
 	StartFetch struct {
@@ -82,40 +85,42 @@
 		Version fleet.Version
 		Reuse   []fleet.Digest
 	}
-	// StopFetch: fetch no more of Version.
+	// StopFetch asks to fetch no more of Version.
 	StopFetch struct{ Version fleet.Version }
-	// AskTurn: post TurnGranted once the rollout allows this replica to leave
-	// service for Version. A later AskTurn or any change of phase replaces it.
+	// AskTurn asks for TurnGranted once the rollout allows this replica to
+	// leave service for Version. A later AskTurn or any change of phase
+	// replaces it.
 	AskTurn struct{ Version fleet.Version }
-	// StopAdmitting: admit no request from now on, and post Drained when none
-	// is in progress, or DrainDeadline. Requests in progress are never cut.
+	// StopAdmitting asks to admit no request from now on, and post Drained when
+	// none is in progress, or DrainDeadline. Requests in progress are never
+	// cut.
 	StopAdmitting struct {
 		Drain    uint64
 		Deadline time.Time
 	}
-	// ResumeAdmitting: the change is put off; go on serving Version.
+	// ResumeAdmitting puts the change off: Version is served on.
 	ResumeAdmitting struct{ Version fleet.Version }
-	// SendOrder: send Order and post OrderDone or OrderFailed. Just before
-	// sending, Expired is asked: an order that has expired must not be sent,
-	// and the process posts OrderFailed with failure.Timeout.
+	// SendOrder asks to send Order and post OrderDone or OrderFailed. Just
+	// before sending, Expired is asked: an order that has expired must not be
+	// sent, and the process posts OrderFailed with failure.Timeout.
 	SendOrder struct {
 		Attempt  uint64
 		Order    Order
 		NotAfter time.Time
 	}
-	// ReadStatus: read the engine's status and post StatusRead. If it cannot
-	// be read, nothing is posted; a Tick asks again.
+	// ReadStatus asks to read the engine's status and post StatusRead. If it
+	// cannot be read, nothing is posted; a Tick asks again.
 	ReadStatus struct{}
-	// StartServing: admit requests, answered from Version.
+	// StartServing asks to admit requests, answered from Version.
 	StartServing struct{ Version fleet.Version }
-	// DropStage: the chunks of this manifest are not needed any more.
+	// DropStage says that the chunks of this manifest are not needed any more.
 	DropStage struct{ Manifest fleet.Digest }
-	// ReadAgain: the process was paused; read the text in force and the
-	// neighbours again, then post Woke.
+	// ReadAgain asks to read the text in force and the neighbours again after a
+	// pause of the process, then to post Woke.
 	ReadAgain struct{}
-	// Alarm: the replica cannot go on by itself.
+	// Alarm says that the replica cannot go on by itself.
 	Alarm struct{ Reason string }
-	// StandDown: another process has taken over. No order will follow.
+	// StandDown says that another process has taken over. No order will follow.
 	StandDown struct{ Err error }
 )
 
--- a/core/serving/fence.go
+++ b/core/serving/fence.go
@@ -2,8 +2,8 @@
 
 import "chivespindle.example/core/failure"
 
-// Superseded: another process has taken over the engine. The one that sees
-// this stands down for good.
+// Superseded means that another process has taken over the engine. The one
+// that sees it stands down for good.
 var Superseded = failure.Namespace.NewType("superseded")
 
 // ordersPerTerm is how many numbers one process may use after it has taken
