Tell deadlines in the agent's clock with its life; avoid slow servers; share servers out

Deadlines travel as admission.Deadline. Before, the echo of an agent's clock did not say which life of the agent it came from: after a restart an echo of the former life counted as no lateness at all, and an ask was taken for later than it was, which could let a held-up ask of a closed key run. Entries share servers out with balance.Assign: with independent subsets of 24, 410 entries before 3,500 servers leave some servers to nobody. Work whose key was taken between two steps ends as unknown, not as not run.

Several answers in a row at more than three times the service's pace eject a server as failures do.

--- a/core/balance/balance.go
+++ b/core/balance/balance.go
@@ -129,7 +129,7 @@
 	// for a cold server.
 	Cost      float64
 	ReportAge time.Duration // negative: never reported
-	Latency   time.Duration // mean time to the first piece, as this entry saw it; 0: not known
+	Pace      time.Duration // mean time between pieces, as this entry saw it; 0: not known
 	EjectedIn time.Duration // time left of an ejection, 0 if none
 	Preferred bool          // the server that the prefix key leads to
 }
@@ -157,9 +157,9 @@
 type Result struct {
 	At   time.Time // when it ended
 	Kind ResultKind
-	// FirstPiece is the time to the first piece of the answer; 0: none came.
-	// It is shown by Explain and decides nothing.
-	FirstPiece time.Duration
+	// Pace is the mean time between two pieces of the answer, the first one
+	// left out, since it may have waited; 0: too few pieces came to tell.
+	Pace time.Duration
 	// RetryAfter is the pause that a Declined request was given.
 	RetryAfter time.Duration
 }
--- a/core/balance/explain.go
+++ b/core/balance/explain.go
@@ -45,7 +45,7 @@
 		Slots:     m.slots,
 		Cost:      k.cost(m),
 		ReportAge: age,
-		Latency:   time.Duration(math.Float64frombits(m.state.latency.Load()) * float64(time.Second)),
+		Pace:      time.Duration(math.Float64frombits(m.state.pace.Load()) * float64(time.Second)),
 		EjectedIn: ejectedIn,
 		Preferred: preferred,
 	}
--- a/core/balance/outlier.go
+++ b/core/balance/outlier.go
@@ -10,11 +10,15 @@
 const (
 	// minResults is how many results a failure rate needs before it counts.
 	minResults = 8
-	// failWeight, latencyWeight and durationWeight are the weights of the
+	// failWeight, paceWeight, ownPaceWeight and durationWeight are the weights of the
 	// newest sample in the moving averages.
 	failWeight     = 0.1
-	latencyWeight  = 0.2
+	paceWeight     = 0.05
+	ownPaceWeight  = 0.2
 	durationWeight = 0.05
+	// slowFactor is by how much a server's pace may exceed that of the service
+	// before the answer counts as a failure of the server.
+	slowFactor = 3
 	// stallStrikes is what a stall counts in failures: it cost the caller a
 	// whole timeout and a dead link does not mend by itself.
 	stallStrikes = 2
@@ -36,12 +40,9 @@
 	tk.group.inFlight.Add(-1)
 	tk.state.inFlight.Add(-1)
 	now := tk.tracker.since(result.At)
-	if result.FirstPiece > 0 {
-		average(&tk.state.latency, result.FirstPiece, latencyWeight)
-	}
 	switch result.Kind {
 	case Succeeded:
-		tk.state.succeed(now, tk.settings)
+		tk.succeeded(now, result.Pace)
 		average(&tk.group.duration, time.Duration(now-tk.picked), durationWeight)
 	case Failed:
 		tk.fail(now, 1)
@@ -57,6 +58,34 @@
 	}
 }
 
+// succeeded learns from a whole answer.
+//
+// A server that is several times as slow as the others of its service makes
+// each of its callers wait, and holding fewer requests does not speed it up.
+// Least-of-two gives it less work but never none, so its answers remain the
+// slowest in a hundred. Several slow answers in a row therefore eject it as
+// failures do. The pace of the service follows clipped samples: one slow server
+// hardly moves it, and when all servers slow down it follows them, so that
+// nobody is ejected for what all do.
+func (tk *ticket) succeeded(now instant, pace time.Duration) {
+	if pace <= 0 {
+		tk.state.succeed(now, tk.settings)
+		return
+	}
+	average(&tk.state.pace, pace, ownPaceWeight)
+	usual := time.Duration(math.Float64frombits(tk.group.pace.Load()) * float64(time.Second))
+	slow := usual > 0 && pace > slowFactor*usual
+	if usual > 0 {
+		pace = min(pace, slowFactor*usual)
+	}
+	average(&tk.group.pace, pace, paceWeight)
+	if slow {
+		tk.fail(now, 1)
+		return
+	}
+	tk.state.succeed(now, tk.settings)
+}
+
 // average moves a mean, kept as the bits of a float64 in seconds, towards a
 // sample. A sample lost to another goroutine's does no harm to a mean.
 func average(mean *atomic.Uint64, sample time.Duration, weight float64) {
--- a/core/balance/pick_test.go
+++ b/core/balance/pick_test.go
@@ -240,7 +240,7 @@
 					if err != nil {
 						continue
 					}
-					choice.Release(balance.Result{At: start, Kind: balance.Succeeded, FirstPiece: time.Millisecond})
+					choice.Release(balance.Result{At: start, Kind: balance.Succeeded, Pace: time.Millisecond})
 					choice.Release(balance.Result{At: start, Kind: balance.Failed})
 				}
 			})
--- a/core/balance/tracker.go
+++ b/core/balance/tracker.go
@@ -59,6 +59,7 @@
 // group holds the servers of one service.
 type group struct {
 	inFlight atomic.Int64  // sum over the members
+	pace     atomic.Uint64 // bits of a float64: mean seconds between pieces; 0: not known
 	duration atomic.Uint64 // bits of a float64: mean seconds of a request; 0: not known
 	states   map[fleet.InstanceID]*state
 
@@ -80,8 +81,8 @@
 	inFlight     atomic.Int64
 	ejectedUntil atomic.Int64
 	busyUntil    atomic.Int64
+	pace         atomic.Uint64 // bits of a float64: mean seconds between pieces; 0: not known
 	warmFrom     atomic.Int64  // slow start after a return; unset until first looked at
-	latency      atomic.Uint64 // bits of a float64: mean seconds to the first piece; 0: none
 
 	mu        sync.Mutex // guards the fields up to the blank line
 	strikes   int        // failures in a row
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -213,13 +213,12 @@
 	_, closed := gate.Admit(now)
 	self := a.node.Self()
 	report := wire.Report{
-		Service:     a.opts.Self.Service,
-		State:       self.State,
-		Leaving:     a.leaving,
-		Admitting:   closed == nil,
-		Serving:     self.Serving,
-		Load:        a.load,
-		Incarnation: a.opts.Incarnation,
+		Service:   a.opts.Self.Service,
+		State:     self.State,
+		Leaving:   a.leaving,
+		Admitting: closed == nil,
+		Serving:   self.Serving,
+		Load:      a.load,
 	}
 	before := a.report.Load()
 	if before.Report == report {
--- a/daemon/agent/once.go
+++ b/daemon/agent/once.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"chivespindle.example/adapters/peer"
-	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/once"
@@ -33,16 +32,6 @@
 	a.register.SetMembers(now, members)
 }
 
-// askedAt is when the caller's ask reached an entry, by this agent's clock and
-// rather too early; zero if it cannot be told.
-func (a *Agent) askedAt(now time.Time, req wire.Request) time.Time {
-	if req.ClockEcho == 0 {
-		return time.Time{}
-	}
-	late := time.Duration(max(0, a.clockMS()-req.ClockEcho)) * time.Millisecond
-	return now.Add(-late - time.Duration(req.AskedMS)*time.Millisecond)
-}
-
 // runOnce serves a request that must run at most once.
 func (a *Agent) runOnce(ctx context.Context, s *peer.Stream, req wire.Request, body []byte) wire.AnswerEnd {
 	key, err := once.ParseKey(req.Workspace, req.IdempotencyKey)
@@ -50,7 +39,7 @@
 		return decided(notRun(req, err))
 	}
 	now := time.Now()
-	facts := once.Facts{Asked: a.askedAt(now, req)}
+	facts := once.Facts{Asked: req.Deadline.Asked(a.started, a.clock())}
 	digest := digestOf(req, body)
 	version, refused := a.admit(now, req)
 	if refused != nil {
@@ -95,7 +84,7 @@
 	}
 	defer func() { leave(out.first) }()
 	if !a.register.Passed(key) {
-		return decided(notRun(req, calls.Duplicate.New("the key was taken meanwhile")))
+		return decided(wire.AnswerEnd{ID: req.ID, Duplicate: true, Reason: "the key was taken meanwhile"})
 	}
 	var kept []byte
 	end := a.passTo(ctx, req, body, version, func(p serving.Piece) error {
--- a/daemon/agent/rig_test.go
+++ b/daemon/agent/rig_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/time/rate"
 
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/once"
 	"chivespindle.example/core/serving"
@@ -127,6 +128,6 @@
 	GinkgoHelper()
 	return wire.Request{
 		ID: id, Service: r.Self.Service, Path: "orders", IdempotencyKey: key, NonIdempotent: true,
-		ClockEcho: r.entry.Report().ClockMS, AskedMS: 1,
+		Deadline: admission.Deadline{Sent: r.entry.Report().Clock, Remaining: daemontest.Patience},
 	}
 }
--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -10,6 +10,7 @@
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
@@ -55,7 +56,7 @@
 	for {
 		p := a.report.Load()
 		report := p.Report
-		report.ClockMS = a.clockMS()
+		report.Clock = a.clock()
 		report.Load = a.presentLoad(report.Load)
 		if err := s.Send(report); err != nil {
 			return
@@ -78,9 +79,9 @@
 	return reported
 }
 
-// clockMS is the agent's own clock, which entries echo.
-func (a *Agent) clockMS() int64 {
-	return time.Since(a.started).Milliseconds() + 1
+// clock is the agent's own clock, which entries echo.
+func (a *Agent) clock() admission.Reading {
+	return admission.Reading{Life: a.opts.Incarnation, Elapsed: time.Since(a.started)}
 }
 
 func (a *Agent) serveRequest(ctx context.Context, from keys.Identity, s *peer.Stream) {
@@ -197,18 +198,16 @@
 	return leave, nil
 }
 
-// remaining is the time left for a request. What the request lost on the way
-// is subtracted: an entry that was paused between reading its clock and
-// sending would otherwise have work done that nobody waits for any more. The
-// entry echoes this agent's clock, so the clocks of two instances are never
-// compared.
+// remaining is the time left for a request, at most 0 if its deadline has
+// passed or names another life of this process. What the request lost on the
+// way is subtracted: an entry that was paused between reading its clock and
+// sending would otherwise have work done that nobody waits for any more.
 func (a *Agent) remaining(req wire.Request) time.Duration {
-	remaining := time.Duration(req.RemainingMS) * time.Millisecond
-	if req.ClockEcho == 0 {
-		return remaining
+	late, ok := req.Deadline.Lateness(a.clock())
+	if !ok {
+		return 0
 	}
-	late := time.Duration(a.clockMS()-req.ClockEcho) * time.Millisecond
-	return remaining - max(0, late)
+	return -late
 }
 
 func notRun(req wire.Request, err error) wire.AnswerEnd {
--- a/daemon/agent/traffic_test.go
+++ b/daemon/agent/traffic_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/serving"
@@ -35,8 +36,9 @@
 	DescribeTable("does not run what was held up beyond its deadline", func(once bool) {
 		r := newPlain()
 		const waited = 20 * time.Millisecond
-		Eventually(func() int64 { return r.entry.Report().ClockMS }).Should(BeNumerically(">", 2*waited.Milliseconds()))
-		req := wire.Request{ID: "late", Service: orders, ClockEcho: 1, RemainingMS: waited.Milliseconds(), AskedMS: 1}
+		Eventually(func() time.Duration { return r.entry.Report().Clock.Elapsed }).Should(BeNumerically(">", 2*waited))
+		req := wire.Request{ID: "late", Service: orders, Deadline: admission.Deadline{
+			Sent: admission.Reading{Life: r.entry.Report().Clock.Life, Elapsed: 1}, Remaining: waited}}
 		if once {
 			req.NonIdempotent = true
 			req.IdempotencyKey = r.key(1)
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -11,6 +11,7 @@
 
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/balance"
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
@@ -167,16 +168,15 @@
 	server    fleet.InstanceID // empty if none could be picked
 	delivered bool             // the caller has a part of the answer
 	pieces    int              // of the answer that came
-	started   time.Time
+	first     time.Time        // when it began
 }
 
 func (a *attempt) run(ctx context.Context, tried []fleet.InstanceID) (calls.End, error) {
 	e := a.entry
 	ctx, span := e.opts.Tracer.Start(ctx, "entry.attempt")
 	defer span.End()
-	a.started = time.Now()
 	p := e.picture.Load()
-	choice, err := p.servers.Pick(a.started, sharedRand{}, balance.Request{
+	choice, err := p.servers.Pick(time.Now(), sharedRand{}, balance.Request{
 		Service:   a.request.Service,
 		PrefixKey: a.request.PrefixKey,
 		Priority:  a.request.Priority,
@@ -187,7 +187,7 @@
 		return calls.End{}, err
 	}
 	a.server = choice.Server.ID
-	end, err := a.exchange(ctx, choice.Server, p.reports[a.server])
+	end, err := a.exchange(ctx, choice.Server, p.clocks[a.server])
 	choice.Release(a.result(ctx, err))
 	return end, err
 }
@@ -195,7 +195,7 @@
 // result tells the balancer how the attempt went, as far as it says something
 // of the server.
 func (a *attempt) result(ctx context.Context, err error) balance.Result {
-	result := balance.Result{At: time.Now(), FirstPiece: a.pace(), RetryAfter: failure.RetryAfter(err)}
+	result := balance.Result{At: time.Now(), Pace: a.pace(), RetryAfter: failure.RetryAfter(err)}
 	switch {
 	case err == nil:
 		result.Kind = balance.Succeeded
@@ -211,19 +211,22 @@
 	return result
 }
 
-// pace is the mean time that a piece of the answer took, 0 if none came. It
-// tells a slow engine from a fast one, whatever the answers' lengths; the time
-// to the first piece alone would not, since an engine names its version at
-// once and may be slow with each token after that.
+// minPacePieces is how many pieces an answer must have to tell its server's
+// pace.
+const minPacePieces = 8
+
+// pace is the mean time between two pieces of the answer, 0 if there are too
+// few to tell. The time to the first one is left out: an engine names its
+// version at once, and a request may have waited before that.
 func (a *attempt) pace() time.Duration {
-	if a.pieces == 0 {
+	if a.pieces < minPacePieces {
 		return 0
 	}
-	return time.Since(a.started) / time.Duration(a.pieces)
+	return time.Since(a.first) / time.Duration(a.pieces-1)
 }
 
 // exchange sends the request to an agent and hands the answer to the caller.
-func (a *attempt) exchange(ctx context.Context, server balance.Server, clock clockReading) (calls.End, error) {
+func (a *attempt) exchange(ctx context.Context, server balance.Server, clock *admission.Echo) (calls.End, error) {
 	s, err := a.entry.opts.Endpoint.Open(ctx, server.Addr, server.ID, peer.KindRequest)
 	if err != nil {
 		return calls.End{}, err
@@ -252,8 +255,11 @@
 
 // send sends the request and its body. Once the first byte is out, only the
 // agent can say that the request was not run.
-func (a *attempt) send(ctx context.Context, s *peer.Stream, clock clockReading) error {
-	now := time.Now()
+func (a *attempt) send(ctx context.Context, s *peer.Stream, clock *admission.Echo) error {
+	deadline, ok := clock.Deadline(time.Now(), a.asked, a.request.Deadline)
+	if !ok {
+		return notRun(failure.Unavailable.New("%s has not reported yet", a.server), notReadyRetry)
+	}
 	head := wire.Request{
 		ID:             a.request.ID,
 		Service:        a.request.Service,
@@ -263,12 +269,8 @@
 		NonIdempotent:  a.request.NonIdempotent,
 		Priority:       a.request.Priority,
 		Traceparent:    telemetry.Inject(ctx),
-		RemainingMS:    a.request.Deadline.Sub(now).Milliseconds(),
+		Deadline:       deadline,
 		BodyBytes:      len(a.request.Body),
-		AskedMS:        now.Sub(a.asked).Milliseconds() + 1,
-	}
-	if clock.clockMS > 0 {
-		head.ClockEcho = clock.clockMS + now.Sub(clock.received).Milliseconds()
 	}
 	if err := s.Send(head); err != nil {
 		return interrupted(err, "send the request")
@@ -321,6 +323,7 @@
 
 func (a *attempt) begin(b wire.AnswerBegin) error {
 	a.delivered = true
+	a.first = time.Now()
 	if err := a.sink.Begin(calls.Begin{Status: b.Status, Version: b.Version}); err != nil {
 		return failure.WithOutcome(errorx.Cast(err), failure.Unknown)
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -20,6 +20,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/adapters/telemetry"
 	"chivespindle.example/core/addressing"
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/balance"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
@@ -85,15 +86,7 @@
 	config  *revision.State // nil while no text is in force
 	servers *balance.Snapshot
 	entries []addressing.Entry
-	reports map[fleet.InstanceID]clockReading
-}
-
-// clockReading is an agent's clock as its last report gave it, and which life
-// of its process that clock belongs to.
-type clockReading struct {
-	clockMS     int64
-	received    time.Time
-	incarnation uint64
+	clocks  map[fleet.InstanceID]*admission.Echo
 }
 
 // sharedRand is the source of chance that all goroutines may use.
@@ -159,13 +152,13 @@
 	p := &picture{
 		config:  e.node.InForce(),
 		entries: e.entries(),
-		reports: make(map[fleet.InstanceID]clockReading, len(e.subs)),
+		clocks:  make(map[fleet.InstanceID]*admission.Echo, len(e.subs)),
 	}
 	var servers []balance.Server
 	for id, s := range e.subs {
 		if s.reported {
 			servers = append(servers, s.server())
-			p.reports[id] = clockReading{clockMS: s.report.ClockMS, received: s.received, incarnation: s.report.Incarnation}
+			p.clocks[id] = s.echo
 		}
 	}
 	slices.SortFunc(servers, func(a, b balance.Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/daemon/entry/keys.go
+++ b/daemon/entry/keys.go
@@ -56,6 +56,10 @@
 		return "", err
 	}
 	choice.Release(balance.Result{At: now, Kind: balance.Abandoned})
-	life := once.Incarnation(p.reports[choice.Server.ID].incarnation)
+	clock, ok := p.clocks[choice.Server.ID].At(now)
+	if !ok {
+		return "", notRun(failure.Unavailable.New("%s has not reported yet", choice.Server.ID), notReadyRetry)
+	}
+	life := once.Incarnation(clock.Life)
 	return once.Issue("", choice.Server.ID, life, now, rand.Uint64()).Text, nil
 }
--- a/daemon/entry/subscription.go
+++ b/daemon/entry/subscription.go
@@ -8,6 +8,7 @@
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/balance"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
@@ -27,7 +28,8 @@
 type subscription struct {
 	member   gossip.Peer
 	cancel   context.CancelFunc
-	reported bool // a report came on the present stream
+	echo     *admission.Echo // of the agent's clock
+	reported bool            // a report came on the present stream
 	report   wire.Report
 	received time.Time
 }
@@ -67,6 +69,7 @@
 // wanted picks, of each service, the agents whose reports this entry follows.
 func (e *Entry) wanted() map[fleet.InstanceID]gossip.Peer {
 	byService := make(map[fleet.ServiceName][]balance.Server)
+	self, entries := e.assignees()
 	peers := make(map[fleet.InstanceID]gossip.Peer)
 	for _, p := range e.node.View().Peers {
 		if p.Role != fleet.RoleAgent || !p.PeerAddr.IsValid() {
@@ -77,16 +80,26 @@
 	}
 	wanted := make(map[fleet.InstanceID]gossip.Peer)
 	for _, servers := range byService {
-		for _, s := range balance.Subset(e.opts.Self.ID, e.opts.Self.Place, servers, subsetSize) {
+		for _, s := range balance.Assign(self, entries, servers, subsetSize) {
 			wanted[s.ID] = peers[s.ID]
 		}
 	}
 	return wanted
 }
 
+// assignees are the entries that share the servers out between them.
+func (e *Entry) assignees() (self balance.Entry, all []balance.Entry) {
+	self = balance.Entry{ID: e.opts.Self.ID, Place: e.opts.Self.Place}
+	all = append(all, self)
+	for _, p := range e.otherEntries() {
+		all = append(all, balance.Entry{ID: p.ID, Place: p.Place})
+	}
+	return self, all
+}
+
 func (e *Entry) startSubscription(p gossip.Peer) {
 	ctx, cancel := context.WithCancel(e.ctx)
-	s := &subscription{member: p, cancel: cancel}
+	s := &subscription{member: p, cancel: cancel, echo: &admission.Echo{}}
 	e.subs[p.ID] = s
 	go e.follow(ctx, s, p)
 }
@@ -120,6 +133,7 @@
 			return err
 		}
 		received := time.Now()
+		s.echo.Observe(report.Clock, received)
 		e.post(func(now time.Time) { e.reportRead(now, s, report, received) })
 	}
 }
--- a/daemon/internal/daemontest/agent.go
+++ b/daemon/internal/daemontest/agent.go
@@ -13,6 +13,7 @@
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/serving"
@@ -45,7 +46,7 @@
 	a := &Agent{Link: NewLink(), script: (*Exchange).Echo, started: time.Now()}
 	a.report = wire.Report{
 		Service: service, State: gossip.StateServing, Admitting: true,
-		Load: serving.Load{Slots: 64}, Incarnation: 1,
+		Load: serving.Load{Slots: 64},
 	}
 	a.Endpoint = newEndpoint(fleet.RoleAgent, id, Handler(a.serve), a.Link)
 	a.Instance = fleet.Instance{ID: id, Role: fleet.RoleAgent, Service: service, Place: Here, PeerAddr: a.Endpoint.Addr()}
@@ -114,7 +115,7 @@
 		a.mu.Lock()
 		report, mute := a.report, a.mute
 		a.mu.Unlock()
-		report.ClockMS = time.Since(a.started).Milliseconds() + 1
+		report.Clock = admission.Reading{Life: 1, Elapsed: time.Since(a.started)}
 		if mute || s.Send(report) != nil {
 			s.Abort()
 			return
@@ -215,11 +216,11 @@
 }
 
 // Send sends a request and leaves its answer to the caller. Without a
-// RemainingMS the caller waits for Patience.
+// deadline the caller waits for Patience, by the agent's clock.
 func (e *Entry) Send(req wire.Request, body string) *peer.Stream {
 	ginkgo.GinkgoHelper()
-	if req.RemainingMS == 0 {
-		req.RemainingMS = Patience.Milliseconds()
+	if req.Deadline.Sent.IsZero() {
+		req.Deadline = admission.Deadline{Sent: e.Report().Clock, Remaining: Patience}
 	}
 	req.BodyBytes = len(body)
 	s := e.Open(peer.KindRequest)
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -5,6 +5,7 @@
 package wire
 
 import (
+	"chivespindle.example/core/admission"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/revision"
@@ -83,16 +84,9 @@
 	NonIdempotent  bool              `cbor:"6,keyasint,omitempty"`
 	Priority       int               `cbor:"7,keyasint"`
 	Traceparent    string            `cbor:"8,keyasint,omitempty"`
-	// RemainingMS is the time left until the caller's deadline as the entry
-	// sent it; ClockEcho lets the agent subtract what was lost on the way.
-	RemainingMS int64 `cbor:"9,keyasint"`
-	// ClockEcho is the agent's own clock of its last report plus the time
-	// since that report came in, in ms; 0 if there was none.
-	ClockEcho int64 `cbor:"10,keyasint,omitempty"`
-	BodyBytes int   `cbor:"11,keyasint"`
-	// AskedMS is how long before the sending the caller's ask reached the
-	// entry; tries of one ask share that moment.
-	AskedMS int64 `cbor:"12,keyasint,omitempty"`
+	// Deadline is the caller's, told in the agent's own clock.
+	Deadline  admission.Deadline `cbor:"9,keyasint"`
+	BodyBytes int                `cbor:"11,keyasint"`
 }
 
 // AnswerPart is one part of the answer to a Request: one AnswerBegin, then
@@ -158,8 +152,7 @@
 	Admitting bool          `cbor:"4,keyasint"`
 	Serving   fleet.Version `cbor:"5,keyasint"`
 	Load      serving.Load  `cbor:"6,keyasint"`
-	// ClockMS is the agent's monotonic clock in ms since its start.
-	ClockMS int64 `cbor:"7,keyasint"`
-	// Incarnation is the start time of the agent, part of the keys it issues.
-	Incarnation uint64 `cbor:"8,keyasint"`
+	// Clock is the agent's own, read just before sending. Its Life is the
+	// agent's incarnation, part of the keys that are issued for it.
+	Clock admission.Reading `cbor:"7,keyasint"`
 }
