Serve on after a restart when others vouch for the version

An agent that restarted in the middle of a rollout served nothing until the new version was fetched, and a restart of all agents would have taken a service out. A version that another live replica serves is taken as intended.

--- a/core/gossip/namesake.go
+++ b/core/gossip/namesake.go
@@ -43,5 +43,6 @@
 		return
 	}
 	t.self.rec.Incarnation = max(t.self.rec.Incarnation, n.rec.Incarnation+1)
+	t.self.rec.Turn = max(t.self.rec.Turn, t.self.rec.Incarnation, n.rec.Turn)
 	t.namesake = namesake{}
 }
--- a/core/gossip/record.go
+++ b/core/gossip/record.go
@@ -58,7 +58,8 @@
 	// Target is the version that the text in force pins for the process.
 	Target fleet.Version `cbor:"13,keyasint,omitzero"`
 	// Turn is the replica's place in the order of a rollout, see package
-	// rollout. It never falls within an incarnation.
+	// rollout. It never falls: a new process begins with its Incarnation, which
+	// lies above all that its predecessor has counted.
 	Turn uint64 `cbor:"14,keyasint,omitzero"`
 
 	// Revision is the state of the operator's text that the process follows.
--- a/core/gossip/table.go
+++ b/core/gossip/table.go
@@ -143,6 +143,7 @@
 	if rec.Change == 0 {
 		rec.Change = 1
 	}
+	rec.Turn = max(rec.Turn, rec.Incarnation)
 	t.self = t.newEntry(rec.ID)
 	t.self.rec = rec
 	t.self.heard = true
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -19,9 +19,8 @@
 // even now, so no view, however old, showed them serving it; and those that
 // follow an older target had not shown the newer one while in service. So they
 // are at most max_unavailable. This needs that a replica never goes back
-// within the period of one target, that its Turn never falls, and that it
-// keeps its Turn while it is out. A replica that restarts begins with Turn 0;
-// it serves the target or nothing then, so it has no turn to take.
+// within the period of one target, that its Turn never falls, not even when its
+// process restarts, and that it keeps its Turn while it is out.
 package rollout
 
 import (
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -179,6 +179,9 @@
 		Expect(replicas[1]).To(Equal(rollout.Replica{
 			ID: "a", Place: own.Place, State: gossip.StateStaged, Serving: v1, Target: v2, Turn: 4,
 		}))
+		Expect(rollout.Served(replicas, "self")).To(Equal([]fleet.Version{v1}))
+		Expect(rollout.Served(replicas, "a")).To(Equal([]fleet.Version{v1}))
+		Expect(rollout.Served(replicas[2:], "self")).To(BeEmpty())
 		Expect(replicas[2].Silent).To(BeTrue())
 		Expect(replicas[2].SilentFor).To(Equal(3 * time.Second))
 	})
--- a/core/rollout/view.go
+++ b/core/rollout/view.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"chivespindle.example/core/fleet"
@@ -25,6 +26,18 @@
 	return replicas
 }
 
+// Served returns the versions that live replicas other than self serve.
+func Served(replicas []Replica, self fleet.InstanceID) []fleet.Version {
+	var versions []fleet.Version
+	for _, r := range replicas {
+		counts := r.ID != self && r.inService() && !r.Serving.IsZero()
+		if counts && !slices.Contains(versions, r.Serving) {
+			versions = append(versions, r.Serving)
+		}
+	}
+	return versions
+}
+
 // lastSign returns when p was heard last, or first seen if it never spoke.
 func lastSign(p gossip.Peer) time.Time {
 	if p.LastHeard.IsZero() {
--- a/core/serving/changeover.go
+++ b/core/serving/changeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chivespindle.example/core/fleet"
@@ -107,7 +108,9 @@
 // missed something, it claims the engine: it reads the status, sends an order
 // that carries nothing but the fencing number, and reads again. What it then
 // finds loaded it serves if it is the target or the version it served before.
-// Any other version is not served: nobody knows that an accepted text named it.
+// A process that has just started also takes a version that other replicas
+// serve. Any other version is not served: nobody knows that an accepted text
+// named it.
 type Changeover struct {
 	opt      ChangeoverOptions
 	fence    Fence
@@ -118,6 +121,8 @@
 	target fleet.Version
 	goal   fleet.Version // what the present attempt loads: target or before
 	before fleet.Version // served last by intention
+	// vouched are the versions that other replicas serve.
+	vouched []fleet.Version
 
 	admitting bool
 	verified  fleet.Digest // manifest of before, once verified or reported
@@ -259,6 +264,8 @@
 		c.orderFailed(now, e)
 	case StatusRead:
 		c.statusRead(now, e)
+	case Vouched:
+		c.vouchedFor(now, e.Versions)
 	case EngineRestarted:
 		c.engineRestarted(now)
 	case Paused:
@@ -324,6 +331,26 @@
 	}
 }
 
+// vouchedFor lets a process that has just started serve on what it found. Its
+// predecessor put it in service, but the text has moved on since. Without the
+// others' word a restart in the middle of a rollout would take the replica out
+// for as long as the fetch of the new version lasts, and a restart of all
+// agents would take out the service.
+func (c *Changeover) vouchedFor(now time.Time, versions []fleet.Version) {
+	c.vouched = versions
+	if c.paused || !c.claimed || !c.isVouched(c.status.Loaded) {
+		return
+	}
+	switch c.phase {
+	case PhaseIdle, PhaseFetching, PhaseStaged, PhaseWaiting:
+		c.resume(now)
+	}
+}
+
+func (c *Changeover) isVouched(v fleet.Version) bool {
+	return c.before.IsZero() && slices.Contains(c.vouched, v)
+}
+
 func (c *Changeover) chunksComplete(e ChunksComplete) {
 	late := e.Fetch != 0 && e.Fetch != c.fetch
 	if c.phase != PhaseFetching || late || e.Version != c.goal {
--- a/core/serving/changeover_test.go
+++ b/core/serving/changeover_test.go
@@ -183,6 +183,29 @@
 		Entry("with nothing", fleet.Version{}, fleet.Version{}),
 	)
 
+	// All agents of a service are restarted while its rollout stands still. The
+	// engines have the former version, the text pins the next. If none served
+	// what it found, callers would have nobody to ask until the next version
+	// had come to all; so the word of one that still serves is enough.
+	It("serves on what it found once others are seen to serve it", func() {
+		b := claimed(v2, v1)
+		Expect(b.machine.Serving().IsZero()).To(BeTrue())
+		b.step(serving.Vouched{Versions: []fleet.Version{v3}})
+		Expect(b.machine.Serving().IsZero()).To(BeTrue())
+		b.step(serving.Vouched{Versions: []fleet.Version{v1}})
+		Expect(must[serving.StartServing](b.last).Version).To(Equal(v1))
+		Expect(b.machine.Phase()).To(Equal(serving.PhaseFetching))
+	})
+
+	It("does not take others' word once it has served by itself", func() {
+		b := serve(v1)
+		b.engine.Loaded = v2
+		b.read()
+		b.accept()
+		b.step(serving.Vouched{Versions: []fleet.Version{v2}})
+		Expect(b.machine.Serving().IsZero()).To(BeTrue())
+	})
+
 	// A newer text arrives while the older is on its way. Fetching the older on
 	// would waste the origin's link; a replica that is out must not come back
 	// with a version that is no longer wanted if the wanted one is at hand.
--- a/core/serving/events.go
+++ b/core/serving/events.go
@@ -46,6 +46,9 @@
 		Status EngineStatus
 		Asked  time.Time
 	}
+	// Vouched says that other replicas of the service serve these versions now,
+	// so that an accepted text has named each of them.
+	Vouched struct{ Versions []fleet.Version }
 	// EngineRestarted says that the engine was seen to have restarted, before
 	// its status could be read.
 	EngineRestarted struct{}
@@ -68,6 +71,7 @@
 func (OrderDone) event()       {}
 func (OrderFailed) event()     {}
 func (StatusRead) event()      {}
+func (Vouched) event()         {}
 func (EngineRestarted) event() {}
 func (Paused) event()          {}
 func (Woke) event()            {}
--- a/core/serving/orders.go
+++ b/core/serving/orders.go
@@ -233,12 +233,18 @@
 	}
 }
 
-// serveLoaded serves what the engine has loaded if it is the target or the
-// version that was served before.
+// intended reports whether a version may be served if it is found loaded.
+func (c *Changeover) intended(v fleet.Version) bool {
+	if v.IsZero() {
+		return false
+	}
+	return v == c.target || v == c.before || v == c.lastOrdered || c.isVouched(v)
+}
+
+// serveLoaded serves what the engine has loaded if it is intended.
 func (c *Changeover) serveLoaded(now time.Time) {
 	loaded := c.status.Loaded
-	intended := !loaded.IsZero() && (loaded == c.target || loaded == c.before || loaded == c.lastOrdered)
-	if !c.claimed || !intended {
+	if !c.claimed || !c.intended(loaded) {
 		c.stopAdmitting(now)
 		return
 	}
