--- a/adapters/engine/attempt/attempt.go
+++ b/adapters/engine/attempt/attempt.go
@@ -222,6 +222,22 @@
 	return data, nil
 }
 
+// Kind returns the type of failure for an error status.
+func Kind(status int) *errorx.Type {
+	switch status {
+	case http.StatusNotFound:
+		return failure.NotFound
+	case http.StatusConflict:
+		return failure.Refused
+	case http.StatusTooManyRequests:
+		return failure.RateLimited
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return failure.Invalid
+	default:
+		return failure.Unavailable
+	}
+}
+
 // Declined returns the failure for an answer with an error status; its text
 // holds the start of the server's own reason.
 func (a *Attempt) Declined(kind *errorx.Type) error {
--- a/adapters/engine/call.go
+++ b/adapters/engine/call.go
@@ -43,7 +43,7 @@
 	defer a.Close()
 	answer := serving.Answer{ID: a.ID(), Status: a.Status}
 	if a.Status != http.StatusOK {
-		return answer, a.Declined(declinedKind(a.Status))
+		return answer, a.Declined(attempt.Kind(a.Status))
 	}
 	lines := newAnswerReader(a, call.ID)
 	err = c.relay(lines, emit)
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -154,7 +154,7 @@
 	body   []byte
 	into   any                  // decoded from the answer's JSON; nil: ignored
 	raw    *[]byte              // the answer's bytes; nil: ignored
-	kinds  map[int]*errorx.Type // failures by status, before declinedKind
+	kinds  map[int]*errorx.Type // failures by status, before attempt.Kind
 }
 
 func (c *Client) control(ctx context.Context, r control) error {
@@ -172,7 +172,7 @@
 	if a.Status/100 != 2 {
 		kind := r.kinds[a.Status]
 		if kind == nil {
-			kind = declinedKind(a.Status)
+			kind = attempt.Kind(a.Status)
 		}
 		return a.Declined(kind)
 	}
@@ -197,19 +197,3 @@
 	}
 	return nil
 }
-
-// declinedKind returns the type of failure for an error status.
-func declinedKind(status int) *errorx.Type {
-	switch status {
-	case http.StatusNotFound:
-		return failure.NotFound
-	case http.StatusConflict:
-		return failure.Refused
-	case http.StatusTooManyRequests:
-		return failure.RateLimited
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
-		return failure.Invalid
-	default:
-		return failure.Unavailable
-	}
-}
--- a/adapters/plainservice/plainservice.go
+++ b/adapters/plainservice/plainservice.go
@@ -79,7 +79,7 @@
 	}
 	defer a.Close()
 	if a.Status != http.StatusOK {
-		return serving.Load{}, a.Declined(failure.Unavailable)
+		return serving.Load{}, a.Declined(attempt.Kind(a.Status))
 	}
 	raw, err := a.ReadAll(maxStatus)
 	if err != nil {
@@ -94,9 +94,9 @@
 
 // Do implements serving.Backend. Pieces are cut as the bytes come. An answer
 // of any status is an answer, since the service ran the call, unless it says
-// that it did not: that is failure.Unavailable with failure.NotRun. An answer
-// that names another request is failure.Corrupt; no piece of it is handed
-// over. Other failures are as for any attempt.
+// that it did not: that is a failure by its status with failure.NotRun. An
+// answer that names another request is failure.Corrupt; no piece of it is
+// handed over. Other failures are as for any attempt.
 func (c *Client) Do(ctx context.Context, call serving.Call, emit func(serving.Piece) error) (serving.Answer, error) {
 	path, err := pathOf(call)
 	if err != nil {
@@ -116,7 +116,7 @@
 	defer a.Close()
 	answer := serving.Answer{ID: a.ID(), Status: a.Status}
 	if a.NotRun() {
-		return answer, a.Declined(failure.Unavailable)
+		return answer, a.Declined(attempt.Kind(a.Status))
 	}
 	if answer.ID != call.ID {
 		mixed := failure.Corrupt.New("the answer names request %q, want %q", answer.ID, call.ID)
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 
-	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/serving"
 	"chivespindle.example/standin/engine/backend"
@@ -37,8 +37,8 @@
 		return http.StatusConflict, "a higher fencing number was seen"
 	}
 	if e.changes(order.Version) {
-		if err := e.startLoad(order.Version); err != nil {
-			return http.StatusUnprocessableEntity, err.Error()
+		if missing := e.startLoad(order.Version); missing != "" {
+			return http.StatusUnprocessableEntity, missing
 		}
 	}
 	if e.options.CheckFence {
@@ -67,11 +67,11 @@
 }
 
 // startLoad ends what runs and loads version. A load that goes on already is
-// given up.
-func (e *Engine) startLoad(version fleet.Version) error {
-	whole, err := e.takeStaged(version.Manifest)
-	if err != nil {
-		return err
+// given up. It does nothing and tells what is missing if not all is staged.
+func (e *Engine) startLoad(version fleet.Version) (missing string) {
+	whole, missing := e.takeStaged(version.Manifest)
+	if missing != "" {
+		return missing
 	}
 	if !e.life.over() {
 		close(e.life.ended)
@@ -83,7 +83,7 @@
 	e.life = current
 	if e.options.LoadTime <= 0 {
 		e.finishLoad(version, whole)
-		return nil
+		return ""
 	}
 	done := e.options.Clock.After(e.options.LoadTime)
 	go func() {
@@ -98,7 +98,7 @@
 			e.finishLoad(version, whole)
 		}
 	}()
-	return nil
+	return ""
 }
 
 func (e *Engine) finishLoad(version fleet.Version, whole bool) {
@@ -109,23 +109,23 @@
 	e.counters.Loads++
 }
 
-// takeStaged reports whether the staged bytes match the manifest. It fails
-// when some are missing. Like a real engine it loads bytes that do not match;
+// takeStaged reports whether the staged bytes match the manifest, or what is
+// missing. Like a real engine it loads bytes that do not match;
 // the requests that run on them are counted as Mixed.
-func (e *Engine) takeStaged(manifest fleet.Digest) (whole bool, err error) {
+func (e *Engine) takeStaged(manifest fleet.Digest) (whole bool, missing string) {
 	staged := e.staged[manifest]
 	if staged == nil || staged.manifest == nil {
-		return false, failure.NotFound.New("the manifest is not staged")
+		return false, "the manifest is not staged"
 	}
 	whole = true
 	for _, chunk := range staged.manifest.Chunks {
 		data, ok := staged.chunks[chunk.Index]
 		if !ok {
-			return false, failure.NotFound.New("chunk %d is not staged", chunk.Index)
+			return false, fmt.Sprintf("chunk %d is not staged", chunk.Index)
 		}
 		if chunk.Verify(data) != nil {
 			whole = false
 		}
 	}
-	return whole, nil
+	return whole, ""
 }
--- a/standin/plainservice/calls_test.go
+++ b/standin/plainservice/calls_test.go
@@ -136,6 +136,12 @@
 		}
 	})
 
+	It("says not run for a call that the service declines", func(ctx SpecContext) {
+		got := do(ctx, client, serving.Call{Path: "parts"})
+		Expect(errorx.IsOfType(got.err, failure.Invalid)).To(BeTrue(), "%v", got.err)
+		Expect(failure.OutcomeOf(got.err)).To(Equal(failure.NotRun))
+	})
+
 	It("says not run if nothing listens", func(ctx SpecContext) {
 		Expect(service.Close()).To(Succeed())
 		got := do(ctx, client, callOf("a1"))
