Pass a plain service's status on; refuse a wrong version before its first piece

A caller saw 200 for a plain service's 404: the adapter's pieces did not carry the status, which was known only at the end. An engine's answer is now checked against the version to be served at its first line; before, a wrong but consistent version was found at its end, when the caller had all of it but the trailer.

--- a/adapters/callerclient/failures.go
+++ b/adapters/callerclient/failures.go
@@ -12,10 +12,10 @@
 	"chivespindle.example/core/failure"
 )
 
-// NotConnected: the entry could not be connected to, so nothing was sent.
+// NotConnected means that the entry could not be connected to, so nothing was sent.
 var NotConnected = failure.Unavailable.NewSubtype("not_connected")
 
-// Refused: an entry answered with a refusal; see failure.OutcomeOf.
+// Refused means that an entry answered with a refusal; see failure.OutcomeOf.
 var Refused = failure.Refused.NewSubtype("by_entry")
 
 // sendFailure tells a failure to connect, after which the request was
--- a/adapters/plainservice/plainservice.go
+++ b/adapters/plainservice/plainservice.go
@@ -141,7 +141,7 @@
 	for {
 		n, err := a.Read(buffer)
 		if n > 0 {
-			if err := emit(serving.Piece{Data: bytes.Clone(buffer[:n])}); err != nil {
+			if err := emit(serving.Piece{Status: a.Status, Data: bytes.Clone(buffer[:n])}); err != nil {
 				failed := attempt.Canceled.Wrap(err, "the receiver of the answer failed")
 				return failure.WithOutcome(failed, failure.Unknown)
 			}
--- a/core/serving/ports.go
+++ b/core/serving/ports.go
@@ -60,8 +60,7 @@
 
 // Piece is one part of a streamed answer.
 type Piece struct {
-	// Status is the HTTP status of the server, set on the first piece and 0
-	// on the others.
+	// Status is the HTTP status of the server; 0 stands for 200.
 	Status int
 	Data   []byte
 }
--- a/daemon/agent/room.go
+++ b/daemon/agent/room.go
@@ -59,7 +59,7 @@
 	began := time.Now()
 	t := newTurn()
 	ticket := r.tickets.Add(1)
-	offered := r.waiting.Offer(began, admission.Urgency{Priority: priority, Deadline: deadline}, ticket, t)
+	offered := r.waiting.Offer(began, admission.Urgency{Priority: priority, Deadline: r.judgedBy(deadline)}, ticket, t)
 	apply(offered.Changes)
 	switch offered.Entrance {
 	case admission.Refused:
@@ -78,6 +78,19 @@
 	}, nil
 }
 
+// judgedBy returns the deadline that the room compares with what requests have
+// taken; none while nothing runs or waits. What was learnt while the server or
+// this process stood still says that every request takes seconds. Without this
+// all with a shorter deadline would be refused from then on, though the server
+// is idle: none would run, so nothing newer would ever be learnt. One request
+// at a time is enough to learn from; its own deadline still ends it.
+func (r *room) judgedBy(deadline time.Time) time.Time {
+	if running, waiting := r.waiting.Load(); running+waiting == 0 {
+		return time.Time{}
+	}
+	return deadline
+}
+
 // wait waits until the room has decided. A caller that goes away leaves the
 // queue, unless the room was faster: then its slot is given back.
 func (r *room) wait(ctx context.Context, ticket uint64, t *turn) error {
--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -284,6 +284,12 @@
 	return o.stream.Send(wire.AnswerPart{Piece: p.Data})
 }
 
+// CheckVersion refuses an answer whose first line names another version than
+// the one that is to be served, before any of it goes to the caller.
+func (a *Agent) CheckVersion(answered fleet.Version) error {
+	return a.gate.Load().CheckAnswer(answered)
+}
+
 func statusOr200(status int) int {
 	const ok = 200
 	if status == 0 {
--- a/daemon/agent/traffic_test.go
+++ b/daemon/agent/traffic_test.go
@@ -52,6 +52,19 @@
 		Entry("of work that must run at most once", true),
 	)
 
+	// A plain service answers that there is no such job. The caller must see the
+	// service's own status and not a 200 with an error page in it.
+	It("passes the server's status on", func() {
+		r := newPlain()
+		const notFound = 404
+		r.backend.Answer(func(_ context.Context, call serving.Call, emit func(serving.Piece) error) (serving.Answer, error) {
+			return serving.Answer{ID: call.ID, Status: notFound}, emit(serving.Piece{Status: notFound, Data: []byte("no such job")})
+		})
+		answer := r.entry.Ask(wire.Request{ID: "job", Service: orders}, "")
+		Expect(answer.Begin).To(HaveValue(HaveField("Status", notFound)))
+		Expect(answer.End).To(HaveValue(HaveField("Outcome", wire.OutcomeRan)))
+	})
+
 	// The engine answers from another version than the one that the request was
 	// admitted for: it was changed without an order in the middle of the answer.
 	// The pieces have gone out already; the end never says that they are whole.
--- a/daemon/node/gossip.go
+++ b/daemon/node/gossip.go
@@ -23,8 +23,6 @@
 	// sendQueue bounds the messages that wait for a slow neighbour; news that
 	// do not fit go with a later message.
 	sendQueue = 2
-	// gossipStall is the progress deadline of a send.
-	gossipStall = 5 * time.Second
 )
 
 // link is an open gossip stream with one neighbour.
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -115,7 +115,10 @@
 		o.Backend, o.Plain = client, client
 		return nil
 	}
-	client := engine.New(engine.Options{Addr: addr})
+	client := engine.New(engine.Options{
+		Addr:         addr,
+		CheckVersion: func(v fleet.Version) error { return p.role.CheckVersion(v) },
+	})
 	o.Backend, o.Engine = client, client
 	o.Changeover = serving.ChangeoverOptions{Rand: newRand(), DrainTimeout: p.settings.Limits.DrainTimeout}
 	return p.connectWeights(o, client, opts)
