--- a/daemon/entry/keys.go
+++ b/daemon/entry/keys.go
@@ -19,7 +19,9 @@
 	}
 	key, err := once.ParseKey(r.Workspace, r.IdempotencyKey)
 	if err != nil {
-		return "", failure.WithOutcome(calls.BadRequest.Wrap(err, "Idempotency-Key"), failure.NotRun)
+		// No process takes such a key, so what is said of it holds for every ask.
+		refused := failure.WithOutcome(calls.BadRequest.Wrap(err, "Idempotency-Key"), failure.NotRun)
+		return "", refused.WithProperty(decidedProperty, true)
 	}
 	home, ok := once.Home(key, e.listedServers(r.Service))
 	if !ok {
