Entry: call no request not run that an earlier try may have run

An idempotent request whose first try was passed on and lost, and whose second found no other server or was refused, was answered with the outcome of the last try alone: 'not_run', of work that had run.

Ruled out: returning the first failure, which would lose the pause that the second names. The last failure is kept as the cause, and the outcome is 'unknown'.

Before: the spec 'is not forgotten when no other agent is left to try' got 'not_run' after the agent had read the whole request. After: 'unknown'.

--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -119,6 +119,7 @@
 		return calls.End{}, err
 	}
 	var tried []fleet.InstanceID
+	var maybe bool // an earlier try may have run
 	asked := time.Now()
 	for number := 1; ; number++ {
 		a := &attempt{entry: e, request: r, sink: sink, number: number, home: home, asked: asked}
@@ -126,6 +127,10 @@
 		if err == nil {
 			return end, nil
 		}
+		if maybe && failure.OutcomeOf(err) == failure.NotRun {
+			err = failure.WithOutcome(calls.Interrupted.Wrap(err, "an earlier try may have run"), failure.Unknown)
+		}
+		maybe = maybe || failure.OutcomeOf(err) != failure.NotRun
 		tried = append(tried, a.server)
 		decision := policy.MayRetry(time.Now(), retry.Attempt{
 			Outcome:    failure.OutcomeOf(err),
