Entry: pay only for retries that are made

The policy was asked, and so took a retry from the budget, before the entry looked whether there is anything to try again: for a request that no server could take, whose caller had gone, or that its key's home had decided. An outage or a full service used up the retries of all others.

Ruled out: giving the retry back, since another request may have been denied it meanwhile.

Before: after 60 requests for a service without servers, a request of another service that failed once was not tried again (spec 'that are not there cost others no retries'). After: it is.

--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -130,6 +130,9 @@
 		if maybe && failure.OutcomeOf(err) == failure.NotRun {
 			err = failure.WithOutcome(calls.Interrupted.Wrap(err, "an earlier try may have run"), failure.Unknown)
 		}
+		if ctx.Err() != nil || a.server == "" || isDecided(err) {
+			return calls.End{}, err
+		}
 		maybe = maybe || failure.OutcomeOf(err) != failure.NotRun
 		tried = append(tried, a.server)
 		decision := policy.MayRetry(time.Now(), retry.Attempt{
@@ -139,7 +142,7 @@
 			Number:     number,
 			Deadline:   r.Deadline,
 		})
-		if !decision.Retry || ctx.Err() != nil || a.server == "" || isDecided(err) {
+		if !decision.Retry {
 			return calls.End{}, err
 		}
 		e.opts.Metrics.Counter("retries").Inc(1)
