Entry: cut an answer whose end does not fit its beginning

The entry compared the id in the end of an answer and not the version, so an answer that began with one version and ended with another counted as whole; a piece before any beginning went to the caller, with another agent's whole answer behind it after a retry; an end without a beginning was a whole answer without a status. All three take a faulty agent, or one of another release.

Ruled out: leaving it to the agent, which tests the version too: the two tests fail in different places.

Before: the specs 'is cut' (another version, no version) and 'is refused without its beginning' (both) failed. After: the answer is cut with the outcome 'unknown'.

--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -171,6 +171,7 @@
 	request   calls.Request
 	sink      calls.Sink
 	number    int
+	version   fleet.Version    // that the answer began with
 	home      fleet.InstanceID // of the key of a non-idempotent request, else empty
 	asked     time.Time        // when the caller's ask came
 	server    fleet.InstanceID // empty if none could be picked
@@ -320,6 +321,8 @@
 			}
 		case part.End != nil:
 			return a.finish(*part.End, server)
+		case !a.delivered:
+			return calls.End{}, corrupt("the answer has a piece before its beginning")
 		default:
 			a.pieces++
 			if err := a.sink.Piece(part.Piece); err != nil {
@@ -329,7 +332,15 @@
 	}
 }
 
+func corrupt(format string, args ...any) error {
+	return failure.WithOutcome(failure.Corrupt.New(format, args...), failure.Unknown)
+}
+
 func (a *attempt) begin(b wire.AnswerBegin) error {
+	if a.delivered {
+		return corrupt("the answer begins twice")
+	}
+	a.version = b.Version
 	a.delivered = true
 	a.first = time.Now()
 	if err := a.sink.Begin(calls.Begin{Status: b.Status, Version: b.Version}); err != nil {
@@ -338,16 +349,24 @@
 	return nil
 }
 
-// finish checks that the end is that of this request. An answer that names
-// another request is cut: its pieces may be another caller's.
+// finish checks that the end is that of this request and of the answer that
+// began. An answer that names another request is cut, since its pieces may be
+// another caller's, and one that names another version, since its pieces may
+// be of both.
 func (a *attempt) finish(end wire.AnswerEnd, server balance.Server) (calls.End, error) {
 	if end.ID != a.request.ID {
-		return calls.End{}, failure.WithOutcome(failure.Corrupt.New("the answer names request %q", end.ID), failure.Unknown)
+		return calls.End{}, corrupt("the answer names request %q", end.ID)
+	}
+	if end.Outcome != wire.OutcomeRan || end.Duplicate {
+		return calls.End{}, endFailure(end, server.ID)
+	}
+	if !a.delivered {
+		return calls.End{}, corrupt("the answer ends without a beginning")
 	}
-	if end.Outcome == wire.OutcomeRan && !end.Duplicate {
-		return calls.End{Version: end.Version, Server: server.ID}, nil
+	if end.Version != a.version {
+		return calls.End{}, corrupt("the answer began with version %s and ends with %s", a.version, end.Version)
 	}
-	return calls.End{}, endFailure(end, server.ID)
+	return calls.End{Version: end.Version, Server: server.ID}, nil
 }
 
 // endFailure turns the end of an answer that is none into an error.
