Entry: count no answer in progress as a stall

A few callers of long answers with a short deadline ejected servers that sent piece after piece, up to half of a service.

Ruled out: not counting deadlines at all, since a server that hangs is mostly noticed by them. An answer whose last piece came within two seconds, a stall being many times the time between tokens, says nothing against its server.

What is left: a deadline that passes before the first piece still counts, however short it was.

--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -26,6 +26,9 @@
 	// It is longer than the engine's own progress deadline at the agent, whose
 	// word on the outcome is better than a guess made here.
 	answerStall = 15 * time.Second
+	// progressTime is how long ago the last piece of an answer in progress can
+	// have come.
+	progressTime = 2 * time.Second
 	// notReadyRetry is when a caller may come back to an entry without a text.
 	notReadyRetry = time.Second
 	// fullRetry is when a caller may come back to a full entry.
@@ -178,6 +181,7 @@
 	delivered bool             // the caller has a part of the answer
 	pieces    int              // of the answer that came
 	first     time.Time        // when it began
+	lastPiece time.Time        // when the newest piece came
 }
 
 func (a *attempt) run(ctx context.Context, tried []fleet.InstanceID) (calls.End, error) {
@@ -208,7 +212,7 @@
 	switch {
 	case err == nil:
 		result.Kind = balance.Succeeded
-	case errors.Is(ctx.Err(), context.Canceled), errorx.IsOfType(err, calls.Overloaded):
+	case errors.Is(ctx.Err(), context.Canceled), errorx.IsOfType(err, calls.Overloaded), ctx.Err() != nil && a.inProgress():
 		result.Kind = balance.Abandoned
 	case errorx.IsOfType(err, failure.Refused):
 		result.Kind = balance.Declined
@@ -220,6 +224,11 @@
 	return result
 }
 
+// inProgress reports whether pieces of the answer came until now. A caller
+// whose deadline ends a long answer says nothing against the server: counted
+// as stalls, a few of them would eject a server that works.
+func (a *attempt) inProgress() bool { return time.Since(a.lastPiece) < progressTime }
+
 // minPacePieces is how many pieces an answer must have to tell its server's
 // pace.
 const minPacePieces = 8
@@ -325,6 +334,7 @@
 			return calls.End{}, corrupt("the answer has a piece before its beginning")
 		default:
 			a.pieces++
+			a.lastPiece = time.Now()
 			if err := a.sink.Piece(part.Piece); err != nil {
 				return calls.End{}, failure.WithOutcome(errorx.Cast(err), failure.Unknown)
 			}
