Keep the connections over which chunks are staged and read back

Calls and orders keep a TCP connection of their own each, since net/http may send a keyed request twice on a kept one.

--- a/adapters/engine/attempt/attempt.go
+++ b/adapters/engine/attempt/attempt.go
@@ -55,18 +55,41 @@
 // unknown. A connection that was never used before and never is again has
 // none of them. What it costs is in docs/PLATFORM-ENGINE.md.
 func New(addr netip.AddrPort) *Client {
+	transport := newTransport()
+	transport.DisableKeepAlives = true
+	return newClient(addr, transport)
+}
+
+// NewReusing returns a client that keeps its connections, for requests that
+// may be sent again: reading a status, staging a chunk and reading it back. A
+// burst stages and reads thousands of chunks a second, and a connection for
+// each costs several times the request itself.
+func NewReusing(addr netip.AddrPort) *Client {
+	const (
+		idleConnections = 16
+		idleTimeout     = 5 * time.Second
+	)
+	transport := newTransport()
+	transport.MaxIdleConnsPerHost = idleConnections
+	transport.IdleConnTimeout = idleTimeout
+	return newClient(addr, transport)
+}
+
+func newTransport() *http.Transport {
 	const (
 		connectTimeout = 2 * time.Second
 		maxHeader      = 64 << 10
 	)
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	transport := &http.Transport{
+	return &http.Transport{
 		DialContext:        dialer.DialContext,
-		DisableKeepAlives:  true,
 		DisableCompression: true, // pieces are handed on as the server sent them
 
 		MaxResponseHeaderBytes: maxHeader,
 	}
+}
+
+func newClient(addr netip.AddrPort, transport *http.Transport) *Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		server: addr.String(),
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -53,6 +53,8 @@
 type Client struct {
 	options Options
 	attempt *attempt.Client
+	// repeatable carries what may be sent again: all but calls and orders.
+	repeatable *attempt.Client
 }
 
 var (
@@ -66,7 +68,7 @@
 	setDefault(&options.ControlTimeout, DefaultControlTimeout)
 	setDefault(&options.FirstLineTimeout, DefaultFirstLineTimeout)
 	setDefault(&options.StallTimeout, DefaultStallTimeout)
-	return &Client{options: options, attempt: attempt.New(options.Addr)}
+	return &Client{options: options, attempt: attempt.New(options.Addr), repeatable: attempt.NewReusing(options.Addr)}
 }
 
 func setDefault(value *time.Duration, fallback time.Duration) {
@@ -158,7 +160,11 @@
 }
 
 func (c *Client) control(ctx context.Context, r control) error {
-	a, err := c.attempt.Send(ctx, attempt.Request{
+	client := c.repeatable
+	if r.method == http.MethodPost {
+		client = c.attempt
+	}
+	a, err := client.Send(ctx, attempt.Request{
 		Method: r.method,
 		Path:   r.path,
 		Body:   r.body,
