--- a/daemon/entry/entry_suite_test.go
+++ b/daemon/entry/entry_suite_test.go
@@ -5,9 +5,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"chivespindle.example/daemon/internal/daemontest"
 )
 
 func TestEntry(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(daemontest.Patience)
 	RunSpecs(t, "Entry")
 }
