Measure live requests beside a burst

bench=live: requests through an entry to eighteen agents, each process behind a link of limited rate, first alone and then while a new version spreads and each zone changes over one by one.

--- a/standin/bench/burst/fleet.go
+++ b/standin/bench/burst/fleet.go
@@ -149,8 +149,16 @@
 	return model.Version, nil
 }
 
-// publish writes the operator's text.
-func (f *Fleet) publish(v fleet.Version, policy string) {
+// publish writes a text by which all replicas may change at once, so that the
+// time is that of the spread alone.
+func (f *Fleet) publish(v fleet.Version, policy string) { f.write(v, policy, len(f.members)) }
+
+// publishOneByOne writes a text by which one replica of each zone changes at a
+// time, as with live requests.
+func (f *Fleet) publishOneByOne(v fleet.Version) { f.write(v, "time", 1) }
+
+// write writes the operator's text.
+func (f *Fleet) write(v fleet.Version, policy string, maxUnavailable int) {
 	f.Config.SetText([]byte(fmt.Sprintf(`[fleet]
 name = burst
 [version %[1]s]
@@ -161,7 +169,7 @@
 max_unavailable = %[4]d
 spread = %[5]s
 origin_rate = %[6]dB
-`, v.Name, v.Manifest, service, len(f.members), policy, OriginRate)))
+`, v.Name, v.Manifest, service, maxUnavailable, policy, OriginRate)))
 }
 
 // serving counts the living agents whose engine has loaded v.
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -23,7 +23,7 @@
 const gcPercent = 400
 
 func main() {
-	only := flag.String("only", "", "comma-separated measurements to run: requests, config, burst; all if empty")
+	only := flag.String("only", "", "comma-separated measurements to run: requests, config, live, burst; all if empty")
 	sizes := flag.String("sizes", "16,32,64", "fleet sizes of the burst")
 	policies := flag.String("policies", "time,origin", "policies of the burst")
 	faults := flag.String("faults", "none,kill,corrupt,stall,partition,newversion", "faults of the burst at the largest size")
@@ -43,6 +43,7 @@
 	measurements := []measurement{
 		{"requests", func() error { return runRequests(*bin) }},
 		{"config", func() error { return runConfig(split(*processes), logger) }},
+		{"live", func() error { return runLive(logger) }},
 		{"burst", func() error { return runBursts(split(*sizes), split(*policies), split(*faults), logger) }},
 	}
 	for _, m := range measurements {
@@ -115,6 +116,24 @@
 
 func split(list string) []string { return strings.Split(list, ",") }
 
+// liveInstances is the fleet size of the measurement of live requests.
+const liveInstances = 18
+
+// runLive measures live requests without a burst and during one.
+func runLive(logger *zap.Logger) error {
+	f, err := burst.NewFleet(liveInstances, logger)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.WaitReady(); err != nil {
+		return err
+	}
+	r, err := f.RunLive()
+	fmt.Println(r)
+	return err
+}
+
 // runBursts measures each size without faults and the last with all of them.
 func runBursts(sizes, policies, faults []string, logger *zap.Logger) error {
 	var fleets []*burst.Fleet
