Order adapters and roles; take over what the change-over needs from the agent

Every order carries the adapters and the role of the text; an engine whose report differs from the text is claimed again, without taking the replica out of service (the spec fails with the order taken out on a scratch copy: the engine keeps its former adapters).

From the models of rollout and change-over: a skipped revision raises the oldest revision that others are believed from, since it may have pinned another version; an order is checked against both clocks just before it is sent; versions that live replicas serve are vouched for, so that a restarted replica may serve them.

--- a/core/serving/changeover.go
+++ b/core/serving/changeover.go
@@ -268,6 +268,8 @@
 		c.vouchedFor(now, e.Versions)
 	case EngineRestarted:
 		c.engineRestarted(now)
+	case Reorder:
+		c.reorder(now)
 	case Paused:
 		c.pause(now)
 	case Woke:
--- a/core/serving/events.go
+++ b/core/serving/events.go
@@ -49,6 +49,10 @@
 	// Vouched says that other replicas of the service serve these versions now,
 	// so that an accepted text has named each of them.
 	Vouched struct{ Versions []fleet.Version }
+	// Reorder says that the engine's adapters or role are not as ordered. An
+	// engine that is not being changed is claimed once more, and the caller
+	// sends both along with every order.
+	Reorder struct{}
 	// EngineRestarted says that the engine was seen to have restarted, before
 	// its status could be read.
 	EngineRestarted struct{}
@@ -73,6 +77,7 @@
 func (StatusRead) event()      {}
 func (Vouched) event()         {}
 func (EngineRestarted) event() {}
+func (Reorder) event()         {}
 func (Paused) event()          {}
 func (Woke) event()            {}
 func (Leaving) event()         {}
--- a/core/serving/orders.go
+++ b/core/serving/orders.go
@@ -203,6 +203,14 @@
 	c.reclaim(now)
 }
 
+// reorder claims an idle engine again. What is served goes on, since a claim
+// changes no version; an engine under change gets the next order anyway.
+func (c *Changeover) reorder(now time.Time) {
+	if !c.paused && c.phase == PhaseIdle {
+		c.reclaim(now)
+	}
+}
+
 func (c *Changeover) stopAdmitting(deadline time.Time) {
 	if !c.admitting {
 		return
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -21,6 +21,7 @@
 	"chivespindle.example/core/linkshare"
 	"chivespindle.example/core/once"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/rollout"
 	"chivespindle.example/core/serving"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/node"
@@ -79,8 +80,10 @@
 	nextRate time.Time
 
 	service     fleettext.Service
-	known       bool // the text in force has the service
+	known       bool              // the text in force has the service
+	revision    revision.Revision // of service
 	targetSince revision.Revision
+	nextReorder time.Time
 	turnFor     fleet.Version // a turn is asked for; zero if none
 	nextTurn    time.Time     // when it is looked at again without news
 	blocked     bool
@@ -159,6 +162,7 @@
 	a.followText(now, state)
 	if a.swarm != nil {
 		a.swarm.SetMembers(now, a.members(state.Fleet))
+		a.step(now, serving.Vouched{Versions: rollout.Served(a.replicas(), a.opts.Self.ID)})
 	}
 	a.takeTurn(now)
 	a.publish(now)
@@ -167,10 +171,13 @@
 // followText takes over what the text says of this service.
 func (a *Agent) followText(now time.Time, state *revision.State) {
 	service, known := state.Fleet.Service(a.opts.Self.Service)
-	if known != a.known || service.Version != a.service.Version {
+	// A revision that never came here may have pinned another version, which
+	// others may still be on.
+	skipped := state.Revision > a.revision+1
+	if known != a.known || service.Version != a.service.Version || skipped {
 		a.targetSince = state.Revision
 	}
-	a.service, a.known = service, known
+	a.service, a.known, a.revision = service, known, state.Revision
 	if a.change != nil {
 		a.step(now, serving.TargetChanged{Version: service.Version})
 	}
--- a/daemon/agent/change.go
+++ b/daemon/agent/change.go
@@ -57,6 +57,7 @@
 		a.turnFor = fleet.Version{}
 		a.publish(now)
 	case serving.SendOrder:
+		action.Order = a.withExtras(action.Order)
 		go a.sendOrder(action)
 	case serving.ReadStatus:
 		a.readStatus(now)
@@ -86,7 +87,7 @@
 func (a *Agent) sendOrder(order serving.SendOrder) {
 	ctx, cancel := context.WithTimeout(a.ctx, orderTimeout)
 	defer cancel()
-	if time.Now().After(order.NotAfter) {
+	if order.Expired(time.Now()) {
 		a.post(serving.OrderFailed{Attempt: order.Attempt, Err: failure.Timeout.New("the order is too old to be sent")})
 		return
 	}
@@ -126,6 +127,7 @@
 	a.boot = status.Boot
 	a.load = status.Load
 	a.step(now, serving.StatusRead{Status: status, Asked: asked})
+	a.orderExtras(now, status)
 	a.publish(now)
 }
 
--- a/daemon/agent/rig_test.go
+++ b/daemon/agent/rig_test.go
@@ -33,6 +33,7 @@
 	backend *daemontest.Backend
 	engine  *daemontest.Engine // nil beside a plain service
 	entry   *daemontest.Entry
+	text    *daemontest.Text // the platform's
 }
 
 func textOf(v fleet.Version) string {
@@ -76,7 +77,7 @@
 	GinkgoHelper()
 	instance := fleet.Instance{ID: self, Role: fleet.RoleAgent, Service: service, Place: daemontest.Here}
 	text := daemontest.NewText(1, textOf(v1))
-	r := &rig{backend: daemontest.NewBackend(), engine: engine}
+	r := &rig{backend: daemontest.NewBackend(), engine: engine, text: text}
 	r.Process = daemontest.NewProcess(daemontest.Options{Self: instance, Text: text})
 	r.List.Set(r.Self)
 	options := agent.Options{
--- a/daemon/internal/daemontest/backend.go
+++ b/daemon/internal/daemontest/backend.go
@@ -153,5 +153,11 @@
 	if !order.Version.IsZero() {
 		e.status.Loaded = order.Version
 	}
+	if order.Adapters != nil {
+		e.status.Adapters = order.Adapters
+	}
+	if order.Role != "" {
+		e.status.EngineRole = order.Role
+	}
 	return nil
 }
