--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -74,7 +74,6 @@
 	// started is when the plan was made, opened when it first may draw.
 	started, opened time.Time
 	listed          bool
-	held            []int // chunks held without a fetch, until opened
 
 	// ordinal is a chunk's place in the schedule, -1 for chunks that existed
 	// in the fleet when it opened.
@@ -156,7 +155,6 @@
 	}
 	d.opened = now
 	d.ageAt = now.Add(p.settings.OrphanTime / ageTicks)
-	p.chargeHeld()
 	place := int32(0)
 	for _, chunk := range p.roster.order() {
 		d.ordinal[chunk] = -1
@@ -179,18 +177,6 @@
 	return 2*heard >= others
 }
 
-// chargeHeld counts the held chunks for which this member ranks first as drawn
-// from the origin. An agent that restarts has forgotten its draws; without
-// this a fleet that restarts again and again could draw its quota each time.
-func (p *Plan) chargeHeld() {
-	for _, chunk := range p.draws.held {
-		if p.roster.rank[chunk] == 0 {
-			p.draws.charged++
-		}
-	}
-	p.draws.held = nil
-}
-
 // schedule builds the timeline anew: the chunk at place n leaves the origin n
 // paces after the opening, so that its link sends one chunk after the other at
 // full rate. Asked for all at once it would send all at once, and none would
@@ -275,7 +261,7 @@
 // nextDraw returns the next draw to start now, if any.
 func (p *Plan) nextDraw(now time.Time) (Fetch, bool) {
 	d := &p.draws
-	if d.runningOrigin+d.runningStore >= maxDraws || now.Before(d.nextLook) {
+	if !d.isOpen() || d.runningOrigin+d.runningStore >= maxDraws || now.Before(d.nextLook) {
 		return Fetch{}, false
 	}
 	d.nextLook = now.Add(sourcePauseMax)
@@ -381,11 +367,10 @@
 	tried := d.retries[failed.Chunk]
 	tried.attempts++
 	tried.at = now.Add(p.jitter(doubling(retryPauseMin, tried.attempts, sourcePauseMax)))
-	switch reason {
-	case ReasonCorrupt, ReasonMissing:
+	if reason == ReasonCorrupt || reason == ReasonMissing {
 		tried.bad = failed.Source
-	case ReasonLocal:
-	default:
+	}
+	if reason != ReasonCorrupt && reason != ReasonLocal {
 		from.failures++
 		pause := doubling(sourcePauseMin, from.failures, sourcePauseMax)
 		if retryAfter > 0 {
--- a/core/spread/next.go
+++ b/core/spread/next.go
@@ -39,17 +39,14 @@
 	}
 }
 
-// nextFetch prefers a draw, since nobody can copy a chunk that is nowhere. One
-// draw may run beyond MaxFetches: it would else wait for slow peers.
+// nextFetch prefers a draw, since nobody can copy a chunk that is nowhere.
 func (p *Plan) nextFetch(now time.Time) (Fetch, bool) {
-	if p.draws.isOpen() && len(p.fetches) <= p.settings.MaxFetches {
-		if f, ok := p.nextDraw(now); ok {
-			return f, true
-		}
-	}
 	if len(p.fetches) >= p.settings.MaxFetches {
 		return Fetch{}, false
 	}
+	if f, ok := p.nextDraw(now); ok {
+		return f, true
+	}
 	if f, ok := p.pickFromPeers(now); ok {
 		return f, true
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -181,7 +181,6 @@
 	for _, chunk := range chunks {
 		if p.have.Add(chunk) {
 			p.markSeen(now, chunk)
-			p.draws.held = append(p.draws.held, chunk)
 		}
 	}
 }
