--- a/cmd/wholepath/fleet_test.go
+++ b/cmd/wholepath/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -52,22 +53,22 @@
 	dir     string
 	entries []*harness.Process
 	agents  []fleet.InstanceID
+	// maxOut is how many replicas of a zone the operator lets be out at once.
+	maxOut int
 
 	mu       sync.Mutex
 	intended map[string]bool
 }
 
-// newFleet starts the stand-ins of a fleet. It is closed after the Describe
-// that called this in its BeforeAll; then, if a spec has failed, its logs are
-// shown.
+// newFleet starts the stand-ins of a fleet, which is closed after the suite.
 func newFleet(options harness.Options) *testFleet {
 	GinkgoHelper()
 	options.Daemon = daemonPath()
-	options.Dir = GinkgoT().TempDir()
+	options.Dir = tempDir()
 	f, err := harness.New(options)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(f.Close)
-	return &testFleet{Fleet: f, dir: options.Dir, intended: make(map[string]bool)}
+	return &testFleet{Fleet: f, dir: options.Dir, maxOut: 1, intended: make(map[string]bool)}
 }
 
 // model makes a version known to the origin and the store.
@@ -107,7 +108,7 @@
 }
 
 // textOf is an operator's text in which both model services name one version.
-func textOf(v fleet.Version) string {
+func (f *testFleet) textOf(v fleet.Version) string {
 	return fmt.Sprintf(`[fleet]
 name = ffsan
 [version %[1]s]
@@ -115,17 +116,18 @@
 [service %[3]s]
 kind = model
 version = %[1]s
-max_unavailable = 2
+max_unavailable = %[6]d
 engine_fencing = checked
 [service %[4]s]
 kind = model
 version = %[1]s
 depends_on = %[3]s
+max_unavailable = %[6]d
 engine_fencing = checked
 [service %[5]s]
 kind = plain
 depends_on = %[4]s
-`, v.Name, v.Manifest, pool, assist, orders)
+`, v.Name, v.Manifest, pool, assist, orders, f.maxOut)
 }
 
 // publish puts a text that names v in the configuration service.
@@ -133,7 +135,7 @@
 	f.mu.Lock()
 	f.intended[harness.VersionText(v)] = true
 	f.mu.Unlock()
-	return f.Config.SetText([]byte(textOf(v)))
+	return f.Config.SetText([]byte(f.textOf(v)))
 }
 
 func (f *testFleet) isIntended(version string) bool {
@@ -151,16 +153,24 @@
 	return callerclient.New(callerclient.Options{Seeds: seeds, Near: near})
 }
 
+// load starts callers. Those without a deadline wait for five seconds, which
+// bounds how long they wait for an agent that was killed.
+func (f *testFleet) load(spec harness.LoadSpec) *harness.Load {
+	spec.Intended = f.isIntended
+	if spec.Deadline == 0 {
+		spec.Deadline = 5 * time.Second
+	}
+	return harness.StartLoad(f.client(apapa), spec)
+}
+
 // modelLoad starts callers that ask for tokens.
 func (f *testFleet) modelLoad(callers, tokens int, services ...fleet.ServiceName) *harness.Load {
-	return harness.StartLoad(f.client(apapa), harness.LoadSpec{
-		Models: services, Callers: callers, MaxTokens: tokens, Deadline: 10 * time.Second, Intended: f.isIntended})
+	return f.load(harness.LoadSpec{Models: services, Callers: callers, MaxTokens: tokens})
 }
 
 // plainLoad starts callers of work that must run at most once.
 func (f *testFleet) plainLoad(callers int, services ...fleet.ServiceName) *harness.Load {
-	return harness.StartLoad(f.client(apapa), harness.LoadSpec{
-		Plain: services, Callers: callers, Deadline: 10 * time.Second, Intended: f.isIntended})
+	return f.load(harness.LoadSpec{Plain: services, Callers: callers})
 }
 
 // answersAfter waits until a load has n answers more than it has now.
@@ -221,6 +231,14 @@
 	return list
 }
 
+// waitReady waits until the fleet that has just been started serves v.
+func (f *testFleet) waitReady(v fleet.Version) {
+	GinkgoHelper()
+	f.waitLoaded(v)
+	f.waitAdmitting()
+	f.waitRouted()
+}
+
 // waitAdmitting waits until every entry has a text and every agent takes
 // requests.
 func (f *testFleet) waitAdmitting() {
@@ -233,11 +251,12 @@
 	}
 }
 
-// waitRouted waits until each entry answers for each service.
-func (f *testFleet) waitRouted(services ...fleet.ServiceName) {
+// waitRouted waits until each entry answers for each model service.
+func (f *testFleet) waitRouted() {
 	GinkgoHelper()
 	for _, p := range f.entries {
-		for _, service := range services {
+		for _, id := range f.modelAgents() {
+			service := f.Process(id).Instance.Service
 			Eventually(func() error {
 				_, err := f.askAt(p, service, "are you there", 1)
 				return err
@@ -304,14 +323,14 @@
 	if f == nil || !CurrentSpecReport().Failed() {
 		return
 	}
-	const shown = 6000
+	const shown = 100 // lines
 	files, err := os.ReadDir(f.dir)
 	if err != nil {
 		return
 	}
 	for _, file := range files {
 		if strings.HasSuffix(file.Name(), ".log") {
-			GinkgoWriter.Printf("--- %s\n%s\n", file.Name(), logTail(f.dir+"/"+file.Name(), shown))
+			GinkgoWriter.Printf("--- %s\n%s\n", file.Name(), logTail(filepath.Join(f.dir, file.Name()), shown))
 		}
 	}
 }
--- a/cmd/wholepath/path_test.go
+++ b/cmd/wholepath/path_test.go
@@ -22,7 +22,7 @@
 	var f *testFleet
 	var r1, r2 fleet.Version
 
-	BeforeAll(func() {
+	startWithSuite(func() {
 		f = newFleet(harness.Options{Spans: true, OriginBytesPerSecond: 40 << 20})
 		r1, r2 = f.model("r1", 1), f.model("r2", 2)
 		f.publish(r1)
@@ -36,10 +36,8 @@
 		f.addAgent("assist-2", ikeja, modelSpec(assist, tokenTime))
 		f.addAgent("orders-1", apapa, plainSpec(orders, 20*time.Millisecond))
 		f.addAgent("orders-2", ikeja, plainSpec(orders, 20*time.Millisecond))
-		f.waitLoaded(r1)
-		f.waitAdmitting()
-		f.waitRouted(pool, assist)
 	})
+	BeforeAll(func() { f.waitReady(r1) })
 	AfterEach(func() { f.showLogs() })
 
 	// A caller asks either entry for each of three services: a model service,
@@ -57,7 +55,8 @@
 				Expect(version).To(Equal(harness.VersionText(r1)))
 				Expect(answer.Version).To(Equal(version))
 			}
-			key := fmt.Sprintf("order %d", i)
+			key, err := f.client(apapa).IssueKey(context.Background(), orders)
+			Expect(err).NotTo(HaveOccurred())
 			answer, err := f.client(apapa).DoAt(context.Background(), p.Instance.CallerAddr, callerclient.Request{
 				Service: orders, Path: "orders", IdempotencyKey: key, NonIdempotent: true, Body: []byte("two cones")})
 			Expect(err).NotTo(HaveOccurred())
@@ -129,14 +128,7 @@
 		answersAfter(plain, 50)
 		f.expectWhole(models.Stop())
 
-		t := plain.Stop()
-		AddReportEntry("work that must run once", fmt.Sprintf("ran=%d not_run=%d unknown=%d refusals=%d",
-			len(t.RanKeys), len(t.NotRunKeys), len(t.UnknownKeys), t.Refusals))
-		Expect(t.Lost).To(Equal(len(t.NotRunKeys) + len(t.UnknownKeys)))
-		Expect(t.Wrong).To(BeZero(), "answers to other requests")
-		Expect(f.Duplicates()).To(BeZero())
-		Expect(f.notOnce(t.RanKeys)).To(BeEmpty(), "keys that were answered and did not run once")
-		Expect(f.thatRan(t.NotRunKeys)).To(BeEmpty(), "keys that ran though the last word was not_run")
+		f.expectOnce(plain.Stop())
 
 		for _, id := range []fleet.InstanceID{"pool-1", "orders-1"} {
 			_, err := f.RestartAgent(id)
@@ -173,6 +165,19 @@
 	return slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return executions[key] == 1 })
 }
 
+// expectOnce checks that work that must run at most once did, and that the
+// callers were told the truth of it.
+func (f *testFleet) expectOnce(t harness.Tally) {
+	GinkgoHelper()
+	AddReportEntry("work that must run once", fmt.Sprintf("ran=%d not_run=%d unknown=%d refusals=%d",
+		len(t.RanKeys), len(t.NotRunKeys), len(t.UnknownKeys), t.Refusals))
+	Expect(t.Lost).To(Equal(len(t.NotRunKeys) + len(t.UnknownKeys)))
+	Expect(t.Wrong).To(BeZero(), "answers to other requests")
+	Expect(f.Duplicates()).To(BeZero())
+	Expect(f.notOnce(t.RanKeys)).To(BeEmpty(), "keys that were answered and did not run once")
+	Expect(f.thatRan(t.NotRunKeys)).To(BeEmpty(), "keys that ran though the last word was not_run")
+}
+
 // thatRan lists the keys that some plain service has run.
 func (f *testFleet) thatRan(keys []string) []string {
 	executions := f.Executions()
--- a/cmd/wholepath/wholepath_suite_test.go
+++ b/cmd/wholepath/wholepath_suite_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -26,23 +28,47 @@
 // programs is the folder of the built programs.
 var programs string
 
+// starts begin the fleets of all Describes, so that their processes' first wait
+// for each other passes only once. A Describe waits for its own in a BeforeAll.
+var starts []func()
+
+// startWithSuite lets start run when the suite begins.
+func startWithSuite(start func()) { starts = append(starts, start) }
+
 var _ = BeforeSuite(func() {
 	SetDefaultEventuallyTimeout(patience)
 	SetDefaultEventuallyPollingInterval(look)
-	programs = GinkgoT().TempDir()
+	programs = tempDir()
 	build := exec.Command("go", "build", "-o", programs+string(filepath.Separator), "chivespindle.example/cmd/...")
 	build.Stdout, build.Stderr = GinkgoWriter, GinkgoWriter
 	Expect(build.Run()).To(Succeed(), "build of the programs")
 	Expect(daemonPath()).To(BeAnExistingFile())
+	for _, start := range starts {
+		start()
+	}
 })
 
+// tempDir makes a folder that is removed after the suite.
+func tempDir() string {
+	GinkgoHelper()
+	dir, err := os.MkdirTemp("", "wholepath-")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(os.RemoveAll, dir)
+	return dir
+}
+
 func daemonPath() string { return filepath.Join(programs, "chivespindled") }
 
-// logTail returns the last bytes of a log.
-func logTail(path string, size int) string {
+// logTail returns the last lines of a log, without those of single requests
+// and spans.
+func logTail(path string, lines int) string {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return err.Error()
 	}
-	return string(data[max(0, len(data)-size):])
+	kept := slices.DeleteFunc(strings.Split(string(data), "\n"), func(line string) bool {
+		return strings.Contains(line, "event=request ") || strings.Contains(line, `event="request answered"`) ||
+			strings.Contains(line, "event=span ")
+	})
+	return strings.Join(kept[max(0, len(kept)-lines):], "\n")
 }
--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -52,6 +51,7 @@
 	urls      map[string]string
 
 	mu        sync.Mutex
+	lastPort  int
 	processes map[fleet.InstanceID]*Process
 	Engines   map[fleet.InstanceID]*engine.Engine
 	Plain     map[fleet.InstanceID]*plainservice.Service
@@ -84,6 +84,7 @@
 		Origin:    platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: opts.OriginBytesPerSecond}),
 		Store:     platform.NewWeightServer(platform.WeightOptions{RequestsPerSecond: storeRequestRate}),
 		authority: authority,
+		lastPort:  rand.IntN(portChoices),
 		urls:      make(map[string]string),
 		processes: make(map[fleet.InstanceID]*Process),
 		Engines:   make(map[fleet.InstanceID]*engine.Engine),
@@ -165,41 +166,42 @@
 const (
 	lowestPort  = 10000
 	portChoices = 20000
-	// portTries bounds the search; a machine has few thousands in use.
-	portTries = 10 * portChoices
 )
 
 // freePorts returns n ports that were free for both TCP and UDP a moment ago.
-// They are chosen at random, since other tests may choose at the same time.
-func freePorts(n int) ([]netip.AddrPort, error) {
+// A fleet goes through the ports one by one, so that it never gives out one
+// again whose process has not got round to listening yet. It begins anywhere,
+// since other tests may choose at the same time.
+func (f *Fleet) freePorts(n int) ([]netip.AddrPort, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var ports []netip.AddrPort
-	var open []io.Closer
-	defer func() {
-		for _, c := range open {
-			_ = c.Close()
-		}
-	}()
-	for range portTries {
+	for range portChoices {
 		if len(ports) == n {
 			return ports, nil
 		}
-		port := uint16(lowestPort + rand.IntN(portChoices))
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
-		tcp, err := net.Listen("tcp", addr.String())
-		if err != nil {
-			continue
-		}
-		open = append(open, tcp)
-		udp, err := net.ListenPacket("udp", addr.String())
-		if err != nil {
-			continue
+		f.lastPort = (f.lastPort + 1) % portChoices
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(lowestPort+f.lastPort))
+		if isFree(addr) {
+			ports = append(ports, addr)
 		}
-		open = append(open, udp)
-		ports = append(ports, addr)
 	}
 	return nil, failure.Unavailable.New("no %d free ports on 127.0.0.1", n)
 }
 
+func isFree(addr netip.AddrPort) bool {
+	tcp, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return false
+	}
+	defer func() { _ = tcp.Close() }()
+	udp, err := net.ListenPacket("udp", addr.String())
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
+}
+
 // write puts a file under the fleet's directory and returns its path.
 func (f *Fleet) write(name, text string) (string, error) {
 	path := filepath.Join(f.opts.Dir, name)
--- a/standin/harness/process.go
+++ b/standin/harness/process.go
@@ -65,7 +65,7 @@
 
 // StartEntry starts an entry instance and adds it to the instance list.
 func (f *Fleet) StartEntry(id fleet.InstanceID, place fleet.Place) (*Process, error) {
-	ports, err := freePorts(3)
+	ports, err := f.freePorts(3)
 	if err != nil {
 		return nil, err
 	}
@@ -154,7 +154,7 @@
 }
 
 func (f *Fleet) startAgentProcess(id fleet.InstanceID, place fleet.Place, service fleet.ServiceName, server backend) (*Process, error) {
-	ports, err := freePorts(2)
+	ports, err := f.freePorts(2)
 	if err != nil {
 		return nil, err
 	}
