--- a/adapters/peer/peermeasure/count.go
+++ b/adapters/peer/peermeasure/count.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return failure.Invalid.Wrap(err, "--listen")
 	}
-	endpoint, err := newEndpoint(ctx, store, listen)
+	endpoint, err := newEndpoint(ctx, store, listen, f.alive)
 	if err != nil {
 		return err
 	}
--- a/adapters/peer/peermeasure/hold.go
+++ b/adapters/peer/peermeasure/hold.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			return err
 		}
-		endpoint, err := newEndpoint(ctx, store, nth(first, i))
+		endpoint, err := newEndpoint(ctx, store, nth(first, i), f.alive)
 		if err != nil {
 			return err
 		}
--- a/adapters/peer/peermeasure/main.go
+++ b/adapters/peer/peermeasure/main.go
@@ -36,6 +36,7 @@
 	files keys.Files
 	dial  string
 	count int
+	alive time.Duration
 }
 
 func (f *flags) register(command *cobra.Command) {
@@ -45,6 +46,7 @@
 	set.StringVar(&f.files.Key, "key", "", "PEM file")
 	set.StringVar(&f.dial, "dial", "", "address to dial; empty to accept")
 	set.IntVar(&f.count, "count", 100, "number of connections")
+	set.DurationVar(&f.alive, "keep-alive", peer.DefaultKeepAlive, "keep-alive of the dialling side")
 }
 
 func main() {
@@ -75,11 +77,12 @@
 	}
 }
 
-func newEndpoint(ctx context.Context, store *keys.Store, listen netip.AddrPort) (*peer.Endpoint, error) {
+func newEndpoint(ctx context.Context, store *keys.Store, listen netip.AddrPort, alive time.Duration) (*peer.Endpoint, error) {
 	endpoint, err := peer.New(peer.Options{
 		Listen:        listen,
 		Keys:          store,
 		Handler:       echo{},
+		KeepAlive:     alive,
 		UnusedTimeout: unusedTimeout,
 	})
 	if err != nil {
