--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -153,6 +153,11 @@
 		}
 		fleets = append(fleets, f)
 	}
+	// The fleets take ten seconds to believe their first text; the baselines
+	// need the links' time and no processor.
+	if err := runBaselines(sizes); err != nil {
+		return err
+	}
 	for i, f := range fleets {
 		if err := f.WaitReady(); err != nil {
 			return err
@@ -168,6 +173,20 @@
 	return nil
 }
 
+// runBaselines measures what the burst is compared with at each size.
+func runBaselines(sizes []string) error {
+	for _, text := range sizes {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return failure.Invalid.Wrap(err, "size %q", text)
+		}
+		fmt.Println(burst.Direct(n))
+		fmt.Println(burst.Chain(n, burst.FaultNone))
+		fmt.Println(burst.Chain(n, burst.FaultKill))
+	}
+	return nil
+}
+
 func runCases(f *burst.Fleet, policies, faults []string) error {
 	for _, fault := range faults {
 		for _, policy := range policies {
