--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -13,8 +13,6 @@
 	// maxDraws is the number of concurrent draws of one member. A machine's
 	// link is slower than the origin's, so more would only slow each other.
 	maxDraws = 2
-	// maxStoreDraws is the number of them that may go to the store.
-	maxStoreDraws = 1
 
 	slackChunks = 8
 	slackMin    = 250 * time.Millisecond
