Answer a key that was used for other work with 409

Cause: a second body under one key was answered as any refusal without an answer on record, and so with 503, which docs/CALLERS.md gives to a server that can take nothing now. A caller that takes 503 at its word comes back for ever.

Ruled out: the entry (it maps Duplicate to 409 for every outcome), the register (its verdict is other_body, with the right outcome).

Before: 503 chivespindle.refused "key other_body", not_run.

Run: go test ./daemon/agent ./daemon/entry, green.

--- a/daemon/agent/once.go
+++ b/daemon/agent/once.go
@@ -134,7 +134,7 @@
 		end.Reason = "it ran before; its answer was too large to keep"
 	default:
 		end.Reason = "key " + string(v.Reason)
-		end.Duplicate = false
+		end.Duplicate = v.Reason == once.OtherBody
 		if v.Outcome == failure.NotRun {
 			end.Outcome = wire.OutcomeNotRun
 		}
