Hold whole sessions of callers and of the client program

Four golden files hold what goes over a caller's connection: addresses, a request with its answer's headers and trailer, work that must run once with its key asked again and misused, and the refusals 404, 400 and 503. One spec checks a text, reads the status and sends a request with the client program alone.

The golden file shows that a plain service's Content-Type is not passed on: the answer's is guessed from its bytes (text/plain for the stand-in's JSON).

--- a/cmd/wholepath/path_test.go
+++ b/cmd/wholepath/path_test.go
@@ -89,6 +89,76 @@
 		Expect(spans["agent.request"].parent).To(Equal(spans["entry.attempt"].id))
 	})
 
+	// A caller asks where to go, sends a request for tokens, asks for a key and
+	// sends work that must run once, twice with the same key. What goes over the
+	// connection is what docs/CALLERS.md says, to the byte: a program that was
+	// written against it goes on working.
+	It("speaks with callers as their page says", func() {
+		near := f.entries[0]
+		s := &session{fleet: f}
+		s.do(near, exchange{method: "GET", path: "/v1/addresses?zone=apapa-hall&region=lagos"})
+		s.expectGolden("addresses")
+
+		s = &session{fleet: f}
+		s.do(near, exchange{
+			method:  "POST",
+			path:    "/v1/services/" + string(pool),
+			headers: map[string]string{"Chivespindle-Deadline": "20s", "Priority": "u=1", "Chivespindle-Prefix": "fault-log"},
+			body:    `{"prompt":"Read this fault log: E14","max_tokens":3}`,
+		})
+		s.expectGolden("request")
+
+		s = &session{fleet: f}
+		var issued struct {
+			Key string `json:"idempotency_key"`
+		}
+		body := s.do(near, exchange{method: "POST", path: "/v1/keys/" + string(orders)})
+		Expect(json.Unmarshal([]byte(body), &issued)).To(Succeed())
+		order := exchange{
+			method:  "POST",
+			path:    "/v1/services/" + string(orders) + "/orders",
+			headers: map[string]string{"Chivespindle-Non-Idempotent": "?1", "Idempotency-Key": issued.Key},
+			body:    "two cones",
+		}
+		s.do(near, order)
+		s.do(f.entries[1], order)
+		order.body = "three cones"
+		s.do(near, order)
+		s.expectGolden("work-that-must-run-once")
+		Expect(f.Executions()).To(HaveKeyWithValue(issued.Key, 1))
+	})
+
+	// Callers make mistakes, and one comes to an entry that has just started
+	// while the platform is down: it knows no text and nobody who could tell it.
+	// Each is answered at once, told that nothing was run and, where coming back
+	// makes sense, when.
+	It("refuses as the callers' page says", func() {
+		f.setPlatformDown(true)
+		DeferCleanup(f.setPlatformDown, false)
+		fresh, err := f.StartEntry("entry-3", ikeja)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() {
+			fresh.Kill()
+			f.Instances.Remove("entry-3")
+		})
+		Eventually(entryStatus).WithArguments(fresh).Should(HaveField("ID", fresh.Instance.ID))
+
+		s := &session{fleet: f}
+		near, to := f.entries[0], "/v1/services/"+string(pool)
+		s.do(near, exchange{method: "POST", path: "/v1/services/no-such-service", body: "{}"})
+		s.do(near, exchange{method: "POST", path: "/v1/keys/no-such-service"})
+		for _, bad := range []map[string]string{
+			{"Chivespindle-Deadline": "soon"},
+			{"Priority": "u=9"},
+			{"Chivespindle-Non-Idempotent": "?1"},
+			{"Chivespindle-Non-Idempotent": "yes", "Idempotency-Key": "an order of mine"},
+		} {
+			s.do(near, exchange{method: "POST", path: to, headers: bad, body: "{}"})
+		}
+		s.do(fresh, exchange{method: "POST", path: to, body: "{}"})
+		s.expectGolden("refusals")
+	})
+
 	// The operator names another version while callers go on asking, and then
 	// the former one again. Replicas go out of service a few at a time, finish
 	// what runs, load and come back; a dependent waits for what it depends on.
--- a/cmd/wholepath/platform_test.go
+++ b/cmd/wholepath/platform_test.go
@@ -1,6 +1,8 @@
 package wholepath_test
 
 import (
+	"encoding/json"
+	"fmt"
 	"os"
 	"regexp"
 	"strconv"
@@ -66,6 +68,39 @@
 		f.expectNoReturn()
 	})
 
+	// The operator works with the client program alone: checks a text with a slip
+	// and the mended one, looks at the fleet, and sends a request. The client says
+	// of the text what the fleet would say, and ends with the code that
+	// docs/CLI.md names, so that scripts can go by it.
+	It("is checked, shown and used through the client program", func() {
+		entry := f.entries[0]
+		text := f.textOf(r2)
+		bad := f.writeText("bad.ini", strings.Replace(text, "version = "+r2.Name, "version = r9", 1))
+		code, stdout, _ := client("", "check", bad)
+		Expect(code).To(Equal(3), "input refused")
+		Expect(stdout).To(Equal(bad + ":7: version: there is no section [version r9]\n"))
+		code, stdout, _ = client("", "check", f.writeText("fleet.ini", text))
+		Expect(code).To(BeZero())
+		Expect(stdout).To(ContainSubstring("good: fleet ffsan, 3 services"))
+
+		code, stdout, stderr := client("", "status", "--ops", entry.Ops.String())
+		Expect(code).To(BeZero(), stderr)
+		Expect(stdout).To(ContainSubstring(fmt.Sprintf("revision %d in force at %s", f.Config.Revision(), entry.Instance.ID)))
+		Expect(stdout).To(MatchRegexp(`%s +%s@\w+ +2 +2 +0 +0`, pool, r2.Name))
+
+		prompt := harness.Prompt{Prompt: "Read this fault log: E14", MaxTokens: 5}
+		body, err := json.Marshal(prompt)
+		Expect(err).NotTo(HaveOccurred())
+		code, stdout, stderr = client(string(body), "request", string(pool), "--body", "-", "--entry", entry.Instance.CallerAddr.String())
+		Expect(code).To(BeZero(), stderr)
+		version, whole := harness.CheckAnswer([]byte(stdout), prompt)
+		Expect(whole).To(BeTrue(), stdout)
+		Expect(version).To(Equal(harness.VersionText(r2)))
+		Expect(stderr).To(ContainSubstring("outcome=ran status=200 version=" + version))
+		code, _, stderr = client("", "request", "no-such-service", "--entry", entry.Instance.CallerAddr.String())
+		Expect(code).To(Equal(5), "not run: %s", stderr)
+	})
+
 	// The platform answers with an older text, as after a restore from an old
 	// copy. Nobody goes back to it. An agent and an entry that are started anew
 	// meanwhile are told the newer text by the others and take that.
