Measure what a node costs at the target's size

make capacity prints, as key=value lines, costs at three sizes or more, the line through them and what it makes at the target beside the budget.

--- /dev/null
+++ b/standin/bench/entryload/entryload_suite_test.go
@@ -0,0 +1,13 @@
+package entryload
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEntryload(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Entryload")
+}
--- /dev/null
+++ b/standin/bench/slopes/fit.go
@@ -0,0 +1,140 @@
+// Package slopes measures what one process of the system costs at several
+// sizes and works out what it costs at the target. docs/CAPACITY.md is made
+// from its figures.
+//
+// Each measurement gives Slopes: points at three sizes or more, a straight
+// line through them, and the cost at the target's size beside the budget that
+// it is paid from.
+package slopes
+
+import (
+	"fmt"
+	"strconv"
+
+	"chivespindle.example/core/failure"
+)
+
+// Point is one measured size.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Slope is one cost, measured at several sizes.
+type Slope struct {
+	// Name says what was measured, Of what the size counts, Unit what the
+	// value is in. None has spaces.
+	Name, Of, Unit string
+	Points         []Point
+	// Target is the size at the target; 0: the sizes measured are too far from
+	// it to follow the line that far.
+	Target float64
+	// Budget is what a node may spend on all control in the same unit; 0: the
+	// cost is not paid from a budget.
+	Budget float64
+}
+
+// Line is a straight line through measured points.
+type Line struct {
+	Base    float64 // at size 0
+	PerUnit float64 // for each one more
+}
+
+// At returns the line's value at a size.
+func (l Line) At(size float64) float64 { return l.Base + l.PerUnit*size }
+
+// Fit returns the line with the least squares of the distances; failure.Invalid
+// for fewer than two different sizes.
+func Fit(points []Point) (Line, error) {
+	var meanSize, meanValue float64
+	for _, p := range points {
+		meanSize += p.Size / float64(len(points))
+		meanValue += p.Value / float64(len(points))
+	}
+	var spread, common float64
+	for _, p := range points {
+		spread += (p.Size - meanSize) * (p.Size - meanSize)
+		common += (p.Size - meanSize) * (p.Value - meanValue)
+	}
+	if spread == 0 {
+		return Line{}, failure.Invalid.New("a line needs two different sizes, got %d points", len(points))
+	}
+	slope := common / spread
+	return Line{Base: meanValue - slope*meanSize, PerUnit: slope}, nil
+}
+
+// Source tells where a cost at the target comes from.
+type Source string
+
+// Sources of a cost at the target.
+const (
+	Measured  Source = "measured"   // at the target's size itself
+	Fitted    Source = "fitted"     // from the line
+	WorkedOut Source = "worked_out" // from others by arithmetic
+)
+
+// AtTarget returns the cost at the target: as measured if the target's size is
+// one of the points, else the line's.
+func (s Slope) AtTarget() (float64, Source, error) {
+	for _, p := range s.Points {
+		if p.Size == s.Target {
+			return p.Value, Measured, nil
+		}
+	}
+	line, err := Fit(s.Points)
+	return line.At(s.Target), Fitted, err
+}
+
+// Lines returns what the program prints: one line of key=value pairs for each
+// point and one for the fit.
+func (s Slope) Lines() ([]string, error) {
+	line, err := Fit(s.Points)
+	if err != nil {
+		return nil, err
+	}
+	var lines []string
+	for _, p := range s.Points {
+		lines = append(lines, fmt.Sprintf("capacity=%s size=%.0f of=%s value=%s unit=%s", s.Name, p.Size, s.Of, short(p.Value), s.Unit))
+	}
+	fit := fmt.Sprintf("capacity=%s slope_per_unit=%s base=%s of=%s unit=%s", s.Name, short(line.PerUnit), short(line.Base), s.Of, s.Unit)
+	if s.Target == 0 {
+		return append(lines, fit), nil
+	}
+	at, source, err := s.AtTarget()
+	if err != nil {
+		return nil, err
+	}
+	return append(lines, fit+fmt.Sprintf(" target_size=%.0f", s.Target)+atTarget(at, source, s.Budget)), nil
+}
+
+func atTarget(at float64, source Source, budget float64) string {
+	text := fmt.Sprintf(" at_target=%s from=%s", short(at), source)
+	if budget > 0 {
+		text += fmt.Sprintf(" budget=%s share=%.2f", short(budget), at/budget)
+	}
+	return text
+}
+
+// Figure is a cost that follows from others by arithmetic.
+type Figure struct {
+	Name, Unit string
+	At         float64 // at the target
+	Budget     float64 // 0: none
+	// How is the arithmetic, without spaces.
+	How string
+}
+
+// String returns the line that the program prints.
+func (f Figure) String() string {
+	return fmt.Sprintf("capacity=%s unit=%s", f.Name, f.Unit) + atTarget(f.At, WorkedOut, f.Budget) + " how=" + f.How
+}
+
+// short prints a value with four significant digits and no exponent.
+func short(v float64) string {
+	const digits, bits = 4, 64
+	rounded, err := strconv.ParseFloat(strconv.FormatFloat(v, 'g', digits, bits), bits)
+	if err != nil {
+		rounded = v
+	}
+	return strconv.FormatFloat(rounded, 'f', -1, bits)
+}
--- a/standin/cmd/bench/main.go
+++ b/standin/cmd/bench/main.go
@@ -15,6 +15,7 @@
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/standin/bench/burst"
+	"chivespindle.example/standin/bench/entryload"
 	"chivespindle.example/standin/bench/relay"
 	"chivespindle.example/standin/bench/requests"
 )
@@ -23,7 +24,7 @@
 const gcPercent = 400
 
 func main() {
-	only := flag.String("only", "", "comma-separated measurements to run: requests, config, live, burst; all if empty")
+	only := flag.String("only", "", "comma-separated measurements to run: requests, entry, config, live, burst; all if empty")
 	sizes := flag.String("sizes", "16,32,64", "fleet sizes of the burst")
 	policies := flag.String("policies", "time,origin", "policies of the burst")
 	faults := flag.String("faults", "none,kill,corrupt,stall,partition,newversion", "faults of the burst at the largest size")
@@ -42,6 +43,7 @@
 	}
 	measurements := []measurement{
 		{"requests", func() error { return runRequests(*bin) }},
+		{"entry", func() error { return runEntry(*bin) }},
 		{"config", func() error { return runConfig(split(*processes), logger) }},
 		{"live", func() error { return runLive(logger) }},
 		{"burst", func() error { return runBursts(split(*sizes), split(*policies), split(*faults), logger) }},
@@ -93,6 +95,18 @@
 	return nil
 }
 
+// runEntry measures what the path through entry and agent adds to a request.
+func runEntry(bin string) error {
+	f, err := entryload.New(requests.DaemonPath(bin))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r, err := f.Run()
+	fmt.Println(r)
+	return err
+}
+
 // runConfig measures the way of a change at several sizes.
 func runConfig(sizes []string, logger *zap.Logger) error {
 	for _, text := range sizes {
