Leave neighbours that cannot be reached; count a request until its last byte

In a split fleet, half of an agent's chosen neighbours are on the other side. Cause of the slow spread there: a dial to one of them waited for the connection's idle timeout, its failure was never told to the plan, so the plan kept the dead neighbour; and a member asked one peer after another for the manifest, each behind a cut link costing its whole timeout. A dial now ends at the stall timeout and tells the plan; three peers are asked for the manifest at once.

An agent's request counts as in progress until its last byte is handed to the transport; a planned stop between the work's end and the answer's could cut the end.

--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -94,6 +94,10 @@
 	if err != nil {
 		return
 	}
+	// Counted until its last byte is handed to the transport: a planned stop
+	// that began between the work's end and the answer's would cut it.
+	a.work.enter()
+	defer a.work.exit()
 	ctx, span := a.opts.Tracer.Start(telemetry.Extract(ctx, req.Traceparent), "agent.request")
 	defer span.End()
 	started := time.Now()
@@ -143,8 +147,6 @@
 // run serves one request and returns how it ended. The answer's pieces go to
 // the entry as they come.
 func (a *Agent) run(ctx context.Context, s *peer.Stream, req wire.Request, body []byte) wire.AnswerEnd {
-	a.work.enter()
-	defer a.work.exit()
 	if req.NonIdempotent {
 		return a.runOnce(ctx, s, req, body)
 	}
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -28,8 +28,9 @@
 const maxAgentBody = 64 << 20
 
 // lingerTime is how long a leaving agent goes on after its last request, so
-// that the news of its leaving have gone out.
-const lingerTime = 300 * time.Millisecond
+// that the last bytes of its answer and the news of its leaving arrive: what is
+// on its way when the endpoint closes is dropped.
+const lingerTime = time.Second
 
 // Agent is an assembled agent process.
 type Agent struct {
--- a/daemon/swarm/fetch.go
+++ b/daemon/swarm/fetch.go
@@ -187,17 +187,50 @@
 			return raw, nil
 		}
 	}
-	others := others(ranked, g.swarm.opts.Self.ID)
-	if len(others) == 0 {
+	return g.manifestFromPeers(others(ranked, g.swarm.opts.Self.ID), attempt)
+}
+
+// manifestAtOnce is how many peers are asked for the manifest at the same
+// time, so that one behind a cut link does not cost its whole timeout.
+const manifestAtOnce = 3
+
+// manifestFromPeers asks some peers at once and takes the first good answer.
+// The first tries go to those that ask the origin, later ones to ever more.
+func (g *gather) manifestFromPeers(peers []spread.Member, attempt int) ([]byte, error) {
+	if len(peers) == 0 {
 		return nil, failure.Unavailable.New("no peer to ask for the manifest")
 	}
-	from := others[attempt%min(len(others), 2*manifestAskers+attempt)]
-	raw, err := g.fromPeer(g.ctx, from, manifestIndex, maxManifestBytes)
-	if err != nil {
-		return nil, err
+	ctx, cancel := context.WithTimeout(g.ctx, g.swarm.opts.Stall)
+	defer cancel()
+	asked := min(manifestAtOnce, len(peers))
+	answers := make(chan manifestAnswer, asked)
+	widest := min(len(peers), (attempt+1)*manifestAtOnce)
+	for i := range asked {
+		from := peers[(attempt*manifestAtOnce+i)%widest]
+		go func() { answers <- g.manifestFromPeer(ctx, from) }()
 	}
-	_, err = weights.Decode(raw, g.version.Manifest)
-	return raw, err
+	var last error
+	for range asked {
+		answer := <-answers
+		if answer.err == nil {
+			return answer.raw, nil
+		}
+		last = answer.err
+	}
+	return nil, last
+}
+
+type manifestAnswer struct {
+	raw []byte
+	err error
+}
+
+func (g *gather) manifestFromPeer(ctx context.Context, from spread.Member) manifestAnswer {
+	raw, err := g.fromPeer(ctx, from, manifestIndex, maxManifestBytes)
+	if err == nil {
+		_, err = weights.Decode(raw, g.version.Manifest)
+	}
+	return manifestAnswer{raw: raw, err: err}
 }
 
 func (g *gather) manifestFromPlatform(attempt int) ([]byte, error) {
--- a/daemon/swarm/link.go
+++ b/daemon/swarm/link.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/spread"
 	"chivespindle.example/core/weights"
@@ -61,24 +64,22 @@
 	}
 }
 
+// dial opens an exchange. A member that cannot be reached is told to the plan,
+// which then chooses others: a part of a split fleet would otherwise wait for
+// the neighbours on the other side. One that only refuses has not begun to
+// gather yet and is asked again soon.
 func (g *gather) dial(m spread.Member) {
-	ctx, cancel := context.WithTimeout(g.ctx, g.swarm.opts.Stall)
-	defer cancel()
 	s, err := g.swarm.opts.Endpoint.Open(g.ctx, m.Addr, m.ID, peer.KindChunk)
 	if err != nil {
+		g.swarm.post(func(now time.Time) { g.unreachable(now, m.ID) })
 		return
 	}
-	if ctx.Err() != nil {
-		s.Abort()
-		return
-	}
-	if err := s.Send(wire.ChunkOpen{Manifest: g.version.Manifest, Exchange: true}); err != nil {
-		s.Abort()
-		return
-	}
-	var first wire.ChunkNews
-	if err := s.Recv(&first); err != nil {
+	first, err := g.openExchange(s)
+	if err != nil {
 		s.Abort()
+		if errorx.IsOfType(err, failure.Timeout) {
+			g.swarm.post(func(now time.Time) { g.unreachable(now, m.ID) })
+		}
 		return
 	}
 	g.swarm.post(func(now time.Time) {
@@ -86,6 +87,27 @@
 	})
 }
 
+// openExchange asks for the exchange and waits for the neighbour's first news,
+// at most for the stall timeout: a connection whose other side has vanished
+// opens streams without an error.
+func (g *gather) openExchange(s *peer.Stream) (wire.ChunkNews, error) {
+	s.SetStall(g.swarm.opts.Stall)
+	defer s.SetStall(0)
+	var first wire.ChunkNews
+	if err := s.Send(wire.ChunkOpen{Manifest: g.version.Manifest, Exchange: true}); err != nil {
+		return first, err
+	}
+	err := s.Recv(&first)
+	return first, err
+}
+
+func (g *gather) unreachable(now time.Time, id fleet.InstanceID) {
+	if g.ctx.Err() == nil && g.links[id] == nil {
+		g.plan.PeerDown(now, id)
+		g.nextLink = now
+	}
+}
+
 // linked adds an open exchange; first is what the neighbour has told, nil if
 // nothing yet. Two neighbours that chose each other may open one each at the
 // same time; both keep the one that the lesser id opened, so that neither
--- a/standin/bench/burst/baseline.go
+++ b/standin/bench/burst/baseline.go
@@ -38,8 +38,12 @@
 		r.Baseline, r.Fault, r.Instances, r.OriginCopies, r.TimeOverBound, r.Serving)
 }
 
+// newLimiter returns a link's rate without the first burst, which would carry
+// one chunk through a whole chain in no time.
 func newLimiter(bytesPerSecond int) *rate.Limiter {
-	return rate.NewLimiter(rate.Limit(bytesPerSecond), ChunkBytes)
+	limiter := rate.NewLimiter(rate.Limit(bytesPerSecond), ChunkBytes)
+	limiter.AllowN(time.Now(), ChunkBytes)
+	return limiter
 }
 
 // Direct lets every instance draw the whole from the origin.
