Give effect to three keys of the text that had none

drain_timeout of a service bounds the drain of a change-over, burst of a workspace is shared like its rate, and engine_fencing = checked raises an alarm if the engine does not show the number that it was given. The safeguards for engines that ignore numbers stay on in either case. Found by reading docs/TEXT.md against the code.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -59,6 +59,7 @@
 type bucket struct {
 	limited  bool
 	rate     float64 // requests a second
+	burst    float64 // requests; 0: LimiterOptions.Burst at rate
 	tokens   float64
 	demand   float64 // requests a second, asked for
 	lastSeen time.Time
@@ -107,6 +108,19 @@
 	}
 }
 
+// SetBursts puts in force how many requests each workspace may save up at this
+// entry; a workspace that is not named saves up LimiterOptions.Burst. It is
+// called after SetShares, which makes the workspaces known.
+func (l *Limiter) SetBursts(now time.Time, bursts map[fleet.Workspace]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, b := range l.buckets {
+		l.refill(now, b)
+		b.burst = bursts[name]
+		b.tokens = min(b.tokens, l.capacity(b))
+	}
+}
+
 // negligible is the demand below which a workspace is forgotten.
 const negligible = 0.001
 
@@ -162,4 +176,9 @@
 	b.demand *= math.Exp(-passed / l.demandTime)
 }
 
-func (l *Limiter) capacity(b *bucket) float64 { return max(1, b.rate*l.burst) }
+func (l *Limiter) capacity(b *bucket) float64 {
+	if b.burst > 0 {
+		return max(1, b.burst)
+	}
+	return max(1, b.rate*l.burst)
+}
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -216,3 +216,22 @@
 	}
 	return demands
 }
+
+var _ = Describe("A workspace's burst", func() {
+	// A shift begins, and a workshop's callers come back all at once after a
+	// quiet night. The text allows them more at once than one second's rate;
+	// without it they would be refused though the workspace is within its limit.
+	It("is what the text allows, and no more", func() {
+		l := admission.NewLimiter(admission.LimiterOptions{Rand: newRand(1)})
+		l.SetShares(start, map[fleet.Workspace]float64{workshop: 2})
+		l.SetBursts(start, map[fleet.Workspace]float64{workshop: 6})
+		l.SetBursts(after(3600), map[fleet.Workspace]float64{workshop: 6})
+		admitted := 0
+		for range 20 {
+			if ok, _ := l.Allow(after(3600), workshop); ok {
+				admitted++
+			}
+		}
+		Expect(admitted).To(Equal(6))
+	})
+})
--- a/core/serving/changeover.go
+++ b/core/serving/changeover.go
@@ -169,6 +169,14 @@
 	}
 }
 
+// SetDrainTimeout takes the operator's time for requests in progress; 0 leaves
+// it as it is. It counts from the next drain on.
+func (c *Changeover) SetDrainTimeout(d time.Duration) {
+	if d > 0 {
+		c.opt.DrainTimeout = d
+	}
+}
+
 // Phase returns where the replica stands.
 func (c *Changeover) Phase() Phase { return c.phase }
 
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -87,6 +87,7 @@
 	turnFor     fleet.Version // a turn is asked for; zero if none
 	nextTurn    time.Time     // when it is looked at again without news
 	blocked     bool
+	unfenced    bool
 	reason      string
 	boot        string
 	leaving     bool
@@ -179,6 +180,7 @@
 	}
 	a.service, a.known, a.revision = service, known, state.Revision
 	if a.change != nil {
+		a.change.SetDrainTimeout(service.DrainTimeout)
 		a.step(now, serving.TargetChanged{Version: service.Version})
 	}
 }
--- a/daemon/agent/change.go
+++ b/daemon/agent/change.go
@@ -128,6 +128,7 @@
 	a.load = status.Load
 	a.step(now, serving.StatusRead{Status: status, Asked: asked})
 	a.orderExtras(now, status)
+	a.checkFencing()
 	a.publish(now)
 }
 
@@ -248,6 +249,20 @@
 	return replicas
 }
 
+// checkFencing raises an alarm if the text says that the engine checks fencing
+// numbers and the engine, idle after a claim, has not shown the one it was
+// given. A second agent's orders would then be obeyed.
+func (a *Agent) checkFencing() {
+	fence := a.change.Fence()
+	ignored := a.service.EngineFencing == fleettext.FencingChecked &&
+		a.change.Phase() == serving.PhaseIdle && !fence.Checked()
+	if ignored && !a.unfenced {
+		a.opts.Metrics.Counter("alarms").Inc(1)
+		a.opts.Logger.Error("alarm", zap.String("reason", "the text says that this engine checks fencing numbers, and it does not"))
+	}
+	a.unfenced = ignored
+}
+
 func (a *Agent) alarmIfBlocked(d rollout.Decision) {
 	if d.Blocked && !a.blocked {
 		a.opts.Metrics.Counter("alarms").Inc(1)
--- a/daemon/entry/limits.go
+++ b/daemon/entry/limits.go
@@ -88,13 +88,16 @@
 	}
 	others := e.otherEntries()
 	rates := make(map[fleet.Workspace]float64)
+	bursts := make(map[fleet.Workspace]float64)
 	most := make(map[fleet.Workspace]int)
 	for _, name := range state.Fleet.Workspaces() {
 		limit, _ := state.Fleet.Limits(name)
 		rates[name] = admission.FairShare(limit.RequestsPerSecond, e.limits.demandsOf(now, name, others))
+		bursts[name] = float64(limit.Burst) * rates[name] / limit.RequestsPerSecond
 		most[name] = inFlightShare(limit, len(others)+1)
 	}
 	e.limits.limiter.SetShares(now, rates)
+	e.limits.limiter.SetBursts(now, bursts)
 	e.limits.mu.Lock()
 	e.limits.most = most
 	e.limits.mu.Unlock()
