Swarm: give back the slot of an asker that has gone

An asker whose stream ended while its ask lay in the queue of a busy control loop was granted an upload slot all the same; nobody released it. An agent lost a slot each time and at last gave nothing to anyone, until its process ended. An asker that had waited its time also kept its place in the queue, and took the turn of the next.

Ruled out: looking at the asker's context on the loop, which it can outlive by a moment. What comes behind the ask in the loop's queue undoes the grant.

Before: after 16 asks given up behind a busy loop, the next was told 'busy' by an idle agent (spec 'that give up while the loop is busy keep no upload slot'). After: the chunk follows.

--- a/daemon/swarm/upload.go
+++ b/daemon/swarm/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -62,10 +63,12 @@
 		err := s.opts.Loop.Do(ctx, func(now time.Time) { answer = s.askUpload(now, from, open) })
 		switch {
 		case err != nil:
+			s.giveBack(from, open, &answer)
 			return nil, wire.ChunkMissing
 		case answer.wait != nil && waitUntil(ctx, answer.wait, deadline):
 			continue
 		case answer.wait != nil:
+			s.leaveQueue(open.Manifest, answer.wait)
 			return nil, wire.ChunkBusy
 		case answer.status != wire.ChunkFollows || open.Index == manifestIndex:
 			return answer.data, answer.status
@@ -74,11 +77,47 @@
 	}
 }
 
+// giveBack undoes what an asker that has gone is granted all the same: its ask
+// may still lie in the queue of the control loop, where this comes behind it.
+// Kept, the slot would be lost for good.
+func (s *Swarm) giveBack(from fleet.InstanceID, open wire.ChunkOpen, answer *uploadAnswer) {
+	s.post(func(time.Time) {
+		g, ok := s.gathers[open.Manifest]
+		switch {
+		case !ok:
+		case answer.wait != nil:
+			g.leaveWaiting(answer.wait)
+		case answer.status == wire.ChunkFollows && open.Index != manifestIndex:
+			g.plan.Released(from)
+			g.nextWaiting()
+		}
+	})
+}
+
+// leaveQueue takes an asker that waits no more out of the queue, so that no
+// turn is wasted on it.
+func (s *Swarm) leaveQueue(manifest fleet.Digest, turn chan struct{}) {
+	s.post(func(time.Time) {
+		if g, ok := s.gathers[manifest]; ok {
+			g.leaveWaiting(turn)
+		}
+	})
+}
+
+// leaveWaiting removes a turn, or passes it on if it has come already.
+func (g *gather) leaveWaiting(turn chan struct{}) {
+	before := len(g.waiting)
+	g.waiting = slices.DeleteFunc(g.waiting, func(other chan struct{}) bool { return other == turn })
+	if len(g.waiting) == before {
+		g.nextWaiting()
+	}
+}
+
 // uploadAnswer is the control loop's answer to an asker: a status, or a
 // channel that closes when it should ask again.
 type uploadAnswer struct {
 	status wire.ChunkStatus
-	wait   <-chan struct{}
+	wait   chan struct{}
 	data   []byte // the manifest
 	chunk  weights.Chunk
 }
@@ -105,7 +144,7 @@
 }
 
 // waitUntil reports whether turn closed before the deadline and ctx's end.
-func waitUntil(ctx context.Context, turn <-chan struct{}, deadline time.Time) bool {
+func waitUntil(ctx context.Context, turn chan struct{}, deadline time.Time) bool {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
