Swarm: end the search for a manifest that is not wanted

Stop left the search for a manifest running: a version published with a wrong digest was searched for, ten times a second at each agent, after the operator had mended the text.

Ruled out: pausing the search, since a version that is wanted again is gathered anew in any case.

Before: the spec 'that is not wanted any more is not searched for any more' saw the call go on after Stop. After: it is given up at once.

--- a/daemon/swarm/swarm.go
+++ b/daemon/swarm/swarm.go
@@ -98,10 +98,18 @@
 	g.start(raw)
 }
 
-// Stop ends the fetches of a version and keeps giving its chunks to peers.
+// Stop ends the fetches of a version and keeps giving its chunks to peers. A
+// version whose manifest is not known yet has nothing to give; it is not
+// searched for any more.
 func (s *Swarm) Stop(manifest fleet.Digest) {
-	if g, ok := s.gathers[manifest]; ok {
-		g.pause()
+	g, ok := s.gathers[manifest]
+	if !ok {
+		return
+	}
+	g.pause()
+	if g.plan == nil {
+		g.close()
+		delete(s.gathers, manifest)
 	}
 }
 
