Swarm: open one exchange with a neighbour at a time

A neighbour that takes an exchange and says nothing was dialled again every 0.3 s while the dials before still waited for its first news, up to the stall timeout: seventeen streams and goroutines at the default, on the connection that chunks and requests use too.

Ruled out: a longer pause between dials, which would delay the first links of a version, when neighbours refuse because they have not begun yet.

--- a/daemon/swarm/gather.go
+++ b/daemon/swarm/gather.go
@@ -34,6 +34,7 @@
 	manifest weights.Manifest // valid once raw is set
 	plan     *spread.Plan     // nil until the manifest is known
 	links    map[fleet.InstanceID]*link
+	dialing  map[fleet.InstanceID]bool
 	retryAt  map[fleet.InstanceID]time.Time
 	running  map[uint64]context.CancelFunc
 	waiting  []chan struct{} // askers that wait for an upload slot
@@ -53,6 +54,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		links:    make(map[fleet.InstanceID]*link),
+		dialing:  make(map[fleet.InstanceID]bool),
 		retryAt:  make(map[fleet.InstanceID]time.Time),
 		running:  make(map[uint64]context.CancelFunc),
 	}
--- a/daemon/swarm/link.go
+++ b/daemon/swarm/link.go
@@ -56,10 +56,10 @@
 // link opens exchanges with chosen neighbours that have none.
 func (g *gather) link(now time.Time) {
 	for _, m := range g.plan.Neighbours() {
-		if _, ok := g.links[m.ID]; ok || now.Before(g.retryAt[m.ID]) {
+		if g.links[m.ID] != nil || g.dialing[m.ID] || now.Before(g.retryAt[m.ID]) {
 			continue
 		}
-		g.retryAt[m.ID] = now.Add(relinkAfter)
+		g.dialing[m.ID] = true
 		go g.dial(m)
 	}
 }
@@ -71,18 +71,18 @@
 func (g *gather) dial(m spread.Member) {
 	s, err := g.swarm.opts.Endpoint.Open(g.ctx, m.Addr, m.ID, peer.KindChunk)
 	if err != nil {
-		g.swarm.post(func(now time.Time) { g.unreachable(now, m.ID) })
+		g.swarm.post(func(now time.Time) { g.notLinked(now, m.ID, true) })
 		return
 	}
 	first, err := g.openExchange(s)
 	if err != nil {
 		s.Abort()
-		if errorx.IsOfType(err, failure.Timeout) {
-			g.swarm.post(func(now time.Time) { g.unreachable(now, m.ID) })
-		}
+		unreachable := errorx.IsOfType(err, failure.Timeout)
+		g.swarm.post(func(now time.Time) { g.notLinked(now, m.ID, unreachable) })
 		return
 	}
 	g.swarm.post(func(now time.Time) {
+		delete(g.dialing, m.ID)
 		g.linked(now, newLink(m, g.swarm.opts.Self.ID, s, len(g.manifest.Chunks)), &first)
 	})
 }
@@ -101,8 +101,11 @@
 	return first, err
 }
 
-func (g *gather) unreachable(now time.Time, id fleet.InstanceID) {
-	if g.ctx.Err() == nil && g.links[id] == nil {
+// notLinked ends a dial that came to nothing.
+func (g *gather) notLinked(now time.Time, id fleet.InstanceID, unreachable bool) {
+	delete(g.dialing, id)
+	g.retryAt[id] = now.Add(relinkAfter)
+	if unreachable && g.ctx.Err() == nil && g.links[id] == nil {
 		g.plan.PeerDown(now, id)
 		g.nextLink = now
 	}
