Swarm: do without a store when the origin fails

Options say that the store may be missing, and the plan, which does not know, turns to it when the origin is down or sends a wrong byte. The call through the nil store ended the process.

Ruled out: an origin that stands for the store, which would draw past the limit of copies unseen. The store now lacks every chunk, and the plan goes back to the origin after its pause.

Before: a nil pointer in the specs of an origin that is down, or sends a wrong byte, without a store. After: the version is whole.

--- a/daemon/swarm/fetch.go
+++ b/daemon/swarm/fetch.go
@@ -59,6 +59,9 @@
 	case spread.SourceOrigin:
 		return g.swarm.opts.Origin.Chunk(ctx, g.version.Manifest, chunk)
 	case spread.SourceStore:
+		if g.swarm.opts.Store == nil {
+			return nil, failure.NotFound.New("the platform has no store")
+		}
 		return g.swarm.opts.Store.Chunk(ctx, g.version.Manifest, chunk)
 	default:
 		return g.fromPeer(ctx, from, f.Chunk, chunk.Bytes)
