Swarm: count transfers that broke off against the quota

The plan charges a draw from the origin before it starts and gives the charge back if no byte can have moved, as when the origin cannot be reached. A transfer that broke off in the middle was reported with the same reason, so an origin that breaks each transfer off could be drawn from without end, past the limit of copies that nothing may exceed.

Ruled out: charging every failure, since an origin that is down would use up the quotas of the fleet without a byte. What came is known by the bytes that the source returns with its failure.

What is left: the platform's adapter returns no bytes with a failure yet; until it does, the rule has nothing to go by.

--- a/daemon/swarm/fetch.go
+++ b/daemon/swarm/fetch.go
@@ -50,6 +50,10 @@
 		r.reason = reasonOf(r.err)
 		r.retryAfter = failure.RetryAfter(r.err)
 	}
+	if r.reason == spread.ReasonUnavailable && r.bytes > 0 {
+		// Bytes crossed the source's link, so they count against the quota.
+		r.reason = spread.ReasonGone
+	}
 	g.swarm.post(func(now time.Time) { g.fetched(now, f, r) })
 }
 
