Swarm: search for a manifest at a bearable rate, among the present members

The search asked the origin or the store ten times a second, whatever they answered, for as long as the manifest was missing: 390 agents with a digest that nobody has make 3,900 calls a second of the store's and the origin's allowance, and a pause that the origin asked for was not kept. It also went on among the members of its beginning: an agent that began before the list named anybody never asked a peer, and with the origin down never began.

Ruled out: fewer askers, since after the turns every member may ask. Each source rests after a failure, for twice as long each time up to 15 s, and at least as long as it asked; the pause between tries grows to 2 s; the members are looked up at each try.

Before: the origin asked three times beside a store asked three times, in spite of a pause of an hour; no manifest in 20 s from a neighbour that came later (specs 'that asks for a pause gets it from the search for a manifest', 'that come later are asked for the manifest'). After: asked once; found in 0.2 s.

--- a/daemon/swarm/fetch.go
+++ b/daemon/swarm/fetch.go
@@ -156,45 +156,30 @@
 	}
 }
 
-// Pauses of the search for a manifest.
+// manifestTurn is how long each later member in rank leaves the origin to
+// those before it. With two members asking at first, hundreds of instances
+// cost the origin a handful of manifests.
 const (
-	manifestRetry = 100 * time.Millisecond
-	// manifestTurn is how long each later member in rank leaves the origin to
-	// those before it. With two members asking at first, hundreds of instances
-	// cost the origin a handful of manifests.
 	manifestTurn     = 500 * time.Millisecond
 	manifestAskers   = 2
 	manifestMaxTurns = 20
 )
 
 // findManifest fetches the manifest from a peer or, in the order of rank, from
-// the origin or the store, until it has one with the pinned digest.
-func (g *gather) findManifest(members []spread.Member) {
-	ranked := rankMembers(g.version.Manifest, members)
-	turn := time.Duration(min(rankOf(ranked, g.swarm.opts.Self.ID)/manifestAskers, manifestMaxTurns)) * manifestTurn
-	started := time.Now()
+// the origin or the store, until it has one with the pinned digest. The
+// members are looked up at each try: those of the beginning may all have gone,
+// or the list may not have been there yet.
+func (g *gather) findManifest() {
+	search := newManifestSearch(g)
 	for attempt := 0; g.ctx.Err() == nil; attempt++ {
-		raw, err := g.askForManifest(ranked, attempt, time.Since(started) >= turn)
+		raw, err := search.ask(attempt)
 		if err == nil {
 			g.announceManifest(raw)
 			return
 		}
 		g.swarm.opts.Logger.Debug("manifest not found yet", zap.Stringer("version", g.version), zap.Error(err))
-		select {
-		case <-g.ctx.Done():
-		case <-time.After(manifestRetry):
-		}
-	}
-}
-
-func (g *gather) askForManifest(ranked []spread.Member, attempt int, originAllowed bool) ([]byte, error) {
-	if originAllowed {
-		raw, err := g.manifestFromPlatform(attempt)
-		if err == nil {
-			return raw, nil
-		}
+		pause(g.ctx, manifestPause(attempt))
 	}
-	return g.manifestFromPeers(others(ranked, g.swarm.opts.Self.ID), attempt)
 }
 
 // manifestAtOnce is how many peers are asked for the manifest at the same
@@ -240,19 +225,6 @@
 	return manifestAnswer{raw: raw, err: err}
 }
 
-func (g *gather) manifestFromPlatform(attempt int) ([]byte, error) {
-	source := g.swarm.opts.Origin
-	if g.swarm.opts.Store != nil && attempt%2 == 1 {
-		source = g.swarm.opts.Store
-	}
-	raw, err := source.Manifest(g.ctx, g.version.Manifest)
-	if err != nil {
-		return nil, err
-	}
-	_, err = weights.Decode(raw, g.version.Manifest)
-	return raw, err
-}
-
 // announceManifest reads what the stage holds already, so that a restarted
 // agent fetches nothing twice, and hands both to the control loop.
 func (g *gather) announceManifest(raw []byte) {
@@ -279,10 +251,8 @@
 			return true
 		}
 		g.swarm.opts.Logger.Warn("stage does not take the manifest", zap.Stringer("version", g.version), zap.Error(err))
-		select {
-		case <-g.ctx.Done():
+		if !pause(g.ctx, manifestRetry) {
 			return false
-		case <-time.After(manifestRetry):
 		}
 	}
 }
--- a/daemon/swarm/gather.go
+++ b/daemon/swarm/gather.go
@@ -69,12 +69,11 @@
 
 // start finds the manifest, unless raw holds it from before.
 func (g *gather) start(raw []byte) {
-	members := g.swarm.members
 	if raw != nil {
 		go g.announceManifest(raw)
 		return
 	}
-	go g.findManifest(members)
+	go g.findManifest()
 }
 
 // manifestFound begins the plan. held lists chunks that the stage had before.
