--- a/daemon/internal/daemontest/process.go
+++ b/daemon/internal/daemontest/process.go
@@ -142,11 +142,15 @@
 	p.Loop.AddTicker(p.Node)
 }
 
-// Run runs the process. Streams of peers go to handler.
+// Run runs the process, with its node if it has one. Streams of peers go to
+// handler.
 func (p *Process) Run(handler peer.Handler) {
 	p.handler = handler
 	RunUntilEnd(p.within(p.Endpoint.Run))
 	RunUntilEnd(p.within(p.Loop.Run))
+	if p.Node == nil {
+		return
+	}
 	RunUntilEnd(p.within(p.Node.FollowText))
 	RunUntilEnd(p.within(p.Node.FollowList))
 }
--- a/daemon/internal/daemontest/weights.go
+++ b/daemon/internal/daemontest/weights.go
@@ -72,6 +72,7 @@
 	drawn     []Draw
 	fault     func(ctx context.Context, draw Draw) error
 	spoil     func(draw Draw, data []byte) []byte
+	broken    bool
 }
 
 // Draw is one call for a chunk. Chunk is -1 for the manifest.
@@ -106,6 +107,13 @@
 	s.spoil = spoil
 }
 
+// Break makes every transfer of a chunk end after half of it.
+func (s *Source) Break() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = true
+}
+
 // Drawn returns the calls for chunks so far, failed ones included.
 func (s *Source) Drawn() []Draw {
 	s.mu.Lock()
@@ -144,7 +152,7 @@
 	s.mu.Lock()
 	s.drawn = append(s.drawn, draw)
 	m, found := s.models[manifest]
-	fault, spoil := s.fault, s.spoil
+	fault, spoil, broken := s.fault, s.spoil, s.broken
 	s.mu.Unlock()
 	if fault != nil {
 		if err := fault(ctx, draw); err != nil {
@@ -155,6 +163,9 @@
 		return nil, failure.NotFound.New("no manifest %s", manifest)
 	}
 	data := slices.Clone(m.Chunks[chunk.Index])
+	if broken {
+		return data[:len(data)/2], failure.Unavailable.New("the connection ended within the chunk")
+	}
 	if spoil != nil {
 		data = spoil(draw, data)
 	}
@@ -174,6 +185,7 @@
 	chunks map[fleet.Digest]map[int][]byte
 	puts   int
 	refuse bool
+	spoilt bool
 }
 
 var _ weights.Stage = (*Stage)(nil)
@@ -202,6 +214,13 @@
 	s.refuse = refuse
 }
 
+// Spoil makes Get give other bytes than were put in.
+func (s *Stage) Spoil() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spoilt = true
+}
+
 // Clear forgets everything, as an engine does that restarts.
 func (s *Stage) Clear() {
 	s.mu.Lock()
@@ -268,7 +287,11 @@
 	if !found {
 		return nil, failure.NotFound.New("chunk %d is not staged", index)
 	}
-	return slices.Clone(data), nil
+	data = slices.Clone(data)
+	if s.spoilt {
+		data[0]++
+	}
+	return data, nil
 }
 
 // Drop implements weights.Stage.
--- /dev/null
+++ b/daemon/swarm/swarm_suite_test.go
@@ -0,0 +1,16 @@
+package swarm_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/daemon/internal/daemontest"
+)
+
+func TestSwarm(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(daemontest.Patience)
+	RunSpecs(t, "Swarm")
+}
