Callers' HTTP: refuse what is on no page as the page says

docs/CALLERS.md promises that everything that is not the backend server's answer is a JSON refusal with an outcome. A page or method that is none was answered in plain text, and a path with an empty or relative segment with a redirect, which a client that cannot send its body again takes for an answer that was cut: 'unknown', of a request that nobody ran.

Ruled out: a pattern for everything else in the mux, which loses the Allow header and still redirects. A handler before the mux tests the path and asks the mux whether it has a page.

Before: 404 and 405 in plain text, 307 without an outcome (specs 'a page that is none', 'a method that is none', 'an empty segment' and 'a relative segment in the path'). After: 404, 405 with Allow, and 400, each a refusal with 'not_run'.

--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -252,6 +252,10 @@
 }
 
 func (s *Server) refuse(w http.ResponseWriter, id string, err error) {
+	s.refuseAs(w, id, statusOf(err), err)
+}
+
+func (s *Server) refuseAs(w http.ResponseWriter, id string, status int, err error) {
 	outcome := failure.OutcomeOf(err)
 	refusal := Refusal{
 		RequestID: id,
@@ -264,7 +268,7 @@
 		w.Header().Set("Retry-After", strconv.Itoa(wholeSeconds(pause)))
 	}
 	w.Header().Set(HeaderOutcome, outcome.String())
-	writeJSON(w, statusOf(err), refusal)
+	writeJSON(w, status, refusal)
 }
 
 // reasonText is the message of a failure without its type, which has a field
--- a/adapters/callerhttp/server.go
+++ b/adapters/callerhttp/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,10 +52,43 @@
 	mux.HandleFunc("POST /v1/services/{service}", s.request)
 	mux.HandleFunc("POST /v1/services/{service}/{path...}", s.request)
 	const headerTimeout = 5 * time.Second
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	s.http = &http.Server{Handler: s.route(mux), ReadHeaderTimeout: headerTimeout}
 	return s, nil
 }
 
+// route answers what is on no page of the callers' interface with a refusal.
+//
+// http.ServeMux would answer in plain text, and send a request whose path has
+// an empty or relative segment elsewhere. To a caller that is neither an answer
+// nor a refusal, so it could not tell that nothing was run.
+func (s *Server) route(mux *http.ServeMux) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cleaned := path.Clean(r.URL.Path); r.URL.Path != cleaned && r.URL.Path != cleaned+"/" {
+			s.refuse(w, "", badRequest("path %q has an empty or relative segment", r.URL.Path))
+			return
+		}
+		if _, pattern := mux.Handler(r); pattern == "" {
+			s.noPage(w, r, mux)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// noPage tells a page that is none from one that has another method.
+func (s *Server) noPage(w http.ResponseWriter, r *http.Request, mux *http.ServeMux) {
+	status := http.StatusNotFound
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		other := r.Clone(r.Context())
+		other.Method = method
+		if _, pattern := mux.Handler(other); pattern != "" {
+			w.Header().Set("Allow", method)
+			status = http.StatusMethodNotAllowed
+		}
+	}
+	s.refuseAs(w, "", status, badRequest("%s %s is no page of the callers' interface", r.Method, r.URL.Path))
+}
+
 // Addr returns the bound address.
 func (s *Server) Addr() netip.AddrPort {
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
