Caller client: send the path as the caller wrote it

The path below a service went into the URL as it was, so that a question mark cut it off, a hash as well, and a percent sign changed it: the service got another path than the caller named, which for an order is other work.

Ruled out: refusing such paths, since the callers' interface and the services take them. The path is escaped.

Before: 'orders/why?' reached the service as 'orders/why' (spec 'carries its path as it is'). After: as written.

--- a/adapters/callerclient/client.go
+++ b/adapters/callerclient/client.go
@@ -54,7 +54,7 @@
 // Request is one request of a caller. Zero fields are not sent.
 type Request struct {
 	Service        fleet.ServiceName
-	Path           string
+	Path           string // below the service, unescaped
 	Workspace      fleet.Workspace
 	IdempotencyKey string
 	NonIdempotent  bool
@@ -199,7 +199,7 @@
 func newHTTPRequest(ctx context.Context, entry netip.AddrPort, r Request) (*http.Request, error) {
 	target := "http://" + entry.String() + "/v1/services/" + url.PathEscape(string(r.Service))
 	if r.Path != "" {
-		target += "/" + r.Path
+		target += "/" + (&url.URL{Path: r.Path}).EscapedPath()
 	}
 	// The reader hides the body's type: net/http would send a request with a
 	// key again by itself on a connection that broke, unseen by the caller.
