--- /dev/null
+++ b/adapters/callerhttp/callerhttp_suite_test.go
@@ -0,0 +1,16 @@
+package callerhttp_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/callerhttp/callerhttptest"
+)
+
+func TestCallerHTTP(t *testing.T) {
+	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(callerhttptest.Patience)
+	RunSpecs(t, "Callers' HTTP")
+}
--- /dev/null
+++ b/adapters/callerhttp/callerhttptest/callerhttptest.go
@@ -0,0 +1,110 @@
+// Package callerhttptest holds what the tests of the callers' interface and of
+// its client share: a server before a dispatcher that the test makes.
+package callerhttptest
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/callerhttp"
+	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/addressing"
+	"chivespindle.example/core/calls"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+const (
+	// Patience bounds the wait for something that must happen.
+	Patience = 20 * time.Second
+	// MaxBody is the bound of the server's request bodies in bytes.
+	MaxBody = 64
+	// DefaultDeadline is far from every deadline that a test names.
+	DefaultDeadline = 30 * time.Second
+)
+
+// Dispatcher adapts a function to calls.Dispatcher.
+type Dispatcher func(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error)
+
+// Dispatch implements calls.Dispatcher.
+func (d Dispatcher) Dispatch(ctx context.Context, r calls.Request, sink calls.Sink) (calls.End, error) {
+	return d(ctx, r, sink)
+}
+
+// Book answers address questions and issues keys. A nil field answers with
+// nothing.
+type Book struct {
+	Near func(fleet.Place) addressing.Result
+	Key  func(fleet.ServiceName) (string, error)
+}
+
+// Addresses implements calls.AddressBook.
+func (b Book) Addresses(near fleet.Place) addressing.Result {
+	if b.Near == nil {
+		return addressing.Result{}
+	}
+	return b.Near(near)
+}
+
+// IssueKey implements calls.KeyIssuer.
+func (b Book) IssueKey(service fleet.ServiceName) (string, error) {
+	if b.Key == nil {
+		return "", nil
+	}
+	return b.Key(service)
+}
+
+// Serve runs a server until the spec ends and returns its address.
+func Serve(d Dispatcher, b Book) netip.AddrPort {
+	ginkgo.GinkgoHelper()
+	server, err := callerhttp.New(callerhttp.Options{
+		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: d, Addresses: b, Keys: b,
+		MaxBody: MaxBody, DefaultDeadline: DefaultDeadline,
+		Tracer: telemetry.NewTracer("test", nil), Logger: zap.NewNop(),
+	})
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	done := make(chan error, 1)
+	go func() { done <- server.Run() }()
+	ginkgo.DeferCleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), Patience)
+		defer cancel()
+		gomega.Expect(server.Shutdown(ctx)).To(gomega.Succeed())
+		gomega.Eventually(done, Patience).Should(gomega.Receive(gomega.BeNil()))
+	})
+	return server.Addr()
+}
+
+// Answered gives an answer piece by piece and then ends with err.
+func Answered(status int, version fleet.Version, err error, pieces ...string) Dispatcher {
+	return func(_ context.Context, _ calls.Request, sink calls.Sink) (calls.End, error) {
+		if err := sink.Begin(calls.Begin{Status: status, Version: version}); err != nil {
+			return calls.End{}, err
+		}
+		for _, piece := range pieces {
+			if err := sink.Piece([]byte(piece)); err != nil {
+				return calls.End{}, err
+			}
+		}
+		return calls.End{Version: version, Server: "agent-1"}, err
+	}
+}
+
+// Refused ends without an answer.
+func Refused(err error) Dispatcher {
+	return func(context.Context, calls.Request, calls.Sink) (calls.End, error) { return calls.End{}, err }
+}
+
+// Failed makes a failure with an outcome, and a pause if that is not 0.
+func Failed(kind *errorx.Type, outcome failure.Outcome, comeBack time.Duration) error {
+	err := failure.WithOutcome(kind.New("for the test"), outcome)
+	if comeBack > 0 {
+		err = failure.WithRetryAfter(err, comeBack)
+	}
+	return err
+}
