--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -43,7 +43,7 @@
 	ListenTime time.Duration
 	// Takeover is how long the second in rank waits for a chunk that shows up
 	// nowhere. Default 16 chunks at OriginRate, at least 1s; for PolicyOrigin
-	// four times that.
+	// twice that.
 	Takeover time.Duration
 	// OrphanTime is how long the first in rank waits for a chunk that exists
 	// somewhere but at no neighbour. Default twice Takeover.
@@ -63,7 +63,7 @@
 
 	takeoverChunks   = 16
 	takeoverMin      = time.Second
-	originPatience   = 4 // factor of PolicyOrigin over PolicyTime
+	originPatience   = 2 // factor of PolicyOrigin over PolicyTime
 	orphanOfTakeover = 2
 )
 
--- a/standin/bench/burst/baseline.go
+++ b/standin/bench/burst/baseline.go
@@ -111,15 +111,18 @@
 // copyAlong takes up to chunks from one link and hands each on when the
 // machine's own link has carried it. It returns how many came.
 func copyAlong(ctx context.Context, from <-chan struct{}, to chan<- struct{}, chunks int) int {
-	own := newLimiter(MachineRate)
 	for i := range chunks {
 		select {
 		case <-ctx.Done():
 			return i
 		case <-from:
 		}
-		if own.WaitN(ctx, ChunkBytes) != nil {
+		// A chunk takes the link's time after it has come, however long the link
+		// was idle before; a token bucket would give that time back.
+		select {
+		case <-ctx.Done():
 			return i
+		case <-time.After(chunkTime):
 		}
 		to <- struct{}{}
 	}
