--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -31,7 +31,6 @@
 	HeaderOutcome       = "Request-Outcome"
 	HeaderVersion       = "Model-Version"
 	HeaderRequestID     = "Request-Id"
-	HeaderServer        = "Served-By"
 )
 
 // maxKeyBytes bounds what a home keeps for each key.
