Control: tell a busy loop from one that has ended

Do told a caller whose context ended while the queue was full that the loop had ended, on which a process gives up for good. Post took an event of a context that had ended every other time, though its page says that it does not.

Ruled out: a failure of its own for a full queue; to a caller it is the same as a busy loop. Do's page now says that work given up by the caller may still be done.

Before: the specs 'with a full queue is busy and has not ended' and 'takes nothing from a context that has ended' failed. After: failure.Timeout, and nothing is taken.

--- a/daemon/control/control.go
+++ b/daemon/control/control.go
@@ -74,6 +74,8 @@
 	select {
 	case <-l.done:
 		return false
+	case <-ctx.Done():
+		return false
 	default:
 	}
 	select {
@@ -86,7 +88,9 @@
 	}
 }
 
-// Do queues f and waits until it has been applied.
+// Do queues f and waits until it has been applied. It fails with
+// failure.Unavailable when the loop has ended and with failure.Timeout when ctx
+// ends before; in the second case f may still be applied, later.
 func (l *Loop) Do(ctx context.Context, f func(now time.Time)) error {
 	applied := make(chan struct{})
 	e := Func(func(now time.Time) {
@@ -94,14 +98,23 @@
 		close(applied)
 	})
 	if !l.Post(ctx, e) {
-		return failure.Unavailable.New("control loop has ended")
+		return l.notDone(ctx)
 	}
 	select {
 	case <-applied:
 		return nil
 	case <-l.done:
-		return failure.Unavailable.New("control loop has ended")
 	case <-ctx.Done():
+	}
+	return l.notDone(ctx)
+}
+
+// notDone tells a loop that has ended from one that is busy.
+func (l *Loop) notDone(ctx context.Context) error {
+	select {
+	case <-l.done:
+		return failure.Unavailable.New("control loop has ended")
+	default:
 		return failure.Timeout.Wrap(ctx.Err(), "control loop is busy")
 	}
 }
