--- /dev/null
+++ b/daemon/control/control_suite_test.go
@@ -0,0 +1,16 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	const patience = 20 * time.Second
+	SetDefaultEventuallyTimeout(patience)
+	RunSpecs(t, "Control")
+}
