--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -368,7 +368,7 @@
 	if reason == ReasonCorrupt || reason == ReasonMissing {
 		tried.bad = failed.Source
 	}
-	if reason != ReasonCorrupt && reason != ReasonLocal {
+	if reason != ReasonLocal {
 		from.failures++
 		pause := doubling(sourcePauseMin, from.failures, sourcePauseMax)
 		if retryAfter > 0 {
--- a/core/spread/driver_test.go
+++ b/core/spread/driver_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"chivespindle.example/core/fleet"
@@ -13,11 +14,13 @@
 
 const (
 	chunkBytes = 1 << 20
-	latency    = time.Millisecond
 	stallTime  = time.Second
 	tendTime   = 250 * time.Millisecond // between looks at the neighbours
 )
 
+// begin is when each trial starts.
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // driver steps the plans of a small fleet by a table of messages. A transfer
 // takes one chunk time for each transfer on the busier of its two links when
 // it starts, which is what a link does that sends one after the other.
@@ -31,6 +34,7 @@
 	digest    fleet.Digest
 	settings  spread.Settings
 	chunkTime time.Duration
+	latency   time.Duration
 	agents    []*agent
 	list      []spread.Member // the platform's list
 
@@ -88,9 +92,10 @@
 // four.
 func newDriver(n, chunks int, copiesTime time.Duration, s spread.Settings, seed uint64) *driver {
 	d := &driver{
-		now:       time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		now:       begin,
 		rand:      rand.New(rand.NewPCG(seed, 1)),
 		settings:  s,
+		latency:   time.Millisecond,
 		chunkTime: copiesTime / time.Duration(2*chunks),
 		digest:    fleet.DigestOf(fmt.Append(nil, seed)),
 	}
@@ -243,7 +248,7 @@
 // deliver carries a message between two agents that stay linked.
 func (d *driver) deliver(from, to *agent, do func()) {
 	plan := to.plan
-	d.at(latency, func() {
+	d.at(d.latency, func() {
 		if to.plan == plan && to.links[from] && !d.apart(from, to) {
 			do()
 			d.step(to)
@@ -253,11 +258,11 @@
 
 func (d *driver) copyFrom(a, b *agent, f spread.Fetch) {
 	if d.apart(a, b) || !a.links[b] {
-		d.fail(a, f, spread.ReasonGone, latency)
+		d.fail(a, f, spread.ReasonGone, d.latency)
 		return
 	}
 	if !b.plan.Accept(d.now, a.ID, f.Chunk) {
-		d.fail(a, f, spread.ReasonBusy, 2*latency)
+		d.fail(a, f, spread.ReasonBusy, 2*d.latency)
 		return
 	}
 	plan, source := a.plan, b.plan
@@ -301,9 +306,9 @@
 	}
 	if fault != nil {
 		if reason, failed := fault(f.Chunk); failed {
-			d.countDraw(f, reason == spread.ReasonStalled || reason == spread.ReasonGone)
+			d.countDraw(f, slices.Contains(charged, reason))
 			d.refused++
-			after := latency
+			after := d.latency
 			if reason == spread.ReasonStalled {
 				after = stallTime
 			}
@@ -335,6 +340,9 @@
 	})
 }
 
+// charged are the reasons of failed draws that count against the quota.
+var charged = []spread.Reason{spread.ReasonStalled, spread.ReasonCorrupt, spread.ReasonGone, spread.ReasonLocal}
+
 func (d *driver) countDraw(f spread.Fetch, moved bool) {
 	switch {
 	case !moved:
--- a/core/spread/faults_test.go
+++ b/core/spread/faults_test.go
@@ -95,6 +95,16 @@
 		d.corrupt = func(from *agent, chunk int) bool { return from == nil && chunk < 3 }
 	}, copies: 1.3, stored: 6, within: 14 * time.Second}),
 
+	// Three chunks are corrupt at the origin and in the store for 10 s, until
+	// the operators mend them. Members try both in turn, ever less often; each
+	// tries for itself, so this costs much of the quotas, but no more.
+	ginkgo.Entry("origin and store send corrupt chunks at first", faultCase{prepare: func(d *driver) {
+		d.origin = func(chunk int) (spread.Reason, bool) {
+			return spread.ReasonCorrupt, chunk < 3 && d.now.Sub(d.begun) < 10*time.Second
+		}
+		d.store = d.origin
+	}, copies: 3.5, stored: 3 * faultChunks, refused: 300, within: 30 * time.Second}),
+
 	// The origin is down for 20 s and the store for good. Nothing can spread.
 	// Draws back off and cost no quota, and once the origin is back its link
 	// is asked for one chunk after the other, not for all that came due.
@@ -170,20 +180,23 @@
 	}, copies: 2.5, stored: 2 * faultChunks, refused: 200, bad: 130, within: 30 * time.Second}),
 )
 
-// A new instance starts among members that are complete. It copies from them;
-// nothing leaves the origin. It must not begin to draw before it has heard
-// that everything exists already.
-var _ = ginkgo.It("draws nothing for a newcomer to a complete fleet", func() {
+// New instances start among members that are complete, and hear from them only
+// after a while. They copy from them; nothing leaves the origin. They must not
+// begin to draw before they have heard that everything exists already.
+var _ = ginkgo.It("draws nothing for newcomers to a complete fleet", func() {
 	d := newDriver(faultMembers, faultChunks, faultTime, spread.Settings{}, 1)
 	all := make([]int, faultChunks)
 	for chunk := range all {
 		all[chunk] = chunk
 	}
-	for _, a := range d.agents[1:] {
+	d.latency = 300 * time.Millisecond
+	for _, a := range d.agents[:6] {
+		d.start(a)
+	}
+	for _, a := range d.agents[6:] {
 		d.start(a, all...)
 	}
-	d.start(d.agents[0])
-	gomega.Expect(d.run(10 * time.Second)).To(gomega.BeTrue())
+	gomega.Expect(d.run(30 * time.Second)).To(gomega.BeTrue())
 	gomega.Expect(d.drawn + d.stored).To(gomega.BeZero())
 })
 
--- a/core/spread/plan_test.go
+++ b/core/spread/plan_test.go
@@ -31,7 +31,7 @@
 	}
 
 	ginkgo.BeforeEach(func() {
-		now = time.Unix(1000, 0)
+		now = begin
 		far.Region, far.Zone = "elsewhere", "elsewhere-1"
 		// No chunk may be drawn, so that only peers count.
 		plan = newPlan(spread.Member{ID: "self"}, []spread.Member{near, far}, chunks, spread.Settings{OriginCopies: 0.1})
@@ -102,6 +102,27 @@
 		gomega.Expect(plan.Progress().Waiting).To(gomega.Equal("neighbours' first report"))
 	})
 
+	// One chunk is corrupt at the origin and in the store while all others come
+	// well, so neither source is at fault as a whole. The chunk is tried ever
+	// less often; at the pace of the good ones it would use up the quota.
+	ginkgo.It("spends little on one corrupt chunk", func() {
+		const many, tries = 100, 10
+		s := spread.Settings{OriginCopies: 4, OriginRate: 5 * chunkBytes}
+		plan = newPlan(spread.Member{ID: "self"}, nil, many, s)
+		tried := 0
+		for ; plan.Have().Count() < many-1; now = plan.Wake(now) {
+			for _, f := range plan.Next(now) {
+				if f.Chunk != 0 {
+					plan.Done(now, f.ID)
+					continue
+				}
+				tried++
+				plan.Failed(now, f.ID, spread.ReasonCorrupt, 0)
+			}
+		}
+		gomega.Expect(tried).To(gomega.BeNumerically("<=", tries))
+	})
+
 	// The stage is full for a moment. The chunk is not the peer's fault: it is
 	// asked again from it, after a pause.
 	ginkgo.It("does not blame a peer for a local failure", func() {
--- a/core/spread/properties_test.go
+++ b/core/spread/properties_test.go
@@ -231,7 +231,7 @@
 // kept for it.
 func TestUploadSlotsReachEveryAsker(t *testing.T) {
 	g := gomega.NewWithT(t)
-	now := time.Unix(0, 0)
+	now := begin
 	plan := newPlan(spread.Member{ID: "self"}, nil, 1, spread.Settings{MaxUploads: 1})
 	plan.Held(now, []int{0})
 	g.Expect(plan.Accept(now, "lucky", 0)).To(gomega.BeTrue())
