Give up gossip links that bring nothing

Cause: an agent was killed and started again on its ports while configuration service and instance list were down. It knows nobody, so a neighbour must dial it. The neighbours held links that the agent's former life had dialled. Nothing ended these: the connection lives on until its idle timeout of 20 s, a process is not dialled while there is a link, and after 5 s the neighbour counts as lost and is left out for 30 to 45 s.

A link that brings nothing for three heartbeats is closed now, which is before the neighbour counts as lost; it is dialled at the next heartbeats.

--- a/daemon/node/gossip.go
+++ b/daemon/node/gossip.go
@@ -20,6 +20,9 @@
 	// redialAfter is the pause before a neighbour that could not be reached is
 	// tried again.
 	redialAfter = time.Second
+	// deadAfter is how long a link may bring nothing. It is three heartbeats,
+	// and less than the table takes to call a neighbour lost and leave it alone.
+	deadAfter = 3 * beatEvery
 	// sendQueue bounds the messages that wait for a slow neighbour; news that
 	// do not fit go with a later message.
 	sendQueue = 2
@@ -33,6 +36,7 @@
 	out    chan wire.Gossip
 	once   sync.Once
 	closed chan struct{}
+	heard  time.Time // last message, at first when it came into use
 }
 
 func newLink(id, dialer fleet.InstanceID, s *peer.Stream) *link {
@@ -49,6 +53,7 @@
 // connect dials chosen neighbours that no link leads to, and closes links that
 // this process dialled to those that are no longer chosen.
 func (n *Node) connect(now time.Time) {
+	n.dropDead(now)
 	chosen := make(map[fleet.InstanceID]bool)
 	for _, c := range n.table.Neighbours(now) {
 		chosen[c.ID] = true
@@ -65,6 +70,19 @@
 	}
 }
 
+// dropDead closes links that bring nothing, so that their neighbours are dialled
+// anew. A neighbour that was started again on its ports does not know the link
+// that its predecessor dialled, and a connection takes many times longer to
+// end by itself. While the platform's list is down the neighbour knows nobody:
+// it would stay alone, with no text, until it is no longer left out as lost.
+func (n *Node) dropDead(now time.Time) {
+	for _, l := range n.links {
+		if now.Sub(l.heard) > deadAfter {
+			n.unlink(now, l)
+		}
+	}
+}
+
 func (n *Node) dial(c gossip.Contact) {
 	s, err := n.opts.Endpoint.Open(n.ctx, c.Addr, c.ID, peer.KindGossip)
 	n.post(func(now time.Time) {
@@ -102,6 +120,7 @@
 		old.close()
 	}
 	n.links[l.id] = l
+	l.heard = now
 	n.table.PeerReset(l.id)
 	go n.read(l)
 	go n.write(l)
@@ -149,6 +168,7 @@
 		return
 	}
 	n.lastHeard = now
+	l.heard = now
 	n.opts.Metrics.Counter("gossip_records_received").Inc(int64(len(m.Records)))
 	changed := n.table.Merge(now, l.id, m.Records)
 	if len(changed) > 0 {
