Make views and pictures at a pace that a large fleet can afford

Two causes read in the code: the view of the fleet was made anew at every 50 ms tick in which anything had changed, and so was the picture for requests. A view is now followed by a pause of 0.1 ms for each process in it, and pictures for changes of load alone come four times a second; a server that stops or begins is still shown at once. Not measured again yet: the machine is busy.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -36,8 +36,9 @@
 	// size: 3,500 servers would not fit in a node's memory and traffic.
 	subsetSize = 24
 	// rebuildEvery bounds how often the picture is made anew for changes of
-	// load alone.
-	rebuildEvery = 50 * time.Millisecond
+	// load alone. Reports come each half second from each server, and between
+	// them an entry goes by its own requests in flight.
+	rebuildEvery = 250 * time.Millisecond
 )
 
 // routing lets an entry hand on more than a server has slots for. The agent
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -31,6 +31,10 @@
 	flushAfter = 50 * time.Millisecond
 	// viewEvery is how often silence is looked for when nothing is heard.
 	viewEvery = 500 * time.Millisecond
+	// viewCost is the pause after a view for each process in it. Making one
+	// takes time in proportion to the fleet: without the pause a fleet of
+	// thousands under a rollout would keep its loops busy with views alone.
+	viewCost = 100 * time.Microsecond
 )
 
 // Options of a Node. All are needed unless a comment says otherwise.
@@ -72,6 +76,7 @@
 	flushAt   time.Time
 	nextBeat  time.Time
 	nextView  time.Time
+	soonest   time.Time // for a view, however much has changed
 	duplicate bool
 	lastHeard time.Time // last message of any neighbour
 
@@ -142,15 +147,18 @@
 	if !n.flushAt.IsZero() && !now.Before(n.flushAt) {
 		n.flush(now)
 	}
-	if n.dirty || !now.Before(n.nextView) {
+	if n.dirty && !now.Before(n.soonest) || !now.Before(n.nextView) {
 		n.publishView(now)
 	}
 }
 
 func (n *Node) publishView(now time.Time) {
 	n.dirty = false
-	n.nextView = now.Add(viewEvery)
-	n.view.Store(n.table.View(now))
+	view := n.table.View(now)
+	n.view.Store(view)
+	pause := time.Duration(len(view.Peers)) * viewCost
+	n.soonest = now.Add(pause)
+	n.nextView = now.Add(max(viewEvery, 2*pause))
 	status := n.keeper.Status()
 	n.status.Store(&status)
 	n.opts.OnChange(now)
--- a/daemon/node/text_test.go
+++ b/daemon/node/text_test.go
@@ -173,6 +173,8 @@
 }
 
 // claim tells m again and again that the liar has a text in force, until stop.
+// m may close the stream, having dialled the liar itself meanwhile or heard no
+// heartbeat from it; the liar then opens another.
 func (l *liar) claim(m *member, number revision.Revision, digest fleet.Digest) (stop func()) {
 	GinkgoHelper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -183,8 +185,12 @@
 		ticker := time.NewTicker(20 * time.Millisecond)
 		defer ticker.Stop()
 		for {
-			if err := s.Send(wire.Gossip{Revision: number, Digest: digest}); err != nil {
-				return err
+			if s.Send(wire.Gossip{Revision: number, Digest: digest}) != nil {
+				again, err := l.endpoint.Open(ctx, m.Self.PeerAddr, m.Self.ID, peer.KindGossip)
+				if err != nil {
+					return err
+				}
+				s = again
 			}
 			select {
 			case <-until.Done():
