Capacity: neighbours that speak the gossip as processes do

The stubs told whole records at once and their own only when asked, and all processes started together: on a busy machine the measured process took its neighbours for dead, and links that were made anew half a minute later fell into the quiet window (an entry that follows 215 servers showed 321 KB/s and, five seconds later, 115 KB/s). They now tell their own record first, heartbeats of the rest and whole records when asked; a few processes start at a time. The cost of joining is printed as well.

--- a/standin/bench/slopes/crowd.go
+++ b/standin/bench/slopes/crowd.go
@@ -43,11 +43,13 @@
 	dir      string
 	fleet    *harness.Fleet
 	process  *harness.Process
+	started  time.Time
 	measured fleet.Instance
 	model    platform.Model
 	said     said
 	list     []fleet.Instance // without the measured one
 	records  []gossip.Record
+	byID     map[fleet.InstanceID]gossip.Record
 	zone     []gossip.Record // of the measured one's zone
 	stubs    map[fleet.InstanceID]*stub
 	choosers []fleet.InstanceID // choose the measured one as a neighbour
@@ -104,12 +106,41 @@
 		c.fleet.Instances.Set(i)
 	}
 	c.records = recordsOf(c.list, c.said)
+	c.byID = make(map[fleet.InstanceID]gossip.Record, len(c.records))
 	for _, r := range c.records {
+		c.byID[r.ID] = r
 		if r.Zone == c.measured.Zone {
 			c.zone = append(c.zone, r)
 		}
 	}
-	return c.startMeasured()
+	c.started = time.Now()
+	if err := c.startMeasured(); err != nil {
+		return err
+	}
+	return c.waitFollowed()
+}
+
+// waitFollowed waits until nearly all streams of load reports are open.
+func (c *crowd) waitFollowed() error {
+	const nearly = 0.95
+	wanted := nearly * float64(c.followed+c.spec.Subscribers)
+	for float64(c.following.Load()) < wanted {
+		if time.Since(c.started) > longestStart {
+			return failure.Timeout.New("%d of %.0f streams of reports are open after %s: %+v",
+				c.following.Load(), wanted, longestStart, c.spec)
+		}
+		time.Sleep(pollEvery)
+	}
+	return nil
+}
+
+// heartbeats are the short forms of all records.
+func (c *crowd) heartbeats() []gossip.Record {
+	short := make([]gossip.Record, len(c.records))
+	for i, r := range c.records {
+		short[i] = heartbeat(r, r.Beat)
+	}
+	return short
 }
 
 // publish makes the text that the fleet follows.
@@ -275,16 +306,14 @@
 	return nil
 }
 
-// ready reports whether the measured process is at work: an agent serves, and
-// nearly all streams of load reports are open.
-func (c *crowd) ready() bool {
+// ready checks that the engine beside a measured agent serves.
+func (c *crowd) ready() error {
 	for _, e := range c.fleet.Engines {
 		if e.Status().Loaded != c.model.Version {
-			return false
+			return failure.Timeout.New("%+v does not serve after %s", c.spec, time.Since(c.started))
 		}
 	}
-	const nearly = 0.95
-	return float64(c.following.Load()) >= nearly*float64(c.followed+c.spec.Subscribers)
+	return nil
 }
 
 // cost is what the measured process spends in a second.
@@ -321,6 +350,11 @@
 	}
 }
 
+// beyond returns the bytes since started that are more than the steady rate.
+func (r reading) beyond(steady cost, started time.Time) float64 {
+	return r.bytes - steady.Bytes*r.at.Sub(started).Seconds()
+}
+
 // change lets states in the fleet change at a rate, by the word of one
 // neighbour; the measured process passes them on to the others.
 func (c *crowd) change(perSecond int64) {
--- /dev/null
+++ b/standin/bench/slopes/outcome.go
@@ -0,0 +1,73 @@
+package slopes
+
+import (
+	"fmt"
+
+	"chivespindle.example/core/fleet"
+)
+
+// outcome is what one crowd cost.
+type outcome struct {
+	spec         crowdSpec
+	followed     int
+	quiet, burst cost
+	join         float64 // bytes of getting to know the fleet
+}
+
+// series picks the outcomes of one slope and names its sizes. The target of
+// servers that an entry follows is what came out for manyServices.
+type series struct {
+	name, of string
+	target   float64
+	size     func(outcome) (size int, belongs bool)
+}
+
+func allSeries(outcomes []outcome) []series {
+	followed := 0
+	for _, o := range outcomes {
+		followed = max(followed, o.followed)
+	}
+	return []series{
+		{"entry", "fleet_processes", Processes, func(o outcome) (int, bool) {
+			return o.spec.Fleet, o.spec.Role == fleet.RoleEntry && o.spec.Services == 1
+		}},
+		{"entry", "servers_followed", float64(followed), func(o outcome) (int, bool) {
+			return o.followed, o.spec.Role == fleet.RoleEntry && o.spec.Fleet == Processes
+		}},
+		{"agent", "fleet_processes", Processes, func(o outcome) (int, bool) {
+			return o.spec.Fleet, o.spec.Role == fleet.RoleAgent && o.spec.Services == 1
+		}},
+		{"agent", "entries_following", Entries, func(o outcome) (int, bool) {
+			return o.spec.Subscribers, o.spec.Role == fleet.RoleAgent && o.spec.Services == manyServices
+		}},
+	}
+}
+
+// crowdSlopes arranges the outcomes.
+func crowdSlopes(outcomes []outcome) []Slope {
+	parts := []struct {
+		name, unit string
+		budget     float64
+		value      func(outcome) float64
+	}{
+		{"cpu", "ms/s", CPUBudget, func(o outcome) float64 { return o.quiet.CPU }},
+		{"cpu_burst", "ms/s", CPUBudget, func(o outcome) float64 { return o.burst.CPU }},
+		{"bytes", "B/s", TrafficBudget, func(o outcome) float64 { return o.quiet.Bytes }},
+		{"bytes_burst", "B/s", TrafficBudget, func(o outcome) float64 { return o.burst.Bytes }},
+		{"rss", "B", MemoryBudget, func(o outcome) float64 { return o.quiet.RSS }},
+		{"join_bytes", "B", 0, func(o outcome) float64 { return o.join }},
+	}
+	var slopes []Slope
+	for _, s := range allSeries(outcomes) {
+		for _, part := range parts {
+			slope := Slope{Name: fmt.Sprintf("%s_%s", s.name, part.name), Of: s.of, Unit: part.unit, Target: s.target, Budget: part.budget}
+			for _, o := range outcomes {
+				if size, belongs := s.size(o); belongs {
+					slope.Points = append(slope.Points, Point{float64(size), part.value(o)})
+				}
+			}
+			slopes = append(slopes, slope)
+		}
+	}
+	return slopes
+}
--- a/standin/bench/slopes/phantom.go
+++ b/standin/bench/slopes/phantom.go
@@ -57,10 +57,13 @@
 	Version:  fleet.Version{Name: "kielimalli-2031-04", Manifest: fleet.DigestOf([]byte("weights"))},
 }
 
+// firstBeat is the heartbeat that the records of phantoms begin with.
+const firstBeat = 1
+
 // recordOf is the whole record of a phantom that serves.
 func recordOf(i fleet.Instance, s said) gossip.Record {
 	r := gossip.Record{
-		ID: i.ID, Incarnation: 1_900_000_000_000, Change: 1, Beat: 1, Role: i.Role, Service: i.Service,
+		ID: i.ID, Incarnation: 1_900_000_000_000, Change: 1, Beat: firstBeat, Role: i.Role, Service: i.Service,
 		Place: i.Place, PeerAddr: i.PeerAddr, CallerAddr: i.CallerAddr,
 		State: gossip.StateServing, Revision: s.Revision, ConfigDigest: s.Digest,
 	}
--- a/standin/bench/slopes/processes.go
+++ b/standin/bench/slopes/processes.go
@@ -1,23 +1,26 @@
 package slopes
 
 import (
-	"fmt"
 	"os"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 )
 
 const (
 	// settleTime is how long processes run before they are measured. In its
-	// first ten seconds each reads the instance list as often as a watcher.
-	settleTime = 14 * time.Second
-	// longestSettle bounds the wait for what takes longer, calmTime follows it.
-	longestSettle = 40 * time.Second
-	calmTime      = 3 * time.Second
-	pollEvery     = 100 * time.Millisecond
+	// first ten seconds each reads the instance list as often as a watcher, and
+	// in the largest fleet it takes 16 s to tell each neighbour what it knows.
+	settleTime = 22 * time.Second
+	// longestStart bounds the wait until a process has its connections.
+	longestStart = 40 * time.Second
+	pollEvery    = 100 * time.Millisecond
+	// startsAtOnce bounds how many start at the same time: on a busy machine
+	// processes would else take their neighbours for dead before they have met.
+	startsAtOnce = 4
 	// quietTime and burstWindow are how long they are measured.
 	quietTime   = 8 * time.Second
 	burstWindow = 5 * time.Second
@@ -72,13 +75,6 @@
 	subscriberCounts = []int{4, 26, 100, Entries}
 )
 
-// outcome is what one crowd cost.
-type outcome struct {
-	spec         crowdSpec
-	followed     int
-	quiet, burst cost
-}
-
 // Programs measures programs: small fleets of them that talk to each other, and
 // single ones in made-up fleets up to the target's size. daemon is the path of
 // chivespindled.
@@ -96,22 +92,34 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := settle(fleets, crowds); err != nil {
-		return nil, err
+	time.Sleep(settleTime)
+	for _, f := range fleets {
+		if err := f.ready(); err != nil {
+			return nil, err
+		}
+	}
+	for _, c := range crowds {
+		if err := c.ready(); err != nil {
+			return nil, err
+		}
 	}
 	return observe(fleets, crowds)
 }
 
-// startAll starts one of each spec, all at a time. On a failure it returns
+// startAll starts one of each spec, a few at a time. On a failure it returns
 // those that did start.
 func startAll[S any, T any](specs []S, start func(S) (*T, error)) ([]*T, error) {
 	made := make([]*T, len(specs))
 	failures := make([]error, len(specs))
-	var started sync.WaitGroup
+	var started errgroup.Group
+	started.SetLimit(startsAtOnce)
 	for i, spec := range specs {
-		started.Go(func() { made[i], failures[i] = start(spec) })
+		started.Go(func() error {
+			made[i], failures[i] = start(spec)
+			return nil
+		})
 	}
-	started.Wait()
+	_ = started.Wait() // the failures are in their list
 	var running []*T
 	var failed error
 	for i, one := range made {
@@ -130,64 +138,55 @@
 	}
 }
 
-// settle waits until all fleets are at work, settleTime at least.
-func settle(fleets []*idleFleet, crowds []*crowd) error {
-	started := time.Now()
-	time.Sleep(settleTime)
-	for _, f := range fleets {
-		if err := f.ready(); err != nil {
-			return err
-		}
-	}
-	for _, c := range crowds {
-		for !c.ready() {
-			if time.Since(started) > longestSettle {
-				return failure.Timeout.New("not at work after %s: %+v with %d of %d reports",
-					longestSettle, c.spec, c.following.Load(), c.followed+c.spec.Subscribers)
-			}
-			time.Sleep(pollEvery)
-		}
-	}
-	time.Sleep(calmTime)
-	return nil
-}
-
 // observe measures a quiet time, and one with changes in the made-up fleets.
 func observe(fleets []*idleFleet, crowds []*crowd) ([]Slope, error) {
-	before, err := readFleets(fleets)
+	fleetsBefore, err := readAll(fleets, (*idleFleet).read)
+	if err != nil {
+		return nil, err
+	}
+	begin, err := readAll(crowds, (*crowd).read)
 	if err != nil {
 		return nil, err
 	}
-	quiet, err := window(crowds, quietTime)
+	time.Sleep(quietTime)
+	quiet, err := readAll(crowds, (*crowd).read)
 	if err != nil {
 		return nil, err
 	}
-	after, err := readFleets(fleets)
+	fleetsAfter, err := readAll(fleets, (*idleFleet).read)
 	if err != nil {
 		return nil, err
 	}
 	for _, c := range crowds {
 		c.change(burstChanges)
 	}
-	burst, err := window(crowds, burstWindow)
+	changing, err := readAll(crowds, (*crowd).read)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(burstWindow)
+	end, err := readAll(crowds, (*crowd).read)
 	if err != nil {
 		return nil, err
 	}
 	var costs []idleCost
 	for i, n := range idleSizes {
-		costs = append(costs, after[i].since(before[i], n))
+		costs = append(costs, fleetsAfter[i].since(fleetsBefore[i], n))
 	}
 	var outcomes []outcome
 	for i, c := range crowds {
-		outcomes = append(outcomes, outcome{spec: c.spec, followed: c.followed, quiet: quiet[i], burst: burst[i]})
+		steady := quiet[i].since(begin[i])
+		outcomes = append(outcomes, outcome{spec: c.spec, followed: c.followed, quiet: steady,
+			burst: end[i].since(changing[i]), join: begin[i].beyond(steady, c.started)})
 	}
 	return append(idleSlopes(costs), crowdSlopes(outcomes)...), nil
 }
 
-func readFleets(fleets []*idleFleet) ([]idleReading, error) {
-	var readings []idleReading
-	for _, f := range fleets {
-		r, err := f.read()
+// readAll reads each one's counters.
+func readAll[T, R any](all []*T, read func(*T) (R, error)) ([]R, error) {
+	var readings []R
+	for _, one := range all {
+		r, err := read(one)
 		if err != nil {
 			return nil, err
 		}
@@ -195,80 +194,3 @@
 	}
 	return readings, nil
 }
-
-func window(crowds []*crowd, length time.Duration) ([]cost, error) {
-	before := make([]reading, len(crowds))
-	for i, c := range crowds {
-		var err error
-		if before[i], err = c.read(); err != nil {
-			return nil, err
-		}
-	}
-	time.Sleep(length)
-	costs := make([]cost, len(crowds))
-	for i, c := range crowds {
-		after, err := c.read()
-		if err != nil {
-			return nil, err
-		}
-		costs[i] = after.since(before[i])
-	}
-	return costs, nil
-}
-
-// series picks the outcomes of one slope and names its sizes. The target of
-// servers that an entry follows is what came out for manyServices.
-type series struct {
-	name, of string
-	target   float64
-	size     func(outcome) (size int, belongs bool)
-}
-
-func allSeries(outcomes []outcome) []series {
-	followed := 0
-	for _, o := range outcomes {
-		followed = max(followed, o.followed)
-	}
-	return []series{
-		{"entry", "fleet_processes", Processes, func(o outcome) (int, bool) {
-			return o.spec.Fleet, o.spec.Role == fleet.RoleEntry && o.spec.Services == 1
-		}},
-		{"entry", "servers_followed", float64(followed), func(o outcome) (int, bool) {
-			return o.followed, o.spec.Role == fleet.RoleEntry && o.spec.Fleet == Processes
-		}},
-		{"agent", "fleet_processes", Processes, func(o outcome) (int, bool) {
-			return o.spec.Fleet, o.spec.Role == fleet.RoleAgent && o.spec.Services == 1
-		}},
-		{"agent", "entries_following", Entries, func(o outcome) (int, bool) {
-			return o.spec.Subscribers, o.spec.Role == fleet.RoleAgent && o.spec.Services == manyServices
-		}},
-	}
-}
-
-// crowdSlopes arranges the outcomes.
-func crowdSlopes(outcomes []outcome) []Slope {
-	parts := []struct {
-		name, unit string
-		budget     float64
-		value      func(outcome) float64
-	}{
-		{"cpu", "ms/s", CPUBudget, func(o outcome) float64 { return o.quiet.CPU }},
-		{"cpu_burst", "ms/s", CPUBudget, func(o outcome) float64 { return o.burst.CPU }},
-		{"bytes", "B/s", TrafficBudget, func(o outcome) float64 { return o.quiet.Bytes }},
-		{"bytes_burst", "B/s", TrafficBudget, func(o outcome) float64 { return o.burst.Bytes }},
-		{"rss", "B", MemoryBudget, func(o outcome) float64 { return o.quiet.RSS }},
-	}
-	var slopes []Slope
-	for _, s := range allSeries(outcomes) {
-		for _, part := range parts {
-			slope := Slope{Name: fmt.Sprintf("%s_%s", s.name, part.name), Of: s.of, Unit: part.unit, Target: s.target, Budget: part.budget}
-			for _, o := range outcomes {
-				if size, belongs := s.size(o); belongs {
-					slope.Points = append(slope.Points, Point{float64(size), part.value(o)})
-				}
-			}
-			slopes = append(slopes, slope)
-		}
-	}
-	return slopes
-}
--- a/standin/bench/slopes/stub.go
+++ b/standin/bench/slopes/stub.go
@@ -99,27 +99,82 @@
 	}
 }
 
-// gossip tells all that is known, and then one heartbeat a second with relayed
-// ones of the zone and, while told so, changes.
+// gossip does what a process does with a neighbour: it tells its own record, a
+// heartbeat of everyone, and whole records of those that are asked for; after
+// that its own heartbeat each second with relayed ones of the zone and, while
+// told so, changes.
 func (s *stub) gossip(ctx context.Context, st *peer.Stream) {
-	go discard[wire.Gossip](st)
-	all := s.crowd.records
-	for start := 0; start < len(all); start += batch {
-		if s.tell(st, all[start:min(start+batch, len(all))]) != nil {
+	asked := make(chan []gossip.Record, 1)
+	go s.hear(ctx, st, asked)
+	if s.tellAll(st, append([]gossip.Record{s.self}, s.crowd.heartbeats()...)) != nil {
+		return
+	}
+	ticker := time.NewTicker(beatEvery)
+	defer ticker.Stop()
+	for beat := uint64(firstBeat + 1); ; {
+		var err error
+		select {
+		case <-ctx.Done():
+			return
+		case records, more := <-asked:
+			if !more {
+				return
+			}
+			err = s.tellAll(st, records)
+		case <-ticker.C:
+			err = s.tell(st, s.second(beat))
+			beat++
+		}
+		if err != nil {
 			return
 		}
 	}
-	for beat := uint64(2); wait(ctx, beatEvery); beat++ {
-		message := []gossip.Record{heartbeat(s.self, beat)}
-		if s.self.Zone == s.crowd.measured.Zone {
-			message = append(message, s.relay(beat)...)
+}
+
+// hear reads what the measured process sends and hands on what it asks for,
+// until the stream ends.
+func (s *stub) hear(ctx context.Context, st *peer.Stream, asked chan<- []gossip.Record) {
+	defer close(asked)
+	for {
+		var message wire.Gossip
+		if st.Recv(&message) != nil {
+			return
+		}
+		var wanted []gossip.Record
+		for _, r := range message.Records {
+			if whole, known := s.crowd.byID[r.ID]; known && r.IsAsk() {
+				wanted = append(wanted, whole)
+			}
 		}
-		if s.tell(st, append(message, s.changed(beat)...)) != nil {
+		if len(wanted) == 0 {
+			continue
+		}
+		select {
+		case asked <- wanted:
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// second is the message of one quiet second.
+func (s *stub) second(beat uint64) []gossip.Record {
+	message := []gossip.Record{heartbeat(s.self, beat)}
+	if s.self.Zone == s.crowd.measured.Zone {
+		message = append(message, s.relay(beat)...)
+	}
+	return append(message, s.changed(beat)...)
+}
+
+func (s *stub) tellAll(st *peer.Stream, records []gossip.Record) error {
+	for start := 0; start < len(records); start += batch {
+		if err := s.tell(st, records[start:min(start+batch, len(records))]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *stub) tell(st *peer.Stream, records []gossip.Record) error {
 	return st.Send(wire.Gossip{Records: records, Revision: s.crowd.said.Revision, Digest: s.crowd.said.Digest})
 }
--- a/standin/bench/slopes/target_test.go
+++ b/standin/bench/slopes/target_test.go
@@ -74,7 +74,9 @@
 		at := time.Date(2031, 4, 1, 8, 0, 0, 0, time.UTC)
 		before := reading{at: at, bytes: 1000, used: usage.Reading{CPU: time.Second, RSS: 5}}
 		after := reading{at: at.Add(4 * time.Second), bytes: 3000, used: usage.Reading{CPU: time.Second + 40*time.Millisecond, RSS: 7}}
-		Expect(after.since(before)).To(Equal(cost{CPU: 10, Bytes: 500, RSS: 7}))
+		steady := after.since(before)
+		Expect(steady).To(Equal(cost{CPU: 10, Bytes: 500, RSS: 7}))
+		Expect(before.beyond(steady, at.Add(-time.Second))).To(Equal(500.0))
 	})
 
 	It("of an idle fleet counts frames both ways", func() {
@@ -94,9 +96,9 @@
 		slopes := crowdSlopes(outcomes)
 		Expect(slopes[0]).To(Equal(Slope{Name: "entry_cpu", Of: "fleet_processes", Unit: "ms/s", Target: Processes, Budget: CPUBudget,
 			Points: []Point{{390, 1}, {Processes, 2}}}))
-		Expect(slopes[5]).To(Equal(Slope{Name: "entry_cpu", Of: "servers_followed", Unit: "ms/s", Target: 230, Budget: CPUBudget,
+		Expect(slopes[6]).To(Equal(Slope{Name: "entry_cpu", Of: "servers_followed", Unit: "ms/s", Target: 230, Budget: CPUBudget,
 			Points: []Point{{34, 2}, {230, 3}}}))
-		Expect(slopes[15].Points).To(Equal([]Point{{26, 4}}))
+		Expect(slopes[18].Points).To(Equal([]Point{{26, 4}}))
 	})
 })
 
--- a/standin/bench/slopes/zone.go
+++ b/standin/bench/slopes/zone.go
@@ -147,8 +147,8 @@
 }
 
 const (
-	// longestStart bounds the ticks until everyone knows everyone.
-	longestStart = 60
+	// longestAcquaintance bounds the ticks until everyone knows everyone.
+	longestAcquaintance = 60
 	// relayTicks is the relay interval of the largest zone: a heartbeat of each
 	// process crosses each link once within it.
 	relayTicks = 22
@@ -183,7 +183,7 @@
 // settle runs until everyone knows everyone, and one relay interval longer.
 func (z *zone) settle() error {
 	for tick := 0; tick == 0 || !z.known(); tick++ {
-		if tick == longestStart {
+		if tick == longestAcquaintance {
 			return failure.Timeout.New("%d processes do not know each other after %d s", len(z.ids), tick)
 		}
 		if err := z.tick(); err != nil {
--- a/standin/cmd/capacity/main.go
+++ b/standin/cmd/capacity/main.go
@@ -13,6 +13,8 @@
 	"runtime"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"chivespindle.example/core/failure"
 	"chivespindle.example/standin/bench/entryload"
 	"chivespindle.example/standin/bench/requests"
@@ -60,40 +62,39 @@
 }
 
 // measure runs all measurements. The zones need no other process and count no
-// processor time, so they run beside the programs; the parts that do count it
-// run alone at the end.
+// processor time, and the fleet for the path of requests takes a while to
+// start, so both go on beside the programs; the parts that count this process's
+// own processor time run alone at the end.
 func measure(daemon string) error {
-	zones := make(chan error, 1)
-	go func() { zones <- show(slopes.ZoneGossip([]int{50, 150, slopes.ZoneProcesses})) }()
+	var beside errgroup.Group
+	var zones []slopes.Slope
+	beside.Go(func() (err error) {
+		zones, err = slopes.ZoneGossip([]int{50, 150, slopes.ZoneProcesses})
+		return err
+	})
+	var path errgroup.Group
+	var requestFleet *entryload.Fleet
+	path.Go(func() (err error) {
+		requestFleet, err = entryload.New(daemon)
+		return err
+	})
 	if err := show(slopes.Programs(daemon)); err != nil {
 		return err
 	}
-	if err := path(daemon); err != nil {
+	if err := path.Wait(); err != nil {
 		return err
 	}
-	if err := <-zones; err != nil {
+	if err := showPath(requestFleet); err != nil {
 		return err
 	}
-	var all []slopes.Slope
-	for _, part := range slopes.Parts() {
-		found, err := part()
-		if err != nil {
-			return err
-		}
-		all = append(all, found...)
-	}
-	if err := show(all, nil); err != nil {
+	if err := beside.Wait(); err != nil {
 		return err
 	}
-	return figures(all)
+	return showParts(zones)
 }
 
-// path measures the path of requests.
-func path(daemon string) error {
-	f, err := entryload.New(daemon)
-	if err != nil {
-		return err
-	}
+// showPath measures the path of requests.
+func showPath(f *entryload.Fleet) error {
 	defer f.Close()
 	r, err := f.Run()
 	if err != nil {
@@ -103,6 +104,21 @@
 	return show(f.Streams())
 }
 
+// showParts measures the parts, and prints them after what was found before.
+func showParts(all []slopes.Slope) error {
+	for _, part := range slopes.Parts() {
+		found, err := part()
+		if err != nil {
+			return err
+		}
+		all = append(all, found...)
+	}
+	if err := show(all, nil); err != nil {
+		return err
+	}
+	return figures(all)
+}
+
 // show prints slopes unless their measurement failed.
 func show(found []slopes.Slope, err error) error {
 	if err != nil {
