Count the bytes of a transfer that broke off; wait longer than an agent does

A transfer from the origin that breaks off returns what had come, so that the member's quota is charged for it; it returned nothing, and 13 draws were made where 4 are allowed (seen by the swarm's test with a source that returns them).

An entry waited 15 s for an agent that waits 30 s for an engine's first line: a slow first token ended as unknown, and an idempotent request was sent again elsewhere.

--- a/adapters/platform/weights.go
+++ b/adapters/platform/weights.go
@@ -131,7 +131,7 @@
 		if err == nil {
 			continue
 		}
-		return nil, r.ended(ctx, err, start+n, size)
+		return data[:start+n], r.ended(ctx, err, start+n, size)
 	}
 	return data, r.checkEnd(ctx, size)
 }
--- a/core/weights/ports.go
+++ b/core/weights/ports.go
@@ -15,7 +15,8 @@
 	Manifest(ctx context.Context, manifest fleet.Digest) ([]byte, error)
 	// Chunk returns the bytes of one chunk. It gives up when no byte has
 	// arrived for its stall timeout, whatever ctx allows, since a stalled
-	// link does not close.
+	// link does not close. With an error it may return the bytes that came
+	// before, since they crossed the source's link and count as drawn.
 	Chunk(ctx context.Context, manifest fleet.Digest, chunk Chunk) ([]byte, error)
 }
 
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -25,7 +25,7 @@
 	// answerStall is how long an agent may send nothing while a request runs.
 	// It is longer than the engine's own progress deadline at the agent, whose
 	// word on the outcome is better than a guess made here.
-	answerStall = 15 * time.Second
+	answerStall = 35 * time.Second
 	// progressTime is how long ago the last piece of an answer in progress can
 	// have come.
 	progressTime = 2 * time.Second
