--- a/tools/proofs/proofs_test.go
+++ b/tools/proofs/proofs_test.go
@@ -22,6 +22,8 @@
 	Expect(checkLinks(repository, page)).To(BeEmpty())
 },
 	Entry("the proofs", "docs/PROOFS.md"),
+	Entry("the README", "README.md"),
+	Entry("the index of design notes", "docs/design/README.md"),
 )
 
 const sample = "package a\n" +
