--- a/standin/cmd/capacity/main.go
+++ b/standin/cmd/capacity/main.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -78,6 +79,13 @@
 		requestFleet, err = entryload.New(daemon)
 		return err
 	})
+	// Whatever fails, no program is left running.
+	closePath := sync.OnceFunc(func() {
+		if path.Wait() == nil {
+			requestFleet.Close()
+		}
+	})
+	defer closePath()
 	if err := show(slopes.Programs(daemon)); err != nil {
 		return err
 	}
@@ -87,6 +95,7 @@
 	if err := showPath(requestFleet); err != nil {
 		return err
 	}
+	closePath()
 	if err := beside.Wait(); err != nil {
 		return err
 	}
@@ -95,7 +104,6 @@
 
 // showPath measures the path of requests.
 func showPath(f *entryload.Fleet) error {
-	defer f.Close()
 	r, err := f.Run()
 	if err != nil {
 		return err
