Start killed agents anew while callers still ask

The agents now come back under the load, so the callers' last asks also meet the home's next life. The checks are the same.

--- a/cmd/wholepath/path_test.go
+++ b/cmd/wholepath/path_test.go
@@ -182,12 +182,12 @@
 		Expect(f.notOnce(orders.RanKeys)).To(BeEmpty(), "keys that were answered and did not run once")
 	})
 
-	// Two agents are killed with kill -9, each while its server works for
-	// callers: one beside an engine, one beside the plain service. Their entries
-	// only find that nothing comes any more. Idempotent requests are tried at
-	// another server, by the entry or by the caller, and all are answered. For
-	// work that must run once the caller is told ran, not_run or unknown: it ran
-	// once if the word is ran, never if it is not_run, and never twice.
+	// Two agents, one beside an engine and one beside the plain service, are
+	// killed with kill -9 while their servers work; later they are started anew.
+	// Their entries only find that nothing comes any more. Idempotent requests are
+	// tried elsewhere, by the entry or by the caller, and all are answered. Work
+	// that must run once has run once if its caller's last word is ran, never if
+	// it is not_run, and never twice.
 	It("loses nothing and repeats nothing when agents are killed", func() {
 		models, plain := f.modelLoad(8, 30, pool), f.plainLoad(8, orders)
 		answersAfter(models, 20)
@@ -196,15 +196,14 @@
 		f.killAtWork("orders-1", func() int { return f.Plain["orders-1"].Status().Running })
 		answersAfter(models, 50)
 		answersAfter(plain, 50)
-		f.expectWhole(models.Stop())
-
-		f.expectOnce(plain.Stop())
-
 		for _, id := range []fleet.InstanceID{"pool-1", "orders-1"} {
 			_, err := f.RestartAgent(id)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		f.waitAdmitting()
+		answersAfter(plain, 50)
+		f.expectWhole(models.Stop())
+		f.expectOnce(plain.Stop())
 	})
 })
 
