Spread: note the trials behind the decisions, and what tests saw

Each safeguard's test says what was seen with it taken out on a scratch copy. The neighbours' property now counts refusals, which is what the fleet's ring is for.

--- a/core/spread/faults_test.go
+++ b/core/spread/faults_test.go
@@ -48,7 +48,8 @@
 
 	// Four agents die while they send and draw chunks. Their peers see the
 	// connections end in mid-chunk and fetch the chunks elsewhere; the chunks
-	// they should have drawn are taken over.
+	// they should have drawn are taken over. Seen without takeover or without
+	// orphans: not complete in 12 s.
 	ginkgo.Entry("senders die in mid-chunk", faultCase{prepare: func(d *driver) {
 		for i, after := range []time.Duration{300, 700, 1500, 2500} {
 			d.at(after*time.Millisecond, func() { d.kill(d.agents[i]) })
@@ -58,7 +59,8 @@
 	// An agent draws its chunks and announces them, but no byte of its uploads
 	// arrives; then it dies. The fleet knows that the chunks exist, so nobody
 	// takes over their draw. They turn into orphans, and by rank one member
-	// draws each again.
+	// draws each again. Seen without orphans: not complete in 16 s; without the
+	// pause after a stall: 42 transfers in vain.
 	// One sender carries an eighth of a link. It never stalls, so its peers
 	// wait for it; the last chunks are asked from a second peer.
 	ginkgo.Entry("a sender is slow", faultCase{prepare: func(d *driver) {
@@ -77,37 +79,43 @@
 
 	// One agent's uploads all stall, though its connections stand. Each stall
 	// holds a peer's slot until it is noticed, and the pause doubles each time.
+	// Seen without the pause: 104 transfers in vain; without orphans: not
+	// complete in 20 s.
 	ginkgo.Entry("a sender stalls without closing", faultCase{prepare: func(d *driver) {
 		d.stall = func(from *agent, _ int) bool { return from == d.agents[5] }
 	}, copies: 1.3, stored: 3, bad: 60, within: 20 * time.Second}),
 
 	// One agent sends every chunk corrupt. Each neighbour meets it once or
 	// twice, rests it for half a minute and gets the chunks elsewhere; those
-	// that only it has are drawn again.
+	// that only it has are drawn again. Seen without the rest: 49 corrupt
+	// transfers; without orphans: not complete in 20 s.
 	ginkgo.Entry("a peer sends corrupt chunks", faultCase{prepare: func(d *driver) {
 		d.corrupt = func(from *agent, _ int) bool { return from == d.agents[7] }
 	}, copies: 1.3, stored: 3, bad: 20, within: 20 * time.Second}),
 
 	// The origin holds three chunks corrupt. Whoever draws one pays for it from
-	// its quota and turns to the store; without that each member of the rank
-	// would draw it again until the whole quota is gone.
+	// its quota and turns to the store. Seen without the memory of the last bad
+	// source: 1.33 copies in place of 1.00.
 	ginkgo.Entry("the origin sends corrupt chunks", faultCase{prepare: func(d *driver) {
-		d.corrupt = func(from *agent, chunk int) bool { return from == nil && chunk < 3 }
-	}, copies: 1.3, stored: 6, within: 14 * time.Second}),
+		d.origin = func(chunk int) (spread.Reason, bool) { return spread.ReasonCorrupt, chunk < 3 }
+	}, copies: 1.3, stored: 6, refused: 20, within: 14 * time.Second}),
 
 	// Three chunks are corrupt at the origin and in the store for 10 s, until
 	// the operators mend them. Members try both in turn, ever less often; each
-	// tries for itself, so this costs much of the quotas, but no more.
+	// tries for itself, so this costs much of the quotas, but no more. Seen
+	// without back-off: 163 corrupt chunks from the store.
 	ginkgo.Entry("origin and store send corrupt chunks at first", faultCase{prepare: func(d *driver) {
 		d.origin = func(chunk int) (spread.Reason, bool) {
-			return spread.ReasonCorrupt, chunk < 3 && d.now.Sub(d.begun) < 10*time.Second
+			return spread.ReasonCorrupt, chunk < 3 && d.now.Sub(begin) < 10*time.Second
 		}
 		d.store = d.origin
 	}, copies: 3.5, stored: 3 * faultChunks, refused: 300, within: 30 * time.Second}),
 
 	// The origin is down for 20 s and the store for good. Nothing can spread.
 	// Draws back off and cost no quota, and once the origin is back its link
-	// is asked for one chunk after the other, not for all that came due.
+	// is asked for one chunk after the other, not for all that came due. Seen
+	// without the refund of draws that moved nothing: not complete in 60 s;
+	// without back-off: 6,929 refusals.
 	ginkgo.Entry("the origin down at first, the store for good", faultCase{prepare: func(d *driver) {
 		d.origin = until(d, 20*time.Second, spread.ReasonUnavailable)
 		d.store = until(d, time.Hour, spread.ReasonUnavailable)
@@ -115,7 +123,8 @@
 
 	// The text names a version that the platform still writes: for 10 s neither
 	// the origin nor the store has its chunks. Members ask again, ever less
-	// often, until they are there.
+	// often, until they are there. Seen while a chunk that is missing did not
+	// count against its source: 4,613 refusals.
 	ginkgo.Entry("the version is not there yet", faultCase{prepare: func(d *driver) {
 		d.origin = until(d, 10*time.Second, spread.ReasonMissing)
 		d.store = d.origin
@@ -123,6 +132,7 @@
 
 	// The origin asks everyone to wait, for good; the store carries a chunk
 	// for one in four askers. The store is the only way in, and it is enough.
+	// Seen while only a used-up quota led to the store: not complete in 60 s.
 	ginkgo.Entry("the origin limits its rate for good", faultCase{prepare: func(d *driver) {
 		d.origin = until(d, time.Hour, spread.ReasonRateLimited)
 		d.store = func(int) (spread.Reason, bool) { return spread.ReasonRateLimited, d.rand.IntN(4) != 0 }
@@ -130,13 +140,15 @@
 
 	// The origin's link carries a quarter of what its setting says. Chunks
 	// arrive late for the schedule but not lost: a fleet that took the delay
-	// for deaths would draw all again and slow the origin further.
+	// for deaths would draw all again and slow the origin further. Seen without
+	// the lag of the schedule: 2.35 copies.
 	ginkgo.Entry("the origin is slower than its setting", faultCase{prepare: func(d *driver) {
 		d.originFactor = 4
 	}, copies: 1.3, stored: 4, within: 25 * time.Second}),
 
 	// Half of the members on the platform's list died before the start. The
-	// living pass over dead neighbours and take over dead owners' chunks.
+	// living pass over dead neighbours and take over dead owners' chunks. Seen
+	// without takeover: not complete in 20 s.
 	ginkgo.Entry("half of the list is stale", faultCase{prepare: func(d *driver) {
 		for i, a := range d.agents {
 			a.down = i%2 == 0
@@ -145,7 +157,9 @@
 
 	// A partition cuts the fleet into halves from the start, with the origin
 	// reachable from both. Each half draws what it does not see, so the origin
-	// sends two copies, which the quotas allow.
+	// sends two copies, which the quotas allow. Seen without takeover: not
+	// complete in 15 s; with ranks that follow by the logarithm alone: 3.02
+	// copies; without the lag of the schedule: 2.69.
 	ginkgo.Entry("half the fleet is cut off", faultCase{prepare: func(d *driver) {
 		d.cut = halves
 	}, copies: 2.4, stored: 4, within: 15 * time.Second}),
@@ -157,7 +171,9 @@
 		d.at(2*time.Second, func() { restartAll(d) })
 	}, copies: 1.3, stored: 3, within: 14 * time.Second}),
 
-	// The halves of a split fleet restart again and again.
+	// The halves of a split fleet restart six times in nine seconds. Draws that
+	// run are lost each time and each process forgets what it has drawn,
+	// so the quotas bound the draws of one life of each only.
 	ginkgo.Entry("restarts in a split fleet", faultCase{prepare: func(d *driver) {
 		d.cut = halves
 		for i := range 6 {
@@ -166,14 +182,17 @@
 	}, copies: 3.5, stored: 6, within: 30 * time.Second}),
 
 	// Two faults together, then a third: a partition, a peer that corrupts, a
-	// restart of all during it.
+	// restart of all during it. Seen when the chunks of a resting peer still
+	// counted as obtainable: not complete in 30 s.
 	ginkgo.Entry("partition, corrupt peer and restart of all", faultCase{prepare: func(d *driver) {
 		d.cut = halves
 		d.corrupt = func(from *agent, _ int) bool { return from == d.agents[1] }
 		d.at(3*time.Second, func() { restartAll(d) })
 	}, copies: 3, stored: 6, bad: 40, within: 30 * time.Second}),
 
-	// The origin fails in the middle of the burst while two senders stall.
+	// The origin stalls in the middle of the burst while two senders stall too.
+	// Each stalled draw counts. Seen without back-off: 3.02 copies; with the
+	// store for used-up quotas only: 3.19.
 	ginkgo.Entry("origin lost in mid-spread, stalled senders", faultCase{prepare: func(d *driver) {
 		d.stall = func(from *agent, _ int) bool { return from == d.agents[2] || from == d.agents[9] }
 		d.at(time.Second, func() { d.origin = until(d, 15*time.Second, spread.ReasonStalled) })
@@ -182,7 +201,8 @@
 
 // New instances start among members that are complete, and hear from them only
 // after a while. They copy from them; nothing leaves the origin. They must not
-// begin to draw before they have heard that everything exists already.
+// begin to draw before they have heard that everything exists already. Seen
+// without the listening time: 2 chunks drawn.
 var _ = ginkgo.It("draws nothing for newcomers to a complete fleet", func() {
 	d := newDriver(faultMembers, faultChunks, faultTime, spread.Settings{}, 1)
 	all := make([]int, faultChunks)
@@ -201,7 +221,7 @@
 })
 
 func until(d *driver, end time.Duration, reason spread.Reason) func(int) (spread.Reason, bool) {
-	return func(int) (spread.Reason, bool) { return reason, d.now.Sub(d.begun) < end }
+	return func(int) (spread.Reason, bool) { return reason, d.now.Sub(begin) < end }
 }
 
 func halves(a, b *agent) bool { return (a.ID < "agent-012") != (b.ID < "agent-012") }
--- a/core/spread/plan_test.go
+++ b/core/spread/plan_test.go
@@ -39,7 +39,8 @@
 
 	// The near peer sends a chunk corrupt and its rest ends before the chunk is
 	// there. The far one holds it too, so it is asked, though the near one
-	// would be first choice for any other chunk.
+	// would be first choice for any other chunk. Seen without the mark: the near
+	// one is asked again.
 	ginkgo.It("never asks the same bad source again first", func() {
 		connect(near)
 		connect(far)
@@ -73,7 +74,8 @@
 	})
 
 	// The last chunk comes slowly. A second peer is asked, whichever ends first
-	// counts, and the agent is told to cancel the other.
+	// counts, and the agent is told to cancel the other. Seen without: no second
+	// fetch.
 	ginkgo.It("asks a second peer for the last chunk when the first is slow", func() {
 		connect(near)
 		first := only(plan.Next(now))
@@ -104,7 +106,7 @@
 
 	// One chunk is corrupt at the origin and in the store while all others come
 	// well, so neither source is at fault as a whole. The chunk is tried ever
-	// less often; at the pace of the good ones it would use up the quota.
+	// less often. Seen without a pause of its own: 78 tries.
 	ginkgo.It("spends little on one corrupt chunk", func() {
 		const many, tries = 100, 10
 		s := spread.Settings{OriginCopies: 4, OriginRate: 5 * chunkBytes}
--- a/core/spread/properties_test.go
+++ b/core/spread/properties_test.go
@@ -39,7 +39,8 @@
 // The origin's link must stay usable whatever happens: parts that cannot see
 // each other each draw chunks anew, draws stall or arrive corrupt and are
 // tried again, members die. The sum of all quotas is the limit, so no sequence
-// can pass it.
+// can pass it. Seen without the quota, or when failed draws were all given
+// back: more than the limit within four tries.
 func TestOriginBytesStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := drawDriver(t, spread.PolicyTime, spread.PolicyOrigin)
@@ -54,12 +55,12 @@
 		d.at(3*time.Second, func() { d.kill(d.agents[0]) })
 		d.run(40 * time.Second)
 		limit := int(d.settings.OriginCopies * float64(len(d.manifest.Chunks)))
-		charged := int64(0)
+		bytes := int64(0)
 		for _, a := range d.agents {
-			charged += a.plan.Progress().OriginBytes
+			bytes += a.plan.Progress().OriginBytes
 		}
-		if d.drawn > limit || charged > int64(limit)*chunkBytes {
-			t.Fatalf("drew %d chunks, charged %d bytes, limit %d chunks", d.drawn, charged, limit)
+		if d.drawn > limit || bytes > int64(limit)*chunkBytes {
+			t.Fatalf("drew %d chunks, charged %d bytes, limit %d chunks", d.drawn, bytes, limit)
 		}
 		d.checkInvariants(t)
 	})
@@ -78,7 +79,8 @@
 // Every member is alone from the start and the store is down. Each draws its
 // quota and no more; together they draw the limit to the chunk. Later the
 // list shrinks to the member itself: those that left it may have drawn their
-// part, so it must not take that over.
+// part, so it must not take that over. Seen with shares of the current list
+// alone: two chunks drawn, limit one, at the first try.
 func TestQuotasAddUpToTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := drawDriver(t, spread.PolicyTime)
@@ -100,7 +102,9 @@
 
 // Parts of the fleet lose each other while the origin is down. A part in which
 // one member holds everything becomes complete from it alone, though every
-// sender now and then stalls; any part does if the store answers.
+// sender now and then stalls; any part does if the store answers. Seen without
+// the store for used-up quotas, the takeover, the back-off of sources, or with
+// lost neighbours chosen again: incomplete after at most 17 tries.
 func TestEveryPartWithASourceCompletes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d := drawDriver(t, spread.PolicyTime, spread.PolicyOrigin)
@@ -130,37 +134,53 @@
 }
 
 // Chunks and what is known of them pass only between neighbours, so a graph in
-// two pieces would draw a second copy. It must be whole for any placement.
+// two pieces would draw a second copy. It must be whole for any placement,
+// though members that are full refuse to be chosen by more. Without the ring
+// of the fleet, small limits left it in pieces after a few tries.
 func TestNeighboursConnectTheFleet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		members := drawMembers(t)
-		limit := rapid.IntRange(1, 8).Draw(t, "neighbours")
+		s := spread.Settings{MaxNeighbours: rapid.SampledFrom([]int{1, 2, 3, 8}).Draw(t, "neighbours")}
+		plans := map[fleet.InstanceID]*spread.Plan{}
+		for _, m := range members {
+			plans[m.ID] = newPlan(m, members, 1, s)
+		}
 		links := map[fleet.InstanceID][]fleet.InstanceID{}
 		for _, m := range members {
-			chosen := newPlan(m, members, 1, spread.Settings{MaxNeighbours: limit}).Neighbours()
-			if len(chosen) != min(limit, len(members)-1) {
+			chosen := plans[m.ID].Neighbours()
+			if len(chosen) != min(s.MaxNeighbours, len(members)-1) {
 				t.Fatalf("%s chose %d neighbours", m.ID, len(chosen))
 			}
 			for _, other := range chosen {
+				if !plans[other.ID].Admit(m) {
+					continue
+				}
+				plans[m.ID].PeerUp(begin, other)
+				plans[other.ID].PeerUp(begin, m)
 				links[m.ID] = append(links[m.ID], other.ID)
 				links[other.ID] = append(links[other.ID], m.ID)
 			}
 		}
-		reached := map[fleet.InstanceID]bool{members[0].ID: true}
-		for todo := []fleet.InstanceID{members[0].ID}; len(todo) > 0; todo = todo[1:] {
-			for _, other := range links[todo[0]] {
-				if !reached[other] {
-					reached[other] = true
-					todo = append(todo, other)
-				}
-			}
-		}
-		if len(reached) != len(members) {
-			t.Fatalf("reached %d of %d members", len(reached), len(members))
+		if reached := reachable(links, members[0].ID); reached != len(members) {
+			t.Fatalf("reached %d of %d members", reached, len(members))
 		}
 	})
 }
 
+// reachable returns the number of members that links join to one.
+func reachable(links map[fleet.InstanceID][]fleet.InstanceID, from fleet.InstanceID) int {
+	reached := map[fleet.InstanceID]bool{from: true}
+	for todo := []fleet.InstanceID{from}; len(todo) > 0; todo = todo[1:] {
+		for _, other := range links[todo[0]] {
+			if !reached[other] {
+				reached[other] = true
+				todo = append(todo, other)
+			}
+		}
+	}
+	return len(reached)
+}
+
 func drawMembers(t *rapid.T) []spread.Member {
 	regions := rapid.IntRange(1, 4).Draw(t, "regions")
 	zones := rapid.IntRange(1, 3).Draw(t, "zones")
@@ -200,7 +220,8 @@
 }
 
 // Each member keeps to its own availability zone for the most part, and has a
-// way into each other region.
+// way into each other region. Seen without the rings of other regions: members
+// with none.
 func TestNeighboursAreNear(t *testing.T) {
 	g := gomega.NewWithT(t)
 	d := newDriver(90, 1, time.Second, spread.Settings{}, 1)
@@ -228,7 +249,7 @@
 
 // An asker meets a busy member each time, while others that come back at
 // luckier moments take every free slot. After some refusals the next slot is
-// kept for it.
+// kept for it. Seen without: not granted in 32 asks.
 func TestUploadSlotsReachEveryAsker(t *testing.T) {
 	g := gomega.NewWithT(t)
 	now := begin
