--- a/core/spread/next.go
+++ b/core/spread/next.go
@@ -134,30 +134,27 @@
 		return time.Time{}
 	}
 	wake := now.Add(pollTime)
-	for _, at := range p.wakes() {
-		if at.After(now) {
-			wake = earlier(wake, at)
+	at := func(change time.Time) {
+		if change.After(now) {
+			wake = earlier(wake, change)
 		}
 	}
-	return later(wake, now.Add(minWake))
-}
-
-// wakes returns the times at which something changes, those past included.
-func (p *Plan) wakes() []time.Time {
-	d := &p.draws
-	times := []time.Time{p.heldBack}
+	at(p.heldBack)
 	for _, from := range p.peers {
-		times = append(times, from.pausedUntil)
+		at(from.pausedUntil)
 	}
 	for _, r := range p.fetches {
-		times = append(times, r.started.Add(slowFactor*p.fetchTime))
+		at(r.started.Add(slowFactor * p.fetchTime))
 	}
+	d := &p.draws
 	if !d.isOpen() {
-		return append(times, d.started.Add(p.settings.ListenTime))
+		at(d.started.Add(p.settings.ListenTime))
+		return later(wake, now.Add(minWake))
 	}
-	times = append(times, d.nextLook, d.ageAt)
+	at(d.nextLook)
+	at(d.ageAt)
 	if d.next < len(d.timeline) {
-		times = append(times, d.dueAt(d.timeline[d.next]))
+		at(d.dueAt(d.timeline[d.next]))
 	}
-	return times
+	return later(wake, now.Add(minWake))
 }
