--- a/adapters/keys/keys.go
+++ b/adapters/keys/keys.go
@@ -61,6 +61,7 @@
 // Store holds what was read from Files. It is safe for concurrent use.
 type Store struct {
 	files    Files
+	open     bool // any peer is accepted; see Ephemeral
 	current  atomic.Pointer[material]
 	reloadMu sync.Mutex
 }
--- a/adapters/keys/tls.go
+++ b/adapters/keys/tls.go
@@ -56,6 +56,10 @@
 	if len(chain) == 0 {
 		return PeerRefused.New("the peer showed no certificate")
 	}
+	if s.open {
+		_, err := IdentityOf(chain[0])
+		return err
+	}
 	if err := verifyChain(chain, s.current.Load().authority, usage); err != nil {
 		return PeerRefused.Wrap(err, "certificate of %q", chain[0].Subject.CommonName)
 	}
--- a/cmd/chivespindled/command.go
+++ b/cmd/chivespindled/command.go
@@ -35,6 +35,7 @@
 	root.AddCommand(
 		newRoleCommand(fleet.RoleEntry, "Run an entry instance, which takes requests from callers"),
 		newRoleCommand(fleet.RoleAgent, "Run the agent beside one backend server"),
+		newPlatformCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/cmd/chivespindled/platform.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/platform"
+)
+
+const (
+	// peerIdle is how long a connection between our processes may bring nothing;
+	// beats come several times within it.
+	peerIdle = 4 * time.Second
+	// peerKeepAlive keeps chunk connections that rest between two versions.
+	peerKeepAlive = 1500 * time.Millisecond
+	// peerHandshake bounds the making of a connection: several round trips.
+	peerHandshake = 900 * time.Millisecond
+	// memoryShare is the part of the machine's memory at which the collector
+	// works harder rather than have the process killed.
+	memoryShare = 0.6
+	// loopEvery is the tick of the control loop: the resolution of the fastest
+	// heartbeat.
+	loopEvery = 20 * time.Millisecond
+)
+
+func newPlatformCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a role on the users' platform; settings come from the file that " + platform.SettingsVariable + " names",
+	}
+	command.AddCommand(
+		newPlatformRole(fleet.RoleEntry, "Run an entry, which takes callers' requests", runPlatformEntry),
+		newPlatformRole(fleet.RoleAgent, "Run the agent beside one model server", runPlatformAgent),
+	)
+	return command
+}
+
+func newPlatformRole(role fleet.Role, short string, start func(*platformBase) error) *cobra.Command {
+	return &cobra.Command{
+		Use:   string(role),
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := platform.LoadSettings()
+			if err != nil {
+				return err
+			}
+			b, err := newPlatformBase(role, s)
+			if err != nil {
+				return err
+			}
+			defer b.close()
+			return start(b)
+		},
+	}
+}
+
+// platformBase is what both roles are made of on the platform.
+type platformBase struct {
+	role        fleet.Role
+	settings    *platform.Settings
+	id          fleet.InstanceID
+	incarnation uint64
+	ctx         context.Context
+	cancel      context.CancelFunc
+	logger      *zap.Logger
+	metrics     tally.Scope
+	loop        *control.Loop
+	endpoint    *peer.Endpoint
+	handler     *lateHandler
+	group       run.Group
+}
+
+// lateHandler passes streams on to a handler that is made after the endpoint.
+type lateHandler struct{ peer.Handler }
+
+func newPlatformBase(role fleet.Role, s *platform.Settings) (*platformBase, error) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	b := &platformBase{
+		role:        role,
+		settings:    s,
+		id:          mesh.IDOf(s.IP),
+		incarnation: uint64(time.Now().UnixMilli())<<8 | uint64(rand.N(256)),
+		metrics:     tally.NoopScope,
+		loop:        control.New(control.Options{Every: loopEvery}),
+		handler:     &lateHandler{},
+	}
+	b.logger = telemetry.NewLogger(zapcore.InfoLevel, os.Stdout).With(zap.String("instance", s.Node))
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	store, err := keys.Ephemeral(keys.Identity{ID: b.id, Role: role})
+	if err != nil {
+		return nil, err
+	}
+	b.endpoint, err = peer.New(peer.Options{
+		Listen: netip.AddrPortFrom(s.IP, s.PeerPort), Keys: store, Handler: b.handler,
+		Logger: b.logger, Metrics: b.metrics,
+		IdleTimeout: peerIdle, KeepAlive: peerKeepAlive, HandshakeTimeout: peerHandshake,
+	})
+	if err != nil {
+		b.cancel()
+	}
+	return b, err
+}
+
+func (b *platformBase) close() {
+	b.cancel()
+	_ = b.endpoint.Close()
+}
+
+// actor runs f until the process ends.
+func (b *platformBase) actor(f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(b.ctx)
+	b.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// serve adds an HTTP server on addr.
+func (b *platformBase) serve(addr netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	listener, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, failure.Invalid.Wrap(err, "listen on %s", addr)
+	}
+	server := newPlatformServer(handler)
+	b.group.Add(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return failure.Unavailable.Wrap(err, "serve on %s", addr)
+		}
+		<-b.ctx.Done()
+		return nil
+	}, func(error) { _ = server.Close() })
+	return server, nil
+}
+
+// run starts everything and waits for the end.
+func (b *platformBase) run(m member) error {
+	stop := newStopper(m, b.logger)
+	b.group.Add(stop.wait, stop.interrupt)
+	b.logger.Info("started", zap.String("role", string(b.role)), zap.String("zone", string(b.settings.Place.Zone)),
+		zap.Stringer("peer", b.endpoint.Addr()), zap.Uint64("incarnation", b.incarnation))
+	err := b.group.Run()
+	b.logger.Info("stopped", zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/cmd/chivespindled/platform_agent.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"time"
+
+	"chivespindle.example/daemon/loader"
+	"chivespindle.example/daemon/process"
+	"chivespindle.example/platform"
+)
+
+func runPlatformAgent(b *platformBase) error {
+	s := b.settings
+	l := loader.New(b.ctx, time.Now(), loader.Options{
+		Self: b.id, Addr: s.IP, Incarnation: b.incarnation, Place: s.Place, PeerPort: s.PeerPort, Seeds: s.Seeds,
+		Loop: b.loop, Endpoint: b.endpoint,
+		Engine: platform.NewEngine(s.Server), Origin: platform.NewOrigin(),
+		VersionTime: s.VersionTime,
+		Logger:      b.logger, Metrics: b.metrics,
+	})
+	b.handler.Handler = l
+	b.loop.AddTicker(l)
+	b.actor(b.endpoint.Run)
+	b.actor(b.loop.Run)
+	return b.run(platformAgent{})
+}
+
+// platformAgent leaves at once: nothing runs through an agent.
+type platformAgent struct{}
+
+// Actors implements member.
+func (platformAgent) Actors() []process.Actor { return nil }
+
+// Leave implements member.
+func (platformAgent) Leave() {}
+
+// Close implements member.
+func (platformAgent) Close() {}
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,138 @@
+// Package catalog is what the platform publishes: the operator's configuration,
+// the backend servers that are registered, and the model versions that are
+// wanted. It is read only; every process keeps a copy and follows the changes.
+package catalog
+
+import (
+	"net/netip"
+	"slices"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/routing"
+)
+
+// Revision counts the changes of everything that the platform publishes. It
+// rises with each one.
+type Revision int64
+
+// Server is one registered backend server.
+type Server struct {
+	ID      fleet.InstanceID
+	Service fleet.ServiceName
+	Addr    netip.AddrPort
+	Zone    fleet.Zone
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Draining servers finish what they have and then exit.
+	Draining bool
+	// Loaded is the version of the weights that it answers from, 0 for none.
+	// The registration lags by a second or two.
+	Loaded uint64
+}
+
+// Wanted is the version of a model that the operator named last.
+type Wanted struct {
+	Model    string
+	Version  uint64
+	Revision Revision
+}
+
+// Change is one change of a Snapshot. Exactly one of the fields after Revision
+// is set.
+type Change struct {
+	Revision Revision
+	Config   *routing.Config
+	Server   *Server
+	// Removed is the id of a server whose registration ended.
+	Removed fleet.InstanceID
+	Wanted  *Wanted
+}
+
+// Snapshot is everything that the platform publishes, as of a revision.
+type Snapshot struct {
+	AsOf Revision
+	// Config is nil until the operator has published one.
+	Config         *routing.Config
+	ConfigRevision Revision
+	Servers        []Server
+	Wanted         []Wanted
+}
+
+// Apply returns the snapshot with changes, which are ordered by revision, as
+// of asOf. The receiver stays as it is. A change that the snapshot holds
+// already is left out: replayed after a newer snapshot was taken from a peer,
+// it would bring back a server that has gone since.
+func (s Snapshot) Apply(changes []Change, asOf Revision) Snapshot {
+	next := s
+	next.Servers = slices.Clone(s.Servers)
+	next.Wanted = slices.Clone(s.Wanted)
+	for _, c := range changes {
+		if c.Revision > s.AsOf {
+			next.apply(c)
+		}
+	}
+	next.AsOf = max(s.AsOf, asOf)
+	return next
+}
+
+func (s *Snapshot) apply(c Change) {
+	switch {
+	case c.Config != nil && c.Revision >= s.ConfigRevision:
+		s.Config = c.Config
+		s.ConfigRevision = c.Revision
+	case c.Server != nil:
+		s.removeServer(c.Server.ID)
+		s.Servers = append(s.Servers, *c.Server)
+	case c.Removed != "":
+		s.removeServer(c.Removed)
+	case c.Wanted != nil:
+		s.want(*c.Wanted)
+	}
+}
+
+func (s *Snapshot) removeServer(id fleet.InstanceID) {
+	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool { return other.ID == id })
+}
+
+func (s *Snapshot) want(w Wanted) {
+	for i, other := range s.Wanted {
+		if other.Model != w.Model {
+			continue
+		}
+		if w.Version > other.Version {
+			s.Wanted[i] = w
+		}
+		return
+	}
+	s.Wanted = append(s.Wanted, w)
+}
+
+// Newest returns the newer of two snapshots. The configuration never goes
+// back: a list that was read from a stale replica of the platform must not
+// replace a newer one.
+func (s Snapshot) Newest(other Snapshot) Snapshot {
+	if other.AsOf < s.AsOf {
+		return s
+	}
+	if other.ConfigRevision < s.ConfigRevision {
+		other.Config = s.Config
+		other.ConfigRevision = s.ConfigRevision
+	}
+	kept := Snapshot{Wanted: slices.Clone(s.Wanted)}
+	for _, w := range other.Wanted {
+		kept.want(w)
+	}
+	other.Wanted = kept.Wanted
+	return other
+}
+
+// WantedVersion returns the version that is wanted of a model; false if the
+// operator has named none.
+func (s Snapshot) WantedVersion(model string) (Wanted, bool) {
+	for _, w := range s.Wanted {
+		if w.Model == model {
+			return w, true
+		}
+	}
+	return Wanted{}, false
+}
--- /dev/null
+++ b/core/loading/loading.go
@@ -0,0 +1,135 @@
+// Package loading decides when the agent beside an engine orders it to load a
+// version of its weights.
+//
+// There is no leader. Engines of a service take turns by a hash of their
+// instance, which all agents compute alike, so that the service never stands
+// still while a version replaces another, and no word of any other process is
+// waited for.
+package loading
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chivespindle.example/core/fleet"
+)
+
+const (
+	// firstTurn and lastTurn are the parts of the time for a version between
+	// which the turns lie. Before the first the chunks are on their way; after
+	// the last an engine still has to finish what it runs and to load.
+	firstTurn = 0.30
+	lastTurn  = 0.70
+	// orderAgain is how long an order may go without effect before it is given
+	// once more: the answer to an order may be lost, and reports lag.
+	orderAgain = 1500 * time.Millisecond
+	// refusedPause is the pause after an order that the engine declined.
+	refusedPause = 300 * time.Millisecond
+)
+
+// Engine is what the engine reports of itself.
+type Engine struct {
+	// Loaded is the version it holds whole; 0 for none.
+	Loaded uint64
+	// Busy is true while an order is being carried out.
+	Busy bool
+}
+
+// Step is what the agent is to do next.
+type Step uint8
+
+const (
+	// Rest: nothing is to be done.
+	Rest Step = iota
+	// Gather: the version's chunks are to be gathered.
+	Gather
+	// Wait: everything is staged, and it is not this engine's turn yet.
+	Wait
+	// Order: the stage is to be checked once more and the engine ordered to load.
+	Order
+)
+
+// Plan is the state of one engine's change of version. It belongs to the
+// control loop.
+type Plan struct {
+	instance fleet.InstanceID
+	within   time.Duration // for a whole change, of all engines
+
+	wanted    uint64
+	since     time.Time
+	staged    uint64
+	orderedAt time.Time
+	ordered   uint64
+	notBefore time.Time
+}
+
+// NewPlan returns the plan of the engine on an instance. within is the time in
+// which a new version has to replace the one before everywhere.
+func NewPlan(instance fleet.InstanceID, within time.Duration) *Plan {
+	return &Plan{instance: instance, within: within}
+}
+
+// Want takes the version that the operator named, and since when it is known.
+// An older one than before is ignored. It reports whether the plan changed.
+func (p *Plan) Want(version uint64, since time.Time) bool {
+	if version < p.wanted || version == p.wanted && !since.Before(p.since) {
+		return false
+	}
+	changed := version != p.wanted
+	p.wanted = version
+	p.since = since
+	return changed
+}
+
+// Wanted returns the version that the engine should hold; 0 while unknown.
+func (p *Plan) Wanted() uint64 { return p.wanted }
+
+// Staged tells that a version is staged whole.
+func (p *Plan) Staged(version uint64) { p.staged = version }
+
+// Ordered tells that an order was given.
+func (p *Plan) Ordered(now time.Time, version uint64) {
+	p.ordered = version
+	p.orderedAt = now
+}
+
+// Declined tells that the engine did not take the order.
+func (p *Plan) Declined(now time.Time) {
+	p.ordered = 0
+	p.notBefore = now.Add(refusedPause)
+}
+
+// Changing reports whether the engine takes no new requests since it has been
+// ordered to load.
+func (p *Plan) Changing(e Engine) bool {
+	return p.ordered == p.wanted && p.ordered != 0 && e.Loaded != p.wanted
+}
+
+// Next returns the next step.
+func (p *Plan) Next(now time.Time, e Engine) Step {
+	switch {
+	case p.wanted == 0 || e.Loaded == p.wanted && !e.Busy:
+		return Rest
+	case p.staged != p.wanted:
+		return Gather
+	case p.ordered == p.wanted && now.Sub(p.orderedAt) < orderAgain || e.Busy || now.Before(p.notBefore):
+		return Wait
+	case now.Before(p.turn(e)):
+		return Wait
+	default:
+		return Order
+	}
+}
+
+// turn is when this engine may stop to serve the version that it has. One that
+// holds none has nothing to stop.
+func (p *Plan) turn(e Engine) time.Time {
+	if e.Loaded == 0 {
+		return p.since
+	}
+	const places = 1 << 16
+	place := float64(xxhash.Sum64String(string(p.instance))%places) / places
+	part := firstTurn + (lastTurn-firstTurn)*place
+	return p.since.Add(time.Duration(part * float64(p.within)))
+}
--- /dev/null
+++ b/core/placement/choose.go
@@ -0,0 +1,178 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/fleet"
+)
+
+const (
+	// loadLife is how long the load that an entry told is believed: a few of
+	// its heartbeats.
+	loadLife = time.Second
+	// transit is the time on the way between caller, entry and server that the
+	// prediction does not hold, both ways.
+	transit = 15 * time.Millisecond
+	// jitter is added at random to the cost of each server. Entries hear of each
+	// other's choices a heartbeat late; without it they would all choose the same
+	// server until then.
+	jitter = 12 * time.Millisecond
+	// otherRegion is the cost of a server in another region, where each event
+	// crosses the link between them.
+	otherRegion = 6 * time.Millisecond
+	// failureCost is the cost of a server whose answers all fail, next to one
+	// whose share of failures is usual.
+	failureCost = 2 * time.Second
+	// returnedAims is how many aims a caller that came back may wait: its answer
+	// is late already, and another refusal would lose it.
+	returnedAims = 3
+	// plainQueue is the number of requests for each place of a plain service
+	// beyond which it is full.
+	plainQueue = 3
+	// firstDuration is what a request of a plain service is taken to last before
+	// one has ended.
+	firstDuration = 50 * time.Millisecond
+)
+
+// Reason says why no server was chosen.
+type Reason string
+
+const (
+	// NoServer: no server of the service can take requests.
+	NoServer Reason = "no_server"
+	// Full: no server would answer in time.
+	Full Reason = "full"
+)
+
+// Refusal says that a request was not placed and when it may come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+	// Predicted is the shortest time to an answer; 0 with NoServer.
+	Predicted time.Duration
+	// Usable is the number of servers that were looked at.
+	Usable int
+}
+
+// Choose places a request. The Ticket must be ended. A nil Ticket comes with a
+// Refusal.
+func (b *Board) Choose(now time.Time, ask Ask) (*Ticket, Refusal) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.services[ask.Service]
+	if g == nil {
+		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
+	}
+	usable := b.candidates(now, g, ask)
+	if len(usable) == 0 {
+		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
+	}
+	best, predicted := b.cheapest(now, usable, ask)
+	if predicted > ask.patience() || !ask.fits(b.work(now, best), best) {
+		return nil, Refusal{
+			Reason: Full, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
+			Predicted: predicted, Usable: len(usable),
+		}
+	}
+	t := &Ticket{
+		board: b, state: best, Server: best.Server, Predicted: predicted,
+		prompt: ask.Prompt, answer: ask.Answer, placed: now,
+	}
+	best.own[t] = struct{}{}
+	return t, Refusal{}
+}
+
+// patience is the longest prediction with which a request is still sent.
+//
+// In a burst each request that is placed too late to be on time takes a place
+// from one that would be, and soon all are late. Refused at once, its caller
+// comes back when the burst is over.
+func (a Ask) patience() time.Duration {
+	if a.Returned {
+		return min(returnedAims*a.Aim, a.Left/2)
+	}
+	return a.Aim - transit
+}
+
+// fits bounds what waits at a plain service, whose times are not predicted
+// well, and what an engine may hold in memory: beyond it, it drops a running
+// stream and reads it anew.
+func (a Ask) fits(w enginemodel.Work, s *state) bool {
+	if a.Engine == nil {
+		return w.Running < max(1, s.Slots)*plainQueue
+	}
+	if a.Engine.MemoryTokens == 0 {
+		return true
+	}
+	return w.Context+a.Prompt+a.Answer <= a.Engine.MemoryTokens
+}
+
+// candidates are the servers that may take the request. Ejected ones are left
+// out unless no others are left: a wrong suspicion must not close the service.
+func (b *Board) candidates(now time.Time, g *group, ask Ask) []*state {
+	var sound, ejected []*state
+	for _, st := range g.states {
+		switch {
+		case st.Leaving, st.Changing, slices.Contains(ask.Exclude, st.ID):
+		case ask.Versions != nil && !ask.Versions(st.Loaded):
+		case st.Down, now.Before(st.health.until):
+			ejected = append(ejected, st)
+		default:
+			sound = append(sound, st)
+		}
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return slices.DeleteFunc(ejected, func(st *state) bool { return st.Down })
+}
+
+// cheapest returns the server with the least cost and its predicted time.
+func (b *Board) cheapest(now time.Time, usable []*state, ask Ask) (*state, time.Duration) {
+	var best *state
+	var bestCost, bestTime time.Duration
+	for _, st := range usable {
+		predicted := b.predict(now, st, ask)
+		cost := predicted + st.health.cost(st.group) + time.Duration(b.rand.Float64()*float64(jitter))
+		if st.Place.Region != ask.Near.Region {
+			cost += otherRegion
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost, bestTime = st, cost, predicted
+		}
+	}
+	return best, bestTime
+}
+
+// predict returns the time in which a server would begin to answer, for a
+// plain service to answer.
+func (b *Board) predict(now time.Time, st *state, ask Ask) time.Duration {
+	w := b.work(now, st)
+	if ask.Engine != nil {
+		return ask.Engine.FirstEvent(w, ask.Prompt)
+	}
+	rounds := float64(w.Running) / float64(max(1, st.Slots))
+	return time.Duration(rounds * float64(st.group.duration))
+}
+
+// comeBackLater is for a caller whom nobody can serve now: as late as callers
+// honour, which is a third of the time that they have left, since servers
+// come back in seconds.
+func comeBackLater(left time.Duration) time.Duration { return left / honoured }
+
+// honoured is the part of the time left up to which callers wait as told.
+const honoured = 3
+
+// comeBackSpread spreads callers that a burst turned away, so that they do not
+// form the next burst.
+func comeBackSpread(left time.Duration, draw float64) time.Duration {
+	const least = 0.3
+	return time.Duration((least + (1-least)*draw) * float64(left/honoured))
+}
+
+// Exclude returns ids with one more.
+func Exclude(ids []fleet.InstanceID, id fleet.InstanceID) []fleet.InstanceID {
+	return append(slices.Clone(ids), id)
+}
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,222 @@
+// Package placement decides which server a request goes to, and when it is
+// refused because no server would answer in time.
+//
+// A Board counts what this entry has at each server exactly, adds what the
+// other entries say that they have there, and predicts from both when a server
+// would begin to answer. It does no I/O and reads no clock. It is safe for
+// concurrent use: the control goroutine updates the servers, traffic
+// goroutines choose among them.
+package placement
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/fleet"
+)
+
+// Rand is the source of chance. A *rand.Rand of math/rand/v2 fits; the Board
+// guards it.
+type Rand interface {
+	// Float64 returns a number in [0, 1).
+	Float64() float64
+}
+
+// ModelVersion numbers the weights of a model; 0 means none.
+type ModelVersion uint64
+
+// Server is what is known of a backend server, apart from its load.
+type Server struct {
+	ID      fleet.InstanceID
+	Service fleet.ServiceName
+	Addr    netip.AddrPort
+	Place   fleet.Place
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Loaded is the version that a model engine answers from.
+	Loaded ModelVersion
+	// Leaving servers get no new requests.
+	Leaving bool
+	// Changing servers are loading weights, or are about to, and take nothing.
+	Changing bool
+	// Down is true while the agent beside the server cannot reach it.
+	Down bool
+}
+
+// Load is the work that one entry has at one server.
+type Load struct {
+	Server fleet.InstanceID
+	enginemodel.Work
+}
+
+// Ask describes a request that wants a server.
+type Ask struct {
+	Service fleet.ServiceName
+	// Engine is set for a model engine.
+	Engine *enginemodel.Figures
+	// Prompt and Answer are token counts, 0 for a plain service.
+	Prompt, Answer int
+	// Aim is the time that is left until an answer is late.
+	Aim time.Duration
+	// Left is the time until the caller gives up.
+	Left time.Duration
+	// Returned is true for a caller that comes back after a refusal.
+	Returned bool
+	// Exclude are servers that the request was sent to before.
+	Exclude []fleet.InstanceID
+	// Versions tells which weights may answer; nil allows all.
+	Versions func(ModelVersion) bool
+	// Near is where this entry runs.
+	Near fleet.Place
+}
+
+// Board holds the servers of all services.
+type Board struct {
+	mu       sync.Mutex
+	rand     Rand
+	services map[fleet.ServiceName]*group
+	servers  map[fleet.InstanceID]*state
+	others   map[fleet.InstanceID]heard // by entry
+}
+
+// heard is what another entry said last.
+type heard struct {
+	at    time.Time
+	loads map[fleet.InstanceID]enginemodel.Work
+}
+
+// group is the servers of one service.
+type group struct {
+	states []*state
+	// failRate is the moving share of failed answers, duration the moving mean
+	// of how long a request of a plain service takes.
+	failRate float64
+	duration time.Duration
+}
+
+// state is a server with its load and its record.
+type state struct {
+	Server
+	group  *group
+	own    map[*Ticket]struct{}
+	health health
+}
+
+// New returns a board without servers.
+func New(r Rand) *Board {
+	return &Board{
+		rand:     r,
+		services: make(map[fleet.ServiceName]*group),
+		servers:  make(map[fleet.InstanceID]*state),
+		others:   make(map[fleet.InstanceID]heard),
+	}
+}
+
+// SetServers replaces the list of servers. Load and record of those that stay
+// are kept. Requests at a server that is listed no more go on.
+func (b *Board) SetServers(list []Server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, g := range b.services {
+		g.states = g.states[:0]
+	}
+	kept := make(map[fleet.InstanceID]*state, len(list))
+	for _, s := range list {
+		g := b.services[s.Service]
+		if g == nil {
+			g = &group{duration: firstDuration}
+			b.services[s.Service] = g
+		}
+		st := b.servers[s.ID]
+		if st == nil {
+			st = &state{own: make(map[*Ticket]struct{})}
+		}
+		st.Server = s
+		st.group = g
+		g.states = append(g.states, st)
+		kept[s.ID] = st
+	}
+	b.servers = kept
+}
+
+// SetLoads takes what another entry has at the servers.
+func (b *Board) SetLoads(now time.Time, entry fleet.InstanceID, loads []Load) {
+	byServer := make(map[fleet.InstanceID]enginemodel.Work, len(loads))
+	for _, l := range loads {
+		byServer[l.Server] = l.Work
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others[entry] = heard{at: now, loads: byServer}
+}
+
+// Forget drops what an entry said, once it has gone.
+func (b *Board) Forget(entry fleet.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.others, entry)
+}
+
+// Loads returns what this entry has at each server, those without work left
+// out, ordered by server.
+func (b *Board) Loads() []Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var loads []Load
+	for id, st := range b.servers {
+		if len(st.own) > 0 {
+			loads = append(loads, Load{Server: id, Work: st.ownWork()})
+		}
+	}
+	slices.SortFunc(loads, func(x, y Load) int { return compareIDs(x.Server, y.Server) })
+	return loads
+}
+
+func compareIDs(a, b fleet.InstanceID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (st *state) ownWork() enginemodel.Work {
+	var w enginemodel.Work
+	for t := range st.own {
+		w.Running++
+		w.Context += t.prompt + t.written
+		if !t.begun {
+			w.Unread += t.prompt
+		}
+	}
+	return w
+}
+
+// work is everything known to be at a server. What an entry said is believed
+// for loadLife: requests of one that was killed have ended with it.
+func (b *Board) work(now time.Time, st *state) enginemodel.Work {
+	w := st.ownWork()
+	for _, other := range b.others {
+		if now.Sub(other.at) < loadLife {
+			w = w.Add(other.loads[st.ID])
+		}
+	}
+	return w
+}
+
+// Usable counts the servers of a service that may take requests now.
+func (b *Board) Usable(now time.Time, ask Ask) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.services[ask.Service]
+	if g == nil {
+		return 0
+	}
+	return len(b.candidates(now, g, ask))
+}
--- /dev/null
+++ b/core/placement/ticket.go
@@ -0,0 +1,68 @@
+package placement
+
+import (
+	"time"
+)
+
+// Ticket is a request at a server. Its methods may be called by one goroutine.
+type Ticket struct {
+	// Server is where the request goes.
+	Server Server
+	// Predicted is the time to the first event, or to the answer of a plain
+	// service, as it was predicted when the request was placed.
+	Predicted time.Duration
+
+	board          *Board
+	state          *state
+	prompt, answer int
+	written        int // tokens
+	begun          bool
+	ended          bool
+	placed         time.Time
+}
+
+// Result is how a request at a server ended.
+type Result uint8
+
+const (
+	// Succeeded: a whole answer came.
+	Succeeded Result = iota
+	// Failed: the server answered with an error of its own.
+	Failed
+	// Broken: the connection failed or the answer was cut or spoilt.
+	Broken
+	// Silent: nothing came in the time in which something was due.
+	Silent
+	// Declined: the server said that it did not run the request.
+	Declined
+	// Abandoned: the caller left; it tells nothing of the server.
+	Abandoned
+)
+
+// Wrote tells that the stream went on by so many tokens. The first call ends
+// the reading of the prompt.
+func (t *Ticket) Wrote(tokens int) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	t.begun = true
+	t.written += tokens
+}
+
+// End takes the request off the server. Only the first call counts.
+func (t *Ticket) End(now time.Time, result Result) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	delete(t.state.own, t)
+	g := t.state.group
+	if result == Succeeded {
+		g.duration += (now.Sub(t.placed) - g.duration) / durationWeight
+	}
+	t.state.health.note(now, g, result, t.board.rand)
+}
+
+// durationWeight is the weight of the mean of durations against a new one.
+const durationWeight = 20
--- /dev/null
+++ b/core/routing/table.go
@@ -0,0 +1,113 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+)
+
+// Table answers for one Config. It is safe for concurrent use.
+type Table struct {
+	config   Config
+	hosts    map[string][]*Route // longest prefix first
+	services map[fleet.ServiceName]*Service
+	keys     map[string]*Workspace
+}
+
+// NewTable checks a configuration and builds its table. A configuration that
+// breaks a rule is refused whole with failure.Invalid, so that the one in
+// force stays.
+func NewTable(c Config) (*Table, error) {
+	t := &Table{
+		config:   c,
+		hosts:    make(map[string][]*Route),
+		services: make(map[fleet.ServiceName]*Service, len(c.Services)),
+		keys:     make(map[string]*Workspace),
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &t.config.Services[i]
+	}
+	for i := range c.Routes {
+		if err := t.addRoute(&t.config.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for i := range c.Workspaces {
+		w := &t.config.Workspaces[i]
+		for _, key := range w.Keys {
+			t.keys[key] = w
+		}
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t, nil
+}
+
+func (t *Table) addRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return failure.Invalid.New("route %q: prefix %q must begin and end with a slash", r.Name, r.Prefix)
+	}
+	if len(r.Targets) == 0 {
+		return failure.Invalid.New("route %q: names no service", r.Name)
+	}
+	for _, target := range r.Targets {
+		if t.services[target.Service] == nil {
+			return failure.Invalid.New("route %q: names the unknown service %q", r.Name, target.Service)
+		}
+	}
+	host := strings.ToLower(r.Host)
+	t.hosts[host] = append(t.hosts[host], r)
+	return nil
+}
+
+// Version returns the operator's number of the configuration.
+func (t *Table) Version() int64 { return t.config.Version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Services returns all services, in the operator's order. The caller only
+// reads them.
+func (t *Table) Services() []Service { return t.config.Services }
+
+// Service returns the named service, nil if there is none.
+func (t *Table) Service(name fleet.ServiceName) *Service { return t.services[name] }
+
+// Match returns the route of a request: of those of its host the one with the
+// longest prefix that begins the path. host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	name, _, _ := strings.Cut(host, ":")
+	for _, r := range t.hosts[strings.ToLower(name)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace returns who holds a key, nil if nobody does.
+func (t *Table) Workspace(key string) *Workspace { return t.keys[key] }
+
+// NeedsKey reports whether requests on the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.config.Workspaces) > 0 && !r.Public }
+
+// Target returns the service for a request on the route. draw is a random
+// number in [0, 1).
+func (r *Route) Target(draw float64) fleet.ServiceName {
+	var sum float64
+	for _, target := range r.Targets {
+		sum += target.Weight
+	}
+	left := draw * sum
+	for _, target := range r.Targets {
+		left -= target.Weight
+		if left < 0 {
+			return target.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- a/core/weights/manifest.go
+++ b/core/weights/manifest.go
@@ -6,6 +6,8 @@
 package weights
 
 import (
+	"crypto/sha256"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"chivespindle.example/core/failure"
@@ -20,11 +22,22 @@
 	MaxChunkBytes = 64 << 20
 )
 
+// Hash names the function that a chunk's digest was made with.
+type Hash uint8
+
+const (
+	// BLAKE3 is the hash of the product's own manifests.
+	BLAKE3 Hash = iota
+	// SHA256 is that of origins which publish such digests.
+	SHA256
+)
+
 // Chunk is one piece of a version.
 type Chunk struct {
 	Index  int          `cbor:"1,keyasint"`
 	Bytes  int          `cbor:"2,keyasint"`
 	Digest fleet.Digest `cbor:"3,keyasint"`
+	Hash   Hash         `cbor:"4,keyasint,omitzero"`
 }
 
 // Manifest lists the chunks of a version.
@@ -93,12 +106,19 @@
 	if len(data) != c.Bytes {
 		return failure.Corrupt.New("chunk %d has %d bytes, want %d", c.Index, len(data), c.Bytes)
 	}
-	if got := fleet.DigestOf(data); got != c.Digest {
+	if got := c.Hash.of(data); got != c.Digest {
 		return failure.Corrupt.New("chunk %d has digest %s, want %s", c.Index, got, c.Digest)
 	}
 	return nil
 }
 
+func (h Hash) of(data []byte) fleet.Digest {
+	if h == SHA256 {
+		return sha256.Sum256(data)
+	}
+	return fleet.DigestOf(data)
+}
+
 // Split cuts a blob into chunks of chunkBytes and returns the manifest.
 func Split(model string, blob []byte, chunkBytes int) Manifest {
 	m := Manifest{Model: model}
--- /dev/null
+++ b/daemon/gateway/follow.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. A watch whose
+	// connection went silent is found out only by its end, and the operator's
+	// bounds are a few seconds.
+	watchWait = 1500 * time.Millisecond
+	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
+	// answer, so that a fleet does not come back to it at full rate.
+	sourcePauseMin = 100 * time.Millisecond
+	sourcePauseMax = 800 * time.Millisecond
+	// askEvery is the pause between two asks for a peer's catalog.
+	askEvery = 150 * time.Millisecond
+	// behindFor is how long a peer must be ahead before it is asked: mostly the
+	// platform's own word is on its way, and a catalog is tens of kilobytes.
+	behindFor = 250 * time.Millisecond
+	// askTimeout bounds one ask.
+	askTimeout = 600 * time.Millisecond
+	// sureFor is how long after the last word of the platform or of a peer an
+	// entry says of itself that a route or a key does not exist.
+	sureFor = 2500 * time.Millisecond
+	// lapseTime is how long a server stays in use whose registration ended while
+	// the platform was not sound: those that live are registered again within
+	// two seconds of its return.
+	lapseTime = 2300 * time.Millisecond
+	// unsoundAfter is how long after its return the platform may still tell of
+	// registrations that only lapsed.
+	unsoundAfter = 2 * time.Second
+)
+
+// Follow keeps the catalog up to date from the platform until ctx ends.
+func (g *Gateway) Follow(ctx context.Context) error {
+	var at catalog.Revision
+	listed := false
+	failures := 0
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			at, err = g.watch(ctx, at)
+		} else {
+			at, err = g.list(ctx)
+		}
+		switch {
+		case err == nil:
+			listed = true
+			failures = 0
+			continue
+		case errorx.IsOfType(err, catalog.HistoryGone):
+			listed = false
+			g.opts.Logger.Warn("history_gone", zap.Int64("after", int64(at)))
+			continue
+		}
+		failures++
+		g.post(func(now time.Time) { g.sourceFailed(now, err) })
+		wait(ctx, pauseAfter(failures, err))
+	}
+	return nil
+}
+
+func pauseAfter(failures int, err error) time.Duration {
+	pause := min(sourcePauseMax, sourcePauseMin<<min(failures-1, 4))
+	pause = max(pause, failure.RetryAfter(err))
+	return pause/2 + rand.N(pause)
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (g *Gateway) list(ctx context.Context) (catalog.Revision, error) {
+	snapshot, err := g.opts.Source.List(ctx)
+	if err != nil {
+		return 0, err
+	}
+	g.post(func(now time.Time) {
+		g.sourceAnswered(now)
+		g.adopt(now, snapshot, "platform")
+	})
+	return snapshot.AsOf, nil
+}
+
+func (g *Gateway) watch(ctx context.Context, after catalog.Revision) (catalog.Revision, error) {
+	changes, asOf, err := g.opts.Source.Watch(ctx, after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	g.post(func(now time.Time) {
+		g.sourceAnswered(now)
+		g.apply(now, changes, asOf)
+	})
+	return max(after, asOf), nil
+}
+
+func (g *Gateway) sourceFailed(now time.Time, err error) {
+	if !g.failing {
+		g.opts.Logger.Warn("platform_lost", zap.Error(err), zap.Duration("heard_ago", now.Sub(g.contact)))
+	}
+	g.failing = true
+	g.opts.Metrics.Counter("platform_failures").Inc(1)
+}
+
+func (g *Gateway) sourceAnswered(now time.Time) {
+	if g.failing {
+		g.failing = false
+		g.outageEnd = now
+		g.opts.Logger.Info("platform_regained", zap.Duration("after", now.Sub(g.contact)))
+	}
+	g.contact = now
+}
+
+// adopt takes a whole catalog if it is not older than the own one.
+func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
+	if s.AsOf < g.snapshot.AsOf {
+		return
+	}
+	before := g.snapshot
+	g.snapshot = g.snapshot.Newest(s)
+	for _, old := range before.Servers {
+		if !hasServer(g.snapshot.Servers, old.ID) {
+			g.removed(now, old)
+		}
+	}
+	g.settle(now, from)
+}
+
+// apply takes changes. Some may be known from a peer; applied again they
+// change nothing, since the last one of a thing decides.
+func (g *Gateway) apply(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
+	if len(changes) == 0 {
+		g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
+		return
+	}
+	before := g.snapshot
+	g.snapshot = g.snapshot.Apply(changes, asOf)
+	for _, c := range changes {
+		if c.Removed == "" {
+			continue
+		}
+		if old, ok := findServer(before.Servers, c.Removed); ok {
+			g.removed(now, old)
+		}
+	}
+	g.settle(now, "platform")
+}
+
+// removed notes a registration that ended. While the platform is not sound it
+// may only have lapsed, so the server is kept for a while, unless it said that
+// it leaves.
+func (g *Gateway) removed(now time.Time, s catalog.Server) {
+	unsound := g.failing || now.Sub(g.outageEnd) < unsoundAfter
+	if unsound && !s.Draining {
+		g.lapsed[s.ID] = lapse{server: s, until: now.Add(lapseTime)}
+	}
+	g.opts.Logger.Info("server_removed", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
+		zap.Bool("kept", unsound && !s.Draining))
+}
+
+func (g *Gateway) endLapses(now time.Time) {
+	for id, l := range g.lapsed {
+		if now.After(l.until) || hasServer(g.snapshot.Servers, id) {
+			delete(g.lapsed, id)
+			g.changed = true
+		}
+	}
+}
+
+// settle draws the conclusions from a changed catalog.
+func (g *Gateway) settle(now time.Time, from string) {
+	g.changed = true
+	g.noteWanted(now)
+	if g.snapshot.Config == nil || g.snapshot.ConfigRevision == g.tableOf {
+		return
+	}
+	table, err := routing.NewTable(*g.snapshot.Config)
+	if err != nil {
+		g.opts.Logger.Error("config_refused", zap.Int64("version", g.snapshot.Config.Version), zap.Error(err))
+		g.opts.Metrics.Counter("config_refused").Inc(1)
+		return
+	}
+	g.table = table
+	g.tableOf = g.snapshot.ConfigRevision
+	g.opts.Logger.Info("config_in_force", zap.Int64("version", table.Version()), zap.String("from", from),
+		zap.Int64("revision", int64(g.tableOf)), zap.Int("routes", len(g.snapshot.Config.Routes)))
+}
+
+// noteWanted keeps when each version was first heard of. A process that has
+// just started cannot know it: unless a peer says otherwise, it takes what it
+// finds for old.
+func (g *Gateway) noteWanted(now time.Time) {
+	for _, w := range g.snapshot.Wanted {
+		known, ok := g.wantedAt[w.Model]
+		if ok && uint64(known.version) >= w.Version {
+			continue
+		}
+		since := now
+		if g.tableOf == 0 {
+			since = now.Add(-g.opts.VersionTime)
+		}
+		g.setWanted(w.Model, w.Version, since)
+	}
+}
+
+// askPeers asks a peer whose catalog is ahead, while the platform has not told
+// of it by itself: it may turn this entry away and serve the others, or the
+// watch may have gone silent.
+func (g *Gateway) askPeers(now time.Time) {
+	if g.asking || now.Before(g.nextAsk) {
+		return
+	}
+	addr, ok := g.mesh.Ahead(now, func(b wire.Beat) bool {
+		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.contact) > watchWait
+	})
+	if !ok {
+		g.behindSince = time.Time{}
+		return
+	}
+	if g.behindSince.IsZero() {
+		g.behindSince = now
+	}
+	if now.Sub(g.behindSince) < behindFor {
+		return
+	}
+	g.asking = true
+	g.nextAsk = now.Add(askEvery)
+	asOf := g.snapshot.AsOf
+	go g.askPeer(addr, asOf)
+}
+
+func (g *Gateway) askPeer(addr netip.Addr, asOf catalog.Revision) {
+	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
+	defer cancel()
+	answer, err := g.fetchCatalog(ctx, addr, asOf)
+	g.post(func(now time.Time) {
+		g.asking = false
+		if err != nil {
+			g.opts.Logger.Warn("peer_catalog_failed", zap.String("peer", addr.String()), zap.Error(err))
+			return
+		}
+		if answer.Snapshot != nil {
+			g.adopt(now, *answer.Snapshot, "peer "+addr.String())
+		}
+	})
+}
+
+func (g *Gateway) fetchCatalog(ctx context.Context, addr netip.Addr, asOf catalog.Revision) (wire.CatalogAnswer, error) {
+	var answer wire.CatalogAnswer
+	s, err := g.opts.Endpoint.Open(ctx, g.mesh.PeerAddr(addr), "", peer.KindConfig)
+	if err != nil {
+		return answer, err
+	}
+	defer s.Abort()
+	s.SetStall(askTimeout)
+	if err := s.Send(wire.CatalogAsk{AsOf: asOf}); err != nil {
+		return answer, err
+	}
+	err = s.Recv(&answer)
+	return answer, err
+}
+
+// serveCatalog answers a peer's CatalogAsk.
+func (g *Gateway) serveCatalog(ctx context.Context, s *peer.Stream) {
+	s.SetStall(askTimeout)
+	var ask wire.CatalogAsk
+	if err := s.Recv(&ask); err != nil {
+		s.Abort()
+		return
+	}
+	var answer wire.CatalogAnswer
+	err := g.opts.Loop.Do(ctx, func(time.Time) {
+		if g.snapshot.AsOf >= ask.AsOf {
+			held := g.snapshot
+			answer.Snapshot = &held
+		}
+	})
+	if err == nil {
+		err = s.Send(answer)
+	}
+	if err != nil {
+		g.opts.Logger.Warn("catalog_not_given", zap.String("peer", string(s.Peer().ID)), zap.Error(err))
+	}
+}
+
+func (g *Gateway) post(f func(now time.Time)) { g.opts.Loop.Post(g.ctx, control.Func(f)) }
+
+func hasServer(list []catalog.Server, id fleet.InstanceID) bool {
+	_, ok := findServer(list, id)
+	return ok
+}
+
+func findServer(list []catalog.Server, id fleet.InstanceID) (catalog.Server, bool) {
+	for _, s := range list {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return catalog.Server{}, false
+}
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,254 @@
+// Package gateway is the entry on a platform where callers speak plain HTTP,
+// backend servers are called straight and say themselves what they did not
+// run.
+//
+// The control loop owns what the process believes: the platform's catalog, the
+// other entries and the engines that agents tell of. Each call reads one
+// immutable view of it. Where a call goes and when it is refused is decided by
+// core/placement.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/retry"
+	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
+)
+
+// RetryBudget bounds the repeats that all entries together send to a service.
+type RetryBudget struct {
+	// Ratio is the share of requests, Slack what is allowed besides in Span.
+	Ratio float64
+	Slack float64
+	Span  time.Duration
+}
+
+// Options of a Gateway. All fields are needed.
+type Options struct {
+	Self        fleet.InstanceID
+	Addr        netip.Addr
+	Incarnation uint64
+	Place       fleet.Place
+	CallerAddr  netip.AddrPort
+	PeerPort    uint16
+	Seeds       []netip.Addr
+	// Regions tells the region of each zone.
+	Regions map[fleet.Zone]fleet.Region
+	Loop    *control.Loop
+	// Endpoint is where peers are reached. It serves this gateway's streams.
+	Endpoint *peer.Endpoint
+	Source   catalog.Source
+	Backend  Backend
+	Budget   RetryBudget
+	// VersionTime is how long after its naming a new version of weights must
+	// have replaced the one before.
+	VersionTime time.Duration
+	Logger      *zap.Logger
+	Metrics     tally.Scope
+}
+
+// Gateway is the entry's state. Serve, Addresses and Ready may be called by
+// any goroutine; everything else belongs to the control loop.
+type Gateway struct {
+	opts  Options
+	ctx   context.Context
+	mesh  *mesh.Mesh
+	board *placement.Board
+	log   *requestLog
+	view  atomic.Pointer[view]
+
+	snapshot catalog.Snapshot
+	table    *routing.Table
+	tableOf  catalog.Revision
+	wantedAt map[string]wanted
+	replicas map[netip.Addr]replica
+	leaving  bool
+	changed  bool
+	asking   bool
+	nextAsk  time.Time
+	// behindSince is since when a peer's catalog is ahead; zero if none is.
+	behindSince time.Time
+	contact     time.Time // last answer of the platform
+	outageEnd   time.Time // when the platform answered again after a failure
+	failing     bool
+	lapsed      map[fleet.InstanceID]lapse
+	told        map[fleet.InstanceID]uint64 // members that each agent was told
+
+	budgetMu sync.Mutex
+	budgets  map[fleet.ServiceName]*retry.Window
+	inFlight atomic.Int64
+}
+
+// wanted is a version of a model and when this process learned of it.
+type wanted struct {
+	version placement.ModelVersion
+	since   time.Time
+}
+
+// replica is what an agent told of its engine.
+type replica struct {
+	wire.Replica
+	heard  time.Time
+	direct bool // by the agent itself and not by another entry
+}
+
+// lapse is a server whose registration ended while the platform was not
+// sound.
+type lapse struct {
+	server catalog.Server
+	until  time.Time
+}
+
+// view is what calls see. It is never changed.
+type view struct {
+	table   *routing.Table
+	wanted  map[string]wanted
+	entries []mesh.Entry
+	leaving bool
+	// sure is false once neither the platform nor a peer has been heard for so
+	// long that a route or a key may be missing here and in force elsewhere.
+	sure bool
+}
+
+// New returns a gateway that follows nothing before its parts run.
+func New(ctx context.Context, now time.Time, opts Options) *Gateway {
+	g := &Gateway{
+		opts:     opts,
+		ctx:      ctx,
+		board:    placement.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		log:      newRequestLog(opts.Logger, opts.Metrics),
+		wantedAt: make(map[string]wanted),
+		replicas: make(map[netip.Addr]replica),
+		lapsed:   make(map[fleet.InstanceID]lapse),
+		told:     make(map[fleet.InstanceID]uint64),
+		budgets:  make(map[fleet.ServiceName]*retry.Window),
+		contact:  now,
+	}
+	g.mesh = mesh.New(ctx, now, mesh.Options{
+		Self:     opts.Self,
+		Role:     fleet.RoleEntry,
+		Place:    opts.Place,
+		PeerPort: opts.PeerPort,
+		Seeds:    opts.Seeds,
+		Loop:     opts.Loop,
+		Endpoint: opts.Endpoint,
+		Logger:   opts.Logger,
+		Metrics:  opts.Metrics,
+		Compose:  g.compose,
+		Heard:    g.heard,
+		Lost:     func(_ time.Time, id fleet.InstanceID) { delete(g.told, id); g.board.Forget(id) },
+	})
+	return g
+}
+
+// Tick is called by the control loop.
+func (g *Gateway) Tick(now time.Time) {
+	g.mesh.Tick(now)
+	g.askPeers(now)
+	g.endLapses(now)
+	g.publish(now)
+}
+
+// Ready reports whether the entry takes requests.
+func (g *Gateway) Ready() bool {
+	v := g.view.Load()
+	return v != nil && v.table != nil && !v.leaving
+}
+
+// Addresses returns where callers find the entries that take requests, this
+// one included. An entry that leaves is named by nobody from the moment on at
+// which its word arrives.
+func (g *Gateway) Addresses() []netip.AddrPort {
+	v := g.view.Load()
+	if v == nil {
+		return nil
+	}
+	var ready, silent []netip.AddrPort
+	if v.table != nil && !v.leaving {
+		ready = append(ready, g.opts.CallerAddr)
+	}
+	for _, e := range v.entries {
+		switch {
+		case !e.Ready || e.Leaving:
+		case e.Silent:
+			silent = append(silent, e.CallerAddr)
+		default:
+			ready = append(ready, e.CallerAddr)
+		}
+	}
+	if len(ready) > 0 {
+		return ready
+	}
+	return silent
+}
+
+// Leave tells the other entries at once that this one leaves, and has it
+// named no more.
+func (g *Gateway) Leave(ctx context.Context) error {
+	return g.opts.Loop.Do(ctx, func(now time.Time) {
+		g.leaving = true
+		g.changed = true
+		g.publish(now)
+		g.mesh.Flush(now)
+	})
+}
+
+// BodyLimit returns how many bytes of body a caller may send, fallback while no
+// configuration is known.
+func (g *Gateway) BodyLimit(fallback int64) int64 {
+	v := g.view.Load()
+	if v == nil || v.table == nil || v.table.Limits().BodyBytes <= 0 {
+		return fallback
+	}
+	return v.table.Limits().BodyBytes
+}
+
+// InFlight returns the number of calls that are being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// allowRepeat pays for one more arrival of a request at a service.
+func (g *Gateway) allowRepeat(now time.Time, service fleet.ServiceName) bool {
+	return g.budget(now, service).Repeat(now)
+}
+
+func (g *Gateway) budget(now time.Time, service fleet.ServiceName) *retry.Window {
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	w := g.budgets[service]
+	if w == nil {
+		b := g.opts.Budget
+		w = retry.NewWindow(now, b.Span, b.Ratio*budgetShare, g.slack())
+		g.budgets[service] = w
+	}
+	return w
+}
+
+// budgetShare is the part of the retry budget that is used. The window of the
+// platform and those of the entries do not begin at the same time, and a
+// request may be counted in another one than its repeat.
+const budgetShare = 0.7
+
+// slack is this entry's part of what the budget allows besides the ratio.
+// Entries that are not heard may live behind a partition and use theirs.
+func (g *Gateway) slack() float64 {
+	entries := 1
+	if v := g.view.Load(); v != nil {
+		entries += len(v.entries)
+	}
+	return g.opts.Budget.Slack * budgetShare / float64(entries)
+}
--- /dev/null
+++ b/daemon/gateway/log.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/placement"
+)
+
+const (
+	// linesPerSecond bounds the lines about calls; each costs some 20 us of
+	// processor time, and a burst of refusals must not make the entry slower.
+	linesPerSecond = 150
+	// servedEvery is how many plain successes have one line.
+	servedEvery = 50
+)
+
+// requestLog writes one line for each decision about a call, within a bound,
+// and counts all of them.
+type requestLog struct {
+	logger  *zap.Logger
+	metrics tally.Scope
+	gate    lineGate
+	first   tally.Histogram
+}
+
+func newRequestLog(logger *zap.Logger, metrics tally.Scope) *requestLog {
+	return &requestLog{
+		logger: logger, metrics: metrics,
+		first: metrics.Histogram("first_byte_seconds", tally.DefaultBuckets),
+	}
+}
+
+// inputs are what every line about a call holds.
+func inputs(j *job, fields ...zap.Field) []zap.Field {
+	all := []zap.Field{zap.String("request", j.call.ID), zap.Duration("age", time.Since(j.call.Arrived))}
+	if j.route != nil {
+		all = append(all, zap.String("route", j.route.Name), zap.Stringer("kind", j.route.Kind),
+			zap.Int64("config", j.view.table.Version()), zap.Int("attempts", j.attempts), zap.Int("unsent", j.unsent))
+	}
+	return append(all, fields...)
+}
+
+func (l *requestLog) allowed() bool {
+	ok, left := l.gate.allow(time.Now())
+	if left > 0 {
+		l.logger.Warn("lines_left_out", zap.Int("count", left))
+	}
+	if !ok {
+		l.metrics.Counter("log_lines_left_out").Inc(1)
+	}
+	return ok
+}
+
+func (l *requestLog) served(j *job, status int) {
+	l.metrics.Tagged(map[string]string{"kind": j.route.Kind.String()}).Counter("calls_served").Inc(1)
+	l.first.RecordDuration(time.Since(j.call.Arrived))
+	if j.attempts < 2 && !l.gate.sample(servedEvery) || !l.allowed() {
+		return
+	}
+	l.logger.Info("served", inputs(j, zap.Int("status", status), zap.Int64("last_event", j.lastEvent),
+		zap.Duration("predicted", j.predicted), zap.Duration("first", j.firstAfter()))...)
+}
+
+func (j *job) firstAfter() time.Duration {
+	if j.firstAt.IsZero() {
+		return 0
+	}
+	return j.firstAt.Sub(j.call.Arrived)
+}
+
+func (l *requestLog) refused(j *job, v Verdict) {
+	l.metrics.Tagged(map[string]string{"code": v.Code.String(), "reason": v.Reason}).Counter("calls_refused").Inc(1)
+	if !l.allowed() {
+		return
+	}
+	l.logger.Info("refused", inputs(j, zap.Stringer("code", v.Code), zap.String("reason", v.Reason),
+		zap.Duration("retry_after", v.RetryAfter), zap.Bool("begun", j.begun), zap.Bool("may_have_run", j.mayHaveRun))...)
+}
+
+func (l *requestLog) notPlaced(j *job, r placement.Refusal) {
+	if !l.allowed() {
+		return
+	}
+	l.logger.Info("not_placed", inputs(j, zap.String("reason", string(r.Reason)), zap.Duration("predicted", r.Predicted),
+		zap.Int("usable", r.Usable), zap.Int("prompt", j.call.Prompt), zap.Bool("returned", j.isReturned()))...)
+}
+
+func (l *requestLog) attempt(j *job, t *placement.Ticket, err error) {
+	l.metrics.Counter("attempts_failed").Inc(1)
+	if !l.allowed() {
+		return
+	}
+	l.logger.Info("attempt_failed", inputs(j, zap.String("server", string(t.Server.ID)),
+		zap.Uint64("loaded", uint64(t.Server.Loaded)), zap.Duration("predicted", t.Predicted),
+		zap.Int64("last_event", j.lastEvent), zap.Error(err))...)
+}
+
+func (l *requestLog) abandoned(j *job) {
+	l.metrics.Counter("calls_abandoned").Inc(1)
+	if l.gate.sample(servedEvery) && l.allowed() {
+		l.logger.Info("abandoned", inputs(j, zap.Int64("last_event", j.lastEvent))...)
+	}
+}
--- /dev/null
+++ b/daemon/gateway/outcome.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/placement"
+)
+
+const (
+	// heldBytes bounds the body of a plain service's answer that is read whole
+	// before it is given on, so that a broken one can be asked for again.
+	heldBytes = 512 << 10
+	// minimalRest is the least time that another attempt is worth.
+	minimalRest = 60 * time.Millisecond
+)
+
+// sendFailed follows a Send without an answer.
+func (j *job) sendFailed(ctx context.Context, ticket *placement.Ticket, err error) bool {
+	now := time.Now()
+	notRun := failure.OutcomeOf(err) == failure.NotRun
+	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	switch {
+	case ctx.Err() != nil:
+		ticket.End(now, placement.Abandoned)
+	case errorx.IsOfType(err, failure.Timeout):
+		ticket.End(now, placement.Silent)
+	default:
+		ticket.End(now, placement.Broken)
+	}
+	j.g.log.attempt(j, ticket, err)
+	if notRun {
+		j.unsent++
+		if ctx.Err() == nil && j.unsent < unsentAttempts {
+			return true
+		}
+		return j.ended(ctx, "unreachable")
+	}
+	j.attempts++
+	j.mayHaveRun = true
+	if j.again(ctx, now) {
+		return true
+	}
+	return j.ended(ctx, "no_answer")
+}
+
+// again reports whether the call may be sent once more, now that a server may
+// have run it.
+func (j *job) again(ctx context.Context, now time.Time) bool {
+	return ctx.Err() == nil && j.route.Idempotent() && j.attempts < j.route.MaxAttempts &&
+		j.deadline.Sub(now) > minimalRest
+}
+
+// declined follows a server's word that it did not run the call.
+func (j *job) declined(server placement.Server) bool {
+	j.exclude = placement.Exclude(j.exclude, server.ID)
+	now := time.Now()
+	if j.attempts < j.route.MaxAttempts && j.deadline.Sub(now) > minimalRest {
+		return true
+	}
+	j.giveUp("declined", j.comeBack(now))
+	return false
+}
+
+func (j *job) comeBack(now time.Time) time.Duration {
+	const honoured = 3 // callers wait up to a third of their time
+	return max(0, j.deadline.Sub(now)/honoured)
+}
+
+// notPlaced follows a refusal of the board.
+func (j *job) notPlaced(r placement.Refusal) {
+	j.g.log.notPlaced(j, r)
+	j.giveUp(string(r.Reason), r.RetryAfter)
+}
+
+// giveUp answers for a call that nobody takes.
+func (j *job) giveUp(reason string, retryAfter time.Duration) {
+	switch {
+	case j.begun:
+		j.cut(reason)
+	case j.held != nil:
+		j.giveHeld()
+	case j.mayHaveRun && !j.route.Idempotent():
+		j.refuse(Verdict{Code: Broken, Reason: reason})
+	case j.mayHaveRun:
+		// It may be running still, so nothing is promised.
+		j.refuse(Verdict{Code: Broken, Reason: reason})
+	default:
+		j.refuse(Verdict{Code: Unavailable, RetryAfter: retryAfter, Reason: reason})
+	}
+}
+
+// ended follows the end of the time or of the ways to serve the call.
+func (j *job) ended(ctx context.Context, reason string) bool {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		j.g.log.abandoned(j)
+		j.caller.Cut()
+	case ctx.Err() != nil && j.mayHaveRun && j.held == nil && !j.begun:
+		j.refuse(Verdict{Code: TimedOut, Reason: "timeout"})
+	case ctx.Err() != nil:
+		j.giveUp("timeout", 0)
+	default:
+		j.giveUp(reason, j.comeBack(time.Now()))
+	}
+	return false
+}
+
+func (j *job) refuse(v Verdict) {
+	j.g.log.refused(j, v)
+	j.caller.Refuse(v)
+}
+
+// whole gives on the answer of a plain service, once it has come whole.
+func (j *job) whole(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
+	j.mayHaveRun = true
+	answer.SetDeadline(j.bodyBy(ctx))
+	body, err := answer.Body(heldBytes)
+	now := time.Now()
+	if err != nil {
+		answer.Close(false)
+		return j.bodyFailed(ctx, ticket, err)
+	}
+	answer.Close(true)
+	if answer.Status() < http.StatusInternalServerError {
+		ticket.End(now, placement.Succeeded)
+		j.give(answer, body)
+		return false
+	}
+	ticket.End(now, placement.Failed)
+	j.held = &heldAnswer{answer: answer, body: body}
+	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	if j.again(ctx, now) {
+		return true
+	}
+	j.giveHeld()
+	return false
+}
+
+// bodyBy is when a body must be there.
+func (j *job) bodyBy(context.Context) time.Time { return j.deadline }
+
+func (j *job) bodyFailed(ctx context.Context, ticket *placement.Ticket, err error) bool {
+	now := time.Now()
+	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	if ctx.Err() != nil {
+		ticket.End(now, placement.Abandoned)
+	} else {
+		ticket.End(now, placement.Broken)
+	}
+	j.g.log.attempt(j, ticket, err)
+	if j.again(ctx, now) {
+		return true
+	}
+	return j.ended(ctx, "answer_broken")
+}
+
+func (j *job) give(answer Answer, body []byte) {
+	if err := j.caller.Begin(answer, body); err != nil {
+		j.g.log.abandoned(j)
+		return
+	}
+	j.g.log.served(j, answer.Status())
+}
+
+func (j *job) giveHeld() { j.give(j.held.answer, j.held.body) }
+
+// stream gives on the events of an engine's answer.
+//
+// The header goes out with the first event, so that until then another server
+// can take over without the caller noticing. After that it can where the route
+// allows: the next server goes on after the last event that was given whole.
+func (j *job) stream(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
+	j.mayHaveRun = true
+	for {
+		answer.SetDeadline(j.eventBy())
+		event, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			return j.streamEnded(ctx, ticket, answer)
+		}
+		if err != nil {
+			return j.streamBroke(ctx, ticket, answer, err)
+		}
+		ticket.Wrote(j.tokensOfEvent())
+		if event.ID >= 0 && event.ID <= j.lastEvent {
+			continue
+		}
+		if event.ID >= 0 {
+			j.lastEvent = event.ID
+		}
+		if err := j.pass(answer, event.Raw); err != nil {
+			answer.Close(false)
+			ticket.End(time.Now(), placement.Abandoned)
+			j.g.log.abandoned(j)
+			j.caller.Cut()
+			return false
+		}
+	}
+}
+
+// pass gives one event on, with the header before the first.
+func (j *job) pass(answer Answer, raw []byte) error {
+	if !j.begun {
+		if err := j.caller.Begin(answer, nil); err != nil {
+			return err
+		}
+		j.begun = true
+		j.version = answer.Version()
+		j.firstAt = time.Now()
+	}
+	return j.caller.Write(raw)
+}
+
+func (j *job) tokensOfEvent() int {
+	if j.service.Engine == nil {
+		return 1
+	}
+	return max(1, j.service.Engine.Stride)
+}
+
+// eventBy is when the next event must be there.
+func (j *job) eventBy() time.Time {
+	now := time.Now()
+	if !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts {
+		return j.deadline
+	}
+	allowed := streamSilence
+	if !j.begun {
+		allowed += j.predicted
+	}
+	return earlier(j.deadline, now.Add(allowed))
+}
+
+// streamEnded follows the end of a stream between two events.
+func (j *job) streamEnded(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
+	answer.Close(true)
+	now := time.Now()
+	if answer.Status() >= http.StatusInternalServerError && !j.begun {
+		ticket.End(now, placement.Failed)
+		j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+		if j.again(ctx, now) {
+			return true
+		}
+		return j.ended(ctx, "server_failed")
+	}
+	ticket.End(now, placement.Succeeded)
+	if !j.begun {
+		// A stream without events: nothing was left to tell after LastEvent.
+		j.give(answer, nil)
+		return false
+	}
+	j.g.log.served(j, answer.Status())
+	return false
+}
+
+func (j *job) streamBroke(ctx context.Context, ticket *placement.Ticket, answer Answer, err error) bool {
+	answer.Close(false)
+	now := time.Now()
+	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	switch {
+	case ctx.Err() != nil:
+		ticket.End(now, placement.Abandoned)
+	case errorx.IsOfType(err, failure.Timeout):
+		ticket.End(now, placement.Silent)
+	default:
+		ticket.End(now, placement.Broken)
+	}
+	j.g.log.attempt(j, ticket, err)
+	if j.again(ctx, now) {
+		return true
+	}
+	return j.ended(ctx, "stream_broken")
+}
+
+// cut ends a stream that cannot be finished.
+func (j *job) cut(reason string) {
+	j.g.log.refused(j, Verdict{Code: Broken, Reason: reason})
+	j.caller.Cut()
+}
--- /dev/null
+++ b/daemon/gateway/peers.go
@@ -0,0 +1,242 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/wire"
+)
+
+// replicaLife is how long an agent's word counts for more than the server's
+// registration. An agent tells several times within it.
+const replicaLife = 2 * time.Second
+
+// ServeStream implements peer.Handler.
+func (g *Gateway) ServeStream(ctx context.Context, from keys.Identity, kind peer.Kind, s *peer.Stream) {
+	switch kind {
+	case peer.KindGossip:
+		g.mesh.Serve(ctx, from, s)
+	case peer.KindConfig:
+		g.serveCatalog(ctx, s)
+	default:
+		s.Abort()
+	}
+}
+
+// compose returns what another process is told.
+func (g *Gateway) compose(now time.Time, to fleet.InstanceID, role fleet.Role, first bool) wire.Beat {
+	b := wire.Beat{
+		ID: g.opts.Self, Role: fleet.RoleEntry, Incarnation: g.opts.Incarnation, Place: g.opts.Place,
+		CallerAddr: g.opts.CallerAddr, Ready: g.table != nil && !g.leaving, Leaving: g.leaving,
+		AsOf: g.snapshot.AsOf, ConfigRevision: g.snapshot.ConfigRevision,
+		Wanted: g.wantedNow(now),
+	}
+	if role == fleet.RoleAgent {
+		b.Entries = g.mesh.Live(now)
+		g.composeForAgent(&b, to, first)
+		return b
+	}
+	b.Entries = g.mesh.Live(now)
+	b.Loads = g.board.Loads()
+	for _, r := range g.replicas {
+		if r.direct && now.Sub(r.heard) < replicaLife {
+			b.Replicas = append(b.Replicas, r.Replica)
+		}
+	}
+	return b
+}
+
+func (g *Gateway) wantedNow(now time.Time) []wire.WantedVersion {
+	var all []wire.WantedVersion
+	for model, w := range g.wantedAt {
+		all = append(all, wire.WantedVersion{Model: model, Version: uint64(w.version), AgeMS: now.Sub(w.since).Milliseconds()})
+	}
+	return all
+}
+
+// composeForAgent adds where the agent's weights come from and who else wants
+// them. The list of members is sent when it has changed.
+func (g *Gateway) composeForAgent(b *wire.Beat, to fleet.InstanceID, first bool) {
+	if g.table == nil {
+		return
+	}
+	service, ok := g.serviceOf(to)
+	if !ok {
+		return
+	}
+	b.Supply = g.supplyOf(service)
+	members, digest := g.membersOf(service.Name)
+	if first || g.told[to] != digest {
+		b.Members = members
+		g.told[to] = digest
+	}
+}
+
+// serviceOf returns the service of the engine beside an agent.
+func (g *Gateway) serviceOf(agent fleet.InstanceID) (*routing.Service, bool) {
+	for _, s := range g.snapshot.Servers {
+		if s.Addr.Addr().String() != string(agent) {
+			continue
+		}
+		if service := g.table.Service(s.Service); service != nil && service.Engine != nil {
+			return service, true
+		}
+	}
+	return nil, false
+}
+
+func (g *Gateway) supplyOf(service *routing.Service) *wire.Supply {
+	for _, other := range g.table.Services() {
+		if other.Origin != nil {
+			return &wire.Supply{
+				Model: service.Model, Origin: other.Origin.Addr,
+				BytesPerSecond: other.Origin.BytesPerSecond, Layers: service.Engine.Layers,
+			}
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) membersOf(service fleet.ServiceName) ([]wire.Member, uint64) {
+	var members []wire.Member
+	digest := xxhash.New()
+	for _, s := range g.snapshot.Servers {
+		if s.Service != service || s.Draining {
+			continue
+		}
+		members = append(members, wire.Member{Addr: s.Addr.Addr(), Zone: s.Zone, Region: g.opts.Regions[s.Zone]})
+		_, _ = digest.WriteString(s.Addr.Addr().String())
+	}
+	return members, digest.Sum64()
+}
+
+// heard takes what another process tells.
+func (g *Gateway) heard(now time.Time, b wire.Beat) {
+	if b.Role == fleet.RoleEntry {
+		g.board.SetLoads(now, b.ID, b.Loads)
+		for _, w := range b.Wanted {
+			g.heardWanted(now, w)
+		}
+	}
+	for _, r := range b.Replicas {
+		g.heardReplica(now, r, b.Role == fleet.RoleAgent)
+	}
+}
+
+// heardWanted takes a version that a peer knows of. The peer may have known it
+// for longer than this process, which then stops to use the old one earlier.
+func (g *Gateway) heardWanted(now time.Time, w wire.WantedVersion) {
+	since := now.Add(-time.Duration(w.AgeMS) * time.Millisecond)
+	known, ok := g.wantedAt[w.Model]
+	switch {
+	case !ok || uint64(known.version) < w.Version:
+		g.setWanted(w.Model, w.Version, since)
+	case uint64(known.version) == w.Version && since.Before(known.since.Add(-wantedSkew)):
+		g.setWanted(w.Model, w.Version, since)
+	}
+}
+
+// wantedSkew is the time on the way of a beat, within which two processes'
+// knowledge counts as equally old.
+const wantedSkew = 200 * time.Millisecond
+
+func (g *Gateway) setWanted(model string, version uint64, since time.Time) {
+	g.wantedAt[model] = wanted{version: placement.ModelVersion(version), since: since}
+	g.changed = true
+	g.opts.Logger.Info("version_wanted", zap.String("model", model), zap.Uint64("version", version),
+		zap.Time("since", since))
+}
+
+func (g *Gateway) heardReplica(now time.Time, r wire.Replica, direct bool) {
+	known, ok := g.replicas[r.Addr]
+	if ok && known.Newer(r) {
+		return
+	}
+	g.replicas[r.Addr] = replica{Replica: r, heard: now, direct: direct || known.direct && known.Replica == r}
+	if !ok || known.Loaded != r.Loaded || known.Changing != r.Changing || known.Down != r.Down {
+		g.changed = true
+		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
+			zap.Bool("changing", r.Changing), zap.Bool("down", r.Down), zap.Bool("direct", direct))
+	}
+}
+
+// publish gives calls a new view if anything they see has changed.
+func (g *Gateway) publish(now time.Time) {
+	g.publishServers(now)
+	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
+	v := &view{
+		table:   g.table,
+		wanted:  make(map[string]wanted, len(g.wantedAt)),
+		entries: g.mesh.Entries(now),
+		leaving: g.leaving,
+		sure:    now.Sub(g.contact) < sureFor || len(g.mesh.Live(now)) > 0,
+	}
+	for model, w := range g.wantedAt {
+		v.wanted[model] = w
+	}
+	g.view.Store(v)
+	slack := g.slack()
+	g.budgetMu.Lock()
+	defer g.budgetMu.Unlock()
+	for _, w := range g.budgets {
+		w.SetSlack(slack)
+	}
+}
+
+func (g *Gateway) publishServers(now time.Time) {
+	for addr, r := range g.replicas {
+		if now.Sub(r.heard) > replicaLife {
+			delete(g.replicas, addr)
+			g.changed = true
+		}
+	}
+	if !g.changed {
+		return
+	}
+	g.changed = false
+	var list []placement.Server
+	for _, s := range g.snapshot.Servers {
+		list = append(list, g.server(s))
+	}
+	for id, l := range g.lapsed {
+		if !hasServer(g.snapshot.Servers, id) {
+			list = append(list, g.server(l.server))
+		}
+	}
+	g.board.SetServers(list)
+	g.opts.Backend.Keep(list)
+}
+
+// server puts together what the platform and the agent tell of a server. What
+// the agent says is newer.
+func (g *Gateway) server(s catalog.Server) placement.Server {
+	out := placement.Server{
+		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
+		Place:   fleet.Place{Zone: s.Zone, Region: g.opts.Regions[s.Zone]},
+		Loaded:  placement.ModelVersion(s.Loaded),
+		Leaving: s.Draining,
+	}
+	if r, ok := g.replicas[s.Addr.Addr()]; ok && g.isEngine(s.Service) {
+		out.Loaded = placement.ModelVersion(r.Loaded)
+		out.Changing = r.Changing
+		out.Down = r.Down
+	}
+	return out
+}
+
+func (g *Gateway) isEngine(name fleet.ServiceName) bool {
+	if g.table == nil {
+		return false
+	}
+	service := g.table.Service(name)
+	return service != nil && service.Engine != nil
+}
--- /dev/null
+++ b/daemon/gateway/ports.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"chivespindle.example/adapters/eventstream"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+)
+
+// Call is a caller's request, decoded by the platform's adapter.
+type Call struct {
+	// ID is the caller's name for this attempt.
+	ID string
+	// Host and Path select the route.
+	Host, Path string
+	// Key names the workspace; empty if the caller gave none.
+	Key     string
+	Arrived time.Time
+	// Patience is how long the caller waits; 0 if it did not say.
+	Patience time.Duration
+	// Prompt and Answer are token counts; Answer is the most that is written.
+	Prompt, Answer int
+	// LastEvent is the last event that the caller has; -1 for none.
+	LastEvent int64
+	// Native is what the adapter needs to pass the call on.
+	Native any
+}
+
+// Order is one attempt to have a call answered by a server.
+type Order struct {
+	Server    placement.Server
+	Workspace fleet.Workspace
+	// Left is the time that the server is given.
+	Left time.Duration
+	// FirstBy is when the answer must have begun.
+	FirstBy time.Time
+	// Require is the version that must answer; 0 allows any.
+	Require placement.ModelVersion
+	// LastEvent is the last event that the caller has; -1 for none.
+	LastEvent int64
+}
+
+// Backend passes calls on to servers. A failure of Send carries its
+// failure.Outcome; NotRun means that no byte was sent.
+type Backend interface {
+	Send(ctx context.Context, call *Call, order Order) (Answer, error)
+	// Keep drops what is kept of servers that are not listed.
+	Keep(servers []placement.Server)
+}
+
+// Answer is a server's answer whose header has come.
+type Answer interface {
+	Status() int
+	// NotRun reports whether the server says that it did not run the call.
+	NotRun() bool
+	// Misdirected reports whether another server than the one that was meant, or
+	// another version, answers.
+	Misdirected() bool
+	// Version is the one that answers; 0 if it was not told.
+	Version() placement.ModelVersion
+	// Streams reports whether the body is a stream of events.
+	Streams() bool
+	// SetDeadline bounds the reads that follow.
+	SetDeadline(by time.Time)
+	// Body returns the whole body, at most limit bytes.
+	Body(limit int64) ([]byte, error)
+	// Next returns the next event of a stream, io.EOF after the last.
+	Next() (eventstream.Event, error)
+	// Close ends the answer. whole tells that its end was read.
+	Close(whole bool)
+}
+
+// Caller takes the answer to a call. All methods are called by one goroutine.
+type Caller interface {
+	// Begin sends the header of a server's answer. whole is the body if it is
+	// known already; else Write follows.
+	Begin(answer Answer, whole []byte) error
+	// Write sends a part of the body at once.
+	Write(p []byte) error
+	// Cut ends an answer that is not whole, so that it does not look complete.
+	Cut()
+	// Refuse sends an answer of our own.
+	Refuse(v Verdict)
+}
+
+// Verdict is an answer of our own.
+type Verdict struct {
+	Code Code
+	// RetryAfter is when the caller may come back; only with a code that says
+	// that the call did not run.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Code says what is known of a call that got no answer of a server.
+type Code uint8
+
+const (
+	// Unavailable: the call did not run and will not.
+	Unavailable Code = iota + 1
+	// NoRoute: no route leads anywhere.
+	NoRoute
+	// NoKey: the key is unknown.
+	NoKey
+	// Broken: the server failed; the call may have run.
+	Broken
+	// TimedOut: the time was up; the call may have run.
+	TimedOut
+)
+
+// String returns the word used in logs.
+func (c Code) String() string {
+	switch c {
+	case Unavailable:
+		return "unavailable"
+	case NoRoute:
+		return "no_route"
+	case NoKey:
+		return "no_key"
+	case Broken:
+		return "broken"
+	case TimedOut:
+		return "timed_out"
+	default:
+		return "none"
+	}
+}
--- /dev/null
+++ b/daemon/gateway/serve.go
@@ -0,0 +1,240 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/routing"
+)
+
+const (
+	// starting is when a caller may come back to an entry that knows no
+	// configuration yet: it reads one within a second.
+	starting = 500 * time.Millisecond
+	// returnedAfter is how much less time than the route's a caller must have
+	// left to count as one that was refused before. Its first wait is longer.
+	returnedAfter = 100 * time.Millisecond
+	// answerMargin is taken off the caller's time, so that our own answer still
+	// reaches it.
+	answerMargin = 20 * time.Millisecond
+	// unsentAttempts is how many servers may be tried that could not be reached;
+	// nothing arrives there, so they draw on no budget.
+	unsentAttempts = 4
+)
+
+// job is one call on its way.
+type job struct {
+	g         *Gateway
+	call      *Call
+	caller    Caller
+	view      *view
+	route     *routing.Route
+	service   *routing.Service
+	workspace fleet.Workspace
+	deadline  time.Time
+
+	attempts int // sent
+	unsent   int // could not be sent
+	exclude  []fleet.InstanceID
+	// mayHaveRun is true once a server may have run the call.
+	mayHaveRun bool
+	// held is a server's failure, given to the caller if nothing better comes.
+	held *heldAnswer
+
+	// Of a stream: whether the header was sent, the last event given, and the
+	// version that gave it.
+	begun     bool
+	lastEvent int64
+	version   placement.ModelVersion
+	predicted time.Duration
+	sentAt    time.Time
+	firstAt   time.Time
+}
+
+type heldAnswer struct {
+	answer Answer
+	body   []byte
+}
+
+// Serve answers a call. It returns when the caller has its answer or has left,
+// which ends ctx.
+func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	j := &job{g: g, call: call, caller: caller, view: g.view.Load(), lastEvent: call.LastEvent}
+	if verdict, ok := j.admit(); !ok {
+		j.refuse(verdict)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	g.budget(call.Arrived, j.service.Name).Request(call.Arrived)
+	for j.attempt(ctx) {
+	}
+}
+
+// admit finds the route and the workspace of the call.
+func (j *job) admit() (Verdict, bool) {
+	v := j.view
+	if v == nil || v.table == nil {
+		return Verdict{Code: Unavailable, RetryAfter: starting, Reason: "no_config"}, false
+	}
+	j.route = v.table.Match(j.call.Host, j.call.Path)
+	if j.route == nil {
+		return j.unless(v.sure, Verdict{Code: NoRoute, Reason: "no_route"})
+	}
+	if v.table.NeedsKey(j.route) {
+		w := v.table.Workspace(j.call.Key)
+		if w == nil {
+			return j.unless(v.sure, Verdict{Code: NoKey, Reason: "no_key"})
+		}
+		j.workspace = w.Name
+	} else if w := v.table.Workspace(j.call.Key); w != nil {
+		j.workspace = w.Name
+	}
+	j.service = v.table.Service(j.route.Target(rand.Float64()))
+	timeout := j.route.Timeout
+	if j.call.Patience > 0 {
+		timeout = min(timeout, j.call.Patience)
+	}
+	j.deadline = j.call.Arrived.Add(timeout - answerMargin)
+	return Verdict{}, true
+}
+
+// unless returns the verdict if this entry is sure of its configuration. One
+// that is cut off may lack a route or a key that others have: it must not tell
+// the caller that there is none.
+func (j *job) unless(sure bool, v Verdict) (Verdict, bool) {
+	if !sure {
+		return Verdict{Code: Unavailable, RetryAfter: starting, Reason: "cut_off"}, false
+	}
+	return v, false
+}
+
+// attempt sends the call to one server and reports whether it is to be tried
+// again.
+func (j *job) attempt(ctx context.Context) bool {
+	now := time.Now()
+	ticket, refusal := j.g.board.Choose(now, j.ask(now))
+	if ticket == nil {
+		j.notPlaced(refusal)
+		return false
+	}
+	if j.attempts > 0 && !j.g.allowRepeat(now, j.service.Name) {
+		ticket.End(now, placement.Abandoned)
+		j.giveUp("retry_budget", refusal.RetryAfter)
+		return false
+	}
+	j.predicted = ticket.Predicted
+	answer, err := j.g.opts.Backend.Send(ctx, j.call, j.order(now, ticket.Server))
+	if err != nil {
+		return j.sendFailed(ctx, ticket, err)
+	}
+	j.attempts++
+	if answer.NotRun() || answer.Misdirected() {
+		answer.Close(true)
+		ticket.End(time.Now(), placement.Declined)
+		return j.declined(ticket.Server)
+	}
+	if answer.Streams() {
+		return j.stream(ctx, ticket, answer)
+	}
+	return j.whole(ctx, ticket, answer)
+}
+
+func (j *job) ask(now time.Time) placement.Ask {
+	a := placement.Ask{
+		Service:  j.service.Name,
+		Engine:   j.service.Engine,
+		Prompt:   j.call.Prompt,
+		Answer:   j.call.Answer,
+		Aim:      j.route.Aim - now.Sub(j.call.Arrived),
+		Left:     j.deadline.Sub(now),
+		Returned: j.isReturned() || j.attempts > 0 || j.begun,
+		Exclude:  j.exclude,
+		Near:     j.g.opts.Place,
+	}
+	if j.service.Engine != nil {
+		a.Versions = j.versions(now)
+	}
+	return a
+}
+
+// isReturned reports whether the caller was refused before: it then has less
+// time than the route gives.
+func (j *job) isReturned() bool {
+	return j.call.Patience > 0 && j.call.Patience < j.route.Timeout-returnedAfter
+}
+
+// useOldShare is the part of the time for a new version during which engines
+// with the one before are still used. What is sent to them at its end waits
+// for its first event within the rest.
+const useOldShare = 0.72
+
+// versions tells which weights may answer.
+//
+// A stream goes on only on the version that began it. Otherwise the wanted
+// version answers, or the one before until most of the time for the change has
+// passed: then an engine that is late is left out rather than used.
+func (j *job) versions(now time.Time) func(placement.ModelVersion) bool {
+	if j.begun && j.version != 0 {
+		return func(v placement.ModelVersion) bool { return v == j.version }
+	}
+	w, known := j.view.wanted[j.service.Model]
+	if !known {
+		return func(v placement.ModelVersion) bool { return v != 0 }
+	}
+	useOld := now.Sub(w.since) < time.Duration(useOldShare*float64(j.g.opts.VersionTime))
+	return func(v placement.ModelVersion) bool { return v == w.version || v != 0 && useOld }
+}
+
+func (j *job) order(now time.Time, server placement.Server) Order {
+	o := Order{
+		Server:    server,
+		Workspace: j.workspace,
+		Left:      j.deadline.Sub(now),
+		FirstBy:   j.firstBy(now),
+		LastEvent: j.lastEvent,
+	}
+	if j.service.Engine != nil {
+		o.Require = server.Loaded
+	}
+	return o
+}
+
+const (
+	// streamSilence is how much later than predicted a stream may begin, or how
+	// long it may pause, before it is continued elsewhere. It is longer than any
+	// pause of a sound engine and shorter than callers wait.
+	streamSilence = 1500 * time.Millisecond
+	// safeSilence is the same for the answer of a plain service, in aims.
+	safeSilence = 2
+)
+
+// firstBy is when the answer must have begun: early enough for another server
+// if one may be tried.
+func (j *job) firstBy(now time.Time) time.Time {
+	if !j.mayRepeat() {
+		return j.deadline
+	}
+	if j.service.Engine != nil {
+		return earlier(j.deadline, now.Add(j.predicted+streamSilence))
+	}
+	return earlier(j.deadline, now.Add(safeSilence*j.route.Aim))
+}
+
+// mayRepeat reports whether another server may get the call after the one that
+// it is sent to next.
+func (j *job) mayRepeat() bool {
+	return j.route.Idempotent() && j.attempts+1 < j.route.MaxAttempts
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/daemon/loader/loader.go
@@ -0,0 +1,210 @@
+// Package loader is the agent beside a model engine on a platform where
+// engines are called straight by the entries. It brings the weights: it
+// gathers the chunks of the wanted version from its peers and the origin,
+// stages them, orders the engine to load them, and tells the entries what the
+// engine answers from.
+package loader
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
+	"chivespindle.example/core/spread"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/swarm"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// reportEvery is the pause between two readings of the engine's report, and
+	// reportSoon the one while a load is being waited for: entries send nothing
+	// to an engine until they hear that it is ready.
+	reportEvery = 300 * time.Millisecond
+	reportSoon  = 60 * time.Millisecond
+	// downAfter is the number of reports in a row that fail before the engine
+	// counts as down.
+	downAfter = 2
+	// stallTime ends a transfer that brings nothing.
+	stallTime = 1200 * time.Millisecond
+	// listenTime is how long a gather waits for its neighbours' first word
+	// before it draws from the origin.
+	listenTime = 250 * time.Millisecond
+	// takeover is how long the second in rank waits for a chunk that its first
+	// has not brought: about half of the time in which the origin sends a copy.
+	takeover = 700 * time.Millisecond
+	// originCopies bounds what the fleet draws of one version.
+	originCopies = 2.5
+)
+
+// Options of a Loader. All fields are needed.
+type Options struct {
+	Self        fleet.InstanceID
+	Addr        netip.Addr
+	Incarnation uint64
+	Place       fleet.Place
+	PeerPort    uint16
+	Seeds       []netip.Addr
+	Loop        *control.Loop
+	Endpoint    *peer.Endpoint
+	Engine      Engine
+	Origin      Origin
+	// VersionTime is how long after its naming a new version must have replaced
+	// the one before.
+	VersionTime time.Duration
+	Logger      *zap.Logger
+	Metrics     tally.Scope
+}
+
+// Loader is the agent's state. It belongs to the control loop.
+type Loader struct {
+	opts    Options
+	ctx     context.Context
+	mesh    *mesh.Mesh
+	swarm   *swarm.Swarm
+	stage   *stage
+	plan    *loading.Plan
+	supply  *wire.Supply
+	members []wire.Member
+
+	engine     loading.Engine
+	known      bool // a report was read
+	failures   int
+	reporting  bool
+	nextReport time.Time
+	told       wire.Replica
+
+	resolving  bool
+	resolveAt  time.Time
+	gathering  uint64 // version whose gather runs
+	ordering   bool
+	gatherFrom time.Time
+}
+
+// New returns a loader that does nothing before its loop runs.
+func New(ctx context.Context, now time.Time, opts Options) *Loader {
+	l := &Loader{
+		opts: opts,
+		ctx:  ctx,
+		plan: loading.NewPlan(opts.Self, opts.VersionTime),
+		told: wire.Replica{Addr: opts.Addr, Incarnation: opts.Incarnation, Seq: 1},
+	}
+	l.stage = newStage(opts.Engine, opts.Origin, opts.Logger)
+	l.swarm = swarm.New(ctx, swarm.Options{
+		Self:       l.member(opts.Addr, opts.Place),
+		Loop:       opts.Loop,
+		Endpoint:   opts.Endpoint,
+		Stage:      l.stage,
+		Origin:     l.stage,
+		Up:         unlimited{},
+		Down:       unlimited{},
+		Stall:      stallTime,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger:     opts.Logger,
+		Metrics:    opts.Metrics,
+		OnComplete: l.gathered,
+	})
+	l.mesh = mesh.New(ctx, now, mesh.Options{
+		Self:     opts.Self,
+		Role:     fleet.RoleAgent,
+		Place:    opts.Place,
+		PeerPort: opts.PeerPort,
+		Seeds:    opts.Seeds,
+		Loop:     opts.Loop,
+		Endpoint: opts.Endpoint,
+		Logger:   opts.Logger,
+		Metrics:  opts.Metrics,
+		Compose:  l.compose,
+		Heard:    l.heard,
+		Lost:     func(time.Time, fleet.InstanceID) {},
+	})
+	return l
+}
+
+// unlimited lets weights use the whole link: requests do not flow through the
+// agent.
+type unlimited struct{}
+
+// WaitN implements swarm.Limiter.
+func (unlimited) WaitN(context.Context, int) error { return nil }
+
+func (l *Loader) member(addr netip.Addr, place fleet.Place) spread.Member {
+	return spread.Member{ID: mesh.IDOf(addr), Place: place, Addr: netip.AddrPortFrom(addr, l.opts.PeerPort)}
+}
+
+// ServeStream implements peer.Handler.
+func (l *Loader) ServeStream(ctx context.Context, from keys.Identity, kind peer.Kind, s *peer.Stream) {
+	switch kind {
+	case peer.KindChunk:
+		l.swarm.ServeChunk(ctx, from, s)
+	default:
+		s.Abort()
+	}
+}
+
+// Tick is called by the control loop.
+func (l *Loader) Tick(now time.Time) {
+	l.mesh.Tick(now)
+	l.swarm.Tick(now)
+	l.report(now)
+	l.advance(now)
+}
+
+// compose returns what an entry is told.
+func (l *Loader) compose(_ time.Time, _ fleet.InstanceID, _ fleet.Role, _ bool) wire.Beat {
+	b := wire.Beat{
+		ID: l.opts.Self, Role: fleet.RoleAgent, Incarnation: l.opts.Incarnation, Place: l.opts.Place,
+	}
+	if l.known || l.failures >= downAfter {
+		b.Replicas = []wire.Replica{l.told}
+	}
+	return b
+}
+
+// heard takes what an entry tells.
+func (l *Loader) heard(now time.Time, b wire.Beat) {
+	if b.Supply != nil {
+		l.supply = b.Supply
+	}
+	if b.Members != nil {
+		l.setMembers(now, b.Members)
+	}
+	if l.supply == nil {
+		return
+	}
+	for _, w := range b.Wanted {
+		if w.Model == l.supply.Model {
+			l.want(now, w.Version, now.Add(-time.Duration(w.AgeMS)*time.Millisecond))
+		}
+	}
+}
+
+func (l *Loader) want(now time.Time, version uint64, since time.Time) {
+	if !l.plan.Want(version, since) {
+		return
+	}
+	l.opts.Logger.Info("version_wanted", zap.Uint64("version", version), zap.Duration("age", now.Sub(since)),
+		zap.Uint64("loaded", l.engine.Loaded))
+	l.resolveAt = now
+	l.advance(now)
+}
+
+func (l *Loader) setMembers(now time.Time, members []wire.Member) {
+	l.members = members
+	list := make([]spread.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, l.member(m.Addr, fleet.Place{Zone: m.Zone, Region: m.Region}))
+	}
+	l.swarm.SetMembers(now, list)
+}
+
+func (l *Loader) post(f func(now time.Time)) { l.opts.Loop.Post(l.ctx, control.Func(f)) }
--- /dev/null
+++ b/daemon/loader/stage.go
@@ -0,0 +1,231 @@
+package loader
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/weights"
+	"chivespindle.example/daemon/wire"
+)
+
+// keptVersions is how many versions' chunks are held in memory: the wanted one
+// and the one before, which neighbours that are late may still ask for.
+const keptVersions = 2
+
+// stage keeps the chunks of a version in memory, where peers get them, and in
+// the engine's stage, where the engine loads them. It implements weights.Stage
+// and, with the platform's origin, weights.Source.
+type stage struct {
+	engine Engine
+	origin Origin
+	logger *zap.Logger
+
+	mu       sync.Mutex
+	versions []*stagedVersion // oldest first
+}
+
+// stagedVersion is one version with the chunks that were checked.
+type stagedVersion struct {
+	number   uint64
+	supply   wire.Supply
+	digest   fleet.Digest
+	manifest weights.Manifest
+	raw      []byte
+	chunks   map[int][]byte
+}
+
+func newStage(engine Engine, origin Origin, logger *zap.Logger) *stage {
+	return &stage{engine: engine, origin: origin, logger: logger}
+}
+
+// resolve reads the manifest of a version, 0 for the newest, and returns the
+// name that the chunks go by. It is read twice: nothing pins its bytes, and
+// one that was spoilt on its way would make every good chunk look bad.
+func (s *stage) resolve(ctx context.Context, supply wire.Supply, wanted uint64) (uint64, fleet.Version, error) {
+	manifest, number, err := s.origin.Manifest(ctx, supply, wanted)
+	if err != nil {
+		return 0, fleet.Version{}, err
+	}
+	raw, digest, err := manifest.Encode()
+	if err != nil {
+		return 0, fleet.Version{}, err
+	}
+	again, _, err := s.origin.Manifest(ctx, supply, number)
+	if err != nil {
+		return 0, fleet.Version{}, err
+	}
+	_, second, err := again.Encode()
+	if err != nil {
+		return 0, fleet.Version{}, err
+	}
+	if second != digest {
+		return 0, fleet.Version{}, failure.Corrupt.New("two readings of the manifest of version %d differ", number)
+	}
+	s.add(&stagedVersion{
+		number: number, supply: supply, digest: digest, manifest: manifest, raw: raw, chunks: make(map[int][]byte),
+	})
+	return number, fleet.Version{Name: supply.Model + "/" + strconv.FormatUint(number, 10), Manifest: digest}, nil
+}
+
+func (s *stage) add(v *stagedVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, held := range s.versions {
+		if held.digest == v.digest {
+			return
+		}
+	}
+	s.versions = append(s.versions, v)
+	if len(s.versions) > keptVersions {
+		s.versions = s.versions[1:]
+	}
+}
+
+func (s *stage) version(digest fleet.Digest) (*stagedVersion, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.versions {
+		if v.digest == digest {
+			return v, nil
+		}
+	}
+	return nil, failure.NotFound.New("manifest %s is not staged here", digest)
+}
+
+// numberOf returns the number of the version with a manifest.
+func (s *stage) numberOf(digest fleet.Digest) (uint64, bool) {
+	v, err := s.version(digest)
+	if err != nil {
+		return 0, false
+	}
+	return v.number, true
+}
+
+// Held implements weights.Stage. What the engine's stage holds may be of
+// another version or have turned bad, so each chunk is read and checked.
+func (s *stage) Held(ctx context.Context, manifest fleet.Digest) ([]int, error) {
+	v, err := s.version(manifest)
+	if err != nil {
+		return nil, err
+	}
+	listed, err := s.engine.Held(ctx, v.supply.Model)
+	if err != nil {
+		return nil, err
+	}
+	var held []int
+	for _, number := range listed {
+		if number < 0 || number >= len(v.manifest.Chunks) {
+			continue
+		}
+		data, err := s.engine.Get(ctx, v.supply.Model, number)
+		if err != nil {
+			return held, err
+		}
+		if v.manifest.Chunks[number].Verify(data) != nil {
+			continue // of the version before, or spoilt; it is fetched
+		}
+		s.keep(v, number, data)
+		held = append(held, number)
+	}
+	return held, nil
+}
+
+func (s *stage) keep(v *stagedVersion, number int, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v.chunks[number] = data
+}
+
+// Put implements weights.Stage.
+func (s *stage) Put(ctx context.Context, manifest fleet.Digest, index int, data []byte) error {
+	v, err := s.version(manifest)
+	if err != nil {
+		return err
+	}
+	if err := s.engine.Put(ctx, v.supply.Model, index, data); err != nil {
+		return err
+	}
+	s.keep(v, index, data)
+	return nil
+}
+
+// Get implements weights.Stage.
+func (s *stage) Get(_ context.Context, manifest fleet.Digest, index int) ([]byte, error) {
+	v, err := s.version(manifest)
+	if err != nil {
+		return nil, err
+	}
+	data, ok := s.chunk(v, index)
+	if !ok {
+		return nil, failure.NotFound.New("chunk %d is not held", index)
+	}
+	return data, nil
+}
+
+func (s *stage) chunk(v *stagedVersion, index int) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := v.chunks[index]
+	return data, ok
+}
+
+// Drop implements weights.Stage.
+func (s *stage) Drop(context.Context, fleet.Digest) error { return nil }
+
+// Manifest implements weights.Source.
+func (s *stage) Manifest(_ context.Context, manifest fleet.Digest) ([]byte, error) {
+	v, err := s.version(manifest)
+	if err != nil {
+		return nil, err
+	}
+	return v.raw, nil
+}
+
+// Chunk implements weights.Source.
+func (s *stage) Chunk(ctx context.Context, manifest fleet.Digest, chunk weights.Chunk) ([]byte, error) {
+	v, err := s.version(manifest)
+	if err != nil {
+		return nil, err
+	}
+	return s.origin.Chunk(ctx, v.supply, v.number, chunk.Index)
+}
+
+// repair reads every chunk of a version back from the engine's stage and
+// stages those anew that are missing or have turned bad.
+func (s *stage) repair(ctx context.Context, number uint64) error {
+	v, err := s.numbered(number)
+	if err != nil {
+		return err
+	}
+	for _, c := range v.manifest.Chunks {
+		data, err := s.engine.Get(ctx, v.supply.Model, c.Index)
+		if err == nil && c.Verify(data) == nil {
+			continue
+		}
+		good, ok := s.chunk(v, c.Index)
+		if !ok {
+			return failure.NotFound.New("chunk %d of version %d is not held", c.Index, number)
+		}
+		s.logger.Warn("chunk_staged_again", zap.Int("chunk", c.Index), zap.Uint64("version", number), zap.Error(err))
+		if err := s.engine.Put(ctx, v.supply.Model, c.Index, good); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *stage) numbered(number uint64) (*stagedVersion, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.versions {
+		if v.number == number {
+			return v, nil
+		}
+	}
+	return nil, failure.NotFound.New("version %d is not staged here", number)
+}
--- /dev/null
+++ b/daemon/loader/steps.go
@@ -0,0 +1,179 @@
+package loader
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
+	"chivespindle.example/core/spread"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// callTimeout bounds a call to the engine on the same instance.
+	callTimeout = 1500 * time.Millisecond
+	// resolveAgain is the pause before a manifest is asked for again.
+	resolveAgain = 300 * time.Millisecond
+)
+
+// report reads the engine's report when it is due.
+func (l *Loader) report(now time.Time) {
+	if l.reporting || now.Before(l.nextReport) {
+		return
+	}
+	l.reporting = true
+	go func() {
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		defer cancel()
+		e, err := l.opts.Engine.Report(ctx)
+		l.post(func(now time.Time) { l.reported(now, e, err) })
+	}()
+}
+
+func (l *Loader) reported(now time.Time, e loading.Engine, err error) {
+	l.reporting = false
+	l.nextReport = now.Add(reportEvery)
+	if err != nil {
+		l.failures++
+		l.nextReport = now.Add(reportSoon)
+		if l.failures == downAfter {
+			l.opts.Logger.Warn("engine_lost", zap.Error(err))
+		}
+		l.tell(now)
+		return
+	}
+	if l.failures >= downAfter {
+		l.opts.Logger.Info("engine_regained", zap.Uint64("loaded", e.Loaded))
+	}
+	l.failures = 0
+	l.known = true
+	if e.Loaded != l.engine.Loaded {
+		l.opts.Logger.Info("engine_holds", zap.Uint64("version", e.Loaded), zap.Uint64("before", l.engine.Loaded))
+	}
+	l.engine = e
+	if l.plan.Changing(e) || e.Busy {
+		l.nextReport = now.Add(reportSoon)
+	}
+	l.tell(now)
+	l.advance(now)
+}
+
+// tell tells the entries at once what has changed.
+func (l *Loader) tell(now time.Time) {
+	state := l.told
+	state.Loaded = l.engine.Loaded
+	state.Changing = l.plan.Changing(l.engine)
+	state.Down = l.failures >= downAfter
+	if state == l.told {
+		return
+	}
+	state.Seq++
+	l.told = state
+	l.mesh.Flush(now)
+}
+
+// advance takes the next step towards the wanted version.
+func (l *Loader) advance(now time.Time) {
+	if l.supply == nil || !l.known || len(l.members) == 0 {
+		return
+	}
+	if l.plan.Wanted() == 0 || l.gathering != l.plan.Wanted() {
+		l.resolve(now)
+		return
+	}
+	if l.plan.Next(now, l.engine) == loading.Order && !l.ordering {
+		l.order(now)
+	}
+}
+
+// resolve finds the manifest of the wanted version and begins to gather it.
+// Engines that hold it gather it too: from their own stage, to give it to
+// others.
+func (l *Loader) resolve(now time.Time) {
+	if l.resolving || now.Before(l.resolveAt) {
+		return
+	}
+	l.resolving = true
+	supply := *l.supply
+	wanted := l.plan.Wanted()
+	go func() {
+		version, manifest, err := l.stage.resolve(l.ctx, supply, wanted)
+		l.post(func(now time.Time) { l.resolved(now, version, manifest, err) })
+	}()
+}
+
+func (l *Loader) resolved(now time.Time, version uint64, named fleet.Version, err error) {
+	l.resolving = false
+	if err != nil {
+		l.resolveAt = now.Add(resolveAgain)
+		l.opts.Logger.Warn("manifest_failed", zap.Uint64("wanted", l.plan.Wanted()), zap.Error(err))
+		return
+	}
+	if l.plan.Wanted() == 0 {
+		l.plan.Want(version, now)
+	}
+	if version != l.plan.Wanted() {
+		return // another version was named meanwhile
+	}
+	l.gathering = version
+	l.gatherFrom = now
+	l.swarm.Gather(now, named, spread.Settings{
+		Policy: spread.PolicyTime, OriginCopies: originCopies, OriginRate: l.supply.BytesPerSecond,
+		ListenTime: listenTime, Takeover: takeover,
+	}, nil)
+}
+
+// gathered follows the last chunk of a version.
+func (l *Loader) gathered(now time.Time, version fleet.Version) {
+	number, ok := l.stage.numberOf(version.Manifest)
+	if !ok || number != l.plan.Wanted() {
+		return
+	}
+	l.plan.Staged(number)
+	drawn := l.swarm.Drawn()
+	l.opts.Logger.Info("version_staged", zap.Uint64("version", number), zap.Duration("took", now.Sub(l.gatherFrom)),
+		zap.Int64("origin_bytes", drawn.OriginBytes), zap.Int64("peer_bytes", drawn.PeerBytes))
+	l.advance(now)
+}
+
+// order has the engine load what is staged.
+func (l *Loader) order(now time.Time) {
+	l.ordering = true
+	version := l.plan.Wanted()
+	supply := *l.supply
+	l.plan.Ordered(now, version)
+	l.tell(now)
+	go func() {
+		err := l.giveOrder(supply, version)
+		l.post(func(now time.Time) { l.orderGiven(now, version, err) })
+	}()
+}
+
+// giveOrder reads the whole stage back right before the order. Chunks may have
+// turned bad since they were staged, and an engine loads what lies there.
+func (l *Loader) giveOrder(supply wire.Supply, version uint64) error {
+	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+	defer cancel()
+	if err := l.stage.repair(ctx, version); err != nil {
+		return err
+	}
+	return l.opts.Engine.Load(ctx, supply.Model, version)
+}
+
+func (l *Loader) orderGiven(now time.Time, version uint64, err error) {
+	l.ordering = false
+	l.nextReport = now
+	if err == nil {
+		l.opts.Logger.Info("load_ordered", zap.Uint64("version", version), zap.Uint64("loaded", l.engine.Loaded))
+		return
+	}
+	l.opts.Logger.Warn("load_not_ordered", zap.Uint64("version", version), zap.Error(err))
+	if errorx.IsOfType(err, Declined) {
+		l.plan.Declined(now)
+		l.tell(now)
+	}
+}
--- /dev/null
+++ b/daemon/mesh/link.go
@@ -0,0 +1,172 @@
+package mesh
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/wire"
+)
+
+// link is an open stream of beats with one process.
+type link struct {
+	id     fleet.InstanceID
+	role   fleet.Role
+	dialer fleet.InstanceID
+	stream *peer.Stream
+	out    chan wire.Beat
+	once   sync.Once
+	closed chan struct{}
+	heard  time.Time
+}
+
+func newLink(id fleet.InstanceID, role fleet.Role, dialer fleet.InstanceID, s *peer.Stream) *link {
+	return &link{
+		id: id, role: role, dialer: dialer, stream: s,
+		out: make(chan wire.Beat, sendQueue), closed: make(chan struct{}),
+	}
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.closed)
+		l.stream.Abort()
+	})
+}
+
+func (m *Mesh) dial(addr netip.Addr) {
+	id := IDOf(addr)
+	s, err := m.opts.Endpoint.Open(m.ctx, m.PeerAddr(addr), id, peer.KindGossip)
+	m.post(func(now time.Time) {
+		c := m.contact(now, addr)
+		c.dialing = false
+		if err != nil {
+			c.failed++
+			c.retryAt = now.Add(min(redialMax, redialMin<<min(c.failed-1, 4)))
+			return
+		}
+		c.failed = 0
+		m.up(now, newLink(id, s.Peer().Role, m.opts.Self, s))
+	})
+}
+
+// up takes a link into use. Two processes that dial each other at the same
+// time both keep the link that the lesser id dialled, so that neither closes
+// the one that the other keeps. Otherwise the newer one stays: the older may
+// lead to a process that has ended.
+func (m *Mesh) up(now time.Time, l *link) {
+	if old := m.links[l.id]; old != nil {
+		fresh := now.Sub(old.heard) < crossedWithin
+		if fresh && old.dialer != l.dialer && old.dialer < l.dialer {
+			l.close()
+			return
+		}
+		old.close()
+	}
+	m.links[l.id] = l
+	l.heard = now
+	go m.read(l)
+	go m.write(l)
+	m.send(now, l, true)
+	m.opts.Logger.Info("link_up", zap.String("peer", string(l.id)), zap.String("role", string(l.role)))
+}
+
+func (m *Mesh) down(now time.Time, l *link, reason string) {
+	l.close()
+	if m.links[l.id] != l {
+		return
+	}
+	delete(m.links, l.id)
+	m.opts.Logger.Info("link_down", zap.String("peer", string(l.id)), zap.String("role", string(l.role)),
+		zap.String("reason", reason), zap.Duration("heard_ago", now.Sub(l.heard)))
+	m.opts.Lost(now, l.id)
+}
+
+// dropDead gives up links that bring nothing, so that they are dialled anew.
+func (m *Mesh) dropDead(now time.Time) {
+	for _, l := range m.links {
+		limit := deadAfter
+		if m.opts.Role == fleet.RoleAgent || l.role == fleet.RoleAgent {
+			limit += agentBeatEvery
+		}
+		if now.Sub(l.heard) > limit {
+			m.down(now, l, "silent")
+		}
+	}
+}
+
+func (m *Mesh) read(l *link) {
+	for {
+		var b wire.Beat
+		if err := l.stream.Recv(&b); err != nil {
+			m.post(func(now time.Time) { m.down(now, l, "closed") })
+			return
+		}
+		m.post(func(now time.Time) { m.heard(now, l, b) })
+	}
+}
+
+func (m *Mesh) write(l *link) {
+	l.stream.SetStall(0)
+	for {
+		select {
+		case <-l.closed:
+			return
+		case b := <-l.out:
+			if err := l.stream.Send(b); err != nil {
+				m.post(func(now time.Time) { m.down(now, l, "not sent") })
+				return
+			}
+		}
+	}
+}
+
+func (m *Mesh) heard(now time.Time, l *link, b wire.Beat) {
+	if m.links[l.id] != l || b.ID != l.id {
+		return
+	}
+	l.heard = now
+	if b.Role == fleet.RoleEntry {
+		addr, err := netip.ParseAddr(string(b.ID))
+		if err != nil {
+			m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.Error(err))
+			return
+		}
+		c := m.contact(now, addr)
+		c.last = b
+		c.heard = now
+		m.Learn(now, b.Entries)
+	}
+	m.opts.Heard(now, b)
+}
+
+func rendezvous(self, other fleet.InstanceID) uint64 {
+	return xxhash.Sum64String(string(self) + "\x00" + string(other))
+}
+
+func compareWeights(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func compareIDs(a, b fleet.InstanceID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/daemon/mesh/mesh.go
@@ -0,0 +1,301 @@
+// Package mesh links the processes of a fleet that has no list of its own
+// instances: entries find each other through a few seeds and through each
+// other, agents find entries in the same way.
+//
+// Entries are linked to all entries, an agent to a few. Over each link both
+// sides send a Beat several times a second. What is known is soft: it is
+// learned again within a second after any number of processes were lost.
+package mesh
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/wire"
+)
+
+const (
+	// beatEvery is the pause between two beats to an entry. The loads in them
+	// are the basis of placement; a burst of a few hundred requests a second
+	// makes about ten choices at each entry within it.
+	beatEvery = 100 * time.Millisecond
+	// agentBeatEvery is the pause between two beats on a link with an agent.
+	agentBeatEvery = 400 * time.Millisecond
+	// silentAfter is how long a link may bring nothing until its process counts
+	// as silent: several beats, and less than callers wait for a connection.
+	silentAfter = 900 * time.Millisecond
+	// deadAfter is when a silent link is given up and dialled anew. A connection
+	// can go silent for good while new ones work.
+	deadAfter = 1200 * time.Millisecond
+	// redialMin doubles up to redialMax while an address does not answer.
+	redialMin = 150 * time.Millisecond
+	redialMax = 1500 * time.Millisecond
+	// agentLinks is the number of entries that an agent is linked to, so that
+	// one that is lost leaves another.
+	agentLinks = 2
+	// forgetAfter is when an entry that stays silent is dialled no more, unless
+	// it is a seed.
+	forgetAfter = 30 * time.Second
+	// sendQueue bounds the beats that wait for a slow link; the next one holds
+	// all that was left out.
+	sendQueue = 1
+	// crossedWithin is the time in which two links between the same processes
+	// are taken for dialled at the same time.
+	crossedWithin = 300 * time.Millisecond
+)
+
+// Options of a Mesh. All fields are needed.
+type Options struct {
+	Self  fleet.InstanceID
+	Role  fleet.Role
+	Place fleet.Place
+	// PeerPort is the port of every process's QUIC listener.
+	PeerPort uint16
+	Seeds    []netip.Addr
+	Loop     *control.Loop
+	Endpoint *peer.Endpoint
+	Logger   *zap.Logger
+	Metrics  tally.Scope
+	// Compose returns the beat for a peer of this role. first is true for the
+	// first one on a link. It runs on the control loop.
+	Compose func(now time.Time, to fleet.InstanceID, role fleet.Role, first bool) wire.Beat
+	// Heard takes a beat. It runs on the control loop.
+	Heard func(now time.Time, b wire.Beat)
+	// Lost tells that nothing is heard of a process any more. It runs on the
+	// control loop.
+	Lost func(now time.Time, id fleet.InstanceID)
+}
+
+// Entry is what is known of another entry.
+type Entry struct {
+	ID         fleet.InstanceID
+	Place      fleet.Place
+	CallerAddr netip.AddrPort
+	Ready      bool
+	Leaving    bool
+	// Silent is true while nothing is heard of it.
+	Silent bool
+}
+
+// Mesh holds the links of a process. All but Serve belongs to the control
+// loop.
+type Mesh struct {
+	opts     Options
+	ctx      context.Context
+	contacts map[netip.Addr]*contact
+	links    map[fleet.InstanceID]*link
+	nextBeat time.Time
+	nextSlow time.Time
+}
+
+// contact is an entry that may be dialled.
+type contact struct {
+	addr    netip.Addr
+	seed    bool
+	dialing bool
+	failed  int
+	retryAt time.Time
+	named   time.Time // when it was last heard of
+	last    wire.Beat // zero until heard
+	heard   time.Time
+}
+
+// New returns a mesh that links itself at the next Tick. It ends with ctx.
+func New(ctx context.Context, now time.Time, opts Options) *Mesh {
+	m := &Mesh{
+		opts:     opts,
+		ctx:      ctx,
+		contacts: make(map[netip.Addr]*contact),
+		links:    make(map[fleet.InstanceID]*link),
+	}
+	for _, seed := range opts.Seeds {
+		m.contact(now, seed).seed = true
+	}
+	return m
+}
+
+// IDOf names the process on an instance. The platform lists none of ours, so
+// a process is named by its IP number, which is known wherever it is met.
+func IDOf(addr netip.Addr) fleet.InstanceID { return fleet.InstanceID(addr.String()) }
+
+func (m *Mesh) contact(now time.Time, addr netip.Addr) *contact {
+	c := m.contacts[addr]
+	if c == nil {
+		c = &contact{addr: addr}
+		m.contacts[addr] = c
+	}
+	c.named = now
+	return c
+}
+
+// Learn takes the addresses of entries that others hear of.
+func (m *Mesh) Learn(now time.Time, entries []netip.Addr) {
+	for _, addr := range entries {
+		if IDOf(addr) != m.opts.Self {
+			m.contact(now, addr)
+		}
+	}
+}
+
+// Entries returns the other entries that were heard of, by id.
+func (m *Mesh) Entries(now time.Time) []Entry {
+	var all []Entry
+	for _, c := range m.contacts {
+		if c.last.ID == "" {
+			continue
+		}
+		all = append(all, Entry{
+			ID: c.last.ID, Place: c.last.Place, CallerAddr: c.last.CallerAddr,
+			Ready: c.last.Ready, Leaving: c.last.Leaving, Silent: now.Sub(c.heard) > silentAfter,
+		})
+	}
+	slices.SortFunc(all, func(a, b Entry) int { return compareIDs(a.ID, b.ID) })
+	return all
+}
+
+// Live returns the addresses of the entries that are heard now.
+func (m *Mesh) Live(now time.Time) []netip.Addr {
+	var live []netip.Addr
+	for addr, c := range m.contacts {
+		if c.last.ID != "" && now.Sub(c.heard) <= silentAfter {
+			live = append(live, addr)
+		}
+	}
+	slices.SortFunc(live, netip.Addr.Compare)
+	return live
+}
+
+// Ahead returns a live entry whose catalog is newer than as the own one, its
+// zero value if there is none.
+func (m *Mesh) Ahead(now time.Time, isAhead func(wire.Beat) bool) (netip.Addr, bool) {
+	for addr, c := range m.contacts {
+		if c.last.ID != "" && now.Sub(c.heard) <= silentAfter && isAhead(c.last) {
+			return addr, true
+		}
+	}
+	return netip.Addr{}, false
+}
+
+// PeerAddr returns where the process on an instance listens for peers.
+func (m *Mesh) PeerAddr(addr netip.Addr) netip.AddrPort {
+	return netip.AddrPortFrom(addr, m.opts.PeerPort)
+}
+
+// Tick sends beats and dials. It is called by the control loop.
+func (m *Mesh) Tick(now time.Time) {
+	m.dropDead(now)
+	m.dialDue(now)
+	if !now.Before(m.nextBeat) {
+		m.nextBeat = now.Add(beatEvery)
+		slow := !now.Before(m.nextSlow)
+		if slow {
+			m.nextSlow = now.Add(agentBeatEvery)
+		}
+		m.beat(now, slow)
+	}
+}
+
+// Flush sends a beat over every link at once, as after a change that others
+// must hear of.
+func (m *Mesh) Flush(now time.Time) { m.beat(now, true) }
+
+func (m *Mesh) beat(now time.Time, slow bool) {
+	for _, l := range m.links {
+		if slow || m.opts.Role == fleet.RoleEntry && l.role == fleet.RoleEntry {
+			m.send(now, l, false)
+		}
+	}
+}
+
+func (m *Mesh) send(now time.Time, l *link, first bool) {
+	select {
+	case l.out <- m.opts.Compose(now, l.id, l.role, first):
+	default:
+		m.opts.Metrics.Counter("beats_left_out").Inc(1)
+	}
+}
+
+// dialDue dials what is missing: an entry those with a greater id, so that two
+// entries have one link; an agent until it has enough.
+func (m *Mesh) dialDue(now time.Time) {
+	if m.opts.Role == fleet.RoleAgent && m.linked()+m.dialing() >= agentLinks {
+		return
+	}
+	for _, c := range m.byNearness() {
+		id := IDOf(c.addr)
+		if c.dialing || m.links[id] != nil || now.Before(c.retryAt) || id == m.opts.Self {
+			continue
+		}
+		if m.opts.Role == fleet.RoleEntry && id < m.opts.Self && !c.seed {
+			continue
+		}
+		if !c.seed && now.Sub(c.named) > forgetAfter {
+			delete(m.contacts, c.addr)
+			continue
+		}
+		c.dialing = true
+		go m.dial(c.addr)
+		if m.opts.Role == fleet.RoleAgent && m.linked()+m.dialing() >= agentLinks {
+			return
+		}
+	}
+}
+
+func (m *Mesh) linked() int { return len(m.links) }
+
+func (m *Mesh) dialing() int {
+	n := 0
+	for _, c := range m.contacts {
+		if c.dialing {
+			n++
+		}
+	}
+	return n
+}
+
+// byNearness orders the contacts: those of the own region first, then spread
+// by hash, so that agents share the entries out evenly.
+func (m *Mesh) byNearness() []*contact {
+	all := make([]*contact, 0, len(m.contacts))
+	for _, c := range m.contacts {
+		all = append(all, c)
+	}
+	weight := func(c *contact) uint64 { return rendezvous(m.opts.Self, IDOf(c.addr)) }
+	far := func(c *contact) int {
+		if c.last.ID != "" && c.last.Place.Region != m.opts.Place.Region || c.last.Leaving {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(all, func(a, b *contact) int {
+		if far(a) != far(b) {
+			return far(a) - far(b)
+		}
+		return compareWeights(weight(b), weight(a))
+	})
+	return all
+}
+
+func (m *Mesh) post(f func(now time.Time)) {
+	m.opts.Loop.Post(m.ctx, control.Func(f))
+}
+
+// Serve serves a stream of peer.KindGossip that another process opened. It
+// returns when the stream ends.
+func (m *Mesh) Serve(ctx context.Context, from keys.Identity, s *peer.Stream) {
+	l := newLink(from.ID, from.Role, from.ID, s)
+	m.post(func(now time.Time) { m.up(now, l) })
+	select {
+	case <-ctx.Done():
+	case <-l.closed:
+	}
+}
--- /dev/null
+++ b/daemon/wire/beat.go
@@ -0,0 +1,94 @@
+package wire
+
+import (
+	"net/netip"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+)
+
+// Beat is what a process tells those that it is linked to, several times a
+// second. Stream: peer.KindGossip, long-lived, both directions.
+type Beat struct {
+	ID          fleet.InstanceID `cbor:"1,keyasint"`
+	Role        fleet.Role       `cbor:"2,keyasint"`
+	Incarnation uint64           `cbor:"3,keyasint"`
+	Place       fleet.Place      `cbor:"4,keyasint"`
+	// CallerAddr is where an entry takes requests.
+	CallerAddr netip.AddrPort `cbor:"5,keyasint,omitzero"`
+	// Ready entries take requests; Leaving ones have begun their planned stop.
+	Ready   bool `cbor:"6,keyasint,omitzero"`
+	Leaving bool `cbor:"7,keyasint,omitzero"`
+	// AsOf and ConfigRevision are those of the sender's catalog.
+	AsOf           catalog.Revision `cbor:"8,keyasint,omitzero"`
+	ConfigRevision catalog.Revision `cbor:"9,keyasint,omitzero"`
+	// Wanted are the model versions that the operator named.
+	Wanted []WantedVersion `cbor:"10,keyasint,omitempty"`
+	// Loads is what an entry has at each server.
+	Loads []placement.Load `cbor:"11,keyasint,omitempty"`
+	// Replicas are the engines that agents told the sender of, or an agent's
+	// own.
+	Replicas []Replica `cbor:"12,keyasint,omitempty"`
+	// Entries are the entries that the sender hears of.
+	Entries []netip.Addr `cbor:"13,keyasint,omitempty"`
+	// Members are the agents of the receiver's service. They are sent only when
+	// they have changed.
+	Members []Member `cbor:"14,keyasint,omitempty"`
+	// Supply tells an agent where its service's weights come from.
+	Supply *Supply `cbor:"15,keyasint,omitempty"`
+}
+
+// WantedVersion is a model version that the operator named, and for how long
+// the sender has known of it.
+type WantedVersion struct {
+	Model   string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	AgeMS   int64  `cbor:"3,keyasint"`
+}
+
+// Replica is what the agent beside an engine knows of it.
+type Replica struct {
+	// Addr is the IP number that agent and engine share.
+	Addr        netip.Addr `cbor:"1,keyasint"`
+	Incarnation uint64     `cbor:"2,keyasint"`
+	// Seq counts the states that the agent told.
+	Seq      uint64 `cbor:"3,keyasint"`
+	Loaded   uint64 `cbor:"4,keyasint,omitzero"`
+	Changing bool   `cbor:"5,keyasint,omitzero"`
+	Down     bool   `cbor:"6,keyasint,omitzero"`
+}
+
+// Newer reports whether r was told after other.
+func (r Replica) Newer(other Replica) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	return r.Seq > other.Seq
+}
+
+// Member is an agent of a service.
+type Member struct {
+	Addr   netip.Addr   `cbor:"1,keyasint"`
+	Zone   fleet.Zone   `cbor:"2,keyasint"`
+	Region fleet.Region `cbor:"3,keyasint"`
+}
+
+// Supply is where the weights of a model come from.
+type Supply struct {
+	Model          string         `cbor:"1,keyasint"`
+	Origin         netip.AddrPort `cbor:"2,keyasint"`
+	BytesPerSecond int64          `cbor:"3,keyasint"`
+	Layers         int            `cbor:"4,keyasint"`
+}
+
+// CatalogAsk asks an entry for its catalog, if it is newer than AsOf. Stream:
+// peer.KindConfig, one ask and one CatalogAnswer.
+type CatalogAsk struct {
+	AsOf catalog.Revision `cbor:"1,keyasint"`
+}
+
+// CatalogAnswer holds the catalog, nil if there is no newer one.
+type CatalogAnswer struct {
+	Snapshot *catalog.Snapshot `cbor:"1,keyasint,omitempty"`
+}
