Weights: pace uploads, remember manifests, and judge by the first newer version

Change: uploads use 0.85 of the link in steps of 8 KiB; a manifest that is known is not searched for; core/loading.Names judges by the first newer version; the stage takes no other version between its check and the order.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -19,8 +19,8 @@
 	// firstTurn and lastTurn are the parts of the time for a version between
 	// which the turns lie. Before the first the chunks are on their way; after
 	// the last an engine still has to finish what it runs and to load.
-	firstTurn = 0.30
-	lastTurn  = 0.70
+	firstTurn = 0.38
+	lastTurn  = 0.78
 	// orderAgain is how long an order may go without effect before it is given
 	// once more: the answer to an order may be lost, and reports lag.
 	orderAgain = 1500 * time.Millisecond
@@ -56,8 +56,7 @@
 	instance fleet.InstanceID
 	within   time.Duration // for a whole change, of all engines
 
-	wanted    uint64
-	since     time.Time
+	names     Names
 	staged    uint64
 	orderedAt time.Time
 	ordered   uint64
@@ -70,20 +69,16 @@
 	return &Plan{instance: instance, within: within}
 }
 
-// Want takes the version that the operator named, and since when it is known.
-// An older one than before is ignored. It reports whether the plan changed.
+// Want takes a version that the operator named, and since when it is known. It
+// reports whether another version is wanted now.
 func (p *Plan) Want(version uint64, since time.Time) bool {
-	if version < p.wanted || version == p.wanted && !since.Before(p.since) {
-		return false
-	}
-	changed := version != p.wanted
-	p.wanted = version
-	p.since = since
-	return changed
+	before := p.names.Newest()
+	p.names, _ = p.names.Add(Named{Version: version, Since: since}, 0)
+	return p.names.Newest() != before
 }
 
 // Wanted returns the version that the engine should hold; 0 while unknown.
-func (p *Plan) Wanted() uint64 { return p.wanted }
+func (p *Plan) Wanted() uint64 { return p.names.Newest() }
 
 // Staged tells that a version is staged whole.
 func (p *Plan) Staged(version uint64) { p.staged = version }
@@ -103,17 +98,18 @@
 // Changing reports whether the engine takes no new requests since it has been
 // ordered to load.
 func (p *Plan) Changing(e Engine) bool {
-	return p.ordered == p.wanted && p.ordered != 0 && e.Loaded != p.wanted
+	return p.ordered != 0 && p.ordered == p.Wanted() && e.Loaded != p.Wanted()
 }
 
 // Next returns the next step.
 func (p *Plan) Next(now time.Time, e Engine) Step {
+	wanted := p.Wanted()
 	switch {
-	case p.wanted == 0 || e.Loaded == p.wanted && !e.Busy:
+	case wanted == 0 || e.Loaded == wanted && !e.Busy:
 		return Rest
-	case p.staged != p.wanted:
+	case p.staged != wanted:
 		return Gather
-	case p.ordered == p.wanted && now.Sub(p.orderedAt) < orderAgain || e.Busy || now.Before(p.notBefore):
+	case p.ordered == wanted && now.Sub(p.orderedAt) < orderAgain || e.Busy || now.Before(p.notBefore):
 		return Wait
 	case now.Before(p.turn(e)):
 		return Wait
@@ -125,11 +121,12 @@
 // turn is when this engine may stop to serve the version that it has. One that
 // holds none has nothing to stop.
 func (p *Plan) turn(e Engine) time.Time {
+	since, _ := p.names.OutdatedSince(e.Loaded)
 	if e.Loaded == 0 {
-		return p.since
+		return since
 	}
 	const places = 1 << 16
 	place := float64(xxhash.Sum64String(string(p.instance))%places) / places
 	part := firstTurn + (lastTurn-firstTurn)*place
-	return p.since.Add(time.Duration(part * float64(p.within)))
+	return since.Add(time.Duration(part * float64(p.within)))
 }
--- /dev/null
+++ b/core/loading/names.go
@@ -0,0 +1,69 @@
+package loading
+
+import (
+	"slices"
+	"time"
+)
+
+// keptNames is how many versions of a model are remembered: more than are
+// named within the time that one of them has.
+const keptNames = 8
+
+// Named is a version that the operator named, and since when this process
+// knows of it.
+type Named struct {
+	Version uint64
+	Since   time.Time
+}
+
+// Names are the versions named of one model, oldest first. The zero value is
+// empty. A Names is not changed once it is shared; Add returns a new one.
+type Names []Named
+
+// Newest returns the version that is wanted; 0 if none was named.
+func (n Names) Newest() uint64 {
+	if len(n) == 0 {
+		return 0
+	}
+	return n[len(n)-1].Version
+}
+
+// Add returns the names with one more, and whether that changed them. A version
+// that is known stays with the earlier of both times, unless they differ by
+// less than skew.
+func (n Names) Add(add Named, skew time.Duration) (Names, bool) {
+	at, found := slices.BinarySearchFunc(n, add.Version, func(have Named, version uint64) int {
+		switch {
+		case have.Version < version:
+			return -1
+		case have.Version > version:
+			return 1
+		default:
+			return 0
+		}
+	})
+	if found && !add.Since.Before(n[at].Since.Add(-skew)) {
+		return n, false
+	}
+	next := slices.Clone(n)
+	if found {
+		next[at].Since = add.Since
+		return next, true
+	}
+	next = slices.Insert(next, at, add)
+	return next[max(0, len(next)-keptNames):], true
+}
+
+// OutdatedSince returns since when a newer version than loaded has been named;
+// false if there is none.
+//
+// What counts is the first newer one. A version that is named while the one
+// before still spreads gives no more time to an engine that holds neither.
+func (n Names) OutdatedSince(loaded uint64) (time.Time, bool) {
+	for _, name := range n {
+		if name.Version > loaded {
+			return name.Since, true
+		}
+	}
+	return time.Time{}, false
+}
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -23,6 +23,9 @@
 	// connection went silent is found out only by its end, and the operator's
 	// bounds are a few seconds.
 	watchWait = 1500 * time.Millisecond
+	// gatherChanges is the pause between two watches. Servers register and change
+	// many at a time; without it each of them costs every entry a call.
+	gatherChanges = 150 * time.Millisecond
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
@@ -62,6 +65,7 @@
 		case err == nil:
 			listed = true
 			failures = 0
+			wait(ctx, gatherChanges)
 			continue
 		case errorx.IsOfType(err, catalog.HistoryGone):
 			listed = false
@@ -211,8 +215,7 @@
 // finds for old.
 func (g *Gateway) noteWanted(now time.Time) {
 	for _, w := range g.snapshot.Wanted {
-		known, ok := g.wantedAt[w.Model]
-		if ok && uint64(known.version) >= w.Version {
+		if g.names[w.Model].Newest() >= w.Version {
 			continue
 		}
 		since := now
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/retry"
 	"chivespindle.example/core/routing"
@@ -75,7 +76,7 @@
 	snapshot catalog.Snapshot
 	table    *routing.Table
 	tableOf  catalog.Revision
-	wantedAt map[string]wanted
+	names    map[string]loading.Names // by model
 	replicas map[netip.Addr]replica
 	leaving  bool
 	changed  bool
@@ -94,12 +95,6 @@
 	inFlight atomic.Int64
 }
 
-// wanted is a version of a model and when this process learned of it.
-type wanted struct {
-	version placement.ModelVersion
-	since   time.Time
-}
-
 // replica is what an agent told of its engine.
 type replica struct {
 	wire.Replica
@@ -117,7 +112,7 @@
 // view is what calls see. It is never changed.
 type view struct {
 	table   *routing.Table
-	wanted  map[string]wanted
+	names   map[string]loading.Names
 	entries []mesh.Entry
 	leaving bool
 	// sure is false once neither the platform nor a peer has been heard for so
@@ -132,7 +127,7 @@
 		ctx:      ctx,
 		board:    placement.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		log:      newRequestLog(opts.Logger, opts.Metrics),
-		wantedAt: make(map[string]wanted),
+		names:    make(map[string]loading.Names),
 		replicas: make(map[netip.Addr]replica),
 		lapsed:   make(map[fleet.InstanceID]lapse),
 		told:     make(map[fleet.InstanceID]uint64),
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/wire"
@@ -57,8 +59,10 @@
 
 func (g *Gateway) wantedNow(now time.Time) []wire.WantedVersion {
 	var all []wire.WantedVersion
-	for model, w := range g.wantedAt {
-		all = append(all, wire.WantedVersion{Model: model, Version: uint64(w.version), AgeMS: now.Sub(w.since).Milliseconds()})
+	for model, names := range g.names {
+		for _, n := range names {
+			all = append(all, wire.WantedVersion{Model: model, Version: n.Version, AgeMS: now.Sub(n.Since).Milliseconds()})
+		}
 	}
 	return all
 }
@@ -135,14 +139,7 @@
 // heardWanted takes a version that a peer knows of. The peer may have known it
 // for longer than this process, which then stops to use the old one earlier.
 func (g *Gateway) heardWanted(now time.Time, w wire.WantedVersion) {
-	since := now.Add(-time.Duration(w.AgeMS) * time.Millisecond)
-	known, ok := g.wantedAt[w.Model]
-	switch {
-	case !ok || uint64(known.version) < w.Version:
-		g.setWanted(w.Model, w.Version, since)
-	case uint64(known.version) == w.Version && since.Before(known.since.Add(-wantedSkew)):
-		g.setWanted(w.Model, w.Version, since)
-	}
+	g.setWanted(w.Model, w.Version, now.Add(-time.Duration(w.AgeMS)*time.Millisecond))
 }
 
 // wantedSkew is the time on the way of a beat, within which two processes'
@@ -150,7 +147,11 @@
 const wantedSkew = 200 * time.Millisecond
 
 func (g *Gateway) setWanted(model string, version uint64, since time.Time) {
-	g.wantedAt[model] = wanted{version: placement.ModelVersion(version), since: since}
+	names, changed := g.names[model].Add(loading.Named{Version: version, Since: since}, wantedSkew)
+	if !changed {
+		return
+	}
+	g.names[model] = names
 	g.changed = true
 	g.opts.Logger.Info("version_wanted", zap.String("model", model), zap.Uint64("version", version),
 		zap.Time("since", since))
@@ -175,14 +176,11 @@
 	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
 	v := &view{
 		table:   g.table,
-		wanted:  make(map[string]wanted, len(g.wantedAt)),
+		names:   maps.Clone(g.names),
 		entries: g.mesh.Entries(now),
 		leaving: g.leaving,
 		sure:    now.Sub(g.contact) < sureFor || len(g.mesh.Live(now)) > 0,
 	}
-	for model, w := range g.wantedAt {
-		v.wanted[model] = w
-	}
 	g.view.Store(v)
 	slack := g.slack()
 	g.budgetMu.Lock()
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -172,7 +172,7 @@
 // useOldShare is the part of the time for a new version during which engines
 // with the one before are still used. What is sent to them at its end waits
 // for its first event within the rest.
-const useOldShare = 0.72
+const useOldShare = 0.8
 
 // versions tells which weights may answer.
 //
@@ -183,12 +183,12 @@
 	if j.begun && j.version != 0 {
 		return func(v placement.ModelVersion) bool { return v == j.version }
 	}
-	w, known := j.view.wanted[j.service.Model]
-	if !known {
-		return func(v placement.ModelVersion) bool { return v != 0 }
+	names := j.view.names[j.service.Model]
+	oldFor := time.Duration(useOldShare * float64(j.g.opts.VersionTime))
+	return func(v placement.ModelVersion) bool {
+		since, outdated := names.OutdatedSince(uint64(v))
+		return v != 0 && (!outdated || now.Sub(since) < oldFor)
 	}
-	useOld := now.Sub(w.since) < time.Duration(useOldShare*float64(j.g.opts.VersionTime))
-	return func(v placement.ModelVersion) bool { return v == w.version || v != 0 && useOld }
 }
 
 func (j *job) order(now time.Time, server placement.Server) Order {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
@@ -42,6 +43,10 @@
 	// takeover is how long the second in rank waits for a chunk that its first
 	// has not brought: about half of the time in which the origin sends a copy.
 	takeover = 700 * time.Millisecond
+	// weightsShare is the part of the link that chunks may use, sendBytes what is
+	// sent of them in one step: some milliseconds of a link of 10 Mbit/s.
+	weightsShare = 0.85
+	sendBytes    = 8 << 10
 	// originCopies bounds what the fleet draws of one version.
 	originCopies = 2.5
 )
@@ -61,8 +66,10 @@
 	// VersionTime is how long after its naming a new version must have replaced
 	// the one before.
 	VersionTime time.Duration
-	Logger      *zap.Logger
-	Metrics     tally.Scope
+	// LinkBytes is what the instance's link carries in a second.
+	LinkBytes int64
+	Logger    *zap.Logger
+	Metrics   tally.Scope
 }
 
 // Loader is the agent's state. It belongs to the control loop.
@@ -105,12 +112,14 @@
 		Endpoint:   opts.Endpoint,
 		Stage:      l.stage,
 		Origin:     l.stage,
-		Up:         unlimited{},
-		Down:       unlimited{},
+		Up:         newUpLimit(opts.LinkBytes),
+		Down:       rate.NewLimiter(rate.Inf, swarm.PieceBytes),
+		SendBytes:  sendBytes,
 		Stall:      stallTime,
 		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger:     opts.Logger,
 		Metrics:    opts.Metrics,
+		Known:      l.stage.manifest,
 		OnComplete: l.gathered,
 	})
 	l.mesh = mesh.New(ctx, now, mesh.Options{
@@ -130,12 +139,16 @@
 	return l
 }
 
-// unlimited lets weights use the whole link: requests do not flow through the
-// agent.
-type unlimited struct{}
-
-// WaitN implements swarm.Limiter.
-func (unlimited) WaitN(context.Context, int) error { return nil }
+// newUpLimit is the share of the link that weights may use.
+//
+// The engine's streams leave over the same link. With all of it filled by
+// chunks, events waited in the link's queue for longer than callers notice.
+func newUpLimit(linkBytes int64) *rate.Limiter {
+	if linkBytes <= 0 {
+		return rate.NewLimiter(rate.Inf, sendBytes)
+	}
+	return rate.NewLimiter(rate.Limit(weightsShare*float64(linkBytes)), sendBytes)
+}
 
 func (l *Loader) member(addr netip.Addr, place fleet.Place) spread.Member {
 	return spread.Member{ID: mesh.IDOf(addr), Place: place, Addr: netip.AddrPortFrom(addr, l.opts.PeerPort)}
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -27,6 +27,11 @@
 
 	mu       sync.Mutex
 	versions []*stagedVersion // oldest first
+
+	// writing keeps the chunks of one version out of the engine's stage while
+	// another version is checked there and ordered: the engine has one place for
+	// each chunk number, and would load a mixture of both.
+	writing sync.Mutex
 }
 
 // stagedVersion is one version with the chunks that were checked.
@@ -147,11 +152,10 @@
 	if err != nil {
 		return err
 	}
-	if err := s.engine.Put(ctx, v.supply.Model, index, data); err != nil {
-		return err
-	}
 	s.keep(v, index, data)
-	return nil
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return s.engine.Put(ctx, v.supply.Model, index, data)
 }
 
 // Get implements weights.Stage.
@@ -177,6 +181,15 @@
 // Drop implements weights.Stage.
 func (s *stage) Drop(context.Context, fleet.Digest) error { return nil }
 
+// manifest returns the encoded manifest that was read before, nil if none was.
+func (s *stage) manifest(digest fleet.Digest) []byte {
+	v, err := s.version(digest)
+	if err != nil {
+		return nil
+	}
+	return v.raw
+}
+
 // Manifest implements weights.Source.
 func (s *stage) Manifest(_ context.Context, manifest fleet.Digest) ([]byte, error) {
 	v, err := s.version(manifest)
@@ -195,6 +208,18 @@
 	return s.origin.Chunk(ctx, v.supply, v.number, chunk.Index)
 }
 
+// load has the engine load a version. The whole stage is read back and mended
+// right before the order: chunks may have turned bad since they were staged, or
+// be of another version, and an engine loads what lies there.
+func (s *stage) load(ctx context.Context, supply wire.Supply, version uint64) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if err := s.repair(ctx, version); err != nil {
+		return err
+	}
+	return s.engine.Load(ctx, supply.Model, version)
+}
+
 // repair reads every chunk of a version back from the engine's stage and
 // stages those anew that are missing or have turned bad.
 func (s *stage) repair(ctx context.Context, number uint64) error {
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -10,7 +10,6 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/spread"
-	"chivespindle.example/daemon/wire"
 )
 
 const (
@@ -148,22 +147,13 @@
 	l.plan.Ordered(now, version)
 	l.tell(now)
 	go func() {
-		err := l.giveOrder(supply, version)
+		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
+		defer cancel()
+		err := l.stage.load(ctx, supply, version)
 		l.post(func(now time.Time) { l.orderGiven(now, version, err) })
 	}()
 }
 
-// giveOrder reads the whole stage back right before the order. Chunks may have
-// turned bad since they were staged, and an engine loads what lies there.
-func (l *Loader) giveOrder(supply wire.Supply, version uint64) error {
-	ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-	defer cancel()
-	if err := l.stage.repair(ctx, version); err != nil {
-		return err
-	}
-	return l.opts.Engine.Load(ctx, supply.Model, version)
-}
-
 func (l *Loader) orderGiven(now time.Time, version uint64, err error) {
 	l.ordering = false
 	l.nextReport = now
--- a/daemon/swarm/fetch.go
+++ b/daemon/swarm/fetch.go
@@ -115,7 +115,7 @@
 		return nil, failure.Corrupt.New("peer offers %d bytes, want at most %d", size, most)
 	}
 	data := make([]byte, 0, size)
-	buf := make([]byte, PieceBytes)
+	buf := make([]byte, min(PieceBytes, size))
 	for len(data) < size {
 		piece, err := s.RecvBytes(buf)
 		if errors.Is(err, io.EOF) {
--- a/daemon/swarm/swarm.go
+++ b/daemon/swarm/swarm.go
@@ -41,6 +41,9 @@
 	Origin   weights.Source
 	Store    weights.Source // nil if the platform has no store
 	Up, Down Limiter
+	// SendBytes is the most that is sent in one step, 0 for PieceBytes. On a
+	// narrow link smaller steps keep the link's queue short for live requests.
+	SendBytes int
 	// Stall is the progress deadline of a transfer: a stalled link does not
 	// close, so a transfer without a byte for this long is given up.
 	Stall   time.Duration
@@ -51,6 +54,9 @@
 	// checked and before any chunk is staged; nil: not called. While it fails
 	// the gather waits.
 	OnManifest func(ctx context.Context, manifest fleet.Digest, raw []byte) error
+	// Known returns a manifest that the process has checked before, so that it
+	// is not searched for; nil if it has none. Known itself may be nil.
+	Known func(manifest fleet.Digest) []byte
 	// OnComplete is called on the control loop when every chunk of a version
 	// has been checked and staged.
 	OnComplete func(now time.Time, version fleet.Version)
@@ -75,6 +81,9 @@
 
 // New returns a swarm without gathers. Transfers end with ctx.
 func New(ctx context.Context, opts Options) *Swarm {
+	if opts.SendBytes == 0 {
+		opts.SendBytes = PieceBytes
+	}
 	return &Swarm{opts: opts, ctx: ctx, gathers: make(map[fleet.Digest]*gather)}
 }
 
@@ -88,6 +97,9 @@
 		raw = former.raw
 		former.close()
 	}
+	if raw == nil && s.opts.Known != nil {
+		raw = s.opts.Known(version.Manifest)
+	}
 	g := newGather(s, version, settings, now)
 	s.gathers[version.Manifest] = g
 	for _, manifest := range reuse {
--- a/daemon/swarm/upload.go
+++ b/daemon/swarm/upload.go
@@ -201,8 +201,8 @@
 	if err := st.Send(wire.ChunkHead{Status: wire.ChunkFollows, Bytes: len(data)}); err != nil {
 		return err
 	}
-	for start := 0; start < len(data); start += PieceBytes {
-		piece := data[start:min(start+PieceBytes, len(data))]
+	for start := 0; start < len(data); start += s.opts.SendBytes {
+		piece := data[start:min(start+s.opts.SendBytes, len(data))]
 		if err := s.opts.Up.WaitN(ctx, len(piece)); err != nil {
 			return err
 		}
