Placement: one wait for all kinds, late calls wait only where room is found

Change: what may wait at an engine is a share of the service's shortest aim, without the request's own prompt; late calls have a smaller share and wait at the entry only while room is found for such; of two registrations at one address the newer counts; agents read the catalog at their start.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -25,6 +25,8 @@
 	Slots int
 	// Draining servers finish what they have and then exit.
 	Draining bool
+	// Revision is that of the registration's last change.
+	Revision Revision
 	// Loaded is the version of the weights that it answers from, 0 for none.
 	// The registration lags by a second or two.
 	Loaded uint64
@@ -81,8 +83,7 @@
 		s.Config = c.Config
 		s.ConfigRevision = c.Revision
 	case c.Server != nil:
-		s.removeServer(c.Server.ID)
-		s.Servers = append(s.Servers, *c.Server)
+		s.register(*c.Server)
 	case c.Removed != "":
 		s.removeServer(c.Removed)
 	case c.Wanted != nil:
@@ -90,6 +91,22 @@
 	}
 }
 
+// register adds a server, or replaces its registration. Of two at one address
+// the newer one is there: a server that crashed and started again has a new id
+// at once, and its predecessor stays registered for seconds. Requests that are
+// meant for the predecessor would be declined.
+func (s *Snapshot) register(server Server) {
+	for _, other := range s.Servers {
+		if other.Addr == server.Addr && other.ID != server.ID && other.Revision > server.Revision {
+			return
+		}
+	}
+	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool {
+		return other.ID == server.ID || other.Addr == server.Addr
+	})
+	s.Servers = append(s.Servers, server)
+}
+
 func (s *Snapshot) removeServer(id fleet.InstanceID) {
 	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool { return other.ID == id })
 }
--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -89,6 +89,9 @@
 	p.orderedAt = now
 }
 
+// OrderedAt returns when the last order was given.
+func (p *Plan) OrderedAt() time.Time { return p.orderedAt }
+
 // Declined tells that the engine did not take the order.
 func (p *Plan) Declined(now time.Time) {
 	p.ordered = 0
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -12,9 +12,6 @@
 	// loadLife is how long the load that an entry told is believed: a few of
 	// its heartbeats.
 	loadLife = time.Second
-	// transit is the time on the way between caller, entry and server that the
-	// prediction does not hold, both ways.
-	transit = 15 * time.Millisecond
 	// jitter is added at random to the cost of each server. Entries hear of each
 	// other's choices a heartbeat late; without it they would all choose the same
 	// server until then.
@@ -25,9 +22,14 @@
 	// failureCost is the cost of a server whose answers all fail, next to one
 	// whose share of failures is usual.
 	failureCost = 2 * time.Second
-	// returnedAims is how many aims a caller that came back may wait: its answer
-	// is late already, and another refusal would lose it.
-	returnedAims = 3
+	// waitShare is the part of the shortest aim of a service for which a request
+	// may wait at an engine until its own prompt is read. It is the same for all
+	// kinds and sizes of request: by their own aims, those with the longer aim
+	// would keep the engines so busy that no other was ever placed.
+	waitShare = 0.6
+	// lateShare is the same for a request that is late already. The rest of the
+	// room is left to those that can still be on time.
+	lateShare = 0.4
 	// plainQueue is the number of requests for each place of a plain service
 	// beyond which it is full.
 	plainQueue = 3
@@ -70,7 +72,7 @@
 		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
 	}
 	best, predicted := b.cheapest(now, usable, ask)
-	if predicted > ask.patience() || !ask.fits(b.work(now, best), best) {
+	if predicted-ask.reading() > ask.patience() || !ask.fits(b.work(now, best), best) {
 		return nil, Refusal{
 			Reason: Full, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
 			Predicted: predicted, Usable: len(usable),
@@ -84,16 +86,24 @@
 	return t, Refusal{}
 }
 
-// patience is the longest prediction with which a request is still sent.
+// patience is the longest wait with which a request is still sent.
 //
 // In a burst each request that is placed too late to be on time takes a place
 // from one that would be, and soon all are late. Refused at once, its caller
 // comes back when the burst is over.
 func (a Ask) patience() time.Duration {
-	if a.Returned {
-		return min(returnedAims*a.Aim, a.Left/2)
+	if a.Late {
+		return time.Duration(lateShare * float64(a.Aim))
 	}
-	return a.Aim - transit
+	return time.Duration(waitShare * float64(a.Aim))
+}
+
+// reading is the part of a prediction that is the request's own prompt.
+func (a Ask) reading() time.Duration {
+	if a.Engine == nil {
+		return 0
+	}
+	return a.Engine.Read(a.Prompt)
 }
 
 // fits bounds what waits at a plain service, whose times are not predicted
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -59,12 +59,14 @@
 	Engine *enginemodel.Figures
 	// Prompt and Answer are token counts, 0 for a plain service.
 	Prompt, Answer int
-	// Aim is the time that is left until an answer is late.
+	// Aim is the shortest time of all routes to the service in which an answer is
+	// on time.
 	Aim time.Duration
 	// Left is the time until the caller gives up.
 	Left time.Duration
-	// Returned is true for a caller that comes back after a refusal.
-	Returned bool
+	// Late requests cannot be on time any more: they come back after a refusal,
+	// have waited here, or were lost by a server.
+	Late bool
 	// Exclude are servers that the request was sent to before.
 	Exclude []fleet.InstanceID
 	// Versions tells which weights may answer; nil allows all.
--- a/core/routing/table.go
+++ b/core/routing/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
@@ -15,6 +16,7 @@
 	hosts    map[string][]*Route // longest prefix first
 	services map[fleet.ServiceName]*Service
 	keys     map[string]*Workspace
+	aims     map[fleet.ServiceName]time.Duration
 }
 
 // NewTable checks a configuration and builds its table. A configuration that
@@ -26,6 +28,7 @@
 		hosts:    make(map[string][]*Route),
 		services: make(map[fleet.ServiceName]*Service, len(c.Services)),
 		keys:     make(map[string]*Workspace),
+		aims:     make(map[fleet.ServiceName]time.Duration),
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &t.config.Services[i]
@@ -58,6 +61,9 @@
 		if t.services[target.Service] == nil {
 			return failure.Invalid.New("route %q: names the unknown service %q", r.Name, target.Service)
 		}
+		if known, ok := t.aims[target.Service]; !ok || r.Aim < known {
+			t.aims[target.Service] = r.Aim
+		}
 	}
 	host := strings.ToLower(r.Host)
 	t.hosts[host] = append(t.hosts[host], r)
@@ -77,6 +83,9 @@
 // Service returns the named service, nil if there is none.
 func (t *Table) Service(name fleet.ServiceName) *Service { return t.services[name] }
 
+// ShortestAim returns the shortest aim of the routes to a service.
+func (t *Table) ShortestAim(name fleet.ServiceName) time.Duration { return t.aims[name] }
+
 // Match returns the route of a request: of those of its host the one with the
 // longest prefix that begins the path. host may carry a port.
 func (t *Table) Match(host, path string) *Route {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -78,6 +78,8 @@
 	tableOf  catalog.Revision
 	names    map[string]loading.Names // by model
 	replicas map[netip.Addr]replica
+	readyAt  map[netip.Addr]time.Time // when engines are expected to be ready
+	started  time.Time
 	leaving  bool
 	changed  bool
 	asking   bool
@@ -90,8 +92,9 @@
 	lapsed      map[fleet.InstanceID]lapse
 	told        map[fleet.InstanceID]uint64 // members that each agent was told
 
-	budgetMu sync.Mutex
+	callsMu  sync.Mutex
 	budgets  map[fleet.ServiceName]*retry.Window
+	rooms    map[fleet.ServiceName]*placement.HoldRoom
 	inFlight atomic.Int64
 }
 
@@ -115,6 +118,9 @@
 	names   map[string]loading.Names
 	entries []mesh.Entry
 	leaving bool
+	// soonest is when the first engine of a service is expected to be ready
+	// that is not yet.
+	soonest map[fleet.ServiceName]time.Time
 	// sure is false once neither the platform nor a peer has been heard for so
 	// long that a route or a key may be missing here and in force elsewhere.
 	sure bool
@@ -129,9 +135,12 @@
 		log:      newRequestLog(opts.Logger, opts.Metrics),
 		names:    make(map[string]loading.Names),
 		replicas: make(map[netip.Addr]replica),
+		readyAt:  make(map[netip.Addr]time.Time),
+		started:  now,
 		lapsed:   make(map[fleet.InstanceID]lapse),
 		told:     make(map[fleet.InstanceID]uint64),
 		budgets:  make(map[fleet.ServiceName]*retry.Window),
+		rooms:    make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:  now,
 	}
 	g.mesh = mesh.New(ctx, now, mesh.Options{
@@ -222,8 +231,8 @@
 }
 
 func (g *Gateway) budget(now time.Time, service fleet.ServiceName) *retry.Window {
-	g.budgetMu.Lock()
-	defer g.budgetMu.Unlock()
+	g.callsMu.Lock()
+	defer g.callsMu.Unlock()
 	w := g.budgets[service]
 	if w == nil {
 		b := g.opts.Budget
@@ -233,6 +242,18 @@
 	return w
 }
 
+// holdRoom returns where late calls wait for a service.
+func (g *Gateway) holdRoom(service fleet.ServiceName) *placement.HoldRoom {
+	g.callsMu.Lock()
+	defer g.callsMu.Unlock()
+	room := g.rooms[service]
+	if room == nil {
+		room = &placement.HoldRoom{}
+		g.rooms[service] = room
+	}
+	return room
+}
+
 // budgetShare is the part of the retry budget that is used. The window of the
 // platform and those of the entries do not begin at the same time, and a
 // request may be counted in another one than its repeat.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/keys"
@@ -14,7 +14,7 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
-	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/supply"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -70,57 +70,19 @@
 // composeForAgent adds where the agent's weights come from and who else wants
 // them. The list of members is sent when it has changed.
 func (g *Gateway) composeForAgent(b *wire.Beat, to fleet.InstanceID, first bool) {
-	if g.table == nil {
-		return
+	addr, err := netip.ParseAddr(string(to))
+	if err != nil {
+		return // no process of ours has such an id
 	}
-	service, ok := g.serviceOf(to)
+	plan, ok := supply.For(g.snapshot, g.opts.Regions, addr)
 	if !ok {
 		return
 	}
-	b.Supply = g.supplyOf(service)
-	members, digest := g.membersOf(service.Name)
-	if first || g.told[to] != digest {
-		b.Members = members
-		g.told[to] = digest
-	}
-}
-
-// serviceOf returns the service of the engine beside an agent.
-func (g *Gateway) serviceOf(agent fleet.InstanceID) (*routing.Service, bool) {
-	for _, s := range g.snapshot.Servers {
-		if s.Addr.Addr().String() != string(agent) {
-			continue
-		}
-		if service := g.table.Service(s.Service); service != nil && service.Engine != nil {
-			return service, true
-		}
-	}
-	return nil, false
-}
-
-func (g *Gateway) supplyOf(service *routing.Service) *wire.Supply {
-	for _, other := range g.table.Services() {
-		if other.Origin != nil {
-			return &wire.Supply{
-				Model: service.Model, Origin: other.Origin.Addr,
-				BytesPerSecond: other.Origin.BytesPerSecond, Layers: service.Engine.Layers,
-			}
-		}
+	b.Supply = &plan.Supply
+	if first || g.told[to] != plan.Digest {
+		b.Members = plan.Members
+		g.told[to] = plan.Digest
 	}
-	return nil
-}
-
-func (g *Gateway) membersOf(service fleet.ServiceName) ([]wire.Member, uint64) {
-	var members []wire.Member
-	digest := xxhash.New()
-	for _, s := range g.snapshot.Servers {
-		if s.Service != service || s.Draining {
-			continue
-		}
-		members = append(members, wire.Member{Addr: s.Addr.Addr(), Zone: s.Zone, Region: g.opts.Regions[s.Zone]})
-		_, _ = digest.WriteString(s.Addr.Addr().String())
-	}
-	return members, digest.Sum64()
 }
 
 // heard takes what another process tells.
@@ -163,6 +125,11 @@
 		return
 	}
 	g.replicas[r.Addr] = replica{Replica: r, heard: now, direct: direct || known.direct && known.Replica == r}
+	if r.ReadyInMS > 0 {
+		g.readyAt[r.Addr] = now.Add(time.Duration(r.ReadyInMS) * time.Millisecond)
+	} else {
+		delete(g.readyAt, r.Addr)
+	}
 	if !ok || known.Loaded != r.Loaded || known.Changing != r.Changing || known.Down != r.Down {
 		g.changed = true
 		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
@@ -179,17 +146,43 @@
 		names:   maps.Clone(g.names),
 		entries: g.mesh.Entries(now),
 		leaving: g.leaving,
+		soonest: g.soonest(now),
 		sure:    now.Sub(g.contact) < sureFor || len(g.mesh.Live(now)) > 0,
 	}
 	g.view.Store(v)
 	slack := g.slack()
-	g.budgetMu.Lock()
-	defer g.budgetMu.Unlock()
+	g.callsMu.Lock()
+	defer g.callsMu.Unlock()
 	for _, w := range g.budgets {
 		w.SetSlack(slack)
 	}
 }
 
+// soonest returns for each service when the first engine is expected to be
+// ready that is not yet. An entry that has just started takes them for ready
+// soon: it has not heard of them.
+func (g *Gateway) soonest(now time.Time) map[fleet.ServiceName]time.Time {
+	soonest := make(map[fleet.ServiceName]time.Time)
+	note := func(service fleet.ServiceName, at time.Time) {
+		if known, ok := soonest[service]; !ok || at.Before(known) {
+			soonest[service] = at
+		}
+	}
+	for _, s := range g.snapshot.Servers {
+		if at, ok := g.readyAt[s.Addr.Addr()]; ok {
+			note(s.Service, at)
+		}
+		if now.Sub(g.started) < hearsAllWithin {
+			note(s.Service, g.started.Add(hearsAllWithin))
+		}
+	}
+	return soonest
+}
+
+// hearsAllWithin is the time in which an entry that has started has heard of
+// every agent.
+const hearsAllWithin = 900 * time.Millisecond
+
 func (g *Gateway) publishServers(now time.Time) {
 	for addr, r := range g.replicas {
 		if now.Sub(r.heard) > replicaLife {
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -39,6 +39,7 @@
 	attempts int // sent
 	unsent   int // could not be sent
 	exclude  []fleet.InstanceID
+	room     *placement.HoldRoom // in which it waits; nil if it does not
 	// mayHaveRun is true once a server may have run the call.
 	mayHaveRun bool
 	// held is a server's failure, given to the caller if nothing better comes.
@@ -74,6 +75,7 @@
 	g.budget(call.Arrived, j.service.Name).Request(call.Arrived)
 	for j.attempt(ctx) {
 	}
+	j.leaveRoom(time.Now(), false)
 }
 
 // admit finds the route and the workspace of the call.
@@ -119,6 +121,11 @@
 func (j *job) attempt(ctx context.Context) bool {
 	now := time.Now()
 	ticket, refusal := j.g.board.Choose(now, j.ask(now))
+	if ticket == nil && j.mayHold(now, refusal.Reason) {
+		wait(ctx, holdPoll)
+		return ctx.Err() == nil || j.ended(ctx, "timeout")
+	}
+	j.leaveRoom(now, ticket != nil)
 	if ticket == nil {
 		j.notPlaced(refusal)
 		return false
@@ -145,17 +152,64 @@
 	return j.whole(ctx, ticket, answer)
 }
 
+const (
+	// holdFor is the longest time for which a call is held while no server can
+	// take it and one is expected to.
+	holdFor = 1200 * time.Millisecond
+	// holdShare is the same as a part of the caller's time.
+	holdShare = 4
+	// holdPoll is how often a held call looks again.
+	holdPoll = 25 * time.Millisecond
+)
+
+// mayHold reports whether the call waits here for a server.
+//
+// After a loss of power all engines load at the same moment. Callers that are
+// refused just before it come back seconds later, and those that have no retry
+// left are lost; held for the rest of the load, they are answered. Where no
+// engine is expected in time, a caller is told at once to come back.
+//
+// A caller that comes back waits for room too: refused again, it is lost.
+func (j *job) mayHold(now time.Time, reason placement.Reason) bool {
+	timeout := j.deadline.Sub(j.call.Arrived)
+	until := j.call.Arrived.Add(min(holdFor, timeout/holdShare))
+	if reason == placement.Full {
+		return j.isLate(now) && now.Before(until) && j.enterRoom(now)
+	}
+	at, expected := j.g.view.Load().soonest[j.service.Name]
+	return expected && now.Before(until) && at.Before(until)
+}
+
+// enterRoom takes the call among those that wait for room, once.
+func (j *job) enterRoom(now time.Time) bool {
+	if j.room == nil {
+		room := j.g.holdRoom(j.service.Name)
+		if !room.Enter(now) {
+			return false
+		}
+		j.room = room
+	}
+	return true
+}
+
+func (j *job) leaveRoom(now time.Time, placed bool) {
+	if j.room != nil {
+		j.room.Leave(now, placed)
+		j.room = nil
+	}
+}
+
 func (j *job) ask(now time.Time) placement.Ask {
 	a := placement.Ask{
-		Service:  j.service.Name,
-		Engine:   j.service.Engine,
-		Prompt:   j.call.Prompt,
-		Answer:   j.call.Answer,
-		Aim:      j.route.Aim - now.Sub(j.call.Arrived),
-		Left:     j.deadline.Sub(now),
-		Returned: j.isReturned() || j.attempts > 0 || j.begun,
-		Exclude:  j.exclude,
-		Near:     j.g.opts.Place,
+		Service: j.service.Name,
+		Engine:  j.service.Engine,
+		Prompt:  j.call.Prompt,
+		Answer:  j.call.Answer,
+		Aim:     j.route.Aim - now.Sub(j.call.Arrived),
+		Left:    j.deadline.Sub(now),
+		Late:    j.isLate(now),
+		Exclude: j.exclude,
+		Near:    j.g.opts.Place,
 	}
 	if j.service.Engine != nil {
 		a.Versions = j.versions(now)
@@ -163,6 +217,11 @@
 	return a
 }
 
+// isLate reports whether the answer cannot be on time any more.
+func (j *job) isLate(now time.Time) bool {
+	return j.isReturned() || j.begun || now.Sub(j.call.Arrived) >= j.route.Aim
+}
+
 // isReturned reports whether the caller was refused before: it then has less
 // time than the route gives.
 func (j *job) isReturned() bool {
@@ -183,7 +242,7 @@
 	if j.begun && j.version != 0 {
 		return func(v placement.ModelVersion) bool { return v == j.version }
 	}
-	names := j.view.names[j.service.Model]
+	names := j.g.view.Load().names[j.service.Model]
 	oldFor := time.Duration(useOldShare * float64(j.g.opts.VersionTime))
 	return func(v placement.ModelVersion) bool {
 		since, outdated := names.OutdatedSince(uint64(v))
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -17,6 +17,7 @@
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/spread"
@@ -63,6 +64,10 @@
 	Endpoint    *peer.Endpoint
 	Engine      Engine
 	Origin      Origin
+	// Source is read at the start, and again while no entry is there.
+	Source catalog.Source
+	// Regions tells the region of each zone.
+	Regions map[fleet.Zone]fleet.Region
 	// VersionTime is how long after its naming a new version must have replaced
 	// the one before.
 	VersionTime time.Duration
@@ -90,6 +95,9 @@
 	nextReport time.Time
 	told       wire.Replica
 
+	reading    bool      // the catalog
+	nextRead   time.Time // of the catalog
+	lastHeard  time.Time // from an entry
 	resolving  bool
 	resolveAt  time.Time
 	gathering  uint64 // version whose gather runs
@@ -169,6 +177,7 @@
 	l.mesh.Tick(now)
 	l.swarm.Tick(now)
 	l.report(now)
+	l.readCatalog(now)
 	l.advance(now)
 }
 
@@ -185,6 +194,7 @@
 
 // heard takes what an entry tells.
 func (l *Loader) heard(now time.Time, b wire.Beat) {
+	l.lastHeard = now
 	if b.Supply != nil {
 		l.supply = b.Supply
 	}
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -102,6 +103,24 @@
 	return nil, failure.NotFound.New("manifest %s is not staged here", digest)
 }
 
+// restTime is how long the chunks that are missing take over the instance's
+// link at least.
+func (s *stage) restTime(number uint64, linkBytes int64) time.Duration {
+	v, err := s.numbered(number)
+	if err != nil || linkBytes <= 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var missing int64
+	for _, c := range v.manifest.Chunks {
+		if _, held := v.chunks[c.Index]; !held {
+			missing += int64(c.Bytes)
+		}
+	}
+	return time.Duration(float64(missing) / (weightsShare * float64(linkBytes)) * float64(time.Second))
+}
+
 // numberOf returns the number of the version with a manifest.
 func (s *stage) numberOf(digest fleet.Digest) (uint64, bool) {
 	v, err := s.version(digest)
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -67,7 +67,11 @@
 	state.Loaded = l.engine.Loaded
 	state.Changing = l.plan.Changing(l.engine)
 	state.Down = l.failures >= downAfter
-	if state == l.told {
+	state.ReadyInMS = l.readyIn(now).Milliseconds()
+	same := state
+	same.ReadyInMS = l.told.ReadyInMS
+	if same == l.told {
+		l.told.ReadyInMS = state.ReadyInMS
 		return
 	}
 	state.Seq++
@@ -75,6 +79,31 @@
 	l.mesh.Flush(now)
 }
 
+const (
+	// reportLag is how much later than it happens a load shows in the engine's
+	// report.
+	reportLag = 250 * time.Millisecond
+)
+
+// readyIn is when the engine is expected to answer from the wanted version; 0
+// if it does, or if that is not known.
+func (l *Loader) readyIn(now time.Time) time.Duration {
+	if l.supply == nil || l.failures >= downAfter || !l.known {
+		return 0
+	}
+	load := time.Duration(l.supply.LoadMS)*time.Millisecond + reportLag
+	switch step := l.plan.Next(now, l.engine); {
+	case step == loading.Rest:
+		return 0
+	case l.plan.Changing(l.engine):
+		return max(reportLag, load-now.Sub(l.plan.OrderedAt()))
+	case step == loading.Gather:
+		return load + l.stage.restTime(l.plan.Wanted(), l.opts.LinkBytes)
+	default:
+		return load
+	}
+}
+
 // advance takes the next step towards the wanted version.
 func (l *Loader) advance(now time.Time) {
 	if l.supply == nil || !l.known || len(l.members) == 0 {
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -57,6 +57,9 @@
 	Loaded   uint64 `cbor:"4,keyasint,omitzero"`
 	Changing bool   `cbor:"5,keyasint,omitzero"`
 	Down     bool   `cbor:"6,keyasint,omitzero"`
+	// ReadyInMS is when the engine is expected to answer from the wanted
+	// version; 0 if it does, or if that is not known.
+	ReadyInMS int64 `cbor:"7,keyasint,omitzero"`
 }
 
 // Newer reports whether r was told after other.
@@ -80,6 +83,8 @@
 	Origin         netip.AddrPort `cbor:"2,keyasint"`
 	BytesPerSecond int64          `cbor:"3,keyasint"`
 	Layers         int            `cbor:"4,keyasint"`
+	// LoadMS is how long the load of a whole version takes once it is staged.
+	LoadMS int64 `cbor:"5,keyasint"`
 }
 
 // CatalogAsk asks an entry for its catalog, if it is newer than AsOf. Stream:
