Weights: finish the version before if the newer one does not come

The pauses of core/spread after failures of the origin grew to 15 s.

Change: a version that is half gathered is finished and loaded if the newer one is not expected before the engine is out of time; pauses are at most 0.7 s here; without a weight store a member draws beyond its quota, slowly.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -8,6 +8,7 @@
 package loading
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,10 @@
 	// orderAgain is how long an order may go without effect before it is given
 	// once more: the answer to an order may be lost, and reports lag.
 	orderAgain = 1500 * time.Millisecond
+	// worthWaiting is how soon the wanted version must be staged for an engine
+	// without any to wait for it, and how long a version must be of use to be
+	// loaded: a few load times.
+	worthWaiting = 1200 * time.Millisecond
 	// refusedPause is the pause after an order that the engine declined.
 	refusedPause = 300 * time.Millisecond
 )
@@ -46,10 +51,14 @@
 	Gather
 	// Wait: everything is staged, and it is not this engine's turn yet.
 	Wait
-	// Order: the stage is to be checked once more and the engine ordered to load.
+	// Order: the stage is to be checked once more and the engine ordered to load
+	// the target.
 	Order
 )
 
+// Far is the time until a version is ready whose chunks do not come.
+const Far = time.Hour
+
 // Plan is the state of one engine's change of version. It belongs to the
 // control loop.
 type Plan struct {
@@ -57,7 +66,7 @@
 	within   time.Duration // for a whole change, of all engines
 
 	names     Names
-	staged    uint64
+	staged    []uint64 // rising
 	orderedAt time.Time
 	ordered   uint64
 	notBefore time.Time
@@ -81,7 +90,11 @@
 func (p *Plan) Wanted() uint64 { return p.names.Newest() }
 
 // Staged tells that a version is staged whole.
-func (p *Plan) Staged(version uint64) { p.staged = version }
+func (p *Plan) Staged(version uint64) {
+	if at, found := slices.BinarySearch(p.staged, version); !found {
+		p.staged = slices.Insert(p.staged, at, version)
+	}
+}
 
 // Ordered tells that an order was given.
 func (p *Plan) Ordered(now time.Time, version uint64) {
@@ -100,19 +113,52 @@
 
 // Changing reports whether the engine takes no new requests since it has been
 // ordered to load.
-func (p *Plan) Changing(e Engine) bool {
-	return p.ordered != 0 && p.ordered == p.Wanted() && e.Loaded != p.Wanted()
+func (p *Plan) Changing(e Engine) bool { return p.ordered != 0 && e.Loaded != p.ordered }
+
+// Target returns the version to load next, 0 if none is staged that is worth
+// it. wantedIn is the time until the wanted version is staged here.
+//
+// A newer version may be named while the one before spreads, and its chunks may
+// not come: the origin fails just then, say. The engine would have to leave
+// service as outdated with the version between lying staged. So that one is
+// loaded, unless the wanted one comes before the engine is out of time.
+func (p *Plan) Target(now time.Time, e Engine, wantedIn time.Duration) uint64 {
+	if len(p.staged) == 0 {
+		return 0
+	}
+	newest := p.staged[len(p.staged)-1]
+	if newest == p.Wanted() || newest <= e.Loaded {
+		return newest
+	}
+	if !p.usable(now, newest) {
+		return 0
+	}
+	if e.Loaded == 0 && wantedIn > worthWaiting {
+		return newest
+	}
+	since, _ := p.names.OutdatedSince(e.Loaded)
+	if e.Loaded != 0 && now.Add(wantedIn).After(since.Add(time.Duration(lastTurn*float64(p.within)))) {
+		return newest
+	}
+	return 0
+}
+
+// usable reports whether a version may be served from for a while yet.
+func (p *Plan) usable(now time.Time, version uint64) bool {
+	since, outdated := p.names.OutdatedSince(version)
+	return !outdated || since.Add(time.Duration(lastTurn*float64(p.within))).After(now.Add(worthWaiting))
 }
 
 // Next returns the next step.
-func (p *Plan) Next(now time.Time, e Engine) Step {
+func (p *Plan) Next(now time.Time, e Engine, wantedIn time.Duration) Step {
 	wanted := p.Wanted()
+	target := p.Target(now, e, wantedIn)
 	switch {
 	case wanted == 0 || e.Loaded == wanted && !e.Busy:
 		return Rest
-	case p.staged != wanted:
+	case target == 0 || target <= e.Loaded:
 		return Gather
-	case p.ordered == wanted && now.Sub(p.orderedAt) < orderAgain || e.Busy || now.Before(p.notBefore):
+	case p.ordered == target && now.Sub(p.orderedAt) < orderAgain || e.Busy || now.Before(p.notBefore):
 		return Wait
 	case now.Before(p.turn(e)):
 		return Wait
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -26,7 +26,7 @@
 	// may wait at an engine until its own prompt is read. It is the same for all
 	// kinds and sizes of request: by their own aims, those with the longer aim
 	// would keep the engines so busy that no other was ever placed.
-	waitShare = 0.6
+	waitShare = 0.5
 	// lateShare is the same for a request that is late already. The rest of the
 	// room is left to those that can still be on time.
 	lateShare = 0.4
--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -18,7 +18,6 @@
 	slackMin    = 250 * time.Millisecond
 
 	sourcePauseMin = 500 * time.Millisecond
-	sourcePauseMax = 15 * time.Second
 	retryPauseMin  = 250 * time.Millisecond
 	// downAfter is the number of failures in a row after which a source counts
 	// as down.
@@ -26,6 +25,9 @@
 	// storeAfter is how many takeover times a chunk waits for members that
 	// still have origin quota before this one asks the store for it.
 	storeAfter = 2
+	// beyondQuota is how many takeover times a member waits that has used up its
+	// quota, where there is only the origin.
+	beyondQuota = 2
 	// rankScale is the rank up to which waiting times grow evenly.
 	rankScale = 2
 	// ageTicks is the number of steps in which OrphanTime is counted.
@@ -262,7 +264,7 @@
 	if !d.isOpen() || d.runningOrigin+d.runningStore >= maxDraws || now.Before(d.nextLook) {
 		return Fetch{}, false
 	}
-	d.nextLook = now.Add(sourcePauseMax)
+	d.nextLook = now.Add(p.settings.SourcePauseMax)
 	for queue := range d.ready {
 		if f, ok := p.nextOf(now, queue); ok {
 			d.nextLook = time.Time{}
@@ -327,6 +329,10 @@
 		atStore = later(due.Add(storeAfter*p.settings.Takeover), d.store.until)
 	}
 	switch {
+	case p.settings.NoStore && quota:
+		return SourceOrigin, atOrigin
+	case p.settings.NoStore:
+		return SourceOrigin, atOrigin.Add(beyondQuota * p.settings.Takeover)
 	case !quota:
 		return SourceStore, atStore
 	case tried.bad == SourceStore, tried.bad == SourceOrigin && d.store.down():
@@ -364,13 +370,13 @@
 	}
 	tried := d.retries[failed.Chunk]
 	tried.attempts++
-	tried.at = now.Add(p.jitter(doubling(retryPauseMin, tried.attempts, sourcePauseMax)))
+	tried.at = now.Add(p.jitter(doubling(retryPauseMin, tried.attempts, p.settings.SourcePauseMax)))
 	if reason == ReasonCorrupt || reason == ReasonMissing {
 		tried.bad = failed.Source
 	}
 	if reason != ReasonLocal {
 		from.failures++
-		pause := doubling(sourcePauseMin, from.failures, sourcePauseMax)
+		pause := doubling(sourcePauseMin, from.failures, p.settings.SourcePauseMax)
 		if retryAfter > 0 {
 			pause = retryAfter
 		}
--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -48,6 +48,15 @@
 	// OrphanTime is how long the first in rank waits for a chunk that exists
 	// somewhere but at no neighbour. Default twice Takeover.
 	OrphanTime time.Duration
+	// SourcePauseMax is the longest pause before the origin or the store is asked
+	// again after failures. Default 15s: hundreds of members that each ask a
+	// source that has just come back would bring it down again. A small fleet on
+	// a short deadline asks sooner.
+	SourcePauseMax time.Duration
+	// NoStore says that there is only the origin. A member that has used up its
+	// part of OriginCopies then goes on drawing from it, slowly: failed draws
+	// count, and without them a version might never become whole.
+	NoStore bool
 
 	// pace is the time in which the origin sends one average chunk.
 	pace time.Duration
@@ -60,6 +69,7 @@
 	defaultPerPeer       = 1
 	defaultMaxNeighbours = 8
 	defaultListenTime    = time.Second
+	defaultSourcePause   = 15 * time.Second
 
 	takeoverChunks   = 16
 	takeoverMin      = time.Second
@@ -78,6 +88,7 @@
 	orDefault(&s.MaxUploads, s.MaxFetches)
 	orDefault(&s.MaxNeighbours, defaultMaxNeighbours)
 	orDefault(&s.ListenTime, defaultListenTime)
+	orDefault(&s.SourcePauseMax, defaultSourcePause)
 	copyTime := float64(m.TotalBytes()) / float64(s.OriginRate) * float64(time.Second)
 	s.pace = max(1, time.Duration(copyTime)/time.Duration(max(1, len(m.Chunks))))
 	takeover := max(takeoverMin, takeoverChunks*s.pace)
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -231,7 +231,7 @@
 // useOldShare is the part of the time for a new version during which engines
 // with the one before are still used. What is sent to them at its end waits
 // for its first event within the rest.
-const useOldShare = 0.8
+const useOldShare = 0.86
 
 // versions tells which weights may answer.
 //
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -48,6 +48,9 @@
 	// sent of them in one step: some milliseconds of a link of 10 Mbit/s.
 	weightsShare = 0.85
 	sendBytes    = 8 << 10
+	// originPause is the longest pause before the origin is asked again: a
+	// version has seconds.
+	originPause = 700 * time.Millisecond
 	// originCopies bounds what the fleet draws of one version.
 	originCopies = 2.5
 )
@@ -95,14 +98,20 @@
 	nextReport time.Time
 	told       wire.Replica
 
-	reading    bool      // the catalog
-	nextRead   time.Time // of the catalog
-	lastHeard  time.Time // from an entry
-	resolving  bool
-	resolveAt  time.Time
-	gathering  uint64 // version whose gather runs
-	ordering   bool
-	gatherFrom time.Time
+	reading   bool      // the catalog
+	nextRead  time.Time // of the catalog
+	lastHeard time.Time // from an entry
+	resolving bool
+	resolveAt time.Time
+	gathers   []gathering // oldest first
+	ordering  bool
+}
+
+// gathering is a version whose chunks are gathered or staged.
+type gathering struct {
+	version uint64
+	named   fleet.Version
+	from    time.Time
 }
 
 // New returns a loader that does nothing before its loop runs.
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -10,13 +10,15 @@
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/weights"
 	"chivespindle.example/daemon/wire"
 )
 
-// keptVersions is how many versions' chunks are held in memory: the wanted one
-// and the one before, which neighbours that are late may still ask for.
-const keptVersions = 2
+// keptVersions is how many versions' chunks are held in memory: the wanted one,
+// the one before, which may be loaded first, and the one that the engine holds,
+// which new neighbours ask for.
+const keptVersions = 3
 
 // stage keeps the chunks of a version in memory, where peers get them, and in
 // the engine's stage, where the engine loads them. It implements weights.Stage
@@ -43,6 +45,7 @@
 	manifest weights.Manifest
 	raw      []byte
 	chunks   map[int][]byte
+	last     time.Time // when a chunk was kept last
 }
 
 func newStage(engine Engine, origin Origin, logger *zap.Logger) *stage {
@@ -103,12 +106,15 @@
 	return nil, failure.NotFound.New("manifest %s is not staged here", digest)
 }
 
+// stalledAfter is how long no chunk may come until a gather counts as stalled.
+const stalledAfter = 900 * time.Millisecond
+
 // restTime is how long the chunks that are missing take over the instance's
-// link at least.
-func (s *stage) restTime(number uint64, linkBytes int64) time.Duration {
-	v, err := s.numbered(number)
+// link at least; loading.Far while none come.
+func (s *stage) restTime(now time.Time, g gathering, linkBytes int64) time.Duration {
+	v, err := s.numbered(g.version)
 	if err != nil || linkBytes <= 0 {
-		return 0
+		return loading.Far
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,16 +124,21 @@
 			missing += int64(c.Bytes)
 		}
 	}
+	if missing > 0 && now.Sub(g.from) > stalledAfter && now.Sub(v.last) > stalledAfter {
+		return loading.Far
+	}
 	return time.Duration(float64(missing) / (weightsShare * float64(linkBytes)) * float64(time.Second))
 }
 
-// numberOf returns the number of the version with a manifest.
-func (s *stage) numberOf(digest fleet.Digest) (uint64, bool) {
-	v, err := s.version(digest)
+// missing returns the share of a version's chunks that are not here.
+func (s *stage) missing(number uint64) float64 {
+	v, err := s.numbered(number)
 	if err != nil {
-		return 0, false
+		return 1
 	}
-	return v.number, true
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 - float64(len(v.chunks))/float64(len(v.manifest.Chunks))
 }
 
 // Held implements weights.Stage. What the engine's stage holds may be of
@@ -163,6 +174,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v.chunks[number] = data
+	v.last = time.Now()
 }
 
 // Put implements weights.Stage.
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -92,32 +92,51 @@
 		return 0
 	}
 	load := time.Duration(l.supply.LoadMS)*time.Millisecond + reportLag
-	switch step := l.plan.Next(now, l.engine); {
+	switch step := l.plan.Next(now, l.engine, l.wantedIn(now)); {
 	case step == loading.Rest:
 		return 0
 	case l.plan.Changing(l.engine):
 		return max(reportLag, load-now.Sub(l.plan.OrderedAt()))
 	case step == loading.Gather:
-		return load + l.stage.restTime(l.plan.Wanted(), l.opts.LinkBytes)
+		return min(loading.Far, load+l.wantedIn(now))
 	default:
 		return load
 	}
 }
 
+// wantedIn is the time until the wanted version is staged, as far as its chunks
+// come.
+func (l *Loader) wantedIn(now time.Time) time.Duration {
+	for _, g := range l.gathers {
+		if g.version == l.plan.Wanted() {
+			return l.stage.restTime(now, g, l.opts.LinkBytes)
+		}
+	}
+	return loading.Far
+}
+
 // advance takes the next step towards the wanted version.
 func (l *Loader) advance(now time.Time) {
 	if l.supply == nil || !l.known || len(l.members) == 0 {
 		return
 	}
-	if l.plan.Wanted() == 0 || l.gathering != l.plan.Wanted() {
+	if l.plan.Wanted() == 0 || !l.isGathered(l.plan.Wanted()) {
 		l.resolve(now)
-		return
 	}
-	if l.plan.Next(now, l.engine) == loading.Order && !l.ordering {
+	if !l.ordering && l.plan.Next(now, l.engine, l.wantedIn(now)) == loading.Order {
 		l.order(now)
 	}
 }
 
+func (l *Loader) isGathered(version uint64) bool {
+	for _, g := range l.gathers {
+		if g.version == version {
+			return true
+		}
+	}
+	return false
+}
+
 // resolve finds the manifest of the wanted version and begins to gather it.
 // Engines that hold it gather it too: from their own stage, to give it to
 // others.
@@ -147,31 +166,47 @@
 	if version != l.plan.Wanted() {
 		return // another version was named meanwhile
 	}
-	l.gathering = version
-	l.gatherFrom = now
+	l.gather(now, version, named)
+}
+
+// gather begins to gather a version. One before it that is half here is
+// finished, since the newer one may not come; else its bytes would only delay
+// the newer.
+func (l *Loader) gather(now time.Time, version uint64, named fleet.Version) {
+	for _, older := range l.gathers {
+		if l.stage.missing(older.version) > 0.5 {
+			l.swarm.Stop(older.named.Manifest)
+		}
+	}
+	l.gathers = append(l.gathers, gathering{version: version, named: named, from: now})
+	for len(l.gathers) > keptVersions {
+		l.swarm.Drop(l.gathers[0].named.Manifest)
+		l.gathers = l.gathers[1:]
+	}
 	l.swarm.Gather(now, named, spread.Settings{
 		Policy: spread.PolicyTime, OriginCopies: originCopies, OriginRate: l.supply.BytesPerSecond,
-		ListenTime: listenTime, Takeover: takeover,
+		ListenTime: listenTime, Takeover: takeover, SourcePauseMax: originPause, NoStore: true,
 	}, nil)
 }
 
 // gathered follows the last chunk of a version.
 func (l *Loader) gathered(now time.Time, version fleet.Version) {
-	number, ok := l.stage.numberOf(version.Manifest)
-	if !ok || number != l.plan.Wanted() {
-		return
+	for _, g := range l.gathers {
+		if g.named != version {
+			continue
+		}
+		l.plan.Staged(g.version)
+		drawn := l.swarm.Drawn()
+		l.opts.Logger.Info("version_staged", zap.Uint64("version", g.version), zap.Duration("took", now.Sub(g.from)),
+			zap.Int64("origin_bytes", drawn.OriginBytes), zap.Int64("peer_bytes", drawn.PeerBytes))
 	}
-	l.plan.Staged(number)
-	drawn := l.swarm.Drawn()
-	l.opts.Logger.Info("version_staged", zap.Uint64("version", number), zap.Duration("took", now.Sub(l.gatherFrom)),
-		zap.Int64("origin_bytes", drawn.OriginBytes), zap.Int64("peer_bytes", drawn.PeerBytes))
 	l.advance(now)
 }
 
 // order has the engine load what is staged.
 func (l *Loader) order(now time.Time) {
 	l.ordering = true
-	version := l.plan.Wanted()
+	version := l.plan.Target(now, l.engine, l.wantedIn(now))
 	supply := *l.supply
 	l.plan.Ordered(now, version)
 	l.tell(now)
