Entry: keep a lapsed server only if the platform was down for all

Ruled out: a silent watch (the entry logged server_removed 20 ms after the platform's word).

Change: entries tell each other whether the platform answers them; one that was cut off alone keeps no lapsed server; the others keep it until 2.2 s after the platform's return.

--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -40,13 +40,10 @@
 	// sureFor is how long after the last word of the platform or of a peer an
 	// entry says of itself that a route or a key does not exist.
 	sureFor = 2500 * time.Millisecond
-	// lapseTime is how long a server stays in use whose registration ended while
-	// the platform was not sound: those that live are registered again within
-	// two seconds of its return.
-	lapseTime = 2300 * time.Millisecond
-	// unsoundAfter is how long after its return the platform may still tell of
-	// registrations that only lapsed.
-	unsoundAfter = 2 * time.Second
+	// lapseTime is how long after the platform's return a server stays in use
+	// whose registration ended meanwhile: those that live are registered again
+	// within two seconds.
+	lapseTime = 2200 * time.Millisecond
 )
 
 // Follow keeps the catalog up to date from the platform until ctx ends.
@@ -129,7 +126,10 @@
 func (g *Gateway) sourceAnswered(now time.Time) {
 	if g.failing {
 		g.failing = false
-		g.outageEnd = now
+		if !g.cutOffAlone {
+			g.outageEnd = now
+		}
+		g.cutOffAlone = false
 		g.opts.Logger.Info("platform_regained", zap.Duration("after", now.Sub(g.contact)))
 	}
 	g.contact = now
@@ -170,21 +170,27 @@
 	g.settle(now, "platform")
 }
 
-// removed notes a registration that ended. While the platform is not sound it
-// may only have lapsed, so the server is kept for a while, unless it said that
-// it leaves.
+// removed notes a registration that ended. While the platform is down, and for
+// a while after, it may only have lapsed, so the server is kept, unless it said
+// that it leaves. An entry that was cut off from a platform that others reached
+// finds no lapses there.
 func (g *Gateway) removed(now time.Time, s catalog.Server) {
-	unsound := g.failing || now.Sub(g.outageEnd) < unsoundAfter
-	if unsound && !s.Draining {
-		g.lapsed[s.ID] = lapse{server: s, until: now.Add(lapseTime)}
+	unsound := g.failing && !g.cutOffAlone || now.Sub(g.outageEnd) < lapseTime
+	keep := unsound && !s.Draining
+	if keep {
+		g.lapsed[s.ID] = s
 	}
 	g.opts.Logger.Info("server_removed", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
-		zap.Bool("kept", unsound && !s.Draining))
+		zap.Bool("kept", keep))
 }
 
 func (g *Gateway) endLapses(now time.Time) {
-	for id, l := range g.lapsed {
-		if now.After(l.until) || hasServer(g.snapshot.Servers, id) {
+	if len(g.lapsed) == 0 {
+		return
+	}
+	over := g.cutOffAlone || !g.failing && now.Sub(g.outageEnd) >= lapseTime
+	for id := range g.lapsed {
+		if over || hasServer(g.snapshot.Servers, id) {
 			delete(g.lapsed, id)
 			g.changed = true
 		}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -89,8 +89,13 @@
 	contact     time.Time // last answer of the platform
 	outageEnd   time.Time // when the platform answered again after a failure
 	failing     bool
-	lapsed      map[fleet.InstanceID]lapse
-	told        map[fleet.InstanceID]uint64 // members that each agent was told
+	// cutOffAlone is true if the platform answered another entry while it did
+	// not answer this one.
+	cutOffAlone bool
+	// lapsed are servers whose registration ended while the platform was not
+	// sound.
+	lapsed map[fleet.InstanceID]catalog.Server
+	told   map[fleet.InstanceID]uint64 // members that each agent was told
 
 	callsMu  sync.Mutex
 	budgets  map[fleet.ServiceName]*retry.Window
@@ -105,13 +110,6 @@
 	direct bool // by the agent itself and not by another entry
 }
 
-// lapse is a server whose registration ended while the platform was not
-// sound.
-type lapse struct {
-	server catalog.Server
-	until  time.Time
-}
-
 // view is what calls see. It is never changed.
 type view struct {
 	table   *routing.Table
@@ -137,7 +135,7 @@
 		replicas: make(map[netip.Addr]replica),
 		readyAt:  make(map[netip.Addr]time.Time),
 		started:  now,
-		lapsed:   make(map[fleet.InstanceID]lapse),
+		lapsed:   make(map[fleet.InstanceID]catalog.Server),
 		told:     make(map[fleet.InstanceID]uint64),
 		budgets:  make(map[fleet.ServiceName]*retry.Window),
 		rooms:    make(map[fleet.ServiceName]*placement.HoldRoom),
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -40,7 +40,7 @@
 		ID: g.opts.Self, Role: fleet.RoleEntry, Incarnation: g.opts.Incarnation, Place: g.opts.Place,
 		CallerAddr: g.opts.CallerAddr, Ready: g.table != nil && !g.leaving, Leaving: g.leaving,
 		AsOf: g.snapshot.AsOf, ConfigRevision: g.snapshot.ConfigRevision,
-		Wanted: g.wantedNow(now),
+		Reaches: !g.failing && now.Sub(g.contact) < sureFor, Wanted: g.wantedNow(now),
 	}
 	if role == fleet.RoleAgent {
 		b.Entries = g.mesh.Live(now)
@@ -88,6 +88,7 @@
 // heard takes what another process tells.
 func (g *Gateway) heard(now time.Time, b wire.Beat) {
 	if b.Role == fleet.RoleEntry {
+		g.cutOffAlone = g.cutOffAlone || g.failing && b.Reaches
 		g.board.SetLoads(now, b.ID, b.Loads)
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
@@ -198,9 +199,9 @@
 	for _, s := range g.snapshot.Servers {
 		list = append(list, g.server(s))
 	}
-	for id, l := range g.lapsed {
+	for id, lapsed := range g.lapsed {
 		if !hasServer(g.snapshot.Servers, id) {
-			list = append(list, g.server(l.server))
+			list = append(list, g.server(lapsed))
 		}
 	}
 	g.board.SetServers(list)
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -23,6 +23,8 @@
 	// AsOf and ConfigRevision are those of the sender's catalog.
 	AsOf           catalog.Revision `cbor:"8,keyasint,omitzero"`
 	ConfigRevision catalog.Revision `cbor:"9,keyasint,omitzero"`
+	// Reaches is true while the platform answers an entry.
+	Reaches bool `cbor:"16,keyasint,omitzero"`
 	// Wanted are the model versions that the operator named.
 	Wanted []WantedVersion `cbor:"10,keyasint,omitempty"`
 	// Loads is what an entry has at each server.
