Entry: an assumed age of a version gives way to a known one; exit when done

Entries that had finished stayed until the platform killed them: the part that serves callers waited for the end of the process that waited for it.

--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -139,13 +139,18 @@
 		return nil, failure.Invalid.Wrap(err, "listen on %s", addr)
 	}
 	server := newPlatformServer(handler)
+	interrupted := make(chan struct{})
 	b.group.Add(func() error {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
 			return failure.Unavailable.Wrap(err, "serve on %s", addr)
 		}
-		<-b.ctx.Done()
+		// A graceful shutdown ends Serve at once, while requests still run.
+		<-interrupted
 		return nil
-	}, func(error) { _ = server.Close() })
+	}, func(error) {
+		close(interrupted)
+		_ = server.Close()
+	})
 	return server, nil
 }
 
--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -78,11 +78,11 @@
 	return &Plan{instance: instance, within: within}
 }
 
-// Want takes a version that the operator named, and since when it is known. It
-// reports whether another version is wanted now.
-func (p *Plan) Want(version uint64, since time.Time) bool {
+// Want takes a version that the operator named. It reports whether another
+// version is wanted now.
+func (p *Plan) Want(named Named) bool {
 	before := p.names.Newest()
-	p.names, _ = p.names.Add(Named{Version: version, Since: since}, 0)
+	p.names, _ = p.names.Add(named, 0)
 	return p.names.Newest() != before
 }
 
--- a/core/loading/names.go
+++ b/core/loading/names.go
@@ -14,6 +14,11 @@
 type Named struct {
 	Version uint64
 	Since   time.Time
+	// Assumed is true if the process found the version when it started, and
+	// took it for long known. The word of one that knows goes before it: a
+	// process that restarts in the middle of a change would otherwise have all
+	// others take the old version out of service.
+	Assumed bool
 }
 
 // Names are the versions named of one model, oldest first. The zero value is
@@ -30,7 +35,7 @@
 
 // Add returns the names with one more, and whether that changed them. A version
 // that is known stays with the earlier of both times, unless they differ by
-// less than skew.
+// less than skew; an assumed time gives way to a known one.
 func (n Names) Add(add Named, skew time.Duration) (Names, bool) {
 	at, found := slices.BinarySearchFunc(n, add.Version, func(have Named, version uint64) int {
 		switch {
@@ -42,18 +47,25 @@
 			return 0
 		}
 	})
-	if found && !add.Since.Before(n[at].Since.Add(-skew)) {
+	if found && !n[at].givesWay(add, skew) {
 		return n, false
 	}
 	next := slices.Clone(n)
 	if found {
-		next[at].Since = add.Since
+		next[at] = add
 		return next, true
 	}
 	next = slices.Insert(next, at, add)
 	return next[max(0, len(next)-keptNames):], true
 }
 
+func (n Named) givesWay(to Named, skew time.Duration) bool {
+	if n.Assumed != to.Assumed {
+		return n.Assumed
+	}
+	return to.Since.Before(n.Since.Add(-skew))
+}
+
 // OutdatedSince returns since when a newer version than loaded has been named;
 // false if there is none.
 //
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -13,6 +13,7 @@
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/wire"
@@ -224,11 +225,12 @@
 		if g.names[w.Model].Newest() >= w.Version {
 			continue
 		}
-		since := now
+		named := loading.Named{Version: w.Version, Since: now}
 		if g.tableOf == 0 {
-			since = now.Add(-g.opts.VersionTime)
+			named.Assumed = true
+			named.Since = now.Add(-g.opts.VersionTime)
 		}
-		g.setWanted(w.Model, w.Version, since)
+		g.setWanted(w.Model, named)
 	}
 }
 
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -61,7 +61,8 @@
 	var all []wire.WantedVersion
 	for model, names := range g.names {
 		for _, n := range names {
-			all = append(all, wire.WantedVersion{Model: model, Version: n.Version, AgeMS: now.Sub(n.Since).Milliseconds()})
+			all = append(all, wire.WantedVersion{
+				Model: model, Version: n.Version, AgeMS: now.Sub(n.Since).Milliseconds(), Assumed: n.Assumed})
 		}
 	}
 	return all
@@ -102,22 +103,22 @@
 // heardWanted takes a version that a peer knows of. The peer may have known it
 // for longer than this process, which then stops to use the old one earlier.
 func (g *Gateway) heardWanted(now time.Time, w wire.WantedVersion) {
-	g.setWanted(w.Model, w.Version, now.Add(-time.Duration(w.AgeMS)*time.Millisecond))
+	g.setWanted(w.Model, w.Named(now))
 }
 
 // wantedSkew is the time on the way of a beat, within which two processes'
 // knowledge counts as equally old.
 const wantedSkew = 200 * time.Millisecond
 
-func (g *Gateway) setWanted(model string, version uint64, since time.Time) {
-	names, changed := g.names[model].Add(loading.Named{Version: version, Since: since}, wantedSkew)
+func (g *Gateway) setWanted(model string, named loading.Named) {
+	names, changed := g.names[model].Add(named, wantedSkew)
 	if !changed {
 		return
 	}
 	g.names[model] = names
 	g.changed = true
-	g.opts.Logger.Info("version_wanted", zap.String("model", model), zap.Uint64("version", version),
-		zap.Time("since", since))
+	g.opts.Logger.Info("version_wanted", zap.String("model", model), zap.Uint64("version", named.Version),
+		zap.Time("since", named.Since), zap.Bool("assumed", named.Assumed))
 }
 
 func (g *Gateway) heardReplica(now time.Time, r wire.Replica, direct bool) {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -215,17 +215,17 @@
 	}
 	for _, w := range b.Wanted {
 		if w.Model == l.supply.Model {
-			l.want(now, w.Version, now.Add(-time.Duration(w.AgeMS)*time.Millisecond))
+			l.want(now, w.Named(now))
 		}
 	}
 }
 
-func (l *Loader) want(now time.Time, version uint64, since time.Time) {
-	if !l.plan.Want(version, since) {
+func (l *Loader) want(now time.Time, named loading.Named) {
+	if !l.plan.Want(named) {
 		return
 	}
-	l.opts.Logger.Info("version_wanted", zap.Uint64("version", version), zap.Duration("age", now.Sub(since)),
-		zap.Uint64("loaded", l.engine.Loaded))
+	l.opts.Logger.Info("version_wanted", zap.Uint64("version", named.Version),
+		zap.Duration("age", now.Sub(named.Since)), zap.Bool("assumed", named.Assumed), zap.Uint64("loaded", l.engine.Loaded))
 	l.resolveAt = now
 	l.advance(now)
 }
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -161,7 +161,7 @@
 		return
 	}
 	if l.plan.Wanted() == 0 {
-		l.plan.Want(version, now)
+		l.plan.Want(loading.Named{Version: version, Since: now})
 	}
 	if version != l.plan.Wanted() {
 		return // another version was named meanwhile
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 )
 
@@ -47,6 +49,15 @@
 	Model   string `cbor:"1,keyasint"`
 	Version uint64 `cbor:"2,keyasint"`
 	AgeMS   int64  `cbor:"3,keyasint"`
+	// Assumed is true if the sender found the version when it started and does
+	// not know its age.
+	Assumed bool `cbor:"4,keyasint,omitzero"`
+}
+
+// Named returns the version as the receiver sees it.
+func (w WantedVersion) Named(now time.Time) loading.Named {
+	since := now.Add(-time.Duration(w.AgeMS) * time.Millisecond)
+	return loading.Named{Version: w.Version, Since: since, Assumed: w.Assumed}
 }
 
 // Replica is what the agent beside an engine knows of it.
