Settings are read again on SIGHUP; a pause of the process is noticed; slow engines

SIGHUP ended the process. After a suspension the steady clock has not counted the time, so beliefs looked fresh: now the boot clock tells, links are dropped, the platform is read again, and calls wait up to 0.4 s for that. An engine's report of its pace reaches the entries and scales what they predict.

--- a/cmd/chivespindled/platform_agent.go
+++ b/cmd/chivespindled/platform_agent.go
@@ -22,6 +22,7 @@
 	b.loop.AddTicker(l)
 	b.actor(b.endpoint.Run)
 	b.actor(b.loop.Run)
+	b.actor(b.followSettings(l))
 	return b.run(platformAgent{})
 }
 
--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -67,6 +67,7 @@
 	}
 	b.actor(b.endpoint.Run)
 	b.actor(b.loop.Run)
+	b.actor(b.followSettings(g))
 	b.actor(g.Follow)
 	return b.run(e)
 }
--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -39,6 +39,8 @@
 	Loaded uint64
 	// Busy is true while an order is being carried out.
 	Busy bool
+	// Pace is by how much its passes last longer than published; 1 is sound.
+	Pace float64
 }
 
 // Step is what the agent is to do next.
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -161,7 +161,7 @@
 func (b *Board) predict(now time.Time, st *state, ask Ask) time.Duration {
 	w := b.work(now, st)
 	if ask.Engine != nil {
-		return ask.Engine.FirstEvent(w, ask.Prompt)
+		return time.Duration(max(1, st.Pace) * float64(ask.Engine.FirstEvent(w, ask.Prompt)))
 	}
 	rounds := float64(w.Running) / float64(max(1, st.Slots))
 	return time.Duration(rounds * float64(st.group.duration))
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -42,6 +42,9 @@
 	Leaving bool
 	// Changing servers are loading weights, or are about to, and take nothing.
 	Changing bool
+	// Pace is by how much an engine's passes last longer than published; 0 if that
+	// is not known.
+	Pace float64
 	// Down is true while the agent beside the server cannot reach it.
 	Down bool
 }
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -54,11 +54,13 @@
 	failures := 0
 	for ctx.Err() == nil {
 		var err error
+		call, cancel := g.untilRewatch(ctx)
 		if listed {
-			at, err = g.watch(ctx, at)
+			at, err = g.watch(call, at)
 		} else {
-			at, err = g.list(ctx)
+			at, err = g.list(call)
 		}
+		cancel()
 		switch {
 		case err == nil:
 			listed = true
@@ -77,6 +79,20 @@
 	return nil
 }
 
+// untilRewatch returns a context that ends when the process has found that it
+// was paused: a watch from before the pause may wait on a dead connection.
+func (g *Gateway) untilRewatch(ctx context.Context) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-g.rewatch:
+			cancel()
+		case <-call.Done():
+		}
+	}()
+	return call, cancel
+}
+
 func pauseAfter(failures int, err error) time.Duration {
 	pause := min(sourcePauseMax, sourcePauseMin<<min(failures-1, 4))
 	pause = max(pause, failure.RetryAfter(err))
@@ -134,10 +150,12 @@
 		g.opts.Logger.Info("platform_regained", zap.Duration("after", now.Sub(g.contact)))
 	}
 	g.contact = now
+	g.doubtful = false
 }
 
 // adopt takes a whole catalog if it is not older than the own one.
 func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
+	g.doubtful = false
 	if s.AsOf < g.snapshot.AsOf {
 		return
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/bootclock"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
@@ -69,6 +70,7 @@
 	opts  Options
 	ctx   context.Context
 	mesh  *mesh.Mesh
+	clock bootclock.Watch
 	board *placement.Board
 	log   *requestLog
 	view  atomic.Pointer[view]
@@ -89,6 +91,11 @@
 	contact     time.Time // last answer of the platform
 	outageEnd   time.Time // when the platform answered again after a failure
 	failing     bool
+	// doubtful is true from a pause of the process until the platform or a peer
+	// has been read again.
+	doubtful bool
+	// rewatch ends the call to the platform that runs.
+	rewatch chan struct{}
 	// cutOffAlone is true if the platform answered another entry while it did
 	// not answer this one.
 	cutOffAlone bool
@@ -116,6 +123,8 @@
 	names   map[string]loading.Names
 	entries []mesh.Entry
 	leaving bool
+	// doubtful views are from before a pause of the process.
+	doubtful bool
 	// soonest is when the first engine of a service is expected to be ready
 	// that is not yet.
 	soonest map[fleet.ServiceName]time.Time
@@ -140,6 +149,7 @@
 		budgets:  make(map[fleet.ServiceName]*retry.Window),
 		rooms:    make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:  now,
+		rewatch:  make(chan struct{}, 1),
 	}
 	g.mesh = mesh.New(ctx, now, mesh.Options{
 		Self:     opts.Self,
@@ -160,16 +170,45 @@
 
 // Tick is called by the control loop.
 func (g *Gateway) Tick(now time.Time) {
+	if gap := g.clock.Elapsed(); gap > pausedAfter {
+		g.woke(now, gap)
+	}
 	g.mesh.Tick(now)
 	g.askPeers(now)
 	g.endLapses(now)
 	g.publish(now)
 }
 
+// pausedAfter is the time between two ticks from which on the process counts
+// as paused: many ticks, and less than the operator's bounds.
+const pausedAfter = time.Second
+
+// woke forgets what may have changed while the process did not run. Beliefs
+// that are old are not seen to be: the clock may not have counted the pause.
+func (g *Gateway) woke(now time.Time, gap time.Duration) {
+	g.opts.Logger.Warn("woke", zap.Duration("after", gap))
+	g.doubtful = true
+	g.failing = true
+	g.contact = now.Add(-sureFor)
+	g.replicas = make(map[netip.Addr]replica)
+	g.readyAt = make(map[netip.Addr]time.Time)
+	g.changed = true
+	g.mesh.Woke(now)
+	select {
+	case g.rewatch <- struct{}{}:
+	default:
+	}
+}
+
+// SetSeeds takes the machines that the settings name now.
+func (g *Gateway) SetSeeds(ctx context.Context, seeds []netip.Addr) error {
+	return g.opts.Loop.Do(ctx, func(now time.Time) { g.mesh.SetSeeds(now, seeds) })
+}
+
 // Ready reports whether the entry takes requests.
 func (g *Gateway) Ready() bool {
 	v := g.view.Load()
-	return v != nil && v.table != nil && !v.leaving
+	return v != nil && v.table != nil && !v.leaving && !v.doubtful
 }
 
 // Addresses returns where callers find the entries that take requests, this
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -132,10 +132,10 @@
 	} else {
 		delete(g.readyAt, r.Addr)
 	}
-	if !ok || known.Loaded != r.Loaded || known.Changing != r.Changing || known.Down != r.Down {
+	if !ok || known.Loaded != r.Loaded || known.Changing != r.Changing || known.Down != r.Down || known.Pace != r.Pace {
 		g.changed = true
 		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
-			zap.Bool("changing", r.Changing), zap.Bool("down", r.Down), zap.Bool("direct", direct))
+			zap.Bool("changing", r.Changing), zap.Bool("down", r.Down), zap.Int("pace_percent", r.Pace), zap.Bool("direct", direct))
 	}
 }
 
@@ -144,12 +144,13 @@
 	g.publishServers(now)
 	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
 	v := &view{
-		table:   g.table,
-		names:   maps.Clone(g.names),
-		entries: g.mesh.Entries(now),
-		leaving: g.leaving,
-		soonest: g.soonest(now),
-		sure:    now.Sub(g.contact) < sureFor || len(g.mesh.Live(now)) > 0,
+		table:    g.table,
+		names:    maps.Clone(g.names),
+		entries:  g.mesh.Entries(now),
+		leaving:  g.leaving,
+		doubtful: g.doubtful,
+		soonest:  g.soonest(now),
+		sure:     now.Sub(g.contact) < sureFor || len(g.mesh.Live(now)) > 0,
 	}
 	g.view.Store(v)
 	slack := g.slack()
@@ -222,6 +223,7 @@
 		out.Loaded = placement.ModelVersion(r.Loaded)
 		out.Changing = r.Changing
 		out.Down = r.Down
+		out.Pace = float64(r.Pace) / 100
 	}
 	return out
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -65,7 +65,7 @@
 func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	j := &job{g: g, call: call, caller: caller, view: g.view.Load(), lastEvent: call.LastEvent}
+	j := &job{g: g, call: call, caller: caller, view: g.currentView(ctx), lastEvent: call.LastEvent}
 	if verdict, ok := j.admit(); !ok {
 		j.refuse(verdict)
 		return
@@ -78,11 +78,33 @@
 	j.leaveRoom(time.Now(), false)
 }
 
+const (
+	// doubtFor is how long a call waits for a view that is not from before a
+	// pause of the process; the platform answers in milliseconds.
+	doubtFor = 400 * time.Millisecond
+	// doubtPoll is how often it looks.
+	doubtPoll = 10 * time.Millisecond
+)
+
+// currentView returns the view in force, nil while there is none to rely on.
+func (g *Gateway) currentView(ctx context.Context) *view {
+	for waited := time.Duration(0); ; waited += doubtPoll {
+		v := g.view.Load()
+		if v == nil || !v.doubtful {
+			return v
+		}
+		if waited >= doubtFor || ctx.Err() != nil {
+			return nil
+		}
+		wait(ctx, doubtPoll)
+	}
+}
+
 // admit finds the route and the workspace of the call.
 func (j *job) admit() (Verdict, bool) {
 	v := j.view
 	if v == nil || v.table == nil {
-		return Verdict{Code: Unavailable, RetryAfter: starting, Reason: "no_config"}, false
+		return Verdict{Code: Unavailable, RetryAfter: starting, Reason: "no_view"}, false
 	}
 	j.route = v.table.Match(j.call.Host, j.call.Path)
 	if j.route == nil {
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"chivespindle.example/adapters/bootclock"
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/catalog"
@@ -85,6 +86,7 @@
 	opts    Options
 	ctx     context.Context
 	mesh    *mesh.Mesh
+	clock   bootclock.Watch
 	swarm   *swarm.Swarm
 	stage   *stage
 	plan    *loading.Plan
@@ -183,6 +185,9 @@
 
 // Tick is called by the control loop.
 func (l *Loader) Tick(now time.Time) {
+	if gap := l.clock.Elapsed(); gap > pausedAfter {
+		l.woke(now, gap)
+	}
 	l.mesh.Tick(now)
 	l.swarm.Tick(now)
 	l.report(now)
@@ -190,6 +195,25 @@
 	l.advance(now)
 }
 
+// pausedAfter is the time between two ticks from which on the process counts
+// as paused.
+const pausedAfter = time.Second
+
+// woke reads again what may have changed while the process did not run.
+func (l *Loader) woke(now time.Time, gap time.Duration) {
+	l.opts.Logger.Warn("woke", zap.Duration("after", gap))
+	l.known = false
+	l.nextReport = now
+	l.lastHeard = time.Time{}
+	l.nextRead = now
+	l.mesh.Woke(now)
+}
+
+// SetSeeds takes the machines that the settings name now.
+func (l *Loader) SetSeeds(ctx context.Context, seeds []netip.Addr) error {
+	return l.opts.Loop.Do(ctx, func(now time.Time) { l.mesh.SetSeeds(now, seeds) })
+}
+
 // compose returns what an entry is told.
 func (l *Loader) compose(_ time.Time, _ fleet.InstanceID, _ fleet.Role, _ bool) wire.Beat {
 	b := wire.Beat{
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -67,6 +68,7 @@
 	state.Loaded = l.engine.Loaded
 	state.Changing = l.plan.Changing(l.engine)
 	state.Down = l.failures >= downAfter
+	state.Pace = coarsePace(l.engine.Pace)
 	state.ReadyInMS = l.readyIn(now).Milliseconds()
 	same := state
 	same.ReadyInMS = l.told.ReadyInMS
@@ -115,6 +117,12 @@
 	return loading.Far
 }
 
+// coarsePace rounds a pace to what is worth telling.
+func coarsePace(pace float64) int {
+	const step = 25 // percent
+	return int(math.Round(pace*100/step)) * step
+}
+
 // advance takes the next step towards the wanted version.
 func (l *Loader) advance(now time.Time) {
 	if l.supply == nil || !l.known || len(l.members) == 0 {
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -137,6 +137,25 @@
 	return c
 }
 
+// SetSeeds takes the seeds that the settings name now, beside those before.
+func (m *Mesh) SetSeeds(now time.Time, seeds []netip.Addr) {
+	for _, seed := range seeds {
+		m.contact(now, seed).seed = true
+	}
+}
+
+// Woke drops every link and takes every entry for silent, after a pause of the
+// process: the others have given the links up.
+func (m *Mesh) Woke(now time.Time) {
+	for _, c := range m.contacts {
+		c.heard = time.Time{}
+		c.retryAt = now
+	}
+	for _, l := range m.links {
+		m.down(now, l, "paused")
+	}
+}
+
 // Learn takes the addresses of entries that others hear of.
 func (m *Mesh) Learn(now time.Time, entries []netip.Addr) {
 	for _, addr := range entries {
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -73,6 +73,9 @@
 	// ReadyInMS is when the engine is expected to answer from the wanted
 	// version; 0 if it does, or if that is not known.
 	ReadyInMS int64 `cbor:"7,keyasint,omitzero"`
+	// Pace is by how much the engine's passes last longer than published, in
+	// percent; 0 if that is not known.
+	Pace int `cbor:"8,keyasint,omitzero"`
 }
 
 // Newer reports whether r was told after other.
