Spread: near chunks first where a region's link is shared; short keys in beats

Members of one region fetched the same new chunks from another one each; loads in beats spelled their field names.

--- a/core/enginemodel/enginemodel.go
+++ b/core/enginemodel/enginemodel.go
@@ -38,12 +38,12 @@
 // Work is what is known to be at an engine.
 type Work struct {
 	// Running is the number of requests that were sent there and have not ended.
-	Running int
+	Running int `cbor:"1,keyasint,omitzero"`
 	// Unread is the number of prompt tokens of those that have not begun to
 	// write.
-	Unread int
+	Unread int `cbor:"2,keyasint,omitzero"`
 	// Context is the number of tokens that running requests hold.
-	Context int
+	Context int `cbor:"3,keyasint,omitzero"`
 }
 
 // Add returns both works together.
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -18,7 +18,7 @@
 	jitter = 12 * time.Millisecond
 	// otherRegion is the cost of a server in another region, where each event
 	// crosses the link between them.
-	otherRegion = 6 * time.Millisecond
+	otherRegion = 25 * time.Millisecond
 	// failureCost is the cost of a server whose answers all fail, next to one
 	// whose share of failures is usual.
 	failureCost = 2 * time.Second
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -51,8 +51,8 @@
 
 // Load is the work that one entry has at one server.
 type Load struct {
-	Server fleet.InstanceID
-	enginemodel.Work
+	Server           fleet.InstanceID `cbor:"1,keyasint"`
+	enginemodel.Work `cbor:"2,keyasint"`
 }
 
 // Ask describes a request that wants a server.
--- a/core/spread/next.go
+++ b/core/spread/next.go
@@ -55,10 +55,24 @@
 
 // pickFromPeers takes the rarest chunk that a free peer holds, at random among
 // equals, from the nearest peer that holds it.
+//
+// With NearFirst the chunks of its own region come first. Otherwise members of
+// one region fetch the same new chunks from another one each, over a link that
+// all of them share.
 func (p *Plan) pickFromPeers(now time.Time) (Fetch, bool) {
+	if p.settings.NearFirst {
+		if f, ok := p.pickRarest(now, sameRegion); ok {
+			return f, true
+		}
+	}
+	return p.pickRarest(now, otherRegion)
+}
+
+// pickRarest takes the rarest chunk that a free peer within a distance holds.
+func (p *Plan) pickRarest(now time.Time, within distance) (Fetch, bool) {
 	p.wanted.Clear()
 	for _, from := range p.peers {
-		if p.free(now, from) {
+		if from.distance <= within && p.free(now, from) {
 			p.wanted.Union(from.have)
 		}
 	}
--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -53,6 +53,9 @@
 	// source that has just come back would bring it down again. A small fleet on
 	// a short deadline asks sooner.
 	SourcePauseMax time.Duration
+	// NearFirst has a member take what peers of its own region hold before what
+	// only others do. Default false.
+	NearFirst bool
 	// NoStore says that there is only the origin. A member that has used up its
 	// part of OriginCopies then goes on drawing from it, slowly: failed draws
 	// count, and without them a version might never become whole.
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -193,7 +193,7 @@
 	}
 	l.swarm.Gather(now, named, spread.Settings{
 		Policy: spread.PolicyTime, OriginCopies: originCopies, OriginRate: l.supply.BytesPerSecond,
-		ListenTime: listenTime, Takeover: takeover, SourcePauseMax: originPause, NoStore: true,
+		ListenTime: listenTime, Takeover: takeover, SourcePauseMax: originPause, NoStore: true, NearFirst: true,
 	}, nil)
 }
 
