--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 BIN := bin
 TOOLS := $(BIN)/tools
 
-MODULES := core adapters daemon cmd standin
+MODULES := core adapters daemon platform cmd standin
 PACKAGES := $(MODULES:%=./%/...)
 SOURCES := $(MODULES) tools
 
--- /dev/null
+++ b/adapters/eventstream/eventstream_test.go
@@ -0,0 +1,85 @@
+package eventstream_test
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/eventstream"
+	"chivespindle.example/core/failure"
+)
+
+// read returns all events and the failure that ended the stream.
+func read(r io.Reader) (raw []string, ids []int64, err error) {
+	reader := eventstream.NewReader(r)
+	for {
+		e, err := reader.Next()
+		if err != nil {
+			return raw, ids, err
+		}
+		raw = append(raw, string(e.Raw))
+		ids = append(ids, e.ID)
+	}
+}
+
+var _ = Describe("Reader", func() {
+	DescribeTable("splits a stream into whole events",
+		func(stream string, want []string, ids []int64) {
+			for _, r := range []io.Reader{strings.NewReader(stream), iotest.OneByteReader(strings.NewReader(stream))} {
+				raw, got, err := read(r)
+				Expect(err).To(Equal(io.EOF))
+				Expect(raw).To(Equal(want))
+				Expect(got).To(Equal(ids))
+			}
+		},
+		Entry("nothing", "", nil, nil),
+		Entry("one", "id: 1\ndata: x\n\n", []string{"id: 1\ndata: x\n\n"}, []int64{1}),
+		Entry("two", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n",
+			[]string{"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"}, []int64{1, 2}),
+		Entry("no space after the colon", "id:7\n\n", []string{"id:7\n\n"}, []int64{7}),
+		Entry("an extra first line", "weight: 2\nid: 3\ndata: z\n\n", []string{"weight: 2\nid: 3\ndata: z\n\n"}, []int64{3}),
+		Entry("line ends of two bytes", "id: 1\r\ndata: x\r\n\r\n", []string{"id: 1\r\ndata: x\r\n\r\n"}, []int64{1}),
+		Entry("no id", "data: x\n\n", []string{"data: x\n\n"}, []int64{-1}),
+		Entry("an id that is no number", "id: a\n\n", []string{"id: a\n\n"}, []int64{-1}),
+	)
+
+	// A server breaks off in the middle of an event. Given on, half an event
+	// would reach the caller, and the stream could not be continued after it.
+	It("does not give on an event that is cut", func() {
+		raw, _, err := read(strings.NewReader("id: 1\ndata: x\n\nid: 2\nda"))
+		Expect(raw).To(HaveLen(1))
+		Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue())
+	})
+
+	It("returns the reader's own failure", func() {
+		broken := errors.New("reset")
+		_, _, err := read(io.MultiReader(strings.NewReader("id: 1\n\nid"), iotest.ErrReader(broken)))
+		Expect(err).To(MatchError(broken))
+	})
+
+	It("refuses an event without end", func() {
+		_, _, err := read(strings.NewReader(strings.Repeat("data: x\n", 1<<20)))
+		Expect(err).To(HaveOccurred())
+		Expect(err).NotTo(Equal(io.EOF))
+	})
+})
+
+func FuzzReader(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\nid: 2\n\n")
+	f.Add("\n\n\r\n\r\n\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		raw, _, err := read(strings.NewReader(stream))
+		if joined := strings.Join(raw, ""); !strings.HasPrefix(stream, joined) {
+			t.Fatalf("events %q are not the begin of %q", joined, stream)
+		}
+		if err == io.EOF && strings.Join(raw, "") != stream {
+			t.Fatalf("a part of %q is missing at the end", stream)
+		}
+	})
+}
--- /dev/null
+++ b/adapters/exchange/exchange_test.go
@@ -0,0 +1,218 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/adapters/exchange"
+	"chivespindle.example/core/failure"
+)
+
+// patience bounds what must happen soon.
+const patience = 5 * time.Second
+
+// server answers each request on a connection by script, and counts both.
+type server struct {
+	listener    net.Listener
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+// serve starts a server whose script gets each request, its connection and its
+// number on the connection. The script returns false to close.
+func serve(script func(c net.Conn, r *http.Request, n int) bool) *server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &server{listener: listener}
+	DeferCleanup(func() { _ = listener.Close() }) // a test may have closed it
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.answer(c, script)
+		}
+	}()
+	return s
+}
+
+func (s *server) answer(c net.Conn, script func(net.Conn, *http.Request, int) bool) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.requests.Add(1)
+		if !script(c, r, n) {
+			return
+		}
+	}
+}
+
+func (s *server) addr() netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+
+func say(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+func get() *http.Request {
+	return &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: "/x"}, Host: "a.example", Header: http.Header{},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
+
+func soon() time.Time { return time.Now().Add(patience) }
+
+// whole runs one exchange to its end and returns the body.
+func whole(p *exchange.Pool, s *server) (string, error) {
+	r, err := p.Do(context.Background(), s.addr(), get(), soon())
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	r.Close(err == nil, 0)
+	if err != nil {
+		return "", exchange.Failure(err)
+	}
+	return string(body), nil
+}
+
+var _ = Describe("Pool", func() {
+	It("keeps its connections", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		for range 5 {
+			Expect(whole(p, s)).To(Equal("hi"))
+		}
+		Expect(s.connections.Load()).To(Equal(int64(1)))
+		Expect(p.Dialled()).To(Equal(int64(1)))
+	})
+
+	DescribeTable("does not use a connection again that may not be used",
+		func(answer string, wantBody string) {
+			s := serve(func(c net.Conn, _ *http.Request, n int) bool {
+				say(c, answer)
+				return n > 0 || answer[len(answer)-1] != '!'
+			})
+			p := exchange.New()
+			Expect(whole(p, s)).To(Equal(wantBody))
+			Expect(whole(p, s)).To(Equal(wantBody))
+			Expect(s.connections.Load()).To(Equal(int64(2)))
+		},
+		Entry("the server closes it", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", "hi"),
+		Entry("a second answer lies in it", ok+ok, "hi"),
+		Entry("bytes that are no answer lie in it", ok+"???", "hi"),
+		Entry("the body ends with it", "HTTP/1.1 200 OK\r\n\r\nhi!", "hi!"),
+	)
+
+	// A kept connection dies while a request that may not run twice is on its
+	// way. Whether it ran is unknown; a second sending by the transport would run
+	// it twice.
+	It("never sends a request again by itself", func() {
+		s := serve(func(c net.Conn, _ *http.Request, n int) bool {
+			if n == 0 {
+				say(c, ok)
+				return true
+			}
+			return false
+		})
+		p := exchange.New()
+		Expect(whole(p, s)).To(Equal("hi"))
+		_, err := whole(p, s)
+		Expect(errorx.IsOfType(err, failure.Unavailable)).To(BeTrue())
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		Expect(s.requests.Load()).To(Equal(int64(2)))
+	})
+
+	It("says that nothing ran when no connection was made", func() {
+		s := serve(func(net.Conn, *http.Request, int) bool { return true })
+		Expect(s.listener.Close()).To(Succeed())
+		_, err := whole(exchange.New(), s)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+	})
+
+	It("tells silence from a broken connection", func() {
+		release := make(chan struct{})
+		s := serve(func(net.Conn, *http.Request, int) bool { <-release; return false })
+		defer close(release)
+		_, err := exchange.New().Do(context.Background(), s.addr(), get(), time.Now().Add(30*time.Millisecond))
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue())
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+	})
+
+	DescribeTable("finds out that a body is not whole",
+		func(answer string) {
+			s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, answer); return false })
+			_, err := whole(exchange.New(), s)
+			Expect(err).To(HaveOccurred())
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		},
+		Entry("shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi"),
+		Entry("chunks without an end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n"),
+		Entry("no answer at all", ""),
+		Entry("no protocol", "hello\r\n\r\n"),
+	)
+
+	// A caller leaves. Its server must see the connection close, or it works on
+	// for nobody.
+	It("closes the connection when the caller leaves", func() {
+		gone := make(chan struct{})
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
+			say(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi")
+			_, _ = c.Read(make([]byte, 1))
+			close(gone)
+			return false
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		r, err := exchange.New().Do(ctx, s.addr(), get(), soon())
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		Eventually(gone, patience).Should(BeClosed())
+		r.Close(true, 0)
+	})
+
+	It("passes over interim answers", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
+			say(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+ok)
+			return true
+		})
+		Expect(whole(exchange.New(), s)).To(Equal("hi"))
+	})
+
+	It("drops what it keeps of servers that are not listed any more", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		Expect(whole(p, s)).To(Equal("hi"))
+		p.Keep(map[netip.AddrPort]bool{})
+		Expect(whole(p, s)).To(Equal("hi"))
+		Expect(s.connections.Load()).To(Equal(int64(2)))
+	})
+
+	It("does not keep a connection for longer than its server does", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		r, err := p.Do(context.Background(), s.addr(), get(), soon())
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = io.ReadAll(r.Body)
+		r.Close(true, time.Second) // less than the margin
+		Expect(whole(p, s)).To(Equal("hi"))
+		Expect(s.connections.Load()).To(Equal(int64(2)))
+	})
+})
--- a/core/catalog/ports.go
+++ b/core/catalog/ports.go
@@ -7,8 +7,9 @@
 	"chivespindle.example/core/failure"
 )
 
-// HistoryGone: the platform no longer holds the changes since the revision
-// that was asked for; everything must be listed again.
+// HistoryGone is the failure of a watch whose past is lost: the platform no
+// longer holds the changes since the revision that was asked for; everything
+// must be listed again.
 var HistoryGone = failure.Namespace.NewType("history_gone", failure.Temporary)
 
 // Source reads what the platform publishes. Failures are failure.Unavailable,
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -51,7 +51,6 @@
 	lastEvent int64
 	version   placement.ModelVersion
 	predicted time.Duration
-	sentAt    time.Time
 	firstAt   time.Time
 }
 
--- a/daemon/loader/ports.go
+++ b/daemon/loader/ports.go
@@ -9,7 +9,8 @@
 	"chivespindle.example/daemon/wire"
 )
 
-// Declined: the engine did not take an order; nothing has begun.
+// Declined is the failure of an order that the engine did not take; nothing has
+// begun.
 var Declined = failure.Namespace.NewType("order_declined", failure.Temporary)
 
 // Engine is the model engine on the same instance.
--- a/tools/housecheck/check.go
+++ b/tools/housecheck/check.go
@@ -38,7 +38,10 @@
 
 // inProduct holds the code that runs at the users', not the stand-ins.
 func inProduct(file string) bool {
-	return !inTests(file) && (within("core")(file) || within("adapters")(file) || within("daemon")(file) || within("cmd")(file))
+	if inTests(file) || within("platform/standin")(file) {
+		return false
+	}
+	return within("core")(file) || within("adapters")(file) || within("daemon")(file) || within("platform")(file) || within("cmd")(file)
 }
 
 func within(module string) scope {
@@ -66,6 +69,14 @@
 	{inProduct, "net/http/httputil", nil, "no ready-made proxy"},
 }
 
+// platformNames are names of the users' platform. Only the folder platform
+// speaks them, so that a change there touches nothing else.
+var platformNames = []string{
+	"X-Expect-Instance", "X-Expect-Version", "X-Not-Run", "X-Response-Stamp", "X-Prefix-Hash", "X-Weight-Versions",
+	"X-Token-Counts", "X-Deadline-Ms", "X-Tenant", "Api-Key", "kv-watch", "kv-range", "kv-key", "op/config",
+	"op/version", "stage-put", "stage-get", "CHIVESPINDLE_NODE_FILE",
+}
+
 // narrowedSpecs are the ginkgo names that leave specs out of a run.
 var narrowedSpecs = narrowed("Describe", "Context", "When", "It", "Specify", "DescribeTable", "DescribeTableSubtree", "Entry")
 
@@ -181,11 +192,24 @@
 			c.checkSelector(n)
 		case *ast.CallExpr:
 			c.checkSpec(n)
+		case *ast.BasicLit:
+			c.checkPlatformName(n)
 		}
 		return true
 	})
 }
 
+func (c *checker) checkPlatformName(literal *ast.BasicLit) {
+	if literal.Kind != token.STRING || within("platform")(c.name) || within("tools")(c.name) {
+		return
+	}
+	for _, name := range platformNames {
+		if strings.Contains(strings.ToLower(literal.Value), strings.ToLower(name)) {
+			c.add(literal.Pos(), "%s: the platform's names stand in platform/ only", name)
+		}
+	}
+}
+
 func (c *checker) checkSelector(selector *ast.SelectorExpr) {
 	pkg, isName := selector.X.(*ast.Ident)
 	if !isName {
