Beats: whole ones each half second, at once when an engine changes

Whole beats were most of what entries send on sites with eight or more of them. Brief ones show that an entry lives; watches of the platform gather changes for 250 ms.

--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -26,7 +26,7 @@
 	watchWait = 1500 * time.Millisecond
 	// gatherChanges is the pause between two watches. Servers register and change
 	// many at a time; without it each of them costs every entry a call.
-	gatherChanges = 150 * time.Millisecond
+	gatherChanges = 250 * time.Millisecond
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -84,8 +84,11 @@
 	started  time.Time
 	leaving  bool
 	changed  bool
-	asking   bool
-	nextAsk  time.Time
+	// urgent is true while the other entries are to hear at once of an engine
+	// that changed.
+	urgent  bool
+	asking  bool
+	nextAsk time.Time
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
 	behindSince time.Time
 	contact     time.Time // last answer of the platform
@@ -187,6 +190,10 @@
 	g.askPeers(now)
 	g.endLapses(now)
 	g.publish(now)
+	if g.urgent {
+		g.urgent = false
+		g.mesh.Flush(now)
+	}
 }
 
 // pausedAfter is the time between two ticks from which on the process counts
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -151,6 +151,7 @@
 	}
 	if !ok || known.Loaded != r.Loaded || known.Changing != r.Changing || known.Down != r.Down || known.Pace != r.Pace {
 		g.changed = true
+		g.urgent = g.urgent || direct
 		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
 			zap.Bool("changing", r.Changing), zap.Bool("down", r.Down), zap.Int("pace_percent", r.Pace), zap.Bool("direct", direct))
 	}
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -133,6 +133,9 @@
 		return
 	}
 	l.heard = now
+	if b.Role == fleet.RoleEntry && b.Brief {
+		m.stillThere(now, b.ID)
+	}
 	if b.Role == fleet.RoleEntry && !b.Brief {
 		addr, err := netip.ParseAddr(string(b.ID))
 		if err != nil {
@@ -147,6 +150,18 @@
 	m.opts.Heard(now, b)
 }
 
+// stillThere notes a brief beat of an entry.
+func (m *Mesh) stillThere(now time.Time, id fleet.InstanceID) {
+	addr, err := netip.ParseAddr(string(id))
+	if err != nil {
+		return // a whole beat of it was refused with a line
+	}
+	if c := m.contacts[addr]; c != nil && c.last.ID != "" {
+		c.heard = now
+		c.named = now
+	}
+}
+
 func rendezvous(self, other fleet.InstanceID) uint64 {
 	return xxhash.Sum64String(string(self) + "\x00" + string(other))
 }
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -24,8 +24,10 @@
 )
 
 const (
-	// beatEvery is the pause between two whole beats to an entry.
-	beatEvery = 150 * time.Millisecond
+	// beatEvery is the pause between two whole beats to an entry, unless what
+	// they tell has changed; liveEvery is the longest pause between any two.
+	beatEvery = 500 * time.Millisecond
+	liveEvery = 200 * time.Millisecond
 	// briefEvery is the pause between two brief beats for each entry that one is
 	// linked to, within briefMin and briefMax. They tell of the loads that
 	// placement is based on: told every 30 ms instead of every 100, four entries
@@ -246,7 +248,8 @@
 	switch {
 	case now.Sub(l.beaten) >= every:
 		m.send(now, l, Whole)
-	case betweenEntries && now.Sub(l.briefed) >= m.briefPause() && m.opts.HasNews(l.id):
+	case !betweenEntries:
+	case now.Sub(l.briefed) >= liveEvery, now.Sub(l.briefed) >= m.briefPause() && m.opts.HasNews(l.id):
 		m.send(now, l, Brief)
 	}
 }
