Logs never block; metrics are served; agents tick each 50 ms

Log lines go through a queue that drops and counts what cannot be written. Both roles serve their counters and histograms at the address of the deploy file.

--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -37,9 +38,11 @@
 	// memoryShare is the part of the machine's memory at which the collector
 	// works harder rather than have the process killed.
 	memoryShare = 0.6
-	// loopEvery is the tick of the control loop: the resolution of the fastest
-	// heartbeat.
-	loopEvery = 20 * time.Millisecond
+	// entryTick is the tick of an entry's control loop, the resolution of its
+	// fastest heartbeat; agentTick that of an agent's, where each tick costs as
+	// much as the rest of what a resting agent does.
+	entryTick = 20 * time.Millisecond
+	agentTick = 50 * time.Millisecond
 )
 
 func newPlatformCommand() *cobra.Command {
@@ -83,7 +86,10 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	logger      *zap.Logger
+	lines       *telemetry.Queue
 	metrics     tally.Scope
+	page        http.Handler
+	closer      io.Closer
 	loop        *control.Loop
 	endpoint    *peer.Endpoint
 	handler     *lateHandler
@@ -100,11 +106,12 @@
 		settings:    s,
 		id:          mesh.IDOf(s.IP),
 		incarnation: uint64(time.Now().UnixMilli())<<8 | uint64(rand.N(256)),
-		metrics:     tally.NoopScope,
-		loop:        control.New(control.Options{Every: loopEvery}),
+		loop:        control.New(control.Options{Every: tickOf(role)}),
 		handler:     &lateHandler{},
 	}
-	b.logger = telemetry.NewLogger(zapcore.InfoLevel, os.Stdout).With(zap.String("instance", s.Node))
+	b.metrics, b.page, b.closer = telemetry.NewMetrics()
+	b.lines = telemetry.NewQueue(os.Stdout)
+	b.logger = telemetry.NewLogger(zapcore.InfoLevel, b.lines).With(zap.String("instance", s.Node))
 	b.ctx, b.cancel = context.WithCancel(context.Background())
 	store, err := keys.Ephemeral(keys.Identity{ID: b.id, Role: role})
 	if err != nil {
@@ -121,9 +128,17 @@
 	return b, err
 }
 
+func tickOf(role fleet.Role) time.Duration {
+	if role == fleet.RoleEntry {
+		return entryTick
+	}
+	return agentTick
+}
+
 func (b *platformBase) close() {
 	b.cancel()
 	_ = b.endpoint.Close()
+	_ = b.closer.Close() // ends the reporting of metrics that nobody reads any more
 }
 
 // actor runs f until the process ends.
@@ -154,13 +169,42 @@
 	return server, nil
 }
 
+// countLines tells how many log lines were dropped.
+func (b *platformBase) countLines(ctx context.Context) error {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			b.metrics.Gauge("log_lines_dropped").Update(float64(b.lines.Dropped()))
+		}
+	}
+}
+
+// metricsPort and metricsPath are where the deploy file says that metrics are.
+const (
+	metricsPort = 19190
+	metricsPath = "/metrics"
+)
+
 // run starts everything and waits for the end.
 func (b *platformBase) run(m member) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, b.page)
+	if _, err := b.serve(netip.AddrPortFrom(b.settings.IP, metricsPort), mux); err != nil {
+		return err
+	}
+	b.actor(b.lines.Run)
+	b.actor(b.countLines)
 	stop := newStopper(m, b.logger)
 	b.group.Add(stop.wait, stop.interrupt)
 	b.logger.Info("started", zap.String("role", string(b.role)), zap.String("zone", string(b.settings.Place.Zone)),
 		zap.Stringer("peer", b.endpoint.Addr()), zap.Uint64("incarnation", b.incarnation))
 	err := b.group.Run()
+	b.cancel()
 	b.logger.Info("stopped", zap.Error(err))
+	_ = b.lines.Run(b.ctx) // writes what still waits; never fails
 	return err
 }
