--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -176,16 +178,15 @@
 		g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
 		return
 	}
-	before := g.snapshot
-	g.snapshot = g.snapshot.Apply(changes, asOf)
+	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	for _, c := range changes {
-		if c.Removed == "" {
-			continue
-		}
-		if old, ok := findServer(before.Servers, c.Removed); ok {
+		// One by one: a server may say that it leaves and go in one answer.
+		if old, ok := findServer(g.snapshot.Servers, c.Removed); ok && c.Revision > g.snapshot.AsOf {
 			g.removed(now, old)
 		}
+		g.snapshot = g.snapshot.Apply([]catalog.Change{c}, c.Revision)
 	}
+	g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
 	g.settle(now, "platform")
 }
 
--- /dev/null
+++ b/daemon/gateway/follow_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
+)
+
+// These specs call the control loop's methods directly, in the order in which
+// the loop would apply them.
+
+var start = time.Date(2031, 5, 6, 7, 8, 9, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// noBackend takes no calls.
+type noBackend struct{ listed []placement.Server }
+
+func (*noBackend) Send(context.Context, *Call, Order) (Answer, error) {
+	return nil, failure.Internal.New("no call is expected")
+}
+
+func (b *noBackend) Keep(servers []placement.Server) { b.listed = servers }
+
+func newGateway() (*Gateway, *noBackend) {
+	backend := &noBackend{}
+	g := New(context.Background(), start, Options{
+		Self: "10.0.0.1", Addr: netip.MustParseAddr("10.0.0.1"), Place: fleet.Place{Zone: "hall", Region: "lagos"},
+		CallerAddr: netip.MustParseAddrPort("10.0.0.1:80"),
+		Regions:    map[fleet.Zone]fleet.Region{"hall": "lagos"},
+		Loop:       control.New(control.Options{}), Backend: backend,
+		Budget:      RetryBudget{Ratio: 0.2, Slack: 100, Span: 10 * time.Second},
+		VersionTime: 8 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
+	})
+	return g, backend
+}
+
+func config(version int64) *routing.Config {
+	return &routing.Config{
+		Version: version,
+		Routes: []routing.Route{{Name: "r", Host: "a.example", Prefix: "/",
+			Targets: []routing.Target{{Service: "pool", Weight: 1}}}},
+		Services: []routing.Service{
+			{Name: "pool", Model: "m", Engine: &enginemodel.Figures{Slots: 16, Layers: 4}},
+			{Name: "weights", Origin: &routing.Origin{Addr: netip.MustParseAddrPort("10.9.0.1:80"), BytesPerSecond: 1000}},
+		},
+	}
+}
+
+func server(id fleet.InstanceID, addr string, revision catalog.Revision) catalog.Server {
+	return catalog.Server{ID: id, Service: "pool", Addr: netip.MustParseAddrPort(addr), Zone: "hall", Slots: 16,
+		Loaded: 1, Revision: revision}
+}
+
+func snapshot(asOf catalog.Revision, servers ...catalog.Server) catalog.Snapshot {
+	return catalog.Snapshot{AsOf: asOf, Config: config(1), ConfigRevision: 1, Servers: servers}
+}
+
+// listed returns the ids of the servers that calls may go to.
+func listed(g *Gateway, b *noBackend, now time.Time) []fleet.InstanceID {
+	g.publish(now)
+	var ids []fleet.InstanceID
+	for _, s := range b.listed {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+func beat(id fleet.InstanceID) wire.Beat { return wire.Beat{ID: id, Role: fleet.RoleEntry} }
+
+var _ = Describe("The catalog", func() {
+	var g *Gateway
+	var backend *noBackend
+	one, two := server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3)
+	removeTwo := []catalog.Change{{Revision: 9, Removed: "i-2"}}
+	broken := failure.Unavailable.New("turned away")
+
+	BeforeEach(func() {
+		g, backend = newGateway()
+		g.sourceAnswered(start)
+		g.adopt(start, snapshot(5, one, two), "platform")
+	})
+
+	It("drops a server whose registration ends", func() {
+		g.apply(at(time.Second), removeTwo, 9)
+		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
+	// The platform was down for all. Registrations lapsed meanwhile; those of
+	// servers that live are back within two seconds, the others never.
+	It("keeps servers for a while whose registration lapsed while the platform was down", func() {
+		g.sourceFailed(at(time.Second), broken)
+		g.sourceAnswered(at(6 * time.Second))
+		g.apply(at(6*time.Second), removeTwo, 9)
+		Expect(listed(g, backend, at(6*time.Second))).To(HaveLen(2))
+		g.endLapses(at(9 * time.Second))
+		Expect(listed(g, backend, at(9*time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
+	It("drops one at once that said that it leaves, also then", func() {
+		g.sourceFailed(at(time.Second), broken)
+		g.sourceAnswered(at(6 * time.Second))
+		leaving := two
+		leaving.Draining = true
+		leaving.Revision = 8
+		g.apply(at(6*time.Second), []catalog.Change{{Revision: 8, Server: &leaving}, removeTwo[0]}, 9)
+		Expect(listed(g, backend, at(6*time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
+	// The platform turned this entry away and served the others. A server that
+	// leaves just after its return must get nothing more: it is no lapse.
+	It("finds no lapses after it was cut off alone", func() {
+		g.sourceFailed(at(time.Second), broken)
+		other := beat("10.0.0.2")
+		other.Reaches = true
+		g.heard(at(2*time.Second), other)
+		g.sourceAnswered(at(6 * time.Second))
+		g.apply(at(6*time.Second), removeTwo, 9)
+		Expect(listed(g, backend, at(6*time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
+	It("never goes back to an older one", func() {
+		newer := snapshot(20, one)
+		newer.Config, newer.ConfigRevision = config(7), 18
+		g.adopt(at(time.Second), newer, "peer")
+		g.adopt(at(2*time.Second), snapshot(10, one, two), "platform")
+		Expect(g.table.Version()).To(Equal(int64(7)))
+		stale := snapshot(25, one)
+		g.adopt(at(3*time.Second), stale, "platform")
+		Expect(g.table.Version()).To(Equal(int64(7)))
+	})
+
+	It("keeps the configuration in force when a newer one breaks a rule", func() {
+		bad := config(8)
+		bad.Routes[0].Prefix = "no slash"
+		g.apply(at(time.Second), []catalog.Change{{Revision: 9, Config: bad}}, 9)
+		Expect(g.table.Version()).To(Equal(int64(1)))
+	})
+})
+
+var _ = Describe("What agents tell", func() {
+	var g *Gateway
+	var backend *noBackend
+	addr := netip.MustParseAddr("10.0.1.1")
+
+	BeforeEach(func() {
+		g, backend = newGateway()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+	})
+
+	tell := func(now time.Time, r wire.Replica) {
+		g.heard(now, wire.Beat{ID: "10.0.1.1", Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
+	}
+
+	It("goes before the registration, which lags", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2, Changing: true})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(2)))
+		Expect(backend.listed[0].Changing).To(BeTrue())
+	})
+
+	It("counts no more once the agent is silent", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2})
+		listed(g, backend, at(5*time.Second))
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(1)))
+	})
+
+	It("does not go back to what was told before", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 5, Loaded: 3})
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 4, Loaded: 2})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(3)))
+		tell(start, wire.Replica{Addr: addr, Incarnation: 2, Seq: 1})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(BeZero())
+	})
+
+	// After a pause of the process the engines may all have changed.
+	It("is forgotten when the process wakes up", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2})
+		g.woke(at(time.Second), 4*time.Second)
+		listed(g, backend, at(time.Second))
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(1)))
+		Expect(g.Ready()).To(BeFalse())
+		g.sourceAnswered(at(time.Second))
+		g.publish(at(time.Second))
+		Expect(g.Ready()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Versions", func() {
+	wanted := func(version uint64) catalog.Snapshot {
+		s := snapshot(6, server("i-1", "10.0.1.1:80", 2))
+		s.Wanted = []catalog.Wanted{{Model: "m", Version: version}}
+		return s
+	}
+
+	It("are known since they were first heard of", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5), "platform")
+		g.adopt(at(time.Second), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(time.Second)))
+	})
+
+	// An entry starts in the middle of a change and cannot know when the version
+	// was named. It uses no old engine, and does not make the others leave them.
+	It("that were there at the start count as old, here only", func() {
+		g, _ := newGateway()
+		g.adopt(start, wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(-8 * time.Second)))
+		told := g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.First)
+		Expect(told.Wanted).To(HaveLen(1))
+		Expect(told.Wanted[0].Assumed).To(BeTrue())
+		other := beat("10.0.0.2")
+		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: 1000}}
+		g.heard(start, other)
+		since, _ = g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(-time.Second)))
+	})
+})
+
+var _ = Describe("Addresses", func() {
+	It("are none while no configuration is known", func() {
+		g, _ := newGateway()
+		g.publish(start)
+		Expect(g.Addresses()).To(BeEmpty())
+	})
+
+	It("leave out an entry that leaves", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5), "platform")
+		g.publish(start)
+		Expect(g.Addresses()).To(HaveLen(1))
+		g.leaving = true
+		g.publish(start)
+		Expect(g.Addresses()).To(BeEmpty())
+		Expect(g.Ready()).To(BeFalse())
+	})
+})
+
+var _ = Describe("Beats", func() {
+	It("tell an agent what it needs, and its neighbours only when they change", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3)), "platform")
+		first := g.compose(start, "10.0.1.1", fleet.RoleAgent, mesh.First)
+		Expect(first.Supply.Model).To(Equal("m"))
+		Expect(first.Supply.Layers).To(Equal(4))
+		Expect(first.Members).To(HaveLen(2))
+		Expect(g.compose(start, "10.0.1.1", fleet.RoleAgent, mesh.Whole).Members).To(BeEmpty())
+		g.apply(start, []catalog.Change{{Revision: 9, Removed: "i-2"}}, 9)
+		Expect(g.compose(start, "10.0.1.1", fleet.RoleAgent, mesh.Whole).Members).To(HaveLen(1))
+	})
+
+	It("tell another entry only the loads that have changed", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+		g.publish(start)
+		Expect(g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.First).Loads).To(BeEmpty())
+		ticket, _ := g.board.Choose(start, placement.Ask{Service: "pool", Left: time.Second})
+		Expect(g.hasNews("10.0.0.2")).To(BeTrue())
+		Expect(g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.Brief).Loads).To(HaveLen(1))
+		Expect(g.hasNews("10.0.0.2")).To(BeFalse())
+		Expect(g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.Brief).Loads).To(BeEmpty())
+		ticket.End(start, placement.Succeeded)
+		told := g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.Brief).Loads
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].Running).To(BeZero())
+	})
+})
--- /dev/null
+++ b/daemon/loader/stage_test.go
@@ -0,0 +1,217 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
+	"chivespindle.example/core/weights"
+	"chivespindle.example/daemon/wire"
+)
+
+const chunks = 4
+
+func chunk(version uint64, number int) []byte {
+	return fmt.Appendf(nil, "version %d chunk %d", version, number)
+}
+
+// engine is a model engine's stage and what it loaded.
+type engine struct {
+	mu      sync.Mutex
+	staged  map[int][]byte
+	loaded  [][]byte
+	onLoad  func()
+	refuses bool
+}
+
+func (e *engine) Report(context.Context) (loading.Engine, error) { return loading.Engine{}, nil }
+
+func (e *engine) Held(context.Context, string) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var held []int
+	for number := range e.staged {
+		held = append(held, number)
+	}
+	return append(held, 99), nil // a number that no version has
+}
+
+func (e *engine) Put(_ context.Context, _ string, number int, data []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[number] = append([]byte(nil), data...)
+	return nil
+}
+
+func (e *engine) Get(_ context.Context, _ string, number int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, ok := e.staged[number]
+	if !ok {
+		return nil, failure.NotFound.New("chunk %d", number)
+	}
+	return append([]byte(nil), data...), nil
+}
+
+func (e *engine) Load(context.Context, string, uint64) error {
+	if e.onLoad != nil {
+		e.onLoad()
+	}
+	if e.refuses {
+		return Declined.New("busy")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loaded = nil
+	for number := range chunks {
+		e.loaded = append(e.loaded, e.staged[number])
+	}
+	return nil
+}
+
+// origin publishes manifests; every so many of them are spoilt.
+type origin struct {
+	spoilEvery int
+	asked      int
+}
+
+func (o *origin) Manifest(_ context.Context, s wire.Supply, version uint64) (weights.Manifest, uint64, error) {
+	o.asked++
+	m := weights.Manifest{Model: s.Model}
+	for number := range chunks {
+		data := chunk(version, number)
+		m.Chunks = append(m.Chunks, weights.Chunk{Index: number, Bytes: len(data), Digest: fleet.DigestOf(data)})
+	}
+	if o.spoilEvery > 0 && o.asked%o.spoilEvery == 0 {
+		m.Chunks[0].Digest[0] ^= 1
+	}
+	return m, version, nil
+}
+
+func (o *origin) Chunk(context.Context, wire.Supply, uint64, int) ([]byte, error) {
+	return nil, failure.Unavailable.New("not asked here")
+}
+
+var _ = Describe("The stage", func() {
+	ctx := context.Background()
+	supply := wire.Supply{Model: "m"}
+	var e *engine
+	var s *stage
+
+	BeforeEach(func() {
+		e = &engine{staged: make(map[int][]byte)}
+		s = newStage(e, &origin{}, zap.NewNop())
+	})
+
+	resolve := func(version uint64) fleet.Version {
+		_, named, err := s.resolve(ctx, supply, version)
+		Expect(err).NotTo(HaveOccurred())
+		return named
+	}
+
+	gather := func(version uint64, named fleet.Version) {
+		for number := range chunks {
+			Expect(s.Put(ctx, named.Manifest, number, chunk(version, number))).To(Succeed())
+		}
+	}
+
+	want := func(version uint64) [][]byte {
+		var all [][]byte
+		for number := range chunks {
+			all = append(all, chunk(version, number))
+		}
+		return all
+	}
+
+	// Nothing pins the bytes of a manifest. One that is spoilt on its way would
+	// make every good chunk look bad.
+	It("takes no manifest that two readings do not agree on", func() {
+		s = newStage(e, &origin{spoilEvery: 2}, zap.NewNop())
+		_, _, err := s.resolve(ctx, supply, 2)
+		Expect(err).To(MatchError(ContainSubstring("differ")))
+	})
+
+	It("finds at the start what the engine's stage holds of the version, and nothing else", func() {
+		named := resolve(2)
+		e.staged[0], e.staged[1], e.staged[2] = chunk(2, 0), chunk(1, 1), []byte("rotten")
+		Expect(s.Held(ctx, named.Manifest)).To(Equal([]int{0}))
+		Expect(s.Get(ctx, named.Manifest, 0)).To(Equal(chunk(2, 0)))
+		_, err := s.Get(ctx, named.Manifest, 1)
+		Expect(err).To(HaveOccurred())
+	})
+
+	// A staged chunk turns bad, and another vanishes. An engine loads what lies
+	// there, so the agent mends it from its own copies right before the order.
+	It("mends what has turned bad before it has the engine load", func() {
+		gather(2, resolve(2))
+		e.staged[1][0] ^= 1
+		delete(e.staged, 3)
+		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(e.loaded).To(Equal(want(2)))
+	})
+
+	// Version 3 arrives while version 2 is checked and ordered. The engine has one
+	// place for each chunk number and would load a mixture.
+	It("keeps other versions out of the stage while one is checked and ordered", func() {
+		second, third := resolve(2), resolve(3)
+		gather(2, second)
+		put := make(chan error, 1)
+		began := make(chan struct{})
+		e.onLoad = func() {
+			go func() {
+				close(began)
+				put <- s.Put(ctx, third.Manifest, 0, chunk(3, 0))
+			}()
+			<-began
+			Consistently(put, 30*time.Millisecond).ShouldNot(Receive())
+		}
+		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(e.loaded).To(Equal(want(2)))
+		Eventually(put).Should(Receive(BeNil()))
+	})
+
+	It("loads an older version whole though a newer one was staged over it", func() {
+		second, third := resolve(2), resolve(3)
+		gather(2, second)
+		gather(3, third)
+		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(e.loaded).To(Equal(want(2)))
+	})
+
+	It("does not order a version that is not whole", func() {
+		named := resolve(2)
+		Expect(s.Put(ctx, named.Manifest, 0, chunk(2, 0))).To(Succeed())
+		Expect(s.load(ctx, supply, 2)).NotTo(Succeed())
+		Expect(e.loaded).To(BeNil())
+	})
+
+	It("keeps few versions in memory", func() {
+		first := resolve(1)
+		for version := range uint64(keptVersions) {
+			resolve(version + 2)
+		}
+		_, err := s.version(first.Manifest)
+		Expect(err).To(HaveOccurred())
+		Expect(s.versions).To(HaveLen(keptVersions))
+	})
+
+	It("tells how long the rest takes, and that nothing comes", func() {
+		named := resolve(2)
+		g := gathering{version: 2, named: named, from: time.Now()}
+		const linkBytes = 1000
+		Expect(s.restTime(time.Now(), g, linkBytes)).To(BeNumerically(">", 0))
+		Expect(s.restTime(time.Now().Add(time.Minute), g, linkBytes)).To(Equal(loading.Far))
+		gather(2, named)
+		Expect(s.restTime(time.Now().Add(time.Minute), g, linkBytes)).To(BeZero())
+		Expect(s.missing(2)).To(BeZero())
+		Expect(s.missing(9)).To(Equal(1.0))
+	})
+})
