--- /dev/null
+++ b/core/spread/sources_test.go
@@ -0,0 +1,106 @@
+package spread_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/spread"
+	"chivespindle.example/core/weights"
+)
+
+// alone returns the plan of a member that is the only one, with so many chunks.
+func alone(chunks int, settings spread.Settings) *spread.Plan {
+	manifest := weights.Manifest{Model: "m"}
+	for i := range chunks {
+		manifest.Chunks = append(manifest.Chunks, weights.Chunk{Index: i, Bytes: 1000})
+	}
+	self := spread.Member{ID: "a", Place: fleet.Place{Zone: "z", Region: "r"}}
+	settings.OriginRate = 1000
+	plan := spread.New(spread.Options{
+		Self: self, Manifest: manifest, Settings: settings, Rand: rand.New(rand.NewPCG(1, 2)), Start: begin})
+	plan.SetMembers(begin, nil)
+	return plan
+}
+
+// run steps a plan whose draws end as told, and returns when it was complete
+// and the longest pause between two draws.
+func run(p *spread.Plan, limit time.Duration, draw func(now time.Duration, f spread.Fetch) (spread.Reason, bool)) (done, pause time.Duration) {
+	last := time.Duration(0)
+	for d := time.Duration(0); d < limit; d += 50 * time.Millisecond {
+		now := begin.Add(d)
+		for _, f := range p.Next(now) {
+			pause = max(pause, d-last)
+			last = d
+			if reason, fails := draw(d, f); fails {
+				p.Failed(now, f.ID, reason, 0)
+			} else {
+				p.Done(now, f.ID)
+			}
+		}
+		if p.Complete() {
+			return d, pause
+		}
+	}
+	return limit, pause
+}
+
+var _ = Describe("Where there is only the origin", func() {
+	// The origin fails for a while. A version has seconds, so whoever draws from
+	// it asks again soon after its return, and never a store that is not there.
+	It("a member asks it again within the longest pause that is set", func() {
+		plan := alone(4, spread.Settings{NoStore: true, SourcePauseMax: 700 * time.Millisecond})
+		const outage = 20 * time.Second
+		done, _ := run(plan, 2*outage, func(now time.Duration, f spread.Fetch) (spread.Reason, bool) {
+			Expect(f.Source).To(Equal(spread.SourceOrigin))
+			return spread.ReasonUnavailable, now < outage
+		})
+		Expect(done).To(BeNumerically("<", outage+10*time.Second))
+	})
+
+	// Every draw of a chunk is cut again and again and counts against the quota.
+	// Without draws beyond it the version would never become whole.
+	It("a member goes on slowly once its quota is used up", func() {
+		plan := alone(4, spread.Settings{NoStore: true, OriginCopies: 1, SourcePauseMax: time.Second})
+		draws := 0
+		done, _ := run(plan, time.Hour, func(time.Duration, spread.Fetch) (spread.Reason, bool) {
+			draws++
+			return spread.ReasonGone, draws <= 12
+		})
+		Expect(plan.Complete()).To(BeTrue())
+		Expect(done).To(BeNumerically("<", time.Hour))
+	})
+})
+
+var _ = Describe("NearFirst", func() {
+	// Two regions share a narrow link. A member takes what its own region holds
+	// before a chunk that is rarer and elsewhere.
+	DescribeTable("chooses between a near chunk and a rarer far one",
+		func(nearFirst bool, want []fleet.InstanceID) {
+			plan := alone(4, spread.Settings{NearFirst: nearFirst, MaxFetches: 1})
+			near := spread.Member{ID: "near", Place: fleet.Place{Zone: "y", Region: "r"}}
+			near2 := spread.Member{ID: "near2", Place: fleet.Place{Zone: "y", Region: "r"}}
+			far := spread.Member{ID: "far", Place: fleet.Place{Zone: "x", Region: "q"}}
+			plan.SetMembers(begin, []spread.Member{near, near2, far})
+			for _, m := range []spread.Member{near, near2, far} {
+				plan.PeerUp(begin, m)
+			}
+			plan.PeerHas(begin, "near", weights.SetOf(4, 0))
+			plan.PeerHas(begin, "near2", weights.SetOf(4, 0))
+			plan.PeerHas(begin, "far", weights.SetOf(4, 3))
+			var peers []fleet.InstanceID
+			for _, f := range plan.Next(begin) {
+				if f.Source == spread.SourcePeer {
+					peers = append(peers, f.Peer)
+				}
+			}
+			Expect(peers).NotTo(BeEmpty())
+			Expect(want).To(ContainElement(peers[0]))
+		},
+		Entry("near first", true, []fleet.InstanceID{"near", "near2"}),
+		Entry("rarest first", false, []fleet.InstanceID{"far"}),
+	)
+})
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -23,13 +23,15 @@
 	logger  *zap.Logger
 	metrics tally.Scope
 	gate    lineGate
-	first   tally.Histogram
+	whole   tally.Histogram // time to the end of an answer
+	first   tally.Histogram // time to the first event of a stream
 }
 
 func newRequestLog(logger *zap.Logger, metrics tally.Scope) *requestLog {
 	return &requestLog{
 		logger: logger, metrics: metrics,
-		first: metrics.Histogram("first_byte_seconds", tally.DefaultBuckets),
+		whole: metrics.Histogram("call_seconds", tally.DefaultBuckets),
+		first: metrics.Histogram("first_event_seconds", tally.DefaultBuckets),
 	}
 }
 
@@ -56,7 +58,10 @@
 
 func (l *requestLog) served(j *job, status int) {
 	l.metrics.Tagged(map[string]string{"kind": j.route.Kind.String()}).Counter("calls_served").Inc(1)
-	l.first.RecordDuration(time.Since(j.call.Arrived))
+	l.whole.RecordDuration(time.Since(j.call.Arrived))
+	if !j.firstAt.IsZero() {
+		l.first.RecordDuration(j.firstAfter())
+	}
 	if j.attempts < 2 && !l.gate.sample(servedEvery) || !l.allowed() {
 		return
 	}
