--- a/core/loading/names.go
+++ b/core/loading/names.go
@@ -1,6 +1,7 @@
 package loading
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -38,14 +39,7 @@
 // less than skew; an assumed time gives way to a known one.
 func (n Names) Add(add Named, skew time.Duration) (Names, bool) {
 	at, found := slices.BinarySearchFunc(n, add.Version, func(have Named, version uint64) int {
-		switch {
-		case have.Version < version:
-			return -1
-		case have.Version > version:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Compare(have.Version, version)
 	})
 	if found && !n[at].givesWay(add, skew) {
 		return n, false
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -9,6 +9,7 @@
 package placement
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -210,7 +211,7 @@
 		}
 	}
 	loads = append(loads, b.unlisted(change)...)
-	slices.SortFunc(loads, func(x, y Load) int { return compareIDs(x.Server, y.Server) })
+	slices.SortFunc(loads, func(x, y Load) int { return cmp.Compare(x.Server, y.Server) })
 	return loads, b.change
 }
 
@@ -239,17 +240,6 @@
 	st.change = b.change
 }
 
-func compareIDs(a, b fleet.InstanceID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func (st *state) ownWork() enginemodel.Work {
 	var w enginemodel.Work
 	for t := range st.own {
--- a/core/spread/peers.go
+++ b/core/spread/peers.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -224,7 +225,7 @@
 
 func (p *Plan) findPeer(id fleet.InstanceID) (int, bool) {
 	return slices.BinarySearchFunc(p.peers, id, func(at *peer, id fleet.InstanceID) int {
-		return compareIDs(at.ID, id)
+		return cmp.Compare(at.ID, id)
 	})
 }
 
--- a/core/spread/roster.go
+++ b/core/spread/roster.go
@@ -52,7 +52,7 @@
 // set takes a new list and reports whether the ranks changed.
 func (r *roster) set(members []Member) bool {
 	r.members = append([]Member{r.self}, members...)
-	slices.SortFunc(r.members, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(r.members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	r.members = slices.CompactFunc(r.members, func(a, b Member) bool { return a.ID == b.ID })
 	for _, m := range r.members {
 		seed := r.seed("member", m.ID)
@@ -159,14 +159,3 @@
 	}
 	return only
 }
-
-func compareIDs(a, b fleet.InstanceID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -25,16 +25,7 @@
 func (j *job) sendFailed(ctx context.Context, ticket *placement.Ticket, err error) bool {
 	now := time.Now()
 	notRun := failure.OutcomeOf(err) == failure.NotRun
-	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
-	switch {
-	case ctx.Err() != nil:
-		ticket.End(now, placement.Abandoned)
-	case errorx.IsOfType(err, failure.Timeout):
-		ticket.End(now, placement.Silent)
-	default:
-		ticket.End(now, placement.Broken)
-	}
-	j.g.log.attempt(j, ticket, err)
+	j.failed(ctx, now, ticket, err)
 	if notRun {
 		j.unsent++
 		if ctx.Err() == nil && j.unsent < unsentAttempts {
@@ -50,6 +41,21 @@
 	return j.ended(ctx, "no_answer")
 }
 
+// failed ends an attempt that brought no whole answer. Its server gets the
+// call no more.
+func (j *job) failed(ctx context.Context, now time.Time, ticket *placement.Ticket, err error) {
+	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	switch {
+	case ctx.Err() != nil:
+		ticket.End(now, placement.Abandoned)
+	case errorx.IsOfType(err, failure.Timeout):
+		ticket.End(now, placement.Silent)
+	default:
+		ticket.End(now, placement.Broken)
+	}
+	j.g.log.attempt(j, ticket, err)
+}
+
 // again reports whether the call may be sent once more, now that a server may
 // have run it.
 func (j *job) again(ctx context.Context, now time.Time) bool {
@@ -86,8 +92,6 @@
 		j.cut(reason)
 	case j.held != nil:
 		j.giveHeld()
-	case j.mayHaveRun && !j.route.Idempotent():
-		j.refuse(Verdict{Code: Broken, Reason: reason})
 	case j.mayHaveRun:
 		// It may be running still, so nothing is promised.
 		j.refuse(Verdict{Code: Broken, Reason: reason})
@@ -120,7 +124,7 @@
 // whole gives on the answer of a plain service, once it has come whole.
 func (j *job) whole(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
 	j.mayHaveRun = true
-	answer.SetDeadline(j.bodyBy(ctx))
+	answer.SetDeadline(j.deadline)
 	body, err := answer.Body(heldBytes)
 	now := time.Now()
 	if err != nil {
@@ -143,18 +147,9 @@
 	return false
 }
 
-// bodyBy is when a body must be there.
-func (j *job) bodyBy(context.Context) time.Time { return j.deadline }
-
 func (j *job) bodyFailed(ctx context.Context, ticket *placement.Ticket, err error) bool {
 	now := time.Now()
-	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
-	if ctx.Err() != nil {
-		ticket.End(now, placement.Abandoned)
-	} else {
-		ticket.End(now, placement.Broken)
-	}
-	j.g.log.attempt(j, ticket, err)
+	j.failed(ctx, now, ticket, err)
 	if j.again(ctx, now) {
 		return true
 	}
@@ -262,16 +257,7 @@
 func (j *job) streamBroke(ctx context.Context, ticket *placement.Ticket, answer Answer, err error) bool {
 	answer.Close(false)
 	now := time.Now()
-	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
-	switch {
-	case ctx.Err() != nil:
-		ticket.End(now, placement.Abandoned)
-	case errorx.IsOfType(err, failure.Timeout):
-		ticket.End(now, placement.Silent)
-	default:
-		ticket.End(now, placement.Broken)
-	}
-	j.g.log.attempt(j, ticket, err)
+	j.failed(ctx, now, ticket, err)
 	if j.again(ctx, now) {
 		return true
 	}
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -165,25 +165,3 @@
 func rendezvous(self, other fleet.InstanceID) uint64 {
 	return xxhash.Sum64String(string(self) + "\x00" + string(other))
 }
-
-func compareWeights(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func compareIDs(a, b fleet.InstanceID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -8,6 +8,7 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -197,7 +198,7 @@
 			Ready: c.last.Ready, Leaving: c.last.Leaving, Silent: now.Sub(c.heard) > silentAfter,
 		})
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
@@ -338,7 +339,7 @@
 		if far(a) != far(b) {
 			return far(a) - far(b)
 		}
-		return compareWeights(weight(b), weight(a))
+		return cmp.Compare(weight(b), weight(a))
 	})
 	return all
 }
