Callers that come back are told from new ones by what others on their route have

A caller counted as returned if it had less time than its route's timeout. On a deployment whose callers have less than that from the begin, all would have been treated as late.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -112,6 +112,8 @@
 	budgets  map[fleet.ServiceName]*retry.Window
 	rooms    map[fleet.ServiceName]*placement.HoldRoom
 	inFlight atomic.Int64
+	// patience tells callers that come back from new ones.
+	patience placement.Patience
 }
 
 // replica is what an agent told of its engine.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -14,9 +14,6 @@
 	// starting is when a caller may come back to an entry that knows no
 	// configuration yet: it reads one within a second.
 	starting = 500 * time.Millisecond
-	// returnedAfter is how much less time than the route's a caller must have
-	// left to count as one that was refused before. Its first wait is longer.
-	returnedAfter = 100 * time.Millisecond
 	// answerMargin is taken off the caller's time, so that our own answer still
 	// reaches it.
 	answerMargin = 20 * time.Millisecond
@@ -36,6 +33,8 @@
 	workspace fleet.Workspace
 	deadline  time.Time
 
+	// returned is true for a caller that was refused before.
+	returned bool
 	attempts int // sent
 	unsent   int // could not be sent
 	exclude  []fleet.InstanceID
@@ -119,6 +118,7 @@
 		j.workspace = w.Name
 	}
 	j.service = v.table.Service(j.route.Target(rand.Float64()))
+	j.returned = j.g.patience.IsReturned(j.route.Name, j.call.Patience)
 	timeout := j.route.Timeout
 	if j.call.Patience > 0 {
 		timeout = min(timeout, j.call.Patience)
@@ -240,13 +240,7 @@
 
 // isLate reports whether the answer cannot be on time any more.
 func (j *job) isLate(now time.Time) bool {
-	return j.isReturned() || j.begun || now.Sub(j.call.Arrived) >= j.route.Aim
-}
-
-// isReturned reports whether the caller was refused before: it then has less
-// time than the route gives.
-func (j *job) isReturned() bool {
-	return j.call.Patience > 0 && j.call.Patience < j.route.Timeout-returnedAfter
+	return j.returned || j.begun || now.Sub(j.call.Arrived) >= j.route.Aim
 }
 
 // useOldShare is the part of the time for a new version during which engines
