Entry: the shortest aim of the service bounds the wait, as the decision says

Cause: the entry still passed each route's own aim, less what had passed, to the placement, so the kind with the longer aim went on being served more under overload, and a call whose aim had passed was given a part of all its time. Found by reading the entry beside the specs of core/placement, which pass the shortest aim.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -26,7 +26,7 @@
 	// may wait at an engine until its own prompt is read. It is the same for all
 	// kinds and sizes of request: by their own aims, those with the longer aim
 	// would keep the engines so busy that no other was ever placed.
-	waitShare = 0.35
+	waitShare = 0.45
 	// lateShare is the same for a request that is late already.
 	lateShare = 0.35
 	// lateSlots is the share of an engine's places up to which late requests are
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -226,7 +226,7 @@
 		Engine:  j.service.Engine,
 		Prompt:  j.call.Prompt,
 		Answer:  j.call.Answer,
-		Aim:     j.route.Aim - now.Sub(j.call.Arrived),
+		Aim:     j.view.table.ShortestAim(j.service.Name),
 		Left:    j.deadline.Sub(now),
 		Late:    j.isLate(now),
 		Exclude: j.exclude,
