--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -263,14 +263,3 @@
 	}
 	return w
 }
-
-// Usable counts the servers of a service that may take requests now.
-func (b *Board) Usable(now time.Time, ask Ask) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	g := b.services[ask.Service]
-	if g == nil {
-		return 0
-	}
-	return len(b.candidates(now, g, ask))
-}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -153,7 +153,7 @@
 	}
 	if j.attempts > 0 && !j.g.allowRepeat(now, j.service.Name) {
 		ticket.End(now, placement.Abandoned)
-		j.giveUp("retry_budget", refusal.RetryAfter)
+		j.giveUp("retry_budget", j.comeBack(now))
 		return false
 	}
 	j.predicted = ticket.Predicted
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -214,8 +214,8 @@
 	return live
 }
 
-// Ahead returns a live entry whose catalog is newer than as the own one, its
-// zero value if there is none.
+// Ahead returns a live entry whose last whole beat isAhead accepts; false if
+// there is none.
 func (m *Mesh) Ahead(now time.Time, isAhead func(wire.Beat) bool) (netip.Addr, bool) {
 	for addr, c := range m.contacts {
 		if c.last.ID != "" && now.Sub(c.heard) <= silentAfter && isAhead(c.last) {
