--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -9,6 +9,8 @@
 	// ejectMin doubles with each relapse up to ejectMax.
 	ejectMin = 700 * time.Millisecond
 	ejectMax = 6 * time.Second
+	// maxDoublings is enough to reach ejectMax.
+	maxDoublings = 4
 	// rateWeight is the weight of the newest answer in a share of failures; about
 	// ten answers tell.
 	rateWeight = 0.1
@@ -70,7 +72,7 @@
 	if float64(out+1) > ejectedShare*float64(len(g.states)) {
 		return
 	}
-	pause := min(ejectMax, ejectMin<<min(h.relapses, 4))
+	pause := min(ejectMax, ejectMin<<min(h.relapses, maxDoublings))
 	h.relapses++
 	h.strikes = 0
 	h.until = now.Add(pause + time.Duration(r.Float64()*float64(pause)/2))
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -33,6 +33,7 @@
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
 	sourcePauseMax = 800 * time.Millisecond
+	maxDoublings   = 4 // enough to reach sourcePauseMax
 	// askEvery is the pause between two asks for a peer's catalog.
 	askEvery = 150 * time.Millisecond
 	// behindFor is how long a peer must be ahead before it is asked: mostly the
@@ -96,7 +97,7 @@
 }
 
 func pauseAfter(failures int, err error) time.Duration {
-	pause := min(sourcePauseMax, sourcePauseMin<<min(failures-1, 4))
+	pause := min(sourcePauseMax, sourcePauseMin<<min(failures-1, maxDoublings))
 	pause = max(pause, failure.RetryAfter(err))
 	return pause/2 + rand.N(pause)
 }
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -16,6 +16,9 @@
 const (
 	// callTimeout bounds a call to the engine on the same instance.
 	callTimeout = 1500 * time.Millisecond
+	// giveUpMissing is the share of its chunks that a version must lack to be
+	// given up for a newer one.
+	giveUpMissing = 0.5
 	// resolveAgain is the pause before a manifest is asked for again.
 	resolveAgain = 300 * time.Millisecond
 )
@@ -182,7 +185,7 @@
 // the newer.
 func (l *Loader) gather(now time.Time, version uint64, named fleet.Version) {
 	for _, older := range l.gathers {
-		if l.stage.missing(older.version) > 0.5 {
+		if l.stage.missing(older.version) > giveUpMissing {
 			l.swarm.Stop(older.named.Manifest)
 		}
 	}
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -49,7 +49,7 @@
 		c.dialing = false
 		if err != nil {
 			c.failed++
-			c.retryAt = now.Add(min(redialMax, redialMin<<min(c.failed-1, 4)))
+			c.retryAt = now.Add(min(redialMax, redialMin<<min(c.failed-1, maxDoublings)))
 			return
 		}
 		c.failed = 0
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -46,8 +46,9 @@
 	// can go silent for good while new ones work.
 	deadAfter = 1200 * time.Millisecond
 	// redialMin doubles up to redialMax while an address does not answer.
-	redialMin = 150 * time.Millisecond
-	redialMax = 1500 * time.Millisecond
+	redialMin    = 150 * time.Millisecond
+	redialMax    = 1500 * time.Millisecond
+	maxDoublings = 4 // enough to reach redialMax
 	// agentLinks is the number of entries that an agent is linked to, so that
 	// one that is lost leaves another.
 	agentLinks = 2
