Gateway: a starting peer's word does not make a version old at entries that know better

Cause: noteWanted takes what a starting entry finds for named eight seconds ago and marks it assumed. When the platform comes back from an outage, an entry that starts just then tells its assumption to all others before they have read the catalog themselves; they kept it, since their own reading later found the version known.

Ruled out: the turns (load orders came within 0.4 s since they were overdue), the origin (1.2 copies, staged in 2.8 to 3.2 s).

--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -234,6 +234,23 @@
 		since, _ = g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(-time.Second)))
 	})
+
+	// The platform is away while a version is named, and an entry starts just as
+	// it comes back. It takes the version for old, and its word is here before
+	// the platform's. Old engines must stay in use: they change in turns, and
+	// left at once the service would stand still for seconds.
+	It("that only a starting peer tells of are new to an entry that had a catalog without them", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5), "platform")
+		other := beat("10.0.0.2")
+		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: 8000, Assumed: true}}
+		g.heard(at(time.Second), other)
+		g.adopt(at(2*time.Second), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(time.Second)))
+		told := g.compose(at(2*time.Second), "10.0.0.2", fleet.RoleEntry, mesh.First)
+		Expect(told.Wanted[0].Assumed).To(BeFalse())
+	})
 })
 
 var _ = Describe("Addresses", func() {
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -119,8 +119,16 @@
 
 // heardWanted takes a version that a peer knows of. The peer may have known it
 // for longer than this process, which then stops to use the old one earlier.
+//
+// A peer that has just started takes what it finds for old. If it is the first
+// to tell, this process knows better: its own catalog did not have the version.
 func (g *Gateway) heardWanted(now time.Time, w wire.WantedVersion) {
-	g.setWanted(w.Model, w.Named(now))
+	named := w.Named(now)
+	if w.Assumed && g.tableOf != 0 && g.names[w.Model].Newest() < w.Version {
+		named.Since = now
+		named.Assumed = false
+	}
+	g.setWanted(w.Model, named)
 }
 
 // wantedSkew is the time on the way of a beat, within which two processes'
