Gateway: after an outage of the platform the time for a version counts from when it is sound

Cause: a version named during an outage is heard of at its end by all entries at once, and its eight seconds counted from then. The operator's time runs while the platform counts as sound, which begins contactMs later. Engines changed within 3.5 s, each out for the longest of its streams, just when callers that were refused came back.

What an entry knows of its contact with the platform is now one small type. An outage counts as long from 4.5 s without an answer; an entry that was cut off alone (another was answered for 1.3 s and more meanwhile) changes nothing; the earliest word of all entries counts, so one that saw no outage decides. At the end of an outage others are answered a moment earlier, which used to count as cut off alone: then lapsed servers were dropped for two seconds too. An entry in its first answer after a start believes its peers.

--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -49,8 +49,8 @@
 		Loop: b.loop, Endpoint: b.endpoint,
 		Source: platform.NewStore(s.Store), Backend: platform.NewBackend(),
 		Budget:      gateway.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Span: s.RetryWindow},
-		VersionTime: s.VersionTime,
-		Logger:      b.logger, Metrics: b.metrics,
+		VersionTime: s.VersionTime, SoundTime: s.SoundTime,
+		Logger: b.logger, Metrics: b.metrics,
 	})
 	b.handler.Handler = g
 	b.loop.AddTicker(g)
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -25,6 +25,23 @@
 }
 
 var _ = Describe("Names", func() {
+	// A process that has just started tells that a version is old, since it
+	// cannot know better. One that followed the platform does: left at once, all
+	// engines with the version before would be out of service together.
+	It("take no assumed age for a version that was not there a moment ago", func() {
+		told := loading.Named{Version: 2, Since: at(-within), Assumed: true}
+		heard := loading.Named{Version: 2, Since: at(time.Second)}
+		Expect(loading.Names{}.Correct(told, heard)).To(Equal(heard))
+
+		three := loading.Names{known(3, 500*time.Millisecond)}
+		Expect(three.Correct(told, heard)).To(Equal(loading.Named{Version: 2, Since: at(500 * time.Millisecond)}))
+
+		started := loading.Names{{Version: 3, Since: at(-within), Assumed: true}}
+		Expect(started.Correct(told, heard)).To(Equal(told))
+		both := loading.Names{told, known(3, 0)}
+		Expect(both.Correct(told, heard)).To(Equal(told))
+	})
+
 	// Version 2 is named, and version 3 two seconds later while 2 still spreads.
 	// An engine that holds version 1 must be out of service by the time of
 	// version 2: judged by the newest, it would answer two seconds longer.
--- a/core/loading/names.go
+++ b/core/loading/names.go
@@ -60,16 +60,44 @@
 	return to.Since.Before(n.Since.Add(-skew))
 }
 
+// Correct returns what a process that has followed the platform makes of a
+// version that another tells of. heard is the version as heard of now.
+//
+// An assumed time is wrong for one that was not there a moment ago. If a newer
+// version is known already, this one was named before that.
+func (n Names) Correct(told, heard Named) Named {
+	if !told.Assumed || n.has(told.Version) {
+		return told
+	}
+	newer, found := n.firstAfter(told.Version)
+	switch {
+	case !found:
+		return heard
+	case newer.Assumed:
+		return told
+	default:
+		return Named{Version: told.Version, Since: newer.Since}
+	}
+}
+
+func (n Names) has(version uint64) bool {
+	return slices.ContainsFunc(n, func(have Named) bool { return have.Version == version })
+}
+
+func (n Names) firstAfter(version uint64) (Named, bool) {
+	at := slices.IndexFunc(n, func(have Named) bool { return have.Version > version })
+	if at < 0 {
+		return Named{}, false
+	}
+	return n[at], true
+}
+
 // OutdatedSince returns since when a newer version than loaded has been named;
 // false if there is none.
 //
 // What counts is the first newer one. A version that is named while the one
 // before still spreads gives no more time to an engine that holds neither.
 func (n Names) OutdatedSince(loaded uint64) (time.Time, bool) {
-	for _, name := range n {
-		if name.Version > loaded {
-			return name.Since, true
-		}
-	}
-	return time.Time{}, false
+	newer, found := n.firstAfter(loaded)
+	return newer.Since, found
 }
--- /dev/null
+++ b/daemon/gateway/contact.go
@@ -0,0 +1,133 @@
+package gateway
+
+import "time"
+
+const (
+	// sureFor is how long after the last word of the platform or of a peer an
+	// entry says of itself that a route or a key does not exist.
+	sureFor = 2500 * time.Millisecond
+	// lapseTime is how long after the platform's return a server stays in use
+	// whose registration ended meanwhile: those that live are registered again
+	// within two seconds.
+	lapseTime = 2200 * time.Millisecond
+	// longOutage is the time without an answer from which on the platform counts
+	// as having been away. A watch on a connection that went silent takes 2.6 s
+	// to be found out, and backWithin more tells whether others are answered.
+	longOutage = 4500 * time.Millisecond
+	// backWithin is the time in which all entries are answered again once one of
+	// them is: the longest pause between two calls, and the word on its way.
+	backWithin = 1300 * time.Millisecond
+)
+
+// contact is what an entry knows of its contact with the platform. It belongs
+// to the control loop.
+type contact struct {
+	heard time.Time // last answer of the platform
+	// failing is true from a failed call until the next one that succeeds.
+	failing bool
+	// othersAt is when another entry first told that the platform answers it
+	// while it fails here; zero if none did.
+	othersAt time.Time
+	// regained is when the platform answered again after it had failed for all,
+	// and silent for how long it had not answered.
+	regained time.Time
+	silent   time.Duration
+	// answers is the number of answers since the start, up to 2.
+	answers int
+}
+
+// fail notes a failed call and reports whether it is the first.
+func (c *contact) fail(now time.Time) bool {
+	if c.failing {
+		return false
+	}
+	c.failing = true
+	c.othersAt = time.Time{}
+	return true
+}
+
+// succeed notes an answer and reports whether it is the first after a failure.
+func (c *contact) succeed(now time.Time) bool {
+	again := c.failing
+	if again && !c.alone(now) {
+		c.regained = now
+		c.silent = now.Sub(c.heard)
+	}
+	c.failing = false
+	c.heard = now
+	c.answers = min(2, c.answers+1)
+	return again
+}
+
+// othersReach notes that the platform answers another entry.
+func (c *contact) othersReach(now time.Time) {
+	if c.failing && c.othersAt.IsZero() {
+		c.othersAt = now
+	}
+}
+
+// alone reports whether the platform fails here only. At the end of an outage
+// others may be answered a moment earlier.
+func (c *contact) alone(now time.Time) bool {
+	return c.failing && !c.othersAt.IsZero() && now.Sub(c.othersAt) >= backWithin
+}
+
+// woke follows a pause of the process: nothing has been heard since.
+func (c *contact) woke(now time.Time) {
+	c.fail(now)
+	c.heard = now.Add(-sureFor)
+}
+
+// reaches reports whether the platform answers this entry.
+func (c *contact) reaches(now time.Time) bool { return !c.failing && c.recent(now) }
+
+// recent reports whether the last answer is recent enough to say that a route
+// or a key does not exist.
+func (c *contact) recent(now time.Time) bool { return now.Sub(c.heard) < sureFor }
+
+// mayLapse reports whether a registration that ends now may only have lapsed:
+// the platform is down, or was a moment ago. An entry that was cut off from a
+// platform that others reached finds no lapses there.
+func (c *contact) mayLapse(now time.Time) bool {
+	if c.failing {
+		return !c.alone(now)
+	}
+	return c.silent >= longOutage && now.Sub(c.regained) < lapseTime
+}
+
+// lapsesEnd reports whether servers that live are registered again by now.
+func (c *contact) lapsesEnd(now time.Time) bool {
+	if c.failing {
+		return c.alone(now)
+	}
+	return now.Sub(c.regained) >= lapseTime
+}
+
+// knowsChanges reports whether what an answer tells beyond the catalog in hand
+// is new. In the first answer after a start it is not: that catalog may have
+// come from a peer, from before an outage whose length this process cannot tell.
+func (c *contact) knowsChanges() bool { return c.answers > 1 }
+
+// newSince returns since when a version of weights counts as named that is
+// heard of now. soundTime is how long the platform must have answered to count
+// as sound.
+//
+// What was named during an outage reaches all processes at its end, when
+// callers come back too. The operator's time for a version runs while the
+// platform is sound, so the change need not begin at once: engines that change
+// in turns over the longer time leave more of them to serve. The return is
+// noticed up to a pause between two calls late, which is taken off.
+func (c *contact) newSince(now time.Time, soundTime time.Duration) time.Time {
+	silent, back := c.silent, c.regained
+	if c.failing {
+		silent, back = now.Sub(c.heard), now
+	}
+	if silent < longOutage || c.alone(now) {
+		return now
+	}
+	sound := back.Add(soundTime - sourcePauseMax)
+	if sound.Before(now) {
+		return now
+	}
+	return sound
+}
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -41,13 +41,6 @@
 	behindFor = 250 * time.Millisecond
 	// askTimeout bounds one ask.
 	askTimeout = 600 * time.Millisecond
-	// sureFor is how long after the last word of the platform or of a peer an
-	// entry says of itself that a route or a key does not exist.
-	sureFor = 2500 * time.Millisecond
-	// lapseTime is how long after the platform's return a server stays in use
-	// whose registration ended meanwhile: those that live are registered again
-	// within two seconds.
-	lapseTime = 2200 * time.Millisecond
 )
 
 // Follow keeps the catalog up to date from the platform until ctx ends.
@@ -136,23 +129,17 @@
 }
 
 func (g *Gateway) sourceFailed(now time.Time, err error) {
-	if !g.failing {
-		g.opts.Logger.Warn("platform_lost", zap.Error(err), zap.Duration("heard_ago", now.Sub(g.contact)))
+	if g.contact.fail(now) {
+		g.opts.Logger.Warn("platform_lost", zap.Error(err), zap.Duration("heard_ago", now.Sub(g.contact.heard)))
 	}
-	g.failing = true
 	g.opts.Metrics.Counter("platform_failures").Inc(1)
 }
 
 func (g *Gateway) sourceAnswered(now time.Time) {
-	if g.failing {
-		g.failing = false
-		if !g.cutOffAlone {
-			g.outageEnd = now
-		}
-		g.cutOffAlone = false
-		g.opts.Logger.Info("platform_regained", zap.Duration("after", now.Sub(g.contact)))
+	silent := now.Sub(g.contact.heard)
+	if g.contact.succeed(now) {
+		g.opts.Logger.Info("platform_regained", zap.Duration("after", silent))
 	}
-	g.contact = now
 	g.doubtful = false
 }
 
@@ -191,13 +178,10 @@
 	g.settle(now, "platform")
 }
 
-// removed notes a registration that ended. While the platform is down, and for
-// a while after, it may only have lapsed, so the server is kept, unless it said
-// that it leaves. An entry that was cut off from a platform that others reached
-// finds no lapses there.
+// removed notes a registration that ended. If it may only have lapsed, the
+// server is kept, unless it said that it leaves.
 func (g *Gateway) removed(now time.Time, s catalog.Server) {
-	unsound := g.failing && !g.cutOffAlone || now.Sub(g.outageEnd) < lapseTime
-	keep := unsound && !s.Draining
+	keep := g.contact.mayLapse(now) && !s.Draining
 	if keep {
 		g.lapsed[s.ID] = s
 	}
@@ -209,7 +193,7 @@
 	if len(g.lapsed) == 0 {
 		return
 	}
-	over := g.cutOffAlone || !g.failing && now.Sub(g.outageEnd) >= lapseTime
+	over := g.contact.lapsesEnd(now)
 	for id := range g.lapsed {
 		if over || hasServer(g.snapshot.Servers, id) {
 			delete(g.lapsed, id)
@@ -238,22 +222,30 @@
 }
 
 // noteWanted keeps when each version was first heard of. A process that has
-// just started cannot know it: unless a peer says otherwise, it takes what it
-// finds for old.
+// just started cannot know it and believes whichever peer says otherwise; with
+// no catalog from a peer it takes what it finds for old.
 func (g *Gateway) noteWanted(now time.Time) {
 	for _, w := range g.snapshot.Wanted {
 		if g.names[w.Model].Newest() >= w.Version {
 			continue
 		}
-		named := loading.Named{Version: w.Version, Since: now}
+		named := g.heardNow(now, w.Version)
 		if g.tableOf == 0 {
-			named.Assumed = true
 			named.Since = now.Add(-g.opts.VersionTime)
 		}
 		g.setWanted(w.Model, named)
 	}
 }
 
+// heardNow is a version that was not named when this process last knew.
+func (g *Gateway) heardNow(now time.Time, version uint64) loading.Named {
+	return loading.Named{
+		Version: version,
+		Since:   g.contact.newSince(now, g.opts.SoundTime),
+		Assumed: !g.contact.knowsChanges(),
+	}
+}
+
 // askPeers asks a peer whose catalog is ahead, while the platform has not told
 // of it by itself: it may turn this entry away and serve the others, or the
 // watch may have gone silent.
@@ -262,7 +254,7 @@
 		return
 	}
 	addr, ok := g.mesh.Ahead(now, func(b wire.Beat) bool {
-		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.contact) > watchWait
+		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.contact.heard) > watchWait
 	})
 	if !ok {
 		g.behindSince = time.Time{}
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -45,7 +45,7 @@
 		Regions:    map[fleet.Zone]fleet.Region{"hall": "lagos"},
 		Loop:       control.New(control.Options{}), Backend: backend,
 		Budget:      RetryBudget{Ratio: 0.2, Slack: 100, Span: 10 * time.Second},
-		VersionTime: 8 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
+		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	})
 	return g, backend
 }
@@ -112,6 +112,19 @@
 		Expect(listed(g, backend, at(9*time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
 	})
 
+	// The platform is back, and another entry was answered half a second earlier.
+	// Servers whose registration lapsed are not back yet; dropped here, they
+	// would be missing for two seconds.
+	It("keeps them also when another entry was answered a moment earlier", func() {
+		g.sourceFailed(at(time.Second), broken)
+		other := beat("10.0.0.2")
+		other.Reaches = true
+		g.heard(at(5500*time.Millisecond), other)
+		g.sourceAnswered(at(6 * time.Second))
+		g.apply(at(6*time.Second), removeTwo, 9)
+		Expect(listed(g, backend, at(6*time.Second))).To(HaveLen(2))
+	})
+
 	It("drops one at once that said that it leaves, also then", func() {
 		g.sourceFailed(at(time.Second), broken)
 		g.sourceAnswered(at(6 * time.Second))
@@ -210,14 +223,91 @@
 		return s
 	}
 
-	It("are known since they were first heard of", func() {
+	// following returns an entry whose catalog is from the platform.
+	following := func() *Gateway {
 		g, _ := newGateway()
+		g.sourceAnswered(start)
 		g.adopt(start, snapshot(5), "platform")
+		g.sourceAnswered(start)
+		return g
+	}
+
+	It("are known since they were first heard of", func() {
+		g := following()
 		g.adopt(at(time.Second), wanted(2), "platform")
 		since, _ := g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(time.Second)))
 	})
 
+	// The platform is away for five seconds, a version is named meanwhile, and
+	// all entries hear of it when it is back. Callers that were refused are back
+	// then too, so engines change over the longer time that the operator gives.
+	It("that were named during an outage count from when the platform is sound again", func() {
+		g := following()
+		g.sourceFailed(at(time.Second), failure.Unavailable.New("turned away"))
+		g.sourceAnswered(at(6 * time.Second))
+		g.adopt(at(6*time.Second), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(6*time.Second + 3*time.Second - sourcePauseMax)))
+	})
+
+	// Entries are answered again one after the other. One that is not yet hears
+	// of the version from one that is, which may just have started: the outage
+	// was one for all the same.
+	It("that a peer tells of a moment before the platform answers here count as after an outage", func() {
+		g := following()
+		g.sourceFailed(at(time.Second), failure.Unavailable.New("turned away"))
+		other := beat("10.0.0.2")
+		other.Reaches = true
+		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, Assumed: true}}
+		g.heard(at(6*time.Second), other)
+		g.sourceAnswered(at(6500 * time.Millisecond))
+		g.adopt(at(6500*time.Millisecond), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(6*time.Second + 3*time.Second - sourcePauseMax)))
+	})
+
+	// One call failed: a connection was reset. The platform was sound, so the
+	// operator's time runs, also where other entries saw no failure at all.
+	It("that are heard of after one failed call count at once", func() {
+		g := following()
+		g.sourceFailed(at(time.Second), failure.Unavailable.New("reset"))
+		g.sourceAnswered(at(1200 * time.Millisecond))
+		g.adopt(at(1200*time.Millisecond), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(1200 * time.Millisecond)))
+	})
+
+	// An entry starts during an outage and has its catalog from a peer. For how
+	// long the platform has been away only the others know, so theirs counts:
+	// an outage that seemed short here would shorten the change for all.
+	It("that an entry hears of in its first answer count as its peers know", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5), "peer")
+		g.sourceFailed(start, failure.Unavailable.New("busy"))
+		g.sourceAnswered(at(2 * time.Second))
+		g.adopt(at(2*time.Second), wanted(2), "platform")
+		other := beat("10.0.0.2")
+		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: -2000}}
+		g.heard(at(2*time.Second), other)
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(4 * time.Second)))
+	})
+
+	// The platform turned this entry away and answered another. Had it failed
+	// for all, the version would have more time; it has not.
+	It("that were named while this entry alone was cut off count at once", func() {
+		g := following()
+		g.sourceFailed(at(time.Second), failure.Unavailable.New("turned away"))
+		other := beat("10.0.0.2")
+		other.Reaches = true
+		g.heard(at(2*time.Second), other)
+		g.sourceAnswered(at(6 * time.Second))
+		g.adopt(at(6*time.Second), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(6 * time.Second)))
+	})
+
 	// An entry starts in the middle of a change and cannot know when the version
 	// was named. It uses no old engine, and does not make the others leave them.
 	It("that were there at the start count as old, here only", func() {
@@ -240,8 +330,7 @@
 	// the platform's. Old engines must stay in use: they change in turns, and
 	// left at once the service would stand still for seconds.
 	It("that only a starting peer tells of are new to an entry that had a catalog without them", func() {
-		g, _ := newGateway()
-		g.adopt(start, snapshot(5), "platform")
+		g := following()
 		other := beat("10.0.0.2")
 		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: 8000, Assumed: true}}
 		g.heard(at(time.Second), other)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -60,8 +60,10 @@
 	// VersionTime is how long after its naming a new version of weights must
 	// have replaced the one before.
 	VersionTime time.Duration
-	Logger      *zap.Logger
-	Metrics     tally.Scope
+	// SoundTime is how long the platform must have answered to count as sound.
+	SoundTime time.Duration
+	Logger    *zap.Logger
+	Metrics   tally.Scope
 }
 
 // Gateway is the entry's state. Serve, Addresses and Ready may be called by
@@ -91,17 +93,12 @@
 	nextAsk time.Time
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
 	behindSince time.Time
-	contact     time.Time // last answer of the platform
-	outageEnd   time.Time // when the platform answered again after a failure
-	failing     bool
+	contact     contact
 	// doubtful is true from a pause of the process until the platform or a peer
 	// has been read again.
 	doubtful bool
 	// rewatch ends the call to the platform that runs.
 	rewatch chan struct{}
-	// cutOffAlone is true if the platform answered another entry while it did
-	// not answer this one.
-	cutOffAlone bool
 	// lapsed are servers whose registration ended while the platform was not
 	// sound.
 	lapsed    map[fleet.InstanceID]catalog.Server
@@ -155,7 +152,7 @@
 		toldLoads: make(map[fleet.InstanceID]uint64),
 		budgets:   make(map[fleet.ServiceName]*retry.Window),
 		rooms:     make(map[fleet.ServiceName]*placement.HoldRoom),
-		contact:   now,
+		contact:   contact{heard: now},
 		rewatch:   make(chan struct{}, 1),
 	}
 	g.mesh = mesh.New(ctx, now, mesh.Options{
@@ -207,8 +204,7 @@
 func (g *Gateway) woke(now time.Time, gap time.Duration) {
 	g.opts.Logger.Warn("woke", zap.Duration("after", gap))
 	g.doubtful = true
-	g.failing = true
-	g.contact = now.Add(-sureFor)
+	g.contact.woke(now)
 	g.replicas = make(map[netip.Addr]replica)
 	g.readyAt = make(map[netip.Addr]time.Time)
 	g.changed = true
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -53,7 +53,7 @@
 	b.Leaving = g.leaving
 	b.AsOf = g.snapshot.AsOf
 	b.ConfigRevision = g.snapshot.ConfigRevision
-	b.Reaches = !g.failing && now.Sub(g.contact) < sureFor
+	b.Reaches = g.contact.reaches(now)
 	b.Wanted = g.wantedNow(now)
 	b.Entries = g.mesh.Live(now)
 	if role == fleet.RoleAgent {
@@ -107,7 +107,9 @@
 		if b.Brief {
 			return
 		}
-		g.cutOffAlone = g.cutOffAlone || g.failing && b.Reaches
+		if b.Reaches {
+			g.contact.othersReach(now)
+		}
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
 		}
@@ -124,9 +126,8 @@
 // to tell, this process knows better: its own catalog did not have the version.
 func (g *Gateway) heardWanted(now time.Time, w wire.WantedVersion) {
 	named := w.Named(now)
-	if w.Assumed && g.tableOf != 0 && g.names[w.Model].Newest() < w.Version {
-		named.Since = now
-		named.Assumed = false
+	if g.tableOf != 0 {
+		named = g.names[w.Model].Correct(named, g.heardNow(now, w.Version))
 	}
 	g.setWanted(w.Model, named)
 }
@@ -176,7 +177,7 @@
 		leaving:  g.leaving,
 		doubtful: g.doubtful,
 		soonest:  g.soonest(now),
-		sure:     now.Sub(g.contact) < sureFor || len(g.mesh.Live(now)) > 0,
+		sure:     g.contact.recent(now) || len(g.mesh.Live(now)) > 0,
 	}
 	g.view.Store(v)
 	slack := g.slack()
