Turns of a change-over from 0.34 to 0.84 of the time, old engines used until 0.89

Load pattern: engines change under a load that fills them; each is out for the longest of its streams, so the longer the turns spread the more serve.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -20,8 +20,8 @@
 	// firstTurn and lastTurn are the parts of the time for a version between
 	// which the turns lie. Before the first the chunks are on their way; after
 	// the last an engine still has to finish what it runs and to load.
-	firstTurn = 0.38
-	lastTurn  = 0.82
+	firstTurn = 0.34
+	lastTurn  = 0.84
 	// orderAgain is how long an order may go without effect before it is given
 	// once more: the answer to an order may be lost, and reports lag.
 	orderAgain = 1500 * time.Millisecond
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -246,7 +246,7 @@
 // useOldShare is the part of the time for a new version during which engines
 // with the one before are still used. What is sent to them at its end waits
 // for its first event within the rest.
-const useOldShare = 0.86
+const useOldShare = 0.89
 
 // versions tells which weights may answer.
 //
