Placement: a late request whose answer cannot be whole in time is refused at once

The place was taken from a request that could have been whole.

Now the caller's estimate of the length and the engine's pass time give the end of the answer; beyond 1.25 times the time left a late request is refused. Estimates are off by 1.4 either way for half of the answers, so new requests are not judged by them.

--- a/core/enginemodel/enginemodel.go
+++ b/core/enginemodel/enginemodel.go
@@ -74,10 +74,20 @@
 // one prompt for each place that falls free.
 func (f *Figures) turn(w Work) time.Duration {
 	pass := f.Pass(w)
-	read := time.Duration(float64(f.Slots) / f.usualPasses() * float64(f.Read(f.UsualPrompt)))
+	read := time.Duration(float64(min(w.Running, f.Slots)) / f.usualPasses() * float64(f.Read(f.UsualPrompt)))
 	return pass + read
 }
 
+// Write predicts the time in which an answer of so many tokens is written, from
+// its first event to its last, beside the work that is there.
+func (f *Figures) Write(w Work, tokens int) time.Duration {
+	passes := float64(tokens)/float64(max(1, f.Stride)) - 1
+	if passes <= 0 {
+		return 0
+	}
+	return time.Duration(passes * float64(f.turn(w)))
+}
+
 // usualPasses is the number of passes in which a usual answer is written.
 func (f *Figures) usualPasses() float64 {
 	passes := float64(f.UsualAnswer) / float64(max(1, f.Stride))
--- a/core/enginemodel/enginemodel_test.go
+++ b/core/enginemodel/enginemodel_test.go
@@ -67,6 +67,15 @@
 		}
 	})
 
+	It("predicts the rest of an answer: a pass for each event after the first", func() {
+		// 100 tokens are 20 events, each a pass of 46 ms on an idle engine.
+		Expect(figures().Write(enginemodel.Work{}, 100)).To(BeNumerically("~", 19*46*ms, 10*ms))
+		Expect(figures().Write(enginemodel.Work{}, 5)).To(BeZero())
+		Expect(figures().Write(enginemodel.Work{}, 0)).To(BeZero())
+		// Beside 15 others a pass is 50 ms, and reads prompts for 48 ms.
+		Expect(figures().Write(enginemodel.Work{Running: 15}, 100)).To(BeNumerically(">", 19*80*ms))
+	})
+
 	It("does with figures that were not published", func() {
 		Expect((&enginemodel.Figures{}).FirstEvent(enginemodel.Work{Running: 3, Unread: 10}, 10)).To(BeNumerically(">=", 0))
 	})
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -34,6 +34,10 @@
 	// wait for room, so under lasting overload they would else get every place
 	// that falls free, and after some seconds all requests would be late.
 	lateSlots = 0.85
+	// tooLong is by how much the expected time to the end of an answer must
+	// exceed the time left. Callers' estimates are off by more than 1.4 either
+	// way for half of the answers.
+	tooLong = 1.25
 	// plainQueue is the number of requests for each place of a plain service
 	// beyond which it is full.
 	plainQueue = 3
@@ -50,6 +54,8 @@
 	NoServer Reason = "no_server"
 	// Full: no server would answer in time.
 	Full Reason = "full"
+	// TooLong: the answer would not be whole before the caller gives up.
+	TooLong Reason = "too_long"
 )
 
 // Refusal says that a request was not placed and when it may come back.
@@ -82,6 +88,12 @@
 			Predicted: predicted, Usable: len(usable),
 		}
 	}
+	if ask.isTooLong(predicted, b.work(now, best)) {
+		return nil, Refusal{
+			Reason: TooLong, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
+			Predicted: predicted, Usable: len(usable),
+		}
+	}
 	t := &Ticket{
 		board: b, state: best, Server: best.Server, Predicted: predicted,
 		prompt: ask.Prompt, answer: ask.Answer, placed: now,
@@ -107,6 +119,16 @@
 	return time.Duration(waitShare * float64(aim))
 }
 
+// isTooLong reports whether the answer to a late request is expected to take
+// much longer than the caller waits.
+func (a Ask) isTooLong(first time.Duration, w enginemodel.Work) bool {
+	if a.Engine == nil || !a.Late || a.Expected == 0 || a.Left <= 0 {
+		return false
+	}
+	whole := first + a.Engine.Write(w, a.Expected)
+	return float64(whole) > tooLong*float64(a.Left)
+}
+
 // reading is the part of a prediction that is the request's own prompt.
 func (a Ask) reading() time.Duration {
 	if a.Engine == nil {
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -236,6 +236,38 @@
 		Expect(fill(b, small())).To(BeNumerically(">=", 4*2))
 	})
 
+	// A caller comes back with a second left, and its answer would take three.
+	// Placed, it would see the stream break off after a third, and a place would
+	// be taken from a request that can be whole.
+	It("come at once for late requests whose answers would not be whole in time", func() {
+		late := small()
+		late.Late = true
+		late.Left = time.Second
+		late.Expected = 250 // 50 passes of some 60 ms
+		ticket, refusal := board(4).Choose(start, late)
+		Expect(ticket).To(BeNil())
+		Expect(refusal.Reason).To(Equal(placement.TooLong))
+
+		late.Expected = 50
+		ticket, _ = board(4).Choose(start, late)
+		Expect(ticket).NotTo(BeNil())
+	})
+
+	// Estimates are often far off. A request that has all its time is given the
+	// chance, and so is one whose caller told no estimate.
+	It("do not come for an estimate alone", func() {
+		long := small()
+		long.Left = time.Second
+		long.Expected = 250
+		ticket, _ := board(4).Choose(start, long)
+		Expect(ticket).NotTo(BeNil())
+		unknown := long
+		unknown.Late = true
+		unknown.Expected = 0
+		ticket, _ = board(4).Choose(start, unknown)
+		Expect(ticket).NotTo(BeNil())
+	})
+
 	It("do not come while half of the places are free", func() {
 		b := board(4)
 		a := ask()
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -63,6 +63,8 @@
 	Engine *enginemodel.Figures
 	// Prompt and Answer are token counts, 0 for a plain service.
 	Prompt, Answer int
+	// Expected is the caller's estimate of the answer's tokens; 0 if unknown.
+	Expected int
 	// Aim is the shortest time of all routes to the service in which an answer is
 	// on time.
 	Aim time.Duration
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -90,7 +90,8 @@
 		return
 	}
 	l.logger.Info("not_placed", inputs(j, zap.String("reason", string(r.Reason)), zap.Duration("predicted", r.Predicted),
-		zap.Int("usable", r.Usable), zap.Int("prompt", j.call.Prompt), zap.Bool("returned", j.returned))...)
+		zap.Int("usable", r.Usable), zap.Int("prompt", j.call.Prompt),
+		zap.Int("expected", j.call.Expected), zap.Duration("left", time.Until(j.deadline)), zap.Bool("returned", j.returned))...)
 }
 
 func (l *requestLog) attempt(j *job, t *placement.Ticket, err error) {
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -22,6 +22,8 @@
 	Patience time.Duration
 	// Prompt and Answer are token counts; Answer is the most that is written.
 	Prompt, Answer int
+	// Expected is the caller's estimate of the answer's tokens; 0 if unknown.
+	Expected int
 	// LastEvent is the last event that the caller has; -1 for none.
 	LastEvent int64
 	// Native is what the adapter needs to pass the call on.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -222,15 +222,16 @@
 
 func (j *job) ask(now time.Time) placement.Ask {
 	a := placement.Ask{
-		Service: j.service.Name,
-		Engine:  j.service.Engine,
-		Prompt:  j.call.Prompt,
-		Answer:  j.call.Answer,
-		Aim:     j.view.table.ShortestAim(j.service.Name),
-		Left:    j.deadline.Sub(now),
-		Late:    j.isLate(now),
-		Exclude: j.exclude,
-		Near:    j.g.opts.Place,
+		Service:  j.service.Name,
+		Engine:   j.service.Engine,
+		Prompt:   j.call.Prompt,
+		Answer:   j.call.Answer,
+		Expected: j.call.Expected,
+		Aim:      j.view.table.ShortestAim(j.service.Name),
+		Left:     j.deadline.Sub(now),
+		Late:     j.isLate(now),
+		Exclude:  j.exclude,
+		Near:     j.g.opts.Place,
 	}
 	if j.service.Engine != nil {
 		a.Versions = j.versions(now)
