Spread: the first in rank draws what falls to it, also beyond its quota

Cause: chunks fall to members by hash, and a member whose part was more than its quota left the rest to the next in rank, which waits 0.8 s.

Where there is only the origin, draws beyond the quota were allowed after a wait already. What falls to the first in rank is one copy for the fleet, so the first try needs no quota.

--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -329,7 +329,8 @@
 		atStore = later(due.Add(storeAfter*p.settings.Takeover), d.store.until)
 	}
 	switch {
-	case p.settings.NoStore && quota:
+	case p.settings.NoStore && (quota || queue == queueOwn && tried.attempts == 0):
+		// What falls to the first in rank is one copy for the whole fleet.
 		return SourceOrigin, atOrigin
 	case p.settings.NoStore:
 		return SourceOrigin, atOrigin.Add(beyondQuota * p.settings.Takeover)
--- a/core/spread/sources_test.go
+++ b/core/spread/sources_test.go
@@ -1,6 +1,7 @@
 package spread_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -75,6 +76,55 @@
 	})
 })
 
+// drawnBy returns when each chunk has left the origin, and how many were drawn,
+// in a fleet that hears of every draw at once.
+func drawnBy(members, chunks int, settings spread.Settings) (last time.Duration, draws int) {
+	manifest := weights.Manifest{Model: "m"}
+	for i := range chunks {
+		manifest.Chunks = append(manifest.Chunks, weights.Chunk{Index: i, Bytes: 1000})
+	}
+	var fleetOf []spread.Member
+	for i := range members {
+		fleetOf = append(fleetOf, spread.Member{ID: fleet.InstanceID(fmt.Sprintf("10.0.0.%d", i))})
+	}
+	var plans []*spread.Plan
+	for _, self := range fleetOf {
+		p := spread.New(spread.Options{
+			Self: self, Manifest: manifest, Settings: settings, Rand: rand.New(rand.NewPCG(1, 2)), Start: begin})
+		p.SetMembers(begin, fleetOf)
+		plans = append(plans, p)
+	}
+	seen := weights.NewSet(chunks)
+	for d := time.Duration(0); seen.Count() < chunks && d < time.Minute; d += 10 * time.Millisecond {
+		for _, p := range plans {
+			p.PeerSeen(begin.Add(d), seen)
+			for _, f := range p.Next(begin.Add(d)) {
+				p.Done(begin.Add(d), f.ID)
+				seen.Add(f.Chunk)
+				draws++
+				last = d
+			}
+		}
+	}
+	return last, draws
+}
+
+var _ = Describe("The first in rank", func() {
+	// Chunks fall to members by hash, to some more than their part of the quota.
+	// If such a member left the rest to the next in rank, they would come a
+	// takeover later; an origin that fails in between delays the whole version.
+	It("draws what falls to it, also beyond its quota", func() {
+		const members, chunks = 24, 48
+		settings := spread.Settings{
+			NoStore: true, OriginCopies: 1, OriginRate: 40 * 1000, Takeover: 700 * time.Millisecond,
+			ListenTime: 10 * time.Millisecond,
+		}
+		last, draws := drawnBy(members, chunks, settings)
+		Expect(draws).To(Equal(chunks))
+		Expect(last).To(BeNumerically("<", 1300*time.Millisecond)) // 48 chunks, 40 a second
+	})
+})
+
 var _ = Describe("NearFirst", func() {
 	// Two regions share a narrow link. A member takes what its own region holds
 	// before a chunk that is rarer and elsewhere.
