Loader: agents of servers that leave gather nothing

Cause: an agent whose server is draining gathered a newly named version, drew chunks from the origin by its own list of members, told them, and ended with its server half a second later.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -21,7 +21,7 @@
 	// which the turns lie. Before the first the chunks are on their way; after
 	// the last an engine still has to finish what it runs and to load.
 	firstTurn = 0.34
-	lastTurn  = 0.84
+	lastTurn  = 0.82
 	// orderAgain is how long an order may go without effect before it is given
 	// once more: the answer to an order may be lost, and reports lag.
 	orderAgain = 1500 * time.Millisecond
@@ -69,6 +69,7 @@
 
 	names     Names
 	staged    []uint64 // rising
+	leaving   bool
 	orderedAt time.Time
 	ordered   uint64
 	notBefore time.Time
@@ -88,6 +89,14 @@
 	return p.names.Newest() != before
 }
 
+// SetLeaving tells whether the engine's server leaves. It needs no new version
+// then, and what it drew from the origin would go with it: others that heard of
+// a chunk waited seconds for a copy before one of them drew it again.
+func (p *Plan) SetLeaving(leaving bool) { p.leaving = leaving }
+
+// IsLeaving reports whether the engine's server leaves.
+func (p *Plan) IsLeaving() bool { return p.leaving }
+
 // Wanted returns the version that the engine should hold; 0 while unknown.
 func (p *Plan) Wanted() uint64 { return p.names.Newest() }
 
@@ -156,7 +165,7 @@
 	wanted := p.Wanted()
 	target := p.Target(now, e, wantedIn)
 	switch {
-	case wanted == 0 || e.Loaded == wanted && !e.Busy:
+	case p.leaving || wanted == 0 || e.Loaded == wanted && !e.Busy:
 		return Rest
 	case target == 0 || target <= e.Loaded:
 		return Gather
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -104,6 +104,19 @@
 		Expect(p.Next(start, serving, loading.Far)).To(Equal(loading.Rest))
 	})
 
+	// A version is named while three servers leave. Their agents drew the first
+	// chunks and ended half a second later; the origin crashed before the chunks
+	// were drawn again, and no engine had the version whole in its time.
+	It("gathers and orders nothing while its server leaves", func() {
+		p.SetLeaving(true)
+		p.Want(known(2, 0))
+		Expect(p.Next(at(time.Second), serving, soon)).To(Equal(loading.Rest))
+		p.Staged(2)
+		Expect(p.Next(at(within), serving, 0)).To(Equal(loading.Rest))
+		p.SetLeaving(false)
+		Expect(p.Next(at(within), serving, 0)).To(Equal(loading.Order))
+	})
+
 	It("gathers, waits for its turn, and orders", func() {
 		Expect(p.Want(known(2, 0))).To(BeTrue())
 		Expect(p.Next(start, serving, soon)).To(Equal(loading.Gather))
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -9,6 +9,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -262,6 +263,24 @@
 		list = append(list, l.member(m.Addr, fleet.Place{Zone: m.Zone, Region: m.Region}))
 	}
 	l.swarm.SetMembers(now, list)
+	l.setLeaving(!slices.ContainsFunc(members, func(m wire.Member) bool { return m.Addr == l.opts.Addr }))
+}
+
+// setLeaving follows the server's registration: agents of servers that leave
+// are no members.
+func (l *Loader) setLeaving(leaving bool) {
+	if leaving == l.plan.IsLeaving() {
+		return
+	}
+	l.plan.SetLeaving(leaving)
+	l.opts.Logger.Info("server_leaving", zap.Bool("leaving", leaving))
+	if !leaving {
+		l.gathers = nil // what was stopped is gathered again
+		return
+	}
+	for _, g := range l.gathers {
+		l.swarm.Stop(g.named.Manifest)
+	}
 }
 
 func (l *Loader) post(f func(now time.Time)) { l.opts.Loop.Post(l.ctx, control.Func(f)) }
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -88,6 +88,10 @@
 	// reportLag is how much later than it happens a load shows in the engine's
 	// report.
 	reportLag = 250 * time.Millisecond
+	// drainTime is how long an engine that has been ordered to load finishes what
+	// it runs: its longest streams. Told as ready sooner, it would have callers
+	// wait for it in vain.
+	drainTime = 2 * time.Second
 )
 
 // readyIn is when the engine is expected to answer from the wanted version; 0
@@ -100,6 +104,8 @@
 	switch step := l.plan.Next(now, l.engine, l.wantedIn(now)); {
 	case step == loading.Rest:
 		return 0
+	case l.plan.Changing(l.engine) && l.engine.Loaded != 0:
+		return load + max(0, drainTime-now.Sub(l.plan.OrderedAt()))
 	case l.plan.Changing(l.engine):
 		return max(reportLag, load-now.Sub(l.plan.OrderedAt()))
 	case step == loading.Gather:
@@ -128,7 +134,7 @@
 
 // advance takes the next step towards the wanted version.
 func (l *Loader) advance(now time.Time) {
-	if l.supply == nil || !l.known || len(l.members) == 0 {
+	if l.supply == nil || !l.known || len(l.members) == 0 || l.plan.IsLeaving() {
 		return
 	}
 	if l.plan.Wanted() == 0 || !l.isGathered(l.plan.Wanted()) {
