Placement: entries share an engine that has just become ready; nothing waits at one about to be outdated

Load pattern: where engines are full, all that waits at all entries goes to the next one that becomes ready, before the entries hear of each other: at eight entries up to eight times what it holds.

For 150 ms an entry now reckons that each other has there what it has itself (four entries that place at once: 64 requests at an engine of 16 places before, 16 after). After 0.78 of the time for a version an engine with the one before takes only what finds a free place; a resumed stream is bound by the same time.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -38,6 +38,12 @@
 	// exceed the time left. Callers' estimates are off by more than 1.4 either
 	// way for half of the answers.
 	tooLong = 1.25
+	// freeSlots is the share of an engine's places up to which a request begins
+	// at once, also if the other entries place a few more before they are heard.
+	freeSlots = 0.75
+	// hearWithin is the time in which entries have heard of each other's first
+	// requests at a server.
+	hearWithin = 150 * time.Millisecond
 	// plainQueue is the number of requests for each place of a plain service
 	// beyond which it is full.
 	plainQueue = 3
@@ -160,7 +166,7 @@
 	for _, st := range g.states {
 		switch {
 		case st.Leaving, st.Changing, slices.Contains(ask.Exclude, st.ID):
-		case ask.Versions != nil && !ask.Versions(st.Loaded):
+		case !b.versionFits(now, st, ask):
 		case st.Down, now.Before(st.health.until):
 			ejected = append(ejected, st)
 		default:
@@ -173,6 +179,20 @@
 	return slices.DeleteFunc(ejected, func(st *state) bool { return st.Down })
 }
 
+func (b *Board) versionFits(now time.Time, st *state, ask Ask) bool {
+	if ask.Versions == nil {
+		return true
+	}
+	switch ask.Versions(st.Loaded) {
+	case FullUse:
+		return true
+	case UseIfFree:
+		return float64(b.work(now, st).Running) < freeSlots*float64(st.Slots)
+	default:
+		return false
+	}
+}
+
 // cheapest returns the server with the least cost and its predicted time.
 func (b *Board) cheapest(now time.Time, usable []*state, ask Ask) (*state, time.Duration) {
 	var best *state
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -46,7 +46,7 @@
 
 func board(n int) *placement.Board {
 	b := placement.New(rand.New(rand.NewPCG(1, 2)))
-	b.SetServers(servers(n))
+	b.SetServers(start, servers(n))
 	return b
 }
 
@@ -101,6 +101,31 @@
 		Expect(t.Server.ID).To(Equal(id(0)))
 	})
 
+	// After a loss of power requests wait at four entries, and the first engine is
+	// ready. All of them place at once, before any hears of the others; what they
+	// place must fit the engine, or each of its streams begins seconds late.
+	It("shares an engine that has just become ready with entries that are not heard of yet", func() {
+		alone := fill(board(1), small())
+		together := 0
+		for range 4 {
+			b := board(1)
+			for _, other := range []fleet.InstanceID{"x", "y", "z"} {
+				b.Heard(start, other, nil)
+			}
+			together += fill(b, small())
+		}
+		Expect(together).To(BeNumerically("~", alone, 4))
+	})
+
+	// The time for a new version is nearly over, and an engine with the old one
+	// still answers. A request that waited there would begin after it, on
+	// weights that must not be used any more.
+	It("lets nothing wait at an engine whose version is about to be outdated", func() {
+		a := small()
+		a.Versions = func(placement.ModelVersion) placement.Use { return placement.UseIfFree }
+		Expect(fill(board(1), a)).To(Equal(12))
+	})
+
 	It("forgets the load of an entry that has gone", func() {
 		b := board(1)
 		b.Heard(start, "other", []placement.Load{{Server: id(0), Work: enginemodel.Work{Running: 60}}})
@@ -128,13 +153,13 @@
 			list := servers(2)
 			change(&list[0])
 			b := placement.New(rand.New(rand.NewPCG(1, 2)))
-			b.SetServers(list)
+			b.SetServers(start, list)
 			for range 10 {
 				t, _ := b.Choose(start, a)
 				Expect(t.Server.ID).To(Equal(id(1)))
 				t.End(start, placement.Succeeded)
 			}
-			b.SetServers(list[:1])
+			b.SetServers(start, list[:1])
 			t, refusal := b.Choose(start, a)
 			Expect(t).To(BeNil())
 			Expect(refusal.Reason).To(Equal(placement.NoServer))
@@ -150,7 +175,7 @@
 		list := servers(2)
 		list[1].Place.Region = "far"
 		b := placement.New(rand.New(rand.NewPCG(1, 2)))
-		b.SetServers(list)
+		b.SetServers(start, list)
 		for range 10 {
 			t, _ := b.Choose(start, ask())
 			Expect(t.Server.ID).To(Equal(id(0)))
@@ -162,7 +187,7 @@
 		list := servers(2)
 		list[0].Pace = 4
 		b := placement.New(rand.New(rand.NewPCG(1, 2)))
-		b.SetServers(list)
+		b.SetServers(start, list)
 		t, _ := b.Choose(start, ask())
 		Expect(t.Server.ID).To(Equal(id(1)))
 	})
@@ -200,7 +225,12 @@
 })
 
 func withVersions(a placement.Ask) placement.Ask {
-	a.Versions = func(v placement.ModelVersion) bool { return v == 1 }
+	a.Versions = func(v placement.ModelVersion) placement.Use {
+		if v != 1 {
+			return placement.NoUse
+		}
+		return placement.FullUse
+	}
 	return a
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -50,6 +50,8 @@
 	Down bool
 }
 
+func (s Server) takesWork() bool { return !s.Leaving && !s.Changing && !s.Down && s.Loaded != 0 }
+
 // Load is the work that one entry has at one server.
 type Load struct {
 	Server           fleet.InstanceID `cbor:"1,keyasint"`
@@ -76,11 +78,24 @@
 	// Exclude are servers that the request was sent to before.
 	Exclude []fleet.InstanceID
 	// Versions tells which weights may answer; nil allows all.
-	Versions func(ModelVersion) bool
+	Versions func(ModelVersion) Use
 	// Near is where this entry runs.
 	Near fleet.Place
 }
 
+// Use is how an engine may be used for a request, by the version that it holds.
+type Use uint8
+
+const (
+	// NoUse: not at all.
+	NoUse Use = iota
+	// UseIfFree: only while enough places are free that the request begins at
+	// once. The version is about to be outdated, and by then nothing may wait.
+	UseIfFree
+	// FullUse: like any other.
+	FullUse
+)
+
 // Board holds the servers of all services.
 type Board struct {
 	mu       sync.Mutex
@@ -114,7 +129,8 @@
 	Server
 	group  *group
 	own    map[*Ticket]struct{}
-	change uint64 // when own changed last
+	change uint64    // when own changed last
+	ready  time.Time // since when it takes work
 	health health
 }
 
@@ -131,7 +147,7 @@
 
 // SetServers replaces the list of servers. Load and record of those that stay
 // are kept. Requests at a server that is listed no more go on.
-func (b *Board) SetServers(list []Server) {
+func (b *Board) SetServers(now time.Time, list []Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, g := range b.services {
@@ -148,6 +164,9 @@
 		if st == nil {
 			st = &state{own: make(map[*Ticket]struct{})}
 		}
+		if s.takesWork() && !st.takesWork() {
+			st.ready = now
+		}
 		st.Server = s
 		st.group = g
 		g.states = append(g.states, st)
@@ -256,12 +275,23 @@
 
 // work is everything known to be at a server. What an entry said is believed
 // for loadLife: requests of one that was killed have ended with it.
+//
+// An engine that has just become ready is found by all entries at once, and
+// where others are full all that waits goes there: at four entries it had four
+// times what it holds before they heard of each other. Until they have, each
+// reckons that the others place as much there as it does itself.
 func (b *Board) work(now time.Time, st *state) enginemodel.Work {
-	w := st.ownWork()
+	own := st.ownWork()
+	all := own
+	same := own
 	for _, other := range b.others {
 		if now.Sub(other.at) < loadLife {
-			w = w.Add(other.loads[st.ID])
+			all = all.Add(other.loads[st.ID])
+			same = same.Add(own)
 		}
 	}
-	return w
+	if now.Sub(st.ready) < hearWithin && same.Running > all.Running {
+		return same
+	}
+	return all
 }
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -203,7 +203,7 @@
 	told := make([]uint64, replayEntries)
 	for i := range boards {
 		boards[i] = placement.New(rand.New(rand.NewPCG(uint64(i), 9)))
-		boards[i].SetServers(servers(replayEngines))
+		boards[i].SetServers(start, servers(replayEngines))
 	}
 	for i := range replayEngines {
 		index[id(i)] = i
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -233,7 +233,7 @@
 			list = append(list, g.server(lapsed))
 		}
 	}
-	g.board.SetServers(list)
+	g.board.SetServers(now, list)
 	g.opts.Backend.Keep(list)
 }
 
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -244,25 +244,47 @@
 	return j.returned || j.begun || now.Sub(j.call.Arrived) >= j.route.Aim
 }
 
-// useOldShare is the part of the time for a new version during which engines
-// with the one before are still used. What is sent to them at its end waits
-// for its first event within the rest.
-const useOldShare = 0.89
+const (
+	// useOldShare is the part of the time for a new version during which engines
+	// with the one before are still used. What is sent to them at its end waits
+	// for its first event within the rest.
+	useOldShare = 0.86
+	// waitOldShare is the part during which requests may wait there: the rest is
+	// longer than a request was seen to wait at an engine that all entries sent
+	// to at once, which was 1.5 s.
+	waitOldShare = 0.78
+)
 
 // versions tells which weights may answer.
 //
 // A stream goes on only on the version that began it. Otherwise the wanted
 // version answers, or the one before until most of the time for the change has
 // passed: then an engine that is late is left out rather than used.
-func (j *job) versions(now time.Time) func(placement.ModelVersion) bool {
-	if j.begun && j.version != 0 {
-		return func(v placement.ModelVersion) bool { return v == j.version }
-	}
+func (j *job) versions(now time.Time) func(placement.ModelVersion) placement.Use {
 	names := j.g.view.Load().names[j.service.Model]
-	oldFor := time.Duration(useOldShare * float64(j.g.opts.VersionTime))
-	return func(v placement.ModelVersion) bool {
+	return func(v placement.ModelVersion) placement.Use {
+		if v == 0 || j.begun && j.version != 0 && v != j.version {
+			return placement.NoUse
+		}
 		since, outdated := names.OutdatedSince(uint64(v))
-		return v != 0 && (!outdated || now.Sub(since) < oldFor)
+		if !outdated {
+			return placement.FullUse
+		}
+		return j.g.useOld(now.Sub(since))
+	}
+}
+
+// useOld tells how engines may be used whose version has been outdated for so
+// long.
+func (g *Gateway) useOld(outdated time.Duration) placement.Use {
+	passed := float64(outdated) / float64(g.opts.VersionTime)
+	switch {
+	case passed >= useOldShare:
+		return placement.NoUse
+	case passed >= waitOldShare:
+		return placement.UseIfFree
+	default:
+		return placement.FullUse
 	}
 }
 
