Gateway: a call that can still be on time waits for an engine that is about to be ready

Cause: after a loss of power engines become ready within 200 ms of each other.

Now such a call waits while an engine is expected within its aim, with a line `held` (holding had none). An engine that still drains its streams does not count as expected soon.

--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -94,6 +94,16 @@
 		zap.Int("expected", j.call.Expected), zap.Duration("left", time.Until(j.deadline)), zap.Bool("returned", j.returned))...)
 }
 
+func (l *requestLog) held(j *job, r placement.Refusal) {
+	l.metrics.Tagged(map[string]string{"reason": string(r.Reason)}).Counter("calls_held").Inc(1)
+	if !l.allowed() {
+		return
+	}
+	soonest := j.g.view.Load().soonest[j.service.Name]
+	l.logger.Info("held", inputs(j, zap.String("reason", string(r.Reason)), zap.Int("usable", r.Usable),
+		zap.Duration("engine_in", max(0, time.Until(soonest))), zap.Bool("returned", j.returned))...)
+}
+
 func (l *requestLog) attempt(j *job, t *placement.Ticket, err error) {
 	l.metrics.Counter("attempts_failed").Inc(1)
 	if !l.allowed() {
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -39,6 +39,7 @@
 	unsent   int // could not be sent
 	exclude  []fleet.InstanceID
 	room     *placement.HoldRoom // in which it waits; nil if it does not
+	waits    bool                // it waits here for a server
 	// mayHaveRun is true once a server may have run the call.
 	mayHaveRun bool
 	// held is a server's failure, given to the caller if nothing better comes.
@@ -143,6 +144,10 @@
 	now := time.Now()
 	ticket, refusal := j.g.board.Choose(now, j.ask(now))
 	if ticket == nil && j.mayHold(now, refusal.Reason) {
+		if !j.waits {
+			j.waits = true
+			j.g.log.held(j, refusal)
+		}
 		wait(ctx, holdPoll)
 		return ctx.Err() == nil || j.ended(ctx, "timeout")
 	}
@@ -190,15 +195,24 @@
 // left are lost; held for the rest of the load, they are answered. Where no
 // engine is expected in time, a caller is told at once to come back.
 //
-// A caller that comes back waits for room too: refused again, it is lost.
+// The first engine that is ready is full at once, with the others ready some
+// 100 ms later. So a call that can still be on time waits for the next one too.
+//
+// A caller that comes back waits for room: refused again, it is lost.
 func (j *job) mayHold(now time.Time, reason placement.Reason) bool {
 	timeout := j.deadline.Sub(j.call.Arrived)
 	until := j.call.Arrived.Add(min(holdFor, timeout/holdShare))
+	if !now.Before(until) || reason == placement.TooLong {
+		return false
+	}
+	if reason == placement.Full && j.isLate(now) {
+		return j.enterRoom(now)
+	}
 	if reason == placement.Full {
-		return j.isLate(now) && now.Before(until) && j.enterRoom(now)
+		until = earlier(until, j.call.Arrived.Add(j.route.Aim))
 	}
 	at, expected := j.g.view.Load().soonest[j.service.Name]
-	return expected && now.Before(until) && at.Before(until)
+	return expected && at.Before(until)
 }
 
 // enterRoom takes the call among those that wait for room, once.
--- /dev/null
+++ b/daemon/gateway/serve_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"chivespindle.example/adapters/eventstream"
+	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/daemon/wire"
+)
+
+// answering is a backend whose engines answer at once, with an empty stream.
+type answering struct{ sent chan Order }
+
+func (b *answering) Send(_ context.Context, _ *Call, order Order) (Answer, error) {
+	b.sent <- order
+	return emptyAnswer{}, nil
+}
+
+func (*answering) Keep([]placement.Server) {}
+
+type emptyAnswer struct{}
+
+func (emptyAnswer) Status() int                      { return http.StatusOK }
+func (emptyAnswer) NotRun() bool                     { return false }
+func (emptyAnswer) Misdirected() bool                { return false }
+func (emptyAnswer) Version() placement.ModelVersion  { return 1 }
+func (emptyAnswer) Streams() bool                    { return true }
+func (emptyAnswer) SetDeadline(time.Time)            {}
+func (emptyAnswer) Body(int64) ([]byte, error)       { return nil, nil }
+func (emptyAnswer) Next() (eventstream.Event, error) { return eventstream.Event{}, io.EOF }
+func (emptyAnswer) Close(bool)                       {}
+
+// refusals is a caller that notes how it was refused.
+type refusals chan Verdict
+
+func (refusals) Begin(Answer, []byte) error { return nil }
+func (refusals) Write([]byte) error         { return nil }
+func (refusals) Cut()                       {}
+func (r refusals) Refuse(v Verdict)         { r <- v }
+
+var _ = Describe("A call that no engine can take now", func() {
+	const (
+		routeAim = 2 * time.Second
+		timeout  = 30 * time.Second
+	)
+	var (
+		g       *Gateway
+		backend *answering
+		caller  refusals
+		lines   *observer.ObservedLogs
+	)
+	holds := netip.MustParseAddr("10.0.1.1")
+	empty := netip.MustParseAddr("10.0.1.2")
+
+	tell := func(addr netip.Addr, r wire.Replica) {
+		r.Addr, r.Incarnation = addr, 1
+		now := time.Now()
+		g.heard(now, wire.Beat{ID: fleet.InstanceID(addr.String()), Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
+		g.publish(now)
+	}
+
+	BeforeEach(func() {
+		g, _ = newGateway()
+		var core zapcore.Core
+		core, lines = observer.New(zap.InfoLevel)
+		g.log = newRequestLog(zap.New(core), tally.NoopScope)
+		backend = &answering{sent: make(chan Order, 1)}
+		g.opts.Backend = backend
+		caller = make(refusals, 1)
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3))
+		s.Config.Services[0].Engine = &enginemodel.Figures{
+			Slots: 16, Layers: 4, Step: 10 * time.Millisecond, Stride: 5, UsualAnswer: 90}
+		s.Config.Routes[0].Aim = routeAim
+		s.Config.Routes[0].Timeout = timeout
+		g.adopt(time.Now(), s, "platform")
+		tell(holds, wire.Replica{Seq: 1, Loaded: 1})
+		tell(empty, wire.Replica{Seq: 1, Changing: true})
+	})
+
+	// occupy fills the engine that holds weights.
+	occupy := func() {
+		for {
+			t, _ := g.board.Choose(time.Now(), placement.Ask{
+				Service: "pool", Engine: g.table.Service("pool").Engine, Aim: routeAim, Left: timeout})
+			if t == nil {
+				return
+			}
+		}
+	}
+
+	serve := func() {
+		call := &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), Patience: timeout, LastEvent: -1}
+		go g.Serve(context.Background(), call, caller)
+	}
+
+	isHeld := func() int { return lines.FilterMessage("held").Len() }
+
+	It("is refused at once if no other engine is expected", func() {
+		occupy()
+		serve()
+		Eventually(caller).Should(Receive(HaveField("Reason", "full")))
+		Expect(isHeld()).To(BeZero())
+	})
+
+	// After a loss of power the engines load within a few 100 ms of each other.
+	// The first one is full at once. A caller refused then comes back a second
+	// later, when its answer is late; held for the next engine, it is on time.
+	It("waits for an engine that is expected while it can still be on time", func() {
+		occupy()
+		tell(empty, wire.Replica{Seq: 2, Changing: true, ReadyInMS: 300})
+		serve()
+		Eventually(isHeld).Should(Equal(1))
+		tell(empty, wire.Replica{Seq: 3, Loaded: 1})
+		Eventually(backend.sent).Should(Receive(HaveField("Server.ID", fleet.InstanceID("i-2"))))
+	})
+
+	// Engines that change their version one after the other finish their streams
+	// first. Callers that waited for one of them would be refused late.
+	It("is refused at once if the next engine is ready too late for it", func() {
+		occupy()
+		tell(empty, wire.Replica{Seq: 2, Changing: true, ReadyInMS: 2500})
+		serve()
+		Eventually(caller).Should(Receive(HaveField("Reason", "full")))
+		Expect(isHeld()).To(BeZero())
+	})
+})
