Log events are snake_case; lint fails on an event, a key or a metric that no page lists

Cause: half of the event names were sentences in quotes, so that `grep event=...` missed them, and 34 events and 60 keys stood on no page. A failed attempt's line has the server's address, which the lines about engines use.

--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -73,11 +73,11 @@
 	}
 	if err != nil {
 		fields = append(fields, zap.Stringer("outcome", failure.OutcomeOf(err)), zap.Error(err))
-		s.opts.Logger.Info("request failed", fields...)
+		s.opts.Logger.Info("request_failed", fields...)
 		return
 	}
 	fields = append(fields, zap.String("server", string(end.Server)), zap.Stringer("version", end.Version))
-	s.opts.Logger.Info("request answered", fields...)
+	s.opts.Logger.Info("request_answered", fields...)
 }
 
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (calls.Request, error) {
--- a/cmd/chivespindled/stop.go
+++ b/cmd/chivespindled/stop.go
@@ -33,7 +33,7 @@
 	case <-s.done:
 		return nil
 	case sig := <-s.signals:
-		s.logger.Info("stop asked for", zap.Stringer("signal", sig))
+		s.logger.Info("stop_requested", zap.Stringer("signal", sig))
 	}
 	left := make(chan struct{})
 	go func() {
--- a/cmd/wholepath/platform_test.go
+++ b/cmd/wholepath/platform_test.go
@@ -185,7 +185,7 @@
 	f.Store.SetDown(down)
 }
 
-var inForceLine = regexp.MustCompile(`event="text in force" .*?revision=(\d+)`)
+var inForceLine = regexp.MustCompile(`event=text_in_force .*?revision=(\d+)`)
 
 // expectNoReturn checks in the logs, over restarts too, that no process has
 // gone back to an older text.
--- a/cmd/wholepath/wholepath_suite_test.go
+++ b/cmd/wholepath/wholepath_suite_test.go
@@ -67,7 +67,7 @@
 		return err.Error()
 	}
 	kept := slices.DeleteFunc(strings.Split(string(data), "\n"), func(line string) bool {
-		return strings.Contains(line, "event=request ") || strings.Contains(line, `event="request answered"`) ||
+		return strings.Contains(line, "event=request ") || strings.Contains(line, "event=request_answered ") ||
 			strings.Contains(line, "event=span ")
 	})
 	return strings.Join(kept[max(0, len(kept)-lines):], "\n")
--- a/daemon/agent/change.go
+++ b/daemon/agent/change.go
@@ -70,7 +70,7 @@
 		a.opts.Logger.Error("alarm", zap.String("reason", action.Reason))
 	case serving.StandDown:
 		a.opts.Metrics.Counter("stood_down").Inc(1)
-		a.opts.Logger.Error("another process gives orders to this engine", zap.Error(action.Err))
+		a.opts.Logger.Error("orders_of_another_process", zap.Error(action.Err))
 	}
 }
 
@@ -92,7 +92,7 @@
 		return
 	}
 	if err := a.opts.Engine.Order(ctx, order.Order); err != nil {
-		a.opts.Logger.Warn("order failed", zap.Uint64("attempt", order.Attempt), zap.Error(err))
+		a.opts.Logger.Warn("order_failed", zap.Uint64("attempt", order.Attempt), zap.Error(err))
 		a.post(serving.OrderFailed{Attempt: order.Attempt, Err: err})
 		return
 	}
@@ -117,11 +117,11 @@
 	a.reading = false
 	if err != nil {
 		a.opts.Metrics.Counter("engine_status_failures").Inc(1)
-		a.opts.Logger.Debug("engine status not read", zap.Error(err))
+		a.opts.Logger.Debug("engine_status_not_read", zap.Error(err))
 		return
 	}
 	if a.boot != "" && a.boot != status.Boot {
-		a.opts.Logger.Warn("engine restarted", zap.String("boot", status.Boot))
+		a.opts.Logger.Warn("engine_restarted", zap.String("boot", status.Boot))
 		a.swarm.Forget()
 	}
 	a.boot = status.Boot
@@ -136,7 +136,7 @@
 // then lets the change-over go on. What it says is as old as since: a pause
 // that comes meanwhile has a reading of its own.
 func (a *Agent) readAgain(since time.Time) {
-	a.opts.Logger.Warn("this process was paused; it reads everything again")
+	a.opts.Logger.Warn("woke")
 	for a.ctx.Err() == nil {
 		if a.node.Reread(a.ctx, since) {
 			a.post(serving.Woke{Asked: since})
--- a/daemon/agent/extras.go
+++ b/daemon/agent/extras.go
@@ -32,7 +32,7 @@
 		return
 	}
 	a.nextReorder = now.Add(reorderEvery)
-	a.opts.Logger.Info("engine extras differ from the text",
+	a.opts.Logger.Info("engine_extras_differ",
 		zap.Strings("adapters", status.Adapters), zap.String("engine_role", status.EngineRole))
 	a.step(now, serving.Reorder{})
 }
--- a/daemon/agent/plain.go
+++ b/daemon/agent/plain.go
@@ -33,7 +33,7 @@
 	a.reading = false
 	open := err == nil
 	if open != a.plainOpen {
-		a.opts.Logger.Info("plain service", zap.Bool("open", open), zap.Error(err))
+		a.opts.Logger.Info("plain_service", zap.Bool("open", open), zap.Error(err))
 	}
 	a.plainOpen = open
 	a.load = load
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -149,7 +149,7 @@
 			return calls.End{}, err
 		}
 		e.opts.Metrics.Counter("retries").Inc(1)
-		e.opts.Logger.Info("request tried again", zap.String("request_id", r.ID),
+		e.opts.Logger.Info("request_retried", zap.String("request_id", r.ID),
 			zap.String("server", string(a.server)), zap.Int("attempt", number), zap.Error(err))
 		if !sleep(ctx, decision.Pause) {
 			return calls.End{}, err
--- a/daemon/entry/limits.go
+++ b/daemon/entry/limits.go
@@ -166,7 +166,7 @@
 func (e *Entry) followDemand(ctx context.Context, d *demand) {
 	for ctx.Err() == nil {
 		err := e.readDemands(ctx, d)
-		e.opts.Logger.Debug("demand reports ended", zap.String("entry", string(d.addr.ID)), zap.Error(err))
+		e.opts.Logger.Debug("demand_reports_ended", zap.String("entry", string(d.addr.ID)), zap.Error(err))
 		select {
 		case <-ctx.Done():
 		case <-time.After(resubscribeAfter):
--- a/daemon/entry/subscription.go
+++ b/daemon/entry/subscription.go
@@ -109,7 +109,7 @@
 	for ctx.Err() == nil {
 		err := e.readReports(ctx, s, p)
 		e.post(func(now time.Time) { e.reportsLost(s) })
-		e.opts.Logger.Debug("reports ended", zap.String("agent", string(p.ID)), zap.Error(err))
+		e.opts.Logger.Debug("reports_ended", zap.String("agent", string(p.ID)), zap.Error(err))
 		select {
 		case <-ctx.Done():
 		case <-time.After(resubscribeAfter):
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -110,6 +110,7 @@
 		return
 	}
 	l.logger.Info("attempt_failed", inputs(j, zap.String("server", string(t.Server.ID)),
+		zap.Stringer("addr", t.Server.Addr),
 		zap.Uint64("loaded", uint64(t.Server.Loaded)), zap.Duration("predicted", t.Predicted),
 		zap.Int64("last_event", j.lastEvent), zap.Error(err))...)
 }
--- a/daemon/node/config.go
+++ b/daemon/node/config.go
@@ -46,16 +46,16 @@
 func (n *Node) logEvent(e revision.Event) {
 	switch e := e.(type) {
 	case revision.Raised:
-		n.opts.Logger.Info("text in force",
+		n.opts.Logger.Info("text_in_force",
 			zap.Uint64("revision", uint64(e.To)), zap.Uint64("before", uint64(e.From)),
 			zap.Stringer("digest", e.Digest), zap.String("source", string(e.Source)), zap.String("peer", string(e.Peer)))
 	case revision.Refused:
 		n.opts.Metrics.Counter("config_refused").Inc(1)
-		n.opts.Logger.Error("text refused",
+		n.opts.Logger.Error("text_refused",
 			zap.Uint64("revision", uint64(e.Revision)), zap.String("source", string(e.Source)), zap.Error(e.Faults))
 	case revision.Conflict:
 		n.opts.Metrics.Counter("config_conflicts").Inc(1)
-		n.opts.Logger.Error("two texts under one revision",
+		n.opts.Logger.Error("text_conflict",
 			zap.Uint64("revision", uint64(e.Revision)), zap.Stringer("kept", e.Kept), zap.Stringer("other", e.Other))
 	}
 }
@@ -100,7 +100,7 @@
 	n.post(func(now time.Time) {
 		n.asking = false
 		if err != nil {
-			n.opts.Logger.Warn("text not fetched", zap.String("peer", string(from.ID)), zap.Error(err))
+			n.opts.Logger.Warn("text_not_fetched", zap.String("peer", string(from.ID)), zap.Error(err))
 			return
 		}
 		n.apply(now, n.keeper.Offer(now, candidate))
@@ -178,7 +178,7 @@
 		return
 	}
 	if err := sendDelta(s, head, delta); err != nil {
-		n.opts.Logger.Debug("text not sent", zap.Error(err))
+		n.opts.Logger.Debug("text_not_sent", zap.Error(err))
 		s.Abort()
 		return
 	}
--- a/daemon/node/gossip.go
+++ b/daemon/node/gossip.go
@@ -89,7 +89,7 @@
 		delete(n.dialing, c.ID)
 		n.retryAt[c.ID] = now.Add(redialAfter)
 		if err != nil {
-			n.opts.Logger.Debug("neighbour not reached", zap.String("peer", string(c.ID)), zap.Error(err))
+			n.opts.Logger.Debug("neighbour_not_reached", zap.String("peer", string(c.ID)), zap.Error(err))
 			return
 		}
 		n.linkUp(now, newLink(c.ID, n.opts.Self.ID, s))
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -175,7 +175,7 @@
 		return
 	}
 	n.duplicate = true
-	n.opts.Logger.Error("another process uses this id",
+	n.opts.Logger.Error("instance_id_in_use",
 		zap.String("id", string(other.ID)), zap.Uint64("its_incarnation", other.Incarnation))
 	n.opts.OnDuplicate(other)
 }
--- a/daemon/node/platform.go
+++ b/daemon/node/platform.go
@@ -92,7 +92,7 @@
 		return
 	}
 	*state = now
-	n.opts.Logger.Info("platform watcher changed", zap.Bool("watching", now))
+	n.opts.Logger.Info("platform_watcher_changed", zap.Bool("watching", now))
 }
 
 func (n *Node) watchOnce(ctx context.Context, plan *revision.ReadPlan) time.Duration {
@@ -118,7 +118,7 @@
 	n.opts.Metrics.Counter("platform_config_calls").Inc(1)
 	if err != nil {
 		n.opts.Metrics.Counter("platform_config_failures").Inc(1)
-		n.opts.Logger.Debug("platform's text not read", zap.Error(err))
+		n.opts.Logger.Debug("platform_text_not_read", zap.Error(err))
 		return
 	}
 	var base *fleettext.Fleet
@@ -183,7 +183,7 @@
 		n.opts.Metrics.Counter("platform_list_calls").Inc(1)
 		if err != nil {
 			n.opts.Metrics.Counter("platform_list_failures").Inc(1)
-			n.opts.Logger.Debug("instance list not read", zap.Error(err))
+			n.opts.Logger.Debug("instance_list_not_read", zap.Error(err))
 		} else {
 			n.post(func(now time.Time) { n.listRead(now, list) })
 		}
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -198,7 +198,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, p.settings.Limits.DrainTimeout)
 	defer cancel()
 	if err := p.role.Leave(ctx); err != nil {
-		p.logger.Error("leaving failed", zap.Error(err))
+		p.logger.Error("leaving_failed", zap.Error(err))
 		return
 	}
 	done := p.role.Drain(ctx)
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -98,7 +98,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), p.settings.Limits.DrainTimeout)
 			defer cancel()
 			if err := p.callers.Shutdown(ctx); err != nil {
-				p.logger.Error("requests cut off", zap.Error(err))
+				p.logger.Error("requests_cut_off", zap.Error(err))
 			}
 		},
 	}
@@ -110,7 +110,7 @@
 // are finished when the callers' server is interrupted.
 func (p *Entry) Leave() {
 	if err := p.role.Leave(p.ctx); err != nil {
-		p.logger.Error("leaving failed", zap.Error(err))
+		p.logger.Error("leaving_failed", zap.Error(err))
 		return
 	}
 	time.Sleep(addressing.LeaveAfter(p.settings.Entry.AddressTTL))
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -225,11 +225,11 @@
 	before := b.keys.Generation()
 	if err := b.keys.Reload(); err != nil {
 		b.metrics.Counter("keys_reload_failures").Inc(1)
-		b.logger.Error("keys not reloaded; the old ones stay in use", zap.Error(err))
+		b.logger.Error("keys_not_reloaded", zap.Error(err))
 		return
 	}
 	if b.keys.Generation() != before {
-		b.logger.Info("keys reloaded", zap.Time("expires", b.keys.Expires()))
+		b.logger.Info("keys_reloaded", zap.Time("expires", b.keys.Expires()))
 	}
 }
 
--- a/daemon/swarm/fetch.go
+++ b/daemon/swarm/fetch.go
@@ -177,7 +177,7 @@
 			g.announceManifest(raw)
 			return
 		}
-		g.swarm.opts.Logger.Debug("manifest not found yet", zap.Stringer("version", g.version), zap.Error(err))
+		g.swarm.opts.Logger.Debug("manifest_not_found", zap.Stringer("version", g.version), zap.Error(err))
 		pause(g.ctx, manifestPause(attempt))
 	}
 }
@@ -250,7 +250,7 @@
 		if err == nil {
 			return true
 		}
-		g.swarm.opts.Logger.Warn("stage does not take the manifest", zap.Stringer("version", g.version), zap.Error(err))
+		g.swarm.opts.Logger.Warn("stage_manifest_refused", zap.Stringer("version", g.version), zap.Error(err))
 		if !pause(g.ctx, manifestRetry) {
 			return false
 		}
@@ -260,7 +260,7 @@
 func (g *gather) heldChunks(m weights.Manifest) []int {
 	held, err := g.swarm.opts.Stage.Held(g.ctx, g.version.Manifest)
 	if err != nil {
-		g.swarm.opts.Logger.Warn("stage cannot list its chunks", zap.Error(err))
+		g.swarm.opts.Logger.Warn("stage_not_listed", zap.Error(err))
 		return nil
 	}
 	return valid(held, len(m.Chunks))
--- a/daemon/swarm/gather.go
+++ b/daemon/swarm/gather.go
@@ -93,7 +93,7 @@
 	})
 	g.plan.SetMembers(now, g.swarm.members)
 	g.plan.Held(now, held)
-	g.swarm.opts.Logger.Info("manifest found",
+	g.swarm.opts.Logger.Info("manifest_found",
 		zap.Stringer("version", g.version), zap.Int("chunks", len(m.Chunks)), zap.Int("held", len(held)))
 	g.tick(now)
 }
@@ -153,7 +153,7 @@
 		return
 	}
 	g.reported = true
-	g.swarm.opts.Logger.Info("version gathered", zap.Stringer("version", g.version),
+	g.swarm.opts.Logger.Info("version_gathered", zap.Stringer("version", g.version),
 		zap.Duration("took", now.Sub(g.began)),
 		zap.Int64("origin_bytes", g.plan.Progress().OriginBytes),
 		zap.Int64("peer_bytes", g.plan.Progress().PeerBytes))
@@ -186,10 +186,10 @@
 	g.count(f, r)
 	if r.err != nil {
 		g.plan.Failed(now, f.ID, r.reason, r.retryAfter)
-		g.swarm.opts.Logger.Debug("chunk fetch failed", zap.Stringer("version", g.version),
+		g.swarm.opts.Logger.Debug("chunk_fetch_failed", zap.Stringer("version", g.version),
 			zap.Int("chunk", f.Chunk), zap.String("peer", string(f.Peer)), zap.Error(r.err))
 	} else {
-		g.swarm.opts.Logger.Debug("chunk fetched", zap.Stringer("version", g.version),
+		g.swarm.opts.Logger.Debug("chunk_fetched", zap.Stringer("version", g.version),
 			zap.Int("chunk", f.Chunk), zap.Stringer("source", f.Source), zap.String("peer", string(f.Peer)))
 		for _, id := range g.plan.Done(now, f.ID) {
 			g.cancelFetch(id)
--- a/daemon/swarm/swarm.go
+++ b/daemon/swarm/swarm.go
@@ -133,7 +133,7 @@
 	}
 	go func() {
 		if err := s.opts.Stage.Drop(s.ctx, manifest); err != nil {
-			s.opts.Logger.Warn("stage drop failed", zap.Stringer("manifest", manifest), zap.Error(err))
+			s.opts.Logger.Warn("stage_drop_failed", zap.Stringer("manifest", manifest), zap.Error(err))
 		}
 	}()
 }
--- a/daemon/swarm/upload.go
+++ b/daemon/swarm/upload.go
@@ -51,7 +51,7 @@
 		defer s.releaseUpload(from.ID, open.Manifest)
 	}
 	if err := s.sendChunk(ctx, st, data); err != nil {
-		s.opts.Logger.Debug("chunk upload ended early", zap.String("peer", string(from.ID)), zap.Error(err))
+		s.opts.Logger.Debug("chunk_upload_cut", zap.String("peer", string(from.ID)), zap.Error(err))
 		st.Abort()
 	}
 }
@@ -161,7 +161,7 @@
 	data, err := s.fromStage(ctx, manifest, chunk)
 	if err != nil {
 		s.opts.Metrics.Counter("stage_read_failures").Inc(1)
-		s.opts.Logger.Warn("stage cannot give a chunk", zap.Int("chunk", chunk.Index), zap.Error(err))
+		s.opts.Logger.Warn("stage_chunk_unreadable", zap.Int("chunk", chunk.Index), zap.Error(err))
 		s.releaseUpload(from, manifest)
 		return nil, wire.ChunkMissing
 	}
--- a/tools/housecheck/check.go
+++ b/tools/housecheck/check.go
@@ -91,8 +91,12 @@
 // checkTree returns the findings of every Go file below root, by path and
 // line. It fails if a file cannot be read or parsed.
 func checkTree(root fs.FS) ([]Finding, error) {
+	operations, err := readOperationsPage(root)
+	if err != nil {
+		return nil, err
+	}
 	var findings []Finding
-	err := fs.WalkDir(root, ".", func(name string, entry fs.DirEntry, err error) error {
+	err = fs.WalkDir(root, ".", func(name string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
@@ -106,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		found, err := checkFile(name, source)
+		found, err := checkFile(name, source, operations)
 		findings = append(findings, found...)
 		return err
 	})
@@ -123,16 +127,19 @@
 	return nil
 }
 
-func checkFile(name string, source []byte) ([]Finding, error) {
+// checkFile returns the findings of one file. operations are the words that
+// the operations page quotes, sorted.
+func checkFile(name string, source []byte, operations []string) ([]Finding, error) {
 	files := token.NewFileSet()
 	file, err := parser.ParseFile(files, name, source, parser.ParseComments|parser.SkipObjectResolution)
 	if err != nil {
 		return nil, err
 	}
-	c := &checker{name: name, files: files, file: file, imports: importNames(file)}
+	c := &checker{name: name, files: files, file: file, imports: importNames(file), operations: operations}
 	c.lines = bytes.Count(source, []byte("\n"))
 	c.checkImports()
 	c.checkUses()
+	c.checkTelemetry()
 	if !ast.IsGenerated(file) {
 		c.checkLengths()
 	}
@@ -148,6 +155,8 @@
 	lines    int
 	imports  map[string]string // import path by its name in the file
 	findings []Finding
+
+	operations []string
 }
 
 func (c *checker) add(pos token.Pos, format string, args ...any) {
