--- a/Makefile
+++ b/Makefile
@@ -38,13 +38,19 @@
 	$(TOOLS)/testrun -p $(P) -race $(PACKAGES)
 
 .PHONY: lint
-lint: lint-format lint-vet lint-staticcheck lint-house ## all linters
+lint: lint-format lint-modules lint-vet lint-staticcheck lint-house ## all linters
 
 .PHONY: lint-format
 lint-format:
 	@unformatted=$$(gofmt -l $(SOURCES)); \
 	if [ -n "$$unformatted" ]; then echo "gofmt is due:"; echo "$$unformatted"; exit 1; fi
 
+.PHONY: lint-modules
+lint-modules: ## each go.mod names what its module imports, and nothing else
+	@untidy=0; for module in $(SOURCES); do \
+		GOWORK=off $(GO) -C $$module mod tidy -diff || { echo "$$module/go.mod: go mod tidy is due"; untidy=1; }; \
+	done; exit $$untidy
+
 .PHONY: lint-vet
 lint-vet:
 	$(GO) vet -p $(P) $(PACKAGES)
