--- a/cmd/chivespindle/explain.go
+++ b/cmd/chivespindle/explain.go
@@ -19,21 +19,35 @@
 
 func (c *client) newExplainCommand() *cobra.Command {
 	priority := noUrgency
-	var prefix string
+	var prefix, request string
 	command := &cobra.Command{
-		Use:   "explain SERVICE",
-		Short: "Show why each server would or would not be chosen",
+		Use:   "explain SERVICE | explain --request ID [LOG...]",
+		Short: "Show why each server would or would not be chosen, or why a request failed",
 		Long: `Show how an entry would choose a backend server of the service for a request
 now. Entries choose by what each knows, so the answer holds for that entry. With
-several --ops, the first that answers is shown.`,
-		Example: "  chivespindle explain spindle-pool --prefix fault-log --ops 127.0.0.1:7101",
-		Args:    cobra.ExactArgs(1),
+several --ops, the first that answers is shown.
+
+With --request, read the logs of processes from files, or from the standard
+input, and show what happened to a request on the users' platform and why. Give
+the logs of all entries and agents: what they tell of themselves around that
+time is part of the answer.`,
+		Example: `  chivespindle explain spindle-pool --prefix fault-log --ops 127.0.0.1:7101
+  chivespindle explain --request 7f8876cacd2f5ae4 front-*.log side-*.log`,
+		Args: func(command *cobra.Command, args []string) error {
+			if request != "" {
+				return nil
+			}
+			return cobra.ExactArgs(1)(command, args)
+		},
 		RunE: func(command *cobra.Command, args []string) error {
+			if request != "" {
+				return c.explainRequest(request, args)
+			}
 			q := opsclient.Question{Service: fleet.ServiceName(args[0]), Prefix: prefix, Priority: int(priority)}
 			return c.explain(command.Context(), q)
 		},
-		ValidArgsFunction: cobra.NoFileCompletions,
 	}
+	command.Flags().StringVar(&request, "request", "", "id of a request to find in logs")
 	command.Flags().StringVar(&prefix, "prefix", "", "name of the request's prompt prefix")
 	command.Flags().Var(&priority, "priority", "urgency of the request, u=0 (first) to u=7")
 	return command
--- /dev/null
+++ b/cmd/chivespindle/explain_request.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"chivespindle.example/cmd/chivespindle/internal/requestlog"
+)
+
+// explainRequest prints what logs tell of a request.
+func (c *client) explainRequest(request string, files []string) error {
+	if len(files) == 0 {
+		files = []string{stdinName}
+	}
+	log := requestlog.NewLog(request)
+	events := 0
+	for _, name := range files {
+		n, err := c.readLog(name, log)
+		if err != nil {
+			return err
+		}
+		events += n
+	}
+	if events == 0 {
+		return RefusedInput.New("no line of the logs is an event of a process")
+	}
+	return c.print(requestReport{log.Story()})
+}
+
+// readLog adds the events of one file and returns their number.
+func (c *client) readLog(name string, log *requestlog.Log) (int, error) {
+	r := c.stdin
+	if name != stdinName {
+		file, err := os.Open(name)
+		if err != nil {
+			return 0, RefusedInput.New("%s", err.Error())
+		}
+		defer func() { _ = file.Close() }() // it was only read
+		r = file
+	}
+	events := 0
+	_, err := requestlog.Read(r, func(line requestlog.Line) {
+		events++
+		log.Take(line)
+	})
+	if err != nil {
+		return events, RefusedInput.Wrap(err, "%s", name)
+	}
+	return events, nil
+}
+
+type requestReport struct{ requestlog.Story }
+
+const stepTime = "15:04:05.000"
+
+func (r requestReport) writeText(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "request %s\n", r.Request)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, step := range r.Steps {
+		mark := " "
+		if step.Own {
+			mark = ">"
+		}
+		_, _ = fmt.Fprintf(table, "%s %s\t%s\t%s\t%s\n", mark, step.At.UTC().Format(stepTime), step.Instance, step.Event, step.Details)
+	}
+	_ = table.Flush()
+	_, _ = fmt.Fprintf(w, "cause: %s\n", r.Cause)
+}
