Status types stand once, in core/status

The daemon's and the client's copies had to be kept equal by hand, with a test that compared them. Processes and client share the types now; the test checks that each field comes back as it was written.

--- a/adapters/opsclient/opsclient.go
+++ b/adapters/opsclient/opsclient.go
@@ -1,8 +1,7 @@
 // Package opsclient reads the operators' port of a process: its status, and
 // how an entry would choose a backend server. It only reads.
 //
-// The types repeat what daemon/entry and daemon/agent publish as JSON. A field
-// that this client does not know is passed over, so that it can read a newer
+// A field that this client does not know is passed over, so that it can read a newer
 // process while a fleet is replaced; one that an older process does not send
 // stays zero.
 package opsclient
@@ -25,6 +24,7 @@
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/status"
 )
 
 // maxAnswerBytes bounds what an answer may take of memory. The status of a
@@ -58,13 +58,13 @@
 // Close frees the connections that are kept for further questions.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Status returns the status of the process at addr: *EntryStatus or
-// *AgentStatus.
+// Status returns the status of the process at addr: *status.Entry or
+// *status.Agent.
 //
 // Failures of all methods: failure.Unavailable if the process cannot be
 // reached, failure.Timeout at the end of ctx's time, failure.Corrupt if the
 // answer is not what such a process sends.
-func (c *Client) Status(ctx context.Context, addr netip.AddrPort) (Status, error) {
+func (c *Client) Status(ctx context.Context, addr netip.AddrPort) (status.Of, error) {
 	body, err := c.get(ctx, addr, "/status", nil)
 	if err != nil {
 		return nil, err
@@ -75,31 +75,31 @@
 	if err := decode(addr, body, &head); err != nil {
 		return nil, err
 	}
-	var status Status
+	var answer status.Of
 	switch head.Role {
 	case fleet.RoleEntry:
-		status = &EntryStatus{}
+		answer = &status.Entry{}
 	case fleet.RoleAgent:
-		status = &AgentStatus{}
+		answer = &status.Agent{}
 	default:
 		return nil, failure.Corrupt.New("%s sends the status of a process of role %q", addr, head.Role)
 	}
-	if err := decode(addr, body, status); err != nil {
+	if err := decode(addr, body, answer); err != nil {
 		return nil, err
 	}
-	return status, nil
+	return answer, nil
 }
 
 // Entry returns the status of the entry at addr. It fails with WrongRole if
 // an agent answers.
-func (c *Client) Entry(ctx context.Context, addr netip.AddrPort) (*EntryStatus, error) {
-	status, err := c.Status(ctx, addr)
+func (c *Client) Entry(ctx context.Context, addr netip.AddrPort) (*status.Entry, error) {
+	answer, err := c.Status(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	entry, isEntry := status.(*EntryStatus)
+	entry, isEntry := answer.(*status.Entry)
 	if !isEntry {
-		return nil, WrongRole.New("%s is %s %s; the fleet's state is known by entries", addr, fleet.RoleAgent, status.Process())
+		return nil, WrongRole.New("%s is %s %s; the fleet's state is known by entries", addr, fleet.RoleAgent, answer.Process())
 	}
 	return entry, nil
 }
@@ -116,7 +116,7 @@
 // Explain returns how the entry at addr would choose a backend server now. It
 // fails with failure.NotFound if the entry has no such service or the process
 // answers no such question.
-func (c *Client) Explain(ctx context.Context, addr netip.AddrPort, q Question) (*Explanation, error) {
+func (c *Client) Explain(ctx context.Context, addr netip.AddrPort, q Question) (*status.Explanation, error) {
 	query := url.Values{"service": {string(q.Service)}}
 	if q.Prefix != "" {
 		query.Set("prefix", q.Prefix)
@@ -128,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	explanation := &Explanation{}
+	explanation := &status.Explanation{}
 	if err := decode(addr, body, explanation); err != nil {
 		return nil, err
 	}
--- a/adapters/opsclient/opsclient_test.go
+++ b/adapters/opsclient/opsclient_test.go
@@ -19,6 +19,7 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
+	"chivespindle.example/core/status"
 )
 
 func start(handler http.HandlerFunc) netip.AddrPort {
@@ -64,7 +65,7 @@
 		Expect(pool.Target.String()).To(Equal("r3@104fdf5385db"))
 		Expect([]int{pool.Replicas, pool.Serving, pool.Leaving, pool.Silent}).To(Equal([]int{4, 3, 0, 1}))
 		Expect(s.Fleet).To(HaveLen(10))
-		Expect(s.Fleet[4]).To(Equal(opsclient.Member{
+		Expect(s.Fleet[4]).To(Equal(status.Member{
 			ID: "spindle-pool-3", Role: fleet.RoleAgent, Service: "spindle-pool",
 			Place: fleet.Place{Zone: "apapa-hall", Region: "lagos"}, State: gossip.StateServing,
 			Serving: pool.Target, Revision: 6, Leaving: true, Silent: true,
@@ -72,9 +73,9 @@
 	})
 
 	It("reads the status of an agent", func(ctx SpecContext) {
-		status, err := newClient().Status(ctx, start(recorded("agent.json")))
+		answer, err := newClient().Status(ctx, start(recorded("agent.json")))
 		Expect(err).NotTo(HaveOccurred())
-		s, isAgent := status.(*opsclient.AgentStatus)
+		s, isAgent := answer.(*status.Agent)
 		Expect(isAgent).To(BeTrue())
 		Expect(s.Process()).To(BeEquivalentTo("spindle-pool-1"))
 		Expect(s.Phase).To(Equal("fetching"))
--- a/cmd/chivespindle/contract_test.go
+++ b/cmd/chivespindle/contract_test.go
@@ -7,16 +7,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"chivespindle.example/adapters/opsclient"
-	"chivespindle.example/daemon/agent"
-	"chivespindle.example/daemon/entry"
+	"chivespindle.example/core/status"
 )
 
-// An operator sees zeros where a process sent numbers, because a field was
-// renamed on one side only. The client's types stand apart from the daemon's,
-// so each field of a daemon's answer is set, and each of the client's must come
-// out with the same value. Fields that only the daemon has are allowed: a
-// client reads newer processes.
+// An operator sees zeros where a process sent numbers, because a field is not
+// written, or not read back. Processes and client share the types, so each
+// field is set, and each must come out with the same value. That no field was
+// renamed since an earlier release is checked on recorded pages by the tests of
+// adapters/opsclient.
 var _ = DescribeTable("The client reads what the daemon sends",
 	func(sent, read any) {
 		fill(reflect.ValueOf(sent).Elem())
@@ -31,9 +29,9 @@
 		expectWithin("", have, want)
 		expectSet("", reflect.ValueOf(read).Elem())
 	},
-	Entry("status of an entry", &entry.Status{}, &opsclient.EntryStatus{}),
-	Entry("status of an agent", &agent.Status{}, &opsclient.AgentStatus{}),
-	Entry("explanation", &entry.Explanation{}, &opsclient.Explanation{}),
+	Entry("status of an entry", &status.Entry{}, &status.Entry{}),
+	Entry("status of an agent", &status.Agent{}, &status.Agent{}),
+	Entry("explanation", &status.Explanation{}, &status.Explanation{}),
 )
 
 // fill sets every field to something that is not zero.
--- a/cmd/chivespindle/explain.go
+++ b/cmd/chivespindle/explain.go
@@ -15,6 +15,7 @@
 	"chivespindle.example/core/balance"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/status"
 )
 
 func (c *client) newExplainCommand() *cobra.Command {
@@ -72,7 +73,7 @@
 }
 
 // explainAny asks one address after the other, each for its share of the time.
-func (c *client) explainAny(ctx context.Context, ops *opsclient.Client, q opsclient.Question) (*opsclient.Explanation, error) {
+func (c *client) explainAny(ctx context.Context, ops *opsclient.Client, q opsclient.Question) (*status.Explanation, error) {
 	deadline, _ := ctx.Deadline()
 	share := time.Until(deadline) / time.Duration(len(c.flags.ops))
 	var last error
@@ -92,7 +93,7 @@
 }
 
 // explainReport shows an explanation. Its JSON is the entry's answer.
-type explainReport struct{ *opsclient.Explanation }
+type explainReport struct{ *status.Explanation }
 
 func (r explainReport) writeText(w io.Writer) {
 	fmt.Fprintf(w, "%s at revision %d, for a request to %s with priority u=%d", r.Entry, r.Revision, r.Service, r.Priority)
@@ -137,7 +138,7 @@
 	balance.Full:     "its slots and its short queue are taken",
 }
 
-func whyText(s opsclient.Candidate) string {
+func whyText(s status.Candidate) string {
 	var parts []string
 	if reason, known := reasons[s.Verdict]; known {
 		parts = append(parts, reason)
--- a/cmd/chivespindle/follow.go
+++ b/cmd/chivespindle/follow.go
@@ -13,6 +13,7 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
 const (
@@ -92,7 +93,7 @@
 }
 
 // run goes from one status to the next until the rollout's end, or ctx's.
-func (w *watch) run(ctx context.Context, status *opsclient.EntryStatus, every time.Duration) error {
+func (w *watch) run(ctx context.Context, status *status.Entry, every time.Duration) error {
 	for {
 		if status != nil {
 			if err := w.print(w.follower.Observe(status)...); err != nil {
@@ -129,7 +130,7 @@
 	return failure.Timeout.New("not at its end in time: %s", w.follower.Pending())
 }
 
-func (w *watch) ask(ctx context.Context) (*opsclient.EntryStatus, error) {
+func (w *watch) ask(ctx context.Context) (*status.Entry, error) {
 	limited, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	s, err := askEntries(limited, w.ops, w.client.flags.ops)
@@ -143,7 +144,7 @@
 
 // askAgain goes on without a status while no entry answers: entries are
 // replaced during a rollout as at any time.
-func (w *watch) askAgain(ctx context.Context) (*opsclient.EntryStatus, error) {
+func (w *watch) askAgain(ctx context.Context) (*status.Entry, error) {
 	status, err := w.ask(ctx)
 	wasSilent := w.silent
 	w.silent = err != nil
--- a/cmd/chivespindle/instance.go
+++ b/cmd/chivespindle/instance.go
@@ -7,15 +7,15 @@
 	"math"
 	"strings"
 
-	"chivespindle.example/adapters/opsclient"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
+	"chivespindle.example/core/status"
 )
 
 // agentReport and entryReport show one process. Their JSON is its status.
 type (
-	agentReport struct{ *opsclient.AgentStatus }
-	entryReport struct{ *opsclient.EntryStatus }
+	agentReport struct{ *status.Agent }
+	entryReport struct{ *status.Entry }
 )
 
 func (c *client) instanceStatus(ctx context.Context) error {
@@ -32,14 +32,14 @@
 		return err
 	}
 	defer cancel()
-	status, err := ops.Status(ctx, c.flags.ops[0])
+	answer, err := ops.Status(ctx, c.flags.ops[0])
 	if err != nil {
 		return err
 	}
-	if agent, isAgent := status.(*opsclient.AgentStatus); isAgent {
+	if agent, isAgent := answer.(*status.Agent); isAgent {
 		return c.print(agentReport{agent})
 	}
-	return c.print(entryReport{status.(*opsclient.EntryStatus)})
+	return c.print(entryReport{answer.(*status.Entry)})
 }
 
 // fact is one line of a process's page. A line without a value is left out.
@@ -71,7 +71,7 @@
 		{"leaving", yesOrNothing(r.Leaving)},
 		{"revision", revisionText(r.Revision)},
 		{"in flight", fmt.Sprint(r.InFlight)},
-		{"load", loadText(r.AgentStatus)},
+		{"load", loadText(r.Agent)},
 		{"drawn", drawnText(r.Drawn.OriginBytes, r.Drawn.StoreBytes, r.Drawn.PeerBytes)},
 	}
 	for _, g := range r.Gathers {
@@ -95,7 +95,7 @@
 	return ""
 }
 
-func loadText(s *opsclient.AgentStatus) string {
+func loadText(s *status.Agent) string {
 	const percent = 100
 	return fmt.Sprintf("%d running, %d waiting, %d slots, KV cache %.0f%%",
 		s.Load.Running, s.Load.Waiting, s.Load.Slots, math.Round(s.Load.KVUsed*percent))
@@ -106,7 +106,7 @@
 		bytesText(origin), bytesText(store), bytesText(peers))
 }
 
-func gatherText(g opsclient.Gather) string {
+func gatherText(g status.Gather) string {
 	text := fmt.Sprintf("%s: %d of %d chunks, %d links, %s", g.Version, g.Plan.Have, g.Plan.Total, g.Links,
 		drawnText(g.Plan.OriginBytes, g.Plan.StoreBytes, g.Plan.PeerBytes))
 	if !g.Known {
--- a/cmd/chivespindle/internal/follow/event.go
+++ b/cmd/chivespindle/internal/follow/event.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"strings"
 
-	"chivespindle.example/adapters/opsclient"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
 // Kind says what an Event tells of.
@@ -40,7 +40,7 @@
 	Fleet    string            `json:"fleet,omitempty"`
 	Revision revision.Revision `json:"revision,omitempty"`
 	Service  *Progress         `json:"service,omitempty"`
-	Instance *opsclient.Member `json:"instance,omitempty"`
+	Instance *status.Member    `json:"instance,omitempty"`
 	Reason   string            `json:"reason,omitempty"`
 }
 
@@ -71,7 +71,7 @@
 
 func oneLine(text string) string { return strings.ReplaceAll(text, "\n", "; ") }
 
-func describeInstance(m opsclient.Member) string {
+func describeInstance(m status.Member) string {
 	state := string(m.State)
 	switch {
 	case m.State == "":
@@ -109,9 +109,9 @@
 
 // progressOf counts the replicas, and returns those that are to serve the
 // target and do not.
-func progressOf(service opsclient.ServiceStatus, members []opsclient.Member) (Progress, []opsclient.Member) {
+func progressOf(service status.Service, members []status.Member) (Progress, []status.Member) {
 	p := Progress{Service: service.Service, Target: service.Target}
-	var waiting []opsclient.Member
+	var waiting []status.Member
 	for _, m := range members {
 		if m.Role != fleet.RoleAgent || m.Service != service.Service {
 			continue
@@ -127,7 +127,7 @@
 }
 
 // counter returns the field that a replica counts in.
-func (p *Progress) counter(m opsclient.Member) *int {
+func (p *Progress) counter(m status.Member) *int {
 	switch {
 	case m.Leaving:
 		return &p.Leaving
--- a/cmd/chivespindle/internal/follow/follow.go
+++ b/cmd/chivespindle/internal/follow/follow.go
@@ -8,10 +8,10 @@
 	"slices"
 	"strings"
 
-	"chivespindle.example/adapters/opsclient"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
 // TextRefused means that the fleet refuses the highest text, so that the
@@ -41,8 +41,8 @@
 	refused   []string
 	conflicts int
 	progress  map[fleet.ServiceName]Progress
-	members   map[fleet.InstanceID]opsclient.Member
-	waiting   []opsclient.Member // replicas that do not serve their target
+	members   map[fleet.InstanceID]status.Member
+	waiting   []status.Member // replicas that do not serve their target
 	missing   []fleet.ServiceName
 }
 
@@ -54,13 +54,13 @@
 // Observe takes the next status and returns what changed. A status older than
 // one that was shown before is passed over: the entry that sent it is behind,
 // and the fleet has not gone back.
-func (f *Follower) Observe(s *opsclient.EntryStatus) []Event {
+func (f *Follower) Observe(s *status.Entry) []Event {
 	f.raise(s)
 	if s.Revision < f.revision {
 		return nil
 	}
 	events := f.observeText(s)
-	members := make(map[fleet.InstanceID]opsclient.Member, len(s.Fleet))
+	members := make(map[fleet.InstanceID]status.Member, len(s.Fleet))
 	for _, m := range s.Fleet {
 		members[m.ID] = m
 	}
@@ -74,14 +74,14 @@
 
 // raise finds the highest revision. A process may have one in force of which
 // the answering entry has not heard.
-func (f *Follower) raise(s *opsclient.EntryStatus) {
+func (f *Follower) raise(s *status.Entry) {
 	f.highest = max(f.highest, s.Revision, s.Config.PlatformRevision)
 	for _, m := range s.Fleet {
 		f.highest = max(f.highest, m.Revision)
 	}
 }
 
-func (f *Follower) observeText(s *opsclient.EntryStatus) []Event {
+func (f *Follower) observeText(s *status.Entry) []Event {
 	var events []Event
 	if s.Revision != f.revision || f.entry == "" {
 		events = append(events, Event{Kind: RevisionInForce, Entry: s.ID, Revision: s.Revision, Fleet: s.Config.Name})
@@ -102,7 +102,7 @@
 	return events
 }
 
-func (f *Follower) observeServices(s *opsclient.EntryStatus) []Event {
+func (f *Follower) observeServices(s *status.Entry) []Event {
 	var events []Event
 	before := f.progress
 	f.progress = make(map[fleet.ServiceName]Progress)
@@ -127,7 +127,7 @@
 	return len(f.opts.Services) == 0 || slices.Contains(f.opts.Services, service)
 }
 
-func (f *Follower) instanceEvents(members map[fleet.InstanceID]opsclient.Member) []Event {
+func (f *Follower) instanceEvents(members map[fleet.InstanceID]status.Member) []Event {
 	var events []Event
 	for _, id := range slices.Sorted(maps.Keys(members)) {
 		now := members[id]
@@ -144,12 +144,12 @@
 	return events
 }
 
-func (f *Follower) concerns(m opsclient.Member) bool {
+func (f *Follower) concerns(m status.Member) bool {
 	return m.Role == fleet.RoleAgent && f.follows(m.Service)
 }
 
 // differs leaves the revision out: it is heard late from other zones.
-func differs(a, b opsclient.Member) bool {
+func differs(a, b status.Member) bool {
 	a.Revision = b.Revision
 	return a != b
 }
@@ -201,7 +201,7 @@
 // maxNamed bounds the replicas that one line names.
 const maxNamed = 8
 
-func describeWaiting(waiting []opsclient.Member) []string {
+func describeWaiting(waiting []status.Member) []string {
 	if len(waiting) == 0 {
 		return nil
 	}
--- a/cmd/chivespindle/internal/follow/follow_test.go
+++ b/cmd/chivespindle/internal/follow/follow_test.go
@@ -5,12 +5,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"chivespindle.example/adapters/opsclient"
 	"chivespindle.example/cmd/chivespindle/internal/follow"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
 var (
@@ -18,54 +18,54 @@
 	r3 = fleet.Version{Name: "r3", Manifest: fleet.DigestOf([]byte("r3"))}
 )
 
-func replica(id fleet.InstanceID, serving fleet.Version) opsclient.Member {
-	return opsclient.Member{ID: id, Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: serving, Revision: 4}
+func replica(id fleet.InstanceID, serving fleet.Version) status.Member {
+	return status.Member{ID: id, Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: serving, Revision: 4}
 }
 
-// status is that of an entry with revision 4 in force, which wants r3.
-func status(replicas ...opsclient.Member) *opsclient.EntryStatus {
-	return &opsclient.EntryStatus{
-		ID: "entry-1", Revision: 4, Config: opsclient.ConfigStatus{Name: "demo", PlatformRevision: 4},
-		Services: []opsclient.ServiceStatus{{Service: "pool", Target: r3}},
+// entryWith is the status of an entry with revision 4 in force, which wants r3.
+func entryWith(replicas ...status.Member) *status.Entry {
+	return &status.Entry{
+		ID: "entry-1", Revision: 4, Config: status.Config{Name: "demo", PlatformRevision: 4},
+		Services: []status.Service{{Service: "pool", Target: r3}},
 		Fleet:    replicas,
 	}
 }
 
 // with returns the status after an edit.
-func with(s *opsclient.EntryStatus, edit func(*opsclient.EntryStatus)) *opsclient.EntryStatus {
+func with(s *status.Entry, edit func(*status.Entry)) *status.Entry {
 	edit(s)
 	return s
 }
 
 var _ = DescribeTable("Done",
-	func(options follow.Options, s *opsclient.EntryStatus, done bool) {
+	func(options follow.Options, s *status.Entry, done bool) {
 		f := follow.New(options)
 		f.Observe(s)
 		Expect(f.Done()).To(Equal(done), f.Pending())
 	},
-	Entry("all serve the target", follow.Options{}, status(replica("a", r3), replica("b", r3)), true),
-	Entry("one serves the version before", follow.Options{}, status(replica("a", r3), replica("b", r2)), false),
+	Entry("all serve the target", follow.Options{}, entryWith(replica("a", r3), replica("b", r3)), true),
+	Entry("one serves the version before", follow.Options{}, entryWith(replica("a", r3), replica("b", r2)), false),
 	Entry("one serves another manifest under the same name", follow.Options{},
-		status(replica("a", r3), replica("b", fleet.Version{Name: "r3"})), false),
-	Entry("one is silent", follow.Options{}, status(replica("a", r3),
-		opsclient.Member{ID: "b", Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: r3, Silent: true}), false),
-	Entry("one leaves", follow.Options{}, status(replica("a", r3),
-		opsclient.Member{ID: "b", Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: r2, Leaving: true}), true),
-	Entry("the only one leaves", follow.Options{}, status(
-		opsclient.Member{ID: "b", Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: r3, Leaving: true}), false),
-	Entry("an entry that has heard of nobody yet", follow.Options{}, status(), false),
-	Entry("an entry without a text", follow.Options{}, &opsclient.EntryStatus{ID: "entry-1"}, false),
+		entryWith(replica("a", r3), replica("b", fleet.Version{Name: "r3"})), false),
+	Entry("one is silent", follow.Options{}, entryWith(replica("a", r3),
+		status.Member{ID: "b", Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: r3, Silent: true}), false),
+	Entry("one leaves", follow.Options{}, entryWith(replica("a", r3),
+		status.Member{ID: "b", Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: r2, Leaving: true}), true),
+	Entry("the only one leaves", follow.Options{}, entryWith(
+		status.Member{ID: "b", Role: fleet.RoleAgent, Service: "pool", State: gossip.StateServing, Serving: r3, Leaving: true}), false),
+	Entry("an entry that has heard of nobody yet", follow.Options{}, entryWith(), false),
+	Entry("an entry without a text", follow.Options{}, &status.Entry{ID: "entry-1"}, false),
 	Entry("a service that is not followed lags", follow.Options{Services: []fleet.ServiceName{"pool"}},
-		with(status(replica("a", r3)), func(s *opsclient.EntryStatus) {
-			s.Services = append(s.Services, opsclient.ServiceStatus{Service: "other", Target: r3})
+		with(entryWith(replica("a", r3)), func(s *status.Entry) {
+			s.Services = append(s.Services, status.Service{Service: "other", Target: r3})
 		}), true),
 	Entry("a plain service is open", follow.Options{},
-		with(status(replica("a", fleet.Version{})), func(s *opsclient.EntryStatus) { s.Services[0].Target = fleet.Version{} }), true),
-	Entry("the revision asked for is not there", follow.Options{AtLeast: 5}, status(replica("a", r3)), false),
+		with(entryWith(replica("a", fleet.Version{})), func(s *status.Entry) { s.Services[0].Target = fleet.Version{} }), true),
+	Entry("the revision asked for is not there", follow.Options{AtLeast: 5}, entryWith(replica("a", r3)), false),
 	Entry("the platform has a higher revision", follow.Options{},
-		with(status(replica("a", r3)), func(s *opsclient.EntryStatus) { s.Config.PlatformRevision = 5 }), false),
+		with(entryWith(replica("a", r3)), func(s *status.Entry) { s.Config.PlatformRevision = 5 }), false),
 	Entry("a replica has a higher revision", follow.Options{},
-		with(status(replica("a", r3)), func(s *opsclient.EntryStatus) { s.Fleet[0].Revision = 5 }), false),
+		with(entryWith(replica("a", r3)), func(s *status.Entry) { s.Fleet[0].Revision = 5 }), false),
 )
 
 var _ = Describe("Follower", func() {
@@ -75,8 +75,8 @@
 	// fleet has not gone back.
 	It("does not take an entry that is behind for the end", func() {
 		f := follow.New(follow.Options{})
-		f.Observe(with(status(replica("a", r2)), func(s *opsclient.EntryStatus) { s.Revision = 5 }))
-		behind := with(status(replica("a", r2)), func(s *opsclient.EntryStatus) { s.Services[0].Target = r2 })
+		f.Observe(with(entryWith(replica("a", r2)), func(s *status.Entry) { s.Revision = 5 }))
+		behind := with(entryWith(replica("a", r2)), func(s *status.Entry) { s.Services[0].Target = r2 })
 		Expect(f.Observe(behind)).To(BeEmpty())
 		Expect(f.Done()).To(BeFalse())
 		Expect(f.Revision()).To(Equal(revision.Revision(5)))
@@ -85,7 +85,7 @@
 	DescribeTable("tells why the end cannot come",
 		func(options follow.Options, platform revision.Revision, refused []string, kind *errorx.Type) {
 			f := follow.New(options)
-			f.Observe(with(status(replica("a", r3)), func(s *opsclient.EntryStatus) {
+			f.Observe(with(entryWith(replica("a", r3)), func(s *status.Entry) {
 				s.Config.PlatformRevision = platform
 				s.Config.Refused = refused
 			}))
@@ -99,7 +99,7 @@
 
 	It("waits for a text above one that was refused", func() {
 		f := follow.New(follow.Options{AtLeast: 6})
-		f.Observe(with(status(replica("a", r3)), func(s *opsclient.EntryStatus) {
+		f.Observe(with(entryWith(replica("a", r3)), func(s *status.Entry) {
 			s.Config.PlatformRevision = 5
 			s.Config.Refused = []string{"fleet.ini:9: bad"}
 		}))
@@ -108,7 +108,7 @@
 
 	It("tells each change once", func() {
 		f := follow.New(follow.Options{Instances: true})
-		first := with(status(replica("a", r2), replica("b", r2)), func(s *opsclient.EntryStatus) {
+		first := with(entryWith(replica("a", r2), replica("b", r2)), func(s *status.Entry) {
 			s.Config.Conflicts = 1
 			s.Config.Refused = []string{"fleet.ini:9: bad\nfleet.ini:12: bad"}
 		})
@@ -119,8 +119,8 @@
 			"pool: 0 of 2 serve " + r3.String() + ", 2 on another version",
 		}))
 		Expect(f.Observe(first)).To(BeEmpty())
-		silent := opsclient.Member{ID: "c", Role: fleet.RoleAgent, Service: "pool", Silent: true}
-		Expect(lines(f.Observe(status(replica("a", r3), silent)))).To(Equal([]string{
+		silent := status.Member{ID: "c", Role: fleet.RoleAgent, Service: "pool", Silent: true}
+		Expect(lines(f.Observe(entryWith(replica("a", r3), silent)))).To(Equal([]string{
 			"pool a: serving " + r3.String(),
 			"pool c: not heard of, silent",
 			"pool b: gone",
--- a/cmd/chivespindle/status.go
+++ b/cmd/chivespindle/status.go
@@ -11,9 +11,9 @@
 
 	"github.com/spf13/cobra"
 
-	"chivespindle.example/adapters/opsclient"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
 func (c *client) newStatusCommand() *cobra.Command {
@@ -47,14 +47,14 @@
 
 // fleetReport is the fleet's state as one entry sees it.
 type fleetReport struct {
-	Entry     fleet.InstanceID          `json:"entry"`
-	Revision  revision.Revision         `json:"revision"`
-	Config    opsclient.ConfigStatus    `json:"config"`
-	Services  []opsclient.ServiceStatus `json:"services"`
-	Revisions []revisionCount           `json:"revisions"`
-	Instances []opsclient.Member        `json:"instances,omitempty"`
-	Entries   []entryAnswer             `json:"entries"`
-	Conflicts []string                  `json:"conflicts"` // between the entries that were asked
+	Entry     fleet.InstanceID  `json:"entry"`
+	Revision  revision.Revision `json:"revision"`
+	Config    status.Config     `json:"config"`
+	Services  []status.Service  `json:"services"`
+	Revisions []revisionCount   `json:"revisions"`
+	Instances []status.Member   `json:"instances,omitempty"`
+	Entries   []entryAnswer     `json:"entries"`
+	Conflicts []string          `json:"conflicts"` // between the entries that were asked
 }
 
 // revisionCount is how many processes that are not silent have a revision in
@@ -100,7 +100,7 @@
 	return r
 }
 
-func countRevisions(members []opsclient.Member) []revisionCount {
+func countRevisions(members []status.Member) []revisionCount {
 	list := []revisionCount{}
 	counts := make(map[revision.Revision]int)
 	for _, m := range members {
@@ -159,7 +159,7 @@
 	t.write(w)
 }
 
-func writeInstances(w io.Writer, members []opsclient.Member) {
+func writeInstances(w io.Writer, members []status.Member) {
 	t := newTable("INSTANCE", "ROLE", "SERVICE", "ZONE", "REGION", "STATE", "SERVING", "REVISION")
 	for _, m := range members {
 		t.row(string(m.ID), string(m.Role), orDash(string(m.Service)), string(m.Place.Zone), string(m.Place.Region),
@@ -168,7 +168,7 @@
 	t.write(w)
 }
 
-func memberState(m opsclient.Member) string {
+func memberState(m status.Member) string {
 	words := []string{orDash(string(m.State))}
 	if m.Leaving {
 		words = append(words, "leaving")
--- a/cmd/chivespindle/survey.go
+++ b/cmd/chivespindle/survey.go
@@ -12,6 +12,7 @@
 	"chivespindle.example/adapters/opsclient"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
 // survey is what the entries at the given addresses say at one time.
@@ -22,7 +23,7 @@
 // surveyAnswer is one entry's status, or why there is none.
 type surveyAnswer struct {
 	ops    netip.AddrPort
-	status *opsclient.EntryStatus
+	status *status.Entry
 	err    error
 }
 
@@ -64,7 +65,7 @@
 
 // freshen returns the members with the revisions that the answering entries
 // themselves have. An entry hears late of those of another zone.
-func (s *survey) freshen(members []opsclient.Member) []opsclient.Member {
+func (s *survey) freshen(members []status.Member) []status.Member {
 	own := make(map[fleet.InstanceID]revision.Revision)
 	for _, a := range s.answers {
 		if a.status != nil {
@@ -114,7 +115,7 @@
 // disagreements names the entries that have different texts in force under
 // one revision.
 func (s *survey) disagreements() []string {
-	first := make(map[revision.Revision]*opsclient.EntryStatus)
+	first := make(map[revision.Revision]*status.Entry)
 	found := []string{}
 	for _, a := range s.answers {
 		if a.status == nil || a.status.Revision == 0 {
--- a/cmd/wholepath/fleet_test.go
+++ b/cmd/wholepath/fleet_test.go
@@ -19,8 +19,7 @@
 	"chivespindle.example/adapters/callerclient"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/revision"
-	"chivespindle.example/daemon/agent"
-	"chivespindle.example/daemon/entry"
+	"chivespindle.example/core/status"
 	"chivespindle.example/standin/engine"
 	"chivespindle.example/standin/harness"
 	"chivespindle.example/standin/plainservice"
@@ -276,9 +275,9 @@
 }
 
 // entryStatus and agentStatus read /status of a process.
-func entryStatus(p *harness.Process) (entry.Status, error) { return statusOf[entry.Status](p) }
+func entryStatus(p *harness.Process) (status.Entry, error) { return statusOf[status.Entry](p) }
 
-func agentStatus(p *harness.Process) (agent.Status, error) { return statusOf[agent.Status](p) }
+func agentStatus(p *harness.Process) (status.Agent, error) { return statusOf[status.Agent](p) }
 
 // operator reads the operators' ports.
 var operator = &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/adapters/opsclient/types.go
+++ b/core/status/status.go
@@ -1,4 +1,7 @@
-package opsclient
+// Package status is what operators see of a process: an entry, an agent, and
+// how an entry would choose a server. Processes write it as JSON, and the
+// client reads it. A client reads newer processes, so a field is never renamed.
+package status
 
 import (
 	"chivespindle.example/core/balance"
@@ -9,33 +12,33 @@
 	"chivespindle.example/core/spread"
 )
 
-// Status is what a process says of itself: *EntryStatus or *AgentStatus.
-type Status interface {
+// Of is what a process says of itself: *Entry or *Agent.
+type Of interface {
 	// Process is the id of the process.
 	Process() fleet.InstanceID
 }
 
-// Process implements Status.
-func (s *EntryStatus) Process() fleet.InstanceID { return s.ID }
+// Process implements Of.
+func (s *Entry) Process() fleet.InstanceID { return s.ID }
 
-// Process implements Status.
-func (s *AgentStatus) Process() fleet.InstanceID { return s.ID }
+// Process implements Of.
+func (s *Agent) Process() fleet.InstanceID { return s.ID }
 
-// EntryStatus is the status of an entry, which knows the whole fleet.
-type EntryStatus struct {
+// Entry is the status of an entry, which knows the whole fleet.
+type Entry struct {
 	ID       fleet.InstanceID  `json:"id"`
 	Role     fleet.Role        `json:"role"`
 	Place    fleet.Place       `json:"place"`
 	Revision revision.Revision `json:"revision"` // in force here; 0: none yet
 	Leaving  bool              `json:"leaving"`
 	InFlight int64             `json:"in_flight"`
-	Config   ConfigStatus      `json:"config"`
-	Services []ServiceStatus   `json:"services"`
+	Config   Config            `json:"config"`
+	Services []Service         `json:"services"`
 	Fleet    []Member          `json:"fleet"` // the entry itself included
 }
 
-// ConfigStatus tells of the text.
-type ConfigStatus struct {
+// Config tells of the text.
+type Config struct {
 	Name   string       `json:"name"`
 	Digest fleet.Digest `json:"digest"`
 	// PlatformRevision is the platform's last answer to this process, which
@@ -48,9 +51,9 @@
 	Conflicts int `json:"conflicts"`
 }
 
-// ServiceStatus sums up a service. Replicas that are silent do not count as
+// Service sums up a service. Replicas that are silent do not count as
 // leaving, and neither as serving.
-type ServiceStatus struct {
+type Service struct {
 	Service  fleet.ServiceName `json:"service"`
 	Target   fleet.Version     `json:"target"` // zero for a plain service
 	Replicas int               `json:"replicas"`
@@ -74,8 +77,8 @@
 	Silent   bool              `json:"silent"`
 }
 
-// AgentStatus is the status of an agent and of its backend server.
-type AgentStatus struct {
+// Agent is the status of an agent and of its backend server.
+type Agent struct {
 	ID          fleet.InstanceID   `json:"id"`
 	Role        fleet.Role         `json:"role"`
 	Service     fleet.ServiceName  `json:"service"`
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -23,6 +23,7 @@
 	"chivespindle.example/core/revision"
 	"chivespindle.example/core/rollout"
 	"chivespindle.example/core/serving"
+	"chivespindle.example/core/status"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/node"
 	"chivespindle.example/daemon/swarm"
@@ -98,7 +99,7 @@
 
 	gate   atomic.Pointer[serving.GateState]
 	report atomic.Pointer[published]
-	status atomic.Pointer[Status]
+	status atomic.Pointer[status.Agent]
 }
 
 // published is a report with a channel that closes when there is one that
@@ -125,7 +126,7 @@
 	}
 	a.gate.Store(&serving.GateState{})
 	a.report.Store(&published{next: make(chan struct{})})
-	a.status.Store(&Status{})
+	a.status.Store(&status.Agent{})
 	if opts.Engine != nil {
 		a.change = serving.NewChangeover(opts.Changeover)
 		s := opts.Swarm
--- a/daemon/agent/status.go
+++ b/daemon/agent/status.go
@@ -3,38 +3,12 @@
 import (
 	"time"
 
-	"chivespindle.example/core/fleet"
-	"chivespindle.example/core/gossip"
-	"chivespindle.example/core/revision"
 	"chivespindle.example/core/serving"
-	"chivespindle.example/daemon/swarm"
+	"chivespindle.example/core/status"
 )
 
-// Status is what an operator sees of an agent.
-type Status struct {
-	ID          fleet.InstanceID   `json:"id"`
-	Role        fleet.Role         `json:"role"`
-	Service     fleet.ServiceName  `json:"service"`
-	Place       fleet.Place        `json:"place"`
-	State       gossip.State       `json:"state"`
-	Phase       string             `json:"phase,omitempty"`
-	Serving     fleet.Version      `json:"serving"`
-	Target      fleet.Version      `json:"target"`
-	Leaving     bool               `json:"leaving"`
-	Admitting   bool               `json:"admitting"`
-	Refusing    string             `json:"refusing,omitempty"` // why requests are refused
-	Waiting     string             `json:"waiting,omitempty"`  // what a change waits for
-	Revision    revision.Revision  `json:"revision"`
-	InFlight    int64              `json:"in_flight"`
-	Load        serving.Load       `json:"load"`
-	Drawn       swarm.Drawn        `json:"drawn"`
-	Gathers     []swarm.Progress   `json:"gathers"`
-	KnownPeers  int                `json:"known_peers"`
-	SilentPeers []fleet.InstanceID `json:"silent_peers"`
-}
-
 // Status returns the latest status. Safe for any goroutine.
-func (a *Agent) Status() Status {
+func (a *Agent) Status() status.Agent {
 	s := *a.status.Load()
 	s.InFlight = a.work.count()
 	_, err := a.gate.Load().Admit(time.Now())
@@ -53,7 +27,7 @@
 
 func (a *Agent) publishStatus(time.Time) {
 	self := a.node.Self()
-	s := Status{
+	s := status.Agent{
 		ID:       self.ID,
 		Role:     self.Role,
 		Service:  self.Service,
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -26,6 +26,7 @@
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/retry"
 	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/node"
 )
@@ -204,55 +205,10 @@
 	})
 }
 
-// Status is what an operator sees of an entry.
-type Status struct {
-	ID       fleet.InstanceID  `json:"id"`
-	Role     fleet.Role        `json:"role"`
-	Place    fleet.Place       `json:"place"`
-	Revision revision.Revision `json:"revision"`
-	Leaving  bool              `json:"leaving"`
-	InFlight int64             `json:"in_flight"`
-	Config   ConfigStatus      `json:"config"`
-	Services []ServiceStatus   `json:"services"`
-	Fleet    []Member          `json:"fleet"`
-}
-
-// ConfigStatus tells of the text.
-type ConfigStatus struct {
-	Name             string            `json:"name"`
-	Digest           fleet.Digest      `json:"digest"`
-	PlatformRevision revision.Revision `json:"platform_revision"`
-	Refused          []string          `json:"refused,omitempty"`
-	Conflicts        int               `json:"conflicts"`
-}
-
-// ServiceStatus sums up a service.
-type ServiceStatus struct {
-	Service  fleet.ServiceName `json:"service"`
-	Target   fleet.Version     `json:"target"`
-	Replicas int               `json:"replicas"`
-	Serving  int               `json:"serving"` // the target, or open for a plain service
-	Leaving  int               `json:"leaving"`
-	Silent   int               `json:"silent"`
-}
-
-// Member is one process of the fleet as this entry sees it.
-type Member struct {
-	ID       fleet.InstanceID  `json:"id"`
-	Role     fleet.Role        `json:"role"`
-	Service  fleet.ServiceName `json:"service,omitempty"`
-	Place    fleet.Place       `json:"place"`
-	State    gossip.State      `json:"state"`
-	Serving  fleet.Version     `json:"serving"`
-	Revision revision.Revision `json:"revision"`
-	Leaving  bool              `json:"leaving"`
-	Silent   bool              `json:"silent"`
-}
-
 // Status returns the present status. Safe for any goroutine.
-func (e *Entry) Status() Status {
+func (e *Entry) Status() status.Entry {
 	view := e.node.View()
-	s := Status{
+	s := status.Entry{
 		ID:       e.opts.Self.ID,
 		Role:     fleet.RoleEntry,
 		Place:    e.opts.Self.Place,
@@ -260,7 +216,7 @@
 		InFlight: e.running.Load(),
 	}
 	config := e.node.ConfigStatus()
-	s.Config = ConfigStatus{PlatformRevision: config.PlatformRevision, Conflicts: len(config.Conflicts)}
+	s.Config = status.Config{PlatformRevision: config.PlatformRevision, Conflicts: len(config.Conflicts)}
 	for _, r := range config.Refused {
 		s.Config.Refused = append(s.Config.Refused, r.Faults.Error())
 	}
@@ -277,15 +233,15 @@
 	return s
 }
 
-func member(p gossip.Peer) Member {
-	return Member{ID: p.ID, Role: p.Role, Service: p.Service, Place: p.Place, State: p.State,
+func member(p gossip.Peer) status.Member {
+	return status.Member{ID: p.ID, Role: p.Role, Service: p.Service, Place: p.Place, State: p.State,
 		Serving: p.Serving, Revision: p.Revision, Leaving: p.Going(), Silent: p.Silent}
 }
 
-func serviceStatus(state *revision.State, view *gossip.View) []ServiceStatus {
-	var all []ServiceStatus
+func serviceStatus(state *revision.State, view *gossip.View) []status.Service {
+	var all []status.Service
 	for service := range state.Fleet.Services() {
-		s := ServiceStatus{Service: service.Name, Target: service.Version}
+		s := status.Service{Service: service.Name, Target: service.Version}
 		for _, p := range view.Service(service.Name) {
 			s.Replicas++
 			switch {
--- a/daemon/entry/explain.go
+++ b/daemon/entry/explain.go
@@ -16,45 +16,9 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/fleettext"
 	"chivespindle.example/core/gossip"
-	"chivespindle.example/core/revision"
+	"chivespindle.example/core/status"
 )
 
-// Explanation tells an operator how this entry would choose a backend server
-// for a request now.
-type Explanation struct {
-	Entry    fleet.InstanceID  `json:"entry"`
-	Revision revision.Revision `json:"revision"`
-	Service  fleet.ServiceName `json:"service"`
-	Prefix   string            `json:"prefix,omitempty"`
-	Priority int               `json:"priority"`
-	// Candidates are the servers that the balancer chooses from, nearest tier
-	// first.
-	Candidates []Candidate `json:"candidates"`
-	// Unknown are the replicas that the balancer does not know.
-	Unknown []UnknownServer `json:"unknown"`
-}
-
-// Candidate is a balance.Candidate as JSON.
-type Candidate struct {
-	ID          fleet.InstanceID `json:"id"`
-	Tier        string           `json:"tier"` // zone, region or fleet
-	Verdict     balance.Verdict  `json:"verdict"`
-	InFlight    int              `json:"in_flight"`
-	Others      float64          `json:"others"`
-	Slots       float64          `json:"slots"`
-	Cost        float64          `json:"cost"`
-	ReportAgeMS int64            `json:"report_age_ms"` // negative: never reported
-	EjectedMS   int64            `json:"ejected_ms"`    // time left of an ejection
-	Preferred   bool             `json:"preferred"`
-}
-
-// UnknownServer is a replica that cannot be chosen here, and why.
-type UnknownServer struct {
-	ID     fleet.InstanceID `json:"id"`
-	Place  fleet.Place      `json:"place"`
-	Reason string           `json:"reason"`
-}
-
 // ExplainHandler answers GET /explain?service=&prefix=&priority= with an
 // Explanation. Only service is needed. Safe for any goroutine: it reads what
 // requests read.
@@ -103,21 +67,21 @@
 
 // explain asks the balancer's snapshot, and adds the replicas that are not in
 // it.
-func explain(now time.Time, self fleet.InstanceID, p *picture, view *gossip.View, q explainQuestion) (Explanation, error) {
+func explain(now time.Time, self fleet.InstanceID, p *picture, view *gossip.View, q explainQuestion) (status.Explanation, error) {
 	if p.config == nil {
-		return Explanation{}, calls.NotReady.New("no text is in force yet")
+		return status.Explanation{}, calls.NotReady.New("no text is in force yet")
 	}
 	if _, known := p.config.Fleet.Service(q.service); !known {
-		return Explanation{}, calls.UnknownService.New("no service %q in revision %d", q.service, p.config.Revision)
+		return status.Explanation{}, calls.UnknownService.New("no service %q in revision %d", q.service, p.config.Revision)
 	}
-	answer := Explanation{
+	answer := status.Explanation{
 		Entry:      self,
 		Revision:   p.config.Revision,
 		Service:    q.service,
 		Prefix:     q.prefix,
 		Priority:   q.priority,
-		Candidates: []Candidate{},
-		Unknown:    []UnknownServer{},
+		Candidates: []status.Candidate{},
+		Unknown:    []status.UnknownServer{},
 	}
 	request := balance.Request{Service: q.service, PrefixKey: prefixKey(q.prefix), Priority: q.priority}
 	known := make(map[fleet.InstanceID]bool)
@@ -129,14 +93,14 @@
 	for _, r := range replicas {
 		if !known[r.ID] {
 			reason := whyUnknown(r, len(replicas))
-			answer.Unknown = append(answer.Unknown, UnknownServer{ID: r.ID, Place: r.Place, Reason: reason})
+			answer.Unknown = append(answer.Unknown, status.UnknownServer{ID: r.ID, Place: r.Place, Reason: reason})
 		}
 	}
 	return answer, nil
 }
 
-func candidate(c balance.Candidate) Candidate {
-	return Candidate{
+func candidate(c balance.Candidate) status.Candidate {
+	return status.Candidate{
 		ID:          c.ID,
 		Tier:        c.Tier.String(),
 		Verdict:     c.Verdict,
--- a/daemon/entry/explain_test.go
+++ b/daemon/entry/explain_test.go
@@ -25,6 +25,7 @@
 	"chivespindle.example/core/gossip"
 	"chivespindle.example/core/revision"
 	"chivespindle.example/core/serving"
+	"chivespindle.example/core/status"
 	"chivespindle.example/daemon/node"
 )
 
@@ -80,7 +81,7 @@
 	return table.View(explainStart)
 }
 
-func explainVerdicts(e Explanation) map[fleet.InstanceID]string {
+func explainVerdicts(e status.Explanation) map[fleet.InstanceID]string {
 	found := make(map[fleet.InstanceID]string)
 	for _, c := range e.Candidates {
 		found[c.ID] = string(c.Verdict)
--- a/daemon/entry/rig_test.go
+++ b/daemon/entry/rig_test.go
@@ -18,6 +18,7 @@
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/once"
+	"chivespindle.example/core/status"
 	"chivespindle.example/daemon/entry"
 	"chivespindle.example/daemon/internal/daemontest"
 )
@@ -81,7 +82,7 @@
 func (r *rig) verdicts() map[fleet.InstanceID]balance.Verdict {
 	page := httptest.NewRecorder()
 	r.role.ExplainHandler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/explain?service="+string(orders), nil))
-	var explanation entry.Explanation
+	var explanation status.Explanation
 	if page.Code != http.StatusOK || json.Unmarshal(page.Body.Bytes(), &explanation) != nil {
 		return nil
 	}
--- a/daemon/swarm/gather.go
+++ b/daemon/swarm/gather.go
@@ -8,6 +8,7 @@
 
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/spread"
+	"chivespindle.example/core/status"
 	"chivespindle.example/core/weights"
 )
 
@@ -121,8 +122,8 @@
 	}
 }
 
-func (g *gather) progress() Progress {
-	p := Progress{Version: g.version, Known: g.plan != nil, Paused: g.paused, Links: len(g.links)}
+func (g *gather) progress() status.Gather {
+	p := status.Gather{Version: g.version, Known: g.plan != nil, Paused: g.paused, Links: len(g.links)}
 	if g.plan != nil {
 		p.Plan = g.plan.Progress()
 	}
--- a/daemon/swarm/rig_test.go
+++ b/daemon/swarm/rig_test.go
@@ -15,6 +15,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/spread"
+	"chivespindle.example/core/status"
 	"chivespindle.example/core/weights"
 	"chivespindle.example/daemon/internal/daemontest"
 	"chivespindle.example/daemon/swarm"
@@ -117,7 +118,7 @@
 	Expect(h.stage.Holds(m)).To(BeTrue(), "the staged bytes")
 }
 
-func (h *holder) drawn() (drawn swarm.Drawn) {
+func (h *holder) drawn() (drawn status.Drawn) {
 	GinkgoHelper()
 	h.OnLoop(func(time.Time) { drawn = h.swarm.Drawn() })
 	return drawn
--- a/daemon/swarm/swarm.go
+++ b/daemon/swarm/swarm.go
@@ -18,6 +18,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/spread"
+	"chivespindle.example/core/status"
 	"chivespindle.example/core/weights"
 	"chivespindle.example/daemon/control"
 )
@@ -69,14 +70,7 @@
 	ctx     context.Context
 	gathers map[fleet.Digest]*gather
 	members []spread.Member
-	drawn   Drawn
-}
-
-// Drawn counts bytes by where they came from, over the life of the process.
-type Drawn struct {
-	OriginBytes int64 `json:"origin_bytes"`
-	StoreBytes  int64 `json:"store_bytes"`
-	PeerBytes   int64 `json:"peer_bytes"`
+	drawn   status.Drawn
 }
 
 // New returns a swarm without gathers. Transfers end with ctx.
@@ -162,18 +156,9 @@
 	}
 }
 
-// Progress is the state of one gather for the status page.
-type Progress struct {
-	Version fleet.Version   `json:"version"`
-	Known   bool            `json:"manifest_known"`
-	Paused  bool            `json:"paused"`
-	Links   int             `json:"links"`
-	Plan    spread.Progress `json:"plan"`
-}
-
 // Progress lists the gathers, ordered by version name.
-func (s *Swarm) Progress() []Progress {
-	var all []Progress
+func (s *Swarm) Progress() []status.Gather {
+	var all []status.Gather
 	for _, g := range s.gathers {
 		all = append(all, g.progress())
 	}
@@ -182,7 +167,7 @@
 }
 
 // Drawn returns the bytes drawn so far. It must be called on the control loop.
-func (s *Swarm) Drawn() Drawn { return s.drawn }
+func (s *Swarm) Drawn() status.Drawn { return s.drawn }
 
 // post queues an event; transfers that end after the loop are forgotten.
 func (s *Swarm) post(f func(now time.Time)) {
