Entry: demands are followed of the nearest entries; one notion of distance

Cause: followDemands took the first 32 other entries of a list that is ordered by id, so in a large fleet all entries followed the same 32, and the demand of the others was known to nobody.

Zone, region, elsewhere stood three times (spread, addressing, here); it is fleet.Place.DistanceTo.

--- a/core/addressing/addressing.go
+++ b/core/addressing/addressing.go
@@ -150,7 +150,7 @@
 
 type placed struct {
 	Entry
-	distance int
+	distance fleet.Distance
 	key      float64
 }
 
@@ -173,23 +173,13 @@
 	return ordered
 }
 
-func distanceOf(hint fleet.Place, e Entry) int {
-	const (
-		sameZone = iota
-		sameRegion
-		elsewhere
-		lastChoice
-	)
-	switch {
-	case e.Load >= overloaded:
+// distanceOf places an entry that is overloaded after all others.
+func distanceOf(hint fleet.Place, e Entry) fleet.Distance {
+	const lastChoice = fleet.OtherRegion + 1
+	if e.Load >= overloaded {
 		return lastChoice
-	case hint.Zone != "" && e.Zone == hint.Zone:
-		return sameZone
-	case hint.Region != "" && e.Region == hint.Region:
-		return sameRegion
-	default:
-		return elsewhere
 	}
+	return hint.DistanceTo(e.Place)
 }
 
 // mixZones returns the first count entries; if these are all of one zone, the
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -46,6 +46,28 @@
 	Region Region `cbor:"2,keyasint" json:"region"`
 }
 
+// Distance orders places by how near they are.
+type Distance uint8
+
+// Distances, the nearest first.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// DistanceTo returns how far another place is.
+func (p Place) DistanceTo(other Place) Distance {
+	switch {
+	case p.Zone == other.Zone:
+		return SameZone
+	case p.Region == other.Region:
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
+
 // Instance is one line of the platform's instance list. The list lags: an
 // instance may have gone, or be missing, for tens of seconds.
 type Instance struct {
--- a/core/spread/next.go
+++ b/core/spread/next.go
@@ -1,6 +1,10 @@
 package spread
 
-import "time"
+import (
+	"time"
+
+	"chivespindle.example/core/fleet"
+)
 
 const (
 	// pollTime is the longest time between two looks while a plan is
@@ -61,15 +65,15 @@
 // all of them share.
 func (p *Plan) pickFromPeers(now time.Time) (Fetch, bool) {
 	if p.settings.NearFirst {
-		if f, ok := p.pickRarest(now, sameRegion); ok {
+		if f, ok := p.pickRarest(now, fleet.SameRegion); ok {
 			return f, true
 		}
 	}
-	return p.pickRarest(now, otherRegion)
+	return p.pickRarest(now, fleet.OtherRegion)
 }
 
 // pickRarest takes the rarest chunk that a free peer within a distance holds.
-func (p *Plan) pickRarest(now time.Time, within distance) (Fetch, bool) {
+func (p *Plan) pickRarest(now time.Time, within fleet.Distance) (Fetch, bool) {
 	p.wanted.Clear()
 	for _, from := range p.peers {
 		if from.distance <= within && p.free(now, from) {
--- a/core/spread/peers.go
+++ b/core/spread/peers.go
@@ -23,19 +23,11 @@
 	busyPauseMax    = time.Second
 )
 
-// distance orders sources of a chunk: the nearest that has it is asked.
-type distance uint8
-
-const (
-	sameZone distance = iota
-	sameRegion
-	otherRegion
-)
-
 // peer is a connected neighbour.
 type peer struct {
 	Member
-	distance distance
+	// distance orders sources of a chunk: the nearest that has it is asked.
+	distance fleet.Distance
 	// have is what the peer announced, without the chunks in bad.
 	have *weights.Set
 	// bad holds chunks that came corrupt from the peer.
@@ -59,7 +51,7 @@
 		return
 	}
 	delete(p.suspects, m.ID)
-	added := &peer{Member: m, distance: p.distanceTo(m), have: p.emptySet(), bad: p.emptySet()}
+	added := &peer{Member: m, distance: p.self.DistanceTo(m.Place), have: p.emptySet(), bad: p.emptySet()}
 	p.peers = slices.Insert(p.peers, at, added)
 }
 
@@ -210,17 +202,6 @@
 	return min(fetchTimeMax, max(fetchTimeMin, chunks*pace))
 }
 
-func (p *Plan) distanceTo(m Member) distance {
-	switch {
-	case m.Zone == p.self.Zone:
-		return sameZone
-	case m.Region == p.self.Region:
-		return sameRegion
-	default:
-		return otherRegion
-	}
-}
-
 func (p *Plan) emptySet() *weights.Set { return weights.NewSet(p.have.Len()) }
 
 func (p *Plan) findPeer(id fleet.InstanceID) (int, bool) {
--- a/daemon/entry/limits.go
+++ b/daemon/entry/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -141,10 +142,12 @@
 // the own zone and region before those far away.
 func (e *Entry) followDemands() {
 	others := e.otherEntries()
-	near := others[:min(len(others), demandPeers)]
-	wanted := make(map[fleet.InstanceID]gossip.Peer, len(near))
-	for _, p := range near {
-		wanted[p.ID] = p
+	wanted := make(map[fleet.InstanceID]gossip.Peer, demandPeers)
+	near := admission.Nearest(e.opts.Self.ID, e.opts.Self.Place, placesOf(others), demandPeers)
+	for _, p := range others {
+		if slices.Contains(near, p.ID) {
+			wanted[p.ID] = p
+		}
 	}
 	for id, d := range e.limits.demands {
 		if p, ok := wanted[id]; !ok || p.PeerAddr != d.addr.Addr {
@@ -163,6 +166,14 @@
 	}
 }
 
+func placesOf(peers []gossip.Peer) []admission.Other {
+	others := make([]admission.Other, len(peers))
+	for i, p := range peers {
+		others[i] = admission.Other{ID: p.ID, Place: p.Place}
+	}
+	return others
+}
+
 func (e *Entry) followDemand(ctx context.Context, d *demand) {
 	for ctx.Err() == nil {
 		err := e.readDemands(ctx, d)
