PROOFS: one test a line under each promise, checked as strictly as the rows were

Rows of up to 1,383 characters could not be read. Each promise is a heading now, with its tests one a line and what failed first, the figure and what is not proved. The check wants the same of it: a test that exists or the word that nothing proves it, no benchmark for a proof, and all three statements.

--- a/tools/proofs/page_test.go
+++ b/tools/proofs/page_test.go
@@ -15,16 +15,17 @@
 	"strings"
 )
 
-// The cells of a row of docs/PROOFS.md.
+// What each line of docs/PROOFS.md says beside its tests, in this order.
 const (
-	cellLine = iota
-	cellProof
-	cellFailedFirst
-	cellFigure
-	cellNotProved
-	cells
+	failedFirst = "- Failed first: "
+	figure      = "- Figure: "
+	notProved   = "- Not proved: "
+	// allOfIt begins what a line without a test says under notProved.
+	allOfIt = "all of it"
 )
 
+var labels = []string{failedFirst, figure, notProved}
+
 var (
 	// citation is a package and one of its tests, a function or the text of a
 	// spec with as many of the containers around it as make it plain:
@@ -38,9 +39,9 @@
 	link = regexp.MustCompile(`\]\(([^):#]+)\)`)
 )
 
-// checkProofs returns the faults of a page of proofs: rows that neither cite a
-// test nor say what is not proved, empty cells, and citations of tests that do
-// not exist.
+// checkProofs returns the faults of a page of proofs: lines that neither cite a
+// test nor say that nothing proves them, that lack what each must say, and
+// citations of tests that do not exist.
 func checkProofs(root fs.FS, page string) ([]string, error) {
 	text, err := fs.ReadFile(root, page)
 	if err != nil {
@@ -49,41 +50,82 @@
 	c := checker{root: root, tests: make(map[string][]string)}
 	for i, line := range strings.Split(string(text), "\n") {
 		c.where = fmt.Sprintf("%s:%d", page, i+1)
-		c.checkRow(line)
+		c.checkLine(line)
 		for _, span := range codeSpan.FindAllString(line, -1) {
 			if err := c.checkCitation(span); err != nil {
 				return nil, err
 			}
 		}
 	}
+	c.endPromise()
 	return c.faults, nil
 }
 
 type checker struct {
-	root   fs.FS
-	tests  map[string][]string // by package
-	where  string
-	faults []string
+	root    fs.FS
+	tests   map[string][]string // by package
+	where   string
+	faults  []string
+	promise *promise // that is being read
+}
+
+// promise is one line of what the users ask for.
+type promise struct {
+	where   string
+	cites   bool
+	said    []string // labels
+	nothing bool     // it says that nothing proves it
 }
 
 func (c *checker) fault(format string, args ...any) {
 	c.faults = append(c.faults, c.where+": "+fmt.Sprintf(format, args...))
 }
 
-func (c *checker) checkRow(line string) {
-	if !strings.HasPrefix(line, "| ") || strings.HasPrefix(line, "| line |") {
-		return
+// checkLine follows the page: a heading of the third level begins a promise,
+// any other ends it.
+func (c *checker) checkLine(line string) {
+	if strings.HasPrefix(line, "#") {
+		c.endPromise()
 	}
-	row := strings.Split(strings.Trim(line, "| "), " | ")
-	if len(row) != cells {
-		c.fault("row has %d cells, want %d", len(row), cells)
+	if strings.HasPrefix(line, "### ") {
+		c.promise = &promise{where: c.where}
 		return
 	}
-	if benchmark.MatchString(row[cellProof]) {
+	if c.promise != nil && strings.HasPrefix(line, "- ") {
+		c.checkItem(line)
+	}
+}
+
+func (c *checker) checkItem(line string) {
+	p := c.promise
+	for _, label := range labels {
+		if text, found := strings.CutPrefix(line, label); found && strings.TrimSpace(text) != "" {
+			p.said = append(p.said, label)
+			p.nothing = p.nothing || label == notProved && strings.HasPrefix(text, allOfIt)
+			return
+		}
+	}
+	if len(p.said) > 0 {
+		c.fault("a test stands before %q, and nothing else after it", strings.TrimSpace(failedFirst))
+	}
+	if benchmark.MatchString(line) {
 		c.fault("a benchmark checks nothing; it stands under the figures")
 	}
-	if !citation.MatchString(row[cellProof]) && !strings.HasPrefix(row[cellNotProved], "not proved") {
-		c.fault("row cites no test and does not begin its last cell with %q", "not proved")
+	p.cites = p.cites || citation.MatchString(line)
+}
+
+func (c *checker) endPromise() {
+	p := c.promise
+	c.promise = nil
+	if p == nil {
+		return
+	}
+	c.where = p.where
+	if !slices.Equal(p.said, labels) {
+		c.fault("it must say, in this order: %q; it says %q", labels, p.said)
+	}
+	if !p.cites && !p.nothing {
+		c.fault("it cites no test and does not say %q", notProved+allOfIt)
 	}
 }
 
--- a/tools/proofs/proofs_test.go
+++ b/tools/proofs/proofs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 	"testing/fstest"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,6 +34,12 @@
 	"\tIt(`runs \"once\"`, nil)\n\tIt(\"runs\"+x, nil)\n" +
 	"\tDescribeTable(\"table\", func() {},\n\t\tEntry(\"row\", 1))\n})\n"
 
+// said is what each promise says beside its tests.
+const said = "- Failed first: -\n- Figure: -\n- Not proved: -"
+
+// promised is a page with one promise.
+func promised(items ...string) string { return "### x\n\n" + strings.Join(items, "\n") }
+
 var _ = DescribeTable("a line of a page of proofs", func(line string, faults ...string) {
 	root := fstest.MapFS{
 		"core/a/a_test.go": {Data: []byte(sample)},
@@ -42,20 +49,25 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(found).To(HaveExactElements(faults))
 },
-	Entry("with a function", "| x | `core/a: TestOne` | - | - | - |"),
-	Entry("with a spec", "| x | `core/a: \"row\"` | - | - | - |"),
-	Entry("with a spec in its containers", "| x | `core/a: \"box > table > row\"` | - | - | - |"),
-	Entry("without a proof, said so", "| x | - | - | - | not proved: no machine |"),
-	Entry("without a proof, not said so", "| x | - | - | - | - |",
-		`P.md:1: row cites no test and does not begin its last cell with "not proved"`),
-	Entry("with a benchmark for a proof", "| x | `core/a: BenchmarkOne` | - | - | - |",
-		"P.md:1: a benchmark checks nothing; it stands under the figures"),
-	Entry("with a lost cell", "| x | `core/a: TestOne` | - | - |", "P.md:1: row has 4 cells, want 5"),
+	Entry("with a function", promised("- `core/a: TestOne`", said)),
+	Entry("with a spec", promised("- `core/a: \"row\"`", said)),
+	Entry("with a spec in its containers", promised("- `core/a: \"box > table > row\"`", said)),
+	Entry("without a proof, said so", promised("- Failed first: -\n- Figure: -\n- Not proved: all of it, no machine")),
+	Entry("without a proof, not said so", promised(said),
+		`P.md:1: it cites no test and does not say "- Not proved: all of it"`),
+	Entry("with a benchmark for a proof", promised("- `core/a: BenchmarkOne`", said),
+		"P.md:3: a benchmark checks nothing; it stands under the figures"),
+	Entry("that lacks what it must say", promised("- `core/a: TestOne`", "- Figure: -\n- Not proved: -"),
+		`P.md:1: it must say, in this order: ["- Failed first: " "- Figure: " "- Not proved: "]; it says ["- Figure: " "- Not proved: "]`),
+	Entry("that says nothing under a label", promised("- `core/a: TestOne`", "- Failed first: \n- Figure: -\n- Not proved: -"),
+		`P.md:1: it must say, in this order: ["- Failed first: " "- Figure: " "- Not proved: "]; it says ["- Figure: " "- Not proved: "]`),
+	Entry("with a test after what it says", promised(said, "- `core/a: TestOne`"),
+		`P.md:6: a test stands before "- Failed first:", and nothing else after it`),
+	Entry("before a heading of another level", promised("- `core/a: TestOne`", said)+"\n## Other\n- text"),
 	Entry("with a method", "| x | `core/a: TestTwo` | - | - | - |", `P.md:1: core/a has no test "TestTwo"`),
 	Entry("with a spec in another container", "see `core/a: \"other > row\"`", `P.md:1: core/a has no test "other > row"`),
 	Entry("with a part of a spec's text", "see `core/a: \"ow\"`", `P.md:1: core/a has no test "ow"`),
 	Entry("with a spec whose text is computed", "see `core/a: \"runs\"`", `P.md:1: core/a has no test "runs"`),
 	Entry("with a package that is gone", "see `core/b: TestOne`", `P.md:1: core/b has no test "TestOne"`),
 	Entry("with a citation that is cut", "see `core/a: \"row`", "P.md:1: `core/a: \"row` is no citation"),
-	Entry("that tells of a table's head", "| line | proof |"),
 )
