Entries keep no more unused connections than their part of what a server accepts

A server accepts maxConns connections from all callers together and resets those beyond. Entries kept up to 32 unused ones each, whatever the service says: at 8 entries and 48 accepted, a burst's connections could leave no room for the next requests of others. Each entry keeps its part of half of them, one at least, and none to a server that is not listed: those that were in use when it left used to stay open.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -37,7 +38,8 @@
 	// keepMargin is taken off the time that the server told, so that a request
 	// does not meet the server's close on its way.
 	keepMargin = 1500 * time.Millisecond
-	// maxKept bounds the unused connections to one server.
+	// maxKept bounds the unused connections to a server of which nothing is
+	// known yet.
 	maxKept = 32
 	// readBuffer fits the header of an answer and some events.
 	readBuffer = 4 << 10
@@ -50,6 +52,9 @@
 	dialer net.Dialer
 	mu     sync.Mutex
 	kept   map[netip.AddrPort][]*conn
+	// most bounds the unused connections to each server; nil before the first
+	// Keep.
+	most map[netip.AddrPort]int
 	// dialled counts the connections that were made.
 	dialled int64
 }
@@ -148,26 +153,38 @@
 	_ = c.SetDeadline(time.Time{}) // never fails on an open connection
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.kept[c.addr]) >= maxKept {
+	if len(p.kept[c.addr]) >= p.mostTo(c.addr) {
 		_ = c.Close()
 		return
 	}
 	p.kept[c.addr] = append(p.kept[c.addr], c)
 }
 
-// Keep drops the connections to servers that are not in the list, so that a
-// later server at the same address is not met on its predecessor's.
-func (p *Pool) Keep(addrs map[netip.AddrPort]bool) {
+func (p *Pool) mostTo(addr netip.AddrPort) int {
+	if p.most == nil {
+		return maxKept
+	}
+	return p.most[addr]
+}
+
+// Keep tells how many unused connections to each server are kept. Those beyond
+// are closed: a server resets the connections that exceed what it accepts from
+// all callers together, so unused ones take the place of others' requests. Those
+// to servers that are not listed go too, so that a later server at the same
+// address is not met on its predecessor's.
+func (p *Pool) Keep(most map[netip.AddrPort]int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.most = most
 	for addr, kept := range p.kept {
-		if addrs[addr] {
-			continue
-		}
-		for _, c := range kept {
+		stay := min(len(kept), most[addr])
+		for _, c := range kept[:len(kept)-stay] {
 			_ = c.Close()
 		}
-		delete(p.kept, addr)
+		p.kept[addr] = slices.Clone(kept[len(kept)-stay:])
+		if stay == 0 {
+			delete(p.kept, addr)
+		}
 	}
 }
 
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -200,7 +200,39 @@
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
 		p := exchange.New()
 		Expect(whole(p, s)).To(Equal("hi"))
-		p.Keep(map[netip.AddrPort]bool{})
+		p.Keep(map[netip.AddrPort]int{})
+		Expect(whole(p, s)).To(Equal("hi"))
+		Expect(s.connections.Load()).To(Equal(int64(2)))
+	})
+
+	// A burst needed three connections. Kept by every entry, they would use up
+	// what the server accepts, and it would reset those of new requests.
+	It("keeps no more unused connections than it is told", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		p.Keep(map[netip.AddrPort]int{s.addr(): 1})
+		burst := func() {
+			var answers []*exchange.Response
+			for range 3 {
+				r, err := p.Do(context.Background(), s.addr(), get(), soon())
+				Expect(err).NotTo(HaveOccurred())
+				answers = append(answers, r)
+			}
+			for _, r := range answers {
+				_, _ = io.ReadAll(r.Body)
+				r.Close(true, 0)
+			}
+		}
+		burst()
+		burst()
+		Expect(s.connections.Load()).To(Equal(int64(3 + 2)))
+	})
+
+	It("closes the unused connections beyond a lower bound", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		Expect(whole(p, s)).To(Equal("hi"))
+		p.Keep(map[netip.AddrPort]int{s.addr(): 0})
 		Expect(whole(p, s)).To(Equal("hi"))
 		Expect(s.connections.Load()).To(Equal(int64(2)))
 	})
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -37,6 +37,8 @@
 	Place   fleet.Place
 	// Slots is the number of requests that it runs at once.
 	Slots int
+	// Connections is how many unused connections to it this entry may keep.
+	Connections int
 	// Loaded is the version that a model engine answers from.
 	Loaded ModelVersion
 	// Leaving servers get no new requests.
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -166,6 +166,23 @@
 	})
 })
 
+var _ = Describe("Unused connections", func() {
+	DescribeTable("are this entry's part of what a server accepts",
+		func(accepts, kept int) {
+			g, backend := newGateway()
+			s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
+			s.Config.Services[0].MaxConnections = accepts
+			g.adopt(start, s, "platform")
+			listed(g, backend, start)
+			Expect(backend.listed[0].Connections).To(Equal(kept))
+		},
+		Entry("half, at a single entry", 48, 24),
+		Entry("one at least", 1, 1),
+		Entry("no more than are of use", 1000, 32),
+		Entry("the same where the service tells no limit", 0, 32),
+	)
+})
+
 var _ = Describe("What agents tell", func() {
 	var g *Gateway
 	var backend *noBackend
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -178,6 +178,7 @@
 	delete(g.told, id)
 	delete(g.toldLoads, id)
 	g.board.Forget(id)
+	g.changed = true // parts that depend on the number of entries
 }
 
 // Tick is called by the control loop.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -226,25 +226,48 @@
 	g.changed = false
 	var list []placement.Server
 	for _, s := range g.snapshot.Servers {
-		list = append(list, g.server(s))
+		list = append(list, g.server(now, s))
 	}
 	for id, lapsed := range g.lapsed {
 		if !hasServer(g.snapshot.Servers, id) {
-			list = append(list, g.server(lapsed))
+			list = append(list, g.server(now, lapsed))
 		}
 	}
 	g.board.SetServers(now, list)
 	g.opts.Backend.Keep(list)
 }
 
+const (
+	// keptShare is the part of the connections that a server accepts that all
+	// entries together may keep unused. The rest is for those in use.
+	keptShare = 0.5
+	// keptMost bounds the unused connections of one entry to a server whose limit
+	// is high or not told: as many as it is given requests at once.
+	keptMost = 32
+)
+
+// keptConnections is this entry's part of the unused connections to a server.
+func (g *Gateway) keptConnections(service fleet.ServiceName, now time.Time) int {
+	if g.table == nil {
+		return keptMost
+	}
+	s := g.table.Service(service)
+	if s == nil || s.MaxConnections <= 0 {
+		return keptMost
+	}
+	entries := 1 + len(g.mesh.Entries(now))
+	return min(keptMost, max(1, int(keptShare*float64(s.MaxConnections))/entries))
+}
+
 // server puts together what the platform and the agent tell of a server. What
 // the agent says is newer.
-func (g *Gateway) server(s catalog.Server) placement.Server {
+func (g *Gateway) server(now time.Time, s catalog.Server) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
-		Place:   fleet.Place{Zone: s.Zone, Region: g.opts.Regions[s.Zone]},
-		Loaded:  placement.ModelVersion(s.Loaded),
-		Leaving: s.Draining,
+		Connections: g.keptConnections(s.Service, now),
+		Place:       fleet.Place{Zone: s.Zone, Region: g.opts.Regions[s.Zone]},
+		Loaded:      placement.ModelVersion(s.Loaded),
+		Leaving:     s.Draining,
 	}
 	if r, ok := g.replicas[s.Addr.Addr()]; ok && g.isEngine(s.Service) {
 		out.Loaded = placement.ModelVersion(r.Loaded)
