Directory: near entries first

Callers say where they are, and the answer did not regard it; in a fleet of more than 64 entries a caller could be told of far ones alone. The order is core/addressing's, as in the product's own interface.

Tried and not taken: naming only the near entries and one or two far ones. When a whole zone goes at once its callers would know one or two live addresses. Conclusion: all are named.

--- a/core/addressing/addressing.go
+++ b/core/addressing/addressing.go
@@ -115,6 +115,17 @@
 	return result
 }
 
+// All names every entry that is of use, near ones first, for callers that try
+// the addresses in an order of their own.
+func (a *Answerer) All(hint fleet.Place, entries []Entry) []netip.AddrPort {
+	usable := usableOf(entries)
+	var addresses []netip.AddrPort
+	for _, e := range a.order(complete(hint, usable), usable) {
+		addresses = append(addresses, e.Addr)
+	}
+	return addresses
+}
+
 // usableOf returns the entries that are neither leaving nor silent; if there
 // are none, the silent ones. Leaving ones never: LeaveAfter counts on it.
 func usableOf(entries []Entry) []Entry {
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -18,6 +18,7 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/fleettext"
 	"chivespindle.example/core/retry"
+	"chivespindle.example/daemon/internal/chance"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -116,7 +117,7 @@
 // attempts tries a request at one server after another while that is safe.
 func (e *Entry) attempts(ctx context.Context, r calls.Request, service fleettext.Service, sink calls.Sink) (calls.End, error) {
 	e.budget.Deposit(time.Now())
-	policy := retry.New(retry.Options{Budget: e.budget, Rand: sharedRand{}, MaxAttempts: service.MaxAttempts})
+	policy := retry.New(retry.Options{Budget: e.budget, Rand: chance.Shared{}, MaxAttempts: service.MaxAttempts})
 	home, err := e.homeOf(r)
 	if err != nil {
 		return calls.End{}, err
@@ -189,7 +190,7 @@
 	ctx, span := e.opts.Tracer.Start(ctx, "entry.attempt")
 	defer span.End()
 	p := e.picture.Load()
-	choice, err := p.servers.Pick(time.Now(), sharedRand{}, balance.Request{
+	choice, err := p.servers.Pick(time.Now(), chance.Shared{}, balance.Request{
 		Service:   a.request.Service,
 		PrefixKey: a.request.PrefixKey,
 		Priority:  a.request.Priority,
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -28,6 +28,7 @@
 	"chivespindle.example/core/revision"
 	"chivespindle.example/core/status"
 	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/internal/chance"
 	"chivespindle.example/daemon/node"
 )
 
@@ -91,15 +92,6 @@
 	clocks  map[fleet.InstanceID]*admission.Echo
 }
 
-// sharedRand is the source of chance that all goroutines may use.
-type sharedRand struct{}
-
-// IntN returns a number in [0, n).
-func (sharedRand) IntN(n int) int { return rand.IntN(n) }
-
-// Float64 returns a number in [0, 1).
-func (sharedRand) Float64() float64 { return rand.Float64() }
-
 // New returns an entry. What it starts ends with ctx.
 func New(ctx context.Context, now time.Time, opts Options) *Entry {
 	e := &Entry{
@@ -107,7 +99,7 @@
 		ctx:      ctx,
 		tracker:  balance.NewTracker(now, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		budget:   retry.NewBudget(now, retry.BudgetOptions{}),
-		answerer: addressing.New(addressing.Options{TTL: opts.AddressTTL, Rand: sharedRand{}}),
+		answerer: addressing.New(addressing.Options{TTL: opts.AddressTTL, Rand: chance.Shared{}}),
 		limits:   newLimits(),
 		metrics:  requestMetrics{scope: opts.Metrics},
 		subs:     make(map[fleet.InstanceID]*subscription),
--- a/daemon/entry/keys.go
+++ b/daemon/entry/keys.go
@@ -9,6 +9,7 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/once"
+	"chivespindle.example/daemon/internal/chance"
 )
 
 // homeOf returns the instance that alone may run a non-idempotent request;
@@ -53,7 +54,7 @@
 		return "", failure.WithOutcome(calls.UnknownService.New("no service %q", service), failure.NotRun)
 	}
 	now := time.Now()
-	choice, err := p.servers.Pick(now, sharedRand{}, balance.Request{Service: service})
+	choice, err := p.servers.Pick(now, chance.Shared{}, balance.Request{Service: service})
 	if err != nil {
 		return "", err
 	}
--- a/daemon/entry/limits.go
+++ b/daemon/entry/limits.go
@@ -15,6 +15,7 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/fleettext"
 	"chivespindle.example/core/gossip"
+	"chivespindle.example/daemon/internal/chance"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -49,7 +50,7 @@
 
 func newLimits() *limits {
 	return &limits{
-		limiter: admission.NewLimiter(admission.LimiterOptions{Rand: sharedRand{}}),
+		limiter: admission.NewLimiter(admission.LimiterOptions{Rand: chance.Shared{}}),
 		demands: make(map[fleet.InstanceID]*demand),
 		running: make(map[fleet.Workspace]int),
 		most:    make(map[fleet.Workspace]int),
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -359,21 +359,46 @@
 	})
 })
 
+func entryAt(id, region, zone string) mesh.Entry {
+	return mesh.Entry{
+		ID: fleet.InstanceID(id), Place: fleet.Place{Region: fleet.Region(region), Zone: fleet.Zone(zone)},
+		CallerAddr: netip.MustParseAddrPort(id + ":80"), Ready: true,
+	}
+}
+
 var _ = Describe("Addresses", func() {
 	It("are none while no configuration is known", func() {
 		g, _ := newGateway()
 		g.publish(start)
-		Expect(g.Addresses()).To(BeEmpty())
+		Expect(g.Addresses(fleet.Place{})).To(BeEmpty())
+	})
+
+	It("name those near the caller first, and those that leave not at all", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5), "platform")
+		g.publish(start)
+		seen := *g.view.Load()
+		seen.entries = []mesh.Entry{
+			entryAt("10.0.0.2", "kano", "quay"), entryAt("10.0.0.3", "lagos", "yard"), entryAt("10.0.0.4", "lagos", "hall"),
+		}
+		seen.entries[2].Leaving = true
+		g.view.Store(&seen)
+		addresses := g.Addresses(fleet.Place{Zone: "quay", Region: "kano"})
+		Expect(addresses).To(HaveLen(3))
+		Expect(addresses[0].Addr().String()).To(Equal("10.0.0.2"))
+		addresses = g.Addresses(fleet.Place{Zone: "yard", Region: "lagos"})
+		Expect(addresses[0].Addr().String()).To(Equal("10.0.0.3"))
+		Expect(addresses[1].Addr().String()).To(Equal("10.0.0.1"))
 	})
 
 	It("leave out an entry that leaves", func() {
 		g, _ := newGateway()
 		g.adopt(start, snapshot(5), "platform")
 		g.publish(start)
-		Expect(g.Addresses()).To(HaveLen(1))
+		Expect(g.Addresses(fleet.Place{})).To(HaveLen(1))
 		g.leaving = true
 		g.publish(start)
-		Expect(g.Addresses()).To(BeEmpty())
+		Expect(g.Addresses(fleet.Place{})).To(BeEmpty())
 		Expect(g.Ready()).To(BeFalse())
 	})
 })
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"chivespindle.example/adapters/bootclock"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/addressing"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
@@ -28,6 +29,7 @@
 	"chivespindle.example/core/retry"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/internal/chance"
 	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
 )
@@ -109,6 +111,7 @@
 	budgets  map[fleet.ServiceName]*retry.Window
 	rooms    map[fleet.ServiceName]*placement.HoldRoom
 	inFlight atomic.Int64
+	answerer *addressing.Answerer
 	// patience tells callers that come back from new ones.
 	patience placement.Patience
 }
@@ -143,6 +146,7 @@
 		ctx:       ctx,
 		board:     placement.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		log:       newRequestLog(opts.Logger, opts.Metrics),
+		answerer:  addressing.New(addressing.Options{Rand: chance.Shared{}}),
 		names:     make(map[string]loading.Names),
 		replicas:  make(map[netip.Addr]replica),
 		readyAt:   make(map[netip.Addr]time.Time),
@@ -227,31 +231,25 @@
 	return v != nil && v.table != nil && !v.leaving && !v.doubtful
 }
 
-// Addresses returns where callers find the entries that take requests, this
-// one included. An entry that leaves is named by nobody from the moment on at
+// Addresses returns where a caller at a place finds entries that take requests,
+// this one included. An entry that leaves is named by nobody from the moment on at
 // which its word arrives.
-func (g *Gateway) Addresses() []netip.AddrPort {
+func (g *Gateway) Addresses(near fleet.Place) []netip.AddrPort {
 	v := g.view.Load()
 	if v == nil {
 		return nil
 	}
-	var ready, silent []netip.AddrPort
+	var entries []addressing.Entry
 	if v.table != nil && !v.leaving {
-		ready = append(ready, g.opts.CallerAddr)
+		entries = append(entries, addressing.Entry{ID: g.opts.Self, Place: g.opts.Place, Addr: g.opts.CallerAddr})
 	}
 	for _, e := range v.entries {
-		switch {
-		case !e.Ready || e.Leaving:
-		case e.Silent:
-			silent = append(silent, e.CallerAddr)
-		default:
-			ready = append(ready, e.CallerAddr)
+		if e.Ready {
+			entries = append(entries, addressing.Entry{
+				ID: e.ID, Place: e.Place, Addr: e.CallerAddr, Leaving: e.Leaving, Silent: e.Silent})
 		}
 	}
-	if len(ready) > 0 {
-		return ready
-	}
-	return silent
+	return g.answerer.All(near, entries)
 }
 
 // Leave tells the other entries at once that this one leaves, and has it
