Spread: one member of each region fetches a chunk from another region for all

Every member fetched from another region what no free peer of its own held at that moment, also what a busy one held.

With NearFirst a chunk of another region is left for a second to the member that ranks first for it in the own region, and to near peers that hold it.

--- a/core/spread/next.go
+++ b/core/spread/next.go
@@ -85,6 +85,9 @@
 	}
 	p.wanted.Subtract(p.have)
 	p.wanted.Subtract(p.inFlight)
+	if within == fleet.OtherRegion && p.settings.NearFirst {
+		p.leaveToRegion(now)
+	}
 	for _, held := range p.rarity.byHolders[1:] {
 		equals := held.CountBoth(p.wanted)
 		if equals == 0 {
--- a/core/spread/roster.go
+++ b/core/spread/roster.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/weights"
 )
 
 // roster knows who else wants the manifest, how this member ranks for each
@@ -32,6 +33,9 @@
 	own   uint64
 	score []uint64
 	rank  []int32
+	// crosses holds the chunks for which this member ranks first in its region;
+	// nil unless NearFirst.
+	crosses *weights.Set
 }
 
 func newRoster(manifest fleet.Digest, self Member, chunks int, copies float64) roster {
@@ -61,6 +65,7 @@
 		}
 	}
 	r.quota = r.share(r.own)
+	r.rankInRegion()
 	return r.rerank()
 }
 
--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -54,7 +54,8 @@
 	// a short deadline asks sooner.
 	SourcePauseMax time.Duration
 	// NearFirst has a member take what peers of its own region hold before what
-	// only others do. Default false.
+	// only others do, and one member of each region fetch a chunk from another
+	// region for all. Default false.
 	NearFirst bool
 	// NoStore says that there is only the origin. A member that has used up its
 	// part of OriginCopies then goes on drawing from it, slowly: failed draws
--- a/core/spread/sources_test.go
+++ b/core/spread/sources_test.go
@@ -125,6 +125,74 @@
 	})
 })
 
+var _ = Describe("A chunk of another region", func() {
+	here := fleet.Place{Zone: "z", Region: "r"}
+	far := spread.Member{ID: "far", Place: fleet.Place{Zone: "x", Region: "q"}}
+	const chunks = 40
+
+	// member returns the plan of one of two members of a region. The far member
+	// holds everything, and nothing is to be had from the origin.
+	member := func(self, other fleet.InstanceID) *spread.Plan {
+		manifest := weights.Manifest{Model: "m"}
+		for i := range chunks {
+			manifest.Chunks = append(manifest.Chunks, weights.Chunk{Index: i, Bytes: 1000})
+		}
+		all := weights.NewSet(chunks)
+		for i := range chunks {
+			all.Add(i)
+		}
+		p := spread.New(spread.Options{
+			Self: spread.Member{ID: self, Place: here}, Manifest: manifest, Rand: rand.New(rand.NewPCG(1, 2)), Start: begin,
+			Settings: spread.Settings{NearFirst: true, NoStore: true, OriginCopies: 1, ListenTime: time.Hour, MaxFetches: chunks, PerPeer: chunks},
+		})
+		p.SetMembers(begin, []spread.Member{{ID: self, Place: here}, {ID: other, Place: here}, far})
+		p.PeerUp(begin, far)
+		p.PeerHas(begin, far.ID, all)
+		return p
+	}
+	fetched := func(p *spread.Plan, now time.Time) map[int]bool {
+		set := make(map[int]bool)
+		for _, f := range p.Next(now) {
+			set[f.Chunk] = true
+		}
+		return set
+	}
+
+	// Both members of a region see the same new chunks far away. Fetched by each,
+	// every chunk would cross the link between the regions twice.
+	It("is fetched by one member of a region", func() {
+		one, two := fetched(member("a", "b"), begin), fetched(member("b", "a"), begin)
+		Expect(len(one) + len(two)).To(Equal(chunks))
+		Expect(len(one)).To(BeNumerically(">", chunks/5))
+		Expect(len(two)).To(BeNumerically(">", chunks/5))
+		for chunk := range one {
+			Expect(two[chunk]).To(BeFalse())
+		}
+	})
+
+	// The one that was to fetch it is gone or slow. The others do not wait on.
+	It("is fetched by the others too once it is late", func() {
+		p := member("a", "b")
+		at := begin
+		first := fetched(p, at)
+		Expect(len(first)).To(BeNumerically("<", chunks))
+		rest := fetched(p, at.Add(2*time.Second))
+		Expect(len(first) + len(rest)).To(Equal(chunks))
+	})
+
+	It("is left to a member of the region that holds it", func() {
+		p := member("a", "b")
+		p.PeerUp(begin, spread.Member{ID: "b", Place: here})
+		held := weights.SetOf(chunks, 0, 1, 2, 3)
+		p.PeerHas(begin, "b", held)
+		for _, f := range p.Next(begin) {
+			if held.Has(f.Chunk) {
+				Expect(f.Peer).To(Equal(fleet.InstanceID("b")))
+			}
+		}
+	})
+})
+
 var _ = Describe("NearFirst", func() {
 	// Two regions share a narrow link. A member takes what its own region holds
 	// before a chunk that is rarer and elsewhere.
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -148,6 +148,8 @@
 	roster  roster
 	draws   draws
 	uploads uploads
+	// seenAt is when each chunk was first known to exist; nil unless NearFirst.
+	seenAt []time.Time
 
 	originBytes, storeBytes, peerBytes int64
 }
@@ -172,6 +174,10 @@
 		uploads:   newUploads(settings.MaxUploads),
 	}
 	p.draws = newDraws(total, o.Start)
+	if settings.NearFirst {
+		p.roster.crosses = weights.NewSet(total)
+		p.seenAt = make([]time.Time, total)
+	}
 	return p
 }
 
@@ -325,6 +331,9 @@
 // markSeen notes that a chunk exists whole in this part of the fleet.
 func (p *Plan) markSeen(now time.Time, chunk int) {
 	if p.seen.Add(chunk) {
+		if p.seenAt != nil {
+			p.seenAt[chunk] = now
+		}
 		p.draws.advance(now, chunk, p.settings)
 	}
 }
