Logs: declined attempts, servers' own failures and calls without a place have their reason

Placement tells "no place" from "full" now, each attempt that a server declined or failed has its line, and explain names processes that started anew.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -17,7 +17,7 @@
 func (l *Log) cause() string {
 	if len(l.own) == 0 {
 		return "No line names this request. A plain success has one line in fifty; an entry that is killed writes no more; " +
-			"what exceeds the bound of lines is counted in lines_left_out."
+			"what exceeds the bound of lines is counted in lines_left_out." + l.startedAnew()
 	}
 	last := l.own[len(l.own)-1]
 	switch last.Event {
@@ -32,14 +32,50 @@
 	}
 }
 
+// startedAnew tells which processes started again within the log: what they
+// had in hand has no end in it.
+func (l *Log) startedAnew() string {
+	starts := make(map[string]int) // by instance
+	var first, last Line
+	for _, line := range l.beliefs {
+		if line.Event != "started" {
+			continue
+		}
+		starts[line.Instance]++
+		if starts[line.Instance] < 2 {
+			continue
+		}
+		if first.Event == "" {
+			first = line
+		}
+		last = line
+	}
+	if first.Event == "" {
+		return ""
+	}
+	return fmt.Sprintf(" Processes started anew in this log, the first, %s, at %s, the last, %s, at %s.",
+		first.Instance, first.At.UTC().Format(time.TimeOnly), last.Instance, last.At.UTC().Format(time.TimeOnly))
+}
+
 func (l *Log) served(last Line) string {
 	text := fmt.Sprintf("It was answered by a server, status %s, after %s.", last.Text("status"), age(last))
+	if failed, ok := l.ownLast("server_error"); ok && failed.Text("status") == last.Text("status") {
+		return fmt.Sprintf("Its server failed: %s at %s answered %s itself, after %s; it was tried at %s in all.",
+			failed.Text("server"), failed.Text("addr"), failed.Text("status"), age(failed), servers(last.Int("attempts")))
+	}
 	if attempts := last.Int("attempts"); attempts > 1 {
-		text += fmt.Sprintf(" It took %d attempts: %s.", attempts, l.lastFailure())
+		text += fmt.Sprintf(" It took %d attempts; before the last, %s.", attempts, l.lastFailure())
 	}
 	return text
 }
 
+func servers(n int) string {
+	if n == 1 {
+		return "1 server"
+	}
+	return fmt.Sprintf("%d servers", n)
+}
+
 // unfinished explains a request whose end no line tells.
 func (l *Log) unfinished(last Line) string {
 	for _, line := range l.beliefs {
@@ -73,6 +109,8 @@
 	switch reason := last.Text("reason"); reason {
 	case "full":
 		return l.full(last)
+	case "no_place":
+		return l.noPlace(last)
 	case "no_server":
 		return "No engine could take it." + l.engines(last)
 	case "too_long":
@@ -111,6 +149,20 @@
 	return text + l.engines(last)
 }
 
+// noPlace explains a refusal by an engine that would have begun in time.
+func (l *Log) noPlace(last Line) string {
+	placed, _ := l.ownLast("not_placed")
+	text := fmt.Sprintf("The best of %d engines had no room for a request of %d tokens.", placed.Int("usable"), placed.Int("prompt"))
+	if placed.Is("returned") {
+		text = fmt.Sprintf("It came back late, and the places that late requests may take were taken at all %d engines.",
+			placed.Int("usable"))
+	}
+	if _, held := l.ownLast("held"); held {
+		text += fmt.Sprintf(" It had waited %s at the entry.", age(last))
+	}
+	return text + l.engines(last)
+}
+
 // engines tells the state of the engines as the entry knew them.
 func (l *Log) engines(last Line) string {
 	known := l.knownEngines(last)
@@ -219,11 +271,16 @@
 }
 
 func (l *Log) lastFailure() string {
-	failed, ok := l.ownLast("attempt_failed")
-	if !ok {
-		return "a server had said that it did not run it"
+	if failed, ok := l.ownLast("attempt_failed"); ok {
+		return l.failure(failed)
+	}
+	if failed, ok := l.ownLast("server_error"); ok {
+		return fmt.Sprintf("server %s had answered %s itself", failed.Text("server"), failed.Text("status"))
+	}
+	if declined, ok := l.ownLast("attempt_declined"); ok {
+		return fmt.Sprintf("server %s had said that it did not run it", declined.Text("server"))
 	}
-	return l.failure(failed)
+	return "the lines of the others were left out"
 }
 
 // failure tells of one failed attempt.
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -60,6 +60,9 @@
 	NoServer Reason = "no_server"
 	// Full: no server would answer in time.
 	Full Reason = "full"
+	// NoPlace: a server would begin in time, but has no place for this request: it
+	// is late, and the places for such are taken, or it needs too much memory.
+	NoPlace Reason = "no_place"
 	// TooLong: the answer would not be whole before the caller gives up.
 	TooLong Reason = "too_long"
 )
@@ -88,15 +91,9 @@
 		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
 	}
 	best, predicted := b.cheapest(now, usable, ask)
-	if predicted-ask.reading() > ask.patience() || !ask.fits(b.work(now, best), best) {
+	if reason := ask.declined(predicted, b.work(now, best), best); reason != "" {
 		return nil, Refusal{
-			Reason: Full, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
-			Predicted: predicted, Usable: len(usable),
-		}
-	}
-	if ask.isTooLong(predicted, b.work(now, best)) {
-		return nil, Refusal{
-			Reason: TooLong, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
+			Reason: reason, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
 			Predicted: predicted, Usable: len(usable),
 		}
 	}
@@ -109,6 +106,20 @@
 	return t, Refusal{}
 }
 
+// declined returns why a request is not sent to the best server; empty if it is.
+func (a Ask) declined(predicted time.Duration, w enginemodel.Work, s *state) Reason {
+	switch {
+	case predicted-a.reading() > a.patience():
+		return Full
+	case !a.fits(w, s):
+		return NoPlace
+	case a.isTooLong(predicted, w):
+		return TooLong
+	default:
+		return ""
+	}
+}
+
 // patience is the longest wait with which a request is still sent.
 //
 // In a burst each request that is placed too late to be on time takes a place
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -115,6 +115,24 @@
 		zap.Int64("last_event", j.lastEvent), zap.Error(err))...)
 }
 
+// declined notes that a server said that it did not run the call.
+func (l *requestLog) declined(j *job, server placement.Server) {
+	l.metrics.Counter("attempts_declined").Inc(1)
+	if l.allowed() {
+		l.logger.Info("attempt_declined", inputs(j, zap.String("server", string(server.ID)),
+			zap.Stringer("addr", server.Addr), zap.Uint64("loaded", uint64(server.Loaded)))...)
+	}
+}
+
+// serverError notes a failure that a server answered itself.
+func (l *requestLog) serverError(j *job, t *placement.Ticket, status int) {
+	l.metrics.Counter("server_errors").Inc(1)
+	if l.allowed() {
+		l.logger.Info("server_error", inputs(j, zap.String("server", string(t.Server.ID)),
+			zap.Stringer("addr", t.Server.Addr), zap.Int("status", status))...)
+	}
+}
+
 func (l *requestLog) abandoned(j *job) {
 	l.metrics.Counter("calls_abandoned").Inc(1)
 	if l.gate.sample(servedEvery) && l.allowed() {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -65,6 +65,7 @@
 
 // declined follows a server's word that it did not run the call.
 func (j *job) declined(server placement.Server) bool {
+	j.g.log.declined(j, server)
 	j.exclude = placement.Exclude(j.exclude, server.ID)
 	now := time.Now()
 	if j.attempts < j.route.MaxAttempts && j.deadline.Sub(now) > minimalRest {
@@ -138,6 +139,7 @@
 		return false
 	}
 	ticket.End(now, placement.Failed)
+	j.g.log.serverError(j, ticket, answer.Status())
 	j.held = &heldAnswer{answer: answer, body: body}
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 	if j.again(ctx, now) {
@@ -238,6 +240,7 @@
 	now := time.Now()
 	if answer.Status() >= http.StatusInternalServerError && !j.begun {
 		ticket.End(now, placement.Failed)
+		j.g.log.serverError(j, ticket, answer.Status())
 		j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 		if j.again(ctx, now) {
 			return true
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -205,10 +205,11 @@
 	if !now.Before(until) || reason == placement.TooLong {
 		return false
 	}
-	if reason == placement.Full && j.isLate(now) {
+	isBusy := reason == placement.Full || reason == placement.NoPlace
+	if isBusy && j.isLate(now) {
 		return j.enterRoom(now)
 	}
-	if reason == placement.Full {
+	if isBusy {
 		until = earlier(until, j.call.Arrived.Add(j.route.Aim))
 	}
 	at, expected := j.g.view.Load().soonest[j.service.Name]
