--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -10,6 +10,11 @@
 // same fault.
 const sameMoment = 2 * time.Second
 
+// restartWithin is how soon after a request's last line its entry must start
+// anew to count as having ended with the request in hand: callers wait no
+// longer, and a killed process is started again within seconds.
+const restartWithin = 8 * time.Second
+
 // round is the precision of times in sentences.
 const round = time.Millisecond
 
@@ -60,8 +65,7 @@
 func (l *Log) served(last Line) string {
 	text := fmt.Sprintf("It was answered by a server, status %s, after %s.", last.Text("status"), age(last))
 	if failed, ok := l.ownLast("server_error"); ok && failed.Text("status") == last.Text("status") {
-		return fmt.Sprintf("Its server failed: %s at %s answered %s itself, after %s; it was tried at %s in all.",
-			failed.Text("server"), failed.Text("addr"), failed.Text("status"), age(failed), servers(last.Int("attempts")))
+		return ownFailure(failed)
 	}
 	if attempts := last.Int("attempts"); attempts > 1 {
 		text += fmt.Sprintf(" It took %d attempts; before the last, %s.", attempts, l.lastFailure())
@@ -69,19 +73,22 @@
 	return text
 }
 
-func servers(n int) string {
-	if n == 1 {
-		return "1 server"
-	}
-	return fmt.Sprintf("%d servers", n)
+// ownFailure tells of a failure that a server answered itself.
+func ownFailure(failed Line) string {
+	return fmt.Sprintf("Its server failed: %s at %s answered %s itself, after %s (attempt %s).",
+		failed.Text("server"), failed.Text("addr"), failed.Text("status"), age(failed), failed.Text("attempts"))
 }
 
 // unfinished explains a request whose end no line tells.
 func (l *Log) unfinished(last Line) string {
+	if last.Event == "server_error" {
+		return ownFailure(last)
+	}
 	for _, line := range l.beliefs {
-		if line.Instance == last.Instance && line.Event == "started" && line.At.After(last.At) {
+		after := line.At.Sub(last.At)
+		if line.Instance == last.Instance && line.Event == "started" && after > 0 && after < restartWithin {
 			return fmt.Sprintf("The entry %s ended while it had the request, without a word, and started anew %s later.",
-				last.Instance, line.At.Sub(last.At).Round(round))
+				last.Instance, after.Round(round))
 		}
 	}
 	return fmt.Sprintf("The log has no end of it: its last line is %s after %s.", last.Event, age(last))
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -62,7 +63,8 @@
 	if !j.firstAt.IsZero() {
 		l.first.RecordDuration(j.firstAfter())
 	}
-	if j.attempts < 2 && !l.gate.sample(servedEvery) || !l.allowed() {
+	isPlain := j.attempts < 2 && status < http.StatusInternalServerError
+	if isPlain && !l.gate.sample(servedEvery) || !l.allowed() {
 		return
 	}
 	l.logger.Info("served", inputs(j, zap.Int("status", status), zap.Int64("last_event", j.lastEvent),
