Gateway: the end of the caller's time is told from a server's silence

Cause: the read of an answer ends at the caller's deadline a moment before the request's context does.

So a hung server is found by requests that may not be repeated as well; they were not counted when the context ended first.

--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -31,14 +31,14 @@
 		if ctx.Err() == nil && j.unsent < unsentAttempts {
 			return true
 		}
-		return j.ended(ctx, "unreachable")
+		return j.ended(ctx, now, "unreachable")
 	}
 	j.attempts++
 	j.mayHaveRun = true
 	if j.again(ctx, now) {
 		return true
 	}
-	return j.ended(ctx, "no_answer")
+	return j.ended(ctx, now, "no_answer")
 }
 
 // failed ends an attempt that brought no whole answer. Its server gets the
@@ -46,8 +46,10 @@
 func (j *job) failed(ctx context.Context, now time.Time, ticket *placement.Ticket, err error) {
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 	switch {
-	case ctx.Err() != nil:
+	case errors.Is(ctx.Err(), context.Canceled), j.isOver(ctx, now) && !j.isSilent(now):
 		ticket.End(now, placement.Abandoned)
+	case j.isOver(ctx, now):
+		ticket.End(now, placement.Silent)
 	case errorx.IsOfType(err, failure.Timeout):
 		ticket.End(now, placement.Silent)
 	default:
@@ -56,6 +58,23 @@
 	j.g.log.attempt(j, ticket, err)
 }
 
+// isOver reports whether the caller has left or its time is up. A read that
+// ends at the deadline fails a moment before ctx does.
+func (j *job) isOver(ctx context.Context, now time.Time) bool {
+	return ctx.Err() != nil || !now.Before(j.deadline)
+}
+
+// isSilent reports whether the server has given nothing for so long that this
+// is its failure: a hung server must be found out by requests that may not be
+// repeated too, and these wait for it until their time is up.
+func (j *job) isSilent(now time.Time) bool {
+	allowed := safeSilence * j.route.Aim
+	if j.service.Engine != nil {
+		allowed = j.predicted + streamSilence
+	}
+	return now.Sub(j.progressAt) >= allowed
+}
+
 // again reports whether the call may be sent once more, now that a server may
 // have run it.
 func (j *job) again(ctx context.Context, now time.Time) bool {
@@ -102,17 +121,18 @@
 }
 
 // ended follows the end of the time or of the ways to serve the call.
-func (j *job) ended(ctx context.Context, reason string) bool {
+func (j *job) ended(ctx context.Context, now time.Time, reason string) bool {
+	isOver := j.isOver(ctx, now)
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		j.g.log.abandoned(j)
 		j.caller.Cut()
-	case ctx.Err() != nil && j.mayHaveRun && j.held == nil && !j.begun:
+	case isOver && j.mayHaveRun && j.held == nil && !j.begun:
 		j.refuse(Verdict{Code: TimedOut, Reason: "timeout"})
-	case ctx.Err() != nil:
+	case isOver:
 		j.giveUp("timeout", 0)
 	default:
-		j.giveUp(reason, j.comeBack(time.Now()))
+		j.giveUp(reason, j.comeBack(now))
 	}
 	return false
 }
@@ -155,7 +175,7 @@
 	if j.again(ctx, now) {
 		return true
 	}
-	return j.ended(ctx, "answer_broken")
+	return j.ended(ctx, now, "answer_broken")
 }
 
 func (j *job) give(answer Answer, body []byte) {
@@ -184,6 +204,7 @@
 		if err != nil {
 			return j.streamBroke(ctx, ticket, answer, err)
 		}
+		j.progressAt = time.Now()
 		ticket.Wrote(j.tokensOfEvent())
 		if event.ID >= 0 && event.ID <= j.lastEvent {
 			continue
@@ -245,7 +266,7 @@
 		if j.again(ctx, now) {
 			return true
 		}
-		return j.ended(ctx, "server_failed")
+		return j.ended(ctx, now, "server_failed")
 	}
 	ticket.End(now, placement.Succeeded)
 	if !j.begun {
@@ -264,7 +285,7 @@
 	if j.again(ctx, now) {
 		return true
 	}
-	return j.ended(ctx, "stream_broken")
+	return j.ended(ctx, now, "stream_broken")
 }
 
 // cut ends a stream that cannot be finished.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -52,6 +52,9 @@
 	version   placement.ModelVersion
 	predicted time.Duration
 	firstAt   time.Time
+	// progressAt is when the server last gave something: the answer's last event,
+	// or the request's way to it.
+	progressAt time.Time
 }
 
 type heldAnswer struct {
@@ -149,7 +152,7 @@
 			j.g.log.held(j, refusal)
 		}
 		wait(ctx, holdPoll)
-		return ctx.Err() == nil || j.ended(ctx, "timeout")
+		return ctx.Err() == nil || j.ended(ctx, time.Now(), "timeout")
 	}
 	j.leaveRoom(now, ticket != nil)
 	if ticket == nil {
@@ -162,6 +165,7 @@
 		return false
 	}
 	j.predicted = ticket.Predicted
+	j.progressAt = now
 	answer, err := j.g.opts.Backend.Send(ctx, j.call, j.order(now, ticket.Server))
 	if err != nil {
 		return j.sendFailed(ctx, ticket, err)
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -16,6 +16,7 @@
 
 	"chivespindle.example/adapters/eventstream"
 	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/daemon/wire"
@@ -137,3 +138,57 @@
 		Expect(isHeld()).To(BeZero())
 	})
 })
+
+var _ = Describe("A call whose time is up", func() {
+	const aim = 200 * time.Millisecond
+	var g *Gateway
+	var caller refusals
+
+	BeforeEach(func() {
+		g, _ = newGateway()
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3))
+		s.Config.Services[0].Engine = nil
+		s.Config.Routes[0].Aim = aim
+		g.adopt(start, s, "platform")
+		g.publish(start)
+		caller = make(refusals, 1)
+	})
+
+	// fail has calls end at their deadline at server i-1, which gave something
+	// last at progress, and returns how many of the next it is given.
+	fail := func(progress time.Time) int {
+		deadline := at(time.Second)
+		j := &job{g: g, call: &Call{ID: "c", Arrived: start}, caller: caller, mayHaveRun: true, view: g.view.Load(),
+			route: &g.snapshot.Config.Routes[0], service: g.table.Service("pool"), deadline: deadline, progressAt: progress}
+		for range 50 {
+			ticket, _ := g.board.Choose(start, placement.Ask{Service: "pool", Left: time.Second,
+				Exclude: []fleet.InstanceID{"i-2"}})
+			j.failed(context.Background(), deadline, ticket, failure.Timeout.New("read the answer"))
+		}
+		j.ended(context.Background(), deadline, "stream_broken")
+		chosen := 0
+		for range 50 {
+			ticket, _ := g.board.Choose(deadline, placement.Ask{Service: "pool", Left: time.Second})
+			if ticket.Server.ID == "i-1" {
+				chosen++
+			}
+			ticket.End(deadline, placement.Succeeded)
+		}
+		return chosen
+	}
+
+	// A caller came back late, and the time that it waits ends in the middle of
+	// its stream: the read of the next event fails a moment before the context
+	// ends. The server did nothing wrong. Counted as its failure, a burst of late
+	// callers would have sound engines left out.
+	It("counts neither as its server's failure nor as a broken stream", func() {
+		Expect(fail(at(950 * time.Millisecond))).To(BeNumerically(">", 10))
+		Expect(caller).To(Receive(HaveField("Code", TimedOut)))
+	})
+
+	// A server hangs. Requests that may not be repeated wait for it until their
+	// time is up, and nobody else would find it out.
+	It("counts as its server's failure if that gave nothing for long", func() {
+		Expect(fail(start)).To(BeZero())
+	})
+})
