Placement, spread: names and comments; what near peers hold is put together once

Found on reading: every look for a chunk of another region asked each peer for each chunk, which grows with both; one union of the near peers' chunks does.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -91,7 +91,7 @@
 		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
 	}
 	best, predicted := b.cheapest(now, usable, ask)
-	if reason := ask.declined(predicted, b.work(now, best), best); reason != "" {
+	if reason := ask.refusedFor(predicted, b.work(now, best), best); reason != "" {
 		return nil, Refusal{
 			Reason: reason, RetryAfter: comeBackSpread(ask.Left, b.rand.Float64()),
 			Predicted: predicted, Usable: len(usable),
@@ -106,8 +106,8 @@
 	return t, Refusal{}
 }
 
-// declined returns why a request is not sent to the best server; empty if it is.
-func (a Ask) declined(predicted time.Duration, w enginemodel.Work, s *state) Reason {
+// refusedFor returns why a request is not sent to the best server; empty if it is.
+func (a Ask) refusedFor(predicted time.Duration, w enginemodel.Work, s *state) Reason {
 	switch {
 	case predicted-a.reading() > a.patience():
 		return Full
@@ -190,6 +190,8 @@
 	return slices.DeleteFunc(ejected, func(st *state) bool { return st.Down })
 }
 
+// versionFits reports whether an engine may be used for a request by the version
+// that it holds.
 func (b *Board) versionFits(now time.Time, st *state, ask Ask) bool {
 	if ask.Versions == nil {
 		return true
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -52,6 +52,7 @@
 	Down bool
 }
 
+// takesWork reports whether an engine answers requests.
 func (s Server) takesWork() bool { return !s.Leaving && !s.Changing && !s.Down && s.Loaded != 0 }
 
 // Load is the work that one entry has at one server.
--- a/core/spread/regions.go
+++ b/core/spread/regions.go
@@ -42,17 +42,16 @@
 // three regions of five members, of at least 96; with one member of each region
 // for each chunk 152 do, and the version is staged as fast.
 func (p *Plan) leaveToRegion(now time.Time) {
+	p.near.Clear()
+	for _, from := range p.peers {
+		if from.distance <= fleet.SameRegion && !from.avoided {
+			p.near.Union(from.have) // busy or not
+		}
+	}
 	for chunk := range p.wanted.All() {
 		isLate := now.Sub(p.seenAt[chunk]) >= farAfter
-		if !isLate && (!p.roster.crosses.Has(chunk) || p.isNear(chunk)) {
+		if !isLate && (!p.roster.crosses.Has(chunk) || p.near.Has(chunk)) {
 			p.wanted.Remove(chunk)
 		}
 	}
 }
-
-// isNear reports whether a peer of the own region holds a chunk, busy or not.
-func (p *Plan) isNear(chunk int) bool {
-	return slices.ContainsFunc(p.peers, func(from *peer) bool {
-		return from.distance <= fleet.SameRegion && !from.avoided && from.have.Has(chunk)
-	})
-}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -148,8 +148,10 @@
 	roster  roster
 	draws   draws
 	uploads uploads
-	// seenAt is when each chunk was first known to exist; nil unless NearFirst.
+	// seenAt is when each chunk was first known to exist, near is scratch space;
+	// nil unless NearFirst.
 	seenAt []time.Time
+	near   *weights.Set
 
 	originBytes, storeBytes, peerBytes int64
 }
@@ -177,6 +179,7 @@
 	if settings.NearFirst {
 		p.roster.crosses = weights.NewSet(total)
 		p.seenAt = make([]time.Time, total)
+		p.near = weights.NewSet(total)
 	}
 	return p
 }
