--- /dev/null
+++ b/cmd/chivespindle/internal/requestlog/requestlog_test.go
@@ -0,0 +1,81 @@
+package requestlog_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/cmd/chivespindle/internal/requestlog"
+)
+
+func read(text string) (lines []requestlog.Line, others int, err error) {
+	others, err = requestlog.Read(strings.NewReader(text), func(l requestlog.Line) { lines = append(lines, l) })
+	return lines, others, err
+}
+
+var _ = Describe("Read", func() {
+	const event = `ts=2031-05-06T07:08:09.123Z level=warn event=platform_lost instance=entry-1 error="a \"b\" c" heard_ago=1.2s`
+
+	It("reads the keys of an event, quoted ones too", func() {
+		lines, others, err := read(event + "\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(others).To(BeZero())
+		Expect(lines).To(HaveLen(1))
+		Expect(lines[0].At).To(Equal(time.Date(2031, 5, 6, 7, 8, 9, 123e6, time.UTC)))
+		Expect(lines[0].Event).To(Equal("platform_lost"))
+		Expect(lines[0].Instance).To(Equal("entry-1"))
+		Expect(lines[0].Text("error")).To(Equal(`a "b" c`))
+		Expect(lines[0].Duration("heard_ago")).To(Equal(1200 * time.Millisecond))
+		Expect(lines[0].Details()).To(Equal(`error="a \"b\" c" heard_ago=1.2s`))
+	})
+
+	// Collectors of logs put the time and the host before each line.
+	It("passes over words before the first key", func() {
+		lines, _, err := read("12.5 entry-1 " + event + "\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lines).To(HaveLen(1))
+	})
+
+	DescribeTable("counts lines that are no events",
+		func(text string) {
+			lines, others, err := read(text + "\n" + event + "\n")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(others).To(Equal(1))
+			Expect(lines).To(HaveLen(1))
+		},
+		Entry("empty", ""),
+		Entry("words", "panic: runtime error"),
+		Entry("no time", "level=info event=started"),
+		Entry("no event", "ts=2031-05-06T07:08:09Z level=info"),
+		Entry("a quote that does not end", `ts=2031-05-06T07:08:09Z event=a error="b`),
+		Entry("a time that is none", "ts=yesterday event=a"),
+	)
+
+	It("fails on a line that no process writes", func() {
+		_, _, err := read(strings.Repeat("x", 2<<20))
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("Log", func() {
+	// Logs of several processes are read one file after the other.
+	It("puts lines in order of time, whatever the order of the files", func() {
+		log := requestlog.NewLog("a")
+		for _, text := range []string{
+			"ts=2031-05-06T07:08:11Z event=refused instance=entry-1 request=a reason=full code=unavailable",
+			"ts=2031-05-06T07:08:10Z event=held instance=entry-1 request=a reason=full",
+			"ts=2031-05-06T07:08:09Z event=started instance=entry-1 role=entry",
+			"ts=2031-05-06T07:08:09Z event=started instance=entry-2 role=entry",
+		} {
+			_, err := requestlog.Read(strings.NewReader(text), log.Take)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var events []string
+		for _, step := range log.Story().Steps {
+			events = append(events, step.Event)
+		}
+		Expect(events).To(Equal([]string{"started", "held", "refused"}))
+	})
+})
