--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -226,7 +226,7 @@
 		return fmt.Sprintf("The entry had stood still for %s until %s before, and had not read the platform again.",
 			woke.Duration("after").Round(round), last.At.Sub(woke.At).Round(round))
 	}
-	if lost, ok := l.lastBelief(last.Instance, "platform_lost", last.At); ok {
+	if lost, ok := l.isLost(last); ok {
 		silent := last.At.Sub(lost.At) + lost.Duration("heard_ago")
 		return fmt.Sprintf("The entry had heard neither the platform for %s nor a peer, and could not tell what is configured: %s.",
 			silent.Round(round), lost.Text("error"))
@@ -237,6 +237,17 @@
 	return "The entry knew no configuration that it could rely on."
 }
 
+// isLost returns since when the platform had not answered the entry, and false
+// if it had answered again, or the entry has started anew since.
+func (l *Log) isLost(last Line) (Line, bool) {
+	lost, ok := l.lastBelief(last.Instance, "platform_lost", last.At)
+	for _, event := range []string{"platform_regained", "started"} {
+		since, found := l.lastBelief(last.Instance, event, last.At)
+		ok = ok && !(found && since.At.After(lost.At))
+	}
+	return lost, ok
+}
+
 // unknown explains a refusal by what the configuration lacks.
 func (l *Log) unknown(last Line) string {
 	what := "route for its host and path"
