--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -267,11 +267,16 @@
 	if _, held := l.ownLast("held"); held && last.Int("attempts") == 0 {
 		return text + " It had waited at the entry for an engine." + l.engines(last)
 	}
-	if failed, ok := l.ownLast("attempt_failed"); ok {
-		return text + fmt.Sprintf(" Server %s had been given %s until its first event and had written up to event %s.",
-			failed.Text("server"), failed.Duration("predicted").Round(round), failed.Text("last_event"))
+	failed, ok := l.ownLast("attempt_failed")
+	switch {
+	case !ok:
+		return text
+	case failed.Int("last_event") < 0:
+		return text + fmt.Sprintf(" Server %s, expected to begin within %s, had given nothing.",
+			failed.Text("server"), failed.Duration("predicted").Round(round))
+	default:
+		return text + fmt.Sprintf(" Server %s had written up to event %s.", failed.Text("server"), failed.Text("last_event"))
 	}
-	return text
 }
 
 // serverFailed explains a failure of the server that had the request.
