Catalog: another writer's entries, and servers that start anew under their id

A server that started again under its id kept the load, the failures, the order and the connections of its predecessor. Of two agents of one engine the one with the greater time of day was believed, also after its clock was set back.

A registration for a service that the operator does not have takes no server's place. The start of a server (born) separates its load, health, orders and kept connections from those before it. The younger of two agents is believed, by how long each has run.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -188,6 +188,16 @@
 	}
 }
 
+// Drop closes the unused connections to a server whose process was replaced.
+func (p *Pool) Drop(addr netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.kept[addr] {
+		_ = c.Close()
+	}
+	delete(p.kept, addr)
+}
+
 // isQuiet reports whether nothing came since the last exchange. A server that
 // closed the connection, or sent an answer too many, shows here, before a
 // request is sent that may run and whose answer cannot be told from the other.
--- a/cmd/chivespindled/platform_agent.go
+++ b/cmd/chivespindled/platform_agent.go
@@ -14,7 +14,7 @@
 		Self: b.id, Addr: s.IP, Incarnation: b.incarnation, Place: s.Place, PeerPort: s.PeerPort, Seeds: s.Seeds,
 		Loop: b.loop, Endpoint: b.endpoint,
 		Engine: platform.NewEngine(s.Server), Origin: platform.NewOrigin(),
-		Source: platform.NewStore(s.Store), Regions: s.Regions,
+		Source: platform.NewStore(s.Store, b.logger), Regions: s.Regions,
 		VersionTime: s.VersionTime, LinkBytes: s.LinkBytes,
 		Logger: b.logger, Metrics: b.metrics,
 	})
--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -47,7 +47,7 @@
 		Self: b.id, Addr: s.IP, Incarnation: b.incarnation, Place: s.Place,
 		CallerAddr: s.Callers, PeerPort: s.PeerPort, Seeds: s.Seeds, Regions: s.Regions,
 		Loop: b.loop, Endpoint: b.endpoint,
-		Source: platform.NewStore(s.Store), Backend: platform.NewBackend(),
+		Source: platform.NewStore(s.Store, b.logger), Backend: platform.NewBackend(),
 		Budget:      gateway.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Span: s.RetryWindow},
 		VersionTime: s.VersionTime, SoundTime: s.SoundTime,
 		Logger: b.logger, Metrics: b.metrics,
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -30,6 +30,10 @@
 	// Loaded is the version of the weights that it answers from, 0 for none.
 	// The registration lags by a second or two.
 	Loaded uint64
+	// Born is when the server's process started, by its own clock in Unix
+	// milliseconds; 0 if it did not say. A server that starts again under its ID
+	// holds and knows nothing of before.
+	Born int64
 }
 
 // Wanted is the version of a model that the operator named last.
@@ -95,18 +99,38 @@
 // the newer one is there: a server that crashed and started again has a new id
 // at once, and its predecessor stays registered for seconds. Requests that are
 // meant for the predecessor would be declined.
+//
+// A registration for a service that the operator does not have takes no
+// server's place: it may be another writer's, and the server lives.
 func (s *Snapshot) register(server Server) {
-	for _, other := range s.Servers {
-		if other.Addr == server.Addr && other.ID != server.ID && other.Revision > server.Revision {
-			return
-		}
+	isOffered := s.offers(server.Service)
+	if isOffered && s.hasNewerAt(server) {
+		return
 	}
 	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool {
-		return other.ID == server.ID || other.Addr == server.Addr
+		return other.ID == server.ID || isOffered && other.Addr == server.Addr
 	})
 	s.Servers = append(s.Servers, server)
 }
 
+// hasNewerAt reports whether another server of the operator's was registered
+// later at the same address.
+func (s *Snapshot) hasNewerAt(server Server) bool {
+	return slices.ContainsFunc(s.Servers, func(other Server) bool {
+		return other.Addr == server.Addr && other.ID != server.ID && other.Revision > server.Revision &&
+			s.offers(other.Service)
+	})
+}
+
+// offers reports whether the operator has a service; any may be his while no
+// configuration is known.
+func (s *Snapshot) offers(name fleet.ServiceName) bool {
+	if s.Config == nil {
+		return true
+	}
+	return slices.ContainsFunc(s.Config.Services, func(service routing.Service) bool { return service.Name == name })
+}
+
 func (s *Snapshot) removeServer(id fleet.InstanceID) {
 	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool { return other.ID == id })
 }
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -65,6 +65,22 @@
 		Entry("new first", server("new", "10.0.0.1:80", 9), server("old", "10.0.0.1:80", 5)),
 	)
 
+	// Another writer left a registration for a service of its own at the address
+	// of a server that lives. Taken for its successor, it had the server dropped.
+	It("gives no server's place to a registration for a service that the operator does not have", func() {
+		pool, other := server("a", "10.0.0.1:80", 2), server("b", "10.0.0.1:80", 3)
+		pool.Service, other.Service = "pool", "elsewhere"
+		config := &routing.Config{Services: []routing.Service{{Name: "pool"}}}
+		s := catalog.Snapshot{Config: config}.Apply([]catalog.Change{
+			{Revision: 2, Server: pool}, {Revision: 3, Server: other}}, 3)
+		Expect(ids(s)).To(ContainElement(fleet.InstanceID("a")))
+
+		again := server("a", "10.0.0.1:80", 4)
+		again.Service = "pool"
+		s = s.Apply([]catalog.Change{{Revision: 4, Server: again}}, 4)
+		Expect(ids(s)).To(ContainElement(fleet.InstanceID("a")))
+	})
+
 	It("keeps servers at different addresses", func() {
 		s := catalog.Snapshot{}.Apply([]catalog.Change{
 			{Revision: 1, Server: server("a", "10.0.0.1:80", 5)}, {Revision: 2, Server: server("b", "10.0.0.1:81", 9)}}, 2)
--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -41,6 +41,15 @@
 	Busy bool
 	// Pace is by how much its passes last longer than published; 1 is sound.
 	Pace float64
+	// Born is when its process started, in Unix milliseconds by its own clock; 0
+	// if it did not say.
+	Born int64
+}
+
+// StartedAnew reports whether e is a later start of the engine than before. It
+// has forgotten what it was ordered.
+func (e Engine) StartedAnew(before Engine) bool {
+	return e.Born != 0 && before.Born != 0 && e.Born != before.Born
 }
 
 // Step is what the agent is to do next.
@@ -113,6 +122,14 @@
 	p.orderedAt = now
 }
 
+// StartedAnew tells that the engine's process was replaced: no order runs there.
+// What was ordered of its predecessor would else be waited for, for orderAgain.
+func (p *Plan) StartedAnew() {
+	p.ordered = 0
+	p.orderedAt = time.Time{}
+	p.notBefore = time.Time{}
+}
+
 // OrderedAt returns when the last order was given.
 func (p *Plan) OrderedAt() time.Time { return p.orderedAt }
 
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -199,6 +199,23 @@
 		Expect(p.Next(at(time.Second), done, 0)).To(Equal(loading.Rest))
 		Expect(p.Changing(done)).To(BeFalse())
 	})
+
+	// The engine was ordered to load and its process was replaced before it had.
+	// The order is gone with it; waited for, the engine stood empty for a second.
+	It("orders at once again when the engine started anew", func() {
+		p := loading.NewPlan("i", within)
+		p.Want(known(2, 0))
+		p.Staged(2)
+		p.Ordered(at(time.Second), 2)
+		before := loading.Engine{Born: 1000}
+		now := at(1100 * time.Millisecond)
+		Expect(p.Next(now, before, 0)).To(Equal(loading.Wait))
+		Expect(loading.Engine{Born: 1000}.StartedAnew(before)).To(BeFalse())
+		anew := loading.Engine{Born: 900}
+		Expect(anew.StartedAnew(before)).To(BeTrue(), "its clock may have been set back meanwhile")
+		p.StartedAnew()
+		Expect(p.Next(now, anew, 0)).To(Equal(loading.Order))
+	})
 })
 
 // turnOf finds when a plan orders first.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -41,6 +41,9 @@
 	Connections int
 	// Loaded is the version that a model engine answers from.
 	Loaded ModelVersion
+	// Born is when its process started, in Unix milliseconds by its own clock; 0
+	// if it is not known.
+	Born int64
 	// Leaving servers get no new requests.
 	Leaving bool
 	// Changing servers are loading weights, or are about to, and take nothing.
@@ -148,8 +151,18 @@
 	}
 }
 
+// startedAnew reports whether now is a later start of the server than before,
+// under the same ID.
+func startedAnew(before, now Server) bool {
+	return before.Born != 0 && now.Born != 0 && before.Born != now.Born
+}
+
 // SetServers replaces the list of servers. Load and record of those that stay
 // are kept. Requests at a server that is listed no more go on.
+//
+// A server that started anew under its ID has nothing of before. With the load
+// of its predecessor, whose requests end only when their connections are found
+// dead, it stood idle for seconds; with its failures it stayed left out.
 func (b *Board) SetServers(now time.Time, list []Server) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -164,8 +177,13 @@
 			b.services[s.Service] = g
 		}
 		st := b.servers[s.ID]
-		if st == nil {
-			st = &state{own: make(map[*Ticket]struct{})}
+		switch {
+		case st == nil:
+			st = newState()
+		case startedAnew(st.Server, s):
+			st = newState()
+			b.forgetLoads(s.ID)
+			b.touch(st)
 		}
 		if s.takesWork() && !st.takesWork() {
 			st.ready = now
@@ -187,6 +205,16 @@
 	b.servers = kept
 }
 
+func newState() *state { return &state{own: make(map[*Ticket]struct{})} }
+
+// forgetLoads drops what the other entries had at a server that started anew.
+// They tell it again once they have placed something there.
+func (b *Board) forgetLoads(server fleet.InstanceID) {
+	for _, other := range b.others {
+		delete(other.loads, server)
+	}
+}
+
 // Heard notes that another entry was heard, with the servers at which its load
 // has changed. The loads that were told before hold on for as long as it is
 // heard.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -62,7 +62,7 @@
 	}
 	for _, r := range g.replicas {
 		if r.direct && now.Sub(r.heard) < replicaLife {
-			b.Replicas = append(b.Replicas, r.Replica)
+			b.Replicas = append(b.Replicas, r.Aged(now.Sub(r.heard)))
 		}
 	}
 	return b
@@ -149,16 +149,16 @@
 
 func (g *Gateway) heardReplica(now time.Time, r wire.Replica, direct bool) {
 	known, ok := g.replicas[r.Addr]
-	if ok && known.Newer(r) {
+	if ok && !r.Newer(known.Replica, now.Sub(known.heard)) && !r.SameWord(known.Replica) {
 		return
 	}
-	g.replicas[r.Addr] = replica{Replica: r, heard: now, direct: direct || known.direct && known.Replica == r}
+	g.replicas[r.Addr] = replica{Replica: r, heard: now, direct: direct || known.direct && r.SameWord(known.Replica)}
 	if r.ReadyInMS > 0 {
 		g.readyAt[r.Addr] = now.Add(time.Duration(r.ReadyInMS) * time.Millisecond)
 	} else {
 		delete(g.readyAt, r.Addr)
 	}
-	if !ok || known.Loaded != r.Loaded || known.Changing != r.Changing || known.Down != r.Down || known.Pace != r.Pace {
+	if !ok || !r.SameEngine(known.Replica) {
 		g.changed = true
 		g.urgent = g.urgent || direct
 		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
@@ -268,8 +268,10 @@
 		Place:       fleet.Place{Zone: s.Zone, Region: g.opts.Regions[s.Zone]},
 		Loaded:      placement.ModelVersion(s.Loaded),
 		Leaving:     s.Draining,
+		Born:        s.Born,
 	}
-	if r, ok := g.replicas[s.Addr.Addr()]; ok && g.isEngine(s.Service) {
+	if r, ok := g.replicas[s.Addr.Addr()]; ok && g.isEngine(s.Service) && !isOfEarlierStart(r.Replica, s) {
+		out.Born = max(r.Born, s.Born)
 		out.Loaded = placement.ModelVersion(r.Loaded)
 		out.Changing = r.Changing
 		out.Down = r.Down
@@ -278,6 +280,11 @@
 	return out
 }
 
+// isOfEarlierStart reports whether the agent's word is of a start of the server
+// before the registered one: the agent is cut off, say, and what it told last
+// counts on for a while.
+func isOfEarlierStart(r wire.Replica, s catalog.Server) bool { return r.Born != 0 && r.Born < s.Born }
+
 func (g *Gateway) isEngine(name fleet.ServiceName) bool {
 	if g.table == nil {
 		return false
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -100,6 +100,7 @@
 	reporting  bool
 	nextReport time.Time
 	told       wire.Replica
+	started    time.Time
 
 	reading   bool      // the catalog
 	nextRead  time.Time // of the catalog
@@ -120,10 +121,11 @@
 // New returns a loader that does nothing before its loop runs.
 func New(ctx context.Context, now time.Time, opts Options) *Loader {
 	l := &Loader{
-		opts: opts,
-		ctx:  ctx,
-		plan: loading.NewPlan(opts.Self, opts.VersionTime),
-		told: wire.Replica{Addr: opts.Addr, Incarnation: opts.Incarnation, Seq: 1},
+		opts:    opts,
+		ctx:     ctx,
+		plan:    loading.NewPlan(opts.Self, opts.VersionTime),
+		told:    wire.Replica{Addr: opts.Addr, Incarnation: opts.Incarnation, Seq: 1},
+		started: now,
 	}
 	l.stage = newStage(opts.Engine, opts.Origin, opts.Logger)
 	l.swarm = swarm.New(ctx, swarm.Options{
@@ -217,12 +219,12 @@
 }
 
 // compose returns what an entry is told.
-func (l *Loader) compose(_ time.Time, _ fleet.InstanceID, _ fleet.Role, _ mesh.Form) wire.Beat {
+func (l *Loader) compose(now time.Time, _ fleet.InstanceID, _ fleet.Role, _ mesh.Form) wire.Beat {
 	b := wire.Beat{
 		ID: l.opts.Self, Role: fleet.RoleAgent, Incarnation: l.opts.Incarnation, Place: l.opts.Place,
 	}
 	if l.known || l.failures >= downAfter {
-		b.Replicas = []wire.Replica{l.told}
+		b.Replicas = []wire.Replica{l.told.Aged(now.Sub(l.started))}
 	}
 	return b
 }
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -54,6 +54,10 @@
 	}
 	l.failures = 0
 	l.known = true
+	if e.StartedAnew(l.engine) {
+		l.opts.Logger.Warn("engine_started_anew", zap.Int64("born", e.Born), zap.Int64("before", l.engine.Born))
+		l.plan.StartedAnew()
+	}
 	if e.Loaded != l.engine.Loaded {
 		l.opts.Logger.Info("engine_holds", zap.Uint64("version", e.Loaded), zap.Uint64("before", l.engine.Loaded))
 	}
@@ -69,6 +73,7 @@
 func (l *Loader) tell(now time.Time) {
 	state := l.told
 	state.Loaded = l.engine.Loaded
+	state.Born = l.engine.Born
 	state.Changing = l.plan.Changing(l.engine)
 	state.Down = l.failures >= downAfter
 	state.Pace = coarsePace(l.engine.Pace)
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -79,16 +79,43 @@
 	// Pace is by how much the engine's passes last longer than published, in
 	// percent; 0 if that is not known.
 	Pace int `cbor:"8,keyasint,omitzero"`
+	// Born is when the engine's process started, in Unix milliseconds by its own
+	// clock; 0 if it did not say.
+	Born int64 `cbor:"9,keyasint,omitzero"`
+	// AgeMS is for how long the agent has run.
+	AgeMS int64 `cbor:"10,keyasint,omitzero"`
 }
 
-// Newer reports whether r was told after other.
-func (r Replica) Newer(other Replica) bool {
+// Newer reports whether r was told after other, which was heard some time
+// before r.
+//
+// Of two agents the younger one replaced the other. Their incarnations are
+// times of day and would not do: after a clock was set back, an agent that
+// started again was not believed until its predecessor's word had run out.
+func (r Replica) Newer(other Replica, before time.Duration) bool {
 	if r.Incarnation != other.Incarnation {
-		return r.Incarnation > other.Incarnation
+		return r.AgeMS < other.AgeMS+before.Milliseconds()
 	}
 	return r.Seq > other.Seq
 }
 
+// SameWord reports whether r and other are the same state of the same agent.
+func (r Replica) SameWord(other Replica) bool {
+	return r.Incarnation == other.Incarnation && r.Seq == other.Seq
+}
+
+// SameEngine reports whether r and other say the same of the engine.
+func (r Replica) SameEngine(other Replica) bool {
+	return r.Loaded == other.Loaded && r.Changing == other.Changing && r.Down == other.Down && r.Pace == other.Pace &&
+		r.Born == other.Born
+}
+
+// Aged returns what was heard some time ago, as it is told on.
+func (r Replica) Aged(since time.Duration) Replica {
+	r.AgeMS += since.Milliseconds()
+	return r
+}
+
 // Member is an agent of a service.
 type Member struct {
 	Addr   netip.Addr   `cbor:"1,keyasint"`
