--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -55,10 +56,28 @@
 	command.AddCommand(
 		newPlatformRole(fleet.RoleEntry, "Run an entry, which takes callers' requests", runPlatformEntry),
 		newPlatformRole(fleet.RoleAgent, "Run the agent beside one model server", runPlatformAgent),
+		newMechanismsCommand(),
 	)
 	return command
 }
 
+// newMechanismsCommand lists what can be switched off.
+func newMechanismsCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "mechanisms",
+		Short: "List the mechanisms that a file named by --mechanisms can switch off",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			for _, m := range policy.Mechanisms() {
+				if _, err := fmt.Fprintf(command.OutOrStdout(), "%s\t%s\n", m.Name, m.Doc); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
 func newPlatformRole(role fleet.Role, short string, start func(*platformBase) error) *cobra.Command {
 	var mechanisms string
 	command := &cobra.Command{
