--- a/tools/ablation/play.go
+++ b/tools/ablation/play.go
@@ -93,7 +93,8 @@
 
 // variant plays everything with one mechanism off; none with an empty name.
 func variant(o options, root, off string, plays []play) (map[play]result, error) {
-	dir := filepath.Join(root, "tree-"+off)
+	// One path for all variants: the compiler's cache knows what it built there.
+	dir := filepath.Join(root, "tree")
 	if err := exec.Command("git", "clone", "--quiet", "--shared", ".", dir).Run(); err != nil {
 		return nil, fmt.Errorf("copy of the repository: %w", err)
 	}
@@ -106,7 +107,32 @@
 	if out, err := command(o.bench, dir, "build").CombinedOutput(); err != nil {
 		return nil, fmt.Errorf("build: %w: %s", err, out)
 	}
-	return playAll(o, dir, plays)
+	results, err := playAll(o, dir, off, plays)
+	if err != nil {
+		return nil, err
+	}
+	return results, keepJournal(dir)
+}
+
+// keepJournal copies what the plays added to the journal.
+func keepJournal(dir string) error {
+	out, err := command("git", dir, "ls-files", "--others", "journal").Output()
+	if err != nil {
+		return fmt.Errorf("list of journal entries: %w", err)
+	}
+	for _, name := range strings.Fields(string(out)) {
+		data, err := os.ReadFile(filepath.Join(dir, name))
+		if err != nil {
+			return err
+		}
+		if err := os.MkdirAll(filepath.Dir(name), 0o755); err != nil {
+			return err
+		}
+		if err := os.WriteFile(name, data, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func command(bench, dir string, words ...string) *exec.Cmd {
@@ -132,7 +158,7 @@
 	return os.WriteFile(path, []byte(changed), 0o644)
 }
 
-func playAll(o options, dir string, plays []play) (map[play]result, error) {
+func playAll(o options, dir, off string, plays []play) (map[play]result, error) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	var failed error
@@ -143,7 +169,7 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots; wait.Done() }()
-			r, err := playOne(o, dir, fmt.Sprintf("report-%d.json", i), p)
+			r, err := playOne(o, dir, off, fmt.Sprintf("report-%d.json", i), p)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -163,9 +189,9 @@
 	Breaks map[string]any `json:"breaks"`
 }
 
-func playOne(o options, dir, name string, p play) (result, error) {
+func playOne(o options, dir, off, name string, p play) (result, error) {
 	path := filepath.Join(dir, name)
-	words := []string{"run", p.site, p.day, "--report", path, "--why", "ablation " + filepath.Base(dir)}
+	words := []string{"run", p.site, p.day, "--report", path, "--why", "ablation, off: " + off}
 	if p.seed != "0" {
 		words = append(words, "--seed", p.seed)
 	}
