--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -34,6 +34,7 @@
 	ShiftNaming  bool
 	NearFetch    bool
 	FarLess      bool
+	FewWatchers  bool
 }
 
 // Mechanism is one thing that can be switched off.
@@ -121,6 +122,8 @@
 		func(o *Off) *bool { return &o.ShiftNaming }},
 	{"near_fetch", "One member of each region fetches a chunk from another region for all. Off: each fetches it where it is rarest.",
 		func(o *Off) *bool { return &o.NearFetch }},
+	{"few_watchers", "Only the first entries of a region watch the platform closely. Off: all do.",
+		func(o *Off) *bool { return &o.FewWatchers }},
 	{"far_less", "Entries of other regions hear of loads less often. Off: as often as near ones.",
 		func(o *Off) *bool { return &o.FarLess }},
 }
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -18,6 +18,7 @@
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -29,6 +30,13 @@
 	// gatherChanges is the pause between two watches. Servers register and change
 	// many at a time; without it each of them costs every entry a call.
 	gatherChanges = 250 * time.Millisecond
+	// firstWatchers is how many entries of a region, by id, watch the platform so
+	// closely, and gatherLonger the pause of the others. 31 entries made 54 calls a
+	// second, most of them for the same changes. What must be known at once, a
+	// configuration or a version, they hear from the first; a server that leaves
+	// they learn of within the operator's bound.
+	firstWatchers = 3
+	gatherLonger  = 900 * time.Millisecond
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
@@ -61,7 +69,7 @@
 		case err == nil:
 			listed = true
 			failures = 0
-			wait(ctx, gatherChanges)
+			wait(ctx, g.watchPause())
 			continue
 		case errorx.IsOfType(err, catalog.HistoryGone):
 			listed = false
@@ -75,6 +83,34 @@
 	return nil
 }
 
+// watchPause is the pause before the next watch.
+func (g *Gateway) watchPause() time.Duration {
+	v := g.view.Load()
+	if v == nil || g.opts.Off.FewWatchers {
+		return gatherChanges
+	}
+	return pauseAt(rankIn(v.entries, g.opts.Self, g.opts.Place.Region))
+}
+
+func pauseAt(rank int) time.Duration {
+	if rank < firstWatchers {
+		return gatherChanges
+	}
+	return gatherLonger
+}
+
+// rankIn is this entry's place among those of its region that are heard and
+// take requests.
+func rankIn(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region) int {
+	rank := 0
+	for _, e := range entries {
+		if e.Place.Region == region && e.Ready && !e.Leaving && !e.Silent && e.ID < self {
+			rank++
+		}
+	}
+	return rank
+}
+
 // untilRewatch returns a context that ends when the process has found that it
 // was paused: a watch from before the pause may wait on a dead connection.
 func (g *Gateway) untilRewatch(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -214,4 +214,23 @@
 		Expect(s.missing(2)).To(BeZero())
 		Expect(s.missing(9)).To(Equal(1.0))
 	})
+
+	// A version was named while most of the one before it was here, and the origin
+	// failed. Gathered at once, each slowed the other when it was back, and the
+	// first came too late to be of use.
+	It("tells whether a version that is nearly whole still comes", func() {
+		named := resolve(2)
+		g := gathering{started: true, version: 2, named: named, from: time.Now()}
+		now := time.Now()
+		Expect(s.comes(now, g, now)).To(BeFalse(), "of which nothing is here is given up")
+		for number := range chunks - 1 {
+			Expect(s.Put(ctx, named.Manifest, number, chunk(2, number))).To(Succeed())
+		}
+		Expect(s.comes(time.Now(), g, now)).To(BeTrue())
+		late := now.Add(time.Minute)
+		Expect(s.comes(late, g, late)).To(BeTrue(), "the origin has just answered again")
+		Expect(s.comes(late, g, now)).To(BeFalse(), "nothing has come for long")
+		gather(2, named)
+		Expect(s.comes(time.Now(), g, now)).To(BeFalse(), "it is whole")
+	})
 })
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -44,7 +44,7 @@
 		return
 	}
 	if l.failures >= downAfter {
-		l.opts.Logger.Info("engine_regained", zap.Uint64("loaded", e.Loaded))
+		l.opts.Logger.Info("engine_regained", zap.Uint64("loaded", e.Loaded), zap.Int64("born", e.Born))
 	}
 	l.failures = 0
 	l.known = true
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -40,6 +40,8 @@
 	// farTimes is how many times longer the pause to an entry of another region
 	// is. Most of its requests go to servers of its own.
 	farTimes = 4
+	// farBeatEvery is the pause between two whole beats to such an entry.
+	farBeatEvery = time.Second
 	// agentBeatEvery is the pause between two beats on a link with an agent.
 	agentBeatEvery = 400 * time.Millisecond
 	// silentAfter is how long a link may bring nothing until its process counts
@@ -250,7 +252,7 @@
 	betweenEntries := m.opts.Role == fleet.RoleEntry && l.role == fleet.RoleEntry
 	every := agentBeatEvery
 	if betweenEntries {
-		every = beatEvery
+		every = m.wholePause(l.id)
 	}
 	switch {
 	case now.Sub(l.beaten) >= every:
@@ -261,6 +263,14 @@
 	}
 }
 
+// wholePause is the pause between two whole beats to an entry.
+func (m *Mesh) wholePause(to fleet.InstanceID) time.Duration {
+	if m.opts.FarLess && m.isFar(to) {
+		return farBeatEvery
+	}
+	return beatEvery
+}
+
 // briefPause grows with the number of links, so that what an entry sends does
 // not grow with the square of their number.
 func (m *Mesh) briefPause(to fleet.InstanceID) time.Duration {
