--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -97,20 +97,15 @@
 	if b.off.LateLast {
 		ask.Late = false
 	}
-	if ask.Late && b.mustYield(now, g, ask) {
-		return nil, Refusal{Reason: NoPlace, RetryAfter: b.comeBack(ask), Usable: len(usable)}
-	}
 	best, predicted := b.cheapest(now, usable, ask)
 	if reason := b.refusedFor(ask, predicted, b.work(now, best), best); reason != "" {
-		g.refused(now, ask)
 		return nil, Refusal{Reason: reason, RetryAfter: b.comeBack(ask), Predicted: predicted, Usable: len(usable)}
 	}
 	t := &Ticket{
 		board: b, state: best, Server: best.Server, Predicted: predicted,
-		prompt: ask.Prompt, answer: ask.Answer, placed: now, late: ask.Late,
+		prompt: ask.Prompt, answer: ask.Answer, placed: now,
 	}
 	best.own[t] = struct{}{}
-	g.began(t)
 	b.touch(best)
 	return t, Refusal{}
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -138,12 +138,6 @@
 	// of how long a request of a plain service takes.
 	failRate float64
 	duration time.Duration
-	// running is how many requests of this entry run, late how many of them were
-	// late when they were placed.
-	running, late int
-	// refusedNew is when a request that could have been on time was refused last
-	// for want of room.
-	refusedNew time.Time
 }
 
 // state is a server with its load and its record.
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -17,7 +17,6 @@
 	board          *Board
 	state          *state
 	prompt, answer int
-	late           bool
 	written        int // tokens
 	begun          bool
 	ended          bool
@@ -85,7 +84,6 @@
 	}
 	t.ended = true
 	delete(t.state.own, t)
-	t.state.group.ended(t)
 	t.board.touch(t.state)
 	g := t.state.group
 	if result == Succeeded {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -14,7 +14,6 @@
 	RefuseFull   bool
 	LateLast     bool
 	RefuseLong   bool
-	LateYields   bool
 	NearServers  bool
 	Jitter       bool
 	Ejection     bool
@@ -82,8 +81,6 @@
 		func(o *Off) *bool { return &o.RefuseFull }},
 	{"late_last", "Requests that are late already get only a part of an engine's places. Off: all requests are treated alike.",
 		func(o *Off) *bool { return &o.LateLast }},
-	{"late_yields", "While new calls are refused, late ones get a small part of what the entry has running. Off: they get what falls free.",
-		func(o *Off) *bool { return &o.LateYields }},
 	{"refuse_long", "A late request whose answer cannot be whole in its caller's time is refused at once. Off: it is placed.",
 		func(o *Off) *bool { return &o.RefuseLong }},
 	{"near_servers", "Servers of the own region cost less than others. Off: distance does not count.",
