--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,10 @@
 capacity: build ## the slopes of docs/CAPACITY.md
 	$(GO) run ./standin/cmd/capacity
 
+.PHONY: ablation
+ablation: $(TOOLS)/ablation ## what each mechanism is worth, played by the program BENCH on the site files SITES
+	$(TOOLS)/ablation --bench $(BENCH) --sites $(SITES)
+
 .PHONY: versions
 versions: ## what the checks run with
 	@$(GO) version
@@ -92,8 +96,8 @@
 	@$(GO) run $(STATICCHECK) -version
 
 # The tools are built each time; go build does nothing if they are current.
-.PHONY: $(TOOLS)/testrun $(TOOLS)/housecheck
-$(TOOLS)/testrun $(TOOLS)/housecheck:
+.PHONY: $(TOOLS)/testrun $(TOOLS)/housecheck $(TOOLS)/ablation
+$(TOOLS)/testrun $(TOOLS)/housecheck $(TOOLS)/ablation:
 	@$(TOOLS_GO) build -p $(P) -o ../$(TOOLS)/ ./$(notdir $@)
 
 .PHONY: clean
