--- a/cmd/chivespindle/explain_losses.go
+++ b/cmd/chivespindle/explain_losses.go
@@ -49,7 +49,7 @@
 func lossText(losses []requestlog.Loss) string {
 	parts := make([]string, len(losses))
 	for i, l := range losses {
-		parts[i] = fmt.Sprintf("%s %d", l.Fate, l.Calls)
+		parts[i] = fmt.Sprintf("%s %d", l.Result, l.Calls)
 		if l.ExcessMS != 0 {
 			parts[i] += fmt.Sprintf(" (%+d ms)", l.ExcessMS)
 		}
--- a/cmd/chivespindle/internal/requestlog/losses.go
+++ b/cmd/chivespindle/internal/requestlog/losses.go
@@ -7,16 +7,16 @@
 	"time"
 )
 
-// eventOutcomes is the line in which entries account for calls.
-const eventOutcomes = "outcomes"
+// eventCallResults is the line in which entries account for calls.
+const eventCallResults = "call_results"
 
-// onTime is the fate of a call that was served as its route wants.
+// onTime is the result of a call that was served as its route wants.
 const onTime = "on_time"
 
 // Loss is what became of some calls.
 type Loss struct {
-	Fate  string `json:"fate"`
-	Calls int    `json:"calls"`
+	Result string `json:"result"`
+	Calls  int    `json:"calls"`
 	// ExcessMS is by how much the first events came later than predicted, in the
 	// mean of these calls.
 	ExcessMS int64 `json:"excess_ms"`
@@ -27,7 +27,7 @@
 	From   time.Time `json:"from"`
 	Calls  int       `json:"calls"`
 	OnTime int       `json:"on_time"`
-	// Losses are the other fates, the most frequent first.
+	// Losses are the other results, the most frequent first.
 	Losses []Loss `json:"losses"`
 }
 
@@ -46,10 +46,10 @@
 	routes  map[string]*counts
 }
 
-// counts are calls by fate.
-type counts struct{ fates map[string]*fateCount }
+// counts are calls by result.
+type counts struct{ results map[string]*resultCount }
 
-type fateCount struct {
+type resultCount struct {
 	calls  int
 	excess time.Duration // sum over the calls
 }
@@ -62,7 +62,7 @@
 // Take adds a line; others than of accounts are passed over. A line tells of
 // the while before it, which counts in the window of its middle.
 func (a *Account) Take(line Line) {
-	if line.Event != eventOutcomes {
+	if line.Event != eventCallResults {
 		return
 	}
 	at := line.At.Add(-line.Duration("span") / 2).Truncate(a.every)
@@ -72,33 +72,33 @@
 
 func countIn[K comparable](all map[K]*counts, key K) *counts {
 	if all[key] == nil {
-		all[key] = &counts{fates: make(map[string]*fateCount)}
+		all[key] = &counts{results: make(map[string]*resultCount)}
 	}
 	return all[key]
 }
 
 func (c *counts) add(line Line) {
-	fate := line.Text("fate")
-	if c.fates[fate] == nil {
-		c.fates[fate] = &fateCount{}
+	result := line.Text("result")
+	if c.results[result] == nil {
+		c.results[result] = &resultCount{}
 	}
 	calls := line.Int("calls")
-	c.fates[fate].calls += calls
-	c.fates[fate].excess += time.Duration(calls) * line.Duration("excess")
+	c.results[result].calls += calls
+	c.results[result].excess += time.Duration(calls) * line.Duration("excess")
 }
 
-// sum returns all calls, those on time, and the others by fate.
+// sum returns all calls, those on time, and the others by result.
 func (c *counts) sum() (calls, timely int, losses []Loss) {
-	for fate, n := range c.fates {
+	for result, n := range c.results {
 		calls += n.calls
-		if fate == onTime {
+		if result == onTime {
 			timely = n.calls
 			continue
 		}
-		losses = append(losses, Loss{Fate: fate, Calls: n.calls, ExcessMS: (n.excess / time.Duration(max(1, n.calls))).Milliseconds()})
+		losses = append(losses, Loss{Result: result, Calls: n.calls, ExcessMS: (n.excess / time.Duration(max(1, n.calls))).Milliseconds()})
 	}
 	slices.SortFunc(losses, func(x, y Loss) int {
-		return cmp.Or(cmp.Compare(y.Calls, x.Calls), strings.Compare(x.Fate, y.Fate))
+		return cmp.Or(cmp.Compare(y.Calls, x.Calls), strings.Compare(x.Result, y.Result))
 	})
 	return calls, timely, losses
 }
--- a/daemon/gateway/account.go
+++ b/daemon/gateway/account.go
@@ -15,35 +15,35 @@
 // resolution at which an engineer can lay them beside other events.
 const accountEvery = time.Second
 
-// Fate says what became of a call, and if its caller was served worse than the
+// callResult says what became of a call, and if its caller was served worse than the
 // route wants, why.
-type fate string
+type callResult string
 
 const (
-	// fateOnTime: the whole answer came as the route wants it.
-	fateOnTime fate = "on_time"
-	// fateLateReturned: answered, and late since the caller was refused before.
-	fateLateReturned fate = "late_returned"
-	// fateLateHeld: answered, and late since it waited here for a server.
-	fateLateHeld fate = "late_held"
-	// fateLateRepeated: answered, and late since a server failed it before.
-	fateLateRepeated fate = "late_repeated"
-	// fateLateFirst: placed at once, and its answer, of a stream its first event,
+	// resultOnTime: the whole answer came as the route wants it.
+	resultOnTime callResult = "on_time"
+	// resultLateReturned: answered, and late since the caller was refused before.
+	resultLateReturned callResult = "late_returned"
+	// resultLateHeld: answered, and late since it waited here for a server.
+	resultLateHeld callResult = "late_held"
+	// resultLateRepeated: answered, and late since a server failed it before.
+	resultLateRepeated callResult = "late_repeated"
+	// resultLateFirst: placed at once, and its answer, of a stream its first event,
 	// came later than the route's aim.
-	fateLateFirst fate = "late_first"
-	// fateLatePause: begun in time, and with a pause longer than the route's aim.
-	fateLatePause fate = "late_pause"
-	// fateAbandoned: the caller left.
-	fateAbandoned fate = "abandoned"
-	// Those refused or failed have refusedFate and the verdict's reason after it.
-	refusedFate fate = "refused_"
-	failedFate  fate = "failed_"
+	resultLateFirst callResult = "late_first"
+	// resultLatePause: begun in time, and with a pause longer than the route's aim.
+	resultLatePause callResult = "late_pause"
+	// resultAbandoned: the caller left.
+	resultAbandoned callResult = "abandoned"
+	// Those refused or failed have resultRefused and the verdict's reason after it.
+	resultRefused callResult = "refused_"
+	resultFailed  callResult = "failed_"
 )
 
 // accountKey is what calls are counted by.
 type accountKey struct {
-	route string
-	fate  fate
+	route  string
+	result callResult
 }
 
 // counted is what is counted.
@@ -65,20 +65,20 @@
 	return &account{counts: make(map[accountKey]counted), told: now}
 }
 
-func (a *account) note(j *job, f fate) {
+func (a *account) note(j *job, r callResult) {
 	if j.route == nil {
 		return // refused before it was known what was asked for
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	key := accountKey{j.route.Name, f}
+	key := accountKey{j.route.Name, r}
 	c := a.counts[key]
 	c.calls++
 	c.excess += j.excess()
 	a.counts[key] = c
 }
 
-// tell writes a line for each route and fate of the last while, if it is due.
+// tell writes a line for each route and result of the last while, if it is due.
 func (a *account) tell(now time.Time, logger *zap.Logger) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -89,7 +89,7 @@
 	a.told = now
 	for _, key := range a.keys() {
 		c := a.counts[key]
-		logger.Info("outcomes", zap.String("route", key.route), zap.String("fate", string(key.fate)),
+		logger.Info("call_results", zap.String("route", key.route), zap.String("result", string(key.result)),
 			zap.Int("calls", c.calls), zap.Duration("span", span), zap.Duration("excess", c.excess/time.Duration(c.calls)))
 	}
 	clear(a.counts)
@@ -101,7 +101,7 @@
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, func(a, b accountKey) int {
-		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.fate, b.fate))
+		return cmp.Or(cmp.Compare(a.route, b.route), cmp.Compare(a.result, b.result))
 	})
 	return keys
 }
@@ -109,14 +109,14 @@
 // excess is by how much the first event came later than it was predicted; 0 if
 // nothing was predicted or nothing came.
 func (j *job) excess() time.Duration {
-	if j.firstAt.IsZero() || j.foretold == 0 {
+	if j.firstAt.IsZero() || j.predictedFirst == 0 {
 		return 0
 	}
-	return j.firstAt.Sub(j.placedAt) - j.foretold
+	return j.firstAt.Sub(j.placedAt) - j.predictedFirst
 }
 
-// servedFate tells how well a call was served.
-func (j *job) servedFate(now time.Time) fate {
+// servedResult tells how well a call was served.
+func (j *job) servedResult(now time.Time) callResult {
 	first := now
 	if j.route.Kind == routing.Stream && !j.firstAt.IsZero() {
 		first = j.firstAt
@@ -124,16 +124,16 @@
 	inAim := first.Sub(j.call.Arrived) <= j.route.Aim
 	switch {
 	case j.returned:
-		return fateLateReturned
+		return resultLateReturned
 	case !inAim && j.attempts > 1:
-		return fateLateRepeated
+		return resultLateRepeated
 	case !inAim && j.waits:
-		return fateLateHeld
+		return resultLateHeld
 	case !inAim:
-		return fateLateFirst
+		return resultLateFirst
 	case j.route.PauseAim > 0 && j.longestPause > j.route.PauseAim:
-		return fateLatePause
+		return resultLatePause
 	default:
-		return fateOnTime
+		return resultOnTime
 	}
 }
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -46,7 +46,7 @@
 	if next == nil {
 		return nil
 	}
-	j.stays = true // tried once
+	j.moveTried = true // tried once
 	if !j.g.allowRepeat(now, j.service.Name) {
 		next.End(now, placement.Abandoned)
 		return nil
@@ -97,7 +97,7 @@
 
 // mayMove reports whether the stream can go on elsewhere and is worth it.
 func (j *job) mayMove(ticket *placement.Ticket) bool {
-	if j.stays || j.service.Engine == nil || !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts || j.lastEvent < 0 {
+	if j.moveTried || j.service.Engine == nil || !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts || j.lastEvent < 0 {
 		return false
 	}
 	return j.service.Engine.Write(ticket.Work(), j.restOf(ticket)) >= worthMoving
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -62,7 +62,7 @@
 func (l *requestLog) served(j *job, status int) {
 	l.metrics.Tagged(map[string]string{"kind": j.route.Kind.String()}).Counter("calls_served").Inc(1)
 	l.whole.RecordDuration(time.Since(j.call.Arrived))
-	l.account.note(j, j.servedFate(time.Now()))
+	l.account.note(j, j.servedResult(time.Now()))
 	if !j.firstAt.IsZero() {
 		l.first.RecordDuration(j.firstAfter())
 	}
@@ -82,7 +82,7 @@
 }
 
 func (l *requestLog) refused(j *job, v Verdict) {
-	l.account.note(j, v.fate())
+	l.account.note(j, v.result())
 	l.metrics.Tagged(map[string]string{"code": v.Code.String(), "reason": v.Reason}).Counter("calls_refused").Inc(1)
 	if !l.allowed() {
 		return
@@ -148,16 +148,16 @@
 	}
 }
 
-// fate is what a verdict makes of a call.
-func (v Verdict) fate() fate {
+// result is what a verdict makes of a call.
+func (v Verdict) result() callResult {
 	if v.Code == Broken || v.Code == TimedOut {
-		return failedFate + fate(v.Reason)
+		return resultFailed + callResult(v.Reason)
 	}
-	return refusedFate + fate(v.Reason)
+	return resultRefused + callResult(v.Reason)
 }
 
 func (l *requestLog) abandoned(j *job) {
-	l.account.note(j, fateAbandoned)
+	l.account.note(j, resultAbandoned)
 	l.metrics.Counter("calls_abandoned").Inc(1)
 	if l.gate.sample(servedEvery) && l.allowed() {
 		l.logger.Info("abandoned", inputs(j, zap.Int64("last_event", j.lastEvent))...)
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -45,8 +45,8 @@
 	// held is a server's failure, given to the caller if nothing better comes.
 	held *heldAnswer
 
-	// stays is true for a stream that was tried to be handed over in vain.
-	stays bool
+	// moveTried is true for a stream that was tried to be handed over in vain.
+	moveTried bool
 
 	// Of a stream: whether the header was sent, the last event given, and the
 	// version that gave it.
@@ -54,11 +54,11 @@
 	lastEvent int64
 	version   placement.ModelVersion
 	predicted time.Duration
-	// foretold is what was predicted for the attempt that gave the first event,
+	// predictedFirst is what was predicted for the attempt that gave the first event,
 	// placedAt when that was placed.
-	foretold time.Duration
-	placedAt time.Time
-	firstAt  time.Time
+	predictedFirst time.Duration
+	placedAt       time.Time
+	firstAt        time.Time
 	// longestPause is the longest time between two events that were given on,
 	// eventAt when the last one was.
 	longestPause time.Duration
@@ -177,7 +177,7 @@
 	}
 	j.predicted = ticket.Predicted
 	if !j.begun {
-		j.foretold = ticket.Predicted
+		j.predictedFirst = ticket.Predicted
 		j.placedAt = now
 	}
 	j.progressAt = now
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -114,7 +114,7 @@
 	// whom it was told.
 	manifest     *wire.Manifest
 	manifestTold map[fleet.InstanceID]bool
-	heardBefore  wire.Manifest // the newest that was heard
+	lastManifest wire.Manifest // the newest that was heard
 	gathers      []gathering   // oldest first
 	ordering     bool
 }
@@ -271,7 +271,7 @@
 	l.opts.Logger.Info("version_wanted", zap.Uint64("version", named.Version),
 		zap.Duration("age", now.Sub(named.Since)), zap.Bool("assumed", named.Assumed), zap.Uint64("loaded", l.engine.Loaded))
 	l.resolveAt = now.Add(l.plan.ReadAfter(0))
-	l.heardManifest(now, l.heardBefore)
+	l.heardManifest(now, l.lastManifest)
 	l.advance(now)
 }
 
--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -50,7 +50,7 @@
 
 // heardManifest takes a manifest that another agent has read.
 func (l *Loader) heardManifest(now time.Time, heard wire.Manifest) {
-	l.heardBefore = heard // it may come before the word that its version is wanted
+	l.lastManifest = heard // it may come before the word that its version is wanted
 	wanted := l.plan.Wanted()
 	if l.supply == nil || heard.Model != l.supply.Model || wanted != 0 && heard.Version != wanted || l.isGathered(heard.Version) {
 		return
@@ -103,7 +103,7 @@
 	if last < 0 || l.gathers[last].started {
 		return
 	}
-	if last > 0 && l.stage.comes(now, l.gathers[last-1], l.gathers[last].from) {
+	if last > 0 && l.stage.isArriving(now, l.gathers[last-1], l.gathers[last].from) {
 		return
 	}
 	g := &l.gathers[last]
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -148,9 +148,9 @@
 	return time.Duration(float64(missing) / (weightsShare * float64(linkBytes)) * float64(time.Second))
 }
 
-// comes reports whether a version is not whole and its chunks come, seen from a
+// isArriving reports whether a version is not whole and its chunks come, seen from a
 // moment on at which the origin answered.
-func (s *stage) comes(now time.Time, g gathering, answered time.Time) bool {
+func (s *stage) isArriving(now time.Time, g gathering, answered time.Time) bool {
 	v, err := s.numbered(g.version)
 	if err != nil {
 		return false
--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -222,15 +222,15 @@
 		named := resolve(2)
 		g := gathering{started: true, version: 2, named: named, from: time.Now()}
 		now := time.Now()
-		Expect(s.comes(now, g, now)).To(BeFalse(), "of which nothing is here is given up")
+		Expect(s.isArriving(now, g, now)).To(BeFalse(), "of which nothing is here is given up")
 		for number := range chunks - 1 {
 			Expect(s.Put(ctx, named.Manifest, number, chunk(2, number))).To(Succeed())
 		}
-		Expect(s.comes(time.Now(), g, now)).To(BeTrue())
+		Expect(s.isArriving(time.Now(), g, now)).To(BeTrue())
 		late := now.Add(time.Minute)
-		Expect(s.comes(late, g, late)).To(BeTrue(), "the origin has just answered again")
-		Expect(s.comes(late, g, now)).To(BeFalse(), "nothing has come for long")
+		Expect(s.isArriving(late, g, late)).To(BeTrue(), "the origin has just answered again")
+		Expect(s.isArriving(late, g, now)).To(BeFalse(), "nothing has come for long")
 		gather(2, named)
-		Expect(s.comes(time.Now(), g, now)).To(BeFalse(), "it is whole")
+		Expect(s.isArriving(time.Now(), g, now)).To(BeFalse(), "it is whole")
 	})
 })
