--- a/tools/ablation/play.go
+++ b/tools/ablation/play.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -124,23 +125,28 @@
 
 // keepJournal copies what the plays added to the journal.
 func keepJournal(dir string) error {
-	out, err := command("git", dir, "ls-files", "--others", "journal").Output()
-	if err != nil {
-		return fmt.Errorf("list of journal entries: %w", err)
-	}
-	for _, name := range strings.Fields(string(out)) {
-		data, err := os.ReadFile(filepath.Join(dir, name))
+	const journal = "journal"
+	from := filepath.Join(dir, journal)
+	return filepath.WalkDir(from, func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
 		}
-		if err := os.MkdirAll(filepath.Dir(name), 0o755); err != nil {
+		name, err := filepath.Rel(dir, path)
+		if err != nil {
 			return err
 		}
-		if err := os.WriteFile(name, data, 0o644); err != nil {
+		if entry.IsDir() {
+			return os.MkdirAll(name, 0o755)
+		}
+		if _, err := os.Stat(name); err == nil {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
 			return err
 		}
-	}
-	return nil
+		return os.WriteFile(name, data, 0o644)
+	})
 }
 
 func headCommit() (string, error) {
