--- /dev/null
+++ b/core/placement/health_test.go
@@ -0,0 +1,108 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+)
+
+var _ = Describe("Health", func() {
+	place := func(b *placement.Board, now time.Time) *placement.Ticket {
+		t, _ := b.Choose(now, small())
+		return t
+	}
+
+	// A server goes silent without closing anything. Each request sent there
+	// costs its caller the whole wait, and an idle server looks best.
+	It("leaves a server that was silent once, and tries it again", func() {
+		b := board(3)
+		silent := place(b, start)
+		silent.End(start, placement.Silent)
+		for range 20 {
+			t := place(b, start)
+			Expect(t.Server.ID).NotTo(Equal(silent.Server.ID))
+			t.End(start, placement.Succeeded)
+		}
+		later := start.Add(10 * time.Second)
+		seen := map[fleet.InstanceID]bool{}
+		for range 30 {
+			seen[place(b, later).Server.ID] = true
+		}
+		Expect(seen).To(HaveKey(silent.Server.ID))
+	})
+
+	It("never leaves more than half of a service", func() {
+		b := board(4)
+		for range 40 {
+			if t := place(b, start); t != nil {
+				t.End(start, placement.Silent)
+			}
+		}
+		seen := map[fleet.InstanceID]bool{}
+		for range 30 {
+			seen[place(b, start).Server.ID] = true
+		}
+		Expect(len(seen)).To(BeNumerically(">=", 2))
+	})
+
+	It("uses a suspect server rather than none", func() {
+		b := board(1)
+		t := place(b, start)
+		t.End(start, placement.Silent)
+		Expect(place(b, start)).NotTo(BeNil())
+	})
+
+	// A server fails a part of its requests while its health check is good. Its
+	// answers are quick, so by load alone it would get the most.
+	It("sends less to a server that fails more than its service does", func() {
+		b := board(4)
+		counts := map[fleet.InstanceID]int{}
+		for range 400 {
+			t := place(b, start)
+			counts[t.Server.ID]++
+			if t.Server.ID == id(0) {
+				t.End(start, placement.Failed)
+			} else {
+				t.End(start, placement.Succeeded)
+			}
+		}
+		Expect(counts[id(0)]).To(BeNumerically("<", 50))
+	})
+
+	It("does not leave a server for errors that all servers of a service have", func() {
+		b := board(4)
+		counts := map[fleet.InstanceID]int{}
+		var open []*placement.Ticket
+		for i := range 800 {
+			t := place(b, start)
+			counts[t.Server.ID]++
+			open = append(open, t)
+			if len(open) < 40 {
+				continue
+			}
+			result := placement.Succeeded
+			if i%7 == 0 {
+				result = placement.Failed
+			}
+			open[0].End(start, result)
+			open = open[1:]
+		}
+		for i := range 4 {
+			Expect(counts[id(i)]).To(BeNumerically("~", 200, 60))
+		}
+	})
+
+	It("ends a ticket once", func() {
+		b := board(1)
+		t := place(b, start)
+		other := place(b, start)
+		t.End(start, placement.Succeeded)
+		t.End(start, placement.Silent)
+		Expect(b.Loads()[0].Running).To(Equal(1))
+		other.End(start, placement.Succeeded)
+	})
+})
--- /dev/null
+++ b/daemon/gateway/agents_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/daemon/wire"
+)
+
+var _ = Describe("What agents tell", func() {
+	var g *Gateway
+	var backend *noBackend
+	addr := netip.MustParseAddr("10.0.1.1")
+
+	BeforeEach(func() {
+		g, backend = newGateway()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+	})
+
+	tell := func(now time.Time, r wire.Replica) {
+		g.heard(now, wire.Beat{ID: "10.0.1.1", Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
+	}
+
+	It("goes before the registration, which lags", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2, Changing: true})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(2)))
+		Expect(backend.listed[0].Changing).To(BeTrue())
+	})
+
+	It("counts no more once the agent is silent", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2})
+		listed(g, backend, at(5*time.Second))
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(1)))
+	})
+
+	It("does not go back to what was told before", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 5, Loaded: 3, AgeMS: 9000})
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 4, Loaded: 2, AgeMS: 8600})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(3)))
+		tell(start, wire.Replica{Addr: addr, Incarnation: 2, Seq: 1, AgeMS: 100})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(BeZero())
+	})
+
+	// The agent's machine had its time of day set back, and the agent started
+	// again: its incarnation, a time of day, is the lesser one. It is the younger
+	// process all the same, and what it says holds at once.
+	It("is believed of an agent that started again after its clock was set back", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 9000, Seq: 7, Loaded: 1, AgeMS: 20_000})
+		tell(at(time.Second), wire.Replica{Addr: addr, Incarnation: 7000, Seq: 1, AgeMS: 300})
+		listed(g, backend, at(time.Second))
+		Expect(backend.listed[0].Loaded).To(BeZero())
+		tell(at(1100*time.Millisecond), wire.Replica{Addr: addr, Incarnation: 9000, Seq: 8, Loaded: 1, AgeMS: 21_100})
+		listed(g, backend, at(1100*time.Millisecond))
+		Expect(backend.listed[0].Loaded).To(BeZero(), "its predecessor's word may come late, through another entry")
+	})
+
+	// The engine crashed and started again under its id; its agent is cut off, and
+	// what it told last would count for two seconds. The registration is of the
+	// later start: the engine holds nothing.
+	It("does not go before the registration of a later start of the server", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 1, Born: 1000})
+		again := server("i-1", "10.0.1.1:80", 6)
+		again.Born, again.Loaded = 5000, 0
+		g.apply(start, []catalog.Change{{Revision: 6, Server: &again}}, 6)
+		listed(g, backend, start)
+		Expect(backend.listed[0].Loaded).To(BeZero())
+		Expect(backend.listed[0].Born).To(Equal(int64(5000)))
+		tell(at(time.Second), wire.Replica{Addr: addr, Incarnation: 1, Seq: 2, Loaded: 1, Born: 5000})
+		listed(g, backend, at(time.Second))
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(1)))
+	})
+
+	// After a pause of the process the engines may all have changed.
+	It("is forgotten when the process wakes up", func() {
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2})
+		g.woke(at(time.Second), 4*time.Second)
+		listed(g, backend, at(time.Second))
+		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(1)))
+		Expect(g.Ready()).To(BeFalse())
+		g.sourceAnswered(at(time.Second))
+		g.publish(at(time.Second))
+		Expect(g.Ready()).To(BeTrue())
+	})
+})
