--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -237,6 +237,18 @@
 		Expect(s.connections.Load()).To(Equal(int64(2)))
 	})
 
+	// A server's process was replaced under its address. What is sent on a
+	// connection to its predecessor is lost, and may not be sent again if it may
+	// run only once.
+	It("makes new connections to a server whose process was replaced", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		Expect(whole(p, s)).To(Equal("hi"))
+		p.Drop(s.addr())
+		Expect(whole(p, s)).To(Equal("hi"))
+		Expect(s.connections.Load()).To(Equal(int64(2)))
+	})
+
 	It("does not keep a connection for longer than its server does", func() {
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
 		p := exchange.New()
