--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -46,7 +46,7 @@
 	if next == nil {
 		return nil
 	}
-	j.moveTried = true // tried once
+	j.moveTried = true
 	if !j.g.allowRepeat(now, j.service.Name) {
 		next.End(now, placement.Abandoned)
 		return nil
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -45,7 +45,7 @@
 	// held is a server's failure, given to the caller if nothing better comes.
 	held *heldAnswer
 
-	// moveTried is true for a stream that was tried to be handed over in vain.
+	// moveTried is true once it was tried to have the stream go on elsewhere.
 	moveTried bool
 
 	// Of a stream: whether the header was sent, the last event given, and the
