Entry: an engine is not left out for a call that was taken off it

Cause (found by reading): a call that has not begun at an engine whose version is about to be out of time is taken off at 0.97 of the time for the change, as a read that times out; that counted as the engine's silence, and it was left out for 0.7 s and more, just when it holds the new version. Ruled out: silence at any other time still leaves an engine out (second spec). The spec "is used on" failed before the change (one server of two in use) and passes after. Also: what was told of a model's older manifest is forgotten with it, which before grew by a record for each version and peer.

--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -37,8 +37,8 @@
 	until    time.Time
 }
 
-// note takes the end of a request. A server that isKept is not left out for it.
-func (h *health) note(now time.Time, g *group, result Result, r Rand, isKept bool) {
+// note takes the end of a request. With mayEject false no server is left out.
+func (h *health) note(now time.Time, g *group, result Result, r Rand, mayEject bool) {
 	switch result {
 	case Succeeded:
 		h.strikes = 0
@@ -50,7 +50,7 @@
 	case Broken, Silent:
 		h.sample(g, 1)
 		h.strikes++
-		if (h.strikes >= strikesOut || result == Silent) && !isKept {
+		if (h.strikes >= strikesOut || result == Silent) && mayEject {
 			h.eject(now, g, r)
 		}
 	case Declined, Abandoned:
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -89,7 +89,7 @@
 	if result == Succeeded {
 		g.duration += (now.Sub(t.placed) - g.duration) / durationWeight
 	}
-	t.state.health.note(now, g, result, t.board.rand, t.board.off.Ejection)
+	t.state.health.note(now, g, result, t.board.rand, !t.board.off.Ejection)
 }
 
 // durationWeight is the weight of the mean of durations against a new one.
--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+
 	"go.uber.org/zap"
 
 	"chivespindle.example/core/fleet"
@@ -41,6 +43,7 @@
 		return false
 	}
 	m.newest[heard.Model] = knownManifest{heard, direct}
+	maps.DeleteFunc(m.told, func(key toldManifest, _ bool) bool { return key.model == heard.Model })
 	return true
 }
 
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -51,6 +51,8 @@
 		ticket.End(now, placement.Abandoned)
 	case j.isOver(ctx, now):
 		ticket.End(now, placement.Silent)
+	case errorx.IsOfType(err, failure.Timeout) && !now.Before(j.oldUntil(ticket.Server)):
+		ticket.End(now, placement.Abandoned) // its version is out of time
 	case errorx.IsOfType(err, failure.Timeout):
 		ticket.End(now, placement.Silent)
 	default:
