One rule for a server's start, one rank, one notion of distance

Cause: the rule that another start replaces a server stood three times (placement, loading, the platform's adapter), the hash by which a process orders others twice, and placement had its own distance beside fleet.Place.DistanceTo. They stand once, in core/fleet. An entry now prefers engines of its zone before others of its region; nothing else changes in what is decided.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -30,10 +30,7 @@
 	// Loaded is the version of the weights that it answers from, 0 for none.
 	// The registration lags by a second or two.
 	Loaded uint64
-	// Born is when the server's process started, by its own clock in Unix
-	// milliseconds; 0 if it did not say. A server that starts again under its ID
-	// holds and knows nothing of before.
-	Born int64
+	Born   fleet.Start
 }
 
 // Wanted is the version of a model that the operator named last.
--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -42,15 +42,7 @@
 	Busy bool
 	// Pace is by how much its passes last longer than published; 1 is sound.
 	Pace float64
-	// Born is when its process started, in Unix milliseconds by its own clock; 0
-	// if it did not say.
-	Born int64
-}
-
-// StartedAnew reports whether e is a later start of the engine than before. It
-// has forgotten what it was ordered.
-func (e Engine) StartedAnew(before Engine) bool {
-	return e.Born != 0 && before.Born != 0 && e.Born != before.Born
+	Born fleet.Start
 }
 
 // Step is what the agent is to do next.
--- a/core/placement/own.go
+++ b/core/placement/own.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chivespindle.example/core/fleet"
 )
 
@@ -49,26 +47,17 @@
 }
 
 // rankServers orders the servers of each service by how this entry prefers
-// them: those of its region first, then by a hash that differs by entry.
+// them: the nearest first, then by a hash that differs by entry.
 func (b *Board) rankServers() {
 	for _, g := range b.services {
 		ordered := slices.Clone(g.states)
 		slices.SortFunc(ordered, func(x, y *state) int {
-			return cmp.Or(cmp.Compare(b.distance(x), b.distance(y)), cmp.Compare(b.weight(x), b.weight(y)))
+			return cmp.Or(
+				cmp.Compare(b.place.DistanceTo(x.Place), b.place.DistanceTo(y.Place)),
+				cmp.Compare(fleet.RankOf(b.self, x.ID), fleet.RankOf(b.self, y.ID)))
 		})
 		for rank, st := range ordered {
 			st.rank = rank
 		}
 	}
 }
-
-func (b *Board) distance(st *state) int {
-	if st.Place.Region == b.place.Region {
-		return 0
-	}
-	return 1
-}
-
-func (b *Board) weight(st *state) uint64 {
-	return xxhash.Sum64String(string(b.self) + "\x00" + string(st.ID))
-}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -42,9 +42,7 @@
 	Connections int
 	// Loaded is the version that a model engine answers from.
 	Loaded ModelVersion
-	// Born is when its process started, in Unix milliseconds by its own clock; 0
-	// if it is not known.
-	Born int64
+	Born   fleet.Start
 	// Leaving servers get no new requests.
 	Leaving bool
 	// Changing servers are loading weights, or are about to, and take nothing.
@@ -165,12 +163,6 @@
 	}
 }
 
-// startedAnew reports whether now is a later start of the server than before,
-// under the same ID.
-func startedAnew(before, now Server) bool {
-	return before.Born != 0 && now.Born != 0 && before.Born != now.Born
-}
-
 // SetServers replaces the list of servers. Load and record of those that stay
 // are kept. Requests at a server that is listed no more go on.
 //
@@ -194,7 +186,7 @@
 		switch {
 		case st == nil:
 			st = newState()
-		case startedAnew(st.Server, s):
+		case s.Born.Replaces(st.Born):
 			st = newState()
 			b.forgetLoads(s.ID)
 			b.touch(st)
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -44,12 +44,12 @@
 		return
 	}
 	if l.failures >= downAfter {
-		l.opts.Logger.Info("engine_regained", zap.Uint64("loaded", e.Loaded), zap.Int64("born", e.Born))
+		l.opts.Logger.Info("engine_regained", zap.Uint64("loaded", e.Loaded), zap.Int64("born", int64(e.Born)))
 	}
 	l.failures = 0
 	l.known = true
-	if e.StartedAnew(l.engine) {
-		l.opts.Logger.Warn("engine_started_anew", zap.Int64("born", e.Born), zap.Int64("before", l.engine.Born))
+	if e.Born.Replaces(l.engine.Born) {
+		l.opts.Logger.Warn("engine_started_anew", zap.Int64("born", int64(e.Born)), zap.Int64("before", int64(l.engine.Born)))
 		l.plan.StartedAnew()
 	}
 	if e.Loaded != l.engine.Loaded {
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/peer"
@@ -161,7 +160,3 @@
 		c.named = now
 	}
 }
-
-func rendezvous(self, other fleet.InstanceID) uint64 {
-	return xxhash.Sum64String(string(self) + "\x00" + string(other))
-}
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -89,9 +89,8 @@
 	// Pace is by how much the engine's passes last longer than published, in
 	// percent; 0 if that is not known.
 	Pace int `cbor:"8,keyasint,omitzero"`
-	// Born is when the engine's process started, in Unix milliseconds by its own
-	// clock; 0 if it did not say.
-	Born int64 `cbor:"9,keyasint,omitzero"`
+	// Born is the engine's and not the agent's.
+	Born fleet.Start `cbor:"9,keyasint,omitzero"`
 	// AgeMS is for how long the agent has run.
 	AgeMS int64 `cbor:"10,keyasint,omitzero"`
 }
