--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -311,13 +311,18 @@
 func (g *Gateway) askPeer(addr netip.Addr, asOf catalog.Revision) {
 	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
 	defer cancel()
+	began := time.Now()
 	answer, err := g.fetchCatalog(ctx, addr, asOf)
+	took := time.Since(began)
 	g.post(func(now time.Time) {
 		g.asking = false
 		if err != nil {
-			g.opts.Logger.Warn("peer_catalog_failed", zap.String("peer", addr.String()), zap.Error(err))
+			g.opts.Logger.Warn("peer_catalog_failed", zap.String("peer", addr.String()), zap.Duration("took", took),
+				zap.Error(err))
 			return
 		}
+		g.opts.Logger.Info("peer_catalog_read", zap.String("peer", addr.String()), zap.Duration("took", took),
+			zap.Bool("newer", answer.Snapshot != nil))
 		if answer.Snapshot != nil {
 			g.adopt(now, *answer.Snapshot, "peer "+addr.String())
 		}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -96,6 +96,8 @@
 	urgent  bool
 	asking  bool
 	nextAsk time.Time
+	// revisionHeard is the newest configuration that a peer told of.
+	revisionHeard catalog.Revision
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
 	behindSince time.Time
 	contact     contact
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -115,6 +115,7 @@
 		if b.Reaches {
 			g.contact.othersReach(now)
 		}
+		g.heardRevision(b)
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
 		}
@@ -127,6 +128,16 @@
 	}
 }
 
+// heardRevision logs the first word of a configuration that is not in force
+// here yet. From it to config_in_force is what fetching it takes.
+func (g *Gateway) heardRevision(b wire.Beat) {
+	if b.ConfigRevision <= max(g.revisionHeard, g.snapshot.ConfigRevision) {
+		return
+	}
+	g.revisionHeard = b.ConfigRevision
+	g.opts.Logger.Info("config_heard", zap.Int64("revision", int64(b.ConfigRevision)), zap.String("peer", string(b.ID)))
+}
+
 // heardWanted takes a version that a peer knows of. The peer may have known it
 // for longer than this process, which then stops to use the old one earlier.
 //
