--- a/adapters/platform/weights.go
+++ b/adapters/platform/weights.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"chivespindle.example/adapters/progress"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/weights"
@@ -73,14 +74,14 @@
 // Manifest returns the encoded manifest, unchecked.
 func (s *WeightSource) Manifest(ctx context.Context, manifest fleet.Digest) ([]byte, error) {
 	path := weightsPath + manifest.String()
-	ctx, progress := watchProgress(ctx, s.stall, path)
-	defer progress.stop()
+	ctx, watch := progress.Start(ctx, s.stall, s.stall, path)
+	defer watch.Stop()
 	response, err := s.get(ctx, call{path: path})
 	if err != nil {
 		return nil, err
 	}
 	defer response.Body.Close()
-	response.Body = progress.wrap(response.Body)
+	response.Body = watch.Wrap(response.Body)
 	return readBody(ctx, response, MaxManifestBytes, path)
 }
 
@@ -93,8 +94,8 @@
 		return nil, failure.Invalid.New("chunk %d has size %d", chunk.Index, chunk.Bytes)
 	}
 	path := fmt.Sprintf("%s%s/chunks/%d", weightsPath, manifest, chunk.Index)
-	ctx, progress := watchProgress(ctx, s.stall, path)
-	defer progress.stop()
+	ctx, watch := progress.Start(ctx, s.stall, s.stall, path)
+	defer watch.Stop()
 	response, err := s.get(ctx, call{path: path})
 	if err != nil {
 		return nil, err
@@ -104,8 +105,8 @@
 		return nil, failure.Corrupt.New("%s has %d bytes, want %d", path, size, chunk.Bytes)
 	}
 	reader := chunkReader{
-		body:     progress.wrap(response.Body),
-		progress: progress,
+		body:     watch.Wrap(response.Body),
+		progress: watch,
 		limiter:  s.limiter,
 		path:     path,
 	}
@@ -115,7 +116,7 @@
 // chunkReader reads one chunk's body in pieces.
 type chunkReader struct {
 	body     io.Reader
-	progress *progress
+	progress *progress.Watch
 	limiter  Limiter
 	path     string
 }
@@ -142,8 +143,8 @@
 	if r.limiter == nil {
 		return nil
 	}
-	r.progress.pause()
-	defer r.progress.resume()
+	r.progress.Pause()
+	defer r.progress.Resume()
 	err := r.limiter.WaitN(ctx, n)
 	if err == nil {
 		return nil
@@ -157,7 +158,7 @@
 // ended classifies a body that ended early. A whole answer that is too short
 // is the sender's fault, a cut one the connection's.
 func (r chunkReader) ended(ctx context.Context, err error, got, size int) error {
-	if !r.progress.atEnd() {
+	if !r.progress.AtEnd() {
 		return transferFailure(ctx, err, r.path)
 	}
 	return failure.Corrupt.New("%s has %d bytes, want %d", r.path, got, size)
@@ -170,7 +171,7 @@
 	if n > 0 {
 		return failure.Corrupt.New("%s has more than %d bytes", r.path, size)
 	}
-	if !r.progress.atEnd() {
+	if !r.progress.AtEnd() {
 		return transferFailure(ctx, err, r.path)
 	}
 	return nil
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -51,26 +51,39 @@
 	Wanted  *Wanted
 }
 
-// Snapshot is everything that the platform publishes, as of a revision.
+// Snapshot is everything that the platform publishes. It has two parts, each as
+// of a revision of its own: the servers, which every entry follows by itself,
+// and what the operator writes, which is large and comes mostly from a peer.
 type Snapshot struct {
-	AsOf Revision
+	// AsOf is up to which revision Servers are known.
+	AsOf    Revision
+	Servers []Server
+	// OperatorAsOf is up to which revision Config and Wanted are known.
+	OperatorAsOf Revision
 	// Config is nil until the operator has published one.
 	Config         *routing.Config
 	ConfigRevision Revision
-	Servers        []Server
 	Wanted         []Wanted
 }
 
-// Apply returns the snapshot with changes, which are ordered by revision, as
-// of asOf. The receiver stays as it is. A change that the snapshot holds
-// already is left out: replayed after a newer snapshot was taken from a peer,
-// it would bring back a server that has gone since.
+// Apply returns the snapshot with changes of both parts, which are ordered by
+// revision, as of asOf. The receiver stays as it is. A change that the snapshot
+// holds already is left out: replayed after a newer snapshot was taken from a
+// peer, it would bring back a server that has gone since.
 func (s Snapshot) Apply(changes []Change, asOf Revision) Snapshot {
+	next := s.ApplyServers(changes, asOf)
+	next.OperatorAsOf = max(s.OperatorAsOf, asOf)
+	return next
+}
+
+// ApplyServers is Apply for changes that are complete up to asOf for the servers
+// only.
+func (s Snapshot) ApplyServers(changes []Change, asOf Revision) Snapshot {
 	next := s
 	next.Servers = slices.Clone(s.Servers)
 	next.Wanted = slices.Clone(s.Wanted)
 	for _, c := range changes {
-		if c.Revision > s.AsOf {
+		if c.OfOperator() || c.Revision > s.AsOf {
 			next.apply(c)
 		}
 	}
@@ -78,6 +91,9 @@
 	return next
 }
 
+// OfOperator reports whether the operator made the change, and not a server.
+func (c Change) OfOperator() bool { return c.Config != nil || c.Wanted != nil }
+
 func (s *Snapshot) apply(c Change) {
 	switch {
 	case c.Config != nil && c.Revision >= s.ConfigRevision:
@@ -145,23 +161,23 @@
 	s.Wanted = append(s.Wanted, w)
 }
 
-// Newest returns the newer of two snapshots. The configuration never goes
-// back: a list that was read from a stale replica of the platform must not
-// replace a newer one.
+// Newest returns the newer of two snapshots, part by part. The configuration
+// never goes back: a list that was read from a stale replica of the platform
+// must not replace a newer one. A part that other lacks is as of 0.
 func (s Snapshot) Newest(other Snapshot) Snapshot {
-	if other.AsOf < s.AsOf {
-		return s
+	next := s
+	if other.AsOf >= s.AsOf {
+		next.AsOf, next.Servers = other.AsOf, other.Servers
 	}
-	if other.ConfigRevision < s.ConfigRevision {
-		other.Config = s.Config
-		other.ConfigRevision = s.ConfigRevision
+	if other.Config != nil && other.ConfigRevision > s.ConfigRevision {
+		next.Config, next.ConfigRevision = other.Config, other.ConfigRevision
 	}
-	kept := Snapshot{Wanted: slices.Clone(s.Wanted)}
+	next.Wanted = slices.Clone(s.Wanted)
 	for _, w := range other.Wanted {
-		kept.want(w)
+		next.want(w)
 	}
-	other.Wanted = kept.Wanted
-	return other
+	next.OperatorAsOf = max(s.OperatorAsOf, other.OperatorAsOf)
+	return next
 }
 
 // WantedVersion returns the version that is wanted of a model; false if the
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -87,6 +87,18 @@
 		Expect(s.Servers).To(HaveLen(2))
 	})
 
+	// An entry follows the servers by itself and hears of the configuration from a
+	// peer. How far it has followed the servers says nothing of the rest.
+	It("tells how far the operator's part is known from how far the servers are", func() {
+		s := catalog.Snapshot{AsOf: 4, OperatorAsOf: 4}.ApplyServers([]catalog.Change{
+			{Revision: 6, Server: server("a", "10.0.0.1:80", 6)}}, 8)
+		Expect(s.AsOf).To(Equal(catalog.Revision(8)))
+		Expect(s.OperatorAsOf).To(Equal(catalog.Revision(4)))
+		late := s.Apply([]catalog.Change{{Revision: 5, Config: &routing.Config{Version: 2}}}, 8)
+		Expect(late.Config.Version).To(Equal(int64(2)))
+		Expect(late.OperatorAsOf).To(Equal(catalog.Revision(8)))
+	})
+
 	It("never takes an older version of a model", func() {
 		s := catalog.Snapshot{}.Apply([]catalog.Change{
 			{Revision: 1, Wanted: &catalog.Wanted{Model: "m", Version: 3}},
@@ -100,6 +112,18 @@
 		held := catalog.Snapshot{AsOf: 20, ConfigRevision: 18, Config: &routing.Config{Version: 4},
 			Wanted: []catalog.Wanted{{Model: "m", Version: 2}}}
 
+		// A peer is behind with the servers and ahead with the configuration: the
+		// newer of each holds. Taken as a whole, one of the two would go back.
+		It("takes each part from where it is newer", func() {
+			held := held
+			held.Servers = []catalog.Server{*server("a", "10.0.0.1:80", 19)}
+			next := held.Newest(catalog.Snapshot{AsOf: 12, ConfigRevision: 22, Config: &routing.Config{Version: 5}, OperatorAsOf: 23})
+			Expect(next.AsOf).To(Equal(catalog.Revision(20)))
+			Expect(ids(next)).To(Equal([]fleet.InstanceID{"a"}))
+			Expect(next.Config.Version).To(Equal(int64(5)))
+			Expect(next.OperatorAsOf).To(Equal(catalog.Revision(23)))
+		})
+
 		It("stays with what it has when the other is older", func() {
 			Expect(held.Newest(catalog.Snapshot{AsOf: 19}).AsOf).To(Equal(catalog.Revision(20)))
 		})
--- /dev/null
+++ b/daemon/gateway/catalog.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
+	"chivespindle.example/core/routing"
+)
+
+// fromPlatform names the platform where logs tell whom something came from.
+const fromPlatform = "platform"
+
+// adopt takes of a catalog what is not older than the own one.
+func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
+	g.doubtful = false
+	before := g.snapshot
+	g.snapshot = g.snapshot.Newest(s)
+	for _, old := range before.Servers {
+		if !hasServer(g.snapshot.Servers, old.ID) {
+			g.removed(now, old)
+		}
+	}
+	g.settle(now, from)
+}
+
+// apply takes changes that are complete up to asOf. Some may be known from a
+// peer; applied again they change nothing, since the last one of a thing decides.
+func (g *Gateway) apply(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
+	g.applyServers(now, changes, asOf)
+	g.snapshot.OperatorAsOf = max(g.snapshot.OperatorAsOf, asOf)
+}
+
+// applyServers takes changes that are complete for the servers only.
+func (g *Gateway) applyServers(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
+	if len(changes) == 0 {
+		g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
+		return
+	}
+	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	for _, c := range changes {
+		// One by one: a server may say that it leaves and go in one answer.
+		if old, ok := findServer(g.snapshot.Servers, c.Removed); ok && c.Revision > g.snapshot.AsOf {
+			g.removed(now, old)
+		}
+		g.snapshot = g.snapshot.ApplyServers([]catalog.Change{c}, c.Revision)
+	}
+	g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
+	g.settle(now, fromPlatform)
+}
+
+// removed notes a registration that ended. If it may only have lapsed, the
+// server is kept, unless it said that it leaves.
+func (g *Gateway) removed(now time.Time, s catalog.Server) {
+	keep := g.contact.mayLapse(now) && !s.Draining
+	if keep {
+		g.lapsed[s.ID] = s
+	}
+	g.opts.Logger.Info("server_removed", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
+		zap.Bool("kept", keep))
+}
+
+func (g *Gateway) endLapses(now time.Time) {
+	if len(g.lapsed) == 0 {
+		return
+	}
+	over := g.contact.lapsesEnd(now)
+	for id := range g.lapsed {
+		if over || hasServer(g.snapshot.Servers, id) {
+			delete(g.lapsed, id)
+			g.changed = true
+		}
+	}
+}
+
+// settle draws the conclusions from a changed catalog.
+func (g *Gateway) settle(now time.Time, from string) {
+	g.changed = true
+	g.noteWanted(now)
+	if g.snapshot.Config == nil || g.snapshot.ConfigRevision == g.tableOf {
+		return
+	}
+	table, err := routing.NewTable(*g.snapshot.Config)
+	if err != nil {
+		g.opts.Logger.Error("config_refused", zap.Int64("version", g.snapshot.Config.Version), zap.Error(err))
+		g.opts.Metrics.Counter("config_refused").Inc(1)
+		return
+	}
+	g.table = table
+	g.tableOf = g.snapshot.ConfigRevision
+	g.opts.Logger.Info("config_in_force", zap.Int64("version", table.Version()), zap.String("from", from),
+		zap.Int64("revision", int64(g.tableOf)), zap.Int("routes", len(g.snapshot.Config.Routes)))
+	if from == fromPlatform {
+		// The others of the region wait for this one's word; at the next beat it
+		// would reach them up to half a second later.
+		g.mesh.FlushNear(now)
+	}
+}
+
+// noteWanted keeps when each version was first heard of. A process that has
+// just started cannot know it and believes whichever peer says otherwise; with
+// no catalog from a peer it takes what it finds for old.
+func (g *Gateway) noteWanted(now time.Time) {
+	for _, w := range g.snapshot.Wanted {
+		if g.names[w.Model].Newest() >= w.Version {
+			continue
+		}
+		named := g.heardNow(now, w.Version)
+		if g.tableOf == 0 {
+			named.Since = now.Add(-g.opts.VersionTime)
+		}
+		g.setWanted(w.Model, named)
+	}
+}
+
+// heardNow is a version that was not named when this process last knew.
+func (g *Gateway) heardNow(now time.Time, version uint64) loading.Named {
+	return loading.Named{
+		Version: version,
+		Since:   g.contact.newSince(now, g.opts.SoundTime),
+		Assumed: !g.contact.knowsChanges(),
+	}
+}
+
+func hasServer(list []catalog.Server, id fleet.InstanceID) bool {
+	_, ok := findServer(list, id)
+	return ok
+}
+
+func findServer(list []catalog.Server, id fleet.InstanceID) (catalog.Server, bool) {
+	for _, s := range list {
+		if s.ID == id {
+			return s, true
+		}
+	}
+	return catalog.Server{}, false
+}
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -1,25 +1,19 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"net/netip"
-	"slices"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
-	"chivespindle.example/core/loading"
-	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/mesh"
-	"chivespindle.example/daemon/wire"
 )
 
 const (
@@ -32,48 +26,51 @@
 	gatherChanges = 250 * time.Millisecond
 	// firstWatchers is how many entries of a region, by id, watch the platform so
 	// closely, and gatherLonger the pause of the others. 31 entries made 54 calls a
-	// second, most of them for the same changes. What must be known at once, a
-	// configuration or a version, they hear from the first; a server that leaves
-	// they learn of within the operator's bound.
+	// second, most of them for the same changes. A server that leaves they learn
+	// of within the operator's bound.
 	firstWatchers = 3
 	gatherLonger  = 900 * time.Millisecond
+	// operatorReaders is how many entries of a region read what the operator
+	// writes from the platform. The others take it from them: a configuration of
+	// 1,650 routes is 410 KB, and fifteen copies of it took more than a second of
+	// the 4 MB/s between two regions. The second is there for the moment in which
+	// the first is lost; one that hears nothing from the platform says so and is
+	// followed by the next.
+	operatorReaders = 2
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
 	sourcePauseMax = 800 * time.Millisecond
 	maxDoublings   = 4 // enough to reach sourcePauseMax
-	// askEvery is the pause between two asks for a peer's catalog.
-	askEvery = 150 * time.Millisecond
-	// behindFor is how long a peer must be ahead before it is asked: mostly the
-	// platform's own word is on its way, and a catalog is tens of kilobytes.
-	behindFor = 250 * time.Millisecond
-	// askTimeout bounds one ask.
-	askTimeout = 600 * time.Millisecond
 )
 
+// position is up to which revision Follow has read each part of the catalog.
+type position struct {
+	servers  catalog.Revision
+	operator catalog.Revision
+	// gone is true once the platform no longer has the changes since.
+	gone bool
+}
+
 // Follow keeps the catalog up to date from the platform until ctx ends.
 func (g *Gateway) Follow(ctx context.Context) error {
-	var at catalog.Revision
-	listed := false
+	var at position
 	failures := 0
 	for ctx.Err() == nil {
-		var err error
-		call, cancel := g.untilRewatch(ctx)
-		if listed {
-			at, err = g.watch(call, at)
-		} else {
-			at, err = g.list(call)
-		}
-		cancel()
+		call, end := g.reading.begin(ctx)
+		err := g.read(call, &at)
+		ended := call.Err() != nil
+		end()
 		switch {
 		case err == nil:
-			listed = true
 			failures = 0
 			wait(ctx, g.watchPause())
 			continue
+		case ended:
+			continue // by us, to read something else or anew
 		case errorx.IsOfType(err, catalog.HistoryGone):
-			listed = false
-			g.opts.Logger.Warn("history_gone", zap.Int64("after", int64(at)))
+			g.opts.Logger.Warn("history_gone", zap.Int64("after", int64(min(at.servers, at.operator))))
+			at.gone = true
 			continue
 		}
 		failures++
@@ -83,302 +80,197 @@
 	return nil
 }
 
-// watchPause is the pause before the next watch.
-func (g *Gateway) watchPause() time.Duration {
+// read makes one call to the platform.
+func (g *Gateway) read(ctx context.Context, at *position) error {
 	v := g.view.Load()
-	if v == nil || g.opts.Off.FewWatchers {
-		return gatherChanges
-	}
-	return pauseAt(rankIn(v.entries, g.opts.Self, g.opts.Place.Region))
-}
-
-func pauseAt(rank int) time.Duration {
-	if rank < firstWatchers {
-		return gatherChanges
-	}
-	return gatherLonger
-}
-
-// rankIn is this entry's place among those of its region that are heard and
-// take requests.
-func rankIn(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region) int {
-	rank := 0
-	for _, e := range entries {
-		if e.Place.Region == region && e.Ready && !e.Leaving && !e.Silent && e.ID < self {
-			rank++
-		}
+	at.takeFromPeers(v)
+	switch {
+	case at.gone || at.servers == 0:
+		return g.list(ctx, at)
+	case v != nil && !v.readsOperator:
+		return g.watchServers(ctx, at)
+	default:
+		return g.watch(ctx, at)
 	}
-	return rank
 }
 
-// untilRewatch returns a context that ends when the process has found that it
-// was paused: a watch from before the pause may wait on a dead connection.
-func (g *Gateway) untilRewatch(ctx context.Context) (context.Context, context.CancelFunc) {
-	call, cancel := context.WithCancel(ctx)
-	go func() {
-		select {
-		case <-g.rewatch:
-			cancel()
-		case <-call.Done():
-		}
-	}()
-	return call, cancel
-}
-
-func pauseAfter(failures int, err error) time.Duration {
-	pause := min(sourcePauseMax, sourcePauseMin<<min(failures-1, maxDoublings))
-	pause = max(pause, failure.RetryAfter(err))
-	return pause/2 + rand.N(pause)
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+// takeFromPeers leaves out what peers have told. A third of the entries were
+// killed and came back together: each read 430 KB again that its neighbours had.
+func (at *position) takeFromPeers(v *view) {
+	if v == nil || v.table == nil {
+		return
 	}
+	at.servers = max(at.servers, v.asOf)
+	at.operator = max(at.operator, v.operatorAsOf)
 }
 
-func (g *Gateway) list(ctx context.Context) (catalog.Revision, error) {
+func (g *Gateway) list(ctx context.Context, at *position) error {
 	snapshot, err := g.opts.Source.List(ctx)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	g.post(func(now time.Time) {
 		g.sourceAnswered(now)
-		g.adopt(now, snapshot, "platform")
+		g.adopt(now, snapshot, fromPlatform)
 	})
-	return snapshot.AsOf, nil
+	*at = position{servers: snapshot.AsOf, operator: snapshot.AsOf}
+	return nil
 }
 
-func (g *Gateway) watch(ctx context.Context, after catalog.Revision) (catalog.Revision, error) {
-	changes, asOf, err := g.opts.Source.Watch(ctx, after, watchWait)
+func (g *Gateway) watch(ctx context.Context, at *position) error {
+	changes, asOf, err := g.opts.Source.Watch(ctx, min(at.servers, at.operator), watchWait)
 	if err != nil {
-		return after, err
+		return err
 	}
 	g.post(func(now time.Time) {
 		g.sourceAnswered(now)
 		g.apply(now, changes, asOf)
 	})
-	return max(after, asOf), nil
+	at.servers, at.operator = max(at.servers, asOf), max(at.operator, asOf)
+	return nil
 }
 
-func (g *Gateway) sourceFailed(now time.Time, err error) {
-	if g.contact.fail(now) {
-		g.opts.Logger.Warn("platform_lost", zap.Error(err), zap.Duration("heard_ago", now.Sub(g.contact.heard)))
+func (g *Gateway) watchServers(ctx context.Context, at *position) error {
+	changes, asOf, err := g.opts.Source.WatchServers(ctx, at.servers, watchWait)
+	if err != nil {
+		return err
 	}
-	g.opts.Metrics.Counter("platform_failures").Inc(1)
+	g.post(func(now time.Time) {
+		g.sourceAnswered(now)
+		g.applyServers(now, changes, asOf)
+	})
+	at.servers = max(at.servers, asOf)
+	return nil
 }
 
-func (g *Gateway) sourceAnswered(now time.Time) {
-	silent := now.Sub(g.contact.heard)
-	if g.contact.succeed(now) {
-		g.opts.Logger.Info("platform_regained", zap.Duration("after", silent))
+// watchPause is the pause before the next watch.
+func (g *Gateway) watchPause() time.Duration {
+	v := g.view.Load()
+	if v == nil || g.opts.Off.FewWatchers {
+		return gatherChanges
 	}
-	g.doubtful = false
+	return pauseAt(v.rank)
 }
 
-// adopt takes a whole catalog if it is not older than the own one.
-func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
-	g.doubtful = false
-	if s.AsOf < g.snapshot.AsOf {
-		return
-	}
-	before := g.snapshot
-	g.snapshot = g.snapshot.Newest(s)
-	for _, old := range before.Servers {
-		if !hasServer(g.snapshot.Servers, old.ID) {
-			g.removed(now, old)
-		}
+func pauseAt(rank int) time.Duration {
+	if rank < firstWatchers {
+		return gatherChanges
 	}
-	g.settle(now, from)
+	return gatherLonger
 }
 
-// apply takes changes. Some may be known from a peer; applied again they
-// change nothing, since the last one of a thing decides.
-func (g *Gateway) apply(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
-	if len(changes) == 0 {
-		g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
-		return
-	}
-	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	for _, c := range changes {
-		// One by one: a server may say that it leaves and go in one answer.
-		if old, ok := findServer(g.snapshot.Servers, c.Removed); ok && c.Revision > g.snapshot.AsOf {
-			g.removed(now, old)
+// rank is this entry's place among those of its region.
+func (g *Gateway) rank(now time.Time, entries []mesh.Entry) int {
+	return rankIn(entries, g.opts.Self, g.opts.Place.Region, g.contact.reaches(now))
+}
+
+// rankIn is the place of an entry among those of its region that are heard and
+// take requests. Those that the platform answers come first: one that it turns
+// away cannot read for the others.
+func rankIn(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region, reaches bool) int {
+	rank := 0
+	for _, e := range entries {
+		counts := e.Place.Region == region && e.Ready && !e.Leaving && !e.Silent
+		before := e.Reaches && !reaches || e.Reaches == reaches && e.ID < self
+		if counts && before {
+			rank++
 		}
-		g.snapshot = g.snapshot.Apply([]catalog.Change{c}, c.Revision)
 	}
-	g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
-	g.settle(now, "platform")
+	return rank
 }
 
-// removed notes a registration that ended. If it may only have lapsed, the
-// server is kept, unless it said that it leaves.
-func (g *Gateway) removed(now time.Time, s catalog.Server) {
-	keep := g.contact.mayLapse(now) && !s.Draining
-	if keep {
-		g.lapsed[s.ID] = s
-	}
-	g.opts.Logger.Info("server_removed", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
-		zap.Bool("kept", keep))
+// readsOperator reports whether this entry reads what the operator writes from
+// the platform, and not from a peer.
+func (g *Gateway) readsOperator(rank int) bool {
+	return g.opts.Off.FewWatchers || g.snapshot.Config == nil || rank < operatorReaders
 }
 
-func (g *Gateway) endLapses(now time.Time) {
-	if len(g.lapsed) == 0 {
+// followAnew ends the call to the platform that runs if something else is to be
+// read now: another part of the catalog, or only what follows on a first catalog
+// that a peer gave while it was being listed.
+func (g *Gateway) followAnew(before, now *view) {
+	if before == nil {
 		return
 	}
-	over := g.contact.lapsesEnd(now)
-	for id := range g.lapsed {
-		if over || hasServer(g.snapshot.Servers, id) {
-			delete(g.lapsed, id)
-			g.changed = true
-		}
+	isFirst := before.table == nil && now.table != nil
+	if isFirst {
+		g.reading.end()
 	}
-}
-
-// settle draws the conclusions from a changed catalog.
-func (g *Gateway) settle(now time.Time, from string) {
-	g.changed = true
-	g.noteWanted(now)
-	if g.snapshot.Config == nil || g.snapshot.ConfigRevision == g.tableOf {
+	if before.readsOperator == now.readsOperator {
 		return
 	}
-	table, err := routing.NewTable(*g.snapshot.Config)
-	if err != nil {
-		g.opts.Logger.Error("config_refused", zap.Int64("version", g.snapshot.Config.Version), zap.Error(err))
-		g.opts.Metrics.Counter("config_refused").Inc(1)
+	g.opts.Logger.Info("reads_operator", zap.Bool("reads", now.readsOperator), zap.Int("rank", now.rank),
+		zap.Int64("as_of", int64(now.operatorAsOf)))
+	if now.readsOperator {
+		g.reading.end()
 		return
 	}
-	g.table = table
-	g.tableOf = g.snapshot.ConfigRevision
-	g.opts.Logger.Info("config_in_force", zap.Int64("version", table.Version()), zap.String("from", from),
-		zap.Int64("revision", int64(g.tableOf)), zap.Int("routes", len(g.snapshot.Config.Routes)))
+	g.reading.endIfWaiting()
 }
 
-// noteWanted keeps when each version was first heard of. A process that has
-// just started cannot know it and believes whichever peer says otherwise; with
-// no catalog from a peer it takes what it finds for old.
-func (g *Gateway) noteWanted(now time.Time) {
-	for _, w := range g.snapshot.Wanted {
-		if g.names[w.Model].Newest() >= w.Version {
-			continue
-		}
-		named := g.heardNow(now, w.Version)
-		if g.tableOf == 0 {
-			named.Since = now.Add(-g.opts.VersionTime)
-		}
-		g.setWanted(w.Model, named)
-	}
+// running is the call to the platform that runs. It may be ended from any
+// goroutine.
+type running struct {
+	mu     sync.Mutex
+	began  time.Time
+	cancel context.CancelFunc
 }
 
-// heardNow is a version that was not named when this process last knew.
-func (g *Gateway) heardNow(now time.Time, version uint64) loading.Named {
-	return loading.Named{
-		Version: version,
-		Since:   g.contact.newSince(now, g.opts.SoundTime),
-		Assumed: !g.contact.knowsChanges(),
-	}
+func (r *running) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	call, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancel, r.began = cancel, time.Now()
+	return call, cancel
 }
 
-// askPeers asks a peer whose catalog is ahead, while the platform has not told
-// of it by itself: it may turn this entry away and serve the others, or the
-// watch may have gone silent.
-func (g *Gateway) askPeers(now time.Time) {
-	if g.asking || now.Before(g.nextAsk) {
-		return
-	}
-	addr, ok := g.mesh.Ahead(now, func(b wire.Beat) bool {
-		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.contact.heard) > watchWait
-	})
-	if !ok {
-		g.behindSince = time.Time{}
-		return
-	}
-	if g.behindSince.IsZero() {
-		g.behindSince = now
+func (r *running) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil {
+		r.cancel()
 	}
-	if now.Sub(g.behindSince) < behindFor {
-		return
-	}
-	g.asking = true
-	g.nextAsk = now.Add(askEvery)
-	asOf := g.snapshot.AsOf
-	go g.askPeer(addr, asOf)
 }
 
-func (g *Gateway) askPeer(addr netip.Addr, asOf catalog.Revision) {
-	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
-	defer cancel()
-	began := time.Now()
-	answer, err := g.fetchCatalog(ctx, addr, asOf)
-	took := time.Since(began)
-	g.post(func(now time.Time) {
-		g.asking = false
-		if err != nil {
-			g.opts.Logger.Warn("peer_catalog_failed", zap.String("peer", addr.String()), zap.Duration("took", took),
-				zap.Error(err))
-			return
-		}
-		g.opts.Logger.Info("peer_catalog_read", zap.String("peer", addr.String()), zap.Duration("took", took),
-			zap.Bool("newer", answer.Snapshot != nil))
-		if answer.Snapshot != nil {
-			g.adopt(now, *answer.Snapshot, "peer "+addr.String())
-		}
-	})
+// endIfWaiting ends a watch that waits for a change. One that has run for longer
+// than a watch waits is bringing something: a reader whose link is slow is
+// followed by the next, and what it has read so far must not be lost.
+func (r *running) endIfWaiting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cancel != nil && time.Since(r.began) < watchWait {
+		r.cancel()
+	}
 }
 
-func (g *Gateway) fetchCatalog(ctx context.Context, addr netip.Addr, asOf catalog.Revision) (wire.CatalogAnswer, error) {
-	var answer wire.CatalogAnswer
-	s, err := g.opts.Endpoint.Open(ctx, g.mesh.PeerAddr(addr), "", peer.KindConfig)
-	if err != nil {
-		return answer, err
-	}
-	defer s.Abort()
-	s.SetStall(askTimeout)
-	if err := s.Send(wire.CatalogAsk{AsOf: asOf}); err != nil {
-		return answer, err
-	}
-	err = s.Recv(&answer)
-	return answer, err
+func pauseAfter(failures int, err error) time.Duration {
+	pause := min(sourcePauseMax, sourcePauseMin<<min(failures-1, maxDoublings))
+	pause = max(pause, failure.RetryAfter(err))
+	return pause/2 + rand.N(pause)
 }
 
-// serveCatalog answers a peer's CatalogAsk.
-func (g *Gateway) serveCatalog(ctx context.Context, s *peer.Stream) {
-	s.SetStall(askTimeout)
-	var ask wire.CatalogAsk
-	if err := s.Recv(&ask); err != nil {
-		s.Abort()
-		return
-	}
-	var answer wire.CatalogAnswer
-	err := g.opts.Loop.Do(ctx, func(time.Time) {
-		if g.snapshot.AsOf >= ask.AsOf {
-			held := g.snapshot
-			answer.Snapshot = &held
-		}
-	})
-	if err == nil {
-		err = s.Send(answer)
-	}
-	if err != nil {
-		g.opts.Logger.Warn("catalog_not_given", zap.String("peer", string(s.Peer().ID)), zap.Error(err))
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
-func (g *Gateway) post(f func(now time.Time)) { g.opts.Loop.Post(g.ctx, control.Func(f)) }
-
-func hasServer(list []catalog.Server, id fleet.InstanceID) bool {
-	_, ok := findServer(list, id)
-	return ok
+func (g *Gateway) sourceFailed(now time.Time, err error) {
+	if g.contact.fail(now) {
+		g.opts.Logger.Warn("platform_lost", zap.Error(err), zap.Duration("heard_ago", now.Sub(g.contact.heard)))
+	}
+	g.opts.Metrics.Counter("platform_failures").Inc(1)
 }
 
-func findServer(list []catalog.Server, id fleet.InstanceID) (catalog.Server, bool) {
-	for _, s := range list {
-		if s.ID == id {
-			return s, true
-		}
+func (g *Gateway) sourceAnswered(now time.Time) {
+	silent := now.Sub(g.contact.heard)
+	if g.contact.succeed(now) {
+		g.opts.Logger.Info("platform_regained", zap.Duration("after", silent))
 	}
-	return catalog.Server{}, false
+	g.doubtful = false
 }
+
+func (g *Gateway) post(f func(now time.Time)) { g.opts.Loop.Post(g.ctx, control.Func(f)) }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -104,8 +104,8 @@
 	// doubtful is true from a pause of the process until the platform or a peer
 	// has been read again.
 	doubtful bool
-	// rewatch ends the call to the platform that runs.
-	rewatch chan struct{}
+	reading  running
+	packed   packedConfig
 	// lapsed are servers whose registration ended while the platform was not
 	// sound.
 	lapsed    map[fleet.InstanceID]catalog.Server
@@ -134,7 +134,14 @@
 	table   *routing.Table
 	names   map[string]loading.Names
 	entries []mesh.Entry
-	leaving bool
+	// rank is this entry's place among those of its region.
+	rank int
+	// readsOperator entries read what the operator writes from the platform.
+	readsOperator bool
+	// asOf and operatorAsOf are up to which revision the two parts of the catalog
+	// are known.
+	asOf, operatorAsOf catalog.Revision
+	leaving            bool
 	// doubtful views are from before a pause of the process.
 	doubtful bool
 	// soonest is when the first engine of a service is expected to be ready
@@ -164,7 +171,6 @@
 		budgets:   make(map[fleet.ServiceName]*retry.Window),
 		rooms:     make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:   contact{heard: now, off: opts.Off},
-		rewatch:   make(chan struct{}, 1),
 	}
 	g.board.SetSelf(opts.Self, opts.Place)
 	g.mesh = mesh.New(ctx, now, mesh.Options{
@@ -225,10 +231,7 @@
 	g.readyAt = make(map[netip.Addr]time.Time)
 	g.changed = true
 	g.mesh.Woke(now)
-	select {
-	case g.rewatch <- struct{}{}:
-	default:
-	}
+	g.reading.end() // it may wait on a connection that is dead by now
 }
 
 // SetSeeds takes the machines that the settings name now.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -44,6 +44,7 @@
 		}
 		b.Loads, g.toldLoads[to] = g.board.LoadsSince(g.toldLoads[to])
 	}
+	b.ConfigRevision = g.snapshot.ConfigRevision
 	if b.Brief {
 		return b
 	}
@@ -52,7 +53,7 @@
 	b.Ready = g.table != nil && !g.leaving
 	b.Leaving = g.leaving
 	b.AsOf = g.snapshot.AsOf
-	b.ConfigRevision = g.snapshot.ConfigRevision
+	b.OperatorAsOf = g.snapshot.OperatorAsOf
 	b.Reaches = g.contact.reaches(now)
 	b.Wanted = g.wantedNow(now)
 	b.Entries = g.mesh.Live(now)
@@ -109,13 +110,13 @@
 func (g *Gateway) heard(now time.Time, b wire.Beat) {
 	if b.Role == fleet.RoleEntry {
 		g.board.Heard(now, b.ID, b.Loads)
+		g.heardRevision(b)
 		if b.Brief {
 			return
 		}
 		if b.Reaches {
 			g.contact.othersReach(now)
 		}
-		g.heardRevision(b)
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
 		}
@@ -128,9 +129,14 @@
 	}
 }
 
-// heardRevision logs the first word of a configuration that is not in force
-// here yet. From it to config_in_force is what fetching it takes.
+// heardRevision takes up to which revision a peer knows what the operator wrote.
+// If that holds no configuration that is missing here, it is known here too. The
+// first word of one that is missing is logged: from it to config_in_force is
+// what fetching it takes.
 func (g *Gateway) heardRevision(b wire.Beat) {
+	if b.ConfigRevision <= g.snapshot.ConfigRevision {
+		g.snapshot.OperatorAsOf = max(g.snapshot.OperatorAsOf, b.OperatorAsOf)
+	}
 	if b.ConfigRevision <= max(g.revisionHeard, g.snapshot.ConfigRevision) {
 		return
 	}
@@ -190,16 +196,22 @@
 func (g *Gateway) publish(now time.Time) {
 	g.publishServers(now)
 	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
+	entries := g.mesh.Entries(now)
+	rank := g.rank(now, entries)
 	v := &view{
-		table:    g.table,
-		names:    maps.Clone(g.names),
-		entries:  g.mesh.Entries(now),
-		leaving:  g.leaving,
-		doubtful: g.doubtful,
-		soonest:  g.soonest(now),
-		sure:     g.contact.recent(now) || len(g.mesh.Live(now)) > 0,
-	}
-	g.view.Store(v)
+		table:         g.table,
+		names:         maps.Clone(g.names),
+		entries:       entries,
+		rank:          rank,
+		readsOperator: g.readsOperator(rank),
+		asOf:          g.snapshot.AsOf,
+		operatorAsOf:  g.snapshot.OperatorAsOf,
+		leaving:       g.leaving,
+		doubtful:      g.doubtful,
+		soonest:       g.soonest(now),
+		sure:          g.contact.recent(now) || len(g.mesh.Live(now)) > 0,
+	}
+	g.followAnew(g.view.Swap(v), v)
 	slack := g.slack()
 	g.callsMu.Lock()
 	defer g.callsMu.Unlock()
--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +21,7 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
 )
 
 // publisher stands for the platform: it publishes a catalog, and counts how many
@@ -29,6 +31,27 @@
 	now     catalog.Snapshot
 	changed chan struct{}
 	copies  int
+	// slow lists last until their caller gives them up; givenUp counts those.
+	slow    bool
+	givenUp int
+}
+
+func (p *publisher) slowDown() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = true
+}
+
+func (p *publisher) listsGivenUp() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.givenUp
+}
+
+func (p *publisher) isSlow() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slow
 }
 
 func newPublisher(c *routing.Config) *publisher {
@@ -52,7 +75,14 @@
 }
 
 // List implements catalog.Source.
-func (p *publisher) List(context.Context) (catalog.Snapshot, error) {
+func (p *publisher) List(ctx context.Context) (catalog.Snapshot, error) {
+	if p.isSlow() {
+		<-ctx.Done()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.givenUp++
+		return catalog.Snapshot{}, ctx.Err()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.copies++
@@ -104,11 +134,28 @@
 	}
 }
 
+// source is the platform as one entry sees it.
+type source struct {
+	*publisher
+	// silent watches of everything bring nothing and do not end.
+	silent atomic.Bool
+}
+
+// Watch implements catalog.Source.
+func (s *source) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.Change, catalog.Revision, error) {
+	changes, asOf, err := s.publisher.Watch(ctx, after, wait)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return changes, asOf, err
+}
+
 // member is one entry of a region, with links of its own to the others.
 type member struct {
 	gateway *Gateway
 	loop    *control.Loop
-	metrics tally.TestScope
+	stop    func() // returns when it has ended
 }
 
 // version returns that of the configuration in force, 0 for none.
@@ -124,12 +171,18 @@
 
 // knownReady returns how many other entries it knows to be ready.
 func (m *member) knownReady() int {
-	v := m.gateway.view.Load()
-	if v == nil {
-		return 0
-	}
 	n := 0
-	for _, e := range v.entries {
+	_ = m.loop.Do(context.Background(), func(time.Time) {
+		if v := m.gateway.view.Load(); v != nil {
+			n = readyOf(v.entries)
+		}
+	})
+	return n
+}
+
+func readyOf(entries []mesh.Entry) int {
+	n := 0
+	for _, e := range entries {
 		if e.Ready && !e.Silent {
 			n++
 		}
@@ -137,54 +190,86 @@
 	return n
 }
 
-// startRegion starts entries of one region that follow p.
-func startRegion(p *publisher, size int) []*member {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
+// fleetOf is entries of one region that follow p.
+type fleetOf struct {
+	p       *publisher
+	port    uint16
+	members []*member
+}
+
+func startRegion(p *publisher, size int) *fleetOf {
 	probe, err := net.ListenPacket("udp", "127.0.3.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	port := netip.MustParseAddrPort(probe.LocalAddr().String()).Port()
+	f := &fleetOf{p: p, port: netip.MustParseAddrPort(probe.LocalAddr().String()).Port()}
 	_ = probe.Close()
-	var region []*member
 	for i := range size {
-		region = append(region, startMember(ctx, p, netip.MustParseAddr(fmt.Sprintf("127.0.3.%d", i+1)), port, &running))
+		f.start(memberAddr(i))
 	}
 	DeferCleanup(func() {
-		cancel()
-		running.Wait()
-		for _, m := range region {
-			_ = m.gateway.opts.Endpoint.Close()
+		for _, m := range f.members {
+			m.stop()
 		}
 	})
-	for _, m := range region {
+	for _, m := range f.members {
 		Eventually(m.knownReady, "10s").Should(Equal(size - 1))
 	}
-	return region
+	return f
+}
+
+func (f *fleetOf) haveInForce(version int64) {
+	GinkgoHelper()
+	for _, m := range f.members {
+		Eventually(m.version, "20s").Should(Equal(version))
+	}
+}
+
+// takeReaders returns the members that read for the others, and takes them out.
+func (f *fleetOf) takeReaders() []*member {
+	var readers, others []*member
+	for _, m := range f.members {
+		if v := m.gateway.view.Load(); v.readsOperator {
+			readers = append(readers, m)
+		} else {
+			others = append(others, m)
+		}
+	}
+	f.members = others
+	return readers
 }
 
 type handlerOf struct{ peer.Handler }
 
-func startMember(ctx context.Context, p *publisher, addr netip.Addr, port uint16, running *sync.WaitGroup) *member {
+func memberAddr(i int) netip.Addr { return netip.MustParseAddr(fmt.Sprintf("127.0.3.%d", i+1)) }
+
+// start starts one entry more.
+func (f *fleetOf) start(addr netip.Addr) *member {
+	ctx, cancel := context.WithCancel(context.Background())
 	id := fleet.InstanceID(addr.String())
 	store, err := keys.Ephemeral(keys.Identity{ID: id, Role: fleet.RoleEntry})
 	Expect(err).NotTo(HaveOccurred())
-	m := &member{metrics: tally.NewTestScope("", nil), loop: control.New(control.Options{Every: 20 * time.Millisecond})}
+	m := &member{loop: control.New(control.Options{Every: 20 * time.Millisecond})}
 	handler := &handlerOf{}
-	endpoint, err := peer.New(peer.Options{
-		Listen: netip.AddrPortFrom(addr, port), Keys: store, Handler: handler, Metrics: m.metrics})
+	endpoint, err := peer.New(peer.Options{Listen: netip.AddrPortFrom(addr, f.port), Keys: store, Handler: handler})
 	Expect(err).NotTo(HaveOccurred())
 	m.gateway = New(ctx, time.Now(), Options{
 		Self: id, Addr: addr, Incarnation: 1, Place: fleet.Place{Zone: "sharada", Region: "kano"},
-		CallerAddr: netip.AddrPortFrom(addr, 80), PeerPort: port, Seeds: []netip.Addr{netip.MustParseAddr("127.0.3.1")},
-		Regions: map[fleet.Zone]fleet.Region{"sharada": "kano"}, Loop: m.loop, Endpoint: endpoint, Source: p,
+		CallerAddr: netip.AddrPortFrom(addr, 80), PeerPort: f.port, Seeds: []netip.Addr{netip.MustParseAddr("127.0.3.1")},
+		Regions: map[fleet.Zone]fleet.Region{"sharada": "kano"}, Loop: m.loop, Endpoint: endpoint, Source: &source{publisher: f.p},
 		Backend: &noBackend{}, Budget: RetryBudget{Ratio: 0.2, Slack: 100, Span: 10 * time.Second},
-		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: m.metrics,
+		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	})
 	handler.Handler = m.gateway
 	m.loop.AddTicker(m.gateway)
+	var running sync.WaitGroup
 	running.Go(func() { defer GinkgoRecover(); _ = m.loop.Run(ctx) })
 	running.Go(func() { defer GinkgoRecover(); _ = m.gateway.Follow(ctx) })
 	running.Go(func() { defer GinkgoRecover(); _ = endpoint.Run(ctx) })
+	m.stop = sync.OnceFunc(func() {
+		cancel()
+		running.Wait()
+		_ = endpoint.Close()
+	})
+	f.members = append(f.members, m)
 	return m
 }
 
@@ -211,14 +296,12 @@
 	// platform: one, and another in case the first is lost at that moment.
 	const allowed = 2
 	var p *publisher
-	var region []*member
+	var region *fleetOf
 
 	BeforeEach(func() {
 		p = newPublisher(manyRoutes(1, routes))
 		region = startRegion(p, size)
-		for _, m := range region {
-			Eventually(m.version, "10s").Should(Equal(int64(1)))
-		}
+		region.haveInForce(1)
 	})
 
 	// The operator added 1,400 routes and then took away a key every 1.3 s. Each
@@ -232,9 +315,45 @@
 	//	peer_catalog_failed error="receive: no progress in time"
 	It("reads a change of the configuration over its link once or twice, and all have it in force", func() {
 		p.publish(manyRoutes(2, routes))
-		for _, m := range region {
-			Eventually(m.version, "10s").Should(Equal(int64(2)))
-		}
+		region.haveInForce(2)
 		Expect(p.copiesGiven()).To(BeNumerically("<=", allowed))
 	})
+
+	// Both entries that read for the region are killed, and the operator writes a
+	// configuration. The next ones in rank read it: others that waited for the
+	// first two would serve callers by the old one.
+	It("has a change in force also when those that read it are lost", func() {
+		lost := region.takeReaders()
+		Expect(lost).To(HaveLen(allowed))
+		for _, m := range lost {
+			m.stop()
+		}
+		p.publish(manyRoutes(2, routes))
+		region.haveInForce(2)
+	})
+
+	// The connections of the two readers to the platform have gone silent. They
+	// live, and wait; the others are told that they hear nothing.
+	It("has a change in force also when those that read it hear nothing", func() {
+		for _, m := range region.takeReaders() {
+			m.gateway.opts.Source.(*source).silent.Store(true)
+		}
+		p.publish(manyRoutes(2, routes))
+		region.haveInForce(2)
+	})
+
+	// A third of the entries were killed and came back together. Each read 430 KB
+	// from the platform that its neighbours had, over a link that was full:
+	//
+	//	platform_lost error="list brought no byte for 800ms"
+	It("gives an entry that starts the catalog, though the platform is slow", func() {
+		first := region.members[0]
+		region.members = region.members[1:]
+		first.stop()
+		p.slowDown()
+		Eventually(region.start(memberAddr(0)).version, "10s").Should(Equal(int64(1)))
+		Eventually(p.listsGivenUp, "10s").Should(Equal(1))
+		p.publish(manyRoutes(2, routes))
+		region.haveInForce(2)
+	})
 })
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -133,7 +133,7 @@
 	}
 	l.heard = now
 	if b.Role == fleet.RoleEntry && b.Brief {
-		m.stillThere(now, b.ID)
+		m.stillThere(now, b)
 	}
 	if b.Role == fleet.RoleEntry && !b.Brief {
 		addr, err := netip.ParseAddr(string(b.ID))
@@ -150,13 +150,14 @@
 }
 
 // stillThere notes a brief beat of an entry.
-func (m *Mesh) stillThere(now time.Time, id fleet.InstanceID) {
-	addr, err := netip.ParseAddr(string(id))
+func (m *Mesh) stillThere(now time.Time, b wire.Beat) {
+	addr, err := netip.ParseAddr(string(b.ID))
 	if err != nil {
 		return // a whole beat of it was refused with a line
 	}
 	if c := m.contacts[addr]; c != nil && c.last.ID != "" {
 		c.heard = now
 		c.named = now
+		c.last.ConfigRevision = max(c.last.ConfigRevision, b.ConfigRevision)
 	}
 }
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -102,7 +102,7 @@
 	Whole Form = iota
 	// First beats are whole ones on a new link.
 	First
-	// Brief beats hold changed loads only.
+	// Brief beats hold changed loads, and which configuration is in force.
 	Brief
 )
 
@@ -113,6 +113,8 @@
 	CallerAddr netip.AddrPort
 	Ready      bool
 	Leaving    bool
+	// Reaches is true while the platform answers it.
+	Reaches bool
 	// Silent is true while nothing is heard of it.
 	Silent bool
 }
@@ -203,7 +205,7 @@
 		}
 		all = append(all, Entry{
 			ID: c.last.ID, Place: c.last.Place, CallerAddr: c.last.CallerAddr,
-			Ready: c.last.Ready, Leaving: c.last.Leaving, Silent: now.Sub(c.heard) > silentAfter,
+			Ready: c.last.Ready, Leaving: c.last.Leaving, Reaches: c.last.Reaches, Silent: now.Sub(c.heard) > silentAfter,
 		})
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
@@ -222,15 +224,19 @@
 	return live
 }
 
-// Ahead returns a live entry whose last whole beat isAhead accepts; false if
-// there is none.
-func (m *Mesh) Ahead(now time.Time, isAhead func(wire.Beat) bool) (netip.Addr, bool) {
-	for addr, c := range m.contacts {
-		if c.last.ID != "" && now.Sub(c.heard) <= silentAfter && isAhead(c.last) {
-			return addr, true
+// Ahead returns a live entry whose last whole beat isAhead accepts, one of the
+// own region if there is any, and whether it is; ok is false if there is none.
+func (m *Mesh) Ahead(now time.Time, isAhead func(wire.Beat) bool) (addr netip.Addr, near, ok bool) {
+	for a, c := range m.contacts {
+		if c.last.ID == "" || now.Sub(c.heard) > silentAfter || !isAhead(c.last) {
+			continue
 		}
+		if c.last.Place.Region == m.opts.Place.Region {
+			return a, true, true
+		}
+		addr, ok = a, true
 	}
-	return netip.Addr{}, false
+	return addr, false, ok
 }
 
 // PeerAddr returns where the process on an instance listens for peers.
@@ -299,6 +305,15 @@
 	}
 }
 
+// FlushNear is Flush for the entries of the own region.
+func (m *Mesh) FlushNear(now time.Time) {
+	for _, l := range m.links {
+		if l.role == fleet.RoleEntry && !m.isFar(l.id) {
+			m.send(now, l, Whole)
+		}
+	}
+}
+
 // send composes and queues a beat, unless the link is still busy with the one
 // before: what that one lacks comes with the next.
 func (m *Mesh) send(now time.Time, l *link, form Form) {
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -25,6 +25,9 @@
 	// AsOf and ConfigRevision are those of the sender's catalog.
 	AsOf           catalog.Revision `cbor:"8,keyasint,omitzero"`
 	ConfigRevision catalog.Revision `cbor:"9,keyasint,omitzero"`
+	// OperatorAsOf is up to which revision the sender knows what the operator
+	// wrote. Wanted and ConfigRevision tell of all of it.
+	OperatorAsOf catalog.Revision `cbor:"19,keyasint,omitzero"`
 	// Reaches is true while the platform answers an entry.
 	Reaches bool `cbor:"16,keyasint,omitzero"`
 	// Wanted are the model versions that the operator named.
@@ -32,7 +35,8 @@
 	// Loads is what an entry has at each server whose load has changed since the
 	// beat before on the link. One without work has a zero load.
 	Loads []placement.Load `cbor:"11,keyasint,omitempty"`
-	// Brief beats have no fields but ID, Role, Incarnation and Loads.
+	// Brief beats have no fields but ID, Role, Incarnation, ConfigRevision and
+	// Loads.
 	Brief bool `cbor:"17,keyasint,omitzero"`
 	// Replicas are the engines that agents told the sender of, or an agent's
 	// own.
@@ -142,13 +146,21 @@
 	LoadMS int64 `cbor:"5,keyasint"`
 }
 
-// CatalogAsk asks an entry for its catalog, if it is newer than AsOf. Stream:
+// CatalogAsk asks an entry for what its catalog holds that is newer. Stream:
 // peer.KindConfig, one ask and one CatalogAnswer.
 type CatalogAsk struct {
-	AsOf catalog.Revision `cbor:"1,keyasint"`
+	// AsOf is up to which revision the asker knows the servers.
+	AsOf           catalog.Revision `cbor:"1,keyasint"`
+	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
 }
 
-// CatalogAnswer holds the catalog, nil if there is no newer one.
+// CatalogAnswer tells what is newer, nil for nothing. A snapshot as of 0 tells
+// nothing of the servers.
 type CatalogAnswer struct {
+	// Snapshot is without a configuration.
 	Snapshot *catalog.Snapshot `cbor:"1,keyasint,omitempty"`
+	// ConfigRevision is that of the configuration that follows in raw frames,
+	// packed, ConfigBytes in all; 0 if the asker has it.
+	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
+	ConfigBytes    int              `cbor:"3,keyasint,omitzero"`
 }
