--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -119,7 +119,7 @@
 		func(o *Off) *bool { return &o.ShiftNaming }},
 	{"near_fetch", "One member of each region fetches a chunk from another region for all. Off: each fetches it where it is rarest.",
 		func(o *Off) *bool { return &o.NearFetch }},
-	{"few_watchers", "Only the first entries of a region watch the platform closely. Off: all do.",
+	{"few_watchers", "Only the first entries of a region watch the platform closely, and read what the operator writes for the others. Off: all do.",
 		func(o *Off) *bool { return &o.FewWatchers }},
 	{"far_less", "Entries of other regions hear of loads less often. Off: as often as near ones.",
 		func(o *Off) *bool { return &o.FarLess }},
