An entry that was paused does not go on by an old configuration; one that no peer serves reads itself

And an entry whose peers are ahead for a second, and give nothing, reads the platform itself, the next in rank 0.2 s later each. Specs of both in daemon/gateway, follow_test.go; without the changes they fail.

--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -37,6 +37,12 @@
 	// the first is lost; one that hears nothing from the platform says so and is
 	// followed by the next.
 	operatorReaders = 2
+	// readAloneAfter is how long peers may be ahead, and none of them give what is
+	// missing, until an entry reads the platform all the same; readAloneStep is how
+	// much longer the next in rank waits, so that the first can give it what it has
+	// read.
+	readAloneAfter = time.Second
+	readAloneStep  = 200 * time.Millisecond
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
@@ -136,7 +142,7 @@
 		return err
 	}
 	g.post(func(now time.Time) {
-		g.sourceAnswered(now)
+		g.platformAnswered(now)
 		g.applyServers(now, changes, asOf)
 	})
 	at.servers = max(at.servers, asOf)
@@ -181,8 +187,12 @@
 
 // readsOperator reports whether this entry reads what the operator writes from
 // the platform, and not from a peer.
-func (g *Gateway) readsOperator(rank int) bool {
-	return g.opts.Off.FewWatchers || g.snapshot.Config == nil || rank < operatorReaders
+func (g *Gateway) readsOperator(now time.Time, rank int) bool {
+	if g.opts.Off.FewWatchers || g.snapshot.Config == nil || g.doubtful || rank < operatorReaders {
+		return true
+	}
+	alone := readAloneAfter + time.Duration(rank-operatorReaders)*readAloneStep
+	return !g.behindSince.IsZero() && now.Sub(g.behindSince) > alone
 }
 
 // followAnew ends the call to the platform that runs if something else is to be
@@ -265,12 +275,20 @@
 	g.opts.Metrics.Counter("platform_failures").Inc(1)
 }
 
+// sourceAnswered notes an answer that tells of everything.
 func (g *Gateway) sourceAnswered(now time.Time) {
+	g.platformAnswered(now)
+	g.doubtful = false
+}
+
+// platformAnswered notes any answer. One that tells of the servers only does not
+// end the doubt of a process that was paused: it would go on by a configuration
+// that may have been replaced meanwhile.
+func (g *Gateway) platformAnswered(now time.Time) {
 	silent := now.Sub(g.contact.heard)
 	if g.contact.succeed(now) {
 		g.opts.Logger.Info("platform_regained", zap.Duration("after", silent))
 	}
-	g.doubtful = false
 }
 
 func (g *Gateway) post(f func(now time.Time)) { g.opts.Loop.Post(g.ctx, control.Func(f)) }
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -158,6 +158,34 @@
 		Expect(g.table.Version()).To(Equal(int64(7)))
 	})
 
+	// The process stood still for five seconds, and the operator dropped a key
+	// meanwhile. The first answer is of the servers only, as others of its region
+	// read the configuration: taking callers on it, it would let the key in.
+	It("is doubted after a pause until the configuration has been read again", func() {
+		g.publish(start)
+		g.woke(at(5*time.Second), 5*time.Second)
+		g.platformAnswered(at(5 * time.Second))
+		g.applyServers(at(5*time.Second), removeTwo, 9)
+		g.publish(at(5 * time.Second))
+		Expect(g.Ready()).To(BeFalse())
+		Expect(g.readsOperator(at(5*time.Second), operatorReaders)).To(BeTrue())
+		g.sourceAnswered(at(5 * time.Second))
+		g.apply(at(5*time.Second), nil, 9)
+		g.publish(at(5 * time.Second))
+		Expect(g.Ready()).To(BeTrue())
+		Expect(g.readsOperator(at(5*time.Second), operatorReaders)).To(BeFalse())
+	})
+
+	// Peers say that they have a newer configuration, and none gives it: their
+	// links are cut, say. The entry waits no longer than the operator's bound allows.
+	It("is read from the platform when no peer gives what it is ahead by", func() {
+		g.behindSince = at(time.Second)
+		Expect(g.readsOperator(at(1900*time.Millisecond), operatorReaders)).To(BeFalse())
+		Expect(g.readsOperator(at(2100*time.Millisecond), operatorReaders)).To(BeTrue())
+		Expect(g.readsOperator(at(2100*time.Millisecond), operatorReaders+1)).To(BeFalse())
+		Expect(g.readsOperator(at(2300*time.Millisecond), operatorReaders+1)).To(BeTrue())
+	})
+
 	It("keeps the configuration in force when a newer one breaks a rule", func() {
 		bad := config(8)
 		bad.Routes[0].Prefix = "no slash"
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -203,7 +203,7 @@
 		names:         maps.Clone(g.names),
 		entries:       entries,
 		rank:          rank,
-		readsOperator: g.readsOperator(rank),
+		readsOperator: g.readsOperator(now, rank),
 		asOf:          g.snapshot.AsOf,
 		operatorAsOf:  g.snapshot.OperatorAsOf,
 		leaving:       g.leaving,
