--- a/core/spread/driver_test.go
+++ b/core/spread/driver_test.go
@@ -48,6 +48,9 @@
 	origin, store  func(chunk int) (spread.Reason, bool)
 	originFactor   time.Duration // how much slower the origin is than its setting
 
+	crossed   func(a, b *agent) bool // a transfer that crosses between regions
+	crossings int
+
 	drawing, drawn, stored int // origin draws that run; draws that moved bytes
 	refused                int // failures that the origin and the store gave
 	bad                    int // corrupt and stalled transfers between peers
@@ -240,6 +243,9 @@
 		d.end(a, f, 2*d.latency, spread.ReasonBusy)
 		return
 	}
+	if d.crossed != nil && d.crossed(a, b) {
+		d.crossings++
+	}
 	to, from := a.plan, b.plan
 	d.down[to]++
 	d.up[from]++
@@ -341,6 +347,11 @@
 // copies returns the copies drawn from the origin.
 func (d *driver) copies() float64 { return float64(d.drawn) / float64(len(d.manifest.Chunks)) }
 
+// firstReady returns when the first replica is whole.
+func (d *driver) firstReady() time.Duration {
+	return slices.MinFunc(d.agents, func(a, b *agent) int { return int(a.ready - b.ready) }).ready
+}
+
 // overBound returns the time to the last replica over the least possible, one
 // copy at the rate of a machine's link.
 func (d *driver) overBound() float64 {
