Proofs of how a configuration reaches every entry; the largest text between peers

A spec passes on a text of 5,600 routes, as large as the platform takes: within one message, of 1 MB at most, no peer could have given it (read, not seen to fail).

--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -357,3 +357,17 @@
 		region.haveInForce(2)
 	})
 })
+
+var _ = Describe("A region of three entries", func() {
+	// The operator's text may be 1 MB, about 5,600 routes. Sent within one message,
+	// it was over the limit of a message, and no peer could give it.
+	It("passes on a configuration as large as the platform takes", func() {
+		const routes = 5600
+		p := newPublisher(manyRoutes(1, routes))
+		region := startRegion(p, 3)
+		region.haveInForce(1)
+		p.publish(manyRoutes(2, routes))
+		region.haveInForce(2)
+		Expect(p.copiesGiven()).To(BeNumerically("<=", operatorReaders))
+	})
+})
