Entries link within their group, and groups by a few bridges

Cause: each entry held a link with each other one and told it everything.

Change: core/linking plans the links: all within a region's group of at most 32, two between each two groups. Bridges pass on who is there (told only when it changed) and what a group has at the servers of each region as a sum, which placement spreads over them. Fleets of up to 12 entries stay fully linked. Agents keep their two links in their own region. Manifests pass between groups. An entry's view is made anew every 100 ms or on a change, not at every tick.

Ruled out: relaying every load (bytes grow with the fleet again); groups that change with every member (the order by hash keeps nine in ten links).

--- a/core/enginemodel/enginemodel.go
+++ b/core/enginemodel/enginemodel.go
@@ -59,6 +59,16 @@
 	return Work{Running: n * w.Running, Unread: n * w.Unread, Context: n * w.Context}
 }
 
+// Over returns the even part of the work that each of n engines has, rounded;
+// nothing for none.
+func (w Work) Over(n int) Work {
+	if n <= 0 {
+		return Work{}
+	}
+	half := n / 2
+	return Work{Running: (w.Running + half) / n, Unread: (w.Unread + half) / n, Context: (w.Context + half) / n}
+}
+
 // Read returns the time in which an engine reads a prompt of so many tokens.
 func (f *Figures) Read(tokens int) time.Duration {
 	if f.ReadPerSecond <= 0 {
--- /dev/null
+++ b/core/linking/linking_test.go
@@ -0,0 +1,109 @@
+package linking_test
+
+import (
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/linking"
+)
+
+// entries returns so many entries, spread evenly over the regions.
+func entries(n, regions int) []linking.Member {
+	all := make([]linking.Member, n)
+	for i := range all {
+		all[i] = linking.Member{
+			ID:     fleet.InstanceID(fmt.Sprintf("10.%d.0.%d", i%regions, i)),
+			Region: fleet.Region(fmt.Sprintf("region-%d", i%regions)),
+		}
+	}
+	return all
+}
+
+func planOf(self linking.Member, all []linking.Member) linking.Plan {
+	others := slices.DeleteFunc(slices.Clone(all), func(m linking.Member) bool { return m.ID == self.ID })
+	return linking.For(self, others)
+}
+
+// reached returns how many links are between an entry and the farthest one, and
+// how many entries it reaches.
+func reached(from linking.Member, all []linking.Member) (hops, count int) {
+	distance := map[fleet.InstanceID]int{from.ID: 0}
+	for todo := []linking.Member{from}; len(todo) > 0; todo = todo[1:] {
+		plan := planOf(todo[0], all)
+		for _, m := range all {
+			if _, known := distance[m.ID]; !known && plan.Wants(m.ID) {
+				distance[m.ID] = distance[todo[0].ID] + 1
+				hops = max(hops, distance[m.ID])
+				todo = append(todo, m)
+			}
+		}
+	}
+	return hops, len(distance)
+}
+
+var _ = Describe("Links between entries", func() {
+	// With a link from each entry to each other, what an entry sent grew with the
+	// fleet and what crossed between regions with its square. At 99 entries the
+	// beats filled the links between regions, which then fell silent and were
+	// dialled anew.
+	DescribeTable("are as few however large the fleet is",
+		func(n, regions int) {
+			all := entries(n, regions)
+			var links, far int
+			for _, m := range all {
+				plan := planOf(m, all)
+				links = max(links, len(plan.Near)+len(plan.Far))
+				far += len(plan.Far)
+			}
+			Expect(links).To(BeNumerically("<=", 45))
+			Expect(far).To(BeNumerically("<=", 4*n), "on average")
+			hops, count := reached(all[0], all)
+			Expect(count).To(Equal(n))
+			Expect(hops).To(BeNumerically("<=", 3))
+		},
+		Entry("15", 15, 5), Entry("31", 31, 3), Entry("99", 99, 5), Entry("410", 410, 3), Entry("1,000", 1000, 9))
+
+	It("are with all others in a small fleet", func() {
+		all := entries(8, 3)
+		Expect(planOf(all[0], all).Near).To(HaveLen(7))
+	})
+
+	It("are wanted by both ends", func() {
+		all := entries(99, 5)
+		for _, a := range all {
+			plan := planOf(a, all)
+			for _, b := range all {
+				Expect(plan.Wants(b.ID)).To(Equal(planOf(b, all).Wants(a.ID)))
+			}
+		}
+	})
+
+	// A bridge is lost. The groups that it linked find another by themselves.
+	It("connect the rest when any entry goes", func() {
+		all := entries(40, 5)
+		for i := range all {
+			rest := slices.Delete(slices.Clone(all), i, i+1)
+			_, count := reached(rest[0], rest)
+			Expect(count).To(Equal(len(rest)))
+		}
+	})
+
+	It("stay for nearly all when an entry comes", func() {
+		before, after := entries(410, 3), entries(411, 3)
+		var links, kept int
+		for _, m := range before {
+			was, is := planOf(m, before), planOf(m, after)
+			for id := range was.Near {
+				links++
+				if is.Wants(id) {
+					kept++
+				}
+			}
+		}
+		Expect(float64(kept)).To(BeNumerically(">", 0.9*float64(links)))
+	})
+})
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -114,6 +114,7 @@
 	services map[fleet.ServiceName]*group
 	servers  map[fleet.InstanceID]*state
 	others   *others
+	regions  *regions
 	// self and place are this entry's; empty before SetSelf.
 	self  fleet.InstanceID
 	place fleet.Place
@@ -153,6 +154,7 @@
 		services: make(map[fleet.ServiceName]*group),
 		servers:  make(map[fleet.InstanceID]*state),
 		others:   newOthers(),
+		regions:  newRegions(),
 		gone:     make(map[fleet.InstanceID]uint64),
 	}
 }
@@ -204,6 +206,7 @@
 		delete(b.gone, id)
 	}
 	b.servers = kept
+	b.regions.count(now, kept)
 }
 
 func newState() *state { return &state{own: make(map[*Ticket]struct{})} }
@@ -298,7 +301,7 @@
 		return own
 	}
 	b.others.endBeliefs(now)
-	all := own.Add(b.others.at(st.ID))
+	all := own.Add(b.others.at(st.ID)).Add(b.regions.shares[st.regionKey()])
 	same := own.Times(1 + b.others.believed)
 	if now.Sub(st.ready) < hearWithin && !b.off.AssumeAlike && same.Running > all.Running {
 		return same
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -83,6 +83,11 @@
 
 func beat(id fleet.InstanceID) wire.Beat { return wire.Beat{ID: id, Role: fleet.RoleEntry} }
 
+var (
+	nearEntry = mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry, Near: true}
+	anAgent   = mesh.Peer{ID: "10.0.1.1", Role: fleet.RoleAgent}
+)
+
 var _ = Describe("The catalog", func() {
 	var g *Gateway
 	var backend *noBackend
@@ -310,7 +315,7 @@
 		g.adopt(start, wanted(2), "platform")
 		since, _ := g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(-8 * time.Second)))
-		told := g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.First)
+		told := g.compose(start, nearEntry, mesh.First)
 		Expect(told.Wanted).To(HaveLen(1))
 		Expect(told.Wanted[0].Assumed).To(BeTrue())
 		other := beat("10.0.0.2")
@@ -332,7 +337,7 @@
 		g.adopt(at(2*time.Second), wanted(2), "platform")
 		since, _ := g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(time.Second)))
-		told := g.compose(at(2*time.Second), "10.0.0.2", fleet.RoleEntry, mesh.First)
+		told := g.compose(at(2*time.Second), nearEntry, mesh.First)
 		Expect(told.Wanted[0].Assumed).To(BeFalse())
 	})
 })
@@ -385,27 +390,27 @@
 	It("tell an agent what it needs, and its neighbours only when they change", func() {
 		g, _ := newGateway()
 		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3)), "platform")
-		first := g.compose(start, "10.0.1.1", fleet.RoleAgent, mesh.First)
+		first := g.compose(start, anAgent, mesh.First)
 		Expect(first.Supply.Model).To(Equal("m"))
 		Expect(first.Supply.Layers).To(Equal(4))
 		Expect(first.Members).To(HaveLen(2))
-		Expect(g.compose(start, "10.0.1.1", fleet.RoleAgent, mesh.Whole).Members).To(BeEmpty())
+		Expect(g.compose(start, anAgent, mesh.Whole).Members).To(BeEmpty())
 		g.apply(start, []catalog.Change{{Revision: 9, Removed: "i-2"}}, 9)
-		Expect(g.compose(start, "10.0.1.1", fleet.RoleAgent, mesh.Whole).Members).To(HaveLen(1))
+		Expect(g.compose(start, anAgent, mesh.Whole).Members).To(HaveLen(1))
 	})
 
 	It("tell another entry only the loads that have changed", func() {
 		g, _ := newGateway()
 		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
 		g.publish(start)
-		Expect(g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.First).Loads).To(BeEmpty())
+		Expect(g.compose(start, nearEntry, mesh.First).Loads).To(BeEmpty())
 		ticket, _ := g.board.Choose(start, placement.Ask{Service: "pool", Left: time.Second})
 		Expect(g.hasNews("10.0.0.2")).To(BeTrue())
-		Expect(g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.Brief).Loads).To(HaveLen(1))
+		Expect(g.compose(start, nearEntry, mesh.Brief).Loads).To(HaveLen(1))
 		Expect(g.hasNews("10.0.0.2")).To(BeFalse())
-		Expect(g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.Brief).Loads).To(BeEmpty())
+		Expect(g.compose(start, nearEntry, mesh.Brief).Loads).To(BeEmpty())
 		ticket.End(start, placement.Succeeded)
-		told := g.compose(start, "10.0.0.2", fleet.RoleEntry, mesh.Brief).Loads
+		told := g.compose(start, nearEntry, mesh.Brief).Loads
 		Expect(told).To(HaveLen(1))
 		Expect(told[0].Running).To(BeZero())
 	})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -91,11 +91,14 @@
 	started  time.Time
 	leaving  bool
 	changed  bool
-	// urgent is true while the other entries are to hear at once of an engine
-	// that changed.
-	urgent  bool
-	asking  bool
-	nextAsk time.Time
+	// published is when calls were last given a view.
+	published time.Time
+	// urgent is true while others are to hear at once of a version or a manifest,
+	// urgentNear while those of the own group are to of an engine that changed.
+	urgent     bool
+	urgentNear bool
+	asking     bool
+	nextAsk    time.Time
 	// revisionHeard is the newest configuration that a peer told of.
 	revisionHeard catalog.Revision
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
@@ -184,10 +187,12 @@
 		Logger:   opts.Logger,
 		Metrics:  opts.Metrics,
 		Compose:  g.compose,
-		HasNews:  g.hasNews,
-		Heard:    g.heard,
-		Lost:     g.lost,
-		FarLess:  !opts.Off.FarLess,
+
+		GroupLoads: g.board.RegionLoads,
+		HasNews:    g.hasNews,
+		Heard:      g.heard,
+		Lost:       g.lost,
+		FarLess:    !opts.Off.FarLess,
 	})
 	return g
 }
@@ -209,12 +214,15 @@
 	g.mesh.Tick(now)
 	g.askPeers(now)
 	g.endLapses(now)
-	g.publish(now)
+	g.publishDue(now)
 	g.log.account.tell(now, g.opts.Logger)
-	if g.urgent {
-		g.urgent = false
+	switch {
+	case g.urgent:
 		g.mesh.Flush(now)
+	case g.urgentNear:
+		g.mesh.FlushNear(now)
 	}
+	g.urgent, g.urgentNear = false, false
 }
 
 // pausedAfter is the time between two ticks from which on the process counts
--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -23,7 +24,7 @@
 
 type knownManifest struct {
 	wire.Manifest
-	direct bool // told by an agent and not by another entry
+	near bool // told by an entry of the own group
 }
 
 type toldManifest struct {
@@ -37,31 +38,48 @@
 }
 
 // take notes a manifest and reports whether it is news.
-func (m *manifests) take(heard wire.Manifest, direct bool) bool {
+func (m *manifests) take(heard wire.Manifest, near bool) bool {
 	known, ok := m.newest[heard.Model]
 	if ok && known.Version >= heard.Version {
 		return false
 	}
-	m.newest[heard.Model] = knownManifest{heard, direct}
+	m.newest[heard.Model] = knownManifest{heard, near}
 	maps.DeleteFunc(m.told, func(key toldManifest, _ bool) bool { return key.model == heard.Model })
 	return true
 }
 
-// forPeer returns what a process is to be told, nil for nothing. Entries hear
-// only what agents told this one, so that no manifest goes round between them.
-func (m *manifests) forPeer(to fleet.InstanceID, role fleet.Role, model string) *wire.Manifest {
+// forEntry returns what another entry is to be told, nil for nothing. One of
+// the own group hears only what came from agents or other groups, so that no
+// manifest goes round in the group.
+func (m *manifests) forEntry(to mesh.Peer) *wire.Manifest {
 	for name, known := range m.newest {
-		key := toldManifest{to, name, known.Version}
-		isFor := role == fleet.RoleEntry && known.direct || role == fleet.RoleAgent && name == model
-		if !isFor || m.told[key] {
+		if known.near && to.Near {
 			continue
 		}
-		m.told[key] = true
-		return &known.Manifest
+		if told := m.tell(to.ID, name); told != nil {
+			return told
+		}
 	}
 	return nil
 }
 
+// forAgent returns what an agent is to be told, nil for nothing.
+func (m *manifests) forAgent(to fleet.InstanceID, model string) *wire.Manifest {
+	return m.tell(to, model)
+}
+
+// tell returns the newest manifest of a model the first time that it is called
+// for a process.
+func (m *manifests) tell(to fleet.InstanceID, model string) *wire.Manifest {
+	known, ok := m.newest[model]
+	key := toldManifest{to, model, known.Version}
+	if !ok || m.told[key] {
+		return nil
+	}
+	m.told[key] = true
+	return &known.Manifest
+}
+
 // lost forgets what a process was told whose link has ended.
 func (m *manifests) lost(id fleet.InstanceID) {
 	for key := range m.told {
@@ -72,11 +90,11 @@
 }
 
 // heardManifest passes a manifest on at once.
-func (g *Gateway) heardManifest(heard wire.Manifest, role fleet.Role) {
-	if !g.manifests.take(heard, role == fleet.RoleAgent) {
+func (g *Gateway) heardManifest(heard wire.Manifest, near bool) {
+	if !g.manifests.take(heard, near) {
 		return
 	}
 	g.urgent = true
 	g.opts.Logger.Info("manifest_heard", zap.String("model", heard.Model), zap.Uint64("version", heard.Version),
-		zap.Bool("direct", role == fleet.RoleAgent))
+		zap.Bool("near", near))
 }
--- a/daemon/gateway/manifests_test.go
+++ b/daemon/gateway/manifests_test.go
@@ -5,6 +5,7 @@
 	. "github.com/onsi/gomega"
 
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -15,27 +16,28 @@
 	BeforeEach(func() { m = newManifests() })
 
 	It("are told to each agent of the model and to each entry once", func() {
-		Expect(m.take(two, true)).To(BeTrue())
-		Expect(m.forPeer("a", fleet.RoleAgent, "m")).To(Equal(&two))
-		Expect(m.forPeer("a", fleet.RoleAgent, "m")).To(BeNil())
-		Expect(m.forPeer("b", fleet.RoleAgent, "other")).To(BeNil())
-		Expect(m.forPeer("e", fleet.RoleEntry, "")).To(Equal(&two))
-		Expect(m.forPeer("e", fleet.RoleEntry, "")).To(BeNil())
+		Expect(m.take(two, false)).To(BeTrue())
+		Expect(m.forAgent("a", "m")).To(Equal(&two))
+		Expect(m.forAgent("a", "m")).To(BeNil())
+		Expect(m.forAgent("b", "other")).To(BeNil())
+		Expect(m.forEntry(nearEntry)).To(Equal(&two))
+		Expect(m.forEntry(nearEntry)).To(BeNil())
 		m.lost("a")
-		Expect(m.forPeer("a", fleet.RoleAgent, "m")).To(Equal(&two), "a new link may lead to a new process")
+		Expect(m.forAgent("a", "m")).To(Equal(&two), "a new link may lead to a new process")
 	})
 
-	It("do not go round between entries", func() {
-		m.take(two, false)
-		Expect(m.forPeer("e", fleet.RoleEntry, "")).To(BeNil())
-		Expect(m.forPeer("a", fleet.RoleAgent, "m")).NotTo(BeNil())
+	It("go on from an entry of the own group to agents and other groups only", func() {
+		m.take(two, true)
+		Expect(m.forEntry(nearEntry)).To(BeNil())
+		Expect(m.forAgent("a", "m")).NotTo(BeNil())
+		Expect(m.forEntry(mesh.Peer{ID: "f", Role: fleet.RoleEntry})).To(Equal(&two))
 	})
 
 	It("give way to those of newer versions only", func() {
-		m.take(two, true)
-		Expect(m.take(wire.Manifest{Model: "m", Version: 1}, true)).To(BeFalse())
-		Expect(m.take(two, true)).To(BeFalse())
-		Expect(m.take(wire.Manifest{Model: "m", Version: 3}, true)).To(BeTrue())
-		Expect(m.forPeer("a", fleet.RoleAgent, "m").Version).To(Equal(uint64(3)))
+		m.take(two, false)
+		Expect(m.take(wire.Manifest{Model: "m", Version: 1}, false)).To(BeFalse())
+		Expect(m.take(two, false)).To(BeFalse())
+		Expect(m.take(wire.Manifest{Model: "m", Version: 3}, false)).To(BeTrue())
+		Expect(m.forAgent("a", "m").Version).To(Equal(uint64(3)))
 	})
 })
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,13 +37,13 @@
 }
 
 // compose returns what another process is told.
-func (g *Gateway) compose(now time.Time, to fleet.InstanceID, role fleet.Role, form mesh.Form) wire.Beat {
+func (g *Gateway) compose(now time.Time, to mesh.Peer, form mesh.Form) wire.Beat {
 	b := wire.Beat{ID: g.opts.Self, Role: fleet.RoleEntry, Incarnation: g.opts.Incarnation, Brief: form == mesh.Brief}
-	if role == fleet.RoleEntry {
+	if to.Near {
 		if form == mesh.First {
-			delete(g.toldLoads, to)
+			delete(g.toldLoads, to.ID)
 		}
-		b.Loads, g.toldLoads[to] = g.board.LoadsSince(g.toldLoads[to])
+		b.Loads, g.toldLoads[to.ID] = g.board.LoadsSince(g.toldLoads[to.ID])
 	}
 	b.ConfigRevision = g.snapshot.ConfigRevision
 	if b.Brief {
@@ -56,21 +57,30 @@
 	b.OperatorAsOf = g.snapshot.OperatorAsOf
 	b.Reaches = g.contact.reaches(now)
 	b.Wanted = g.wantedNow(now)
-	b.Entries = g.mesh.Live(now)
 	if form == mesh.First {
-		g.manifests.lost(to)
+		g.manifests.lost(to.ID)
 	}
-	if role == fleet.RoleAgent {
-		g.composeForAgent(&b, to, form == mesh.First)
+	if to.Role == fleet.RoleAgent {
+		b.Entries = g.mesh.LiveIn(now, to.Region)
+		g.composeForAgent(&b, to.ID, form == mesh.First)
 		return b
 	}
-	b.Manifest = g.manifests.forPeer(to, role, "")
+	b.Manifest = g.manifests.forEntry(to)
+	if to.Near {
+		b.Replicas = g.directReplicas(now)
+	}
+	return b
+}
+
+// directReplicas are the engines whose agents tell this entry of them.
+func (g *Gateway) directReplicas(now time.Time) []wire.Replica {
+	var all []wire.Replica
 	for _, r := range g.replicas {
 		if r.direct && now.Sub(r.heard) < replicaLife {
-			b.Replicas = append(b.Replicas, r.Aged(now.Sub(r.heard)))
+			all = append(all, r.Aged(now.Sub(r.heard)))
 		}
 	}
-	return b
+	return all
 }
 
 // hasNews reports whether the own loads have changed since an entry was told.
@@ -99,7 +109,7 @@
 		return
 	}
 	b.Supply = &plan.Supply
-	b.Manifest = g.manifests.forPeer(to, fleet.RoleAgent, plan.Supply.Model)
+	b.Manifest = g.manifests.forAgent(to, plan.Supply.Model)
 	if first || g.told[to] != plan.Digest {
 		b.Members = plan.Members
 		g.told[to] = plan.Digest
@@ -117,18 +127,28 @@
 		if b.Reaches {
 			g.contact.othersReach(now)
 		}
+		g.heardGroups(now, b.Digests)
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
 		}
 	}
 	if b.Manifest != nil {
-		g.heardManifest(*b.Manifest, b.Role)
+		g.heardManifest(*b.Manifest, g.mesh.IsNear(b.ID))
 	}
 	for _, r := range b.Replicas {
 		g.heardReplica(now, r, b.Role == fleet.RoleAgent)
 	}
 }
 
+// heardGroups takes what the entries of other groups have together.
+func (g *Gateway) heardGroups(now time.Time, digests []wire.Digest) {
+	for _, d := range digests {
+		if d.Group != g.mesh.Group() {
+			g.board.HeardGroup(now, now.Add(-time.Duration(d.AgeMS)*time.Millisecond), d.Group, d.Loads)
+		}
+	}
+}
+
 // heardRevision takes up to which revision a peer knows what the operator wrote.
 // If that holds no configuration that is missing here, it is known here too. The
 // first word of one that is missing is logged: from it to config_in_force is
@@ -186,17 +206,37 @@
 	}
 	if !ok || !r.SameEngine(known.Replica) {
 		g.changed = true
-		g.urgent = g.urgent || direct
+		g.urgentNear = g.urgentNear || direct
 		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
 			zap.Bool("changing", r.Changing), zap.Bool("down", r.Down), zap.Int("pace_percent", r.Pace), zap.Bool("direct", direct))
 	}
 }
 
-// publish gives calls a new view if anything they see has changed.
+// publishEvery is the longest pause between two views. What a view holds beside
+// the catalog is known to no more than that: entries that fell silent, say. Made
+// at each tick, views of a hundred entries cost more than all calls.
+const publishEvery = 100 * time.Millisecond
+
+// publishDue gives calls a new view if anything has changed that must be in
+// force at once, or it is time.
+func (g *Gateway) publishDue(now time.Time) {
+	v := g.view.Load()
+	isSame := v != nil && !g.changed && v.table == g.table && v.leaving == g.leaving && v.doubtful == g.doubtful
+	if isSame && now.Sub(g.published) < publishEvery {
+		return
+	}
+	g.publish(now)
+}
+
+// publish gives calls a new view.
 func (g *Gateway) publish(now time.Time) {
+	g.published = now
 	g.publishServers(now)
 	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
 	entries := g.mesh.Entries(now)
+	if slices.ContainsFunc(entries, func(e mesh.Entry) bool { return e.Reaches && !e.Silent }) {
+		g.contact.othersReach(now)
+	}
 	rank := g.rank(now, entries)
 	v := &view{
 		table:         g.table,
@@ -209,7 +249,7 @@
 		leaving:       g.leaving,
 		doubtful:      g.doubtful,
 		soonest:       g.soonest(now),
-		sure:          g.contact.recent(now) || len(g.mesh.Live(now)) > 0,
+		sure:          g.contact.recent(now) || g.mesh.Hears(now),
 	}
 	g.followAnew(g.view.Swap(v), v)
 	slack := g.slack()
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -229,16 +229,16 @@
 }
 
 // compose returns what an entry is told.
-func (l *Loader) compose(now time.Time, to fleet.InstanceID, _ fleet.Role, form mesh.Form) wire.Beat {
+func (l *Loader) compose(now time.Time, to mesh.Peer, form mesh.Form) wire.Beat {
 	b := wire.Beat{
 		ID: l.opts.Self, Role: fleet.RoleAgent, Incarnation: l.opts.Incarnation, Place: l.opts.Place,
 	}
 	if l.known || l.failures >= downAfter {
 		b.Replicas = []wire.Replica{l.told.Aged(now.Sub(l.started))}
 	}
-	if l.manifest != nil && (form == mesh.First || !l.manifestTold[to]) {
+	if l.manifest != nil && (form == mesh.First || !l.manifestTold[to.ID]) {
 		b.Manifest = l.manifest
-		l.manifestTold[to] = true
+		l.manifestTold[to.ID] = true
 	}
 	return b
 }
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -22,13 +22,23 @@
 	once   sync.Once
 	closed chan struct{}
 	heard  time.Time
+	addr   netip.Addr  // that names the process
+	place  fleet.Place // zero until heard
+	since  time.Time   // it is up
+	// unwantedSince is since when the plan lacks the link; zero if it does not.
+	unwantedSince time.Time
+	// digests are the newest ones that the link brought, and toldVersions those
+	// that were sent over it, by the entry that they are of.
+	digests      map[netip.Addr]heardDigest
+	toldVersions map[netip.Addr]uint64
 	// beaten and briefed are when the last whole and the last beat were sent.
 	beaten, briefed time.Time
 }
 
 func newLink(id fleet.InstanceID, role fleet.Role, dialer fleet.InstanceID, s *peer.Stream) *link {
 	return &link{
-		id: id, role: role, dialer: dialer, stream: s,
+		id: id, role: role, dialer: dialer, stream: s, addr: addrOf(id),
+		digests: make(map[netip.Addr]heardDigest), toldVersions: make(map[netip.Addr]uint64),
 		out: make(chan wire.Beat, sendQueue), closed: make(chan struct{}),
 	}
 }
@@ -70,7 +80,7 @@
 		old.close()
 	}
 	m.links[l.id] = l
-	l.heard = now
+	l.heard, l.since = now, now
 	go m.read(l)
 	go m.write(l)
 	m.send(now, l, First)
@@ -83,6 +93,7 @@
 		return
 	}
 	delete(m.links, l.id)
+	m.newsFar = m.newsFar || l.role == fleet.RoleEntry
 	m.opts.Logger.Info("link_down", zap.String("peer", string(l.id)), zap.String("role", string(l.role)),
 		zap.String("reason", reason), zap.Duration("heard_ago", now.Sub(l.heard)))
 	m.opts.Lost(now, l.id)
@@ -91,16 +102,24 @@
 // dropDead gives up links that bring nothing, so that they are dialled anew.
 func (m *Mesh) dropDead(now time.Time) {
 	for _, l := range m.links {
-		limit := deadAfter
-		if m.opts.Role == fleet.RoleAgent || l.role == fleet.RoleAgent {
-			limit += agentBeatEvery
-		}
-		if now.Sub(l.heard) > limit {
+		if now.Sub(l.heard) > m.deadLimit(l) {
 			m.down(now, l, "silent")
 		}
 	}
 }
 
+// deadLimit is how long a link may bring nothing.
+func (m *Mesh) deadLimit(l *link) time.Duration {
+	switch {
+	case m.opts.Role == fleet.RoleAgent || l.role == fleet.RoleAgent:
+		return deadAfter + agentBeatEvery
+	case m.isNear(l):
+		return deadAfter
+	default:
+		return farDeadAfter
+	}
+}
+
 func (m *Mesh) read(l *link) {
 	for {
 		var b wire.Beat
@@ -135,27 +154,41 @@
 	if b.Role == fleet.RoleEntry && b.Brief {
 		m.stillThere(now, b)
 	}
-	if b.Role == fleet.RoleEntry && !b.Brief {
-		addr, err := netip.ParseAddr(string(b.ID))
-		if err != nil {
-			m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.Error(err))
-			return
-		}
-		c := m.contact(now, addr)
-		c.last = b
-		c.heard = now
-		m.Learn(now, b.Entries)
+	if !b.Brief && !m.heardWhole(now, l, b) {
+		return
 	}
 	m.opts.Heard(now, b)
 }
 
+// heardWhole takes a whole beat and reports whether it is one.
+func (m *Mesh) heardWhole(now time.Time, l *link, b wire.Beat) bool {
+	if !l.addr.IsValid() {
+		m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.String("reason", "its id is no address"))
+		return false
+	}
+	isFirst := l.place == fleet.Place{}
+	l.place = b.Place
+	if b.Role != fleet.RoleEntry {
+		if isFirst {
+			m.send(now, l, Whole) // what it is told depends on its region
+		}
+		return true
+	}
+	c := m.contact(now, l.addr)
+	m.noteChange(c.last, b, l.addr)
+	c.last = b
+	c.heard = now
+	if m.opts.Role == fleet.RoleAgent {
+		m.learn(now, b.Entries)
+		return true
+	}
+	m.heardDigests(now, l, b.Digests)
+	return true
+}
+
 // stillThere notes a brief beat of an entry.
 func (m *Mesh) stillThere(now time.Time, b wire.Beat) {
-	addr, err := netip.ParseAddr(string(b.ID))
-	if err != nil {
-		return // a whole beat of it was refused with a line
-	}
-	if c := m.contacts[addr]; c != nil && c.last.ID != "" {
+	if c := m.contacts[addrOf(b.ID)]; c != nil && c.last.ID != "" {
 		c.heard = now
 		c.named = now
 		c.last.ConfigRevision = max(c.last.ConfigRevision, b.ConfigRevision)
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -2,16 +2,15 @@
 // instances: entries find each other through a few seeds and through each
 // other, agents find entries in the same way.
 //
-// Entries are linked to all entries, an agent to a few. Over each link both
-// sides send a Beat several times a second. What is known is soft: it is
-// learned again within a second after any number of processes were lost.
+// An entry holds the links that core/linking plans, an agent a few. Over each
+// link both sides send a Beat several times a second. Of entries that it holds
+// no link with, an entry hears by the digests of others. What is known is soft:
+// it is learned again within a second after any number of processes were lost.
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -20,28 +19,30 @@
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/linking"
+	"chivespindle.example/core/placement"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/wire"
 )
 
 const (
 	// beatEvery is the pause between two whole beats to an entry, unless what
-	// they tell has changed; liveEvery is the longest pause between any two.
+	// they tell has changed; liveEvery is the longest pause between any two to one
+	// of the own group.
 	beatEvery = 500 * time.Millisecond
 	liveEvery = 200 * time.Millisecond
 	// briefEvery is the pause between two brief beats for each entry that one is
-	// linked to, within briefMin and briefMax. They tell of the loads that
-	// placement is based on: told every 30 ms instead of every 100, four entries
-	// before eight engines had 0.56 of an overload on time instead of 0.50 (the
-	// replay in core/placement). An entry sends 200 a second in all.
+	// linked to, within briefMin and briefMax: what an entry sends does not grow
+	// with its links. Brief beats tell of the loads that placement is based on.
 	briefEvery = 5 * time.Millisecond
 	briefMin   = 20 * time.Millisecond
 	briefMax   = 400 * time.Millisecond
 	// farTimes is how many times longer the pause to an entry of another region
 	// is. Most of its requests go to servers of its own.
 	farTimes = 4
-	// farBeatEvery is the pause between two whole beats to such an entry.
-	farBeatEvery = time.Second
+	// newsEvery is the least pause between two beats that pass on at once that an
+	// entry came, leaves or went.
+	newsEvery = 100 * time.Millisecond
 	// agentBeatEvery is the pause between two beats on a link with an agent.
 	agentBeatEvery = 400 * time.Millisecond
 	// silentAfter is how long a link may bring nothing until its process counts
@@ -50,6 +51,22 @@
 	// deadAfter is when a silent link is given up and dialled anew. A connection
 	// can go silent for good while new ones work.
 	deadAfter = 1200 * time.Millisecond
+	// farDeadAfter is the same for a link between groups. It shares the link
+	// between regions with weights; given up while that was full, links were
+	// dialled anew and filled it more.
+	farDeadAfter = 2500 * time.Millisecond
+	// digestLife is how long an entry counts as there that a digest told of: until
+	// a lost bridge has been found silent and another has told.
+	digestLife = 4 * time.Second
+	// introduceFor is how long an entry tells another of its group whom it hears,
+	// from the moment on at which they are linked.
+	introduceFor = 5 * time.Second
+	// planEvery is the pause between two plans of the links. unwantedFor is how
+	// long a link is kept that the plan lacks, and dialAnyway after how long the
+	// greater id dials as well: two entries may see different fleets for a while.
+	planEvery   = 200 * time.Millisecond
+	unwantedFor = 3 * time.Second
+	dialAnyway  = 300 * time.Millisecond
 	// redialMin doubles up to redialMax while an address does not answer.
 	redialMin    = 150 * time.Millisecond
 	redialMax    = 1500 * time.Millisecond
@@ -80,9 +97,12 @@
 	Endpoint *peer.Endpoint
 	Logger   *zap.Logger
 	Metrics  tally.Scope
-	// Compose returns the beat for a peer of this role, which is then sent. It
-	// runs on the control loop.
-	Compose func(now time.Time, to fleet.InstanceID, role fleet.Role, form Form) wire.Beat
+	// Compose returns the beat for a peer, which is then sent. It runs on the
+	// control loop.
+	Compose func(now time.Time, to Peer, form Form) wire.Beat
+	// GroupLoads returns what the entries of the own group have together. Agents
+	// need none.
+	GroupLoads func(now time.Time) []placement.RegionLoad
 	// HasNews reports whether an entry is to be sent a brief beat.
 	HasNews func(to fleet.InstanceID) bool
 	// Heard takes a beat. It runs on the control loop.
@@ -94,6 +114,16 @@
 	FarLess bool
 }
 
+// Peer is whom a beat is for.
+type Peer struct {
+	ID   fleet.InstanceID
+	Role fleet.Role
+	// Near entries are of the own group; they tell each other everything.
+	Near bool
+	// Region is that of an agent that has been heard, or empty.
+	Region fleet.Region
+}
+
 // Form says what a beat holds.
 type Form uint8
 
@@ -124,20 +154,15 @@
 type Mesh struct {
 	opts     Options
 	ctx      context.Context
+	addr     netip.Addr // that names this process
 	contacts map[netip.Addr]*contact
 	links    map[fleet.InstanceID]*link
-}
-
-// contact is an entry that may be dialled.
-type contact struct {
-	addr    netip.Addr
-	seed    bool
-	dialing bool
-	failed  int
-	retryAt time.Time
-	named   time.Time // when it was last heard of
-	last    wire.Beat // zero until heard
-	heard   time.Time
+	plan     linking.Plan
+	planAt   time.Time // when the next one is due
+	// newsFar is true while entries of other groups, newsNear while those of the
+	// own are to hear at once of entries that changed; newsAt is when they may.
+	newsFar, newsNear bool
+	newsAt            time.Time
 }
 
 // New returns a mesh that links itself at the next Tick. It ends with ctx.
@@ -145,6 +170,7 @@
 	m := &Mesh{
 		opts:     opts,
 		ctx:      ctx,
+		addr:     addrOf(opts.Self),
 		contacts: make(map[netip.Addr]*contact),
 		links:    make(map[fleet.InstanceID]*link),
 	}
@@ -158,16 +184,6 @@
 // a process is named by its IP number, which is known wherever it is met.
 func IDOf(addr netip.Addr) fleet.InstanceID { return fleet.InstanceID(addr.String()) }
 
-func (m *Mesh) contact(now time.Time, addr netip.Addr) *contact {
-	c := m.contacts[addr]
-	if c == nil {
-		c = &contact{addr: addr}
-		m.contacts[addr] = c
-	}
-	c.named = now
-	return c
-}
-
 // SetSeeds takes the seeds that the settings name now, beside those before.
 func (m *Mesh) SetSeeds(now time.Time, seeds []netip.Addr) {
 	for _, seed := range seeds {
@@ -179,7 +195,7 @@
 // process: the others have given the links up.
 func (m *Mesh) Woke(now time.Time) {
 	for _, c := range m.contacts {
-		c.heard = time.Time{}
+		c.heard, c.toldAt = time.Time{}, time.Time{}
 		c.retryAt = now
 	}
 	for _, l := range m.links {
@@ -187,57 +203,11 @@
 	}
 }
 
-// Learn takes the addresses of entries that others hear of.
-func (m *Mesh) Learn(now time.Time, entries []netip.Addr) {
-	for _, addr := range entries {
-		if IDOf(addr) != m.opts.Self {
-			m.contact(now, addr)
-		}
-	}
-}
-
-// Entries returns the other entries that were heard of, by id.
-func (m *Mesh) Entries(now time.Time) []Entry {
-	var all []Entry
-	for _, c := range m.contacts {
-		if c.last.ID == "" {
-			continue
-		}
-		all = append(all, Entry{
-			ID: c.last.ID, Place: c.last.Place, CallerAddr: c.last.CallerAddr,
-			Ready: c.last.Ready, Leaving: c.last.Leaving, Reaches: c.last.Reaches, Silent: now.Sub(c.heard) > silentAfter,
-		})
-	}
-	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
-	return all
-}
-
-// Live returns the addresses of the entries that are heard now.
-func (m *Mesh) Live(now time.Time) []netip.Addr {
-	var live []netip.Addr
-	for addr, c := range m.contacts {
-		if c.last.ID != "" && now.Sub(c.heard) <= silentAfter {
-			live = append(live, addr)
-		}
-	}
-	slices.SortFunc(live, netip.Addr.Compare)
-	return live
-}
+// Group names the group of entries that this one belongs to.
+func (m *Mesh) Group() string { return m.plan.Group }
 
-// Ahead returns a live entry whose last whole beat isAhead accepts, one of the
-// own region if there is any, and whether it is; ok is false if there is none.
-func (m *Mesh) Ahead(now time.Time, isAhead func(wire.Beat) bool) (addr netip.Addr, near, ok bool) {
-	for a, c := range m.contacts {
-		if c.last.ID == "" || now.Sub(c.heard) > silentAfter || !isAhead(c.last) {
-			continue
-		}
-		if c.last.Place.Region == m.opts.Place.Region {
-			return a, true, true
-		}
-		addr, ok = a, true
-	}
-	return addr, false, ok
-}
+// IsNear reports whether a process is an entry of the own group.
+func (m *Mesh) IsNear(id fleet.InstanceID) bool { return m.plan.Near[id] }
 
 // PeerAddr returns where the process on an instance listens for peers.
 func (m *Mesh) PeerAddr(addr netip.Addr) netip.AddrPort {
@@ -247,146 +217,16 @@
 // Tick sends beats and dials. It is called by the control loop.
 func (m *Mesh) Tick(now time.Time) {
 	m.dropDead(now)
-	m.dialDue(now)
-	for _, l := range m.links {
-		m.beat(now, l)
+	if m.opts.Role == fleet.RoleEntry {
+		m.planLinks(now)
+		m.dialPlanned(now)
+	} else {
+		m.dialEntries(now)
 	}
-}
-
-// beat sends what is due on a link.
-func (m *Mesh) beat(now time.Time, l *link) {
-	betweenEntries := m.opts.Role == fleet.RoleEntry && l.role == fleet.RoleEntry
-	every := agentBeatEvery
-	if betweenEntries {
-		every = m.wholePause(l.id)
-	}
-	switch {
-	case now.Sub(l.beaten) >= every:
-		m.send(now, l, Whole)
-	case !betweenEntries:
-	case now.Sub(l.briefed) >= liveEvery, now.Sub(l.briefed) >= m.briefPause(l.id) && m.opts.HasNews(l.id):
-		m.send(now, l, Brief)
-	}
-}
-
-// wholePause is the pause between two whole beats to an entry.
-func (m *Mesh) wholePause(to fleet.InstanceID) time.Duration {
-	if m.opts.FarLess && m.isFar(to) {
-		return farBeatEvery
-	}
-	return beatEvery
-}
-
-// briefPause grows with the number of links, so that what an entry sends does
-// not grow with the square of their number.
-func (m *Mesh) briefPause(to fleet.InstanceID) time.Duration {
-	pause := min(briefMax, max(briefMin, time.Duration(len(m.links))*briefEvery))
-	if m.opts.FarLess && m.isFar(to) {
-		pause = min(briefMax, farTimes*pause)
-	}
-	return pause
-}
-
-// isFar reports whether an entry is known to be in another region.
-func (m *Mesh) isFar(id fleet.InstanceID) bool {
-	addr, err := netip.ParseAddr(string(id))
-	if err != nil {
-		return false // its beats are refused with a line
-	}
-	c := m.contacts[addr]
-	return c != nil && c.last.ID != "" && c.last.Place.Region != m.opts.Place.Region
-}
-
-// Flush sends a beat over every link at once, as after a change that others
-// must hear of.
-func (m *Mesh) Flush(now time.Time) {
+	m.tellNews(now)
 	for _, l := range m.links {
-		m.send(now, l, Whole)
-	}
-}
-
-// FlushNear is Flush for the entries of the own region.
-func (m *Mesh) FlushNear(now time.Time) {
-	for _, l := range m.links {
-		if l.role == fleet.RoleEntry && !m.isFar(l.id) {
-			m.send(now, l, Whole)
-		}
-	}
-}
-
-// send composes and queues a beat, unless the link is still busy with the one
-// before: what that one lacks comes with the next.
-func (m *Mesh) send(now time.Time, l *link, form Form) {
-	if len(l.out) == cap(l.out) {
-		m.opts.Metrics.Counter("beats_left_out").Inc(1)
-		return
-	}
-	l.briefed = now
-	if form != Brief {
-		l.beaten = now
-	}
-	l.out <- m.opts.Compose(now, l.id, l.role, form)
-}
-
-// dialDue dials what is missing: an entry those with a greater id, so that two
-// entries have one link; an agent until it has enough.
-func (m *Mesh) dialDue(now time.Time) {
-	if m.opts.Role == fleet.RoleAgent && m.linked()+m.dialing() >= agentLinks {
-		return
-	}
-	for _, c := range m.byNearness() {
-		id := IDOf(c.addr)
-		if c.dialing || m.links[id] != nil || now.Before(c.retryAt) || id == m.opts.Self {
-			continue
-		}
-		if m.opts.Role == fleet.RoleEntry && id < m.opts.Self && !c.seed {
-			continue
-		}
-		if !c.seed && now.Sub(c.named) > forgetAfter {
-			delete(m.contacts, c.addr)
-			continue
-		}
-		c.dialing = true
-		go m.dial(c.addr)
-		if m.opts.Role == fleet.RoleAgent && m.linked()+m.dialing() >= agentLinks {
-			return
-		}
-	}
-}
-
-func (m *Mesh) linked() int { return len(m.links) }
-
-func (m *Mesh) dialing() int {
-	n := 0
-	for _, c := range m.contacts {
-		if c.dialing {
-			n++
-		}
-	}
-	return n
-}
-
-// byNearness orders the contacts: those of the own region first, then spread
-// by hash, so that agents share the entries out evenly.
-func (m *Mesh) byNearness() []*contact {
-	all := make([]*contact, 0, len(m.contacts))
-	for _, c := range m.contacts {
-		all = append(all, c)
-	}
-	weight := func(c *contact) uint64 { return fleet.RankOf(m.opts.Self, IDOf(c.addr)) }
-	far := func(c *contact) int {
-		if c.last.ID != "" && c.last.Place.Region != m.opts.Place.Region || c.last.Leaving {
-			return 1
-		}
-		return 0
+		m.beat(now, l)
 	}
-	slices.SortFunc(all, func(a, b *contact) int {
-		if far(a) != far(b) {
-			return far(a) - far(b)
-		}
-		return cmp.Compare(weight(b), weight(a))
-	})
-	return all
 }
 
 func (m *Mesh) post(f func(now time.Time)) {
--- a/daemon/mesh/mesh_test.go
+++ b/daemon/mesh/mesh_test.go
@@ -14,6 +14,7 @@
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
@@ -25,6 +26,7 @@
 // node is a process with a mesh, on an address of this machine.
 type node struct {
 	id       fleet.InstanceID
+	place    fleet.Place
 	loop     *control.Loop
 	endpoint *peer.Endpoint
 	mesh     *mesh.Mesh
@@ -48,9 +50,13 @@
 }
 
 func start(port uint16, role fleet.Role, address string, seeds ...string) *node {
+	return startIn(fleet.Place{Zone: "hall", Region: "lagos"}, port, role, address, seeds...)
+}
+
+func startIn(place fleet.Place, port uint16, role fleet.Role, address string, seeds ...string) *node {
 	addr := netip.MustParseAddr(address)
 	n := &node{
-		id: mesh.IDOf(addr), loop: control.New(control.Options{Every: 10 * time.Millisecond}),
+		id: mesh.IDOf(addr), place: place, loop: control.New(control.Options{Every: 10 * time.Millisecond}),
 		heard: map[fleet.InstanceID]wire.Beat{}, lost: map[fleet.InstanceID]int{},
 	}
 	store, err := keys.Ephemeral(keys.Identity{ID: n.id, Role: role})
@@ -66,18 +72,19 @@
 		seedAddrs = append(seedAddrs, netip.MustParseAddr(seed))
 	}
 	n.mesh = mesh.New(ctx, time.Now(), mesh.Options{
-		Self: n.id, Role: role, Place: fleet.Place{Zone: "hall", Region: "lagos"}, PeerPort: port, Seeds: seedAddrs,
+		Self: n.id, Role: role, Place: place, PeerPort: port, Seeds: seedAddrs,
 		Loop: n.loop, Endpoint: n.endpoint, Logger: zap.NewNop(), Metrics: tally.NoopScope,
-		Compose: func(now time.Time, _ fleet.InstanceID, _ fleet.Role, form mesh.Form) wire.Beat {
-			b := wire.Beat{ID: n.id, Role: role, Brief: form == mesh.Brief, Ready: true, Leaving: n.leaving}
-			if role == fleet.RoleEntry && !b.Brief {
-				b.Entries = n.mesh.Live(now)
+		Compose: func(now time.Time, to mesh.Peer, form mesh.Form) wire.Beat {
+			b := wire.Beat{ID: n.id, Role: role, Brief: form == mesh.Brief, Ready: true, Leaving: n.leaving, Place: place}
+			if to.Role == fleet.RoleAgent && !b.Brief {
+				b.Entries = n.mesh.LiveIn(now, to.Region)
 			}
 			return b
 		},
-		HasNews: func(fleet.InstanceID) bool { return false },
-		Heard:   func(_ time.Time, b wire.Beat) { n.heard[b.ID] = b },
-		Lost:    func(_ time.Time, id fleet.InstanceID) { n.lost[id]++ },
+		GroupLoads: func(time.Time) []placement.RegionLoad { return nil },
+		HasNews:    func(fleet.InstanceID) bool { return false },
+		Heard:      func(_ time.Time, b wire.Beat) { n.heard[b.ID] = b },
+		Lost:       func(_ time.Time, id fleet.InstanceID) { n.lost[id]++ },
 	})
 	n.loop.AddTicker(n.mesh)
 	ended := make(chan struct{})
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -41,8 +41,10 @@
 	// Replicas are the engines that agents told the sender of, or an agent's
 	// own.
 	Replicas []Replica `cbor:"12,keyasint,omitempty"`
-	// Entries are the entries that the sender hears of.
+	// Entries tell an agent of the entries of its region.
 	Entries []netip.Addr `cbor:"13,keyasint,omitempty"`
+	// Digests tell an entry of those that it holds no link with.
+	Digests []Digest `cbor:"20,keyasint,omitempty"`
 	// Members are the agents of the receiver's service. They are sent only when
 	// they have changed.
 	Members []Member `cbor:"14,keyasint,omitempty"`
@@ -52,6 +54,39 @@
 	Manifest *Manifest `cbor:"18,keyasint,omitempty"`
 }
 
+// Digest is what one entry tells of those that it hears, for others that hold
+// no link with them.
+type Digest struct {
+	// By is the entry that hears them, Group the one that it belongs to.
+	By    netip.Addr `cbor:"1,keyasint"`
+	Group string     `cbor:"2,keyasint"`
+	// AgeMS is how long ago By told it.
+	AgeMS int64 `cbor:"3,keyasint,omitzero"`
+	// Version changes with Entries, which are left out if they were told over the
+	// link before.
+	Version uint64       `cbor:"4,keyasint"`
+	Entries []EntryState `cbor:"5,keyasint,omitempty"`
+	// Loads are what the entries of the group have together.
+	Loads []placement.RegionLoad `cbor:"6,keyasint,omitempty"`
+}
+
+// EntryState is what others must know of an entry.
+type EntryState struct {
+	Addr       netip.Addr     `cbor:"1,keyasint"`
+	Place      fleet.Place    `cbor:"2,keyasint"`
+	CallerAddr netip.AddrPort `cbor:"3,keyasint,omitzero"`
+	Ready      bool           `cbor:"4,keyasint,omitzero"`
+	Leaving    bool           `cbor:"5,keyasint,omitzero"`
+	Reaches    bool           `cbor:"6,keyasint,omitzero"`
+}
+
+// State returns what the beat of an entry says of it.
+func (b Beat) State(addr netip.Addr) EntryState {
+	return EntryState{
+		Addr: addr, Place: b.Place, CallerAddr: b.CallerAddr, Ready: b.Ready, Leaving: b.Leaving, Reaches: b.Reaches,
+	}
+}
+
 // Manifest lists the chunks of a version as an agent read them at the origin,
 // twice with the same result.
 type Manifest struct {
