Loads of an entry that is in another group, or tells all anew, are void

Cause: entries that start together take all for near until they know of more than a small fleet, and tell each other their loads. Those that end in another group keep a link as bridge, over which no loads come any more: what was told last stayed.

Ruled out: links replaced without a word of their loss (7 of 176), too few engines (26 usable in every refusal).

Specs: the three that are new fail without the change.

--- a/daemon/gateway/agents_test.go
+++ b/daemon/gateway/agents_test.go
@@ -24,7 +24,7 @@
 	})
 
 	tell := func(now time.Time, r wire.Replica) {
-		g.heard(now, wire.Beat{ID: "10.0.1.1", Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
+		g.heard(now, nearEntry, wire.Beat{ID: "10.0.1.1", Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
 	}
 
 	It("goes before the registration, which lags", func() {
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -124,7 +124,7 @@
 		g.sourceFailed(at(time.Second), broken)
 		other := beat("10.0.0.2")
 		other.Reaches = true
-		g.heard(at(5500*time.Millisecond), other)
+		g.heard(at(5500*time.Millisecond), nearEntry, other)
 		g.sourceAnswered(at(6 * time.Second))
 		g.apply(at(6*time.Second), removeTwo, 9)
 		Expect(listed(g, backend, at(6*time.Second))).To(HaveLen(2))
@@ -146,7 +146,7 @@
 		g.sourceFailed(at(time.Second), broken)
 		other := beat("10.0.0.2")
 		other.Reaches = true
-		g.heard(at(2*time.Second), other)
+		g.heard(at(2*time.Second), nearEntry, other)
 		g.sourceAnswered(at(6 * time.Second))
 		g.apply(at(6*time.Second), removeTwo, 9)
 		Expect(listed(g, backend, at(6*time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
@@ -260,7 +260,7 @@
 		other := beat("10.0.0.2")
 		other.Reaches = true
 		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, Assumed: true}}
-		g.heard(at(6*time.Second), other)
+		g.heard(at(6*time.Second), nearEntry, other)
 		g.sourceAnswered(at(6500 * time.Millisecond))
 		g.adopt(at(6500*time.Millisecond), wanted(2), "platform")
 		since, _ := g.names["m"].OutdatedSince(1)
@@ -289,7 +289,7 @@
 		g.adopt(at(2*time.Second), wanted(2), "platform")
 		other := beat("10.0.0.2")
 		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: -2000}}
-		g.heard(at(2*time.Second), other)
+		g.heard(at(2*time.Second), nearEntry, other)
 		since, _ := g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(4 * time.Second)))
 	})
@@ -301,7 +301,7 @@
 		g.sourceFailed(at(time.Second), failure.Unavailable.New("turned away"))
 		other := beat("10.0.0.2")
 		other.Reaches = true
-		g.heard(at(2*time.Second), other)
+		g.heard(at(2*time.Second), nearEntry, other)
 		g.sourceAnswered(at(6 * time.Second))
 		g.adopt(at(6*time.Second), wanted(2), "platform")
 		since, _ := g.names["m"].OutdatedSince(1)
@@ -320,7 +320,7 @@
 		Expect(told.Wanted[0].Assumed).To(BeTrue())
 		other := beat("10.0.0.2")
 		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: 1000}}
-		g.heard(start, other)
+		g.heard(start, nearEntry, other)
 		since, _ = g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(-time.Second)))
 	})
@@ -333,7 +333,7 @@
 		g := following()
 		other := beat("10.0.0.2")
 		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: 8000, Assumed: true}}
-		g.heard(at(time.Second), other)
+		g.heard(at(time.Second), nearEntry, other)
 		g.adopt(at(2*time.Second), wanted(2), "platform")
 		since, _ := g.names["m"].OutdatedSince(1)
 		Expect(since).To(Equal(at(time.Second)))
@@ -414,4 +414,52 @@
 		Expect(told).To(HaveLen(1))
 		Expect(told[0].Running).To(BeZero())
 	})
+
+	// All power is lost. Entries that come back know of few others at first, take
+	// them for near and tell them what they have; seconds later they know more and
+	// belong to other groups. What was told last stayed: callers were refused for
+	// ten seconds before engines that were half empty.
+	Context("of an entry that had an engine full", func() {
+		var g *Gateway
+		full := wire.Beat{ID: "10.0.0.2", Role: fleet.RoleEntry, Brief: true, Loads: []placement.Load{
+			{Server: "i-1", Work: enginemodel.Work{Running: 90}},
+		}}
+		isPlaced := func() bool {
+			t, _ := g.board.Choose(start, placement.Ask{Service: "pool", Left: time.Second})
+			return t != nil
+		}
+
+		BeforeEach(func() {
+			g, _ = newGateway()
+			g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+			g.publish(start)
+			g.heard(start, nearEntry, full)
+			Expect(isPlaced()).To(BeFalse())
+		})
+
+		It("void that once it is in another group", func() {
+			g.heard(start, mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry}, beat("10.0.0.2"))
+			Expect(isPlaced()).To(BeTrue())
+		})
+
+		It("void that when they tell of all loads anew", func() {
+			g.heard(start, nearEntry, wire.Beat{ID: "10.0.0.2", Role: fleet.RoleEntry, Brief: true, AllLoads: true})
+			Expect(isPlaced()).To(BeTrue())
+		})
+	})
+
+	It("tell all loads anew on a new link, and to an entry that has been in another group", func() {
+		g, _ := newGateway()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+		g.publish(start)
+		_, refusal := g.board.Choose(start, placement.Ask{Service: "pool", Left: time.Second})
+		Expect(refusal.Reason).To(BeEmpty())
+		Expect(g.compose(start, nearEntry, mesh.First).AllLoads).To(BeTrue())
+		Expect(g.compose(start, nearEntry, mesh.Brief).AllLoads).To(BeFalse())
+		far := mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry}
+		Expect(g.compose(start, far, mesh.Whole).Loads).To(BeEmpty())
+		again := g.compose(start, nearEntry, mesh.Brief)
+		Expect(again.AllLoads).To(BeTrue())
+		Expect(again.Loads).To(HaveLen(1))
+	})
 })
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -43,7 +43,10 @@
 		if form == mesh.First {
 			delete(g.toldLoads, to.ID)
 		}
+		b.AllLoads = g.toldLoads[to.ID] == 0
 		b.Loads, g.toldLoads[to.ID] = g.board.LoadsSince(g.toldLoads[to.ID])
+	} else {
+		delete(g.toldLoads, to.ID)
 	}
 	b.ConfigRevision = g.snapshot.ConfigRevision
 	if b.Brief {
@@ -117,9 +120,9 @@
 }
 
 // heard takes what another process tells.
-func (g *Gateway) heard(now time.Time, b wire.Beat) {
+func (g *Gateway) heard(now time.Time, from mesh.Peer, b wire.Beat) {
 	if b.Role == fleet.RoleEntry {
-		g.board.Heard(now, b.ID, b.Loads)
+		g.heardLoads(now, from, b)
 		g.heardRevision(b)
 		if b.Brief {
 			return
@@ -133,13 +136,27 @@
 		}
 	}
 	if b.Manifest != nil {
-		g.heardManifest(*b.Manifest, g.mesh.IsNear(b.ID))
+		g.heardManifest(*b.Manifest, from.Near)
 	}
 	for _, r := range b.Replicas {
 		g.heardReplica(now, r, b.Role == fleet.RoleAgent)
 	}
 }
 
+// heardLoads takes what another entry has at each server.
+//
+// Entries that start together are all near each other until they know of more
+// than a small fleet. One that is in another group afterwards tells its loads no
+// more: those that it told last would stay, and engines with room pass for full.
+func (g *Gateway) heardLoads(now time.Time, from mesh.Peer, b wire.Beat) {
+	if !from.Near || b.AllLoads {
+		g.board.Forget(b.ID)
+	}
+	if from.Near {
+		g.board.Heard(now, b.ID, b.Loads)
+	}
+}
+
 // heardGroups takes what the entries of other groups have together.
 func (g *Gateway) heardGroups(now time.Time, digests []wire.Digest) {
 	for _, d := range digests {
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -69,7 +69,7 @@
 	tell := func(addr netip.Addr, r wire.Replica) {
 		r.Addr, r.Incarnation = addr, 1
 		now := time.Now()
-		g.heard(now, wire.Beat{ID: fleet.InstanceID(addr.String()), Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
+		g.heard(now, nearEntry, wire.Beat{ID: fleet.InstanceID(addr.String()), Role: fleet.RoleAgent, Replicas: []wire.Replica{r}})
 		g.publish(now)
 	}
 
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -244,7 +244,7 @@
 }
 
 // heard takes what an entry tells.
-func (l *Loader) heard(now time.Time, b wire.Beat) {
+func (l *Loader) heard(now time.Time, _ mesh.Peer, b wire.Beat) {
 	l.lastHeard = now
 	if b.Supply != nil {
 		l.supply = b.Supply
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -157,7 +157,7 @@
 	if !b.Brief && !m.heardWhole(now, l, b) {
 		return
 	}
-	m.opts.Heard(now, b)
+	m.opts.Heard(now, m.peer(l), b)
 }
 
 // heardWhole takes a whole beat and reports whether it is one.
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -106,7 +106,7 @@
 	// HasNews reports whether an entry is to be sent a brief beat.
 	HasNews func(to fleet.InstanceID) bool
 	// Heard takes a beat. It runs on the control loop.
-	Heard func(now time.Time, b wire.Beat)
+	Heard func(now time.Time, from Peer, b wire.Beat)
 	// Lost tells that nothing is heard of a process any more. It runs on the
 	// control loop.
 	Lost func(now time.Time, id fleet.InstanceID)
@@ -114,7 +114,7 @@
 	FarLess bool
 }
 
-// Peer is whom a beat is for.
+// Peer is whom a beat is for, or from.
 type Peer struct {
 	ID   fleet.InstanceID
 	Role fleet.Role
@@ -206,9 +206,6 @@
 // Group names the group of entries that this one belongs to.
 func (m *Mesh) Group() string { return m.plan.Group }
 
-// IsNear reports whether a process is an entry of the own group.
-func (m *Mesh) IsNear(id fleet.InstanceID) bool { return m.plan.Near[id] }
-
 // PeerAddr returns where the process on an instance listens for peers.
 func (m *Mesh) PeerAddr(addr netip.Addr) netip.AddrPort {
 	return netip.AddrPortFrom(addr, m.opts.PeerPort)
--- a/daemon/mesh/mesh_test.go
+++ b/daemon/mesh/mesh_test.go
@@ -83,7 +83,7 @@
 		},
 		GroupLoads: func(time.Time) []placement.RegionLoad { return nil },
 		HasNews:    func(fleet.InstanceID) bool { return false },
-		Heard:      func(_ time.Time, b wire.Beat) { n.heard[b.ID] = b },
+		Heard:      func(_ time.Time, _ mesh.Peer, b wire.Beat) { n.heard[b.ID] = b },
 		Lost:       func(_ time.Time, id fleet.InstanceID) { n.lost[id]++ },
 	})
 	n.loop.AddTicker(n.mesh)
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -35,8 +35,11 @@
 	// Loads is what an entry has at each server whose load has changed since the
 	// beat before on the link. One without work has a zero load.
 	Loads []placement.Load `cbor:"11,keyasint,omitempty"`
-	// Brief beats have no fields but ID, Role, Incarnation, ConfigRevision and
-	// Loads.
+	// AllLoads is true if Loads are all that the sender has anywhere: what it told
+	// before is void.
+	AllLoads bool `cbor:"21,keyasint,omitzero"`
+	// Brief beats have no fields but ID, Role, Incarnation, ConfigRevision, Loads
+	// and AllLoads.
 	Brief bool `cbor:"17,keyasint,omitzero"`
 	// Replicas are the engines that agents told the sender of, or an agent's
 	// own.
