An engine's rank is hashed once

Cause: each change of any engine sorted all of them by a hash that was computed at each comparison; with 265 engines that change a version, up to 50 times a second.

--- a/core/placement/others_test.go
+++ b/core/placement/others_test.go
@@ -107,3 +107,18 @@
 		})
 	}
 }
+
+// BenchmarkSetServers gives the time in which a board takes a list, as it does
+// whenever an engine changes.
+func BenchmarkSetServers(b *testing.B) {
+	for _, engines := range []int{15, 265} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			board := placement.New(rand.New(rand.NewPCG(1, 2)), policy.Off{})
+			board.SetSelf("self", fleet.Place{Zone: "a", Region: "r"})
+			list := servers(engines)
+			for b.Loop() {
+				board.SetServers(start, list)
+			}
+		})
+	}
+}
--- a/core/placement/own.go
+++ b/core/placement/own.go
@@ -21,7 +21,7 @@
 	othersMost = 30 * time.Millisecond
 )
 
-// SetSelf tells which entry the board is of.
+// SetSelf tells which entry the board is of. It is called before SetServers.
 func (b *Board) SetSelf(self fleet.InstanceID, place fleet.Place) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -52,9 +52,7 @@
 	for _, g := range b.services {
 		ordered := slices.Clone(g.states)
 		slices.SortFunc(ordered, func(x, y *state) int {
-			return cmp.Or(
-				cmp.Compare(b.place.DistanceTo(x.Place), b.place.DistanceTo(y.Place)),
-				cmp.Compare(fleet.RankOf(b.self, x.ID), fleet.RankOf(b.self, y.ID)))
+			return cmp.Or(cmp.Compare(x.distance, y.distance), cmp.Compare(x.hash, y.hash))
 		})
 		for rank, st := range ordered {
 			st.rank = rank
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -142,8 +142,10 @@
 	ready  time.Time // since when it takes work
 	health health
 	// rank is the server's place, from 0, in the order in which this entry
-	// prefers those of the service.
-	rank int
+	// prefers those of the service: by distance, then by hash.
+	rank     int
+	distance fleet.Distance
+	hash     uint64
 }
 
 // New returns a board without servers.
@@ -181,9 +183,9 @@
 		st := b.servers[s.ID]
 		switch {
 		case st == nil:
-			st = newState()
+			st = b.newState(s.ID)
 		case s.Born.Replaces(st.Born):
-			st = newState()
+			st = b.newState(s.ID)
 			b.others.forgetServer(s.ID)
 			b.touch(st)
 		}
@@ -191,6 +193,7 @@
 			st.ready = now
 		}
 		st.Server = s
+		st.distance = b.place.DistanceTo(s.Place)
 		st.group = g
 		g.states = append(g.states, st)
 		kept[s.ID] = st
@@ -209,7 +212,9 @@
 	b.regions.count(now, kept)
 }
 
-func newState() *state { return &state{own: make(map[*Ticket]struct{})} }
+func (b *Board) newState(id fleet.InstanceID) *state {
+	return &state{own: make(map[*Ticket]struct{}), hash: fleet.RankOf(b.self, id)}
+}
 
 // Heard notes that another entry was heard, with the servers at which its load
 // has changed. The loads that were told before hold on for as long as it is
