Two entries of a region read the platform, the others take from them what they read

Change: the two that rank first in a region watch everything, the second at longer pauses. With their heartbeats they tell the others of their region what happened to servers after what these know, and how they stand with the platform, so that registrations which lapsed during an outage are kept everywhere. An entry that lacks a part asks for the whole list, as before. One that the platform turns away is the last of its region to read for three seconds. WatchServers has no caller any more and goes, with its spec's place taken by the readers'.

Specs that are new and fail without the change: calls of two entries only, and the loss of both; the rest of those in watch_test.go pin the new decisions.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -52,8 +52,8 @@
 }
 
 // Snapshot is everything that the platform publishes. It has two parts, each as
-// of a revision of its own: the servers, which every entry follows by itself,
-// and what the operator writes, which is large and comes mostly from a peer.
+// of a revision of its own: the servers, of which peers tell changes, and what
+// the operator writes, which is large and comes whole.
 type Snapshot struct {
 	// AsOf is up to which revision Servers are known.
 	AsOf    Revision
@@ -71,24 +71,29 @@
 // holds already is left out: replayed after a newer snapshot was taken from a
 // peer, it would bring back a server that has gone since.
 func (s Snapshot) Apply(changes []Change, asOf Revision) Snapshot {
-	next := s.ApplyServers(changes, asOf)
+	next, _ := s.ApplyServers(changes, asOf)
 	next.OperatorAsOf = max(s.OperatorAsOf, asOf)
 	return next
 }
 
 // ApplyServers is Apply for changes that are complete up to asOf for the servers
-// only.
-func (s Snapshot) ApplyServers(changes []Change, asOf Revision) Snapshot {
+// only. It returns also the servers whose registration ended, as it was last.
+func (s Snapshot) ApplyServers(changes []Change, asOf Revision) (Snapshot, []Server) {
+	var gone []Server
 	next := s
 	next.Servers = slices.Clone(s.Servers)
 	next.Wanted = slices.Clone(s.Wanted)
 	for _, c := range changes {
-		if c.OfOperator() || c.Revision > s.AsOf {
-			next.apply(c)
+		if !c.OfOperator() && c.Revision <= s.AsOf {
+			continue
+		}
+		if i := slices.IndexFunc(next.Servers, func(server Server) bool { return server.ID == c.Removed }); i >= 0 && c.Removed != "" {
+			gone = append(gone, next.Servers[i])
 		}
+		next.apply(c)
 	}
 	next.AsOf = max(s.AsOf, asOf)
-	return next
+	return next, gone
 }
 
 // OfOperator reports whether the operator made the change, and not a server.
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -87,10 +87,9 @@
 		Expect(s.Servers).To(HaveLen(2))
 	})
 
-	// An entry follows the servers by itself and hears of the configuration from a
-	// peer. How far it has followed the servers says nothing of the rest.
+	// An entry hears of servers in another way than of the configuration. How far it has followed the servers says nothing of the rest.
 	It("tells how far the operator's part is known from how far the servers are", func() {
-		s := catalog.Snapshot{AsOf: 4, OperatorAsOf: 4}.ApplyServers([]catalog.Change{
+		s, _ := catalog.Snapshot{AsOf: 4, OperatorAsOf: 4}.ApplyServers([]catalog.Change{
 			{Revision: 6, Server: server("a", "10.0.0.1:80", 6)}}, 8)
 		Expect(s.AsOf).To(Equal(catalog.Revision(8)))
 		Expect(s.OperatorAsOf).To(Equal(catalog.Revision(4)))
@@ -99,6 +98,17 @@
 		Expect(late.OperatorAsOf).To(Equal(catalog.Revision(8)))
 	})
 
+	// A server says that it leaves and goes in one answer.
+	It("tells which registrations ended, as they were last", func() {
+		leaving := server("a", "10.0.0.1:80", 6)
+		leaving.Draining = true
+		held := catalog.Snapshot{AsOf: 4, Servers: []catalog.Server{*server("a", "10.0.0.1:80", 3), *server("b", "10.0.0.2:80", 3)}}
+		_, gone := held.ApplyServers([]catalog.Change{
+			{Revision: 4, Removed: "b"}, {Revision: 6, Server: leaving}, {Revision: 7, Removed: "a"}, {Revision: 8, Removed: "a"},
+		}, 8)
+		Expect(gone).To(Equal([]catalog.Server{*leaving}), "what is known already is left out")
+	})
+
 	It("never takes an older version of a model", func() {
 		s := catalog.Snapshot{}.Apply([]catalog.Change{
 			{Revision: 1, Wanted: &catalog.Wanted{Model: "m", Version: 3}},
--- a/core/catalog/ports.go
+++ b/core/catalog/ports.go
@@ -21,6 +21,4 @@
 	// Watch returns the changes after a revision, and up to which revision they
 	// lead. It waits for the first change, at most for wait.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
-	// WatchServers is Watch for the changes of servers only.
-	WatchServers(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -19,8 +19,10 @@
 // adopt takes of a catalog what is not older than the own one.
 func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
 	g.doubtful = false
+	g.serversAt = now
 	before := g.snapshot
 	g.snapshot = g.snapshot.Newest(s)
+	g.feed.restart(g.snapshot.AsOf)
 	for _, old := range before.Servers {
 		if !hasServer(g.snapshot.Servers, old.ID) {
 			g.removed(now, old)
@@ -32,26 +34,26 @@
 // apply takes changes that are complete up to asOf. Some may be known from a
 // peer; applied again they change nothing, since the last one of a thing decides.
 func (g *Gateway) apply(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
-	g.applyServers(now, changes, asOf)
+	g.applyServers(now, changes, asOf, fromPlatform)
 	g.snapshot.OperatorAsOf = max(g.snapshot.OperatorAsOf, asOf)
 }
 
 // applyServers takes changes that are complete for the servers only.
-func (g *Gateway) applyServers(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
+func (g *Gateway) applyServers(now time.Time, changes []catalog.Change, asOf catalog.Revision, from string) {
+	g.serversAt = now
+	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	g.feed.note(changes, asOf)
 	if len(changes) == 0 {
 		g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
 		return
 	}
-	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
-	for _, c := range changes {
-		// One by one: a server may say that it leaves and go in one answer.
-		if old, ok := findServer(g.snapshot.Servers, c.Removed); ok && c.Revision > g.snapshot.AsOf {
-			g.removed(now, old)
-		}
-		g.snapshot = g.snapshot.ApplyServers([]catalog.Change{c}, c.Revision)
+	next, gone := g.snapshot.ApplyServers(changes, asOf)
+	g.snapshot = next
+	for _, old := range gone {
+		g.removed(now, old)
 	}
-	g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
-	g.settle(now, fromPlatform)
+	g.urgentNear = g.urgentNear || from == fromPlatform
+	g.settle(now, from)
 }
 
 // removed notes a registration that ended. If it may only have lapsed, the
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivespindle.example/core/policy"
+	"chivespindle.example/daemon/wire"
 )
 
 const (
@@ -64,6 +65,35 @@
 	return again
 }
 
+// told returns the state for entries that do not read the platform.
+func (c *contact) told(now time.Time) wire.Contact {
+	t := wire.Contact{HeardAgoMS: now.Sub(c.heard).Milliseconds(), Failing: c.failing}
+	if c.silent > 0 {
+		t.RegainedAgoMS, t.SilentMS = now.Sub(c.regained).Milliseconds(), c.silent.Milliseconds()
+	}
+	return t
+}
+
+// follow takes over the state of an entry that reads the platform, of several
+// that of the one that was answered last.
+func (c *contact) follow(now time.Time, t wire.Contact) {
+	heard := now.Add(-time.Duration(t.HeardAgoMS) * time.Millisecond)
+	if heard.Before(c.heard) {
+		return
+	}
+	if t.Failing {
+		c.fail(now)
+	} else {
+		c.failing = false
+		c.answers = min(2, c.answers+1)
+	}
+	c.heard = heard
+	if t.SilentMS > 0 {
+		c.regained = now.Add(-time.Duration(t.RegainedAgoMS) * time.Millisecond)
+		c.silent = time.Duration(t.SilentMS) * time.Millisecond
+	}
+}
+
 // othersReach notes that the platform answers another entry.
 func (c *contact) othersReach(now time.Time) {
 	if c.failing && c.othersAt.IsZero() {
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -18,15 +18,16 @@
 	// connection went silent is found out only by its end, and the operator's
 	// bounds are a few seconds.
 	watchWait = 1500 * time.Millisecond
-	// gatherChanges is the pause between two watches. Servers register and change
-	// many at a time; without it each of them costs every entry a call.
+	// gatherChanges is the pause between two watches of the first reader of a
+	// region. Servers register and change many at a time; without it each of them
+	// costs a call.
 	gatherChanges = 250 * time.Millisecond
-	// firstWatchers is how many entries of a region, by id, watch the platform so
-	// closely, and gatherLonger the pause of the others. 31 entries made 54 calls a
-	// second, most of them for the same changes. A server that leaves they learn
-	// of within the operator's bound.
-	firstWatchers = 3
-	gatherLonger  = 900 * time.Millisecond
+	// gatherLonger is the pause of the others. They read so that the loss of the
+	// first is noticed by nobody.
+	gatherLonger = 900 * time.Millisecond
+	// idlePoll is how often an entry that does not read the platform looks whether
+	// it has to.
+	idlePoll = 50 * time.Millisecond
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
@@ -47,6 +48,10 @@
 	var at position
 	failures := 0
 	for ctx.Err() == nil {
+		if v := g.view.Load(); v != nil && !v.reads {
+			wait(ctx, idlePoll)
+			continue
+		}
 		call, end := g.reading.begin(ctx)
 		err := g.read(call, &at)
 		ended := call.Err() != nil
@@ -72,16 +77,11 @@
 
 // read makes one call to the platform.
 func (g *Gateway) read(ctx context.Context, at *position) error {
-	v := g.view.Load()
-	at.takeFromPeers(v)
-	switch {
-	case at.gone || at.servers == 0:
+	at.takeFromPeers(g.view.Load())
+	if at.gone || at.servers == 0 {
 		return g.list(ctx, at)
-	case v != nil && !v.readsOperator:
-		return g.watchServers(ctx, at)
-	default:
-		return g.watch(ctx, at)
 	}
+	return g.watch(ctx, at)
 }
 
 // takeFromPeers leaves out what peers have told. A third of the entries were
@@ -120,19 +120,6 @@
 	return nil
 }
 
-func (g *Gateway) watchServers(ctx context.Context, at *position) error {
-	changes, asOf, err := g.opts.Source.WatchServers(ctx, at.servers, watchWait)
-	if err != nil {
-		return err
-	}
-	g.post(func(now time.Time) {
-		g.platformAnswered(now)
-		g.applyServers(now, changes, asOf)
-	})
-	at.servers = max(at.servers, asOf)
-	return nil
-}
-
 // watchPause is the pause before the next watch.
 func (g *Gateway) watchPause() time.Duration {
 	v := g.view.Load()
@@ -143,7 +130,7 @@
 }
 
 func pauseAt(rank int) time.Duration {
-	if rank < firstWatchers {
+	if rank == 0 {
 		return gatherChanges
 	}
 	return gatherLonger
@@ -165,22 +152,17 @@
 }
 
 func (g *Gateway) sourceFailed(now time.Time, err error) {
+	g.turnedAwayUntil = now.Add(turnedAwayFor)
 	if g.contact.fail(now) {
 		g.opts.Logger.Warn("platform_lost", zap.Error(err), zap.Duration("heard_ago", now.Sub(g.contact.heard)))
 	}
 	g.opts.Metrics.Counter("platform_failures").Inc(1)
 }
 
-// sourceAnswered notes an answer that tells of everything.
+// sourceAnswered notes an answer.
 func (g *Gateway) sourceAnswered(now time.Time) {
-	g.platformAnswered(now)
 	g.doubtful = false
-}
-
-// platformAnswered notes any answer. One that tells of the servers only does not
-// end the doubt of a process that was paused: it would go on by a configuration
-// that may have been replaced meanwhile.
-func (g *Gateway) platformAnswered(now time.Time) {
+	g.turnedAwayUntil = time.Time{}
 	silent := now.Sub(g.contact.heard)
 	if g.contact.succeed(now) {
 		g.opts.Logger.Info("platform_regained", zap.Duration("after", silent))
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -164,31 +164,33 @@
 	})
 
 	// The process stood still for five seconds, and the operator dropped a key
-	// meanwhile. The first answer is of the servers only, as others of its region
-	// read the configuration: taking callers on it, it would let the key in.
+	// meanwhile. First a peer tells of servers only: taking callers on it, the
+	// entry would let the key in.
 	It("is doubted after a pause until the configuration has been read again", func() {
 		g.publish(start)
 		g.woke(at(5*time.Second), 5*time.Second)
-		g.platformAnswered(at(5 * time.Second))
-		g.applyServers(at(5*time.Second), removeTwo, 9)
+		g.heardReader(at(5*time.Second), wire.Beat{
+			Contact: &wire.Contact{}, Servers: &wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo},
+		})
+		Expect(g.snapshot.AsOf).To(Equal(catalog.Revision(9)))
 		g.publish(at(5 * time.Second))
 		Expect(g.Ready()).To(BeFalse())
-		Expect(g.readsOperator(at(5*time.Second), operatorReaders)).To(BeTrue())
+		Expect(g.reads(at(5*time.Second), regionReaders)).To(BeTrue())
 		g.sourceAnswered(at(5 * time.Second))
 		g.apply(at(5*time.Second), nil, 9)
 		g.publish(at(5 * time.Second))
 		Expect(g.Ready()).To(BeTrue())
-		Expect(g.readsOperator(at(5*time.Second), operatorReaders)).To(BeFalse())
+		Expect(g.reads(at(5*time.Second), regionReaders)).To(BeFalse())
 	})
 
 	// Peers say that they have a newer configuration, and none gives it: their
 	// links are cut, say. The entry waits no longer than the operator's bound allows.
 	It("is read from the platform when no peer gives what it is ahead by", func() {
 		g.behindSince = at(time.Second)
-		Expect(g.readsOperator(at(1900*time.Millisecond), operatorReaders)).To(BeFalse())
-		Expect(g.readsOperator(at(2100*time.Millisecond), operatorReaders)).To(BeTrue())
-		Expect(g.readsOperator(at(2100*time.Millisecond), operatorReaders+1)).To(BeFalse())
-		Expect(g.readsOperator(at(2300*time.Millisecond), operatorReaders+1)).To(BeTrue())
+		Expect(g.reads(at(1900*time.Millisecond), regionReaders)).To(BeFalse())
+		Expect(g.reads(at(2100*time.Millisecond), regionReaders)).To(BeTrue())
+		Expect(g.reads(at(2100*time.Millisecond), regionReaders+1)).To(BeFalse())
+		Expect(g.reads(at(2300*time.Millisecond), regionReaders+1)).To(BeTrue())
 	})
 
 	It("keeps the configuration in force when a newer one breaks a rule", func() {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -114,7 +114,15 @@
 	lapsed    map[fleet.InstanceID]catalog.Server
 	toldLoads map[fleet.InstanceID]uint64 // change of the board that each entry was told
 	told      map[fleet.InstanceID]uint64 // members that each agent was told
-	manifests manifests
+	// serversAt is when the servers were last heard of, feed what is told on of
+	// them, and toldServers up to which revision entries were told.
+	serversAt   time.Time
+	feed        serverFeed
+	toldServers map[fleet.InstanceID]catalog.Revision
+	// turnedAwayUntil is until when this entry counts as turned away by the
+	// platform.
+	turnedAwayUntil time.Time
+	manifests       manifests
 
 	callsMu  sync.Mutex
 	budgets  map[fleet.ServiceName]*retry.Window
@@ -139,8 +147,8 @@
 	entries []mesh.Entry
 	// rank is this entry's place among those of its region.
 	rank int
-	// readsOperator entries read what the operator writes from the platform.
-	readsOperator bool
+	// reads is true while this entry reads the platform, for others as well.
+	reads bool
 	// asOf and operatorAsOf are up to which revision the two parts of the catalog
 	// are known.
 	asOf, operatorAsOf catalog.Revision
@@ -171,9 +179,11 @@
 		told:      make(map[fleet.InstanceID]uint64),
 		manifests: newManifests(),
 		toldLoads: make(map[fleet.InstanceID]uint64),
-		budgets:   make(map[fleet.ServiceName]*retry.Window),
-		rooms:     make(map[fleet.ServiceName]*placement.HoldRoom),
-		contact:   contact{heard: now, off: opts.Off},
+
+		toldServers: make(map[fleet.InstanceID]catalog.Revision),
+		budgets:     make(map[fleet.ServiceName]*retry.Window),
+		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
+		contact:     contact{heard: now, off: opts.Off},
 	}
 	g.board.SetSelf(opts.Self, opts.Place)
 	g.mesh = mesh.New(ctx, now, mesh.Options{
@@ -201,6 +211,7 @@
 func (g *Gateway) lost(_ time.Time, id fleet.InstanceID) {
 	delete(g.told, id)
 	delete(g.toldLoads, id)
+	delete(g.toldServers, id)
 	g.manifests.lost(id)
 	g.board.Forget(id)
 	g.changed = true // parts that depend on the number of entries
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -46,7 +46,7 @@
 		return
 	}
 	addr, near, ok := g.mesh.Ahead(now, func(b wire.Beat) bool {
-		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.contact.heard) > watchWait
+		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.serversAt) > watchWait
 	})
 	if !ok {
 		g.behindSince = time.Time{}
@@ -72,7 +72,7 @@
 		return 0 // callers wait, and a neighbour is nearer than the platform
 	case !near:
 		return farBehindFor
-	case v == nil || v.readsOperator:
+	case v == nil || v.reads:
 		return behindFor
 	default:
 		return 0
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -49,6 +49,7 @@
 		delete(g.toldLoads, to.ID)
 	}
 	b.ConfigRevision = g.snapshot.ConfigRevision
+	g.tellRegion(now, &b, to, form)
 	if b.Brief {
 		return b
 	}
@@ -59,6 +60,7 @@
 	b.AsOf = g.snapshot.AsOf
 	b.OperatorAsOf = g.snapshot.OperatorAsOf
 	b.Reaches = g.contact.reaches(now)
+	b.TurnedAway = g.isTurnedAway(now)
 	b.Wanted = g.wantedNow(now)
 	if form == mesh.First {
 		g.manifests.lost(to.ID)
@@ -123,6 +125,7 @@
 func (g *Gateway) heard(now time.Time, from mesh.Peer, b wire.Beat) {
 	if b.Role == fleet.RoleEntry {
 		g.heardLoads(now, from, b)
+		g.heardReader(now, b)
 		g.heardRevision(b)
 		if b.Brief {
 			return
@@ -256,17 +259,17 @@
 	}
 	rank := g.rank(now, entries)
 	v := &view{
-		table:         g.table,
-		names:         maps.Clone(g.names),
-		entries:       entries,
-		rank:          rank,
-		readsOperator: g.readsOperator(now, rank),
-		asOf:          g.snapshot.AsOf,
-		operatorAsOf:  g.snapshot.OperatorAsOf,
-		leaving:       g.leaving,
-		doubtful:      g.doubtful,
-		soonest:       g.soonest(now),
-		sure:          g.contact.recent(now) || g.mesh.Hears(now),
+		table:        g.table,
+		names:        maps.Clone(g.names),
+		entries:      entries,
+		rank:         rank,
+		reads:        g.reads(now, rank),
+		asOf:         g.snapshot.AsOf,
+		operatorAsOf: g.snapshot.OperatorAsOf,
+		leaving:      g.leaving,
+		doubtful:     g.doubtful,
+		soonest:      g.soonest(now),
+		sure:         g.contact.recent(now) || g.mesh.Hears(now),
 	}
 	g.followAnew(g.view.Swap(v), v)
 	slack := g.slack()
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -12,13 +12,15 @@
 )
 
 const (
-	// operatorReaders is how many entries of a region read what the operator
-	// writes from the platform. The others take it from them: a configuration of
-	// 1,650 routes is 410 KB, and fifteen copies of it took more than a second of
-	// the 4 MB/s between two regions. The second is there for the moment in which
-	// the first is lost; one that hears nothing from the platform says so and is
-	// followed by the next.
-	operatorReaders = 2
+	// regionReaders is how many entries of a region read the platform. The others
+	// take from them what they read: a large configuration, read by each entry,
+	// filled the link between two regions, and each registration of a server woke
+	// them all for a call. The second is there for the moment in which the first is
+	// lost.
+	regionReaders = 2
+	// turnedAwayFor is how long an entry that the platform did not answer is the
+	// last of its region to read it.
+	turnedAwayFor = 3 * time.Second
 	// readAloneAfter is how long peers may be ahead, and none of them give what is
 	// missing, until an entry reads the platform all the same; readAloneStep is how
 	// much longer the next in rank waits, so that the first can give it what it has
@@ -29,17 +31,25 @@
 
 // rank is this entry's place among those of its region.
 func (g *Gateway) rank(now time.Time, entries []mesh.Entry) int {
-	return rankIn(entries, g.opts.Self, g.opts.Place.Region, g.contact.reaches(now))
+	return rankIn(entries, g.opts.Self, g.opts.Place.Region, g.isTurnedAway(now))
+}
+
+// isTurnedAway reports whether the platform does not answer this entry. One that
+// does not read it cannot tell.
+func (g *Gateway) isTurnedAway(now time.Time) bool {
+	v := g.view.Load()
+	isUnheard := v != nil && v.reads && !g.contact.recent(now)
+	return isUnheard || now.Before(g.turnedAwayUntil)
 }
 
 // rankIn is the place of an entry among those of its region that are heard and
-// take requests. Those that the platform answers come first: one that it turns
-// away cannot read for the others.
-func rankIn(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region, reaches bool) int {
+// take requests. Those that the platform turns away come last: they cannot read
+// for the others.
+func rankIn(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region, isTurnedAway bool) int {
 	rank := 0
 	for _, e := range entries {
 		counts := e.Place.Region == region && e.Ready && !e.Leaving && !e.Silent
-		before := e.Reaches && !reaches || e.Reaches == reaches && e.ID < self
+		before := !e.TurnedAway && isTurnedAway || e.TurnedAway == isTurnedAway && e.ID < self
 		if counts && before {
 			rank++
 		}
@@ -47,19 +57,19 @@
 	return rank
 }
 
-// readsOperator reports whether this entry reads what the operator writes from
-// the platform, and not from a peer.
-func (g *Gateway) readsOperator(now time.Time, rank int) bool {
-	if g.opts.Off.FewWatchers || g.snapshot.Config == nil || g.doubtful || rank < operatorReaders {
+// reads reports whether this entry reads the platform, and does not take from
+// peers what it holds.
+func (g *Gateway) reads(now time.Time, rank int) bool {
+	if g.opts.Off.FewWatchers || g.snapshot.Config == nil || g.doubtful || rank < regionReaders {
 		return true
 	}
-	alone := readAloneAfter + time.Duration(rank-operatorReaders)*readAloneStep
+	alone := readAloneAfter + time.Duration(rank-regionReaders)*readAloneStep
 	return !g.behindSince.IsZero() && now.Sub(g.behindSince) > alone
 }
 
-// followAnew ends the call to the platform that runs if something else is to be
-// read now: another part of the catalog, or only what follows on a first catalog
-// that a peer gave while it was being listed.
+// followAnew ends the call to the platform that runs if there is none to make any
+// more, or if only what follows on a first catalog is to be read that a peer gave
+// while it was being listed.
 func (g *Gateway) followAnew(before, now *view) {
 	if before == nil {
 		return
@@ -68,16 +78,14 @@
 	if isFirst {
 		g.reading.end()
 	}
-	if before.readsOperator == now.readsOperator {
+	if before.reads == now.reads {
 		return
 	}
-	g.opts.Logger.Info("reads_operator", zap.Bool("reads", now.readsOperator), zap.Int("rank", now.rank),
-		zap.Int64("as_of", int64(now.operatorAsOf)))
-	if now.readsOperator {
-		g.reading.end()
-		return
+	g.opts.Logger.Info("reads_platform", zap.Bool("reads", now.reads), zap.Int("rank", now.rank),
+		zap.Int64("as_of", int64(now.asOf)))
+	if !now.reads {
+		g.reading.endIfWaiting()
 	}
-	g.reading.endIfWaiting()
 }
 
 // running is the call to the platform that runs. It may be ended from any
--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -31,6 +31,8 @@
 	now     catalog.Snapshot
 	changed chan struct{}
 	copies  int
+	// happened is what happened to servers.
+	happened []catalog.Change
 	// slow lists last until their caller gives them up; givenUp counts those.
 	slow    bool
 	givenUp int
@@ -68,6 +70,18 @@
 	p.changed = make(chan struct{})
 }
 
+// register publishes a server.
+func (p *publisher) register(s *catalog.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.now.AsOf++
+	change := catalog.Change{Revision: p.now.AsOf, Server: s}
+	p.happened = append(p.happened, change)
+	p.now, _ = p.now.ApplyServers([]catalog.Change{change}, p.now.AsOf)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *publisher) copiesGiven() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -97,25 +111,17 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.now.ConfigRevision <= after {
-		return nil, p.now.AsOf, nil
+	var changes []catalog.Change
+	for _, c := range p.happened {
+		if c.Revision > after {
+			changes = append(changes, c)
+		}
 	}
-	p.copies++
-	return []catalog.Change{{Revision: p.now.ConfigRevision, Config: p.now.Config}}, p.now.AsOf, nil
-}
-
-// WatchServers implements catalog.Source. Nothing happens to a server here.
-func (p *publisher) WatchServers(ctx context.Context, _ catalog.Revision, wait time.Duration) ([]catalog.Change, catalog.Revision, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+	if p.now.ConfigRevision > after {
+		p.copies++
+		changes = append(changes, catalog.Change{Revision: p.now.ConfigRevision, Config: p.now.Config})
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return nil, p.now.AsOf, nil
+	return changes, p.now.AsOf, nil
 }
 
 func (p *publisher) await(ctx context.Context, after catalog.Revision, wait time.Duration) {
@@ -139,10 +145,13 @@
 	*publisher
 	// silent watches of everything bring nothing and do not end.
 	silent atomic.Bool
+	// watches counts the calls.
+	watches atomic.Int64
 }
 
 // Watch implements catalog.Source.
 func (s *source) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.Change, catalog.Revision, error) {
+	s.watches.Add(1)
 	changes, asOf, err := s.publisher.Watch(ctx, after, wait)
 	if s.silent.Load() {
 		<-ctx.Done()
@@ -169,6 +178,19 @@
 	return version
 }
 
+// isLeaving reports whether it knows that a server leaves.
+func (m *member) isLeaving(id fleet.InstanceID) bool {
+	var leaving bool
+	_ = m.loop.Do(context.Background(), func(time.Time) {
+		s, ok := findServer(m.gateway.snapshot.Servers, id)
+		leaving = ok && s.Draining
+	})
+	return leaving
+}
+
+// watches is how many calls for changes it has made.
+func (m *member) watches() int64 { return m.gateway.opts.Source.(*source).watches.Load() }
+
 // knownReady returns how many other entries it knows to be ready.
 func (m *member) knownReady() int {
 	n := 0
@@ -227,7 +249,7 @@
 func (f *fleetOf) takeReaders() []*member {
 	var readers, others []*member
 	for _, m := range f.members {
-		if v := m.gateway.view.Load(); v.readsOperator {
+		if v := m.gateway.view.Load(); v.reads {
 			readers = append(readers, m)
 		} else {
 			others = append(others, m)
@@ -342,6 +364,35 @@
 		region.haveInForce(2)
 	})
 
+	// Each entry watched the servers by itself, and each registration woke them all
+	// for a call: calls to the platform grew with the entries, and the changes
+	// crossed the link between two regions once for each of them.
+	It("has two entries call the platform, and all know of a server that leaves", func() {
+		readers := region.takeReaders()
+		Expect(readers).To(HaveLen(allowed))
+		var before []int64
+		for _, m := range region.members {
+			before = append(before, m.watches())
+		}
+		p.register(&catalog.Server{ID: "i-1", Service: "pool", Addr: netip.MustParseAddrPort("10.0.9.1:80"), Draining: true})
+		for i, m := range region.members {
+			Eventually(m.isLeaving, "20s").WithArguments(fleet.InstanceID("i-1")).Should(BeTrue())
+			Expect(m.watches()).To(Equal(before[i]))
+		}
+	})
+
+	// Both entries that read for the region are killed as a server begins to leave.
+	// The others must send it no more requests, though nobody tells them of it.
+	It("knows of a server that leaves also when those that read are lost", func() {
+		for _, m := range region.takeReaders() {
+			m.stop()
+		}
+		p.register(&catalog.Server{ID: "i-1", Service: "pool", Addr: netip.MustParseAddrPort("10.0.9.1:80"), Draining: true})
+		for _, m := range region.members {
+			Eventually(m.isLeaving, "20s").WithArguments(fleet.InstanceID("i-1")).Should(BeTrue())
+		}
+	})
+
 	// A third of the entries were killed and came back together. Each read 430 KB
 	// from the platform that its neighbours had, over a link that was full:
 	//
@@ -368,6 +419,6 @@
 		region.haveInForce(1)
 		p.publish(manyRoutes(2, routes))
 		region.haveInForce(2)
-		Expect(p.copiesGiven()).To(BeNumerically("<=", operatorReaders))
+		Expect(p.copiesGiven()).To(BeNumerically("<=", regionReaders))
 	})
 })
--- /dev/null
+++ b/daemon/gateway/serverfeed.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"time"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
+)
+
+// feedMost bounds the changes that are kept to be told on: a few for each
+// server of a large fleet. An entry that lacks more takes the whole list.
+const feedMost = 2048
+
+// serverFeed is what happened to the servers lately, so that the entries that
+// do not read the platform are told changes and not whole lists.
+type serverFeed struct {
+	changes []catalog.Change // ordered by revision
+	// after is the revision after which changes are complete up to asOf.
+	after, asOf catalog.Revision
+}
+
+// restart begins after a whole list.
+func (f *serverFeed) restart(asOf catalog.Revision) { *f = serverFeed{after: asOf, asOf: asOf} }
+
+// note takes changes that are complete up to asOf, ordered by revision. Those
+// of the operator are told in another way.
+func (f *serverFeed) note(changes []catalog.Change, asOf catalog.Revision) {
+	for _, c := range changes {
+		if !c.OfOperator() && c.Revision > f.asOf {
+			f.changes = append(f.changes, c)
+		}
+	}
+	f.asOf = max(f.asOf, asOf)
+	if over := len(f.changes) - feedMost; over > 0 {
+		f.after = f.changes[over-1].Revision
+		f.changes = append([]catalog.Change(nil), f.changes[over:]...)
+	}
+}
+
+// since returns what happened after a revision; false if that is not known.
+func (f *serverFeed) since(after catalog.Revision) ([]catalog.Change, bool) {
+	if after < f.after {
+		return nil, false
+	}
+	first := len(f.changes)
+	for first > 0 && f.changes[first-1].Revision > after {
+		first--
+	}
+	return f.changes[first:], true
+}
+
+// tellRegion adds what the other entries of the region must hear of the platform
+// from this one, if it reads it.
+func (g *Gateway) tellRegion(now time.Time, b *wire.Beat, to mesh.Peer, form mesh.Form) {
+	v := g.view.Load()
+	if v == nil || !v.reads || !to.Near || to.Region != g.opts.Place.Region {
+		return
+	}
+	if form == mesh.First {
+		delete(g.toldServers, to.ID)
+	}
+	b.Servers = g.newsFor(to)
+	if !b.Brief || b.Servers != nil {
+		contact := g.contact.told(now)
+		b.Contact = &contact
+	}
+}
+
+// newsFor returns what happened to servers since an entry was last told, nil for
+// nothing.
+func (g *Gateway) newsFor(to mesh.Peer) *wire.ServerNews {
+	after := max(g.toldServers[to.ID], to.AsOf)
+	if after == 0 || after >= g.feed.asOf {
+		return nil
+	}
+	changes, ok := g.feed.since(after)
+	if !ok {
+		return nil // it asks for the whole list
+	}
+	g.toldServers[to.ID] = g.feed.asOf
+	return &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes}
+}
+
+// heardReader takes what an entry tells that reads the platform for the region.
+func (g *Gateway) heardReader(now time.Time, b wire.Beat) {
+	if v := g.view.Load(); b.Contact != nil && v != nil && !v.reads {
+		g.contact.follow(now, *b.Contact)
+	}
+	n := b.Servers
+	if n == nil || g.snapshot.AsOf == 0 || n.After > g.snapshot.AsOf || n.AsOf <= g.snapshot.AsOf {
+		return
+	}
+	g.applyServers(now, n.Changes, n.AsOf, "peer "+string(b.ID))
+}
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -1,41 +1,116 @@
 package gateway
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
 )
 
-var _ = Describe("The pause between two watches of the platform", func() {
+var _ = Describe("The entries that read the platform for their region", func() {
 	entry := func(id fleet.InstanceID, region fleet.Region) mesh.Entry {
-		return mesh.Entry{ID: id, Place: fleet.Place{Region: region}, Ready: true, Reaches: true}
+		return mesh.Entry{ID: id, Place: fleet.Place{Region: region}, Ready: true}
 	}
 	others := []mesh.Entry{entry("a", "lagos"), entry("b", "kano"), entry("c", "lagos"), entry("e", "lagos"), entry("f", "lagos")}
 
-	It("is short at the first entries of each region", func() {
-		Expect(pauseAt(rankIn(others, "d", "lagos", true))).To(Equal(gatherChanges))
-		Expect(pauseAt(rankIn(others, "g", "lagos", true))).To(Equal(gatherLonger))
-		Expect(pauseAt(rankIn(others, "g", "kano", true))).To(Equal(gatherChanges))
+	It("are the first two of each region, and the first reads closely", func() {
+		Expect(rankIn(others, "d", "lagos", false)).To(Equal(2))
+		Expect(rankIn(others, "g", "kano", false)).To(Equal(1))
+		Expect(rankIn(others, "A", "lagos", false)).To(Equal(0))
+		Expect(pauseAt(0)).To(Equal(gatherChanges))
+		Expect(pauseAt(1)).To(Equal(gatherLonger))
 	})
 
-	// The first entries of a region are killed. The next ones watch closely once
-	// the others are silent.
-	It("does not count entries that are silent, leave or know nothing yet", func() {
+	// The first entries of a region are killed. The next ones read once the others
+	// are silent.
+	It("are none that are silent, leave or know nothing yet", func() {
 		fewer := append([]mesh.Entry(nil), others...)
 		fewer[0].Silent, fewer[2].Leaving, fewer[3].Ready = true, true, false
-		Expect(pauseAt(rankIn(fewer, "g", "lagos", true))).To(Equal(gatherChanges))
+		Expect(rankIn(fewer, "g", "lagos", false)).To(Equal(1))
 	})
 
 	// The platform turns the first entries of a region away. Those that it answers
 	// read for them; while it answers none, the order is that of the ids.
-	It("counts those first that the platform answers", func() {
+	It("are those first that the platform answers", func() {
 		some := append([]mesh.Entry(nil), others...)
-		some[0].Reaches, some[2].Reaches = false, false
-		Expect(rankIn(some, "d", "lagos", true)).To(Equal(0))
-		Expect(rankIn(some, "d", "lagos", false)).To(Equal(4))
-		some[3].Reaches, some[4].Reaches = false, false
-		Expect(rankIn(some, "d", "lagos", false)).To(Equal(2))
+		some[0].TurnedAway, some[2].TurnedAway = true, true
+		Expect(rankIn(some, "d", "lagos", false)).To(Equal(0))
+		Expect(rankIn(some, "d", "lagos", true)).To(Equal(4))
+		some[3].TurnedAway, some[4].TurnedAway = true, true
+		Expect(rankIn(some, "d", "lagos", true)).To(Equal(2))
+	})
+
+	// An entry that the platform turned away reads no more and cannot tell when it
+	// would be answered again. If the others are turned away later, it must try.
+	It("may be one again that was turned away, after a while", func() {
+		g, _ := newGateway()
+		g.sourceFailed(start, failure.Unavailable.New("turned away"))
+		Expect(g.isTurnedAway(at(2 * time.Second))).To(BeTrue())
+		Expect(g.isTurnedAway(at(4 * time.Second))).To(BeFalse())
+	})
+})
+
+var _ = Describe("An entry that does not read the platform", func() {
+	one, two := server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3)
+	var g *Gateway
+	var backend *noBackend
+
+	// told is what one that reads it tells.
+	told := func(when time.Time, c wire.Contact, news wire.ServerNews) {
+		b := beat("10.0.0.2")
+		b.Contact, b.Servers = &c, &news
+		g.heard(when, nearEntry, b)
+	}
+	reads := func() { g.view.Store(&view{reads: true}) }
+	removeTwo := []catalog.Change{{Revision: 9, Removed: "i-2"}}
+
+	BeforeEach(func() {
+		g, backend = newGateway()
+		g.adopt(start, snapshot(5, one, two), "platform")
+		g.view.Store(&view{reads: false})
+	})
+
+	It("follows the servers by what it is told", func() {
+		told(at(time.Second), wire.Contact{}, wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo})
+		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+		told(at(time.Second), wire.Contact{}, wire.ServerNews{After: 4, AsOf: 7, Changes: []catalog.Change{{Revision: 3, Server: &two}}})
+		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
+	// What it was told before was lost with a link. It asks for the whole list
+	// then: with a part left out, it would go on using a server that has gone.
+	It("takes no changes that leave a part out", func() {
+		told(at(time.Second), wire.Contact{}, wire.ServerNews{After: 8, AsOf: 9, Changes: removeTwo})
+		Expect(g.snapshot.AsOf).To(Equal(catalog.Revision(5)))
+	})
+
+	// The platform was away for six seconds, and registrations lapsed there though
+	// their servers live. Left out, all servers would be gone at its return.
+	It("keeps servers that lapsed while the platform was away", func() {
+		back := wire.Contact{RegainedAgoMS: 20, SilentMS: 6000}
+		told(at(7*time.Second), back, wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo})
+		Expect(listed(g, backend, at(7*time.Second))).To(HaveLen(2))
+		g.endLapses(at(7*time.Second + lapseTime))
+		Expect(listed(g, backend, at(7*time.Second+lapseTime))).To(HaveLen(1))
+	})
+
+	It("is told of what happened after what it knows, once", func() {
+		reads()
+		g.apply(at(time.Second), removeTwo, 9)
+		peer := mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry, Near: true, Region: "lagos", AsOf: 5}
+		b := g.compose(at(time.Second), peer, mesh.Brief)
+		Expect(b.Servers).To(Equal(&wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo}))
+		Expect(b.Contact).NotTo(BeNil())
+		Expect(g.compose(at(time.Second), peer, mesh.Brief).Servers).To(BeNil())
+		peer.ID, peer.Region = "10.0.0.3", "kano"
+		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "its own region has readers")
+		peer.ID, peer.Region, peer.AsOf = "10.0.0.4", "lagos", 4
+		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "it asks for the whole list")
 	})
 })
--- a/daemon/mesh/beats.go
+++ b/daemon/mesh/beats.go
@@ -8,7 +8,7 @@
 
 // peer returns whom a link leads to.
 func (m *Mesh) peer(l *link) Peer {
-	return Peer{ID: l.id, Role: l.role, Near: m.isNear(l), Region: l.place.Region}
+	return Peer{ID: l.id, Role: l.role, Near: m.isNear(l), Region: l.place.Region, AsOf: l.asOf}
 }
 
 // isNear reports whether a link leads to an entry of the own group.
--- a/daemon/mesh/contacts.go
+++ b/daemon/mesh/contacts.go
@@ -89,7 +89,8 @@
 		}
 		all = append(all, Entry{
 			ID: IDOf(c.addr), Place: s.Place, CallerAddr: s.CallerAddr,
-			Ready: s.Ready, Leaving: s.Leaving, Reaches: s.Reaches, Silent: s.silent,
+			Ready: s.Ready, Leaving: s.Leaving, Reaches: s.Reaches, TurnedAway: s.TurnedAway,
+			Silent: s.silent,
 		})
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/daemon/wire"
 )
@@ -24,7 +25,8 @@
 	heard  time.Time
 	addr   netip.Addr  // that names the process
 	place  fleet.Place // zero until heard
-	since  time.Time   // it is up
+	asOf   catalog.Revision
+	since  time.Time // it is up
 	// unwantedSince is since when the plan lacks the link; zero if it does not.
 	unwantedSince time.Time
 	// digests are the newest ones that the link brought, and toldVersions those
@@ -167,7 +169,7 @@
 		return false
 	}
 	isFirst := l.place == fleet.Place{}
-	l.place = b.Place
+	l.place, l.asOf = b.Place, b.AsOf
 	if b.Role != fleet.RoleEntry {
 		if isFirst {
 			m.send(now, l, Whole) // what it is told depends on its region
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -18,6 +18,7 @@
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/linking"
 	"chivespindle.example/core/placement"
@@ -120,8 +121,10 @@
 	Role fleet.Role
 	// Near entries are of the own group; they tell each other everything.
 	Near bool
-	// Region is that of an agent that has been heard, or empty.
+	// Region is that of a process that has been heard, or empty.
 	Region fleet.Region
+	// AsOf is up to which revision an entry knew the servers when it last told.
+	AsOf catalog.Revision
 }
 
 // Form says what a beat holds.
@@ -143,8 +146,10 @@
 	CallerAddr netip.AddrPort
 	Ready      bool
 	Leaving    bool
-	// Reaches is true while the platform answers it.
-	Reaches bool
+	// Reaches is true while the platform answers it or one that reads for it,
+	// TurnedAway while the platform does not answer it.
+	Reaches    bool
+	TurnedAway bool
 	// Silent is true while nothing is heard of it.
 	Silent bool
 }
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -28,8 +28,16 @@
 	// OperatorAsOf is up to which revision the sender knows what the operator
 	// wrote. Wanted and ConfigRevision tell of all of it.
 	OperatorAsOf catalog.Revision `cbor:"19,keyasint,omitzero"`
-	// Reaches is true while the platform answers an entry.
+	// Reaches is true while the platform answers an entry, or one that reads it
+	// for this one.
 	Reaches bool `cbor:"16,keyasint,omitzero"`
+	// TurnedAway entries have been answered by the platform for a while not at all
+	// and are the last to read it for others.
+	TurnedAway bool `cbor:"22,keyasint,omitzero"`
+	// Contact and Servers are told by an entry that reads the platform to those of
+	// its region.
+	Contact *Contact    `cbor:"23,keyasint,omitempty"`
+	Servers *ServerNews `cbor:"24,keyasint,omitempty"`
 	// Wanted are the model versions that the operator named.
 	Wanted []WantedVersion `cbor:"10,keyasint,omitempty"`
 	// Loads is what an entry has at each server whose load has changed since the
@@ -57,6 +65,26 @@
 	Manifest *Manifest `cbor:"18,keyasint,omitempty"`
 }
 
+// Contact is how an entry that reads the platform stands with it.
+type Contact struct {
+	// HeardAgoMS is how long ago the last answer came.
+	HeardAgoMS int64 `cbor:"1,keyasint"`
+	// Failing is true since a call failed.
+	Failing bool `cbor:"2,keyasint,omitzero"`
+	// RegainedAgoMS is how long ago the platform answered again after it had been
+	// away for SilentMS; both 0 if it never was.
+	RegainedAgoMS int64 `cbor:"3,keyasint,omitzero"`
+	SilentMS      int64 `cbor:"4,keyasint,omitzero"`
+}
+
+// ServerNews is what happened to servers after a revision, complete up to
+// another.
+type ServerNews struct {
+	After   catalog.Revision `cbor:"1,keyasint"`
+	AsOf    catalog.Revision `cbor:"2,keyasint"`
+	Changes []catalog.Change `cbor:"3,keyasint,omitempty"`
+}
+
 // Digest is what one entry tells of those that it hears, for others that hold
 // no link with them.
 type Digest struct {
@@ -81,12 +109,14 @@
 	Ready      bool           `cbor:"4,keyasint,omitzero"`
 	Leaving    bool           `cbor:"5,keyasint,omitzero"`
 	Reaches    bool           `cbor:"6,keyasint,omitzero"`
+	TurnedAway bool           `cbor:"7,keyasint,omitzero"`
 }
 
 // State returns what the beat of an entry says of it.
 func (b Beat) State(addr netip.Addr) EntryState {
 	return EntryState{
 		Addr: addr, Place: b.Place, CallerAddr: b.CallerAddr, Ready: b.Ready, Leaving: b.Leaving, Reaches: b.Reaches,
+		TurnedAway: b.TurnedAway,
 	}
 }
 
