The number of entries is taken once for a view, not once for each server

Cause: the part of a server's connections that an entry may keep was worked out for each server with a sorted list of all entries: 265 times 98.

--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -251,9 +251,9 @@
 // publish gives calls a new view.
 func (g *Gateway) publish(now time.Time) {
 	g.published = now
-	g.publishServers(now)
-	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
 	entries := g.mesh.Entries(now)
+	g.publishServers(now, 1+len(entries))
+	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
 	if slices.ContainsFunc(entries, func(e mesh.Entry) bool { return e.Reaches && !e.Silent }) {
 		g.contact.othersReach(now)
 	}
@@ -305,7 +305,9 @@
 // every agent.
 const hearsAllWithin = 900 * time.Millisecond
 
-func (g *Gateway) publishServers(now time.Time) {
+// publishServers gives the board the servers if one of them has changed, in a
+// fleet of so many entries.
+func (g *Gateway) publishServers(now time.Time, entries int) {
 	for addr, r := range g.replicas {
 		if now.Sub(r.heard) > replicaLife {
 			delete(g.replicas, addr)
@@ -318,11 +320,11 @@
 	g.changed = false
 	var list []placement.Server
 	for _, s := range g.snapshot.Servers {
-		list = append(list, g.server(now, s))
+		list = append(list, g.server(s, entries))
 	}
 	for id, lapsed := range g.lapsed {
 		if !hasServer(g.snapshot.Servers, id) {
-			list = append(list, g.server(now, lapsed))
+			list = append(list, g.server(lapsed, entries))
 		}
 	}
 	g.board.SetServers(now, list)
@@ -339,7 +341,7 @@
 )
 
 // keptConnections is this entry's part of the unused connections to a server.
-func (g *Gateway) keptConnections(service fleet.ServiceName, now time.Time) int {
+func (g *Gateway) keptConnections(service fleet.ServiceName, entries int) int {
 	if g.table == nil {
 		return keptMost
 	}
@@ -347,16 +349,15 @@
 	if s == nil || s.MaxConnections <= 0 {
 		return keptMost
 	}
-	entries := 1 + len(g.mesh.Entries(now))
 	return min(keptMost, max(1, int(keptShare*float64(s.MaxConnections))/entries))
 }
 
 // server puts together what the platform and the agent tell of a server. What
 // the agent says is newer.
-func (g *Gateway) server(now time.Time, s catalog.Server) placement.Server {
+func (g *Gateway) server(s catalog.Server, entries int) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
-		Connections: g.keptConnections(s.Service, now),
+		Connections: g.keptConnections(s.Service, entries),
 		Place:       fleet.Place{Zone: s.Zone, Region: g.opts.Regions[s.Zone]},
 		Loaded:      placement.ModelVersion(s.Loaded),
 		Leaving:     s.Draining,
