A version is finished by what the fleet holds of it, not the agent itself

Cause: with a second version named 2 s after the first and the origin away from 2.5 s to 8.5 s on, every agent gave the first up, since it held less than half itself, though four fifths had left the origin.

Change: what counts is the share of chunks that no agent is known to hold. More than half: given up. None: the next is gathered beside it at once, as the origin is free. Between: finished first during 0.4 of the newer one's time; after that its fetches end.

The spec of the stage keeps what is the stage's to see; the rest of it is pinned in core/loading, with the case that failed.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -23,6 +23,12 @@
 	// the last an engine still has to finish what it runs and to load.
 	firstTurn = 0.34
 	lastTurn  = 0.88
+	// giveUpUnseen is the share of a version's chunks that no agent may hold for it
+	// to be given up for a newer one.
+	giveUpUnseen = 0.5
+	// finishWithin is the part of the time for a version during which the one before
+	// is finished first.
+	finishWithin = 0.4
 	// orderAgain is how long an order may go without effect before it is given
 	// once more: the answer to an order may be lost, and reports lag.
 	orderAgain = 1500 * time.Millisecond
@@ -210,6 +216,21 @@
 	return !outdated || since.Add(time.Duration(lastTurn*float64(p.within))).After(now.Add(worthWaiting))
 }
 
+// GivesUp reports whether a version is given up for a newer one, of which this
+// share of chunks no engine's agent is known to hold.
+func (p *Plan) GivesUp(unseen float64) bool { return unseen > giveUpUnseen }
+
+// FinishesFirst reports whether the rest of a version is to leave the origin
+// before a newer one begins to. Later on it would be of use for too short a time,
+// and the newer one comes later by what it takes.
+func (p *Plan) FinishesFirst(now time.Time, version uint64, unseen float64) bool {
+	if unseen == 0 || p.GivesUp(unseen) {
+		return false
+	}
+	since, outdated := p.names.OutdatedSince(version)
+	return !outdated || now.Before(since.Add(part(finishWithin, p.within)))
+}
+
 // Next returns the next step.
 func (p *Plan) Next(now time.Time, e Engine, wantedIn time.Duration) Step {
 	wanted := p.Wanted()
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -286,3 +286,39 @@
 	}
 	return within
 }
+
+// A version is named two seconds after another, and the origin fails half a
+// second later, for six. By what each agent held itself, the first was given up
+// with four fifths of it in the fleet, and no engine could be used for the last
+// five seconds until the second came.
+var _ = Describe("A version that a newer one follows", func() {
+	const most, little = 0.2, 0.7
+	var plan *loading.Plan
+
+	BeforeEach(func() {
+		plan = loading.NewPlan("10.0.0.1", within, policy.Off{})
+		plan.Want(known(2, 0))
+		plan.Want(known(3, 2*time.Second))
+	})
+
+	It("is finished if most of it has left the origin, however little is here", func() {
+		Expect(plan.GivesUp(most)).To(BeFalse())
+		Expect(plan.FinishesFirst(at(2*time.Second), 2, most)).To(BeTrue())
+	})
+
+	It("is given up if little has left it", func() {
+		Expect(plan.GivesUp(little)).To(BeTrue())
+		Expect(plan.FinishesFirst(at(2*time.Second), 2, little)).To(BeFalse())
+	})
+
+	It("does not hold the newer one back once all of it has left the origin", func() {
+		Expect(plan.GivesUp(0)).To(BeFalse())
+		Expect(plan.FinishesFirst(at(2*time.Second), 2, 0)).To(BeFalse())
+	})
+
+	// The origin is back after six seconds. The first version would be of use for
+	// two more, and the second come later by as much as its rest takes.
+	It("is not finished late, when it is of little use", func() {
+		Expect(plan.FinishesFirst(at(8500*time.Millisecond), 2, most)).To(BeFalse())
+	})
+})
--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -14,9 +14,6 @@
 const (
 	// resolveAgain is the pause before a manifest is asked for again.
 	resolveAgain = 300 * time.Millisecond
-	// giveUpMissing is the share of its chunks that a version must lack to be
-	// given up for a newer one.
-	giveUpMissing = 0.5
 )
 
 // resolve reads the manifest of the wanted version at the origin when it is
@@ -75,10 +72,10 @@
 }
 
 // gather takes a version among those that are gathered. One before it of which
-// little is here is given up; else it is finished first.
+// little has left the origin is given up; else it is finished.
 func (l *Loader) gather(now time.Time, version uint64, named fleet.Version) {
 	for _, older := range l.gathers {
-		if l.stage.missing(older.version) > giveUpMissing {
+		if l.plan.GivesUp(l.swarm.Unseen(older.named.Manifest)) {
 			l.swarm.Stop(older.named.Manifest)
 		}
 	}
@@ -90,22 +87,25 @@
 	l.startWaiting(now)
 }
 
-// startWaiting begins to fetch the newest version once the one before it is
-// whole, or brings nothing more.
+// startWaiting begins to fetch the newest version once all of the one before it
+// has left the origin, or it brings nothing more.
 //
 // A version was named two seconds after another, and the origin failed when
 // most of the first had left it. When it was back, both were gathered at once:
 // the first was whole six seconds later, when it was of no use any more, and
 // the second came later by as much. The rest of the first alone takes a
-// fraction of a second, and its engines serve until the second is there.
+// fraction of a second, and its engines serve until the second is there. What
+// this agent holds itself does not tell how much that is: it may be little while
+// others hold all.
 func (l *Loader) startWaiting(now time.Time) {
 	last := len(l.gathers) - 1
 	if last < 0 || l.gathers[last].started {
 		return
 	}
-	if last > 0 && l.stage.isArriving(now, l.gathers[last-1], l.gathers[last].from) {
+	if last > 0 && l.isLeavingOrigin(now, l.gathers[last-1], l.gathers[last].from) {
 		return
 	}
+	l.leaveOlder(last)
 	g := &l.gathers[last]
 	g.started = true
 	g.from = now
@@ -114,3 +114,20 @@
 		ListenTime: listenTime, Takeover: takeover, SourcePauseMax: originPause, NoStore: true, NearFirst: !l.opts.Off.NearFetch,
 	}, nil)
 }
+
+// leaveOlder ends the fetches of versions before one that have not left the
+// origin whole: both would come late. What is in the fleet goes on.
+func (l *Loader) leaveOlder(newest int) {
+	for _, older := range l.gathers[:newest] {
+		if l.swarm.Unseen(older.named.Manifest) > 0 {
+			l.swarm.Stop(older.named.Manifest)
+		}
+	}
+}
+
+// isLeavingOrigin reports whether a version is on its way from the origin, which
+// was last seen to answer at a moment.
+func (l *Loader) isLeavingOrigin(now time.Time, g gathering, answered time.Time) bool {
+	unseen := l.swarm.Unseen(g.named.Manifest)
+	return l.plan.FinishesFirst(now, g.version, unseen) && l.stage.isArriving(now, g, answered)
+}
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -158,8 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	isWhole := len(v.chunks) == len(v.manifest.Chunks)
-	isLost := len(v.chunks) < int((1-giveUpMissing)*float64(len(v.manifest.Chunks)))
-	if isWhole || isLost {
+	if isWhole {
 		return false
 	}
 	return now.Sub(answered) <= stalledAfter || now.Sub(v.last) <= stalledAfter
--- a/daemon/swarm/swarm.go
+++ b/daemon/swarm/swarm.go
@@ -141,6 +141,17 @@
 	}
 }
 
+// Unseen returns the share of a version's chunks that no member is known to
+// hold; 1 if the version is not gathered.
+func (s *Swarm) Unseen(manifest fleet.Digest) float64 {
+	g, ok := s.gathers[manifest]
+	if !ok || g.plan == nil {
+		return 1
+	}
+	seen := g.plan.Seen()
+	return 1 - float64(seen.Count())/float64(max(1, seen.Len()))
+}
+
 // SetMembers gives the agents that want the same version, this one included.
 func (s *Swarm) SetMembers(now time.Time, members []spread.Member) {
 	s.members = members
