--- a/core/placement/own.go
+++ b/core/placement/own.go
@@ -31,12 +31,10 @@
 
 // costOfOthers is what an engine costs that this entry does not prefer.
 //
-// With 31 entries, which hear each other's choices 0.15 s late, each free place
-// of a full fleet was taken by two or three: 300 of 1,900 calls in the two
-// worst seconds of a change of version waited 0.5 s longer than predicted. Each
-// engine is preferred by few entries, whose own requests are most of its work
-// and are known exactly. Replayed with 24 entries before 24 engines at 0.97 of their
-// capacity: 0.91 on time, 0.87 without.
+// Many entries hear each other's choices late, and each free place of a full fleet
+// was taken by two or three: calls waited far longer than predicted. Each engine is
+// preferred by few entries, whose own requests are most of its work and are known
+// exactly.
 func (b *Board) costOfOthers(st *state) time.Duration {
 	entries := 1 + b.others.known()
 	share := (ownShare*len(st.group.states) + entries - 1) / entries
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -84,8 +84,8 @@
 	return g.watch(ctx, at)
 }
 
-// takeFromPeers leaves out what peers have told. A third of the entries were
-// killed and came back together: each read 430 KB again that its neighbours had.
+// takeFromPeers leaves out what peers have told: an entry that comes back, or
+// begins to read for its region, would read again what its neighbours have.
 func (at *position) takeFromPeers(v *view) {
 	if v == nil || v.table == nil {
 		return
--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -14,9 +14,9 @@
 // told to. They belong to the control loop.
 //
 // Each agent that reads a manifest at the origin takes a connection and a part
-// of its link. 58 agents took all 48 connections, and their 116 readings the
-// time of a quarter of a copy; some had the manifest three seconds after the
-// first. So a few read it, and the entries tell it to the rest.
+// of its link. Read by all agents, it took every connection that the origin has,
+// and the time of a part of a copy. So a few read it, and the entries tell it to
+// the rest.
 type manifests struct {
 	newest map[string]knownManifest
 	told   map[toldManifest]bool
--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -90,13 +90,11 @@
 // startWaiting begins to fetch the newest version once all of the one before it
 // has left the origin, or it brings nothing more.
 //
-// A version was named two seconds after another, and the origin failed when
-// most of the first had left it. When it was back, both were gathered at once:
-// the first was whole six seconds later, when it was of no use any more, and
-// the second came later by as much. The rest of the first alone takes a
-// fraction of a second, and its engines serve until the second is there. What
-// this agent holds itself does not tell how much that is: it may be little while
-// others hold all.
+// A version may be named soon after another, and the origin fail when most of the
+// first has left it. Gathered at once when it is back, both come late, and the
+// first is of no use any more. The rest of the first alone takes a fraction of a
+// second, and its engines serve until the second is there. What this agent holds
+// itself does not tell how much that is: it may be little while others hold all.
 func (l *Loader) startWaiting(now time.Time) {
 	last := len(l.gathers) - 1
 	if last < 0 || l.gathers[last].started {
