Each group of a large region has its readers

A region of more than 32 entries has several groups, and what readers tell goes to their own group only: the other groups would have taken whole lists from peers, 1.5 s late. The two that rank first in a group read for it. Links are planned anew at once with an entry that is new, so that no entry reads since it does not know its group yet (a spec saw three readers of twelve for 0.2 s).

--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// regionReaders is how many entries of a region read the platform. The others
+	// regionReaders is how many entries of a region, and of each group in a large
+	// region, read the platform. The others
 	// take from them what they read: a large configuration, read by each entry,
 	// filled the link between two regions, and each registration of a server woke
 	// them all for a call. The second is there for the moment in which the first is
@@ -29,7 +30,7 @@
 	readAloneStep  = 200 * time.Millisecond
 )
 
-// rank is this entry's place among those of its region.
+// rank is this entry's place among those of its region and group.
 func (g *Gateway) rank(now time.Time, entries []mesh.Entry) int {
 	return rankIn(entries, g.opts.Self, g.opts.Place.Region, g.isTurnedAway(now))
 }
@@ -42,13 +43,13 @@
 	return isUnheard || now.Before(g.turnedAwayUntil)
 }
 
-// rankIn is the place of an entry among those of its region that are heard and
-// take requests. Those that the platform turns away come last: they cannot read
-// for the others.
+// rankIn is the place of an entry among those of its region and group that are
+// heard and take requests. Those that the platform turns away come last: they
+// cannot read for the others.
 func rankIn(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region, isTurnedAway bool) int {
 	rank := 0
 	for _, e := range entries {
-		counts := e.Place.Region == region && e.Ready && !e.Leaving && !e.Silent
+		counts := e.Near && e.Place.Region == region && e.Ready && !e.Leaving && !e.Silent
 		before := !e.TurnedAway && isTurnedAway || e.TurnedAway == isTurnedAway && e.ID < self
 		if counts && before {
 			rank++
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -15,7 +15,7 @@
 
 var _ = Describe("The entries that read the platform for their region", func() {
 	entry := func(id fleet.InstanceID, region fleet.Region) mesh.Entry {
-		return mesh.Entry{ID: id, Place: fleet.Place{Region: region}, Ready: true}
+		return mesh.Entry{ID: id, Place: fleet.Place{Region: region}, Ready: true, Near: true}
 	}
 	others := []mesh.Entry{entry("a", "lagos"), entry("b", "kano"), entry("c", "lagos"), entry("e", "lagos"), entry("f", "lagos")}
 
@@ -35,6 +35,14 @@
 		Expect(rankIn(fewer, "g", "lagos", false)).To(Equal(1))
 	})
 
+	// A region of many entries has several groups, and the readers of one tell
+	// nothing to the others.
+	It("are so in each group of a region", func() {
+		some := append([]mesh.Entry(nil), others...)
+		some[0].Near, some[2].Near = false, false
+		Expect(rankIn(some, "d", "lagos", false)).To(Equal(0))
+	})
+
 	// The platform turns the first entries of a region away. Those that it answers
 	// read for them; while it answers none, the order is that of the ids.
 	It("are those first that the platform answers", func() {
--- a/daemon/mesh/contacts.go
+++ b/daemon/mesh/contacts.go
@@ -90,7 +90,7 @@
 		all = append(all, Entry{
 			ID: IDOf(c.addr), Place: s.Place, CallerAddr: s.CallerAddr,
 			Ready: s.Ready, Leaving: s.Leaving, Reaches: s.Reaches, TurnedAway: s.TurnedAway,
-			Silent: s.silent,
+			Silent: s.silent, Near: m.plan.Near[IDOf(c.addr)],
 		})
 	}
 	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
--- a/daemon/mesh/digests.go
+++ b/daemon/mesh/digests.go
@@ -103,14 +103,20 @@
 		return
 	}
 	c := m.contact(now, e.Addr)
+	if !c.told.Addr.IsValid() {
+		m.planAt = time.Time{} // at the next tick
+	}
 	if at.After(c.toldAt) {
 		c.told, c.toldAt = e, at
 	}
 }
 
-// noteChange has the entries of other groups hear at once of an entry that came,
-// leaves or is ready.
+// noteChange has the links planned anew with an entry that is new, and the
+// entries of other groups hear at once of one that came, leaves or is ready.
 func (m *Mesh) noteChange(before wire.Beat, b wire.Beat, addr netip.Addr) {
+	if before.ID == "" {
+		m.planAt = time.Time{} // at the next tick
+	}
 	if before.ID == "" || before.State(addr) != b.State(addr) {
 		m.newsFar = true
 	}
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -62,7 +62,8 @@
 	// introduceFor is how long an entry tells another of its group whom it hears,
 	// from the moment on at which they are linked.
 	introduceFor = 5 * time.Second
-	// planEvery is the pause between two plans of the links. unwantedFor is how
+	// planEvery is the pause between two plans of the links, unless an entry is
+	// new. unwantedFor is how
 	// long a link is kept that the plan lacks, and dialAnyway after how long the
 	// greater id dials as well: two entries may see different fleets for a while.
 	planEvery   = 200 * time.Millisecond
@@ -152,6 +153,8 @@
 	TurnedAway bool
 	// Silent is true while nothing is heard of it.
 	Silent bool
+	// Near is true if it is of the own group.
+	Near bool
 }
 
 // Mesh holds the links of a process. All but Serve belongs to the control
