--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -170,7 +170,7 @@
 		g.publish(start)
 		g.woke(at(5*time.Second), 5*time.Second)
 		g.heardReader(at(5*time.Second), wire.Beat{
-			Contact: &wire.Contact{}, Servers: &wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo},
+			Platform: &wire.PlatformState{}, Servers: &wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo},
 		})
 		Expect(g.snapshot.AsOf).To(Equal(catalog.Revision(9)))
 		g.publish(at(5 * time.Second))
--- a/daemon/gateway/serverfeed.go
+++ b/daemon/gateway/serverfeed.go
@@ -63,7 +63,7 @@
 	b.Servers = g.newsFor(to)
 	if !b.Brief || b.Servers != nil {
 		contact := g.contact.told(now)
-		b.Contact = &contact
+		b.Platform = &contact
 	}
 }
 
@@ -84,8 +84,8 @@
 
 // heardReader takes what an entry tells that reads the platform for the region.
 func (g *Gateway) heardReader(now time.Time, b wire.Beat) {
-	if v := g.view.Load(); b.Contact != nil && v != nil && !v.reads {
-		g.contact.follow(now, *b.Contact)
+	if v := g.view.Load(); b.Platform != nil && v != nil && !v.reads {
+		g.contact.follow(now, *b.Platform)
 	}
 	n := b.Servers
 	if n == nil || g.snapshot.AsOf == 0 || n.After > g.snapshot.AsOf || n.AsOf <= g.snapshot.AsOf {
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -70,9 +70,9 @@
 	var backend *noBackend
 
 	// told is what one that reads it tells.
-	told := func(when time.Time, c wire.Contact, news wire.ServerNews) {
+	told := func(when time.Time, c wire.PlatformState, news wire.ServerNews) {
 		b := beat("10.0.0.2")
-		b.Contact, b.Servers = &c, &news
+		b.Platform, b.Servers = &c, &news
 		g.heard(when, nearEntry, b)
 	}
 	reads := func() { g.view.Store(&view{reads: true}) }
@@ -85,23 +85,23 @@
 	})
 
 	It("follows the servers by what it is told", func() {
-		told(at(time.Second), wire.Contact{}, wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo})
+		told(at(time.Second), wire.PlatformState{}, wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo})
 		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
-		told(at(time.Second), wire.Contact{}, wire.ServerNews{After: 4, AsOf: 7, Changes: []catalog.Change{{Revision: 3, Server: &two}}})
+		told(at(time.Second), wire.PlatformState{}, wire.ServerNews{After: 4, AsOf: 7, Changes: []catalog.Change{{Revision: 3, Server: &two}}})
 		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
 	})
 
 	// What it was told before was lost with a link. It asks for the whole list
 	// then: with a part left out, it would go on using a server that has gone.
 	It("takes no changes that leave a part out", func() {
-		told(at(time.Second), wire.Contact{}, wire.ServerNews{After: 8, AsOf: 9, Changes: removeTwo})
+		told(at(time.Second), wire.PlatformState{}, wire.ServerNews{After: 8, AsOf: 9, Changes: removeTwo})
 		Expect(g.snapshot.AsOf).To(Equal(catalog.Revision(5)))
 	})
 
 	// The platform was away for six seconds, and registrations lapsed there though
 	// their servers live. Left out, all servers would be gone at its return.
 	It("keeps servers that lapsed while the platform was away", func() {
-		back := wire.Contact{RegainedAgoMS: 20, SilentMS: 6000}
+		back := wire.PlatformState{RegainedAgoMS: 20, SilentMS: 6000}
 		told(at(7*time.Second), back, wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo})
 		Expect(listed(g, backend, at(7*time.Second))).To(HaveLen(2))
 		g.endLapses(at(7*time.Second + lapseTime))
@@ -114,7 +114,7 @@
 		peer := mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry, Near: true, Region: "lagos", AsOf: 5}
 		b := g.compose(at(time.Second), peer, mesh.Brief)
 		Expect(b.Servers).To(Equal(&wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo}))
-		Expect(b.Contact).NotTo(BeNil())
+		Expect(b.Platform).NotTo(BeNil())
 		Expect(g.compose(at(time.Second), peer, mesh.Brief).Servers).To(BeNil())
 		peer.ID, peer.Region = "10.0.0.3", "kano"
 		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "its own region has readers")
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -34,10 +34,10 @@
 	// TurnedAway entries have been answered by the platform for a while not at all
 	// and are the last to read it for others.
 	TurnedAway bool `cbor:"22,keyasint,omitzero"`
-	// Contact and Servers are told by an entry that reads the platform to those of
+	// Platform and Servers are told by an entry that reads the platform to those of
 	// its region.
-	Contact *Contact    `cbor:"23,keyasint,omitempty"`
-	Servers *ServerNews `cbor:"24,keyasint,omitempty"`
+	Platform *PlatformState `cbor:"23,keyasint,omitempty"`
+	Servers  *ServerNews    `cbor:"24,keyasint,omitempty"`
 	// Wanted are the model versions that the operator named.
 	Wanted []WantedVersion `cbor:"10,keyasint,omitempty"`
 	// Loads is what an entry has at each server whose load has changed since the
@@ -65,8 +65,8 @@
 	Manifest *Manifest `cbor:"18,keyasint,omitempty"`
 }
 
-// Contact is how an entry that reads the platform stands with it.
-type Contact struct {
+// PlatformState is how an entry that reads the platform stands with it.
+type PlatformState struct {
 	// HeardAgoMS is how long ago the last answer came.
 	HeardAgoMS int64 `cbor:"1,keyasint"`
 	// Failing is true since a call failed.
