A call to the platform begins only if one is to be made

Cause: an entry looked whether it reads the platform and then began a call. One that was no reader any more in between was not ended: there was no call yet to end. Under the race detector beside eight busy processes a spec saw three copies of a configuration where two are allowed, in one run of four; the log of that run has no entry that read alone, so no peer was late.

--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -48,11 +48,14 @@
 	var at position
 	failures := 0
 	for ctx.Err() == nil {
+		call, end := g.reading.begin(ctx)
+		// Looked at once the call can be ended: before, a call that began at the moment
+		// in which there was none to make any more read one copy too many.
 		if v := g.view.Load(); v != nil && !v.reads {
+			end()
 			wait(ctx, idlePoll)
 			continue
 		}
-		call, end := g.reading.begin(ctx)
 		err := g.read(call, &at)
 		ended := call.Err() != nil
 		end()
