An entry tells which calls it withdraws from an engine, why, and with what time left

Callers saw nothing; operators could not tell: two calls were begun by an engine after their entries had closed them, when its version was out of time. No line said which calls an entry withdraws, why, and how much of the version's time was left then.

Cause: attempt_failed named the server and the error, the same for a closed call as for a connection that broke by itself. A call closed at the next engine of a hand-over had no word of it at all.

Changed: attempt_failed, and handed_over for the next engine, have reason (silent, version_time, caller_left, deadline, other_answer), waited and, if the engine's version is outdated, version_left. They are there if the entry closed the call at an engine before any event had come. The counter calls_withdrawn, by reason, counts beyond the bound of lines. No second line, and no decision is changed.

--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -68,6 +68,14 @@
 	return t.board.work(t.placed, t.state)
 }
 
+// Waited returns for how long the request has been at its server, and whether
+// nothing of its stream has come yet.
+func (t *Ticket) Waited(now time.Time) (time.Duration, bool) {
+	t.board.mu.Lock()
+	defer t.board.mu.Unlock()
+	return now.Sub(t.placed), !t.begun
+}
+
 // Written returns how many tokens of the stream have come.
 func (t *Ticket) Written() int {
 	t.board.mu.Lock()
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -52,10 +52,11 @@
 		return nil
 	}
 	answer, err := j.goOnAt(ctx, now, next)
-	j.g.log.handedOver(j, ticket, next, err)
 	if err != nil {
+		j.g.log.handedOver(j, ticket, next, err, j.withdrawn(ctx, time.Now(), next, err))
 		return nil
 	}
+	j.g.log.handedOver(j, ticket, next, nil, nil)
 	return &successor{ticket: next, answer: answer}
 }
 
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -9,6 +9,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"chivespindle.example/adapters/eventstream"
 	"chivespindle.example/core/enginemodel"
@@ -137,6 +140,8 @@
 		from    *engineStream
 		first   fleet.InstanceID
 		second  fleet.InstanceID
+		lines   *observer.ObservedLogs
+		metrics tally.TestScope
 	)
 
 	tell := func(id fleet.InstanceID, seq uint64, changing bool) {
@@ -149,6 +154,9 @@
 
 	begin := func(kind routing.Kind, resumable bool) {
 		g, _ = newGateway()
+		core, logged := observer.New(zap.InfoLevel)
+		lines, metrics = logged, tally.NewTestScope("", nil)
+		g.log = newRequestLog(start, zap.New(core), metrics)
 		backend = &engines{streams: make(map[fleet.InstanceID]*engineStream),
 			declines: make(map[fleet.InstanceID]bool), silent: make(map[fleet.InstanceID]bool)}
 		g.opts.Backend = backend
@@ -209,6 +217,21 @@
 		Entry("it is silent", func() { backend.silent[second] = true }),
 	)
 
+	// The call waits at the next engine, and nothing told that it was closed there
+	// before that began it.
+	It("is told to have been withdrawn from a next engine that is silent", func() {
+		begin(routing.Stream, true)
+		backend.silent[second] = true
+		tell(first, 2, true)
+		from.give(streamEvents)
+		Eventually(ended).Should(BeClosed())
+		told := lines.FilterMessage("handed_over").All()
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].ContextMap()).To(And(
+			HaveKeyWithValue("to", string(second)), HaveKeyWithValue("reason", "silent"), HaveKey("waited")))
+		Expect(metrics.Snapshot().Counters()).To(HaveKey("calls_withdrawn+reason=silent"))
+	})
+
 	It("stays where the route does not let streams be resumed", func() {
 		begin(routing.Stream, false)
 		tell(first, 2, true)
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -110,23 +110,36 @@
 		zap.Duration("engine_in", max(0, time.Until(soonest))), zap.Bool("returned", j.returned))...)
 }
 
-func (l *requestLog) attempt(j *job, t *placement.Ticket, err error) {
+// attempt notes that no whole answer came, and that the call was withdrawn, if
+// it was.
+func (l *requestLog) attempt(j *job, t *placement.Ticket, err error, w *withdrawal) {
 	l.metrics.Counter("attempts_failed").Inc(1)
+	l.countWithdrawn(w)
 	if !l.allowed() {
 		return
 	}
-	l.logger.Info("attempt_failed", inputs(j, zap.String("server", string(t.Server.ID)),
+	fields := inputs(j, zap.String("server", string(t.Server.ID)),
 		zap.Stringer("addr", t.Server.Addr),
 		zap.Uint64("loaded", uint64(t.Server.Loaded)), zap.Duration("predicted", t.Predicted),
-		zap.Int64("last_event", j.lastEvent), zap.Error(err))...)
+		zap.Int64("last_event", j.lastEvent), zap.Error(err))
+	l.logger.Info("attempt_failed", append(fields, w.fields()...)...)
 }
 
-// handedOver notes that a stream goes on at another server.
-func (l *requestLog) handedOver(j *job, from, to *placement.Ticket, err error) {
+func (l *requestLog) countWithdrawn(w *withdrawal) {
+	if w != nil {
+		l.metrics.Tagged(map[string]string{"reason": w.reason}).Counter("calls_withdrawn").Inc(1)
+	}
+}
+
+// handedOver notes that a stream goes on at another server, or that it was
+// withdrawn from that again.
+func (l *requestLog) handedOver(j *job, from, to *placement.Ticket, err error, w *withdrawal) {
 	l.metrics.Tagged(map[string]string{"taken": strconv.FormatBool(err == nil)}).Counter("streams_handed_over").Inc(1)
+	l.countWithdrawn(w)
 	if l.allowed() {
-		l.logger.Info("handed_over", inputs(j, zap.String("server", string(from.Server.ID)), zap.String("to", string(to.Server.ID)),
-			zap.Int64("last_event", j.lastEvent), zap.Duration("predicted", to.Predicted), zap.Error(err))...)
+		fields := inputs(j, zap.String("server", string(from.Server.ID)), zap.String("to", string(to.Server.ID)),
+			zap.Int64("last_event", j.lastEvent), zap.Duration("predicted", to.Predicted), zap.Error(err))
+		l.logger.Info("handed_over", append(fields, w.fields()...)...)
 	}
 }
 
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -58,7 +58,7 @@
 	default:
 		ticket.End(now, placement.Broken)
 	}
-	j.g.log.attempt(j, ticket, err)
+	j.g.log.attempt(j, ticket, err, j.withdrawn(ctx, now, ticket, err))
 }
 
 // isOver reports whether the caller has left or its time is up. A read that
