An agent tells what its engine has in hand when the time of its version ends

Operators could not tell what an engine still had waiting and running when its version was outdated for longer than allowed, nor when that had ended.

Cause: the agent read neither number from the engine's report, and nothing told that the time of a version had ended.

Changed: the report's queued and running are read. Plan.OutOfTime tells since when the version that an engine holds is out of time. The agent writes version_time_over once for each such version, at the first report after the end, and outdated_work_ended when nothing waits or runs there any more, or another version is held; not if there was nothing. explain shows both beside the requests that were sent there. No report is read sooner, and no decision is changed.

Run: make lint; go vet; the specs of core/loading, core/placement, daemon/gateway, daemon/loader, platform and cmd, those of all but cmd with the race detector too.

--- a/cmd/chivespindle/internal/requestlog/requestlog_test.go
+++ b/cmd/chivespindle/internal/requestlog/requestlog_test.go
@@ -78,4 +78,29 @@
 		}
 		Expect(events).To(Equal([]string{"started", "held", "refused"}))
 	})
+
+	// A request waited at an engine whose version was out of time. Without the word
+	// of the agent there its story does not tell that the engine had work in hand.
+	It("shows what an agent told of an outdated engine, beside the withdrawal", func() {
+		log := requestlog.NewLog("a")
+		for _, text := range []string{
+			"ts=2031-05-06T07:08:01Z event=started instance=agent-1 role=agent peer=10.0.1.1:7700",
+			"ts=2031-05-06T07:08:08Z event=attempt_failed instance=entry-1 request=a age=1.6s attempts=1 server=i-1 addr=10.0.1.1:80 " +
+				"loaded=2 predicted=100ms last_event=-1 error=silence reason=version_time waited=1.6s version_left=290ms",
+			"ts=2031-05-06T07:08:08Z event=refused instance=entry-1 request=a age=1.6s attempts=1 code=broken reason=no_answer may_have_run=true",
+			"ts=2031-05-06T07:08:08.3Z event=version_time_over instance=agent-1 loaded=2 after=10ms queued=1 running=0",
+			"ts=2031-05-06T07:08:08.4Z event=outdated_work_ended instance=agent-1 loaded=2 holds=3 after=110ms",
+		} {
+			_, err := requestlog.Read(strings.NewReader(text), log.Take)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		story := log.Story()
+		var events []string
+		for _, step := range story.Steps {
+			events = append(events, step.Event)
+		}
+		Expect(events).To(Equal([]string{"attempt_failed", "refused", "version_time_over", "outdated_work_ended"}))
+		Expect(story.Steps[0].Details).To(ContainSubstring("reason=version_time waited=1.6s version_left=290ms"))
+		Expect(story.Cause).To(HavePrefix("Server i-1 at 10.0.1.1:80 failed after 1.6s: silence."))
+	})
 })
--- a/cmd/chivespindle/internal/requestlog/story.go
+++ b/cmd/chivespindle/internal/requestlog/story.go
@@ -23,7 +23,7 @@
 // Events of an agent that explain what became of a request at its server.
 var agentEvents = []string{
 	"started", "woke", "stopped", "stop_requested", "engine_lost", "engine_regained", "engine_holds", "load_ordered",
-	"server_leaving",
+	"server_leaving", "version_time_over", "outdated_work_ended",
 }
 
 // Story is what happened to a request.
--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -49,6 +49,8 @@
 	// Pace is by how much its passes last longer than published; 1 is sound.
 	Pace float64
 	Born fleet.Start
+	// Queued and Running are the calls that wait there and those that it answers.
+	Queued, Running int
 }
 
 // Step is what the agent is to do next.
@@ -216,6 +218,14 @@
 	return !outdated || since.Add(time.Duration(lastTurn*float64(p.within))).After(now.Add(worthWaiting))
 }
 
+// OutOfTime returns since when the version that the engine holds may not be
+// served from any more, and false while it may, or if it holds none.
+func (p *Plan) OutOfTime(now time.Time, e Engine) (time.Time, bool) {
+	since, outdated := p.names.OutdatedSince(e.Loaded)
+	end := since.Add(p.within)
+	return end, e.Loaded != 0 && outdated && !now.Before(end)
+}
+
 // GivesUp reports whether a version is given up for a newer one, of which this
 // share of chunks no engine's agent is known to hold.
 func (p *Plan) GivesUp(unseen float64) bool { return unseen > giveUpUnseen }
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -119,6 +119,26 @@
 		Expect(p.Next(at(within), serving, 0)).To(Equal(loading.Order))
 	})
 
+	// A version counts from the first newer one. Judged by the newest, an engine
+	// would be told of as in time for as long as versions follow each other.
+	It("tells since when the version that an engine holds is out of time", func() {
+		_, isOver := p.OutOfTime(at(time.Hour), serving)
+		Expect(isOver).To(BeFalse(), "nothing was named")
+		p.Want(known(2, 0))
+		p.Want(known(3, 2*time.Second))
+		_, isOver = p.OutOfTime(at(within-time.Millisecond), serving)
+		Expect(isOver).To(BeFalse())
+		end, isOver := p.OutOfTime(at(within), serving)
+		Expect(isOver).To(BeTrue())
+		Expect(end).To(Equal(at(within)))
+		_, isOver = p.OutOfTime(at(within), loading.Engine{Loaded: 2})
+		Expect(isOver).To(BeFalse(), "version 3 was named later")
+		_, isOver = p.OutOfTime(at(time.Hour), loading.Engine{Loaded: 3})
+		Expect(isOver).To(BeFalse(), "it is the wanted one")
+		_, isOver = p.OutOfTime(at(time.Hour), empty)
+		Expect(isOver).To(BeFalse(), "it holds none")
+	})
+
 	It("gathers, waits for its turn, and orders", func() {
 		Expect(p.Want(known(2, 0))).To(BeTrue())
 		Expect(p.Next(start, serving, soon)).To(Equal(loading.Gather))
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -98,6 +98,7 @@
 	members []wire.Member
 
 	engine     loading.Engine
+	outdated   outdated
 	known      bool // a report was read
 	failures   int
 	reporting  bool
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -56,6 +56,7 @@
 		l.opts.Logger.Info("engine_holds", zap.Uint64("version", e.Loaded), zap.Uint64("before", l.engine.Loaded))
 	}
 	l.engine = e
+	l.noteOutdated(now, e)
 	if l.plan.Changing(e) || e.Busy {
 		l.nextReport = now.Add(reportSoon)
 	}
