A call at an outdated engine needs no later word to end in time

Callers had a 502 and nothing more, but their calls began on weights that had been outdated for longer than allowed.

Cause: an entry kept the bound on outdated weights by taking calls back, that is by closing connections. Until a close is read at the engine, a call that waits there begins all the same, and the time given to the engine was all that the caller had. That the closes waited in full links is the likeliest reading, not shown. Besides, a call on its last attempt, one that may run only once and a stream that goes on elsewhere were never taken back at all: they were bounded by their own deadline.

Now what is sent to an outdated engine ends in time by itself. A call whose whole answer is expected before the time of the version is over carries that time as its deadline, which the engine keeps also while the call waits; the engine's own refusal says that it has not run, and the caller is told when to come back. A longer call is sent only if it begins at once: by an entry that prefers the engine, within its share of the places. This replaces three shares of the time (0.80, 0.93, 0.97) and the rule that a quarter of the places stays free, which took each entry to see what the others place.

The spec "lets nothing wait at an engine whose version is about to be outdated" held that one entry takes 12 of 16 places. It now has four entries fill the engine without hearing of each other, and holds that all of them together take no more than 16.

Why it holds: no promise is left that hangs on a close, but for a call that was to begin at once.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -231,13 +231,14 @@
 	stop func() bool
 }
 
-// Do sends r once to the server at addr and reads the header of the answer,
-// until by at the latest. Ending ctx closes the connection, so that the server
-// stops its work.
+// Do sends a request once to the server at addr and reads the header of the
+// answer, until by at the latest. The request is made once a connection is there:
+// it may tell a time that is left. Ending ctx closes the connection, so that the
+// server stops its work.
 //
 // A failure's outcome is failure.NotRun only if no byte of the request was
 // sent.
-func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, r *http.Request, by time.Time) (*Response, error) {
+func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, request func() *http.Request, by time.Time) (*Response, error) {
 	c, err := p.take(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -249,6 +250,7 @@
 		return nil, failure.WithOutcome(kindOf(err).Wrap(err, "%s %s", doing, addr), failure.Unknown)
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	r := request()
 	if err := r.Write(c.out); err != nil {
 		return fail(err, "send to")
 	}
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -82,7 +82,7 @@
 
 // whole runs one exchange to its end and returns the body.
 func whole(p *exchange.Pool, s *server) (string, error) {
-	r, err := p.Do(context.Background(), s.addr(), get(), soon())
+	r, err := p.Do(context.Background(), s.addr(), get, soon())
 	if err != nil {
 		return "", err
 	}
@@ -148,11 +148,28 @@
 		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
 	})
 
+	// Guards against a request that tells a time left that has passed while its
+	// connection was made.
+	It("makes the request once the connection is there", func() {
+		called := make(chan struct{})
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		made := func() *http.Request {
+			Expect(p.Dialled()).To(Equal(int64(1)))
+			close(called)
+			return get()
+		}
+		r, err := p.Do(context.Background(), s.addr(), made, soon())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(called).To(BeClosed())
+		r.Close(false, 0)
+	})
+
 	It("tells silence from a broken connection", func() {
 		release := make(chan struct{})
 		s := serve(func(net.Conn, *http.Request, int) bool { <-release; return false })
 		defer close(release)
-		_, err := exchange.New().Do(context.Background(), s.addr(), get(), time.Now().Add(30*time.Millisecond))
+		_, err := exchange.New().Do(context.Background(), s.addr(), get, time.Now().Add(30*time.Millisecond))
 		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue())
 		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
 	})
@@ -181,7 +198,7 @@
 			return false
 		})
 		ctx, cancel := context.WithCancel(context.Background())
-		r, err := exchange.New().Do(ctx, s.addr(), get(), soon())
+		r, err := exchange.New().Do(ctx, s.addr(), get, soon())
 		Expect(err).NotTo(HaveOccurred())
 		cancel()
 		Eventually(gone, patience).Should(BeClosed())
@@ -214,7 +231,7 @@
 		burst := func() {
 			var answers []*exchange.Response
 			for range 3 {
-				r, err := p.Do(context.Background(), s.addr(), get(), soon())
+				r, err := p.Do(context.Background(), s.addr(), get, soon())
 				Expect(err).NotTo(HaveOccurred())
 				answers = append(answers, r)
 			}
@@ -252,7 +269,7 @@
 	It("does not keep a connection for longer than its server does", func() {
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
 		p := exchange.New()
-		r, err := p.Do(context.Background(), s.addr(), get(), soon())
+		r, err := p.Do(context.Background(), s.addr(), get, soon())
 		Expect(err).NotTo(HaveOccurred())
 		_, _ = io.ReadAll(r.Body)
 		r.Close(true, time.Second) // less than the margin
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -42,9 +42,6 @@
 	// exceed the time left. Callers' estimates are off by more than 1.4 either
 	// way for half of the answers.
 	tooLong = 1.25
-	// freeSlots is the share of an engine's places up to which a request begins
-	// at once, also if the other entries place a few more before they are heard.
-	freeSlots = 0.75
 	// hearWithin is the time in which entries have heard of each other's first
 	// requests at a server.
 	hearWithin = 150 * time.Millisecond
@@ -102,7 +99,7 @@
 		return nil, Refusal{Reason: reason, RetryAfter: b.comeBack(ask), Predicted: predicted, Usable: len(usable)}
 	}
 	t := &Ticket{
-		board: b, state: best, Server: best.Server, Predicted: predicted,
+		board: b, state: best, Server: best.Server, Predicted: predicted, Within: b.within(now, best, ask),
 		prompt: ask.Prompt, answer: ask.Answer, placed: now,
 	}
 	best.own[t] = struct{}{}
@@ -202,11 +199,11 @@
 	if ask.Versions == nil {
 		return true
 	}
-	switch ask.Versions(st.Loaded) {
-	case FullUse, UseOutdated:
+	switch use, left := ask.Versions(st.Loaded); use {
+	case FullUse:
 		return true
-	case UseIfFree:
-		return float64(b.work(now, st).Running) < freeSlots*float64(st.Slots)
+	case UseOutdated:
+		return left >= ask.Left || b.endsWithin(now, st, ask, left) || b.beginsAtOnce(now, st, ask, left)
 	default:
 		return false
 	}
@@ -244,7 +241,7 @@
 	if ask.Engine != nil {
 		cost += b.costOfOthers(st)
 	}
-	if ask.Versions != nil && ask.Versions(st.Loaded) != FullUse && !b.off.NewerFirst {
+	if ask.isOutdated(st.Loaded) && !b.off.NewerFirst {
 		cost += outdatedCost
 	}
 	return cost
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -118,13 +118,61 @@
 		Expect(together).To(BeNumerically("~", alone, 4))
 	})
 
-	// The time for a new version is nearly over, and an engine with the old one
-	// still answers. A request that waited there would begin after it, on
-	// weights that must not be used any more.
+	// Guards against calls that wait at an engine when the time of its version
+	// ends: they begin on weights that must not be used any more. Each entry fills
+	// the engine before it hears of the others.
 	It("lets nothing wait at an engine whose version is about to be outdated", func() {
-		a := small()
-		a.Versions = func(placement.ModelVersion) placement.Use { return placement.UseIfFree }
-		Expect(fill(board(1), a)).To(Equal(12))
+		const entries = 4
+		together := 0
+		for i := range entries {
+			b := placement.New(rand.New(rand.NewPCG(1, uint64(i))), policy.Off{})
+			b.SetSelf(fleet.InstanceID(fmt.Sprintf("entry-%d", i)), fleet.Place{Zone: "a", Region: "r"})
+			for other := range entries {
+				if other != i {
+					b.Heard(start, fleet.InstanceID(fmt.Sprintf("entry-%d", other)), nil)
+				}
+			}
+			b.SetServers(start.Add(-time.Minute), servers(1))
+			together += fill(b, outdatedFor(small(), 700*ms))
+		}
+		Expect(together).To(And(BeNumerically(">=", entries), BeNumerically("<=", 16)))
+	})
+
+	// Guards against a request that needs a word of ours to end in time: the engine
+	// is told how long it may work on one that it can finish, and one that it
+	// cannot finish is not sent unless it begins at once.
+	It("tells the time of an outdated version to an engine that can finish within it", func() {
+		t, _ := board(1).Choose(start, outdatedFor(small(), 3*time.Second))
+		Expect(t.Within).To(Equal(3 * time.Second))
+		long := outdatedFor(small(), 3*time.Second)
+		long.Expected = 500
+		t, _ = board(1).Choose(start, long)
+		Expect(t.Within).To(BeZero())
+		t, _ = board(1).Choose(start, outdatedFor(small(), 50*ms))
+		Expect(t).To(BeNil())
+		t, _ = board(1).Choose(start, small())
+		Expect(t.Within).To(BeZero())
+	})
+
+	It("sends what begins at once to an outdated engine only from entries that prefer it", func() {
+		b := placement.New(rand.New(rand.NewPCG(1, 2)), policy.Off{})
+		b.SetSelf("entry", fleet.Place{Zone: "a", Region: "r"})
+		list := servers(40)
+		for i := range 20 {
+			list[i].Place.Zone = "b"
+			b.Heard(start, fleet.InstanceID(fmt.Sprintf("other-%d", i)), nil)
+		}
+		b.SetServers(start.Add(-time.Minute), list[:20])
+		b.SetServers(start.Add(-time.Minute), list)
+		used := make(map[fleet.InstanceID]bool)
+		for t, _ := b.Choose(start, outdatedFor(small(), 700*ms)); t != nil; t, _ = b.Choose(start, outdatedFor(small(), 700*ms)) {
+			used[t.Server.ID] = true
+		}
+		Expect(used).To(HaveLen(4))
+	})
+
+	It("uses an engine with an outdated version like any other while no time is short", func() {
+		Expect(fill(board(1), outdatedFor(small(), time.Minute))).To(Equal(fill(board(1), small())))
 	})
 
 	It("forgets the load of an entry that has gone", func() {
@@ -226,15 +274,22 @@
 })
 
 func withVersions(a placement.Ask) placement.Ask {
-	a.Versions = func(v placement.ModelVersion) placement.Use {
+	a.Versions = func(v placement.ModelVersion) (placement.Use, time.Duration) {
 		if v != 1 {
-			return placement.NoUse
+			return placement.NoUse, 0
 		}
-		return placement.FullUse
+		return placement.FullUse, 0
 	}
 	return a
 }
 
+// outdatedFor is a request at a time at which all versions are outdated and may
+// answer for so long.
+func outdatedFor(a placement.Ask, left time.Duration) placement.Ask {
+	a.Versions = func(placement.ModelVersion) (placement.Use, time.Duration) { return placement.UseOutdated, left }
+	return a
+}
+
 func excluding(a placement.Ask) placement.Ask {
 	a.Exclude = []fleet.InstanceID{id(0)}
 	return a
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -85,8 +85,9 @@
 	Pause time.Duration
 	// Exclude are servers that the request was sent to before.
 	Exclude []fleet.InstanceID
-	// Versions tells which weights may answer; nil allows all.
-	Versions func(ModelVersion) Use
+	// Versions tells which weights may answer and, if outdated, for how long; nil
+	// allows all.
+	Versions func(ModelVersion) (Use, time.Duration)
 	// Near is where this entry runs.
 	Near fleet.Place
 }
@@ -97,10 +98,8 @@
 const (
 	// NoUse: not at all.
 	NoUse Use = iota
-	// UseIfFree: only while enough places are free that the request begins at
-	// once. The version is about to be outdated, and by then nothing may wait.
-	UseIfFree
-	// UseOutdated: where no engine with the wanted version is as good.
+	// UseOutdated: where no engine with the wanted version is as good, and only if
+	// the request cannot begin after the time that is left.
 	UseOutdated
 	// FullUse: like any other.
 	FullUse
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -13,6 +13,10 @@
 	// Predicted is the time to the first event, or to the answer of a plain
 	// service, as it was predicted when the request was placed.
 	Predicted time.Duration
+	// Within is the time in which the server is to end its work, since the weights
+	// that it holds may not answer after that; 0 if nothing but the request's own
+	// time bounds it.
+	Within time.Duration
 
 	board          *Board
 	state          *state
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -25,6 +25,7 @@
 type successor struct {
 	ticket *placement.Ticket
 	answer Answer
+	until  time.Time // when the server ends its work on the call
 }
 
 // handOver has a stream go on at another server, and returns nil if it stays.
@@ -51,20 +52,20 @@
 		next.End(now, placement.Abandoned)
 		return nil
 	}
-	answer, err := j.goOnAt(ctx, now, next)
+	order := j.order(now, next)
+	answer, err := j.goOnAt(ctx, now, next, order)
 	if err != nil {
 		j.g.log.handedOver(j, ticket, next, err, j.withdrawn(ctx, time.Now(), next, err))
 		return nil
 	}
 	j.g.log.handedOver(j, ticket, next, nil, nil)
-	return &successor{ticket: next, answer: answer}
+	return &successor{ticket: next, answer: answer, until: order.Until}
 }
 
 // goOnAt sends the call to another server and returns its answer once it goes
 // on within the longest pause that the route allows.
-func (j *job) goOnAt(ctx context.Context, now time.Time, next *placement.Ticket) (Answer, error) {
-	order := j.order(now, next.Server)
-	order.FirstBy = earlier(j.deadline, now.Add(j.pauseAim()))
+func (j *job) goOnAt(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (Answer, error) {
+	order.FirstBy = earlier(j.beginBy(order.Server, order.Until), now.Add(j.pauseAim()))
 	j.attempts++
 	answer, err := j.g.opts.Backend.Send(ctx, j.call, order)
 	if err != nil {
@@ -120,6 +121,7 @@
 	written := ticket.Written()
 	a.Prompt += written
 	a.Answer = max(0, a.Answer-written)
+	a.Expected = j.restOf(ticket)
 	a.Late = false
 	a.Exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 	a.Pause = time.Duration(pauseShare * float64(j.pauseAim()))
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -51,8 +51,8 @@
 		ticket.End(now, placement.Abandoned)
 	case j.isOver(ctx, now):
 		ticket.End(now, placement.Silent)
-	case errorx.IsOfType(err, failure.Timeout) && !now.Before(j.oldUntil(ticket.Server)):
-		ticket.End(now, placement.Abandoned) // its version is out of time
+	case j.stopped(now, ticket.Server):
+		ticket.End(now, placement.Abandoned)
 	case errorx.IsOfType(err, failure.Timeout):
 		ticket.End(now, placement.Silent)
 	default:
@@ -67,6 +67,21 @@
 	return ctx.Err() != nil || !now.Before(j.deadline)
 }
 
+// stopped reports whether the server got no further since the time of its version
+// was over, which is no failure of its own.
+func (j *job) stopped(now time.Time, server placement.Server) bool {
+	hadToEnd := !j.answers || j.serverUntil.Before(j.deadline)
+	return hadToEnd && j.isOutOfTime(now, server)
+}
+
+// resultOfFailure is how an attempt ended whose server answered with a failure.
+func (j *job) resultOfFailure(now time.Time, server placement.Server) placement.Result {
+	if j.stopped(now, server) {
+		return placement.Abandoned
+	}
+	return placement.Failed
+}
+
 // isSilent reports whether the server has given nothing for so long that this
 // is its failure: a hung server must be found out by requests that may not be
 // repeated too, and these wait for it until their time is up.
@@ -161,7 +176,7 @@
 		j.give(answer, body)
 		return false
 	}
-	ticket.End(now, placement.Failed)
+	ticket.End(now, j.resultOfFailure(now, ticket.Server))
 	j.g.log.serverError(j, ticket, answer.Status())
 	j.held = &heldAnswer{answer: answer, body: body}
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
@@ -199,7 +214,7 @@
 func (j *job) stream(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
 	j.mayHaveRun = true
 	for {
-		answer.SetDeadline(j.eventBy(ticket.Server))
+		answer.SetDeadline(j.eventBy(time.Now(), ticket.Server))
 		event, err := answer.Next()
 		if errors.Is(err, io.EOF) {
 			return j.streamEnded(ctx, ticket, answer)
@@ -217,7 +232,7 @@
 		if next := j.handOver(ctx, ticket); next != nil {
 			answer.Close(false)
 			ticket.End(time.Now(), placement.Abandoned)
-			ticket, answer = next.ticket, next.answer
+			ticket, answer, j.serverUntil = next.ticket, next.answer, next.until
 		}
 	}
 }
@@ -226,6 +241,7 @@
 // fails if the caller has left.
 func (j *job) takeEvent(ticket *placement.Ticket, answer Answer, event eventstream.Event) error {
 	j.progressAt = time.Now()
+	j.answers = true
 	ticket.Wrote(j.tokensOfEvent())
 	if event.ID >= 0 && event.ID <= j.lastEvent {
 		return nil
@@ -260,17 +276,19 @@
 }
 
 // eventBy is when the next event must be there.
-func (j *job) eventBy(server placement.Server) time.Time {
-	now := time.Now()
+func (j *job) eventBy(now time.Time, server placement.Server) time.Time {
+	by := j.lastWord(j.serverUntil)
+	if !j.answers {
+		by = j.beginBy(server, j.serverUntil)
+	}
 	if !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts {
-		return j.deadline
+		return by
 	}
 	allowed := streamSilence
 	if !j.begun {
 		allowed += j.predicted
-		return earlier(j.oldUntil(server), earlier(j.deadline, now.Add(allowed)))
 	}
-	return earlier(j.deadline, now.Add(allowed))
+	return earlier(by, now.Add(allowed))
 }
 
 // streamEnded follows the end of a stream between two events.
@@ -278,7 +296,7 @@
 	answer.Close(true)
 	now := time.Now()
 	if answer.Status() >= http.StatusInternalServerError && !j.begun {
-		ticket.End(now, placement.Failed)
+		ticket.End(now, j.resultOfFailure(now, ticket.Server))
 		j.g.log.serverError(j, ticket, answer.Status())
 		j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 		if j.again(ctx, now) {
--- a/daemon/gateway/outdated_test.go
+++ b/daemon/gateway/outdated_test.go
@@ -42,6 +42,7 @@
 		t := choose(now)
 		j := &job{g: g, call: &Call{ID: "c", Arrived: now.Add(-time.Second)}, view: g.view.Load(), service: g.table.Service("pool"),
 			route: g.table.Match("a.example", "/"), deadline: now.Add(time.Minute), progressAt: now.Add(-time.Second)}
+		j.serverUntil = j.order(now, t).Until
 		j.failed(context.Background(), now, t, failure.Timeout.New("nothing came"))
 		used := make(map[fleet.InstanceID]bool)
 		for range 8 {
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -36,8 +36,9 @@
 type Order struct {
 	Server    placement.Server
 	Workspace fleet.Workspace
-	// Left is the time that the server is given.
-	Left time.Duration
+	// Until is when the server is to end its work on the call, whether or not it
+	// has begun.
+	Until time.Time
 	// FirstBy is when the answer must have begun.
 	FirstBy time.Time
 	// Require is the version that must answer; 0 allows any.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/routing"
 )
@@ -66,6 +67,10 @@
 	// progressAt is when the server last gave something: the answer's last event,
 	// or the request's way to it.
 	progressAt time.Time
+	// serverUntil is when the server ends its work on the call; answers is true once
+	// it has given an event.
+	serverUntil time.Time
+	answers     bool
 }
 
 type heldAnswer struct {
@@ -181,7 +186,10 @@
 		j.placedAt = now
 	}
 	j.progressAt = now
-	answer, err := j.g.opts.Backend.Send(ctx, j.call, j.order(now, ticket.Server))
+	order := j.order(now, ticket)
+	j.serverUntil, j.answers = order.Until, false
+	order.FirstBy = j.firstBy(now, order)
+	answer, err := j.g.opts.Backend.Send(ctx, j.call, order)
 	if err != nil {
 		return j.sendFailed(ctx, ticket, err)
 	}
@@ -279,61 +287,56 @@
 }
 
 const (
-	// useOldShare is the part of the time for a new version during which engines
-	// with the one before are still used. What is sent to them at its end waits
-	// for its first event within the rest.
-	useOldShare = 0.93
-	// beginOldShare is the part within which an answer must have begun there.
-	beginOldShare = 0.97
-	// waitOldShare is the part during which requests may wait there: the rest is
-	// longer than a request was seen to wait at an engine that all entries sent
-	// to at once, which was 1.5 s.
-	waitOldShare = 0.80
+	// heardLate is how much later than others, or than the platform confirmed it,
+	// this entry may have heard of a version.
+	heardLate = 150 * time.Millisecond
+	// onTheWay is the longest time that a call takes to reach a server over a full
+	// link. The server counts the time that it is given from the call's arrival.
+	onTheWay = 250 * time.Millisecond
 )
 
 // versions tells which weights may answer.
 //
 // A stream goes on only on the version that began it. Otherwise the wanted
-// version answers, or the one before until most of the time for the change has
-// passed: then an engine that is late is left out rather than used.
-func (j *job) versions(now time.Time) func(placement.ModelVersion) placement.Use {
+// version answers, or the one before for as long as its time lasts.
+func (j *job) versions(now time.Time) func(placement.ModelVersion) (placement.Use, time.Duration) {
 	names := j.g.view.Load().names[j.service.Model]
-	return func(v placement.ModelVersion) placement.Use {
+	return func(v placement.ModelVersion) (placement.Use, time.Duration) {
 		if v == 0 || j.begun && j.version != 0 && v != j.version {
-			return placement.NoUse
+			return placement.NoUse, 0
 		}
-		since, outdated := names.OutdatedSince(uint64(v))
-		if !outdated {
-			return placement.FullUse
+		end, outdated := j.g.versionEnd(names, v)
+		switch left := end.Sub(now); {
+		case !outdated:
+			return placement.FullUse, 0
+		case left > 0:
+			return placement.UseOutdated, left
+		default:
+			return placement.NoUse, 0
 		}
-		return j.g.useOld(now.Sub(since))
 	}
 }
 
-// useOld tells how engines may be used whose version has been outdated for so
-// long.
-func (g *Gateway) useOld(outdated time.Duration) placement.Use {
-	passed := float64(outdated) / float64(g.opts.VersionTime)
-	switch {
-	case passed >= useOldShare:
-		return placement.NoUse
-	case passed >= waitOldShare:
-		return placement.UseIfFree
-	default:
-		return placement.UseOutdated
-	}
+// versionEnd returns when the use of an outdated version ends; false if it is
+// not outdated.
+func (g *Gateway) versionEnd(names loading.Names, v placement.ModelVersion) (time.Time, bool) {
+	since, outdated := names.OutdatedSince(uint64(v))
+	return since.Add(g.opts.VersionTime - heardLate - onTheWay), outdated
 }
 
-func (j *job) order(now time.Time, server placement.Server) Order {
+// order describes an attempt at the ticket's server.
+func (j *job) order(now time.Time, ticket *placement.Ticket) Order {
 	o := Order{
-		Server:    server,
+		Server:    ticket.Server,
 		Workspace: j.workspace,
-		Left:      j.deadline.Sub(now),
-		FirstBy:   j.firstBy(now, server),
+		Until:     j.deadline,
 		LastEvent: j.lastEvent,
 	}
+	if ticket.Within > 0 {
+		o.Until = earlier(j.deadline, now.Add(ticket.Within))
+	}
 	if j.service.Engine != nil {
-		o.Require = server.Loaded
+		o.Require = ticket.Server.Loaded
 	}
 	return o
 }
@@ -347,27 +350,44 @@
 	safeSilence = 2
 )
 
-// firstBy is when the answer must have begun: early enough for another server
-// if one may be tried.
-func (j *job) firstBy(now time.Time, server placement.Server) time.Time {
-	if !j.mayRepeat() {
-		return j.deadline
+// lastWord is when the answer or refusal of a server must have come that ends its
+// work at until.
+func (j *job) lastWord(until time.Time) time.Time { return earlier(j.deadline, until.Add(onTheWay)) }
+
+// beginBy is when the answer must have begun at a server that ends its work at
+// until: before the time of its version is over, unless its work ends then.
+func (j *job) beginBy(server placement.Server, until time.Time) time.Time {
+	if j.service.Engine == nil || until.Before(j.deadline) {
+		return j.lastWord(until)
 	}
-	if j.service.Engine != nil {
-		return earlier(j.oldUntil(server), earlier(j.deadline, now.Add(j.predicted+streamSilence)))
+	if end, outdated := j.versionEnd(server); outdated {
+		return earlier(j.deadline, end)
 	}
-	return earlier(j.deadline, now.Add(safeSilence*j.route.Aim))
+	return j.deadline
 }
 
-// oldUntil is when an answer must have begun at an engine with an outdated
-// version: one that waits there longer than foreseen is taken off before the
-// time for the change is over.
-func (j *job) oldUntil(server placement.Server) time.Time {
-	since, outdated := j.g.view.Load().names[j.service.Model].OutdatedSince(uint64(server.Loaded))
-	if !outdated || j.begun {
-		return j.deadline
+// isOutOfTime reports whether a server's version is outdated and its time over.
+func (j *job) isOutOfTime(now time.Time, server placement.Server) bool {
+	end, outdated := j.versionEnd(server)
+	return outdated && !now.Before(end)
+}
+
+func (j *job) versionEnd(server placement.Server) (time.Time, bool) {
+	return j.g.versionEnd(j.g.view.Load().names[j.service.Model], server.Loaded)
+}
+
+// firstBy is when the answer must have begun: early enough for another server
+// if one may be tried.
+func (j *job) firstBy(now time.Time, order Order) time.Time {
+	by := j.beginBy(order.Server, order.Until)
+	switch {
+	case !j.mayRepeat():
+		return by
+	case j.service.Engine != nil:
+		return earlier(by, now.Add(j.predicted+streamSilence))
+	default:
+		return earlier(by, now.Add(safeSilence*j.route.Aim))
 	}
-	return since.Add(time.Duration(beginOldShare * float64(j.g.opts.VersionTime)))
 }
 
 // mayRepeat reports whether another server may get the call after the one that
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -38,7 +38,7 @@
 func (e *deafEngines) Send(_ context.Context, _ *Call, o Order) (Answer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sent = append(e.sent, received{order: o, endsBy: time.Now().Add(o.Left)})
+	e.sent = append(e.sent, received{order: o, endsBy: o.Until})
 	if len(e.sent) == 1 && e.gives > 0 {
 		return &brokenStream{left: e.gives, version: o.Server.Loaded}, nil
 	}
--- a/daemon/gateway/withdrawn.go
+++ b/daemon/gateway/withdrawn.go
@@ -62,7 +62,7 @@
 		return withdrawnCallerLeft
 	case j.isOver(ctx, now):
 		return withdrawnDeadline
-	case isTimeout && !now.Before(j.oldUntil(server)):
+	case isTimeout && j.isOutOfTime(now, server):
 		return withdrawnVersionTime
 	case isTimeout:
 		return withdrawnSilent
