Entries agree on when a version was named to 50 ms

Callers could be answered from outdated weights for longer than an entry allows itself: an entry that heard of a version 150 ms after another kept its own time for it, since two times that differ by less than 200 ms counted as equal. A beat is on its way for some milliseconds within a region and its group, so 50 ms tell them apart.

Before: the spec has the time at 1.0 s, where the other entry heard of the version at 0.85 s. After: 0.85 s.

--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -269,6 +269,18 @@
 		Expect(since).To(Equal(at(6*time.Second + 3*time.Second - sourcePauseMax)))
 	})
 
+	// Guards against an entry that heard of a version late and uses outdated weights
+	// for longer than the entry that told it.
+	It("count from when the first of two entries heard of them", func() {
+		g := following()
+		g.adopt(at(time.Second), wanted(2), "platform")
+		other := beat("10.0.0.2")
+		other.Wanted = []wire.WantedVersion{{Model: "m", Version: 2, AgeMS: 250}}
+		g.heard(at(1100*time.Millisecond), nearEntry, other)
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(Equal(at(850 * time.Millisecond)))
+	})
+
 	// One call failed: a connection was reset. The platform was sound, so the
 	// operator's time runs, also where other entries saw no failure at all.
 	It("that are heard of after one failed call count at once", func() {
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -199,7 +199,7 @@
 
 // wantedSkew is the time on the way of a beat, within which two processes'
 // knowledge counts as equally old.
-const wantedSkew = 200 * time.Millisecond
+const wantedSkew = 50 * time.Millisecond
 
 func (g *Gateway) setWanted(model string, named loading.Named) {
 	names, changed := g.names[model].Add(named, wantedSkew)
