Replay: all entries place at once at an engine whose version is nearly out of time

The engine of the replay hears no close.

The replayed engine now ends its work on a request at the time that it was given, as the protocol says of engines.

--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -36,6 +36,8 @@
 	ticket         *placement.Ticket
 	first, last    time.Duration
 	left           int // passes
+	// until is when the engine ends its work on the request; 0 for never.
+	until time.Duration
 }
 
 // trace makes a load of so many requests a second, with the spread of sizes of
@@ -63,6 +65,8 @@
 	return 1 + r.IntN(z.entries-1)
 }
 
+func (r *request) isOver(now time.Duration) bool { return r.until > 0 && now >= r.until }
+
 // engine runs passes as the published figures say.
 type engine struct {
 	running, queued []*request
@@ -76,6 +80,9 @@
 	for len(e.running) < f.Slots && len(e.queued) > 0 {
 		next := e.queued[0]
 		e.queued = e.queued[1:]
+		if next.isOver(e.now) {
+			continue
+		}
 		read += f.Read(next.prompt)
 		e.running = append(e.running, next)
 	}
@@ -84,6 +91,9 @@
 	var done []*request
 	kept := e.running[:0]
 	for _, r := range e.running {
+		if r.isOver(e.now) {
+			continue
+		}
 		if r.first == 0 {
 			r.first = e.now
 		}
