An outdated engine gets only calls that it is expected to end in time

Now a call is sent to an outdated engine only if its whole answer is expected before the time of the version ends, and always with that end as its deadline.

- nothing is sent once the time for the answer is over, as after a slow dial; the call has not run then;
- a stream that ends without a failure at the end of the time that its engine was given may have been cut off there, and is no whole answer;
- an entry waits for the engine's refusal for the way of the call and of the refusal.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -243,6 +243,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !time.Now().Before(by) {
+		p.put(c, 0)
+		return nil, failure.WithOutcome(failure.Timeout.New("no time was left when %s was reached", addr), failure.NotRun)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(err error, doing string) (*Response, error) {
 		stop()
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -165,6 +165,16 @@
 		r.Close(false, 0)
 	})
 
+	// Guards against work that begins after its time, since a connection took long.
+	It("sends nothing once the time for the answer is over", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		_, err := p.Do(context.Background(), s.addr(), get, time.Now())
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+		Expect(whole(p, s)).To(Equal("hi"))
+		Expect(s.requests.Load()).To(Equal(int64(1)))
+	})
+
 	It("tells silence from a broken connection", func() {
 		release := make(chan struct{})
 		s := serve(func(net.Conn, *http.Request, int) bool { <-release; return false })
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -99,7 +99,7 @@
 		return nil, Refusal{Reason: reason, RetryAfter: b.comeBack(ask), Predicted: predicted, Usable: len(usable)}
 	}
 	t := &Ticket{
-		board: b, state: best, Server: best.Server, Predicted: predicted, Within: b.within(now, best, ask),
+		board: b, state: best, Server: best.Server, Predicted: predicted, Within: ask.within(best),
 		prompt: ask.Prompt, answer: ask.Answer, placed: now,
 	}
 	best.own[t] = struct{}{}
@@ -196,14 +196,11 @@
 // versionFits reports whether an engine may be used for a request by the version
 // that it holds.
 func (b *Board) versionFits(now time.Time, st *state, ask Ask) bool {
-	if ask.Versions == nil {
-		return true
-	}
-	switch use, left := ask.Versions(st.Loaded); use {
+	switch use, left := ask.use(st.Loaded); use {
 	case FullUse:
 		return true
 	case UseOutdated:
-		return left >= ask.Left || b.endsWithin(now, st, ask, left) || b.beginsAtOnce(now, st, ask, left)
+		return b.endsWithin(now, st, ask, left)
 	default:
 		return false
 	}
@@ -241,7 +238,7 @@
 	if ask.Engine != nil {
 		cost += b.costOfOthers(st)
 	}
-	if ask.isOutdated(st.Loaded) && !b.off.NewerFirst {
+	if use, _ := ask.use(st.Loaded); use == UseOutdated && !b.off.NewerFirst {
 		cost += outdatedCost
 	}
 	return cost
--- a/core/placement/own.go
+++ b/core/placement/own.go
@@ -36,28 +36,14 @@
 // preferred by few entries, whose own requests are most of its work and are known
 // exactly.
 func (b *Board) costOfOthers(st *state) time.Duration {
-	if b.off.OwnEngines || b.prefers(st) {
+	entries := 1 + b.others.known()
+	share := (ownShare*len(st.group.states) + entries - 1) / entries
+	if b.self == "" || b.off.OwnEngines || st.rank < max(ownLeast, share) {
 		return 0
 	}
 	return min(othersMost, time.Duration(b.others.known())*othersCost)
 }
 
-// prefers reports whether the engine is one that this entry prefers.
-func (b *Board) prefers(st *state) bool { return b.self == "" || st.rank < b.preferred(st.group) }
-
-// preferred is how many engines of a service an entry prefers.
-func (b *Board) preferred(g *group) int {
-	entries := 1 + b.others.known()
-	share := (ownShare*len(g.states) + entries - 1) / entries
-	return max(ownLeast, share)
-}
-
-// rivals is how many other entries prefer the same engine, on average.
-func (b *Board) rivals(g *group) int {
-	choices := b.others.known() * min(b.preferred(g), len(g.states))
-	return (choices + len(g.states) - 1) / len(g.states)
-}
-
 // rankServers orders the servers of each service by how this entry prefers
 // them: the nearest first, then by a hash that differs by entry.
 func (b *Board) rankServers() {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -99,7 +99,7 @@
 	// NoUse: not at all.
 	NoUse Use = iota
 	// UseOutdated: where no engine with the wanted version is as good, and only if
-	// the request cannot begin after the time that is left.
+	// the whole answer is expected within the time that is left.
 	UseOutdated
 	// FullUse: like any other.
 	FullUse
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -17,6 +17,7 @@
 	"chivespindle.example/core/enginemodel"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/wire"
@@ -232,6 +233,21 @@
 		Expect(metrics.Snapshot().Counters()).To(HaveKey("calls_withdrawn+reason=silent"))
 	})
 
+	// Guards against a stream that begins at its next engine after the time of the
+	// version that it must go on with.
+	It("gives the next engine no more than the time of its version", func() {
+		begin(routing.Stream, true)
+		named := time.Now()
+		g.names["m"] = loading.Names{{Version: 2, Since: named}}
+		tell(first, 2, true)
+		from.give(1)
+		Eventually(backend.orders).Should(HaveLen(2))
+		Expect(backend.orders()[0].Until).To(BeTemporally(">", named.Add(g.opts.VersionTime)))
+		Expect(backend.orders()[1].Until).To(BeTemporally("<", named.Add(g.opts.VersionTime)))
+		backend.stream(second).give(streamEvents)
+		Eventually(ended).Should(BeClosed())
+	})
+
 	It("stays where the route does not let streams be resumed", func() {
 		begin(routing.Stream, false)
 		tell(first, 2, true)
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -51,7 +51,7 @@
 		ticket.End(now, placement.Abandoned)
 	case j.isOver(ctx, now):
 		ticket.End(now, placement.Silent)
-	case j.stopped(now, ticket.Server):
+	case j.wasToEnd(now), !j.begun && errorx.IsOfType(err, failure.Timeout) && j.isOutOfTime(now, ticket.Server):
 		ticket.End(now, placement.Abandoned)
 	case errorx.IsOfType(err, failure.Timeout):
 		ticket.End(now, placement.Silent)
@@ -67,16 +67,15 @@
 	return ctx.Err() != nil || !now.Before(j.deadline)
 }
 
-// stopped reports whether the server got no further since the time of its version
-// was over, which is no failure of its own.
-func (j *job) stopped(now time.Time, server placement.Server) bool {
-	hadToEnd := !j.answers || j.serverUntil.Before(j.deadline)
-	return hadToEnd && j.isOutOfTime(now, server)
+// wasToEnd reports whether the server was to have ended its work by now, before the
+// caller's time is up: that it went no further is no failure of its own.
+func (j *job) wasToEnd(now time.Time) bool {
+	return j.serverUntil.Before(j.deadline) && !now.Before(j.serverUntil)
 }
 
 // resultOfFailure is how an attempt ended whose server answered with a failure.
-func (j *job) resultOfFailure(now time.Time, server placement.Server) placement.Result {
-	if j.stopped(now, server) {
+func (j *job) resultOfFailure(now time.Time) placement.Result {
+	if j.wasToEnd(now) {
 		return placement.Abandoned
 	}
 	return placement.Failed
@@ -176,7 +175,7 @@
 		j.give(answer, body)
 		return false
 	}
-	ticket.End(now, j.resultOfFailure(now, ticket.Server))
+	ticket.End(now, j.resultOfFailure(now))
 	j.g.log.serverError(j, ticket, answer.Status())
 	j.held = &heldAnswer{answer: answer, body: body}
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
@@ -241,7 +240,6 @@
 // fails if the caller has left.
 func (j *job) takeEvent(ticket *placement.Ticket, answer Answer, event eventstream.Event) error {
 	j.progressAt = time.Now()
-	j.answers = true
 	ticket.Wrote(j.tokensOfEvent())
 	if event.ID >= 0 && event.ID <= j.lastEvent {
 		return nil
@@ -278,8 +276,8 @@
 // eventBy is when the next event must be there.
 func (j *job) eventBy(now time.Time, server placement.Server) time.Time {
 	by := j.lastWord(j.serverUntil)
-	if !j.answers {
-		by = j.beginBy(server, j.serverUntil)
+	if !j.begun {
+		by = j.beginBy(now, server, j.serverUntil)
 	}
 	if !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts {
 		return by
@@ -293,10 +291,14 @@
 
 // streamEnded follows the end of a stream between two events.
 func (j *job) streamEnded(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
-	answer.Close(true)
 	now := time.Now()
+	if answer.Status() < http.StatusInternalServerError && j.wasToEnd(now) {
+		// The server may have ended its work between two events.
+		return j.streamBroke(ctx, ticket, answer, failure.Unavailable.New("the stream ended with the time given to the server"))
+	}
+	answer.Close(true)
 	if answer.Status() >= http.StatusInternalServerError && !j.begun {
-		ticket.End(now, j.resultOfFailure(now, ticket.Server))
+		ticket.End(now, j.resultOfFailure(now))
 		j.g.log.serverError(j, ticket, answer.Status())
 		j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 		if j.again(ctx, now) {
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -67,10 +67,8 @@
 	// progressAt is when the server last gave something: the answer's last event,
 	// or the request's way to it.
 	progressAt time.Time
-	// serverUntil is when the server ends its work on the call; answers is true once
-	// it has given an event.
+	// serverUntil is when the server ends its work on the call.
 	serverUntil time.Time
-	answers     bool
 }
 
 type heldAnswer struct {
@@ -187,7 +185,7 @@
 	}
 	j.progressAt = now
 	order := j.order(now, ticket)
-	j.serverUntil, j.answers = order.Until, false
+	j.serverUntil = order.Until
 	order.FirstBy = j.firstBy(now, order)
 	answer, err := j.g.opts.Backend.Send(ctx, j.call, order)
 	if err != nil {
@@ -350,20 +348,21 @@
 	safeSilence = 2
 )
 
-// lastWord is when the answer or refusal of a server must have come that ends its
-// work at until.
-func (j *job) lastWord(until time.Time) time.Time { return earlier(j.deadline, until.Add(onTheWay)) }
+// lastWord is when a server's answer or refusal must have come: its way and that of
+// the call after the time that the server was given.
+func (j *job) lastWord(until time.Time) time.Time { return earlier(j.deadline, until.Add(2*onTheWay)) }
 
-// beginBy is when the answer must have begun at a server that ends its work at
-// until: before the time of its version is over, unless its work ends then.
-func (j *job) beginBy(server placement.Server, until time.Time) time.Time {
+// beginBy is when the answer must have begun. A version may be named while the
+// call waits that was not when it was sent; the engine was told nothing of it.
+func (j *job) beginBy(now time.Time, server placement.Server, until time.Time) time.Time {
 	if j.service.Engine == nil || until.Before(j.deadline) {
 		return j.lastWord(until)
 	}
-	if end, outdated := j.versionEnd(server); outdated {
-		return earlier(j.deadline, end)
+	end, outdated := j.versionEnd(server)
+	if !outdated {
+		end = now.Add(j.g.opts.VersionTime - heardLate - onTheWay)
 	}
-	return j.deadline
+	return earlier(j.deadline, end)
 }
 
 // isOutOfTime reports whether a server's version is outdated and its time over.
@@ -379,7 +378,7 @@
 // firstBy is when the answer must have begun: early enough for another server
 // if one may be tried.
 func (j *job) firstBy(now time.Time, order Order) time.Time {
-	by := j.beginBy(order.Server, order.Until)
+	by := j.beginBy(now, order.Server, order.Until)
 	switch {
 	case !j.mayRepeat():
 		return by
