Specs, red: what counts as a lapse around a failed call

Callers' requests could go to a server for more than two seconds after its registration had ended: at a reader of which one call failed while the platform was sound, at all entries that it tells, and at an entry that stood still for a moment.

--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -108,6 +108,14 @@
 		Expect(listed(g, backend, at(7*time.Second+lapseTime))).To(HaveLen(1))
 	})
 
+	// Guards against requests to a server that left, at all entries of a region of
+	// whose reader one call failed.
+	It("drops a server that leaves while a single call of its reader fails", func() {
+		failing := wire.PlatformState{HeardAgoMS: 300, Failing: true}
+		told(at(time.Second), failing, wire.ServerNews{After: 5, AsOf: 9, Changes: removeTwo})
+		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
 	It("is told of what happened after what it knows, once", func() {
 		reads()
 		g.apply(at(time.Second), removeTwo, 9)
