A failed call is no outage: what ends then has left

Callers' requests could go to a server for more than two seconds after it had left without a word, longer than it goes on serving; no other failure was needed than one call to the platform, refused or cut, at an entry that reads it.

Cause: while the last call had failed, each removal that a peer told of was taken for a lapse in an outage, and the next answer, a fraction of a second later, for the end of that outage, from which on what lapsed is kept for lapseTime. The least length of an outage was asked for only once the platform had answered.

Ruled out: dropping what was kept once the platform answers after a short silence. It leaves the server listed until then or until the entry knows itself alone, up to two seconds where calls go on failing, and a short failure after a true outage would drop live servers.

Now contact knows the last outage, of longOutage at least, and both questions (is this a lapse, since when is a version named) are put to it. What is kept is kept while a registration that ends now would be, so the two cannot differ.

--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -71,7 +71,7 @@
 	if len(g.lapsed) == 0 {
 		return
 	}
-	over := g.contact.lapsesEnd(now)
+	over := !g.contact.mayLapse(now)
 	for id := range g.lapsed {
 		if over || hasServer(g.snapshot.Servers, id) {
 			delete(g.lapsed, id)
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -34,8 +34,8 @@
 	// othersAt is when another entry first told that the platform answers it
 	// while it fails here; zero if none did.
 	othersAt time.Time
-	// regained is when the platform answered again after it had failed for all,
-	// and silent for how long it had not answered.
+	// regained is when the platform answered again after the last outage, and
+	// silent for how long it had not answered; zero if there was none.
 	regained time.Time
 	silent   time.Duration
 	// answers is the number of answers since the start, up to 2.
@@ -56,8 +56,7 @@
 func (c *contact) succeed(now time.Time) bool {
 	again := c.failing
 	if again && !c.alone(now) {
-		c.regained = now
-		c.silent = now.Sub(c.heard)
+		c.wasAway(now, now.Sub(c.heard))
 	}
 	c.failing = false
 	c.heard = now
@@ -88,9 +87,28 @@
 		c.answers = min(2, c.answers+1)
 	}
 	c.heard = heard
-	if t.SilentMS > 0 {
-		c.regained = now.Add(-time.Duration(t.RegainedAgoMS) * time.Millisecond)
-		c.silent = time.Duration(t.SilentMS) * time.Millisecond
+	c.wasAway(now.Add(-time.Duration(t.RegainedAgoMS)*time.Millisecond), time.Duration(t.SilentMS)*time.Millisecond)
+}
+
+// wasAway notes the platform's return after it had not answered for so long. A
+// failed call is no outage, and does not end what is known of the last one.
+func (c *contact) wasAway(regained time.Time, silent time.Duration) {
+	if silent >= longOutage {
+		c.regained, c.silent = regained, silent
+	}
+}
+
+// outage returns when the last outage ended, now while one lasts; false if there
+// was none. An entry that was cut off from a platform that others reached has
+// seen none.
+func (c *contact) outage(now time.Time) (time.Time, bool) {
+	switch {
+	case c.alone(now):
+		return time.Time{}, false
+	case c.failing && now.Sub(c.heard) >= longOutage:
+		return now, true
+	default:
+		return c.regained, c.silent > 0
 	}
 }
 
@@ -120,25 +138,11 @@
 // or a key does not exist.
 func (c *contact) recent(now time.Time) bool { return now.Sub(c.heard) < sureFor }
 
-// mayLapse reports whether a registration that ends now may only have lapsed:
-// the platform is down, or was a moment ago. An entry that was cut off from a
-// platform that others reached finds no lapses there.
+// mayLapse reports whether a registration that ends now, or has ended a moment
+// ago, may only have lapsed: servers that live are not all registered again.
 func (c *contact) mayLapse(now time.Time) bool {
-	if c.off.KeepLapsed {
-		return false
-	}
-	if c.failing {
-		return !c.alone(now)
-	}
-	return c.silent >= longOutage && now.Sub(c.regained) < lapseTime
-}
-
-// lapsesEnd reports whether servers that live are registered again by now.
-func (c *contact) lapsesEnd(now time.Time) bool {
-	if c.failing {
-		return c.alone(now)
-	}
-	return now.Sub(c.regained) >= lapseTime
+	end, seen := c.outage(now)
+	return seen && now.Sub(end) < lapseTime && !c.off.KeepLapsed
 }
 
 // knowsChanges reports whether what an answer tells beyond the catalog in hand
@@ -156,14 +160,11 @@
 // in turns over the longer time leave more of them to serve. The return is
 // noticed up to a pause between two calls late, which is taken off.
 func (c *contact) newSince(now time.Time, soundTime time.Duration) time.Time {
-	silent, back := c.silent, c.regained
-	if c.failing {
-		silent, back = now.Sub(c.heard), now
-	}
-	if silent < longOutage || c.alone(now) || c.off.ShiftNaming {
+	end, seen := c.outage(now)
+	if !seen || c.off.ShiftNaming {
 		return now
 	}
-	sound := back.Add(soundTime - sourcePauseMax)
+	sound := end.Add(soundTime - sourcePauseMax)
 	if sound.Before(now) {
 		return now
 	}
