Specs, red: the return of the platform is noticed later than is allowed for

Callers' requests could begin on outdated weights more than a second after the operator's time for a version named during an outage.

--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -325,6 +325,23 @@
 		Expect(since).To(Equal(at(6*time.Second + 3*time.Second - sourcePauseMax)))
 	})
 
+	// Guards against engines used with outdated weights after the operator's time,
+	// at an entry that notices the platform's return as late as it can.
+	It("that were named during an outage count in time, however late its end is noticed", func() {
+		returned := 6 * time.Second
+		longestPause := time.Duration(0)
+		for range 10_000 {
+			longestPause = max(longestPause, pauseAfter(maxDoublings+1, failure.Unavailable.New("reset")))
+		}
+		noticed := returned + callEnds + longestPause
+		g := following()
+		g.sourceFailed(at(time.Second), failure.Unavailable.New("reset"))
+		g.sourceAnswered(at(noticed))
+		g.adopt(at(noticed), wanted(2), "platform")
+		since, _ := g.names["m"].OutdatedSince(1)
+		Expect(since).To(BeTemporally("<=", at(returned+g.opts.SoundTime)))
+	})
+
 	// Entries are answered again one after the other. One that is not yet hears
 	// of the version from one that is, which may just have started: the outage
 	// was one for all the same.
@@ -428,6 +445,71 @@
 	})
 })
 
+// callEnds is within what time a call ends that meets a dead path to the platform.
+const callEnds = 800 * time.Millisecond
+
+// impatient is a platform that fails one watch and answers the others, and tells
+// for how long they wait.
+type impatient struct {
+	catalog.Source
+	fails int
+	waits chan time.Duration
+}
+
+func (s *impatient) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.Change, catalog.Revision, error) {
+	select {
+	case s.waits <- wait:
+	case <-ctx.Done():
+	}
+	s.fails--
+	if s.fails == 0 {
+		return nil, 0, failure.Unavailable.New("reset")
+	}
+	return nil, after, nil
+}
+
+var _ = Describe("A watch", func() {
+	// Guards against a return of the platform that is noticed only at the end of a
+	// watch: what counts from it, the time of a version, would count too late.
+	It("waits for changes only once the platform has just answered", func() {
+		platform := &impatient{waits: make(chan time.Duration), fails: 3}
+		g, _ := newGateway()
+		g.opts.Source = platform
+		g.adopt(start, snapshot(5), "peer")
+		reads := view{reads: true, table: g.table, asOf: 5, operatorAsOf: 5}
+		g.view.Store(&reads)
+		// turn tells the turns of the loop that makes the calls from each other.
+		turn := func() time.Time {
+			g.reading.mu.Lock()
+			defer g.reading.mu.Unlock()
+			return g.reading.began
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = g.Follow(ctx)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-ended
+		})
+		brief := BeNumerically("<=", 50*time.Millisecond)
+		Eventually(platform.waits, "10s").Should(Receive(brief), "the first")
+		Eventually(platform.waits, "10s").Should(Receive(Equal(watchWait)), "after an answer")
+		Eventually(platform.waits, "10s").Should(Receive(Equal(watchWait)), "the one that fails")
+		Eventually(platform.waits, "10s").Should(Receive(brief), "after a failure")
+		Eventually(platform.waits, "10s").Should(Receive(Equal(watchWait)), "after an answer")
+		g.view.Store(&view{table: g.table, asOf: 5, operatorAsOf: 5})
+		for range 2 { // the first of these turns may have begun before
+			last := turn()
+			Eventually(turn, "10s").ShouldNot(Equal(last))
+		}
+		g.view.Store(&reads)
+		Eventually(platform.waits, "10s").Should(Receive(brief), "after a time without calls")
+	})
+})
+
 func entryAt(id, region, zone string) mesh.Entry {
 	return mesh.Entry{
 		ID: fleet.InstanceID(id), Place: fleet.Place{Region: fleet.Region(region), Zone: fleet.Zone(zone)},
