What the late notice of the platform's return takes off a version's time

Callers' requests could begin on outdated weights more than a second after the operator's time, for a version that was named during an outage.

Cause: the time counts from when the platform is sound again, reckoned from the answer that shows its return, less sourcePauseMax for a late notice. A pause is up to half as long again; before it the call may still run that met the dead path; and the first watch that is answered may wait for a change for 1.5 s more.

Ruled out: to take all that off as it was. A watch that gets no answer takes 2.3 s, so it is more than the time for which the platform must be sound; nothing would be left for engines to change in turns.

Now a watch hardly waits (watchBriefly) unless the call before it was answered: what was missed is there at once, and a silent connection is found out in 0.85 s. What is taken off is noticedWithin, made of that wait, the time after which a call without an answer fails (catalog.AnswerTime, which the store's client keeps to), and the longest pause: 2.1 s. A reader makes one call more after each failure that it recovers from.

Left: the engines' longer time is 0.9 s instead of 2.2 s where the platform is to be sound for 3 s.

--- a/core/catalog/ports.go
+++ b/core/catalog/ports.go
@@ -12,6 +12,10 @@
 // must be listed again.
 var HistoryGone = failure.Namespace.NewType("history_gone", failure.Temporary)
 
+// AnswerTime is how long a call to a Source may bring nothing, beside the time for
+// which a watch waits for changes, until it fails.
+const AnswerTime = 800 * time.Millisecond
+
 // Source reads what the platform publishes. Failures are failure.Unavailable,
 // failure.Timeout, failure.RateLimited, failure.Corrupt or HistoryGone.
 type Source interface {
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -157,14 +157,14 @@
 // What was named during an outage reaches all processes at its end, when
 // callers come back too. The operator's time for a version runs while the
 // platform is sound, so the change need not begin at once: engines that change
-// in turns over the longer time leave more of them to serve. The return is
-// noticed up to a pause between two calls late, which is taken off.
+// in turns over the longer time leave more of them to serve. The return may have
+// been noticed late, which is taken off.
 func (c *contact) newSince(now time.Time, soundTime time.Duration) time.Time {
 	end, seen := c.outage(now)
 	if !seen || c.off.ShiftNaming {
 		return now
 	}
-	sound := end.Add(soundTime - sourcePauseMax)
+	sound := end.Add(soundTime - noticedWithin)
 	if sound.Before(now) {
 		return now
 	}
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -18,6 +18,10 @@
 	// connection went silent is found out only by its end, and the operator's
 	// bounds are a few seconds.
 	watchWait = 1500 * time.Millisecond
+	// watchBriefly is the same while the platform may have been away: what was
+	// missed is there at once, and a return must not be noticed only at the end of
+	// a watch, nor a dead connection.
+	watchBriefly = 50 * time.Millisecond
 	// gatherChanges is the pause between two watches of the first reader of a
 	// region. Servers register and change many at a time; without it each of them
 	// costs a call.
@@ -33,6 +37,11 @@
 	sourcePauseMin = 100 * time.Millisecond
 	sourcePauseMax = 800 * time.Millisecond
 	maxDoublings   = 4 // enough to reach sourcePauseMax
+	// longestPause bounds what pauseAfter makes of sourcePauseMax.
+	longestPause = sourcePauseMax/2 + sourcePauseMax
+	// noticedWithin is the longest time from the platform's return to the answer
+	// that shows it: a call that it left without an answer, a pause, and a call.
+	noticedWithin = watchBriefly + catalog.AnswerTime + longestPause + watchBriefly
 )
 
 // position is up to which revision Follow has read each part of the catalog.
@@ -41,6 +50,9 @@
 	operator catalog.Revision
 	// gone is true once the platform no longer has the changes since.
 	gone bool
+	// answered is true if the last call was answered, and no time has passed since
+	// in which none was to be made.
+	answered bool
 }
 
 // Follow keeps the catalog up to date from the platform until ctx ends.
@@ -53,6 +65,7 @@
 		// in which there was none to make any more read one copy too many.
 		if v := g.view.Load(); v != nil && !v.reads {
 			end()
+			at.answered = false
 			wait(ctx, idlePoll)
 			continue
 		}
@@ -62,6 +75,7 @@
 		switch {
 		case err == nil:
 			failures = 0
+			at.answered = true
 			wait(ctx, g.watchPause())
 			continue
 		case ended:
@@ -72,6 +86,7 @@
 			continue
 		}
 		failures++
+		at.answered = false
 		g.post(func(now time.Time) { g.sourceFailed(now, err) })
 		wait(ctx, pauseAfter(failures, err))
 	}
@@ -106,12 +121,12 @@
 		g.sourceAnswered(now)
 		g.adopt(now, snapshot, fromPlatform)
 	})
-	*at = position{servers: snapshot.AsOf, operator: snapshot.AsOf}
+	at.servers, at.operator, at.gone = snapshot.AsOf, snapshot.AsOf, false
 	return nil
 }
 
 func (g *Gateway) watch(ctx context.Context, at *position) error {
-	changes, asOf, err := g.opts.Source.Watch(ctx, min(at.servers, at.operator), watchWait)
+	changes, asOf, err := g.opts.Source.Watch(ctx, min(at.servers, at.operator), at.patience())
 	if err != nil {
 		return err
 	}
@@ -123,6 +138,14 @@
 	return nil
 }
 
+// patience is how long the next watch waits for changes.
+func (at *position) patience() time.Duration {
+	if at.answered {
+		return watchWait
+	}
+	return watchBriefly
+}
+
 // watchPause is the pause before the next watch.
 func (g *Gateway) watchPause() time.Duration {
 	v := g.view.Load()
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -130,3 +131,65 @@
 		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "it asks for the whole list")
 	})
 })
+
+// impatient is a platform that fails one watch and answers the others, and tells
+// for how long they wait.
+type impatient struct {
+	catalog.Source
+	fails int
+	waits chan time.Duration
+}
+
+func (s *impatient) Watch(ctx context.Context, after catalog.Revision, wait time.Duration) ([]catalog.Change, catalog.Revision, error) {
+	select {
+	case s.waits <- wait:
+	case <-ctx.Done():
+	}
+	s.fails--
+	if s.fails == 0 {
+		return nil, 0, failure.Unavailable.New("reset")
+	}
+	return nil, after, nil
+}
+
+var _ = Describe("A watch", func() {
+	// Guards against a return of the platform that is noticed only at the end of a
+	// watch: what counts from it, the time of a version, would count too late.
+	It("waits for changes only once the platform has just answered", func() {
+		platform := &impatient{waits: make(chan time.Duration), fails: 3}
+		g, _ := newGateway()
+		g.opts.Source = platform
+		g.adopt(start, snapshot(5), "peer")
+		reads := view{reads: true, table: g.table, asOf: 5, operatorAsOf: 5}
+		g.view.Store(&reads)
+		// turn tells the turns of the loop that makes the calls from each other.
+		turn := func() time.Time {
+			g.reading.mu.Lock()
+			defer g.reading.mu.Unlock()
+			return g.reading.began
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = g.Follow(ctx)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-ended
+		})
+		brief := Equal(watchBriefly)
+		Eventually(platform.waits, "10s").Should(Receive(brief), "the first")
+		Eventually(platform.waits, "10s").Should(Receive(Equal(watchWait)), "after an answer")
+		Eventually(platform.waits, "10s").Should(Receive(Equal(watchWait)), "the one that fails")
+		Eventually(platform.waits, "10s").Should(Receive(brief), "after a failure")
+		Eventually(platform.waits, "10s").Should(Receive(Equal(watchWait)), "after an answer")
+		g.view.Store(&view{table: g.table, asOf: 5, operatorAsOf: 5})
+		for range 2 { // the first of these turns may have begun before
+			last := turn()
+			Eventually(turn, "10s").ShouldNot(Equal(last))
+		}
+		g.view.Store(&reads)
+		Eventually(platform.waits, "10s").Should(Receive(brief), "after a time without calls")
+	})
+})
