Specs, red: a call goes out for a caller who has left

Callers who had left could still have work begun for them: a server ran what nobody waited for, and a place at a second server was taken.

Red: "sends nothing for a caller who has left" (the outcome is unknown, not that nothing ran) and "goes to no other server once its caller has left" (two servers got the call after the first had declined it).

--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -215,6 +215,21 @@
 		r.Close(true, 0)
 	})
 
+	// Guards against work that a server begins for a caller who has left already.
+	It("sends nothing for a caller who has left", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true })
+		p := exchange.New()
+		left, leave := context.WithCancel(context.Background())
+		leave()
+		for range 20 {
+			Expect(whole(p, s)).To(Equal("hi"))
+			_, err := p.Do(left, s.addr(), get(), soon())
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+		}
+		Expect(s.requests.Load()).To(Equal(int64(20)))
+		Expect(s.connections.Load()).To(Equal(int64(1)), "those that are kept are not spent")
+	})
+
 	It("passes over interim answers", func() {
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
 			say(c, "HTTP/1.1 103 Early Hints\r\n\r\n"+ok)
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -192,3 +192,40 @@
 		Expect(fail(start)).To(BeZero())
 	})
 })
+
+// leaving is a backend that declines each call, while its caller leaves.
+type leaving struct {
+	leave func()
+	sent  int
+}
+
+func (b *leaving) Send(context.Context, *Call, Order) (Answer, error) {
+	b.sent++
+	b.leave()
+	return declinedAnswer{}, nil
+}
+
+func (*leaving) Keep([]placement.Server) {}
+
+type declinedAnswer struct{ emptyAnswer }
+
+func (declinedAnswer) NotRun() bool { return true }
+
+var _ = Describe("A call that a server declines", func() {
+	// Guards against a place that is taken at the next server for a caller who has
+	// left.
+	It("goes to no other server once its caller has left", func() {
+		g, _ := newGateway()
+		ctx, leave := context.WithCancel(context.Background())
+		backend := &leaving{leave: leave}
+		g.opts.Backend = backend
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3))
+		s.Config.Routes[0].Aim, s.Config.Routes[0].Timeout, s.Config.Routes[0].MaxAttempts = time.Second, time.Minute, 2
+		g.adopt(time.Now(), s, "platform")
+		g.publish(time.Now())
+		caller := make(refusals, 1)
+		g.Serve(ctx, &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), LastEvent: -1}, caller)
+		Expect(backend.sent).To(Equal(1))
+		Expect(caller).NotTo(Receive(), "the answer to a caller who has left")
+	})
+})
