Nothing goes out for a caller who has left

Callers who had left could still have work begun for them at a server that nobody waited for, and a place taken there that others could have had.

Cause: the end of a call closes its connection in another goroutine, and the request was mostly written before that; where a kept connection was there, nothing else looked whether the call had ended. After a server's word that it does not run a call, the next server got it without that question too.

Ruled out: to ask only before the first attempt; the caller leaves while a server declines, or while the call waits for a place.

Now Do looks first, and says that nothing ran; a declined call whose caller has left ends there.

Not closed: a caller who leaves between that look and the write.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -239,6 +239,9 @@
 // A failure's outcome is failure.NotRun only if no byte of the request was
 // sent.
 func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, request func() *http.Request, by time.Time) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, failure.WithOutcome(failure.Unavailable.Wrap(err, "not sent to %s", addr), failure.NotRun)
+	}
 	c, err := p.take(ctx, addr)
 	if err != nil {
 		return nil, err
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -223,7 +223,7 @@
 		leave()
 		for range 20 {
 			Expect(whole(p, s)).To(Equal("hi"))
-			_, err := p.Do(left, s.addr(), get(), soon())
+			_, err := p.Do(left, s.addr(), get, soon())
 			Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
 		}
 		Expect(s.requests.Load()).To(Equal(int64(20)))
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -100,10 +100,13 @@
 }
 
 // declined follows a server's word that it did not run the call.
-func (j *job) declined(server placement.Server) bool {
+func (j *job) declined(ctx context.Context, server placement.Server) bool {
 	j.g.log.declined(j, server)
 	j.exclude = placement.Exclude(j.exclude, server.ID)
 	now := time.Now()
+	if ctx.Err() != nil {
+		return j.ended(ctx, now, "declined")
+	}
 	if j.attempts < j.route.MaxAttempts && j.deadline.Sub(now) > minimalRest {
 		return true
 	}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -195,7 +195,7 @@
 	if answer.NotRun() || answer.Misdirected() {
 		answer.Close(true)
 		ticket.End(time.Now(), placement.Declined)
-		return j.declined(ticket.Server)
+		return j.declined(ctx, ticket.Server)
 	}
 	if answer.Streams() {
 		return j.stream(ctx, ticket, answer)
