Spec of an engine that a call is taken off: 64 draws instead of 8

The spec failed once in a run beside other work: it takes each of two servers that are used to be drawn, and eight draws leave one out now and then.

--- a/daemon/gateway/outdated_test.go
+++ b/daemon/gateway/outdated_test.go
@@ -22,6 +22,10 @@
 	var g *Gateway
 	engine := &enginemodel.Figures{Slots: 16, Layers: 4, Step: 10 * time.Millisecond, Stride: 5, UsualAnswer: 90}
 
+	// draws is how many calls are placed; with that many, chance leaves out none of
+	// two servers that are both used.
+	const draws = 64
+
 	choose := func(now time.Time) *placement.Ticket {
 		t, _ := g.board.Choose(now, placement.Ask{Service: "pool", Engine: engine, Aim: time.Second, Left: time.Minute})
 		Expect(t).NotTo(BeNil())
@@ -45,8 +49,10 @@
 		j.serverUntil = j.order(now, t).Until
 		j.failed(context.Background(), now, t, failure.Timeout.New("nothing came"))
 		used := make(map[fleet.InstanceID]bool)
-		for range 8 {
-			used[choose(now).Server.ID] = true
+		for range draws {
+			next := choose(now)
+			used[next.Server.ID] = true
+			next.End(now, placement.Succeeded)
 		}
 		return used
 	}
