Specs, red: an order that got no answer is taken whenever the engine comes to it

Callers could be given tokens that were made with chunks of two versions, as of the older one.

Cause: that no chunk of another version enters the stage before the engine takes an order holds only if the engine answers in time. When its time is up the order's outcome is unknown, the stage is let go, and the engine takes what lies there when it comes to the order. The next version may be ordered meanwhile as well; the older order is then taken after it.

The specs have an engine that comes late to an order that it did not answer. Once a chunk of version 3 is let in first, and version 2 is loaded with chunk 1 of version 3; once version 3 is ordered first, and its chunks are loaded as version 2.

--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -30,6 +30,10 @@
 	loaded  [][]byte
 	onLoad  func()
 	refuses bool
+
+	holds      uint64   // the version of the last order that was taken
+	unanswered int      // so many orders get no answer in time
+	waiting    []uint64 // the versions of those, until they are taken
 }
 
 func (e *engine) Report(context.Context) (loading.Engine, error) { return loading.Engine{}, nil }
@@ -61,7 +65,7 @@
 	return append([]byte(nil), data...), nil
 }
 
-func (e *engine) Load(context.Context, string, uint64) error {
+func (e *engine) Load(_ context.Context, _ string, version uint64) error {
 	if e.onLoad != nil {
 		e.onLoad()
 	}
@@ -70,6 +74,16 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.unanswered > 0 {
+		e.unanswered--
+		e.waiting = append(e.waiting, version)
+		return failure.Unavailable.New("no answer in time")
+	}
+	return e.take(version)
+}
+
+func (e *engine) take(version uint64) error {
+	e.holds = version
 	e.loaded = nil
 	for number := range chunks {
 		e.loaded = append(e.loaded, e.staged[number])
@@ -77,6 +91,16 @@
 	return nil
 }
 
+// takeWaiting has the engine come to the orders that it has not answered.
+func (e *engine) takeWaiting() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, version := range e.waiting {
+		_ = e.take(version) // nobody hears the answer
+	}
+	e.waiting = nil
+}
+
 // origin publishes manifests; every so many of them are spoilt.
 type origin struct {
 	spoilEvery int
@@ -178,6 +202,39 @@
 		Eventually(put).Should(Receive(BeNil()))
 	})
 
+	// The order for version 2 got no answer in time, and the engine came to it after a
+	// chunk of version 3 had been let in: it loaded a mixture.
+	It("keeps other versions out of the stage until it is known what became of an order", func() {
+		second, third := resolve(2), resolve(3)
+		gather(2, second)
+		put := make(chan error, 1)
+		e.unanswered = 1
+		e.onLoad = func() {
+			e.onLoad = nil
+			go func() { put <- s.Put(ctx, third.Manifest, 1, chunk(3, 1)) }()
+		}
+		err := s.load(ctx, supply, 2)
+		Eventually(put).Should(Receive(BeNil()))
+		e.takeWaiting()
+		Expect(e.loaded).To(Equal(want(2)))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// The engine came to an order for version 2, which had got no answer, after the one
+	// for version 3: it loaded the bytes of version 3 as version 2.
+	It("has no order taken late that was given before another", func() {
+		second, third := resolve(2), resolve(3)
+		gather(2, second)
+		e.unanswered = 1
+		before := s.load(ctx, supply, 2)
+		gather(3, third)
+		Expect(s.load(ctx, supply, 3)).To(Succeed())
+		e.takeWaiting()
+		Expect(e.holds).To(Equal(uint64(3)))
+		Expect(e.loaded).To(Equal(want(3)))
+		Expect(before).NotTo(HaveOccurred())
+	})
+
 	It("loads an older version whole though a newer one was staged over it", func() {
 		second, third := resolve(2), resolve(3)
 		gather(2, second)
