The stage is kept as it was checked until it is known what became of an order

Callers could be given tokens that were made with chunks of two versions, as of the older one.

Cause: the stage was let go, and the next version could be ordered, once an order's time was up. That time was also that of the reading back of the whole stage. The engine takes what lies in its stage when it comes to the order, whenever that is.

Now each order names the number of orders that the engine told just before the stage was read back, and the engine declines it if it has accepted another since. While an order has no answer nothing else enters the stage, and none for another version is given. It is settled by a report that tells a higher number; by a repeat with the same number, given after the stage was read back once more, that is taken; or by the start of another process, which tells another time of birth or a lower number. It ends with the agent too. A repeat that is declined settles nothing by itself: for its number, the next report tells that; for the engine's state, the order before it may be taken once the state changes. The reading back and the order have times of their own, and no promise hangs on either.

A first order that is declined is declined as before, for its number too: it has not begun. An engine that tells no number is given none; its order without an answer is settled by what it reports of its state or by the answer to a repeat, and a stale order can still be taken there.

Nothing else hung on the time of the order: the plan gives an order again a while after the last, but only when that has returned. An order that is found to be taken late counts from then, so that it is not given again while the engine begins to load.

Ruled out: that the report lags. An engine's report to its own machine is fresh; one that lags would cost a declined repeat, or a declined order.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -51,6 +51,13 @@
 	Born fleet.Start
 	// Queued and Running are the calls that wait there and those that it answers.
 	Queued, Running int
+	Orders          Orders
+}
+
+// Orders is how many orders the engine's process has accepted.
+type Orders struct {
+	Count uint64
+	Told  bool // false if the engine does not tell it
 }
 
 // Step is what the agent is to do next.
@@ -163,6 +170,14 @@
 	p.orderedAt = now
 }
 
+// Accepted tells that the engine is known to have taken the last order, which may
+// be long after that was given.
+func (p *Plan) Accepted(now time.Time) {
+	if p.ordered != 0 {
+		p.orderedAt = now
+	}
+}
+
 // StartedAnew tells that the engine's process was replaced: no order runs there.
 // What was ordered of its predecessor would else be waited for, for orderAgain.
 func (p *Plan) StartedAnew() {
@@ -171,7 +186,7 @@
 	p.notBefore = time.Time{}
 }
 
-// OrderedAt returns when the last order was given.
+// OrderedAt returns when the last order was given, or was known to be taken.
 func (p *Plan) OrderedAt() time.Time { return p.orderedAt }
 
 // Declined tells that the engine did not take the order.
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -230,6 +230,20 @@
 		Expect(p.Next(at(within+time.Second), serving, 0)).To(Equal(loading.Order))
 	})
 
+	// The order got no answer and was found to be taken long after it was given. Told
+	// from then, it would be given again while the engine begins to load.
+	It("waits for an order from when it is known to be taken", func() {
+		p.Want(known(2, 0))
+		p.Staged(start, 2)
+		p.Ordered(at(within), 2)
+		p.Accepted(at(within + 5*time.Second))
+		Expect(p.Next(at(within+6*time.Second), serving, 0)).To(Equal(loading.Wait))
+		Expect(p.Next(at(within+7*time.Second), serving, 0)).To(Equal(loading.Order))
+		p.StartedAnew()
+		p.Accepted(at(within + 7*time.Second)) // by the process before
+		Expect(p.Next(at(within+7*time.Second), empty, 0)).To(Equal(loading.Order))
+	})
+
 	It("rests once the engine holds the wanted version", func() {
 		p.Want(known(2, 0))
 		p.Staged(start, 2)
--- a/daemon/loader/ports.go
+++ b/daemon/loader/ports.go
@@ -23,8 +23,10 @@
 	// Get returns a staged chunk; it may have turned bad there.
 	Get(ctx context.Context, model string, number int) ([]byte, error)
 	// Load orders the engine to load what is staged, once what it runs has
-	// ended. It fails with Declined if the engine does not do it.
-	Load(ctx context.Context, model string, version uint64) error
+	// ended, unless it has accepted another order since after was told. It fails
+	// with Declined if the engine does not do it. After any other failure the
+	// engine may still take the order at any time.
+	Load(ctx context.Context, model string, version uint64, after loading.Orders) error
 }
 
 // Origin hands out whole copies of a model's weights.
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -32,8 +32,9 @@
 	versions []*stagedVersion // oldest first
 
 	// writing keeps the chunks of one version out of the engine's stage while
-	// another version is checked there and ordered: the engine has one place for
-	// each chunk number, and would load a mixture of both.
+	// another version is checked there and ordered, until it is known what became
+	// of the order: the engine has one place for each chunk number, and would load
+	// a mixture of both.
 	writing sync.Mutex
 }
 
@@ -273,25 +274,11 @@
 	return s.origin.Chunk(ctx, v.supply, v.number, chunk.Index)
 }
 
-// load has the engine load a version. The whole stage is read back and mended
-// right before the order: chunks may have turned bad since they were staged, or
-// be of another version, and an engine loads what lies there.
-func (s *stage) load(ctx context.Context, supply wire.Supply, version uint64) error {
-	s.writing.Lock()
-	defer s.writing.Unlock()
-	if err := s.repair(ctx, version); err != nil {
-		return err
-	}
-	return s.engine.Load(ctx, supply.Model, version)
-}
-
 // repair reads every chunk of a version back from the engine's stage and
 // stages those anew that are missing or have turned bad.
-func (s *stage) repair(ctx context.Context, number uint64) error {
-	v, err := s.numbered(number)
-	if err != nil {
-		return err
-	}
+func (s *stage) repair(ctx context.Context, v *stagedVersion) error {
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
 	for _, c := range v.manifest.Chunks {
 		data, err := s.engine.Get(ctx, v.supply.Model, c.Index)
 		if err == nil && c.Verify(data) == nil {
@@ -299,9 +286,9 @@
 		}
 		good, ok := s.chunk(v, c.Index)
 		if !ok {
-			return failure.NotFound.New("chunk %d of version %d is not held", c.Index, number)
+			return failure.NotFound.New("chunk %d of version %d is not held", c.Index, v.number)
 		}
-		s.logger.Warn("chunk_staged_again", zap.Int("chunk", c.Index), zap.Uint64("version", number), zap.Error(err))
+		s.logger.Warn("chunk_staged_again", zap.Int("chunk", c.Index), zap.Uint64("version", v.number), zap.Error(err))
 		if err := s.engine.Put(ctx, v.supply.Model, c.Index, good); err != nil {
 			return err
 		}
--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -31,12 +31,32 @@
 	onLoad  func()
 	refuses bool
 
-	holds      uint64   // the version of the last order that was taken
-	unanswered int      // so many orders get no answer in time
-	waiting    []uint64 // the versions of those, until they are taken
+	reports    loading.Engine // what it tells, but for what is below
+	holds      uint64         // the version of the last order that was taken
+	orders     uint64         // that were taken
+	unanswered int            // so many orders get no answer in time
+	waiting    []waitingOrder // those, until they are taken
+	onReport   func()
 }
 
-func (e *engine) Report(context.Context) (loading.Engine, error) { return loading.Engine{}, nil }
+type waitingOrder struct {
+	version uint64
+	after   loading.Orders
+}
+
+func (e *engine) Report(context.Context) (loading.Engine, error) {
+	if e.onReport != nil {
+		e.onReport()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := e.reports
+	report.Loaded = e.holds
+	if report.Orders.Told {
+		report.Orders.Count = e.orders
+	}
+	return report, nil
+}
 
 func (e *engine) Held(context.Context, string) ([]int, error) {
 	e.mu.Lock()
@@ -65,7 +85,7 @@
 	return append([]byte(nil), data...), nil
 }
 
-func (e *engine) Load(_ context.Context, _ string, version uint64) error {
+func (e *engine) Load(_ context.Context, _ string, version uint64, after loading.Orders) error {
 	if e.onLoad != nil {
 		e.onLoad()
 	}
@@ -76,13 +96,17 @@
 	defer e.mu.Unlock()
 	if e.unanswered > 0 {
 		e.unanswered--
-		e.waiting = append(e.waiting, version)
+		e.waiting = append(e.waiting, waitingOrder{version, after})
 		return failure.Unavailable.New("no answer in time")
 	}
-	return e.take(version)
+	return e.take(version, after)
 }
 
-func (e *engine) take(version uint64) error {
+func (e *engine) take(version uint64, after loading.Orders) error {
+	if after.Told && after.Count != e.orders {
+		return Declined.New("%d orders, not %d", e.orders, after.Count)
+	}
+	e.orders++
 	e.holds = version
 	e.loaded = nil
 	for number := range chunks {
@@ -95,8 +119,8 @@
 func (e *engine) takeWaiting() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, version := range e.waiting {
-		_ = e.take(version) // nobody hears the answer
+	for _, o := range e.waiting {
+		_ = e.take(o.version, o.after) // nobody hears the answer
 	}
 	e.waiting = nil
 }
@@ -131,7 +155,7 @@
 	var s *stage
 
 	BeforeEach(func() {
-		e = &engine{staged: make(map[int][]byte)}
+		e = &engine{staged: make(map[int][]byte), reports: loading.Engine{Born: 1, Orders: loading.Orders{Told: true}}}
 		s = newStage(e, &origin{}, zap.NewNop())
 	})
 
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -177,9 +177,7 @@
 	l.plan.Ordered(now, version)
 	l.tell(now)
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		err := l.stage.load(ctx, supply, version)
+		err := l.stage.load(l.ctx, supply, version)
 		l.post(func(now time.Time) { l.orderGiven(now, version, err) })
 	}()
 }
@@ -188,6 +186,7 @@
 	l.ordering = false
 	l.nextReport = now
 	if err == nil {
+		l.plan.Accepted(now)
 		l.opts.Logger.Info("load_ordered", zap.Uint64("version", version), zap.Uint64("loaded", l.engine.Loaded))
 		return
 	}
