Specs, red: a chunk that is given up on its way is written late

Callers could be given tokens that were made with chunks of two versions.

Cause: the engine may write a chunk whenever it comes to it, but the agent gives one up on its way when the gather of its version ends, as it does when the next version is named, or when the time for the reading back of the stage is up. The stage is then checked for the next version, and the older chunk is written after that.

The specs have an engine that comes to such a chunk when version 3 is ordered, and loads version 3 with chunk 1 of version 2.

--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -37,6 +37,9 @@
 	unanswered int            // so many orders get no answer in time
 	waiting    []waitingOrder // those, until they are taken
 	onReport   func()
+
+	onPut   func()
+	onWrite []func() // chunks that were given up on their way, until they are written
 }
 
 type waitingOrder struct {
@@ -68,13 +71,31 @@
 	return append(held, 99), nil // a number that no version has
 }
 
-func (e *engine) Put(_ context.Context, _ string, number int, data []byte) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.staged[number] = append([]byte(nil), data...)
+func (e *engine) Put(ctx context.Context, _ string, number int, data []byte) error {
+	if e.onPut != nil {
+		e.onPut()
+	}
+	write := func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.staged[number] = append([]byte(nil), data...)
+	}
+	if err := ctx.Err(); err != nil {
+		e.onWrite = append(e.onWrite, write)
+		return failure.Unavailable.Wrap(err, "no answer")
+	}
+	write()
 	return nil
 }
 
+// writeWaiting has the engine come to the chunks that were given up on their way.
+func (e *engine) writeWaiting() {
+	for _, write := range e.onWrite {
+		write()
+	}
+	e.onWrite = nil
+}
+
 func (e *engine) Get(_ context.Context, _ string, number int) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -259,6 +280,38 @@
 		Expect(before).NotTo(HaveOccurred())
 	})
 
+	// The gather of version 2 ended while a chunk was on its way. The engine wrote it
+	// after the stage was checked for version 3, and loaded a mixture.
+	It("has no chunk written late whose gather has ended", func() {
+		second, third := resolve(2), resolve(3)
+		gather(3, third)
+		gathering, end := context.WithCancel(ctx)
+		defer end()
+		e.onPut = end
+		_ = s.Put(gathering, second.Manifest, 1, chunk(2, 1)) // its gather has ended
+		e.onPut = nil
+		e.onLoad = e.writeWaiting
+		Expect(s.load(ctx, supply, 3)).To(Succeed())
+		Expect(e.loaded).To(Equal(want(3)))
+	})
+
+	// A chunk that was missing was staged again, and the time for that ended. The engine
+	// wrote it after the stage was checked for the next version.
+	It("has no chunk written late that was staged again", func() {
+		second, third := resolve(2), resolve(3)
+		gather(2, second)
+		delete(e.staged, 1)
+		mending, end := context.WithCancel(ctx)
+		defer end()
+		e.onPut = end
+		_ = s.load(mending, supply, 2) // its time has ended
+		e.onPut = nil
+		gather(3, third)
+		e.onLoad = e.writeWaiting
+		Expect(s.load(ctx, supply, 3)).To(Succeed())
+		Expect(e.loaded).To(Equal(want(3)))
+	})
+
 	It("loads an older version whole though a newer one was staged over it", func() {
 		second, third := resolve(2), resolve(3)
 		gather(2, second)
