A chunk on its way to the stage is waited for

Callers could be given tokens that were made with chunks of two versions.

Cause: a chunk was given up on its way when the gather of its version ended, or when the time for the reading back of the stage was up, and the engine could write it after the stage had been checked for another version.

Now a chunk that has been sent is waited for until the engine has answered or has closed the connection. One that has not been sent when its gather ends is not sent. An engine that keeps the connection and never answers holds up all staging and all orders of its agent until its process ends; the agent tells it (chunk_unanswered). A chunk of a running gather was waited for like that before.

Ruled out: to end the wait by reading the chunk back. It shows that one of several writes was done, not that none is left.

Not mended: a chunk, or an order, of an agent that ended before it was answered.

--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// repairTimeout bounds one reading of the whole stage, orderTimeout the wait
-	// for the answer to an order. What became of one without an answer is then
-	// asked for; no promise hangs on either.
+	// repairTimeout bounds one reading of the whole stage, but for a chunk that is on
+	// its way; orderTimeout the wait for the answer to an order. What became of one
+	// without an answer is then asked for; no promise hangs on either.
 	repairTimeout = 1500 * time.Millisecond
 	orderTimeout  = 1500 * time.Millisecond
 	// settlePause is the pause before an engine that has not settled an order is
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -20,6 +20,9 @@
 // which new neighbours ask for.
 const keptVersions = 3
 
+// slowWrite is how long the engine may take to answer a chunk until that is told.
+const slowWrite = 1500 * time.Millisecond
+
 // stage keeps the chunks of a version in memory, where peers get them, and in
 // the engine's stage, where the engine loads them. It implements weights.Stage
 // and, with the platform's origin, weights.Source.
@@ -221,7 +224,21 @@
 	s.keep(v, index, data)
 	s.writing.Lock()
 	defer s.writing.Unlock()
-	return s.engine.Put(ctx, v.supply.Model, index, data)
+	return s.write(ctx, v, index, data)
+}
+
+// write stages a chunk and waits until the engine has answered or has closed the
+// connection, also when ctx ends meanwhile: it may come to what is given up on its
+// way once the stage has been checked for another version.
+func (s *stage) write(ctx context.Context, v *stagedVersion, index int, data []byte) error {
+	if err := ctx.Err(); err != nil {
+		return failure.Unavailable.Wrap(err, "chunk %d not staged", index)
+	}
+	slow := time.AfterFunc(slowWrite, func() {
+		s.logger.Warn("chunk_unanswered", zap.Int("chunk", index), zap.Uint64("version", v.number))
+	})
+	defer slow.Stop()
+	return s.engine.Put(context.WithoutCancel(ctx), v.supply.Model, index, data)
 }
 
 // Get implements weights.Stage.
@@ -289,7 +306,7 @@
 			return failure.NotFound.New("chunk %d of version %d is not held", c.Index, v.number)
 		}
 		s.logger.Warn("chunk_staged_again", zap.Int("chunk", c.Index), zap.Uint64("version", v.number), zap.Error(err))
-		if err := s.engine.Put(ctx, v.supply.Model, c.Index, good); err != nil {
+		if err := s.write(ctx, v, c.Index, good); err != nil {
 			return err
 		}
 	}
