A chunk that an engine does not answer is waited for no longer than four seconds

An agent could stage and order nothing more until its engine's process ended: a chunk on its way is waited for, so that it is not written once the stage has been checked for another version, and a connection may go silent for good. Its engine would have stayed on an old version and out of use.

The wait ends after writeTimeout. What is left: an engine that comes to a chunk later than that, after the connection was closed.

--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -20,8 +20,13 @@
 // which new neighbours ask for.
 const keptVersions = 3
 
-// slowWrite is how long the engine may take to answer a chunk until that is told.
-const slowWrite = 1500 * time.Millisecond
+const (
+	// slowWrite is how long the engine may take to answer a chunk until that is told.
+	slowWrite = 1500 * time.Millisecond
+	// writeTimeout ends the wait for it: the connection may have gone silent for
+	// good, and nothing else is staged meanwhile.
+	writeTimeout = 4 * time.Second
+)
 
 // stage keeps the chunks of a version in memory, where peers get them, and in
 // the engine's stage, where the engine loads them. It implements weights.Stage
@@ -227,9 +232,9 @@
 	return s.write(ctx, v, index, data)
 }
 
-// write stages a chunk and waits until the engine has answered or has closed the
-// connection, also when ctx ends meanwhile: it may come to what is given up on its
-// way once the stage has been checked for another version.
+// write stages a chunk and waits until the engine has answered, also when ctx ends
+// meanwhile: it may come to what is given up on its way once the stage has been
+// checked for another version.
 func (s *stage) write(ctx context.Context, v *stagedVersion, index int, data []byte) error {
 	if err := ctx.Err(); err != nil {
 		return failure.Unavailable.Wrap(err, "chunk %d not staged", index)
@@ -238,7 +243,9 @@
 		s.logger.Warn("chunk_unanswered", zap.Int("chunk", index), zap.Uint64("version", v.number))
 	})
 	defer slow.Stop()
-	return s.engine.Put(context.WithoutCancel(ctx), v.supply.Model, index, data)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
+	defer cancel()
+	return s.engine.Put(ctx, v.supply.Model, index, data)
 }
 
 // Get implements weights.Stage.
--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -39,7 +39,8 @@
 	onReport   func()
 
 	onPut   func()
-	onWrite []func() // chunks that were given up on their way, until they are written
+	onWait  func(ctx context.Context) // for the answer to a chunk
+	onWrite []func()                  // chunks that were given up on their way, until they are written
 }
 
 type waitingOrder struct {
@@ -75,6 +76,9 @@
 	if e.onPut != nil {
 		e.onPut()
 	}
+	if e.onWait != nil {
+		e.onWait(ctx)
+	}
 	write := func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -295,6 +299,17 @@
 		Expect(e.loaded).To(Equal(want(3)))
 	})
 
+	// Guards against an agent that stages nothing more since a connection to its
+	// engine went silent for good.
+	It("does not wait for ever for an engine that does not answer a chunk", func() {
+		second := resolve(2)
+		e.onWait = func(ctx context.Context) {
+			_, ends := ctx.Deadline()
+			Expect(ends).To(BeTrue())
+		}
+		Expect(s.Put(ctx, second.Manifest, 1, chunk(2, 1))).To(Succeed())
+	})
+
 	// A chunk that was missing was staged again, and the time for that ended. The engine
 	// wrote it after the stage was checked for the next version.
 	It("has no chunk written late that was staged again", func() {
