--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"chivespindle.example/core/fleet"
-	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/routing"
 )
@@ -284,44 +283,6 @@
 	return j.returned || j.begun || now.Sub(j.call.Arrived) >= j.route.Aim
 }
 
-const (
-	// heardLate is how much later than others, or than the platform confirmed it,
-	// this entry may have heard of a version.
-	heardLate = 150 * time.Millisecond
-	// onTheWay is the longest time that a call takes to reach a server over a full
-	// link. The server counts the time that it is given from the call's arrival.
-	onTheWay = 250 * time.Millisecond
-)
-
-// versions tells which weights may answer.
-//
-// A stream goes on only on the version that began it. Otherwise the wanted
-// version answers, or the one before for as long as its time lasts.
-func (j *job) versions(now time.Time) func(placement.ModelVersion) (placement.Use, time.Duration) {
-	names := j.g.view.Load().names[j.service.Model]
-	return func(v placement.ModelVersion) (placement.Use, time.Duration) {
-		if v == 0 || j.begun && j.version != 0 && v != j.version {
-			return placement.NoUse, 0
-		}
-		end, outdated := j.g.versionEnd(names, v)
-		switch left := end.Sub(now); {
-		case !outdated:
-			return placement.FullUse, 0
-		case left > 0:
-			return placement.UseOutdated, left
-		default:
-			return placement.NoUse, 0
-		}
-	}
-}
-
-// versionEnd returns when the use of an outdated version ends; false if it is
-// not outdated.
-func (g *Gateway) versionEnd(names loading.Names, v placement.ModelVersion) (time.Time, bool) {
-	since, outdated := names.OutdatedSince(uint64(v))
-	return since.Add(g.opts.VersionTime - heardLate - onTheWay), outdated
-}
-
 // order describes an attempt at the ticket's server.
 func (j *job) order(now time.Time, ticket *placement.Ticket) Order {
 	o := Order{
@@ -348,33 +309,6 @@
 	safeSilence = 2
 )
 
-// lastWord is when a server's answer or refusal must have come: its way and that of
-// the call after the time that the server was given.
-func (j *job) lastWord(until time.Time) time.Time { return earlier(j.deadline, until.Add(2*onTheWay)) }
-
-// beginBy is when the answer must have begun. A version may be named while the
-// call waits that was not when it was sent; the engine was told nothing of it.
-func (j *job) beginBy(now time.Time, server placement.Server, until time.Time) time.Time {
-	if j.service.Engine == nil || until.Before(j.deadline) {
-		return j.lastWord(until)
-	}
-	end, outdated := j.versionEnd(server)
-	if !outdated {
-		end = now.Add(j.g.opts.VersionTime - heardLate - onTheWay)
-	}
-	return earlier(j.deadline, end)
-}
-
-// isOutOfTime reports whether a server's version is outdated and its time over.
-func (j *job) isOutOfTime(now time.Time, server placement.Server) bool {
-	end, outdated := j.versionEnd(server)
-	return outdated && !now.Before(end)
-}
-
-func (j *job) versionEnd(server placement.Server) (time.Time, bool) {
-	return j.g.versionEnd(j.g.view.Load().names[j.service.Model], server.Loaded)
-}
-
 // firstBy is when the answer must have begun: early enough for another server
 // if one may be tried.
 func (j *job) firstBy(now time.Time, order Order) time.Time {
