--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -22,32 +22,27 @@
 // time that they were given allows.
 type deafEngines struct {
 	mu   sync.Mutex
-	sent []received
+	sent []Order
 	// gives is how many events the first call gets before its engine fails.
 	gives int
 }
 
-type received struct {
-	order  Order
-	endsBy time.Time // the latest moment at which the engine may begin the call
-}
-
 func (*deafEngines) Keep([]placement.Server) {}
 
 func (e *deafEngines) Send(_ context.Context, _ *Call, o Order) (Answer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sent = append(e.sent, received{order: o, endsBy: o.Until})
+	e.sent = append(e.sent, o)
 	if len(e.sent) == 1 && e.gives > 0 {
 		return &brokenStream{left: e.gives, version: o.Server.Loaded}, nil
 	}
 	return nil, failure.WithOutcome(failure.Timeout.New("nothing came"), failure.Unknown)
 }
 
-func (e *deafEngines) received() []received {
+func (e *deafEngines) orders() []Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]received(nil), e.sent...)
+	return append([]Order(nil), e.sent...)
 }
 
 // brokenStream gives some events and fails.
@@ -90,7 +85,7 @@
 
 	// serve has a call answered at engines that hold version 1, some time after
 	// version 2 was named.
-	serve := func(resumable bool, attempts int) []received {
+	serve := func(resumable bool, attempts int) []Order {
 		s := snapshot(5, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3))
 		s.Config.Services[0].Engine = &enginemodel.Figures{
 			Slots: 16, Layers: 4, Step: 10 * time.Millisecond, Stride: 5, UsualAnswer: 50}
@@ -105,7 +100,7 @@
 		g.publish(now)
 		call := &Call{ID: "c", Host: "a.example", Path: "/", Arrived: now, Patience: timeout, LastEvent: -1, Expected: expected}
 		g.Serve(context.Background(), call, &reader{})
-		return backend.received()
+		return backend.orders()
 	}
 
 	prepare := func() {
@@ -135,9 +130,9 @@
 			backend.gives = c.gives
 			got := serve(c.resumable, c.attempts)
 			Expect(got).To(HaveLen(c.sent))
-			for _, r := range got {
-				Expect(r.order.Server.Loaded).To(Equal(placement.ModelVersion(1)))
-				Expect(r.endsBy).To(BeTemporally("<", named.Add(g.opts.VersionTime)))
+			for _, o := range got {
+				Expect(o.Server.Loaded).To(Equal(placement.ModelVersion(1)))
+				Expect(o.Until).To(BeTemporally("<", named.Add(g.opts.VersionTime)))
 			}
 		}
 	})
