--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -56,13 +56,14 @@
 // the call after the time that the server was given.
 func (j *job) lastWord(until time.Time) time.Time { return earlier(j.deadline, until.Add(2*onTheWay)) }
 
-// beginBy is when the answer must have begun. A version may be named while the
-// call waits that was not when it was sent; the engine was told nothing of it.
+// beginBy is when the answer must have begun at a server that ends its work at
+// until. A version may be named while the call waits that was not when it was sent:
+// the engine was told nothing of that one.
 func (j *job) beginBy(now time.Time, server placement.Server, until time.Time) time.Time {
 	if j.service.Engine == nil || until.Before(j.deadline) {
 		return j.lastWord(until)
 	}
-	end, outdated := j.versionEnd(server)
+	end, outdated := j.versionEndAt(server)
 	if !outdated {
 		end = now.Add(j.g.opts.VersionTime - heardLate - onTheWay)
 	}
@@ -71,10 +72,11 @@
 
 // isOutOfTime reports whether a server's version is outdated and its time over.
 func (j *job) isOutOfTime(now time.Time, server placement.Server) bool {
-	end, outdated := j.versionEnd(server)
+	end, outdated := j.versionEndAt(server)
 	return outdated && !now.Before(end)
 }
 
-func (j *job) versionEnd(server placement.Server) (time.Time, bool) {
+// versionEndAt is versionEnd for the version that a server holds.
+func (j *job) versionEndAt(server placement.Server) (time.Time, bool) {
 	return j.g.versionEnd(j.g.view.Load().names[j.service.Model], server.Loaded)
 }
