Log which attempts were of the same request, and whether their server ended

The logs could not tell the hypotheses apart: retries have request ids of their own, and an attempt whose connection broke looks the same whether its server crashed or only the connection did.

attempt_failed now has the fingerprint of the request's content and whether the server refuses connections right after the break. The fingerprint covers workspace, method, host, path with query and body; it is computed only for an attempt that broke. The check makes one connection, which is kept if the server accepts it.

Ruled out: confirming a crash by the server's registration (it ends three heartbeats later, or comes anew with the restart after two seconds) and by its agent (plain services have none).

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -30,6 +30,8 @@
 	// dialTimeout bounds the making of a connection: several round trips, and
 	// less than a caller's patience.
 	dialTimeout = 700 * time.Millisecond
+	// refusalTimeout bounds the check whether a server refuses connections.
+	refusalTimeout = 200 * time.Millisecond
 	// writeTimeout bounds the sending of a request whose server does not read.
 	writeTimeout = 2 * time.Second
 	// keptFor is how long an unused connection is kept if the server told no
@@ -139,6 +141,19 @@
 	}, nil
 }
 
+// Refuses reports whether nothing accepts connections at addr. A connection that
+// is made is kept. No answer within refusalTimeout is no refusal.
+func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.put(c, 0)
+	return false
+}
+
 // put keeps a connection whose exchange is over.
 func (p *Pool) put(c *conn, told time.Duration) {
 	life := keptFor
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -302,3 +302,29 @@
 		Expect(s.connections.Load()).To(Equal(int64(2)))
 	})
 })
+
+var _ = Describe("A server that may have ended", func() {
+	answer := func(c net.Conn, _ *http.Request, _ int) bool { say(c, ok); return true }
+
+	It("refuses connections once its listener is closed", func() {
+		s := serve(answer)
+		Expect(s.listener.Close()).To(Succeed())
+		Expect(exchange.New().Refuses(context.Background(), s.addr())).To(BeTrue())
+	})
+
+	It("does not if it accepts them, and the connection is used", func() {
+		s := serve(answer)
+		p := exchange.New()
+		Expect(p.Refuses(context.Background(), s.addr())).To(BeFalse())
+		Expect(whole(p, s)).To(Equal("hi"))
+		Expect(p.Dialled()).To(Equal(int64(1)))
+	})
+
+	It("is not taken for ended if the check was cut short", func() {
+		s := serve(answer)
+		Expect(s.listener.Close()).To(Succeed())
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(exchange.New().Refuses(gone, s.addr())).To(BeFalse())
+	})
+})
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -29,7 +29,10 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 // noBackend takes no calls.
-type noBackend struct{ listed []placement.Server }
+type noBackend struct {
+	listed []placement.Server
+	down   bool // every server refuses connections
+}
 
 func (*noBackend) Send(context.Context, *Call, Order) (Answer, error) {
 	return nil, failure.Internal.New("no call is expected")
@@ -37,6 +40,8 @@
 
 func (b *noBackend) Keep(servers []placement.Server) { b.listed = servers }
 
+func (b *noBackend) IsDown(context.Context, netip.AddrPort) bool { return b.down }
+
 func newGateway() (*Gateway, *noBackend) {
 	backend := &noBackend{}
 	g := New(context.Background(), start, Options{
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -36,6 +36,8 @@
 
 func (e *engines) Keep([]placement.Server) {}
 
+func (*engines) IsDown(context.Context, netip.AddrPort) bool { return false }
+
 func (e *engines) Send(_ context.Context, _ *Call, o Order) (Answer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -112,7 +112,7 @@
 
 // attempt notes that no whole answer came, and that the call was withdrawn, if
 // it was.
-func (l *requestLog) attempt(j *job, t *placement.Ticket, err error, w *withdrawal) {
+func (l *requestLog) attempt(j *job, t *placement.Ticket, err error, w *withdrawal, b *brokenAttempt) {
 	l.metrics.Counter("attempts_failed").Inc(1)
 	l.countWithdrawn(w)
 	if !l.allowed() {
@@ -122,7 +122,8 @@
 		zap.Stringer("addr", t.Server.Addr),
 		zap.Uint64("loaded", uint64(t.Server.Loaded)), zap.Duration("predicted", t.Predicted),
 		zap.Int64("last_event", j.lastEvent), zap.Error(err))
-	l.logger.Info("attempt_failed", append(fields, w.fields()...)...)
+	fields = append(fields, w.fields()...)
+	l.logger.Info("attempt_failed", append(fields, b.fields()...)...)
 }
 
 func (l *requestLog) countWithdrawn(w *withdrawal) {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -45,6 +45,7 @@
 // failed ends an attempt that brought no whole answer. Its server gets the
 // call no more.
 func (j *job) failed(ctx context.Context, now time.Time, ticket *placement.Ticket, err error) {
+	var broken *brokenAttempt
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), j.isOver(ctx, now) && !j.isSilent(now):
@@ -57,8 +58,9 @@
 		ticket.End(now, placement.Silent)
 	default:
 		ticket.End(now, placement.Broken)
+		broken = j.brokenAt(ctx, ticket.Server, err)
 	}
-	j.g.log.attempt(j, ticket, err, j.withdrawn(ctx, now, ticket, err))
+	j.g.log.attempt(j, ticket, err, j.withdrawn(ctx, now, ticket, err), broken)
 }
 
 // isOver reports whether the caller has left or its time is up. A read that
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"chivespindle.example/adapters/eventstream"
@@ -15,6 +16,9 @@
 	ID string
 	// Host and Path select the route.
 	Host, Path string
+	// Method, Target (the path with the query) and Body are the request's content.
+	Method, Target string
+	Body           []byte
 	// Key names the workspace; empty if the caller gave none.
 	Key     string
 	Arrived time.Time
@@ -53,6 +57,9 @@
 	Send(ctx context.Context, call *Call, order Order) (Answer, error)
 	// Keep drops what is kept of servers that are not listed.
 	Keep(servers []placement.Server)
+	// IsDown reports whether a server refuses connections, as one does whose
+	// process has ended. False if that cannot be found out quickly.
+	IsDown(ctx context.Context, addr netip.AddrPort) bool
 }
 
 // Answer is a server's answer whose header has come.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/core/quarantine"
 	"chivespindle.example/core/routing"
 )
 
@@ -32,6 +33,8 @@
 	service   *routing.Service
 	workspace fleet.Workspace
 	deadline  time.Time
+	// fingerprint is of the call's content; nil until it is needed.
+	fingerprint *quarantine.Fingerprint
 
 	// returned is true for a caller that was refused before.
 	returned bool
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -32,6 +32,8 @@
 
 func (*answering) Keep([]placement.Server) {}
 
+func (*answering) IsDown(context.Context, netip.AddrPort) bool { return false }
+
 type emptyAnswer struct{}
 
 func (emptyAnswer) Status() int                      { return http.StatusOK }
@@ -207,6 +209,8 @@
 
 func (*leaving) Keep([]placement.Server) {}
 
+func (*leaving) IsDown(context.Context, netip.AddrPort) bool { return false }
+
 type declinedAnswer struct{ emptyAnswer }
 
 func (declinedAnswer) NotRun() bool { return true }
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 
 func (*deafEngines) Keep([]placement.Server) {}
 
+func (*deafEngines) IsDown(context.Context, netip.AddrPort) bool { return false }
+
 func (e *deafEngines) Send(_ context.Context, _ *Call, o Order) (Answer, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/gateway/withdrawn_test.go
+++ b/daemon/gateway/withdrawn_test.go
@@ -127,6 +127,20 @@
 		Entry("when a plain service had it", func() { j.service = g.table.Service("weights") }, silence),
 	)
 
+	// Retries of one request have other request ids, and a connection may break though
+	// its server lives: the line did not let either be told.
+	DescribeTable("has the content's fingerprint in its line if its connection broke",
+		func(down bool) {
+			place(0)
+			g.opts.Backend = &noBackend{down: down}
+			j.serverUntil = j.deadline
+			j.failed(context.Background(), failed, ticket, failure.Unavailable.New("unexpected EOF"))
+			Expect(line()).To(And(HaveKeyWithValue("fingerprint", j.contentFingerprint().String()), HaveKeyWithValue("server_down", down)))
+		},
+		Entry("and its server ended", true),
+		Entry("and its server lives", false),
+	)
+
 	// A burst of withdrawals writes no more lines than any other burst, and none of
 	// them is missing in the count.
 	It("is counted beyond the bound of lines", func() {
