--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -74,10 +74,9 @@
 func (p *publisher) register(s *catalog.Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.now.AsOf++
-	change := catalog.Change{Revision: p.now.AsOf, Server: s}
+	change := catalog.Change{Revision: p.now.AsOf + 1, Server: s}
 	p.happened = append(p.happened, change)
-	p.now, _ = p.now.ApplyServers([]catalog.Change{change}, p.now.AsOf)
+	p.now, _ = p.now.ApplyServers([]catalog.Change{change}, change.Revision)
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
