Recognise a refused connection after a crash

The check behind server_down never said that a server had ended: the refusal was looked for in a wrapped failure, which hides its cause. It also asks once more if a connection is made and breaks at once: a process that ends may close its connections a moment before its listener.

Before: server_down=false for each of ten attempts at engines that had crashed (stand-ins).

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -32,6 +32,9 @@
 	dialTimeout = 700 * time.Millisecond
 	// refusalTimeout bounds the check whether a server refuses connections.
 	refusalTimeout = 200 * time.Millisecond
+	// acceptedFor is how long a new connection must stay open to show that its server
+	// has not just ended.
+	acceptedFor = 10 * time.Millisecond
 	// writeTimeout bounds the sending of a request whose server does not read.
 	writeTimeout = 2 * time.Second
 	// keptFor is how long an unused connection is kept if the server told no
@@ -127,10 +130,19 @@
 }
 
 func (p *Pool) dial(ctx context.Context, addr netip.AddrPort) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	c, err := p.connect(ctx, addr)
 	if err != nil {
 		return nil, failure.WithOutcome(failure.Unavailable.Wrap(err, "connect to %s", addr), failure.NotRun)
 	}
+	return c, nil
+}
+
+// connect makes a connection. Its failure is that of the dialer.
+func (p *Pool) connect(ctx context.Context, addr netip.AddrPort) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
@@ -143,17 +155,34 @@
 
 // Refuses reports whether nothing accepts connections at addr. A connection that
 // is made is kept. No answer within refusalTimeout is no refusal.
+//
+// A process that ends closes its connections a moment before or after its listener.
+// One that is made in between breaks at once, and the next one is refused.
 func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
-	c, err := p.dial(ctx, addr)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	const tries = 2
+	for range tries {
+		c, err := p.connect(ctx, addr)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		if c.staysOpen() {
+			p.put(c, 0)
+			return false
+		}
+		_ = c.Close()
 	}
-	p.put(c, 0)
 	return false
 }
 
+// staysOpen reports whether a new connection is open and quiet for a moment.
+func (c *conn) staysOpen() bool {
+	_ = c.SetReadDeadline(time.Now().Add(acceptedFor))
+	_, err := c.in.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // put keeps a connection whose exchange is over.
 func (p *Pool) put(c *conn, told time.Duration) {
 	life := keptFor
