Quarantine requests that crash the servers that run them

Each crash ended up to sixteen other requests; for seconds on end a third to a half of all model requests was late, refused or failed.

Cause: nothing tied a request's retries together. Each entry repeated it once by itself and forgot it, and no entry knew what another had seen.

Change: entries identify a request by a fingerprint of its content and note which servers crashed with it in flight; a server crashed if it refuses connections right after one broke. At three crashes without a success in between no server gets the request any more, at any entry: reports travel in heartbeats and merge as sets.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -122,6 +122,8 @@
 		return "No engine could take it." + l.engines(last)
 	case "too_long":
 		return l.tooLong()
+	case "quarantined":
+		return l.quarantined()
 	case "no_view", "cut_off":
 		return l.blind(last)
 	case "no_route", "no_key":
@@ -220,6 +222,13 @@
 		"whole in the %s that the caller still waited.", placed.Int("expected"), placed.Duration("left").Round(round))
 }
 
+// quarantined explains a request that is kept from servers.
+func (l *Log) quarantined() string {
+	placed, _ := l.ownLast("not_placed")
+	return fmt.Sprintf("It is quarantined until %s: requests with this content (fingerprint %s) were in flight as the servers %s crashed, "+
+		"and none succeeded in between.", placed.Text("until"), placed.Text("fingerprint"), placed.Text("servers"))
+}
+
 // blind explains an entry that could not tell what is configured.
 func (l *Log) blind(last Line) string {
 	if woke, ok := l.lastBelief(last.Instance, "woke", last.At); ok && last.At.Sub(woke.At) < contextBefore {
--- a/cmd/chivespindle/internal/requestlog/requestlog_test.go
+++ b/cmd/chivespindle/internal/requestlog/requestlog_test.go
@@ -103,4 +103,18 @@
 		Expect(story.Steps[0].Details).To(ContainSubstring("reason=version_time waited=1.6s version_left=290ms"))
 		Expect(story.Cause).To(HavePrefix("Server i-1 at 10.0.1.1:80 failed after 1.6s: silence."))
 	})
+
+	It("names the crashes for which a request is quarantined", func() {
+		log := requestlog.NewLog("a")
+		for _, text := range []string{
+			"ts=2031-05-06T07:08:08Z event=not_placed instance=entry-1 request=a reason=quarantined fingerprint=352bd266dae5 " +
+				"servers=i-1,i-2,i-3 until=2031-05-06T08:08:07Z",
+			"ts=2031-05-06T07:08:08Z event=refused instance=entry-1 request=a code=unavailable reason=quarantined retry_after=59m59s",
+		} {
+			_, err := requestlog.Read(strings.NewReader(text), log.Take)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(log.Story().Cause).To(And(ContainSubstring("quarantined until 2031-05-06T08:08:07Z"),
+			ContainSubstring("fingerprint 352bd266dae5"), ContainSubstring("i-1,i-2,i-3 crashed"), ContainSubstring("did not run")))
+	})
 })
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -26,6 +26,10 @@
 	// failureCost is the cost of a server whose answers all fail, next to one
 	// whose share of failures is usual.
 	failureCost = 2 * time.Second
+	// suspectCost is the cost of a server that runs a suspect request. If that is what
+	// crashes servers, it takes all others there with it; and suspects that are kept
+	// apart are told from each other by the next crash.
+	suspectCost = 100 * time.Millisecond
 	// waitShare is the part of the shortest aim of a service for which a request
 	// may wait at an engine until its own prompt is read. It is the same for all
 	// kinds and sizes of request: by their own aims, those with the longer aim
@@ -100,7 +104,7 @@
 	}
 	t := &Ticket{
 		board: b, state: best, Server: best.Server, Predicted: predicted, Within: ask.within(best),
-		prompt: ask.Prompt, answer: ask.Answer, placed: now,
+		prompt: ask.Prompt, answer: ask.Answer, suspect: ask.Suspect, placed: now,
 	}
 	best.own[t] = struct{}{}
 	b.touch(best)
@@ -232,6 +236,9 @@
 	if !b.off.Jitter {
 		cost += time.Duration(b.rand.Float64() * float64(jitter))
 	}
+	if st.runsSuspect() {
+		cost += suspectCost
+	}
 	if st.Place.Region != ask.Near.Region && !b.off.NearServers {
 		cost += otherRegion
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -85,6 +85,9 @@
 	Pause time.Duration
 	// Exclude are servers that the request was sent to before.
 	Exclude []fleet.InstanceID
+	// Suspect requests were in flight at a server that crashed and may have been the
+	// cause.
+	Suspect bool
 	// Versions tells which weights may answer and, if outdated, for how long; nil
 	// allows all.
 	Versions func(ModelVersion) (Use, time.Duration)
@@ -211,6 +214,14 @@
 	b.regions.count(now, kept)
 }
 
+// IsLeaving reports whether a server leaves or is listed no more.
+func (b *Board) IsLeaving(id fleet.InstanceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	st := b.servers[id]
+	return st == nil || st.Leaving
+}
+
 func (b *Board) newState(id fleet.InstanceID) *state {
 	return &state{own: make(map[*Ticket]struct{}), hash: fleet.RankOf(b.self, id)}
 }
@@ -292,6 +303,16 @@
 	return w
 }
 
+// runsSuspect reports whether this entry has a suspect request at the server.
+func (st *state) runsSuspect() bool {
+	for t := range st.own {
+		if t.suspect {
+			return true
+		}
+	}
+	return false
+}
+
 // work is everything known to be at a server. What an entry said is believed
 // for loadLife: requests of one that was killed have ended with it.
 //
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -21,6 +21,7 @@
 	board          *Board
 	state          *state
 	prompt, answer int
+	suspect        bool
 	written        int // tokens
 	begun          bool
 	ended          bool
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -1,5 +1,3 @@
-// Package quarantine identifies requests by their content and finds those that
-// crash the servers that run them.
 package quarantine
 
 import (
--- /dev/null
+++ b/core/quarantine/quarantine.go
@@ -0,0 +1,272 @@
+// Package quarantine finds requests that crash the servers that run them and
+// keeps them from reaching more.
+//
+// A crash ends all requests that its server had in flight, so a single one says
+// little about any of them. A request is quarantined once it was in flight at the
+// crashes of three servers and has not succeeded in between. Entries exchange what
+// they observe as Reports. Several entries observe the same crash, and reports
+// arrive more than once and in any order; merging them is idempotent.
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"chivespindle.example/core/fleet"
+)
+
+const (
+	// threshold is the number of crashes at which a request is quarantined.
+	threshold = 3
+	// life is how long a crash counts.
+	life = time.Hour
+	// successLife is how long a success is remembered, so that late reports of earlier
+	// crashes do not count.
+	successLife = time.Minute
+	// restartTime is the least time between two crashes of a server that keeps its
+	// id. Observations closer to each other are of the same crash.
+	restartTime = time.Second
+	// mostRequests bounds the requests that are remembered.
+	mostRequests = 512
+	// mostCrashes bounds the crashes remembered of a request; the newest are kept.
+	mostCrashes = 2 * threshold
+)
+
+// Report is what an entry observed of a request: that it was in flight at a server
+// that crashed or, without a server, that it succeeded.
+type Report struct {
+	Request Fingerprint      `cbor:"1,keyasint"`
+	Server  fleet.InstanceID `cbor:"2,keyasint,omitzero"`
+	AgeMS   int64            `cbor:"3,keyasint,omitzero"`
+}
+
+// Standing is what is known of a request.
+type Standing struct {
+	// Servers are those that crashed with the request in flight, since it last
+	// succeeded.
+	Servers []fleet.InstanceID
+	// Until is when a quarantined request may be sent again.
+	Until time.Time
+}
+
+// IsQuarantined reports whether the request must reach no server.
+func (s Standing) IsQuarantined() bool { return len(s.Servers) >= threshold }
+
+// IsSuspect reports whether the request may have crashed a server.
+func (s Standing) IsSuspect() bool { return len(s.Servers) > 0 }
+
+// MayRepeat reports whether the request may be sent to another server after its
+// connection broke. One crash short of quarantine the decision is left to the
+// client, whose retry may succeed and clear the request.
+func (s Standing) MayRepeat() bool { return len(s.Servers) < threshold-1 }
+
+// Registry holds what this entry and others observed. It is safe for concurrent
+// use.
+type Registry struct {
+	mu       sync.Mutex
+	requests map[Fingerprint]*record
+	// change counts what was learned; the first is 2, so that a peer that was told
+	// of everything so far is never taken for one that was told of nothing.
+	change uint64
+}
+
+// record is what is known of one request.
+type record struct {
+	crashes []observation // oldest first
+	// success is the newest one; zero if there is none.
+	success observation
+}
+
+// observation is one crash or success.
+type observation struct {
+	server fleet.InstanceID
+	at     time.Time
+	source Source
+	change uint64
+}
+
+// New returns a registry that knows of no crash.
+func New() *Registry {
+	return &Registry{requests: make(map[Fingerprint]*record), change: 1}
+}
+
+// IsEmpty reports whether no request is known to have been in flight at a crash.
+// The fingerprint of a request need not be computed then.
+func (r *Registry) IsEmpty() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.requests) == 0
+}
+
+// Standing returns what is known of a request.
+func (r *Registry) Standing(now time.Time, request Fingerprint) Standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.requests[request]
+	if rec == nil {
+		return Standing{}
+	}
+	rec.expire(now)
+	return rec.standing()
+}
+
+// Crashed notes that a server crashed with a request in flight, as this entry
+// observed, and returns what is known of the request then.
+func (r *Registry) Crashed(now time.Time, request Fingerprint, server fleet.InstanceID) Standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.record(now, request)
+	r.add(rec, observation{server: server, at: now, source: Own})
+	return rec.standing()
+}
+
+// Succeeded clears a request of the crashes before: what crashes every server that
+// runs it would not have succeeded. Nothing is kept of requests without crashes.
+func (r *Registry) Succeeded(now time.Time, request Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.requests[request]
+	if rec == nil || len(rec.crashes) == 0 {
+		return
+	}
+	r.add(rec, observation{at: now, source: Own})
+}
+
+// add takes an observation and reports whether it is new.
+func (r *Registry) add(rec *record, o observation) bool {
+	if !rec.add(o) {
+		return false
+	}
+	r.change++
+	rec.stamp(o, r.change)
+	return true
+}
+
+// record returns that of a request, and makes room for a new one.
+func (r *Registry) record(now time.Time, request Fingerprint) *record {
+	if rec := r.requests[request]; rec != nil {
+		rec.expire(now)
+		return rec
+	}
+	if len(r.requests) >= mostRequests {
+		r.evict(now)
+	}
+	rec := &record{}
+	r.requests[request] = rec
+	return rec
+}
+
+// DropExpired forgets what does not count any more.
+func (r *Registry) DropExpired(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dropExpired(now)
+}
+
+func (r *Registry) dropExpired(now time.Time) {
+	for request, rec := range r.requests {
+		rec.expire(now)
+		if rec.isEmpty() {
+			delete(r.requests, request)
+		}
+	}
+}
+
+// evict drops expired records or, if there are none, the oldest of those with the
+// fewest crashes.
+func (r *Registry) evict(now time.Time) {
+	r.dropExpired(now)
+	if len(r.requests) < mostRequests {
+		return
+	}
+	var least Fingerprint
+	var leastRec *record
+	for request, rec := range r.requests {
+		if leastRec == nil || rec.isLess(leastRec) {
+			least, leastRec = request, rec
+		}
+	}
+	delete(r.requests, least)
+}
+
+func (rec *record) standing() Standing {
+	var s Standing
+	for _, c := range rec.crashes {
+		s.Servers = append(s.Servers, c.server)
+	}
+	if n := len(rec.crashes); n >= threshold {
+		s.Until = rec.crashes[n-threshold].at.Add(life)
+	}
+	return s
+}
+
+// add takes an observation unless it is known or void.
+func (rec *record) add(o observation) bool {
+	if o.server == "" {
+		return rec.succeed(o)
+	}
+	if !o.at.After(rec.success.at) || slices.ContainsFunc(rec.crashes, o.isSameCrash) {
+		return false
+	}
+	at := len(rec.crashes)
+	for at > 0 && rec.crashes[at-1].at.After(o.at) {
+		at--
+	}
+	rec.crashes = slices.Insert(rec.crashes, at, o)
+	if over := len(rec.crashes) - mostCrashes; over > 0 {
+		rec.crashes = slices.Delete(rec.crashes, 0, over)
+	}
+	return true
+}
+
+func (rec *record) succeed(o observation) bool {
+	if !o.at.After(rec.success.at) {
+		return false
+	}
+	rec.success = o
+	rec.crashes = slices.DeleteFunc(rec.crashes, func(c observation) bool { return !c.at.After(o.at) })
+	return true
+}
+
+// stamp numbers an observation that was added.
+func (rec *record) stamp(o observation, change uint64) {
+	if o.server == "" {
+		rec.success.change = change
+		return
+	}
+	for i := range rec.crashes {
+		if rec.crashes[i].isSameCrash(o) {
+			rec.crashes[i].change = change
+		}
+	}
+}
+
+// expire drops what is older than its life.
+func (rec *record) expire(now time.Time) {
+	rec.crashes = slices.DeleteFunc(rec.crashes, func(c observation) bool { return now.Sub(c.at) >= life })
+	if now.Sub(rec.success.at) >= successLife {
+		rec.success = observation{}
+	}
+}
+
+func (rec *record) isEmpty() bool { return len(rec.crashes) == 0 && rec.success.at.IsZero() }
+
+// isLess reports whether rec is to be dropped before other.
+func (rec *record) isLess(other *record) bool {
+	if len(rec.crashes) != len(other.crashes) {
+		return len(rec.crashes) < len(other.crashes)
+	}
+	return rec.newest().Before(other.newest())
+}
+
+func (rec *record) newest() time.Time {
+	if n := len(rec.crashes); n > 0 {
+		return rec.crashes[n-1].at
+	}
+	return rec.success.at
+}
+
+func (o observation) isSameCrash(other observation) bool {
+	return o.server == other.server && o.at.Sub(other.at).Abs() < restartTime
+}
--- /dev/null
+++ b/core/quarantine/quarantine_test.go
@@ -0,0 +1,166 @@
+package quarantine_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/quarantine"
+)
+
+var start = time.Date(2031, 5, 6, 7, 8, 9, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// request returns the n-th of many fingerprints.
+func request(n int) quarantine.Fingerprint {
+	var f quarantine.Fingerprint
+	binary.LittleEndian.PutUint64(f[:], uint64(n))
+	return f
+}
+
+func engine(n int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("i-%d", n)) }
+
+var _ = Describe("A request in flight at crashes", func() {
+	var r *quarantine.Registry
+	poison := request(1)
+
+	crash := func(after time.Duration, servers ...int) {
+		for _, n := range servers {
+			r.Crashed(at(after), poison, engine(n))
+		}
+	}
+	standing := func(after time.Duration) quarantine.Standing { return r.Standing(at(after), poison) }
+
+	BeforeEach(func() { r = quarantine.New() })
+
+	It("is quarantined at the third server", func() {
+		Expect(r.IsEmpty()).To(BeTrue())
+		crash(0, 1)
+		Expect(standing(0).IsSuspect()).To(BeTrue())
+		Expect(standing(0).MayRepeat()).To(BeTrue())
+		crash(time.Second, 2)
+		Expect(standing(time.Second).MayRepeat()).To(BeFalse())
+		Expect(standing(time.Second).IsQuarantined()).To(BeFalse())
+		crash(2*time.Second, 3)
+		Expect(standing(2 * time.Second)).To(Equal(quarantine.Standing{
+			Servers: []fleet.InstanceID{"i-1", "i-2", "i-3"}, Until: at(time.Hour)}))
+		Expect(standing(2 * time.Second).IsQuarantined()).To(BeTrue())
+	})
+
+	// Guards against sixteen innocent requests blamed for what one of them did.
+	It("is cleared if it succeeds", func() {
+		crash(0, 1, 2)
+		r.Succeeded(at(time.Second), poison)
+		crash(2*time.Second, 3, 4)
+		Expect(standing(2 * time.Second).IsQuarantined()).To(BeFalse())
+		Expect(standing(2 * time.Second).Servers).To(HaveLen(2))
+	})
+
+	It("counts a crash once however often it is observed", func() {
+		crash(0, 1)
+		crash(100*time.Millisecond, 1)
+		for range 3 {
+			r.Merge(at(200*time.Millisecond), []quarantine.Report{{Request: poison, Server: engine(1), AgeMS: 150}}, quarantine.Near)
+		}
+		Expect(standing(time.Second).Servers).To(HaveLen(1))
+		crash(5*time.Second, 1) // it had started again under its id
+		Expect(standing(5 * time.Second).Servers).To(HaveLen(2))
+	})
+
+	It("is not counted against by a report of a crash before its success", func() {
+		crash(0, 1)
+		r.Succeeded(at(2*time.Second), poison)
+		late := []quarantine.Report{{Request: poison, Server: engine(2), AgeMS: 1500}}
+		Expect(r.Merge(at(3*time.Second), late, quarantine.Far)).To(BeEmpty())
+		Expect(standing(3 * time.Second).IsSuspect()).To(BeFalse())
+	})
+
+	It("may be sent again once the crashes are old", func() {
+		crash(0, 1)
+		crash(time.Minute, 2, 3)
+		Expect(standing(time.Hour - time.Second).IsQuarantined()).To(BeTrue())
+		Expect(standing(time.Hour).IsQuarantined()).To(BeFalse())
+		r.DropExpired(at(2 * time.Hour))
+		Expect(r.IsEmpty()).To(BeTrue())
+	})
+
+	It("leaves nothing behind if it was at no crash", func() {
+		r.Succeeded(start, poison)
+		Expect(r.IsEmpty()).To(BeTrue())
+		Expect(r.Merge(start, []quarantine.Report{{Request: poison}}, quarantine.Near)).To(BeEmpty())
+		Expect(r.IsEmpty()).To(BeTrue())
+	})
+
+	// Guards against a flood of different requests, at the loss of many servers, that
+	// drives out what is quarantined or fills the memory.
+	It("stays quarantined under a flood of others", func() {
+		crash(0, 1, 2, 3)
+		const flood = 20000
+		for n := range flood {
+			r.Crashed(at(time.Second), request(100+n), engine(4))
+		}
+		Expect(standing(time.Second).IsQuarantined()).To(BeTrue())
+		first, change := r.Since(at(time.Second), 0, quarantine.Near)
+		Expect(len(first)).To(BeNumerically("<=", 256))
+		Expect(first).To(ContainElement(HaveField("Request", poison)))
+		r.Crashed(at(time.Second), request(1), engine(5))
+		rest, _ := r.Since(at(time.Second), change, quarantine.Near)
+		Expect(rest).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("Reports to a peer", func() {
+	one, two := request(1), request(2)
+
+	It("come once, and in parts if they are many", func() {
+		r := quarantine.New()
+		_, change := r.Since(start, 0, quarantine.Near)
+		const crashes = 60
+		for n := range crashes {
+			r.Crashed(start, request(n), engine(1))
+		}
+		told := 0
+		for {
+			var reports []quarantine.Report
+			reports, change = r.Since(start, change, quarantine.Near)
+			if len(reports) == 0 {
+				break
+			}
+			Expect(len(reports)).To(BeNumerically("<", crashes))
+			told += len(reports)
+		}
+		Expect(told).To(Equal(crashes))
+	})
+
+	DescribeTable("leave out what it has from others", func(from, to quarantine.Source, want int) {
+		r := quarantine.New()
+		_, change := r.Since(start, 0, to)
+		r.Merge(start, []quarantine.Report{{Request: one, Server: engine(1)}}, from)
+		reports, _ := r.Since(start, change, to)
+		Expect(reports).To(HaveLen(want))
+		first, _ := r.Since(start, 0, to)
+		Expect(first).To(HaveLen(1))
+	},
+		Entry("of its own group", quarantine.Near, quarantine.Near, 0),
+		Entry("of another group", quarantine.Far, quarantine.Far, 0),
+		Entry("but not what comes from another group", quarantine.Far, quarantine.Near, 1),
+		Entry("but not what it tells another group", quarantine.Near, quarantine.Far, 1),
+	)
+
+	It("repeat what others observed once that quarantines a request", func() {
+		r := quarantine.New()
+		_, change := r.Since(start, 0, quarantine.Near)
+		reports := []quarantine.Report{{Request: one, Server: engine(1)}, {Request: one, Server: engine(2)}, {Request: two, Server: engine(2)}}
+		Expect(r.Merge(start, reports, quarantine.Near)).To(BeEmpty())
+		third := []quarantine.Report{{Request: one, Server: engine(3)}}
+		Expect(r.Merge(start, third, quarantine.Near)).To(Equal([]quarantine.Fingerprint{one}))
+		Expect(r.Merge(start, third, quarantine.Far)).To(BeEmpty())
+		again, _ := r.Since(start, change, quarantine.Near)
+		Expect(again).To(HaveLen(3))
+	})
+})
--- a/daemon/gateway/crash_test.go
+++ b/daemon/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/core/routing"
 )
 
 // fragileEngines crash on calls to one path. They are shared by all entries.
@@ -53,6 +55,8 @@
 	return e.reached
 }
 
+func (b *noBackend) IsDown(context.Context, netip.AddrPort) bool { return b.down }
+
 // ask has an entry serve one call and returns how it was refused; nothing for
 // one that was answered.
 func (m *member) ask(path, id string) Verdict {
@@ -103,3 +107,76 @@
 		}
 	})
 })
+
+var _ = Describe("A call whose connection to its server breaks", func() {
+	var (
+		g       *Gateway
+		backend *noBackend
+	)
+	broken := failure.WithOutcome(failure.Unavailable.New("unexpected EOF"), failure.Unknown)
+
+	// fail has a call fail at a server, after what happens in between, and returns it.
+	fail := func(id fleet.InstanceID, err error, between ...func()) *job {
+		now := time.Now()
+		j := &job{g: g, call: &Call{ID: "c", Method: "POST", Target: "/", Arrived: now}, view: g.view.Load(),
+			route: g.table.Match("a.example", "/"), service: g.table.Service("pool"),
+			deadline: now.Add(time.Minute), serverUntil: now.Add(time.Minute), attempts: 1}
+		ask := j.ask(now)
+		ask.Exclude = slices.DeleteFunc([]fleet.InstanceID{"i-1", "i-2", "i-3"}, func(other fleet.InstanceID) bool { return other == id })
+		ticket, _ := g.board.Choose(now, ask)
+		Expect(ticket).NotTo(BeNil())
+		for _, f := range between {
+			f()
+		}
+		j.failed(context.Background(), now, ticket, err)
+		return j
+	}
+
+	// leave has the first server begin to leave.
+	leave := func() {
+		leaving := server("i-1", "10.0.1.1:80", 10)
+		leaving.Draining = true
+		g.applyServers(time.Now(), []catalog.Change{{Revision: 10, Server: &leaving}}, 10, "platform")
+		g.publish(time.Now())
+	}
+
+	BeforeEach(func() {
+		g, backend = newGateway()
+		s := snapshot(9, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3), server("i-3", "10.0.1.3:80", 4))
+		s.Config.Routes[0].Kind, s.Config.Routes[0].MaxAttempts = routing.Safe, 9
+		g.adopt(time.Now(), s, "platform")
+		g.publish(time.Now())
+		backend.down = true
+	})
+
+	DescribeTable("is no suspect", func(between func(), err error) {
+		Expect(fail("i-1", err, between).standing(time.Now()).IsSuspect()).To(BeFalse())
+	},
+		Entry("if the server lives: only the connection was reset", func() { backend.down = false }, broken),
+		Entry("if the server was leaving: its end was planned", leave, broken),
+		Entry("if it could not be sent", func() {}, failure.WithOutcome(failure.Unavailable.New("connection refused"), failure.NotRun)),
+		Entry("if nothing came in time", func() {}, failure.WithOutcome(failure.Timeout.New("nothing came"), failure.Unknown)),
+		Entry("if another call's answer came", func() {}, failure.WithOutcome(failure.Corrupt.New("another"), failure.Unknown)),
+	)
+
+	It("is a suspect if the server ended", func() {
+		Expect(fail("i-1", broken).standing(time.Now()).IsSuspect()).To(BeTrue())
+	})
+
+	// Guards against an entry that crashes the last server before quarantine by its own retry.
+	It("is repeated after one crash and not after two", func() {
+		now := time.Now()
+		Expect(fail("i-1", broken).again(context.Background(), now)).To(BeTrue())
+		Expect(fail("i-2", broken).again(context.Background(), now)).To(BeFalse())
+		j := fail("i-3", broken)
+		Expect(j.standing(now).IsQuarantined()).To(BeTrue())
+		Expect(j.mayMove(nil)).To(BeFalse())
+	})
+
+	It("is repeated again once it has succeeded", func() {
+		now := time.Now()
+		fail("i-1", broken)
+		fail("i-2", broken).clearOfCrashes(now.Add(time.Second))
+		Expect(fail("i-3", broken).again(context.Background(), now)).To(BeTrue())
+	})
+})
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -40,8 +40,6 @@
 
 func (b *noBackend) Keep(servers []placement.Server) { b.listed = servers }
 
-func (b *noBackend) IsDown(context.Context, netip.AddrPort) bool { return b.down }
-
 func newGateway() (*Gateway, *noBackend) {
 	backend := &noBackend{}
 	g := New(context.Background(), start, Options{
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/policy"
+	"chivespindle.example/core/quarantine"
 	"chivespindle.example/core/retry"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
@@ -123,6 +124,10 @@
 	// platform.
 	turnedAwayUntil time.Time
 	manifests       manifests
+	// quarantine knows the requests that crash servers; toldCrashes is the change of
+	// it up to which each entry was told.
+	quarantine  *quarantine.Registry
+	toldCrashes map[fleet.InstanceID]uint64
 
 	callsMu  sync.Mutex
 	budgets  map[fleet.ServiceName]*retry.Window
@@ -180,6 +185,8 @@
 		manifests:   newManifests(),
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
+		quarantine:  quarantine.New(),
+		toldCrashes: make(map[fleet.InstanceID]uint64),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:     contact{heard: now, off: opts.Off},
@@ -210,6 +217,7 @@
 	delete(g.told, id)
 	delete(g.toldLoads, id)
 	delete(g.toldServers, id)
+	delete(g.toldCrashes, id)
 	g.manifests.lost(id)
 	g.board.Forget(id)
 	g.changed = true // parts that depend on the number of entries
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -99,6 +99,9 @@
 
 // mayMove reports whether the stream can go on elsewhere and is worth it.
 func (j *job) mayMove(ticket *placement.Ticket) bool {
+	if j.standing(time.Now()).IsQuarantined() {
+		return false
+	}
 	if j.moveTried || j.service.Engine == nil || !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts || j.lastEvent < 0 {
 		return false
 	}
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -45,8 +45,8 @@
 // failed ends an attempt that brought no whole answer. Its server gets the
 // call no more.
 func (j *job) failed(ctx context.Context, now time.Time, ticket *placement.Ticket, err error) {
-	var broken *brokenAttempt
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	var broken *brokenAttempt
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), j.isOver(ctx, now) && !j.isSilent(now):
 		ticket.End(now, placement.Abandoned)
@@ -98,7 +98,7 @@
 // have run it.
 func (j *job) again(ctx context.Context, now time.Time) bool {
 	return ctx.Err() == nil && !j.g.opts.Off.Repeat && j.route.Idempotent() && j.attempts < j.route.MaxAttempts &&
-		j.deadline.Sub(now) > minimalRest
+		j.deadline.Sub(now) > minimalRest && j.standing(now).MayRepeat()
 }
 
 // declined follows a server's word that it did not run the call.
@@ -177,6 +177,7 @@
 	answer.Close(true)
 	if answer.Status() < http.StatusInternalServerError {
 		ticket.End(now, placement.Succeeded)
+		j.clearOfCrashes(now)
 		j.give(answer, body)
 		return false
 	}
@@ -308,6 +309,7 @@
 		return j.ended(ctx, now, "server_failed")
 	}
 	ticket.End(now, placement.Succeeded)
+	j.clearOfCrashes(now)
 	if !j.begun {
 		// A stream without events: nothing was left to tell after LastEvent.
 		j.give(answer, nil)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -71,6 +71,7 @@
 		return b
 	}
 	b.Manifest = g.manifests.forEntry(to)
+	b.Crashes = g.crashesFor(now, to, form)
 	if to.Near {
 		b.Replicas = g.directReplicas(now)
 	}
@@ -137,6 +138,7 @@
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
 		}
+		g.heardCrashes(now, from, b.Crashes)
 	}
 	if b.Manifest != nil {
 		g.heardManifest(*b.Manifest, from.Near)
@@ -251,6 +253,7 @@
 // publish gives calls a new view.
 func (g *Gateway) publish(now time.Time) {
 	g.published = now
+	g.quarantine.DropExpired(now)
 	entries := g.mesh.Entries(now)
 	g.publishServers(now, 1+len(entries))
 	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -161,6 +161,11 @@
 // again.
 func (j *job) attempt(ctx context.Context) bool {
 	now := time.Now()
+	if s := j.standing(now); s.IsQuarantined() {
+		j.g.log.keptBack(j, s)
+		j.giveUp(reasonQuarantined, s.Until.Sub(now))
+		return false
+	}
 	ticket, refusal := j.g.board.Choose(now, j.ask(now))
 	if ticket == nil && j.mayHold(now, refusal.Reason) {
 		if !j.waits {
@@ -273,6 +278,7 @@
 		Left:     j.deadline.Sub(now),
 		Late:     j.isLate(now),
 		Exclude:  j.exclude,
+		Suspect:  j.standing(now).IsSuspect(),
 		Near:     j.g.opts.Place,
 	}
 	if j.service.Engine != nil {
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -8,6 +8,7 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/core/quarantine"
 )
 
 // Beat is what a process tells those that it is linked to, several times a
@@ -63,6 +64,9 @@
 	Supply *Supply `cbor:"15,keyasint,omitempty"`
 	// Manifest is that of the wanted version. It is sent once over a link.
 	Manifest *Manifest `cbor:"18,keyasint,omitempty"`
+	// Crashes are an entry's new reports of requests that were in flight at servers
+	// that crashed.
+	Crashes []quarantine.Report `cbor:"25,keyasint,omitempty"`
 }
 
 // PlatformState is how an entry that reads the platform stands with it.
