Count crashes whose attempts ended without their outcome

What callers would see: a request that crashes servers goes on doing so if its client leaves just before each crash, or if the check after the break is lost on a link that loses packets.

Cause: only an attempt whose check found the server down counted as in flight at a crash.

Ruled out: a check after each client that leaves (a connection for each of them).

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -153,27 +153,28 @@
 	}, nil
 }
 
-// Refuses reports whether nothing accepts connections at addr. A connection that
-// is made is kept. No answer within refusalTimeout is no refusal.
+// Refuses reports whether nothing accepts connections at addr; known is false if
+// that was not found out within refusalTimeout. A connection that is made is kept.
 //
 // A process that ends closes its connections a moment before or after its listener.
 // One that is made in between breaks at once, and the next one is refused.
-func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) bool {
+func (p *Pool) Refuses(ctx context.Context, addr netip.AddrPort) (refuses, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
 	const tries = 2
 	for range tries {
 		c, err := p.connect(ctx, addr)
 		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
+			refuses = errors.Is(err, syscall.ECONNREFUSED)
+			return refuses, refuses
 		}
 		if c.staysOpen() {
 			p.put(c, 0)
-			return false
+			return false, true
 		}
 		_ = c.Close()
 	}
-	return false
+	return false, false
 }
 
 // staysOpen reports whether a new connection is open and quiet for a moment.
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -309,13 +309,15 @@
 	It("refuses connections once its listener is closed", func() {
 		s := serve(answer)
 		Expect(s.listener.Close()).To(Succeed())
-		Expect(exchange.New().Refuses(context.Background(), s.addr())).To(BeTrue())
+		refuses, known := exchange.New().Refuses(context.Background(), s.addr())
+		Expect([]bool{refuses, known}).To(Equal([]bool{true, true}))
 	})
 
 	It("does not if it accepts them, and the connection is used", func() {
 		s := serve(answer)
 		p := exchange.New()
-		Expect(p.Refuses(context.Background(), s.addr())).To(BeFalse())
+		refuses, known := p.Refuses(context.Background(), s.addr())
+		Expect([]bool{refuses, known}).To(Equal([]bool{false, true}))
 		Expect(whole(p, s)).To(Equal("hi"))
 		Expect(p.Dialled()).To(Equal(int64(1)))
 	})
@@ -325,6 +327,7 @@
 		Expect(s.listener.Close()).To(Succeed())
 		gone, cancel := context.WithCancel(context.Background())
 		cancel()
-		Expect(exchange.New().Refuses(gone, s.addr())).To(BeFalse())
+		refuses, known := exchange.New().Refuses(gone, s.addr())
+		Expect([]bool{refuses, known}).To(Equal([]bool{false, false}))
 	})
 })
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -66,6 +66,7 @@
 type Registry struct {
 	mu       sync.Mutex
 	requests map[Fingerprint]*record
+	doubts   []doubt // oldest first
 	// change counts what was learned; the first is 2, so that a peer that was told
 	// of everything so far is never taken for one that was told of nothing.
 	change uint64
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -22,9 +22,9 @@
 // sent.
 type brokenAttempt struct {
 	fingerprint quarantine.Fingerprint
-	// serverDown is true if the server's process ended with the connection.
-	serverDown bool
-	standing   quarantine.Standing
+	// server tells whether the server's process ended with the connection.
+	server   Liveness
+	standing quarantine.Standing
 }
 
 // brokenAt follows an attempt that failed and notes whether its server crashed. It
@@ -35,18 +35,71 @@
 	}
 	b := &brokenAttempt{
 		fingerprint: j.contentFingerprint(),
-		serverDown:  j.g.opts.Backend.IsDown(ctx, server.Addr),
+		server:      j.g.opts.Backend.Check(ctx, server.Addr),
 	}
-	if b.serverDown && !j.g.board.IsLeaving(server.ID) {
-		b.standing = j.g.quarantine.Crashed(time.Now(), b.fingerprint, server.ID)
+	isPlanned := j.g.board.IsLeaving(server.ID)
+	switch now := time.Now(); {
+	case isPlanned:
+	case b.server == Down:
+		b.standing = j.g.quarantine.Crashed(now, b.fingerprint, server.ID)
 		j.g.log.serverCrashed(j, server, b)
-		if b.standing.IsQuarantined() {
-			j.g.post(func(time.Time) { j.g.urgent = true })
-		}
+		j.g.tellQuarantined(b.standing.IsQuarantined())
+		j.g.serverCrashed(now, server.ID)
+	case b.server == LivenessUnknown:
+		j.g.quarantine.Doubt(now, b.fingerprint, server.ID)
 	}
 	return b
 }
 
+// leftBehind notes that the client left while the call was at a server. If that
+// crashes before it has read the close, the call is one of those in flight.
+func (j *job) leftBehind(now time.Time, server placement.Server) {
+	if !j.g.board.IsLeaving(server.ID) {
+		j.g.quarantine.Doubt(now, j.contentFingerprint(), server.ID)
+	}
+}
+
+// unreached follows an attempt that could not be sent. The server may have crashed
+// with calls in flight whose end told nothing.
+func (j *job) unreached(ctx context.Context, now time.Time, server placement.Server) {
+	if j.g.quarantine.IsDoubted(now, server.ID) && !j.g.board.IsLeaving(server.ID) &&
+		j.g.opts.Backend.Check(ctx, server.Addr) == Down {
+		j.g.serverCrashed(now, server.ID)
+	}
+}
+
+// serverCrashed counts a crash against the attempts at the server that ended without
+// their outcome.
+func (g *Gateway) serverCrashed(now time.Time, server fleet.InstanceID) {
+	requests := g.quarantine.ServerCrashed(now, server)
+	for _, request := range requests {
+		g.log.quarantined(request, g.quarantine.Standing(now, request), "own")
+	}
+	g.tellQuarantined(len(requests) > 0)
+}
+
+// tellQuarantined has the fleet hear at once of a request that this entry found.
+func (g *Gateway) tellQuarantined(isNew bool) {
+	if isNew {
+		g.post(func(time.Time) { g.urgent = true })
+	}
+}
+
+// noteReplaced finds servers that crashed by the registration of others at their
+// addresses.
+func (g *Gateway) noteReplaced(now time.Time, list []placement.Server) {
+	for _, s := range list {
+		before, ok := g.listed[s.Addr]
+		if ok && before.ID != s.ID && !before.Leaving {
+			g.serverCrashed(now, before.ID)
+		}
+	}
+	clear(g.listed)
+	for _, s := range list {
+		g.listed[s.Addr] = s
+	}
+}
+
 // contentFingerprint identifies the call over its client's retries, which have
 // other request ids.
 func (j *job) contentFingerprint() quarantine.Fingerprint {
@@ -105,7 +158,7 @@
 	if b == nil {
 		return nil
 	}
-	return []zap.Field{zap.Stringer("fingerprint", b.fingerprint), zap.Bool("server_down", b.serverDown)}
+	return []zap.Field{zap.Stringer("fingerprint", b.fingerprint), zap.Stringer("server_state", b.server)}
 }
 
 // serverCrashed notes that a server crashed with the call in flight.
--- a/daemon/gateway/crash_test.go
+++ b/daemon/gateway/crash_test.go
@@ -29,10 +29,13 @@
 
 func (*fragileEngines) Keep([]placement.Server) {}
 
-func (e *fragileEngines) IsDown(_ context.Context, addr netip.AddrPort) bool {
+func (e *fragileEngines) Check(_ context.Context, addr netip.AddrPort) Liveness {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.crashed[addr]
+	if e.crashed[addr] {
+		return Down
+	}
+	return Alive
 }
 
 func (e *fragileEngines) Send(_ context.Context, call *Call, o Order) (Answer, error) {
@@ -55,7 +58,7 @@
 	return e.reached
 }
 
-func (b *noBackend) IsDown(context.Context, netip.AddrPort) bool { return b.down }
+func (b *noBackend) Check(context.Context, netip.AddrPort) Liveness { return b.state }
 
 // ask has an entry serve one call and returns how it was refused; nothing for
 // one that was answered.
@@ -115,20 +118,26 @@
 	)
 	broken := failure.WithOutcome(failure.Unavailable.New("unexpected EOF"), failure.Unknown)
 
-	// fail has a call fail at a server, after what happens in between, and returns it.
-	fail := func(id fleet.InstanceID, err error, between ...func()) *job {
+	// place has a call sent to a server.
+	place := func(id fleet.InstanceID) (*job, *placement.Ticket) {
 		now := time.Now()
-		j := &job{g: g, call: &Call{ID: "c", Method: "POST", Target: "/", Arrived: now}, view: g.view.Load(),
+		j := &job{g: g, call: &Call{ID: "c", Method: "POST", Target: "/", Arrived: now}, view: g.view.Load(), caller: make(refusals, 1),
 			route: g.table.Match("a.example", "/"), service: g.table.Service("pool"),
 			deadline: now.Add(time.Minute), serverUntil: now.Add(time.Minute), attempts: 1}
 		ask := j.ask(now)
 		ask.Exclude = slices.DeleteFunc([]fleet.InstanceID{"i-1", "i-2", "i-3"}, func(other fleet.InstanceID) bool { return other == id })
 		ticket, _ := g.board.Choose(now, ask)
 		Expect(ticket).NotTo(BeNil())
+		return j, ticket
+	}
+
+	// fail has a call fail at a server, after what happens in between, and returns it.
+	fail := func(id fleet.InstanceID, err error, between ...func()) *job {
+		j, ticket := place(id)
 		for _, f := range between {
 			f()
 		}
-		j.failed(context.Background(), now, ticket, err)
+		j.failed(context.Background(), time.Now(), ticket, err)
 		return j
 	}
 
@@ -146,13 +155,13 @@
 		s.Config.Routes[0].Kind, s.Config.Routes[0].MaxAttempts = routing.Safe, 9
 		g.adopt(time.Now(), s, "platform")
 		g.publish(time.Now())
-		backend.down = true
+		backend.state = Down
 	})
 
 	DescribeTable("is no suspect", func(between func(), err error) {
 		Expect(fail("i-1", err, between).standing(time.Now()).IsSuspect()).To(BeFalse())
 	},
-		Entry("if the server lives: only the connection was reset", func() { backend.down = false }, broken),
+		Entry("if the server lives: only the connection was reset", func() { backend.state = Alive }, broken),
 		Entry("if the server was leaving: its end was planned", leave, broken),
 		Entry("if it could not be sent", func() {}, failure.WithOutcome(failure.Unavailable.New("connection refused"), failure.NotRun)),
 		Entry("if nothing came in time", func() {}, failure.WithOutcome(failure.Timeout.New("nothing came"), failure.Unknown)),
@@ -179,4 +188,45 @@
 		fail("i-2", broken).clearOfCrashes(now.Add(time.Second))
 		Expect(fail("i-3", broken).again(context.Background(), now)).To(BeTrue())
 	})
+
+	// Guards against crashes that count for nobody: the client left just before, or
+	// the check after the break was lost on a bad link.
+	Describe("without its outcome being known", func() {
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		refused := failure.WithOutcome(failure.Unavailable.New("connection refused"), failure.NotRun)
+
+		DescribeTable("is a suspect once the server turns out to have crashed", func(state Liveness, ctx context.Context, find func()) {
+			backend.state = state
+			j, ticket := place("i-1")
+			j.failed(ctx, time.Now(), ticket, broken)
+			Expect(j.standing(time.Now()).IsSuspect()).To(BeFalse())
+			backend.state = Down
+			find()
+			Expect(j.standing(time.Now()).IsSuspect()).To(BeTrue())
+		},
+			Entry("since it refuses another call", LivenessUnknown, context.Background(), func() {
+				j, ticket := place("i-1")
+				j.sendFailed(context.Background(), ticket, refused)
+			}),
+			Entry("since it refuses another call, after the client had left", Alive, gone, func() {
+				j, ticket := place("i-1")
+				j.sendFailed(context.Background(), ticket, refused)
+			}),
+			Entry("since the connection of another call breaks", Alive, gone, func() { fail("i-1", broken) }),
+			Entry("since another one is registered at its address", LivenessUnknown, context.Background(), func() {
+				successor := server("i-4", "10.0.1.1:80", 10)
+				g.applyServers(time.Now(), []catalog.Change{{Revision: 10, Server: &successor}}, 10, "platform")
+				g.publish(time.Now())
+			}),
+		)
+
+		It("is no suspect if the server was leaving", func() {
+			j, ticket := place("i-1")
+			leave()
+			j.failed(gone, time.Now(), ticket, broken)
+			fail("i-2", broken, func() { g.serverCrashed(time.Now(), "i-1") })
+			Expect(j.standing(time.Now()).Servers).To(Equal([]fleet.InstanceID{"i-2"}))
+		})
+	})
 })
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -31,7 +31,7 @@
 // noBackend takes no calls.
 type noBackend struct {
 	listed []placement.Server
-	down   bool // every server refuses connections
+	state  Liveness // of every server
 }
 
 func (*noBackend) Send(context.Context, *Call, Order) (Answer, error) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -128,6 +128,8 @@
 	// it up to which each entry was told.
 	quarantine  *quarantine.Registry
 	toldCrashes map[fleet.InstanceID]uint64
+	// listed are the servers that were published last.
+	listed map[netip.AddrPort]placement.Server
 
 	callsMu  sync.Mutex
 	budgets  map[fleet.ServiceName]*retry.Window
@@ -187,6 +189,7 @@
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
 		quarantine:  quarantine.New(),
 		toldCrashes: make(map[fleet.InstanceID]uint64),
+		listed:      make(map[netip.AddrPort]placement.Server),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:     contact{heard: now, off: opts.Off},
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -36,7 +36,7 @@
 
 func (e *engines) Keep([]placement.Server) {}
 
-func (*engines) IsDown(context.Context, netip.AddrPort) bool { return false }
+func (*engines) Check(context.Context, netip.AddrPort) Liveness { return Alive }
 
 func (e *engines) Send(_ context.Context, _ *Call, o Order) (Answer, error) {
 	e.mu.Lock()
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -28,6 +28,7 @@
 	notRun := failure.OutcomeOf(err) == failure.NotRun
 	j.failed(ctx, now, ticket, err)
 	if notRun {
+		j.unreached(ctx, now, ticket.Server)
 		j.unsent++
 		if ctx.Err() == nil && j.unsent < unsentAttempts {
 			return true
@@ -48,7 +49,10 @@
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 	var broken *brokenAttempt
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled), j.isOver(ctx, now) && !j.isSilent(now):
+	case errors.Is(ctx.Err(), context.Canceled):
+		ticket.End(now, placement.Abandoned)
+		j.leftBehind(now, ticket.Server)
+	case j.isOver(ctx, now) && !j.isSilent(now):
 		ticket.End(now, placement.Abandoned)
 	case j.isOver(ctx, now):
 		ticket.End(now, placement.Silent)
@@ -230,6 +234,7 @@
 		if err := j.takeEvent(ticket, answer, event); err != nil {
 			answer.Close(false)
 			ticket.End(time.Now(), placement.Abandoned)
+			j.leftBehind(time.Now(), ticket.Server)
 			j.g.log.abandoned(j)
 			j.caller.Cut()
 			return false
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -330,6 +330,7 @@
 			list = append(list, g.server(lapsed, entries))
 		}
 	}
+	g.noteReplaced(now, list)
 	g.board.SetServers(now, list)
 	g.opts.Backend.Keep(list)
 }
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -57,9 +57,32 @@
 	Send(ctx context.Context, call *Call, order Order) (Answer, error)
 	// Keep drops what is kept of servers that are not listed.
 	Keep(servers []placement.Server)
-	// IsDown reports whether a server refuses connections, as one does whose
-	// process has ended. False if that cannot be found out quickly.
-	IsDown(ctx context.Context, addr netip.AddrPort) bool
+	// Check finds out quickly whether a server's process has ended.
+	Check(ctx context.Context, addr netip.AddrPort) Liveness
+}
+
+// Liveness is what a check of a server found.
+type Liveness uint8
+
+const (
+	// LivenessUnknown: the check got no answer in its time.
+	LivenessUnknown Liveness = iota
+	// Alive: the server accepts connections.
+	Alive
+	// Down: it refuses connections, as one does whose process has ended.
+	Down
+)
+
+// String returns the word used in logs.
+func (l Liveness) String() string {
+	switch l {
+	case Alive:
+		return "alive"
+	case Down:
+		return "down"
+	default:
+		return "unknown"
+	}
 }
 
 // Answer is a server's answer whose header has come.
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -32,7 +32,7 @@
 
 func (*answering) Keep([]placement.Server) {}
 
-func (*answering) IsDown(context.Context, netip.AddrPort) bool { return false }
+func (*answering) Check(context.Context, netip.AddrPort) Liveness { return Alive }
 
 type emptyAnswer struct{}
 
@@ -209,7 +209,7 @@
 
 func (*leaving) Keep([]placement.Server) {}
 
-func (*leaving) IsDown(context.Context, netip.AddrPort) bool { return false }
+func (*leaving) Check(context.Context, netip.AddrPort) Liveness { return Alive }
 
 type declinedAnswer struct{ emptyAnswer }
 
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -30,7 +30,7 @@
 
 func (*deafEngines) Keep([]placement.Server) {}
 
-func (*deafEngines) IsDown(context.Context, netip.AddrPort) bool { return false }
+func (*deafEngines) Check(context.Context, netip.AddrPort) Liveness { return Alive }
 
 func (e *deafEngines) Send(_ context.Context, _ *Call, o Order) (Answer, error) {
 	e.mu.Lock()
--- a/daemon/gateway/withdrawn_test.go
+++ b/daemon/gateway/withdrawn_test.go
@@ -130,15 +130,16 @@
 	// Retries of one request have other request ids, and a connection may break though
 	// its server lives: the line did not let either be told.
 	DescribeTable("has the content's fingerprint in its line if its connection broke",
-		func(down bool) {
+		func(state Liveness) {
 			place(0)
-			g.opts.Backend = &noBackend{down: down}
+			g.opts.Backend = &noBackend{state: state}
 			j.serverUntil = j.deadline
 			j.failed(context.Background(), failed, ticket, failure.Unavailable.New("unexpected EOF"))
-			Expect(line()).To(And(HaveKeyWithValue("fingerprint", j.contentFingerprint().String()), HaveKeyWithValue("server_down", down)))
+			Expect(line()).To(And(HaveKeyWithValue("fingerprint", j.contentFingerprint().String()), HaveKeyWithValue("server_state", state.String())))
 		},
-		Entry("and its server ended", true),
-		Entry("and its server lives", false),
+		Entry("and its server ended", Down),
+		Entry("and its server lives", Alive),
+		Entry("and nothing is known of its server", LivenessUnknown),
 	)
 
 	// A burst of withdrawals writes no more lines than any other burst, and none of
