Move the order in which entries are told of news into core/feed

Which peer lacks which report is decided there for whatever entries exchange; the registry of crashes used to decide it by itself, and limits of servers need the same. No change of behaviour: the specs of core/quarantine and daemon/gateway pass unchanged but for names.

--- /dev/null
+++ b/core/feed/feed_test.go
@@ -0,0 +1,38 @@
+package feed_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/feed"
+)
+
+var _ = Describe("A mark", func() {
+	DescribeTable("is due once, to those who were not told by others", func(from, to feed.Source, due bool) {
+		var c feed.Counter
+		told := c.Cursor()
+		m := c.Mark(from)
+		Expect(m.IsDue(told, to)).To(Equal(due))
+		Expect(m.IsDue(m.Cursor(), to)).To(BeFalse())
+		Expect(m.IsDue(0, to)).To(BeTrue())
+	},
+		Entry("own, to a near one", feed.Own, feed.Near, true),
+		Entry("own, to a far one", feed.Own, feed.Far, true),
+		Entry("near, to a near one", feed.Near, feed.Near, false),
+		Entry("near, to a far one", feed.Near, feed.Far, true),
+		Entry("far, to a near one", feed.Far, feed.Near, true),
+		Entry("far, to a far one", feed.Far, feed.Far, false),
+	)
+
+	It("is never due if nothing was learned", func() {
+		Expect(feed.Mark{}.IsDue(0, feed.Near)).To(BeFalse())
+	})
+
+	It("comes after everything that was told before", func() {
+		var c feed.Counter
+		first := c.Mark(feed.Own)
+		told := c.Cursor()
+		Expect(first.IsDue(told, feed.Near)).To(BeFalse())
+		Expect(c.Mark(feed.Own).IsDue(told, feed.Near)).To(BeTrue())
+	})
+})
--- a/core/quarantine/doubt.go
+++ b/core/quarantine/doubt.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 )
 
@@ -58,7 +59,7 @@
 		}
 		rec := r.record(now, d.request)
 		was := rec.standing().IsQuarantined()
-		r.add(rec, observation{server: server, at: d.at, source: Own})
+		r.add(rec, observation{server: server, at: d.at}, feed.Own)
 		if !was && rec.standing().IsQuarantined() {
 			quarantined = append(quarantined, d.request)
 		}
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -4,19 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
-)
-
-// Source is where an observation came from. It decides who is told.
-type Source uint8
 
-const (
-	// Own: this entry observed it. Everybody is told.
-	Own Source = iota
-	// Near: an entry of the own group reported it, and has told the others of the
-	// group itself.
-	Near
-	// Far: an entry of another group reported it. Groups tell each other themselves.
-	Far
+	"chivespindle.example/core/feed"
 )
 
 const (
@@ -26,33 +15,31 @@
 	mostFirstReports = 256
 )
 
-// numberedReport is a report with the change at which it was learned.
-type numberedReport struct {
+// dueReport is a report that a peer lacks.
+type dueReport struct {
 	Report
-	change uint64
+	mark feed.Mark
 	// crashes is how many are known of the request.
 	crashes int
 }
 
-// Since returns what is to be reported to a peer, which is Near or Far, after an
-// earlier call that returned the number change, and the number for the next one.
-// With 0 it returns all that is known: the peer may have missed what others
-// reported.
-func (r *Registry) Since(now time.Time, change uint64, to Source) ([]Report, uint64) {
+// Since returns what is to be reported to a peer, which is near or far, and up to
+// where it is told then.
+func (r *Registry) Since(now time.Time, told feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if change >= r.change {
-		return nil, change
+	next := r.learned.Cursor()
+	if told >= next {
+		return nil, told
 	}
-	due := r.due(now, change, to)
-	next := r.change
+	due := r.due(now, told, to)
 	switch {
-	case change == 0:
-		slices.SortFunc(due, func(a, b numberedReport) int { return cmp.Compare(b.crashes, a.crashes) })
+	case told == 0:
+		slices.SortFunc(due, func(a, b dueReport) int { return cmp.Compare(b.crashes, a.crashes) })
 		due = due[:min(len(due), mostFirstReports)]
 	case len(due) > mostReports:
 		due = due[:mostReports]
-		next = due[mostReports-1].change
+		next = due[mostReports-1].mark.Cursor()
 	}
 	reports := make([]Report, 0, len(due))
 	for _, d := range due {
@@ -62,19 +49,19 @@
 }
 
 // due returns the reports for a peer in the order in which they were learned.
-func (r *Registry) due(now time.Time, change uint64, to Source) []numberedReport {
-	var due []numberedReport
+func (r *Registry) due(now time.Time, told feed.Cursor, to feed.Source) []dueReport {
+	var due []dueReport
 	for request, rec := range r.requests {
 		rec.expire(now)
 		for _, o := range append(slices.Clone(rec.crashes), rec.success) {
-			if o.change <= change || change != 0 && o.source == to {
+			if !o.mark.IsDue(told, to) {
 				continue
 			}
 			report := Report{Request: request, Server: o.server, AgeMS: now.Sub(o.at).Milliseconds()}
-			due = append(due, numberedReport{Report: report, change: o.change, crashes: len(rec.crashes)})
+			due = append(due, dueReport{report, o.mark, len(rec.crashes)})
 		}
 	}
-	slices.SortFunc(due, func(a, b numberedReport) int { return cmp.Compare(a.change, b.change) })
+	slices.SortFunc(due, func(a, b dueReport) int { return cmp.Compare(a.mark.Cursor(), b.mark.Cursor()) })
 	return due
 }
 
@@ -83,7 +70,7 @@
 //
 // Those are reported to everybody again, whoever observed the crashes, so that
 // they spread also where two entries cannot reach each other.
-func (r *Registry) Merge(now time.Time, reports []Report, from Source) []Fingerprint {
+func (r *Registry) Merge(now time.Time, reports []Report, from feed.Source) []Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var quarantined []Fingerprint
@@ -94,7 +81,7 @@
 		}
 		rec := r.record(now, report.Request)
 		was := rec.standing().IsQuarantined()
-		r.add(rec, observation{server: report.Server, at: at, source: from})
+		r.add(rec, observation{server: report.Server, at: at}, from)
 		if !was && rec.standing().IsQuarantined() {
 			r.reportAgain(rec)
 			quarantined = append(quarantined, report.Request)
@@ -105,8 +92,6 @@
 
 func (r *Registry) reportAgain(rec *record) {
 	for i := range rec.crashes {
-		r.change++
-		rec.crashes[i].source = Own
-		rec.crashes[i].change = r.change
+		rec.crashes[i].mark = r.learned.Mark(feed.Own)
 	}
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 )
 
@@ -67,9 +68,7 @@
 	mu       sync.Mutex
 	requests map[Fingerprint]*record
 	doubts   []doubt // oldest first
-	// change counts what was learned; the first is 2, so that a peer that was told
-	// of everything so far is never taken for one that was told of nothing.
-	change uint64
+	learned  feed.Counter
 }
 
 // record is what is known of one request.
@@ -83,13 +82,12 @@
 type observation struct {
 	server fleet.InstanceID
 	at     time.Time
-	source Source
-	change uint64
+	mark   feed.Mark
 }
 
 // New returns a registry that knows of no crash.
 func New() *Registry {
-	return &Registry{requests: make(map[Fingerprint]*record), change: 1}
+	return &Registry{requests: make(map[Fingerprint]*record)}
 }
 
 // IsEmpty reports whether no request is known to have been in flight at a crash.
@@ -118,7 +116,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.record(now, request)
-	r.add(rec, observation{server: server, at: now, source: Own})
+	r.add(rec, observation{server: server, at: now}, feed.Own)
 	return rec.standing()
 }
 
@@ -131,17 +129,13 @@
 	if rec == nil || len(rec.crashes) == 0 {
 		return
 	}
-	r.add(rec, observation{at: now, source: Own})
+	r.add(rec, observation{at: now}, feed.Own)
 }
 
-// add takes an observation and reports whether it is new.
-func (r *Registry) add(rec *record, o observation) bool {
-	if !rec.add(o) {
-		return false
-	}
-	r.change++
-	rec.stamp(o, r.change)
-	return true
+// add takes an observation.
+func (r *Registry) add(rec *record, o observation, from feed.Source) {
+	o.mark = r.learned.Mark(from)
+	rec.add(o)
 }
 
 // record returns that of a request, and makes room for a new one.
@@ -203,12 +197,13 @@
 }
 
 // add takes an observation unless it is known or void.
-func (rec *record) add(o observation) bool {
+func (rec *record) add(o observation) {
 	if o.server == "" {
-		return rec.succeed(o)
+		rec.succeed(o)
+		return
 	}
 	if !o.at.After(rec.success.at) || slices.ContainsFunc(rec.crashes, o.isSameCrash) {
-		return false
+		return
 	}
 	at := len(rec.crashes)
 	for at > 0 && rec.crashes[at-1].at.After(o.at) {
@@ -218,29 +213,14 @@
 	if over := len(rec.crashes) - mostCrashes; over > 0 {
 		rec.crashes = slices.Delete(rec.crashes, 0, over)
 	}
-	return true
 }
 
-func (rec *record) succeed(o observation) bool {
+func (rec *record) succeed(o observation) {
 	if !o.at.After(rec.success.at) {
-		return false
+		return
 	}
 	rec.success = o
 	rec.crashes = slices.DeleteFunc(rec.crashes, func(c observation) bool { return !c.at.After(o.at) })
-	return true
-}
-
-// stamp numbers an observation that was added.
-func (rec *record) stamp(o observation, change uint64) {
-	if o.server == "" {
-		rec.success.change = change
-		return
-	}
-	for i := range rec.crashes {
-		if rec.crashes[i].isSameCrash(o) {
-			rec.crashes[i].change = change
-		}
-	}
 }
 
 // expire drops what is older than its life.
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/quarantine"
 )
@@ -65,7 +66,7 @@
 		crash(0, 1)
 		crash(100*time.Millisecond, 1)
 		for range 3 {
-			r.Merge(at(200*time.Millisecond), []quarantine.Report{{Request: poison, Server: engine(1), AgeMS: 150}}, quarantine.Near)
+			r.Merge(at(200*time.Millisecond), []quarantine.Report{{Request: poison, Server: engine(1), AgeMS: 150}}, feed.Near)
 		}
 		Expect(standing(time.Second).Servers).To(HaveLen(1))
 		crash(5*time.Second, 1) // it had started again under its id
@@ -76,7 +77,7 @@
 		crash(0, 1)
 		r.Succeeded(at(2*time.Second), poison)
 		late := []quarantine.Report{{Request: poison, Server: engine(2), AgeMS: 1500}}
-		Expect(r.Merge(at(3*time.Second), late, quarantine.Far)).To(BeEmpty())
+		Expect(r.Merge(at(3*time.Second), late, feed.Far)).To(BeEmpty())
 		Expect(standing(3 * time.Second).IsSuspect()).To(BeFalse())
 	})
 
@@ -92,7 +93,7 @@
 	It("leaves nothing behind if it was at no crash", func() {
 		r.Succeeded(start, poison)
 		Expect(r.IsEmpty()).To(BeTrue())
-		Expect(r.Merge(start, []quarantine.Report{{Request: poison}}, quarantine.Near)).To(BeEmpty())
+		Expect(r.Merge(start, []quarantine.Report{{Request: poison}}, feed.Near)).To(BeEmpty())
 		Expect(r.IsEmpty()).To(BeTrue())
 	})
 
@@ -105,11 +106,11 @@
 			r.Crashed(at(time.Second), request(100+n), engine(4))
 		}
 		Expect(standing(time.Second).IsQuarantined()).To(BeTrue())
-		first, change := r.Since(at(time.Second), 0, quarantine.Near)
+		first, change := r.Since(at(time.Second), 0, feed.Near)
 		Expect(len(first)).To(BeNumerically("<=", 256))
 		Expect(first).To(ContainElement(HaveField("Request", poison)))
 		r.Crashed(at(time.Second), request(1), engine(5))
-		rest, _ := r.Since(at(time.Second), change, quarantine.Near)
+		rest, _ := r.Since(at(time.Second), change, feed.Near)
 		Expect(rest).To(HaveLen(1))
 	})
 })
@@ -119,7 +120,7 @@
 
 	It("come once, and in parts if they are many", func() {
 		r := quarantine.New()
-		_, change := r.Since(start, 0, quarantine.Near)
+		_, change := r.Since(start, 0, feed.Near)
 		const crashes = 60
 		for n := range crashes {
 			r.Crashed(start, request(n), engine(1))
@@ -127,7 +128,7 @@
 		told := 0
 		for {
 			var reports []quarantine.Report
-			reports, change = r.Since(start, change, quarantine.Near)
+			reports, change = r.Since(start, change, feed.Near)
 			if len(reports) == 0 {
 				break
 			}
@@ -137,7 +138,7 @@
 		Expect(told).To(Equal(crashes))
 	})
 
-	DescribeTable("leave out what it has from others", func(from, to quarantine.Source, want int) {
+	DescribeTable("leave out what it has from others", func(from, to feed.Source, want int) {
 		r := quarantine.New()
 		_, change := r.Since(start, 0, to)
 		r.Merge(start, []quarantine.Report{{Request: one, Server: engine(1)}}, from)
@@ -146,21 +147,21 @@
 		first, _ := r.Since(start, 0, to)
 		Expect(first).To(HaveLen(1))
 	},
-		Entry("of its own group", quarantine.Near, quarantine.Near, 0),
-		Entry("of another group", quarantine.Far, quarantine.Far, 0),
-		Entry("but not what comes from another group", quarantine.Far, quarantine.Near, 1),
-		Entry("but not what it tells another group", quarantine.Near, quarantine.Far, 1),
+		Entry("of its own group", feed.Near, feed.Near, 0),
+		Entry("of another group", feed.Far, feed.Far, 0),
+		Entry("but not what comes from another group", feed.Far, feed.Near, 1),
+		Entry("but not what it tells another group", feed.Near, feed.Far, 1),
 	)
 
 	It("repeat what others observed once that quarantines a request", func() {
 		r := quarantine.New()
-		_, change := r.Since(start, 0, quarantine.Near)
+		_, change := r.Since(start, 0, feed.Near)
 		reports := []quarantine.Report{{Request: one, Server: engine(1)}, {Request: one, Server: engine(2)}, {Request: two, Server: engine(2)}}
-		Expect(r.Merge(start, reports, quarantine.Near)).To(BeEmpty())
+		Expect(r.Merge(start, reports, feed.Near)).To(BeEmpty())
 		third := []quarantine.Report{{Request: one, Server: engine(3)}}
-		Expect(r.Merge(start, third, quarantine.Near)).To(Equal([]quarantine.Fingerprint{one}))
-		Expect(r.Merge(start, third, quarantine.Far)).To(BeEmpty())
-		again, _ := r.Since(start, change, quarantine.Near)
+		Expect(r.Merge(start, third, feed.Near)).To(Equal([]quarantine.Fingerprint{one}))
+		Expect(r.Merge(start, third, feed.Far)).To(BeEmpty())
+		again, _ := r.Since(start, change, feed.Near)
 		Expect(again).To(HaveLen(3))
 	})
 })
--- a/core/quarantine/spread_test.go
+++ b/core/quarantine/spread_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/linking"
 	"chivespindle.example/core/quarantine"
@@ -17,14 +18,14 @@
 	id       fleet.InstanceID
 	plan     linking.Plan
 	registry *quarantine.Registry
-	told     map[fleet.InstanceID]uint64
+	told     map[fleet.InstanceID]feed.Cursor
 }
 
-func (e *entry) sourceOf(id fleet.InstanceID) quarantine.Source {
+func (e *entry) sourceOf(id fleet.InstanceID) feed.Source {
 	if e.plan.Near[id] {
-		return quarantine.Near
+		return feed.Near
 	}
-	return quarantine.Far
+	return feed.Far
 }
 
 func fleetOf(size int) []*entry {
@@ -35,7 +36,7 @@
 	entries := make([]*entry, size)
 	for i, self := range members {
 		others := append(append([]linking.Member(nil), members[:i]...), members[i+1:]...)
-		entries[i] = &entry{id: self.ID, plan: linking.For(self, others), registry: quarantine.New(), told: make(map[fleet.InstanceID]uint64)}
+		entries[i] = &entry{id: self.ID, plan: linking.For(self, others), registry: quarantine.New(), told: make(map[fleet.InstanceID]feed.Cursor)}
 	}
 	return entries
 }
@@ -107,8 +108,8 @@
 			exchange(start, entries)
 		}
 		fresh := quarantine.New()
-		reports, _ := entries[7].registry.Since(at(time.Second), 0, quarantine.Near)
-		Expect(fresh.Merge(at(time.Second), reports, quarantine.Near)).To(HaveLen(1))
+		reports, _ := entries[7].registry.Since(at(time.Second), 0, feed.Near)
+		Expect(fresh.Merge(at(time.Second), reports, feed.Near)).To(HaveLen(1))
 	})
 
 	// Guards against reports that go round between entries for ever.
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/quarantine"
@@ -133,8 +134,8 @@
 	if form == mesh.First {
 		delete(g.toldCrashes, to.ID)
 	}
-	reports, change := g.quarantine.Since(now, g.toldCrashes[to.ID], sourceOf(to))
-	g.toldCrashes[to.ID] = change
+	reports, told := g.quarantine.Since(now, g.toldCrashes[to.ID], sourceOf(to))
+	g.toldCrashes[to.ID] = told
 	return reports
 }
 
@@ -147,11 +148,11 @@
 	}
 }
 
-func sourceOf(p mesh.Peer) quarantine.Source {
+func sourceOf(p mesh.Peer) feed.Source {
 	if p.Near {
-		return quarantine.Near
+		return feed.Near
 	}
-	return quarantine.Far
+	return feed.Far
 }
 
 func (b *brokenAttempt) fields() []zap.Field {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/addressing"
 	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
@@ -124,10 +125,10 @@
 	// platform.
 	turnedAwayUntil time.Time
 	manifests       manifests
-	// quarantine knows the requests that crash servers; toldCrashes is the change of
-	// it up to which each entry was told.
+	// quarantine knows the requests that crash servers; toldCrashes is up to where
+	// each entry was told of it.
 	quarantine  *quarantine.Registry
-	toldCrashes map[fleet.InstanceID]uint64
+	toldCrashes map[fleet.InstanceID]feed.Cursor
 	// listed are the servers that were published last.
 	listed map[netip.AddrPort]placement.Server
 
@@ -188,7 +189,7 @@
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
 		quarantine:  quarantine.New(),
-		toldCrashes: make(map[fleet.InstanceID]uint64),
+		toldCrashes: make(map[fleet.InstanceID]feed.Cursor),
 		listed:      make(map[netip.AddrPort]placement.Server),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
