Log the limits that servers name

No line told when a server named a limit, changed or ended it, nor which entry had been told.

Each entry now notes the limits in answers and has a line when one is new, another number, over or no number. An answer to a request that was sent before the limit was named does not end it: it may have overtaken the answer that named it. An answer of another server says nothing.

No decision depends on it yet.

--- /dev/null
+++ b/core/serverlimit/serverlimit_test.go
@@ -0,0 +1,43 @@
+package serverlimit_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/serverlimit"
+)
+
+var start = time.Date(2031, 5, 6, 7, 8, 9, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+const server = fleet.InstanceID("i-1")
+
+var _ = Describe("A limit", func() {
+	var r *serverlimit.Registry
+
+	BeforeEach(func() { r = serverlimit.New() })
+
+	It("is news when it is first named and when it changes", func() {
+		Expect(r.Named(start, server, 1.5)).To(BeTrue())
+		Expect(r.Named(at(time.Second), server, 1.5)).To(BeFalse())
+		Expect(r.Named(at(time.Second), server, 2)).To(BeTrue())
+	})
+
+	It("ends with an answer that names none, once", func() {
+		Expect(r.Unnamed(start, server)).To(BeFalse())
+		r.Named(start, server, 1.5)
+		Expect(r.Unnamed(at(time.Second), server)).To(BeTrue())
+		Expect(r.Unnamed(at(2*time.Second), server)).To(BeFalse())
+		Expect(r.Named(at(3*time.Second), server, 1.5)).To(BeTrue())
+	})
+
+	// Guards against a burst at a server in need after an answer that came out of order.
+	It("does not end with the answer to a request that was sent before it was named", func() {
+		r.Named(at(time.Second), server, 1.5)
+		Expect(r.Unnamed(at(time.Second-time.Millisecond), server)).To(BeFalse())
+	})
+})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"chivespindle.example/core/quarantine"
 	"chivespindle.example/core/retry"
 	"chivespindle.example/core/routing"
+	"chivespindle.example/core/serverlimit"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/internal/chance"
 	"chivespindle.example/daemon/mesh"
@@ -129,6 +130,8 @@
 	// each entry was told of it.
 	quarantine  *quarantine.Registry
 	toldCrashes map[fleet.InstanceID]feed.Cursor
+	// limits are those that servers named.
+	limits *serverlimit.Registry
 	// listed are the servers that were published last.
 	listed map[netip.AddrPort]placement.Server
 
@@ -190,6 +193,7 @@
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
 		quarantine:  quarantine.New(),
 		toldCrashes: make(map[fleet.InstanceID]feed.Cursor),
+		limits:      serverlimit.New(),
 		listed:      make(map[netip.AddrPort]placement.Server),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -72,6 +72,7 @@
 		next.End(time.Now(), placement.Abandoned)
 		return nil, err
 	}
+	j.noteLimit(now, next.Server, answer)
 	if answer.NotRun() || answer.Misdirected() || !answer.Streams() || answer.Version() != j.version {
 		answer.Close(answer.NotRun())
 		next.End(time.Now(), placement.Declined)
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -75,6 +75,7 @@
 func (s *engineStream) NotRun() bool                    { return s.declined }
 func (s *engineStream) Misdirected() bool               { return false }
 func (s *engineStream) Version() placement.ModelVersion { return s.version }
+func (s *engineStream) Limit() ServerLimit              { return ServerLimit{} }
 func (s *engineStream) Streams() bool                   { return true }
 func (s *engineStream) SetDeadline(time.Time)           {}
 func (s *engineStream) Body(int64) ([]byte, error)      { return nil, nil }
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -95,6 +95,8 @@
 	Misdirected() bool
 	// Version is the one that answers; 0 if it was not told.
 	Version() placement.ModelVersion
+	// Limit is what the server says of the requests that it takes.
+	Limit() ServerLimit
 	// Streams reports whether the body is a stream of events.
 	Streams() bool
 	// SetDeadline bounds the reads that follow.
@@ -107,6 +109,16 @@
 	Close(whole bool)
 }
 
+// ServerLimit is what an answer says of the requests that its server takes.
+type ServerLimit struct {
+	// Named is true if the answer names a limit: PerSecond requests a second from
+	// all entries together.
+	Named     bool
+	PerSecond float64
+	// Malformed is what came in place of a number; empty if nothing did.
+	Malformed string
+}
+
 // Caller takes the answer to a call. All methods are called by one goroutine.
 type Caller interface {
 	// Begin sends the header of a server's answer. whole is the body if it is
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -199,6 +199,7 @@
 		return j.sendFailed(ctx, ticket, err)
 	}
 	j.attempts++
+	j.noteLimit(now, ticket.Server, answer)
 	if answer.NotRun() || answer.Misdirected() {
 		answer.Close(true)
 		ticket.End(time.Now(), placement.Declined)
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -40,6 +40,7 @@
 func (emptyAnswer) NotRun() bool                     { return false }
 func (emptyAnswer) Misdirected() bool                { return false }
 func (emptyAnswer) Version() placement.ModelVersion  { return 1 }
+func (emptyAnswer) Limit() ServerLimit               { return ServerLimit{} }
 func (emptyAnswer) Streams() bool                    { return true }
 func (emptyAnswer) SetDeadline(time.Time)            {}
 func (emptyAnswer) Body(int64) ([]byte, error)       { return nil, nil }
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -57,6 +57,7 @@
 }
 
 func (s *brokenStream) Version() placement.ModelVersion { return s.version }
+func (s *brokenStream) Limit() ServerLimit              { return ServerLimit{} }
 
 func (s *brokenStream) Next() (eventstream.Event, error) {
 	if s.left == 0 {
