--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -30,6 +30,17 @@
 // New returns a registry without limits.
 func New() *Registry { return &Registry{limits: make(map[fleet.InstanceID]*Limit)} }
 
+// Of returns the limit of a server; false if it has none.
+func (r *Registry) Of(server fleet.InstanceID) (Limit, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.limits[server]
+	if known == nil || known.Ended {
+		return Limit{}, false
+	}
+	return *known, true
+}
+
 // Named notes that an answer named a limit, and reports whether that is news.
 func (r *Registry) Named(now time.Time, server fleet.InstanceID, perSecond float64) bool {
 	r.mu.Lock()
