Keep to the limits that backend servers name, all entries together

Cause: no decision depended on the limit, and what a server tells one entry was known to none of the others.

Change: entries report the limits that servers name in their heartbeats, the newest counts. As many entries use a limited server as its limit bears, those that rank first by a hash, each with an even share; for the others it is full.

Greedy entries, 1 to 410 of them, keep to limits of 0.1 to 500 a second within the rule and use 0.7 of them or more; a limit seen by one entry binds all of 2 to 410 within the six heartbeats that the rule allows.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -122,6 +122,8 @@
 		return "No engine could take it." + l.engines(last)
 	case "too_long":
 		return l.tooLong()
+	case "limited":
+		return "The servers that could take it had named limits, and this entry had used its share of them." + l.engines(last)
 	case "quarantined":
 		return l.quarantined()
 	case "no_view", "cut_off":
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -68,6 +68,9 @@
 	// NoPlace: a server would begin in time, but has no place for this request: it
 	// is late, and the places for such are taken, or it needs too much memory.
 	NoPlace Reason = "no_place"
+	// Limited: the servers that could take the request have named limits, and this
+	// entry has used its share of them.
+	Limited Reason = "limited"
 	// TooLong: the answer would not be whole before the caller gives up.
 	TooLong Reason = "too_long"
 )
@@ -92,6 +95,9 @@
 		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
 	}
 	usable := b.candidates(now, g, ask)
+	if len(usable) == 0 && g.isLimited(now) {
+		return nil, Refusal{Reason: Limited, RetryAfter: b.comeBack(ask)}
+	}
 	if len(usable) == 0 {
 		return nil, Refusal{Reason: NoServer, RetryAfter: comeBackLater(ask.Left)}
 	}
@@ -106,6 +112,7 @@
 		board: b, state: best, Server: best.Server, Predicted: predicted, Within: ask.within(best),
 		prompt: ask.Prompt, answer: ask.Answer, suspect: ask.Suspect, placed: now,
 	}
+	best.limit.take()
 	best.own[t] = struct{}{}
 	b.touch(best)
 	return t, Refusal{}
@@ -183,7 +190,7 @@
 	var sound, ejected []*state
 	for _, st := range g.states {
 		switch {
-		case st.Leaving, st.Changing, slices.Contains(ask.Exclude, st.ID):
+		case st.Leaving, st.Changing, st.limit.isEmpty(now), slices.Contains(ask.Exclude, st.ID):
 		case !b.versionFits(now, st, ask):
 		case st.Down, now.Before(st.health.until):
 			ejected = append(ejected, st)
--- /dev/null
+++ b/core/placement/limit.go
@@ -0,0 +1,82 @@
+package placement
+
+import (
+	"time"
+
+	"chivespindle.example/core/fleet"
+)
+
+const (
+	// leastDepth is the requests that an entry may send at once to a server with a
+	// limit: all entries that use it may do so at the same moment.
+	leastDepth = 1
+	// depthTime is the time for which a larger share may be saved up, so that it is
+	// not lost between two requests.
+	depthTime = 100 * time.Millisecond
+)
+
+// bucket is this entry's share of the limit of a server. A nil bucket is full: the
+// server has no limit.
+type bucket struct {
+	perSecond float64
+	tokens    float64
+	at        time.Time
+}
+
+func (b *bucket) fill(now time.Time) {
+	if passed := now.Sub(b.at); passed > 0 {
+		depth := max(leastDepth, b.perSecond*depthTime.Seconds())
+		b.tokens = min(depth, b.tokens+b.perSecond*passed.Seconds())
+		b.at = now
+	}
+}
+
+// isEmpty reports whether no request may be sent now.
+func (b *bucket) isEmpty(now time.Time) bool {
+	if b == nil {
+		return false
+	}
+	b.fill(now)
+	return b.tokens < 1
+}
+
+func (b *bucket) take() {
+	if b != nil {
+		b.tokens--
+	}
+}
+
+// SetLimits replaces the shares of the servers with a limit, in requests a second
+// that this entry may send there. A share begins empty: what was sent before counts.
+//
+// All entries learn at once that a limit has ended, so the server counts as one that
+// has just become ready.
+func (b *Board) SetLimits(now time.Time, shares map[fleet.InstanceID]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, st := range b.servers {
+		share, limited := shares[id]
+		switch {
+		case !limited && st.limit != nil:
+			st.limit = nil
+			st.ready = now
+		case !limited:
+		case st.limit == nil:
+			st.limit = &bucket{perSecond: share, at: now}
+		default:
+			st.limit.fill(now)
+			st.limit.perSecond = share
+		}
+	}
+}
+
+// isLimited reports whether a server of the service would take work if its limit
+// allowed it.
+func (g *group) isLimited(now time.Time) bool {
+	for _, st := range g.states {
+		if !st.Leaving && !st.Changing && !st.Down && st.limit.isEmpty(now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/serverlimit/exchange_test.go
@@ -0,0 +1,151 @@
+package serverlimit_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/feed"
+	"chivespindle.example/core/feed/feedtest"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/serverlimit"
+)
+
+// report is one of a limit of one server.
+func report(perSecond float64, age time.Duration) serverlimit.Report {
+	return serverlimit.Report{Server: server, PerSecond: perSecond, AgeMS: age.Milliseconds()}
+}
+
+func end(age time.Duration) serverlimit.Report {
+	return serverlimit.Report{Server: server, PerSecond: 1, Ended: true, AgeMS: age.Milliseconds()}
+}
+
+var _ = Describe("Reports of a limit", func() {
+	var r *serverlimit.Registry
+
+	BeforeEach(func() { r = serverlimit.New() })
+
+	merge := func(after time.Duration, reports ...serverlimit.Report) []serverlimit.Report {
+		return r.Merge(at(after), reports, feed.Near)
+	}
+	perSecond := func(after time.Duration) float64 { return r.All(at(after))[server] }
+
+	It("bind an entry that has not seen an answer", func() {
+		Expect(merge(0, report(2, 0))).To(HaveLen(1))
+		Expect(perSecond(0)).To(Equal(2.0))
+		Expect(merge(time.Second, report(2, time.Second))).To(BeEmpty())
+	})
+
+	It("count by when the server said it, in whichever order they come", func() {
+		merge(2*time.Second, report(3, 0))
+		Expect(merge(3*time.Second, report(2, 2*time.Second))).To(BeEmpty())
+		Expect(perSecond(3 * time.Second)).To(Equal(3.0))
+	})
+
+	// Guards against an entry that goes on by an old limit since nobody contradicts it.
+	It("are answered if they are older than what is known here", func() {
+		merge(2*time.Second, report(3, 0))
+		_, told := r.Since(at(2*time.Second), 0, feed.Near)
+		merge(3*time.Second, report(2, 2*time.Second))
+		due, _ := r.Since(at(3*time.Second), told, feed.Near)
+		Expect(due).To(Equal([]serverlimit.Report{report(3, time.Second)}))
+	})
+
+	It("end a limit that was named before", func() {
+		merge(0, report(1, 0))
+		Expect(merge(3*time.Second, end(time.Second))).To(HaveLen(1))
+		Expect(r.All(at(3 * time.Second))).To(BeEmpty())
+		Expect(merge(4*time.Second, report(1, 4*time.Second))).To(BeEmpty())
+		Expect(merge(5*time.Second, report(1, 0))).To(HaveLen(1))
+	})
+
+	// Guards against a burst at a server in need: a report of the end that was delayed
+	// on its way seems newer than the answer that named the limit.
+	It("end a limit a second after it was last named at the earliest", func() {
+		merge(0, report(1, 0))
+		merge(500*time.Millisecond, end(0))
+		Expect(perSecond(900 * time.Millisecond)).To(Equal(1.0))
+		Expect(perSecond(time.Second)).To(BeZero())
+		merge(1100*time.Millisecond, report(1, 100*time.Millisecond))
+		Expect(perSecond(1100 * time.Millisecond)).To(Equal(1.0))
+	})
+
+	It("come in parts if they are many, each once", func() {
+		const servers = 150
+		_, told := r.Since(start, 0, feed.Near)
+		for n := range servers {
+			r.Named(start, fleet.InstanceID(fmt.Sprintf("i-%d", n)), 1)
+		}
+		all := 0
+		for {
+			var due []serverlimit.Report
+			due, told = r.Since(start, told, feed.Near)
+			if len(due) == 0 {
+				break
+			}
+			Expect(len(due)).To(BeNumerically("<", servers))
+			all += len(due)
+		}
+		Expect(all).To(Equal(servers))
+	})
+
+	It("of servers that are listed no more are forgotten", func() {
+		r.Named(start, server, 1)
+		isListed := func(id fleet.InstanceID) bool { return id != server }
+		r.Keep(at(time.Second), isListed) // it may be listed here later
+		Expect(perSecond(time.Second)).To(Equal(1.0))
+		r.Keep(at(time.Minute), isListed)
+		Expect(r.All(at(time.Minute))).To(BeEmpty())
+	})
+})
+
+// registryAt is the registry of an entry at a moment.
+type registryAt struct {
+	*serverlimit.Registry
+	now time.Time
+}
+
+func (r registryAt) Since(told feed.Cursor, to feed.Source) ([]serverlimit.Report, feed.Cursor) {
+	return r.Registry.Since(r.now, told, to)
+}
+
+func (r registryAt) Merge(reports []serverlimit.Report, from feed.Source) {
+	r.Registry.Merge(r.now, reports, from)
+}
+
+var _ = DescribeTable("A limit that one entry sees binds every entry in time", func(size int) {
+	// The rule counts from this time after a server first named its limit; a whole beat
+	// is sent to each entry in this pause.
+	const allowed, beat = 3 * time.Second, 500 * time.Millisecond
+	entries := feedtest.Fleet(size)
+	registries := make([]*serverlimit.Registry, size)
+	for i := range registries {
+		registries[i] = serverlimit.New()
+	}
+	now := start
+	exchange := func() int {
+		return feedtest.Exchange(entries, func(i int) feedtest.Registry[serverlimit.Report] { return registryAt{registries[i], now} })
+	}
+	bound := func() int {
+		n := 0
+		for _, r := range registries {
+			n += len(r.All(now))
+		}
+		return n
+	}
+	exchange()
+	registries[size-1].Named(now, server, 1)
+	for bound() < size {
+		now = now.Add(beat)
+		Expect(now.Sub(start)).To(BeNumerically("<=", allowed), "known to %d", bound())
+		exchange()
+	}
+	for range 3 {
+		exchange()
+	}
+	Expect(exchange()).To(BeZero())
+},
+	Entry("of 2", 2), Entry("of 8", 8), Entry("of 13", 13), Entry("of 44", 44), Entry("of 100", 100), Entry("of 410", 410),
+)
--- /dev/null
+++ b/core/serverlimit/share_test.go
@@ -0,0 +1,118 @@
+package serverlimit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/policy"
+	"chivespindle.example/core/serverlimit"
+)
+
+func entryIDs(n int) []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, n)
+	for i := range ids {
+		ids[i] = fleet.InstanceID(fmt.Sprintf("10.0.%d.%d", i/250, i%250))
+	}
+	return ids
+}
+
+func without(ids []fleet.InstanceID, i int) []fleet.InstanceID {
+	return append(append([]fleet.InstanceID(nil), ids[:i]...), ids[i+1:]...)
+}
+
+// greedy is entries that send to a limited server whatever they may, as if all their
+// requests wanted it.
+type greedy struct {
+	boards []*placement.Board
+	sent   []time.Duration
+}
+
+func newGreedy(perSecond float64, ids []fleet.InstanceID, othersOf func(i int) []fleet.InstanceID) *greedy {
+	g := &greedy{}
+	for i, self := range ids {
+		b := placement.New(rand.New(rand.NewPCG(1, uint64(i))), policy.Off{})
+		b.SetServers(start, []placement.Server{{ID: server, Service: "pool", Slots: 16}})
+		b.SetLimits(start, map[fleet.InstanceID]float64{server: serverlimit.Share(perSecond, server, self, othersOf(i))})
+		g.boards = append(g.boards, b)
+	}
+	return g
+}
+
+func (g *greedy) run(span, step time.Duration) {
+	for t := time.Duration(0); t < span; t += step {
+		for _, b := range g.boards {
+			for {
+				ticket, _ := b.Choose(at(t), placement.Ask{Service: "pool", Aim: time.Second, Left: time.Second})
+				if ticket == nil {
+					break
+				}
+				ticket.End(at(t), placement.Succeeded)
+				g.sent = append(g.sent, t)
+			}
+		}
+	}
+}
+
+// mostWithin returns the most requests in any window.
+func (g *greedy) mostWithin(window time.Duration) int {
+	most, first := 0, 0
+	for i, t := range g.sent {
+		for t-g.sent[first] > window {
+			first++
+		}
+		most = max(most, i+1-first)
+	}
+	return most
+}
+
+var _ = Describe("Shares of a limit", func() {
+	const window = 4 * time.Second
+	allowed := func(perSecond float64) int { return int(1.5*perSecond*window.Seconds() + 5) }
+
+	// Guards against entries that exceed a limit together, however many there are and
+	// however low it is, and against shares that nobody uses.
+	DescribeTable("are kept to together, and used", func(perSecond float64) {
+		for _, size := range []int{1, 2, 8, 100, 410} {
+			ids := entryIDs(size)
+			g := newGreedy(perSecond, ids, func(i int) []fleet.InstanceID { return without(ids, i) })
+			span := max(20*time.Second, time.Duration(10/perSecond*float64(time.Second)))
+			g.run(span, span/1000)
+			Expect(g.mostWithin(window)).To(BeNumerically("<=", allowed(perSecond)), "%d entries", size)
+			Expect(float64(len(g.sent))).To(BeNumerically(">=", 0.7*perSecond*span.Seconds()), "%d entries", size)
+		}
+	},
+		Entry("of a tenth a second", 0.1), Entry("of 1 a second", 1.0), Entry("of 1.8 a second", 1.8),
+		Entry("of 10 a second", 10.0), Entry("of 45 a second", 45.0), Entry("of 500 a second", 500.0),
+	)
+
+	// Guards against a server that no entry asks any more, so that nobody learns of the end of its limit.
+	It("are never nothing for all", func() {
+		ids := entryIDs(8)
+		g := newGreedy(0, ids, func(i int) []fleet.InstanceID { return without(ids, i) })
+		g.run(60*time.Second, 100*time.Millisecond)
+		Expect(g.sent).NotTo(BeEmpty())
+		Expect(g.mostWithin(window)).To(BeNumerically("<=", allowed(0)))
+	})
+
+	// Entries that have lost some of the others, or do not know new ones yet, rank
+	// themselves among fewer.
+	It("are kept to also while entries know different others", func() {
+		ids := entryIDs(8)
+		for _, perSecond := range []float64{1, 1.8, 10} {
+			g := newGreedy(perSecond, ids, func(i int) []fleet.InstanceID {
+				others := without(ids, i)
+				lost := i % len(others)
+				return slices.Delete(others, lost, lost+1)
+			})
+			g.run(20*time.Second, 20*time.Millisecond)
+			Expect(g.mostWithin(window)).To(BeNumerically("<=", allowed(perSecond)), "%v a second", perSecond)
+		}
+	})
+})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -130,8 +130,13 @@
 	// each entry was told of it.
 	quarantine  *quarantine.Registry
 	toldCrashes map[fleet.InstanceID]feed.Cursor
-	// limits are those that servers named.
-	limits *serverlimit.Registry
+	// limits are those that servers named; toldLimits is up to where each entry was
+	// told of them. limitsChanged is true until the board has them, sharedAt is when
+	// it last had.
+	limits        *serverlimit.Registry
+	toldLimits    map[fleet.InstanceID]feed.Cursor
+	limitsChanged bool
+	sharedAt      time.Time
 	// listed are the servers that were published last.
 	listed map[netip.AddrPort]placement.Server
 
@@ -194,6 +199,7 @@
 		quarantine:  quarantine.New(),
 		toldCrashes: make(map[fleet.InstanceID]feed.Cursor),
 		limits:      serverlimit.New(),
+		toldLimits:  make(map[fleet.InstanceID]feed.Cursor),
 		listed:      make(map[netip.AddrPort]placement.Server),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
@@ -226,6 +232,7 @@
 	delete(g.toldLoads, id)
 	delete(g.toldServers, id)
 	delete(g.toldCrashes, id)
+	delete(g.toldLimits, id)
 	g.manifests.lost(id)
 	g.board.Forget(id)
 	g.changed = true // parts that depend on the number of entries
--- a/daemon/gateway/limit.go
+++ b/daemon/gateway/limit.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/core/serverlimit"
+	"chivespindle.example/daemon/mesh"
 )
 
 // noteLimit takes what an answer says of the requests that its server takes. sent is
@@ -22,14 +25,67 @@
 	case limit.Named:
 		if j.g.limits.Named(time.Now(), server.ID, limit.PerSecond) {
 			j.g.log.serverLimit(server.ID, limit.PerSecond, "own")
+			j.g.post(func(time.Time) { j.g.limitNews() })
 		}
-	default:
-		if j.g.limits.Unnamed(sent, server.ID) {
-			j.g.log.limitEnded(server.ID, "own")
+	case answer.Status() >= http.StatusMultipleChoices:
+		// What did not run the call may name no limit in any case.
+	case j.g.limits.Unnamed(sent, server.ID):
+		j.g.log.limitEnded(server.ID, "own")
+		j.g.post(func(time.Time) { j.g.limitNews() })
+	}
+}
+
+// limitNews follows a change of a limit that this entry saw: its group hears at once.
+func (g *Gateway) limitNews() {
+	g.limitsChanged = true
+	g.urgentNear = true
+}
+
+// limitsFor returns the reports of limits for another entry.
+func (g *Gateway) limitsFor(now time.Time, to mesh.Peer, form mesh.Form) []serverlimit.Report {
+	if form == mesh.First {
+		delete(g.toldLimits, to.ID)
+	}
+	reports, told := g.limits.Since(now, g.toldLimits[to.ID], sourceOf(to))
+	g.toldLimits[to.ID] = told
+	return reports
+}
+
+// heardLimits takes the reports of another entry.
+func (g *Gateway) heardLimits(now time.Time, from mesh.Peer, reports []serverlimit.Report) {
+	for _, report := range g.limits.Merge(now, reports, sourceOf(from)) {
+		g.limitsChanged = true
+		if report.Ended {
+			g.log.limitEnded(report.Server, "peer "+string(from.ID))
+		} else {
+			g.log.serverLimit(report.Server, report.PerSecond, "peer "+string(from.ID))
 		}
 	}
 }
 
+// sharesEvery is the longest pause after which the limits are shared out anew, among
+// the entries that are known then.
+const sharesEvery = time.Second
+
+// publishLimits gives the board this entry's shares of the limits. Silent entries
+// keep theirs: they may live behind a partition and use them.
+func (g *Gateway) publishLimits(now time.Time, entries []mesh.Entry) {
+	if !g.limitsChanged && now.Sub(g.sharedAt) < sharesEvery {
+		return
+	}
+	g.limitsChanged = false
+	g.sharedAt = now
+	others := make([]fleet.InstanceID, len(entries))
+	for i, e := range entries {
+		others[i] = e.ID
+	}
+	shares := g.limits.All(now)
+	for server, perSecond := range shares {
+		shares[server] = serverlimit.Share(perSecond, server, g.opts.Self, others)
+	}
+	g.board.SetLimits(now, shares)
+}
+
 func (l *requestLog) serverLimit(server fleet.InstanceID, perSecond float64, source string) {
 	l.logger.Info("server_limit", zap.String("server", string(server)), zap.Float64("per_second", perSecond), zap.String("source", source))
 }
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/daemon/mesh"
 )
 
 // limitedEngines answer at once. Some name a limit. They are shared by all entries.
@@ -42,9 +45,15 @@
 
 type limitedAnswer struct {
 	emptyAnswer
-	limit ServerLimit
+	limit       ServerLimit
+	misdirected bool
+	status      int // 200 if it is 0
 }
 
+func (a limitedAnswer) Status() int { return cmp.Or(a.status, http.StatusOK) }
+
+func (a limitedAnswer) Misdirected() bool { return a.misdirected }
+
 func (a limitedAnswer) Limit() ServerLimit { return a.limit }
 
 // followedBy starts entries of one region in front of engines that backend stands for.
@@ -74,10 +83,12 @@
 		for _, m := range region.members {
 			Eventually(func() bool {
 				m.ask(path, "told")
-				_, known := m.gateway.limits.Of("i-0")
-				return known
+				return len(m.gateway.limits.All(time.Now())) > 0
 			}, "10s").Should(BeTrue())
 		}
+		for _, m := range region.members {
+			_ = m.loop.Do(context.Background(), func(now time.Time) { m.gateway.publish(now) }) // what it was told
+		}
 		before := backend.reachedAt("i-0")
 		for range requests {
 			for _, m := range region.members {
@@ -87,3 +98,62 @@
 		Expect(float64(backend.reachedAt("i-0") - before)).To(BeNumerically("<=", allowed))
 	})
 })
+
+var _ = Describe("What an answer says of its server's limit", func() {
+	var g *Gateway
+	const named = 1.5
+
+	note := func(sent time.Time, a limitedAnswer) {
+		j := &job{g: g, call: &Call{ID: "c"}}
+		j.noteLimit(sent, placement.Server{ID: "i-1"}, a)
+	}
+	limit := func() float64 { return g.limits.All(time.Now())["i-1"] }
+
+	BeforeEach(func() {
+		g, _ = newGateway()
+		note(time.Now(), limitedAnswer{limit: ServerLimit{Named: true, PerSecond: named}})
+		Expect(limit()).To(Equal(named))
+	})
+
+	// Guards against a server in need that is used freely again for what another one said.
+	DescribeTable("does not end it", func(a limitedAnswer) {
+		note(time.Now().Add(time.Second), a)
+		Expect(limit()).To(Equal(named))
+	},
+		Entry("if it is no number", limitedAnswer{limit: ServerLimit{Malformed: "soon"}}),
+		Entry("if another server answered", limitedAnswer{misdirected: true}),
+		Entry("if the call did not run", limitedAnswer{status: http.StatusServiceUnavailable}),
+	)
+
+	It("ends it if a later request is answered without one", func() {
+		note(time.Now().Add(-time.Second), limitedAnswer{})
+		Expect(limit()).To(Equal(named))
+		note(time.Now().Add(time.Second), limitedAnswer{})
+		Expect(limit()).To(BeZero())
+	})
+
+	It("is told to others and taken from them", func() {
+		to := g.compose(time.Now(), nearEntry, mesh.First)
+		Expect(to.Limits).To(HaveLen(1))
+		other, _ := newGateway()
+		other.heard(time.Now(), nearEntry, to)
+		Expect(other.limits.All(time.Now())).To(HaveKeyWithValue(fleet.InstanceID("i-1"), named))
+		Expect(g.compose(time.Now(), nearEntry, mesh.Whole).Limits).To(BeEmpty())
+	})
+})
+
+// Guards against callers that wait for a server that this entry may not use yet.
+var _ = Describe("A call that only servers with a used up limit could take", func() {
+	It("is refused at once, as not run", func() {
+		g, _ := newGateway()
+		now := time.Now()
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
+		s.Config.Routes[0].Timeout = time.Minute
+		g.adopt(now, s, "platform")
+		g.limits.Named(now, "i-1", 1)
+		g.publish(now)
+		caller := make(refusals, 1)
+		g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: now, Patience: time.Minute, LastEvent: -1}, caller)
+		Expect(caller).To(Receive(And(HaveField("Code", Unavailable), HaveField("Reason", "limited"), HaveField("RetryAfter", BeNumerically(">", 0)))))
+	})
+})
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -72,6 +72,7 @@
 	}
 	b.Manifest = g.manifests.forEntry(to)
 	b.Crashes = g.crashesFor(now, to, form)
+	b.Limits = g.limitsFor(now, to, form)
 	if to.Near {
 		b.Replicas = g.directReplicas(now)
 	}
@@ -139,6 +140,7 @@
 			g.heardWanted(now, w)
 		}
 		g.heardCrashes(now, from, b.Crashes)
+		g.heardLimits(now, from, b.Limits)
 	}
 	if b.Manifest != nil {
 		g.heardManifest(*b.Manifest, from.Near)
@@ -243,7 +245,7 @@
 // force at once, or it is time.
 func (g *Gateway) publishDue(now time.Time) {
 	v := g.view.Load()
-	isSame := v != nil && !g.changed && v.table == g.table && v.leaving == g.leaving && v.doubtful == g.doubtful
+	isSame := v != nil && !g.changed && !g.limitsChanged && v.table == g.table && v.leaving == g.leaving && v.doubtful == g.doubtful
 	if isSame && now.Sub(g.published) < publishEvery {
 		return
 	}
@@ -256,6 +258,7 @@
 	g.quarantine.DropExpired(now)
 	entries := g.mesh.Entries(now)
 	g.publishServers(now, 1+len(entries))
+	g.publishLimits(now, entries)
 	g.opts.Metrics.Gauge("calls_in_flight").Update(float64(g.inFlight.Load()))
 	if slices.ContainsFunc(entries, func(e mesh.Entry) bool { return e.Reaches && !e.Silent }) {
 		g.contact.othersReach(now)
@@ -332,6 +335,10 @@
 	}
 	g.noteReplaced(now, list)
 	g.board.SetServers(now, list)
+	g.limitsChanged = true // those of servers that are listed anew
+	g.limits.Keep(now, func(id fleet.InstanceID) bool {
+		return slices.ContainsFunc(list, func(s placement.Server) bool { return s.ID == id })
+	})
 	g.opts.Backend.Keep(list)
 }
 
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -9,6 +9,7 @@
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/quarantine"
+	"chivespindle.example/core/serverlimit"
 )
 
 // Beat is what a process tells those that it is linked to, several times a
@@ -67,6 +68,8 @@
 	// Crashes are an entry's new reports of requests that were in flight at servers
 	// that crashed.
 	Crashes []quarantine.Report `cbor:"25,keyasint,omitempty"`
+	// Limits are an entry's new reports of the limits that servers named.
+	Limits []serverlimit.Report `cbor:"26,keyasint,omitempty"`
 }
 
 // PlatformState is how an entry that reads the platform stands with it.
