--- a/core/placement/suspect_test.go
+++ b/core/placement/suspect_test.go
@@ -4,35 +4,39 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
 )
 
 var _ = Describe("Requests of a server that crashed", func() {
+	suspect := func() placement.Ask {
+		a := ask()
+		a.Suspect = true
+		return a
+	}
+
 	// Guards against a request that crashes servers and takes those again that were lost with it before.
-	It("are placed apart from each other, and others apart from them", func() {
-		const engines, suspects = 8, 6
+	DescribeTable("are placed apart", func(next placement.Ask) {
+		const engines, busy = 4, 2
 		b := board(engines)
-		suspect := ask()
-		suspect.Suspect = true
-		taken := make(map[fleet.InstanceID]bool)
-		for range suspects {
-			t, _ := b.Choose(start, suspect)
+		for range (engines - 1) * busy {
+			occupied := ask()
+			occupied.Exclude = append(occupied.Exclude, id(0))
+			t, _ := b.Choose(start, occupied)
 			Expect(t).NotTo(BeNil())
-			Expect(taken).NotTo(HaveKey(t.Server.ID))
-			taken[t.Server.ID] = true
-		}
-		for range engines - suspects {
-			t, _ := b.Choose(start, ask())
-			Expect(taken).NotTo(HaveKey(t.Server.ID))
 		}
-	})
+		first, _ := b.Choose(start, suspect())
+		Expect(first.Server.ID).To(Equal(id(0)))
+		second, _ := b.Choose(start, next)
+		Expect(second.Server.ID).NotTo(Equal(id(0)))
+	},
+		Entry("from each other", suspect()),
+		Entry("from others", ask()),
+	)
 
 	It("are placed together where there is no other server", func() {
 		b := board(1)
-		suspect := ask()
-		suspect.Suspect = true
 		for range 2 {
-			t, _ := b.Choose(start, suspect)
+			t, _ := b.Choose(start, suspect())
 			Expect(t).NotTo(BeNil())
 		}
 	})
--- /dev/null
+++ b/core/quarantine/bench_test.go
@@ -0,0 +1,30 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+
+	"chivespindle.example/core/quarantine"
+)
+
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{1 << 10, 1 << 20} {
+		content := quarantine.Content{Workspace: "dock", Method: "POST", Host: "relay.example", Target: "/read/1", Body: make([]byte, size)}
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for b.Loop() {
+				content.Fingerprint()
+			}
+		})
+	}
+}
+
+// BenchmarkStanding is what a request costs while as many are remembered as can be.
+func BenchmarkStanding(b *testing.B) {
+	r := quarantine.New()
+	for n := range 1000 {
+		r.Crashed(start, request(n), engine(n))
+	}
+	for b.Loop() {
+		r.Standing(start, request(1))
+	}
+}
