Wording of the new code; a limit that a server adjusts often is not urgent

The usual terms in the packages added for crashing requests and limits: a server advertises a limit, reports are sent and received, a peer is up to date up to a cursor. Only a limit that starts or ends is reported to the group at once; a server may adjust its limit in each answer, and each of those would have sent whole heartbeats to the whole group. Lines about limits are bounded like those about requests.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -123,7 +123,7 @@
 	case "too_long":
 		return l.tooLong()
 	case "limited":
-		return "The servers that could take it had named limits, and this entry had used its share of them." + l.engines(last)
+		return "The servers that could take it had limits, and this entry had used its share of them." + l.engines(last)
 	case "quarantined":
 		return l.quarantined()
 	case "no_view", "cut_off":
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -1,34 +1,35 @@
-// Package feed marks what an entry learns, so that each other entry is sent what it
-// lacks, once.
+// Package feed marks what an entry learns, so that it is sent once to each peer that
+// lacks it.
 //
-// Entries of a group all tell each other what they learn themselves. Groups are
-// linked by a few of their members, which pass on what the others need.
+// Within a group every entry sends all others what it observes. Groups are linked by
+// a few of their members, which forward reports between them.
 package feed
 
-// Source is where something was learned. It decides who is told.
+// Source is where something was learned. It decides which peers it is sent to.
 type Source uint8
 
 const (
-	// Own: this entry learned it by itself. Everybody is told.
+	// Own: observed by this entry. Sent to every peer.
 	Own Source = iota
-	// Near: an entry of the own group told it, and has told the others of the group.
+	// Near: received from an entry of the own group, which sends it to the whole
+	// group itself. Sent to other groups.
 	Near
-	// Far: an entry of another group told it. Groups tell each other themselves.
+	// Far: received from another group, which sends it to all groups itself. Sent to
+	// the own group.
 	Far
 )
 
 // Counter numbers what is learned. The zero value is ready to use.
 type Counter struct{ last uint64 }
 
-// Cursor is up to where a peer was told. The zero value is for one that was told
-// nothing.
+// Cursor is the position up to which a peer is up to date. The zero value is for a
+// peer to which nothing was sent.
 type Cursor uint64
 
-// first keeps the cursor of a peer that was told of everything, when there was
-// nothing, apart from that of one that was told nothing.
+// first is the cursor of a peer that is up to date while nothing has been learned.
 const first = 1
 
-// Cursor returns that of a peer that was told of everything.
+// Cursor returns the position of a peer that is up to date.
 func (c *Counter) Cursor() Cursor { return Cursor(c.last + first) }
 
 // Mark is the number and the source of something that was learned. The zero value
@@ -38,17 +39,17 @@
 	source Source
 }
 
-// Mark marks what is learned now.
+// Mark returns the mark of what is learned now.
 func (c *Counter) Mark(from Source) Mark {
 	c.last++
 	return Mark{c.Cursor(), from}
 }
 
-// Cursor returns that of a peer that was told of everything up to m.
+// Cursor returns the position of a peer that is up to date up to m.
 func (m Mark) Cursor() Cursor { return m.cursor }
 
-// IsDue reports whether a peer, which is Near or Far, is to be told. One that was
-// told nothing may lack what others told, and is told everything.
-func (m Mark) IsDue(told Cursor, to Source) bool {
-	return m.cursor > told && (told == 0 || m.source != to)
+// IsDue reports whether what m marks is to be sent to a peer, which is Near or Far
+// and up to date up to sent. A new peer may lack what others sent, and gets everything.
+func (m Mark) IsDue(sent Cursor, to Source) bool {
+	return m.cursor > sent && (sent == 0 || m.source != to)
 }
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -8,11 +8,11 @@
 )
 
 var _ = Describe("A mark", func() {
-	DescribeTable("is due once, to those who were not told by others", func(from, to feed.Source, due bool) {
+	DescribeTable("is due once, to those which others did not send it", func(from, to feed.Source, due bool) {
 		var c feed.Counter
-		told := c.Cursor()
+		sent := c.Cursor()
 		m := c.Mark(from)
-		Expect(m.IsDue(told, to)).To(Equal(due))
+		Expect(m.IsDue(sent, to)).To(Equal(due))
 		Expect(m.IsDue(m.Cursor(), to)).To(BeFalse())
 		Expect(m.IsDue(0, to)).To(BeTrue())
 	},
@@ -28,11 +28,11 @@
 		Expect(feed.Mark{}.IsDue(0, feed.Near)).To(BeFalse())
 	})
 
-	It("comes after everything that was told before", func() {
+	It("comes after everything that was sent before", func() {
 		var c feed.Counter
 		first := c.Mark(feed.Own)
-		told := c.Cursor()
-		Expect(first.IsDue(told, feed.Near)).To(BeFalse())
-		Expect(c.Mark(feed.Own).IsDue(told, feed.Near)).To(BeTrue())
+		sent := c.Cursor()
+		Expect(first.IsDue(sent, feed.Near)).To(BeFalse())
+		Expect(c.Mark(feed.Own).IsDue(sent, feed.Near)).To(BeTrue())
 	})
 })
--- a/core/feed/feedtest/feedtest.go
+++ b/core/feed/feedtest/feedtest.go
@@ -13,7 +13,7 @@
 type Entry struct {
 	ID   fleet.InstanceID
 	plan linking.Plan
-	told map[fleet.InstanceID]feed.Cursor
+	sent map[fleet.InstanceID]feed.Cursor
 }
 
 // Fleet returns size entries in three regions.
@@ -43,7 +43,7 @@
 
 // Registry is what an entry learned, exchanged as reports of type R.
 type Registry[R any] interface {
-	Since(told feed.Cursor, to feed.Source) ([]R, feed.Cursor)
+	Since(sent feed.Cursor, to feed.Source) ([]R, feed.Cursor)
 	Merge(reports []R, from feed.Source)
 }
 
@@ -57,8 +57,8 @@
 			if i == j || !from.plan.Wants(to.ID) && !to.plan.Wants(from.ID) {
 				continue
 			}
-			reports, told := registryOf(i).Since(from.told[to.ID], from.sourceOf(to))
-			from.told[to.ID] = told
+			reports, sent := registryOf(i).Since(from.sent[to.ID], from.sourceOf(to))
+			from.sent[to.ID] = sent
 			count += len(reports)
 			deliver = append(deliver, func() { registryOf(j).Merge(reports, to.sourceOf(from)) })
 		}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -26,9 +26,9 @@
 	// failureCost is the cost of a server whose answers all fail, next to one
 	// whose share of failures is usual.
 	failureCost = 2 * time.Second
-	// suspectCost is the cost of a server that runs a suspect request. If that is what
-	// crashes servers, it takes all others there with it; and suspects that are kept
-	// apart are told from each other by the next crash.
+	// suspectCost is the cost of a server that runs a suspect request. A request that
+	// crashes its server ends all others there, and suspects on different servers are
+	// distinguished by the next crash.
 	suspectCost = 100 * time.Millisecond
 	// waitShare is the part of the shortest aim of a service for which a request
 	// may wait at an engine until its own prompt is read. It is the same for all
@@ -68,8 +68,8 @@
 	// NoPlace: a server would begin in time, but has no place for this request: it
 	// is late, and the places for such are taken, or it needs too much memory.
 	NoPlace Reason = "no_place"
-	// Limited: the servers that could take the request have named limits, and this
-	// entry has used its share of them.
+	// Limited: the servers that could take the request have limits, and this entry has
+	// used its share of them.
 	Limited Reason = "limited"
 	// TooLong: the answer would not be whole before the caller gives up.
 	TooLong Reason = "too_long"
--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -46,11 +46,11 @@
 	}
 }
 
-// SetLimits replaces the shares of the servers with a limit, in requests a second
-// that this entry may send there. A share begins empty: what was sent before counts.
+// SetLimits replaces this entry's shares of the servers with a limit, in requests a
+// second. A share starts empty: requests sent before count against it.
 //
-// All entries learn at once that a limit has ended, so the server counts as one that
-// has just become ready.
+// All entries return to a server at once when its limit ends, so it counts as one
+// that has just become ready.
 func (b *Board) SetLimits(now time.Time, shares map[fleet.InstanceID]float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -143,7 +143,7 @@
 	change uint64    // when own changed last
 	ready  time.Time // since when it takes work
 	health health
-	// limit is this entry's share if the server named a limit; nil if it did not.
+	// limit is this entry's share of the server's limit; nil if it has none.
 	limit *bucket
 	// rank is the server's place, from 0, in the order in which this entry
 	// prefers those of the service: by distance, then by hash.
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -23,18 +23,18 @@
 	crashes int
 }
 
-// Since returns what is to be reported to a peer, which is near or far, and up to
-// where it is told then.
-func (r *Registry) Since(now time.Time, told feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
+// Since returns the reports that a peer lacks, which is near or far, and its cursor
+// once it has them.
+func (r *Registry) Since(now time.Time, sent feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := r.learned.Cursor()
-	if told >= next {
-		return nil, told
+	if sent >= next {
+		return nil, sent
 	}
-	due := r.due(now, told, to)
+	due := r.due(now, sent, to)
 	switch {
-	case told == 0:
+	case sent == 0:
 		slices.SortFunc(due, func(a, b dueReport) int { return cmp.Compare(b.crashes, a.crashes) })
 		due = due[:min(len(due), mostFirstReports)]
 	case len(due) > mostReports:
@@ -49,12 +49,12 @@
 }
 
 // due returns the reports for a peer in the order in which they were learned.
-func (r *Registry) due(now time.Time, told feed.Cursor, to feed.Source) []dueReport {
+func (r *Registry) due(now time.Time, sent feed.Cursor, to feed.Source) []dueReport {
 	var due []dueReport
 	for request, rec := range r.requests {
 		rec.expire(now)
 		for _, o := range append(slices.Clone(rec.crashes), rec.success) {
-			if !o.mark.IsDue(told, to) {
+			if !o.mark.IsDue(sent, to) {
 				continue
 			}
 			report := Report{Request: request, Server: o.server, AgeMS: now.Sub(o.at).Milliseconds()}
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -125,7 +125,7 @@
 		for n := range crashes {
 			r.Crashed(start, request(n), engine(1))
 		}
-		told := 0
+		sent := 0
 		for {
 			var reports []quarantine.Report
 			reports, change = r.Since(start, change, feed.Near)
@@ -133,9 +133,9 @@
 				break
 			}
 			Expect(len(reports)).To(BeNumerically("<", crashes))
-			told += len(reports)
+			sent += len(reports)
 		}
-		Expect(told).To(Equal(crashes))
+		Expect(sent).To(Equal(crashes))
 	})
 
 	DescribeTable("leave out what it has from others", func(from, to feed.Source, want int) {
--- a/core/quarantine/spread_test.go
+++ b/core/quarantine/spread_test.go
@@ -32,8 +32,8 @@
 	now time.Time
 }
 
-func (r registryAt) Since(told feed.Cursor, to feed.Source) ([]quarantine.Report, feed.Cursor) {
-	return r.Registry.Since(r.now, told, to)
+func (r registryAt) Since(sent feed.Cursor, to feed.Source) ([]quarantine.Report, feed.Cursor) {
+	return r.Registry.Since(r.now, sent, to)
 }
 
 func (r registryAt) Merge(reports []quarantine.Report, from feed.Source) {
--- a/core/serverlimit/exchange.go
+++ b/core/serverlimit/exchange.go
@@ -12,13 +12,13 @@
 const (
 	// mostReports bounds the reports of one message; the rest follows in the next.
 	mostReports = 64
-	// onTheWay is how long a report may take to arrive, by which what it tells seems
-	// newer than it is. A limit binds for as long after it was last named, whatever
-	// others report of its end.
-	onTheWay = time.Second
+	// maxReportDelay is how long a report may be in flight, by which the observation
+	// seems newer than it is. After it was last advertised a limit stays in force for
+	// as long, whatever others report of its end.
+	maxReportDelay = time.Second
 )
 
-// Report tells another entry what a server said.
+// Report is an observation of a server's limit, as sent to other entries.
 type Report struct {
 	Server    fleet.InstanceID `cbor:"1,keyasint"`
 	PerSecond float64          `cbor:"2,keyasint,omitzero"`
@@ -26,18 +26,18 @@
 	AgeMS     int64            `cbor:"4,keyasint,omitzero"`
 }
 
-// Since returns what is to be reported to a peer, which is near or far, and up to
-// where it is told then.
-func (r *Registry) Since(now time.Time, told feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
+// Since returns the reports that a peer lacks, which is near or far, and its cursor
+// once it has them.
+func (r *Registry) Since(now time.Time, sent feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := r.learned.Cursor()
-	if told >= next {
-		return nil, told
+	if sent >= next {
+		return nil, sent
 	}
 	var due []fleet.InstanceID
 	for server, l := range r.limits {
-		if l.mark.IsDue(told, to) {
+		if l.mark.IsDue(sent, to) {
 			due = append(due, server)
 		}
 	}
@@ -45,19 +45,19 @@
 		return cmp.Compare(r.limits[a].mark.Cursor(), r.limits[b].mark.Cursor())
 	}
 	slices.SortFunc(due, byMark)
-	if len(due) > mostReports && told != 0 {
+	if len(due) > mostReports && sent != 0 {
 		due = due[:mostReports]
 		next = r.limits[due[mostReports-1]].mark.Cursor()
 	}
 	reports := make([]Report, 0, len(due))
 	for _, server := range due {
 		l := r.limits[server]
-		reports = append(reports, Report{server, l.PerSecond, l.Ended, now.Sub(l.at).Milliseconds()})
+		reports = append(reports, Report{server, l.perSecond, l.ended, now.Sub(l.at).Milliseconds()})
 	}
 	return reports, next
 }
 
-// Merge takes the reports of another entry and returns those that are news here.
+// Merge takes the reports of another entry and returns those that change a limit here.
 func (r *Registry) Merge(now time.Time, reports []Report, from feed.Source) []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -74,22 +74,22 @@
 	at := now.Add(-time.Duration(report.AgeMS) * time.Millisecond)
 	known := r.limits[report.Server]
 	if known == nil {
-		r.set(report.Server, Limit{PerSecond: report.PerSecond, Ended: report.Ended, at: at}, from)
+		r.set(report.Server, limit{perSecond: report.PerSecond, ended: report.Ended, at: at}, from)
 		return !report.Ended
 	}
-	isSame := known.Ended == report.Ended && known.PerSecond == report.PerSecond
+	isSame := known.ended == report.Ended && known.perSecond == report.PerSecond
 	switch {
 	case isSame:
 		known.at = latest(known.at, at)
 		return false
 	case known.at.After(at):
-		// The other entry has not heard of what is newer, or has heard it end.
+		// The other entry lacks the newer observation.
 		r.set(report.Server, *known, feed.Own)
 		return false
 	default:
-		next := Limit{PerSecond: report.PerSecond, Ended: report.Ended, at: at}
+		next := limit{perSecond: report.PerSecond, ended: report.Ended, at: at}
 		if report.Ended {
-			next.until = known.at.Add(onTheWay)
+			next.until = known.at.Add(maxReportDelay)
 		}
 		r.set(report.Server, next, from)
 		return true
--- a/core/serverlimit/exchange_test.go
+++ b/core/serverlimit/exchange_test.go
@@ -47,9 +47,9 @@
 	// Guards against an entry that goes on by an old limit since nobody contradicts it.
 	It("are answered if they are older than what is known here", func() {
 		merge(2*time.Second, report(3, 0))
-		_, told := r.Since(at(2*time.Second), 0, feed.Near)
+		_, sent := r.Since(at(2*time.Second), 0, feed.Near)
 		merge(3*time.Second, report(2, 2*time.Second))
-		due, _ := r.Since(at(3*time.Second), told, feed.Near)
+		due, _ := r.Since(at(3*time.Second), sent, feed.Near)
 		Expect(due).To(Equal([]serverlimit.Report{report(3, time.Second)}))
 	})
 
@@ -74,14 +74,14 @@
 
 	It("come in parts if they are many, each once", func() {
 		const servers = 150
-		_, told := r.Since(start, 0, feed.Near)
+		_, sent := r.Since(start, 0, feed.Near)
 		for n := range servers {
-			r.Named(start, fleet.InstanceID(fmt.Sprintf("i-%d", n)), 1)
+			r.Advertised(start, fleet.InstanceID(fmt.Sprintf("i-%d", n)), 1)
 		}
 		all := 0
 		for {
 			var due []serverlimit.Report
-			due, told = r.Since(start, told, feed.Near)
+			due, sent = r.Since(start, sent, feed.Near)
 			if len(due) == 0 {
 				break
 			}
@@ -92,7 +92,7 @@
 	})
 
 	It("of servers that are listed no more are forgotten", func() {
-		r.Named(start, server, 1)
+		r.Advertised(start, server, 1)
 		isListed := func(id fleet.InstanceID) bool { return id != server }
 		r.Keep(at(time.Second), isListed) // it may be listed here later
 		Expect(perSecond(time.Second)).To(Equal(1.0))
@@ -107,8 +107,8 @@
 	now time.Time
 }
 
-func (r registryAt) Since(told feed.Cursor, to feed.Source) ([]serverlimit.Report, feed.Cursor) {
-	return r.Registry.Since(r.now, told, to)
+func (r registryAt) Since(sent feed.Cursor, to feed.Source) ([]serverlimit.Report, feed.Cursor) {
+	return r.Registry.Since(r.now, sent, to)
 }
 
 func (r registryAt) Merge(reports []serverlimit.Report, from feed.Source) {
@@ -136,7 +136,7 @@
 		return n
 	}
 	exchange()
-	registries[size-1].Named(now, server, 1)
+	registries[size-1].Advertised(now, server, 1)
 	for bound() < size {
 		now = now.Add(beat)
 		Expect(now.Sub(start)).To(BeNumerically("<=", allowed), "known to %d", bound())
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -1,7 +1,7 @@
-// Package serverlimit keeps the limits that backend servers name: the requests a
-// second that a server takes from all entries together.
+// Package serverlimit keeps the limits that backend servers advertise: the requests
+// a second that a server accepts from all entries together.
 //
-// Entries exchange what servers say as Reports. The newest counts.
+// Entries exchange the limits as Reports. The newest one of a server counts.
 package serverlimit
 
 import (
@@ -12,15 +12,15 @@
 	"chivespindle.example/core/fleet"
 )
 
-// Limit is what a server said.
-type Limit struct {
-	// PerSecond is the requests a second from all entries together.
-	PerSecond float64
-	// Ended limits bind no more: a later answer did not name one.
-	Ended bool
-	// at is as of when; an end counts from when the request was sent.
+// limit is the state of a server's limit.
+type limit struct {
+	// perSecond is the requests a second from all entries together.
+	perSecond float64
+	// ended limits are no longer in force: a later answer did not advertise one.
+	ended bool
+	// at is the time of the newest observation; for an end, when its request was sent.
 	at time.Time
-	// until is until when a limit binds that another entry reported to have ended.
+	// until is when a limit ends that another entry reported to have ended.
 	until time.Time
 	mark  feed.Mark
 }
@@ -28,53 +28,70 @@
 // Registry holds the limits of servers. It is safe for concurrent use.
 type Registry struct {
 	mu      sync.Mutex
-	limits  map[fleet.InstanceID]*Limit
+	limits  map[fleet.InstanceID]*limit
 	learned feed.Counter
 }
 
 // New returns a registry without limits.
-func New() *Registry { return &Registry{limits: make(map[fleet.InstanceID]*Limit)} }
+func New() *Registry { return &Registry{limits: make(map[fleet.InstanceID]*limit)} }
 
-// Named notes that an answer named a limit, and reports whether that is news.
-func (r *Registry) Named(now time.Time, server fleet.InstanceID, perSecond float64) bool {
+// Change is what an answer changed.
+type Change uint8
+
+const (
+	// Unchanged: the answer agrees with what was known.
+	Unchanged Change = iota
+	// Started: the server had no limit before.
+	Started
+	// Adjusted: its limit was another one.
+	Adjusted
+)
+
+// Advertised takes a limit from an answer.
+func (r *Registry) Advertised(now time.Time, server fleet.InstanceID, perSecond float64) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.limits[server]
-	if known != nil && !known.Ended && known.PerSecond == perSecond {
+	isInForce := known != nil && !known.ended
+	if isInForce && known.perSecond == perSecond {
 		known.at = now
-		return false
+		return Unchanged
 	}
-	r.set(server, Limit{PerSecond: perSecond, at: now}, feed.Own)
-	return true
+	r.set(server, limit{perSecond: perSecond, at: now}, feed.Own)
+	if isInForce {
+		return Adjusted
+	}
+	return Started
 }
 
-// Unnamed notes that the request that was sent at a moment succeeded and its answer
-// named no limit, and reports whether one ended by it. Answers to requests that were sent
-// before the limit was named say nothing: they may have overtaken that answer.
-func (r *Registry) Unnamed(sent time.Time, server fleet.InstanceID) bool {
+// NotAdvertised takes the answer to a request that was sent at a given time and
+// succeeded without a limit, and reports whether a limit ended by it. A request that
+// was sent before the limit was last advertised ends nothing: its answer may have been
+// delayed.
+func (r *Registry) NotAdvertised(sent time.Time, server fleet.InstanceID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.limits[server]
-	if known == nil || known.Ended || !sent.After(known.at) {
+	if known == nil || known.ended || !sent.After(known.at) {
 		return false
 	}
-	r.set(server, Limit{PerSecond: known.PerSecond, Ended: true, at: sent}, feed.Own)
+	r.set(server, limit{perSecond: known.perSecond, ended: true, at: sent}, feed.Own)
 	return true
 }
 
-func (r *Registry) set(server fleet.InstanceID, l Limit, from feed.Source) {
+func (r *Registry) set(server fleet.InstanceID, l limit, from feed.Source) {
 	l.mark = r.learned.Mark(from)
 	r.limits[server] = &l
 }
 
-// All returns the requests a second that servers with a limit take.
+// All returns the limits in force, in requests a second.
 func (r *Registry) All(now time.Time) map[fleet.InstanceID]float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := make(map[fleet.InstanceID]float64, len(r.limits))
 	for server, l := range r.limits {
-		if !l.Ended || now.Before(l.until) {
-			all[server] = l.PerSecond
+		if !l.ended || now.Before(l.until) {
+			all[server] = l.perSecond
 		}
 	}
 	return all
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -22,22 +22,22 @@
 	BeforeEach(func() { r = serverlimit.New() })
 
 	It("is news when it is first named and when it changes", func() {
-		Expect(r.Named(start, server, 1.5)).To(BeTrue())
-		Expect(r.Named(at(time.Second), server, 1.5)).To(BeFalse())
-		Expect(r.Named(at(time.Second), server, 2)).To(BeTrue())
+		Expect(r.Advertised(start, server, 1.5)).To(Equal(serverlimit.Started))
+		Expect(r.Advertised(at(time.Second), server, 1.5)).To(Equal(serverlimit.Unchanged))
+		Expect(r.Advertised(at(time.Second), server, 2)).To(Equal(serverlimit.Adjusted))
 	})
 
 	It("ends with an answer that names none, once", func() {
-		Expect(r.Unnamed(start, server)).To(BeFalse())
-		r.Named(start, server, 1.5)
-		Expect(r.Unnamed(at(time.Second), server)).To(BeTrue())
-		Expect(r.Unnamed(at(2*time.Second), server)).To(BeFalse())
-		Expect(r.Named(at(3*time.Second), server, 1.5)).To(BeTrue())
+		Expect(r.NotAdvertised(start, server)).To(BeFalse())
+		r.Advertised(start, server, 1.5)
+		Expect(r.NotAdvertised(at(time.Second), server)).To(BeTrue())
+		Expect(r.NotAdvertised(at(2*time.Second), server)).To(BeFalse())
+		Expect(r.Advertised(at(3*time.Second), server, 1.5)).To(Equal(serverlimit.Started))
 	})
 
 	// Guards against a burst at a server in need after an answer that came out of order.
 	It("does not end with the answer to a request that was sent before it was named", func() {
-		r.Named(at(time.Second), server, 1.5)
-		Expect(r.Unnamed(at(time.Second-time.Millisecond), server)).To(BeFalse())
+		r.Advertised(at(time.Second), server, 1.5)
+		Expect(r.NotAdvertised(at(time.Second-time.Millisecond), server)).To(BeFalse())
 	})
 })
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -23,7 +23,7 @@
 // sent.
 type brokenAttempt struct {
 	fingerprint quarantine.Fingerprint
-	// server tells whether the server's process ended with the connection.
+	// server is the state of the server's process after the connection broke.
 	server   Liveness
 	standing quarantine.Standing
 }
@@ -44,7 +44,7 @@
 	case b.server == Down:
 		b.standing = j.g.quarantine.Crashed(now, b.fingerprint, server.ID)
 		j.g.log.serverCrashed(j, server, b)
-		j.g.tellQuarantined(b.standing.IsQuarantined())
+		j.g.announceQuarantined(b.standing.IsQuarantined())
 		j.g.serverCrashed(now, server.ID)
 	case b.server == LivenessUnknown:
 		j.g.quarantine.Doubt(now, b.fingerprint, server.ID)
@@ -61,7 +61,7 @@
 }
 
 // unreached follows an attempt that could not be sent. The server may have crashed
-// with calls in flight whose end told nothing.
+// with calls in flight whose outcome is in doubt.
 func (j *job) unreached(ctx context.Context, now time.Time, server placement.Server) {
 	if j.g.quarantine.IsDoubted(now, server.ID) && !j.g.board.IsLeaving(server.ID) &&
 		j.g.opts.Backend.Check(ctx, server.Addr) == Down {
@@ -76,11 +76,11 @@
 	for _, request := range requests {
 		g.log.quarantined(request, g.quarantine.Standing(now, request), "own")
 	}
-	g.tellQuarantined(len(requests) > 0)
+	g.announceQuarantined(len(requests) > 0)
 }
 
-// tellQuarantined has the fleet hear at once of a request that this entry found.
-func (g *Gateway) tellQuarantined(isNew bool) {
+// announceQuarantined sends the reports of a newly quarantined request at once.
+func (g *Gateway) announceQuarantined(isNew bool) {
 	if isNew {
 		g.post(func(time.Time) { g.urgent = true })
 	}
@@ -130,18 +130,18 @@
 }
 
 // crashesFor returns the reports of crashes for another entry.
-func (g *Gateway) crashesFor(now time.Time, to mesh.Peer, form mesh.Form) []quarantine.Report {
+func (g *Gateway) crashReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []quarantine.Report {
 	if form == mesh.First {
-		delete(g.toldCrashes, to.ID)
+		delete(g.sentCrashes, to.ID)
 	}
-	reports, told := g.quarantine.Since(now, g.toldCrashes[to.ID], sourceOf(to))
-	g.toldCrashes[to.ID] = told
+	reports, sent := g.quarantine.Since(now, g.sentCrashes[to.ID], sourceOf(to))
+	g.sentCrashes[to.ID] = sent
 	return reports
 }
 
-// heardCrashes takes the reports of another entry. The fleet hears at once of a
-// request that they quarantine: each second more costs servers.
-func (g *Gateway) heardCrashes(now time.Time, from mesh.Peer, reports []quarantine.Report) {
+// receiveCrashes merges the reports of another entry. A request that they quarantine
+// is reported on at once: each second more costs servers.
+func (g *Gateway) receiveCrashes(now time.Time, from mesh.Peer, reports []quarantine.Report) {
 	for _, request := range g.quarantine.Merge(now, reports, sourceOf(from)) {
 		g.urgent = true
 		g.log.quarantined(request, g.quarantine.Standing(now, request), "peer "+string(from.ID))
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -126,15 +126,15 @@
 	// platform.
 	turnedAwayUntil time.Time
 	manifests       manifests
-	// quarantine knows the requests that crash servers; toldCrashes is up to where
-	// each entry was told of it.
+	// quarantine holds the requests that crash servers, sentCrashes how far each entry
+	// is up to date with it.
 	quarantine  *quarantine.Registry
-	toldCrashes map[fleet.InstanceID]feed.Cursor
-	// limits are those that servers named; toldLimits is up to where each entry was
-	// told of them. limitsChanged is true until the board has them, sharedAt is when
-	// it last had.
+	sentCrashes map[fleet.InstanceID]feed.Cursor
+	// limits are those that servers advertise, sentLimits how far each entry is up to
+	// date with them. limitsChanged is true until their shares have been computed
+	// anew, sharedAt is when they last were.
 	limits        *serverlimit.Registry
-	toldLimits    map[fleet.InstanceID]feed.Cursor
+	sentLimits    map[fleet.InstanceID]feed.Cursor
 	limitsChanged bool
 	sharedAt      time.Time
 	// listed are the servers that were published last.
@@ -197,9 +197,9 @@
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
 		quarantine:  quarantine.New(),
-		toldCrashes: make(map[fleet.InstanceID]feed.Cursor),
+		sentCrashes: make(map[fleet.InstanceID]feed.Cursor),
 		limits:      serverlimit.New(),
-		toldLimits:  make(map[fleet.InstanceID]feed.Cursor),
+		sentLimits:  make(map[fleet.InstanceID]feed.Cursor),
 		listed:      make(map[netip.AddrPort]placement.Server),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
@@ -231,8 +231,8 @@
 	delete(g.told, id)
 	delete(g.toldLoads, id)
 	delete(g.toldServers, id)
-	delete(g.toldCrashes, id)
-	delete(g.toldLimits, id)
+	delete(g.sentCrashes, id)
+	delete(g.sentLimits, id)
 	g.manifests.lost(id)
 	g.board.Forget(id)
 	g.changed = true // parts that depend on the number of entries
--- a/daemon/gateway/limit.go
+++ b/daemon/gateway/limit.go
@@ -12,8 +12,7 @@
 	"chivespindle.example/daemon/mesh"
 )
 
-// noteLimit takes what an answer says of the requests that its server takes. sent is
-// when the call was sent.
+// noteLimit takes the limit that an answer advertises. sent is when the call was sent.
 func (j *job) noteLimit(sent time.Time, server placement.Server, answer Answer) {
 	if answer.Misdirected() {
 		return // another server may have answered
@@ -22,37 +21,39 @@
 	switch {
 	case limit.Malformed != "":
 		j.g.log.malformedLimit(server, limit.Malformed)
-	case limit.Named:
-		if j.g.limits.Named(time.Now(), server.ID, limit.PerSecond) {
+	case limit.Advertised:
+		change := j.g.limits.Advertised(time.Now(), server.ID, limit.PerSecond)
+		if change != serverlimit.Unchanged {
 			j.g.log.serverLimit(server.ID, limit.PerSecond, "own")
-			j.g.post(func(time.Time) { j.g.limitNews() })
+			j.g.post(func(time.Time) { j.g.applyLimits(change == serverlimit.Started) })
 		}
 	case answer.Status() >= http.StatusMultipleChoices:
-		// What did not run the call may name no limit in any case.
-	case j.g.limits.Unnamed(sent, server.ID):
+		// An answer that is no success may never advertise a limit.
+	case j.g.limits.NotAdvertised(sent, server.ID):
 		j.g.log.limitEnded(server.ID, "own")
-		j.g.post(func(time.Time) { j.g.limitNews() })
+		j.g.post(func(time.Time) { j.g.applyLimits(true) })
 	}
 }
 
-// limitNews follows a change of a limit that this entry saw: its group hears at once.
-func (g *Gateway) limitNews() {
+// applyLimits has changed limits shared out anew. Urgent ones are reported to the
+// group at once; a server may adjust its limit in each answer.
+func (g *Gateway) applyLimits(urgent bool) {
 	g.limitsChanged = true
-	g.urgentNear = true
+	g.urgentNear = g.urgentNear || urgent
 }
 
 // limitsFor returns the reports of limits for another entry.
-func (g *Gateway) limitsFor(now time.Time, to mesh.Peer, form mesh.Form) []serverlimit.Report {
+func (g *Gateway) limitReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []serverlimit.Report {
 	if form == mesh.First {
-		delete(g.toldLimits, to.ID)
+		delete(g.sentLimits, to.ID)
 	}
-	reports, told := g.limits.Since(now, g.toldLimits[to.ID], sourceOf(to))
-	g.toldLimits[to.ID] = told
+	reports, sent := g.limits.Since(now, g.sentLimits[to.ID], sourceOf(to))
+	g.sentLimits[to.ID] = sent
 	return reports
 }
 
-// heardLimits takes the reports of another entry.
-func (g *Gateway) heardLimits(now time.Time, from mesh.Peer, reports []serverlimit.Report) {
+// receiveLimits merges the reports of another entry.
+func (g *Gateway) receiveLimits(now time.Time, from mesh.Peer, reports []serverlimit.Report) {
 	for _, report := range g.limits.Merge(now, reports, sourceOf(from)) {
 		g.limitsChanged = true
 		if report.Ended {
@@ -63,12 +64,12 @@
 	}
 }
 
-// sharesEvery is the longest pause after which the limits are shared out anew, among
-// the entries that are known then.
+// sharesEvery is the longest pause until the limits are shared out anew among the
+// entries known by then.
 const sharesEvery = time.Second
 
-// publishLimits gives the board this entry's shares of the limits. Silent entries
-// keep theirs: they may live behind a partition and use them.
+// publishLimits computes this entry's shares of the limits for the board. Silent
+// entries keep theirs: they may live behind a partition and use them.
 func (g *Gateway) publishLimits(now time.Time, entries []mesh.Entry) {
 	if !g.limitsChanged && now.Sub(g.sharedAt) < sharesEvery {
 		return
@@ -87,14 +88,16 @@
 }
 
 func (l *requestLog) serverLimit(server fleet.InstanceID, perSecond float64, source string) {
-	l.logger.Info("server_limit", zap.String("server", string(server)), zap.Float64("per_second", perSecond), zap.String("source", source))
+	if l.allowed() {
+		l.logger.Info("server_limit", zap.String("server", string(server)), zap.Float64("per_second", perSecond), zap.String("source", source))
+	}
 }
 
 func (l *requestLog) limitEnded(server fleet.InstanceID, source string) {
 	l.logger.Info("server_limit_ended", zap.String("server", string(server)), zap.String("source", source))
 }
 
-// malformedLimit notes a limit that is no number. The last one that was holds on.
+// malformedLimit logs a limit that is no number. The last valid one stays in force.
 func (l *requestLog) malformedLimit(server placement.Server, text string) {
 	const shown = 40
 	l.metrics.Counter("server_limits_malformed").Inc(1)
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -34,7 +34,7 @@
 	defer e.mu.Unlock()
 	e.reached[o.Server.ID]++
 	perSecond, named := e.limits[o.Server.ID]
-	return limitedAnswer{limit: ServerLimit{Named: named, PerSecond: perSecond}}, nil
+	return limitedAnswer{limit: ServerLimit{Advertised: named, PerSecond: perSecond}}, nil
 }
 
 func (e *limitedEngines) reachedAt(id fleet.InstanceID) int {
@@ -111,7 +111,7 @@
 
 	BeforeEach(func() {
 		g, _ = newGateway()
-		note(time.Now(), limitedAnswer{limit: ServerLimit{Named: true, PerSecond: named}})
+		note(time.Now(), limitedAnswer{limit: ServerLimit{Advertised: true, PerSecond: named}})
 		Expect(limit()).To(Equal(named))
 	})
 
@@ -150,7 +150,7 @@
 		s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
 		s.Config.Routes[0].Timeout = time.Minute
 		g.adopt(now, s, "platform")
-		g.limits.Named(now, "i-1", 1)
+		g.limits.Advertised(now, "i-1", 1)
 		g.publish(now)
 		caller := make(refusals, 1)
 		g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: now, Patience: time.Minute, LastEvent: -1}, caller)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -71,8 +71,8 @@
 		return b
 	}
 	b.Manifest = g.manifests.forEntry(to)
-	b.Crashes = g.crashesFor(now, to, form)
-	b.Limits = g.limitsFor(now, to, form)
+	b.Crashes = g.crashReportsFor(now, to, form)
+	b.Limits = g.limitReportsFor(now, to, form)
 	if to.Near {
 		b.Replicas = g.directReplicas(now)
 	}
@@ -139,8 +139,8 @@
 		for _, w := range b.Wanted {
 			g.heardWanted(now, w)
 		}
-		g.heardCrashes(now, from, b.Crashes)
-		g.heardLimits(now, from, b.Limits)
+		g.receiveCrashes(now, from, b.Crashes)
+		g.receiveLimits(now, from, b.Limits)
 	}
 	if b.Manifest != nil {
 		g.heardManifest(*b.Manifest, from.Near)
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -111,11 +111,11 @@
 
 // ServerLimit is what an answer says of the requests that its server takes.
 type ServerLimit struct {
-	// Named is true if the answer names a limit: PerSecond requests a second from
-	// all entries together.
-	Named     bool
-	PerSecond float64
-	// Malformed is what came in place of a number; empty if nothing did.
+	// Advertised is true if the answer advertises a limit: PerSecond requests a second
+	// from all entries together.
+	Advertised bool
+	PerSecond  float64
+	// Malformed is the header's text if it is no number.
 	Malformed string
 }
 
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -68,7 +68,7 @@
 	// Crashes are an entry's new reports of requests that were in flight at servers
 	// that crashed.
 	Crashes []quarantine.Report `cbor:"25,keyasint,omitempty"`
-	// Limits are an entry's new reports of the limits that servers named.
+	// Limits are an entry's new reports of the limits that servers advertise.
 	Limits []serverlimit.Report `cbor:"26,keyasint,omitempty"`
 }
 
