Do not post to the control loop from the control loop

What operators would see: an entry whose control state stands still. Found by reading: a server that crashed is also found by a registration, on the control loop, which then posted an event to itself and waits for ever if its queue is full. A flag that the next tick reads takes its place.

The spec with a full queue timed out before. Two specs of doubtful attempts passed with the count of doubts taken out, since the call that finds the crash had the same content; it has its own now.

--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -44,7 +44,9 @@
 	case b.server == Down:
 		b.standing = j.g.quarantine.Crashed(now, b.fingerprint, server.ID)
 		j.g.log.serverCrashed(j, server, b)
-		j.g.announceQuarantined(b.standing.IsQuarantined())
+		if b.standing.IsQuarantined() {
+			j.g.announceCrashes.Store(true)
+		}
 		j.g.serverCrashed(now, server.ID)
 	case b.server == LivenessUnknown:
 		j.g.quarantine.Doubt(now, b.fingerprint, server.ID)
@@ -72,18 +74,10 @@
 // serverCrashed counts a crash against the attempts at the server that ended without
 // their outcome.
 func (g *Gateway) serverCrashed(now time.Time, server fleet.InstanceID) {
-	requests := g.quarantine.ServerCrashed(now, server)
-	for _, request := range requests {
+	for _, request := range g.quarantine.ServerCrashed(now, server) {
+		g.announceCrashes.Store(true)
 		g.log.quarantined(request, g.quarantine.Standing(now, request), "own")
 	}
-	g.announceQuarantined(len(requests) > 0)
-}
-
-// announceQuarantined sends the reports of a newly quarantined request at once.
-func (g *Gateway) announceQuarantined(isNew bool) {
-	if isNew {
-		g.post(func(time.Time) { g.urgent = true })
-	}
 }
 
 // noteReplaced finds servers that crashed by the registration of others at their
--- a/daemon/gateway/crash_test.go
+++ b/daemon/gateway/crash_test.go
@@ -16,6 +16,7 @@
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/control"
 )
 
 // fragileEngines crash on calls to one path. They are shared by all entries.
@@ -115,13 +116,14 @@
 	var (
 		g       *Gateway
 		backend *noBackend
+		target  string // of the calls that are placed
 	)
 	broken := failure.WithOutcome(failure.Unavailable.New("unexpected EOF"), failure.Unknown)
 
 	// place has a call sent to a server.
 	place := func(id fleet.InstanceID) (*job, *placement.Ticket) {
 		now := time.Now()
-		j := &job{g: g, call: &Call{ID: "c", Method: "POST", Target: "/", Arrived: now}, view: g.view.Load(), caller: make(refusals, 1),
+		j := &job{g: g, call: &Call{ID: "c", Method: "POST", Target: target, Arrived: now}, view: g.view.Load(), caller: make(refusals, 1),
 			route: g.table.Match("a.example", "/"), service: g.table.Service("pool"),
 			deadline: now.Add(time.Minute), serverUntil: now.Add(time.Minute), attempts: 1}
 		ask := j.ask(now)
@@ -151,6 +153,7 @@
 
 	BeforeEach(func() {
 		g, backend = newGateway()
+		target = "/"
 		s := snapshot(9, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3), server("i-3", "10.0.1.3:80", 4))
 		s.Config.Routes[0].Kind, s.Config.Routes[0].MaxAttempts = routing.Safe, 9
 		g.adopt(time.Now(), s, "platform")
@@ -202,6 +205,7 @@
 			j.failed(ctx, time.Now(), ticket, broken)
 			Expect(j.standing(time.Now()).IsSuspect()).To(BeFalse())
 			backend.state = Down
+			target = "/other"
 			find()
 			Expect(j.standing(time.Now()).IsSuspect()).To(BeTrue())
 		},
@@ -221,6 +225,32 @@
 			}),
 		)
 
+		// Guards against a control loop that waits for room in its own queue.
+		It("is found by a registration also while the queue of events is full", func() {
+			for _, id := range []fleet.InstanceID{"i-2", "i-3"} {
+				fail(id, broken)
+			}
+			j, ticket := place("i-1")
+			j.failed(gone, time.Now(), ticket, broken)
+			full, stop := context.WithCancel(context.Background())
+			filled := make(chan struct{})
+			go func() {
+				defer close(filled)
+				for g.opts.Loop.Post(full, control.Func(func(time.Time) {})) {
+				}
+			}()
+			Consistently(filled, "50ms").ShouldNot(BeClosed())
+			found := make(chan struct{})
+			go func() {
+				defer close(found)
+				g.noteReplaced(time.Now(), []placement.Server{{ID: "i-4", Addr: netip.MustParseAddrPort("10.0.1.1:80")}})
+			}()
+			Eventually(found, "5s").Should(BeClosed())
+			stop()
+			<-filled
+			Expect(j.standing(time.Now()).IsQuarantined()).To(BeTrue())
+		})
+
 		It("is no suspect if the server was leaving", func() {
 			j, ticket := place("i-1")
 			leave()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -128,8 +128,11 @@
 	manifests       manifests
 	// quarantine holds the requests that crash servers, sentCrashes how far each entry
 	// is up to date with it.
-	quarantine  *quarantine.Registry
-	sentCrashes map[fleet.InstanceID]feed.Cursor
+	// announceCrashes is true while a newly quarantined request is to be reported at
+	// once.
+	quarantine      *quarantine.Registry
+	announceCrashes atomic.Bool
+	sentCrashes     map[fleet.InstanceID]feed.Cursor
 	// limits are those that servers advertise, sentLimits how far each entry is up to
 	// date with them. limitsChanged is true until their shares have been computed
 	// anew, sharedAt is when they last were.
@@ -248,6 +251,9 @@
 	g.endLapses(now)
 	g.publishDue(now)
 	g.log.account.tell(now, g.opts.Logger)
+	if g.announceCrashes.Swap(false) {
+		g.urgent = true
+	}
 	switch {
 	case g.urgent:
 		g.mesh.Flush(now)
