--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -101,10 +101,20 @@
 	// drives out what is quarantined or fills the memory.
 	It("stays quarantined under a flood of others", func() {
 		crash(0, 1, 2, 3)
-		const flood = 20000
+		_, before := r.Since(at(0), 0, feed.Near)
+		const flood, remembered = 20000, 512
 		for n := range flood {
 			r.Crashed(at(time.Second), request(100+n), engine(4))
 		}
+		count := 0
+		for cursor := before; ; {
+			var reports []quarantine.Report
+			if reports, cursor = r.Since(at(time.Second), cursor, feed.Near); len(reports) == 0 {
+				break
+			}
+			count += len(reports)
+		}
+		Expect(count).To(BeNumerically("<=", remembered))
 		Expect(standing(time.Second).IsQuarantined()).To(BeTrue())
 		first, change := r.Since(at(time.Second), 0, feed.Near)
 		Expect(len(first)).To(BeNumerically("<=", 256))
