--- a/Makefile
+++ b/Makefile
@@ -81,6 +81,16 @@
 bench: build ## the measurements of the design notes
 	$(GO) run ./standin/cmd/bench
 
+# Seeds of the soak: how many, from which on, and the seconds for each.
+SEEDS ?= 50
+FIRST ?= 1
+SECONDS ?= 15
+
+.PHONY: soak
+soak: ## a seeded soak before servers that crash and limit themselves; SEEDS, FIRST, SECONDS
+	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) SOAK_SECONDS=$(SECONDS) \
+		$(GO) test -v -count=1 -timeout 2h ./platform -ginkgo.focus='A soak'
+
 .PHONY: capacity
 capacity: build ## the slopes of docs/CAPACITY.md
 	$(GO) run ./standin/cmd/capacity
