--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -103,8 +103,8 @@
 }
 
 // SetMembers takes the instances of all engines of the service, this one
-// included. Their order by hash is that of their turns, in equal steps: by the
-// hash alone, seven of 15 turns fell into 0.8 of 3.9 s.
+// included. Their order by hash is that of their turns, in equal steps: taken from
+// the hash itself, turns bunch up.
 func (p *Plan) SetMembers(members []fleet.InstanceID) {
 	before := 0
 	for _, other := range members {
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -20,8 +20,8 @@
 	// crosses the link between them.
 	otherRegion = 25 * time.Millisecond
 	// outdatedCost is the cost of an engine whose version is about to be replaced.
-	// Streams that still run there when it changes are read anew elsewhere, or
-	// hold it up for up to 2.7 s of a load of 0.3.
+	// Streams that still run there when it changes are prefilled again elsewhere, or
+	// delay its load by several times what that takes.
 	outdatedCost = 60 * time.Millisecond
 	// failureCost is the cost of a server whose answers all fail, next to one
 	// whose share of failures is usual.
--- a/core/placement/patience.go
+++ b/core/placement/patience.go
@@ -25,11 +25,10 @@
 // Patience tells callers that come back after a refusal from new ones, by how
 // much of their time is left. It is safe for concurrent use.
 //
-// New callers need not all have the same time. Those whose time was a seventh
-// shorter than others' were taken for callers that came back, and so for late:
-// in a run with such callers 4,900 of 7,000 calls, which then waited for the
-// places of late ones. Callers come back on new connections only, so what new
-// callers have is learned from calls on connections that were used before.
+// New callers need not all have the same time. Taken for clients' retries, those
+// whose time is a little shorter than others' would count as late and wait for the
+// places of late ones. Retries come on new connections only, so the times of new
+// callers are learned from calls on connections that were used before.
 type Patience struct {
 	mu     sync.Mutex
 	routes map[string]*patienceRecord
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -16,8 +16,8 @@
 	// within two seconds.
 	lapseTime = 2200 * time.Millisecond
 	// longOutage is the time without an answer from which on the platform counts
-	// as having been away. A watch on a connection that went silent takes 2.6 s
-	// to be found out, and backWithin more tells whether others are answered.
+	// as having been away: the time in which a watch on a silent connection is found
+	// out, and backWithin more, which shows whether others are answered.
 	longOutage = 4500 * time.Millisecond
 	// backWithin is the time in which all entries are answered again once one of
 	// them is: the longest pause between two calls, and the word on its way.
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -31,13 +31,13 @@
 // handOver has a stream go on at another server, and returns nil if it stays.
 //
 // An engine that was ordered to load takes nothing new until all that it runs
-// has ended: 2 seconds for a load of 0.3. Its streams can go on at engines that
-// still hold the same version, after the last event that was given on, and the
-// caller sees a pause within the route's aim.
+// has ended, which takes several times as long as the load. Its streams can be
+// resumed on engines that still hold the same version, after the last event that was
+// returned, and the caller sees a pause within the route's aim.
 //
-// The old server is left only once the next one gives events. Left before, a
-// stream was cut when the next one declined it: 42 of 15,000 calls in a run.
-// What the old one gives meanwhile waits on its connection.
+// The old server is left only once the next one returns events: a stream that left
+// before would be cut if the next one declined it. Events of the old one wait on its
+// connection meanwhile.
 func (j *job) handOver(ctx context.Context, ticket *placement.Ticket) *successor {
 	if j.g.opts.Off.HandOver || !ticket.IsDisplaced() || !j.mayMove(ticket) {
 		return nil
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// linesPerSecond bounds the lines about calls; each costs some 20 us of
-	// processor time, and a burst of refusals must not make the entry slower.
+	// linesPerSecond bounds the lines about calls: a burst of refusals must not make
+	// the entry slower.
 	linesPerSecond = 150
 	// servedEvery is how many plain successes have one line.
 	servedEvery = 50
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -228,8 +228,8 @@
 // left are lost; held for the rest of the load, they are answered. Where no
 // engine is expected in time, a caller is told at once to come back.
 //
-// The first engine that is ready is full at once, with the others ready some
-// 100 ms later. So a call that can still be on time waits for the next one too.
+// The first engine that is ready is full at once, with the others ready a moment
+// later. So a call that can still be on time waits for the next one too.
 //
 // A caller that comes back waits for room: refused again, it is lost.
 func (j *job) mayHold(now time.Time, reason placement.Reason) bool {
