--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -65,7 +65,7 @@
 // goOnAt sends the call to another server and returns its answer once it goes
 // on within the longest pause that the route allows.
 func (j *job) goOnAt(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (Answer, error) {
-	order.FirstBy = earlier(j.lastWord(order.Until), now.Add(j.pauseAim()))
+	order.FirstBy = earlier(j.latestResponseTime(order.Until), now.Add(j.pauseAim()))
 	j.attempts++
 	answer, err := j.g.opts.Backend.Send(ctx, j.call, order)
 	if err != nil {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -286,7 +286,7 @@
 
 // eventBy is when the next event must be there.
 func (j *job) eventBy(now time.Time, server placement.Server) time.Time {
-	by := j.lastWord(j.serverUntil)
+	by := j.latestResponseTime(j.serverUntil)
 	if !j.begun {
 		by = j.beginBy(now, server, j.serverUntil)
 	}
--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -12,7 +12,7 @@
 //
 //   - versionEnd: the engine ends its work on the call, as it was told in Order.Until;
 //   - the bound itself, heardLate and onTheWay later;
-//   - lastWord: the engine's answer or refusal is here, or the entry gives it up.
+//   - latestResponseTime: the engine's answer or refusal is here, or the entry gives it up.
 
 const (
 	// heardLate is how much later than others, or than the platform confirmed it,
@@ -52,16 +52,18 @@
 	return since.Add(g.opts.VersionTime - heardLate - onTheWay), outdated
 }
 
-// lastWord is when a server's answer or refusal must have come: its way and that of
+// latestResponseTime is when a server's answer or refusal must have come: its way and that of
 // the call after the time that the server was given.
-func (j *job) lastWord(until time.Time) time.Time { return earlier(j.deadline, until.Add(2*onTheWay)) }
+func (j *job) latestResponseTime(until time.Time) time.Time {
+	return earlier(j.deadline, until.Add(2*onTheWay))
+}
 
 // beginBy is when the answer must have begun at a server that ends its work at
 // until. A version may be named while the call waits that was not when it was sent:
 // the engine was told nothing of that one.
 func (j *job) beginBy(now time.Time, server placement.Server, until time.Time) time.Time {
 	if j.service.Engine == nil || until.Before(j.deadline) {
-		return j.lastWord(until)
+		return j.latestResponseTime(until)
 	}
 	end, outdated := j.versionEndAt(server)
 	if !outdated {
