--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -53,7 +53,7 @@
 		return nil
 	}
 	order := j.order(now, next)
-	answer, err := j.goOnAt(ctx, now, next, order)
+	answer, err := j.resumeOn(ctx, now, next, order)
 	if err != nil {
 		j.g.log.handedOver(j, ticket, next, err, j.withdrawn(ctx, time.Now(), next, err))
 		return nil
@@ -62,9 +62,9 @@
 	return &successor{ticket: next, answer: answer, until: order.Until}
 }
 
-// goOnAt sends the call to another server and returns its answer once it goes
+// resumeOn sends the call to another server and returns its answer once it goes
 // on within the longest pause that the route allows.
-func (j *job) goOnAt(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (Answer, error) {
+func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (Answer, error) {
 	order.FirstBy = earlier(j.latestResponseTime(order.Until), now.Add(j.pauseAim()))
 	j.attempts++
 	answer, err := j.g.opts.Backend.Send(ctx, j.call, order)
