--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -106,11 +106,11 @@
 	if j.moveTried || j.service.Engine == nil || !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts || j.lastEvent < 0 {
 		return false
 	}
-	return j.service.Engine.Write(ticket.Work(), j.restOf(ticket)) >= worthMoving
+	return j.service.Engine.Write(ticket.Work(), j.remainingTokens(ticket)) >= worthMoving
 }
 
-// restOf is how many tokens the stream is expected to have yet.
-func (j *job) restOf(ticket *placement.Ticket) int {
+// remainingTokens is how many tokens the stream is expected to have yet.
+func (j *job) remainingTokens(ticket *placement.Ticket) int {
 	expected := j.call.Expected
 	if expected == 0 {
 		expected = j.service.Engine.UsualAnswer
@@ -125,7 +125,7 @@
 	written := ticket.Written()
 	a.Prompt += written
 	a.Answer = max(0, a.Answer-written)
-	a.Expected = j.restOf(ticket)
+	a.Expected = j.remainingTokens(ticket)
 	a.Late = false
 	a.Exclude = placement.Exclude(j.exclude, ticket.Server.ID)
 	a.Pause = time.Duration(pauseShare * float64(j.pauseAim()))
