--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -56,7 +56,7 @@
 func (c *contact) succeed(now time.Time) bool {
 	again := c.failing
 	if again && !c.alone(now) {
-		c.wasAway(now, now.Sub(c.heard))
+		c.recordOutage(now, now.Sub(c.heard))
 	}
 	c.failing = false
 	c.heard = now
@@ -87,12 +87,12 @@
 		c.answers = min(2, c.answers+1)
 	}
 	c.heard = heard
-	c.wasAway(now.Add(-time.Duration(t.RegainedAgoMS)*time.Millisecond), time.Duration(t.SilentMS)*time.Millisecond)
+	c.recordOutage(now.Add(-time.Duration(t.RegainedAgoMS)*time.Millisecond), time.Duration(t.SilentMS)*time.Millisecond)
 }
 
-// wasAway notes the platform's return after it had not answered for so long. A
+// recordOutage notes the platform's return after it had not answered for so long. A
 // failed call is no outage, and does not end what is known of the last one.
-func (c *contact) wasAway(regained time.Time, silent time.Duration) {
+func (c *contact) recordOutage(regained time.Time, silent time.Duration) {
 	if silent >= longOutage {
 		c.regained, c.silent = regained, silent
 	}
