--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -59,7 +59,7 @@
 // removed notes a registration that ended. If it may only have lapsed, the
 // server is kept, unless it said that it leaves.
 func (g *Gateway) removed(now time.Time, s catalog.Server) {
-	keep := g.contact.mayLapse(now) && !s.Draining
+	keep := g.contact.mayHaveLapsed(now) && !s.Draining
 	if keep {
 		g.lapsed[s.ID] = s
 	}
@@ -71,7 +71,7 @@
 	if len(g.lapsed) == 0 {
 		return
 	}
-	over := !g.contact.mayLapse(now)
+	over := !g.contact.mayHaveLapsed(now)
 	for id := range g.lapsed {
 		if over || hasServer(g.snapshot.Servers, id) {
 			delete(g.lapsed, id)
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -138,9 +138,9 @@
 // or a key does not exist.
 func (c *contact) recent(now time.Time) bool { return now.Sub(c.heard) < sureFor }
 
-// mayLapse reports whether a registration that ends now, or has ended a moment
+// mayHaveLapsed reports whether a registration that ends now, or has ended a moment
 // ago, may only have lapsed: servers that live are not all registered again.
-func (c *contact) mayLapse(now time.Time) bool {
+func (c *contact) mayHaveLapsed(now time.Time) bool {
 	end, seen := c.outage(now)
 	return seen && now.Sub(end) < lapseTime && !c.off.KeepLapsed
 }
