--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	now := time.Now()
-	next, _ := j.g.board.Choose(now, j.askToGoOn(now, ticket))
+	next, _ := j.g.board.Choose(now, j.askToResume(now, ticket))
 	if next == nil {
 		return nil
 	}
@@ -119,8 +119,8 @@
 	return max(expected-written, int(longerShare*float64(written)))
 }
 
-// askToGoOn describes the rest of a stream: what was written is read again.
-func (j *job) askToGoOn(now time.Time, ticket *placement.Ticket) placement.Ask {
+// askToResume describes the rest of a stream: what was written is read again.
+func (j *job) askToResume(now time.Time, ticket *placement.Ticket) placement.Ask {
 	a := j.ask(now)
 	written := ticket.Written()
 	a.Prompt += written
