--- a/core/placement/limit.go
+++ b/core/placement/limit.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// leastDepth is the requests that an entry may send at once to a server with a
-	// limit: all entries that use it may do so at the same moment.
+	// leastDepth is the burst of a small share, in requests. All entries that use the
+	// server may send theirs at the same moment.
 	leastDepth = 1
-	// depthTime is the time for which a larger share may be saved up, so that it is
-	// not lost between two requests.
-	depthTime = 100 * time.Millisecond
+	// depthTime is the burst of a larger share, as the time in which it accrues. An
+	// entry's requests come unevenly; without a burst it would use a part of its share.
+	depthTime = 1500 * time.Millisecond
 )
 
 // bucket is this entry's share of the limit of a server. A nil bucket is full: the
