--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -113,6 +113,9 @@
 		prompt: ask.Prompt, answer: ask.Answer, suspect: ask.Suspect, placed: now,
 	}
 	best.limit.take()
+	if t.suspect {
+		best.suspects++
+	}
 	best.own[t] = struct{}{}
 	b.touch(best)
 	return t, Refusal{}
@@ -243,7 +246,7 @@
 	if !b.off.Jitter {
 		cost += time.Duration(b.rand.Float64() * float64(jitter))
 	}
-	if st.runsSuspect() {
+	if st.suspects > 0 {
 		cost += suspectCost
 	}
 	if st.Place.Region != ask.Near.Region && !b.off.NearServers {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -138,11 +138,13 @@
 // state is a server with its load and its record.
 type state struct {
 	Server
-	group  *group
-	own    map[*Ticket]struct{}
-	change uint64    // when own changed last
-	ready  time.Time // since when it takes work
-	health health
+	group *group
+	own   map[*Ticket]struct{}
+	// suspects is the number of own requests that are suspect.
+	suspects int
+	change   uint64    // when own changed last
+	ready    time.Time // since when it takes work
+	health   health
 	// limit is this entry's share of the server's limit; nil if it has none.
 	limit *bucket
 	// rank is the server's place, from 0, in the order in which this entry
@@ -305,16 +307,6 @@
 	return w
 }
 
-// runsSuspect reports whether this entry has a suspect request at the server.
-func (st *state) runsSuspect() bool {
-	for t := range st.own {
-		if t.suspect {
-			return true
-		}
-	}
-	return false
-}
-
 // work is everything known to be at a server. What an entry said is believed
 // for loadLife: requests of one that was killed have ended with it.
 //
--- a/core/placement/suspect_test.go
+++ b/core/placement/suspect_test.go
@@ -33,6 +33,19 @@
 		Entry("from others", ask()),
 	)
 
+	It("free their server for others when they end", func() {
+		const engines = 2
+		b := board(engines)
+		occupied := ask()
+		occupied.Exclude = append(occupied.Exclude, id(0))
+		_, _ = b.Choose(start, occupied)
+		t, _ := b.Choose(start, suspect())
+		Expect(t.Server.ID).To(Equal(id(0)))
+		t.End(start, placement.Abandoned)
+		next, _ := b.Choose(start, ask())
+		Expect(next.Server.ID).To(Equal(id(0)))
+	})
+
 	It("are placed together where there is no other server", func() {
 		b := board(1)
 		for range 2 {
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -97,6 +97,9 @@
 	}
 	t.ended = true
 	delete(t.state.own, t)
+	if t.suspect {
+		t.state.suspects--
+	}
 	t.board.touch(t.state)
 	g := t.state.group
 	if result == Succeeded {
