--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// crashesFor returns the reports of crashes for another entry.
+// crashReportsFor returns the reports of crashes for another entry.
 func (g *Gateway) crashReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []quarantine.Report {
 	if form == mesh.First {
 		delete(g.sentCrashes, to.ID)
--- a/daemon/gateway/limit.go
+++ b/daemon/gateway/limit.go
@@ -42,7 +42,7 @@
 	g.urgentNear = g.urgentNear || urgent
 }
 
-// limitsFor returns the reports of limits for another entry.
+// limitReportsFor returns the reports of limits for another entry.
 func (g *Gateway) limitReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []serverlimit.Report {
 	if form == mesh.First {
 		delete(g.sentLimits, to.ID)
