core/spread: hold the draw schedule back while the origin is away

What callers saw: on the shifted deployment two versions are published 2 s apart and the origin is away from 20.5 to 26.5 s. No engine answered from 28.3 to 33.4 s; 1,353 of 1,559 calls of two seconds were refused.

Cause: the schedule of draws ran on by the clock during the outage, so when the origin was back nearly every chunk was due at several members. All were asked for at once, shared its link, and none was whole before nearly all had left it. The first engine had the version 6.9 s after the return, where one copy takes the origin 2.8 s; 2.2 copies of it left the origin.

Ruled out: the origin's link (full all the while), a slow manifest (read before the outage).

Change: a member that the origin fails holds its schedule back until a draw succeeds or another member shows a new chunk. Reopen begins the schedule of what is missing anew after a pause.

Tried and not kept: holding back every member while no chunk is new, whether the origin failed it or not.

--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -17,6 +17,10 @@
 	slackChunks = 8
 	slackMin    = 250 * time.Millisecond
 
+	// awayPace is the part of its speed at which the schedule goes on for a member
+	// that the origin fails, while no other shows a new chunk either.
+	awayPace = 1.0 / 16
+
 	// rankScale is the rank up to which waiting times grow evenly.
 	rankScale = 2
 	// ageTicks is the number of steps in which OrphanTime is counted.
@@ -54,9 +58,11 @@
 	// nextLook is the earliest time at which looking at ready is of use.
 	nextLook time.Time
 
-	// lag is how far the origin is behind the schedule.
-	lag      time.Duration
-	frontier int32
+	// lag is how far the origin is behind the schedule, awaitedAt when it last grew
+	// while the origin was away.
+	lag       time.Duration
+	awaitedAt time.Time
+	frontier  int32
 
 	// age counts the ticks for which a chunk was an orphan.
 	age     []uint8
@@ -106,8 +112,7 @@
 		return
 	}
 	d.frontier = d.ordinal[chunk]
-	expected := time.Duration(d.frontier+1)*s.pace + max(slackMin, slackChunks*s.pace)
-	d.lag = max(0, now.Sub(d.opened)-expected)
+	d.lag = max(0, now.Sub(d.opened)-d.expected(s))
 	d.nextLook = time.Time{}
 }
 
@@ -184,6 +189,7 @@
 // queueDue moves draws that have come due to their queues.
 func (p *Plan) queueDue(now time.Time) {
 	d := &p.draws
+	d.await(now, p.settings)
 	for ; d.next < len(d.timeline); d.next++ {
 		next := d.timeline[d.next]
 		if now.Before(d.dueAt(next)) {
@@ -203,6 +209,44 @@
 
 func (d *draws) dueAt(next draw) time.Time { return d.opened.Add(d.lag + next.due) }
 
+// await holds the schedule back while the origin is away: it fails this member, and
+// nothing new leaves it.
+//
+// With a schedule that goes on meanwhile, most chunks are due at several members when
+// the origin is back. All are asked for at once, none is whole before nearly all have
+// left, and some are sent several times. Where there is a store, draws turn to it.
+func (d *draws) await(now time.Time, s Settings) {
+	if !d.isOpen() || !s.NoStore || d.origin.failures == 0 {
+		return
+	}
+	quietSince := later(d.opened.Add(d.lag+d.expected(s)), d.awaitedAt)
+	if quiet := now.Sub(quietSince); quiet > 0 {
+		d.lag += time.Duration((1 - awayPace) * float64(quiet))
+		d.awaitedAt = now
+	}
+}
+
+// expected is the time in the schedule by which the chunk after the newest one in the
+// fleet shows up.
+func (d *draws) expected(s Settings) time.Duration {
+	return time.Duration(d.frontier+1)*s.pace + max(slackMin, slackChunks*s.pace)
+}
+
+// Reopen begins the schedule of what is missing anew, after a time in which the plan
+// was not to fetch anything. Members that fetched meanwhile brought chunks from all of
+// it, and by those all others are late.
+func (p *Plan) Reopen(now time.Time) {
+	d := &p.draws
+	if !d.isOpen() {
+		return
+	}
+	d.opened = time.Time{}
+	d.awaitedAt = time.Time{}
+	d.lag = 0
+	d.frontier = -1
+	p.openDraws(now)
+}
+
 // ageOrphans queues chunks that exist but have been at no usable neighbour for
 // OrphanTime and this member's rank: their only holder may have died.
 func (p *Plan) ageOrphans(now time.Time) {
--- a/core/spread/regions_test.go
+++ b/core/spread/regions_test.go
@@ -65,3 +65,19 @@
 		gomega.Expect(d.copies()).To(gomega.BeNumerically("<", 1.1))
 	})
 })
+
+// Guards against a late version after an outage of its origin: all chunks came due at
+// several members meanwhile, were drawn at once, and none was whole for seconds.
+var _ = ginkgo.Describe("a fleet whose origin is away at first", func() {
+	ginkgo.It("draws little more than one copy once it is back", func() {
+		const away, seeds = 6 * time.Second, 3
+		for seed := range uint64(seeds) {
+			present, absent := growth(88, seed, true), growth(88, seed, true)
+			absent.origin = until(absent, away, spread.ReasonUnavailable)
+			gomega.Expect(present.run(time.Minute)).To(gomega.BeTrue())
+			gomega.Expect(absent.run(time.Minute)).To(gomega.BeTrue())
+			gomega.Expect(absent.copies()).To(gomega.BeNumerically("<", 2), "copies, seed %d", seed)
+			gomega.Expect(absent.firstReady()-away).To(gomega.BeNumerically("<", present.firstReady()+time.Second), "first replica, seed %d", seed)
+		}
+	})
+})
