daemon/gateway: do not call the predecessors of restarted servers

Cause: servers restart under a new ID. Each entry had listed the servers at another moment of their return; two of each region go on reading, and the others take changes from them. Those changes did not follow on what the others had listed, so a reader told them nothing, and they waited 1.5 s for their list to grow old, twice. Agents reported the new engine at the old registration's address meanwhile, and calls went there under the old ID.

Ruled out: entries that hear of agents late (they had), a slow platform.

Change: a reader whose changes do not follow says so, and the entry takes the whole list at once. A registration of an earlier start than its agent reports is not used, unless the platform is away.

--- a/daemon/gateway/agents_test.go
+++ b/daemon/gateway/agents_test.go
@@ -79,6 +79,37 @@
 		Expect(backend.listed[0].Loaded).To(Equal(placement.ModelVersion(1)))
 	})
 
+	// Guards against calls to the predecessor of a restarted server, which its successor
+	// declines under its new ID: repeats used up the fleet's retry budget.
+	It("takes the registration of an earlier start out of use", func() {
+		earlier := server("i-1", "10.0.1.1:80", 6)
+		earlier.Born = 1000
+		g.apply(start, []catalog.Change{{Revision: 6, Server: &earlier}}, 6)
+		g.sourceAnswered(start)
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 1, Born: 5000})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Changing).To(BeTrue())
+
+		again := server("i-9", "10.0.1.1:80", 7)
+		again.Born = 5000
+		g.apply(start, []catalog.Change{{Revision: 7, Server: &again}}, 7)
+		Expect(listed(g, backend, start)).To(ConsistOf(fleet.InstanceID("i-9")))
+		Expect(backend.listed[0].Changing).To(BeFalse())
+	})
+
+	// A server may also start again under its ID. Its registration does not change
+	// while the platform is away, and it would stand idle for that time.
+	It("uses a server that started again while the platform does not answer", func() {
+		earlier := server("i-1", "10.0.1.1:80", 6)
+		earlier.Born = 1000
+		g.apply(start, []catalog.Change{{Revision: 6, Server: &earlier}}, 6)
+		g.sourceAnswered(start)
+		now := at(sureFor)
+		tell(now, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 1, Born: 5000})
+		listed(g, backend, now)
+		Expect(backend.listed[0].Changing).To(BeFalse())
+	})
+
 	// After a pause of the process the engines may all have changed.
 	It("is forgotten when the process wakes up", func() {
 		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -122,6 +122,9 @@
 	serversAt   time.Time
 	feed        serverFeed
 	toldServers map[fleet.InstanceID]catalog.Revision
+	// missing is up to which revision a reader of the region told changes that do not
+	// follow on those known here.
+	missing catalog.Revision
 	// turnedAwayUntil is until when this entry counts as turned away by the
 	// platform.
 	turnedAwayUntil time.Time
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -46,7 +46,7 @@
 		return
 	}
 	addr, near, ok := g.mesh.Ahead(now, func(b wire.Beat) bool {
-		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && now.Sub(g.serversAt) > watchWait
+		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && g.lacksServers(now)
 	})
 	if !ok {
 		g.behindSince = time.Time{}
@@ -64,6 +64,16 @@
 	go g.askPeer(addr, ask)
 }
 
+// lacksServers reports whether what this entry knows of the servers is old, or not
+// complete: a reader of the region told changes that follow on later ones.
+//
+// After a restart of the whole fleet each entry has listed the servers at another
+// moment of their return. Entries that waited for their list to grow old sent calls
+// to the predecessors of restarted servers for seconds.
+func (g *Gateway) lacksServers(now time.Time) bool {
+	return now.Sub(g.serversAt) > watchWait || g.missing > g.snapshot.AsOf
+}
+
 // askAfter is how long a peer must be ahead before it is asked.
 func (g *Gateway) askAfter(near bool) time.Duration {
 	v := g.view.Load()
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -326,11 +326,11 @@
 	g.changed = false
 	var list []placement.Server
 	for _, s := range g.snapshot.Servers {
-		list = append(list, g.server(s, entries))
+		list = append(list, g.server(now, s, entries))
 	}
 	for id, lapsed := range g.lapsed {
 		if !hasServer(g.snapshot.Servers, id) {
-			list = append(list, g.server(lapsed, entries))
+			list = append(list, g.server(now, lapsed, entries))
 		}
 	}
 	g.noteReplaced(now, list)
@@ -365,7 +365,7 @@
 
 // server puts together what the platform and the agent tell of a server. What
 // the agent says is newer.
-func (g *Gateway) server(s catalog.Server, entries int) placement.Server {
+func (g *Gateway) server(now time.Time, s catalog.Server, entries int) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
 		Connections: g.keptConnections(s.Service, entries),
@@ -374,7 +374,15 @@
 		Leaving:     s.Draining,
 		Born:        s.Born,
 	}
-	if r, ok := g.replicas[s.Addr.Addr()]; ok && g.isEngine(s.Service) && !isOfEarlierStart(r.Replica, s) {
+	if !g.isEngine(s.Service) {
+		return out
+	}
+	r, reported := g.replicas[s.Addr.Addr()]
+	switch {
+	case !reported, isOfEarlierStart(r.Replica, s):
+	case g.isSuperseded(now, r.Replica, s):
+		out.Changing = true
+	default:
 		out.Born = max(r.Born, s.Born)
 		out.Loaded = placement.ModelVersion(r.Loaded)
 		out.Changing = r.Changing
@@ -384,6 +392,14 @@
 	return out
 }
 
+// isSuperseded reports whether a registration is of an earlier start of the server
+// than its agent reports. The server may have another ID by now and would decline
+// what is meant for its predecessor, so its next registration is waited for while the
+// platform answers.
+func (g *Gateway) isSuperseded(now time.Time, r wire.Replica, s catalog.Server) bool {
+	return s.Born != 0 && r.Born > s.Born && g.contact.recent(now) && !g.contact.mayHaveLapsed(now)
+}
+
 // isOfEarlierStart reports whether the agent's word is of a start of the server
 // before the registered one: the agent is cut off, say, and what it told last
 // counts on for a while.
--- a/daemon/gateway/serverfeed.go
+++ b/daemon/gateway/serverfeed.go
@@ -68,17 +68,18 @@
 }
 
 // newsFor returns what happened to servers since an entry was last told, nil for
-// nothing.
+// nothing. If that is not known any more, the news has no changes, and the entry takes
+// the whole list.
 func (g *Gateway) newsFor(to mesh.Peer) *wire.ServerNews {
 	after := max(g.toldServers[to.ID], to.AsOf)
 	if after == 0 || after >= g.feed.asOf {
 		return nil
 	}
 	changes, ok := g.feed.since(after)
+	g.toldServers[to.ID] = g.feed.asOf
 	if !ok {
-		return nil // it asks for the whole list
+		return &wire.ServerNews{After: g.feed.after, AsOf: g.feed.asOf}
 	}
-	g.toldServers[to.ID] = g.feed.asOf
 	return &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes}
 }
 
@@ -88,7 +89,11 @@
 		g.contact.follow(now, *b.Platform)
 	}
 	n := b.Servers
-	if n == nil || g.snapshot.AsOf == 0 || n.After > g.snapshot.AsOf || n.AsOf <= g.snapshot.AsOf {
+	if n == nil || g.snapshot.AsOf == 0 || n.AsOf <= g.snapshot.AsOf {
+		return
+	}
+	if n.After > g.snapshot.AsOf {
+		g.missing = max(g.missing, n.AsOf)
 		return
 	}
 	g.applyServers(now, n.Changes, n.AsOf, "peer "+string(b.ID))
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -99,6 +99,17 @@
 		Expect(g.snapshot.AsOf).To(Equal(catalog.Revision(5)))
 	})
 
+	// Guards against calls to the predecessors of restarted servers: after a restart of
+	// the whole fleet entries have listed the servers at different moments, and the
+	// changes of their reader do not follow on what they know.
+	It("lacks servers once it is told of changes that do not follow on what it knows", func() {
+		Expect(g.lacksServers(at(100 * time.Millisecond))).To(BeFalse())
+		told(at(100*time.Millisecond), wire.PlatformState{}, wire.ServerNews{After: 8, AsOf: 9})
+		Expect(g.lacksServers(at(100 * time.Millisecond))).To(BeTrue())
+		g.adopt(at(200*time.Millisecond), snapshot(9, one), "peer")
+		Expect(g.lacksServers(at(200 * time.Millisecond))).To(BeFalse())
+	})
+
 	// The platform was away for six seconds, and registrations lapsed there though
 	// their servers live. Left out, all servers would be gone at its return.
 	It("keeps servers that lapsed while the platform was away", func() {
@@ -128,7 +139,7 @@
 		peer.ID, peer.Region = "10.0.0.3", "kano"
 		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "its own region has readers")
 		peer.ID, peer.Region, peer.AsOf = "10.0.0.4", "lagos", 4
-		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "it asks for the whole list")
+		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(Equal(&wire.ServerNews{After: 5, AsOf: 9}), "it asks for the whole list")
 	})
 })
 
