daemon/gateway, daemon/loader: few processes list the catalog after a restart of all

What callers saw: after the same loss of power the entries had the operator's configuration 0.6 s after their start, half of the agents their first link after 0.6 to 1.0 s, and calls went to engines that had lost their weights.

Cause: nearly every entry listed the platform's catalog at once, and agents that had heard of no entry within 0.5 s did too: 48 lists of 0.4 MB, 16 MB over the links between regions, which carry 27 Mbit/s. Links between agents and entries waited behind them. Until agents are heard, the platform's registrations count, which hold for seconds what was loaded before.

Change: an entry that has started waits 0.2 s for a peer's compressed copy (20 KB) before it lists, and up to 0.7 s where others of its region that are there come first. Agents leave the catalog to entries for 1.5 s. An entry does not use an engine that no agent has reported within its first 0.9 s, and holds calls meanwhile.

The spec that counted one list given up now asks that none is running: the entry has its peer's copy before it lists. That a running list is ended once the copy is there has a spec of its own.

--- a/daemon/gateway/agents_test.go
+++ b/daemon/gateway/agents_test.go
@@ -110,6 +110,27 @@
 		Expect(backend.listed[0].Changing).To(BeFalse())
 	})
 
+	// Guards against calls to engines that lost their weights with the power, and are
+	// still listed with them when the entries are back.
+	It("is waited for by an entry that has just started", func() {
+		g, backend = newGatewayAtStart()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+		listed(g, backend, start)
+		Expect(backend.listed[0].Changing).To(BeTrue())
+		Expect(g.soonest(start)).To(HaveKey(fleet.ServiceName("pool")), "calls wait for it")
+		tell(at(100*time.Millisecond), wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 1})
+		listed(g, backend, at(100*time.Millisecond))
+		Expect(backend.listed[0].Changing).To(BeFalse())
+	})
+
+	It("is not waited for any longer than it takes to hear of all agents", func() {
+		g, backend = newGatewayAtStart()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+		listed(g, backend, start)
+		listed(g, backend, at(hearsAllWithin))
+		Expect(backend.listed[0].Changing).To(BeFalse())
+	})
+
 	// After a pause of the process the engines may all have changed.
 	It("is forgotten when the process wakes up", func() {
 		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 2})
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -31,7 +31,7 @@
 	gatherLonger = 900 * time.Millisecond
 	// idlePoll is how often an entry that does not read the platform looks whether
 	// it has to.
-	idlePoll = 50 * time.Millisecond
+	idlePoll = 20 * time.Millisecond
 	// sourcePauseMin doubles up to sourcePauseMax while the platform does not
 	// answer, so that a fleet does not come back to it at full rate.
 	sourcePauseMin = 100 * time.Millisecond
@@ -63,7 +63,7 @@
 		call, end := g.reading.begin(ctx)
 		// Looked at once the call can be ended: before, a call that began at the moment
 		// in which there was none to make any more read one copy too many.
-		if v := g.view.Load(); v != nil && !v.reads {
+		if v := g.view.Load(); v == nil || !v.reads {
 			end()
 			at.answered = false
 			wait(ctx, idlePoll)
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -40,7 +40,15 @@
 
 func (b *noBackend) Keep(servers []placement.Server) { b.listed = servers }
 
+// newGateway returns a gateway that has run for long enough to have heard of all
+// agents.
 func newGateway() (*Gateway, *noBackend) {
+	g, backend := newGatewayAtStart()
+	g.started = time.Time{}
+	return g, backend
+}
+
+func newGatewayAtStart() (*Gateway, *noBackend) {
 	backend := &noBackend{}
 	g := New(context.Background(), start, Options{
 		Self: "10.0.0.1", Addr: netip.MustParseAddr("10.0.0.1"), Place: fleet.Place{Zone: "hall", Region: "lagos"},
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -92,6 +92,7 @@
 	replicas map[netip.Addr]replica
 	readyAt  map[netip.Addr]time.Time // when engines are expected to be ready
 	started  time.Time
+	heardAll bool // hearsAll, when calls were last given the servers
 	leaving  bool
 	changed  bool
 	// published is when calls were last given a view.
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -300,7 +300,7 @@
 		if at, ok := g.readyAt[s.Addr.Addr()]; ok {
 			note(s.Service, at)
 		}
-		if now.Sub(g.started) < hearsAllWithin {
+		if !g.hearsAll(now) {
 			note(s.Service, g.started.Add(hearsAllWithin))
 		}
 	}
@@ -311,6 +311,8 @@
 // every agent.
 const hearsAllWithin = 900 * time.Millisecond
 
+func (g *Gateway) hearsAll(now time.Time) bool { return now.Sub(g.started) >= hearsAllWithin }
+
 // publishServers gives the board the servers if one of them has changed, in a
 // fleet of so many entries.
 func (g *Gateway) publishServers(now time.Time, entries int) {
@@ -320,10 +322,12 @@
 			g.changed = true
 		}
 	}
-	if !g.changed {
+	hearsAll := g.hearsAll(now)
+	if !g.changed && hearsAll == g.heardAll {
 		return
 	}
 	g.changed = false
+	g.heardAll = hearsAll
 	var list []placement.Server
 	for _, s := range g.snapshot.Servers {
 		list = append(list, g.server(now, s, entries))
@@ -364,7 +368,8 @@
 }
 
 // server puts together what the platform and the agent tell of a server. What
-// the agent says is newer.
+// the agent says is newer. An entry that has just started waits for it: after a loss
+// of power the platform lists engines for seconds that have lost their weights.
 func (g *Gateway) server(now time.Time, s catalog.Server, entries int) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
@@ -379,7 +384,9 @@
 	}
 	r, reported := g.replicas[s.Addr.Addr()]
 	switch {
-	case !reported, isOfEarlierStart(r.Replica, s):
+	case !reported:
+		out.Changing = !g.hearsAll(now)
+	case isOfEarlierStart(r.Replica, s):
 	case g.isSuperseded(now, r.Replica, s):
 		out.Changing = true
 	default:
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -28,6 +28,11 @@
 	// read.
 	readAloneAfter = time.Second
 	readAloneStep  = 200 * time.Millisecond
+	// firstReadAfter is how long an entry that has started waits for a peer's catalog
+	// before it lists the platform's, and othersReadFirst how long it leaves that to
+	// other entries of its region that have none either.
+	firstReadAfter  = 200 * time.Millisecond
+	othersReadFirst = 700 * time.Millisecond
 )
 
 // rank is this entry's place among those of its region and group.
@@ -61,13 +66,46 @@
 // reads reports whether this entry reads the platform, and does not take from
 // peers what it holds.
 func (g *Gateway) reads(now time.Time, rank int) bool {
-	if g.opts.Off.FewWatchers || g.snapshot.Config == nil || g.doubtful || rank < regionReaders {
+	if g.opts.Off.FewWatchers {
+		return true
+	}
+	if g.snapshot.Config == nil {
+		return g.readsFirst(now)
+	}
+	if g.doubtful || rank < regionReaders {
 		return true
 	}
 	alone := readAloneAfter + time.Duration(rank-regionReaders)*readAloneStep
 	return !g.behindSince.IsZero() && now.Sub(g.behindSince) > alone
 }
 
+// readsFirst reports whether an entry without a catalog lists the platform's. Peers
+// send a compressed copy.
+//
+// After a restart of the whole fleet all entries listed a large configuration at the
+// same moment. It filled the links between regions for two seconds, and with them
+// the way of everything by which agents and entries find each other.
+func (g *Gateway) readsFirst(now time.Time) bool {
+	waited := now.Sub(g.started)
+	if waited < firstReadAfter || waited >= othersReadFirst {
+		return waited >= othersReadFirst
+	}
+	return listsFirst(g.mesh.Entries(now), g.opts.Self, g.opts.Place.Region)
+}
+
+// listsFirst reports whether an entry is among the first of its region that are
+// there, whether they take requests yet or not.
+func listsFirst(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region) bool {
+	before := 0
+	for _, e := range entries {
+		isPeer := e.Near && e.Place.Region == region && !e.Leaving && !e.Silent && !e.TurnedAway
+		if isPeer && e.ID < self {
+			before++
+		}
+	}
+	return before < regionReaders
+}
+
 // followAnew ends the call to the platform that runs if there is none to make any
 // more, or if only what follows on a first catalog is to be read that a peer gave
 // while it was being listed.
--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -33,9 +33,9 @@
 	copies  int
 	// happened is what happened to servers.
 	happened []catalog.Change
-	// slow lists last until their caller gives them up; givenUp counts those.
+	// slow lists last until their caller gives them up; running counts those.
 	slow    bool
-	givenUp int
+	running int
 }
 
 func (p *publisher) slowDown() {
@@ -44,10 +44,16 @@
 	p.slow = true
 }
 
-func (p *publisher) listsGivenUp() int {
+func (p *publisher) listsRunning() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.givenUp
+	return p.running
+}
+
+func (p *publisher) countRunning(more int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += more
 }
 
 func (p *publisher) isSlow() bool {
@@ -90,10 +96,9 @@
 // List implements catalog.Source.
 func (p *publisher) List(ctx context.Context) (catalog.Snapshot, error) {
 	if p.isSlow() {
+		p.countRunning(1)
+		defer p.countRunning(-1)
 		<-ctx.Done()
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.givenUp++
 		return catalog.Snapshot{}, ctx.Err()
 	}
 	p.mu.Lock()
@@ -402,7 +407,7 @@
 		first.stop()
 		p.slowDown()
 		Eventually(region.start(memberAddr(0)).version, "10s").Should(Equal(int64(1)))
-		Eventually(p.listsGivenUp, "10s").Should(Equal(1))
+		Eventually(p.listsRunning, "10s").Should(BeZero())
 		p.publish(manyRoutes(2, routes))
 		region.haveInForce(2)
 	})
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -65,6 +65,45 @@
 	})
 })
 
+var _ = Describe("An entry without a catalog", func() {
+	var g *Gateway
+	started := at(0)
+
+	BeforeEach(func() {
+		g, _ = newGatewayAtStart()
+	})
+
+	// Guards against full links between regions after a restart of the whole fleet, when
+	// every entry listed a large configuration at the same moment.
+	It("waits for a peer's before it lists the platform's", func() {
+		Expect(g.reads(started, 0)).To(BeFalse())
+		Expect(g.reads(started.Add(firstReadAfter), 0)).To(BeTrue())
+	})
+
+	It("leaves the listing to others that start in its region, for a while", func() {
+		entry := func(id fleet.InstanceID) mesh.Entry {
+			return mesh.Entry{ID: id, Place: g.opts.Place, Near: true}
+		}
+		others := []mesh.Entry{entry("10.0.0.0"), entry("10.0.0.00")}
+		Expect(listsFirst(others[:1], "10.0.0.1", "lagos")).To(BeTrue())
+		Expect(listsFirst(others, "10.0.0.1", "lagos")).To(BeFalse())
+		Expect(listsFirst(others, "10.0.0.1", "kano")).To(BeTrue(), "they read for another region")
+		others[0].TurnedAway = true
+		Expect(listsFirst(others, "10.0.0.1", "lagos")).To(BeTrue(), "the platform does not answer one of them")
+		Expect(g.reads(started.Add(othersReadFirst), 5)).To(BeTrue())
+	})
+
+	It("lists no more once a peer has sent one", func() {
+		call, end := g.reading.begin(context.Background())
+		defer end()
+		g.followAnew(&view{reads: true}, &view{reads: true, table: g.table})
+		Expect(call.Err()).NotTo(HaveOccurred())
+		g.adopt(started, snapshot(5), "peer")
+		g.followAnew(&view{reads: true}, &view{reads: true, table: g.table})
+		Expect(call.Err()).To(HaveOccurred())
+	})
+})
+
 var _ = Describe("An entry that does not read the platform", func() {
 	one, two := server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3)
 	var g *Gateway
--- a/daemon/loader/catalog.go
+++ b/daemon/loader/catalog.go
@@ -14,10 +14,10 @@
 
 const (
 	// aloneAfter is how long an agent hears of no entry until it reads the
-	// catalog by itself, aloneAtStart the same after its start: mostly an entry has
-	// told it by then what it needs.
+	// catalog by itself, aloneAtStart the same after its start: an entry that starts
+	// at the same moment has told it by then what it needs.
 	aloneAfter   = 2 * time.Second
-	aloneAtStart = 500 * time.Millisecond
+	aloneAtStart = 1500 * time.Millisecond
 	// untoldFor is how long entries may be heard that do not tell where the weights
 	// come from: those that were cut off before the server was there.
 	untoldFor = 4 * time.Second
--- a/daemon/loader/catalog_test.go
+++ b/daemon/loader/catalog_test.go
@@ -28,9 +28,16 @@
 		}
 	})
 
+	// Guards against a full link after a restart of the whole fleet: agents that had not
+	// heard of an entry within half a second each read a catalog of 400 KB.
+	It("leaves the catalog to entries that start at the same moment", func() {
+		l := &Loader{started: start}
+		Expect(l.needsCatalog(at(time.Second))).To(BeFalse())
+	})
+
 	It("reads it by itself when no entry is there", func() {
 		l := &Loader{started: start}
-		Expect(l.needsCatalog(at(600 * time.Millisecond))).To(BeTrue())
+		Expect(l.needsCatalog(at(aloneAtStart + 100*time.Millisecond))).To(BeTrue())
 	})
 
 	It("reads it by itself when the entries fall silent", func() {
