core/spread: remove Reopen; finishing an older version late was tried and lost

Cause, traced: the origin had sent 49 of 64 chunks when it failed and answers from 26.9 s on. The rest has left it at 28.2 s, and half of the agents have the version whole at 29.5 s, where it may be used until 30.3 s. So it was of use for less than a second and cost the newer version 1.3 s.

--- a/core/spread/draws.go
+++ b/core/spread/draws.go
@@ -232,21 +232,6 @@
 	return time.Duration(d.frontier+1)*s.pace + max(slackMin, slackChunks*s.pace)
 }
 
-// Reopen begins the schedule of what is missing anew, after a time in which the plan
-// was not to fetch anything. Members that fetched meanwhile brought chunks from all of
-// it, and by those all others are late.
-func (p *Plan) Reopen(now time.Time) {
-	d := &p.draws
-	if !d.isOpen() {
-		return
-	}
-	d.opened = time.Time{}
-	d.awaitedAt = time.Time{}
-	d.lag = 0
-	d.frontier = -1
-	p.openDraws(now)
-}
-
 // ageOrphans queues chunks that exist but have been at no usable neighbour for
 // OrphanTime and this member's rank: their only holder may have died.
 func (p *Plan) ageOrphans(now time.Time) {
