core/loading: readers of a manifest in each region

What callers saw: after a loss of power engines of two regions loaded 0.9 s later than those of the third, with all chunks staged.

Cause: the six agents that read a manifest at once rank first in the whole fleet. The first to hear of the version were in one region, and regions find each other only after a second then. Agents of the others read it by themselves when their turn came, up to a second later.

Change: two agents of each region read at once, the others by rank in their region as before. Three regions have six readers, as before.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -88,8 +88,8 @@
 	names     Names
 	staged    []uint64  // rising
 	stagedAt  time.Time // when the last of them was
-	rank      int
-	place     float64 // of the engine's turn, from 0 to 1
+	readRank  int       // among the agents of the region that read manifests
+	place     float64   // of the engine's turn, from 0 to 1
 	leaving   bool
 	orderedAt time.Time
 	ordered   uint64
@@ -112,24 +112,38 @@
 			before++
 		}
 	}
-	p.rank = before
 	p.place = float64(before) / float64(max(1, len(members)))
 }
 
 const (
-	// manifestReaders is how many agents read a manifest at the origin at once,
-	// each over a connection; the others hear it from them in some 50 ms.
-	manifestReaders = 6
+	// manifestReaders is how many agents of a region read a manifest at the origin at
+	// once, each over a connection; the others hear it from them in some 50 ms.
+	manifestReaders = 2
 	// readStep is how much longer each doubling of that number waits, in case
 	// nothing is heard.
 	readStep = 250 * time.Millisecond
 )
 
+// SetRegion takes the instances of the engines in the own region, this one
+// included.
+//
+// Readers of all regions together were in one of them at times. After a restart of
+// the fleet, whose regions find each other late, engines of the others waited for a
+// second for a manifest with all chunks staged.
+func (p *Plan) SetRegion(members []fleet.InstanceID) {
+	p.readRank = 0
+	for _, other := range members {
+		if rankOf(other) < rankOf(p.instance) {
+			p.readRank++
+		}
+	}
+}
+
 // ReadAfter returns how long this agent waits before it reads a manifest at the
 // origin, where the first wait for least.
 func (p *Plan) ReadAfter(least time.Duration) time.Duration {
 	steps := 0
-	for readers := manifestReaders; readers <= p.rank; readers *= 2 {
+	for readers := manifestReaders; readers <= p.readRank; readers *= 2 {
 		steps++
 	}
 	return least + time.Duration(steps)*readStep
--- a/core/loading/loading_test.go
+++ b/core/loading/loading_test.go
@@ -256,19 +256,25 @@
 	// 58 agents read a manifest at an origin of 48 connections, each over one of
 	// its own, and some had it three seconds after the first. A few read at once;
 	// the others only if they hear nothing from those.
-	It("has a few agents read a manifest at once and the others wait", func() {
-		members := make([]fleet.InstanceID, 58)
-		for i := range members {
-			members[i] = fleet.InstanceID(fmt.Sprintf("10.0.0.%d", i))
+	It("has a few agents of each region read a manifest at once and the others wait", func() {
+		regions := make([][]fleet.InstanceID, 3)
+		for i := range 58 {
+			region := i % len(regions)
+			regions[region] = append(regions[region], fleet.InstanceID(fmt.Sprintf("10.%d.0.%d", region, i)))
 		}
 		atOnce, last := 0, time.Duration(0)
-		for _, id := range members {
-			plan := loading.NewPlan(id, within, policy.Off{})
-			plan.SetMembers(members)
-			if plan.ReadAfter(0) == 0 {
-				atOnce++
+		for _, members := range regions {
+			atOnceHere := 0
+			for _, id := range members {
+				plan := loading.NewPlan(id, within, policy.Off{})
+				plan.SetRegion(members)
+				if plan.ReadAfter(0) == 0 {
+					atOnceHere++
+				}
+				last = max(last, plan.ReadAfter(0))
 			}
-			last = max(last, plan.ReadAfter(0))
+			Expect(atOnceHere).To(Equal(2), "in each region: regions may find each other late")
+			atOnce += atOnceHere
 		}
 		Expect(atOnce).To(Equal(6))
 		Expect(last).To(BeNumerically("<=", time.Second))
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -283,11 +283,17 @@
 func (l *Loader) setMembers(now time.Time, members []wire.Member) {
 	l.members = members
 	list := make([]spread.Member, 0, len(members))
+	var near []spread.Member
 	for _, m := range members {
-		list = append(list, l.member(m.Addr, fleet.Place{Zone: m.Zone, Region: m.Region}))
+		member := l.member(m.Addr, fleet.Place{Zone: m.Zone, Region: m.Region})
+		list = append(list, member)
+		if m.Region == l.opts.Place.Region {
+			near = append(near, member)
+		}
 	}
 	l.swarm.SetMembers(now, list)
 	l.plan.SetMembers(idsOf(list))
+	l.plan.SetRegion(idsOf(near))
 	l.setLeaving(!slices.ContainsFunc(members, func(m wire.Member) bool { return m.Addr == l.opts.Addr }))
 }
 
