daemon/gateway: an entry that has just started waits to hear of others

Cause: 21 of 29 entries still listed the catalog after a restart of all. At 0.2 s most have no link to another entry yet, and so none came before them.

Change: an entry that hears of none waits 0.5 s; one that hears of others lists at once if it comes first among them, else after 0.8 s.

--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -28,11 +28,11 @@
 	// read.
 	readAloneAfter = time.Second
 	readAloneStep  = 200 * time.Millisecond
-	// firstReadAfter is how long an entry that has started waits for a peer's catalog
-	// before it lists the platform's, and othersReadFirst how long it leaves that to
-	// other entries of its region that have none either.
-	firstReadAfter  = 200 * time.Millisecond
-	othersReadFirst = 700 * time.Millisecond
+	// unheardReadAfter is how long an entry that has started waits to hear of others
+	// of its region before it lists the platform's catalog, and othersReadFirst how
+	// long it leaves that to those that come before it and have none either.
+	unheardReadAfter = 500 * time.Millisecond
+	othersReadFirst  = 800 * time.Millisecond
 )
 
 // rank is this entry's place among those of its region and group.
@@ -86,24 +86,28 @@
 // same moment. It filled the links between regions for two seconds, and with them
 // the way of everything by which agents and entries find each other.
 func (g *Gateway) readsFirst(now time.Time) bool {
-	waited := now.Sub(g.started)
-	if waited < firstReadAfter || waited >= othersReadFirst {
-		return waited >= othersReadFirst
+	rank, others := startingRank(g.mesh.Entries(now), g.opts.Self, g.opts.Place.Region)
+	switch waited := now.Sub(g.started); {
+	case others == 0:
+		return waited >= unheardReadAfter
+	default:
+		return rank < regionReaders || waited >= othersReadFirst
 	}
-	return listsFirst(g.mesh.Entries(now), g.opts.Self, g.opts.Place.Region)
 }
 
-// listsFirst reports whether an entry is among the first of its region that are
-// there, whether they take requests yet or not.
-func listsFirst(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region) bool {
-	before := 0
+// startingRank is the place of an entry among those of its region that are there,
+// whether they take requests yet or not, and the number of the others.
+func startingRank(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region) (rank, others int) {
 	for _, e := range entries {
-		isPeer := e.Near && e.Place.Region == region && !e.Leaving && !e.Silent && !e.TurnedAway
-		if isPeer && e.ID < self {
-			before++
+		if !e.Near || e.Place.Region != region || e.Leaving || e.Silent || e.TurnedAway {
+			continue
+		}
+		others++
+		if e.ID < self {
+			rank++
 		}
 	}
-	return before < regionReaders
+	return rank, others
 }
 
 // followAnew ends the call to the platform that runs if there is none to make any
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -77,19 +77,22 @@
 	// every entry listed a large configuration at the same moment.
 	It("waits for a peer's before it lists the platform's", func() {
 		Expect(g.reads(started, 0)).To(BeFalse())
-		Expect(g.reads(started.Add(firstReadAfter), 0)).To(BeTrue())
+		Expect(g.reads(started.Add(unheardReadAfter), 0)).To(BeTrue())
 	})
 
 	It("leaves the listing to others that start in its region, for a while", func() {
 		entry := func(id fleet.InstanceID) mesh.Entry {
 			return mesh.Entry{ID: id, Place: g.opts.Place, Near: true}
 		}
-		others := []mesh.Entry{entry("10.0.0.0"), entry("10.0.0.00")}
-		Expect(listsFirst(others[:1], "10.0.0.1", "lagos")).To(BeTrue())
-		Expect(listsFirst(others, "10.0.0.1", "lagos")).To(BeFalse())
-		Expect(listsFirst(others, "10.0.0.1", "kano")).To(BeTrue(), "they read for another region")
-		others[0].TurnedAway = true
-		Expect(listsFirst(others, "10.0.0.1", "lagos")).To(BeTrue(), "the platform does not answer one of them")
+		rankAmong := func(region fleet.Region, others ...mesh.Entry) int {
+			rank, _ := startingRank(others, "10.0.0.1", region)
+			return rank
+		}
+		first, second := entry("10.0.0.0"), entry("10.0.0.00")
+		Expect(rankAmong("lagos", first, second, entry("10.0.0.2"))).To(Equal(2))
+		Expect(rankAmong("kano", first, second)).To(BeZero(), "they read for another region")
+		first.TurnedAway = true
+		Expect(rankAmong("lagos", first, second)).To(Equal(1), "the platform does not answer one of them")
 		Expect(g.reads(started.Add(othersReadFirst), 5)).To(BeTrue())
 	})
 
