core/placement: an engine that becomes ready has no places left to others

Cause: an engine drains before it loads, which takes 0.3 s. The places of the streams that ended in its last 0.8 s counted as taken when it was back, though nobody could have filled them.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -197,6 +197,7 @@
 		}
 		if s.takesWork() && !st.takesWork() {
 			st.ready = now
+			b.others.freed.forget(s.ID)
 		}
 		st.Server = s
 		st.distance = b.place.DistanceTo(s.Place)
