daemon/gateway: hold calls for what is about to come after a restart of all

What callers saw: in the second after the power is back 590 callers were refused by entries without a configuration and told to come back after half a second. They did before any engine had loaded, were refused again, and had no retry left.

Change: a call waits for the first configuration of an entry that has just started, for 1.2 s and a third of its caller's time at most. For the first 3 s after the start of an entry calls also wait where no engine is usable yet, or where the usable ones are full and others are about to be ready, within the bounds that hold for calls that wait.

--- a/daemon/gateway/agents_test.go
+++ b/daemon/gateway/agents_test.go
@@ -123,6 +123,22 @@
 		Expect(backend.listed[0].Changing).To(BeFalse())
 	})
 
+	// Guards against callers refused for want of any engine in the second in which all
+	// engines load again after a loss of power.
+	It("has calls wait for engines that load after a restart of all", func() {
+		g, backend = newGatewayAtStart()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+		tell(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1})
+		listed(g, backend, start)
+		now := at(hearsAllWithin)
+		Expect(g.soonest(now)).To(HaveKeyWithValue(fleet.ServiceName("pool"), at(usuallyLoaded)))
+		Expect(g.soonest(at(newFor))).NotTo(HaveKey(fleet.ServiceName("pool")), "they do not come")
+
+		tell(now, wire.Replica{Addr: addr, Incarnation: 1, Seq: 2, Loaded: 1})
+		listed(g, backend, now)
+		Expect(g.soonest(now)).NotTo(HaveKey(fleet.ServiceName("pool")), "one is there")
+	})
+
 	It("is not waited for any longer than it takes to hear of all agents", func() {
 		g, backend = newGatewayAtStart()
 		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -176,6 +176,8 @@
 	// are known.
 	asOf, operatorAsOf catalog.Revision
 	leaving            bool
+	// isNew is true soon after the start of this entry.
+	isNew bool
 	// doubtful views are from before a pause of the process.
 	doubtful bool
 	// soonest is when the first engine of a service is expected to be ready
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -273,6 +273,7 @@
 		asOf:         g.snapshot.AsOf,
 		operatorAsOf: g.snapshot.OperatorAsOf,
 		leaving:      g.leaving,
+		isNew:        g.isNew(now),
 		doubtful:     g.doubtful,
 		soonest:      g.soonest(now),
 		sure:         g.contact.recent(now) || g.mesh.Hears(now),
@@ -288,7 +289,8 @@
 
 // soonest returns for each service when the first engine is expected to be
 // ready that is not yet. An entry that has just started takes them for ready
-// soon: it has not heard of them.
+// soon: it has not heard of them, or they have lost their weights with the power
+// and load.
 func (g *Gateway) soonest(now time.Time) map[fleet.ServiceName]time.Time {
 	soonest := make(map[fleet.ServiceName]time.Time)
 	note := func(service fleet.ServiceName, at time.Time) {
@@ -300,8 +302,11 @@
 		if at, ok := g.readyAt[s.Addr.Addr()]; ok {
 			note(s.Service, at)
 		}
-		if !g.hearsAll(now) {
+		switch {
+		case !g.hearsAll(now):
 			note(s.Service, g.started.Add(hearsAllWithin))
+		case g.isNew(now) && !g.board.HasUsable(s.Service):
+			note(s.Service, later(g.started.Add(usuallyLoaded), now.Add(loadPoll)))
 		}
 	}
 	return soonest
@@ -311,6 +316,24 @@
 // every agent.
 const hearsAllWithin = 900 * time.Millisecond
 
+const (
+	// newFor is how long an entry counts as new: engines that started at the same
+	// moment answer by then, and usuallyLoaded is when the first of them do.
+	newFor        = 3 * time.Second
+	usuallyLoaded = 1300 * time.Millisecond
+	// loadPoll is how soon one is expected that is later.
+	loadPoll = 250 * time.Millisecond
+)
+
+func (g *Gateway) isNew(now time.Time) bool { return now.Sub(g.started) < newFor }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (g *Gateway) hearsAll(now time.Time) bool { return now.Sub(g.started) >= hearsAllWithin }
 
 // publishServers gives the board the servers if one of them has changed, in a
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -83,7 +83,7 @@
 func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	j := &job{g: g, call: call, caller: caller, view: g.currentView(ctx), lastEvent: call.LastEvent}
+	j := &job{g: g, call: call, caller: caller, view: g.currentView(ctx, call), lastEvent: call.LastEvent}
 	if verdict, ok := j.admit(); !ok {
 		j.refuse(verdict)
 		return
@@ -100,21 +100,35 @@
 	// doubtFor is how long a call waits for a view that is not from before a
 	// pause of the process; the platform answers in milliseconds.
 	doubtFor = 400 * time.Millisecond
-	// doubtPoll is how often it looks.
-	doubtPoll = 10 * time.Millisecond
+	// firstViewFor is how long a call waits at an entry that has just started for its
+	// first configuration.
+	firstViewFor = 1200 * time.Millisecond
+	// viewPoll is how often it looks.
+	viewPoll = 10 * time.Millisecond
 )
 
 // currentView returns the view in force, nil while there is none to rely on.
-func (g *Gateway) currentView(ctx context.Context) *view {
-	for waited := time.Duration(0); ; waited += doubtPoll {
+//
+// After a loss of power all callers come at once to entries that know nothing yet.
+// Refused, they came back while the engines still loaded, were refused again, and
+// had no retry left.
+func (g *Gateway) currentView(ctx context.Context, call *Call) *view {
+	for waited := time.Duration(0); ; waited += viewPoll {
 		v := g.view.Load()
-		if v == nil || !v.doubtful {
+		limit := doubtFor
+		switch {
+		case v == nil || v.table == nil:
+			limit = firstViewFor
+			if call.Patience > 0 {
+				limit = min(limit, call.Patience/holdShare)
+			}
+		case !v.doubtful:
 			return v
 		}
-		if waited >= doubtFor || ctx.Err() != nil {
+		if waited >= limit || ctx.Err() != nil {
 			return nil
 		}
-		wait(ctx, doubtPoll)
+		wait(ctx, viewPoll)
 	}
 }
 
@@ -231,7 +245,9 @@
 // The first engine that is ready is full at once, with the others ready a moment
 // later. So a call that can still be on time waits for the next one too.
 //
-// A caller that comes back waits for room: refused again, it is lost.
+// A caller that comes back waits for room: refused again, it is lost. Soon after the
+// start of this entry it may wait for an engine too, since all engines may be about
+// to load.
 func (j *job) mayHold(now time.Time, reason placement.Reason) bool {
 	timeout := j.deadline.Sub(j.call.Arrived)
 	until := j.call.Arrived.Add(min(holdFor, timeout/holdShare))
@@ -239,14 +255,17 @@
 		return false
 	}
 	isBusy := reason == placement.Full || reason == placement.NoPlace
-	if isBusy && j.isLate(now) {
-		return !j.g.opts.Off.HoldLate && j.enterRoom(now)
-	}
-	if isBusy {
+	isLate := j.isLate(now)
+	if isBusy && !isLate {
 		until = earlier(until, j.call.Arrived.Add(j.route.Aim))
 	}
-	at, expected := j.g.view.Load().soonest[j.service.Name]
-	return expected && at.Before(until) && !j.g.opts.Off.HoldForLoad
+	v := j.g.view.Load()
+	at, expected := v.soonest[j.service.Name]
+	comes := expected && at.Before(until) && !j.g.opts.Off.HoldForLoad
+	if isBusy && isLate {
+		return comes && v.isNew || !j.g.opts.Off.HoldLate && j.enterRoom(now)
+	}
+	return comes
 }
 
 // enterRoom takes the call among those that wait for room, once.
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -96,6 +96,22 @@
 		Expect(g.reads(started.Add(othersReadFirst), 5)).To(BeTrue())
 	})
 
+	// Guards against callers refused by an entry that has just started, who came back
+	// before any engine had loaded and had no retry left.
+	It("has a call wait for its first configuration, for a part of the caller's time", func() {
+		go func() {
+			defer GinkgoRecover()
+			g.adopt(started, snapshot(5), "peer")
+			g.publish(started)
+		}()
+		v := g.currentView(context.Background(), &Call{Patience: time.Minute})
+		Expect(v).NotTo(BeNil())
+		Expect(v.table).NotTo(BeNil())
+
+		g, _ = newGatewayAtStart()
+		Expect(g.currentView(context.Background(), &Call{Patience: 3 * viewPoll})).To(BeNil())
+	})
+
 	It("lists no more once a peer has sent one", func() {
 		call, end := g.reading.begin(context.Background())
 		defer end()
