--- /dev/null
+++ b/daemon/gateway/rig_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/routing"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
+)
+
+// These specs call the control loop's methods directly, in the order in which
+// the loop would apply them.
+
+var start = time.Date(2031, 5, 6, 7, 8, 9, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// noBackend takes no calls.
+type noBackend struct {
+	listed []placement.Server
+	state  Liveness // of every server
+}
+
+func (*noBackend) Send(context.Context, *Call, Order) (Answer, error) {
+	return nil, failure.Internal.New("no call is expected")
+}
+
+func (b *noBackend) Keep(servers []placement.Server) { b.listed = servers }
+
+// newGateway returns a gateway that has run for long enough to have heard of all
+// agents.
+func newGateway() (*Gateway, *noBackend) {
+	g, backend := newGatewayAtStart()
+	g.started = time.Time{}
+	return g, backend
+}
+
+func newGatewayAtStart() (*Gateway, *noBackend) {
+	backend := &noBackend{}
+	g := New(context.Background(), start, Options{
+		Self: "10.0.0.1", Addr: netip.MustParseAddr("10.0.0.1"), Place: fleet.Place{Zone: "hall", Region: "lagos"},
+		CallerAddr: netip.MustParseAddrPort("10.0.0.1:80"),
+		Regions:    map[fleet.Zone]fleet.Region{"hall": "lagos"},
+		Loop:       control.New(control.Options{}), Backend: backend,
+		Budget:      RetryBudget{Ratio: 0.2, Slack: 100, Span: 10 * time.Second},
+		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
+	})
+	return g, backend
+}
+
+func config(version int64) *routing.Config {
+	return &routing.Config{
+		Version: version,
+		Routes: []routing.Route{{Name: "r", Host: "a.example", Prefix: "/",
+			Targets: []routing.Target{{Service: "pool", Weight: 1}}}},
+		Services: []routing.Service{
+			{Name: "pool", Model: "m", Engine: &enginemodel.Figures{Slots: 16, Layers: 4}},
+			{Name: "weights", Origin: &routing.Origin{Addr: netip.MustParseAddrPort("10.9.0.1:80"), BytesPerSecond: 1000}},
+		},
+	}
+}
+
+func server(id fleet.InstanceID, addr string, revision catalog.Revision) catalog.Server {
+	return catalog.Server{ID: id, Service: "pool", Addr: netip.MustParseAddrPort(addr), Zone: "hall", Slots: 16,
+		Loaded: 1, Revision: revision}
+}
+
+func snapshot(asOf catalog.Revision, servers ...catalog.Server) catalog.Snapshot {
+	return catalog.Snapshot{AsOf: asOf, Config: config(1), ConfigRevision: 1, Servers: servers}
+}
+
+// listed returns the ids of the servers that calls may go to.
+func listed(g *Gateway, b *noBackend, now time.Time) []fleet.InstanceID {
+	g.publish(now)
+	var ids []fleet.InstanceID
+	for _, s := range b.listed {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+func beat(id fleet.InstanceID) wire.Beat { return wire.Beat{ID: id, Role: fleet.RoleEntry} }
+
+var (
+	nearEntry = mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry, Near: true}
+	anAgent   = mesh.Peer{ID: "10.0.1.1", Role: fleet.RoleAgent}
+)
