daemon/gateway: doubt registrations only once one has proved wrong

Cause: an entry that has just started used no engine that no agent had reported, for 0.9 s, and listed the platform's catalog after 0.5 s at the earliest if it heard of no other entry.

Change: an entry uses the engines that the platform lists until one that is not reported declines a call. Entries that hear of no other list at a random moment of the first 0.5 s: the first ones soon, the others from them.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -93,8 +93,14 @@
 	readyAt  map[netip.Addr]time.Time // when engines are expected to be ready
 	started  time.Time
 	heardAll bool // hearsAll, when calls were last given the servers
-	leaving  bool
-	changed  bool
+	// listsAfter is how long after the start the platform's catalog is listed if no
+	// other entry is heard.
+	listsAfter time.Duration
+	// doubtsRegistrations is true once an engine that no agent has reported declined
+	// a call.
+	doubtsRegistrations bool
+	leaving             bool
+	changed             bool
 	// published is when calls were last given a view.
 	published time.Time
 	// urgent is true while others are to hear at once of a version or a manifest,
@@ -200,6 +206,7 @@
 		replicas:    make(map[netip.Addr]replica),
 		readyAt:     make(map[netip.Addr]time.Time),
 		started:     now,
+		listsAfter:  rand.N(unheardReadAfter),
 		lapsed:      make(map[fleet.InstanceID]catalog.Server),
 		told:        make(map[fleet.InstanceID]uint64),
 		manifests:   newManifests(),
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -109,6 +109,7 @@
 func (j *job) declined(ctx context.Context, server placement.Server) bool {
 	j.g.log.declined(j, server)
 	j.exclude = placement.Exclude(j.exclude, server.ID)
+	j.g.post(func(now time.Time) { j.g.noteDeclined(now, server) })
 	now := time.Now()
 	if ctx.Err() != nil {
 		return j.ended(ctx, now, "declined")
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -391,8 +391,7 @@
 }
 
 // server puts together what the platform and the agent tell of a server. What
-// the agent says is newer. An entry that has just started waits for it: after a loss
-// of power the platform lists engines for seconds that have lost their weights.
+// the agent says is newer, and is waited for once a registration has proved wrong.
 func (g *Gateway) server(now time.Time, s catalog.Server, entries int) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
@@ -408,7 +407,7 @@
 	r, reported := g.replicas[s.Addr.Addr()]
 	switch {
 	case !reported:
-		out.Changing = !g.hearsAll(now)
+		out.Changing = g.doubtsRegistrations && !g.hearsAll(now)
 	case isOfEarlierStart(r.Replica, s):
 	case g.isSuperseded(now, r.Replica, s):
 		out.Changing = true
@@ -422,6 +421,20 @@
 	return out
 }
 
+// noteDeclined follows a call that a server declined. If that is an engine which no
+// agent has reported to an entry that has just started, the registrations are from
+// before a loss of power: for seconds the platform lists engines that have lost their
+// weights.
+func (g *Gateway) noteDeclined(now time.Time, s placement.Server) {
+	_, reported := g.replicas[s.Addr.Addr()]
+	if reported || g.hearsAll(now) || g.doubtsRegistrations || !g.isEngine(s.Service) {
+		return
+	}
+	g.doubtsRegistrations = true
+	g.changed = true
+	g.opts.Logger.Warn("registrations_doubted", zap.String("server", string(s.ID)))
+}
+
 // isSuperseded reports whether a registration is of an earlier start of the server
 // than its agent reports. The server may have another ID by now and would decline
 // what is meant for its predecessor, so its next registration is waited for while the
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -28,9 +28,10 @@
 	// read.
 	readAloneAfter = time.Second
 	readAloneStep  = 200 * time.Millisecond
-	// unheardReadAfter is how long an entry that has started waits to hear of others
-	// of its region before it lists the platform's catalog, and othersReadFirst how
-	// long it leaves that to those that come before it and have none either.
+	// unheardReadAfter is the longest time for which an entry that has started waits
+	// to hear of others of its region before it lists the platform's catalog, by
+	// chance, and othersReadFirst how long it leaves that to those that come before
+	// it and have none either.
 	unheardReadAfter = 500 * time.Millisecond
 	othersReadFirst  = 800 * time.Millisecond
 )
@@ -89,7 +90,7 @@
 	rank, others := startingRank(g.mesh.Entries(now), g.opts.Self, g.opts.Place.Region)
 	switch waited := now.Sub(g.started); {
 	case others == 0:
-		return waited >= unheardReadAfter
+		return waited >= g.listsAfter
 	default:
 		return rank < regionReaders || waited >= othersReadFirst
 	}
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -76,6 +76,8 @@
 	// Guards against full links between regions after a restart of the whole fleet, when
 	// every entry listed a large configuration at the same moment.
 	It("waits for a peer's before it lists the platform's", func() {
+		Expect(g.listsAfter).To(BeNumerically("<=", unheardReadAfter))
+		g.listsAfter = unheardReadAfter
 		Expect(g.reads(started, 0)).To(BeFalse())
 		Expect(g.reads(started.Add(unheardReadAfter), 0)).To(BeTrue())
 	})
