daemon/gateway: what an entry does in its first seconds in one file

Moves the constants and functions about an entry that has just started from peers.go and readers.go to starting.go. Comments of this change tell a reason in place of what was seen once. No behaviour changes.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -127,9 +127,8 @@
 // SetRegion takes the instances of the engines in the own region, this one
 // included.
 //
-// Readers of all regions together were in one of them at times. After a restart of
-// the fleet, whose regions find each other late, engines of the others waited for a
-// second for a manifest with all chunks staged.
+// Each region has readers of its own: after a restart of the fleet regions find each
+// other late, and its engines would wait for a manifest with all chunks staged.
 func (p *Plan) SetRegion(members []fleet.InstanceID) {
 	p.readRank = 0
 	for _, other := range members {
--- a/core/placement/freed.go
+++ b/core/placement/freed.go
@@ -14,9 +14,9 @@
 // freedPlaces are the places that requests of other entries have left at each server.
 //
 // The load it answers: more work than the engines have places for. Each place that
-// falls free is reported to all entries, and those that have a call to place in that
-// moment all took it, since they hear of each other's choices too late. Calls then
-// waited behind one another, and most were late. The entry whose request has ended
+// falls free is reported to all entries, and all that have a call to place in that
+// moment would take it, since they hear of each other's choices too late: the calls
+// wait behind one another and are late. The entry whose request has ended
 // knows of the place at once and fills it; to the others it counts as taken for a
 // random time, so that a place that is not filled is found by one of them.
 type freedPlaces struct {
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -68,8 +68,8 @@
 // complete: a reader of the region told changes that follow on later ones.
 //
 // After a restart of the whole fleet each entry has listed the servers at another
-// moment of their return. Entries that waited for their list to grow old sent calls
-// to the predecessors of restarted servers for seconds.
+// moment of their return. Until it has the changes since, it sends calls to the
+// predecessors of restarted servers.
 func (g *Gateway) lacksServers(now time.Time) bool {
 	return now.Sub(g.serversAt) > watchWait || g.missing > g.snapshot.AsOf
 }
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -306,36 +306,12 @@
 		case !g.hearsAll(now):
 			note(s.Service, g.started.Add(hearsAllWithin))
 		case g.isNew(now) && !g.board.HasUsable(s.Service):
-			note(s.Service, later(g.started.Add(usuallyLoaded), now.Add(loadPoll)))
+			note(s.Service, g.loadedAt(now))
 		}
 	}
 	return soonest
 }
 
-// hearsAllWithin is the time in which an entry that has started has heard of
-// every agent.
-const hearsAllWithin = 900 * time.Millisecond
-
-const (
-	// newFor is how long an entry counts as new: engines that started at the same
-	// moment answer by then, and usuallyLoaded is when the first of them do.
-	newFor        = 3 * time.Second
-	usuallyLoaded = 1300 * time.Millisecond
-	// loadPoll is how soon one is expected that is later.
-	loadPoll = 250 * time.Millisecond
-)
-
-func (g *Gateway) isNew(now time.Time) bool { return now.Sub(g.started) < newFor }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func (g *Gateway) hearsAll(now time.Time) bool { return now.Sub(g.started) >= hearsAllWithin }
-
 // publishServers gives the board the servers if one of them has changed, in a
 // fleet of so many entries.
 func (g *Gateway) publishServers(now time.Time, entries int) {
@@ -421,20 +397,6 @@
 	return out
 }
 
-// noteDeclined follows a call that a server declined. If that is an engine which no
-// agent has reported to an entry that has just started, the registrations are from
-// before a loss of power: for seconds the platform lists engines that have lost their
-// weights.
-func (g *Gateway) noteDeclined(now time.Time, s placement.Server) {
-	_, reported := g.replicas[s.Addr.Addr()]
-	if reported || g.hearsAll(now) || g.doubtsRegistrations || !g.isEngine(s.Service) {
-		return
-	}
-	g.doubtsRegistrations = true
-	g.changed = true
-	g.opts.Logger.Warn("registrations_doubted", zap.String("server", string(s.ID)))
-}
-
 // isSuperseded reports whether a registration is of an earlier start of the server
 // than its agent reports. The server may have another ID by now and would decline
 // what is meant for its predecessor, so its next registration is waited for while the
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -28,12 +28,6 @@
 	// read.
 	readAloneAfter = time.Second
 	readAloneStep  = 200 * time.Millisecond
-	// unheardReadAfter is the longest time for which an entry that has started waits
-	// to hear of others of its region before it lists the platform's catalog, by
-	// chance, and othersReadFirst how long it leaves that to those that come before
-	// it and have none either.
-	unheardReadAfter = 500 * time.Millisecond
-	othersReadFirst  = 800 * time.Millisecond
 )
 
 // rank is this entry's place among those of its region and group.
@@ -80,37 +74,6 @@
 	return !g.behindSince.IsZero() && now.Sub(g.behindSince) > alone
 }
 
-// readsFirst reports whether an entry without a catalog lists the platform's. Peers
-// send a compressed copy.
-//
-// After a restart of the whole fleet all entries listed a large configuration at the
-// same moment. It filled the links between regions for two seconds, and with them
-// the way of everything by which agents and entries find each other.
-func (g *Gateway) readsFirst(now time.Time) bool {
-	rank, others := startingRank(g.mesh.Entries(now), g.opts.Self, g.opts.Place.Region)
-	switch waited := now.Sub(g.started); {
-	case others == 0:
-		return waited >= g.listsAfter
-	default:
-		return rank < regionReaders || waited >= othersReadFirst
-	}
-}
-
-// startingRank is the place of an entry among those of its region that are there,
-// whether they take requests yet or not, and the number of the others.
-func startingRank(entries []mesh.Entry, self fleet.InstanceID, region fleet.Region) (rank, others int) {
-	for _, e := range entries {
-		if !e.Near || e.Place.Region != region || e.Leaving || e.Silent || e.TurnedAway {
-			continue
-		}
-		others++
-		if e.ID < self {
-			rank++
-		}
-	}
-	return rank, others
-}
-
 // followAnew ends the call to the platform that runs if there is none to make any
 // more, or if only what follows on a first catalog is to be read that a peer gave
 // while it was being listed.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -110,8 +110,8 @@
 // currentView returns the view in force, nil while there is none to rely on.
 //
 // After a loss of power all callers come at once to entries that know nothing yet.
-// Refused, they came back while the engines still loaded, were refused again, and
-// had no retry left.
+// Refused, they would come back while the engines still load, and have no retry left
+// after that.
 func (g *Gateway) currentView(ctx context.Context, call *Call) *view {
 	for waited := time.Duration(0); ; waited += viewPoll {
 		v := g.view.Load()
