exchange: Response.EndIsFramed tells a marked end of a body from a closed connection

A body that has neither a length nor chunks ends with its connection. A server that is killed closes it just like one that has finished, so io.EOF on such a body is no evidence that the answer is complete. The pool knew the difference for the reuse of connections only; callers of the package could not ask.

EndIsFramed is the condition that Close used, made visible. A table covers a length, chunks, a status without a body, neither, and HTTP/1.0, where chunks are not a framing but part of the body. No behaviour changes.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -334,15 +334,18 @@
 // server said that it closes it; keep must be false before the end of the body
 // has been read. told is for how long the server keeps it, 0 if it did not say.
 func (r *Response) Close(keep bool, told time.Duration) {
-	if !r.stop() || !keep || r.Response.Close || r.ContentLength < 0 && !isChunked(r.Response) {
+	if !r.stop() || !keep || r.Response.Close || !r.EndIsFramed() {
 		_ = r.conn.Close()
 		return
 	}
 	r.pool.put(r.conn, told)
 }
 
-func isChunked(r *http.Response) bool {
-	return len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+// EndIsFramed reports whether the sender marks the end of the body, by a length or by
+// chunks. Otherwise the body ends with its connection, and io.EOF does not tell a
+// complete body from one whose sender was killed.
+func (r *Response) EndIsFramed() bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
 // kindOf tells silence from a connection that broke.
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -197,6 +197,26 @@
 		Entry("no protocol", "hello\r\n\r\n"),
 	)
 
+	// Guards against an answer of a killed server that is taken for complete.
+	DescribeTable("tells whether the sender marks the end of the body",
+		func(answer, wantBody string, framed bool) {
+			s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, answer); return false })
+			r, err := exchange.New().Do(context.Background(), s.addr(), get, soon())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.EndIsFramed()).To(Equal(framed))
+			Expect(io.ReadAll(r.Body)).To(BeEquivalentTo(wantBody))
+			r.Close(true, 0)
+		},
+		Entry("a length", ok, "hi", true),
+		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "hi", true),
+		Entry("a status without a body", "HTTP/1.1 204 No Content\r\n\r\n", "", true),
+		Entry("neither", "HTTP/1.1 200 OK\r\n\r\nhi", "hi", false),
+		Entry("neither, in HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nhi", "hi", false),
+		Entry("chunks, which HTTP/1.0 does not know",
+			"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+			"2\r\nhi\r\n0\r\n\r\n", false),
+	)
+
 	// A caller leaves. Its server must see the connection close, or it works on
 	// for nobody.
 	It("closes the connection when the caller leaves", func() {
