exchange: an answer to HEAD without a length has no unmarked end

EndIsFramed said false for an answer to a request that asks for no body, if the answer bore no length: net/http leaves ContentLength at -1 there though nothing follows. A caller would have taken a complete answer for one that may be cut. Its connection is now kept as well, as for every answer whose end is marked.

The entry "a request for no body" failed before. EndIsFramed is also a function on *http.Response, for adapters that use the client of net/http.

A second table cuts answers with a length, with chunks, with a trailer and after an interim answer after every byte. It passes on the code as it was: net/http types each of these ends, and none reaches a reader as io.EOF.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -341,11 +341,15 @@
 	r.pool.put(r.conn, told)
 }
 
+// EndIsFramed reports whether the sender marks the end of the body; see the function.
+func (r *Response) EndIsFramed() bool { return EndIsFramed(r.Response) }
+
 // EndIsFramed reports whether the sender marks the end of the body, by a length or by
-// chunks. Otherwise the body ends with its connection, and io.EOF does not tell a
-// complete body from one whose sender was killed.
-func (r *Response) EndIsFramed() bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
+// chunks, or sends none. Otherwise the body ends with its connection, and io.EOF does
+// not tell a complete body from one whose sender was killed.
+func EndIsFramed(r *http.Response) bool {
+	return r.Body == http.NoBody || r.ContentLength >= 0 ||
+		len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
 // kindOf tells silence from a connection that broke.
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -69,7 +69,10 @@
 
 func say(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
 
-const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+const (
+	ok       = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	inChunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+)
 
 func get() *http.Request {
 	return &http.Request{
@@ -199,24 +202,47 @@
 
 	// Guards against an answer of a killed server that is taken for complete.
 	DescribeTable("tells whether the sender marks the end of the body",
-		func(answer, wantBody string, framed bool) {
+		func(method, answer, wantBody string, framed bool) {
 			s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, answer); return false })
-			r, err := exchange.New().Do(context.Background(), s.addr(), get, soon())
+			request := get()
+			request.Method = method
+			r, err := exchange.New().Do(context.Background(), s.addr(), func() *http.Request { return request }, soon())
 			Expect(err).NotTo(HaveOccurred())
 			Expect(r.EndIsFramed()).To(Equal(framed))
 			Expect(io.ReadAll(r.Body)).To(BeEquivalentTo(wantBody))
 			r.Close(true, 0)
 		},
-		Entry("a length", ok, "hi", true),
-		Entry("chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "hi", true),
-		Entry("a status without a body", "HTTP/1.1 204 No Content\r\n\r\n", "", true),
-		Entry("neither", "HTTP/1.1 200 OK\r\n\r\nhi", "hi", false),
-		Entry("neither, in HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nhi", "hi", false),
-		Entry("chunks, which HTTP/1.0 does not know",
+		Entry("a length", http.MethodGet, ok, "hi", true),
+		Entry("chunks", http.MethodGet, inChunks, "hi", true),
+		Entry("a status without a body", http.MethodGet, "HTTP/1.1 204 No Content\r\n\r\n", "", true),
+		Entry("a request for no body", http.MethodHead, "HTTP/1.1 200 OK\r\n\r\n", "", true),
+		Entry("neither", http.MethodGet, "HTTP/1.1 200 OK\r\n\r\nhi", "hi", false),
+		Entry("neither, in HTTP/1.0", http.MethodGet, "HTTP/1.0 200 OK\r\n\r\nhi", "hi", false),
+		Entry("chunks, which HTTP/1.0 does not know", http.MethodGet,
 			"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 			"2\r\nhi\r\n0\r\n\r\n", false),
 	)
 
+	// Guards against a prefix of an answer that is taken for the whole.
+	DescribeTable("takes no answer for complete that was cut after any byte", func(answer string) {
+		var sent atomic.Int64
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { say(c, answer[:sent.Load()]); return false })
+		for n := range len(answer) {
+			sent.Store(int64(n))
+			_, err := whole(exchange.New(), s)
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown), "after %d bytes", n)
+			Expect(err).To(HaveOccurred(), "after %d bytes", n)
+		}
+		sent.Store(int64(len(answer)))
+		Expect(whole(exchange.New(), s)).To(Equal("hi"))
+	},
+		Entry("of a length", ok),
+		Entry("in chunks", inChunks),
+		Entry("in chunks, with a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n"+
+			"1\r\nh\r\n1;x=y\r\ni\r\n0\r\nSum: 1\r\n\r\n"),
+		Entry("after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n"+ok),
+	)
+
 	// A caller leaves. Its server must see the connection close, or it works on
 	// for nobody.
 	It("closes the connection when the caller leaves", func() {
