gateway: log the events of the last run and how the end of an answer was marked

What operators could not tell: whether a stream logged as served was finished by its last server, or whether that returned no event, or closed a connection that marks no end.

The line now has run_events and end_framed; the port of an answer tells whether its end is framed. Checked by a spec on a stream that moved to another engine.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -78,6 +78,7 @@
 		next.End(time.Now(), placement.Declined)
 		return nil, failure.Unavailable.New("status %d, version %d", answer.Status(), answer.Version())
 	}
+	j.runEvents, j.endFramed = 0, answer.EndIsFramed()
 	answer.SetDeadline(order.FirstBy)
 	event, err := answer.Next()
 	if err == nil {
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -77,6 +77,7 @@
 func (s *engineStream) Version() placement.ModelVersion { return s.version }
 func (s *engineStream) Limit() ServerLimit              { return ServerLimit{} }
 func (s *engineStream) Streams() bool                   { return true }
+func (s *engineStream) EndIsFramed() bool               { return true }
 func (s *engineStream) SetDeadline(time.Time)           {}
 func (s *engineStream) Body(int64) ([]byte, error)      { return nil, nil }
 func (s *engineStream) Close(bool)                      { s.once.Do(func() { close(s.closed) }) }
@@ -203,6 +204,20 @@
 		Expect(caller.got()).To(Equal("0123456789"))
 	})
 
+	// Guards against a served line that does not tell a stream that its last server
+	// finished from one that it gave nothing of.
+	It("is logged with the events of its last run and whether its end was marked", func() {
+		begin(routing.Stream, true)
+		tell(first, 2, true)
+		from.give(1)
+		Eventually(backend.orders).Should(HaveLen(2))
+		backend.stream(second).give(streamEvents)
+		Eventually(ended).Should(BeClosed())
+		served := lines.FilterMessage("served").All()
+		Expect(served).To(HaveLen(1))
+		Expect(served[0].ContextMap()).To(And(HaveKeyWithValue("run_events", int64(6)), HaveKeyWithValue("end_framed", true)))
+	})
+
 	// The next engine was full, or gave nothing in the time that the route allows
 	// for a pause. Left before, the first engine could not have gone on, and the
 	// caller's answer was cut.
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -71,6 +71,7 @@
 		return
 	}
 	l.logger.Info("served", inputs(j, zap.Duration("patience", j.call.Patience), zap.Int("status", status), zap.Int64("last_event", j.lastEvent),
+		zap.Int("run_events", j.runEvents), zap.Bool("end_framed", j.endFramed),
 		zap.Duration("predicted", j.predicted), zap.Duration("first", j.firstAfter()))...)
 }
 
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -253,6 +253,7 @@
 func (j *job) takeEvent(ticket *placement.Ticket, answer Answer, event eventstream.Event) error {
 	j.progressAt = time.Now()
 	ticket.Wrote(j.tokensOfEvent())
+	j.runEvents++
 	if event.ID >= 0 && event.ID <= j.lastEvent {
 		return nil
 	}
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -99,6 +99,9 @@
 	Limit() ServerLimit
 	// Streams reports whether the body is a stream of events.
 	Streams() bool
+	// EndIsFramed reports whether the server marks the end of the body. Otherwise the
+	// body ends with its connection, which a killed server closes too.
+	EndIsFramed() bool
 	// SetDeadline bounds the reads that follow.
 	SetDeadline(by time.Time)
 	// Body returns the whole body, at most limit bytes.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -66,6 +66,10 @@
 	// eventAt when the last one was.
 	longestPause time.Duration
 	eventAt      time.Time
+	// runEvents is how many events the last server gave, endFramed whether it marked
+	// the end of its answer.
+	runEvents int
+	endFramed bool
 	// progressAt is when the server last gave something: the answer's last event,
 	// or the request's way to it.
 	progressAt time.Time
@@ -213,6 +217,7 @@
 		return j.sendFailed(ctx, ticket, err)
 	}
 	j.attempts++
+	j.runEvents, j.endFramed = 0, answer.EndIsFramed()
 	j.noteLimit(now, ticket.Server, answer)
 	if answer.NotRun() || answer.Misdirected() {
 		answer.Close(true)
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -42,6 +42,7 @@
 func (emptyAnswer) Version() placement.ModelVersion  { return 1 }
 func (emptyAnswer) Limit() ServerLimit               { return ServerLimit{} }
 func (emptyAnswer) Streams() bool                    { return true }
+func (emptyAnswer) EndIsFramed() bool                { return true }
 func (emptyAnswer) SetDeadline(time.Time)            {}
 func (emptyAnswer) Body(int64) ([]byte, error)       { return nil, nil }
 func (emptyAnswer) Next() (eventstream.Event, error) { return eventstream.Event{}, io.EOF }
