Add failing test: answers that end as complete and are not

A call is answered by up to four servers; all sequences of 22 outcomes of an attempt are played through the gateway, on routes that may be resumed, routes that may not, safe routes and for callers who leave. The caller's bytes are checked: one head, one version, each event once and in order, an end only after the last event, "not run" only if nothing ran.

A route that may not be resumed takes the close of a killed server for the end of an answer; a safe route joins the events of two runs; an answer whose caller has left counts as complete.

--- /dev/null
+++ b/daemon/gateway/delivery_test.go
@@ -0,0 +1,376 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivespindle.example/adapters/eventstream"
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/enginemodel"
+	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/core/routing"
+)
+
+// wholeStream is the number of events of a complete answer; their ids start at 0.
+const wholeStream = 5
+
+// outcome is what a server does with an attempt.
+type outcome struct {
+	name   string
+	err    error // Send fails with it
+	status int   // 200 if 0
+	// isStream answers with events: those of ids, counted from the first one that
+	// the caller lacks, then end. ids that are noID have none.
+	isStream bool
+	ids      []int64
+	end      error
+	// fromStart ignores the last event that the caller has.
+	fromStart bool
+	version   placement.ModelVersion // 1 if 0
+	unframed  bool
+	state     Liveness
+	notRun    bool
+	blocks    bool // until the caller's time is up
+	gap       bool // some ids are left out
+}
+
+const noID = -1
+
+var (
+	errReset   = failure.WithOutcome(failure.Unavailable.New("connection reset"), failure.Unknown)
+	errSilence = failure.WithOutcome(failure.Timeout.New("nothing came"), failure.Unknown)
+	errDial    = failure.WithOutcome(failure.Unavailable.New("connection refused"), failure.NotRun)
+)
+
+func rest(n int) []int64 {
+	ids := make([]int64, n)
+	for i := range ids {
+		ids[i] = int64(i)
+	}
+	return ids
+}
+
+// outcomes are all that a server is made to do. The first ends every call.
+var outcomes = []outcome{
+	{name: "streams all", isStream: true, ids: rest(wholeStream), end: io.EOF},
+	{name: "streams all without a length", isStream: true, ids: rest(wholeStream), end: io.EOF, unframed: true, state: Alive},
+	{name: "streams from the start", isStream: true, fromStart: true, ids: rest(wholeStream), end: io.EOF},
+	{name: "breaks off", isStream: true, ids: rest(2), end: errReset},
+	{name: "is killed without a length", isStream: true, ids: rest(2), end: io.EOF, unframed: true, state: Down},
+	{name: "falls silent", isStream: true, ids: rest(1), end: errSilence},
+	{name: "breaks off before an event", isStream: true, end: errReset},
+	{name: "streams no event", isStream: true, end: io.EOF},
+	{name: "skips an event", isStream: true, ids: []int64{0, 1, 3}, end: errReset, gap: true},
+	{name: "starts too late", isStream: true, ids: []int64{1, 2, 3, 4}, end: io.EOF},
+	{name: "goes back", isStream: true, ids: []int64{0, 1, 0, 1, 2}, end: io.EOF},
+	{name: "streams without ids", isStream: true, ids: []int64{noID, noID}, end: errReset},
+	{name: "streams another version", isStream: true, ids: rest(wholeStream), end: io.EOF, version: 2},
+	{name: "streams a failure", isStream: true, status: 500, ids: rest(1), end: io.EOF},
+	{name: "answers 200"},
+	{name: "answers 404", status: 404},
+	{name: "answers 500", status: 500},
+	{name: "declines", status: 503, notRun: true},
+	{name: "is another server", status: 421},
+	{name: "is not reached", err: errDial},
+	{name: "resets", err: errReset},
+	{name: "hangs", blocks: true},
+}
+
+// scripted is a backend whose attempts have the outcomes of a script. Beyond its end,
+// attempts have the first outcome.
+type scripted struct {
+	script []outcome
+	sent   []outcome
+	state  map[netip.AddrPort]Liveness
+}
+
+func (b *scripted) Keep([]placement.Server) {}
+
+func (b *scripted) Check(_ context.Context, addr netip.AddrPort) Liveness { return b.state[addr] }
+
+func (b *scripted) Send(ctx context.Context, _ *Call, order Order) (Answer, error) {
+	o := outcomes[0]
+	if n := len(b.sent); n < len(b.script) {
+		o = b.script[n]
+	}
+	b.sent = append(b.sent, o)
+	b.state[order.Server.Addr] = max(o.state, Alive)
+	if o.blocks {
+		<-ctx.Done()
+		return nil, errSilence
+	}
+	if o.err != nil {
+		return nil, o.err
+	}
+	a := &scriptedAnswer{outcome: o, attempt: len(b.sent)}
+	if !o.fromStart {
+		a.first = order.LastEvent + 1
+	}
+	return a, nil
+}
+
+type scriptedAnswer struct {
+	outcome
+	attempt int
+	first   int64
+	read    int
+}
+
+func (a *scriptedAnswer) Status() int                { return max(a.status, http.StatusOK) }
+func (a *scriptedAnswer) NotRun() bool               { return a.notRun }
+func (a *scriptedAnswer) Misdirected() bool          { return a.status == http.StatusMisdirectedRequest }
+func (a *scriptedAnswer) Limit() ServerLimit         { return ServerLimit{} }
+func (a *scriptedAnswer) Streams() bool              { return a.isStream }
+func (a *scriptedAnswer) EndIsFramed() bool          { return !a.unframed }
+func (a *scriptedAnswer) SetDeadline(time.Time)      {}
+func (a *scriptedAnswer) Body(int64) ([]byte, error) { return []byte(a.body()), nil }
+func (a *scriptedAnswer) Close(bool)                 {}
+
+func (a *scriptedAnswer) Version() placement.ModelVersion { return max(a.version, 1) }
+
+func (a *scriptedAnswer) body() string { return "body of " + a.name }
+
+const eventForm = "attempt %d version %d id %d"
+
+func (a *scriptedAnswer) Next() (eventstream.Event, error) {
+	if a.read == len(a.ids) {
+		return eventstream.Event{}, a.end
+	}
+	id := a.ids[a.read]
+	a.read++
+	if id != noID {
+		id += a.first
+	}
+	if id >= wholeStream {
+		a.read = len(a.ids)
+		return eventstream.Event{}, a.end
+	}
+	return eventstream.Event{ID: id, Raw: fmt.Appendf(nil, eventForm, a.attempt, a.Version(), id)}, nil
+}
+
+// given is an event that the caller got.
+type given struct {
+	attempt int
+	version placement.ModelVersion
+	id      int64
+}
+
+// recorder is a caller that keeps what it got.
+type recorder struct {
+	head     *scriptedAnswer
+	body     string
+	events   []given
+	cut      bool
+	refused  []Verdict
+	heads    int
+	afterEnd int
+	leavesAt int // the write at which the caller has left; 0 for never
+	writes   int
+}
+
+var errCallerLeft = errors.New("the caller has left")
+
+func (r *recorder) Begin(a Answer, whole []byte) error {
+	r.head, r.body = a.(*scriptedAnswer), string(whole)
+	r.heads++
+	return r.write()
+}
+
+func (r *recorder) Write(p []byte) error {
+	var e given
+	if _, err := fmt.Sscanf(string(p), eventForm, &e.attempt, &e.version, &e.id); err != nil {
+		return err
+	}
+	r.events = append(r.events, e)
+	return r.write()
+}
+
+func (r *recorder) write() error {
+	if r.cut || len(r.refused) > 0 {
+		r.afterEnd++
+	}
+	r.writes++
+	if r.hasLeft() {
+		return errCallerLeft
+	}
+	return nil
+}
+
+func (r *recorder) hasLeft() bool { return r.leavesAt > 0 && r.writes >= r.leavesAt }
+
+func (r *recorder) Cut() { r.cut = true }
+
+func (r *recorder) Refuse(v Verdict) { r.refused = append(r.refused, v) }
+
+// isComplete reports whether the answer ends like a whole one.
+func (r *recorder) isComplete() bool { return r.heads > 0 && !r.cut }
+
+// broken returns the promise that the caller's answer breaks, empty for none.
+func (r *recorder) broken(sent []outcome, resumable bool) string {
+	switch {
+	case r.heads+len(r.refused) > 1:
+		return "an answer begins twice"
+	case r.afterEnd > 0:
+		return "bytes follow the end of an answer"
+	case len(r.refused) > 0:
+		return r.brokenRefusal(sent)
+	case r.isComplete() && r.hasLeft():
+		return "an answer is complete whose caller had left"
+	case r.isComplete() && !r.head.isStream && r.body != r.head.body():
+		return "a body is not its server's"
+	case r.isComplete() && r.head.isStream && !r.endsRightly(sent):
+		return "a stream ends as complete and is not"
+	default:
+		return r.brokenOrder(sent, resumable)
+	}
+}
+
+// brokenRefusal checks "not run".
+func (r *recorder) brokenRefusal(sent []outcome) string {
+	mayHaveRun := func(o outcome) bool {
+		return !o.notRun && o.status != http.StatusMisdirectedRequest && !errors.Is(o.err, errDial)
+	}
+	if r.refused[0].Code == Unavailable && slices.ContainsFunc(sent, mayHaveRun) {
+		return "a call is told not to have run that may have"
+	}
+	return ""
+}
+
+// endsRightly reports whether the last server marked the end of the whole answer.
+func (r *recorder) endsRightly(sent []outcome) bool {
+	last := sent[len(sent)-1]
+	marked := last.isStream && errors.Is(last.end, io.EOF) && !(last.unframed && last.state == Down)
+	if !marked || r.head.attempt == len(sent) {
+		return marked // without another run, what the server says is all there is
+	}
+	for i, e := range r.events {
+		if e.id != int64(i) && !hasGap(sent) {
+			return false
+		}
+	}
+	lastEvent := r.events[len(r.events)-1]
+	return lastEvent.id == wholeStream-1 && (lastEvent.attempt == len(sent) || last.fromStart)
+}
+
+// brokenOrder checks the events that the caller has, up to the end or to a cut.
+func (r *recorder) brokenOrder(sent []outcome, resumable bool) string {
+	for i := 1; i < len(r.events); i++ {
+		before, e := r.events[i-1], r.events[i]
+		switch {
+		case e.attempt != before.attempt && !resumable:
+			return "events of two runs are joined on a route that declares no resumption"
+		case e.version != before.version:
+			return "events of two versions are joined"
+		case e.attempt != before.attempt && (e.id == noID || before.id == noID):
+			return "events of two runs are joined that cannot be ordered"
+		case e.id != noID && e.id <= before.id:
+			return "an event comes twice"
+		case e.attempt != before.attempt && e.id != before.id+1 && !hasGap(sent):
+			return "an event is missing"
+		}
+	}
+	return ""
+}
+
+// hasGap reports whether a server left ids out by itself, which it may.
+func hasGap(sent []outcome) bool {
+	return slices.ContainsFunc(sent, func(o outcome) bool { return o.gap })
+}
+
+// situation is what a script is played in.
+type situation struct {
+	kind      routing.Kind
+	resumable bool
+	leavesAt  int
+}
+
+const mostAttempts = 4
+
+// play has a call answered by servers that follow the script.
+func (s situation) play(script []outcome) (*scripted, *recorder) {
+	g, _ := newGateway()
+	var servers []catalog.Server
+	for i := range 2 * mostAttempts {
+		servers = append(servers, server(fleet.InstanceID(fmt.Sprintf("i-%d", i)), fmt.Sprintf("10.0.1.%d:80", i+1), catalog.Revision(i+2)))
+	}
+	snapshot := snapshot(20, servers...)
+	snapshot.Config.Services[0].Engine = &enginemodel.Figures{
+		Slots: 16, Layers: 4, Step: 10 * time.Millisecond, Stride: 5, UsualAnswer: 50}
+	route := &snapshot.Config.Routes[0]
+	route.Kind, route.Resumable, route.MaxAttempts = s.kind, s.resumable, mostAttempts
+	route.Aim, route.PauseAim, route.Timeout = time.Second, time.Second, 10*time.Second
+	g.adopt(time.Now(), snapshot, fromPlatform)
+	g.publish(time.Now())
+	backend := &scripted{script: script, state: make(map[netip.AddrPort]Liveness)}
+	g.opts.Backend = backend
+	caller := &recorder{leavesAt: s.leavesAt}
+	g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), Patience: 5 * time.Second, LastEvent: -1}, caller)
+	return backend, caller
+}
+
+// each plays all scripts that begin with one: a script is extended as long as the
+// gateway makes more attempts than it has outcomes.
+func (s situation) each(script []outcome, check func(*scripted, *recorder)) {
+	backend, caller := s.play(script)
+	check(backend, caller)
+	if len(backend.sent) <= len(script) || len(script) == mostAttempts {
+		return
+	}
+	for _, o := range outcomes {
+		s.each(append(slices.Clone(script), o), check)
+	}
+}
+
+// Guards against answers that end as complete and are not, whatever servers do in
+// the attempts of a call.
+func TestAnswersThatEndAsCompleteAreWhole(t *testing.T) {
+	for name, s := range map[string]situation{
+		"resumable":      {kind: routing.Stream, resumable: true},
+		"not resumable":  {kind: routing.Stream},
+		"safe":           {kind: routing.Safe},
+		"caller leaves":  {kind: routing.Stream, resumable: true, leavesAt: 3},
+		"caller is gone": {kind: routing.Stream, resumable: true, leavesAt: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				played, failed := 0, make(map[string]int)
+				s.each(nil, func(b *scripted, r *recorder) {
+					played++
+					if broken := r.broken(b.sent, s.resumable); broken != "" {
+						failed[broken]++
+						reportFew(t, failed[broken], "%s: events %v, cut %v; servers: %s", broken, r.events, r.cut, namesOf(b.sent))
+					}
+				})
+				t.Logf("%d scripts, broken promises: %v", played, failed)
+			})
+		})
+	}
+}
+
+// reportFew reports the first failures of a kind.
+func reportFew(t *testing.T, number int, format string, args ...any) {
+	t.Helper()
+	const few = 3
+	if number <= few {
+		t.Errorf(format, args...)
+	}
+}
+
+func namesOf(sent []outcome) string {
+	var names []string
+	for _, o := range sent {
+		names = append(names, o.name)
+	}
+	return strings.Join(names, ", ")
+}
