gateway: one state of what a caller has decides how its answer goes on and ends

What callers saw: an event stream with a regular end that lacked its last events. An engine broke the stream off, the entry resumed it on another one, and that answered with a whole 500. The entry finished the call by the way that is made for calls without any answer: it wrote nothing more, and the return of the handler ended the stream like a complete one.

Class: an answer that has begun is ended by a path made for one that has not. Completeness was what remained when nobody had said otherwise, and the decision what an answer of a server is good for stood twice, once checked (hand-over) and once not (resumption).

The test of all sequences of outcomes fails on the code before for this and for more of the class: a resumption without events, a failure in the form of a stream, another version, events without ids, a run that starts too late or goes back, a safe route whose stream was continued though it declares no resumption, the close of a killed server behind an answer without a length, and answers of callers who had left.

Now core/delivery holds what the caller has (nothing, a part up to an event, complete, cut), and daemon/gateway's reply is the only one that writes to a caller. Each answer of a server, of a first attempt, a resumption or a hand-over, passes the same check. An answer is complete only if somebody says so: the port to the caller has Complete and no Cut, and an answer that is not complete when Serve returns is broken off. A step that the stage does not allow is a typed failure, logged, counted and cut. The end of an answer that only a closed connection marks counts unless its server refuses connections right after.

A resumption that ends without an event is no proof that the caller has everything: the stream is tried again or cut, and its caller can resume it. Spec texts are unchanged; the specs' callers have Complete where they had Cut, and "is whole if its stream ends as the time of the engine is over" sets its job up with an event instead of a flag.

The test found one error in itself: a failure whose body is a stream is passed on whole with its head, which it had taken for a stream.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -137,7 +137,7 @@
 	case "retry_budget":
 		return "Another server would have been tried, but the share of repeats that all entries allow was used up: " +
 			l.lastFailure() + "."
-	case "unreachable", "no_answer", "answer_broken", "stream_broken", "server_failed":
+	case "unreachable", "no_answer", "answer_broken", "stream_broken", "server_failed", "not_continued":
 		return l.serverFailed(last)
 	default:
 		return fmt.Sprintf("The entry gave the reason %s.", reason)
--- /dev/null
+++ b/core/delivery/delivery_suite_test.go
@@ -0,0 +1,13 @@
+package delivery_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestDelivery(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "delivery")
+}
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -74,9 +74,10 @@
 
 // Idempotent reports whether a request may be sent again once a server may
 // have run it.
-func (r *Route) Idempotent() bool {
-	return r.Kind == Safe || r.Kind == Stream && r.Resumable
-}
+func (r *Route) Idempotent() bool { return r.Kind == Safe || r.MayResume() }
+
+// MayResume reports whether another server may go on with an answer that has begun.
+func (r *Route) MayResume() bool { return r.Kind == Stream && r.Resumable }
 
 // Origin is where whole copies of weights come from.
 type Origin struct {
--- a/daemon/gateway/crash_test.go
+++ b/daemon/gateway/crash_test.go
@@ -123,7 +123,8 @@
 	// place has a call sent to a server.
 	place := func(id fleet.InstanceID) (*job, *placement.Ticket) {
 		now := time.Now()
-		j := &job{g: g, call: &Call{ID: "c", Method: "POST", Target: target, Arrived: now}, view: g.view.Load(), caller: make(refusals, 1),
+		call := &Call{ID: "c", Method: "POST", Target: target, Arrived: now}
+		j := &job{g: g, call: call, view: g.view.Load(), reply: newReply(g, call, make(refusals, 1)),
 			route: g.table.Match("a.example", "/"), service: g.table.Service("pool"),
 			deadline: now.Add(time.Minute), serverUntil: now.Add(time.Minute), attempts: 1}
 		ask := j.ask(now)
--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -45,6 +46,9 @@
 	gap       bool // some ids are left out
 }
 
+// isKilled reports whether the end of the body is the close of a killed server.
+func (o outcome) isKilled() bool { return o.unframed && o.state == Down }
+
 const noID = -1
 
 var (
@@ -78,6 +82,7 @@
 	{name: "streams another version", isStream: true, ids: rest(wholeStream), end: io.EOF, version: 2},
 	{name: "streams a failure", isStream: true, status: 500, ids: rest(1), end: io.EOF},
 	{name: "answers 200"},
+	{name: "is killed in a body without a length", unframed: true, state: Down},
 	{name: "answers 404", status: 404},
 	{name: "answers 500", status: 500},
 	{name: "declines", status: 503, notRun: true},
@@ -170,8 +175,9 @@
 type recorder struct {
 	head     *scriptedAnswer
 	body     string
+	isWhole  bool // the body came with the head
 	events   []given
-	cut      bool
+	complete bool
 	refused  []Verdict
 	heads    int
 	afterEnd int
@@ -181,12 +187,20 @@
 
 var errCallerLeft = errors.New("the caller has left")
 
-func (r *recorder) Begin(a Answer, whole []byte) error {
-	r.head, r.body = a.(*scriptedAnswer), string(whole)
+func (r *recorder) Begin(a Answer) error {
+	r.head = a.(*scriptedAnswer)
 	r.heads++
 	return r.write()
 }
 
+func (r *recorder) Whole(a Answer, body []byte) error {
+	r.body, r.isWhole = string(body), true
+	if err := r.Begin(a); err != nil {
+		return err
+	}
+	return r.Complete()
+}
+
 func (r *recorder) Write(p []byte) error {
 	var e given
 	if _, err := fmt.Sscanf(string(p), eventForm, &e.attempt, &e.version, &e.id); err != nil {
@@ -197,7 +211,7 @@
 }
 
 func (r *recorder) write() error {
-	if r.cut || len(r.refused) > 0 {
+	if r.complete || len(r.refused) > 0 {
 		r.afterEnd++
 	}
 	r.writes++
@@ -209,13 +223,16 @@
 
 func (r *recorder) hasLeft() bool { return r.leavesAt > 0 && r.writes >= r.leavesAt }
 
-func (r *recorder) Cut() { r.cut = true }
+func (r *recorder) Complete() error {
+	if r.complete || r.heads == 0 {
+		r.afterEnd++
+	}
+	r.complete = true
+	return nil
+}
 
 func (r *recorder) Refuse(v Verdict) { r.refused = append(r.refused, v) }
 
-// isComplete reports whether the answer ends like a whole one.
-func (r *recorder) isComplete() bool { return r.heads > 0 && !r.cut }
-
 // broken returns the promise that the caller's answer breaks, empty for none.
 func (r *recorder) broken(sent []outcome, resumable bool) string {
 	switch {
@@ -225,11 +242,11 @@
 		return "bytes follow the end of an answer"
 	case len(r.refused) > 0:
 		return r.brokenRefusal(sent)
-	case r.isComplete() && r.hasLeft():
+	case r.complete && r.hasLeft():
 		return "an answer is complete whose caller had left"
-	case r.isComplete() && !r.head.isStream && r.body != r.head.body():
-		return "a body is not its server's"
-	case r.isComplete() && r.head.isStream && !r.endsRightly(sent):
+	case r.complete && r.isWhole && (r.body != r.head.body() || r.head.isKilled()):
+		return "a body is not its server's whole one"
+	case r.complete && !r.isWhole && !r.endsRightly(sent):
 		return "a stream ends as complete and is not"
 	default:
 		return r.brokenOrder(sent, resumable)
@@ -250,7 +267,7 @@
 // endsRightly reports whether the last server marked the end of the whole answer.
 func (r *recorder) endsRightly(sent []outcome) bool {
 	last := sent[len(sent)-1]
-	marked := last.isStream && errors.Is(last.end, io.EOF) && !(last.unframed && last.state == Down)
+	marked := last.isStream && errors.Is(last.end, io.EOF) && !last.isKilled()
 	if !marked || r.head.attempt == len(sent) {
 		return marked // without another run, what the server says is all there is
 	}
@@ -295,7 +312,13 @@
 	leavesAt  int
 }
 
-const mostAttempts = 4
+// mostAttempts is how many servers a call may reach, exhaustive the number of attempts up
+// to which all sequences of outcomes are played.
+const (
+	mostAttempts = 4
+	exhaustive   = 3
+	samples      = 6000
+)
 
 // play has a call answered by servers that follow the script.
 func (s situation) play(script []outcome) (*scripted, *recorder) {
@@ -324,7 +347,7 @@
 func (s situation) each(script []outcome, check func(*scripted, *recorder)) {
 	backend, caller := s.play(script)
 	check(backend, caller)
-	if len(backend.sent) <= len(script) || len(script) == mostAttempts {
+	if len(backend.sent) <= len(script) || len(script) == exhaustive {
 		return
 	}
 	for _, o := range outcomes {
@@ -332,6 +355,18 @@
 	}
 }
 
+// sample plays scripts of as many attempts as a call may have, drawn with a seed.
+func (s situation) sample(seed uint64, check func(*scripted, *recorder)) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	for range samples {
+		script := make([]outcome, mostAttempts)
+		for i := range script {
+			script[i] = outcomes[random.IntN(len(outcomes))]
+		}
+		check(s.play(script))
+	}
+}
+
 // Guards against answers that end as complete and are not, whatever servers do in
 // the attempts of a call.
 func TestAnswersThatEndAsCompleteAreWhole(t *testing.T) {
@@ -339,19 +374,22 @@
 		"resumable":      {kind: routing.Stream, resumable: true},
 		"not resumable":  {kind: routing.Stream},
 		"safe":           {kind: routing.Safe},
+		"unsafe":         {kind: routing.Unsafe},
 		"caller leaves":  {kind: routing.Stream, resumable: true, leavesAt: 3},
 		"caller is gone": {kind: routing.Stream, resumable: true, leavesAt: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				played, failed := 0, make(map[string]int)
-				s.each(nil, func(b *scripted, r *recorder) {
+				check := func(b *scripted, r *recorder) {
 					played++
 					if broken := r.broken(b.sent, s.resumable); broken != "" {
 						failed[broken]++
-						reportFew(t, failed[broken], "%s: events %v, cut %v; servers: %s", broken, r.events, r.cut, namesOf(b.sent))
+						reportFew(t, failed[broken], "%s: events %v, complete %v; servers: %s", broken, r.events, r.complete, namesOf(b.sent))
 					}
-				})
+				}
+				s.each(nil, check)
+				s.sample(1, check)
 				t.Logf("%d scripts, broken promises: %v", played, failed)
 			})
 		})
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"chivespindle.example/core/delivery"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/placement"
 )
@@ -25,6 +26,7 @@
 type successor struct {
 	ticket *placement.Ticket
 	answer Answer
+	run    *delivery.Run
 	until  time.Time // when the server ends its work on the call
 }
 
@@ -52,19 +54,17 @@
 		next.End(now, placement.Abandoned)
 		return nil
 	}
-	order := j.order(now, next)
-	answer, err := j.resumeOn(ctx, now, next, order)
+	goesOn, err := j.resumeOn(ctx, now, next, j.order(now, next))
 	if err != nil {
 		j.g.log.handedOver(j, ticket, next, err, j.withdrawn(ctx, time.Now(), next, err))
 		return nil
 	}
 	j.g.log.handedOver(j, ticket, next, nil, nil)
-	return &successor{ticket: next, answer: answer, until: order.Until}
+	return goesOn
 }
 
-// resumeOn sends the call to another server and returns its answer once it goes
-// on within the longest pause that the route allows.
-func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (Answer, error) {
+// resumeOn sends the call to another server and returns it once it goes on within the longest pause that the route allows.
+func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (*successor, error) {
 	order.FirstBy = earlier(j.latestResponseTime(order.Until), now.Add(j.pauseAim()))
 	j.attempts++
 	answer, err := j.g.opts.Backend.Send(ctx, j.call, order)
@@ -73,23 +73,28 @@
 		return nil, err
 	}
 	j.noteLimit(now, next.Server, answer)
-	if answer.NotRun() || answer.Misdirected() || !answer.Streams() || answer.Version() != j.version {
+	if answer.NotRun() || answer.Misdirected() {
 		answer.Close(answer.NotRun())
 		next.End(time.Now(), placement.Declined)
-		return nil, failure.Unavailable.New("status %d, version %d", answer.Status(), answer.Version())
+		return nil, failure.Unavailable.New("declined with status %d", answer.Status())
+	}
+	run, err := j.reply.accept(answer)
+	if err != nil {
+		answer.Close(false)
+		next.End(time.Now(), j.resultOf(answer))
+		return nil, err
 	}
-	j.runEvents, j.endFramed = 0, answer.EndIsFramed()
 	answer.SetDeadline(order.FirstBy)
 	event, err := answer.Next()
 	if err == nil {
-		err = j.takeEvent(next, answer, event)
+		err = j.takeEvent(next, answer, run, event)
 	}
 	if err != nil {
 		answer.Close(false)
 		next.End(time.Now(), placement.Abandoned)
 		return nil, err
 	}
-	return answer, nil
+	return &successor{ticket: next, answer: answer, run: run, until: order.Until}, nil
 }
 
 func (j *job) pauseAim() time.Duration {
@@ -104,7 +109,7 @@
 	if j.standing(time.Now()).IsQuarantined() {
 		return false
 	}
-	if j.moveTried || j.service.Engine == nil || !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts || j.lastEvent < 0 {
+	if j.moveTried || j.service.Engine == nil || !j.hasBegun() || !j.mayBeSentAgain() || j.attempts >= j.route.MaxAttempts {
 		return false
 	}
 	return j.service.Engine.Write(ticket.Work(), j.remainingTokens(ticket)) >= worthMoving
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -104,12 +104,13 @@
 
 // reader is a caller that keeps what it got.
 type reader struct {
-	mu   sync.Mutex
-	text []byte
-	cut  bool
+	mu       sync.Mutex
+	text     []byte
+	complete bool
 }
 
-func (*reader) Begin(Answer, []byte) error { return nil }
+func (*reader) Whole(Answer, []byte) error { return nil }
+func (*reader) Begin(Answer) error         { return nil }
 func (*reader) Refuse(Verdict)             {}
 
 func (r *reader) Write(p []byte) error {
@@ -119,10 +120,11 @@
 	return nil
 }
 
-func (r *reader) Cut() {
+func (r *reader) Complete() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = true
+	r.complete = true
+	return nil
 }
 
 func (r *reader) got() string {
@@ -230,7 +232,7 @@
 			Eventually(ended).Should(BeClosed())
 			Expect(backend.orders()).To(HaveLen(2))
 			Expect(caller.got()).To(Equal("0123456789"))
-			Expect(caller.cut).To(BeFalse())
+			Expect(caller.complete).To(BeTrue())
 		},
 		Entry("it declines", func() { backend.declines[second] = true }),
 		Entry("it is silent", func() { backend.silent[second] = true }),
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -104,7 +104,8 @@
 	const named = 1.5
 
 	note := func(sent time.Time, a limitedAnswer) {
-		j := &job{g: g, call: &Call{ID: "c"}}
+		call := &Call{ID: "c"}
+		j := &job{g: g, call: call, reply: newReply(g, call, nil)}
 		j.noteLimit(sent, placement.Server{ID: "i-1"}, a)
 	}
 	limit := func() float64 { return g.limits.All(time.Now())["i-1"] }
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -70,8 +70,8 @@
 	if isPlain && !l.gate.sample(servedEvery) || !l.allowed() {
 		return
 	}
-	l.logger.Info("served", inputs(j, zap.Duration("patience", j.call.Patience), zap.Int("status", status), zap.Int64("last_event", j.lastEvent),
-		zap.Int("run_events", j.runEvents), zap.Bool("end_framed", j.endFramed),
+	l.logger.Info("served", inputs(j, zap.Duration("patience", j.call.Patience), zap.Int("status", status), zap.Int64("last_event", j.reply.progress.LastEvent()),
+		zap.Int("run_events", j.run.Events()), zap.Bool("end_framed", j.endFramed),
 		zap.Duration("predicted", j.predicted), zap.Duration("first", j.firstAfter()))...)
 }
 
@@ -89,7 +89,7 @@
 		return
 	}
 	l.logger.Info("refused", inputs(j, zap.Stringer("code", v.Code), zap.String("reason", v.Reason),
-		zap.Duration("retry_after", v.RetryAfter), zap.Bool("begun", j.begun), zap.Bool("may_have_run", j.mayHaveRun))...)
+		zap.Duration("retry_after", v.RetryAfter), zap.Bool("begun", j.hasBegun()), zap.Bool("may_have_run", j.mayHaveRun))...)
 }
 
 func (l *requestLog) notPlaced(j *job, r placement.Refusal) {
@@ -122,7 +122,7 @@
 	fields := inputs(j, zap.String("server", string(t.Server.ID)),
 		zap.Stringer("addr", t.Server.Addr),
 		zap.Uint64("loaded", uint64(t.Server.Loaded)), zap.Duration("predicted", t.Predicted),
-		zap.Int64("last_event", j.lastEvent), zap.Error(err))
+		zap.Int64("last_event", j.reply.progress.LastEvent()), zap.Error(err))
 	fields = append(fields, w.fields()...)
 	l.logger.Info("attempt_failed", append(fields, b.fields()...)...)
 }
@@ -140,7 +140,7 @@
 	l.countWithdrawn(w)
 	if l.allowed() {
 		fields := inputs(j, zap.String("server", string(from.Server.ID)), zap.String("to", string(to.Server.ID)),
-			zap.Int64("last_event", j.lastEvent), zap.Duration("predicted", to.Predicted), zap.Error(err))
+			zap.Int64("last_event", j.reply.progress.LastEvent()), zap.Duration("predicted", to.Predicted), zap.Error(err))
 		l.logger.Info("handed_over", append(fields, w.fields()...)...)
 	}
 }
@@ -175,6 +175,6 @@
 	l.account.note(j, resultAbandoned)
 	l.metrics.Counter("calls_abandoned").Inc(1)
 	if l.gate.sample(servedEvery) && l.allowed() {
-		l.logger.Info("abandoned", inputs(j, zap.Int64("last_event", j.lastEvent))...)
+		l.logger.Info("abandoned", inputs(j, zap.Int64("last_event", j.reply.progress.LastEvent()))...)
 	}
 }
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"chivespindle.example/adapters/eventstream"
+	"chivespindle.example/core/delivery"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/placement"
 )
@@ -56,10 +57,12 @@
 		ticket.End(now, placement.Abandoned)
 	case j.isOver(ctx, now):
 		ticket.End(now, placement.Silent)
-	case j.wasToEnd(now), !j.begun && errorx.IsOfType(err, failure.Timeout) && j.isOutOfTime(now, ticket.Server):
+	case j.wasToEnd(now), !j.hasBegun() && errorx.IsOfType(err, failure.Timeout) && j.isOutOfTime(now, ticket.Server):
 		ticket.End(now, placement.Abandoned)
 	case errorx.IsOfType(err, failure.Timeout):
 		ticket.End(now, placement.Silent)
+	case errorx.IsOfType(err, delivery.OutOfOrder):
+		ticket.End(now, placement.Failed)
 	default:
 		ticket.End(now, placement.Broken)
 		broken = j.brokenAt(ctx, ticket.Server, err)
@@ -101,7 +104,7 @@
 // again reports whether the call may be sent once more, now that a server may
 // have run it.
 func (j *job) again(ctx context.Context, now time.Time) bool {
-	return ctx.Err() == nil && !j.g.opts.Off.Repeat && j.route.Idempotent() && j.attempts < j.route.MaxAttempts &&
+	return ctx.Err() == nil && !j.g.opts.Off.Repeat && j.mayBeSentAgain() && j.attempts < j.route.MaxAttempts &&
 		j.deadline.Sub(now) > minimalRest && j.standing(now).MayRepeat()
 }
 
@@ -135,7 +138,7 @@
 // giveUp answers for a call that nobody takes.
 func (j *job) giveUp(reason string, retryAfter time.Duration) {
 	switch {
-	case j.begun:
+	case j.hasBegun():
 		j.cut(reason)
 	case j.held != nil:
 		j.giveHeld()
@@ -152,9 +155,8 @@
 	isOver := j.isOver(ctx, now)
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		j.g.log.abandoned(j)
-		j.caller.Cut()
-	case isOver && j.mayHaveRun && j.held == nil && !j.begun:
+		j.callerLeft()
+	case isOver && j.mayHaveRun && j.held == nil && !j.hasBegun():
 		j.refuse(Verdict{Code: TimedOut, Reason: "timeout"})
 	case isOver:
 		j.giveUp("timeout", 0)
@@ -166,14 +168,57 @@
 
 func (j *job) refuse(v Verdict) {
 	j.g.log.refused(j, v)
-	j.caller.Refuse(v)
+	j.reply.refuse(v)
+}
+
+// callerLeft ends a call whose caller is there no more.
+func (j *job) callerLeft() {
+	j.g.log.abandoned(j)
+	j.reply.cut()
+}
+
+// answered follows an answer of a server that has run the call.
+func (j *job) answered(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
+	j.mayHaveRun = true
+	run, err := j.reply.accept(answer)
+	if err != nil {
+		return j.notContinued(ctx, ticket, answer, err)
+	}
+	j.run, j.endFramed = run, answer.EndIsFramed()
+	if headOf(answer).IsEventStream() {
+		return j.stream(ctx, ticket, answer)
+	}
+	return j.whole(ctx, ticket, answer)
+}
+
+// notContinued follows an answer that cannot go on with what the caller has.
+func (j *job) notContinued(ctx context.Context, ticket *placement.Ticket, answer Answer, err error) bool {
+	answer.Close(false)
+	now := time.Now()
+	ticket.End(now, j.resultOf(answer))
+	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
+	j.g.log.attempt(j, ticket, err, nil, nil)
+	if j.again(ctx, now) {
+		return true
+	}
+	return j.ended(ctx, now, "not_continued")
+}
+
+// resultOf is how an attempt ended whose answer cannot be passed on.
+func (j *job) resultOf(answer Answer) placement.Result {
+	if answer.Status() < http.StatusInternalServerError {
+		return placement.Declined
+	}
+	return j.resultOfFailure(time.Now())
 }
 
 // whole gives on the answer of a plain service, once it has come whole.
 func (j *job) whole(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
-	j.mayHaveRun = true
 	answer.SetDeadline(j.deadline)
 	body, err := answer.Body(heldBytes)
+	if err == nil {
+		err = j.checkClose(ctx, ticket.Server, answer)
+	}
 	now := time.Now()
 	if err != nil {
 		answer.Close(false)
@@ -207,8 +252,8 @@
 }
 
 func (j *job) give(answer Answer, body []byte) {
-	if err := j.caller.Begin(answer, body); err != nil {
-		j.g.log.abandoned(j)
+	if err := j.reply.whole(answer, body); err != nil {
+		j.callerLeft()
 		return
 	}
 	j.g.log.served(j, answer.Status())
@@ -222,7 +267,6 @@
 // can take over without the caller noticing. After that it can where the route
 // allows: the next server goes on after the last event that was given whole.
 func (j *job) stream(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
-	j.mayHaveRun = true
 	for {
 		answer.SetDeadline(j.eventBy(time.Now(), ticket.Server))
 		event, err := answer.Next()
@@ -232,51 +276,42 @@
 		if err != nil {
 			return j.streamBroke(ctx, ticket, answer, err)
 		}
-		if err := j.takeEvent(ticket, answer, event); err != nil {
+		err = j.takeEvent(ticket, answer, j.run, event)
+		if errorx.IsOfType(err, delivery.OutOfOrder) {
+			return j.streamBroke(ctx, ticket, answer, err)
+		}
+		if err != nil {
 			answer.Close(false)
 			ticket.End(time.Now(), placement.Abandoned)
 			j.leftBehind(time.Now(), ticket.Server)
-			j.g.log.abandoned(j)
-			j.caller.Cut()
+			j.callerLeft()
 			return false
 		}
 		if next := j.handOver(ctx, ticket); next != nil {
 			answer.Close(false)
 			ticket.End(time.Now(), placement.Abandoned)
 			ticket, answer, j.serverUntil = next.ticket, next.answer, next.until
+			j.run, j.endFramed = next.run, answer.EndIsFramed()
 		}
 	}
 }
 
-// takeEvent gives on an event of a server, unless the caller has it already. It
-// fails if the caller has left.
-func (j *job) takeEvent(ticket *placement.Ticket, answer Answer, event eventstream.Event) error {
+// takeEvent passes on an event of a server, unless the caller has it already. It fails
+// if the event does not follow or the caller has left.
+func (j *job) takeEvent(ticket *placement.Ticket, answer Answer, run *delivery.Run, event eventstream.Event) error {
 	j.progressAt = time.Now()
 	ticket.Wrote(j.tokensOfEvent())
-	j.runEvents++
-	if event.ID >= 0 && event.ID <= j.lastEvent {
-		return nil
-	}
-	if event.ID >= 0 {
-		j.lastEvent = event.ID
+	passed, err := j.reply.event(answer, run, event)
+	if err != nil || !passed {
+		return err
 	}
-	return j.pass(answer, event.Raw)
-}
-
-// pass gives one event on, with the header before the first.
-func (j *job) pass(answer Answer, raw []byte) error {
-	if !j.begun {
-		if err := j.caller.Begin(answer, nil); err != nil {
-			return err
-		}
-		j.begun = true
-		j.version = answer.Version()
+	if j.firstAt.IsZero() {
 		j.firstAt = time.Now()
 		j.eventAt = j.firstAt
 	}
 	j.longestPause = max(j.longestPause, j.progressAt.Sub(j.eventAt))
 	j.eventAt = j.progressAt
-	return j.caller.Write(raw)
+	return nil
 }
 
 func (j *job) tokensOfEvent() int {
@@ -289,14 +324,14 @@
 // eventBy is when the next event must be there.
 func (j *job) eventBy(now time.Time, server placement.Server) time.Time {
 	by := j.latestResponseTime(j.serverUntil)
-	if !j.begun {
+	if !j.hasBegun() {
 		by = j.beginBy(now, server, j.serverUntil)
 	}
-	if !j.route.Idempotent() || j.attempts >= j.route.MaxAttempts {
+	if !j.mayBeSentAgain() || j.attempts >= j.route.MaxAttempts {
 		return by
 	}
 	allowed := streamSilence
-	if !j.begun {
+	if !j.hasBegun() {
 		allowed += j.predicted
 	}
 	return earlier(by, now.Add(allowed))
@@ -304,28 +339,34 @@
 
 // streamEnded follows the end of a stream between two events.
 func (j *job) streamEnded(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
+	err := j.reply.progress.CheckEnd(j.run)
+	if err == nil {
+		err = j.checkClose(ctx, ticket.Server, answer)
+	}
+	if err != nil {
+		return j.streamBroke(ctx, ticket, answer, err)
+	}
 	answer.Close(true)
 	now := time.Now()
-	if answer.Status() >= http.StatusInternalServerError && !j.begun {
-		ticket.End(now, j.resultOfFailure(now))
-		j.g.log.serverError(j, ticket, answer.Status())
-		j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
-		if j.again(ctx, now) {
-			return true
-		}
-		return j.ended(ctx, now, "server_failed")
-	}
 	ticket.End(now, placement.Succeeded)
 	j.clearOfCrashes(now)
-	if !j.begun {
-		// A stream without events: nothing was left to tell after LastEvent.
-		j.give(answer, nil)
+	if err := j.reply.complete(answer, j.run); err != nil {
+		j.callerLeft()
 		return false
 	}
 	j.g.log.served(j, answer.Status())
 	return false
 }
 
+// checkClose fails if the close of a connection was to mark the end of an answer and its
+// server does not run any more: the connections of a killed process are closed too.
+func (j *job) checkClose(ctx context.Context, server placement.Server, answer Answer) error {
+	if answer.EndIsFramed() || j.g.opts.Backend.Check(ctx, server.Addr) != Down {
+		return nil
+	}
+	return failure.WithOutcome(failure.Unavailable.New("the server ended with its connection"), failure.Unknown)
+}
+
 func (j *job) streamBroke(ctx context.Context, ticket *placement.Ticket, answer Answer, err error) bool {
 	answer.Close(false)
 	now := time.Now()
@@ -339,5 +380,5 @@
 // cut ends a stream that cannot be finished.
 func (j *job) cut(reason string) {
 	j.g.log.refused(j, Verdict{Code: Broken, Reason: reason})
-	j.caller.Cut()
+	j.reply.cut()
 }
--- a/daemon/gateway/outdated_test.go
+++ b/daemon/gateway/outdated_test.go
@@ -44,7 +44,8 @@
 		g.names["m"] = loading.Names{{Version: 2, Since: now.Add(-named)}}
 		g.publish(now)
 		t := choose(now)
-		j := &job{g: g, call: &Call{ID: "c", Arrived: now.Add(-time.Second)}, view: g.view.Load(), service: g.table.Service("pool"),
+		call := &Call{ID: "c", Arrived: now.Add(-time.Second)}
+		j := &job{g: g, call: call, reply: newReply(g, call, nil), view: g.view.Load(), service: g.table.Service("pool"),
 			route: g.table.Match("a.example", "/"), deadline: now.Add(time.Minute), progressAt: now.Add(-time.Second)}
 		j.serverUntil = j.order(now, t).Until
 		j.failed(context.Background(), now, t, failure.Timeout.New("nothing came"))
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -123,14 +123,18 @@
 }
 
 // Caller takes the answer to a call. All methods are called by one goroutine.
+//
+// An answer is complete only after Whole, Complete or Refuse. One that is not when Serve
+// returns must not look so.
 type Caller interface {
-	// Begin sends the header of a server's answer. whole is the body if it is
-	// known already; else Write follows.
-	Begin(answer Answer, whole []byte) error
+	// Whole sends a server's answer with its body.
+	Whole(answer Answer, body []byte) error
+	// Begin sends the header of a server's answer whose body follows.
+	Begin(answer Answer) error
 	// Write sends a part of the body at once.
 	Write(p []byte) error
-	// Cut ends an answer that is not whole, so that it does not look complete.
-	Cut()
+	// Complete ends a body that Begin has started.
+	Complete() error
 	// Refuse sends an answer of our own.
 	Refuse(v Verdict)
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"chivespindle.example/core/delivery"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/quarantine"
@@ -27,7 +28,7 @@
 type job struct {
 	g         *Gateway
 	call      *Call
-	caller    Caller
+	reply     *reply
 	view      *view
 	route     *routing.Route
 	service   *routing.Service
@@ -51,11 +52,6 @@
 	// moveTried is true once it was tried to have the stream go on elsewhere.
 	moveTried bool
 
-	// Of a stream: whether the header was sent, the last event given, and the
-	// version that gave it.
-	begun     bool
-	lastEvent int64
-	version   placement.ModelVersion
 	predicted time.Duration
 	// predictedFirst is what was predicted for the attempt that gave the first event,
 	// placedAt when that was placed.
@@ -66,9 +62,8 @@
 	// eventAt when the last one was.
 	longestPause time.Duration
 	eventAt      time.Time
-	// runEvents is how many events the last server gave, endFramed whether it marked
-	// the end of its answer.
-	runEvents int
+	// run is that of the last server, endFramed whether it marks the end of its answer.
+	run       *delivery.Run
 	endFramed bool
 	// progressAt is when the server last gave something: the answer's last event,
 	// or the request's way to it.
@@ -87,7 +82,7 @@
 func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	j := &job{g: g, call: call, caller: caller, view: g.currentView(ctx, call), lastEvent: call.LastEvent}
+	j := &job{g: g, call: call, reply: newReply(g, call, caller), view: g.currentView(ctx, call)}
 	if verdict, ok := j.admit(); !ok {
 		j.refuse(verdict)
 		return
@@ -204,7 +199,7 @@
 		return false
 	}
 	j.predicted = ticket.Predicted
-	if !j.begun {
+	if !j.hasBegun() {
 		j.predictedFirst = ticket.Predicted
 		j.placedAt = now
 	}
@@ -217,17 +212,13 @@
 		return j.sendFailed(ctx, ticket, err)
 	}
 	j.attempts++
-	j.runEvents, j.endFramed = 0, answer.EndIsFramed()
 	j.noteLimit(now, ticket.Server, answer)
 	if answer.NotRun() || answer.Misdirected() {
 		answer.Close(true)
 		ticket.End(time.Now(), placement.Declined)
 		return j.declined(ctx, ticket.Server)
 	}
-	if answer.Streams() {
-		return j.stream(ctx, ticket, answer)
-	}
-	return j.whole(ctx, ticket, answer)
+	return j.answered(ctx, ticket, answer)
 }
 
 const (
@@ -314,7 +305,7 @@
 
 // isLate reports whether the answer cannot be on time any more.
 func (j *job) isLate(now time.Time) bool {
-	return j.returned || j.begun || now.Sub(j.call.Arrived) >= j.route.Aim
+	return j.returned || j.hasBegun() || now.Sub(j.call.Arrived) >= j.route.Aim
 }
 
 // order describes an attempt at the ticket's server.
@@ -323,7 +314,7 @@
 		Server:    ticket.Server,
 		Workspace: j.workspace,
 		Until:     j.deadline,
-		LastEvent: j.lastEvent,
+		LastEvent: j.reply.progress.LastEvent(),
 	}
 	if ticket.Within > 0 {
 		o.Until = earlier(j.deadline, now.Add(ticket.Within))
@@ -360,9 +351,21 @@
 // mayRepeat reports whether another server may get the call after the one that
 // it is sent to next.
 func (j *job) mayRepeat() bool {
-	return j.route.Idempotent() && j.attempts+1 < j.route.MaxAttempts
+	return j.mayBeSentAgain() && j.attempts+1 < j.route.MaxAttempts
 }
 
+// mayBeSentAgain reports whether another server may get the call once one may have run
+// it. One that goes on where the caller's answer has ended must be able to.
+func (j *job) mayBeSentAgain() bool {
+	if j.hasBegun() {
+		return j.route.MayResume() && j.reply.progress.MayResume()
+	}
+	return j.route.Idempotent()
+}
+
+// hasBegun reports whether the caller has a part of its answer.
+func (j *job) hasBegun() bool { return j.reply.progress.HasBegun() }
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -51,9 +51,10 @@
 // refusals is a caller that notes how it was refused.
 type refusals chan Verdict
 
-func (refusals) Begin(Answer, []byte) error { return nil }
+func (refusals) Whole(Answer, []byte) error { return nil }
+func (refusals) Begin(Answer) error         { return nil }
 func (refusals) Write([]byte) error         { return nil }
-func (refusals) Cut()                       {}
+func (refusals) Complete() error            { return nil }
 func (r refusals) Refuse(v Verdict)         { r <- v }
 
 var _ = Describe("A call that no engine can take now", func() {
@@ -162,7 +163,8 @@
 	// last at progress, and returns how many of the next it is given.
 	fail := func(progress time.Time) int {
 		deadline := at(time.Second)
-		j := &job{g: g, call: &Call{ID: "c", Arrived: start}, caller: caller, mayHaveRun: true, view: g.view.Load(),
+		call := &Call{ID: "c", Arrived: start, LastEvent: -1}
+		j := &job{g: g, call: call, reply: newReply(g, call, caller), mayHaveRun: true, view: g.view.Load(),
 			route: &g.snapshot.Config.Routes[0], service: g.table.Service("pool"), deadline: deadline, progressAt: progress}
 		for range 50 {
 			ticket, _ := g.board.Choose(start, placement.Ask{Service: "pool", Left: time.Second,
--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -30,7 +30,7 @@
 func (j *job) versions(now time.Time) func(placement.ModelVersion) (placement.Use, time.Duration) {
 	names := j.g.view.Load().names[j.service.Model]
 	return func(v placement.ModelVersion) (placement.Use, time.Duration) {
-		if v == 0 || j.begun && j.version != 0 && v != j.version {
+		if v == 0 || !j.mayContinueOn(v) {
 			return placement.NoUse, 0
 		}
 		end, outdated := j.g.versionEnd(names, v)
@@ -45,6 +45,13 @@
 	}
 }
 
+// mayContinueOn reports whether an engine of a version can go on with what the caller
+// has of its answer.
+func (j *job) mayContinueOn(v placement.ModelVersion) bool {
+	begunOn := placement.ModelVersion(j.reply.progress.Version())
+	return begunOn == 0 || v == begunOn
+}
+
 // versionEnd returns when the use of an outdated version ends; false if it is
 // not outdated.
 func (g *Gateway) versionEnd(names loading.Names, v placement.ModelVersion) (time.Time, bool) {
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -159,11 +159,16 @@
 		g.adopt(time.Now(), snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
 		g.publish(time.Now())
 		caller := &reader{}
-		j := &job{g: g, call: &Call{ID: "c"}, caller: caller, view: g.view.Load(), service: g.table.Service("pool"),
-			route: g.table.Match("a.example", "/"), begun: true, mayHaveRun: true,
+		call := &Call{ID: "c", LastEvent: -1}
+		j := &job{g: g, call: call, reply: newReply(g, call, caller), view: g.view.Load(), service: g.table.Service("pool"),
+			route: g.table.Match("a.example", "/"), mayHaveRun: true,
 			deadline: time.Now().Add(time.Minute), serverUntil: time.Now()}
 		ticket, _ := g.board.Choose(time.Now(), placement.Ask{Service: "pool", Left: time.Minute})
+		var err error
+		j.run, err = j.reply.accept(emptyAnswer{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.takeEvent(ticket, emptyAnswer{}, j.run, eventstream.Event{ID: 0, Raw: []byte("0")})).To(Succeed())
 		Expect(j.streamEnded(context.Background(), ticket, emptyAnswer{})).To(BeFalse())
-		Expect(caller.cut).To(BeFalse())
+		Expect(caller.complete).To(BeTrue())
 	})
 })
--- a/daemon/gateway/withdrawn_test.go
+++ b/daemon/gateway/withdrawn_test.go
@@ -61,7 +61,8 @@
 		ticket, _ = g.board.Choose(placed, placement.Ask{
 			Service: "pool", Engine: g.table.Service("pool").Engine, Aim: time.Second, Left: time.Minute})
 		Expect(ticket).NotTo(BeNil())
-		j = &job{g: g, call: &Call{ID: "c", Arrived: placed}, view: g.view.Load(), service: g.table.Service("pool"),
+		call := &Call{ID: "c", Arrived: placed, LastEvent: -1}
+		j = &job{g: g, call: call, reply: newReply(g, call, nil), view: g.view.Load(), service: g.table.Service("pool"),
 			route: g.table.Match("a.example", "/"), deadline: failed.Add(time.Minute), progressAt: placed}
 	}
 
