gateway: an answer ends with the first failed write

What operators saw: a stream counted as served whose caller had left. At a hand-over the first event of the next engine is written before the old engine is left. If that write failed, the hand-over was taken for one that the next engine had declined, and the old engine went on; an event that the failed write had lost counted as passed on, so the end of the old run could complete the answer.

Now a failed write cuts the answer where it happens, and a stream ends once its answer is cut. Callers were not harmed as far as is known: the connection of a failed write is broken.

--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -107,6 +107,8 @@
 	mu       sync.Mutex
 	text     []byte
 	complete bool
+	leavesAt int // the write that fails, and all after it; 0 for none
+	writes   int
 }
 
 func (*reader) Whole(Answer, []byte) error { return nil }
@@ -116,6 +118,9 @@
 func (r *reader) Write(p []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.writes++; r.leavesAt > 0 && r.writes >= r.leavesAt {
+		return errCallerLeft
+	}
 	r.text = append(r.text, p...)
 	return nil
 }
@@ -238,6 +243,27 @@
 		Entry("it is silent", func() { backend.silent[second] = true }),
 	)
 
+	// Guards against an answer that ends as complete though the last event, which the
+	// next engine returned, could not be written.
+	It("is not complete if the caller leaves at the next engine's first event", func() {
+		begin(routing.Stream, true)
+		from.give(streamEvents - 4)
+		Eventually(caller.got).Should(Equal("01234567"))
+		caller.mu.Lock()
+		caller.leavesAt = streamEvents + 1 // the last event
+		caller.mu.Unlock()
+		tell(first, 2, true)
+		from.give(2)
+		Eventually(backend.orders).Should(HaveLen(2))
+		backend.stream(second).give(1)
+		Eventually(ended).Should(BeClosed())
+		Expect(caller.got()).To(Equal("012345678"))
+		Expect(caller.complete).To(BeFalse())
+		Expect(from.closed).To(BeClosed())
+		Expect(metrics.Snapshot().Counters()).To(HaveKey("calls_abandoned+"))
+		Expect(metrics.Snapshot().Counters()).NotTo(HaveKey("illegal_deliveries+"))
+	})
+
 	// The call waits at the next engine, and nothing told that it was closed there
 	// before that began it.
 	It("is told to have been withdrawn from a next engine that is silent", func() {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -281,13 +281,13 @@
 			return j.streamBroke(ctx, ticket, answer, err)
 		}
 		if err != nil {
-			answer.Close(false)
-			ticket.End(time.Now(), placement.Abandoned)
-			j.leftBehind(time.Now(), ticket.Server)
-			j.callerLeft()
-			return false
+			return j.streamLeft(ticket, answer)
 		}
-		if next := j.handOver(ctx, ticket); next != nil {
+		next := j.handOver(ctx, ticket)
+		if j.reply.isCut() {
+			return j.streamLeft(ticket, answer)
+		}
+		if next != nil {
 			answer.Close(false)
 			ticket.End(time.Now(), placement.Abandoned)
 			ticket, answer, j.serverUntil = next.ticket, next.answer, next.until
@@ -296,6 +296,15 @@
 	}
 }
 
+// streamLeft ends a stream whose caller is there no more.
+func (j *job) streamLeft(ticket *placement.Ticket, answer Answer) bool {
+	answer.Close(false)
+	ticket.End(time.Now(), placement.Abandoned)
+	j.leftBehind(time.Now(), ticket.Server)
+	j.callerLeft()
+	return false
+}
+
 // takeEvent passes on an event of a server, unless the caller has it already. It fails
 // if the event does not follow or the caller has left.
 func (j *job) takeEvent(ticket *placement.Ticket, answer Answer, run *delivery.Run, event eventstream.Event) error {
--- a/daemon/gateway/reply.go
+++ b/daemon/gateway/reply.go
@@ -33,7 +33,7 @@
 
 // event passes an event on, with the head before the first one, unless the caller has
 // it. It fails with delivery.OutOfOrder if it does not follow, else if the caller has
-// left.
+// left; the answer is cut then.
 func (r *reply) event(answer Answer, run *delivery.Run, event eventstream.Event) (passed bool, err error) {
 	isFirst := !r.progress.HasBegun()
 	passed, err = r.progress.Event(run, event.ID)
@@ -41,11 +41,15 @@
 		return false, r.checked(err)
 	}
 	if isFirst {
-		if err := r.caller.Begin(answer); err != nil {
-			return false, err
-		}
+		err = r.caller.Begin(answer)
+	}
+	if err == nil {
+		err = r.caller.Write(event.Raw)
 	}
-	return true, r.caller.Write(event.Raw)
+	if err != nil {
+		r.cut()
+	}
+	return err == nil, err
 }
 
 // complete ends a stream after its last event.
@@ -80,6 +84,9 @@
 // cut leaves the answer without a regular end.
 func (r *reply) cut() { r.progress.Cut() }
 
+// isCut reports whether nothing more can be passed on.
+func (r *reply) isCut() bool { return r.progress.Stage() == delivery.Cut }
+
 // checked reports a step that the stage of the answer does not allow. The answer is cut.
 func (r *reply) checked(err error) error {
 	if err != nil && errorx.IsOfType(err, delivery.Illegal) {
