core/delivery: an event without an id ends no stream that can be ordered

What callers would see: a resumed stream is cut at its first event without an id, such as a comment that keeps the connection alive or a last event that marks the end, though the run has gone on after the caller's last event. A stream with one such event is never resumed again.

Cause: the check refused every event without an id in a resumed run. Only one that comes before the run has passed the caller's last event cannot be ordered; and a stream can be resumed after any event with an id.

The step between ids is counted over events with an id only.

--- a/core/delivery/delivery.go
+++ b/core/delivery/delivery.go
@@ -68,11 +68,12 @@
 	head  Head
 	// last is the id of the last event that the caller has.
 	last int64
-	// isNumbered is false once an event without an id was passed on.
+	// isNumbered is true if the last event that was passed on has an id: only then does
+	// the id tell another server where to go on.
 	isNumbered bool
 	// step is the difference between two ids in a row, 0 if it varies.
 	step   int64
-	events int // passed on here
+	events int // passed on here, with an id
 }
 
 // New returns the progress of a caller that has the events up to last of an earlier
@@ -91,8 +92,7 @@
 // Version returns the version of the weights that the answer began with.
 func (p *Progress) Version() uint64 { return p.head.Version }
 
-// MayResume reports whether another server can go on where the caller's events end:
-// they can be told apart by their ids.
+// MayResume reports whether another server can go on where the caller's events end.
 func (p *Progress) MayResume() bool { return p.isNumbered }
 
 // Run is one server's run of the request.
@@ -121,7 +121,7 @@
 	case p.stage != Partial:
 		return nil, Illegal.New("an answer follows one that is %s", p.stage)
 	case !p.isNumbered:
-		return nil, NotContinued.New("the caller has events without an id")
+		return nil, NotContinued.New("the last event that the caller has is without an id")
 	case !h.IsEventStream():
 		return nil, NotContinued.New("status %d, stream %t", h.Status, h.IsStream)
 	case h.Version != p.head.Version:
@@ -153,8 +153,8 @@
 
 func (p *Progress) check(r *Run, id int64) error {
 	switch {
-	case id < 0 && r.resumes:
-		return OutOfOrder.New("an event without an id in a resumed stream")
+	case id < 0 && r.resumes && r.last < p.last:
+		return OutOfOrder.New("an event without an id at the start of a stream resumed after event %d", p.last)
 	case id >= 0 && id <= r.last:
 		return OutOfOrder.New("event %d after event %d", id, r.last)
 	case r.resumes && r.last < p.last && id > p.last && p.step > 0 && id != p.last+p.step:
@@ -168,11 +168,11 @@
 	if p.stage == Nothing {
 		p.stage, p.head = Partial, r.head
 	}
-	p.events++
-	if id < 0 {
-		p.isNumbered = false
+	p.isNumbered = id >= 0
+	if !p.isNumbered {
 		return
 	}
+	p.events++
 	switch difference := id - p.last; {
 	case p.events == 2:
 		p.step = difference
