once: a body that was not handed in is not kept as an empty one

A caller orders work that must run at most once, its answer is larger than 16 KiB, the caller loses it and asks again with its key. It was answered 200 with Request-Outcome: ran and no body: an answer that looked complete and was not. docs/CALLERS.md promises 409 with "ran" there.

Cause: the agent collects up to 16 KiB for the record and hands in a Result without a body if the answer was larger. keepResult overwrote BodyKept and took the nil body for an empty answer, which fits every bound. Its own bound, under which the answer is dropped rightly and which the specs covered, was never reached from the agent, since both are 16 KiB.

Evidence: both new specs failed before. core/once: BodyKept was true for a Result without a body; daemon/agent: the second ask got a beginning and the end of a whole answer. An answer that was empty is still given again.

--- a/core/once/key_test.go
+++ b/core/once/key_test.go
@@ -102,7 +102,7 @@
 		two := once.Issue("workshop-8", "s0", life, start, 1)
 		Expect(r.Begin(start, one, bodyOf("order"), once.Facts{}).Action).To(Equal(once.Run))
 		Expect(r.Passed(one)).To(BeTrue())
-		r.Finish(start, one, once.Result{Outcome: failure.Ran, Body: []byte("card 1")})
+		r.Finish(start, one, once.Result{Outcome: failure.Ran, Body: []byte("card 1"), BodyKept: true})
 		Expect(r.Begin(start.Add(time.Second), two, bodyOf("order"), once.Facts{}).Action).To(Equal(once.Run))
 	})
 })
--- a/core/once/memory.go
+++ b/core/once/memory.go
@@ -61,13 +61,13 @@
 	return !r.closed.IsZero() && !facts.Asked.After(r.closed)
 }
 
-// keepResult stores a result, with its body if that is small, and drops the
-// oldest bodies until all fit.
+// keepResult stores a result, with its body if there is one and it is small, and
+// drops the oldest bodies until all fit.
 func (r *Register) keepResult(rec *record, result Result) {
-	body := result.Body
+	body, given := result.Body, result.BodyKept
 	result.Body, result.BodyKept = nil, false
 	rec.result = result
-	if len(body) > min(r.options.MaxBody, r.options.MaxBytes) {
+	if !given || len(body) > min(r.options.MaxBody, r.options.MaxBytes) {
 		return
 	}
 	rec.result.Body = slices.Clone(body)
--- a/core/once/register_test.go
+++ b/core/once/register_test.go
@@ -22,7 +22,7 @@
 func runTo(r *once.Register, now time.Time, key once.Key, outcome failure.Outcome, body string) {
 	Expect(begin(r, now, key).Action).To(Equal(once.Run))
 	Expect(r.Passed(key)).To(BeTrue())
-	r.Finish(now, key, once.Result{Outcome: outcome, Status: 200, Body: []byte(body)})
+	r.Finish(now, key, once.Result{Outcome: outcome, Status: 200, Body: []byte(body), BodyKept: true})
 }
 
 var _ = Describe("Register", func() {
@@ -50,6 +50,16 @@
 			}}),
 		Entry("gets the status alone if the answer was large", func() { runTo(r, start, key, failure.Ran, "a long job card") },
 			once.Verdict{Action: once.Done, Outcome: failure.Ran, Result: once.Result{Outcome: failure.Ran, Status: 200}}),
+		// Guards against an empty answer in place of one that the agent did not keep.
+		Entry("gets the status alone if no body was handed in", func() {
+			begin(r, start, key)
+			r.Passed(key)
+			r.Finish(start, key, once.Result{Outcome: failure.Ran, Status: 200})
+		}, once.Verdict{Action: once.Done, Outcome: failure.Ran, Result: once.Result{Outcome: failure.Ran, Status: 200}}),
+		Entry("gets an answer that was empty", func() { runTo(r, start, key, failure.Ran, "") },
+			once.Verdict{Action: once.Done, Outcome: failure.Ran, Result: once.Result{
+				Outcome: failure.Ran, Status: 200, Body: []byte{}, BodyKept: true,
+			}}),
 		Entry("is told that the end of the first was not seen", func() { runTo(r, start, key, failure.Unknown, "") },
 			once.Verdict{Outcome: failure.Unknown, Reason: once.Lost}),
 		Entry("runs if the server did not run the first", func() { runTo(r, start, key, failure.NotRun, "") },
--- a/core/once/verdict.go
+++ b/core/once/verdict.go
@@ -74,8 +74,8 @@
 	Outcome failure.Outcome
 	Status  int // HTTP status of the backend server
 	Version fleet.Version
-	// Body is the whole answer. A register keeps small ones; BodyKept tells
-	// whether Body holds it.
+	// Body is the whole answer if BodyKept is true; it may be empty. A register
+	// keeps small ones that are handed in so.
 	Body     []byte
 	BodyKept bool
 }
--- a/daemon/agent/once_test.go
+++ b/daemon/agent/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -146,6 +147,17 @@
 		Expect(r.backend.Calls()).To(BeEmpty())
 	})
 
+	// Guards against an empty answer in place of one that is too large to keep.
+	It("answers a second ask without the answer if that was too large to keep", func() {
+		r := newPlain()
+		key, goods := r.key(1), strings.Repeat("goods ", 4<<10)
+		Expect(r.entry.Ask(r.order("first", key), goods)).To(SatisfyAll(
+			HaveField("Body", goods), HaveField("End", HaveValue(HaveField("Outcome", wire.OutcomeRan)))))
+		again := r.entry.Ask(r.order("second", key), goods)
+		Expect(again.Begin).To(BeNil())
+		Expect(again.End).To(HaveValue(SatisfyAll(HaveField("Outcome", wire.OutcomeRan), HaveField("Duplicate", true))))
+	})
+
 	// A backend server that mixes up its connections gives two callers each
 	// other's answer, and says so by the id. Neither is called whole, and neither
 	// is what a caller finds that asks again with its key.
