agent: an answer of which a piece was not sent does not end as whole

Of work that must run at most once the agent ignored failures to send a piece, since the work goes on without its entry. A stream that has failed fails every later send, so a lost entry was no danger; but a piece above the bound of a message is refused with nothing sent, and the stream stays usable. The pieces after it and the end of a whole answer followed: the caller saw an answer that looked complete with a gap. An engine may write a line of 1 MiB, which no longer fits a message of 1 MiB.

answerStream now keeps the failure of the part that could not be sent. Nothing follows that part, and finish, the only place that makes the end of a whole answer, turns it into an end with an unknown outcome. The work is on record as run all the same, so a second ask is told so. The three senders of answers (run, passOnce, repeat) use it.

The spec failed before: the body had the pieces around the gap and the end said "ran".

--- a/daemon/agent/once.go
+++ b/daemon/agent/once.go
@@ -91,7 +91,7 @@
 		if len(kept) <= maxKeptAnswer {
 			kept = append(kept, p.Data...)
 		}
-		_ = out.piece(p)
+		_ = out.piece(p) // finish tells of a failure; the work goes on
 		return nil
 	})
 	result := once.Result{Outcome: outcomeOf(end), Status: statusOr200(end.Status), Version: end.Version}
@@ -99,10 +99,7 @@
 		result.Body, result.BodyKept = kept, true
 	}
 	a.register.Finish(time.Now(), key, result)
-	if end.Outcome == wire.OutcomeRan {
-		_ = out.begin(end.Status)
-	}
-	return decided(end)
+	return decided(out.finish(req, end))
 }
 
 func decided(end wire.AnswerEnd) wire.AnswerEnd {
@@ -116,10 +113,11 @@
 		return refusal(req, v)
 	}
 	out := newAnswerStream(s, v.Result.Version)
-	if err := out.piece(serving.Piece{Status: v.Result.Status, Data: v.Result.Body}); err != nil {
-		return refusal(req, v)
+	if len(v.Result.Body) > 0 {
+		_ = out.piece(serving.Piece{Status: v.Result.Status, Data: v.Result.Body}) // finish tells of a failure
 	}
-	return decided(wire.AnswerEnd{Outcome: wire.OutcomeRan, ID: req.ID, Status: v.Result.Status, Version: v.Result.Version})
+	end := wire.AnswerEnd{Outcome: wire.OutcomeRan, ID: req.ID, Status: v.Result.Status, Version: v.Result.Version}
+	return decided(out.finish(req, end))
 }
 
 // refusal turns a verdict without an answer into the end of one.
--- a/daemon/agent/once_test.go
+++ b/daemon/agent/once_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/once"
 	"chivespindle.example/core/serving"
@@ -158,6 +159,23 @@
 		Expect(again.End).To(HaveValue(SatisfyAll(HaveField("Outcome", wire.OutcomeRan), HaveField("Duplicate", true))))
 	})
 
+	// Guards against an answer that ends as whole without one of its pieces.
+	It("does not end as whole if a piece was not sent", func() {
+		r := newPlain()
+		r.backend.Answer(func(_ context.Context, call serving.Call, emit func(serving.Piece) error) (serving.Answer, error) {
+			for _, size := range []int{1, peer.DefaultMaxMessage, 1} {
+				_ = emit(serving.Piece{Status: 200, Data: make([]byte, size)})
+			}
+			return serving.Answer{ID: call.ID, Status: 200}, nil
+		})
+		key := r.key(1)
+		Expect(r.entry.Ask(r.order("first", key), work)).To(SatisfyAll(
+			HaveField("Body", HaveLen(1)), HaveField("End", HaveValue(HaveField("Outcome", wire.OutcomeUnknown)))))
+		Expect(r.entry.Ask(r.order("second", key), work).End).To(HaveValue(SatisfyAll(
+			HaveField("Outcome", wire.OutcomeRan), HaveField("Duplicate", true))))
+		Expect(r.backend.Calls()).To(HaveLen(1))
+	})
+
 	// A backend server that mixes up its connections gives two callers each
 	// other's answer, and says so by the id. Neither is called whole, and neither
 	// is what a caller finds that asks again with its key.
--- a/daemon/agent/traffic.go
+++ b/daemon/agent/traffic.go
@@ -163,10 +163,7 @@
 	out := newAnswerStream(s, version)
 	end := a.passTo(ctx, req, body, version, out.piece)
 	leave(out.first)
-	if end.Outcome == wire.OutcomeRan {
-		_ = out.begin(end.Status)
-	}
-	return end
+	return out.finish(req, end)
 }
 
 // admit returns the version that a request is answered from, or why it is not
@@ -256,11 +253,13 @@
 	return serving.CheckAnswer(version, answer.Version)
 }
 
-// answerStream sends an answer to the entry.
+// answerStream sends an answer to the entry. Nothing follows a part that could not be
+// sent, so that no answer with a gap is called whole.
 type answerStream struct {
 	stream  *peer.Stream
 	version fleet.Version
 	begun   bool
+	failed  error // of the part that could not be sent
 	began   time.Time
 	first   time.Duration // time to the first piece, 0 if none came
 }
@@ -272,18 +271,37 @@
 // begin opens the answer unless a piece has.
 func (o *answerStream) begin(status int) error {
 	if o.begun {
-		return nil
+		return o.failed
 	}
 	o.begun = true
 	o.first = time.Since(o.began)
-	return o.stream.Send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(status), Version: o.version}})
+	return o.send(wire.AnswerPart{Begin: &wire.AnswerBegin{Status: statusOr200(status), Version: o.version}})
 }
 
 func (o *answerStream) piece(p serving.Piece) error {
 	if err := o.begin(p.Status); err != nil {
 		return err
 	}
-	return o.stream.Send(wire.AnswerPart{Piece: p.Data})
+	return o.send(wire.AnswerPart{Piece: p.Data})
+}
+
+func (o *answerStream) send(part wire.AnswerPart) error {
+	if o.failed == nil {
+		o.failed = o.stream.Send(part)
+	}
+	return o.failed
+}
+
+// finish returns the end of the answer for the entry: that of a whole one only if all
+// of it was sent.
+func (o *answerStream) finish(req wire.Request, end wire.AnswerEnd) wire.AnswerEnd {
+	if end.Outcome != wire.OutcomeRan {
+		return end
+	}
+	if err := o.begin(end.Status); err != nil {
+		return failed(req, failure.WithOutcome(calls.Interrupted.Wrap(err, "the answer was not sent whole"), failure.Unknown))
+	}
+	return end
 }
 
 // CheckVersion refuses an answer whose first line names another version than
