callerhttp: one state of what the caller has got is the only writer to it

Whether an answer looked complete depended on the dispatcher taking the steps of an answer in order. A spec that plays all sequences of up to three steps (begin with a body, begin without one, begin with an interim status, a piece, an empty piece), each ended by success, failure or panic, and reads the bytes that the caller gets, failed in 290 of 468 sequences on the code before.

- success without a beginning was 200 with the header Request-Outcome: ran
- a piece before the beginning, then a failure: 200, the piece and the JSON refusal in one body that ended in order
- two beginnings were a complete answer
- a 204 bore the mark of a complete answer from its beginning on; an empty piece sent it to the caller, and a failure after that could not cut it any more.
The agent sent such a piece when it repeated an empty answer on record, so this one could be reached; the others were kept from happening by the checks of daemon/entry.

sink is now in a file of its own and knows its stage: nothing, begun, complete, refused or cut. A step that is not the next one, or that fails, fails all later ones, and finish does not mark the answer; a dispatcher that ignores the failure changes nothing. A status without a body is written by finish. All 468 sequences are now complete only if in order, refused if nothing was sent, and else cut.

request_failed tells "answer" (refused or cut), and the counter answers_cut counts what was cut; before, a cut could not be told from a refusal in logs or metrics.

--- a/adapters/callerhttp/callerhttptest/callerhttptest.go
+++ b/adapters/callerhttp/callerhttptest/callerhttptest.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/callerhttp"
@@ -62,11 +63,17 @@
 
 // Serve runs a server until the spec ends and returns its address.
 func Serve(d Dispatcher, b Book) netip.AddrPort {
+	ginkgo.GinkgoHelper()
+	return ServeCounted(d, b, tally.NoopScope)
+}
+
+// ServeCounted is Serve with the server's metrics in a scope.
+func ServeCounted(d Dispatcher, b Book, metrics tally.Scope) netip.AddrPort {
 	ginkgo.GinkgoHelper()
 	server, err := callerhttp.New(callerhttp.Options{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: d, Addresses: b, Keys: b,
 		MaxBody: MaxBody, DefaultDeadline: DefaultDeadline,
-		Tracer: telemetry.NewTracer("test", nil), Logger: zap.NewNop(),
+		Tracer: telemetry.NewTracer("test", nil), Logger: zap.NewNop(), Metrics: metrics,
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	done := make(chan error, 1)
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -53,18 +53,27 @@
 		s.refuse(w, id, err)
 		return
 	}
-	sink := &sink{w: w, flusher: http.NewResponseController(w)}
+	answer := &sink{w: w}
 	started := time.Now()
-	end, err := s.opts.Dispatcher.Dispatch(ctx, req, sink)
-	s.logRequest(req, started, end, err)
+	end, err := s.opts.Dispatcher.Dispatch(ctx, req, answer)
+	if err == nil {
+		err = answer.finish()
+	}
 	if err != nil {
-		s.fail(sink, id, err)
-		return
+		answer.giveUp()
+	}
+	s.logRequest(req, started, end, answer.stage, err)
+	switch answer.stage {
+	case refused:
+		s.refuse(w, id, err)
+	case cut:
+		s.cut.Inc(1)
+		// Ending the answer in order would make a part of it look whole.
+		panic(http.ErrAbortHandler)
 	}
-	sink.finish()
 }
 
-func (s *Server) logRequest(req calls.Request, started time.Time, end calls.End, err error) {
+func (s *Server) logRequest(req calls.Request, started time.Time, end calls.End, got stage, err error) {
 	fields := []zap.Field{
 		zap.String("request_id", req.ID),
 		zap.String("service", string(req.Service)),
@@ -72,7 +81,7 @@
 		zap.Duration("took", time.Since(started)),
 	}
 	if err != nil {
-		fields = append(fields, zap.Stringer("outcome", failure.OutcomeOf(err)), zap.Error(err))
+		fields = append(fields, zap.Stringer("answer", got), zap.Stringer("outcome", failure.OutcomeOf(err)), zap.Error(err))
 		s.opts.Logger.Info("request_failed", fields...)
 		return
 	}
@@ -183,64 +192,6 @@
 	return wait, nil
 }
 
-// sink writes an answer as it comes. The trailer tells that the answer is
-// whole; an answer without it was cut.
-type sink struct {
-	w       http.ResponseWriter
-	flusher *http.ResponseController
-	begun   bool
-}
-
-func (k *sink) Begin(b calls.Begin) error {
-	k.begun = true
-	h := k.w.Header()
-	if Bodyless(b.Status) {
-		h.Set(HeaderOutcome, failure.Ran.String())
-	} else {
-		h.Set("Trailer", HeaderOutcome)
-	}
-	if !b.Version.IsZero() {
-		h.Set(HeaderVersion, versionText(b.Version))
-		h.Set("Content-Type", "application/x-ndjson")
-	}
-	k.w.WriteHeader(b.Status)
-	return nil
-}
-
-// Bodyless reports whether answers of a status have no body and so no
-// trailer; their outcome is a header.
-func Bodyless(status int) bool {
-	return status == http.StatusNoContent || status == http.StatusNotModified
-}
-
-func (k *sink) Piece(p []byte) error {
-	if _, err := k.w.Write(p); err != nil {
-		return calls.Interrupted.Wrap(err, "caller is gone")
-	}
-	if err := k.flusher.Flush(); err != nil {
-		return calls.Interrupted.Wrap(err, "caller is gone")
-	}
-	return nil
-}
-
-func (k *sink) finish() {
-	k.w.Header().Set(HeaderOutcome, failure.Ran.String())
-}
-
-func versionText(v fleet.Version) string {
-	return v.Name + "@" + v.Manifest.String()
-}
-
-// fail ends a request that has no whole answer. An answer that has begun is
-// cut by closing the connection: ending it in order would make a part of an
-// answer look whole.
-func (s *Server) fail(k *sink, id string, err error) {
-	if k.begun {
-		panic(http.ErrAbortHandler)
-	}
-	s.refuse(k.w, id, err)
-}
-
 // Refusal is the JSON body of an answer that is not the backend server's.
 type Refusal struct {
 	RequestID    string `json:"request_id"`
--- a/adapters/callerhttp/server.go
+++ b/adapters/callerhttp/server.go
@@ -11,6 +11,7 @@
 	"path"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/telemetry"
@@ -30,6 +31,7 @@
 	DefaultDeadline time.Duration
 	Tracer          *telemetry.Tracer
 	Logger          *zap.Logger
+	Metrics         tally.Scope
 }
 
 // Server serves callers until it is shut down.
@@ -37,6 +39,7 @@
 	opts     Options
 	listener net.Listener
 	http     *http.Server
+	cut      tally.Counter // answers that had begun
 }
 
 // New binds the callers' address. The server takes no connection until Run.
@@ -45,7 +48,7 @@
 	if err != nil {
 		return nil, failure.Unavailable.Wrap(err, "listen for callers on %s", opts.Listen)
 	}
-	s := &Server{opts: opts, listener: listener}
+	s := &Server{opts: opts, listener: listener, cut: opts.Metrics.Counter("answers_cut")}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/addresses", s.addresses)
 	mux.HandleFunc("POST /v1/keys/{service}", s.issueKey)
--- a/cmd/chivespindle/session_test.go
+++ b/cmd/chivespindle/session_test.go
@@ -18,6 +18,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/callerhttp"
@@ -161,7 +162,7 @@
 	entry := &callers{}
 	server, err := callerhttp.New(callerhttp.Options{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: entry, Addresses: entry, Keys: entry,
-		MaxBody: 1000, DefaultDeadline: time.Second, Tracer: tracer, Logger: zap.NewNop(),
+		MaxBody: 1000, DefaultDeadline: time.Second, Tracer: tracer, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	})
 	Expect(err).NotTo(HaveOccurred())
 	entry.addr = server.Addr()
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -51,7 +51,8 @@
 }
 
 // Sink takes an answer as it comes. Begin is called once, before any Piece.
-// An error from either ends the request: the caller is gone.
+// An error from either ends the request: the caller is gone, or the step was not
+// the next one. The answer is complete only if none failed.
 type Sink interface {
 	Begin(Begin) error
 	Piece([]byte) error
--- a/daemon/entry/explain_test.go
+++ b/daemon/entry/explain_test.go
@@ -119,7 +119,7 @@
 		ginkgo.DeferCleanup(func() { Expect(tracer.Shutdown(context.Background())).To(Succeed()) })
 		server, err := callerhttp.New(callerhttp.Options{
 			Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: recorder(seen), Addresses: noAddresses{},
-			MaxBody: 100, DefaultDeadline: time.Second, Tracer: tracer, Logger: zap.NewNop(),
+			MaxBody: 100, DefaultDeadline: time.Second, Tracer: tracer, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 		})
 		Expect(err).NotTo(HaveOccurred())
 		go func() { _ = server.Run() }()
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -65,6 +65,7 @@
 		DefaultDeadline: s.Entry.DefaultDeadline,
 		Tracer:          p.tracer,
 		Logger:          p.logger,
+		Metrics:         p.metrics,
 	})
 	if err != nil {
 		return err
