callerhttp: refuse requests of HTTP/1.0, whose answers cannot be marked as complete

A caller of HTTP/1.0 got a complete and a cut answer as the same bytes: net/http sends it neither chunks nor trailers there, and the body ends with the connection in both cases. The new entry failed before: the dispatcher was asked.

--- a/adapters/callerhttp/contract_test.go
+++ b/adapters/callerhttp/contract_test.go
@@ -94,6 +94,8 @@
 	Entry("a body that is too large", "400-body", post(service, strings.Repeat("x", callerhttptest.MaxBody+1))),
 	Entry("a page that is none", "no-page", get("/v2/addresses")),
 	Entry("a method that is none", "no-method", get(service)),
+	// Guards against a cut answer that looks whole, since it has neither chunks nor a trailer.
+	Entry("an old version of HTTP", "400-http-1.0", strings.Replace(post(service, "{}"), "HTTP/1.1", "HTTP/1.0", 1)),
 	Entry("an empty segment in the path", "400-path", post(service+"/orders//7", "")),
 	Entry("a relative segment in the path", "400-path-up", post(service+"/../../keys/workshop-api", "")),
 )
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -90,6 +90,9 @@
 }
 
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (calls.Request, error) {
+	if !r.ProtoAtLeast(1, 1) {
+		return calls.Request{}, badRequest("%s has no trailer to mark a complete answer", r.Proto)
+	}
 	body, err := s.readBody(w, r)
 	if err != nil {
 		return calls.Request{}, err
