eventstream: events end and are numbered as the standard says

A stream is resumed after the last number that was read from it, so an event that is not told from its neighbour, or whose number is missed, comes twice or is lost after a resumption. The reader knew an empty line as LF LF or CRLF CRLF only and took the first id field of an event. Seen before, each by an entry of the table that failed:

- LF CRLF, CRLF LF, CR CRLF and CR CR did not end an event: two events came as one with the number of the first, and the second would be given again after a resumption
- one empty line more at the end of a stream was an event cut short, so a complete stream was taken for a broken one
- behind a byte order mark the first event had no number
- of several ids the first counted, and an id that was taken back still did; -7 and +7 were numbers

An empty line now is one after any of the three line ends, in any mix. Empty lines before an event belong to it, as most did before. A carriage return at the end of what has come waits for the next byte, so that no CRLF is split.

Event says what a consumer may rely on: numbers are not compared, and behind an event that has data and no number a stream cannot be resumed. HasData tells such events from comments.

A cut after every byte of a stream with mixed line ends is io.EOF between two events only, and else failure.Corrupt. This held before for streams of one line end.

--- a/adapters/eventstream/eventstream_test.go
+++ b/adapters/eventstream/eventstream_test.go
@@ -47,8 +47,57 @@
 		Entry("line ends of two bytes", "id: 1\r\ndata: x\r\n\r\n", []string{"id: 1\r\ndata: x\r\n\r\n"}, []int64{1}),
 		Entry("no id", "data: x\n\n", []string{"data: x\n\n"}, []int64{-1}),
 		Entry("an id that is no number", "id: a\n\n", []string{"id: a\n\n"}, []int64{-1}),
+		Entry("line ends of one carriage return", "id: 1\rdata: x\r\rid: 2\r\r",
+			[]string{"id: 1\rdata: x\r\r", "id: 2\r\r"}, []int64{1, 2}),
+		Entry("an empty line that ends otherwise", "id: 1\ndata: x\n\r\nid: 2\r\n\nid: 3\r\r\nid: 4\n\r",
+			[]string{"id: 1\ndata: x\n\r\n", "id: 2\r\n\n", "id: 3\r\r\n", "id: 4\n\r"}, []int64{1, 2, 3, 4}),
+		Entry("empty lines between events and at the end", "\nid: 1\n\n\r\nid: 2\n\n\n",
+			[]string{"\nid: 1\n\n", "\r\nid: 2\n\n", "\n"}, []int64{1, 2, -1}),
+		Entry("a byte order mark", "\ufeffid: 1\n\nid: 2\n\n", []string{"\ufeffid: 1\n\n", "id: 2\n\n"}, []int64{1, 2}),
+		Entry("a comment", ": id: 1\n\n", []string{": id: 1\n\n"}, []int64{-1}),
+		Entry("several ids, of which the last counts", "id: 1\ndata: x\nid: 2\n\n",
+			[]string{"id: 1\ndata: x\nid: 2\n\n"}, []int64{2}),
+		Entry("an id that is taken back", "id: 1\nid\n\nid: 2\nid:\n\n", []string{"id: 1\nid\n\n", "id: 2\nid:\n\n"}, []int64{-1, -1}),
+		Entry("an id with a NUL, which does not count", "id: 1\nid: 2\x00\n\n", []string{"id: 1\nid: 2\x00\n\n"}, []int64{1}),
+		Entry("a negative id", "id: -7\n\nid: +7\n\n", []string{"id: -7\n\n", "id: +7\n\n"}, []int64{-1, -1}),
+		Entry("ids that go back and repeat, as they are", "id: 2\n\nid: 1\n\nid: 1\n\n",
+			[]string{"id: 2\n\n", "id: 1\n\n", "id: 1\n\n"}, []int64{2, 1, 1}),
 	)
 
+	// Guards against a stream that is resumed behind an event that cannot be told again.
+	DescribeTable("tells an event with data from one without", func(raw string, want bool) {
+		Expect(eventstream.Event{Raw: []byte(raw)}.HasData()).To(Equal(want))
+	},
+		Entry("data", "id: 1\r\ndata: x\r\n\r\n", true),
+		Entry("data after a carriage return", ": x\rdata: y\n\n", true),
+		Entry("an empty line of data", "data\n\n", true),
+		Entry("a comment", ": data: x\n\n", false),
+		Entry("an id alone", "id: 1\n\n", false),
+		Entry("nothing", "\n", false),
+	)
+
+	// Guards against a cut stream that is taken for one that has ended.
+	It("takes no stream for ended that was cut inside an event, after any byte", func() {
+		const stream = "id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\n: z\n\n"
+		whole, _, err := read(strings.NewReader(stream))
+		Expect(err).To(Equal(io.EOF))
+		ends := map[int]bool{0: true}
+		length := 0
+		for _, raw := range whole {
+			length += len(raw)
+			ends[length] = true
+		}
+		for n := range len(stream) {
+			raw, _, err := read(iotest.OneByteReader(strings.NewReader(stream[:n])))
+			if ends[n] || ends[n+1] && stream[n-1:n+1] == "\r\n" {
+				Expect(err).To(Equal(io.EOF), "after %d bytes", n)
+				continue
+			}
+			Expect(errorx.IsOfType(err, failure.Corrupt)).To(BeTrue(), "after %d bytes: %v", n, err)
+			Expect(stream).To(HavePrefix(strings.Join(raw, "")))
+		}
+	})
+
 	// A server breaks off in the middle of an event. Given on, half an event
 	// would reach the caller, and the stream could not be continued after it.
 	It("does not give on an event that is cut", func() {
