platform: a text whose end is not marked is not taken for whole

A configuration service that answers with neither a length nor chunks ends the text with its connection. If it is killed in the middle, the reader got io.EOF and half a text passed for a whole one that had lost its last services: the fault that the spec beside it guards against for answers with a length. Such an answer is now failure.Unavailable and the text in force stays. The new spec failed before.

Lists and manifests are not concerned: a part of one does not parse, or does not match its digest.

--- a/adapters/platform/config.go
+++ b/adapters/platform/config.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/revision"
 )
@@ -110,6 +111,9 @@
 	if response.StatusCode == http.StatusNotModified {
 		return revision.Document{}, nil
 	}
+	if !exchange.EndIsFramed(response) {
+		return revision.Document{}, failure.Unavailable.New("%s answered without a length or chunks", call.path)
+	}
 	number, err := parseRevision(response.Header.Get(revisionHeader))
 	if err != nil {
 		return revision.Document{}, err
--- a/adapters/platform/config_test.go
+++ b/adapters/platform/config_test.go
@@ -190,4 +190,12 @@
 		Expect(err).To(beOfType(failure.Unavailable))
 		Expect(document).To(BeZero())
 	})
+
+	// Guards against half a text of a service that was killed, taken for a whole one.
+	It("returns no text whose end is that of the connection", func(ctx SpecContext) {
+		source := configSource(platform.ConfigOptions{BaseURL: serve(unmarked("[service a]\n"))})
+		document, err := source.Read(ctx)
+		Expect(err).To(beOfType(failure.Unavailable))
+		Expect(document).To(BeZero())
+	})
 })
--- a/adapters/platform/helpers_test.go
+++ b/adapters/platform/helpers_test.go
@@ -111,6 +111,18 @@
 	return done, cancel
 }
 
+// unmarked answers with part and neither a length nor chunks.
+func unmarked(part string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConfig-Revision: 1\r\n\r\n"+part)
+		_ = conn.Close()
+	})
+}
+
 // cutAfter returns a handler that promises size bytes, sends part and closes
 // the connection.
 func cutAfter(part string, size int) http.Handler {
