plainservice: an answer whose end is not marked is cut

A plain service that answers with neither a length nor chunks, as in HTTP/1.0, ends its answer with the connection. Killed in the middle, it ends it in the same way: the adapter read io.EOF, the agent told the entry that the request ran, and the caller got a part of an answer with the mark of a complete one. For work that must run once the part was also kept on record and given to a second ask.

A model engine is not concerned: its last line marks the end.

--- a/adapters/engine/attempt/attempt.go
+++ b/adapters/engine/attempt/attempt.go
@@ -19,6 +19,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/serving"
 )
@@ -131,6 +132,7 @@
 	Header   http.Header
 	body     io.ReadCloser
 	length   int64 // of body; -1 if the server did not tell
+	framed   bool
 	deadline *deadline
 	stall    time.Duration
 }
@@ -171,6 +173,7 @@
 		Header:   response.Header,
 		body:     response.Body,
 		length:   response.ContentLength,
+		framed:   exchange.EndIsFramed(response),
 		deadline: d,
 		stall:    r.Stall,
 	}, nil
@@ -201,6 +204,10 @@
 	return time.Duration(seconds) * time.Second
 }
 
+// EndIsFramed reports whether the server marks the end of the body. If not, io.EOF
+// does not tell a complete answer from one whose server was killed.
+func (a *Attempt) EndIsFramed() bool { return a.framed }
+
 // Read implements io.Reader on the answer's body. A failure other than io.EOF
 // is typed, and its outcome is Unknown.
 func (a *Attempt) Read(p []byte) (int, error) {
--- a/adapters/plainservice/plainservice.go
+++ b/adapters/plainservice/plainservice.go
@@ -147,10 +147,19 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return checkEnd(a)
 		}
 		if err != nil {
 			return err
 		}
 	}
 }
+
+// checkEnd follows the end of the body.
+func checkEnd(a *attempt.Attempt) error {
+	if a.EndIsFramed() {
+		return nil
+	}
+	unmarked := failure.Unavailable.New("the answer ended with its connection, without a length or chunks")
+	return failure.WithOutcome(unmarked, failure.Unknown)
+}
