callstream: a 204 without the mark of a complete answer is unknown

The terminal's client took every 204 and 304 for a complete answer, also one of a server that is no entry: it looked at the trailer only, which these have not. The mark stands in their header, where adapters/callerclient looks. Two entries of the new table failed before: no header, and another word than ran.

--- a/cmd/chivespindle/internal/callstream/callstream.go
+++ b/cmd/chivespindle/internal/callstream/callstream.go
@@ -155,7 +155,8 @@
 	return failure.WithRetryAfter(failure.WithOutcome(err, known), pause)
 }
 
-// receive passes the body on. Only the trailer proves that it is whole.
+// receive passes the body on. Only the trailer proves that it is whole, or the header
+// if its status has no body.
 func receive(ctx context.Context, resp *http.Response, out io.Writer, answer *Answer) *errorx.Error {
 	sink := &countingWriter{out: out}
 	_, err := io.Copy(sink, resp.Body)
@@ -167,7 +168,7 @@
 		return unknown(calls.Interrupted.Wrap(ctx.Err(), "given up after %d bytes of the answer", answer.Bytes))
 	case err != nil:
 		return unknown(calls.Interrupted.Wrap(err, "the answer was cut after %d bytes", answer.Bytes))
-	case callerhttp.Bodyless(resp.StatusCode):
+	case callerhttp.Bodyless(resp.StatusCode) && resp.Header.Get(callerhttp.HeaderOutcome) == failure.Ran.String():
 		return nil
 	case !announced(resp):
 		return unknown(calls.Interrupted.New("status %d from a server that is no entry", resp.StatusCode))
--- a/cmd/chivespindle/internal/callstream/callstream_test.go
+++ b/cmd/chivespindle/internal/callstream/callstream_test.go
@@ -100,6 +100,28 @@
 		Entry("a body that is cut", "not_run", `{"reas`, failure.NotRun),
 	)
 
+	// Guards against an answer of a server that is no entry, taken for a complete one.
+	DescribeTable("takes an answer without a body for complete by its header alone",
+		func(ctx SpecContext, header string, complete bool) {
+			addr := start(func(w http.ResponseWriter, _ *http.Request) {
+				if header != "" {
+					w.Header().Set(callerhttp.HeaderOutcome, header)
+				}
+				w.WriteHeader(http.StatusNoContent)
+			})
+			_, err := callstream.New().Send(ctx, []netip.AddrPort{addr}, request, io.Discard)
+			if complete {
+				Expect(err).NotTo(HaveOccurred())
+				return
+			}
+			Expect(err).To(HaveOccurred())
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+		},
+		Entry("ran", "ran", true),
+		Entry("none", "", false),
+		Entry("another word", "unknown", false),
+	)
+
 	It("says unknown when the answer cannot be written", func(ctx SpecContext) {
 		addr := start(func(w http.ResponseWriter, _ *http.Request) { whole(w, "good") })
 		full := writerFunc(func([]byte) (int, error) { return 0, io.ErrShortWrite })
