entry: a part of an answer that is more than one step cuts the answer

A part is a beginning, a piece or an end. The message can hold all three, and the entry looked at the first that it knew: a piece beside a beginning or an end was dropped and the answer ended as complete without it; an end beside a beginning was not seen. No agent sends such parts, and nothing but that kept the caller's answer whole.

wire.AnswerPart.IsOneStep says what a part may be, and any other is failure.Corrupt. An empty part is still an empty piece, which agents sent until now.

--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -325,6 +325,8 @@
 			return calls.End{}, interrupted(err, "receive the answer")
 		}
 		switch {
+		case !part.IsOneStep():
+			return calls.End{}, corrupt("a part of the answer is more than one step")
 		case part.Begin != nil:
 			if err := a.begin(*part.Begin); err != nil {
 				return calls.End{}, err
--- a/daemon/entry/dispatch_test.go
+++ b/daemon/entry/dispatch_test.go
@@ -248,6 +248,29 @@
 		Entry("that ends with no version", func(end *wire.AnswerEnd) { end.Version = fleet.Version{} }),
 	)
 
+	// Guards against a piece that is dropped beside the beginning or the end of its answer.
+	DescribeTable("is cut at a part that is not one step", func(parts ...wire.AnswerPart) {
+		r := newRig(2)
+		r.script(func(x *daemontest.Exchange) {
+			x.Read()
+			for _, part := range parts {
+				_ = x.Stream.Send(part)
+			}
+			x.End(wire.AnswerEnd{Outcome: wire.OutcomeRan})
+		}, (*daemontest.Exchange).Echo)
+		result := r.send(r.request(work))
+		Expect(result).To(SatisfyAny(
+			HaveField("Err", SatisfyAll(beOfType(failure.Corrupt), haveOutcome(failure.Unknown))),
+			SatisfyAll(HaveField("Err", Succeed()), HaveField("Body", work), HaveField("Begins", 1))))
+	},
+		Entry("a beginning with a piece", wire.AnswerPart{Begin: &wire.AnswerBegin{Status: 200}, Piece: []byte("two")}),
+		Entry("an end with a piece", wire.AnswerPart{Begin: &wire.AnswerBegin{Status: 200}},
+			wire.AnswerPart{End: &wire.AnswerEnd{ID: "request-1", Outcome: wire.OutcomeRan}, Piece: []byte("two")}),
+		Entry("a beginning with an end", wire.AnswerPart{
+			Begin: &wire.AnswerBegin{Status: 200}, End: &wire.AnswerEnd{ID: "request-1", Outcome: wire.OutcomeRan}}),
+		Entry("a second beginning", wire.AnswerPart{Begin: &wire.AnswerBegin{Status: 200}}, wire.AnswerPart{Begin: &wire.AnswerBegin{Status: 200}}),
+	)
+
 	// A server swaps the answers of two requests that run at once. Both are cut.
 	It("is cut for both callers whose answers were swapped", func() {
 		r := newRig(1)
--- a/daemon/wire/wire.go
+++ b/daemon/wire/wire.go
@@ -97,6 +97,15 @@
 	Begin *AnswerBegin `cbor:"3,keyasint,omitempty"`
 }
 
+// IsOneStep reports whether the part is a beginning, a piece or an end alone. Of any
+// other, one would be dropped unseen.
+func (p AnswerPart) IsOneStep() bool {
+	if len(p.Piece) > 0 {
+		return p.Begin == nil && p.End == nil
+	}
+	return p.Begin == nil || p.End == nil
+}
+
 // AnswerBegin says what is known once the backend server answers.
 type AnswerBegin struct {
 	Status  int           `cbor:"1,keyasint"`
