callerclient: spec that cuts whole answers after every byte

Of an answer of a model engine, of one without pieces and of one without a body, no prefix is taken for a whole answer.

--- a/adapters/callerclient/client_test.go
+++ b/adapters/callerclient/client_test.go
@@ -166,6 +166,22 @@
 		Entry("without a body", callerhttptest.Answered(204, r1, callerhttptest.Failed(failure.Corrupt, failure.Unknown, 0)), ""),
 	)
 
+	// Guards against a prefix of an answer that is taken for the whole.
+	DescribeTable("that was cut after any byte is not whole", func(d callerhttptest.Dispatcher) {
+		text := bytesOf(callerhttptest.Serve(d, callerhttptest.Book{}))
+		for n := range len(text) {
+			_, err := clientOf(closedPort()).DoAt(ctx, speak(text[:n]), callerclient.Request{Service: "workshop-api"})
+			Expect(err).To(HaveOccurred(), "after %d of %d bytes", n, len(text))
+			Expect(err).To(haveOutcome(failure.Unknown), "after %d of %d bytes", n, len(text))
+		}
+		_, err := clientOf(closedPort()).DoAt(ctx, speak(text), callerclient.Request{Service: "workshop-api"})
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("of a model engine", callerhttptest.Answered(200, r1, nil, "one\n", "two\n")),
+		Entry("without pieces", callerhttptest.Answered(200, fleet.Version{}, nil)),
+		Entry("without a body", callerhttptest.Answered(204, fleet.Version{}, nil)),
+	)
+
 	// An entry of another make, or a proxy on the way, ends an answer in order
 	// and without the trailer. The client does not take it for whole.
 	// Seen with the trailer not looked at: a whole answer.
@@ -194,6 +210,20 @@
 	})
 })
 
+// bytesOf returns all bytes of an entry's answer.
+func bytesOf(entry netip.AddrPort) string {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", entry.String())
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	Expect(conn.SetDeadline(time.Now().Add(callerhttptest.Patience))).To(Succeed())
+	_, err = io.WriteString(conn, "POST /v1/services/workshop-api HTTP/1.1\r\nHost: test\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	text, err := io.ReadAll(conn)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
+
 // speak takes one connection at a time, reads a request and answers with text.
 func speak(text string) netip.AddrPort {
 	GinkgoHelper()
