platform: a chunk that was cut without a marked end is not corrupt

A source that sends a chunk with neither a length nor chunks and is cut ends the body with io.EOF. The reader took that for the sender's own end and the chunk for corrupt, so the plan asked this source for it no more, where docs/PLATFORM.md promises Unavailable: a connection that ended within the body. No byte of it was ever staged, since the size was checked. The new spec failed before.

--- a/adapters/platform/weights.go
+++ b/adapters/platform/weights.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/adapters/progress"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
@@ -106,6 +107,7 @@
 	}
 	reader := chunkReader{
 		body:     watch.Wrap(response.Body),
+		framed:   exchange.EndIsFramed(response),
 		progress: watch,
 		limiter:  s.limiter,
 		path:     path,
@@ -116,6 +118,7 @@
 // chunkReader reads one chunk's body in pieces.
 type chunkReader struct {
 	body     io.Reader
+	framed   bool // the sender marks the end of body
 	progress *progress.Watch
 	limiter  Limiter
 	path     string
@@ -158,7 +161,7 @@
 // ended classifies a body that ended early. A whole answer that is too short
 // is the sender's fault, a cut one the connection's.
 func (r chunkReader) ended(ctx context.Context, err error, got, size int) error {
-	if !r.progress.AtEnd() {
+	if !r.framed || !r.progress.AtEnd() {
 		return transferFailure(ctx, err, r.path)
 	}
 	return failure.Corrupt.New("%s has %d bytes, want %d", r.path, got, size)
--- a/adapters/platform/weights_test.go
+++ b/adapters/platform/weights_test.go
@@ -196,6 +196,13 @@
 		Entry("that never ends", endless, failure.Corrupt),
 	)
 
+	// Guards against a source that is avoided for a chunk since its connection ended.
+	It("takes a short body whose end is that of the connection for a cut one", func(ctx SpecContext) {
+		source := weightSource(platform.WeightOptions{BaseURL: serve(unmarked("half"))})
+		_, err := source.Chunk(ctx, made.Version.Manifest, weights.Chunk{Bytes: 100_000})
+		Expect(err).To(beOfType(failure.Unavailable))
+	})
+
 	It("takes a body without a length that has the right size", func(ctx SpecContext) {
 		source := weightSource(platform.WeightOptions{BaseURL: serve(unsized(100_000))})
 		Expect(source.Chunk(ctx, made.Version.Manifest, weights.Chunk{Bytes: 100_000})).To(HaveLen(100_000))
--- a/adapters/progress/progress.go
+++ b/adapters/progress/progress.go
@@ -63,7 +63,8 @@
 // Close implements io.Closer.
 func (w *Watch) Close() error { return w.body.Close() }
 
-// AtEnd reports whether the body ended as the sender meant it to.
+// AtEnd reports whether the reader came to the end of the body. It is the sender's
+// only if the sender marks it, see exchange.EndIsFramed.
 func (w *Watch) AtEnd() bool { return w.ended }
 
 // Pause lets the timer rest, while the reader itself waits.
