exchange: silence inside a line of the header is a timeout

A server that goes silent inside its status line or a header line was reported as a broken connection (Unavailable), not as a timeout. net/http takes the part of a line that came before the deadline for the line and says that it is malformed, so the cause is lost. Callers of the package tell a hung server from one that crashed by this type.

Found by a spec of an endless row of interim answers, which failed under the race detector only: there the deadline fell inside a line. The entries "inside the status line" and "inside a header line" failed before in each run. An error after the deadline is a timeout now, whatever net/http says of the line.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -311,6 +311,10 @@
 	}
 	_ = c.SetReadDeadline(by)
 	response, err := readFinal(c.in, r)
+	if err != nil && !time.Now().Before(by) {
+		// Of a line that was cut by the deadline net/http says that it is malformed.
+		err = errors.Join(os.ErrDeadlineExceeded, err)
+	}
 	if err != nil {
 		return fail(err, "read from")
 	}
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -178,14 +178,23 @@
 		Expect(s.requests.Load()).To(Equal(int64(1)))
 	})
 
-	It("tells silence from a broken connection", func() {
+	DescribeTable("tells silence from a broken connection", func(before string) {
 		release := make(chan struct{})
-		s := serve(func(net.Conn, *http.Request, int) bool { <-release; return false })
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
+			say(c, before)
+			<-release
+			return false
+		})
 		defer close(release)
 		_, err := exchange.New().Do(context.Background(), s.addr(), get, time.Now().Add(30*time.Millisecond))
-		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue())
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
 		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
-	})
+	},
+		Entry("after nothing", ""),
+		Entry("inside the status line", "HTTP/1.1 20"),
+		Entry("inside a header line", "HTTP/1.1 200 OK\r\nConte"),
+		Entry("after an interim answer", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+	)
 
 	DescribeTable("finds out that a body is not whole",
 		func(answer string) {
@@ -200,6 +209,19 @@
 		Entry("no protocol", "hello\r\n\r\n"),
 	)
 
+	It("passes over interim answers until the time for the answer is over, and no longer", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
+			for {
+				if _, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"); err != nil {
+					return false
+				}
+			}
+		})
+		_, err := exchange.New().Do(context.Background(), s.addr(), get, time.Now().Add(30*time.Millisecond))
+		Expect(errorx.IsOfType(err, failure.Timeout)).To(BeTrue(), "%v", err)
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+	})
+
 	// Guards against an answer of a killed server that is taken for complete.
 	DescribeTable("tells whether the sender marks the end of the body",
 		func(method, answer, wantBody string, framed bool) {
