exchange: a connection is kept only if the body was read to its end

Close(keep) left it to its callers to say keep only after the end of the body. Had one said it before, the rest of that body would have been read as the answer to the next request on the connection: an answer that belongs to another request, whole if it looks like one. All callers keep to the rule today; nothing but that protected the next one.

Response now notes the end itself, and Close keeps no connection without it. Both entries of the new table failed before: the second request met the first one's connection.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -273,9 +273,23 @@
 	*http.Response
 	pool *Pool
 	conn *conn
+	body *bodyReader
 	stop func() bool
 }
 
+// bodyReader notes when the end of a body was read.
+type bodyReader struct {
+	io.ReadCloser
+	atEnd bool
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.atEnd = b.atEnd || errors.Is(err, io.EOF)
+	return n, err
+}
+
 // Do sends a request once to the server at addr and reads the header of the
 // answer, until by at the latest. The request is made once a connection is there:
 // it may tell a time that is left. Ending ctx closes the connection, so that the
@@ -318,7 +332,16 @@
 	if err != nil {
 		return fail(err, "read from")
 	}
-	return &Response{Response: response, pool: p, conn: c, stop: stop}, nil
+	return newResponse(p, c, response, stop), nil
+}
+
+func newResponse(p *Pool, c *conn, response *http.Response, stop func() bool) *Response {
+	r := &Response{Response: response, pool: p, conn: c, stop: stop}
+	if response.Body != http.NoBody {
+		r.body = &bodyReader{ReadCloser: response.Body}
+		response.Body = r.body
+	}
+	return r
 }
 
 // readFinal passes over interim answers.
@@ -335,10 +358,11 @@
 func (r *Response) SetDeadline(by time.Time) { _ = r.conn.SetReadDeadline(by) }
 
 // Close ends the exchange. With keep the connection is used again, unless the
-// server said that it closes it; keep must be false before the end of the body
-// has been read. told is for how long the server keeps it, 0 if it did not say.
+// server said that it closes it or the end of the body has not been read. told is
+// for how long the server keeps it, 0 if it did not say.
 func (r *Response) Close(keep bool, told time.Duration) {
-	if !r.stop() || !keep || r.Response.Close || !r.EndIsFramed() {
+	atEnd := r.body == nil || r.body.atEnd && r.EndIsFramed()
+	if !r.stop() || !keep || r.Response.Close || !atEnd {
 		_ = r.conn.Close()
 		return
 	}
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -209,6 +209,28 @@
 		Entry("no protocol", "hello\r\n\r\n"),
 	)
 
+	// Guards against the rest of a body that is taken for the next answer.
+	DescribeTable("keeps no connection on which a body was not read to its end", func(head string) {
+		s := serve(func(c net.Conn, _ *http.Request, n int) bool {
+			if n == 0 {
+				say(c, head)
+				return true
+			}
+			say(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+			return false
+		})
+		p := exchange.New()
+		r, err := p.Do(context.Background(), s.addr(), get, soon())
+		Expect(err).NotTo(HaveOccurred())
+		r.Close(true, 0)
+		_, err = p.Do(context.Background(), s.addr(), get, soon())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.connections.Load()).To(Equal(int64(2)))
+	},
+		Entry("of a length", "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+	)
+
 	It("passes over interim answers until the time for the answer is over, and no longer", func() {
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
 			for {
