gateway: comments of an event stream have no place in the order of events

What callers would see: a stream that is cut, and not resumed, since a comment that keeps the connection alive was the last that they got; or an answer that is bound to a server by such a comment before its first event.

Comments are written through once the answer has begun and left out before. The events of the test of all sequences have data now, as real ones do.

--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -146,7 +146,7 @@
 
 func (a *scriptedAnswer) body() string { return "body of " + a.name }
 
-const eventForm = "attempt %d version %d id %d"
+const eventForm = "data: attempt %d version %d id %d"
 
 func (a *scriptedAnswer) Next() (eventstream.Event, error) {
 	if a.read == len(a.ids) {
@@ -161,7 +161,7 @@
 		a.read = len(a.ids)
 		return eventstream.Event{}, a.end
 	}
-	return eventstream.Event{ID: id, Raw: fmt.Appendf(nil, eventForm, a.attempt, a.Version(), id)}, nil
+	return eventstream.Event{ID: id, Raw: fmt.Appendf(nil, eventForm+"\n\n", a.attempt, a.Version(), id)}, nil
 }
 
 // given is an event that the caller got.
--- a/daemon/gateway/reply.go
+++ b/daemon/gateway/reply.go
@@ -35,6 +35,9 @@
 // it. It fails with delivery.OutOfOrder if it does not follow, else if the caller has
 // left; the answer is cut then.
 func (r *reply) event(answer Answer, run *delivery.Run, event eventstream.Event) (passed bool, err error) {
+	if isComment(event) {
+		return r.comment(event)
+	}
 	isFirst := !r.progress.HasBegun()
 	passed, err = r.progress.Event(run, event.ID)
 	if err != nil || !passed {
@@ -46,6 +49,22 @@
 	if err == nil {
 		err = r.caller.Write(event.Raw)
 	}
+	return r.written(err)
+}
+
+// isComment reports whether an event has no place in the order of events.
+func isComment(event eventstream.Event) bool { return event.ID < 0 && !event.HasData() }
+
+// comment passes a comment on, if the answer has begun.
+func (r *reply) comment(event eventstream.Event) (passed bool, err error) {
+	if r.progress.Stage() != delivery.Partial {
+		return false, nil
+	}
+	return r.written(r.caller.Write(event.Raw))
+}
+
+// written follows a write to the caller: an answer that was not written is cut.
+func (r *reply) written(err error) (passed bool, _ error) {
 	if err != nil {
 		r.cut()
 	}
