core: one selection of the reports that a peer lacks

core/quarantine and core/serverlimit each selected what a peer lacks, sorted it by mark, cut it to a message and advanced the cursor. Both now collect their reports in feed.Backlog. What differs stays where it was: the quarantine cuts the first message to a peer by the number of crashes, and each registry has its own message size and its own merge (crashes add up idempotently, the newest observation of a limit counts), which are no duplicates.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -15,11 +15,9 @@
 	mostFirstReports = 256
 )
 
-// dueReport is a report that a peer lacks.
-type dueReport struct {
+// countedReport is a report with the number of crashes known of its request.
+type countedReport struct {
 	Report
-	mark feed.Mark
-	// crashes is how many are known of the request.
 	crashes int
 }
 
@@ -28,18 +26,23 @@
 func (r *Registry) Since(now time.Time, sent feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := r.learned.Cursor()
-	if sent >= next {
+	backlog := feed.NewBacklog[countedReport](&r.learned, sent, to)
+	if backlog.IsUpToDate() {
 		return nil, sent
 	}
-	due := r.due(now, sent, to)
-	switch {
-	case sent == 0:
-		slices.SortFunc(due, func(a, b dueReport) int { return cmp.Compare(b.crashes, a.crashes) })
+	for request, rec := range r.requests {
+		rec.expire(now)
+		for _, o := range append(slices.Clone(rec.crashes), rec.success) {
+			if backlog.Lacks(o.mark) {
+				report := Report{Request: request, Server: o.server, AgeMS: now.Sub(o.at).Milliseconds()}
+				backlog.Add(o.mark, countedReport{report, len(rec.crashes)})
+			}
+		}
+	}
+	due, next := backlog.Message(mostReports)
+	if sent == 0 {
+		slices.SortFunc(due, func(a, b countedReport) int { return cmp.Compare(b.crashes, a.crashes) })
 		due = due[:min(len(due), mostFirstReports)]
-	case len(due) > mostReports:
-		due = due[:mostReports]
-		next = due[mostReports-1].mark.Cursor()
 	}
 	reports := make([]Report, 0, len(due))
 	for _, d := range due {
@@ -48,23 +51,6 @@
 	return reports, next
 }
 
-// due returns the reports for a peer in the order in which they were learned.
-func (r *Registry) due(now time.Time, sent feed.Cursor, to feed.Source) []dueReport {
-	var due []dueReport
-	for request, rec := range r.requests {
-		rec.expire(now)
-		for _, o := range append(slices.Clone(rec.crashes), rec.success) {
-			if !o.mark.IsDue(sent, to) {
-				continue
-			}
-			report := Report{Request: request, Server: o.server, AgeMS: now.Sub(o.at).Milliseconds()}
-			due = append(due, dueReport{report, o.mark, len(rec.crashes)})
-		}
-	}
-	slices.SortFunc(due, func(a, b dueReport) int { return cmp.Compare(a.mark.Cursor(), b.mark.Cursor()) })
-	return due
-}
-
 // Merge takes the reports of another entry and returns the requests that are
 // quarantined by them.
 //
--- a/core/serverlimit/exchange.go
+++ b/core/serverlimit/exchange.go
@@ -1,8 +1,6 @@
 package serverlimit
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"chivespindle.example/core/feed"
@@ -31,30 +29,16 @@
 func (r *Registry) Since(now time.Time, sent feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := r.learned.Cursor()
-	if sent >= next {
+	backlog := feed.NewBacklog[Report](&r.learned, sent, to)
+	if backlog.IsUpToDate() {
 		return nil, sent
 	}
-	var due []fleet.InstanceID
 	for server, l := range r.limits {
-		if l.mark.IsDue(sent, to) {
-			due = append(due, server)
+		if backlog.Lacks(l.mark) {
+			backlog.Add(l.mark, Report{server, l.perSecond, l.ended, now.Sub(l.at).Milliseconds()})
 		}
 	}
-	byMark := func(a, b fleet.InstanceID) int {
-		return cmp.Compare(r.limits[a].mark.Cursor(), r.limits[b].mark.Cursor())
-	}
-	slices.SortFunc(due, byMark)
-	if len(due) > mostReports && sent != 0 {
-		due = due[:mostReports]
-		next = r.limits[due[mostReports-1]].mark.Cursor()
-	}
-	reports := make([]Report, 0, len(due))
-	for _, server := range due {
-		l := r.limits[server]
-		reports = append(reports, Report{server, l.perSecond, l.ended, now.Sub(l.at).Milliseconds()})
-	}
-	return reports, next
+	return backlog.Message(mostReports)
 }
 
 // Merge takes the reports of another entry and returns those that change a limit here.
