core/feed/feedtest: one fleet and one spread check for both registries

The specs of core/quarantine and core/serverlimit each had an adapter of their registry to the fleet of feedtest, a loop of beats until every entry knows, and a loop that drains a cursor. feedtest now holds the registries, and has ExpectSpread and Drain for both.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"chivespindle.example/core/feed"
+	"chivespindle.example/core/feed/feedtest"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/quarantine"
 )
@@ -106,14 +107,7 @@
 		for n := range flood {
 			r.Crashed(at(time.Second), request(100+n), engine(4))
 		}
-		count := 0
-		for cursor := before; ; {
-			var reports []quarantine.Report
-			if reports, cursor = r.Since(at(time.Second), cursor, feed.Near); len(reports) == 0 {
-				break
-			}
-			count += len(reports)
-		}
+		count, _ := feedtest.Drain(r, at(time.Second), before)
 		Expect(count).To(BeNumerically("<=", remembered))
 		Expect(standing(time.Second).IsQuarantined()).To(BeTrue())
 		first, change := r.Since(at(time.Second), 0, feed.Near)
@@ -135,17 +129,9 @@
 		for n := range crashes {
 			r.Crashed(start, request(n), engine(1))
 		}
-		sent := 0
-		for {
-			var reports []quarantine.Report
-			reports, change = r.Since(start, change, feed.Near)
-			if len(reports) == 0 {
-				break
-			}
-			Expect(len(reports)).To(BeNumerically("<", crashes))
-			sent += len(reports)
-		}
+		sent, largest := feedtest.Drain(r, start, change)
 		Expect(sent).To(Equal(crashes))
+		Expect(largest).To(BeNumerically("<", crashes))
 	})
 
 	DescribeTable("leave out what it has from others", func(from, to feed.Source, want int) {
--- a/core/serverlimit/exchange_test.go
+++ b/core/serverlimit/exchange_test.go
@@ -78,17 +78,9 @@
 		for n := range servers {
 			r.Advertised(start, fleet.InstanceID(fmt.Sprintf("i-%d", n)), 1)
 		}
-		all := 0
-		for {
-			var due []serverlimit.Report
-			due, sent = r.Since(start, sent, feed.Near)
-			if len(due) == 0 {
-				break
-			}
-			Expect(len(due)).To(BeNumerically("<", servers))
-			all += len(due)
-		}
+		all, largest := feedtest.Drain(r, start, sent)
 		Expect(all).To(Equal(servers))
+		Expect(largest).To(BeNumerically("<", servers))
 	})
 
 	It("of servers that are listed no more are forgotten", func() {
@@ -101,51 +93,17 @@
 	})
 })
 
-// registryAt is the registry of an entry at a moment.
-type registryAt struct {
-	*serverlimit.Registry
-	now time.Time
-}
-
-func (r registryAt) Since(sent feed.Cursor, to feed.Source) ([]serverlimit.Report, feed.Cursor) {
-	return r.Registry.Since(r.now, sent, to)
-}
-
-func (r registryAt) Merge(reports []serverlimit.Report, from feed.Source) {
-	r.Registry.Merge(r.now, reports, from)
-}
-
 var _ = DescribeTable("A limit that one entry sees binds every entry in time", func(size int) {
-	// The rule counts from this time after a server first named its limit; a whole beat
-	// is sent to each entry in this pause.
-	const allowed, beat = 3 * time.Second, 500 * time.Millisecond
-	entries := feedtest.Fleet(size)
-	registries := make([]*serverlimit.Registry, size)
-	for i := range registries {
-		registries[i] = serverlimit.New()
-	}
-	now := start
-	exchange := func() int {
-		return feedtest.Exchange(entries, func(i int) feedtest.Registry[serverlimit.Report] { return registryAt{registries[i], now} })
-	}
-	bound := func() int {
-		n := 0
-		for _, r := range registries {
-			n += len(r.All(now))
-		}
-		return n
-	}
-	exchange()
-	registries[size-1].Advertised(now, server, 1)
-	for bound() < size {
-		now = now.Add(beat)
-		Expect(now.Sub(start)).To(BeNumerically("<=", allowed), "known to %d", bound())
-		exchange()
-	}
+	// allowed is the time after a server first advertised its limit that does not count.
+	const allowed = 3 * time.Second
+	f := feedtest.NewFleet(size, start, serverlimit.New)
+	f.Exchange()
+	f.Registries[size-1].Advertised(start, server, 1)
+	f.ExpectSpread(allowed, func(r *serverlimit.Registry) bool { return len(r.All(f.Now)) > 0 })
 	for range 3 {
-		exchange()
+		f.Exchange()
 	}
-	Expect(exchange()).To(BeZero())
+	Expect(f.Exchange()).To(BeZero())
 },
 	Entry("of 2", 2), Entry("of 8", 8), Entry("of 13", 13), Entry("of 44", 44), Entry("of 100", 100), Entry("of 410", 410),
 )
