daemon/gateway: one sender for the reports of crashes and of limits

The two kinds of reports were sent by the same code over two maps of cursors. reportSender now does it for both. Receiving stays apart: a quarantined request is reported on at once, a changed limit has the shares computed again.

No spec failed when the reset on the first message of a new link was taken out (tried before this change was committed). The new spec does, for both kinds of reports, and also if the end of a link resets nothing.

--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"chivespindle.example/core/failure"
-	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/core/quarantine"
@@ -125,12 +124,7 @@
 
 // crashReportsFor returns the reports of crashes for another entry.
 func (g *Gateway) crashReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []quarantine.Report {
-	if form == mesh.First {
-		delete(g.sentCrashes, to.ID)
-	}
-	reports, sent := g.quarantine.Since(now, g.sentCrashes[to.ID], sourceOf(to))
-	g.sentCrashes[to.ID] = sent
-	return reports
+	return g.crashReports.next(now, to, form)
 }
 
 // receiveCrashes merges the reports of another entry. A request that they quarantine
@@ -142,13 +136,6 @@
 	}
 }
 
-func sourceOf(p mesh.Peer) feed.Source {
-	if p.Near {
-		return feed.Near
-	}
-	return feed.Far
-}
-
 func (b *brokenAttempt) fields() []zap.Field {
 	if b == nil {
 		return nil
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -23,7 +23,6 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/addressing"
 	"chivespindle.example/core/catalog"
-	"chivespindle.example/core/feed"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/placement"
@@ -136,18 +135,15 @@
 	// platform.
 	turnedAwayUntil time.Time
 	manifests       manifests
-	// quarantine holds the requests that crash servers, sentCrashes how far each entry
-	// is up to date with it.
-	// announceCrashes is true while a newly quarantined request is to be reported at
-	// once.
+	// quarantine holds the requests that crash servers. announceCrashes is true while
+	// a newly quarantined request is to be reported at once.
 	quarantine      *quarantine.Registry
+	crashReports    reportSender[quarantine.Report]
 	announceCrashes atomic.Bool
-	sentCrashes     map[fleet.InstanceID]feed.Cursor
-	// limits are those that servers advertise, sentLimits how far each entry is up to
-	// date with them. limitsChanged is true until their shares have been computed
-	// anew, sharedAt is when they last were.
+	// limits are those that servers advertise. limitsChanged is true until their
+	// shares have been computed anew, sharedAt is when they last were.
 	limits        *serverlimit.Registry
-	sentLimits    map[fleet.InstanceID]feed.Cursor
+	limitReports  reportSender[serverlimit.Report]
 	limitsChanged bool
 	sharedAt      time.Time
 	// listed are the servers that were published last.
@@ -213,14 +209,14 @@
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
 		quarantine:  quarantine.New(),
-		sentCrashes: make(map[fleet.InstanceID]feed.Cursor),
 		limits:      serverlimit.New(),
-		sentLimits:  make(map[fleet.InstanceID]feed.Cursor),
 		listed:      make(map[netip.AddrPort]placement.Server),
 		budgets:     make(map[fleet.ServiceName]*retry.Window),
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:     contact{heard: now, off: opts.Off},
 	}
+	g.crashReports = newReportSender[quarantine.Report](g.quarantine)
+	g.limitReports = newReportSender[serverlimit.Report](g.limits)
 	g.board.SetSelf(opts.Self, opts.Place)
 	g.mesh = mesh.New(ctx, now, mesh.Options{
 		Self:       opts.Self,
@@ -247,8 +243,8 @@
 	delete(g.told, id)
 	delete(g.toldLoads, id)
 	delete(g.toldServers, id)
-	delete(g.sentCrashes, id)
-	delete(g.sentLimits, id)
+	g.crashReports.lost(id)
+	g.limitReports.lost(id)
 	g.manifests.lost(id)
 	g.board.Forget(id)
 	g.changed = true // parts that depend on the number of entries
--- a/daemon/gateway/limit.go
+++ b/daemon/gateway/limit.go
@@ -44,12 +44,7 @@
 
 // limitReportsFor returns the reports of limits for another entry.
 func (g *Gateway) limitReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []serverlimit.Report {
-	if form == mesh.First {
-		delete(g.sentLimits, to.ID)
-	}
-	reports, sent := g.limits.Since(now, g.sentLimits[to.ID], sourceOf(to))
-	g.sentLimits[to.ID] = sent
-	return reports
+	return g.limitReports.next(now, to, form)
 }
 
 // receiveLimits merges the reports of another entry.
--- /dev/null
+++ b/daemon/gateway/reports_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/quarantine"
+	"chivespindle.example/daemon/mesh"
+)
+
+// Guards against an entry that starts again and never receives what was reported before.
+var _ = DescribeTable("Reports are sent once over a link, and again over the next", func(reconnect func(*Gateway), form mesh.Form) {
+	g, _ := newGateway()
+	now := time.Now()
+	g.quarantine.Crashed(now, quarantine.Fingerprint{1}, "i-1")
+	g.limits.Advertised(now, "i-1", 1)
+	expectReports := func(form mesh.Form, want int) {
+		GinkgoHelper()
+		b := g.compose(now, nearEntry, form)
+		Expect(b.Crashes).To(HaveLen(want))
+		Expect(b.Limits).To(HaveLen(want))
+	}
+	expectReports(mesh.First, 1)
+	expectReports(mesh.Whole, 0)
+	reconnect(g)
+	expectReports(form, 1)
+},
+	Entry("whose end was noticed", func(g *Gateway) { g.lost(time.Now(), nearEntry.ID) }, mesh.Whole),
+	Entry("whose end was not", func(*Gateway) {}, mesh.First),
+)
