daemon/gateway: one test region behind shared engines

crash_test.go set up its region as limit_test.go's followedBy did. Both specs now start it with startRegionWith, which takes the routes from the caller and also checks that the backend was put in place. member.ask moves beside it.

'is refused by every entry once it has crashed three engines' -> stays in crash_test.go, on startRegionWith 'gets no more than it takes from all of them together' -> stays in limit_test.go, on startRegionWith

No expectation of either is changed.

--- /dev/null
+++ b/daemon/gateway/backendregion_test.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/routing"
+)
+
+// startRegionWith starts entries of one region that send to engines of the service
+// "pool", which backend stands for.
+func startRegionWith(backend Backend, c *routing.Config, entries, engineCount int) *fleetOf {
+	p := newPublisher(c)
+	for i := range engineCount {
+		p.register(&catalog.Server{ID: fleet.InstanceID(fmt.Sprintf("i-%d", i)), Service: "pool", Zone: "sharada", Slots: 16,
+			Loaded: 1, Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.9.%d:80", i+1))})
+	}
+	region := startRegion(p, entries)
+	region.haveInForce(1)
+	for _, m := range region.members {
+		Expect(m.loop.Do(context.Background(), func(time.Time) { m.gateway.opts.Backend = backend })).To(Succeed())
+	}
+	return region
+}
+
+// ask has an entry serve one call and returns how it was refused; nothing for
+// one that was answered.
+func (m *member) ask(path, id string) Verdict {
+	caller := make(refusals, 1)
+	m.gateway.Serve(context.Background(), &Call{
+		ID: id, Host: "relay.example", Path: path, Target: path, Arrived: time.Now(), Patience: 6 * time.Second, LastEvent: -1,
+	}, caller)
+	select {
+	case v := <-caller:
+		return v
+	default:
+		return Verdict{}
+	}
+}
--- a/daemon/gateway/crash_test.go
+++ b/daemon/gateway/crash_test.go
@@ -61,21 +61,6 @@
 
 func (b *noBackend) Check(context.Context, netip.AddrPort) Liveness { return b.state }
 
-// ask has an entry serve one call and returns how it was refused; nothing for
-// one that was answered.
-func (m *member) ask(path, id string) Verdict {
-	caller := make(refusals, 1)
-	m.gateway.Serve(context.Background(), &Call{
-		ID: id, Host: "relay.example", Path: path, Target: path, Arrived: time.Now(), Patience: 6 * time.Second, LastEvent: -1,
-	}, caller)
-	select {
-	case v := <-caller:
-		return v
-	default:
-		return Verdict{}
-	}
-}
-
 var _ = Describe("A call that crashes the engines that run it, at entries in turn", func() {
 	const entries, engineCount, allowed = 5, 20, 3
 
@@ -86,15 +71,8 @@
 		route := &c.Routes[len(c.Routes)-1]
 		route.Prefix = "/pool/"
 		route.MaxAttempts = 1
-		p := newPublisher(c)
-		for i := range engineCount {
-			p.register(&catalog.Server{ID: fleet.InstanceID(fmt.Sprintf("i-%d", i)), Service: "pool", Zone: "sharada", Slots: 16,
-				Loaded: 1, Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.9.%d:80", i+1))})
-		}
-		region := startRegion(p, entries)
-		region.haveInForce(1)
+		region := startRegionWith(backend, c, entries, engineCount)
 		for _, m := range region.members {
-			_ = m.loop.Do(context.Background(), func(time.Time) { m.gateway.opts.Backend = backend })
 			Eventually(m.ask, "10s").WithArguments("/pool/other", "before").Should(Equal(Verdict{}))
 		}
 		for i := range allowed {
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -12,7 +11,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 	"chivespindle.example/daemon/mesh"
@@ -56,21 +54,6 @@
 
 func (a limitedAnswer) Limit() ServerLimit { return a.limit }
 
-// followedBy starts entries of one region in front of engines that backend stands for.
-func followedBy(backend Backend, entries, engineCount int) *fleetOf {
-	p := newPublisher(manyRoutes(1, 1))
-	for i := range engineCount {
-		p.register(&catalog.Server{ID: fleet.InstanceID(fmt.Sprintf("i-%d", i)), Service: "pool", Zone: "sharada", Slots: 16,
-			Loaded: 1, Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.9.%d:80", i+1))})
-	}
-	region := startRegion(p, entries)
-	region.haveInForce(1)
-	for _, m := range region.members {
-		_ = m.loop.Do(context.Background(), func(time.Time) { m.gateway.opts.Backend = backend })
-	}
-	return region
-}
-
 var _ = Describe("A server that names a limit to twelve entries", func() {
 	const entries, perSecond, requests = 12, 1.0, 10
 	const allowed = 1.5*4*perSecond + 5 // in any four seconds
@@ -78,8 +61,9 @@
 	// Guards against entries that keep to a limit one by one and exceed it together.
 	It("gets no more than it takes from all of them together", func() {
 		backend := &limitedEngines{limits: map[fleet.InstanceID]float64{"i-0": perSecond}, reached: make(map[fleet.InstanceID]int)}
-		region := followedBy(backend, entries, 2)
-		path := manyRoutes(1, 1).Routes[1].Prefix
+		c := manyRoutes(1, 1)
+		path := c.Routes[1].Prefix
+		region := startRegionWith(backend, c, entries, 2)
 		for _, m := range region.members {
 			Eventually(func() bool {
 				m.ask(path, "told")
