Test that a call is not sent again if its answer cannot be resumed

No test failed with MayResume always true or without its use in the gateway (mutation trials): the next server's answer is refused anyway, but the call ran once more and drew on the retry budget. Both mutations fail now.

--- a/core/delivery/delivery_test.go
+++ b/core/delivery/delivery_test.go
@@ -40,7 +40,9 @@
 	)
 
 	It("is not continued after an event without an id", func() {
-		_, err := begun(0, delivery.NoEvent).Accept(ok)
+		p := begun(0, delivery.NoEvent)
+		Expect(p.MayResume()).To(BeFalse())
+		_, err := p.Accept(ok)
 		Expect(err).To(ofType(delivery.NotContinued))
 	})
 
--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -242,6 +242,8 @@
 		return "bytes follow the end of an answer"
 	case len(r.refused) > 0:
 		return r.brokenRefusal(sent)
+	case r.resentInVain(sent, resumable):
+		return "a call is sent again whose answer cannot be resumed"
 	case r.complete && r.hasLeft():
 		return "an answer is complete whose caller had left"
 	case r.complete && r.isWhole && (r.body != r.head.body() || r.head.isKilled()):
@@ -253,6 +255,16 @@
 	}
 }
 
+// resentInVain reports whether a server got the call after the caller had a part of an
+// answer that no other server can go on with.
+func (r *recorder) resentInVain(sent []outcome, resumable bool) bool {
+	if len(r.events) == 0 {
+		return false
+	}
+	last := r.events[len(r.events)-1]
+	return last.attempt < len(sent) && (!resumable || last.id == noID)
+}
+
 // brokenRefusal checks "not run".
 func (r *recorder) brokenRefusal(sent []outcome) string {
 	mayHaveRun := func(o outcome) bool {
