gateway: a failure that meets a begun stream is logged as server_error

What operators could not see: since a failure cannot end a stream that has begun, it was logged and counted as attempt_failed only, so server_errors missed it, and the line by which the incident was found no longer appears for its sequence.

Evidence: "looks cut if the server that is to continue it fails" now expects the line and failed without the change.

Answers below 500 that cannot follow are attempt_failed as before.

--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -197,7 +197,11 @@
 	now := time.Now()
 	ticket.End(now, j.resultOf(answer))
 	j.exclude = placement.Exclude(j.exclude, ticket.Server.ID)
-	j.g.log.attempt(j, ticket, err, nil, nil)
+	if answer.Status() >= http.StatusInternalServerError {
+		j.g.log.serverError(j, ticket, answer.Status())
+	} else {
+		j.g.log.attempt(j, ticket, err, nil, nil)
+	}
 	if j.again(ctx, now) {
 		return true
 	}
