Test that a stream is tried again after a run that does not follow

No test failed without the check of an end before the attempt counts as a success (mutation trial): the stream was cut all the same, but no other server was tried, and the line said that its caller had left.

--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -408,6 +408,31 @@
 	}
 }
 
+// Guards against a stream that is given up though another server can finish it.
+func TestAStreamIsTriedAgainAfterARunThatDoesNotFollow(t *testing.T) {
+	s := situation{kind: routing.Stream, resumable: true}
+	for _, name := range []string{"streams no event", "breaks off before an event", "starts too late", "goes back",
+		"streams without ids", "streams another version", "streams a failure", "answers 200", "answers 404", "answers 500"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, r := s.play([]outcome{outcomeOf(t, "breaks off"), outcomeOf(t, name)})
+				if !r.complete || len(r.events) != wholeStream || len(b.sent) != 3 {
+					t.Errorf("complete %v, events %v; servers: %s", r.complete, r.events, namesOf(b.sent))
+				}
+			})
+		})
+	}
+}
+
+func outcomeOf(t *testing.T, name string) outcome {
+	t.Helper()
+	i := slices.IndexFunc(outcomes, func(o outcome) bool { return o.name == name })
+	if i < 0 {
+		t.Fatalf("no outcome %q", name)
+	}
+	return outcomes[i]
+}
+
 // reportFew reports the first failures of a kind.
 func reportFew(t *testing.T, number int, format string, args ...any) {
 	t.Helper()
