--- a/core/delivery/delivery.go
+++ b/core/delivery/delivery.go
@@ -68,17 +68,17 @@
 	head  Head
 	// last is the id of the last event that the caller has.
 	last int64
-	// isNumbered is true if the last event that was passed on has an id: only then does
-	// the id tell another server where to go on.
-	isNumbered bool
+	// lastHasID is true if the last event that was passed on has an id, after which
+	// another server can resume.
+	lastHasID bool
 	// step is the difference between two ids in a row, 0 if it varies.
-	step   int64
-	events int // passed on here, with an id
+	step     int64
+	numbered int // events with an id that were passed on here
 }
 
 // New returns the progress of a caller that has the events up to last of an earlier
 // answer, NoEvent for none.
-func New(last int64) *Progress { return &Progress{last: last, isNumbered: true, step: 1} }
+func New(last int64) *Progress { return &Progress{last: last, lastHasID: true, step: 1} }
 
 // Stage returns how much of its answer the caller has.
 func (p *Progress) Stage() Stage { return p.stage }
@@ -92,8 +92,9 @@
 // Version returns the version of the weights that the answer began with.
 func (p *Progress) Version() uint64 { return p.head.Version }
 
-// MayResume reports whether another server can go on where the caller's events end.
-func (p *Progress) MayResume() bool { return p.isNumbered }
+// MayResume reports whether another server can resume the stream after the last event
+// that the caller has.
+func (p *Progress) MayResume() bool { return p.lastHasID }
 
 // Run is one server's run of the request.
 type Run struct {
@@ -120,7 +121,7 @@
 		return &Run{head: h, last: NoEvent}, nil
 	case p.stage != Partial:
 		return nil, Illegal.New("an answer follows one that is %s", p.stage)
-	case !p.isNumbered:
+	case !p.lastHasID:
 		return nil, NotContinued.New("the last event that the caller has is without an id")
 	case !h.IsEventStream():
 		return nil, NotContinued.New("status %d, stream %t", h.Status, h.IsStream)
@@ -168,15 +169,15 @@
 	if p.stage == Nothing {
 		p.stage, p.head = Partial, r.head
 	}
-	p.isNumbered = id >= 0
-	if !p.isNumbered {
+	p.lastHasID = id >= 0
+	if !p.lastHasID {
 		return
 	}
-	p.events++
+	p.numbered++
 	switch difference := id - p.last; {
-	case p.events == 2:
+	case p.numbered == 2:
 		p.step = difference
-	case p.events > 2 && difference != p.step:
+	case p.numbered > 2 && difference != p.step:
 		p.step = 0
 	}
 	p.last = id
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -54,16 +54,17 @@
 		next.End(now, placement.Abandoned)
 		return nil
 	}
-	goesOn, err := j.resumeOn(ctx, now, next, j.order(now, next))
+	resumed, err := j.resumeOn(ctx, now, next, j.order(now, next))
 	if err != nil {
 		j.g.log.handedOver(j, ticket, next, err, j.withdrawn(ctx, time.Now(), next, err))
 		return nil
 	}
 	j.g.log.handedOver(j, ticket, next, nil, nil)
-	return goesOn
+	return resumed
 }
 
-// resumeOn sends the call to another server and returns it once it goes on within the longest pause that the route allows.
+// resumeOn sends the call to another server and returns that one once it has resumed the
+// stream, within the longest pause that the route allows.
 func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Ticket, order Order) (*successor, error) {
 	order.FirstBy = earlier(j.latestResponseTime(order.Until), now.Add(j.pauseAim()))
 	j.attempts++
