Test that the gateway tries no step that its answer does not allow

No test failed with the case of a begun answer taken out of giveUp or of ended (mutation trials): the state of the answer refuses the step and cuts, but reports a fault of the program.

--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -14,6 +14,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"chivespindle.example/adapters/eventstream"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/enginemodel"
@@ -98,7 +102,9 @@
 	script []outcome
 	sent   []outcome
 	state  map[netip.AddrPort]Liveness
-	twice  bool // a server got the call twice
+	// twice is true once a server got the call twice, illegal after a step that the stage
+	// of the answer did not allow.
+	twice, illegal bool
 }
 
 func (b *scripted) Keep([]placement.Server) {}
@@ -236,6 +242,20 @@
 
 func (r *recorder) Refuse(v Verdict) { r.refused = append(r.refused, v) }
 
+// broken returns the promise that a call breaks, empty for none.
+func (b *scripted) broken(r *recorder, resumable bool) string {
+	switch broken := r.broken(b.sent, resumable); {
+	case broken != "":
+		return broken
+	case b.twice:
+		return "a server gets a call again that it did not finish"
+	case b.illegal:
+		return "a step is refused that should not have been tried"
+	default:
+		return ""
+	}
+}
+
 // broken returns the promise that the caller's answer breaks, empty for none.
 func (r *recorder) broken(sent []outcome, resumable bool) string {
 	switch {
@@ -338,6 +358,8 @@
 // play has a call answered by servers that follow the script.
 func (s situation) play(script []outcome) (*scripted, *recorder) {
 	g, _ := newGateway()
+	core, errorLines := observer.New(zap.ErrorLevel)
+	g.log = newRequestLog(time.Now(), zap.New(core), tally.NoopScope)
 	var servers []catalog.Server
 	for i := range 2 * mostAttempts {
 		servers = append(servers, server(fleet.InstanceID(fmt.Sprintf("i-%d", i)), fmt.Sprintf("10.0.1.%d:80", i+1), catalog.Revision(i+2)))
@@ -354,6 +376,7 @@
 	g.opts.Backend = backend
 	caller := &recorder{leavesAt: s.leavesAt}
 	g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), Patience: 5 * time.Second, LastEvent: -1}, caller)
+	backend.illegal = errorLines.FilterMessage("illegal_delivery").Len() > 0
 	return backend, caller
 }
 
@@ -398,11 +421,7 @@
 				played, failed := 0, make(map[string]int)
 				check := func(b *scripted, r *recorder) {
 					played++
-					broken := r.broken(b.sent, s.resumable)
-					if broken == "" && b.twice {
-						broken = "a server gets a call again that it did not finish"
-					}
-					if broken != "" {
+					if broken := b.broken(r, s.resumable); broken != "" {
 						failed[broken]++
 						reportFew(t, failed[broken], "%s: events %v, complete %v; servers: %s", broken, r.events, r.complete, namesOf(b.sent))
 					}
