--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -14,6 +14,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"chivespindle.example/adapters/eventstream"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/enginemodel"
@@ -98,6 +102,9 @@
 	script []outcome
 	sent   []outcome
 	state  map[netip.AddrPort]Liveness
+	// twice is true once a server got the call twice, illegal after a step that the stage
+	// of the answer did not allow.
+	twice, illegal bool
 }
 
 func (b *scripted) Keep([]placement.Server) {}
@@ -110,6 +117,8 @@
 		o = b.script[n]
 	}
 	b.sent = append(b.sent, o)
+	_, again := b.state[order.Server.Addr]
+	b.twice = b.twice || again
 	b.state[order.Server.Addr] = max(o.state, Alive)
 	if o.blocks {
 		<-ctx.Done()
@@ -233,6 +242,20 @@
 
 func (r *recorder) Refuse(v Verdict) { r.refused = append(r.refused, v) }
 
+// broken returns the promise that a call breaks, empty for none.
+func (b *scripted) broken(r *recorder, resumable bool) string {
+	switch broken := r.broken(b.sent, resumable); {
+	case broken != "":
+		return broken
+	case b.twice:
+		return "a server gets a call again that it did not finish"
+	case b.illegal:
+		return "a step is refused that should not have been tried"
+	default:
+		return ""
+	}
+}
+
 // broken returns the promise that the caller's answer breaks, empty for none.
 func (r *recorder) broken(sent []outcome, resumable bool) string {
 	switch {
@@ -242,6 +265,8 @@
 		return "bytes follow the end of an answer"
 	case len(r.refused) > 0:
 		return r.brokenRefusal(sent)
+	case r.resentInVain(sent, resumable):
+		return "a call is sent again whose answer cannot be resumed"
 	case r.complete && r.hasLeft():
 		return "an answer is complete whose caller had left"
 	case r.complete && r.isWhole && (r.body != r.head.body() || r.head.isKilled()):
@@ -253,6 +278,16 @@
 	}
 }
 
+// resentInVain reports whether a server got the call after the caller had a part of an
+// answer that no other server can go on with.
+func (r *recorder) resentInVain(sent []outcome, resumable bool) bool {
+	if len(r.events) == 0 {
+		return false
+	}
+	last := r.events[len(r.events)-1]
+	return last.attempt < len(sent) && (!resumable || last.id == noID)
+}
+
 // brokenRefusal checks "not run".
 func (r *recorder) brokenRefusal(sent []outcome) string {
 	mayHaveRun := func(o outcome) bool {
@@ -323,6 +358,8 @@
 // play has a call answered by servers that follow the script.
 func (s situation) play(script []outcome) (*scripted, *recorder) {
 	g, _ := newGateway()
+	core, errorLines := observer.New(zap.ErrorLevel)
+	g.log = newRequestLog(time.Now(), zap.New(core), tally.NoopScope)
 	var servers []catalog.Server
 	for i := range 2 * mostAttempts {
 		servers = append(servers, server(fleet.InstanceID(fmt.Sprintf("i-%d", i)), fmt.Sprintf("10.0.1.%d:80", i+1), catalog.Revision(i+2)))
@@ -339,6 +376,7 @@
 	g.opts.Backend = backend
 	caller := &recorder{leavesAt: s.leavesAt}
 	g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), Patience: 5 * time.Second, LastEvent: -1}, caller)
+	backend.illegal = errorLines.FilterMessage("illegal_delivery").Len() > 0
 	return backend, caller
 }
 
@@ -383,7 +421,7 @@
 				played, failed := 0, make(map[string]int)
 				check := func(b *scripted, r *recorder) {
 					played++
-					if broken := r.broken(b.sent, s.resumable); broken != "" {
+					if broken := b.broken(r, s.resumable); broken != "" {
 						failed[broken]++
 						reportFew(t, failed[broken], "%s: events %v, complete %v; servers: %s", broken, r.events, r.complete, namesOf(b.sent))
 					}
@@ -396,6 +434,31 @@
 	}
 }
 
+// Guards against a stream that is given up though another server can finish it.
+func TestAStreamIsTriedAgainAfterARunThatDoesNotFollow(t *testing.T) {
+	s := situation{kind: routing.Stream, resumable: true}
+	for _, name := range []string{"streams no event", "breaks off before an event", "starts too late", "goes back",
+		"streams without ids", "streams another version", "streams a failure", "answers 200", "answers 404", "answers 500"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b, r := s.play([]outcome{outcomeOf(t, "breaks off"), outcomeOf(t, name)})
+				if !r.complete || len(r.events) != wholeStream || len(b.sent) != 3 {
+					t.Errorf("complete %v, events %v; servers: %s", r.complete, r.events, namesOf(b.sent))
+				}
+			})
+		})
+	}
+}
+
+func outcomeOf(t *testing.T, name string) outcome {
+	t.Helper()
+	i := slices.IndexFunc(outcomes, func(o outcome) bool { return o.name == name })
+	if i < 0 {
+		t.Fatalf("no outcome %q", name)
+	}
+	return outcomes[i]
+}
+
 // reportFew reports the first failures of a kind.
 func reportFew(t *testing.T, number int, format string, args ...any) {
 	t.Helper()
