callerhttp: an answer that a panic cuts is counted and logged

A dispatcher that panics in the middle of an answer had it cut by net/http, so the caller was not misled. But the counter of cut answers did not count it, and the panic went to standard error past the log, in many lines. Both specs failed before. The errors of net/http now go to the log at warn, as those of the operators' port do.

--- a/adapters/callerhttp/callerhttptest/callerhttptest.go
+++ b/adapters/callerhttp/callerhttptest/callerhttptest.go
@@ -64,16 +64,16 @@
 // Serve runs a server until the spec ends and returns its address.
 func Serve(d Dispatcher, b Book) netip.AddrPort {
 	ginkgo.GinkgoHelper()
-	return ServeCounted(d, b, tally.NoopScope)
+	return ServeWith(d, b, tally.NoopScope, zap.NewNop())
 }
 
-// ServeCounted is Serve with the server's metrics in a scope.
-func ServeCounted(d Dispatcher, b Book, metrics tally.Scope) netip.AddrPort {
+// ServeWith is Serve with metrics and a log.
+func ServeWith(d Dispatcher, b Book, metrics tally.Scope, logger *zap.Logger) netip.AddrPort {
 	ginkgo.GinkgoHelper()
 	server, err := callerhttp.New(callerhttp.Options{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: d, Addresses: b, Keys: b,
 		MaxBody: MaxBody, DefaultDeadline: DefaultDeadline,
-		Tracer: telemetry.NewTracer("test", nil), Logger: zap.NewNop(), Metrics: metrics,
+		Tracer: telemetry.NewTracer("test", nil), Logger: logger, Metrics: metrics,
 	})
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	done := make(chan error, 1)
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -54,6 +54,7 @@
 		return
 	}
 	answer := &sink{w: w}
+	defer s.countCut(answer)
 	started := time.Now()
 	end, err := s.opts.Dispatcher.Dispatch(ctx, req, answer)
 	if err == nil {
@@ -67,12 +68,19 @@
 	case refused:
 		s.refuse(w, id, err)
 	case cut:
-		s.cut.Inc(1)
 		// Ending the answer in order would make a part of it look whole.
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// countCut follows a request. An answer that is still going on then ended by a panic,
+// upon which net/http closes the connection.
+func (s *Server) countCut(answer *sink) {
+	if answer.stage == begun || answer.stage == cut {
+		s.cut.Inc(1)
+	}
+}
+
 func (s *Server) logRequest(req calls.Request, started time.Time, end calls.End, got stage, err error) {
 	fields := []zap.Field{
 		zap.String("request_id", req.ID),
--- a/adapters/callerhttp/server.go
+++ b/adapters/callerhttp/server.go
@@ -44,6 +44,10 @@
 
 // New binds the callers' address. The server takes no connection until Run.
 func New(opts Options) (*Server, error) {
+	errorLog, err := zap.NewStdLogAt(opts.Logger, zap.WarnLevel)
+	if err != nil {
+		return nil, failure.Internal.Wrap(err, "no logger for the callers' port")
+	}
 	listener, err := net.Listen("tcp", opts.Listen.String())
 	if err != nil {
 		return nil, failure.Unavailable.Wrap(err, "listen for callers on %s", opts.Listen)
@@ -55,7 +59,7 @@
 	mux.HandleFunc("POST /v1/services/{service}", s.request)
 	mux.HandleFunc("POST /v1/services/{service}/{path...}", s.request)
 	const headerTimeout = 5 * time.Second
-	s.http = &http.Server{Handler: s.route(mux), ReadHeaderTimeout: headerTimeout}
+	s.http = &http.Server{Handler: s.route(mux), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	return s, nil
 }
 
--- a/adapters/callerhttp/steps_test.go
+++ b/adapters/callerhttp/steps_test.go
@@ -16,6 +16,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"chivespindle.example/adapters/callerhttp"
 	"chivespindle.example/adapters/callerhttp/callerhttptest"
@@ -143,9 +145,22 @@
 // Guards against cut answers that operators cannot tell from refusals.
 var _ = It("Answers that were cut are counted apart from refusals", func() {
 	metrics := tally.NewTestScope("", nil)
-	addr := callerhttptest.ServeCounted(play, pages(nil), metrics)
-	for _, script := range []string{"bp.", "bp!", "!", "bpb."} {
+	addr := callerhttptest.ServeWith(play, pages(nil), metrics, zap.NewNop())
+	for _, script := range []string{"bp.", "bp!", "!", "bpb.", "bp^", "^"} {
 		exchangeBytes(addr, post(service, script))
 	}
-	Expect(metrics.Snapshot().Counters()["answers_cut+"].Value()).To(BeEquivalentTo(2))
+	Expect(metrics.Snapshot().Counters()["answers_cut+"].Value()).To(BeEquivalentTo(3))
+})
+
+// Guards against an answer that was cut by a fault of our own, with nothing in the log.
+var _ = It("A panic that cuts an answer is logged", func() {
+	core, logged := observer.New(zap.WarnLevel)
+	addr := callerhttptest.ServeWith(func(_ context.Context, _ calls.Request, sink calls.Sink) (calls.End, error) {
+		Expect(sink.Begin(calls.Begin{Status: http.StatusOK})).To(Succeed())
+		Expect(sink.Piece([]byte("p"))).To(Succeed())
+		panic("for the test")
+	}, pages(nil), tally.NoopScope, zap.New(core))
+	kind, body := readAs(exchangeBytes(addr, post(service, "")))
+	Expect([]string{kind, body}).To(Equal([]string{cut, "p"}))
+	Expect(logged.All()).To(ConsistOf(HaveField("Message", ContainSubstring("for the test"))))
 })
