--- a/adapters/platform/config.go
+++ b/adapters/platform/config.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/revision"
 )
@@ -64,9 +65,9 @@
 	}
 	return &ConfigSource{
 		client:  client,
-		timeout: orDefault(options.Timeout, DefaultTimeout),
-		wait:    orDefault(options.Wait, DefaultWait),
-		margin:  orDefault(options.Margin, DefaultMargin),
+		timeout: defaults.Or(options.Timeout, DefaultTimeout),
+		wait:    defaults.Or(options.Wait, DefaultWait),
+		margin:  defaults.Or(options.Margin, DefaultMargin),
 	}, nil
 }
 
@@ -142,10 +143,3 @@
 	}
 	return revision.Revision(number), nil
 }
-
-func orDefault(given, normal time.Duration) time.Duration {
-	if given <= 0 {
-		return normal
-	}
-	return given
-}
--- a/adapters/platform/instances.go
+++ b/adapters/platform/instances.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/gossip"
@@ -56,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &InstanceList{client: client, timeout: orDefault(options.Timeout, DefaultTimeout)}, nil
+	return &InstanceList{client: client, timeout: defaults.Or(options.Timeout, DefaultTimeout)}, nil
 }
 
 // Instances returns the whole list or a failure, never a part: a list that
--- a/adapters/platform/weights.go
+++ b/adapters/platform/weights.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chivespindle.example/adapters/progress"
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/weights"
@@ -66,7 +67,7 @@
 	}
 	return &WeightSource{
 		client:  client,
-		stall:   orDefault(options.StallTimeout, DefaultStallTimeout),
+		stall:   defaults.Or(options.StallTimeout, DefaultStallTimeout),
 		limiter: options.Limiter,
 	}, nil
 }
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -32,9 +32,3 @@
 	base = min(max(base, shortestPause), longestPause)
 	return time.Duration(float64(base) * (1 + 2*rnd.Float64()))
 }
-
-func orDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/core/admission/concurrency.go
+++ b/core/admission/concurrency.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"chivespindle.example/core/defaults"
 )
 
 // ConcurrencyOptions make a Concurrency. Zero fields take the default.
@@ -72,11 +74,11 @@
 		defaultTolerance = 2
 		defaultWindow    = time.Second
 	)
-	orDefault(&o.Min, defaultMin)
-	orDefault(&o.Max, defaultMax)
-	orDefault(&o.Initial, defaultInitial)
-	orDefault(&o.Tolerance, defaultTolerance)
-	orDefault(&o.Window, defaultWindow)
+	defaults.Set(&o.Min, defaultMin)
+	defaults.Set(&o.Max, defaultMax)
+	defaults.Set(&o.Initial, defaultInitial)
+	defaults.Set(&o.Tolerance, defaultTolerance)
+	defaults.Set(&o.Window, defaultWindow)
 	initial := float64(min(max(o.Initial, o.Min), o.Max))
 	return &Concurrency{options: o, limit: initial, window: window{began: now}}
 }
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/fleet"
 )
 
@@ -71,8 +72,8 @@
 		defaultBurst      = time.Second
 		defaultDemandTime = 5 * time.Second
 	)
-	orDefault(&o.Burst, defaultBurst)
-	orDefault(&o.DemandTime, defaultDemandTime)
+	defaults.Set(&o.Burst, defaultBurst)
+	defaults.Set(&o.DemandTime, defaultDemandTime)
 	return &Limiter{
 		rnd:        o.Rand,
 		burst:      o.Burst.Seconds(),
--- a/core/admission/room.go
+++ b/core/admission/room.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"chivespindle.example/core/defaults"
 )
 
 // Urgency is what a Room needs to know of a request.
@@ -105,9 +107,9 @@
 		defaultTook        = time.Second
 		waitingForEachSlot = 4
 	)
-	orDefault(&o.Slots, defaultSlots)
-	orDefault(&o.MaxWaiting, waitingForEachSlot*o.Slots)
-	orDefault(&o.Took, defaultTook)
+	defaults.Set(&o.Slots, defaultSlots)
+	defaults.Set(&o.MaxWaiting, waitingForEachSlot*o.Slots)
+	defaults.Set(&o.Took, defaultTook)
 	return &Room[T]{
 		rnd:        o.Rand,
 		maxWaiting: o.MaxWaiting,
--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"chivespindle.example/core/defaults"
+)
 
 // Settings tune the policy. Zero fields take the default.
 type Settings struct {
@@ -72,27 +76,21 @@
 
 func (s Settings) withDefaults() Settings {
 	d := DefaultSettings()
-	orDefault(&s.DefaultSlots, d.DefaultSlots)
-	orDefault(&s.QueueShare, d.QueueShare)
-	orDefault(&s.ReserveShare, d.ReserveShare)
-	orDefault(&s.ReportTrust, d.ReportTrust)
-	orDefault(&s.ReportLife, d.ReportLife)
-	orDefault(&s.SpillAt, d.SpillAt)
-	orDefault(&s.RegionPenalty, d.RegionPenalty)
-	orDefault(&s.FleetPenalty, d.FleetPenalty)
-	orDefault(&s.AffinityFactor, d.AffinityFactor)
-	orDefault(&s.AffinityFloor, d.AffinityFloor)
-	orDefault(&s.EjectAfter, d.EjectAfter)
-	orDefault(&s.EjectRate, d.EjectRate)
-	orDefault(&s.EjectBase, d.EjectBase)
-	orDefault(&s.EjectMax, d.EjectMax)
-	orDefault(&s.SlowStart, d.SlowStart)
-	orDefault(&s.RetryAfter, d.RetryAfter)
+	defaults.Set(&s.DefaultSlots, d.DefaultSlots)
+	defaults.Set(&s.QueueShare, d.QueueShare)
+	defaults.Set(&s.ReserveShare, d.ReserveShare)
+	defaults.Set(&s.ReportTrust, d.ReportTrust)
+	defaults.Set(&s.ReportLife, d.ReportLife)
+	defaults.Set(&s.SpillAt, d.SpillAt)
+	defaults.Set(&s.RegionPenalty, d.RegionPenalty)
+	defaults.Set(&s.FleetPenalty, d.FleetPenalty)
+	defaults.Set(&s.AffinityFactor, d.AffinityFactor)
+	defaults.Set(&s.AffinityFloor, d.AffinityFloor)
+	defaults.Set(&s.EjectAfter, d.EjectAfter)
+	defaults.Set(&s.EjectRate, d.EjectRate)
+	defaults.Set(&s.EjectBase, d.EjectBase)
+	defaults.Set(&s.EjectMax, d.EjectMax)
+	defaults.Set(&s.SlowStart, d.SlowStart)
+	defaults.Set(&s.RetryAfter, d.RetryAfter)
 	return s
 }
-
-func orDefault[T int | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
--- a/core/once/register.go
+++ b/core/once/register.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 )
@@ -59,13 +60,13 @@
 		defaultListLag    = 2 * time.Minute
 		defaultClockSkew  = 5 * time.Second
 	)
-	orDefault(&o.MaxKeys, defaultMaxKeys)
-	orDefault(&o.Keep, defaultKeep)
-	orDefault(&o.MaxBody, defaultMaxBody)
-	orDefault(&o.MaxBytes, defaultMaxBytes)
-	orDefault(&o.MaxListAge, defaultMaxListAge)
-	orDefault(&o.ListLag, defaultListLag)
-	orDefault(&o.ClockSkew, defaultClockSkew)
+	defaults.Set(&o.MaxKeys, defaultMaxKeys)
+	defaults.Set(&o.Keep, defaultKeep)
+	defaults.Set(&o.MaxBody, defaultMaxBody)
+	defaults.Set(&o.MaxBytes, defaultMaxBytes)
+	defaults.Set(&o.MaxListAge, defaultMaxListAge)
+	defaults.Set(&o.ListLag, defaultListLag)
+	defaults.Set(&o.ClockSkew, defaultClockSkew)
 	return o
 }
 
@@ -75,12 +76,6 @@
 	return o.ListLag + o.MaxListAge + 2*o.ClockSkew
 }
 
-func orDefault[T int | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
-
 // Register is the record of one home.
 type Register struct {
 	options Options
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/failure"
 )
 
@@ -51,15 +52,11 @@
 		defaultPerSecond = 1
 		defaultBurst     = 20
 	)
-	b := &Budget{ratio: defaultRatio, perSecond: defaultPerSecond, burst: defaultBurst, last: now}
-	if o.Ratio > 0 {
-		b.ratio = o.Ratio
-	}
-	if o.PerSecond > 0 {
-		b.perSecond = o.PerSecond
-	}
-	if o.Burst > 0 {
-		b.burst = o.Burst
+	b := &Budget{
+		ratio:     defaults.Or(o.Ratio, defaultRatio),
+		perSecond: defaults.Or(o.PerSecond, defaultPerSecond),
+		burst:     defaults.Or(o.Burst, defaultBurst),
+		last:      now,
 	}
 	b.tokens = b.burst
 	return b
@@ -178,27 +175,14 @@
 		defaultBackoffMax  = 500 * time.Millisecond
 		defaultMinTime     = 50 * time.Millisecond
 	)
-	p := &Policy{
+	return &Policy{
 		budget:      o.Budget,
 		rnd:         o.Rand,
-		maxAttempts: defaultMaxAttempts,
-		backoffBase: defaultBackoffBase,
-		backoffMax:  defaultBackoffMax,
-		minTime:     defaultMinTime,
-	}
-	if o.MaxAttempts > 0 {
-		p.maxAttempts = o.MaxAttempts
-	}
-	if o.BackoffBase > 0 {
-		p.backoffBase = o.BackoffBase
-	}
-	if o.BackoffMax > 0 {
-		p.backoffMax = o.BackoffMax
-	}
-	if o.MinTime > 0 {
-		p.minTime = o.MinTime
+		maxAttempts: defaults.Or(o.MaxAttempts, defaultMaxAttempts),
+		backoffBase: defaults.Or(o.BackoffBase, defaultBackoffBase),
+		backoffMax:  defaults.Or(o.BackoffMax, defaultBackoffMax),
+		minTime:     defaults.Or(o.MinTime, defaultMinTime),
 	}
-	return p
 }
 
 // MayRetry decides on a failed attempt and takes a token if it grants one.
--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chivespindle.example/core/defaults"
 	"chivespindle.example/core/weights"
 )
 
@@ -85,27 +86,21 @@
 	if s.Policy == "" {
 		s.Policy = PolicyTime
 	}
-	orDefault(&s.OriginCopies, defaultOriginCopies)
-	orDefault(&s.OriginRate, defaultOriginRate)
-	orDefault(&s.MaxFetches, defaultMaxFetches)
-	orDefault(&s.PerPeer, defaultPerPeer)
-	orDefault(&s.MaxUploads, s.MaxFetches)
-	orDefault(&s.MaxNeighbours, defaultMaxNeighbours)
-	orDefault(&s.ListenTime, defaultListenTime)
-	orDefault(&s.SourcePauseMax, defaultSourcePause)
+	defaults.Set(&s.OriginCopies, defaultOriginCopies)
+	defaults.Set(&s.OriginRate, defaultOriginRate)
+	defaults.Set(&s.MaxFetches, defaultMaxFetches)
+	defaults.Set(&s.PerPeer, defaultPerPeer)
+	defaults.Set(&s.MaxUploads, s.MaxFetches)
+	defaults.Set(&s.MaxNeighbours, defaultMaxNeighbours)
+	defaults.Set(&s.ListenTime, defaultListenTime)
+	defaults.Set(&s.SourcePauseMax, defaultSourcePause)
 	copyTime := float64(m.TotalBytes()) / float64(s.OriginRate) * float64(time.Second)
 	s.pace = max(1, time.Duration(copyTime)/time.Duration(max(1, len(m.Chunks))))
 	takeover := max(takeoverMin, takeoverChunks*s.pace)
 	if s.Policy == PolicyOrigin {
 		takeover *= originPatience
 	}
-	orDefault(&s.Takeover, takeover)
-	orDefault(&s.OrphanTime, orphanOfTakeover*s.Takeover)
+	defaults.Set(&s.Takeover, takeover)
+	defaults.Set(&s.OrphanTime, orphanOfTakeover*s.Takeover)
 	return s
 }
-
-func orDefault[T int | int64 | float64 | time.Duration](field *T, value T) {
-	if *field <= 0 {
-		*field = value
-	}
-}
