standin/harness: the fleet keeps its own temporary folder

Three measurements and the demo each made a temporary folder for a harness.Fleet and removed it at the end, and a fourth handed it on. A Fleet without a folder now makes one and removes it when it is closed. The folders are no longer named after the measurement. One that cannot be filled is removed as well, which it was not.

Shown by a run of the demo (351 answers, none lost or wrong, folder removed) and by the tests of standin; the measurements were built and not run.

--- a/standin/bench/entryload/entryload.go
+++ b/standin/bench/entryload/entryload.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"chivespindle.example/core/failure"
@@ -33,7 +32,6 @@
 // Fleet is one entry with its agents and engines.
 type Fleet struct {
 	*harness.Fleet
-	dir   string
 	entry *harness.Process
 	quick *harness.Process
 	paced []*harness.Process
@@ -41,15 +39,11 @@
 
 // New starts the fleet. daemon is the path of chivespindled.
 func New(daemon string) (*Fleet, error) {
-	dir, err := os.MkdirTemp("", "chivespindle-entry-")
-	if err != nil {
-		return nil, failure.Unavailable.Wrap(err, "work folder")
-	}
-	h, err := harness.New(harness.Options{Daemon: daemon, Dir: dir})
+	h, err := harness.New(harness.Options{Daemon: daemon})
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Fleet: h, dir: dir}
+	f := &Fleet{Fleet: h}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, err
@@ -57,12 +51,6 @@
 	return f, nil
 }
 
-// Close ends the fleet.
-func (f *Fleet) Close() {
-	f.Fleet.Close()
-	_ = os.RemoveAll(f.dir)
-}
-
 func (f *Fleet) start() error {
 	const modelBytes, chunkBytes = 1 << 20, 128 << 10
 	m, err := f.AddModel(platform.ModelSpec{Name: "r1", Bytes: modelBytes, ChunkBytes: chunkBytes, Seed: 1})
--- a/standin/bench/requests/fleet.go
+++ b/standin/bench/requests/fleet.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -43,7 +42,6 @@
 // Fleet is a running fleet under measurement.
 type Fleet struct {
 	*harness.Fleet
-	dir      string
 	entries  []netip.AddrPort
 	intended string
 }
@@ -51,15 +49,11 @@
 // NewFleet starts two entries, six engines and two plain services with their
 // agents. daemon is the path of chivespindled.
 func NewFleet(daemon string) (*Fleet, error) {
-	dir, err := os.MkdirTemp("", "chivespindle-requests-")
-	if err != nil {
-		return nil, failure.Unavailable.Wrap(err, "work folder")
-	}
-	h, err := harness.New(harness.Options{Daemon: daemon, Dir: dir, ListLag: time.Second})
+	h, err := harness.New(harness.Options{Daemon: daemon, ListLag: time.Second})
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Fleet: h, dir: dir}
+	f := &Fleet{Fleet: h}
 	if err := f.start(); err != nil {
 		f.Close()
 		return nil, err
@@ -67,12 +61,6 @@
 	return f, nil
 }
 
-// Close ends the fleet.
-func (f *Fleet) Close() {
-	f.Fleet.Close()
-	_ = os.RemoveAll(f.dir)
-}
-
 func (f *Fleet) start() error {
 	const modelBytes, chunkBytes = 1 << 20, 128 << 10
 	m, err := f.AddModel(platform.ModelSpec{Name: "r1", Bytes: modelBytes, ChunkBytes: chunkBytes, Seed: 1})
--- a/standin/bench/slopes/crowd.go
+++ b/standin/bench/slopes/crowd.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -41,7 +40,6 @@
 // node at that size, on a machine that could not run the whole.
 type crowd struct {
 	spec     crowdSpec
-	dir      string
 	fleet    *harness.Fleet
 	process  *harness.Process
 	started  time.Time
@@ -62,11 +60,7 @@
 
 // newCrowd starts the measured process. daemon is the path of chivespindled.
 func newCrowd(daemon string, spec crowdSpec) (*crowd, error) {
-	dir, err := os.MkdirTemp("", "chivespindle-capacity-")
-	if err != nil {
-		return nil, failure.Unavailable.Wrap(err, "work folder")
-	}
-	c := &crowd{spec: spec, dir: dir, stubs: make(map[fleet.InstanceID]*stub)}
+	c := &crowd{spec: spec, stubs: make(map[fleet.InstanceID]*stub)}
 	if err := c.start(daemon); err != nil {
 		c.close()
 		return nil, err
@@ -84,12 +78,11 @@
 	if c.fleet != nil {
 		c.fleet.Close()
 	}
-	_ = os.RemoveAll(c.dir)
 }
 
 func (c *crowd) start(daemon string) error {
 	var err error
-	c.fleet, err = harness.New(harness.Options{Daemon: daemon, Dir: c.dir})
+	c.fleet, err = harness.New(harness.Options{Daemon: daemon})
 	if err != nil {
 		return err
 	}
@@ -171,7 +164,7 @@
 // startStubs starts those that the measured process will talk to. It chooses
 // by hashes of the ids, so its choices are known before it runs.
 func (c *crowd) startStubs() error {
-	authority, err := pki.Open(c.dir)
+	authority, err := pki.Open(c.fleet.Dir())
 	if err != nil {
 		return err
 	}
--- a/standin/bench/slopes/fleets.go
+++ b/standin/bench/slopes/fleets.go
@@ -25,33 +25,23 @@
 // idleFleet is a fleet without requests.
 type idleFleet struct {
 	*harness.Fleet
-	dir             string
 	model           platform.Model
 	entries, agents []*harness.Process
 }
 
 func newIdleFleet(daemon string, n int) (*idleFleet, error) {
-	dir, err := os.MkdirTemp("", "chivespindle-idle-")
-	if err != nil {
-		return nil, failure.Unavailable.Wrap(err, "work folder")
-	}
-	h, err := harness.New(harness.Options{Daemon: daemon, Dir: dir})
+	h, err := harness.New(harness.Options{Daemon: daemon})
 	if err != nil {
 		return nil, err
 	}
-	f := &idleFleet{Fleet: h, dir: dir}
+	f := &idleFleet{Fleet: h}
 	if err := f.start(n); err != nil {
-		f.close()
+		f.Close()
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *idleFleet) close() {
-	f.Fleet.Close()
-	_ = os.RemoveAll(f.dir)
-}
-
 func (f *idleFleet) start(n int) error {
 	const modelBytes, chunkBytes = 64 << 10, 1 << 10
 	var err error
--- a/standin/bench/slopes/processes.go
+++ b/standin/bench/slopes/processes.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	fleets, err := startAll(idleSizes, func(n int) (*idleFleet, error) { return newIdleFleet(daemon, n) })
-	defer closeAll(fleets, (*idleFleet).close)
+	defer closeAll(fleets, (*idleFleet).Close)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/bench/slopes/stub.go
+++ b/standin/bench/slopes/stub.go
@@ -42,7 +42,7 @@
 
 // newStub makes the process that phantom names and sets its address.
 func newStub(c *crowd, authority *pki.Authority, phantom *fleet.Instance) (*stub, error) {
-	files, err := authority.WriteFiles(filepath.Join(c.dir, "stubs"), phantom.Role, phantom.ID)
+	files, err := authority.WriteFiles(filepath.Join(c.fleet.Dir(), "stubs"), phantom.Role, phantom.ID)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -55,16 +55,14 @@
 }
 
 func run(bin, keep string) error {
-	dir, err := workDir(keep)
-	if err != nil {
-		return err
-	}
-	if keep == "" {
-		defer func() { _ = os.RemoveAll(dir) }()
+	if keep != "" {
+		if err := os.MkdirAll(keep, 0o700); err != nil {
+			return err
+		}
 	}
 	f, err := harness.New(harness.Options{
 		Daemon:               filepath.Join(bin, "chivespindled"),
-		Dir:                  dir,
+		Dir:                  keep,
 		OriginBytesPerSecond: originRate,
 		Spans:                true,
 	})
@@ -76,13 +74,6 @@
 	return d.play()
 }
 
-func workDir(keep string) (string, error) {
-	if keep == "" {
-		return os.MkdirTemp("", "chivespindle-demo-")
-	}
-	return keep, os.MkdirAll(keep, 0o700)
-}
-
 // demo is one play.
 type demo struct {
 	fleet   *harness.Fleet
--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -27,7 +27,8 @@
 type Options struct {
 	// Daemon is the path of the chivespindled program.
 	Daemon string
-	// Dir takes settings, keys and logs; it must exist.
+	// Dir takes settings, keys and logs; it must exist. If it is empty, a temporary
+	// folder takes them until the Fleet is closed.
 	Dir string
 	// OriginBytesPerSecond limits the origin's link; 0: not limited.
 	OriginBytesPerSecond int64
@@ -42,6 +43,7 @@
 // Fleet is a running set of stand-ins and processes.
 type Fleet struct {
 	opts      Options
+	temporary bool // opts.Dir is removed at the end
 	Config    *platform.ConfigService
 	Instances *platform.InstanceList
 	Origin    *platform.WeightServer
@@ -74,11 +76,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := authority.Save(opts.Dir); err != nil {
-		return nil, err
+	temporary := opts.Dir == ""
+	if temporary {
+		if opts.Dir, err = os.MkdirTemp("", "chivespindle-"); err != nil {
+			return nil, failure.Unavailable.Wrap(err, "work folder")
+		}
 	}
 	f := &Fleet{
 		opts:      opts,
+		temporary: temporary,
 		Config:    platform.NewConfigService(platform.ConfigOptions{}),
 		Instances: platform.NewInstanceList(platform.InstanceListOptions{Lag: opts.ListLag}),
 		Origin:    platform.NewWeightServer(platform.WeightOptions{BytesPerSecond: opts.OriginBytesPerSecond}),
@@ -90,13 +96,23 @@
 		Engines:   make(map[fleet.InstanceID]*engine.Engine),
 		Plain:     make(map[fleet.InstanceID]*plainservice.Service),
 	}
-	if err := f.startPlatform(); err != nil {
+	if err := f.prepare(); err != nil {
 		f.Close()
 		return nil, err
 	}
 	return f, nil
 }
 
+func (f *Fleet) prepare() error {
+	if err := f.authority.Save(f.opts.Dir); err != nil {
+		return err
+	}
+	return f.startPlatform()
+}
+
+// Dir is the folder of settings, keys and logs.
+func (f *Fleet) Dir() string { return f.opts.Dir }
+
 func (f *Fleet) startPlatform() error {
 	handlers := []struct {
 		name    string
@@ -155,6 +171,9 @@
 	for _, s := range f.servers {
 		s.Stop()
 	}
+	if f.temporary {
+		_ = os.RemoveAll(f.opts.Dir)
+	}
 }
 
 // loopbackAny asks the kernel for a free port.
