--- a/standin/bench/burst/live.go
+++ b/standin/bench/burst/live.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
 	"chivespindle.example/adapters/callerclient"
@@ -33,17 +32,8 @@
 // String returns the line that bench prints.
 func (r LiveResult) String() string {
 	return fmt.Sprintf("bench=live instances=%d requests_without=%d p50_without_ms=%.1f p99_without_ms=%.1f requests_during=%d p50_during_ms=%.1f p99_during_ms=%.1f lost=%d wrong=%d time_over_bound=%.2f",
-		r.Instances, len(r.Before), percentile(r.Before, 50), percentile(r.Before, 99),
-		len(r.During), percentile(r.During, 50), percentile(r.During, 99), r.Lost, r.Wrong, r.BurstTime.Seconds()/r.Bound.Seconds())
-}
-
-func percentile(all []time.Duration, percent int) float64 {
-	if len(all) == 0 {
-		return 0
-	}
-	sorted := slices.Clone(all)
-	slices.Sort(sorted)
-	return float64(sorted[(len(sorted)-1)*percent/100].Microseconds()) / 1000
+		r.Instances, len(r.Before), harness.PercentileMS(r.Before, 50), harness.PercentileMS(r.Before, 99),
+		len(r.During), harness.PercentileMS(r.During, 50), harness.PercentileMS(r.During, 99), r.Lost, r.Wrong, r.BurstTime.Seconds()/r.Bound.Seconds())
 }
 
 // RunLive lets requests flow through an entry, first alone and then while a
--- a/standin/bench/requests/cases.go
+++ b/standin/bench/requests/cases.go
@@ -58,7 +58,7 @@
 	answered := t.Answers
 	line := fmt.Sprintf("bench=requests fault=%s policy=%s requests=%d answered=%d lost=%d unknown=%d duplicates=%d wrong=%d p50_ms=%.0f p99_ms=%.0f not_run_but_ran=%d refusals=%d",
 		r.Fault, r.Policy, answered+t.Lost+t.Wrong+t.WrongVersion, answered, t.Lost-len(t.UnknownKeys), len(t.UnknownKeys), r.Duplicates, t.Wrong+t.WrongVersion,
-		percentile(t.Latencies, 50), percentile(t.Latencies, 99), r.NotRunButRan, t.Refusals)
+		harness.PercentileMS(t.Latencies, 50), harness.PercentileMS(t.Latencies, 99), r.NotRunButRan, t.Refusals)
 	if r.Fault == FaultDrain {
 		line += fmt.Sprintf(" drain_ms=%d", r.Drain.Milliseconds())
 	}
--- a/standin/bench/requests/fleet.go
+++ b/standin/bench/requests/fleet.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/netip"
 	"path/filepath"
-	"slices"
 	"time"
 
 	"chivespindle.example/adapters/callerclient"
@@ -134,15 +133,5 @@
 	}
 }
 
-// percentile returns a percentile of durations in milliseconds.
-func percentile(all []time.Duration, percent int) float64 {
-	if len(all) == 0 {
-		return 0
-	}
-	sorted := slices.Clone(all)
-	slices.Sort(sorted)
-	return float64(sorted[(len(sorted)-1)*percent/100].Microseconds()) / 1000
-}
-
 // DaemonPath is where make build puts the daemon.
 func DaemonPath(bin string) string { return filepath.Join(bin, "chivespindled") }
--- a/standin/bench/requests/overload.go
+++ b/standin/bench/requests/overload.go
@@ -52,7 +52,7 @@
 	offered := r.High.Offered + r.Low.Offered
 	return fmt.Sprintf("bench=requests fault=overload policy=chivespindle requests=%d answered=%d lost=0 unknown=%d duplicates=0 wrong=%d p50_ms=%.0f p99_ms=%.0f not_run_but_ran=0 high_served=%.3f low_served=%.3f goodput=%.3f capacity_per_s=%.0f refusal_ms=%d",
 		offered, served, r.High.Unknown+r.Low.Unknown, r.Wrong,
-		percentile(r.High.Latencies, 50), percentile(r.High.Latencies, 99),
+		harness.PercentileMS(r.High.Latencies, 50), harness.PercentileMS(r.High.Latencies, 99),
 		share(r.High.Served, r.High.Offered), share(r.Low.Served, r.Low.Offered),
 		float64(served)/r.Seconds/r.Capacity, r.Capacity, r.SlowestRefusal.Milliseconds())
 }
--- a/standin/harness/load.go
+++ b/standin/harness/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -273,3 +274,13 @@
 	}
 	return mixed
 }
+
+// PercentileMS returns a percentile of durations in milliseconds; 0 of none.
+func PercentileMS(all []time.Duration, percent int) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(all)
+	slices.Sort(sorted)
+	return float64(sorted[(len(sorted)-1)*percent/100].Microseconds()) / 1000
+}
