--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -179,12 +179,8 @@
 }
 
 func (s *WeightServer) getManifest(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w, r) {
-		return
-	}
-	digest, model, ok := s.lookUp(r)
+	digest, model, ok := s.requested(w, r)
 	if !ok {
-		http.NotFound(w, r)
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
@@ -192,12 +188,8 @@
 }
 
 func (s *WeightServer) getChunk(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w, r) {
-		return
-	}
-	digest, model, ok := s.lookUp(r)
+	digest, model, ok := s.requested(w, r)
 	if !ok {
-		http.NotFound(w, r)
 		return
 	}
 	index, err := strconv.ParseUint(r.PathValue("index"), 10, 31)
@@ -223,14 +215,22 @@
 	return s.outage.admit(w, r)
 }
 
-func (s *WeightServer) lookUp(r *http.Request) (fleet.Digest, storedModel, bool) {
+// requested returns the model that a request names, or answers the request.
+func (s *WeightServer) requested(w http.ResponseWriter, r *http.Request) (fleet.Digest, storedModel, bool) {
+	if !s.admit(w, r) {
+		return fleet.Digest{}, storedModel{}, false
+	}
 	digest, err := fleet.ParseDigest(r.PathValue("manifest"))
 	if err != nil {
+		http.NotFound(w, r)
 		return fleet.Digest{}, storedModel{}, false
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	model, ok := s.models[digest]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+	}
 	return digest, model, ok
 }
 
