--- a/standin/cmd/backend/command.go
+++ b/standin/cmd/backend/command.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
 	"os"
-	"syscall"
 	"time"
 
-	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 
 	"chivespindle.example/core/failure"
+	"chivespindle.example/standin/cmd/internal/untilsignal"
 	"chivespindle.example/standin/engine"
 	"chivespindle.example/standin/engine/backend"
 	"chivespindle.example/standin/plainservice"
@@ -121,15 +119,5 @@
 	}
 	defer func() { _ = adminServer.Close() }()
 	fmt.Fprintf(out, "event=listening kind=%s addr=%s admin=%s pid=%d\n", kind, calls, admin, os.Getpid())
-
-	if ctx == nil {
-		ctx = context.Background()
-	}
-	var group run.Group
-	group.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
-	err = group.Run()
-	if errors.Is(err, run.ErrSignal) || errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return untilsignal.Wait(ctx)
 }
--- a/standin/cmd/standins/command.go
+++ b/standin/cmd/standins/command.go
@@ -2,21 +2,19 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
 	"strings"
-	"syscall"
 
 	"github.com/joomcode/errorx"
-	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap/zapcore"
 
 	"chivespindle.example/adapters/telemetry"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/standin/cmd/internal/untilsignal"
 	"chivespindle.example/standin/platform"
 )
 
@@ -98,13 +96,7 @@
 	if err != nil {
 		return failure.Unavailable.Wrap(err, "print the addresses")
 	}
-	var group run.Group
-	group.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
-	err = group.Run()
-	if errors.Is(err, run.ErrSignal) || errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return untilsignal.Wait(ctx)
 }
 
 // services are the stand-ins of the platform.
