core/valuetext: one way to write sizes and durations

core/fleettext and adapters/settings each had a table of decimal units and the same two functions that write a size and a duration. Reading stays apart: a rate of the fleet text is a whole number with a unit, a size of the settings may have a fraction or no unit.

--- a/adapters/settings/file.go
+++ b/adapters/settings/file.go
@@ -12,6 +12,8 @@
 	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
+
+	"chivespindle.example/core/valuetext"
 )
 
 // maxFileSize bounds a settings file in bytes, so that a path to something
@@ -81,7 +83,7 @@
 	case err != nil:
 		r.fault(0, "cannot be read: %v", withoutPath(err))
 	case len(data) > maxFileSize:
-		r.fault(0, "is larger than %s", formatSize(maxFileSize))
+		r.fault(0, "is larger than %s", valuetext.Size(maxFileSize))
 	case !utf8.Valid(data):
 		r.fault(firstInvalidLine(data), "is not UTF-8 text")
 	default:
--- a/adapters/settings/load.go
+++ b/adapters/settings/load.go
@@ -13,6 +13,7 @@
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/valuetext"
 )
 
 const (
@@ -233,10 +234,10 @@
 	if s.Limits.DrainTimeout < s.Entry.AddressTTL {
 		l.conflict("limits.drain_timeout", fmt.Sprintf(
 			"must not be shorter than [entry] address_ttl, %s: callers come until their address answers expire",
-			formatDuration(s.Entry.AddressTTL)))
+			valuetext.Duration(s.Entry.AddressTTL)))
 	}
 	if s.Entry.MaxBody > s.Limits.MemoryLimit {
-		l.conflict("entry.max_body", fmt.Sprintf("must not exceed [limits] memory_limit, %s", formatSize(s.Limits.MemoryLimit)))
+		l.conflict("entry.max_body", fmt.Sprintf("must not exceed [limits] memory_limit, %s", valuetext.Size(s.Limits.MemoryLimit)))
 	}
 }
 
--- a/adapters/settings/values.go
+++ b/adapters/settings/values.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/valuetext"
 )
 
 // Type is the type of a key's value as a reader of the reference knows it.
@@ -144,7 +145,7 @@
 }
 
 func duration(field func(*Settings) *time.Duration, low, high time.Duration) binding {
-	limits := formatDuration(low) + " to " + formatDuration(high)
+	limits := valuetext.Duration(low) + " to " + valuetext.Duration(high)
 	parse := func(text string) (time.Duration, error) {
 		value, err := time.ParseDuration(text)
 		if err != nil {
@@ -156,7 +157,7 @@
 }
 
 func size(field func(*Settings) *int64, low, high int64) binding {
-	limits := formatSize(low) + " to " + formatSize(high)
+	limits := valuetext.Size(low) + " to " + valuetext.Size(high)
 	parse := func(text string) (int64, error) {
 		value, err := parseSize(text)
 		if err != nil {
@@ -278,22 +279,11 @@
 	return strings.TrimRight(text, "/"), nil
 }
 
-// sizeUnits are decimal, as link rates are; the first match from the top wins.
-var sizeUnits = []struct {
-	suffix string
-	bytes  int64
-}{
-	{"GB", gigabyte},
-	{"MB", megabyte},
-	{"KB", kilobyte},
-	{"B", byteUnit},
-}
-
 func parseSize(text string) (int64, error) {
 	digits, unit := text, int64(byteUnit)
-	for _, u := range sizeUnits {
-		if head, found := strings.CutSuffix(text, u.suffix); found {
-			digits, unit = strings.TrimSpace(head), u.bytes
+	for _, u := range valuetext.Units {
+		if head, found := strings.CutSuffix(text, u.Name); found {
+			digits, unit = strings.TrimSpace(head), u.Bytes
 			break
 		}
 	}
@@ -305,29 +295,3 @@
 	}
 	return int64(bytes), nil
 }
-
-// formatSize prints a size in the largest unit that leaves a whole number.
-func formatSize(bytes int64) string {
-	if bytes == 0 {
-		return "0"
-	}
-	for _, u := range sizeUnits {
-		if bytes%u.bytes == 0 {
-			return strconv.FormatInt(bytes/u.bytes, 10) + u.suffix
-		}
-	}
-	return strconv.FormatInt(bytes, 10)
-}
-
-// formatDuration prints a duration without the zero units that
-// time.Duration.String adds to whole minutes and hours.
-func formatDuration(d time.Duration) string {
-	text := d.String()
-	if strings.HasSuffix(text, "m0s") {
-		text = strings.TrimSuffix(text, "0s")
-	}
-	if strings.HasSuffix(text, "h0m") {
-		text = strings.TrimSuffix(text, "0m")
-	}
-	return text
-}
--- a/core/fleettext/keys.go
+++ b/core/fleettext/keys.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/valuetext"
 )
 
 // Ranges of values.
@@ -111,7 +112,7 @@
 }, {
 	name: "origin_rate", modelOnly: true,
 	set:  func(s *serviceSettings, v string) error { return assign(&s.OriginRate)(parseRate(v)) },
-	show: func(s *serviceSettings) string { return showRate(s.OriginRate) },
+	show: func(s *serviceSettings) string { return valuetext.Size(s.OriginRate) },
 }, {
 	name: "engine_fencing", modelOnly: true,
 	set: func(s *serviceSettings, v string) error {
@@ -133,7 +134,7 @@
 	set: func(s *serviceSettings, v string) error {
 		return assign(&s.DrainTimeout)(parseDuration(v, minDrainTimeout, maxDrainTimeout))
 	},
-	show: func(s *serviceSettings) string { return showDuration(s.DrainTimeout) },
+	show: func(s *serviceSettings) string { return valuetext.Duration(s.DrainTimeout) },
 }}
 
 var workspaceKeys = []key[Limits]{{
--- a/core/fleettext/values.go
+++ b/core/fleettext/values.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"chivespindle.example/core/valuetext"
 )
 
 // MaxNameBytes is the length of the longest name.
@@ -104,17 +106,11 @@
 		return 0, badValue("%q is not a duration such as 30s or 2m", value)
 	}
 	if d < low || d > high {
-		return 0, badValue("%s is out of range: want %s to %s", value, showDuration(low), showDuration(high))
+		return 0, badValue("%s is out of range: want %s to %s", value, valuetext.Duration(low), valuetext.Duration(high))
 	}
 	return d, nil
 }
 
-// Sizes that a rate is written in; decimal, as links are.
-var rateUnits = []struct {
-	name  string
-	bytes int64
-}{{"GB", 1e9}, {"MB", 1e6}, {"KB", 1e3}, {"B", 1}}
-
 // maxRate is the highest rate in bytes a second.
 const maxRate = int64(1e12)
 
@@ -131,31 +127,19 @@
 	if err != nil {
 		return 0, badValue("%q is not a rate", value)
 	}
-	for _, unit := range rateUnits {
-		if unit.name != match[2] {
+	for _, unit := range valuetext.Units {
+		if unit.Name != match[2] {
 			continue
 		}
-		if n > maxRate/unit.bytes {
-			return 0, badValue("%s is out of range: want at most %s", value, showRate(maxRate))
+		if n > maxRate/unit.Bytes {
+			return 0, badValue("%s is out of range: want at most %s", value, valuetext.Size(maxRate))
 		}
-		n *= unit.bytes
+		n *= unit.Bytes
 		break
 	}
 	return n, nil
 }
 
-func showRate(rate int64) string {
-	if rate == 0 {
-		return "0"
-	}
-	for _, unit := range rateUnits {
-		if rate%unit.bytes == 0 {
-			return strconv.FormatInt(rate/unit.bytes, 10) + unit.name
-		}
-	}
-	return strconv.FormatInt(rate, 10) + "B"
-}
-
 func parseChoice[T ~string](value string, choices ...T) (T, error) {
 	if slices.Contains(choices, T(value)) {
 		return T(value), nil
@@ -165,15 +149,3 @@
 }
 
 func showInteger(n int) string { return strconv.Itoa(n) }
-
-// showDuration writes "1h" where time.Duration writes "1h0m0s".
-func showDuration(d time.Duration) string {
-	text := d.String()
-	if strings.HasSuffix(text, "m0s") {
-		text = strings.TrimSuffix(text, "0s")
-	}
-	if strings.HasSuffix(text, "h0m") {
-		text = strings.TrimSuffix(text, "0m")
-	}
-	return text
-}
