adapters/peer: a spec allows a refusal before a frame is written whole

"refuses a raw frame where a message is due" failed once in a broad run (ginkgo). It demanded that the send succeeds. A raw frame is written in two parts, and the receiver may refuse it after the first, which ends the send; a pause of 30 ms between the parts gave the same failure each time, and with this change it passes.

The promise is checked as before: the receiver refuses the frame as corrupt. A send that fails now has to fail with the type of a refused stream, which was not checked.

--- a/adapters/peer/contract_test.go
+++ b/adapters/peer/contract_test.go
@@ -142,8 +142,11 @@
 		p := newPair(func(_ context.Context, _ keys.Identity, _ peer.Kind, s *peer.Stream) {
 			failed <- s.Recv(&note{})
 		}, nil)
-		gomega.Expect(p.open(peer.KindChunk).SendBytes([]byte{1})).To(gomega.Succeed())
+		sent := p.open(peer.KindChunk).SendBytes([]byte{1})
 		gomega.Eventually(failed, patience).Should(gomega.Receive(beOfType(failure.Corrupt)))
+		if sent != nil { // the refusal may come before all of the frame was written
+			gomega.Expect(sent).To(beOfType(failure.Unavailable))
+		}
 	})
 
 	// A server is in the middle of a long answer when the caller gives up. The
