gateway: log a panic at a request

What operators could not see: net/http's own log is left out, since it is about broken connections, and with it the panic that cut a caller's answer. Serve logs and counts it and lets it go on; net/http ends the connection as before. The new spec failed before.

--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -171,6 +171,18 @@
 	return resultRefused + callResult(v.Reason)
 }
 
+// panicked logs a panic, which goes on: the server that is above ends the connection and
+// says nothing.
+func (l *requestLog) panicked(call *Call) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	l.metrics.Counter("calls_panicked").Inc(1)
+	l.logger.Error("request_panicked", zap.String("request", call.ID), zap.Any("panic", p), zap.StackSkip("stack", 1))
+	panic(p)
+}
+
 func (l *requestLog) abandoned(j *job) {
 	l.account.note(j, resultAbandoned)
 	l.metrics.Counter("calls_abandoned").Inc(1)
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -82,6 +82,7 @@
 func (g *Gateway) Serve(ctx context.Context, call *Call, caller Caller) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer g.log.panicked(call)
 	j := &job{g: g, call: call, reply: newReply(g, call, caller), view: g.currentView(ctx, call)}
 	if verdict, ok := j.admit(); !ok {
 		j.refuse(verdict)
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -237,3 +237,29 @@
 		Expect(caller).NotTo(Receive(), "the answer to a caller who has left")
 	})
 })
+
+// panicking is a backend that fails as no backend should.
+type panicking struct{ answering }
+
+func (*panicking) Send(context.Context, *Call, Order) (Answer, error) { panic("out of range") }
+
+var _ = Describe("A call at which the program panics", func() {
+	// Guards against a panic that nobody sees, since the HTTP server's own log is left out.
+	It("is logged and counted, and the panic goes on", func() {
+		g, _ := newGateway()
+		core, lines := observer.New(zap.InfoLevel)
+		metrics := tally.NewTestScope("", nil)
+		g.log = newRequestLog(start, zap.New(core), metrics)
+		g.opts.Backend = &panicking{}
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
+		s.Config.Routes[0].Aim, s.Config.Routes[0].Timeout = time.Second, time.Minute
+		g.adopt(time.Now(), s, "platform")
+		g.publish(time.Now())
+		serve := func() {
+			g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), LastEvent: -1}, make(refusals, 1))
+		}
+		Expect(serve).To(PanicWith("out of range"))
+		Expect(lines.FilterMessage("request_panicked").All()).To(HaveLen(1))
+		Expect(metrics.Snapshot().Counters()).To(HaveKey("calls_panicked+"))
+	})
+})
