Test hand-overs to an engine whose answer does not follow

A hand-over on a safe route, or to an engine that fails or has another version, was checked by no test (mutation trials of mayMove and, at a hand-over, of the check of an answer's head).

--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -32,6 +32,8 @@
 	declines map[fleet.InstanceID]bool
 	// silent servers take a call and give nothing until the time for it is up.
 	silent map[fleet.InstanceID]bool
+	// changes are made to the next answer of a server.
+	changes map[fleet.InstanceID]func(*engineStream)
 }
 
 func (e *engines) Keep([]placement.Server) {}
@@ -44,6 +46,9 @@
 	e.sent = append(e.sent, o)
 	s := &engineStream{declined: e.declines[o.Server.ID], silent: e.silent[o.Server.ID],
 		next: o.LastEvent + 1, version: o.Server.Loaded, events: make(chan struct{}, 100), closed: make(chan struct{})}
+	if change := e.changes[o.Server.ID]; change != nil {
+		change(s)
+	}
 	e.streams[o.Server.ID] = s
 	return s, nil
 }
@@ -64,6 +69,7 @@
 
 type engineStream struct {
 	declined, silent bool
+	status           int // 200 if 0
 	next             int64
 	version          placement.ModelVersion
 	events           chan struct{} // one for each event that may be given
@@ -71,7 +77,7 @@
 	once             sync.Once
 }
 
-func (s *engineStream) Status() int                     { return 200 }
+func (s *engineStream) Status() int                     { return max(s.status, 200) }
 func (s *engineStream) NotRun() bool                    { return s.declined }
 func (s *engineStream) Misdirected() bool               { return false }
 func (s *engineStream) Version() placement.ModelVersion { return s.version }
@@ -170,7 +176,8 @@
 		lines, metrics = logged, tally.NewTestScope("", nil)
 		g.log = newRequestLog(start, zap.New(core), metrics)
 		backend = &engines{streams: make(map[fleet.InstanceID]*engineStream),
-			declines: make(map[fleet.InstanceID]bool), silent: make(map[fleet.InstanceID]bool)}
+			declines: make(map[fleet.InstanceID]bool), silent: make(map[fleet.InstanceID]bool),
+			changes: make(map[fleet.InstanceID]func(*engineStream))}
 		g.opts.Backend = backend
 		s := snapshot(5, server(oneID, "10.0.1.1:80", 2), server(twoID, "10.0.1.2:80", 3))
 		s.Config.Services[0].Engine = &enginemodel.Figures{
@@ -196,6 +203,11 @@
 		Eventually(caller.got).Should(Equal("012"))
 	}
 
+	// change makes an answer of the next engine, whose events are there at once.
+	change := func(f func(*engineStream)) {
+		backend.changes[second] = func(s *engineStream) { s.give(streamEvents); f(s) }
+	}
+
 	It("goes on at another engine, after the last event", func() {
 		begin(routing.Stream, true)
 		tell(first, 2, true)
@@ -238,9 +250,14 @@
 			Expect(backend.orders()).To(HaveLen(2))
 			Expect(caller.got()).To(Equal("0123456789"))
 			Expect(caller.complete).To(BeTrue())
+			Expect(lines.FilterMessage("handed_over").All()[0].ContextMap()).To(HaveKey("error"))
 		},
 		Entry("it declines", func() { backend.declines[second] = true }),
 		Entry("it is silent", func() { backend.silent[second] = true }),
+		Entry("it fails", func() { change(func(s *engineStream) { s.status = 500 }) }),
+		Entry("it has another version", func() { change(func(s *engineStream) { s.version++ }) }),
+		Entry("it skips an event", func() { change(func(s *engineStream) { s.next++ }) }),
+		Entry("it has no event", func() { change(func(s *engineStream) { s.next = streamEvents + 1 }) }),
 	)
 
 	// Guards against an answer that ends as complete though the last event, which the
@@ -302,6 +319,16 @@
 		Expect(backend.orders()).To(HaveLen(1))
 	})
 
+	// Guards against events of two runs in one answer that nothing says can be resumed.
+	It("stays on a safe route, which declares no resumption", func() {
+		begin(routing.Safe, false)
+		tell(first, 2, true)
+		from.give(streamEvents)
+		Eventually(ended).Should(BeClosed())
+		Expect(backend.orders()).To(HaveLen(1))
+		Expect(caller.complete).To(BeTrue())
+	})
+
 	It("stays when the retry budget is used up", func() {
 		begin(routing.Stream, true)
 		for g.allowRepeat(time.Now(), "pool") {
