--- a/core/gossip/record.go
+++ b/core/gossip/record.go
@@ -68,6 +68,14 @@
 	ConfigDigest fleet.Digest `cbor:"16,keyasint,omitzero"`
 }
 
+// RecordOf returns the identity of a process that starts.
+func RecordOf(self fleet.Instance, incarnation uint64) Record {
+	return Record{
+		ID: self.ID, Incarnation: incarnation, Role: self.Role, Service: self.Service,
+		Place: self.Place, PeerAddr: self.PeerAddr, CallerAddr: self.CallerAddr,
+	}
+}
+
 // IsWhole reports whether r carries the identity.
 func (r Record) IsWhole() bool { return r.Role != "" && r.State != "" }
 
--- a/daemon/internal/daemontest/process.go
+++ b/daemon/internal/daemontest/process.go
@@ -116,12 +116,8 @@
 	if changed == nil {
 		changed = func(time.Time) {}
 	}
-	self := p.Self
 	p.Node = node.New(p.ctx, time.Now(), node.Options{
-		Self: gossip.Record{
-			ID: self.ID, Incarnation: p.Incarnation, Role: self.Role, Service: self.Service,
-			Place: self.Place, PeerAddr: self.PeerAddr, CallerAddr: self.CallerAddr,
-		},
+		Self:      gossip.RecordOf(p.Self, p.Incarnation),
 		Loop:      p.Loop,
 		Endpoint:  p.Endpoint,
 		Config:    p.Text,
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -142,10 +142,7 @@
 	self := s.Self()
 	self.PeerAddr = b.endpoint.Addr()
 	b.node = node.New(b.ctx, time.Now(), node.Options{
-		Self: gossip.Record{
-			ID: self.ID, Incarnation: b.incarnation, Role: self.Role, Service: self.Service,
-			Place: self.Place, PeerAddr: self.PeerAddr, CallerAddr: self.CallerAddr,
-		},
+		Self:        gossip.RecordOf(self, b.incarnation),
 		Loop:        b.loop,
 		Endpoint:    b.endpoint,
 		Config:      config,
