Comments on reports, crashes and limits in the field's terms

Comments of core/quarantine, core/serverlimit and the files of daemon/gateway that send and receive their reports. Four that only repeated a name are gone. No code, spec text, log event or metric is changed.

--- a/core/quarantine/doubt.go
+++ b/core/quarantine/doubt.go
@@ -15,15 +15,15 @@
 	mostDoubts = 256
 )
 
-// doubt is an attempt that ended without its outcome: its client left, or nobody
-// could find out whether its server crashed.
+// doubt is an attempt whose outcome is unknown: its client disconnected, or the check
+// of its server was inconclusive.
 type doubt struct {
 	request Fingerprint
 	server  fleet.InstanceID
 	at      time.Time
 }
 
-// Doubt notes that an attempt at a server ended without its outcome. It counts as
+// Doubt records that an attempt at a server ended without its outcome. It counts as
 // in flight if the server turns out to have crashed.
 func (r *Registry) Doubt(now time.Time, request Fingerprint, server fleet.InstanceID) {
 	r.mu.Lock()
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -51,7 +51,7 @@
 	return reports, next
 }
 
-// Merge takes the reports of another entry and returns the requests that are
+// Merge adds the reports of another entry and returns the requests that are
 // quarantined by them.
 //
 // Those are reported to everybody again, whoever observed the crashes, so that
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -110,7 +110,7 @@
 	return rec.standing()
 }
 
-// Crashed notes that a server crashed with a request in flight, as this entry
+// Crashed records that a server crashed with a request in flight, as this entry
 // observed, and returns what is known of the request then.
 func (r *Registry) Crashed(now time.Time, request Fingerprint, server fleet.InstanceID) Standing {
 	r.mu.Lock()
@@ -120,8 +120,8 @@
 	return rec.standing()
 }
 
-// Succeeded clears a request of the crashes before: what crashes every server that
-// runs it would not have succeeded. Nothing is kept of requests without crashes.
+// Succeeded clears a request of the earlier crashes: one that crashes every server
+// would not have succeeded. Nothing is kept of requests without crashes.
 func (r *Registry) Succeeded(now time.Time, request Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -132,13 +132,12 @@
 	r.add(rec, observation{at: now}, feed.Own)
 }
 
-// add takes an observation.
 func (r *Registry) add(rec *record, o observation, from feed.Source) {
 	o.mark = r.learned.Mark(from)
 	rec.add(o)
 }
 
-// record returns that of a request, and makes room for a new one.
+// record returns the record of a request. A new one may evict another.
 func (r *Registry) record(now time.Time, request Fingerprint) *record {
 	if rec := r.requests[request]; rec != nil {
 		rec.expire(now)
@@ -152,7 +151,7 @@
 	return rec
 }
 
-// DropExpired forgets what does not count any more.
+// DropExpired drops what does not count any more.
 func (r *Registry) DropExpired(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -196,7 +195,7 @@
 	return s
 }
 
-// add takes an observation unless it is known or void.
+// add adds an observation unless it is known or refuted by a later success.
 func (rec *record) add(o observation) {
 	if o.server == "" {
 		rec.succeed(o)
--- a/core/quarantine/spread_test.go
+++ b/core/quarantine/spread_test.go
@@ -40,7 +40,7 @@
 		Expect(fresh.Merge(at(time.Second), reports, feed.Near)).To(HaveLen(1))
 	})
 
-	// Guards against reports that go round between entries for ever.
+	// Guards against reports that circulate for ever.
 	It("are reported no more once all know them", func() {
 		f := feedtest.NewFleet(100, start, quarantine.New)
 		f.Exchange()
--- a/core/serverlimit/exchange.go
+++ b/core/serverlimit/exchange.go
@@ -41,7 +41,7 @@
 	return backlog.Message(mostReports)
 }
 
-// Merge takes the reports of another entry and returns those that change a limit here.
+// Merge adds the reports of another entry and returns those that change a limit here.
 func (r *Registry) Merge(now time.Time, reports []Report, from feed.Source) []Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/serverlimit/exchange_test.go
+++ b/core/serverlimit/exchange_test.go
@@ -44,7 +44,7 @@
 		Expect(perSecond(3 * time.Second)).To(Equal(3.0))
 	})
 
-	// Guards against an entry that goes on by an old limit since nobody contradicts it.
+	// Guards against an entry that keeps an outdated limit since no report corrects it.
 	It("are answered if they are older than what is known here", func() {
 		merge(2*time.Second, report(3, 0))
 		_, sent := r.Since(at(2*time.Second), 0, feed.Near)
@@ -61,8 +61,8 @@
 		Expect(merge(5*time.Second, report(1, 0))).To(HaveLen(1))
 	})
 
-	// Guards against a burst at a server in need: a report of the end that was delayed
-	// on its way seems newer than the answer that named the limit.
+	// Guards against a burst at an overloaded server: a delayed report of the end seems
+	// newer than the response that advertised the limit.
 	It("end a limit a second after it was last named at the earliest", func() {
 		merge(0, report(1, 0))
 		merge(500*time.Millisecond, end(0))
--- a/core/serverlimit/serverlimit.go
+++ b/core/serverlimit/serverlimit.go
@@ -16,7 +16,7 @@
 type limit struct {
 	// perSecond is the requests a second from all entries together.
 	perSecond float64
-	// ended limits are no longer in force: a later answer did not advertise one.
+	// ended limits are no longer in force: a later response did not advertise one.
 	ended bool
 	// at is the time of the newest observation; for an end, when its request was sent.
 	at time.Time
@@ -35,19 +35,19 @@
 // New returns a registry without limits.
 func New() *Registry { return &Registry{limits: make(map[fleet.InstanceID]*limit)} }
 
-// Change is what an answer changed.
+// Change is what a response changed.
 type Change uint8
 
 const (
-	// Unchanged: the answer agrees with what was known.
+	// Unchanged: the response agrees with what was known.
 	Unchanged Change = iota
 	// Started: the server had no limit before.
 	Started
-	// Adjusted: its limit was another one.
+	// Adjusted: the server had another limit before.
 	Adjusted
 )
 
-// Advertised takes a limit from an answer.
+// Advertised records the limit that a response advertised.
 func (r *Registry) Advertised(now time.Time, server fleet.InstanceID, perSecond float64) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,9 +64,9 @@
 	return Started
 }
 
-// NotAdvertised takes the answer to a request that was sent at a given time and
-// succeeded without a limit, and reports whether a limit ended by it. A request that
-// was sent before the limit was last advertised ends nothing: its answer may have been
+// NotAdvertised records a successful response without a limit to a request that was
+// sent at a given time, and reports whether a limit ended by it. A request that was
+// sent before the limit was last advertised ends nothing: its response may have been
 // delayed.
 func (r *Registry) NotAdvertised(sent time.Time, server fleet.InstanceID) bool {
 	r.mu.Lock()
@@ -101,7 +101,7 @@
 // entry may know of the server before this one.
 const unlistedFor = time.Minute
 
-// Keep forgets the limits of servers that are listed no more.
+// Keep drops the limits of servers that are no longer listed.
 func (r *Registry) Keep(now time.Time, isListed func(fleet.InstanceID) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -35,7 +35,7 @@
 		Expect(r.Advertised(at(3*time.Second), server, 1.5)).To(Equal(serverlimit.Started))
 	})
 
-	// Guards against a burst at a server in need after an answer that came out of order.
+	// Guards against a burst at an overloaded server after a delayed response.
 	It("does not end with the answer to a request that was sent before it was named", func() {
 		r.Advertised(at(time.Second), server, 1.5)
 		Expect(r.NotAdvertised(at(time.Second-time.Millisecond), server)).To(BeFalse())
--- a/core/serverlimit/share.go
+++ b/core/serverlimit/share.go
@@ -6,8 +6,8 @@
 	// usersBeyond is by how many entries more than its limit a second a server is
 	// used. Each of them may send one request at any moment, so few may be.
 	usersBeyond = 2
-	// leastPerSecond is the least that a server is sent whatever its limit: only an
-	// answer shows that the limit has ended.
+	// leastPerSecond is sent to a server whatever its limit: only a response shows
+	// that the limit has ended.
 	leastPerSecond = 0.1
 )
 
--- a/core/serverlimit/share_test.go
+++ b/core/serverlimit/share_test.go
@@ -92,7 +92,7 @@
 		Entry("of 10 a second", 10.0), Entry("of 45 a second", 45.0), Entry("of 500 a second", 500.0),
 	)
 
-	// Guards against a server that no entry asks any more, so that nobody learns of the end of its limit.
+	// Guards against a limit whose end no entry learns of since none sends requests to its server.
 	It("are never nothing for all", func() {
 		ids := entryIDs(8)
 		g := newGreedy(0, ids, func(i int) []fleet.InstanceID { return without(ids, i) })
--- a/daemon/gateway/backendregion_test.go
+++ b/daemon/gateway/backendregion_test.go
@@ -29,8 +29,8 @@
 	return region
 }
 
-// ask has an entry serve one call and returns how it was refused; nothing for
-// one that was answered.
+// ask has an entry serve one call and returns how it was refused, the zero value if
+// it was not.
 func (m *member) ask(path, id string) Verdict {
 	caller := make(refusals, 1)
 	m.gateway.Serve(context.Background(), &Call{
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -27,8 +27,8 @@
 	standing quarantine.Standing
 }
 
-// brokenAt follows an attempt that failed and notes whether its server crashed. It
-// returns nil unless the connection broke under the call.
+// brokenAt records whether the server of a failed attempt crashed. It returns nil
+// unless the connection broke during the call.
 func (j *job) brokenAt(ctx context.Context, server placement.Server, err error) *brokenAttempt {
 	if failure.OutcomeOf(err) == failure.NotRun || errorx.IsOfType(err, failure.Corrupt) {
 		return nil
@@ -53,16 +53,16 @@
 	return b
 }
 
-// leftBehind notes that the client left while the call was at a server. If that
-// crashes before it has read the close, the call is one of those in flight.
+// leftBehind records that the client disconnected while the call was at a server. If
+// the server crashes before it reads the cancellation, the call was in flight.
 func (j *job) leftBehind(now time.Time, server placement.Server) {
 	if !j.g.board.IsLeaving(server.ID) {
 		j.g.quarantine.Doubt(now, j.contentFingerprint(), server.ID)
 	}
 }
 
-// unreached follows an attempt that could not be sent. The server may have crashed
-// with calls in flight whose outcome is in doubt.
+// unreached checks the server of an attempt that could not be sent. It may have
+// crashed with calls in flight whose outcome is in doubt.
 func (j *job) unreached(ctx context.Context, now time.Time, server placement.Server) {
 	if j.g.quarantine.IsDoubted(now, server.ID) && !j.g.board.IsLeaving(server.ID) &&
 		j.g.opts.Backend.Check(ctx, server.Addr) == Down {
@@ -79,8 +79,7 @@
 	}
 }
 
-// noteReplaced finds servers that crashed by the registration of others at their
-// addresses.
+// noteReplaced counts a server as crashed if another one is registered at its address.
 func (g *Gateway) noteReplaced(now time.Time, list []placement.Server) {
 	for _, s := range list {
 		before, ok := g.listed[s.Addr]
@@ -107,7 +106,6 @@
 	return *j.fingerprint
 }
 
-// standing returns what is known of the call's content.
 func (j *job) standing(now time.Time) quarantine.Standing {
 	if j.g.quarantine.IsEmpty() {
 		return quarantine.Standing{}
@@ -115,14 +113,13 @@
 	return j.g.quarantine.Standing(now, j.contentFingerprint())
 }
 
-// clearOfCrashes notes that a server ran the call to its end.
+// clearOfCrashes records that a server ran the call to its end.
 func (j *job) clearOfCrashes(now time.Time) {
 	if !j.g.quarantine.IsEmpty() {
 		j.g.quarantine.Succeeded(now, j.contentFingerprint())
 	}
 }
 
-// crashReportsFor returns the reports of crashes for another entry.
 func (g *Gateway) crashReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []quarantine.Report {
 	return g.crashReports.next(now, to, form)
 }
@@ -143,7 +140,7 @@
 	return []zap.Field{zap.Stringer("fingerprint", b.fingerprint), zap.Stringer("server_state", b.server)}
 }
 
-// serverCrashed notes that a server crashed with the call in flight.
+// serverCrashed logs a crash of a server with the call in flight.
 func (l *requestLog) serverCrashed(j *job, server placement.Server, b *brokenAttempt) {
 	l.metrics.Counter("calls_at_crashes").Inc(1)
 	if len(b.standing.Servers) > 1 && l.allowed() {
@@ -155,7 +152,7 @@
 	}
 }
 
-// keptBack notes that a call is sent to no server since its content is quarantined.
+// keptBack logs that a call is sent to no server since its content is quarantined.
 func (l *requestLog) keptBack(j *job, s quarantine.Standing) {
 	if l.allowed() {
 		l.logger.Info("not_placed", inputs(j, zap.String("reason", reasonQuarantined),
@@ -163,7 +160,7 @@
 	}
 }
 
-// quarantined notes that a request reaches no server any more.
+// quarantined logs that a request reaches no server any more.
 func (l *requestLog) quarantined(request quarantine.Fingerprint, s quarantine.Standing, source string) {
 	l.metrics.Counter("requests_quarantined").Inc(1)
 	l.logger.Warn("request_quarantined", zap.Stringer("fingerprint", request), zap.String("servers", joinIDs(s.Servers)),
--- a/daemon/gateway/crash_test.go
+++ b/daemon/gateway/crash_test.go
@@ -64,7 +64,7 @@
 var _ = Describe("A call that crashes the engines that run it, at entries in turn", func() {
 	const entries, engineCount, allowed = 5, 20, 3
 
-	// Guards against each entry's crashing of engines anew by a call that others have seen do so.
+	// Guards against a call that crashes engines through each entry in turn.
 	It("is refused by every entry once it has crashed three engines", func() {
 		backend := &fragileEngines{crashed: make(map[netip.AddrPort]bool)}
 		c := manyRoutes(1, 1)
@@ -111,7 +111,7 @@
 		return j, ticket
 	}
 
-	// fail has a call fail at a server, after what happens in between, and returns it.
+	// fail returns a call that failed at a server after what happens in between.
 	fail := func(id fleet.InstanceID, err error, between ...func()) *job {
 		j, ticket := place(id)
 		for _, f := range between {
@@ -121,7 +121,7 @@
 		return j
 	}
 
-	// leave has the first server begin to leave.
+	// leave starts the planned stop of the first server.
 	leave := func() {
 		leaving := server("i-1", "10.0.1.1:80", 10)
 		leaving.Draining = true
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -1,11 +1,11 @@
 // Package gateway is the entry on a platform where callers speak plain HTTP,
-// backend servers are called straight and say themselves what they did not
+// backend servers are called directly and report themselves which calls did not
 // run.
 //
 // The control loop owns what the process believes: the platform's catalog, the
-// other entries and the engines that agents tell of. Each call reads one
-// immutable view of it. Where a call goes and when it is refused is decided by
-// core/placement.
+// other entries and the engines that agents report. Each call reads one
+// immutable view of it. core/placement decides where a call goes and when it is
+// refused.
 package gateway
 
 import (
@@ -37,7 +37,7 @@
 	"chivespindle.example/daemon/wire"
 )
 
-// RetryBudget bounds the repeats that all entries together send to a service.
+// RetryBudget bounds the retries that all entries together send to a service.
 type RetryBudget struct {
 	// Ratio is the share of requests, Slack what is allowed besides in Span.
 	Ratio float64
@@ -54,7 +54,7 @@
 	CallerAddr  netip.AddrPort
 	PeerPort    uint16
 	Seeds       []netip.Addr
-	// Regions tells the region of each zone.
+	// Regions is the region of each zone.
 	Regions map[fleet.Zone]fleet.Region
 	Loop    *control.Loop
 	// Endpoint is where peers are reached. It serves this gateway's streams.
@@ -62,7 +62,7 @@
 	Source   catalog.Source
 	Backend  Backend
 	Budget   RetryBudget
-	// VersionTime is how long after its naming a new version of weights must
+	// VersionTime is how long after its publication a new version of weights must
 	// have replaced the one before.
 	VersionTime time.Duration
 	// SoundTime is how long the platform must have answered to count as sound.
@@ -91,24 +91,24 @@
 	replicas map[netip.Addr]replica
 	readyAt  map[netip.Addr]time.Time // when engines are expected to be ready
 	started  time.Time
-	heardAll bool // hearsAll, when calls were last given the servers
-	// listsAfter is how long after the start the platform's catalog is listed if no
-	// other entry is heard.
+	heardAll bool // hearsAll at the last update of the servers
+	// listsAfter is how long after the start the platform's catalog is listed if
+	// nothing is received from another entry.
 	listsAfter time.Duration
 	// doubtsRegistrations is true once an engine that no agent has reported declined
 	// a call.
 	doubtsRegistrations bool
 	leaving             bool
 	changed             bool
-	// published is when calls were last given a view.
+	// published is the time of the latest view.
 	published time.Time
-	// urgent is true while others are to hear at once of a version or a manifest,
-	// urgentNear while those of the own group are to of an engine that changed.
+	// urgent is true while a message to all others is due at once, urgentNear while
+	// one to the own group is.
 	urgent     bool
 	urgentNear bool
 	asking     bool
 	nextAsk    time.Time
-	// revisionHeard is the newest configuration that a peer told of.
+	// revisionHeard is the newest configuration that a peer reported.
 	revisionHeard catalog.Revision
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
 	behindSince time.Time
@@ -121,15 +121,15 @@
 	// lapsed are servers whose registration ended while the platform was not
 	// sound.
 	lapsed    map[fleet.InstanceID]catalog.Server
-	toldLoads map[fleet.InstanceID]uint64 // change of the board that each entry was told
-	told      map[fleet.InstanceID]uint64 // members that each agent was told
-	// serversAt is when the servers were last heard of, feed what is told on of
-	// them, and toldServers up to which revision entries were told.
+	toldLoads map[fleet.InstanceID]uint64 // change of the board up to which each entry is up to date
+	told      map[fleet.InstanceID]uint64 // members that each agent has received
+	// serversAt is when the servers were last received, feed the changes to them
+	// that are forwarded, and toldServers up to which revision each entry has them.
 	serversAt   time.Time
 	feed        serverFeed
 	toldServers map[fleet.InstanceID]catalog.Revision
-	// missing is up to which revision a reader of the region told changes that do not
-	// follow on those known here.
+	// missing is up to which revision a reader of the region sent changes that do not
+	// continue those known here.
 	missing catalog.Revision
 	// turnedAwayUntil is until when this entry counts as turned away by the
 	// platform.
@@ -154,11 +154,11 @@
 	rooms    map[fleet.ServiceName]*placement.HoldRoom
 	inFlight atomic.Int64
 	answerer *addressing.Answerer
-	// patience tells callers that come back from new ones.
+	// patience distinguishes the retries of clients from new calls.
 	patience placement.Patience
 }
 
-// replica is what an agent told of its engine.
+// replica is what an agent reported of its engine.
 type replica struct {
 	wire.Replica
 	heard  time.Time
@@ -185,8 +185,8 @@
 	// soonest is when the first engine of a service is expected to be ready
 	// that is not yet.
 	soonest map[fleet.ServiceName]time.Time
-	// sure is false once neither the platform nor a peer has been heard for so
-	// long that a route or a key may be missing here and in force elsewhere.
+	// sure is false once nothing has been received from the platform or a peer for
+	// so long that a route or a key may be missing here and in force elsewhere.
 	sure bool
 }
 
@@ -238,7 +238,7 @@
 	return g
 }
 
-// lost follows the end of the link with a process.
+// lost drops the state of the link with a process.
 func (g *Gateway) lost(_ time.Time, id fleet.InstanceID) {
 	delete(g.told, id)
 	delete(g.toldLoads, id)
@@ -277,7 +277,7 @@
 const pausedAfter = time.Second
 
 // woke forgets what may have changed while the process did not run. Beliefs
-// that are old are not seen to be: the clock may not have counted the pause.
+// that are old do not look old: the clock may not have counted the pause.
 func (g *Gateway) woke(now time.Time, gap time.Duration) {
 	g.opts.Logger.Warn("woke", zap.Duration("after", gap))
 	g.doubtful = true
@@ -289,7 +289,7 @@
 	g.reading.end() // it may wait on a connection that is dead by now
 }
 
-// SetSeeds takes the machines that the settings name now.
+// SetSeeds replaces the seeds by those in the settings now.
 func (g *Gateway) SetSeeds(ctx context.Context, seeds []netip.Addr) error {
 	return g.opts.Loop.Do(ctx, func(now time.Time) { g.mesh.SetSeeds(now, seeds) })
 }
@@ -300,9 +300,8 @@
 	return v != nil && v.table != nil && !v.leaving && !v.doubtful
 }
 
-// Addresses returns where a caller at a place finds entries that take requests,
-// this one included. An entry that leaves is named by nobody from the moment on at
-// which its word arrives.
+// Addresses returns the entries for a client at a place that take requests, this one
+// included. An entry is not listed once its planned stop is known.
 func (g *Gateway) Addresses(near fleet.Place) []netip.AddrPort {
 	v := g.view.Load()
 	if v == nil {
@@ -321,8 +320,8 @@
 	return g.answerer.All(near, entries)
 }
 
-// Leave tells the other entries at once that this one leaves, and has it
-// named no more.
+// Leave reports to the other entries at once that this one leaves, which ends its
+// listing.
 func (g *Gateway) Leave(ctx context.Context) error {
 	return g.opts.Loop.Do(ctx, func(now time.Time) {
 		g.leaving = true
@@ -332,7 +331,7 @@
 	})
 }
 
-// BodyLimit returns how many bytes of body a caller may send, fallback while no
+// BodyLimit returns how many bytes of body a client may send, fallback while no
 // configuration is known.
 func (g *Gateway) BodyLimit(fallback int64) int64 {
 	v := g.view.Load()
@@ -345,7 +344,7 @@
 // InFlight returns the number of calls that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// allowRepeat pays for one more arrival of a request at a service.
+// allowRepeat takes a retry of a request from the budget of a service.
 func (g *Gateway) allowRepeat(now time.Time, service fleet.ServiceName) bool {
 	return g.budget(now, service).Repeat(now)
 }
@@ -375,12 +374,12 @@
 }
 
 // budgetShare is the part of the retry budget that is used. The window of the
-// platform and those of the entries do not begin at the same time, and a
-// request may be counted in another one than its repeat.
+// platform and those of the entries do not start at the same time, and a
+// request may be counted in another one than its retry.
 const budgetShare = 0.7
 
-// slack is this entry's part of what the budget allows besides the ratio.
-// Entries that are not heard may live behind a partition and use theirs.
+// slack is this entry's part of what the budget allows besides the ratio. Silent
+// entries keep theirs: they may live behind a partition and use it.
 func (g *Gateway) slack() float64 {
 	entries := 1
 	if v := g.view.Load(); v != nil {
--- a/daemon/gateway/limit.go
+++ b/daemon/gateway/limit.go
@@ -12,7 +12,7 @@
 	"chivespindle.example/daemon/mesh"
 )
 
-// noteLimit takes the limit that an answer advertises. sent is when the call was sent.
+// noteLimit records the limit that a response advertises. sent is when the call was sent.
 func (j *job) noteLimit(sent time.Time, server placement.Server, answer Answer) {
 	if answer.Misdirected() {
 		return // another server may have answered
@@ -28,21 +28,20 @@
 			j.g.post(func(time.Time) { j.g.applyLimits(change == serverlimit.Started) })
 		}
 	case answer.Status() >= http.StatusMultipleChoices:
-		// An answer that is no success may never advertise a limit.
+		// An unsuccessful response may never advertise a limit.
 	case j.g.limits.NotAdvertised(sent, server.ID):
 		j.g.log.limitEnded(server.ID, "own")
 		j.g.post(func(time.Time) { j.g.applyLimits(true) })
 	}
 }
 
-// applyLimits has changed limits shared out anew. Urgent ones are reported to the
-// group at once; a server may adjust its limit in each answer.
+// applyLimits has the shares of changed limits recomputed. Urgent changes are reported
+// to the group at once; a server may adjust its limit in each response.
 func (g *Gateway) applyLimits(urgent bool) {
 	g.limitsChanged = true
 	g.urgentNear = g.urgentNear || urgent
 }
 
-// limitReportsFor returns the reports of limits for another entry.
 func (g *Gateway) limitReportsFor(now time.Time, to mesh.Peer, form mesh.Form) []serverlimit.Report {
 	return g.limitReports.next(now, to, form)
 }
@@ -59,8 +58,8 @@
 	}
 }
 
-// sharesEvery is the longest pause until the limits are shared out anew among the
-// entries known by then.
+// sharesEvery is the longest pause until the shares are recomputed for the entries
+// known by then.
 const sharesEvery = time.Second
 
 // publishLimits computes this entry's shares of the limits for the board. Silent
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -16,7 +16,7 @@
 	"chivespindle.example/daemon/mesh"
 )
 
-// limitedEngines answer at once. Some name a limit. They are shared by all entries.
+// limitedEngines respond at once. Some advertise a limit. They are shared by all entries.
 type limitedEngines struct {
 	mu      sync.Mutex
 	limits  map[fleet.InstanceID]float64
@@ -71,7 +71,7 @@
 			}, "10s").Should(BeTrue())
 		}
 		for _, m := range region.members {
-			_ = m.loop.Do(context.Background(), func(now time.Time) { m.gateway.publish(now) }) // what it was told
+			_ = m.loop.Do(context.Background(), func(now time.Time) { m.gateway.publish(now) })
 		}
 		before := backend.reachedAt("i-0")
 		for range requests {
@@ -99,7 +99,7 @@
 		Expect(limit()).To(Equal(named))
 	})
 
-	// Guards against a server in need that is used freely again for what another one said.
+	// Guards against an overloaded server that is used freely again after another one's response.
 	DescribeTable("does not end it", func(a limitedAnswer) {
 		note(time.Now().Add(time.Second), a)
 		Expect(limit()).To(Equal(named))
@@ -126,7 +126,7 @@
 	})
 })
 
-// Guards against callers that wait for a server that this entry may not use yet.
+// Guards against clients that wait for a server that this entry may not use yet.
 var _ = Describe("A call that only servers with a used up limit could take", func() {
 	It("is refused at once, as not run", func() {
 		g, _ := newGateway()
--- a/daemon/gateway/reports.go
+++ b/daemon/gateway/reports.go
@@ -34,7 +34,7 @@
 	return reports
 }
 
-// lost follows the end of the link with an entry.
+// lost has all reports sent again over the next link with an entry.
 func (s reportSender[R]) lost(id fleet.InstanceID) { delete(s.sent, id) }
 
 func sourceOf(p mesh.Peer) feed.Source {
