--- a/adapters/platform/instances.go
+++ b/adapters/platform/instances.go
@@ -61,7 +61,7 @@
 }
 
 // Instances returns the whole list or a failure, never a part: a list that
-// lost lines would look like instances that have gone.
+// lost lines would look like instances that have ended.
 //
 // A list that has not changed since the last call is answered without a body.
 // At 3,910 instances the body is 0.6 MB, so that every reader would otherwise
--- a/adapters/platform/weights.go
+++ b/adapters/platform/weights.go
@@ -41,7 +41,7 @@
 	// Client sends the requests; nil for one of its own. Its Timeout should
 	// be 0, since the whole time of a transfer is bounded by its context.
 	Client *http.Client
-	// StallTimeout is how long a call goes on without one byte, from its
+	// StallTimeout is how long a call continues without one byte, from its
 	// start; DefaultStallTimeout. Waiting for Limiter does not count.
 	StallTimeout time.Duration
 	// Limiter is asked before each piece of a chunk's body; nil for none.
--- a/adapters/settings/file.go
+++ b/adapters/settings/file.go
@@ -50,7 +50,7 @@
 }
 
 // fileReader reads a file line by line. The library knows no line numbers and
-// stops at the first fault, so each line is given to it alone.
+// stops at the first fault, so each line is parsed alone.
 type fileReader struct {
 	path string
 	// isSection reports whether the file may have a section of the name.
@@ -176,7 +176,7 @@
 
 func (r *fileReader) addKey(number int, line iniLine) {
 	if r.lost {
-		return // whose key it is cannot be told
+		return // its key is not known
 	}
 	if r.section == "" {
 		r.fault(number, "%s stands before the first [section]", line.key)
--- a/adapters/settings/values.go
+++ b/adapters/settings/values.go
@@ -220,7 +220,7 @@
 type wildcardRule bool
 
 const (
-	// wildcardRefused is for addresses that others are told.
+	// wildcardRefused is for addresses that are published to others.
 	wildcardRefused wildcardRule = false
 	wildcardAllowed wildcardRule = true
 )
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -1,8 +1,8 @@
 // Package admission decides whether a request may go in at all.
 //
 // A Limiter holds a workspace to its limit over all entries; FairShare splits
-// the limit between them without a shared store. A Concurrency finds how many
-// requests a server bears at once. A Room keeps the requests that wait for a
+// the limit between them without a shared store. A Concurrency finds the
+// capacity of a server in concurrent requests. A Room keeps the requests that wait for a
 // slot, the important ones in front, and refuses at once those that cannot be
 // served in time. A Deadline travels with a request without trusting that two
 // machines' clocks agree. docs/design/limits.md weighs the ways.
--- a/core/admission/concurrency.go
+++ b/core/admission/concurrency.go
@@ -19,12 +19,12 @@
 	Window time.Duration
 }
 
-// Concurrency adapts the number of requests that a server is given at once.
+// Concurrency adapts the number of requests in flight at a server.
 //
 // It compares the latency of each window with that of an unloaded server:
 // well above it, or when the server refuses, the limit falls in proportion;
 // else, and if the limit was needed, it rises by one. So it settles where
-// more requests only wait longer, without being told the server's size.
+// more requests only wait longer, without knowing the server's capacity.
 type Concurrency struct {
 	options ConcurrencyOptions
 
--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -83,7 +83,7 @@
 }
 
 // SetShares puts this entry's shares in force, in requests a second. A
-// workspace that is not named has no limit. The control goroutine calls it
+// workspace without a share has no limit. The control goroutine calls it
 // when a limit, the number of entries or a reported demand changes.
 func (l *Limiter) SetShares(now time.Time, shares map[fleet.Workspace]float64) {
 	l.mu.Lock()
@@ -110,7 +110,7 @@
 }
 
 // SetBursts puts in force how many requests each workspace may save up at this
-// entry; a workspace that is not named saves up LimiterOptions.Burst. It is
+// entry; a workspace without a value saves up LimiterOptions.Burst. It is
 // called after SetShares, which makes the workspaces known.
 func (l *Limiter) SetBursts(now time.Time, bursts map[fleet.Workspace]float64) {
 	l.mu.Lock()
@@ -126,7 +126,7 @@
 const negligible = 0.001
 
 // Allow counts one request and reports whether it is within the share; if
-// not, when the caller may come back.
+// not, when the client may retry.
 func (l *Limiter) Allow(now time.Time, workspace fleet.Workspace) (bool, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/admission/room.go
+++ b/core/admission/room.go
@@ -42,11 +42,10 @@
 // Room admits requests to a server's slots and keeps those that wait, the
 // important ones in front and else in order of arrival.
 //
-// Under more work than the server can do, requests that all wait their turn
-// all come too late: the server works to the full and no caller is served. So
-// a request that cannot be done by its deadline is refused at once as not
-// run, and when a more important one pushes others back, those that it makes
-// too late are told at once.
+// If an overloaded server ran all requests in turn, each would miss its deadline:
+// the server would be fully used and no client served. So a request that cannot be
+// done by its deadline is refused at once as not run, and so are waiting ones that
+// miss theirs since a more important request was put before them.
 //
 // T is the caller's handle of a request, such as a channel to wake it by.
 type Room[T any] struct {
@@ -172,8 +171,8 @@
 }
 
 // Expire sheds the requests that cannot be done in time any more. The caller
-// runs it every few tens of milliseconds, so that they are told also while no
-// slot comes free.
+// runs it every few tens of milliseconds, so that they are refused also while no
+// slot becomes free.
 func (r *Room[T]) Expire(now time.Time) Changes[T] {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -182,8 +181,8 @@
 	return changes
 }
 
-// Leave takes a waiting request out, whose caller has gone; false if it does
-// not wait any more.
+// Leave removes a waiting request whose client disconnected; false if it no longer
+// waits.
 func (r *Room[T]) Leave(ticket uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -222,7 +221,7 @@
 }
 
 // makeSpace reports whether one more may wait; if need be the newest of the
-// least important gives way.
+// least important is shed.
 func (r *Room[T]) makeSpace(priority int, changes *Changes[T]) bool {
 	if r.count < r.maxWaiting {
 		return true
--- a/core/balance/settings.go
+++ b/core/balance/settings.go
@@ -8,7 +8,7 @@
 
 // Settings tune the policy. Zero fields take the default.
 type Settings struct {
-	// DefaultSlots is assumed for a server that does not tell its slots; 16.
+	// DefaultSlots is assumed for a server that does not report its slots; 16.
 	DefaultSlots int
 	// QueueShare is how many requests may wait at a server beyond its slots,
 	// as a share of them; 0.25.
@@ -47,7 +47,7 @@
 	// SlowStart is how long a new or returning server takes to count full;
 	// 15 s.
 	SlowStart time.Duration
-	// RetryAfter is the shortest pause that a refusal names; the longest is
+	// RetryAfter is the shortest Retry-After of a refusal; the longest is
 	// three times as long; 1 s.
 	RetryAfter time.Duration
 }
--- a/core/gossip/record.go
+++ b/core/gossip/record.go
@@ -8,7 +8,7 @@
 	"chivespindle.example/core/revision"
 )
 
-// State is what a process says it is doing. An empty State marks a heartbeat
+// State is what a process reports that it is doing. An empty State marks a heartbeat
 // or an ask.
 type State string
 
@@ -28,7 +28,7 @@
 	StateServing State = "serving"
 )
 
-// Record is what one process says of itself. It has three kinds of fields:
+// Record is what one process reports of itself. It has three kinds of fields:
 // the identity, which stays for an incarnation; the state, whose changes raise
 // Change; and the fast fields Beat, Revision and ConfigDigest.
 //
@@ -50,7 +50,7 @@
 	fleet.Place `cbor:"7,keyasint,omitzero"`
 	PeerAddr    netip.AddrPort `cbor:"8,keyasint,omitzero"`
 	CallerAddr  netip.AddrPort `cbor:"9,keyasint,omitzero"`
-	// Leaving is true once the process has begun its planned stop.
+	// Leaving is true once the process has started its planned stop.
 	Leaving bool  `cbor:"10,keyasint,omitzero"`
 	State   State `cbor:"11,keyasint,omitzero"`
 	// Serving is the version that requests are answered from; zero if none.
@@ -58,7 +58,7 @@
 	// Target is the version that the text in force pins for the process.
 	Target fleet.Version `cbor:"13,keyasint,omitzero"`
 	// Turn is the replica's place in the order of a rollout, see package
-	// rollout. It never falls: a new process begins with its Incarnation, which
+	// rollout. It never falls: a new process starts with its Incarnation, which
 	// lies above all that its predecessor has counted.
 	Turn uint64 `cbor:"14,keyasint,omitzero"`
 
--- a/core/once/register.go
+++ b/core/once/register.go
@@ -27,23 +27,23 @@
 type Options struct {
 	// Self is the agent's id; required.
 	Self fleet.InstanceID
-	// Incarnation names the life of the agent's process; it must be another
-	// one after each start; required.
+	// Incarnation identifies a run of the agent's process; it must differ after
+	// each start; required.
 	Incarnation Incarnation
 	// MaxKeys bounds the number of records; 16384.
 	MaxKeys int
 	// Keep is how long a record stays after the last ask with its key, and
-	// so how late a caller may ask again; 15 min.
+	// so how late a client may retry; 15 min.
 	Keep time.Duration
 	// MaxBody is the largest answer that is kept, and MaxBytes bounds the sum
 	// of those kept; 16 KiB and 8 MiB.
 	MaxBody  int
 	MaxBytes int
 	// MaxListAge is the age of the list of servers beyond which the agent is
-	// not the home of keys that callers made; 2 min.
+	// not the home of keys that clients made; 2 min.
 	MaxListAge time.Duration
-	// ListLag is how long after a change the platform may still answer with
-	// the older list; 2 min.
+	// ListLag is how long after a change the platform may still return the
+	// older list; 2 min.
 	ListLag time.Duration
 	// ClockSkew is how far the wall clocks of agents may differ, and how far
 	// ahead of the agent's a key may be dated; 5 s.
@@ -96,7 +96,7 @@
 type phase uint8
 
 const (
-	begun  phase = iota // may be passed on by the ask that began it
+	begun  phase = iota // may be passed on by the ask that started it
 	passed              // passed on
 	done                // ran, answer seen
 	lost                // passed on, end not seen
@@ -206,10 +206,9 @@
 	r.touch(now, rec)
 }
 
-// Abandon closes a key whose ask may run but was not passed on. The caller
-// may then be told that it was not run; asks that had reached an entry before
-// are refused from now on, so that this stays true when one of them was held
-// up on its way.
+// Abandon closes a key whose ask may run but was not passed on. The client
+// may then be informed that it was not run; asks that had reached an entry before
+// are refused from now on, so that this stays true if one of them is delayed.
 func (r *Register) Abandon(now time.Time, key Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -223,8 +222,8 @@
 
 // Close is Begin and, if that lets the ask run, Abandon: it answers what is
 // known of the key and lets nothing run. An entry or agent that must refuse
-// an ask for want of room or time learns with it whether the caller may be
-// told that nothing was run.
+// an ask for lack of capacity or time learns by it whether it may report to the
+// client that nothing was run.
 func (r *Register) Close(now time.Time, key Key, digest fleet.Digest, facts Facts) Verdict {
 	verdict := r.Begin(now, key, digest, facts)
 	if verdict.Action != Run {
@@ -234,7 +233,7 @@
 	return refused(failure.NotRun, Closed)
 }
 
-// again decides on an ask with a key on record. A record is begun only by the
+// again decides on an ask with a key on record. A record is started only by the
 // one home that could run the key then, and no later home runs a key made
 // before its time; so a closed key may run here even after a change of homes.
 func (rec *record) again(now time.Time, digest fleet.Digest, facts Facts) Verdict {
@@ -249,8 +248,8 @@
 	case lost:
 		return refused(failure.Unknown, Lost)
 	}
-	// Were an ask from before the answer let through, the caller who was told
-	// "not run" and ordered elsewhere would get the goods twice.
+	// If an ask from before the response were let through, a client that received
+	// "not run" and sent the request elsewhere would have it run twice.
 	if !facts.Asked.After(rec.closedAt) {
 		return rec.close(now, Closed)
 	}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -1,4 +1,4 @@
-// Package retry decides whether a failed attempt of a request is repeated.
+// Package retry decides whether a failed attempt of a request is retried.
 //
 // Retries are paid from a budget that requests fill, so that an outage does
 // not multiply the load on what is left.
@@ -102,24 +102,24 @@
 
 // Attempt is a failed attempt of a request.
 type Attempt struct {
-	// Outcome is what the failure says of it; see failure.OutcomeOf.
+	// Outcome is that of the failure; see failure.OutcomeOf.
 	Outcome    failure.Outcome
 	Idempotent bool
-	// Delivered is true once any part of an answer went to the caller.
+	// Delivered is true once any part of a response was sent to the client.
 	Delivered bool
 	// Number counts the attempts made, this one included; 1 for the first.
 	Number   int
 	Deadline time.Time // of the request; zero: none
 }
 
-// Reason says why an attempt is or is not repeated.
+// Reason is why an attempt is or is not retried.
 type Reason string
 
 const (
-	// Granted: the attempt is repeated.
+	// Granted: the attempt is retried.
 	Granted Reason = "granted"
-	// Delivered: the caller has a part of the answer; another attempt's
-	// would not continue it.
+	// Delivered: the client has a part of the response, which that of another
+	// attempt would not continue.
 	Delivered Reason = "delivered"
 	// HasRun: the request ran.
 	HasRun Reason = "ran"
--- a/core/spread/settings.go
+++ b/core/spread/settings.go
@@ -25,7 +25,7 @@
 	// the origin, bytes of failed draws included. Default 3.5.
 	OriginCopies float64
 	// OriginRate is what the origin's link carries, in bytes a second. Default
-	// 1.25e9, a link of 10 Gbit/s. Give it rather too high than too low: the
+	// 1.25e9, a link of 10 Gbit/s. Set it rather too high than too low: the
 	// schedule slows down by itself when the origin is slower, but never runs
 	// ahead of this rate.
 	OriginRate int64
@@ -39,8 +39,8 @@
 	// MaxNeighbours is the number of neighbours that a member chooses; it may
 	// be chosen by as many more. Default 8.
 	MaxNeighbours int
-	// ListenTime is how long a member that has heard from fewer than half of
-	// its neighbours waits before it first draws from the origin. Default 1s.
+	// ListenTime is how long a member that has received messages from fewer than half
+	// of its neighbours waits before it first draws from the origin. Default 1s.
 	ListenTime time.Duration
 	// Takeover is how long the second in rank waits for a chunk that shows up
 	// nowhere. Default 16 chunks at OriginRate, at least 1s; for PolicyOrigin
@@ -58,8 +58,8 @@
 	// only others do, and one member of each region fetch a chunk from another
 	// region for all. Default false.
 	NearFirst bool
-	// NoStore says that there is only the origin. A member that has used up its
-	// part of OriginCopies then goes on drawing from it, slowly: failed draws
+	// NoStore is true if there is only the origin. A member that has used up its
+	// part of OriginCopies then continues to draw from it, slowly: failed draws
 	// count, and without them a version might never become whole.
 	NoStore bool
 
--- a/daemon/process/process.go
+++ b/daemon/process/process.go
@@ -125,8 +125,8 @@
 	return nil
 }
 
-// attachNode makes the node that tells changed of changes and listRead, if not
-// nil, of the instance list.
+// attachNode makes the node, which calls changed on changes and listRead, if not
+// nil, with the instance list.
 func (b *base) attachNode(changed func(now time.Time), listRead func(now time.Time, list []fleet.Instance)) error {
 	s := b.settings
 	config, err := platform.NewConfigSource(platform.ConfigOptions{
--- a/standin/bench/requests/cases.go
+++ b/standin/bench/requests/cases.go
@@ -45,7 +45,7 @@
 	Policy string
 	Tally  harness.Tally
 	// Duplicates are executions beyond the first of a key, NotRunButRan keys
-	// that ran though the last word was "not run".
+	// that ran though the last response was "not run".
 	Duplicates   int
 	NotRunButRan int
 	// Drain is how long after its leaving a server still began new work.
--- a/standin/bench/slopes/crowd.go
+++ b/standin/bench/slopes/crowd.go
@@ -356,7 +356,7 @@
 	return r.bytes - steady.Bytes*r.at.Sub(started).Seconds()
 }
 
-// change lets states in the fleet change at a rate, by the word of one
+// change lets states in the fleet change at a rate, as reported by one
 // neighbour; the measured process passes them on to the others.
 func (c *crowd) change(perSecond int64) {
 	s := c.stubs[c.choosers[0]]
--- a/standin/bench/slopes/processes.go
+++ b/standin/bench/slopes/processes.go
@@ -13,7 +13,7 @@
 const (
 	// settleTime is how long processes run before they are measured. In its
 	// first ten seconds each reads the instance list as often as a watcher, and
-	// in the largest fleet it takes 16 s to tell each neighbour what it knows.
+	// in the largest fleet it takes 16 s to send each neighbour what it knows.
 	settleTime = 22 * time.Second
 	// longestStart bounds the wait until a process has its connections.
 	longestStart = 40 * time.Second
@@ -24,7 +24,7 @@
 	// quietTime and burstWindow are how long they are measured.
 	quietTime   = 8 * time.Second
 	burstWindow = 5 * time.Second
-	// burstChanges is how many processes' states a node hears change in a
+	// burstChanges is how many processes' state changes a node receives in a
 	// second of a burst: of BurstInstances in burstTime, four states each in
 	// its own zone and two elsewhere, rounded up.
 	burstChanges = 5
--- a/standin/bench/slopes/stub.go
+++ b/standin/bench/slopes/stub.go
@@ -30,13 +30,13 @@
 // stub stands for one process of a made-up fleet towards the one that is
 // measured: it speaks the protocol of daemon/wire and decides nothing. It says
 // that it knows the whole fleet and that nothing changes, but for the changes
-// that it is told to make.
+// that it is asked to make.
 type stub struct {
 	crowd    *crowd
 	self     gossip.Record
 	endpoint *peer.Endpoint
 	cancel   context.CancelFunc
-	// changes is how many processes' states change in a second, by its word.
+	// changes is how many processes' states change in a second, as it reports.
 	changes atomic.Int64
 }
 
@@ -102,10 +102,10 @@
 	}
 }
 
-// gossip does what a process does with a neighbour: it tells its own record, a
+// gossip does what a process does with a neighbour: it sends its own record, a
 // heartbeat of everyone, and whole records of those that are asked for; after
 // that its own heartbeat each second with relayed ones of the zone and, while
-// told so, changes.
+// asked to, changes.
 func (s *stub) gossip(ctx context.Context, st *peer.Stream) {
 	asked := make(chan []gossip.Record, 1)
 	go s.hear(ctx, st, asked)
@@ -208,7 +208,7 @@
 	return records
 }
 
-// report tells a load each half second, as an agent does, or what workspaces
+// report sends a load each half second, as an agent does, or what workspaces
 // demand each second, as an entry does.
 func (s *stub) report(ctx context.Context, st *peer.Stream) {
 	if s.self.Role == fleet.RoleEntry {
@@ -237,7 +237,7 @@
 	discard[cbor.RawMessage](st)
 }
 
-// chunk exchanges news of chunks, or gives one.
+// chunk exchanges news of chunks, or sends one.
 func (s *stub) chunk(ctx context.Context, st *peer.Stream) {
 	var open wire.ChunkOpen
 	if st.Recv(&open) != nil {
@@ -264,7 +264,7 @@
 	}
 }
 
-// news tells that every chunk is held here.
+// news reports that every chunk is held here.
 func (s *stub) news(_ context.Context, st *peer.Stream) {
 	var all []int
 	for i := range s.crowd.model.Chunks {
--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -188,8 +188,8 @@
 )
 
 // freePorts returns n ports that were free for both TCP and UDP a moment ago.
-// A fleet goes through the ports one by one, so that it never gives out one
-// again whose process has not got round to listening yet. It begins anywhere,
+// A fleet goes through the ports one by one, so that it never reuses one
+// whose process does not listen yet. It starts anywhere,
 // since other tests may choose at the same time.
 func (f *Fleet) freePorts(n int) ([]netip.AddrPort, error) {
 	f.mu.Lock()
--- a/standin/harness/load.go
+++ b/standin/harness/load.go
@@ -25,10 +25,10 @@
 	Lost         int // asked for and never answered, though asked again as docs/CALLERS.md allows
 	WrongVersion int // from a version that the caller's header does not name, or from none that was intended
 	Wrong        int // not the answer to the caller's own request
-	Refusals     int // answers "not run" on the way
-	Unknown      int // outcomes unknown on the way
+	Refusals     int // responses "not run" before the last
+	Unknown      int // outcomes unknown before the last
 	Latencies    []time.Duration
-	NotRunKeys   []string // keys of non-idempotent requests whose last word was "not run"
+	NotRunKeys   []string // keys of non-idempotent requests whose last response was "not run"
 	RanKeys      []string // keys of non-idempotent requests that were answered
 	UnknownKeys  []string // keys of non-idempotent requests that ended otherwise
 }
@@ -53,7 +53,7 @@
 	MaxTokens int
 	Deadline  time.Duration
 	// Intended tells whether "name@digest" is a version that the operator's
-	// text has named so far.
+	// text has published so far.
 	Intended func(version string) bool
 }
 
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -215,7 +215,7 @@
 	return s.outage.admit(w, r)
 }
 
-// requested returns the model that a request names, or answers the request.
+// requested returns the model of a request, or refuses the request.
 func (s *WeightServer) requested(w http.ResponseWriter, r *http.Request) (fleet.Digest, storedModel, bool) {
 	if !s.admit(w, r) {
 		return fleet.Digest{}, storedModel{}, false
