--- a/core/once/memory.go
+++ b/core/once/memory.go
@@ -32,7 +32,7 @@
 		if now.Sub(rec.touched) <= r.options.Keep {
 			return
 		}
-		if rec.phase == begun || rec.phase == passed {
+		if rec.phase == started || rec.phase == passed {
 			r.touch(now, rec)
 			continue
 		}
--- a/core/once/register.go
+++ b/core/once/register.go
@@ -96,11 +96,11 @@
 type phase uint8
 
 const (
-	begun  phase = iota // may be passed on by the ask that started it
-	passed              // passed on
-	done                // ran, answer seen
-	lost                // passed on, end not seen
-	closed              // answered as not run
+	started phase = iota // may be passed on by the ask that started it
+	passed               // passed on
+	done                 // ran, answer seen
+	lost                 // passed on, end not seen
+	closed               // answered as not run
 )
 
 // record is what the home remembers of one key.
@@ -179,7 +179,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[key.id()]
-	if rec == nil || rec.phase != begun {
+	if rec == nil || rec.phase != started {
 		return false
 	}
 	rec.phase = passed
@@ -213,7 +213,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rec := r.records[key.id()]
-	if rec == nil || rec.phase != begun {
+	if rec == nil || rec.phase != started {
 		return
 	}
 	rec.close(now, Closed)
@@ -241,7 +241,7 @@
 		return rec.otherBody(now)
 	}
 	switch rec.phase {
-	case begun, passed:
+	case started, passed:
 		return Verdict{Action: Running}
 	case done:
 		return Verdict{Action: Done, Outcome: failure.Ran, Result: rec.result}
@@ -253,7 +253,7 @@
 	if !facts.Asked.After(rec.closedAt) {
 		return rec.close(now, Closed)
 	}
-	rec.phase = begun
+	rec.phase = started
 	return Verdict{Action: Run}
 }
 
