--- a/standin/bench/requests/baseline.go
+++ b/standin/bench/requests/baseline.go
@@ -44,7 +44,7 @@
 		}
 		clients = append(clients, client)
 	}
-	mend, err := f.inject(fault)
+	repair, err := f.inject(fault)
 	if err != nil {
 		return r, err
 	}
@@ -68,7 +68,7 @@
 		})
 	}
 	callersDone.Wait()
-	return r, mend()
+	return r, repair()
 }
 
 // engineClient speaks to an engine without the system between.
--- a/standin/bench/requests/cases.go
+++ b/standin/bench/requests/cases.go
@@ -71,7 +71,7 @@
 	load := harness.StartLoad(f.client(), f.spec(callers))
 	time.Sleep(lead)
 	r := Result{Fault: fault, Policy: "chivespindle"}
-	mend, err := f.inject(fault)
+	repair, err := f.inject(fault)
 	if err != nil {
 		return r, err
 	}
@@ -82,7 +82,7 @@
 	}
 	r.Tally = load.Stop()
 	r.count(before, f.Executions())
-	return r, mend()
+	return r, repair()
 }
 
 func (r *Result) count(before, after map[string]int) {
@@ -98,8 +98,8 @@
 	}
 }
 
-// inject hits the first engine. The fault ends with mend, if not before.
-func (f *Fleet) inject(fault Fault) (mend func() error, err error) {
+// inject hits the first engine. The fault ends with repair, if not before.
+func (f *Fleet) inject(fault Fault) (repair func() error, err error) {
 	id := engineID(0)
 	process, e := f.Process(id), f.Engines[id]
 	clear := func() error { e.SetFaults(engine.Faults{}); return nil }
