Spec texts on limits and reports in the field's terms

daemon/gateway 'A server that names a limit to twelve entries' -> 'A server that advertises a limit to twelve entries' 'What an answer says of its server's limit' -> 'The limit that a response advertises' 'does not end it' -> 'is kept', with its three entries 'ends it if a later request is answered without one' -> 'ends with a response without one to a later request' 'is told to others and taken from them' -> 'is reported to other entries and merged from them' core/quarantine 'but not what it tells another group' -> 'but not what it reports to another group' core/serverlimit 'is news when it is first named and when it changes' -> 'is a change when it is first advertised and when it is adjusted' 'ends with an answer that names none, once' -> 'ends with a response that advertises none, once' 'does not end with the answer to a request that was sent before it was named' -> 'does not end with the response to a request that was sent before it was advertised' 'bind an entry that has not seen an answer' -> 'bind an entry that has not received a response' 'count by when the server said it, in whichever order they come' -> 'count by when the server advertised it, in whichever order they arrive' 'end a limit that was named before' -> 'end a limit that was advertised before' 'end a limit a second after it was last named at the earliest' -> 'end a limit a second after it was last advertised at the earliest'

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -146,7 +146,7 @@
 		Entry("of its own group", feed.Near, feed.Near, 0),
 		Entry("of another group", feed.Far, feed.Far, 0),
 		Entry("but not what comes from another group", feed.Far, feed.Near, 1),
-		Entry("but not what it tells another group", feed.Near, feed.Far, 1),
+		Entry("but not what it reports to another group", feed.Near, feed.Far, 1),
 	)
 
 	It("repeat what others observed once that quarantines a request", func() {
--- a/core/serverlimit/exchange_test.go
+++ b/core/serverlimit/exchange_test.go
@@ -32,13 +32,13 @@
 	}
 	perSecond := func(after time.Duration) float64 { return r.All(at(after))[server] }
 
-	It("bind an entry that has not seen an answer", func() {
+	It("bind an entry that has not received a response", func() {
 		Expect(merge(0, report(2, 0))).To(HaveLen(1))
 		Expect(perSecond(0)).To(Equal(2.0))
 		Expect(merge(time.Second, report(2, time.Second))).To(BeEmpty())
 	})
 
-	It("count by when the server said it, in whichever order they come", func() {
+	It("count by when the server advertised it, in whichever order they arrive", func() {
 		merge(2*time.Second, report(3, 0))
 		Expect(merge(3*time.Second, report(2, 2*time.Second))).To(BeEmpty())
 		Expect(perSecond(3 * time.Second)).To(Equal(3.0))
@@ -53,7 +53,7 @@
 		Expect(due).To(Equal([]serverlimit.Report{report(3, time.Second)}))
 	})
 
-	It("end a limit that was named before", func() {
+	It("end a limit that was advertised before", func() {
 		merge(0, report(1, 0))
 		Expect(merge(3*time.Second, end(time.Second))).To(HaveLen(1))
 		Expect(r.All(at(3 * time.Second))).To(BeEmpty())
@@ -63,7 +63,7 @@
 
 	// Guards against a burst at an overloaded server: a delayed report of the end seems
 	// newer than the response that advertised the limit.
-	It("end a limit a second after it was last named at the earliest", func() {
+	It("end a limit a second after it was last advertised at the earliest", func() {
 		merge(0, report(1, 0))
 		merge(500*time.Millisecond, end(0))
 		Expect(perSecond(900 * time.Millisecond)).To(Equal(1.0))
--- a/core/serverlimit/serverlimit_test.go
+++ b/core/serverlimit/serverlimit_test.go
@@ -21,13 +21,13 @@
 
 	BeforeEach(func() { r = serverlimit.New() })
 
-	It("is news when it is first named and when it changes", func() {
+	It("is a change when it is first advertised and when it is adjusted", func() {
 		Expect(r.Advertised(start, server, 1.5)).To(Equal(serverlimit.Started))
 		Expect(r.Advertised(at(time.Second), server, 1.5)).To(Equal(serverlimit.Unchanged))
 		Expect(r.Advertised(at(time.Second), server, 2)).To(Equal(serverlimit.Adjusted))
 	})
 
-	It("ends with an answer that names none, once", func() {
+	It("ends with a response that advertises none, once", func() {
 		Expect(r.NotAdvertised(start, server)).To(BeFalse())
 		r.Advertised(start, server, 1.5)
 		Expect(r.NotAdvertised(at(time.Second), server)).To(BeTrue())
@@ -36,7 +36,7 @@
 	})
 
 	// Guards against a burst at an overloaded server after a delayed response.
-	It("does not end with the answer to a request that was sent before it was named", func() {
+	It("does not end with the response to a request that was sent before it was advertised", func() {
 		r.Advertised(at(time.Second), server, 1.5)
 		Expect(r.NotAdvertised(at(time.Second-time.Millisecond), server)).To(BeFalse())
 	})
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -31,8 +31,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.reached[o.Server.ID]++
-	perSecond, named := e.limits[o.Server.ID]
-	return limitedAnswer{limit: ServerLimit{Advertised: named, PerSecond: perSecond}}, nil
+	perSecond, isLimited := e.limits[o.Server.ID]
+	return limitedAnswer{limit: ServerLimit{Advertised: isLimited, PerSecond: perSecond}}, nil
 }
 
 func (e *limitedEngines) reachedAt(id fleet.InstanceID) int {
@@ -54,7 +54,7 @@
 
 func (a limitedAnswer) Limit() ServerLimit { return a.limit }
 
-var _ = Describe("A server that names a limit to twelve entries", func() {
+var _ = Describe("A server that advertises a limit to twelve entries", func() {
 	const entries, perSecond, requests = 12, 1.0, 10
 	const allowed = 1.5*4*perSecond + 5 // in any four seconds
 
@@ -66,7 +66,7 @@
 		region := startRegionWith(backend, c, entries, 2)
 		for _, m := range region.members {
 			Eventually(func() bool {
-				m.ask(path, "told")
+				m.ask(path, "before")
 				return len(m.gateway.limits.All(time.Now())) > 0
 			}, "10s").Should(BeTrue())
 		}
@@ -83,9 +83,9 @@
 	})
 })
 
-var _ = Describe("What an answer says of its server's limit", func() {
+var _ = Describe("The limit that a response advertises", func() {
 	var g *Gateway
-	const named = 1.5
+	const advertised = 1.5
 
 	note := func(sent time.Time, a limitedAnswer) {
 		j := &job{g: g, call: &Call{ID: "c"}}
@@ -95,33 +95,33 @@
 
 	BeforeEach(func() {
 		g, _ = newGateway()
-		note(time.Now(), limitedAnswer{limit: ServerLimit{Advertised: true, PerSecond: named}})
-		Expect(limit()).To(Equal(named))
+		note(time.Now(), limitedAnswer{limit: ServerLimit{Advertised: true, PerSecond: advertised}})
+		Expect(limit()).To(Equal(advertised))
 	})
 
 	// Guards against an overloaded server that is used freely again after another one's response.
-	DescribeTable("does not end it", func(a limitedAnswer) {
+	DescribeTable("is kept", func(a limitedAnswer) {
 		note(time.Now().Add(time.Second), a)
-		Expect(limit()).To(Equal(named))
+		Expect(limit()).To(Equal(advertised))
 	},
-		Entry("if it is no number", limitedAnswer{limit: ServerLimit{Malformed: "soon"}}),
-		Entry("if another server answered", limitedAnswer{misdirected: true}),
-		Entry("if the call did not run", limitedAnswer{status: http.StatusServiceUnavailable}),
+		Entry("after a malformed one", limitedAnswer{limit: ServerLimit{Malformed: "soon"}}),
+		Entry("after a response of another server", limitedAnswer{misdirected: true}),
+		Entry("after a response to a call that did not run", limitedAnswer{status: http.StatusServiceUnavailable}),
 	)
 
-	It("ends it if a later request is answered without one", func() {
+	It("ends with a response without one to a later request", func() {
 		note(time.Now().Add(-time.Second), limitedAnswer{})
-		Expect(limit()).To(Equal(named))
+		Expect(limit()).To(Equal(advertised))
 		note(time.Now().Add(time.Second), limitedAnswer{})
 		Expect(limit()).To(BeZero())
 	})
 
-	It("is told to others and taken from them", func() {
+	It("is reported to other entries and merged from them", func() {
 		to := g.compose(time.Now(), nearEntry, mesh.First)
 		Expect(to.Limits).To(HaveLen(1))
 		other, _ := newGateway()
 		other.heard(time.Now(), nearEntry, to)
-		Expect(other.limits.All(time.Now())).To(HaveKeyWithValue(fleet.InstanceID("i-1"), named))
+		Expect(other.limits.All(time.Now())).To(HaveKeyWithValue(fleet.InstanceID("i-1"), advertised))
 		Expect(g.compose(time.Now(), nearEntry, mesh.Whole).Limits).To(BeEmpty())
 	})
 })
