Log each reading of the servers, and explain it for a leaving server

A request reached a server 3.4 s after the store had acknowledged that it leaves, and nothing told which reading of the servers the entry went by. Each reading that leads on has a line now (source, revision before and after, age, whole or changes), as has one that is dropped and an entry that has to be given a whole list; the lines are bounded by the second and counted. The age travels with what is told on: of changes that a reader tells, and of a peer's list.

No decision depends on the age yet.

--- a/cmd/chivespindle/explain.go
+++ b/cmd/chivespindle/explain.go
@@ -24,7 +24,7 @@
 
 func (c *client) newExplainCommand() *cobra.Command {
 	priority := noUrgency
-	var prefix, request string
+	var prefix, request, server string
 	var losses bool
 	var every time.Duration
 	command := &cobra.Command{
@@ -37,7 +37,9 @@
 With --request, read the logs of processes from files, or from the standard
 input, and show what happened to a request on the users' platform and why. Give
 the logs of all entries and agents: what they tell of themselves around that
-time is part of the answer.
+time is part of the answer. With --server as well, tell of that server, if it was
+leaving, which reading of the servers entries went by; needed for a request that no line
+names.
 
 With --losses, read the logs of entries and show by time and by route how many
 calls were served as their routes want, and what became of the others.`,
@@ -54,18 +56,21 @@
 			switch {
 			case losses && request != "":
 				return RefusedInput.New("--request and --losses are two questions; ask one")
+			case server != "" && request == "":
+				return RefusedInput.New("--server needs --request")
 			case losses && every <= 0:
 				return RefusedInput.New("--every must be longer than 0")
 			case losses:
 				return c.explainLosses(every, args)
 			case request != "":
-				return c.explainRequest(request, args)
+				return c.explainRequest(request, server, args)
 			}
 			q := opsclient.Question{Service: fleet.ServiceName(args[0]), Prefix: prefix, Priority: int(priority)}
 			return c.explain(command.Context(), q)
 		},
 	}
 	command.Flags().StringVar(&request, "request", "", "id of a request to find in logs")
+	command.Flags().StringVar(&server, "server", "", "with --request, id of a server that it reached")
 	command.Flags().BoolVar(&losses, "losses", false, "account in logs for calls that were not served as their routes want")
 	command.Flags().DurationVar(&every, "every", lossesEvery, "length of the windows of --losses")
 	command.Flags().StringVar(&prefix, "prefix", "", "name of the request's prompt prefix")
--- a/cmd/chivespindle/explain_request.go
+++ b/cmd/chivespindle/explain_request.go
@@ -10,8 +10,9 @@
 )
 
 // explainRequest prints what logs tell of a request.
-func (c *client) explainRequest(request string, files []string) error {
+func (c *client) explainRequest(request, server string, files []string) error {
 	log := requestlog.NewLog(request)
+	log.AtServer(server)
 	if err := c.readLogs(files, log.Take); err != nil {
 		return err
 	}
--- a/cmd/chivespindle/internal/requestlog/story.go
+++ b/cmd/chivespindle/internal/requestlog/story.go
@@ -17,7 +17,7 @@
 // Events of an entry that explain what it did with a request.
 var entryEvents = []string{
 	"started", "woke", "left", "stopped", "stop_requested", "platform_lost", "platform_regained", "config_in_force",
-	"config_refused", "version_wanted", "lines_left_out",
+	"config_refused", "version_wanted", "lines_left_out", "servers_dropped",
 }
 
 // Events of an agent that explain what became of a request at its server.
@@ -48,6 +48,7 @@
 // Log gathers the lines that may belong to a request's story.
 type Log struct {
 	request string
+	server  string // that it reached, if that was given
 	own     []Line // of the request
 	beliefs []Line // what processes tell of themselves
 	failed  []Line // failed attempts of other requests
@@ -75,7 +76,7 @@
 	byTime := func(a, b Line) int { return a.At.Compare(b.At) }
 	slices.SortStableFunc(l.own, byTime)
 	slices.SortStableFunc(l.beliefs, byTime)
-	s := Story{Request: l.request, Cause: l.cause()}
+	s := Story{Request: l.request, Cause: l.cause() + l.leaving()}
 	if len(l.own) == 0 {
 		return s
 	}
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -13,47 +13,50 @@
 	"chivespindle.example/core/routing"
 )
 
-// fromPlatform names the platform where logs tell whom something came from.
-const fromPlatform = "platform"
-
-// adopt takes of a catalog what is not older than the own one.
-func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
+// adoptList takes of a whole catalog what is not older than the own one.
+func (g *Gateway) adoptList(now time.Time, s catalog.Snapshot, r reading) {
 	g.doubtful = false
 	g.serversAt = now
 	before := g.snapshot
 	g.snapshot = g.snapshot.Newest(s)
 	g.feed.restart(g.snapshot.AsOf)
+	g.noteReading(now, before.AsOf, s.AsOf, r, zap.Bool("whole", true), zap.Int("servers", len(s.Servers)))
 	for _, old := range before.Servers {
-		if !hasServer(g.snapshot.Servers, old.ID) {
+		if current, ok := findServer(g.snapshot.Servers, old.ID); !ok {
 			g.removed(now, old)
+		} else if current.Draining && !old.Draining {
+			g.readings.leaving(current)
 		}
 	}
-	g.settle(now, from)
+	g.settle(now, r)
 }
 
-// apply takes changes that are complete up to asOf. Some may be known from a
+// adoptChanges takes changes that are complete up to asOf. Some may be known from a
 // peer; applied again they change nothing, since the last one of a thing decides.
-func (g *Gateway) apply(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
-	g.applyServers(now, changes, asOf, fromPlatform)
+func (g *Gateway) adoptChanges(now time.Time, changes []catalog.Change, asOf catalog.Revision, r reading) {
+	g.adoptServers(now, changes, asOf, r)
 	g.snapshot.OperatorAsOf = max(g.snapshot.OperatorAsOf, asOf)
 }
 
-// applyServers takes changes that are complete for the servers only.
-func (g *Gateway) applyServers(now time.Time, changes []catalog.Change, asOf catalog.Revision, from string) {
+// adoptServers takes changes that are complete for the servers only.
+func (g *Gateway) adoptServers(now time.Time, changes []catalog.Change, asOf catalog.Revision, r reading) {
 	g.serversAt = now
 	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	g.feed.note(changes, asOf)
+	g.noteReading(now, g.snapshot.AsOf, asOf, r, zap.Bool("whole", false), zap.Int("changes", len(changes)))
 	if len(changes) == 0 {
 		g.snapshot.AsOf = max(g.snapshot.AsOf, asOf)
 		return
 	}
+	before := g.snapshot
 	next, gone := g.snapshot.ApplyServers(changes, asOf)
 	g.snapshot = next
 	for _, old := range gone {
 		g.removed(now, old)
 	}
-	g.urgentNear = g.urgentNear || from == fromPlatform
-	g.settle(now, from)
+	g.noteLeaving(before, changes)
+	g.urgentNear = g.urgentNear || r.origin == fromStore
+	g.settle(now, r)
 }
 
 // removed notes a registration that ended. If it may only have lapsed, the
@@ -81,7 +84,7 @@
 }
 
 // settle draws the conclusions from a changed catalog.
-func (g *Gateway) settle(now time.Time, from string) {
+func (g *Gateway) settle(now time.Time, r reading) {
 	g.changed = true
 	g.noteWanted(now)
 	if g.snapshot.Config == nil || g.snapshot.ConfigRevision == g.tableOf {
@@ -95,9 +98,9 @@
 	}
 	g.table = table
 	g.tableOf = g.snapshot.ConfigRevision
-	g.opts.Logger.Info("config_in_force", zap.Int64("version", table.Version()), zap.String("from", from),
+	g.opts.Logger.Info("config_in_force", zap.Int64("version", table.Version()), zap.String("from", r.giver()),
 		zap.Int64("revision", int64(g.tableOf)), zap.Int("routes", len(g.snapshot.Config.Routes)))
-	if from == fromPlatform {
+	if r.origin == fromStore {
 		// The others of the region wait for this one's word; at the next beat it
 		// would reach them up to half a second later.
 		g.mesh.FlushNear(now)
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -113,26 +113,29 @@
 }
 
 func (g *Gateway) list(ctx context.Context, at *position) error {
+	began := time.Now()
 	snapshot, err := g.opts.Source.List(ctx)
 	if err != nil {
 		return err
 	}
 	g.post(func(now time.Time) {
 		g.sourceAnswered(now)
-		g.adopt(now, snapshot, fromPlatform)
+		g.adoptList(now, snapshot, reading{origin: fromStore, readAt: began})
 	})
 	at.servers, at.operator, at.gone = snapshot.AsOf, snapshot.AsOf, false
 	return nil
 }
 
 func (g *Gateway) watch(ctx context.Context, at *position) error {
-	changes, asOf, err := g.opts.Source.Watch(ctx, min(at.servers, at.operator), at.patience())
+	began, patience := time.Now(), at.patience()
+	changes, asOf, err := g.opts.Source.Watch(ctx, min(at.servers, at.operator), patience)
 	if err != nil {
 		return err
 	}
+	readAt := watchedAt(began, time.Now(), patience)
 	g.post(func(now time.Time) {
 		g.sourceAnswered(now)
-		g.apply(now, changes, asOf)
+		g.adoptChanges(now, changes, asOf, reading{origin: fromStore, readAt: readAt})
 	})
 	at.servers, at.operator = max(at.servers, asOf), max(at.operator, asOf)
 	return nil
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -124,9 +124,12 @@
 	lapsed    map[fleet.InstanceID]catalog.Server
 	toldLoads map[fleet.InstanceID]uint64 // change of the board that each entry was told
 	told      map[fleet.InstanceID]uint64 // members that each agent was told
-	// serversAt is when the servers were last heard of, feed what is told on of
-	// them, and toldServers up to which revision entries were told.
+	// serversAt is when the servers were last heard of, readAt up to when the store's
+	// changes are known, feed what is told on of them, and toldServers up to which
+	// revision entries were told.
 	serversAt   time.Time
+	readAt      time.Time
+	readings    *readingLog
 	feed        serverFeed
 	toldServers map[fleet.InstanceID]catalog.Revision
 	// missing is up to which revision a reader of the region told changes that do not
@@ -212,6 +215,8 @@
 		manifests:   newManifests(),
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
+		readAt:      now,
+		readings:    newReadingLog(opts.Logger, opts.Metrics),
 		quarantine:  quarantine.New(),
 		sentCrashes: make(map[fleet.InstanceID]feed.Cursor),
 		limits:      serverlimit.New(),
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -93,7 +93,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, askWhole)
 	defer cancel()
 	began := time.Now()
-	snapshot, size, err := g.fetchCatalog(ctx, addr, ask)
+	got, size, err := g.fetchCatalog(ctx, addr, ask)
 	told := []zap.Field{zap.String("peer", addr.String()), zap.Duration("took", time.Since(began)), zap.Int("bytes", size)}
 	g.post(func(now time.Time) {
 		g.asking = false
@@ -101,42 +101,42 @@
 			g.opts.Logger.Warn("peer_catalog_failed", append(told, zap.Error(err))...)
 			return
 		}
-		g.opts.Logger.Info("peer_catalog_read", append(told, zap.Bool("newer", snapshot != nil))...)
-		if snapshot != nil {
-			g.adopt(now, *snapshot, "peer "+addr.String())
+		g.opts.Logger.Info("peer_catalog_read", append(told, zap.Bool("newer", got.Snapshot != nil))...)
+		if got.Snapshot != nil {
+			g.adoptList(now, *got.Snapshot, reading{origin: fromPeer, from: addr.String(), readAt: readBefore(began, got.AgeMS)})
 		}
 	})
 }
 
-// fetchCatalog returns what a peer has that is newer, nil for nothing, and how
-// many bytes of a configuration came.
-func (g *Gateway) fetchCatalog(ctx context.Context, addr netip.Addr, ask wire.CatalogAsk) (*catalog.Snapshot, int, error) {
+// fetchCatalog returns what a peer has that is newer, with its configuration, and how
+// many bytes of that came.
+func (g *Gateway) fetchCatalog(ctx context.Context, addr netip.Addr, ask wire.CatalogAsk) (wire.CatalogAnswer, int, error) {
+	var answer wire.CatalogAnswer
 	s, err := g.opts.Endpoint.Open(ctx, g.mesh.PeerAddr(addr), "", peer.KindConfig)
 	if err != nil {
-		return nil, 0, err
+		return answer, 0, err
 	}
 	defer s.Abort()
 	s.SetStall(askStall)
 	if err := s.Send(ask); err != nil {
-		return nil, 0, err
+		return answer, 0, err
 	}
-	var answer wire.CatalogAnswer
 	if err := s.Recv(&answer); err != nil {
-		return nil, 0, err
+		return answer, 0, err
 	}
 	if answer.Snapshot == nil || answer.ConfigBytes == 0 {
-		return answer.Snapshot, 0, nil
+		return answer, 0, nil
 	}
 	packed, err := recvPieces(s, answer.ConfigBytes)
 	if err != nil {
-		return nil, len(packed), err
+		return answer, len(packed), err
 	}
 	var config routing.Config
 	if err := peer.Unpack(packed, &config, mostConfig); err != nil {
-		return nil, len(packed), err
+		return answer, len(packed), err
 	}
 	answer.Snapshot.Config, answer.Snapshot.ConfigRevision = &config, answer.ConfigRevision
-	return answer.Snapshot, len(packed), nil
+	return answer, len(packed), nil
 }
 
 // recvPieces receives size bytes in raw frames. With a failure it returns what
@@ -174,10 +174,12 @@
 
 func (g *Gateway) giveCatalog(ctx context.Context, s *peer.Stream, ask wire.CatalogAsk) error {
 	var held catalog.Snapshot
-	if err := g.opts.Loop.Do(ctx, func(time.Time) { held = g.snapshot }); err != nil {
+	var age time.Duration
+	if err := g.opts.Loop.Do(ctx, func(now time.Time) { held, age = g.snapshot, now.Sub(g.readAt) }); err != nil {
 		return err
 	}
 	answer, config := newerThan(held, ask)
+	answer.AgeMS = age.Milliseconds()
 	if config == nil {
 		return s.Send(answer)
 	}
--- /dev/null
+++ b/daemon/gateway/reading_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
+)
+
+var _ = Describe("A reading of the servers", func() {
+	one, two := server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 3)
+	leaving := one
+	leaving.Draining, leaving.Revision = true, 8
+	var g *Gateway
+	var lines *observer.ObservedLogs
+
+	// lineOf returns the fields of the last line of an event.
+	lineOf := func(event string) map[string]any {
+		all := lines.FilterMessage(event).All()
+		Expect(all).NotTo(BeEmpty(), event)
+		return all[len(all)-1].ContextMap()
+	}
+
+	BeforeEach(func() {
+		g, _ = newGateway()
+		core, logs := observer.New(zap.InfoLevel)
+		lines = logs
+		g.readings = newReadingLog(zap.New(core), g.opts.Metrics)
+		g.adoptList(start, snapshot(5, one, two), reading{origin: fromStore, readAt: at(-300 * time.Millisecond)})
+	})
+
+	It("has a line with its source, its revision and its age", func() {
+		Expect(lineOf("servers_adopted")).To(And(HaveKeyWithValue("source", "store"), HaveKeyWithValue("revision", int64(5)),
+			HaveKeyWithValue("reading_age", 300*time.Millisecond)))
+		b := beat("10.0.0.2")
+		b.Servers = &wire.ServerNews{After: 5, AsOf: 8, Changes: []catalog.Change{{Revision: 8, Server: &leaving}}, AgeMS: 20}
+		g.heard(at(time.Second), nearEntry, b)
+		Expect(lineOf("servers_adopted")).To(And(HaveKeyWithValue("source", "reader"), HaveKeyWithValue("from", "10.0.0.2"),
+			HaveKeyWithValue("before", int64(5)), HaveKeyWithValue("reading_age", 20*time.Millisecond)))
+		Expect(lineOf("server_leaves")).To(HaveKeyWithValue("server", "i-1"))
+	})
+
+	It("has a line if it is dropped, or answered by a whole list", func() {
+		b := beat("10.0.0.2")
+		b.Servers = &wire.ServerNews{After: 7, AsOf: 8}
+		g.heard(at(time.Second), nearEntry, b)
+		Expect(lineOf("servers_dropped")).To(And(HaveKeyWithValue("reason", "gap"), HaveKeyWithValue("held", int64(5))))
+		g.adoptList(at(time.Second), snapshot(4, one), reading{origin: fromPeer, from: "10.0.0.3", readAt: start})
+		Expect(lineOf("servers_dropped")).To(HaveKeyWithValue("reason", "older"))
+		g.newsFor(at(time.Second), mesh.Peer{ID: "10.0.0.4", Role: fleet.RoleEntry, Near: true, AsOf: 3})
+		Expect(lineOf("whole_list_due")).To(HaveKeyWithValue("after", int64(3)))
+	})
+
+	// Guards against logs that make an entry slower while hundreds start at once.
+	It("has no more lines than the bound in a second", func() {
+		for i := range 10 * linesPerSecond {
+			g.adoptList(start, snapshot(catalog.Revision(6+i), one), reading{origin: fromPeer, readAt: start})
+		}
+		Expect(lines.FilterMessage("servers_adopted").Len()).To(BeNumerically("<=", 2*linesPerSecond))
+	})
+})
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -96,3 +96,22 @@
 	nearEntry = mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry, Near: true}
 	anAgent   = mesh.Peer{ID: "10.0.1.1", Role: fleet.RoleAgent}
 )
+
+// adopt takes a catalog that has just been read, from the platform or a peer.
+func (g *Gateway) adopt(now time.Time, s catalog.Snapshot, from string) {
+	r := reading{origin: fromPeer, from: from, readAt: now}
+	if from == fromPlatform {
+		r = reading{origin: fromStore, readAt: now}
+	}
+	g.adoptList(now, s, r)
+}
+
+// apply takes changes that the platform has just told.
+func (g *Gateway) apply(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
+	g.adoptChanges(now, changes, asOf, reading{origin: fromStore, readAt: now})
+}
+
+// applyServers takes changes of servers that a reader has just told.
+func (g *Gateway) applyServers(now time.Time, changes []catalog.Change, asOf catalog.Revision, from string) {
+	g.adoptServers(now, changes, asOf, reading{origin: fromReader, from: from, readAt: now})
+}
--- a/daemon/gateway/serverfeed.go
+++ b/daemon/gateway/serverfeed.go
@@ -60,7 +60,7 @@
 	if form == mesh.First {
 		delete(g.toldServers, to.ID)
 	}
-	b.Servers = g.newsFor(to)
+	b.Servers = g.newsFor(now, to)
 	if !b.Brief || b.Servers != nil {
 		contact := g.contact.told(now)
 		b.Platform = &contact
@@ -70,17 +70,19 @@
 // newsFor returns what happened to servers since an entry was last told, nil for
 // nothing. If that is not known any more, the news has no changes, and the entry takes
 // the whole list.
-func (g *Gateway) newsFor(to mesh.Peer) *wire.ServerNews {
+func (g *Gateway) newsFor(now time.Time, to mesh.Peer) *wire.ServerNews {
 	after := max(g.toldServers[to.ID], to.AsOf)
 	if after == 0 || after >= g.feed.asOf {
 		return nil
 	}
 	changes, ok := g.feed.since(after)
 	g.toldServers[to.ID] = g.feed.asOf
+	news := &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes, AgeMS: now.Sub(g.readAt).Milliseconds()}
 	if !ok {
-		return &wire.ServerNews{After: g.feed.after, AsOf: g.feed.asOf}
+		news.After = g.feed.after
+		g.readings.wholeListDue(to.ID, after, news.After)
 	}
-	return &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes}
+	return news
 }
 
 // heardReader takes what an entry tells that reads the platform for the region.
@@ -92,9 +94,11 @@
 	if n == nil || g.snapshot.AsOf == 0 || n.AsOf <= g.snapshot.AsOf {
 		return
 	}
+	r := reading{origin: fromReader, from: string(b.ID), readAt: readBefore(now, n.AgeMS)}
 	if n.After > g.snapshot.AsOf {
 		g.missing = max(g.missing, n.AsOf)
+		g.readings.dropped(dropGap, r, n.After, n.AsOf, g.snapshot.AsOf)
 		return
 	}
-	g.applyServers(now, n.Changes, n.AsOf, "peer "+string(b.ID))
+	g.adoptServers(now, n.Changes, n.AsOf, r)
 }
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -90,6 +90,8 @@
 	After   catalog.Revision `cbor:"1,keyasint"`
 	AsOf    catalog.Revision `cbor:"2,keyasint"`
 	Changes []catalog.Change `cbor:"3,keyasint,omitempty"`
+	// AgeMS is how long ago the platform was read.
+	AgeMS int64 `cbor:"4,keyasint,omitzero"`
 }
 
 // Digest is what one entry tells of those that it hears, for others that hold
@@ -238,4 +240,6 @@
 	// packed, ConfigBytes in all; 0 if the asker has it.
 	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
 	ConfigBytes    int              `cbor:"3,keyasint,omitzero"`
+	// AgeMS is how long ago the platform was read for the servers.
+	AgeMS int64 `cbor:"4,keyasint,omitzero"`
 }
