Add failing tests: a change of servers is lost after a restart of all

What operators saw: a request reached a server 3.4 s after the store had acknowledged that it leaves, at an entry that had started 4.0 s before.

The model has entries of one or two regions and a store on one goroutine, in simulated time: entries start at random moments within a second, servers leave, say so or not, come again or are replaced, beats and answers are delayed and overtake each other, links break, and those that read the store are cut off or killed. The control loop's methods are the real ones; the mesh, the store and the loop that makes the calls are stood in for, so the gateway gets its mesh by an interface, and asks a peer by a function that can be replaced.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -79,7 +79,7 @@
 type Gateway struct {
 	opts  Options
 	ctx   context.Context
-	mesh  *mesh.Mesh
+	mesh  links
 	clock bootclock.Watch
 	board *placement.Board
 	log   *requestLog
@@ -109,6 +109,8 @@
 	urgentNear bool
 	asking     bool
 	nextAsk    time.Time
+	// startAsk asks a peer for its catalog. The answer comes to askEnded.
+	startAsk func(addr netip.Addr, ask wire.CatalogAsk)
 	// revisionHeard is the newest configuration that a peer told of.
 	revisionHeard catalog.Revision
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
@@ -226,6 +228,7 @@
 		rooms:       make(map[fleet.ServiceName]*placement.HoldRoom),
 		contact:     contact{heard: now, off: opts.Off},
 	}
+	g.startAsk = func(addr netip.Addr, ask wire.CatalogAsk) { go g.askPeer(addr, ask) }
 	g.board.SetSelf(opts.Self, opts.Place)
 	g.mesh = mesh.New(ctx, now, mesh.Options{
 		Self:       opts.Self,
@@ -264,6 +267,10 @@
 	if gap := g.clock.Elapsed(); gap > pausedAfter {
 		g.woke(now, gap)
 	}
+	g.step(now)
+}
+
+func (g *Gateway) step(now time.Time) {
 	g.mesh.Tick(now)
 	g.askPeers(now)
 	g.endLapses(now)
--- /dev/null
+++ b/daemon/gateway/model_links_test.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"chivespindle.example/adapters/keys"
+	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/linking"
+	"chivespindle.example/daemon/mesh"
+	"chivespindle.example/daemon/wire"
+)
+
+// Pauses and limits of the mesh.
+const (
+	modelBeatEvery   = 500 * time.Millisecond
+	modelBriefEvery  = 200 * time.Millisecond
+	modelSilentAfter = 900 * time.Millisecond
+	modelDeadAfter   = 1200 * time.Millisecond
+	modelPlanEvery   = 200 * time.Millisecond
+)
+
+// modelLinks is the mesh of one entry in simulated time.
+type modelLinks struct {
+	e      *modelEntry
+	byID   map[fleet.InstanceID]*modelLink
+	sorted []*modelLink
+	plan   linking.Plan
+	planAt time.Time
+}
+
+// modelLink is one entry's side of a link with another, up or not.
+type modelLink struct {
+	to   *modelEntry
+	up   bool
+	last wire.Beat // the last whole one
+	// heard and asOf are of the link, heardOf of the entry.
+	heard, heardOf  time.Time
+	asOf            catalog.Revision
+	region          fleet.Region
+	beaten, briefed time.Time
+	// underWay is the number of beats on the way, arrives when the last of them does.
+	underWay int
+	arrives  time.Time
+	// epoch counts how often it went up; beats of an earlier one are lost.
+	epoch int
+}
+
+func (l *modelLinks) link(to *modelEntry) *modelLink {
+	id := to.g.opts.Self
+	if l.byID[id] == nil {
+		l.byID[id] = &modelLink{to: to}
+		l.sorted = append(l.sorted, l.byID[id])
+	}
+	return l.byID[id]
+}
+
+func (l *modelLinks) isUp(to *modelEntry) bool {
+	k := l.byID[to.g.opts.Self]
+	return k != nil && k.up
+}
+
+func (l *modelLinks) bringUp(now time.Time, to *modelEntry) {
+	k := l.link(to)
+	k.up, k.heard, k.asOf, k.region = true, now, 0, ""
+	k.epoch++
+	k.underWay, k.arrives = 0, now
+	l.send(now, k, mesh.First)
+}
+
+func (l *modelLinks) takeDown(now time.Time, k *modelLink) {
+	if k.up {
+		k.up = false
+		l.e.g.lost(now, k.to.g.opts.Self)
+	}
+}
+
+func (l *modelLinks) peer(k *modelLink) mesh.Peer {
+	id := k.to.g.opts.Self
+	return mesh.Peer{ID: id, Role: fleet.RoleEntry, Near: l.plan.Near[id], Region: k.region, AsOf: k.asOf}
+}
+
+func (l *modelLinks) send(now time.Time, k *modelLink, form mesh.Form) {
+	const queued = 2 // one that waits behind one that is written
+	if !k.up || k.underWay >= queued {
+		return
+	}
+	k.briefed = now
+	if form != mesh.Brief {
+		k.beaten = now
+	}
+	b := l.e.g.compose(now, l.peer(k), form)
+	l.e.countBeat(b)
+	if l.e.isCut(now) || !k.to.alive || k.to.isCut(now) {
+		return
+	}
+	k.underWay++
+	k.arrives = later(k.arrives, now.Add(l.e.m.beatWay()))
+	epoch, back := k.epoch, k.to.links.link(l.e)
+	theirs := back.epoch
+	l.e.m.at(k.arrives, func(now time.Time) {
+		if k.epoch == epoch {
+			k.underWay--
+		}
+		if k.epoch == epoch && k.up && k.to.alive && back.up && (back.epoch == theirs || form == mesh.First) {
+			k.to.links.heard(now, back, b)
+		}
+	})
+}
+
+func (l *modelLinks) heard(now time.Time, k *modelLink, b wire.Beat) {
+	k.heard = now
+	if !b.Brief {
+		k.asOf, k.region, k.last, k.heardOf = b.AsOf, b.Place.Region, b, now
+	} else if k.last.ID != "" {
+		k.heardOf = now
+		k.last.ConfigRevision = max(k.last.ConfigRevision, b.ConfigRevision)
+	}
+	l.e.g.heard(now, l.peer(k), b)
+}
+
+func (l *modelLinks) Tick(now time.Time) {
+	for _, k := range l.sorted {
+		if k.up && now.Sub(k.heard) > modelDeadAfter {
+			l.takeDown(now, k)
+		}
+	}
+	l.planLinks(now)
+	for _, k := range l.sorted {
+		near := l.plan.Near[k.to.g.opts.Self]
+		switch {
+		case !k.up:
+		case now.Sub(k.beaten) >= modelBeatEvery:
+			l.send(now, k, mesh.Whole)
+		case near && now.Sub(k.briefed) >= modelBriefEvery:
+			l.send(now, k, mesh.Brief)
+		}
+	}
+}
+
+func (l *modelLinks) planLinks(now time.Time) {
+	if now.Before(l.planAt) {
+		return
+	}
+	l.planAt = now.Add(modelPlanEvery)
+	var others []linking.Member
+	for _, k := range l.sorted {
+		if k.last.ID != "" && now.Sub(k.heardOf) <= modelSilentAfter {
+			others = append(others, linking.Member{ID: k.last.ID, Region: k.last.Place.Region})
+		}
+	}
+	l.plan = linking.For(linking.Member{ID: l.e.g.opts.Self, Region: l.e.g.opts.Place.Region}, others)
+}
+
+func (l *modelLinks) Flush(now time.Time) {
+	for _, k := range l.sorted {
+		l.send(now, k, mesh.Whole)
+	}
+}
+
+func (l *modelLinks) FlushNear(now time.Time) {
+	for _, k := range l.sorted {
+		if l.plan.Near[k.to.g.opts.Self] {
+			l.send(now, k, mesh.Whole)
+		}
+	}
+}
+
+func (l *modelLinks) Entries(now time.Time) []mesh.Entry {
+	var all []mesh.Entry
+	for _, k := range l.sorted {
+		if b := k.last; b.ID != "" {
+			all = append(all, mesh.Entry{ID: b.ID, Place: b.Place, Ready: b.Ready, Leaving: b.Leaving, Reaches: b.Reaches,
+				TurnedAway: b.TurnedAway, Silent: now.Sub(k.heardOf) > modelSilentAfter, Near: l.plan.Near[b.ID]})
+		}
+	}
+	return all
+}
+
+func (l *modelLinks) Hears(now time.Time) bool {
+	return slices.ContainsFunc(l.sorted, func(k *modelLink) bool { return k.last.ID != "" && now.Sub(k.heardOf) <= modelSilentAfter })
+}
+
+func (l *modelLinks) Ahead(now time.Time, isAhead func(wire.Beat) bool) (addr netip.Addr, near, ok bool) {
+	var all []*modelLink
+	for _, k := range l.sorted {
+		if k.last.ID != "" && now.Sub(k.heardOf) <= modelSilentAfter && isAhead(k.last) {
+			all = append(all, k)
+		}
+	}
+	if len(all) == 0 {
+		return addr, false, false
+	}
+	k := all[l.e.m.rand.IntN(len(all))]
+	for _, other := range all {
+		if other.region == l.e.g.opts.Place.Region {
+			k = other
+		}
+	}
+	return k.to.g.opts.Addr, k.region == l.e.g.opts.Place.Region, true
+}
+
+func (l *modelLinks) Group() string                                      { return l.plan.Group }
+func (l *modelLinks) LiveIn(time.Time, fleet.Region) []netip.Addr        { return nil }
+func (l *modelLinks) PeerAddr(addr netip.Addr) netip.AddrPort            { return netip.AddrPortFrom(addr, 1) }
+func (l *modelLinks) Serve(context.Context, keys.Identity, *peer.Stream) {}
+func (l *modelLinks) SetSeeds(time.Time, []netip.Addr)                   {}
+func (l *modelLinks) Woke(time.Time)                                     {}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -61,7 +61,7 @@
 	g.asking = true
 	g.nextAsk = now.Add(askEvery)
 	ask := wire.CatalogAsk{AsOf: g.snapshot.AsOf, ConfigRevision: g.snapshot.ConfigRevision}
-	go g.askPeer(addr, ask)
+	g.startAsk(addr, ask)
 }
 
 // lacksServers reports whether what this entry knows of the servers is old, or not
@@ -94,18 +94,21 @@
 	defer cancel()
 	began := time.Now()
 	got, size, err := g.fetchCatalog(ctx, addr, ask)
-	told := []zap.Field{zap.String("peer", addr.String()), zap.Duration("took", time.Since(began)), zap.Int("bytes", size)}
-	g.post(func(now time.Time) {
-		g.asking = false
-		if err != nil {
-			g.opts.Logger.Warn("peer_catalog_failed", append(told, zap.Error(err))...)
-			return
-		}
-		g.opts.Logger.Info("peer_catalog_read", append(told, zap.Bool("newer", got.Snapshot != nil))...)
-		if got.Snapshot != nil {
-			g.adoptList(now, *got.Snapshot, reading{origin: fromPeer, from: addr.String(), readAt: readBefore(began, got.AgeMS)})
-		}
-	})
+	g.post(func(now time.Time) { g.askEnded(now, addr, began, got, size, err) })
+}
+
+// askEnded takes what a peer answered, with size bytes of a configuration.
+func (g *Gateway) askEnded(now time.Time, addr netip.Addr, began time.Time, got wire.CatalogAnswer, size int, err error) {
+	told := []zap.Field{zap.String("peer", addr.String()), zap.Duration("took", now.Sub(began)), zap.Int("bytes", size)}
+	g.asking = false
+	if err != nil {
+		g.opts.Logger.Warn("peer_catalog_failed", append(told, zap.Error(err))...)
+		return
+	}
+	g.opts.Logger.Info("peer_catalog_read", append(told, zap.Bool("newer", got.Snapshot != nil))...)
+	if got.Snapshot != nil {
+		g.adoptList(now, *got.Snapshot, reading{origin: fromPeer, from: addr.String(), readAt: readBefore(began, got.AgeMS)})
+	}
 }
 
 // fetchCatalog returns what a peer has that is newer, with its configuration, and how
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -170,6 +170,19 @@
 		Expect(g.lacksServers(at(200 * time.Millisecond))).To(BeFalse())
 	})
 
+	// Guards against a change that is lost where a reader tells that it no longer has the
+	// changes since, and the list that was taken meanwhile lies between.
+	It("does not count as up to date by a message that only asks it to take the whole list", func() {
+		reader, _ := newGateway()
+		reader.adopt(start, snapshot(7, one, two), "platform")
+		reader.apply(start, removeTwo, 9)
+		b := beat("10.0.0.2")
+		b.Servers = reader.newsFor(start, mesh.Peer{ID: g.opts.Self, Role: fleet.RoleEntry, Near: true, AsOf: 5})
+		g.adopt(start, snapshot(8, one, two), "peer")
+		g.heard(start, nearEntry, b)
+		Expect(g.snapshot.AsOf == 8 && g.lacksServers(start) || !hasServer(g.snapshot.Servers, "i-2")).To(BeTrue())
+	})
+
 	// The platform was away for six seconds, and registrations lapsed there though
 	// their servers live. Left out, all servers would be gone at its return.
 	It("keeps servers that lapsed while the platform was away", func() {
