Fix a change of servers that is lost where a reader has no changes to tell

What operators saw: after a restart of all entries one of them sent requests to a server for as long as it lived, 3.4 s after the store had acknowledged that it leaves (bound 3.0 s).

Cause: entries that start list the servers at different moments. A reader of a region that is told of an entry's older revision no longer has the changes since; it answered with a message that leads from the oldest revision which it keeps changes after to its newest, without those changes, meant as a hint to take the whole list. An entry that had taken another list meanwhile, between the two, read the same message as its form says: nothing has changed up to the newest revision. It counted as up to date and never got what lay between.

Now such a message leads from its end to its end. Whoever is behind that end finds a gap and asks for the whole list, also if it runs an earlier release.

--- a/daemon/gateway/serverfeed.go
+++ b/daemon/gateway/serverfeed.go
@@ -68,8 +68,8 @@
 }
 
 // newsFor returns what happened to servers since an entry was last told, nil for
-// nothing. If that is not known any more, the news has no changes, and the entry takes
-// the whole list.
+// nothing. If that is not known any more, the news leads from its own end to its end, so
+// that only an entry which knows all of it can take it. Any other asks for the whole list.
 func (g *Gateway) newsFor(now time.Time, to mesh.Peer) *wire.ServerNews {
 	after := max(g.toldServers[to.ID], to.AsOf)
 	if after == 0 || after >= g.feed.asOf {
@@ -79,7 +79,7 @@
 	g.toldServers[to.ID] = g.feed.asOf
 	news := &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes, AgeMS: now.Sub(g.readAt).Milliseconds()}
 	if !ok {
-		news.After = g.feed.after
+		news.After = news.AsOf
 		g.readings.wholeListDue(to.ID, after, news.After)
 	}
 	return news
