Order what is known of servers by revision, and bound the age of its reading

What operators would see: an entry whose readers are lost, or take it for a member of another group, uses servers that left, or lacks new ones, for longer than it has to.

Cause: an entry counted as up to date from the moment at which it heard anything of servers, however old that was; a list of a peer put its next question off by 1.5 s.

- The age of a reading is what counts: of the store's answer, as told on by readers and peers.
A reader tells it with each whole beat, and an entry that knows as much is as up to date (2 to 4 bytes a beat to those of its region).
- An entry whose reading is 2.5 s old (bound of leaving: 3 s) reads the store itself, while the store answers the readers or none of them is heard.
In an outage it makes no call.
- A list that is not newer changes nothing, and no longer ends the history of changes that a reader tells on.
- Typed failures, logged and counted (servers_refused): a reading without a revision, a store whose revision goes back (its call counts as failed), the end of a registration that is not known.
What is known stands.

Configurations, keys (a part of them) and versions travel the same ways; they are ordered by their own revisions and numbers already. The model checks that none goes back and each is known within the bound, with no finding.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -168,10 +168,11 @@
 
 // Newest returns the newer of two snapshots, part by part. The configuration
 // never goes back: a list that was read from a stale replica of the platform
-// must not replace a newer one. A part that other lacks is as of 0.
+// must not replace a newer one. A part that other lacks is as of 0, and a list of servers
+// without a revision counts for nothing.
 func (s Snapshot) Newest(other Snapshot) Snapshot {
 	next := s
-	if other.AsOf >= s.AsOf {
+	if other.AsOf > s.AsOf {
 		next.AsOf, next.Servers = other.AsOf, other.Servers
 	}
 	if other.Config != nil && other.ConfigRevision > s.ConfigRevision {
--- /dev/null
+++ b/core/catalog/order_test.go
@@ -0,0 +1,35 @@
+package catalog_test
+
+import (
+	"github.com/joomcode/errorx"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/catalog"
+)
+
+var _ = Describe("A reading of the platform", func() {
+	// Guards against a list without a revision that replaces what is known.
+	It("counts for nothing without a revision", func() {
+		list := catalog.Snapshot{Servers: []catalog.Server{*server("a", "10.0.0.1:80", 1)}}
+		Expect(errorx.IsOfType(list.CheckList(), catalog.NoRevision)).To(BeTrue())
+		Expect(catalog.Snapshot{}.Newest(list).Servers).To(BeEmpty())
+		Expect(errorx.IsOfType(catalog.CheckOrder(0, 0), catalog.NoRevision)).To(BeTrue())
+		Expect(catalog.Snapshot{}.CheckList()).To(Succeed(), "it tells nothing of servers")
+	})
+
+	// Guards against changes that are passed over at a store that lost what it had.
+	It("fails if its revision went back", func() {
+		Expect(errorx.IsOfType(catalog.CheckOrder(9, 8), catalog.WentBack)).To(BeTrue())
+		Expect(catalog.CheckOrder(9, 9)).To(Succeed())
+	})
+
+	It("names each server that it removes and that is not known", func() {
+		held := catalog.Snapshot{AsOf: 5, Servers: []catalog.Server{*server("a", "10.0.0.1:80", 1)}}
+		failures := held.CheckKnown([]catalog.Change{{Revision: 4, Removed: "old"}, {Revision: 6, Removed: "a"},
+			{Revision: 7, Server: server("b", "10.0.0.2:80", 7)}, {Revision: 8, Removed: "b"}, {Revision: 9, Removed: "c"}})
+		Expect(failures).To(HaveLen(1))
+		Expect(errorx.IsOfType(failures[0], catalog.UnknownServer)).To(BeTrue())
+		Expect(failures[0].Error()).To(ContainSubstring("c ended at revision 9"))
+	})
+})
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -16,10 +16,14 @@
 // adoptList takes of a whole catalog what is not older than the own one.
 func (g *Gateway) adoptList(now time.Time, s catalog.Snapshot, r reading) {
 	g.doubtful = false
-	g.serversAt = now
 	before := g.snapshot
+	if err := s.CheckList(); err != nil {
+		g.readings.refused(err, r, s.AsOf, before.AsOf)
+	}
 	g.snapshot = g.snapshot.Newest(s)
-	g.feed.restart(g.snapshot.AsOf)
+	if g.snapshot.AsOf > before.AsOf {
+		g.feed.restart(g.snapshot.AsOf)
+	}
 	g.noteReading(now, before.AsOf, s.AsOf, r, zap.Bool("whole", true), zap.Int("servers", len(s.Servers)))
 	for _, old := range before.Servers {
 		if current, ok := findServer(g.snapshot.Servers, old.ID); !ok {
@@ -40,7 +44,10 @@
 
 // adoptServers takes changes that are complete for the servers only.
 func (g *Gateway) adoptServers(now time.Time, changes []catalog.Change, asOf catalog.Revision, r reading) {
-	g.serversAt = now
+	if asOf <= 0 {
+		g.readings.refused(catalog.CheckOrder(g.snapshot.AsOf, asOf), r, asOf, g.snapshot.AsOf)
+		return
+	}
 	slices.SortStableFunc(changes, func(a, b catalog.Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	g.feed.note(changes, asOf)
 	g.noteReading(now, g.snapshot.AsOf, asOf, r, zap.Bool("whole", false), zap.Int("changes", len(changes)))
@@ -49,6 +56,9 @@
 		return
 	}
 	before := g.snapshot
+	for _, err := range before.CheckKnown(changes) {
+		g.readings.refused(err, r, asOf, before.AsOf)
+	}
 	next, gone := g.snapshot.ApplyServers(changes, asOf)
 	g.snapshot = next
 	for _, old := range gone {
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -118,6 +118,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.checkOrder(at.servers, snapshot.AsOf); err != nil {
+		return err
+	}
 	g.post(func(now time.Time) {
 		g.sourceAnswered(now)
 		g.adoptList(now, snapshot, reading{origin: fromStore, readAt: began})
@@ -128,10 +131,14 @@
 
 func (g *Gateway) watch(ctx context.Context, at *position) error {
 	began, patience := time.Now(), at.patience()
-	changes, asOf, err := g.opts.Source.Watch(ctx, min(at.servers, at.operator), patience)
+	after := min(at.servers, at.operator)
+	changes, asOf, err := g.opts.Source.Watch(ctx, after, patience)
 	if err != nil {
 		return err
 	}
+	if err := g.checkOrder(after, asOf); err != nil {
+		return err
+	}
 	readAt := watchedAt(began, time.Now(), patience)
 	g.post(func(now time.Time) {
 		g.sourceAnswered(now)
@@ -141,6 +148,16 @@
 	return nil
 }
 
+// checkOrder returns the failure of a reading up to asOf, which began when the platform had
+// been read up to another revision.
+func (g *Gateway) checkOrder(after, asOf catalog.Revision) error {
+	err := catalog.CheckOrder(after, asOf)
+	if err != nil {
+		g.post(func(time.Time) { g.readings.refused(err, reading{origin: fromStore}, asOf, after) })
+	}
+	return err
+}
+
 // patience is how long the next watch waits for changes.
 func (at *position) patience() time.Duration {
 	if at.answered {
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -115,6 +115,7 @@
 	// links are cut, say. The entry waits no longer than the operator's bound allows.
 	It("is read from the platform when no peer gives what it is ahead by", func() {
 		g.behindSince = at(time.Second)
+		g.readerAt, g.readAt = at(2300*time.Millisecond), at(2300*time.Millisecond) // its readers are heard
 		Expect(g.reads(at(1900*time.Millisecond), regionReaders)).To(BeFalse())
 		Expect(g.reads(at(2100*time.Millisecond), regionReaders)).To(BeTrue())
 		Expect(g.reads(at(2100*time.Millisecond), regionReaders+1)).To(BeFalse())
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -126,10 +126,8 @@
 	lapsed    map[fleet.InstanceID]catalog.Server
 	toldLoads map[fleet.InstanceID]uint64 // change of the board that each entry was told
 	told      map[fleet.InstanceID]uint64 // members that each agent was told
-	// serversAt is when the servers were last heard of, readAt up to when the store's
-	// changes are known, feed what is told on of them, and toldServers up to which
-	// revision entries were told.
-	serversAt   time.Time
+	// readAt is up to when the platform's changes of servers are known, feed what is told
+	// on of them, and toldServers up to which revision entries were told.
 	readAt      time.Time
 	readings    *readingLog
 	feed        serverFeed
@@ -137,6 +135,8 @@
 	// missing is up to which revision a reader of the region told changes that do not
 	// follow on those known here.
 	missing catalog.Revision
+	// readerAt is when a reader of the region was last heard, or the platform read here.
+	readerAt time.Time
 	// turnedAwayUntil is until when this entry counts as turned away by the
 	// platform.
 	turnedAwayUntil time.Time
@@ -218,6 +218,7 @@
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
 		readAt:      now,
+		readerAt:    now,
 		readings:    newReadingLog(opts.Logger, opts.Metrics),
 		quarantine:  quarantine.New(),
 		sentCrashes: make(map[fleet.InstanceID]feed.Cursor),
--- a/daemon/gateway/model_links_test.go
+++ b/daemon/gateway/model_links_test.go
@@ -81,7 +81,7 @@
 
 func (l *modelLinks) peer(k *modelLink) mesh.Peer {
 	id := k.to.g.opts.Self
-	return mesh.Peer{ID: id, Role: fleet.RoleEntry, Near: l.plan.Near[id], Region: k.region, AsOf: k.asOf}
+	return mesh.Peer{ID: id, Role: fleet.RoleEntry, Near: l.plan.Near[id] && !k.to.isHidden(l.e.m.now), Region: k.region, AsOf: k.asOf}
 }
 
 func (l *modelLinks) send(now time.Time, k *modelLink, form mesh.Form) {
@@ -210,10 +210,3 @@
 func (l *modelLinks) Serve(context.Context, keys.Identity, *peer.Stream) {}
 func (l *modelLinks) SetSeeds(time.Time, []netip.Addr)                   {}
 func (l *modelLinks) Woke(time.Time)                                     {}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/daemon/gateway/model_store_test.go
+++ b/daemon/gateway/model_store_test.go
@@ -192,8 +192,8 @@
 	call, began, patience := f.call, now, f.at.patience()
 	f.at.takeFromPeers(v)
 	out := e.m.storeWay(now, e)
-	if e.isCut(now) {
-		e.m.after(catalog.AnswerTime, func(now time.Time) { f.failed(now, call, failure.Timeout.New("cut off")) })
+	if e.isCutFromStore(now) {
+		e.m.after(patience+catalog.AnswerTime, func(now time.Time) { f.failed(now, call, failure.Timeout.New("cut off")) })
 		return
 	}
 	if f.at.gone || f.at.servers == 0 {
@@ -232,7 +232,7 @@
 		return
 	}
 	f.ended = nil
-	if f.e.isCut(now) {
+	if f.e.isCutFromStore(now) {
 		f.ended = func() bool { return false }
 		f.e.m.after(catalog.AnswerTime, func(now time.Time) { f.failed(now, call, failure.Timeout.New("cut off")) })
 		return
--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/daemon/control"
@@ -34,6 +35,7 @@
 	modelFor     = 12 * time.Second
 	modelTick    = 20 * time.Millisecond
 	modelCheck   = 50 * time.Millisecond
+	hiddenEvery  = 10 // seeds
 )
 
 // model is entries of one or two regions and the store, in simulated time and on one
@@ -45,6 +47,8 @@
 	count   int
 	store   *modelStore
 	entries []*modelEntry
+	// noticed is when the last loss of readers that are still heard can be noticed.
+	noticed time.Time
 	// broken is the first thing that was seen and must not be.
 	broken string
 }
@@ -111,11 +115,23 @@
 	started time.Time
 	// cutFrom and cutTo are when it reaches nobody.
 	cutFrom, cutTo time.Time
-	version        int64
-	bytes          int
+	// hiddenFrom and hiddenTo are when others take it for an entry of another group, and
+	// what it asks for does not come.
+	hiddenFrom, hiddenTo time.Time
+	isCutFromStoreOnly   bool
+	version              int64
+	bytes                int
 }
 
-func (e *modelEntry) isCut(now time.Time) bool { return !now.Before(e.cutFrom) && now.Before(e.cutTo) }
+func (e *modelEntry) isCut(now time.Time) bool { return e.isCutFromStore(now) && !e.isCutFromStoreOnly }
+
+func (e *modelEntry) isCutFromStore(now time.Time) bool {
+	return !now.Before(e.cutFrom) && now.Before(e.cutTo)
+}
+
+func (e *modelEntry) isHidden(now time.Time) bool {
+	return !now.Before(e.hiddenFrom) && now.Before(e.hiddenTo)
+}
 
 // isInTouch reports whether the bounds hold for it.
 func (e *modelEntry) isInTouch(now time.Time) bool {
@@ -200,6 +216,10 @@
 			e.g.askEnded(now, addr, began, wire.CatalogAnswer{}, 0, failure.Timeout.New("no progress"))
 		}
 	}
+	if e.isHidden(began) {
+		e.m.after(askWhole, fail)
+		return
+	}
 	for _, other := range e.m.entries {
 		if other.g.opts.Addr != addr || !other.alive || other.isCut(began) || e.isCut(began) {
 			continue
@@ -242,7 +262,15 @@
 		m.after(m.chance(modelFor), func(now time.Time) { m.breakLink(now) })
 	}
 	if m.rand.IntN(2) == 0 {
-		m.after(m.chance(modelFor), func(now time.Time) { m.loseReaders(now, m.rand.IntN(2) == 0) })
+		m.after(m.chance(modelFor), func(now time.Time) { m.loseReaders(now, modelLoss(m.rand.IntN(3))) })
+	}
+}
+
+// hide has one entry be told nothing by those that read the store.
+func (m *model) hide(now time.Time) {
+	if len(m.entries) > 0 {
+		e := m.entries[len(m.entries)-1]
+		e.hiddenFrom, e.hiddenTo = now, now.Add(modelContact)
 	}
 }
 
@@ -258,15 +286,27 @@
 	m.after(m.chance(300*time.Millisecond), func(now time.Time) { b.links.takeDown(now, b.links.link(a)) })
 }
 
-// loseReaders cuts off or kills those that read the store.
-func (m *model) loseReaders(now time.Time, kill bool) {
+// modelLoss is how those that read the store are lost.
+type modelLoss int
+
+const (
+	readersKilled   modelLoss = iota
+	readersCut                // from everybody
+	readersStoreCut           // from the store only
+)
+
+func (m *model) loseReaders(now time.Time, loss modelLoss) {
 	for _, e := range m.entries {
 		v := e.g.view.Load()
-		if !e.alive || v == nil || !v.reads || m.rand.IntN(3) == 0 {
+		if !e.alive || v == nil || !v.reads || m.rand.IntN(4) == 0 {
 			continue
 		}
-		if !kill {
-			e.cutFrom, e.cutTo = now, now.Add(500*time.Millisecond+m.chance(3*time.Second))
+		if loss != readersKilled {
+			e.cutFrom, e.cutTo = now, now.Add(500*time.Millisecond+m.chance(4*time.Second))
+			e.isCutFromStoreOnly = loss == readersStoreCut
+			if e.isCutFromStoreOnly {
+				m.noticed = now.Add(watchWait + catalog.AnswerTime)
+			}
 			continue
 		}
 		e.alive = false
@@ -305,8 +345,12 @@
 			m.breaks(e, "uses %s, which left %s before", s.ID, now.Sub(at))
 		}
 	}
+	couldKnow := m.noticed
+	if e.isHidden(now) {
+		couldKnow = later(couldKnow, e.hiddenFrom.Add(readingMaxAge))
+	}
 	for id, since := range m.store.liveSince {
-		if now.Sub(since) > modelForget && !used[id] && hasServer(m.store.now.Servers, id) {
+		if now.Sub(later(since, couldKnow)) > modelForget && !used[id] && hasServer(m.store.now.Servers, id) {
 			m.breaks(e, "has forgotten %s, which registered %s before", id, now.Sub(since))
 		}
 	}
@@ -370,6 +414,9 @@
 			for seed := range next {
 				m := newModel(seed, 3+int(seed%8))
 				m.disturb()
+				if seed%hiddenEvery == hiddenEvery/2 {
+					m.after(m.chance(modelFor/2), m.hide)
+				}
 				if seen := m.run(); seen != "" {
 					mu.Lock()
 					broken = append(broken, fmt.Sprintf("seed %d, %s", seed, seen))
@@ -399,8 +446,9 @@
 		Expect(len(broken)).To(BeZero(), "of %d seeds:\n%s", len(seeds), strings.Join(broken, "\n"))
 	})
 
-	// Guards against a change that is left out where a reader has no changes to tell.
-	It("use no server that left with seeds that once lost a change", func() {
-		Expect(breakingSeeds([]uint64{61, 101, 134, 140, 198, 206, 237, 244, 302, 339, 343, 923})).To(BeEmpty())
+	// Guards against a change that is left out where a reader has no changes to tell, and
+	// against an old reading at an entry that is told nothing.
+	It("use no server that left with seeds that once broke the bound", func() {
+		Expect(breakingSeeds([]uint64{55, 61, 101, 134, 140, 198, 206, 237, 244, 302, 339, 343, 446, 923})).To(BeEmpty())
 	})
 })
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -64,14 +64,14 @@
 	g.startAsk(addr, ask)
 }
 
-// lacksServers reports whether what this entry knows of the servers is old, or not
-// complete: a reader of the region told changes that follow on later ones.
+// lacksServers reports whether what this entry knows of the servers was read long ago, or
+// is not complete: a reader of the region told changes that follow on later ones.
 //
 // After a restart of the whole fleet each entry has listed the servers at another
 // moment of their return. Until it has the changes since, it sends calls to the
 // predecessors of restarted servers.
 func (g *Gateway) lacksServers(now time.Time) bool {
-	return now.Sub(g.serversAt) > watchWait || g.missing > g.snapshot.AsOf
+	return now.Sub(g.readAt) > watchWait || g.missing > g.snapshot.AsOf
 }
 
 // askAfter is how long a peer must be ahead before it is asked.
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -28,6 +28,13 @@
 	// read.
 	readAloneAfter = time.Second
 	readAloneStep  = 200 * time.Millisecond
+	// readerUnheardFor is how long none that reads the platform for the region may be
+	// heard until it counts as lost.
+	readerUnheardFor = 1200 * time.Millisecond
+	// readingMaxAge is how long ago the servers may have been read until an entry reads
+	// them itself. It leaves half a second of the time for which a leaving server may be
+	// used.
+	readingMaxAge = 2500 * time.Millisecond
 )
 
 // rank is this entry's place among those of its region and group.
@@ -70,10 +77,23 @@
 	if g.doubtful || rank < regionReaders {
 		return true
 	}
+	if g.isUnread(now) {
+		return true
+	}
 	alone := readAloneAfter + time.Duration(rank-regionReaders)*readAloneStep
 	return !g.behindSince.IsZero() && now.Sub(g.behindSince) > alone
 }
 
+// isUnread reports whether the servers were read so long ago that this entry reads them
+// itself: the platform answers the readers of its region, and what they tell does not
+// bring it up to date, or none of them is heard. While the platform answers no reader, it
+// answers nobody.
+func (g *Gateway) isUnread(now time.Time) bool {
+	isAnswered := now.Sub(g.contact.heard) < watchWait
+	isOld := now.Sub(g.readAt) > readingMaxAge
+	return isOld && (isAnswered || now.Sub(g.readerAt) > readerUnheardFor)
+}
+
 // followAnew ends the call to the platform that runs if there is none to make any
 // more, or if only what follows on a first catalog is to be read that a peer gave
 // while it was being listed.
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -54,6 +54,13 @@
 	return earlier(ended, began.Add(wait))
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // dropReason is why something that was heard of servers was not taken.
 type dropReason string
 
@@ -105,6 +112,15 @@
 		zap.Int64("held", int64(held)))
 }
 
+// refused notes a failure of a reading up to a revision.
+func (l *readingLog) refused(err error, r reading, asOf, held catalog.Revision) {
+	l.metrics.Tagged(map[string]string{"source": string(r.origin)}).Counter("servers_refused").Inc(1)
+	if l.allowed() {
+		l.logger.Warn("servers_refused", zap.Error(err), zap.String("source", string(r.origin)), zap.String("from", r.from),
+			zap.Int64("revision", int64(asOf)), zap.Int64("held", int64(held)))
+	}
+}
+
 // wholeListDue notes that an entry is behind the changes that are kept.
 func (l *readingLog) wholeListDue(to fleet.InstanceID, after, first catalog.Revision) {
 	l.metrics.Counter("whole_lists_due").Inc(1)
@@ -137,6 +153,9 @@
 	if r.readAt.After(g.readAt) || before == 0 {
 		g.readAt = r.readAt
 	}
+	if r.origin == fromStore {
+		g.readerAt = now
+	}
 }
 
 // noteLeaving logs the servers that began to leave.
--- a/daemon/gateway/reading_test.go
+++ b/daemon/gateway/reading_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -66,3 +68,37 @@
 		Expect(lines.FilterMessage("servers_adopted").Len()).To(BeNumerically("<=", 2*linesPerSecond))
 	})
 })
+
+// forgetful is a platform that lost what it had acknowledged.
+type forgetful struct{ catalog.Source }
+
+func (forgetful) List(context.Context) (catalog.Snapshot, error) { return snapshot(3), nil }
+
+func (forgetful) Watch(context.Context, catalog.Revision, time.Duration) ([]catalog.Change, catalog.Revision, error) {
+	return []catalog.Change{{Revision: 3, Removed: "i-1"}}, 3, nil
+}
+
+var _ = Describe("What is known of the servers", func() {
+	one := server("i-1", "10.0.1.1:80", 2)
+
+	// Guards against servers that are lost by bad input.
+	It("stands where a reading has no revision, or an older one", func() {
+		g, backend := newGateway()
+		g.adopt(start, snapshot(5, one), "platform")
+		g.adopt(start, catalog.Snapshot{}, "peer")
+		g.adopt(start, snapshot(4), "peer")
+		g.apply(start, []catalog.Change{{Revision: 6, Removed: "i-1"}}, 0)
+		g.apply(start, []catalog.Change{{Revision: 4, Removed: "i-1"}}, 4)
+		Expect(listed(g, backend, start)).To(ConsistOf(fleet.InstanceID("i-1")))
+	})
+
+	// Guards against a store that restarted: its calls count as failed.
+	It("stands where the platform's revision goes back", func() {
+		g, _ := newGateway()
+		g.opts.Source = forgetful{}
+		at := position{servers: 5, operator: 5}
+		Expect(errorx.IsOfType(g.watch(context.Background(), &at), catalog.WentBack)).To(BeTrue())
+		Expect(errorx.IsOfType(g.list(context.Background(), &at), catalog.WentBack)).To(BeTrue())
+		Expect(at).To(Equal(position{servers: 5, operator: 5}))
+	})
+})
--- a/daemon/gateway/serverfeed.go
+++ b/daemon/gateway/serverfeed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
 	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
 )
@@ -63,6 +64,7 @@
 	b.Servers = g.newsFor(now, to)
 	if !b.Brief || b.Servers != nil {
 		contact := g.contact.told(now)
+		contact.ReadAgoMS = now.Sub(g.readAt).Milliseconds()
 		b.Platform = &contact
 	}
 }
@@ -87,14 +89,25 @@
 
 // heardReader takes what an entry tells that reads the platform for the region.
 func (g *Gateway) heardReader(now time.Time, b wire.Beat) {
-	if v := g.view.Load(); b.Platform != nil && v != nil && !v.reads {
-		g.contact.follow(now, *b.Platform)
+	if b.Platform != nil {
+		g.readerAt = now
+		if v := g.view.Load(); v != nil && !v.reads {
+			g.contact.follow(now, *b.Platform)
+		}
 	}
-	n := b.Servers
-	if n == nil || g.snapshot.AsOf == 0 || n.AsOf <= g.snapshot.AsOf {
+	if g.snapshot.AsOf == 0 {
 		return
 	}
-	r := reading{origin: fromReader, from: string(b.ID), readAt: readBefore(now, n.AgeMS)}
+	if b.Servers != nil && b.Servers.AsOf > g.snapshot.AsOf {
+		g.heardChanges(now, b.ID, *b.Servers)
+	}
+	if b.Platform != nil && !b.Brief {
+		g.compareReader(now, b)
+	}
+}
+
+func (g *Gateway) heardChanges(now time.Time, from fleet.InstanceID, n wire.ServerNews) {
+	r := reading{origin: fromReader, from: string(from), readAt: readBefore(now, n.AgeMS)}
 	if n.After > g.snapshot.AsOf {
 		g.missing = max(g.missing, n.AsOf)
 		g.readings.dropped(dropGap, r, n.After, n.AsOf, g.snapshot.AsOf)
@@ -102,3 +115,11 @@
 	}
 	g.adoptServers(now, n.Changes, n.AsOf, r)
 }
+
+// compareReader compares what is known here with what a reader knows. Whoever knows as
+// much is up to date as of the reader's last reading.
+func (g *Gateway) compareReader(now time.Time, b wire.Beat) {
+	if b.AsOf <= g.snapshot.AsOf {
+		g.readAt = later(g.readAt, readBefore(now, b.Platform.ReadAgoMS))
+	}
+}
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -183,6 +183,22 @@
 		Expect(g.snapshot.AsOf == 8 && g.lacksServers(start) || !hasServer(g.snapshot.Servers, "i-2")).To(BeTrue())
 	})
 
+	// Guards against servers that are used by an old reading, while the platform answers.
+	It("reads the platform itself once what it knows is old, and its readers are answered", func() {
+		old := at(readingMaxAge + time.Millisecond)
+		Expect(g.reads(old, regionReaders)).To(BeTrue(), "no reader is heard")
+		b := beat("10.0.0.2")
+		b.AsOf, b.Platform = 7, &wire.PlatformState{}
+		g.heard(old, nearEntry, b)
+		Expect(g.reads(old, regionReaders)).To(BeTrue(), "it is behind its reader")
+		b.AsOf = 5
+		g.heard(old, nearEntry, b)
+		Expect(g.reads(old, regionReaders)).To(BeFalse(), "it knows as much as its reader")
+		b.AsOf, b.Platform = 7, &wire.PlatformState{HeardAgoMS: readingMaxAge.Milliseconds(), ReadAgoMS: readingMaxAge.Milliseconds()}
+		g.heard(old.Add(readingMaxAge), nearEntry, b)
+		Expect(g.reads(old.Add(readingMaxAge), regionReaders)).To(BeFalse(), "the platform answers nobody")
+	})
+
 	// The platform was away for six seconds, and registrations lapsed there though
 	// their servers live. Left out, all servers would be gone at its return.
 	It("keeps servers that lapsed while the platform was away", func() {
--- a/daemon/wire/beat.go
+++ b/daemon/wire/beat.go
@@ -82,6 +82,9 @@
 	// away for SilentMS; both 0 if it never was.
 	RegainedAgoMS int64 `cbor:"3,keyasint,omitzero"`
 	SilentMS      int64 `cbor:"4,keyasint,omitzero"`
+	// ReadAgoMS is up to how long ago all changes of servers are known up to the beat's
+	// AsOf.
+	ReadAgoMS int64 `cbor:"5,keyasint,omitzero"`
 }
 
 // ServerNews is what happened to servers after a revision, complete up to
