--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -78,7 +78,7 @@
 type Gateway struct {
 	opts  Options
 	ctx   context.Context
-	mesh  *mesh.Mesh
+	mesh  links
 	clock bootclock.Watch
 	board *placement.Board
 	log   *requestLog
@@ -108,6 +108,8 @@
 	urgentNear bool
 	asking     bool
 	nextAsk    time.Time
+	// startAsk asks a peer for its catalog. The answer comes to askEnded.
+	startAsk func(addr netip.Addr, ask wire.CatalogAsk)
 	// revisionHeard is the newest configuration that a peer reported.
 	revisionHeard catalog.Revision
 	// behindSince is since when a peer's catalog is ahead; zero if none is.
@@ -123,14 +125,17 @@
 	lapsed    map[fleet.InstanceID]catalog.Server
 	toldLoads map[fleet.InstanceID]uint64 // change of the board up to which each entry is up to date
 	told      map[fleet.InstanceID]uint64 // members that each agent has received
-	// serversAt is when the servers were last received, feed the changes to them
+	// readAt is up to when the platform's changes of servers are known, feed the changes
 	// that are forwarded, and toldServers up to which revision each entry has them.
-	serversAt   time.Time
+	readAt      time.Time
+	readings    *readingLog
 	feed        serverFeed
 	toldServers map[fleet.InstanceID]catalog.Revision
 	// missing is up to which revision a reader of the region sent changes that do not
 	// continue those known here.
 	missing catalog.Revision
+	// readerAt is when a reader of the region was last heard, or the platform read here.
+	readerAt time.Time
 	// turnedAwayUntil is until when this entry counts as turned away by the
 	// platform.
 	turnedAwayUntil time.Time
@@ -208,6 +213,9 @@
 		manifests:   newManifests(),
 		toldLoads:   make(map[fleet.InstanceID]uint64),
 		toldServers: make(map[fleet.InstanceID]catalog.Revision),
+		readAt:      now,
+		readerAt:    now,
+		readings:    newReadingLog(opts.Logger, opts.Metrics),
 		quarantine:  quarantine.New(),
 		limits:      serverlimit.New(),
 		listed:      make(map[netip.AddrPort]placement.Server),
@@ -217,6 +225,7 @@
 	}
 	g.crashReports = newReportSender[quarantine.Report](g.quarantine)
 	g.limitReports = newReportSender[serverlimit.Report](g.limits)
+	g.startAsk = func(addr netip.Addr, ask wire.CatalogAsk) { go g.askPeer(addr, ask) }
 	g.board.SetSelf(opts.Self, opts.Place)
 	g.mesh = mesh.New(ctx, now, mesh.Options{
 		Self:       opts.Self,
@@ -255,6 +264,10 @@
 	if gap := g.clock.Elapsed(); gap > pausedAfter {
 		g.woke(now, gap)
 	}
+	g.step(now)
+}
+
+func (g *Gateway) step(now time.Time) {
 	g.mesh.Tick(now)
 	g.askPeers(now)
 	g.endLapses(now)
--- a/daemon/gateway/serverfeed.go
+++ b/daemon/gateway/serverfeed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/fleet"
 	"chivespindle.example/daemon/mesh"
 	"chivespindle.example/daemon/wire"
 )
@@ -60,41 +61,65 @@
 	if form == mesh.First {
 		delete(g.toldServers, to.ID)
 	}
-	b.Servers = g.newsFor(to)
+	b.Servers = g.newsFor(now, to)
 	if !b.Brief || b.Servers != nil {
 		contact := g.contact.told(now)
+		contact.ReadAgoMS = now.Sub(g.readAt).Milliseconds()
 		b.Platform = &contact
 	}
 }
 
 // newsFor returns what happened to servers since an entry was last told, nil for
-// nothing. If that is not known any more, the news has no changes, and the entry takes
-// the whole list.
-func (g *Gateway) newsFor(to mesh.Peer) *wire.ServerNews {
+// nothing. If that is not known any more, the news leads from its own end to its end, so
+// that only an entry which knows all of it can take it. Any other asks for the whole list.
+func (g *Gateway) newsFor(now time.Time, to mesh.Peer) *wire.ServerNews {
 	after := max(g.toldServers[to.ID], to.AsOf)
 	if after == 0 || after >= g.feed.asOf {
 		return nil
 	}
 	changes, ok := g.feed.since(after)
 	g.toldServers[to.ID] = g.feed.asOf
+	news := &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes, AgeMS: now.Sub(g.readAt).Milliseconds()}
 	if !ok {
-		return &wire.ServerNews{After: g.feed.after, AsOf: g.feed.asOf}
+		news.After = news.AsOf
+		g.readings.wholeListDue(to.ID, after, news.After)
 	}
-	return &wire.ServerNews{After: after, AsOf: g.feed.asOf, Changes: changes}
+	return news
 }
 
 // heardReader takes what an entry tells that reads the platform for the region.
 func (g *Gateway) heardReader(now time.Time, b wire.Beat) {
-	if v := g.view.Load(); b.Platform != nil && v != nil && !v.reads {
-		g.contact.follow(now, *b.Platform)
+	if b.Platform != nil {
+		g.readerAt = now
+		if v := g.view.Load(); v != nil && !v.reads {
+			g.contact.follow(now, *b.Platform)
+		}
 	}
-	n := b.Servers
-	if n == nil || g.snapshot.AsOf == 0 || n.AsOf <= g.snapshot.AsOf {
+	if g.snapshot.AsOf == 0 {
 		return
 	}
+	if b.Servers != nil && b.Servers.AsOf > g.snapshot.AsOf {
+		g.heardChanges(now, b.ID, *b.Servers)
+	}
+	if b.Platform != nil && !b.Brief {
+		g.compareReader(now, b)
+	}
+}
+
+func (g *Gateway) heardChanges(now time.Time, from fleet.InstanceID, n wire.ServerNews) {
+	r := reading{origin: fromReader, from: string(from), readAt: readBefore(now, n.AgeMS)}
 	if n.After > g.snapshot.AsOf {
 		g.missing = max(g.missing, n.AsOf)
+		g.readings.dropped(dropGap, r, n.After, n.AsOf, g.snapshot.AsOf)
 		return
 	}
-	g.applyServers(now, n.Changes, n.AsOf, "peer "+string(b.ID))
+	g.adoptServers(now, n.Changes, n.AsOf, r)
+}
+
+// compareReader compares what is known here with what a reader knows. Whoever knows as
+// much is up to date as of the reader's last reading.
+func (g *Gateway) compareReader(now time.Time, b wire.Beat) {
+	if b.AsOf <= g.snapshot.AsOf {
+		g.readAt = later(g.readAt, readBefore(now, b.Platform.ReadAgoMS))
+	}
 }
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -170,6 +170,35 @@
 		Expect(g.lacksServers(at(200 * time.Millisecond))).To(BeFalse())
 	})
 
+	// Guards against a change that is lost where a reader tells that it no longer has the
+	// changes since, and the list that was taken meanwhile lies between.
+	It("does not count as up to date by a message that only asks it to take the whole list", func() {
+		reader, _ := newGateway()
+		reader.adopt(start, snapshot(7, one, two), "platform")
+		reader.apply(start, removeTwo, 9)
+		b := beat("10.0.0.2")
+		b.Servers = reader.newsFor(start, mesh.Peer{ID: g.opts.Self, Role: fleet.RoleEntry, Near: true, AsOf: 5})
+		g.adopt(start, snapshot(8, one, two), "peer")
+		g.heard(start, nearEntry, b)
+		Expect(g.snapshot.AsOf == 8 && g.lacksServers(start) || !hasServer(g.snapshot.Servers, "i-2")).To(BeTrue())
+	})
+
+	// Guards against servers that are used by an old reading, while the platform answers.
+	It("reads the platform itself once what it knows is old, and its readers are answered", func() {
+		old := at(readingMaxAge + time.Millisecond)
+		Expect(g.reads(old, regionReaders)).To(BeTrue(), "no reader is heard")
+		b := beat("10.0.0.2")
+		b.AsOf, b.Platform = 7, &wire.PlatformState{}
+		g.heard(old, nearEntry, b)
+		Expect(g.reads(old, regionReaders)).To(BeTrue(), "it is behind its reader")
+		b.AsOf = 5
+		g.heard(old, nearEntry, b)
+		Expect(g.reads(old, regionReaders)).To(BeFalse(), "it knows as much as its reader")
+		b.AsOf, b.Platform = 7, &wire.PlatformState{HeardAgoMS: readingMaxAge.Milliseconds(), ReadAgoMS: readingMaxAge.Milliseconds()}
+		g.heard(old.Add(readingMaxAge), nearEntry, b)
+		Expect(g.reads(old.Add(readingMaxAge), regionReaders)).To(BeFalse(), "the platform answers nobody")
+	})
+
 	// The platform was away for six seconds, and registrations lapsed there though
 	// their servers live. Left out, all servers would be gone at its return.
 	It("keeps servers that lapsed while the platform was away", func() {
@@ -199,7 +228,7 @@
 		peer.ID, peer.Region = "10.0.0.3", "kano"
 		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(BeNil(), "its own region has readers")
 		peer.ID, peer.Region, peer.AsOf = "10.0.0.4", "lagos", 4
-		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(Equal(&wire.ServerNews{After: 5, AsOf: 9}), "it asks for the whole list")
+		Expect(g.compose(at(time.Second), peer, mesh.Whole).Servers).To(Equal(&wire.ServerNews{After: 9, AsOf: 9}), "it asks for the whole list")
 	})
 })
 
