Count in the model what a restart of all costs an entry

Fewer entries list the store a second time, since a catalog from a peer tells up to where the operator's part is complete.

--- a/daemon/gateway/model_store_test.go
+++ b/daemon/gateway/model_store_test.go
@@ -133,7 +133,6 @@
 func (s *modelStore) list() catalog.Snapshot {
 	all := s.now
 	all.Servers = slices.Clone(all.Servers)
-	all.OperatorAsOf = 0
 	return all
 }
 
@@ -172,6 +171,7 @@
 	ended func() bool // by the entry itself; nil while no call runs
 	calls int
 	lists int
+	bytes int
 }
 
 func (f *follower) turn(now time.Time) {
@@ -200,6 +200,7 @@
 		f.lists++
 		e.m.after(out, func(now time.Time) {
 			s := e.m.store.list()
+			f.bytes += sizeOf(s)
 			e.m.after(e.m.storeWay(now, e), func(now time.Time) {
 				f.answered(now, call, func() {
 					e.g.adoptList(now, s, reading{origin: fromStore, readAt: began})
@@ -212,6 +213,7 @@
 	after := min(f.at.servers, f.at.operator)
 	e.m.after(out, func(now time.Time) {
 		err := e.m.store.watch(now, &modelWatch{after: after, answer: func(now time.Time, changes []catalog.Change, asOf catalog.Revision) {
+			f.bytes += sizeOf(changes)
 			e.m.after(e.m.storeWay(now, e), func(now time.Time) {
 				f.answered(now, call, func() {
 					e.g.adoptChanges(now, changes, asOf, reading{origin: fromStore, readAt: watchedAt(began, now, patience)})
@@ -263,4 +265,6 @@
 	}
 }
 
-func modelAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
+func modelAddr(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, 0, byte((i + 1) >> 8), byte(i + 1)})
+}
--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -148,9 +148,16 @@
 	}
 }
 
+// newEmptyModel returns a store with servers and no entries.
+func newEmptyModel(seed uint64, servers int) *model {
+	m := &model{rand: rand.New(rand.NewPCG(seed, 1)), now: start}
+	m.store = newModelStore(m, servers)
+	return m
+}
+
 // newModel lets entries start at random moments within a second.
 func newModel(seed uint64, size int) *model {
-	m := &model{rand: rand.New(rand.NewPCG(seed, 1)), now: start}
+	m := newEmptyModel(seed, 0)
 	m.store = newModelStore(m, 4+m.rand.IntN(5))
 	regions := 1 + m.rand.IntN(2)
 	for i := range size {
@@ -176,7 +183,7 @@
 	e.g.startAsk = e.ask
 	e.follow = &follower{e: e}
 	for _, other := range m.entries {
-		if other.alive {
+		if other.alive && (other.g.opts.Place.Region == region || len(m.entries) <= modelGroup) {
 			m.after(m.chance(700*time.Millisecond), func(now time.Time) { m.connect(now, e, other) })
 		}
 	}
@@ -382,15 +389,19 @@
 
 // run returns what must not be and was seen.
 func (m *model) run() string {
+	m.runFor(modelFor)
+	return m.broken
+}
+
+func (m *model) runFor(span time.Duration) {
 	for m.broken == "" && len(m.events) > 0 {
 		next := heap.Pop(&m.events).(modelEvent)
-		if next.at.Sub(start) > modelFor {
+		if next.at.Sub(start) > span {
 			break
 		}
 		m.now = next.at
 		next.do(m.now)
 	}
-	return m.broken
 }
 
 func sizeOf(v any) int {
