--- a/core/catalog/order.go
+++ b/core/catalog/order.go
@@ -38,18 +38,22 @@
 	return nil
 }
 
-// CheckKnown returns a failure for each registration that ends by changes, and which
-// neither the snapshot nor the changes tell of.
-func (s Snapshot) CheckKnown(changes []Change) []error {
+// CheckKnown returns a failure if registrations end by changes, of which neither the
+// snapshot nor the changes tell; nil if none does.
+func (s Snapshot) CheckKnown(changes []Change) error {
 	known := func(id fleet.InstanceID) bool {
 		return slices.ContainsFunc(s.Servers, func(server Server) bool { return server.ID == id }) ||
 			slices.ContainsFunc(changes, func(c Change) bool { return c.Server != nil && c.Server.ID == id })
 	}
-	var all []error
+	var unknown []Change
 	for _, c := range changes {
 		if c.Removed != "" && c.Revision > s.AsOf && !known(c.Removed) {
-			all = append(all, UnknownServer.New("the registration of %s ended at revision %d", c.Removed, c.Revision))
+			unknown = append(unknown, c)
 		}
 	}
-	return all
+	if len(unknown) == 0 {
+		return nil
+	}
+	return UnknownServer.New("%d registrations ended, the first that of %s at revision %d",
+		len(unknown), unknown[0].Removed, unknown[0].Revision)
 }
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -56,7 +56,7 @@
 		return
 	}
 	before := g.snapshot
-	for _, err := range before.CheckKnown(changes) {
+	if err := before.CheckKnown(changes); err != nil {
 		g.readings.refused(err, r, asOf, before.AsOf)
 	}
 	next, gone := g.snapshot.ApplyServers(changes, asOf)
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -116,7 +116,7 @@
 func (l *readingLog) refused(err error, r reading, asOf, held catalog.Revision) {
 	l.metrics.Tagged(map[string]string{"source": string(r.origin)}).Counter("servers_refused").Inc(1)
 	if l.allowed() {
-		l.logger.Warn("servers_refused", zap.Error(err), zap.String("source", string(r.origin)), zap.String("from", r.from),
+		l.logger.Info("servers_refused", zap.Error(err), zap.String("source", string(r.origin)), zap.String("from", r.from),
 			zap.Int64("revision", int64(asOf)), zap.Int64("held", int64(held)))
 	}
 }
