--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -345,6 +345,7 @@
 	kind      routing.Kind
 	resumable bool
 	leavesAt  int
+	isSpent   bool // nothing is left of the retry budget
 }
 
 // mostAttempts is how many servers a call may reach, exhaustive the number of attempts up
@@ -372,6 +373,8 @@
 	route.Aim, route.PauseAim, route.Timeout = time.Second, time.Second, 10*time.Second
 	g.adopt(time.Now(), snapshot, fromPlatform)
 	g.publish(time.Now())
+	for s.isSpent && g.allowRepeat(time.Now(), "pool") {
+	}
 	backend := &scripted{script: script, state: make(map[netip.AddrPort]Liveness)}
 	g.opts.Backend = backend
 	caller := &recorder{leavesAt: s.leavesAt}
@@ -450,6 +453,20 @@
 	}
 }
 
+// Guards against repeats and resumptions that the retry budget does not allow.
+func TestNoCallIsSentAgainBeyondTheRetryBudget(t *testing.T) {
+	s := situation{kind: routing.Stream, resumable: true, isSpent: true}
+	for _, name := range []string{"breaks off", "breaks off before an event", "answers 500", "declines", "resets"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if b, _ := s.play([]outcome{outcomeOf(t, name)}); len(b.sent) != 1 {
+					t.Errorf("servers: %s", namesOf(b.sent))
+				}
+			})
+		})
+	}
+}
+
 func outcomeOf(t *testing.T, name string) outcome {
 	t.Helper()
 	i := slices.IndexFunc(outcomes, func(o outcome) bool { return o.name == name })
--- a/daemon/gateway/reply_test.go
+++ b/daemon/gateway/reply_test.go
@@ -34,4 +34,19 @@
 		Entry("a refusal", func(r *reply, _ Answer) { r.refuse(Verdict{Code: Broken}) }),
 		Entry("a whole answer", func(r *reply, a Answer) { Expect(r.whole(a, nil)).To(HaveOccurred()) }),
 	)
+
+	// Guards against a resumption that is sent to an engine of another version.
+	It("is continued on the version that began it only", func() {
+		g, _ := newGateway()
+		j := &job{reply: newReply(g, &Call{ID: "c", LastEvent: delivery.NoEvent}, &recorder{})}
+		Expect(j.mayContinueOn(2)).To(BeTrue())
+		answer := &scriptedAnswer{outcome: outcomes[0]}
+		run, err := j.reply.accept(answer)
+		Expect(err).NotTo(HaveOccurred())
+		event, err := answer.Next()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(j.reply.event(answer, run, event)).To(BeTrue())
+		Expect(j.mayContinueOn(answer.Version())).To(BeTrue())
+		Expect(j.mayContinueOn(answer.Version() + 1)).To(BeFalse())
+	})
 })
