--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -32,6 +32,7 @@
 	dialled    sideMetrics
 	accepted   sideMetrics
 	dialFailed tally.Counter
+	resent     tally.Counter // first flights that were sent again
 	kinds      map[Kind]*kindMetrics
 }
 
@@ -56,6 +57,7 @@
 		dialled:    newSideMetrics(scope, "dialled"),
 		accepted:   newSideMetrics(scope, "accepted"),
 		dialFailed: scope.Counter("dials_failed"),
+		resent:     scope.Counter("first_flights_resent"),
 		kinds:      make(map[Kind]*kindMetrics),
 	}
 	for kind, name := range kindNames {
