daemon/mesh: agents keep their links with near entries

Cause: an agent holds links with two near entries and closes the others once it has them. An entry tells it which entries of its region there are, and leaves itself out, so with each beat the sender stopped counting as near: the agent dialled another, had two near ones, and closed the sender's link.

Change: the sender is near if it is of the agent's region and does not leave.

Test: an agent with three entries loses no link in twelve beats; two before.

--- a/daemon/mesh/contacts.go
+++ b/daemon/mesh/contacts.go
@@ -66,17 +66,19 @@
 	return c
 }
 
-// learn takes the entries that an agent is told of as near.
-func (m *Mesh) learn(now time.Time, entries []netip.Addr) {
-	if len(entries) == 0 {
-		return
-	}
-	for _, c := range m.contacts {
-		c.near = slices.Contains(entries, c.addr)
+// learn takes the entries that an agent is told of as near. An entry lists the
+// others of the agent's region, and is near itself if it is of that region.
+func (m *Mesh) learn(now time.Time, from *contact, b wire.Beat) {
+	isNear := b.Place.Region == m.opts.Place.Region && !b.Leaving
+	if len(b.Entries) > 0 {
+		for _, c := range m.contacts {
+			c.near = slices.Contains(b.Entries, c.addr)
+		}
 	}
-	for _, addr := range entries {
+	for _, addr := range b.Entries {
 		m.contact(now, addr).near = true
 	}
+	from.near = from.near || isNear
 }
 
 // Entries returns the other entries that were heard of, by id.
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -181,7 +181,7 @@
 	c.last = b
 	c.heard = now
 	if m.opts.Role == fleet.RoleAgent {
-		m.learn(now, b.Entries)
+		m.learn(now, c, b)
 		return true
 	}
 	m.heardDigests(now, l, b.Digests)
--- a/daemon/mesh/mesh_test.go
+++ b/daemon/mesh/mesh_test.go
@@ -31,6 +31,7 @@
 	endpoint *peer.Endpoint
 	mesh     *mesh.Mesh
 	heard    map[fleet.InstanceID]wire.Beat // belongs to the loop
+	beats    map[fleet.InstanceID]int
 	lost     map[fleet.InstanceID]int
 	leaving  bool
 	stop     func()
@@ -57,7 +58,7 @@
 	addr := netip.MustParseAddr(address)
 	n := &node{
 		id: mesh.IDOf(addr), place: place, loop: control.New(control.Options{Every: 10 * time.Millisecond}),
-		heard: map[fleet.InstanceID]wire.Beat{}, lost: map[fleet.InstanceID]int{},
+		heard: map[fleet.InstanceID]wire.Beat{}, beats: map[fleet.InstanceID]int{}, lost: map[fleet.InstanceID]int{},
 	}
 	store, err := keys.Ephemeral(keys.Identity{ID: n.id, Role: role})
 	Expect(err).NotTo(HaveOccurred())
@@ -83,7 +84,7 @@
 		},
 		GroupLoads: func(time.Time) []placement.RegionLoad { return nil },
 		HasNews:    func(fleet.InstanceID) bool { return false },
-		Heard:      func(_ time.Time, _ mesh.Peer, b wire.Beat) { n.heard[b.ID] = b },
+		Heard:      func(_ time.Time, _ mesh.Peer, b wire.Beat) { n.heard[b.ID] = b; n.beats[b.ID]++ },
 		Lost:       func(_ time.Time, id fleet.InstanceID) { n.lost[id]++ },
 	})
 	n.loop.AddTicker(n.mesh)
@@ -150,6 +151,34 @@
 		Eventually(side.live, patience).Should(ConsistOf(two.id, three.id))
 	})
 
+	// Guards against an agent that changes its links with each beat, as an entry does
+	// not name itself among those that are near.
+	It("has an agent keep the links that it has", func() {
+		const enough = 12
+		entries := []*node{start(port, fleet.RoleEntry, a), start(port, fleet.RoleEntry, b, a), start(port, fleet.RoleEntry, c, a)}
+		for _, n := range entries {
+			Eventually(n.live, patience).Should(HaveLen(len(entries) - 1))
+		}
+		side := start(port, fleet.RoleAgent, agent, a, b, c)
+		Eventually(side.links, patience).Should(Equal(2))
+		lost := func() (total int) {
+			for _, n := range entries {
+				_ = n.loop.Do(context.Background(), func(time.Time) { total += n.lost[agent] })
+			}
+			return total
+		}
+		before := lost()
+		Eventually(func() (beats int) {
+			_ = side.loop.Do(context.Background(), func(time.Time) {
+				for _, n := range entries {
+					beats += side.beats[n.id]
+				}
+			})
+			return beats
+		}, patience).Should(BeNumerically(">=", enough))
+		Expect(lost() - before).To(BeZero())
+	})
+
 	// A process is killed and started again at its address. Its links from before
 	// lead nowhere and close nothing.
 	It("links again with a process that was started anew", func() {
