daemon/mesh: an agent dials another entry when none answers

Cause: all of them in the region of the platform, and the two seeds that they dialled in others. The links to that region are full just then, so both dials ran to their end after 0.9 s; only then the third seed, next to them, was dialled.

Ways: waiting (as it stood); all three seeds at once, which gives each seed half as many handshakes again; another entry once dials have run for 0.25 s.

Change: the last.

--- a/daemon/mesh/dial.go
+++ b/daemon/mesh/dial.go
@@ -82,7 +82,7 @@
 		m.closeOthers(now)
 		return
 	}
-	dialing := m.dialing()
+	dialing := m.dialing(now)
 	for _, c := range m.byNearness() {
 		if good+dialing >= agentLinks {
 			return
@@ -96,7 +96,7 @@
 		if c.dialing || m.links[id] != nil || now.Before(c.retryAt) || isSpare {
 			continue
 		}
-		c.dialing = true
+		c.dialing, c.dialledAt = true, now
 		dialing++
 		go m.dial(c.addr)
 	}
@@ -127,10 +127,11 @@
 	return c != nil && c.near
 }
 
-func (m *Mesh) dialing() int {
+// dialing is the number of an agent's dials that may be about to be answered.
+func (m *Mesh) dialing(now time.Time) int {
 	n := 0
 	for _, c := range m.contacts {
-		if c.dialing {
+		if c.dialing && now.Sub(c.dialledAt) < dialPatience {
 			n++
 		}
 	}
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -76,6 +76,9 @@
 	// agentLinks is the number of entries that an agent is linked to, so that
 	// one that is lost leaves another.
 	agentLinks = 2
+	// dialPatience is how long an agent waits for an entry that it dials until it
+	// dials another as well: the link to the first may be full.
+	dialPatience = 250 * time.Millisecond
 	// forgetAfter is when an entry that stays silent is dialled no more, unless
 	// it is a seed.
 	forgetAfter = 30 * time.Second
