daemon/mesh: an agent dials at most four entries at a time

Since an agent dials another entry once dials have run for 0.25 s, one whose entries are all gone dials two more every 0.25 s, and eight at a time where it dialled two before: four times the packets, while there is nobody.

Change: at most four dials at a time.

--- a/daemon/mesh/dial.go
+++ b/daemon/mesh/dial.go
@@ -82,9 +82,9 @@
 		m.closeOthers(now)
 		return
 	}
-	dialing := m.dialing(now)
+	dialing, slow := m.dialing(now)
 	for _, c := range m.byNearness() {
-		if good+dialing >= agentLinks {
+		if good+dialing >= agentLinks || dialing+slow >= agentDials {
 			return
 		}
 		id := IDOf(c.addr)
@@ -127,15 +127,19 @@
 	return c != nil && c.near
 }
 
-// dialing is the number of an agent's dials that may be about to be answered.
-func (m *Mesh) dialing(now time.Time) int {
-	n := 0
+// dialing returns how many of an agent's dials may be about to be answered, and how
+// many run for longer.
+func (m *Mesh) dialing(now time.Time) (fresh, slow int) {
 	for _, c := range m.contacts {
-		if c.dialing && now.Sub(c.dialledAt) < dialPatience {
-			n++
+		switch {
+		case !c.dialing:
+		case now.Sub(c.dialledAt) < dialPatience:
+			fresh++
+		default:
+			slow++
 		}
 	}
-	return n
+	return fresh, slow
 }
 
 // byNearness orders the contacts of an agent: those that it was told of as near
--- a/daemon/mesh/export_test.go
+++ b/daemon/mesh/export_test.go
@@ -1,6 +1,13 @@
 package mesh
 
-import "chivespindle.example/core/fleet"
+import (
+	"time"
+
+	"chivespindle.example/core/fleet"
+)
+
+// DialPatience is how long an agent waits for an answer.
+const DialPatience = dialPatience
 
 // Links returns the number of links.
 func (m *Mesh) Links() int { return len(m.links) }
@@ -10,11 +17,6 @@
 
 // Dialling returns how many dials run.
 func (m *Mesh) Dialling() int {
-	n := 0
-	for _, c := range m.contacts {
-		if c.dialing {
-			n++
-		}
-	}
-	return n
+	fresh, slow := m.dialing(time.Now())
+	return fresh + slow
 }
--- a/daemon/mesh/mesh_test.go
+++ b/daemon/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"slices"
@@ -224,6 +225,18 @@
 		})
 	})
 
+	// Guards against an agent that dials more and more entries when all are gone.
+	It("has an agent dial few entries at a time", func() {
+		const most = 4
+		var seeds []string
+		for i := range 3 * most {
+			seeds = append(seeds, fmt.Sprintf("127.0.3.%d", 100+i))
+		}
+		side := startWith(time.Hour, fleet.Place{Zone: "hall", Region: "lagos"}, port, fleet.RoleAgent, agent, seeds...)
+		Eventually(side.dials, patience).Should(Equal(most))
+		Consistently(side.dials, 3*mesh.DialPatience).Should(Equal(most))
+	})
+
 	// A process is killed and started again at its address. Its links from before
 	// lead nowhere and close nothing.
 	It("links again with a process that was started anew", func() {
