--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -64,6 +64,10 @@
 			return
 		}
 		c.failed = 0
+		if m.opts.Role == fleet.RoleAgent && m.goodLinks() >= agentLinks {
+			s.Abort() // others answered first
+			return
+		}
 		m.up(now, newLink(id, s.Peer().Role, m.opts.Self, s))
 	})
 }
@@ -181,7 +185,7 @@
 	c.last = b
 	c.heard = now
 	if m.opts.Role == fleet.RoleAgent {
-		m.learn(now, b.Entries)
+		m.learn(now, c, b)
 		return true
 	}
 	m.heardDigests(now, l, b.Digests)
