Revert "adapters/peer: send first packets again that nobody answered"

Two reasons to take it out:

- It sends datagrams of a QUIC handshake again beneath the library and reads their first byte to find them: a part of a transport of our own, which the project does not build.
The library's timer is what there is.

--- a/adapters/peer/dial.go
+++ b/adapters/peer/dial.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync"
 
 	"github.com/joomcode/errorx"
 	"github.com/quic-go/quic-go"
@@ -88,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, e.opts.HandshakeTimeout)
 	defer cancel()
 	generation := e.opts.Keys.Generation()
-	conn, err := e.handshake(ctx, addr)
+	conn, err := e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), e.opts.Keys.ClientTLS(), e.clientConfig())
 	if err != nil {
 		e.metrics.dialFailed.Inc(1)
 		e.opts.Logger.Debug("peer_dial_failed", zap.Stringer("addr", addr), zap.Error(err))
@@ -106,19 +105,3 @@
 	}
 	return l, nil
 }
-
-// handshake makes a connection, whose first packets are sent again while the
-// other side does not answer.
-func (e *Endpoint) handshake(ctx context.Context, addr netip.AddrPort) (*quic.Conn, error) {
-	unanswered, answered := context.WithCancel(ctx)
-	first := e.flights.begin(addr)
-	var resending sync.WaitGroup
-	resending.Go(func() { e.resend(unanswered, first, addr) })
-	defer func() {
-		answered()
-		resending.Wait()
-		e.flights.end(addr, first)
-	}()
-	conf := untilAnswered(e.opts.Keys.ClientTLS(), answered)
-	return e.transport.Dial(ctx, net.UDPAddrFromAddrPort(addr), conf, e.clientConfig())
-}
--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -10,7 +10,6 @@
 	"slices"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
@@ -40,10 +39,7 @@
 // Endpoint is both client and server over one UDP socket.
 type Endpoint struct {
 	opts      Options
-	bound     *net.UDPConn
-	socket    socket // over bound
-	flights   *flights
-	started   time.Time
+	socket    *net.UDPConn
 	addr      netip.AddrPort
 	transport *quic.Transport
 	listener  *quic.Listener // nil without a Handler
@@ -71,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	bound, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(opts.Listen))
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(opts.Listen))
 	if errors.Is(err, syscall.EADDRINUSE) {
 		return nil, AddressInUse.New("UDP address %s is held by another process", opts.Listen)
 	}
@@ -80,10 +76,8 @@
 	}
 	e := &Endpoint{
 		opts:    opts,
-		bound:   bound,
-		flights: newFlights(),
-		started: time.Now(),
-		addr:    addrPortOf(bound.LocalAddr()),
+		socket:  socket,
+		addr:    addrPortOf(socket.LocalAddr()),
 		gate:    newGate(),
 		metrics: newMetrics(opts.Metrics, opts.Logger),
 		links:   make(map[*link]struct{}),
@@ -96,12 +90,19 @@
 	}
 	e.gate.onFailed = e.handshakeFailed
 	if err := e.listen(); err != nil {
-		_ = bound.Close()
+		_ = socket.Close()
 		return nil, err
 	}
 	return e, nil
 }
 
+func (e *Endpoint) packetConn() net.PacketConn {
+	if e.opts.Socket == nil {
+		return e.socket
+	}
+	return e.opts.Socket(e.socket)
+}
+
 // listen makes the QUIC transport. The key of stateless resets comes from the
 // private key, so that a restarted process can tell its peers at once that
 // their old connections are gone; with a random key they would find out by
@@ -109,9 +110,8 @@
 func (e *Endpoint) listen() error {
 	_ = os.Setenv(quietBufferWarning, "true") // fails only on a malformed name
 	resetKey := quic.StatelessResetKey(e.opts.Keys.Secret("stateless reset"))
-	e.socket = e.newSocket()
 	e.transport = &quic.Transport{
-		Conn:                e.socket,
+		Conn:                e.packetConn(),
 		StatelessResetKey:   &resetKey,
 		VerifySourceAddress: e.gate.verifySource,
 		ConnContext:         e.gate.admit,
@@ -131,7 +131,7 @@
 // warnSmallBuffer says in a line of ours what quic-go would print: with a small
 // buffer the kernel drops packets of a burst, which shows as slow transfers.
 func (e *Endpoint) warnSmallBuffer() {
-	raw, err := e.bound.SyscallConn()
+	raw, err := e.socket.SyscallConn()
 	if err != nil {
 		return
 	}
@@ -239,7 +239,7 @@
 		_ = e.listener.Close()
 	}
 	_ = e.transport.Close()
-	_ = e.bound.Close()
+	_ = e.socket.Close()
 	e.work.Wait()
 }
 
--- a/adapters/peer/export_test.go
+++ b/adapters/peer/export_test.go
@@ -5,7 +5,7 @@
 // Crash ends the endpoint as a crashed process does: its peers hear nothing,
 // since no datagram can be written any more.
 func (e *Endpoint) Crash() {
-	_ = e.bound.SetWriteDeadline(time.Unix(1, 0))
+	_ = e.socket.SetWriteDeadline(time.Unix(1, 0))
 	_ = e.Close()
 }
 
--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -32,7 +32,6 @@
 	dialled    sideMetrics
 	accepted   sideMetrics
 	dialFailed tally.Counter
-	resent     tally.Counter // first flights that were sent again
 	kinds      map[Kind]*kindMetrics
 }
 
@@ -57,7 +56,6 @@
 		dialled:    newSideMetrics(scope, "dialled"),
 		accepted:   newSideMetrics(scope, "accepted"),
 		dialFailed: scope.Counter("dials_failed"),
-		resent:     scope.Counter("first_flights_resent"),
 		kinds:      make(map[Kind]*kindMetrics),
 	}
 	for kind, name := range kindNames {
