core/delivery: a server that knows less than its caller ends no stream

A caller comes with the events up to one, and its server streams from the start, ends before that one and marks the end. Nothing was passed on, and the answer was complete: the caller took what it had for all of the stream. Such a run is tried again elsewhere or failed now. The new spec failed before.

--- a/core/delivery/delivery.go
+++ b/core/delivery/delivery.go
@@ -184,11 +184,12 @@
 }
 
 // CheckEnd fails with OutOfOrder if the end of a run does not show that the caller has
-// all events: a resumed run must have reached the last one. A server that returns no
-// event does not show that it knows of any.
+// all events: a run must have reached the last one. A resumed run that returns no event
+// does not show that it knows of any. A caller that comes with events of an earlier answer
+// may have all of them.
 func (p *Progress) CheckEnd(r *Run) error {
-	if r.resumes && r.last < p.last {
-		return OutOfOrder.New("a resumed stream ended after event %d, the caller has event %d", r.last, p.last)
+	if r.last < p.last && (r.resumes || r.last != NoEvent) {
+		return OutOfOrder.New("a stream ended after event %d, the caller has event %d", r.last, p.last)
 	}
 	return nil
 }
--- a/core/delivery/delivery_test.go
+++ b/core/delivery/delivery_test.go
@@ -151,3 +151,15 @@
 		Expect(p.Finish(run)).To(Succeed())
 	})
 })
+
+var _ = Describe("An answer to a caller that has later events than its server", func() {
+	// Guards against a server that knows less than the caller, whose end is taken for the
+	// end of the stream.
+	It("is not complete", func() {
+		p := delivery.New(3)
+		run, err := p.Accept(ok)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.Event(run, 1)).To(BeFalse())
+		Expect(p.Finish(run)).To(ofType(delivery.OutOfOrder))
+	})
+})
