gateway: no unproved "not run" where a call may run only once

What callers would get: a server's own 503, 429 or 408 without the header that says that the call did not run. By the callers' protocol the status alone is that promise, so they send the call again; the server may have run it, and it runs twice.

Cause: the statuses of servers were passed on as they are; only those that state "not run" are taken as declined.

Such an answer is now a failure that promises nothing (502), on routes whose calls may run only once. Where a call may be repeated it is passed on as before.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -139,6 +139,8 @@
 			l.lastFailure() + "."
 	case "unreachable", "no_answer", "answer_broken", "stream_broken", "server_failed", "not_continued":
 		return l.serverFailed(last)
+	case "unproved_refusal":
+		return "Its server refused it without saying that it did not run, and it may run only once: " + l.lastFailure() + "."
 	default:
 		return fmt.Sprintf("The entry gave the reason %s.", reason)
 	}
--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -87,6 +87,8 @@
 	{name: "streams a failure", isStream: true, status: 500, ids: rest(1), end: io.EOF},
 	{name: "answers 200"},
 	{name: "is killed in a body without a length", unframed: true, state: Down},
+	{name: "answers 503 without saying that it did not run", status: 503},
+	{name: "answers 429 without saying that it did not run", status: 429},
 	{name: "answers 404", status: 404},
 	{name: "answers 500", status: 500},
 	{name: "declines", status: 503, notRun: true},
@@ -144,6 +146,7 @@
 func (a *scriptedAnswer) Status() int                { return max(a.status, http.StatusOK) }
 func (a *scriptedAnswer) NotRun() bool               { return a.notRun }
 func (a *scriptedAnswer) Misdirected() bool          { return a.status == http.StatusMisdirectedRequest }
+func (a *scriptedAnswer) PromisesNotRun() bool       { return a.status == 503 || a.status == 429 }
 func (a *scriptedAnswer) Limit() ServerLimit         { return ServerLimit{} }
 func (a *scriptedAnswer) Streams() bool              { return a.isStream }
 func (a *scriptedAnswer) EndIsFramed() bool          { return !a.unframed }
@@ -383,6 +386,13 @@
 	return backend, caller
 }
 
+// promisesInVain reports whether a call that may run only once has an answer by which its
+// caller sends it again, though it may have run.
+func (s situation) promisesInVain(r *recorder) bool {
+	isIdempotent := s.resumable || s.kind == routing.Safe
+	return r.isWhole && r.head.PromisesNotRun() && !isIdempotent
+}
+
 // each plays all scripts that begin with one: a script is extended as long as the
 // gateway makes more attempts than it has outcomes.
 func (s situation) each(script []outcome, check func(*scripted, *recorder)) {
@@ -424,7 +434,11 @@
 				played, failed := 0, make(map[string]int)
 				check := func(b *scripted, r *recorder) {
 					played++
-					if broken := b.broken(r, s.resumable); broken != "" {
+					broken := b.broken(r, s.resumable)
+					if broken == "" && s.promisesInVain(r) {
+						broken = "a call that may have run is answered as not run"
+					}
+					if broken != "" {
 						failed[broken]++
 						reportFew(t, failed[broken], "%s: events %v, complete %v; servers: %s", broken, r.events, r.complete, namesOf(b.sent))
 					}
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -80,6 +80,7 @@
 func (s *engineStream) Status() int                     { return max(s.status, 200) }
 func (s *engineStream) NotRun() bool                    { return s.declined }
 func (s *engineStream) Misdirected() bool               { return false }
+func (s *engineStream) PromisesNotRun() bool            { return false }
 func (s *engineStream) Version() placement.ModelVersion { return s.version }
 func (s *engineStream) Limit() ServerLimit              { return ServerLimit{} }
 func (s *engineStream) Streams() bool                   { return true }
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -217,6 +217,10 @@
 }
 
 // whole gives on the answer of a plain service, once it has come whole.
+//
+// Callers send a call again after a status that promises that it did not run. A server
+// that does not say so may have run it, so such an answer is not given where the call may
+// run only once.
 func (j *job) whole(ctx context.Context, ticket *placement.Ticket, answer Answer) bool {
 	answer.SetDeadline(j.deadline)
 	body, err := answer.Body(heldBytes)
@@ -229,6 +233,12 @@
 		return j.bodyFailed(ctx, ticket, err)
 	}
 	answer.Close(true)
+	if answer.PromisesNotRun() && !j.route.Idempotent() {
+		ticket.End(now, j.resultOfFailure(now))
+		j.g.log.serverError(j, ticket, answer.Status())
+		j.giveUp("unproved_refusal", 0)
+		return false
+	}
 	if answer.Status() < http.StatusInternalServerError {
 		ticket.End(now, placement.Succeeded)
 		j.clearOfCrashes(now)
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -93,6 +93,9 @@
 	// Misdirected reports whether another server than the one that was meant, or
 	// another version, answers.
 	Misdirected() bool
+	// PromisesNotRun reports whether callers take the status for a promise that the call
+	// did not run. Without NotRun the server does not say so.
+	PromisesNotRun() bool
 	// Version is the one that answers; 0 if it was not told.
 	Version() placement.ModelVersion
 	// Limit is what the server says of the requests that it takes.
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -39,6 +39,7 @@
 func (emptyAnswer) Status() int                      { return http.StatusOK }
 func (emptyAnswer) NotRun() bool                     { return false }
 func (emptyAnswer) Misdirected() bool                { return false }
+func (emptyAnswer) PromisesNotRun() bool             { return false }
 func (emptyAnswer) Version() placement.ModelVersion  { return 1 }
 func (emptyAnswer) Limit() ServerLimit               { return ServerLimit{} }
 func (emptyAnswer) Streams() bool                    { return true }
