Count a pause of the process in the age of a reading, and more troubles in the model

A clock that does not count a pause would have a reader tell of an old reading as new (by reading; the spec failed first: 1000 where 4000 is due).

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -299,6 +299,7 @@
 	g.opts.Logger.Warn("woke", zap.Duration("after", gap))
 	g.doubtful = true
 	g.contact.woke(now)
+	g.readAt = g.readAt.Add(-gap) // the clock may not have counted the pause
 	g.replicas = make(map[netip.Addr]replica)
 	g.readyAt = make(map[netip.Addr]time.Time)
 	g.changed = true
--- a/daemon/gateway/model_store_test.go
+++ b/daemon/gateway/model_store_test.go
@@ -110,6 +110,30 @@
 	}
 }
 
+// compact forgets the history.
+func (s *modelStore) compact(time.Time) {
+	s.first = s.now.AsOf
+}
+
+// crash has a server start again under another id at its address. Its first registration
+// ends later.
+func (s *modelStore) crash(now time.Time) {
+	live := s.live()
+	if len(live) == 0 {
+		return
+	}
+	old := live[0]
+	delete(s.liveSince, old.ID)
+	s.next++
+	next := old
+	next.ID = fleet.InstanceID(fmt.Sprintf("i-%d", s.next))
+	s.register(now, next)
+	s.m.after(2*time.Second, func(now time.Time) {
+		s.leftAt[old.ID] = now
+		s.write(now, catalog.Change{Removed: old.ID})
+	})
+}
+
 // live returns the servers that do not leave.
 func (s *modelStore) live() []catalog.Server {
 	return slices.DeleteFunc(slices.Clone(s.now.Servers), func(server catalog.Server) bool { return server.Draining })
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -183,6 +183,15 @@
 		Expect(g.snapshot.AsOf == 8 && g.lacksServers(start) || !hasServer(g.snapshot.Servers, "i-2")).To(BeTrue())
 	})
 
+	// Guards against a reader that tells of an old reading as new after a pause that its
+	// clock did not count.
+	It("counts a pause of the process in the age of its reading", func() {
+		g.woke(at(time.Second), 3*time.Second)
+		reads()
+		peer := mesh.Peer{ID: "10.0.0.2", Role: fleet.RoleEntry, Near: true, Region: "lagos", AsOf: 5}
+		Expect(g.compose(at(time.Second), peer, mesh.Whole).Platform.ReadAgoMS).To(Equal(int64(4000)))
+	})
+
 	// Guards against servers that are used by an old reading, while the platform answers.
 	It("reads the platform itself once what it knows is old, and its readers are answered", func() {
 		old := at(readingMaxAge + time.Millisecond)
