No further copy of a configuration for the age of a reading

An entry that reads the store since its reading of the servers is old, and lacks a configuration that its readers have read over a slow link, would read that too, as all of its region would at the same moment (by reading).

--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -86,12 +86,15 @@
 
 // isUnread reports whether the servers were read so long ago that this entry reads them
 // itself: the platform answers the readers of its region, and what they tell does not
-// bring it up to date, or none of them is heard. While the platform answers no reader, it
-// answers nobody.
+// bring it up to date, or none of them is heard. While the platform answers no reader,
+// calls of all others would only add to its load. One that lacks a configuration would
+// read a further copy of it over the link of the region.
 func (g *Gateway) isUnread(now time.Time) bool {
-	isAnswered := now.Sub(g.contact.heard) < watchWait
 	isOld := now.Sub(g.readAt) > readingMaxAge
-	return isOld && (isAnswered || now.Sub(g.readerAt) > readerUnheardFor)
+	isAnswered := now.Sub(g.contact.heard) < watchWait
+	isUnheard := now.Sub(g.readerAt) > readerUnheardFor
+	lacksConfig := g.revisionHeard > g.snapshot.ConfigRevision
+	return isOld && (isAnswered || isUnheard) && !lacksConfig
 }
 
 // followAnew ends the call to the platform that runs if there is none to make any
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -200,6 +200,9 @@
 		b.AsOf, b.Platform = 7, &wire.PlatformState{}
 		g.heard(old, nearEntry, b)
 		Expect(g.reads(old, regionReaders)).To(BeTrue(), "it is behind its reader")
+		g.revisionHeard = 9
+		Expect(g.reads(old, regionReaders)).To(BeFalse(), "it would read a configuration that its readers have read")
+		g.revisionHeard = 0
 		b.AsOf = 5
 		g.heard(old, nearEntry, b)
 		Expect(g.reads(old, regionReaders)).To(BeFalse(), "it knows as much as its reader")
