gateway: kept seeds of the model stay as they were found

Two of the 14 seeds that once broke the bound were dropped when the model got troubles of the store, since they are among the seeds that have those. All 14 are played now with the troubles with which they failed; fresh seeds have the later troubles too.

--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -419,8 +419,29 @@
 // seedsOfModel is a setting for long runs by hand.
 var seedsOfModel = flag.Uint64("model-seeds", 1000, "number of seeds with which the model of entries and a store runs")
 
+// disturbAtStart is what happens with each seed.
+func disturbAtStart(m *model, seed uint64) {
+	m.disturb()
+	if seed%someSeeds == hiddenSeeds {
+		m.after(m.chance(modelFor/2), m.hide)
+	}
+}
+
+// disturbMore is disturbAtStart with troubles of the store and of servers.
+func disturbMore(m *model, seed uint64) {
+	disturbAtStart(m, seed)
+	switch seed % someSeeds {
+	case compactSeeds:
+		m.after(m.chance(modelFor/2), m.store.compact)
+		m.after(m.chance(modelFor/2), m.store.compact)
+	case crashSeeds:
+		m.after(m.chance(modelFor/2), m.store.crash)
+		m.after(m.chance(modelFor/2), m.store.crash)
+	}
+}
+
 // breakingSeeds returns what was seen with each seed that breaks a bound.
-func breakingSeeds(seeds []uint64) []string {
+func breakingSeeds(seeds []uint64, disturb func(*model, uint64)) []string {
 	next := make(chan uint64)
 	var mu sync.Mutex
 	var broken []string
@@ -430,17 +451,7 @@
 			defer GinkgoRecover()
 			for seed := range next {
 				m := newModel(seed, 3+int(seed%8))
-				m.disturb()
-				switch seed % someSeeds {
-				case hiddenSeeds:
-					m.after(m.chance(modelFor/2), m.hide)
-				case compactSeeds:
-					m.after(m.chance(modelFor/2), m.store.compact)
-					m.after(m.chance(modelFor/2), m.store.compact)
-				case crashSeeds:
-					m.after(m.chance(modelFor/2), m.store.crash)
-					m.after(m.chance(modelFor/2), m.store.crash)
-				}
+				disturb(m, seed)
 				if seen := m.run(); seen != "" {
 					mu.Lock()
 					broken = append(broken, fmt.Sprintf("seed %d, %s", seed, seen))
@@ -466,13 +477,14 @@
 		for seed := range *seedsOfModel {
 			seeds = append(seeds, seed)
 		}
-		broken := breakingSeeds(seeds)
+		broken := breakingSeeds(seeds, disturbMore)
 		Expect(len(broken)).To(BeZero(), "of %d seeds:\n%s", len(seeds), strings.Join(broken, "\n"))
 	})
 
 	// Guards against a change that is left out where a reader has no changes to tell, and
 	// against an old reading at an entry that is told nothing.
 	It("use no server that left with seeds that once broke the bound", func() {
-		Expect(breakingSeeds([]uint64{55, 61, 101, 134, 140, 206, 244, 302, 339, 343, 446, 923})).To(BeEmpty())
+		seeds := []uint64{55, 61, 101, 134, 140, 198, 206, 237, 244, 302, 339, 343, 446, 923}
+		Expect(breakingSeeds(seeds, disturbAtStart)).To(BeEmpty())
 	})
 })
