gateway: terms of the field, and what the age of a reading is bounded by

hasBegun becomes hasStarted, and comments use started, resumed, states in place of words of our own. The comment of readingMaxAge named a bound that is 3 s on one kind of deployment and 2 s on others; the age follows from how often readers read. No change of behaviour.

--- a/core/catalog/order.go
+++ b/core/catalog/order.go
@@ -9,7 +9,7 @@
 
 // Failures of what was read of the servers. What is known stands until a newer reading.
 var (
-	// NoRevision is a reading that does not tell up to which revision it is complete.
+	// NoRevision is a reading that does not state up to which revision it is complete.
 	NoRevision = failure.Namespace.NewType("no_revision")
 	// WentBack is a reading of the platform that ends before an earlier one.
 	WentBack = failure.Namespace.NewType("revision_went_back")
--- a/core/delivery/delivery.go
+++ b/core/delivery/delivery.go
@@ -25,7 +25,7 @@
 type Stage uint8
 
 const (
-	// Nothing: the answer has not begun.
+	// Nothing: the answer has not started.
 	Nothing Stage = iota
 	// Partial: the head and some events were sent.
 	Partial
@@ -83,8 +83,8 @@
 // Stage returns how much of its answer the caller has.
 func (p *Progress) Stage() Stage { return p.stage }
 
-// HasBegun reports whether the caller has a part of its answer.
-func (p *Progress) HasBegun() bool { return p.stage != Nothing }
+// HasStarted reports whether the caller has a part of its answer.
+func (p *Progress) HasStarted() bool { return p.stage != Nothing }
 
 // LastEvent returns the id of the last event that the caller has.
 func (p *Progress) LastEvent() int64 { return p.last }
--- a/core/delivery/delivery_test.go
+++ b/core/delivery/delivery_test.go
@@ -147,7 +147,7 @@
 		run, err := p.Accept(ok)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(p.Event(run, 3)).To(BeFalse())
-		Expect(p.HasBegun()).To(BeFalse())
+		Expect(p.HasStarted()).To(BeFalse())
 		Expect(p.Finish(run)).To(Succeed())
 	})
 })
--- a/core/routing/routing.go
+++ b/core/routing/routing.go
@@ -76,7 +76,7 @@
 // have run it.
 func (r *Route) Idempotent() bool { return r.Kind == Safe || r.MayResume() }
 
-// MayResume reports whether another server may go on with an answer that has begun.
+// MayResume reports whether another server may resume an answer that has started.
 func (r *Route) MayResume() bool { return r.Kind == Stream && r.Resumable }
 
 // Origin is where whole copies of weights come from.
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -110,7 +110,7 @@
 	if j.standing(time.Now()).IsQuarantined() {
 		return false
 	}
-	if j.moveTried || j.service.Engine == nil || !j.hasBegun() || !j.mayBeSentAgain() || j.attempts >= j.route.MaxAttempts {
+	if j.moveTried || j.service.Engine == nil || !j.hasStarted() || !j.mayBeSentAgain() || j.attempts >= j.route.MaxAttempts {
 		return false
 	}
 	return j.service.Engine.Write(ticket.Work(), j.remainingTokens(ticket)) >= worthMoving
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -89,7 +89,7 @@
 		return
 	}
 	l.logger.Info("refused", inputs(j, zap.Stringer("code", v.Code), zap.String("reason", v.Reason),
-		zap.Duration("retry_after", v.RetryAfter), zap.Bool("begun", j.hasBegun()), zap.Bool("may_have_run", j.mayHaveRun))...)
+		zap.Duration("retry_after", v.RetryAfter), zap.Bool("begun", j.hasStarted()), zap.Bool("may_have_run", j.mayHaveRun))...)
 }
 
 func (l *requestLog) notPlaced(j *job, r placement.Refusal) {
@@ -171,8 +171,8 @@
 	return resultRefused + callResult(v.Reason)
 }
 
-// panicked logs a panic, which goes on: the server that is above ends the connection and
-// says nothing.
+// panicked logs a panic and lets it pass: net/http then ends the connection, without a log
+// line of its own.
 func (l *requestLog) panicked(call *Call) {
 	p := recover()
 	if p == nil {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -57,7 +57,7 @@
 		ticket.End(now, placement.Abandoned)
 	case j.isOver(ctx, now):
 		ticket.End(now, placement.Silent)
-	case j.wasToEnd(now), !j.hasBegun() && errorx.IsOfType(err, failure.Timeout) && j.isOutOfTime(now, ticket.Server):
+	case j.wasToEnd(now), !j.hasStarted() && errorx.IsOfType(err, failure.Timeout) && j.isOutOfTime(now, ticket.Server):
 		ticket.End(now, placement.Abandoned)
 	case errorx.IsOfType(err, failure.Timeout):
 		ticket.End(now, placement.Silent)
@@ -138,7 +138,7 @@
 // giveUp answers for a call that nobody takes.
 func (j *job) giveUp(reason string, retryAfter time.Duration) {
 	switch {
-	case j.hasBegun():
+	case j.hasStarted():
 		j.cut(reason)
 	case j.held != nil:
 		j.giveHeld()
@@ -156,7 +156,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		j.callerLeft()
-	case isOver && j.mayHaveRun && j.held == nil && !j.hasBegun():
+	case isOver && j.mayHaveRun && j.held == nil && !j.hasStarted():
 		j.refuse(Verdict{Code: TimedOut, Reason: "timeout"})
 	case isOver:
 		j.giveUp("timeout", 0)
@@ -347,14 +347,14 @@
 // eventBy is when the next event must be there.
 func (j *job) eventBy(now time.Time, server placement.Server) time.Time {
 	by := j.latestResponseTime(j.serverUntil)
-	if !j.hasBegun() {
+	if !j.hasStarted() {
 		by = j.beginBy(now, server, j.serverUntil)
 	}
 	if !j.mayBeSentAgain() || j.attempts >= j.route.MaxAttempts {
 		return by
 	}
 	allowed := streamSilence
-	if !j.hasBegun() {
+	if !j.hasStarted() {
 		allowed += j.predicted
 	}
 	return earlier(by, now.Add(allowed))
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -32,8 +32,8 @@
 	// heard until it counts as lost.
 	readerUnheardFor = 1200 * time.Millisecond
 	// readingMaxAge is how long ago the servers may have been read until an entry reads
-	// them itself. It leaves half a second of the time for which a leaving server may be
-	// used.
+	// them itself. While its readers work and nothing changes, a reading is as old as a
+	// watch, the pause after it and a heartbeat are long.
 	readingMaxAge = 2500 * time.Millisecond
 )
 
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -19,7 +19,7 @@
 	fromPeer   origin = "peer"   // an entry that was asked
 )
 
-// fromPlatform names the platform where logs tell whom something came from.
+// fromPlatform names the platform as a source in logs.
 const fromPlatform = "platform"
 
 // reading is where a state of the catalog came from.
@@ -61,7 +61,7 @@
 	return a
 }
 
-// dropReason is why something that was heard of servers was not taken.
+// dropReason is why a report on servers was not taken.
 type dropReason string
 
 const (
--- a/daemon/gateway/reply.go
+++ b/daemon/gateway/reply.go
@@ -41,7 +41,7 @@
 	if isComment(event) {
 		return r.comment(event)
 	}
-	isFirst := !r.progress.HasBegun()
+	isFirst := !r.progress.HasStarted()
 	passed, err = r.progress.Event(run, event.ID)
 	if err != nil || !passed {
 		return false, r.checked(err)
@@ -58,7 +58,7 @@
 // isComment reports whether an event has no place in the order of events.
 func isComment(event eventstream.Event) bool { return event.ID < 0 && !event.HasData() }
 
-// comment passes a comment on, if the answer has begun.
+// comment passes a comment on, if the answer has started.
 func (r *reply) comment(event eventstream.Event) (passed bool, err error) {
 	if r.progress.Stage() != delivery.Partial {
 		return false, nil
@@ -76,7 +76,7 @@
 
 // complete ends a stream after its last event.
 func (r *reply) complete(answer Answer, run *delivery.Run) error {
-	isFirst := !r.progress.HasBegun()
+	isFirst := !r.progress.HasStarted()
 	if err := r.checked(r.progress.Finish(run)); err != nil {
 		return err
 	}
--- a/daemon/gateway/reply_test.go
+++ b/daemon/gateway/reply_test.go
@@ -43,7 +43,7 @@
 		caller := &reader{}
 		r := pass(caller, comment)
 		Expect(caller.got()).To(BeEmpty())
-		Expect(r.progress.HasBegun()).To(BeFalse())
+		Expect(r.progress.HasStarted()).To(BeFalse())
 	})
 })
 
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -203,7 +203,7 @@
 		return false
 	}
 	j.predicted = ticket.Predicted
-	if !j.hasBegun() {
+	if !j.hasStarted() {
 		j.predictedFirst = ticket.Predicted
 		j.placedAt = now
 	}
@@ -309,7 +309,7 @@
 
 // isLate reports whether the answer cannot be on time any more.
 func (j *job) isLate(now time.Time) bool {
-	return j.returned || j.hasBegun() || now.Sub(j.call.Arrived) >= j.route.Aim
+	return j.returned || j.hasStarted() || now.Sub(j.call.Arrived) >= j.route.Aim
 }
 
 // order describes an attempt at the ticket's server.
@@ -359,16 +359,16 @@
 }
 
 // mayBeSentAgain reports whether another server may get the call once one may have run
-// it. One that goes on where the caller's answer has ended must be able to.
+// it. After the first event, the next server must be able to resume the stream.
 func (j *job) mayBeSentAgain() bool {
-	if j.hasBegun() {
+	if j.hasStarted() {
 		return j.route.MayResume() && j.reply.progress.MayResume()
 	}
 	return j.route.Idempotent()
 }
 
-// hasBegun reports whether the caller has a part of its answer.
-func (j *job) hasBegun() bool { return j.reply.progress.HasBegun() }
+// hasStarted reports whether the caller has a part of its answer.
+func (j *job) hasStarted() bool { return j.reply.progress.HasStarted() }
 
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
--- a/daemon/mesh/contacts.go
+++ b/daemon/mesh/contacts.go
@@ -68,7 +68,7 @@
 	return c
 }
 
-// learn takes the entries that an agent is told of as near. An entry lists the
+// learn takes the entries that a message lists as near the agent. An entry lists the
 // others of the agent's region, and is near itself if it is of that region.
 func (m *Mesh) learn(now time.Time, from *contact, b wire.Beat) {
 	isNear := b.Place.Region == m.opts.Place.Region && !b.Leaving
