Revert "daemon/mesh: an agent dials another entry when none answers"

And with it "an agent dials at most four entries at a time".

Engines that come sooner are filled with calls that are late already. It is worth another try once that is mended.

--- a/daemon/mesh/contacts.go
+++ b/daemon/mesh/contacts.go
@@ -15,13 +15,11 @@
 	addr    netip.Addr
 	seed    bool
 	dialing bool
-	// dialledAt is when an agent last began to dial it.
-	dialledAt time.Time
-	failed    int
-	retryAt   time.Time
-	named     time.Time // when it was last heard of
-	last      wire.Beat // zero until heard over a link
-	heard     time.Time // over a link
+	failed  int
+	retryAt time.Time
+	named   time.Time // when it was last heard of
+	last    wire.Beat // zero until heard over a link
+	heard   time.Time // over a link
 	// told is what a digest tells of it, toldAt as of when.
 	told   wire.EntryState
 	toldAt time.Time
--- a/daemon/mesh/dial.go
+++ b/daemon/mesh/dial.go
@@ -82,9 +82,9 @@
 		m.closeOthers(now)
 		return
 	}
-	dialing, slow := m.dialing(now)
+	dialing := m.dialing()
 	for _, c := range m.byNearness() {
-		if good+dialing >= agentLinks || dialing+slow >= agentDials {
+		if good+dialing >= agentLinks {
 			return
 		}
 		id := IDOf(c.addr)
@@ -96,7 +96,7 @@
 		if c.dialing || m.links[id] != nil || now.Before(c.retryAt) || isSpare {
 			continue
 		}
-		c.dialing, c.dialledAt = true, now
+		c.dialing = true
 		dialing++
 		go m.dial(c.addr)
 	}
@@ -127,19 +127,14 @@
 	return c != nil && c.near
 }
 
-// dialing returns how many of an agent's dials may be about to be answered, and how
-// many run for longer.
-func (m *Mesh) dialing(now time.Time) (fresh, slow int) {
+func (m *Mesh) dialing() int {
+	n := 0
 	for _, c := range m.contacts {
-		switch {
-		case !c.dialing:
-		case now.Sub(c.dialledAt) < dialPatience:
-			fresh++
-		default:
-			slow++
+		if c.dialing {
+			n++
 		}
 	}
-	return fresh, slow
+	return n
 }
 
 // byNearness orders the contacts of an agent: those that it was told of as near
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -64,10 +64,6 @@
 			return
 		}
 		c.failed = 0
-		if m.opts.Role == fleet.RoleAgent && m.goodLinks() >= agentLinks {
-			s.Abort() // others answered first
-			return
-		}
 		m.up(now, newLink(id, s.Peer().Role, m.opts.Self, s))
 	})
 }
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -76,11 +76,6 @@
 	// agentLinks is the number of entries that an agent is linked to, so that
 	// one that is lost leaves another.
 	agentLinks = 2
-	// dialPatience is how long an agent waits for an entry that it dials until it
-	// dials another as well: the link to the first may be full.
-	dialPatience = 250 * time.Millisecond
-	// agentDials is the most entries that an agent dials at a time: all may be gone.
-	agentDials = 4
 	// forgetAfter is when an entry that stays silent is dialled no more, unless
 	// it is a seed.
 	forgetAfter = 30 * time.Second
