gateway: only entries that hear no reader read the store for an old reading

Readers behind a full link are answered late, so the reading of all entries of their region is old at once, and all of them read over the same link.

Now a reader that is heard is enough.

--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -487,4 +487,10 @@
 		seeds := []uint64{55, 61, 101, 134, 140, 198, 206, 237, 244, 302, 339, 343, 446, 923}
 		Expect(breakingSeeds(seeds, disturbAtStart)).To(BeEmpty())
 	})
+
+	// Guards against servers that left in use at an entry that its readers do not know of
+	// and whose questions hang.
+	It("use no server that left where readers are heard and tell nothing", func() {
+		Expect(breakingSeeds([]uint64{1375, 2365, 2415}, disturbMore)).To(BeEmpty())
+	})
 })
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -85,16 +85,14 @@
 }
 
 // isUnread reports whether the servers were read so long ago that this entry reads them
-// itself: the platform answers the readers of its region, and what they tell does not
-// bring it up to date, or none of them is heard. While the platform answers no reader,
-// calls of all others would only add to its load. One that lacks a configuration would
-// read a further copy of it over the link of the region.
+// itself, since it hears no reader of its region. While one is heard, its reading is as
+// old as the platform's answers are late, and calls of all others would only fill the same
+// link. One that lacks a configuration would read a further copy of it.
 func (g *Gateway) isUnread(now time.Time) bool {
 	isOld := now.Sub(g.readAt) > readingMaxAge
-	isAnswered := now.Sub(g.contact.heard) < watchWait
 	isUnheard := now.Sub(g.readerAt) > readerUnheardFor
 	lacksConfig := g.revisionHeard > g.snapshot.ConfigRevision
-	return isOld && (isAnswered || isUnheard) && !lacksConfig
+	return isOld && isUnheard && !lacksConfig
 }
 
 // followAnew ends the call to the platform that runs if there is none to make any
