Log what servers state about themselves in responses

What was seen: requests reached a server that had stated in its responses that it leaves, and servers that had asked for rest kept getting requests. No line told that a server had stated either, and none told that a response had a header without a reader.

All attempts go through one function now, which passes what a response states about its server to one place: its limit, that it leaves, the backoff that it requests. An entry logs a server's leaving and the start of a backoff once, a backoff that is no number of seconds, and each header of a response that the adapter does not know. attempt_declined has the status and the backoff.

No decision depends on it yet.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -124,8 +124,10 @@
 	disabled policy.Disabled
 	services map[fleet.ServiceName]*serverGroup
 	servers  map[fleet.InstanceID]*serverState
-	remote   *remoteLoads
-	regions  *regionLoads
+	// statements has an entry for each server that has stated something.
+	statements map[fleet.InstanceID]*statements
+	remote     *remoteLoads
+	regions    *regionLoads
 	// self and place identify and locate this entry; empty before SetSelf.
 	self  fleet.InstanceID
 	place fleet.Place
@@ -168,13 +170,14 @@
 // New returns a Balancer without servers.
 func New(r Rand, disabled policy.Disabled) *Balancer {
 	return &Balancer{
-		rand:     r,
-		disabled: disabled,
-		services: make(map[fleet.ServiceName]*serverGroup),
-		servers:  make(map[fleet.InstanceID]*serverState),
-		remote:   newRemoteLoads(newFreedSlots(r, disabled.LeaveFreed)),
-		regions:  newRegionLoads(),
-		removed:  make(map[fleet.InstanceID]uint64),
+		rand:       r,
+		disabled:   disabled,
+		services:   make(map[fleet.ServiceName]*serverGroup),
+		servers:    make(map[fleet.InstanceID]*serverState),
+		statements: make(map[fleet.InstanceID]*statements),
+		remote:     newRemoteLoads(newFreedSlots(r, disabled.LeaveFreed)),
+		regions:    newRegionLoads(),
+		removed:    make(map[fleet.InstanceID]uint64),
 	}
 }
 
@@ -203,6 +206,7 @@
 		case st == nil:
 			st = b.newState(s.ID)
 		case s.Born.Replaces(st.Born):
+			delete(b.statements, s.ID)
 			st = b.newState(s.ID)
 			b.remote.removeServer(s.ID)
 			b.markChanged(st)
@@ -232,6 +236,7 @@
 		delete(b.removed, id)
 	}
 	b.servers = kept
+	b.retainStatements(now)
 	b.regions.recount(now, kept)
 }
 
--- /dev/null
+++ b/core/placement/statements.go
@@ -0,0 +1,78 @@
+package placement
+
+import (
+	"time"
+
+	"chivespindle.example/core/fleet"
+)
+
+const (
+	// MaxBackoff bounds the backoff that a server can request.
+	MaxBackoff = 5 * time.Minute
+	// statementRetention is how long the statements of an unlisted server are kept. Its
+	// registration may only have lapsed.
+	statementRetention = 10 * time.Minute
+)
+
+// statements is what a server has stated about itself in its responses.
+type statements struct {
+	// leaving is final: a server that shuts down does not return under the same ID.
+	leaving      bool
+	backoffUntil time.Time
+	// unlistedAt is when the server left the list; zero while it is listed.
+	unlistedAt time.Time
+}
+
+// RecordLeaving records that a server stated that it is shutting down, and reports
+// whether it is the first time.
+func (b *Balancer) RecordLeaving(now time.Time, id fleet.InstanceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.statementsOf(now, id)
+	if s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// RecordBackoff records the backoff that a server requested. It returns its end, and
+// whether no backoff was in force before.
+func (b *Balancer) RecordBackoff(now time.Time, id fleet.InstanceID, requested time.Duration) (until time.Time, started bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.statementsOf(now, id)
+	started = requested > 0 && !now.Before(s.backoffUntil)
+	if end := now.Add(min(requested, MaxBackoff)); end.After(s.backoffUntil) {
+		s.backoffUntil = end
+	}
+	return s.backoffUntil, started
+}
+
+// statementsOf returns the statements of a server, which may be unlisted.
+func (b *Balancer) statementsOf(now time.Time, id fleet.InstanceID) *statements {
+	s := b.statements[id]
+	if s == nil {
+		s = &statements{}
+		if b.servers[id] == nil {
+			s.unlistedAt = now
+		}
+		b.statements[id] = s
+	}
+	return s
+}
+
+// retainStatements drops the statements of servers that have been unlisted for
+// statementRetention.
+func (b *Balancer) retainStatements(now time.Time) {
+	for id, s := range b.statements {
+		switch {
+		case b.servers[id] != nil:
+			s.unlistedAt = time.Time{}
+		case s.unlistedAt.IsZero():
+			s.unlistedAt = now
+		case now.Sub(s.unlistedAt) >= statementRetention:
+			delete(b.statements, id)
+		}
+	}
+}
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -68,12 +68,11 @@
 func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Assignment, opts SendOptions) (*successor, error) {
 	opts.StartDeadline = earlier(j.latestResponseTime(opts.Deadline), now.Add(j.targetPause()))
 	j.attempts++
-	response, err := j.g.opts.Backend.Send(ctx, j.call, opts)
+	response, err := j.send(ctx, now, opts)
 	if err != nil {
 		next.End(time.Now(), placement.Abandoned)
 		return nil, err
 	}
-	j.recordLimit(now, next.Server, response)
 	if response.NotRun() || response.Misdirected() {
 		response.Close(response.NotRun())
 		next.End(time.Now(), placement.Declined)
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -83,7 +83,7 @@
 func (s *engineStream) Misdirected() bool               { return false }
 func (s *engineStream) ImpliesNotRun() bool             { return false }
 func (s *engineStream) Version() placement.ModelVersion { return s.version }
-func (s *engineStream) Limit() ServerLimit              { return ServerLimit{} }
+func (s *engineStream) State() ServerState              { return ServerState{} }
 func (s *engineStream) IsEventStream() bool             { return true }
 func (s *engineStream) EndIsFramed() bool               { return true }
 func (s *engineStream) SetDeadline(time.Time)           {}
--- a/daemon/gateway/limit.go
+++ b/daemon/gateway/limit.go
@@ -13,11 +13,7 @@
 )
 
 // recordLimit records the limit that a response advertises. sent is when the call was sent.
-func (j *job) recordLimit(sent time.Time, server placement.Server, response Response) {
-	if response.Misdirected() {
-		return // another server may have answered
-	}
-	limit := response.Limit()
+func (j *job) recordLimit(sent time.Time, server placement.Server, status int, limit ServerLimit) {
 	switch {
 	case limit.Malformed != "":
 		j.g.log.malformedLimit(server, limit.Malformed)
@@ -27,7 +23,7 @@
 			j.g.log.serverLimit(server.ID, limit.PerSecond, "own")
 			j.g.post(func(time.Time) { j.g.applyLimits(change == serverlimit.Started) })
 		}
-	case response.Status() >= http.StatusMultipleChoices:
+	case status >= http.StatusMultipleChoices:
 		// An unsuccessful response may never advertise a limit.
 	case j.g.limits.RecordNotAdvertised(sent, server.ID):
 		j.g.log.limitEnded(server.ID, "own")
@@ -95,10 +91,8 @@
 
 // malformedLimit logs a limit that is not a number. The last valid limit stays in use.
 func (l *requestLog) malformedLimit(server placement.Server, text string) {
-	const shown = 40
 	l.metrics.Counter("server_limits_malformed").Inc(1)
 	if l.allowed() {
-		l.logger.Warn("server_limit_malformed", zap.String("server", string(server.ID)), zap.Stringer("addr", server.Addr),
-			zap.String("limit", text[:min(shown, len(text))]))
+		l.logger.Warn("server_limit_malformed", serverFields(server, zap.String("limit", shorten(text)))...)
 	}
 }
--- a/daemon/gateway/limit_test.go
+++ b/daemon/gateway/limit_test.go
@@ -52,7 +52,7 @@
 
 func (r limitedResponse) Misdirected() bool { return r.misdirected }
 
-func (r limitedResponse) Limit() ServerLimit { return r.limit }
+func (r limitedResponse) State() ServerState { return ServerState{Limit: r.limit} }
 
 var _ = Describe("A server that advertises a limit to twelve entries", func() {
 	const entries, perSecond, requests = 12, 1.0, 10
@@ -90,7 +90,7 @@
 	recordLimit := func(sent time.Time, response limitedResponse) {
 		call := &Call{ID: "c"}
 		j := &job{g: g, call: call, reply: newReply(g, call, nil)}
-		j.recordLimit(sent, placement.Server{ID: "i-1"}, response)
+		j.recordServerState(sent, placement.Server{ID: "i-1"}, response)
 	}
 	limit := func() float64 { return g.limits.All(time.Now())["i-1"] }
 
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -26,6 +26,7 @@
 	logger         *zap.Logger
 	metrics        tally.Scope
 	limiter        lineLimiter
+	headersSeen    headerSet
 	results        *resultCounter
 	responseTime   tally.Histogram // time to the end of a response
 	firstEventTime tally.Histogram // time to the first event of a stream
@@ -147,11 +148,12 @@
 }
 
 // declined records an attempt that the server did not run.
-func (l *requestLog) declined(j *job, server placement.Server) {
+func (l *requestLog) declined(j *job, server placement.Server, response Response) {
 	l.metrics.Counter("attempts_declined").Inc(1)
 	if l.allowed() {
 		l.logger.Info("attempt_declined", callFields(j, zap.String("server", string(server.ID)),
-			zap.Stringer("addr", server.Addr), zap.Uint64("loaded", uint64(server.LoadedVersion)))...)
+			zap.Stringer("addr", server.Addr), zap.Uint64("loaded", uint64(server.LoadedVersion)),
+			zap.Int("status", response.Status()), zap.Duration("backoff", response.State().Backoff.Duration))...)
 	}
 }
 
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -110,8 +110,8 @@
 // handleDeclined handles a response which says that the server did not run the call, or
 // that came from another server or version than required. It reports whether to make
 // another attempt.
-func (j *job) handleDeclined(ctx context.Context, server placement.Server) bool {
-	j.g.log.declined(j, server)
+func (j *job) handleDeclined(ctx context.Context, server placement.Server, response Response) bool {
+	j.g.log.declined(j, server, response)
 	j.exclude = placement.Exclude(j.exclude, server.ID)
 	j.g.post(func(now time.Time) { j.g.handleDeclined(now, server) })
 	now := time.Now()
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -101,8 +101,8 @@
 	ImpliesNotRun() bool
 	// Version is the version of the weights that answers, 0 if the server did not state it.
 	Version() placement.ModelVersion
-	// Limit is the request limit that the server advertises.
-	Limit() ServerLimit
+	// State is what the response states about its server.
+	State() ServerState
 	// IsEventStream reports whether the body is a stream of events.
 	IsEventStream() bool
 	// EndIsFramed reports whether the end of the body is marked. Otherwise the close of
@@ -118,6 +118,26 @@
 	Close(whole bool)
 }
 
+// ServerState is what a response states about its server rather than about the call.
+type ServerState struct {
+	Limit ServerLimit
+	// Leaving is true if the server is shutting down and wants no new calls.
+	Leaving bool
+	Backoff ServerBackoff
+	// UnknownHeaders are the names of the headers that the adapter does not know.
+	UnknownHeaders []string
+}
+
+// ServerBackoff is the time for which a server that rejected a call wants no calls from
+// this entry.
+type ServerBackoff struct {
+	// Requested is true if the response requests a backoff.
+	Requested bool
+	Duration  time.Duration
+	// Malformed is the text of the header if it is not a number of seconds.
+	Malformed string
+}
+
 // ServerLimit is the request limit that a response advertises for its server.
 type ServerLimit struct {
 	// Advertised is true if the response advertises a limit: PerSecond requests per second
--- a/daemon/gateway/scripted_test.go
+++ b/daemon/gateway/scripted_test.go
@@ -136,7 +136,7 @@
 func (a *scriptedResponse) NotRun() bool               { return a.notRun }
 func (a *scriptedResponse) Misdirected() bool          { return a.status == http.StatusMisdirectedRequest }
 func (a *scriptedResponse) ImpliesNotRun() bool        { return a.status == 503 || a.status == 429 }
-func (a *scriptedResponse) Limit() ServerLimit         { return ServerLimit{} }
+func (a *scriptedResponse) State() ServerState         { return ServerState{} }
 func (a *scriptedResponse) IsEventStream() bool        { return a.isStream }
 func (a *scriptedResponse) EndIsFramed() bool          { return !a.unframed }
 func (a *scriptedResponse) SetDeadline(time.Time)      {}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -213,16 +213,15 @@
 	opts := j.sendOptions(now, assignment)
 	j.serverDeadline = opts.Deadline
 	opts.StartDeadline = j.responseStartDeadline(now, opts)
-	response, err := j.g.opts.Backend.Send(ctx, j.call, opts)
+	response, err := j.send(ctx, now, opts)
 	if err != nil {
 		return j.handleSendError(ctx, assignment, err)
 	}
 	j.attempts++
-	j.recordLimit(now, assignment.Server, response)
 	if response.NotRun() || response.Misdirected() {
 		response.Close(true)
 		assignment.End(time.Now(), placement.Declined)
-		return j.handleDeclined(ctx, assignment.Server)
+		return j.handleDeclined(ctx, assignment.Server, response)
 	}
 	return j.handleResponse(ctx, assignment, response)
 }
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -41,7 +41,7 @@
 func (emptyResponse) Misdirected() bool                { return false }
 func (emptyResponse) ImpliesNotRun() bool              { return false }
 func (emptyResponse) Version() placement.ModelVersion  { return 1 }
-func (emptyResponse) Limit() ServerLimit               { return ServerLimit{} }
+func (emptyResponse) State() ServerState               { return ServerState{} }
 func (emptyResponse) IsEventStream() bool              { return true }
 func (emptyResponse) EndIsFramed() bool                { return true }
 func (emptyResponse) SetDeadline(time.Time)            {}
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -57,7 +57,7 @@
 }
 
 func (s *brokenStream) Version() placement.ModelVersion { return s.version }
-func (s *brokenStream) Limit() ServerLimit              { return ServerLimit{} }
+func (s *brokenStream) State() ServerState              { return ServerState{} }
 
 func (s *brokenStream) Next() (eventstream.Event, error) {
 	if s.left == 0 {
