Send no requests to a server that has stated that it is leaving

What callers saw: with the platform's store in disruption, requests reached an engine 2.2 to 4.1 s after a response of it had stated that it leaves.

Cause: a server's leaving was taken from the store alone. The header of its responses had no reader.

Change: the balancer keeps what a server has stated, apart from the list of servers, so neither a list that does not say so nor a registration that lapses and returns undoes it. A leaving server is no capacity: no request is placed, held or retried there, and its end counts as planned. A request that was placed before is withdrawn if the statement arrives while it waits for a connection.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -53,6 +53,9 @@
 	unacknowledgedTimeout = 3 * time.Second
 )
 
+// Withdrawn is the type of the error of a request that was withdrawn before it was sent.
+var Withdrawn = failure.Namespace.NewType("withdrawn")
+
 // Pool is a pool of connections to servers. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
@@ -299,8 +302,9 @@
 
 // Do sends a request once to the server at addr and reads the header of the
 // response, until deadline at the latest. request is called once a connection
-// is available, since the request may contain the time left. When ctx ends, the
-// connection is closed, so that the server can stop its work.
+// is available, since the request may contain the time left; if it returns nil,
+// nothing is sent. When ctx ends, the connection is closed, so that the server can
+// stop its work.
 //
 // The outcome of a failure is failure.NotRun only if no byte of the request was
 // sent.
@@ -316,6 +320,11 @@
 		p.put(c, 0)
 		return nil, failure.WithOutcome(failure.Timeout.New("no time was left when %s was reached", addr), failure.NotRun)
 	}
+	r := request()
+	if r == nil {
+		p.put(c, 0)
+		return nil, failure.WithOutcome(Withdrawn.New("withdrawn when %s was reached", addr), failure.NotRun)
+	}
 	stopAbort := context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(err error, operation string) (*Response, error) {
 		stopAbort()
@@ -323,7 +332,6 @@
 		return nil, failure.WithOutcome(failureType(err).Wrap(err, "%s %s", operation, addr), failure.Unknown)
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	r := request()
 	if err := r.Write(c.writer); err != nil {
 		return fail(err, "send to")
 	}
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -387,6 +387,24 @@
 		Expect(s.connections.Load()).To(Equal(int64(2)))
 	})
 
+	// Guards against a request that reaches a server which no longer wants it because it
+	// waited for the connection.
+	It("sends nothing for a request that is withdrawn once a connection is available", func() {
+		received := make(chan struct{}, 2)
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
+			received <- struct{}{}
+			write(c, okResponse)
+			return true
+		})
+		p := exchange.New()
+		_, err := p.Do(context.Background(), s.addr(), func() *http.Request { return nil }, waitDeadline())
+		Expect(errorx.IsOfType(err, exchange.Withdrawn)).To(BeTrue())
+		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
+		Expect(roundTrip(p, s)).To(Equal("hi"))
+		Expect(received).To(HaveLen(1))
+		Expect(s.connections.Load()).To(Equal(int64(1)))
+	})
+
 	It("does not reuse a connection beyond the server's idle timeout", func() {
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { write(c, okResponse); return true })
 		p := exchange.New()
--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -66,6 +66,13 @@
 	return a.state.Reloading
 }
 
+// IsWithdrawn reports whether the request must not be sent to the server any more.
+func (a *Assignment) IsWithdrawn() bool {
+	a.balancer.mu.Lock()
+	defer a.balancer.mu.Unlock()
+	return a.state.Leaving
+}
+
 // Work returns all known work at the request's server, as of the time at which the
 // request was placed.
 func (a *Assignment) Work() enginemodel.Work {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -181,8 +181,8 @@
 	}
 }
 
-// SetServers replaces the list of servers. Servers that remain keep their load and
-// health. Requests at a server that is no longer listed continue.
+// SetServers replaces the list of servers. Servers that remain keep their load, their
+// health and what they have stated. Requests at a server that is no longer listed continue.
 //
 // The state of a server that restarted under the same ID is reset. The requests of
 // its predecessor end only when their connections are found to be dead, so with
@@ -211,6 +211,7 @@
 			b.remote.removeServer(s.ID)
 			b.markChanged(st)
 		}
+		s.Leaving = s.Leaving || b.statesLeaving(s.ID)
 		if s.isAvailable() && !st.isAvailable() {
 			st.availableSince = now
 			b.remote.freed.remove(s.ID)
--- a/core/placement/statements.go
+++ b/core/placement/statements.go
@@ -24,7 +24,7 @@
 }
 
 // RecordLeaving records that a server stated that it is shutting down, and reports
-// whether it is the first time.
+// whether it is the first time. The server gets no further requests.
 func (b *Balancer) RecordLeaving(now time.Time, id fleet.InstanceID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -33,9 +33,25 @@
 		return false
 	}
 	s.leaving = true
+	if st := b.servers[id]; st != nil {
+		st.Leaving = true
+		b.regions.recount(now, b.servers)
+	}
 	return true
 }
 
+// StatesLeaving reports whether a server has stated that it is shutting down.
+func (b *Balancer) StatesLeaving(id fleet.InstanceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.statesLeaving(id)
+}
+
+func (b *Balancer) statesLeaving(id fleet.InstanceID) bool {
+	s := b.statements[id]
+	return s != nil && s.leaving
+}
+
 // RecordBackoff records the backoff that a server requested. It returns its end, and
 // whether no backoff was in force before.
 func (b *Balancer) RecordBackoff(now time.Time, id fleet.InstanceID, requested time.Duration) (until time.Time, started bool) {
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -74,7 +74,7 @@
 // handleRemoved handles the end of a server's registration. If it may only have lapsed,
 // the server stays in use, unless it had announced that it leaves.
 func (g *Gateway) handleRemoved(now time.Time, s catalog.Server) {
-	keep := g.contact.mayHaveLapsed(now) && !s.Draining
+	keep := g.contact.mayHaveLapsed(now) && !g.isLeaving(s)
 	if keep {
 		g.lapsed[s.ID] = s
 	}
@@ -82,6 +82,12 @@
 		zap.Bool("kept", keep))
 }
 
+// isLeaving reports whether a server is leaving according to the platform or to the server
+// itself, which may be unable to reach the platform.
+func (g *Gateway) isLeaving(s catalog.Server) bool {
+	return s.Draining || g.balancer.StatesLeaving(s.ID)
+}
+
 func (g *Gateway) expireLapsed(now time.Time) {
 	if len(g.lapsed) == 0 {
 		return
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -84,7 +84,7 @@
 func (g *Gateway) detectReplaced(now time.Time, list []placement.Server) {
 	for _, s := range list {
 		before, ok := g.listed[s.Addr]
-		if ok && before.ID != s.ID && !before.Leaving {
+		if ok && before.ID != s.ID && !before.Leaving && !g.balancer.StatesLeaving(before.ID) {
 			g.serverCrashed(now, before.ID)
 		}
 	}
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"chivespindle.example/adapters/eventstream"
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/delivery"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/placement"
@@ -59,6 +60,8 @@
 		assignment.End(now, placement.TimedOut)
 	case j.isServerDeadlineOver(now), !j.hasStarted() && errorx.IsOfType(err, failure.Timeout) && j.isVersionExpired(now, assignment.Server):
 		assignment.End(now, placement.Abandoned)
+	case errorx.IsOfType(err, exchange.Withdrawn):
+		assignment.End(now, placement.Abandoned)
 	case errorx.IsOfType(err, failure.Timeout):
 		assignment.End(now, placement.TimedOut)
 	case errorx.IsOfType(err, delivery.OutOfOrder):
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -303,6 +303,9 @@
 		}
 	}
 	for _, s := range g.snapshot.Servers {
+		if g.isLeaving(s) {
+			continue
+		}
 		if at, ok := g.readyAt[s.Addr.Addr()]; ok {
 			add(s.Service, at)
 		}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -322,6 +322,8 @@
 		Workspace: j.workspace,
 		Deadline:  j.deadline,
 		LastEvent: j.reply.progress.LastEvent(),
+
+		IsWithdrawn: assignment.IsWithdrawn,
 	}
 	if assignment.ServerTimeout > 0 {
 		o.Deadline = earlier(j.deadline, now.Add(assignment.ServerTimeout))
