Send no requests to a server during the backoff that it requested

What callers saw: two engines of a region rejected requests with 503 and Retry-After: 3. An entry sent each of them 12 to 16 requests in the next second, tried every one at both, and refused it. Each of the two got three to four times the requests of the engines that served.

Cause: the Retry-After of a backend server had no reader. A rejection left no trace in the balancer, and since a rejected request ends within a millisecond, a server that rejects seemed idle and was the first choice for the next one.

Change: the balancer leaves a server out from the rejection to the end of the longest backoff it requested, five minutes at most. The end is spread by up to a quarter or a second, so that not all entries return at once, and then a single request shows whether the server accepts again. Requests that wait for a connection meanwhile are withdrawn. If all servers of a service are in a backoff, a request is refused at once (reason=backoff) with a Retry-After that lies after the end of the first. A server is not avoided by entries that it has not rejected: it asks one of them, and each learns it by one rejection of a millisecond.

Ruled out: requests in flight. In the record they are spread over a quarter of a second.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -125,6 +125,8 @@
 		return l.explainTooLong()
 	case "limited":
 		return "The servers that could take it had limits, and this entry had used its share of them." + l.describeEngines(last)
+	case "backoff":
+		return "The servers that could take it had rejected requests of this entry and asked for a pause." + l.describeEngines(last)
 	case "quarantined":
 		return l.explainQuarantined()
 	case "no_view", "cut_off":
--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -67,10 +67,12 @@
 }
 
 // IsWithdrawn reports whether the request must not be sent to the server any more.
-func (a *Assignment) IsWithdrawn() bool {
+func (a *Assignment) IsWithdrawn(now time.Time) bool {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
-	return a.state.Leaving
+	said := a.state.statements
+	isProbe := said != nil && said.backoff.probe == a
+	return a.state.Leaving || a.state.backsOff(now) && !isProbe
 }
 
 // Work returns all known work at the request's server, as of the time at which the
@@ -106,6 +108,9 @@
 	}
 	a.ended = true
 	delete(a.state.own, a)
+	if said := a.state.statements; said != nil {
+		said.backoff.ended(now, a)
+	}
 	if a.suspect {
 		a.state.suspects--
 	}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -76,6 +76,8 @@
 	// Limited: the servers that could serve the request have rate limits, and this
 	// entry has used up its share of them.
 	Limited Reason = "limited"
+	// BackedOff: the servers that could serve the request have requested a backoff.
+	BackedOff Reason = "backoff"
 	// TooLong: the response would not be complete before the caller's deadline.
 	TooLong Reason = "too_long"
 )
@@ -101,11 +103,8 @@
 		return nil, Refusal{Reason: NoServer, RetryAfter: maxRetryAfter(req.TimeLeft)}
 	}
 	candidates := b.candidates(now, g, req)
-	if len(candidates) == 0 && g.isLimited(now) {
-		return nil, Refusal{Reason: Limited, RetryAfter: b.retryAfter(req)}
-	}
 	if len(candidates) == 0 {
-		return nil, Refusal{Reason: NoServer, RetryAfter: maxRetryAfter(req.TimeLeft)}
+		return nil, b.refusalWithoutCandidates(now, g, req)
 	}
 	if b.disabled.LateLast {
 		req.Late = false
@@ -119,6 +118,9 @@
 		promptTokens: req.PromptTokens, outputTokens: req.OutputTokens, suspect: req.Suspect, placed: now,
 	}
 	best.limit.take()
+	if best.statements != nil {
+		best.statements.backoff.placed(assignment)
+	}
 	if assignment.suspect {
 		best.suspects++
 	}
@@ -127,6 +129,17 @@
 	return assignment, Refusal{}
 }
 
+// refusalWithoutCandidates returns why no server can be considered.
+func (b *Balancer) refusalWithoutCandidates(now time.Time, g *serverGroup, req Request) Refusal {
+	if g.isLimited(now) {
+		return Refusal{Reason: Limited, RetryAfter: b.retryAfter(req)}
+	}
+	if at, ok := g.firstProbe(now); ok {
+		return Refusal{Reason: BackedOff, RetryAfter: b.retryAfterBackoff(at.Sub(now), req)}
+	}
+	return Refusal{Reason: NoServer, RetryAfter: maxRetryAfter(req.TimeLeft)}
+}
+
 // refusalReason returns why a request is not sent to the best server; empty if it
 // is sent.
 func (b *Balancer) refusalReason(req Request, predicted time.Duration, w enginemodel.Work, s *serverState) Reason {
@@ -202,7 +215,7 @@
 	var healthy, ejected []*serverState
 	for _, st := range g.states {
 		switch {
-		case st.Leaving, st.Reloading, st.limit.isEmpty(now), slices.Contains(req.Exclude, st.ID):
+		case st.Leaving, st.Reloading, st.limit.isEmpty(now), st.backsOff(now), slices.Contains(req.Exclude, st.ID):
 		case !b.isVersionEligible(now, st, req):
 		case st.Unreachable, now.Before(st.health.ejectedUntil):
 			ejected = append(ejected, st)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -157,6 +157,8 @@
 	revision       uint64    // of the last change of own
 	availableSince time.Time // when it became available
 	health         health
+	// statements is what the server has stated; nil if nothing.
+	statements *statements
 	// limit is this entry's share of the server's rate limit; nil if the server has
 	// none.
 	limit *tokenBucket
@@ -211,6 +213,7 @@
 			b.remote.removeServer(s.ID)
 			b.markChanged(st)
 		}
+		st.statements = b.statements[s.ID]
 		s.Leaving = s.Leaving || b.statesLeaving(s.ID)
 		if s.isAvailable() && !st.isAvailable() {
 			st.availableSince = now
--- a/core/placement/statements.go
+++ b/core/placement/statements.go
@@ -6,19 +6,15 @@
 	"chivespindle.example/core/fleet"
 )
 
-const (
-	// MaxBackoff bounds the backoff that a server can request.
-	MaxBackoff = 5 * time.Minute
-	// statementRetention is how long the statements of an unlisted server are kept. Its
-	// registration may only have lapsed.
-	statementRetention = 10 * time.Minute
-)
+// statementRetention is how long the statements of an unlisted server are kept. Its
+// registration may only have lapsed.
+const statementRetention = 10 * time.Minute
 
 // statements is what a server has stated about itself in its responses.
 type statements struct {
 	// leaving is final: a server that shuts down does not return under the same ID.
-	leaving      bool
-	backoffUntil time.Time
+	leaving bool
+	backoff backoff
 	// unlistedAt is when the server left the list; zero while it is listed.
 	unlistedAt time.Time
 }
@@ -52,25 +48,14 @@
 	return s != nil && s.leaving
 }
 
-// RecordBackoff records the backoff that a server requested. It returns its end, and
-// whether no backoff was in force before.
-func (b *Balancer) RecordBackoff(now time.Time, id fleet.InstanceID, requested time.Duration) (until time.Time, started bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.statementsOf(now, id)
-	started = requested > 0 && !now.Before(s.backoffUntil)
-	if end := now.Add(min(requested, MaxBackoff)); end.After(s.backoffUntil) {
-		s.backoffUntil = end
-	}
-	return s.backoffUntil, started
-}
-
 // statementsOf returns the statements of a server, which may be unlisted.
 func (b *Balancer) statementsOf(now time.Time, id fleet.InstanceID) *statements {
 	s := b.statements[id]
 	if s == nil {
 		s = &statements{}
-		if b.servers[id] == nil {
+		if st := b.servers[id]; st != nil {
+			st.statements = s
+		} else {
 			s.unlistedAt = now
 		}
 		b.statements[id] = s
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -68,7 +68,7 @@
 func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Assignment, opts SendOptions) (*successor, error) {
 	opts.StartDeadline = earlier(j.latestResponseTime(opts.Deadline), now.Add(j.targetPause()))
 	j.attempts++
-	response, err := j.send(ctx, now, opts)
+	response, err := j.send(ctx, now, next, opts)
 	if err != nil {
 		next.End(time.Now(), placement.Abandoned)
 		return nil, err
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -213,7 +213,7 @@
 	opts := j.sendOptions(now, assignment)
 	j.serverDeadline = opts.Deadline
 	opts.StartDeadline = j.responseStartDeadline(now, opts)
-	response, err := j.send(ctx, now, opts)
+	response, err := j.send(ctx, now, assignment, opts)
 	if err != nil {
 		return j.handleSendError(ctx, assignment, err)
 	}
@@ -323,7 +323,7 @@
 		Deadline:  j.deadline,
 		LastEvent: j.reply.progress.LastEvent(),
 
-		IsWithdrawn: assignment.IsWithdrawn,
+		IsWithdrawn: func() bool { return assignment.IsWithdrawn(time.Now()) },
 	}
 	if assignment.ServerTimeout > 0 {
 		o.Deadline = earlier(j.deadline, now.Add(assignment.ServerTimeout))
--- a/daemon/gateway/serverstate.go
+++ b/daemon/gateway/serverstate.go
@@ -12,12 +12,17 @@
 
 // send sends one attempt of the call. All attempts go through it, so that what any response
 // states about its server is recorded.
-func (j *job) send(ctx context.Context, now time.Time, opts SendOptions) (Response, error) {
+func (j *job) send(ctx context.Context, now time.Time, assignment *placement.Assignment, opts SendOptions) (Response, error) {
 	response, err := j.g.opts.Backend.Send(ctx, j.call, opts)
-	if err == nil {
-		j.recordServerState(now, opts.Server, response)
+	if err != nil {
+		return nil, err
 	}
-	return response, err
+	j.recordServerState(now, opts.Server, response)
+	isRejection := response.NotRun() || response.Misdirected() || response.State().Backoff.Requested
+	if !isRejection && assignment.Accepted(time.Now()) {
+		j.g.log.serverBackoffEnded(opts.Server)
+	}
+	return response, nil
 }
 
 // recordServerState records what a response states about its server. sent is when the call
@@ -68,6 +73,12 @@
 	}
 }
 
+func (l *requestLog) serverBackoffEnded(server placement.Server) {
+	if l.allowed() {
+		l.logger.Info("server_backoff_ended", serverFields(server)...)
+	}
+}
+
 // malformedBackoff logs a backoff that is not a number of seconds. It has no effect.
 func (l *requestLog) malformedBackoff(server placement.Server, text string) {
 	l.metrics.Counter("server_backoffs_malformed").Inc(1)
