Pause requests to a server that rejects them without naming a backoff

What callers saw: beside a burst, two fifths of the engines rejected all requests for 8 s with 503 and no Retry-After. Of some 4,400 requests 1,095 were refused since the retry budget was used up, most of it by 1,647 rejections, and those who returned were refused again.

Cause: as for a server that names a backoff. By its load a server that rejects is idle, and is the first choice for each request.

Change: after a rejection without a backoff the server gets no request for 50 ms, twice as long after each further one in a row, up to 1.6 s, until it accepts one. Rejections during a pause do not count: a full server rejects a burst at once.

--- a/core/placement/backoff.go
+++ b/core/placement/backoff.go
@@ -17,14 +17,19 @@
 	// probeInterval is the pause after a probe that the server did not accept and that
 	// did not start another backoff.
 	probeInterval = 250 * time.Millisecond
+	// minRejectionPause is the pause after a rejection that requests no backoff. It
+	// doubles with each further one in a row, up to maxRejectionPause.
+	minRejectionPause = 50 * time.Millisecond
+	maxRejectionPause = 1600 * time.Millisecond
 )
 
-// backoff is the state of a server that has rejected a request and wants no others from
+// backoff is the state of a server that has rejected a request and gets no others from
 // this entry for a while.
 //
 // A rejected request ends within milliseconds, so by its load the server would be the best
-// choice for the next one. After the backoff a single request, the probe, shows whether
-// the server accepts requests again; the others use other servers until then.
+// choice for the next one. After a backoff that the server requested, a single request, the
+// probe, shows whether it accepts requests again; the others use other servers until then.
+// A rejection without a request is followed by a short pause.
 type backoff struct {
 	// isActive is true from the rejection until the server accepts a probe.
 	isActive bool
@@ -32,11 +37,32 @@
 	until   time.Time
 	probeAt time.Time
 	probe   *Assignment
+	// rejections counts the pauses since the server last accepted a request.
+	rejections  int
+	pausedUntil time.Time
 }
 
 // excludes reports whether the server gets no request now.
 func (f *backoff) excludes(now time.Time) bool {
-	return f.isActive && (now.Before(f.probeAt) || f.probe != nil)
+	return f.isActive && f.probe != nil || now.Before(f.nextRequestAt())
+}
+
+// nextRequestAt returns when the server may get a request again.
+func (f *backoff) nextRequestAt() time.Time {
+	if f.isActive && f.probeAt.After(f.pausedUntil) {
+		return f.probeAt
+	}
+	return f.pausedUntil
+}
+
+// pause starts a pause, unless there is one: several requests may be rejected at once.
+func (f *backoff) pause(now time.Time) {
+	if now.Before(f.pausedUntil) {
+		return
+	}
+	const maxDoublings = 5 // reach maxRejectionPause
+	f.pausedUntil = now.Add(min(maxRejectionPause, minRejectionPause<<min(f.rejections, maxDoublings)))
+	f.rejections++
 }
 
 // extend prolongs the backoff if end is later than its current end.
@@ -59,6 +85,7 @@
 // accepted records that the server accepted a request, and reports whether this ended the
 // backoff.
 func (f *backoff) accepted(a *Assignment) bool {
+	f.rejections = 0
 	if f.probe != a {
 		return false
 	}
@@ -99,6 +126,13 @@
 	return f.until, started
 }
 
+// RecordRejection records that a server rejected a request and requested no backoff.
+func (b *Balancer) RecordRejection(now time.Time, id fleet.InstanceID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.statementsOf(now, id).backoff.pause(now)
+}
+
 // Accepted records that the server accepted the request, and reports whether this ended a
 // backoff. All entries return to the server at about the same time, so it is treated as
 // one that has just become available.
@@ -113,16 +147,16 @@
 	return true
 }
 
-// firstProbe returns when the first of the servers that could otherwise be used gets a
+// firstReturn returns when the first of the servers that could otherwise be used gets a
 // request again; false if none is in a backoff.
-func (g *serverGroup) firstProbe(now time.Time) (time.Time, bool) {
+func (g *serverGroup) firstReturn(now time.Time) (time.Time, bool) {
 	var first time.Time
 	found := false
 	for _, st := range g.states {
 		if st.Leaving || st.Reloading || st.Unreachable || !st.backsOff(now) {
 			continue
 		}
-		if at := st.statements.backoff.probeAt; !found || at.Before(first) {
+		if at := st.statements.backoff.nextRequestAt(); !found || at.Before(first) {
 			first, found = at, true
 		}
 	}
--- a/core/placement/backoff_test.go
+++ b/core/placement/backoff_test.go
@@ -116,7 +116,7 @@
 		Expect(atRejecting(place(at(time.Second), 8))).NotTo(BeEmpty())
 	})
 
-	DescribeTable("bound a backoff by the longest that was requested and by MaxBackoff", func(requested []time.Duration, want time.Duration) {
+	DescribeTable("bounds a backoff by the longest that was requested and by MaxBackoff", func(requested []time.Duration, want time.Duration) {
 		var until time.Time
 		for i, d := range requested {
 			var started bool
@@ -131,3 +131,48 @@
 		Entry("a day", []time.Duration{24 * time.Hour}, placement.MaxBackoff),
 	)
 })
+
+var _ = Describe("A server that rejects requests without requesting a backoff", func() {
+	const rejecting = 0
+	var b *placement.Balancer
+
+	// pauseAfter returns how long the server gets no request after a rejection.
+	pauseAfter := func(now time.Time) time.Duration {
+		const step = 10 * time.Millisecond
+		b.RecordRejection(now, id(rejecting))
+		for d := step; ; d += step {
+			t, _ := b.Choose(now.Add(d), smallRequest())
+			if t != nil {
+				t.End(now.Add(d), placement.Declined)
+				return d
+			}
+		}
+	}
+
+	BeforeEach(func() { b = newBalancer(1) })
+
+	// Guards against a server that is the first choice for each request because it rejects
+	// all of them at once.
+	It("gets requests ever more rarely until it accepts one", func() {
+		now := start
+		var pauses []time.Duration
+		for range 8 {
+			pauses = append(pauses, pauseAfter(now))
+			now = now.Add(pauses[len(pauses)-1])
+		}
+		Expect(pauses[0]).To(Equal(50 * time.Millisecond))
+		Expect(pauses[1]).To(Equal(2 * pauses[0]))
+		Expect(pauses[7]).To(Equal(1600 * time.Millisecond))
+		t, _ := b.Choose(now, smallRequest())
+		t.Accepted(now)
+		Expect(pauseAfter(now)).To(Equal(pauses[0]))
+	})
+
+	// Guards against a burst that a full server rejects counting as many rejections in a row.
+	It("gets the next one as soon after many rejections at once as after one", func() {
+		for range 8 {
+			b.RecordRejection(start, id(rejecting))
+		}
+		Expect(pauseAfter(start)).To(Equal(50 * time.Millisecond))
+	})
+})
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -134,7 +134,7 @@
 	if g.isLimited(now) {
 		return Refusal{Reason: Limited, RetryAfter: b.retryAfter(req)}
 	}
-	if at, ok := g.firstProbe(now); ok {
+	if at, ok := g.firstReturn(now); ok {
 		return Refusal{Reason: BackedOff, RetryAfter: b.retryAfterBackoff(at.Sub(now), req)}
 	}
 	return Refusal{Reason: NoServer, RetryAfter: maxRetryAfter(req.TimeLeft)}
--- a/daemon/gateway/serverstate.go
+++ b/daemon/gateway/serverstate.go
@@ -18,8 +18,7 @@
 		return nil, err
 	}
 	j.recordServerState(now, opts.Server, response)
-	isRejection := response.NotRun() || response.Misdirected() || response.State().Backoff.Requested
-	if !isRejection && assignment.Accepted(time.Now()) {
+	if !response.NotRun() && !response.Misdirected() && !response.State().Backoff.Requested && assignment.Accepted(time.Now()) {
 		j.g.log.serverBackoffEnded(opts.Server)
 	}
 	return response, nil
@@ -35,7 +34,7 @@
 	}
 	j.recordLimit(sent, server, response.Status(), state.Limit)
 	j.g.recordLeaving(server, state)
-	j.g.recordBackoff(server, state.Backoff)
+	j.g.recordBackoff(server, response.NotRun(), state.Backoff)
 }
 
 // recordLeaving records that a server states that it is shutting down.
@@ -45,16 +44,18 @@
 	}
 }
 
-// recordBackoff records the backoff that a server requests.
-func (g *Gateway) recordBackoff(server placement.Server, backoff ServerBackoff) {
+// recordBackoff records that a server rejected a call, or the backoff that it requests.
+func (g *Gateway) recordBackoff(server placement.Server, rejected bool, backoff ServerBackoff) {
 	if backoff.Malformed != "" {
 		g.log.malformedBackoff(server, backoff.Malformed)
 	}
-	if !backoff.Requested {
-		return
-	}
-	if until, started := g.balancer.RecordBackoff(time.Now(), server.ID, backoff.Duration); started {
-		g.log.serverBackoff(server, backoff.Duration, until)
+	switch {
+	case backoff.Requested && backoff.Duration > 0:
+		if until, started := g.balancer.RecordBackoff(time.Now(), server.ID, backoff.Duration); started {
+			g.log.serverBackoff(server, backoff.Duration, until)
+		}
+	case rejected:
+		g.balancer.RecordRejection(time.Now(), server.ID)
 	}
 }
 
