Agents report an engine that states that it is leaving

What would be seen: while a leaving engine cannot report to the platform's store, its agent goes on to fetch weights and to order it to load them, and entries without a response of it send it requests.

Cause: the same as of requests to a leaving server. The header stands in the engine's report as well, which its agent reads, and had no reader there.

Change: the agent takes its server's leaving from the report too, does nothing for a version then, and has it in the report that it sends the entries. It ends with the next report that does not state it, so a restarted engine is used again.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -53,6 +53,8 @@
 	// Queued and Running are the numbers of waiting and running calls.
 	Queued, Running int
 	Orders          Orders
+	// Leaving is true if the engine's server is shutting down.
+	Leaving bool
 }
 
 // Orders is the number of orders that the engine's process has accepted.
--- a/daemon/gateway/agents_test.go
+++ b/daemon/gateway/agents_test.go
@@ -40,6 +40,17 @@
 		Expect(backend.listed[0].LoadedVersion).To(Equal(placement.ModelVersion(1)))
 	})
 
+	// Guards against entries that have not received a response of a leaving engine, while it
+	// cannot report to the platform.
+	It("states that the engine is leaving until the agent reports otherwise", func() {
+		report(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 1, Leaving: true})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Leaving).To(BeTrue())
+		report(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 2, Loaded: 1})
+		listed(g, backend, start)
+		Expect(backend.listed[0].Leaving).To(BeFalse())
+	})
+
 	It("is not replaced by an older report", func() {
 		report(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 5, Loaded: 3, AgeMS: 9000})
 		report(start, wire.Replica{Addr: addr, Incarnation: 1, Seq: 4, Loaded: 2, AgeMS: 8600})
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -82,10 +82,12 @@
 		zap.Bool("kept", keep))
 }
 
-// isLeaving reports whether a server is leaving according to the platform or to the server
-// itself, which may be unable to reach the platform.
+// isLeaving reports whether a server is leaving according to the platform, to its agent or
+// to its own responses. It may be unable to reach the platform.
 func (g *Gateway) isLeaving(s catalog.Server) bool {
-	return s.Draining || g.balancer.StatesLeaving(s.ID)
+	r, reported := g.replicas[s.Addr.Addr()]
+	isReported := reported && r.Leaving && !predatesRegistration(r.Replica, s)
+	return s.Draining || isReported || g.balancer.StatesLeaving(s.ID)
 }
 
 func (g *Gateway) expireLapsed(now time.Time) {
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -236,7 +236,7 @@
 		g.changed = true
 		g.groupFlushDue = g.groupFlushDue || direct
 		g.opts.Logger.Info("replica", zap.String("addr", r.Addr.String()), zap.Uint64("loaded", r.Loaded),
-			zap.Bool("changing", r.Reloading), zap.Bool("down", r.Unreachable), zap.Int("pace_percent", r.SlowdownPercent), zap.Bool("direct", direct))
+			zap.Bool("changing", r.Reloading), zap.Bool("down", r.Unreachable), zap.Bool("leaving", r.Leaving), zap.Int("pace_percent", r.SlowdownPercent), zap.Bool("direct", direct))
 	}
 }
 
@@ -397,6 +397,7 @@
 	default:
 		out.Born = max(r.Born, s.Born)
 		out.LoadedVersion = placement.ModelVersion(r.Loaded)
+		out.Leaving = s.Draining || r.Leaving
 		out.Reloading = r.Reloading
 		out.Unreachable = r.Unreachable
 		out.Slowdown = float64(r.SlowdownPercent) / 100
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -98,6 +98,8 @@
 	plan    *loading.Plan
 	supply  *wire.Supply
 	members []wire.Member
+	// isUnlisted is true if the members do not include this agent.
+	isUnlisted bool
 
 	engine          loading.Engine
 	outdated        outdated
@@ -297,7 +299,8 @@
 	l.swarm.SetMembers(now, list)
 	l.plan.SetMembers(idsOf(list))
 	l.plan.SetRegion(idsOf(sameRegion))
-	l.setLeaving(!slices.ContainsFunc(members, func(m wire.Member) bool { return m.Addr == l.opts.Addr }))
+	l.isUnlisted = !slices.ContainsFunc(members, func(m wire.Member) bool { return m.Addr == l.opts.Addr })
+	l.updateLeaving()
 }
 
 func idsOf(members []spread.Member) []fleet.InstanceID {
@@ -308,9 +311,10 @@
 	return ids
 }
 
-// setLeaving sets whether the agent's server is leaving: agents of leaving servers are
-// not members.
-func (l *Loader) setLeaving(leaving bool) {
+// updateLeaving updates whether the agent's server is leaving. Agents of leaving servers are
+// not members; the server itself states it even if it cannot reach the platform.
+func (l *Loader) updateLeaving() {
+	leaving := l.isUnlisted || l.engine.Leaving
 	if leaving == l.plan.IsLeaving() {
 		return
 	}
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -56,6 +56,7 @@
 		l.opts.Logger.Info("engine_holds", zap.Uint64("version", e.Loaded), zap.Uint64("before", l.engine.Loaded))
 	}
 	l.engine = e
+	l.updateLeaving()
 	l.logOutdated(now, e)
 	if l.plan.IsReloading(e) || e.Busy {
 		l.nextReport = now.Add(reloadReportInterval)
@@ -69,6 +70,7 @@
 	state := l.lastReport
 	state.Loaded = l.engine.Loaded
 	state.Born = l.engine.Born
+	state.Leaving = l.engine.Leaving
 	state.Reloading = l.plan.IsReloading(l.engine)
 	state.Unreachable = l.reportFailures >= maxReportFailures
 	state.SlowdownPercent = roundedSlowdown(l.engine.Slowdown)
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -177,6 +177,8 @@
 	Born fleet.StartTime `cbor:"9,keyasint,omitzero"`
 	// AgeMS is the time for which the agent has run.
 	AgeMS int64 `cbor:"10,keyasint,omitzero"`
+	// Leaving is true if the engine states that it is shutting down.
+	Leaving bool `cbor:"11,keyasint,omitzero"`
 }
 
 // IsNewer reports whether r was reported after other, which was received some time
@@ -200,7 +202,7 @@
 // HasSameEngineState reports whether r and other contain the same state of the engine.
 func (r Replica) HasSameEngineState(other Replica) bool {
 	return r.Loaded == other.Loaded && r.Reloading == other.Reloading && r.Unreachable == other.Unreachable && r.SlowdownPercent == other.SlowdownPercent &&
-		r.Born == other.Born
+		r.Born == other.Born && r.Leaving == other.Leaving
 }
 
 // WithAge returns r, received some time ago, as it is forwarded.
