--- a/cmd/chivespindle/internal/requestlog/requestlog_test.go
+++ b/cmd/chivespindle/internal/requestlog/requestlog_test.go
@@ -105,6 +105,14 @@
 		Expect(story.Cause).To(HavePrefix("Server i-1 at 10.0.1.1:80 failed after 1.6s: silence."))
 	})
 
+	It("names a backoff of all servers", func() {
+		log := requestlog.NewCollector("a")
+		text := "ts=2031-05-06T07:08:08Z event=refused instance=entry-1 request=a code=unavailable reason=backoff retry_after=3.2s"
+		_, err := requestlog.Read(strings.NewReader(text), log.Add)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(log.Report().Cause).To(And(ContainSubstring("asked for a pause"), ContainSubstring("come back in 3.2s")))
+	})
+
 	It("names the crashes that put a request in quarantine", func() {
 		log := requestlog.NewCollector("a")
 		for _, text := range []string{
