Use a server that rejected a request a moment ago if no other is left

Found by reading: in the pause after a rejection without a backoff a call was refused at once (reason=backoff) if all servers were in one, and calls that waited for a connection were withdrawn. The server has asked for neither; it may only have been full for a moment.

Change: a paused server is avoided like an ejected one, so it is used if no other is left, and nothing is withdrawn. Requested backoffs are as before.

--- a/core/placement/backoff.go
+++ b/core/placement/backoff.go
@@ -29,7 +29,8 @@
 // A rejected request ends within milliseconds, so by its load the server would be the best
 // choice for the next one. After a backoff that the server requested, a single request, the
 // probe, shows whether it accepts requests again; the others use other servers until then.
-// A rejection without a request is followed by a short pause.
+// A rejection that requests no backoff is followed by a short pause, in which the server is
+// used only if no other one is left.
 type backoff struct {
 	// isActive is true from the rejection until the server accepts a probe.
 	isActive bool
@@ -44,15 +45,7 @@
 
 // excludes reports whether the server gets no request now.
 func (f *backoff) excludes(now time.Time) bool {
-	return f.isActive && f.probe != nil || now.Before(f.nextRequestAt())
-}
-
-// nextRequestAt returns when the server may get a request again.
-func (f *backoff) nextRequestAt() time.Time {
-	if f.isActive && f.probeAt.After(f.pausedUntil) {
-		return f.probeAt
-	}
-	return f.pausedUntil
+	return f.isActive && (now.Before(f.probeAt) || f.probe != nil)
 }
 
 // pause starts a pause, unless there is one: several requests may be rejected at once.
@@ -110,6 +103,11 @@
 	return st.statements != nil && st.statements.backoff.excludes(now)
 }
 
+// isPaused reports whether the server has rejected a request a moment ago.
+func (st *serverState) isPaused(now time.Time) bool {
+	return st.statements != nil && now.Before(st.statements.backoff.pausedUntil)
+}
+
 // RecordBackoff records the backoff that a server requested. It returns its end, and
 // whether none was in force before.
 func (b *Balancer) RecordBackoff(now time.Time, id fleet.InstanceID, requested time.Duration) (until time.Time, started bool) {
@@ -156,7 +154,7 @@
 		if st.Leaving || st.Reloading || st.Unreachable || !st.backsOff(now) {
 			continue
 		}
-		if at := st.statements.backoff.nextRequestAt(); !found || at.Before(first) {
+		if at := st.statements.backoff.probeAt; !found || at.Before(first) {
 			first, found = at, true
 		}
 	}
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -208,17 +208,17 @@
 	return w.Context+r.PromptTokens+r.OutputTokens <= r.Engine.MemoryTokens
 }
 
-// candidates returns the servers that may serve the request. Ejected servers are
-// left out unless there are no others: a false alarm must not make the service
+// candidates returns the servers that may serve the request. Ejected and paused servers
+// are left out unless there are no others: a false alarm must not make the service
 // unavailable.
 func (b *Balancer) candidates(now time.Time, g *serverGroup, req Request) []*serverState {
-	var healthy, ejected []*serverState
+	var healthy, avoided []*serverState
 	for _, st := range g.states {
 		switch {
 		case st.Leaving, st.Reloading, st.limit.isEmpty(now), st.backsOff(now), slices.Contains(req.Exclude, st.ID):
 		case !b.isVersionEligible(now, st, req):
-		case st.Unreachable, now.Before(st.health.ejectedUntil):
-			ejected = append(ejected, st)
+		case st.Unreachable, st.isPaused(now), now.Before(st.health.ejectedUntil):
+			avoided = append(avoided, st)
 		default:
 			healthy = append(healthy, st)
 		}
@@ -226,7 +226,7 @@
 	if len(healthy) > 0 {
 		return healthy
 	}
-	return slices.DeleteFunc(ejected, func(st *serverState) bool { return st.Unreachable })
+	return slices.DeleteFunc(avoided, func(st *serverState) bool { return st.Unreachable })
 }
 
 // isVersionEligible reports whether the loaded version of an engine allows it to
