--- a/core/placement/backoff.go
+++ b/core/placement/backoff.go
@@ -98,7 +98,7 @@
 	}
 }
 
-// backsOff reports whether the server gets no request now because of a backoff.
+// backsOff reports whether the server gets no request because of a backoff that it requested.
 func (st *serverState) backsOff(now time.Time) bool {
 	return st.statements != nil && st.statements.backoff.excludes(now)
 }
--- a/daemon/gateway/serverstate.go
+++ b/daemon/gateway/serverstate.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// serverBackoff logs the first rejection of a series; the later ones are counted.
+// serverBackoff logs the start of a backoff.
 func (l *requestLog) serverBackoff(server placement.Server, requested time.Duration, until time.Time) {
 	l.metrics.Counter("server_backoffs").Inc(1)
 	if l.allowed() {
