explain: count the engines that are leaving

What an on-call engineer saw: a refusal while engines leave was explained with all engines in service, though entries send a leaving engine nothing.

Cause: the explanation counts engines that load, are empty or down, and had no count for those whose agents report that they leave.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -186,14 +186,14 @@
 	if known.total == 0 {
 		return " The entry knew no agent."
 	}
-	if known.reloading+known.empty+known.unreachable == 0 {
+	if known.reloading+known.empty+known.unreachable+known.leaving == 0 {
 		return fmt.Sprintf(" All %d engines that it knew were in service.", known.total)
 	}
-	return fmt.Sprintf(" Of the %d engines that it knew, %d were loading or about to, %d held no weights, %d were down.",
-		known.total, known.reloading, known.empty, known.unreachable)
+	return fmt.Sprintf(" Of the %d engines that it knew, %d were loading or about to, %d held no weights, %d were down, %d were leaving.",
+		known.total, known.reloading, known.empty, known.unreachable, known.leaving)
 }
 
-type engineCount struct{ total, reloading, empty, unreachable int }
+type engineCount struct{ total, reloading, empty, unreachable, leaving int }
 
 // countEngines counts the engines by what agents had reported to the entry
 // since its start.
@@ -213,6 +213,8 @@
 	count := engineCount{total: len(state)}
 	for _, line := range state {
 		switch {
+		case line.Bool("leaving"):
+			count.leaving++
 		case line.Bool("down"):
 			count.unreachable++
 		case line.Bool("changing"):
