--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -53,8 +53,8 @@
 	unacknowledgedTimeout = 3 * time.Second
 )
 
-// Withdrawn is the type of the error of a request that was withdrawn before it was sent.
-var Withdrawn = failure.Namespace.NewType("withdrawn")
+// Revoked is the type of the error of a request that was revoked before it was sent.
+var Revoked = failure.Namespace.NewType("revoked")
 
 // Pool is a pool of connections to servers. It is safe for concurrent use.
 type Pool struct {
@@ -323,7 +323,7 @@
 	r := request()
 	if r == nil {
 		p.put(c, 0)
-		return nil, failure.WithOutcome(Withdrawn.New("withdrawn when %s was reached", addr), failure.NotRun)
+		return nil, failure.WithOutcome(Revoked.New("revoked when %s was reached", addr), failure.NotRun)
 	}
 	stopAbort := context.AfterFunc(ctx, func() { _ = c.Close() })
 	fail := func(err error, operation string) (*Response, error) {
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -389,7 +389,7 @@
 
 	// Guards against a request that reaches a server which no longer wants it because it
 	// waited for the connection.
-	It("sends nothing for a request that is withdrawn once a connection is available", func() {
+	It("sends nothing for a request that is revoked once a connection is available", func() {
 		received := make(chan struct{}, 2)
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
 			received <- struct{}{}
@@ -398,7 +398,7 @@
 		})
 		p := exchange.New()
 		_, err := p.Do(context.Background(), s.addr(), func() *http.Request { return nil }, waitDeadline())
-		Expect(errorx.IsOfType(err, exchange.Withdrawn)).To(BeTrue())
+		Expect(errorx.IsOfType(err, exchange.Revoked)).To(BeTrue())
 		Expect(failure.OutcomeOf(err)).To(Equal(failure.NotRun))
 		Expect(roundTrip(p, s)).To(Equal("hi"))
 		Expect(received).To(HaveLen(1))
--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -66,8 +66,8 @@
 	return a.state.Reloading
 }
 
-// IsWithdrawn reports whether the request must not be sent to the server any more.
-func (a *Assignment) IsWithdrawn(now time.Time) bool {
+// IsRevoked reports whether the request must not be sent to the server any more.
+func (a *Assignment) IsRevoked(now time.Time) bool {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	said := a.state.statements
--- a/core/placement/backoff.go
+++ b/core/placement/backoff.go
@@ -26,7 +26,7 @@
 // backoff is the state of a server that has rejected a request and gets no others from
 // this entry for a while.
 //
-// A rejected request ends within milliseconds, so by its load the server would be the best
+// A rejected request ends at once, so by its load the server would be the best
 // choice for the next one. After a backoff that the server requested, a single request, the
 // probe, shows whether it accepts requests again; the others use other servers until then.
 // A rejection that requests no backoff is followed by a short pause, in which the server is
--- a/core/placement/backoff_test.go
+++ b/core/placement/backoff_test.go
@@ -85,7 +85,7 @@
 		b = newBalancer(1)
 		before := place(start, 1)[0]
 		b.RecordBackoff(start, id(rejecting), requested)
-		Expect(before.IsWithdrawn(start)).To(BeTrue())
+		Expect(before.IsRevoked(start)).To(BeTrue())
 		Expect(before.Accepted(at(time.Second))).To(BeFalse())
 		t, _ := b.Choose(at(time.Second), smallRequest())
 		Expect(t).To(BeNil())
@@ -184,7 +184,7 @@
 		b = newBalancer(1)
 		t, _ := b.Choose(start, smallRequest())
 		b.RecordRejection(start, id(rejecting))
-		Expect(t.IsWithdrawn(start)).To(BeFalse())
+		Expect(t.IsRevoked(start)).To(BeFalse())
 		t, _ = b.Choose(start, smallRequest())
 		Expect(t).NotTo(BeNil())
 	})
--- a/core/placement/statements_test.go
+++ b/core/placement/statements_test.go
@@ -69,9 +69,9 @@
 	It("gets no requests that were placed before and not sent", func() {
 		b = newBalancer(1)
 		t, _ := b.Choose(start, smallRequest())
-		Expect(t.IsWithdrawn(start)).To(BeFalse())
+		Expect(t.IsRevoked(start)).To(BeFalse())
 		b.RecordLeaving(start, id(0))
-		Expect(t.IsWithdrawn(start)).To(BeTrue())
+		Expect(t.IsRevoked(start)).To(BeTrue())
 	})
 
 	It("is forgotten some time after it is no longer listed", func() {
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -51,14 +51,14 @@
 	RequiredVersion placement.ModelVersion
 	// LastEvent is the last event that the caller has; -1 for none.
 	LastEvent int64
-	// IsWithdrawn reports whether the server wants no calls any more. It is called once a
+	// IsRevoked reports whether the server wants no calls any more. It is called once a
 	// connection to the server is available: the server may have stated it meanwhile.
-	IsWithdrawn func() bool
+	IsRevoked func() bool
 }
 
 // Backend forwards calls to servers. An error of Send carries its
-// failure.Outcome; NotRun means that no byte was sent. If the call was withdrawn, the type
-// of the error is exchange.Withdrawn.
+// failure.Outcome; NotRun means that no byte was sent. If the call was revoked, the type of
+// the error is exchange.Revoked.
 type Backend interface {
 	Send(ctx context.Context, call *Call, opts SendOptions) (Response, error)
 	// Retain drops the state of all servers but the given ones.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -323,7 +323,7 @@
 		Deadline:  j.deadline,
 		LastEvent: j.reply.progress.LastEvent(),
 
-		IsWithdrawn: func() bool { return assignment.IsWithdrawn(time.Now()) },
+		IsRevoked: func() bool { return assignment.IsRevoked(time.Now()) },
 	}
 	if assignment.ServerTimeout > 0 {
 		o.Deadline = earlier(j.deadline, now.Add(assignment.ServerTimeout))
