Log the use of the retry budgets

What an on-call engineer could not see: how many retries an entry had granted and which allowance it went by. Only a denied retry left a line, so the first two hypotheses of the incident could not be told apart.

A line a second for each service with a retry, so the volume does not grow with the load. The budget of the gateway moves to a file of its own.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -22,6 +22,30 @@
 	requests [windowBuckets]float64
 	retries  [windowBuckets]float64
 	current  int
+	granted  int // since the last call of Usage
+	denied   int
+}
+
+// Usage is the use of a Window.
+type Usage struct {
+	// Granted and Denied are the numbers of retries since the last call of Usage.
+	Granted, Denied int
+	// Retries and Requests are the numbers in the span. Slack is the fixed allowance.
+	Retries, Requests, Slack float64
+}
+
+// Usage returns the use of the window, and restarts the count of granted and denied
+// retries.
+func (w *Window) Usage(now time.Time) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	u := Usage{
+		Granted: w.granted, Denied: w.denied,
+		Retries: sum(w.retries), Requests: sum(w.requests), Slack: w.slack,
+	}
+	w.granted, w.denied = 0, 0
+	return u
 }
 
 // NewWindow returns an empty window. ratio is the number of retries that each
@@ -51,9 +75,11 @@
 	defer w.mu.Unlock()
 	w.advance(now)
 	if sum(w.retries)+1 > w.ratio*sum(w.requests)+w.slack {
+		w.denied++
 		return false
 	}
 	w.retries[w.current]++
+	w.granted++
 	return true
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -160,11 +160,13 @@
 	// listed holds the servers of the latest view.
 	listed map[netip.AddrPort]placement.Server
 
-	callsMu      sync.Mutex
-	budgets      map[fleet.ServiceName]*retry.Window
-	holdLimiters map[fleet.ServiceName]*placement.HoldLimiter
-	inFlight     atomic.Int64
-	answerer     *addressing.Resolver
+	callsMu sync.Mutex
+	budgets map[fleet.ServiceName]*retry.Window
+	// budgetsLoggedAt is when the use of the retry budgets was last logged.
+	budgetsLoggedAt time.Time
+	holdLimiters    map[fleet.ServiceName]*placement.HoldLimiter
+	inFlight        atomic.Int64
+	answerer        *addressing.Resolver
 	// retryDetector distinguishes the retries of callers from new calls.
 	retryDetector placement.RetryDetector
 }
@@ -225,6 +227,7 @@
 		limits:            serverlimit.New(),
 		listed:            make(map[netip.AddrPort]placement.Server),
 		budgets:           make(map[fleet.ServiceName]*retry.Window),
+		budgetsLoggedAt:   now,
 		holdLimiters:      make(map[fleet.ServiceName]*placement.HoldLimiter),
 		contact:           contact{lastResponse: now, disabled: opts.Disabled},
 	}
@@ -278,6 +281,7 @@
 	g.expireLapsed(now)
 	g.publishIfDue(now)
 	g.log.results.logDue(now, g.opts.Logger)
+	g.logRetryBudgets(now)
 	if g.announceCrashes.Swap(false) {
 		g.flushDue = true
 	}
@@ -364,24 +368,6 @@
 // InFlight returns the number of calls being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// allowRetry takes one retry from the budget of a service and reports whether the budget
-// allowed it.
-func (g *Gateway) allowRetry(now time.Time, service fleet.ServiceName) bool {
-	return g.budget(now, service).TryRetry(now)
-}
-
-func (g *Gateway) budget(now time.Time, service fleet.ServiceName) *retry.Window {
-	g.callsMu.Lock()
-	defer g.callsMu.Unlock()
-	w := g.budgets[service]
-	if w == nil {
-		b := g.opts.Budget
-		w = retry.NewWindow(now, b.Window, b.Ratio*budgetShare, g.slack())
-		g.budgets[service] = w
-	}
-	return w
-}
-
 // holdLimiter returns the limiter of the late calls that are held for a service.
 func (g *Gateway) holdLimiter(service fleet.ServiceName) *placement.HoldLimiter {
 	g.callsMu.Lock()
@@ -393,18 +379,3 @@
 	}
 	return limiter
 }
-
-// budgetShare is the part of the retry budget that is used. The windows of the
-// platform and of the entries do not start at the same time, so a request and its
-// retry may be counted in different windows.
-const budgetShare = 0.7
-
-// slack returns this entry's part of the budget's Slack. Silent entries keep theirs,
-// since they may be alive behind a partition and use it.
-func (g *Gateway) slack() float64 {
-	entries := 1
-	if v := g.view.Load(); v != nil {
-		entries += len(v.entries)
-	}
-	return g.opts.Budget.Slack * budgetShare / float64(entries)
-}
