Move the entries' share of the retry budget into core/retry

Which part of the fleet's retry budget an entry may use was decided in three places of the gateway: the share of seven tenths, the division of the fixed allowance by the entries, and the window. It is one decision and needs neither the gateway nor its view, so that a test can add up the windows of several entries.

No change of behaviour. The specs of the window state the fleet's budget now, and what a window allows of it; the bound of the outage spec is seven tenths of the budget as before, in its figures.

--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"chivespindle.example/core/retry"
 	"chivespindle.example/daemon/gateway"
 	"chivespindle.example/daemon/process"
 	"chivespindle.example/platform"
@@ -49,7 +50,7 @@
 		CallerAddr: s.CallerAddr, PeerPort: s.PeerPort, Seeds: s.Seeds, Regions: s.Regions,
 		Loop: b.loop, Endpoint: b.endpoint,
 		Source: platform.NewStore(s.StoreAddr, b.logger), Backend: platform.NewBackend(),
-		Budget:      gateway.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+		Budget:      retry.FleetBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		VersionTime: s.VersionTime, SoundTime: s.SoundTime, Disabled: b.disabled,
 		Logger: b.logger, Metrics: b.metrics,
 	})
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -5,19 +5,35 @@
 	"time"
 )
 
-// windowBuckets is the number of buckets into which the span of a Window is
-// divided.
-const windowBuckets = 10
+// FleetBudget limits the retries that all entries together send to a service.
+type FleetBudget struct {
+	// Ratio is the number of retries allowed per request. Slack is the number
+	// allowed in addition in every span of length Window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+const (
+	// windowBuckets is the number of buckets into which the span of a Window is
+	// divided.
+	windowBuckets = 10
+	// budgetShare is the part of a FleetBudget that the entries use. Their windows do
+	// not start at the same time, so a request and its retry may be counted in
+	// different windows.
+	budgetShare = 0.7
+)
 
-// Window limits retries to a share of the requests of a sliding time span, plus a
-// fixed allowance. A Budget accrues tokens with time and may pay for a burst that
-// exceeds a limit over all entries in some span; a Window never does.
+// Window is one entry's part of a FleetBudget: it limits retries to a share of the
+// requests of a sliding time span, plus a fixed allowance. A Budget accrues tokens with
+// time and may pay for a burst that exceeds a limit over all entries in some span; a
+// Window never does.
 type Window struct {
-	ratio      float64
+	budget     FleetBudget
 	bucketSpan time.Duration
 
 	mu       sync.Mutex
-	slack    float64
+	entries  int
 	start    time.Time
 	requests [windowBuckets]float64
 	retries  [windowBuckets]float64
@@ -26,6 +42,23 @@
 	denied   int
 }
 
+// NewWindow returns an empty window of one of a number of entries.
+func NewWindow(now time.Time, budget FleetBudget, entries int) *Window {
+	return &Window{budget: budget, entries: entries, bucketSpan: budget.Window / windowBuckets, start: now}
+}
+
+// SetEntries sets the number of entries that share the budget.
+func (w *Window) SetEntries(entries int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries = entries
+}
+
+// slack returns this entry's part of the fixed allowance.
+func (w *Window) slack() float64 {
+	return w.budget.Slack * budgetShare / float64(w.entries)
+}
+
 // Usage is the use of a Window.
 type Usage struct {
 	// Granted and Denied are the numbers of retries since the last call of Usage.
@@ -42,25 +75,12 @@
 	w.advance(now)
 	u := Usage{
 		Granted: w.granted, Denied: w.denied,
-		Retries: sum(w.retries), Requests: sum(w.requests), Slack: w.slack,
+		Retries: sum(w.retries), Requests: sum(w.requests), Slack: w.slack(),
 	}
 	w.granted, w.denied = 0, 0
 	return u
 }
 
-// NewWindow returns an empty window. ratio is the number of retries that each
-// request allows, slack the number allowed in every span in addition.
-func NewWindow(now time.Time, span time.Duration, ratio, slack float64) *Window {
-	return &Window{ratio: ratio, slack: slack, bucketSpan: span / windowBuckets, start: now}
-}
-
-// SetSlack sets the fixed allowance, which is divided among the live entries.
-func (w *Window) SetSlack(slack float64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.slack = slack
-}
-
 // RecordRequest counts one new request.
 func (w *Window) RecordRequest(now time.Time) {
 	w.mu.Lock()
@@ -74,7 +94,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	if sum(w.retries)+1 > w.ratio*sum(w.requests)+w.slack {
+	if sum(w.retries)+1 > w.budget.Ratio*budgetShare*sum(w.requests)+w.slack() {
 		w.denied++
 		return false
 	}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -12,13 +12,13 @@
 var _ = Describe("Window", func() {
 	const span = 10 * time.Second
 
-	It("allows the fixed allowance without any request", func() {
-		w := retry.NewWindow(start, span, 0.2, 3)
+	It("allows the entry's part of seven tenths of the fixed allowance without any request", func() {
+		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.2, Slack: 20, Window: span}, 4)
 		Expect(allowed(w, start, 10)).To(Equal(3))
 	})
 
-	It("allows a share of the requests in the span", func() {
-		w := retry.NewWindow(start, span, 0.2, 0)
+	It("allows seven tenths of the ratio of the requests in the span", func() {
+		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.3, Window: span}, 4)
 		for range 50 {
 			w.RecordRequest(start)
 		}
@@ -29,7 +29,7 @@
 	// number of retries sent must not exceed the share of its requests plus the
 	// allowance.
 	It("keeps the limit in every sliding span of an outage", func() {
-		w := retry.NewWindow(start, span, 0.2, 5)
+		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.3, Slack: 8, Window: span}, 1)
 		var repeats []time.Time
 		for tick := range 6000 {
 			now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
@@ -39,6 +39,7 @@
 			}
 		}
 		const perSpan = 1000
+		const limit = 0.7 * (0.3*perSpan + 8)
 		for first := range repeats {
 			inSpan := 0
 			for _, at := range repeats[first:] {
@@ -46,20 +47,20 @@
 					inSpan++
 				}
 			}
-			Expect(inSpan).To(BeNumerically("<=", perSpan*0.2+5))
+			Expect(inSpan).To(BeNumerically("<=", limit))
 		}
 		Expect(len(repeats)).To(BeNumerically(">", 1000))
 	})
 
 	It("drops requests and retries older than the span", func() {
-		w := retry.NewWindow(start, span, 0, 2)
+		w := retry.NewWindow(start, retry.FleetBudget{Slack: 3, Window: span}, 1)
 		Expect(allowed(w, start, 5)).To(Equal(2))
 		Expect(allowed(w, start.Add(span+span/10), 5)).To(Equal(2))
 	})
 
-	It("applies a reduced fixed allowance", func() {
-		w := retry.NewWindow(start, span, 0, 10)
-		w.SetSlack(1)
+	It("applies a reduced part of the fixed allowance", func() {
+		w := retry.NewWindow(start, retry.FleetBudget{Slack: 10, Window: span}, 1)
+		w.SetEntries(7)
 		Expect(allowed(w, start, 5)).To(Equal(1))
 	})
 })
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -37,15 +37,6 @@
 	"chivespindle.example/daemon/wire"
 )
 
-// RetryBudget limits the retries that all entries together send to a service.
-type RetryBudget struct {
-	// Ratio is the number of retries allowed per request. Slack is the number
-	// allowed in addition within Window.
-	Ratio  float64
-	Slack  float64
-	Window time.Duration
-}
-
 // Options of a Gateway. All fields are required.
 type Options struct {
 	Self        fleet.InstanceID
@@ -62,7 +53,7 @@
 	Endpoint *peer.Endpoint
 	Source   catalog.Source
 	Backend  Backend
-	Budget   RetryBudget
+	Budget   retry.FleetBudget
 	// VersionTime is how long after the publication of a new version of weights the
 	// one before may still be used.
 	VersionTime time.Duration
--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -22,6 +22,7 @@
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/retry"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/wire"
 )
@@ -182,7 +183,7 @@
 		Self: fleet.InstanceID(addr.String()), Addr: addr, Place: fleet.Place{Zone: "hall", Region: region},
 		CallerAddr: netip.AddrPortFrom(addr, 80), Regions: map[fleet.Zone]fleet.Region{"hall": region},
 		Loop: control.New(control.Options{}), Backend: e.backend,
-		Budget:      RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Budget:      retry.FleetBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	})
 	e.g.listDelay = m.randDuration(maxListDelay)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -283,11 +283,11 @@
 		isCurrent:       g.contact.isRecent(now) || g.mesh.HasLiveEntry(now),
 	}
 	g.cancelObsoleteCall(g.view.Swap(v), v)
-	slack := g.slack()
+	sharing := g.budgetEntries()
 	g.callsMu.Lock()
 	defer g.callsMu.Unlock()
 	for _, w := range g.budgets {
-		w.SetSlack(slack)
+		w.SetEntries(sharing)
 	}
 }
 
--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -19,6 +19,7 @@
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/retry"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/mesh"
@@ -283,7 +284,7 @@
 		Self: id, Addr: addr, Incarnation: 1, Place: fleet.Place{Zone: "sharada", Region: "kano"},
 		CallerAddr: netip.AddrPortFrom(addr, 80), PeerPort: f.port, Seeds: []netip.Addr{netip.MustParseAddr("127.0.3.1")},
 		Regions: map[fleet.Zone]fleet.Region{"sharada": "kano"}, Loop: m.loop, Endpoint: endpoint, Source: &entrySource{platformStub: f.platform},
-		Backend: &rejectingBackend{}, Budget: RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Backend: &rejectingBackend{}, Budget: retry.FleetBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	})
 	handler.Handler = m.gateway
--- a/daemon/gateway/retrybudget.go
+++ b/daemon/gateway/retrybudget.go
@@ -9,11 +9,6 @@
 	"chivespindle.example/core/retry"
 )
 
-// budgetShare is the part of the retry budget that is used. The windows of the
-// platform and of the entries do not start at the same time, so a request and its
-// retry may be counted in different windows.
-const budgetShare = 0.7
-
 // allowRetry takes one retry from the budget of a service and reports whether the budget
 // allowed it.
 func (g *Gateway) allowRetry(now time.Time, service fleet.ServiceName) bool {
@@ -25,21 +20,19 @@
 	defer g.callsMu.Unlock()
 	w := g.budgets[service]
 	if w == nil {
-		b := g.opts.Budget
-		w = retry.NewWindow(now, b.Window, b.Ratio*budgetShare, g.slack())
+		w = retry.NewWindow(now, g.opts.Budget, g.budgetEntries())
 		g.budgets[service] = w
 	}
 	return w
 }
 
-// slack returns this entry's part of the budget's Slack. Silent entries keep theirs,
-// since they may be alive behind a partition and use it.
-func (g *Gateway) slack() float64 {
-	entries := 1
+// budgetEntries returns the number of entries that share the retry budgets. Silent ones
+// count, since they may be alive behind a partition and send retries.
+func (g *Gateway) budgetEntries() int {
 	if v := g.view.Load(); v != nil {
-		entries += len(v.entries)
+		return 1 + len(v.entries)
 	}
-	return g.opts.Budget.Slack * budgetShare / float64(entries)
+	return 1
 }
 
 // logRetryBudgets logs the budget of each service for which a retry was requested since
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -13,6 +13,7 @@
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/core/retry"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/control"
 	"chivespindle.example/daemon/mesh"
@@ -53,7 +54,7 @@
 		CallerAddr: netip.MustParseAddrPort("10.0.0.1:80"),
 		Regions:    map[fleet.Zone]fleet.Region{"hall": "lagos"},
 		Loop:       control.New(control.Options{}), Backend: backend,
-		Budget:      RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Budget:      retry.FleetBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		VersionTime: 8 * time.Second, SoundTime: 3 * time.Second, Logger: zap.NewNop(), Metrics: tally.NoopScope,
 	})
 	return g, backend
