Give an entry that has started only the part of the retry budget that its predecessor left

Cause: an entry that starts has an empty window and its whole part of the budget, though the process before it may have spent the same part a moment ago. Three starts in ten seconds gave four times the fixed allowance, and retries for the requests before and after a kill were paid for in one span.

Ruled out: uncounted arrivals (every attempt goes through one function, and no entry exceeded the limit that it logged); the width of a bucket of the window, which is a fault of its own.

Fix: entries use seven tenths of the budget as before once they have run for a span, and in their first span the three tenths that are left, the fixed allowance in proportion to the time since the start. So a predecessor and all its successors have at most the budget in any span, however often they start. An entry that joins has no part that others may have used, for the same reason.

Specs of the window say from when on an entry has run.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -18,19 +18,23 @@
 	// windowBuckets is the number of buckets into which the span of a Window is
 	// divided.
 	windowBuckets = 10
-	// budgetShare is the part of a FleetBudget that the entries use. Their windows do
-	// not start at the same time, so a request and its retry may be counted in
-	// different windows.
-	budgetShare = 0.7
+	// steadyShare is the part of a FleetBudget that entries use which have run for a
+	// span. Their windows do not start at the same time, so a request and its retry may
+	// be counted in different windows.
+	steadyShare = 0.7
+	// startShare is the part that entries use before. The predecessor of an entry that
+	// has started again may have used its steadyShare a moment ago.
+	startShare = 1 - steadyShare
 )
 
 // Window is one entry's part of a FleetBudget: it limits retries to a share of the
-// requests of a sliding time span, plus a fixed allowance. A Budget accrues tokens with
+// requests of a sliding time span, plus a part of the fixed allowance. A Budget accrues tokens with
 // time and may pay for a burst that exceeds a limit over all entries in some span; a
 // Window never does.
 type Window struct {
 	budget     FleetBudget
 	bucketSpan time.Duration
+	started    time.Time // when the entry started
 
 	mu       sync.Mutex
 	entries  int
@@ -42,9 +46,10 @@
 	denied   int
 }
 
-// NewWindow returns an empty window of one of a number of entries.
-func NewWindow(now time.Time, budget FleetBudget, entries int) *Window {
-	return &Window{budget: budget, entries: entries, bucketSpan: budget.Window / windowBuckets, start: now}
+// NewWindow returns an empty window of an entry that started at a time and shares the
+// budget with others. entries is the number of all of them.
+func NewWindow(started time.Time, budget FleetBudget, entries int) *Window {
+	return &Window{budget: budget, bucketSpan: budget.Window / windowBuckets, started: started, entries: entries, start: started}
 }
 
 // SetEntries sets the number of entries that share the budget.
@@ -54,9 +59,24 @@
 	w.entries = entries
 }
 
-// slack returns this entry's part of the fixed allowance.
-func (w *Window) slack() float64 {
-	return w.budget.Slack * budgetShare / float64(w.entries)
+// share returns the part of the budget that this entry uses.
+func (w *Window) share(now time.Time) float64 {
+	if now.Sub(w.started) < w.budget.Window {
+		return startShare
+	}
+	return steadyShare
+}
+
+// slack returns this entry's part of the fixed allowance. It accrues over the first span,
+// so that an entry that starts again and again has no more than one that keeps running.
+func (w *Window) slack(now time.Time) float64 {
+	accrued := min(1, now.Sub(w.started).Seconds()/w.budget.Window.Seconds())
+	return accrued * w.share(now) * w.budget.Slack / float64(w.entries)
+}
+
+// limit returns how many retries are allowed in the span that ends now.
+func (w *Window) limit(now time.Time) float64 {
+	return w.share(now)*w.budget.Ratio*sum(w.requests) + w.slack(now)
 }
 
 // Usage is the use of a Window.
@@ -75,7 +95,7 @@
 	w.advance(now)
 	u := Usage{
 		Granted: w.granted, Denied: w.denied,
-		Retries: sum(w.retries), Requests: sum(w.requests), Slack: w.slack(),
+		Retries: sum(w.retries), Requests: sum(w.requests), Slack: w.slack(now),
 	}
 	w.granted, w.denied = 0, 0
 	return u
@@ -94,7 +114,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	if sum(w.retries)+1 > w.budget.Ratio*budgetShare*sum(w.requests)+w.slack() {
+	if sum(w.retries)+1 > w.limit(now) {
 		w.denied++
 		return false
 	}
@@ -106,10 +126,14 @@
 // advance clears the buckets that are older than the span.
 func (w *Window) advance(now time.Time) {
 	passed := int(now.Sub(w.start) / w.bucketSpan)
-	if passed <= 0 {
+	switch {
+	case passed <= 0:
 		return
+	case passed < windowBuckets:
+		w.start = w.start.Add(time.Duration(passed) * w.bucketSpan)
+	default:
+		w.start = now
 	}
-	w.start = w.start.Add(time.Duration(passed) * w.bucketSpan)
 	for range min(passed, windowBuckets) {
 		w.current = (w.current + 1) % windowBuckets
 		w.requests[w.current] = 0
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -11,14 +11,15 @@
 
 var _ = Describe("Window", func() {
 	const span = 10 * time.Second
+	running := start.Add(-span) // when an entry started that has run for a span
 
 	It("allows the entry's part of seven tenths of the fixed allowance without any request", func() {
-		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.2, Slack: 20, Window: span}, 4)
+		w := retry.NewWindow(running, retry.FleetBudget{Ratio: 0.2, Slack: 20, Window: span}, 4)
 		Expect(allowed(w, start, 10)).To(Equal(3))
 	})
 
 	It("allows seven tenths of the ratio of the requests in the span", func() {
-		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.3, Window: span}, 4)
+		w := retry.NewWindow(running, retry.FleetBudget{Ratio: 0.3, Window: span}, 4)
 		for range 50 {
 			w.RecordRequest(start)
 		}
@@ -29,7 +30,7 @@
 	// number of retries sent must not exceed the share of its requests plus the
 	// allowance.
 	It("keeps the limit in every sliding span of an outage", func() {
-		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.3, Slack: 8, Window: span}, 1)
+		w := retry.NewWindow(running, retry.FleetBudget{Ratio: 0.3, Slack: 8, Window: span}, 1)
 		var repeats []time.Time
 		for tick := range 6000 {
 			now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
@@ -52,14 +53,24 @@
 		Expect(len(repeats)).To(BeNumerically(">", 1000))
 	})
 
+	It("allows three tenths of the budget to an entry that has just started, the fixed allowance bit by bit", func() {
+		w := retry.NewWindow(start, retry.FleetBudget{Ratio: 0.2, Slack: 100, Window: span}, 3)
+		Expect(allowed(w, start, 100)).To(Equal(0))
+		Expect(allowed(w, start.Add(span/2), 100)).To(Equal(5))
+		for range 50 {
+			w.RecordRequest(start.Add(span / 2))
+		}
+		Expect(allowed(w, start.Add(span/2), 100)).To(Equal(3))
+	})
+
 	It("drops requests and retries older than the span", func() {
-		w := retry.NewWindow(start, retry.FleetBudget{Slack: 3, Window: span}, 1)
+		w := retry.NewWindow(running, retry.FleetBudget{Slack: 3, Window: span}, 1)
 		Expect(allowed(w, start, 5)).To(Equal(2))
 		Expect(allowed(w, start.Add(span+span/10), 5)).To(Equal(2))
 	})
 
 	It("applies a reduced part of the fixed allowance", func() {
-		w := retry.NewWindow(start, retry.FleetBudget{Slack: 10, Window: span}, 1)
+		w := retry.NewWindow(running, retry.FleetBudget{Slack: 10, Window: span}, 1)
 		w.SetEntries(7)
 		Expect(allowed(w, start, 5)).To(Equal(1))
 	})
--- a/daemon/gateway/retrybudget.go
+++ b/daemon/gateway/retrybudget.go
@@ -12,15 +12,15 @@
 // allowRetry takes one retry from the budget of a service and reports whether the budget
 // allowed it.
 func (g *Gateway) allowRetry(now time.Time, service fleet.ServiceName) bool {
-	return g.budget(now, service).TryRetry(now)
+	return g.budget(service).TryRetry(now)
 }
 
-func (g *Gateway) budget(now time.Time, service fleet.ServiceName) *retry.Window {
+func (g *Gateway) budget(service fleet.ServiceName) *retry.Window {
 	g.callsMu.Lock()
 	defer g.callsMu.Unlock()
 	w := g.budgets[service]
 	if w == nil {
-		w = retry.NewWindow(now, g.opts.Budget, g.budgetEntries())
+		w = retry.NewWindow(g.started, g.opts.Budget, g.budgetEntries())
 		g.budgets[service] = w
 	}
 	return w
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -95,7 +95,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
-	g.budget(call.Arrived, j.service.Name).RecordRequest(call.Arrived)
+	g.budget(j.service.Name).RecordRequest(call.Arrived)
 	for j.tryServer(ctx) {
 	}
 	j.leaveHold(time.Now(), false)
