Count a retry for its whole span

What servers could see: two bursts of retries 9.1 s apart, each as large as the budget of 10 s allows.

Cause: the window had ten buckets of a tenth of the span, and the current one has only begun, so a retry counted for nine to ten tenths of the span. The spec of an outage compared spans of nine tenths with the limit.

Fix: one bucket more is kept for the retries; requests count for as long as before.

--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -18,6 +18,9 @@
 	// windowBuckets is the number of buckets into which the span of a Window is
 	// divided.
 	windowBuckets = 10
+	// keptBuckets is one more: as the current bucket has only begun, a retry would
+	// otherwise be dropped up to a bucket before its span is over.
+	keptBuckets = windowBuckets + 1
 	// steadyShare is the part of a FleetBudget that entries use which have run for a
 	// span. Their windows do not start at the same time, so a request and its retry may
 	// be counted in different windows.
@@ -39,8 +42,8 @@
 	mu       sync.Mutex
 	entries  int
 	start    time.Time
-	requests [windowBuckets]float64
-	retries  [windowBuckets]float64
+	requests [keptBuckets]float64
+	retries  [keptBuckets]float64
 	current  int
 	granted  int // since the last call of Usage
 	denied   int
@@ -76,7 +79,14 @@
 
 // limit returns how many retries are allowed in the span that ends now.
 func (w *Window) limit(now time.Time) float64 {
-	return w.share(now)*w.budget.Ratio*sum(w.requests) + w.slack(now)
+	return w.share(now)*w.budget.Ratio*w.requestsInSpan() + w.slack(now)
+}
+
+// requestsInSpan returns the number of requests, without the bucket of which a part is
+// older than the span.
+func (w *Window) requestsInSpan() float64 {
+	oldest := (w.current + 1) % keptBuckets
+	return sum(w.requests) - w.requests[oldest]
 }
 
 // Usage is the use of a Window.
@@ -95,7 +105,7 @@
 	w.advance(now)
 	u := Usage{
 		Granted: w.granted, Denied: w.denied,
-		Retries: sum(w.retries), Requests: sum(w.requests), Slack: w.slack(now),
+		Retries: sum(w.retries), Requests: w.requestsInSpan(), Slack: w.slack(now),
 	}
 	w.granted, w.denied = 0, 0
 	return u
@@ -129,19 +139,19 @@
 	switch {
 	case passed <= 0:
 		return
-	case passed < windowBuckets:
+	case passed < keptBuckets:
 		w.start = w.start.Add(time.Duration(passed) * w.bucketSpan)
 	default:
 		w.start = now
 	}
-	for range min(passed, windowBuckets) {
-		w.current = (w.current + 1) % windowBuckets
+	for range min(passed, keptBuckets) {
+		w.current = (w.current + 1) % keptBuckets
 		w.requests[w.current] = 0
 		w.retries[w.current] = 0
 	}
 }
 
-func sum(values [windowBuckets]float64) float64 {
+func sum(values [keptBuckets]float64) float64 {
 	var total float64
 	for _, v := range values {
 		total += v
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -44,7 +44,7 @@
 		for first := range repeats {
 			inSpan := 0
 			for _, at := range repeats[first:] {
-				if at.Sub(repeats[first]) < span*9/10 {
+				if at.Sub(repeats[first]) < span {
 					inSpan++
 				}
 			}
@@ -69,6 +69,17 @@
 		Expect(allowed(w, start.Add(span+span/10), 5)).To(Equal(2))
 	})
 
+	// Guards against a burst that is counted for less than a span.
+	It("counts a retry for a whole span", func() {
+		w := retry.NewWindow(running, retry.FleetBudget{Slack: 10, Window: span}, 1)
+		const tenth = span / 10
+		first := start.Add(tenth * 9 / 10)
+		w.RecordRequest(start)
+		Expect(allowed(w, first, 100)).To(Equal(7))
+		Expect(allowed(w, first.Add(span-1), 100)).To(Equal(0))
+		Expect(allowed(w, first.Add(span+tenth), 100)).To(Equal(7))
+	})
+
 	It("applies a reduced part of the fixed allowance", func() {
 		w := retry.NewWindow(running, retry.FleetBudget{Slack: 10, Window: span}, 1)
 		w.SetEntries(7)
