Order what the platform publishes by the store's era, then by its revision

What callers saw: after the store had returned from an older copy, routes that had been added answered 404 or 503 and requests reached servers that had left, until the store's revisions had passed those before its return; where they passed them in one moment, the changes below were never seen.

Cause: revisions were compared as if they only rose, in the check of order, lists, changes, peers' reports, the feed to the other entries and the position of a reader. The header that tells the eras apart had no reader.

Fix: a catalog.Revision holds the era and the counter, and its order is that of eras first, so every comparison that exists holds across a return, on the wire as well, and none can be forgotten. The copy may have an older configuration, which would be newer by its era, so configurations are compared by the operator's version, which rises in any case, here and in heartbeats and requests of peers.

Log lines have a revision as text (6/22, or 22 if the store states no era); three specs of log lines compare the text. Specs that set the revision of a configuration set its version.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -11,10 +11,6 @@
 	"chivespindle.example/core/routing"
 )
 
-// Revision is the version number of everything that the platform publishes. Each
-// change increases it.
-type Revision int64
-
 // Server is one registered backend server. Server, Wanted, Change and Snapshot are
 // sent to other processes under the names of their fields.
 type Server struct {
@@ -62,9 +58,8 @@
 	// OperatorAsOf is the revision up to which Config and Wanted are known.
 	OperatorAsOf Revision
 	// Config is nil until the operator has published a configuration.
-	Config         *routing.Config
-	ConfigRevision Revision
-	Wanted         []Wanted
+	Config *routing.Config
+	Wanted []Wanted
 }
 
 // Apply returns the snapshot as of asOf with the changes to both parts applied, which
@@ -102,9 +97,8 @@
 
 func (s *Snapshot) apply(c Change) {
 	switch {
-	case c.Config != nil && c.Revision >= s.ConfigRevision:
-		s.Config = c.Config
-		s.ConfigRevision = c.Revision
+	case c.Config != nil:
+		s.setConfig(c.Config)
 	case c.Server != nil:
 		s.register(*c.Server)
 	case c.Removed != "":
@@ -154,6 +148,23 @@
 	s.Servers = slices.DeleteFunc(s.Servers, func(other Server) bool { return other.ID == id })
 }
 
+// setConfig sets the configuration, unless its version is older. The operator's versions
+// increase even if the platform has lost some of them and its revisions start again from
+// an older one.
+func (s *Snapshot) setConfig(config *routing.Config) {
+	if s.Config == nil || config.Version >= s.Config.Version {
+		s.Config = config
+	}
+}
+
+// ConfigVersion returns the version of the configuration, 0 if there is none.
+func (s Snapshot) ConfigVersion() int64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version
+}
+
 func (s *Snapshot) setWanted(w Wanted) {
 	for i, other := range s.Wanted {
 		if other.Model != w.Model {
@@ -168,16 +179,16 @@
 }
 
 // Merge returns the newer of two snapshots, part by part. The configuration never goes
-// back to an older revision: a list read from a stale replica of the platform must not
-// replace a newer one. The revision of a part that other lacks is 0, and a list of
-// servers without a revision is ignored.
+// back to an older version: a list read from a stale replica of the platform, or after its
+// return from an older copy, must not replace a newer one. A list of servers without a
+// revision is ignored.
 func (s Snapshot) Merge(other Snapshot) Snapshot {
 	next := s
 	if other.AsOf > s.AsOf {
 		next.AsOf, next.Servers = other.AsOf, other.Servers
 	}
-	if other.Config != nil && other.ConfigRevision > s.ConfigRevision {
-		next.Config, next.ConfigRevision = other.Config, other.ConfigRevision
+	if other.Config != nil {
+		next.setConfig(other.Config)
 	}
 	next.Wanted = slices.Clone(s.Wanted)
 	for _, w := range other.Wanted {
--- a/core/catalog/check.go
+++ b/core/catalog/check.go
@@ -12,7 +12,8 @@
 var (
 	// MissingRevision: the data does not state up to which revision it is complete.
 	MissingRevision = failure.Namespace.NewType("no_revision")
-	// RevisionWentBack: the data ends at an older revision than data read before.
+	// RevisionWentBack: the data ends at an older revision than data read before, in the
+	// same era of the platform or an older one.
 	RevisionWentBack = failure.Namespace.NewType("revision_went_back")
 	// UnknownServer: a registration ended that is not known.
 	UnknownServer = failure.Namespace.NewType("unknown_server")
@@ -22,10 +23,10 @@
 // the newest known revision. It returns nil if the revision is valid.
 func CheckOrder(known, asOf Revision) error {
 	switch {
-	case asOf <= 0:
-		return MissingRevision.New("response of the platform without a revision, after revision %d", known)
+	case asOf.Counter() <= 0:
+		return MissingRevision.New("response of the platform without a revision, after revision %v", known)
 	case asOf < known:
-		return RevisionWentBack.New("platform returned revision %d after revision %d", asOf, known)
+		return RevisionWentBack.New("platform returned revision %v after revision %v", asOf, known)
 	default:
 		return nil
 	}
@@ -55,6 +56,6 @@
 	if len(unknown) == 0 {
 		return nil
 	}
-	return UnknownServer.New("%d unknown servers removed, the first is %s at revision %d",
+	return UnknownServer.New("%d unknown servers removed, the first is %s at revision %v",
 		len(unknown), unknown[0].Removed, unknown[0].Revision)
 }
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -108,7 +108,7 @@
 func (g *Gateway) handleCatalogChange(now time.Time, r reading) {
 	g.changed = true
 	g.recordWantedVersions(now)
-	if g.snapshot.Config == nil || g.snapshot.ConfigRevision == g.tableRevision {
+	if g.snapshot.Config == nil || g.table != nil && g.table.Version() == g.snapshot.ConfigVersion() {
 		return
 	}
 	table, err := routing.NewTable(*g.snapshot.Config)
@@ -118,9 +118,8 @@
 		return
 	}
 	g.table = table
-	g.tableRevision = g.snapshot.ConfigRevision
 	g.opts.Logger.Info("config_in_force", zap.Int64("version", table.Version()), zap.String("from", r.sourceName()),
-		zap.Int64("revision", int64(g.tableRevision)), zap.Int("routes", len(g.snapshot.Config.Routes)))
+		zap.Stringer("revision", g.snapshot.OperatorAsOf), zap.Int("routes", len(g.snapshot.Config.Routes)))
 	if r.origin == fromStore {
 		// The other entries of the region wait for this one's report. The next heartbeat
 		// would delay it by up to half a second.
@@ -137,7 +136,7 @@
 			continue
 		}
 		named := g.newlyNamedVersion(now, w.Version)
-		if g.tableRevision == 0 {
+		if g.table == nil {
 			named.Since = now.Add(-g.opts.VersionTime)
 		}
 		g.addWantedVersion(w.Model, named)
--- a/daemon/gateway/follow.go
+++ b/daemon/gateway/follow.go
@@ -81,7 +81,7 @@
 		case cancelled:
 			continue // cancelled by this entry, to read something else or to start over
 		case errorx.IsOfType(err, catalog.HistoryGone):
-			g.opts.Logger.Warn("history_gone", zap.Int64("after", int64(min(pos.servers, pos.operator))))
+			g.opts.Logger.Warn("history_gone", zap.Stringer("after", min(pos.servers, pos.operator)))
 			pos.historyGone = true
 			continue
 		}
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -84,7 +84,7 @@
 
 	It("never reverts to an older one", func() {
 		newer := snapshot(20, one)
-		newer.Config, newer.ConfigRevision = config(7), 18
+		newer.Config = config(7)
 		g.adopt(at(time.Second), newer, "peer")
 		g.adopt(at(2*time.Second), snapshot(10, one, two), "platform")
 		Expect(g.table.Version()).To(Equal(int64(7)))
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -79,7 +79,6 @@
 
 	snapshot      catalog.Snapshot
 	table         *routing.Table
-	tableRevision catalog.Revision
 	names         map[string]loading.NamedVersions // by model
 	replicas      map[netip.Addr]replica
 	readyAt       map[netip.Addr]time.Time // when engines are expected to be ready
@@ -104,8 +103,8 @@
 	// startCatalogRequest requests the catalog of a peer. The result is passed to
 	// handleCatalogResponse.
 	startCatalogRequest func(addr netip.Addr, ask wire.CatalogRequest)
-	// newestPeerRevision is the newest configuration that a peer reported.
-	newestPeerRevision catalog.Revision
+	// newestPeerConfig is the version of the newest configuration that a peer reported.
+	newestPeerConfig int64
 	// behindSince is since when a peer has had a newer catalog, zero if none has.
 	behindSince time.Time
 	contact     contact
--- a/daemon/gateway/model_links_test.go
+++ b/daemon/gateway/model_links_test.go
@@ -120,7 +120,7 @@
 		k.asOf, k.region, k.last, k.reportedAt = b.AsOf, b.Place.Region, b, now
 	} else if k.last.ID != "" {
 		k.reportedAt = now
-		k.last.ConfigRevision = max(k.last.ConfigRevision, b.ConfigRevision)
+		k.last.ConfigVersion = max(k.last.ConfigVersion, b.ConfigVersion)
 	}
 	l.e.g.receive(now, l.peer(k), b)
 }
--- a/daemon/gateway/model_store_test.go
+++ b/daemon/gateway/model_store_test.go
@@ -44,7 +44,7 @@
 	}
 	c := config(1)
 	c.Services[0].Engine = nil // servers without agents
-	s.current = catalog.Snapshot{AsOf: 100, OperatorAsOf: 100, Config: c, ConfigRevision: 90}
+	s.current = catalog.Snapshot{AsOf: 100, OperatorAsOf: 100, Config: c}
 	for range servers {
 		s.registerNew(start)
 	}
--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -244,7 +244,7 @@
 			response, config := newerThan(other.g.snapshot, request)
 			response.AgeMS = now.Sub(other.g.changesReadAt).Milliseconds()
 			if config != nil {
-				response.Snapshot.Config, response.Snapshot.ConfigRevision = config, response.ConfigRevision
+				response.Snapshot.Config = config
 			}
 			e.serverBytes += sizeOf(response)
 			e.m.after(e.m.beatDelay(), func(now time.Time) {
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -48,7 +48,7 @@
 		return
 	}
 	addr, sameRegion, ok := g.mesh.FindEntry(now, func(b wire.Heartbeat) bool {
-		return b.ConfigRevision > g.snapshot.ConfigRevision || b.AsOf > g.snapshot.AsOf && g.lacksServers(now)
+		return b.ConfigVersion > g.snapshot.ConfigVersion() || b.AsOf > g.snapshot.AsOf && g.lacksServers(now)
 	})
 	if !ok {
 		g.behindSince = time.Time{}
@@ -62,7 +62,7 @@
 	}
 	g.requestingCatalog = true
 	g.nextCatalogRequest = now.Add(catalogRequestInterval)
-	request := wire.CatalogRequest{AsOf: g.snapshot.AsOf, ConfigRevision: g.snapshot.ConfigRevision}
+	request := wire.CatalogRequest{AsOf: g.snapshot.AsOf, ConfigVersion: g.snapshot.ConfigVersion()}
 	g.startCatalogRequest(addr, request)
 }
 
@@ -140,7 +140,7 @@
 	if err := peer.Unpack(packed, &config, maxConfigBytes); err != nil {
 		return response, len(packed), err
 	}
-	response.Snapshot.Config, response.Snapshot.ConfigRevision = &config, response.ConfigRevision
+	response.Snapshot.Config = &config
 	return response, len(packed), nil
 }
 
@@ -188,7 +188,7 @@
 	if config == nil {
 		return s.Send(response)
 	}
-	packed, err := g.packed.pack(held.ConfigRevision, config)
+	packed, err := g.packed.pack(config)
 	if err != nil {
 		return err
 	}
@@ -211,17 +211,14 @@
 // to peers that lack it, and not within the message.
 func newerThan(held catalog.Snapshot, request wire.CatalogRequest) (wire.CatalogResponse, *routing.Config) {
 	config := held.Config
-	if held.ConfigRevision <= request.ConfigRevision {
+	if held.ConfigVersion() <= request.ConfigVersion {
 		config = nil
 	}
 	if held.AsOf <= request.AsOf && config == nil {
 		return wire.CatalogResponse{}, nil
 	}
 	response := wire.CatalogResponse{}
-	if config != nil {
-		response.ConfigRevision = held.ConfigRevision
-	}
-	held.Config, held.ConfigRevision = nil, 0
+	held.Config = nil
 	if held.AsOf <= request.AsOf {
 		held.AsOf, held.Servers = 0, nil
 	}
@@ -232,21 +229,21 @@
 // packedConfig caches the configuration as it is sent to peers. It is packed once, since
 // a dozen peers request it at the same moment.
 type packedConfig struct {
-	mu       sync.Mutex
-	revision catalog.Revision
-	packed   []byte
+	mu      sync.Mutex
+	version int64
+	packed  []byte
 }
 
-func (p *packedConfig) pack(revision catalog.Revision, config *routing.Config) ([]byte, error) {
+func (p *packedConfig) pack(config *routing.Config) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.revision == revision {
+	if p.packed != nil && p.version == config.Version {
 		return p.packed, nil
 	}
 	packed, err := peer.Pack(config)
 	if err != nil {
 		return nil, err
 	}
-	p.revision, p.packed = revision, packed
+	p.version, p.packed = config.Version, packed
 	return packed, nil
 }
--- a/daemon/gateway/peercatalog_test.go
+++ b/daemon/gateway/peercatalog_test.go
@@ -5,33 +5,31 @@
 	. "github.com/onsi/gomega"
 
 	"chivespindle.example/adapters/peer"
-	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/routing"
 	"chivespindle.example/daemon/wire"
 )
 
 var _ = Describe("The part of the catalog that a peer is sent", func() {
 	held := snapshot(20, server("i-1", "10.0.1.1:80", 2))
-	held.ConfigRevision, held.OperatorAsOf = 18, 20
+	held.Config, held.OperatorAsOf = config(18), 20
 
 	It("is the configuration only, if it knows the servers", func() {
-		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigRevision: 12})
+		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigVersion: 12})
 		Expect(config).To(Equal(held.Config))
-		Expect(response.ConfigRevision).To(Equal(catalog.Revision(18)))
 		Expect(response.Snapshot.Servers).To(BeEmpty())
 		requester := snapshot(22, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 21))
 		Expect(requester.Merge(*response.Snapshot).Servers).To(HaveLen(2))
 	})
 
 	It("is the servers only, if it has the configuration", func() {
-		response, config := newerThan(held, wire.CatalogRequest{AsOf: 12, ConfigRevision: 18})
+		response, config := newerThan(held, wire.CatalogRequest{AsOf: 12, ConfigVersion: 18})
 		Expect(config).To(BeNil())
 		Expect(response.Snapshot.Servers).To(HaveLen(1))
-		Expect(response.Snapshot.ConfigRevision).To(BeZero())
+		Expect(response.Snapshot.Config).To(BeNil())
 	})
 
 	It("is nothing, if it has both", func() {
-		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigRevision: 18})
+		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigVersion: 18})
 		Expect(config).To(BeNil())
 		Expect(response.Snapshot).To(BeNil())
 	})
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -48,7 +48,7 @@
 	} else {
 		delete(g.sentLoads, to.ID)
 	}
-	b.ConfigRevision = g.snapshot.ConfigRevision
+	b.ConfigVersion = g.snapshot.ConfigVersion()
 	g.addPlatformReport(now, &b, to, form)
 	if b.Brief {
 		return b
@@ -131,7 +131,7 @@
 	if b.Role == fleet.RoleEntry {
 		g.receiveLoads(now, from, b)
 		g.receiveFromReader(now, b)
-		g.receiveRevision(b)
+		g.receiveOperatorState(b)
 		if b.Brief {
 			return
 		}
@@ -176,19 +176,19 @@
 	}
 }
 
-// receiveRevision updates the revision up to which the operator's configuration is known:
+// receiveOperatorState updates the revision up to which the operator's configuration is known:
 // if a peer has no configuration that is missing here, all that it knows is known here
 // too. The first report of a missing configuration is logged: the time from that line to
 // config_in_force is the time to fetch it.
-func (g *Gateway) receiveRevision(b wire.Heartbeat) {
-	if b.ConfigRevision <= g.snapshot.ConfigRevision {
+func (g *Gateway) receiveOperatorState(b wire.Heartbeat) {
+	if b.ConfigVersion <= g.snapshot.ConfigVersion() {
 		g.snapshot.OperatorAsOf = max(g.snapshot.OperatorAsOf, b.OperatorAsOf)
 	}
-	if b.ConfigRevision <= max(g.newestPeerRevision, g.snapshot.ConfigRevision) {
+	if b.ConfigVersion <= max(g.newestPeerConfig, g.snapshot.ConfigVersion()) {
 		return
 	}
-	g.newestPeerRevision = b.ConfigRevision
-	g.opts.Logger.Info("config_heard", zap.Int64("revision", int64(b.ConfigRevision)), zap.String("peer", string(b.ID)))
+	g.newestPeerConfig = b.ConfigVersion
+	g.opts.Logger.Info("config_heard", zap.Int64("version", b.ConfigVersion), zap.String("peer", string(b.ID)))
 }
 
 // receiveWantedVersion handles a version that a peer reports. The peer may have known it
@@ -199,7 +199,7 @@
 // version.
 func (g *Gateway) receiveWantedVersion(now time.Time, w wire.WantedVersion) {
 	named := w.NamedVersion(now)
-	if g.tableRevision != 0 {
+	if g.table != nil {
 		named = g.names[w.Model].Reconcile(named, g.newlyNamedVersion(now, w.Version))
 	}
 	g.addWantedVersion(w.Model, named)
--- a/daemon/gateway/readers.go
+++ b/daemon/gateway/readers.go
@@ -90,7 +90,7 @@
 func (g *Gateway) mustReadServers(now time.Time) bool {
 	isOld := now.Sub(g.changesReadAt) > maxReadingAge
 	isUnheard := now.Sub(g.readerSeenAt) > readerTimeout
-	lacksConfig := g.newestPeerRevision > g.snapshot.ConfigRevision
+	lacksConfig := g.newestPeerConfig > g.snapshot.ConfigVersion()
 	return isOld && isUnheard && !lacksConfig
 }
 
@@ -109,7 +109,7 @@
 		return
 	}
 	g.opts.Logger.Info("reads_platform", zap.Bool("reads", current.readsPlatform), zap.Int("rank", current.rank),
-		zap.Int64("as_of", int64(current.asOf)))
+		zap.Stringer("as_of", current.asOf))
 	if !current.readsPlatform {
 		g.platformCall.stopIfWaiting()
 	}
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -97,7 +97,7 @@
 		return
 	}
 	all := append([]zap.Field{zap.String("source", string(r.origin)), zap.String("from", r.from),
-		zap.Int64("revision", int64(asOf)), zap.Int64("before", int64(before)),
+		zap.Stringer("revision", asOf), zap.Stringer("before", before),
 		zap.Duration("reading_age", now.Sub(r.readAt))}, fields...)
 	l.logger.Info("servers_adopted", all...)
 }
@@ -109,8 +109,8 @@
 		return
 	}
 	l.logger.Info("servers_dropped", zap.String("reason", string(reason)), zap.String("source", string(r.origin)),
-		zap.String("from", r.from), zap.Int64("after", int64(after)), zap.Int64("revision", int64(asOf)),
-		zap.Int64("held", int64(held)))
+		zap.String("from", r.from), zap.Stringer("after", after), zap.Stringer("revision", asOf),
+		zap.Stringer("held", held))
 }
 
 // refused logs an invalid reading up to a revision.
@@ -118,7 +118,7 @@
 	l.metrics.Tagged(map[string]string{"source": string(r.origin)}).Counter("servers_refused").Inc(1)
 	if l.allowed() {
 		l.logger.Info("servers_refused", zap.Error(err), zap.String("source", string(r.origin)), zap.String("from", r.from),
-			zap.Int64("revision", int64(asOf)), zap.Int64("held", int64(held)))
+			zap.Stringer("revision", asOf), zap.Stringer("held", held))
 	}
 }
 
@@ -126,8 +126,8 @@
 func (l *readingLog) wholeListDue(to fleet.InstanceID, after, first catalog.Revision) {
 	l.metrics.Counter("whole_lists_due").Inc(1)
 	if l.allowed() {
-		l.logger.Info("whole_list_due", zap.String("peer", string(to)), zap.Int64("after", int64(after)),
-			zap.Int64("revision", int64(first)))
+		l.logger.Info("whole_list_due", zap.String("peer", string(to)), zap.Stringer("after", after),
+			zap.Stringer("revision", first))
 	}
 }
 
@@ -135,7 +135,7 @@
 func (l *readingLog) leaving(s catalog.Server) {
 	if l.allowed() {
 		l.logger.Info("server_leaves", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
-			zap.Int64("revision", int64(s.Revision)))
+			zap.Stringer("revision", s.Revision))
 	}
 }
 
--- a/daemon/gateway/reading_test.go
+++ b/daemon/gateway/reading_test.go
@@ -39,13 +39,13 @@
 	})
 
 	It("is logged with its source, its revision and its age", func() {
-		Expect(lineOf("servers_adopted")).To(And(HaveKeyWithValue("source", "store"), HaveKeyWithValue("revision", int64(5)),
+		Expect(lineOf("servers_adopted")).To(And(HaveKeyWithValue("source", "store"), HaveKeyWithValue("revision", "5"),
 			HaveKeyWithValue("reading_age", 300*time.Millisecond)))
 		b := beat("10.0.0.2")
 		b.Servers = &wire.ServerChanges{After: 5, AsOf: 8, Changes: []catalog.Change{{Revision: 8, Server: &leaving}}, AgeMS: 20}
 		g.receive(at(time.Second), nearEntry, b)
 		Expect(lineOf("servers_adopted")).To(And(HaveKeyWithValue("source", "reader"), HaveKeyWithValue("from", "10.0.0.2"),
-			HaveKeyWithValue("before", int64(5)), HaveKeyWithValue("reading_age", 20*time.Millisecond)))
+			HaveKeyWithValue("before", "5"), HaveKeyWithValue("reading_age", 20*time.Millisecond)))
 		Expect(lineOf("server_leaves")).To(HaveKeyWithValue("server", "i-1"))
 	})
 
@@ -53,11 +53,11 @@
 		b := beat("10.0.0.2")
 		b.Servers = &wire.ServerChanges{After: 7, AsOf: 8}
 		g.receive(at(time.Second), nearEntry, b)
-		Expect(lineOf("servers_dropped")).To(And(HaveKeyWithValue("reason", "gap"), HaveKeyWithValue("held", int64(5))))
+		Expect(lineOf("servers_dropped")).To(And(HaveKeyWithValue("reason", "gap"), HaveKeyWithValue("held", "5")))
 		g.adoptSnapshot(at(time.Second), snapshot(4, one), reading{origin: fromPeer, from: "10.0.0.3", readAt: start})
 		Expect(lineOf("servers_dropped")).To(HaveKeyWithValue("reason", "older"))
 		g.serverNewsFor(at(time.Second), mesh.Peer{ID: "10.0.0.4", Role: fleet.RoleEntry, SameGroup: true, AsOf: 3})
-		Expect(lineOf("whole_list_due")).To(HaveKeyWithValue("after", int64(3)))
+		Expect(lineOf("whole_list_due")).To(HaveKeyWithValue("after", "3"))
 	})
 
 	// Guards against logs that slow down an entry while hundreds of entries start at
--- a/daemon/gateway/region_test.go
+++ b/daemon/gateway/region_test.go
@@ -28,10 +28,11 @@
 // platformStub stands for the platform: it publishes a catalog and counts how many copies
 // of the configuration it has sent since the last publication.
 type platformStub struct {
-	mu      sync.Mutex
-	current catalog.Snapshot
-	wake    chan struct{}
-	copies  int
+	configAt catalog.Revision // of the configuration
+	mu       sync.Mutex
+	current  catalog.Snapshot
+	wake     chan struct{}
+	copies   int
 	// changes are the changes of servers.
 	changes []catalog.Change
 	// If slow is true, a call of List blocks until its caller gives up. listing counts
@@ -65,14 +66,14 @@
 }
 
 func newPlatformStub(c *routing.Config) *platformStub {
-	return &platformStub{current: catalog.Snapshot{AsOf: 1, Config: c, ConfigRevision: 1}, wake: make(chan struct{})}
+	return &platformStub{current: catalog.Snapshot{AsOf: 1, Config: c}, configAt: 1, wake: make(chan struct{})}
 }
 
 func (p *platformStub) publish(c *routing.Config) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.current.AsOf++
-	p.current.Config, p.current.ConfigRevision = c, p.current.AsOf
+	p.current.Config, p.configAt = c, p.current.AsOf
 	p.copies = 0
 	close(p.wake)
 	p.wake = make(chan struct{})
@@ -123,9 +124,9 @@
 			changes = append(changes, c)
 		}
 	}
-	if p.current.ConfigRevision > after {
+	if p.configAt > after {
 		p.copies++
-		changes = append(changes, catalog.Change{Revision: p.current.ConfigRevision, Config: p.current.Config})
+		changes = append(changes, catalog.Change{Revision: p.configAt, Config: p.current.Config})
 	}
 	return changes, p.current.AsOf, nil
 }
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -78,7 +78,7 @@
 }
 
 func snapshot(asOf catalog.Revision, servers ...catalog.Server) catalog.Snapshot {
-	return catalog.Snapshot{AsOf: asOf, Config: config(1), ConfigRevision: 1, Servers: servers}
+	return catalog.Snapshot{AsOf: asOf, Config: config(1), Servers: servers}
 }
 
 // listed returns the ids of the servers to which calls may be sent.
--- a/daemon/gateway/watch_test.go
+++ b/daemon/gateway/watch_test.go
@@ -198,9 +198,9 @@
 	It("reads the platform itself once its reading is old and no reader reports", func() {
 		old := at(maxReadingAge + time.Millisecond)
 		Expect(g.shouldReadPlatform(old, readersPerGroup)).To(BeTrue(), "no reader reports")
-		g.newestPeerRevision = 9
+		g.newestPeerConfig = 9
 		Expect(g.shouldReadPlatform(old, readersPerGroup)).To(BeFalse(), "it would read a configuration that its readers have read")
-		g.newestPeerRevision = 0
+		g.newestPeerConfig = 0
 		Expect(g.shouldReadPlatform(old, readersPerGroup)).To(BeTrue())
 		b := beat("10.0.0.2")
 		b.AsOf, b.Platform = 7, &wire.PlatformState{}
--- a/daemon/loader/catalog.go
+++ b/daemon/loader/catalog.go
@@ -80,7 +80,7 @@
 	if !ok {
 		return // the engine is not registered yet
 	}
-	l.opts.Logger.Info("catalog_read", zap.Int64("as_of", int64(s.AsOf)), zap.Int("members", len(plan.Members)))
+	l.opts.Logger.Info("catalog_read", zap.Stringer("as_of", s.AsOf), zap.Int("members", len(plan.Members)))
 	l.supply = &plan.Supply
 	l.setMembers(now, plan.Members)
 	if w, named := s.WantedVersion(plan.Supply.Model); named && l.plan.Wanted() < w.Version {
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -194,6 +194,6 @@
 	if c := m.contacts[addrOf(b.ID)]; c != nil && c.lastHeartbeat.ID != "" {
 		c.lastHeartbeatAt = now
 		c.lastMentionAt = now
-		c.lastHeartbeat.ConfigRevision = max(c.lastHeartbeat.ConfigRevision, b.ConfigRevision)
+		c.lastHeartbeat.ConfigVersion = max(c.lastHeartbeat.ConfigVersion, b.ConfigVersion)
 	}
 }
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -24,11 +24,11 @@
 	// Ready entries accept requests; Leaving ones have begun their planned stop.
 	Ready   bool `cbor:"6,keyasint,omitzero"`
 	Leaving bool `cbor:"7,keyasint,omitzero"`
-	// AsOf and ConfigRevision are those of the sender's catalog.
-	AsOf           catalog.Revision `cbor:"8,keyasint,omitzero"`
-	ConfigRevision catalog.Revision `cbor:"9,keyasint,omitzero"`
+	// AsOf and ConfigVersion are those of the sender's catalog.
+	AsOf          catalog.Revision `cbor:"8,keyasint,omitzero"`
+	ConfigVersion int64            `cbor:"27,keyasint,omitzero"`
 	// OperatorAsOf is the revision up to which the sender knows what the operator
-	// wrote. Wanted and ConfigRevision reflect all of it.
+	// wrote. Wanted and ConfigVersion reflect all of it.
 	OperatorAsOf catalog.Revision `cbor:"19,keyasint,omitzero"`
 	// ReachesPlatform is true while the platform responds to an entry, or to another
 	// one that reads the platform for it.
@@ -48,7 +48,7 @@
 	// LoadsComplete is true if Loads are all loads of the sender: loads that it
 	// reported before are void.
 	LoadsComplete bool `cbor:"21,keyasint,omitzero"`
-	// Brief heartbeats have no fields but ID, Role, Incarnation, ConfigRevision, Loads
+	// Brief heartbeats have no fields but ID, Role, Incarnation, ConfigVersion, Loads
 	// and LoadsComplete.
 	Brief bool `cbor:"17,keyasint,omitzero"`
 	// Replicas are the engines that agents reported to the sender, or an agent's own.
@@ -232,8 +232,9 @@
 // one CatalogRequest and one CatalogResponse.
 type CatalogRequest struct {
 	// AsOf is the revision up to which the requester knows the servers.
-	AsOf           catalog.Revision `cbor:"1,keyasint"`
-	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
+	AsOf catalog.Revision `cbor:"1,keyasint"`
+	// ConfigVersion is the version of the configuration that the requester has.
+	ConfigVersion int64 `cbor:"3,keyasint,omitzero"`
 }
 
 // CatalogResponse contains what is newer; Snapshot is nil if nothing is. A snapshot as
@@ -241,10 +242,9 @@
 type CatalogResponse struct {
 	// Snapshot is without a configuration.
 	Snapshot *catalog.Snapshot `cbor:"1,keyasint,omitempty"`
-	// ConfigRevision is the revision of the configuration that follows, compressed, in
-	// raw frames of ConfigBytes in total; 0 if the requester has it.
-	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
-	ConfigBytes    int              `cbor:"3,keyasint,omitzero"`
+	// ConfigBytes is the size of the configuration that follows, compressed, in raw
+	// frames; 0 if the requester has it.
+	ConfigBytes int `cbor:"3,keyasint,omitzero"`
 	// AgeMS is the time since the servers were read from the platform.
 	AgeMS int64 `cbor:"4,keyasint,omitzero"`
 }
