Keep servers out of use that an older copy of the store brings back

What callers saw: after the store had returned from a copy, requests reached servers that had stated before that they leave, or whose registration had ended, until they wrote again or the copy's registrations lapsed.

Cause: with each list the servers are what the list says, and a list of a copy says what was so some seconds before.

Fix: an entry remembers the servers that were leaving or removed. A registration of the era in which that was known, one written after the first list of the era, and a later start under the same ID count; any other is what the copy had. A leaving server stays leaving.

--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -74,20 +74,46 @@
 // handleRemoved handles the end of a server's registration. If it may only have lapsed,
 // the server stays in use, unless it had announced that it leaves.
 func (g *Gateway) handleRemoved(now time.Time, s catalog.Server) {
-	keep := g.contact.mayHaveLapsed(now) && !g.isLeaving(s)
+	leaving := g.isLeaving(now, s)
+	keep := g.contact.mayHaveLapsed(now) && !leaving
 	if keep {
 		g.lapsed[s.ID] = s
 	}
+	if s.Revision.Era() == g.snapshot.AsOf.Era() {
+		g.departures.RecordRemoved(now, s, leaving)
+	}
 	g.opts.Logger.Info("server_removed", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
 		zap.Bool("kept", keep))
 }
 
 // isLeaving reports whether a server is leaving according to the platform, to its agent or
-// to its own responses. It may be unable to reach the platform.
-func (g *Gateway) isLeaving(s catalog.Server) bool {
+// to its own responses. It may be unable to reach the platform, or the platform may have
+// lost that.
+func (g *Gateway) isLeaving(now time.Time, s catalog.Server) bool {
 	r, reported := g.replicas[s.Addr.Addr()]
 	isReported := reported && r.Leaving && !predatesRegistration(r.Replica, s)
-	return s.Draining || isReported || g.balancer.StatesLeaving(s.ID)
+	return s.Draining || isReported || g.balancer.StatesLeaving(s.ID) || g.departures.Standing(now, s) != catalog.Current
+}
+
+// observeDepartures records the servers that are leaving. After a return of the platform
+// from an older copy, it logs those that the copy lists with an outdated state.
+func (g *Gateway) observeDepartures(now time.Time) {
+	if !g.departures.Observe(now, g.snapshot) {
+		return
+	}
+	for _, s := range g.snapshot.Servers {
+		if standing := g.departures.Standing(now, s); standing != catalog.Current {
+			g.readings.outdated(s, standing)
+		}
+	}
+}
+
+// updateHolding makes the servers effective that count again once a copy of the platform
+// lists no servers any more that have ended.
+func (g *Gateway) updateHolding(now time.Time) {
+	isHolding := g.departures.IsHolding(now)
+	g.changed = g.changed || g.isHolding && !isHolding
+	g.isHolding = isHolding
 }
 
 func (g *Gateway) expireLapsed(now time.Time) {
@@ -107,6 +133,7 @@
 // configuration becomes active, unless it is invalid.
 func (g *Gateway) handleCatalogChange(now time.Time, r reading) {
 	g.changed = true
+	g.observeDepartures(now)
 	g.recordWantedVersions(now)
 	if g.snapshot.Config == nil || g.table != nil && g.table.Version() == g.snapshot.ConfigVersion() {
 		return
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -115,7 +115,11 @@
 	packed       packedConfig
 	// lapsed holds servers whose registration ended while the platform was not
 	// healthy.
-	lapsed            map[fleet.InstanceID]catalog.Server
+	lapsed map[fleet.InstanceID]catalog.Server
+	// departures holds the servers that left, in case the platform returns from an older
+	// copy. isHolding is true while such a copy may list servers that have ended.
+	departures        *catalog.Departures
+	isHolding         bool
 	sentLoads         map[fleet.InstanceID]uint64 // change of the balancer up to which loads were sent, by entry
 	sentMembersDigest map[fleet.InstanceID]uint64 // digest of the member list that was sent, by agent
 	// changesReadAt is the time up to which the platform's changes of servers are known. feed
@@ -206,6 +210,7 @@
 		started:           now,
 		listDelay:         rand.N(maxListDelay),
 		lapsed:            make(map[fleet.InstanceID]catalog.Server),
+		departures:        catalog.NewDepartures(),
 		sentMembersDigest: make(map[fleet.InstanceID]uint64),
 		manifests:         newManifests(),
 		sentLoads:         make(map[fleet.InstanceID]uint64),
@@ -269,6 +274,7 @@
 	g.mesh.Tick(now)
 	g.requestNewerCatalog(now)
 	g.expireLapsed(now)
+	g.updateHolding(now)
 	g.publishIfDue(now)
 	g.log.results.logDue(now, g.opts.Logger)
 	g.logRetryBudgets(now)
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -303,7 +303,7 @@
 		}
 	}
 	for _, s := range g.snapshot.Servers {
-		if g.isLeaving(s) {
+		if g.isLeaving(now, s) {
 			continue
 		}
 		if at, ok := g.readyAt[s.Addr.Addr()]; ok {
@@ -336,6 +336,12 @@
 	g.knewAllAgents = knowsAll
 	var list []placement.Server
 	for _, s := range g.snapshot.Servers {
+		switch g.departures.Standing(now, s) {
+		case catalog.Gone:
+			continue
+		case catalog.Leaving:
+			s.Draining = true
+		}
 		list = append(list, g.placementServer(now, s, entries))
 	}
 	for id, lapsed := range g.lapsed {
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// outdated logs a server that the platform lists as it was before it left.
+func (l *readingLog) outdated(s catalog.Server, standing catalog.Standing) {
+	l.metrics.Counter("registrations_outdated").Inc(1)
+	if l.allowed() {
+		l.logger.Info("registration_outdated", zap.String("server", string(s.ID)), zap.String("service", string(s.Service)),
+			zap.Stringer("revision", s.Revision), zap.Bool("gone", standing == catalog.Gone))
+	}
+}
+
 // recordReading records a reading of the servers, unless it is older than the last one.
 func (g *Gateway) recordReading(now time.Time, before, asOf catalog.Revision, r reading, fields ...zap.Field) {
 	switch {
