Keep servers in use that an older copy of the store lacks, for as long as registering again takes

What callers saw: after the store had returned from a copy, servers that had registered since were out of use at once until they had written again; where a service had no others, calls were refused.

Cause: a list without a server ends its registration, and only an outage of 4.5 s and more made that doubtful. A return from a copy may take no time at all.

Fix: a return counts like the end of an outage. A server that the copy lacks stays in use for 2.2 s after its return was seen, unless it was leaving, and is gone then if it has not registered again.

--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -25,6 +25,9 @@
 	if g.snapshot.AsOf > before.AsOf {
 		g.feed.reset(g.snapshot.AsOf)
 	}
+	if before.AsOf != 0 && g.snapshot.AsOf.Era() != before.AsOf.Era() {
+		g.contact.recordRestore(now)
+	}
 	g.recordReading(now, before.AsOf, s.AsOf, r, zap.Bool("whole", true), zap.Int("servers", len(s.Servers)))
 	for _, old := range before.Servers {
 		if current, ok := findServer(g.snapshot.Servers, old.ID); !ok {
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -40,6 +40,9 @@
 	// had not responded by then. They are zero if there was none.
 	outageEnd      time.Time
 	outageDuration time.Duration
+	// restoredAt is when the platform was last seen to have returned from an older copy,
+	// zero if it has not.
+	restoredAt time.Time
 	// responses is the number of responses since the start, up to 2.
 	responses int
 }
@@ -142,11 +145,17 @@
 // key does not exist.
 func (c *contact) isRecent(now time.Time) bool { return now.Sub(c.lastResponse) < maxContactAge }
 
+// recordRestore records that the platform has returned from an older copy.
+func (c *contact) recordRestore(now time.Time) { c.restoredAt = now }
+
 // mayHaveLapsed reports whether a registration that ends now, or ended a moment ago, may
-// only have lapsed, since not all live servers may be registered again after an outage.
+// only have lapsed or been lost, since not all live servers may be registered again after
+// an outage or a return from an older copy.
 func (c *contact) mayHaveLapsed(now time.Time) bool {
 	end, seen := c.lastOutage(now)
-	return seen && now.Sub(end) < lapsedRetention && !c.disabled.KeepLapsed
+	isAfterOutage := seen && now.Sub(end) < lapsedRetention
+	isAfterRestore := now.Sub(c.restoredAt) < lapsedRetention
+	return (isAfterOutage || isAfterRestore) && !c.disabled.KeepLapsed
 }
 
 // canDateChanges reports whether the differences between a response and the known catalog
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -82,6 +82,16 @@
 		Expect(listed(g, backend, at(6*time.Second))).To(ConsistOf(fleet.InstanceID("i-1")))
 	})
 
+	// Guards against live servers that are dropped because the platform returned from a copy
+	// that is older than their registrations.
+	It("keeps servers that an older copy lacks in use until they can be registered again", func() {
+		const secondEra = catalog.Revision(1 << 40)
+		g.adopt(at(time.Second), snapshot(secondEra+3, one), "platform")
+		Expect(listed(g, backend, at(time.Second))).To(ConsistOf(one.ID, two.ID))
+		g.expireLapsed(at(time.Second + lapsedRetention))
+		Expect(listed(g, backend, at(time.Second+lapsedRetention))).To(ConsistOf(one.ID))
+	})
+
 	It("never reverts to an older one", func() {
 		newer := snapshot(20, one)
 		newer.Config = config(7)
