Exchange configurations with processes of the release before

What callers would have seen during an upgrade: while releases run beside each other, an entry whose readers are of the other release would not have had a new configuration, since one reported its revision and the other its version.

Cause: configurations are ordered by their version since the store may return from an older copy, and only the version was sent. docs/OPERATIONS.md promises that releases may run beside each other.

Fix: the revision is sent beside the version, under the numbers that it had, and counts if a peer states no version. Where the store states an era, entries of the release before take the revisions of others for newer than what they read themselves, and follow those.

Tests: two specs of the gateway.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -59,7 +59,10 @@
 	OperatorAsOf Revision
 	// Config is nil until the operator has published a configuration.
 	Config *routing.Config
-	Wanted []Wanted
+	// ConfigRevision is the revision at which Config was read. It does not order
+	// configurations, but processes of earlier releases compare it.
+	ConfigRevision Revision
+	Wanted         []Wanted
 }
 
 // Apply returns the snapshot as of asOf with the changes to both parts applied, which
@@ -98,7 +101,7 @@
 func (s *Snapshot) apply(c Change) {
 	switch {
 	case c.Config != nil:
-		s.setConfig(c.Config)
+		s.setConfig(c.Config, c.Revision)
 	case c.Server != nil:
 		s.register(*c.Server)
 	case c.Removed != "":
@@ -151,9 +154,9 @@
 // setConfig sets the configuration, unless its version is older. The operator's versions
 // increase even if the platform has lost some of them and its revisions start again from
 // an older one.
-func (s *Snapshot) setConfig(config *routing.Config) {
+func (s *Snapshot) setConfig(config *routing.Config, at Revision) {
 	if s.Config == nil || config.Version >= s.Config.Version {
-		s.Config = config
+		s.Config, s.ConfigRevision = config, at
 	}
 }
 
@@ -188,7 +191,7 @@
 		next.AsOf, next.Servers = other.AsOf, other.Servers
 	}
 	if other.Config != nil {
-		next.setConfig(other.Config)
+		next.setConfig(other.Config, other.ConfigRevision)
 	}
 	next.Wanted = slices.Clone(s.Wanted)
 	for _, w := range other.Wanted {
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -92,6 +92,20 @@
 		Expect(listed(g, backend, at(time.Second+lapsedRetention))).To(ConsistOf(one.ID))
 	})
 
+	// Guards against an entry that misses a configuration of a peer of the release before, which
+	// reports the revision only.
+	It("is lacking if a peer has a newer version, or a newer revision and states no version", func() {
+		g.snapshot.ConfigRevision = 4
+		b := beat("10.0.0.2")
+		b.ConfigRevision = 5
+		Expect(g.lacksConfigOf(b)).To(BeTrue())
+		b.ConfigVersion = g.snapshot.ConfigVersion()
+		Expect(g.lacksConfigOf(b)).To(BeFalse())
+		b.ConfigVersion++
+		b.ConfigRevision = 0
+		Expect(g.lacksConfigOf(b)).To(BeTrue())
+	})
+
 	It("never reverts to an older one", func() {
 		newer := snapshot(20, one)
 		newer.Config = config(7)
--- a/daemon/gateway/model_links_test.go
+++ b/daemon/gateway/model_links_test.go
@@ -121,6 +121,7 @@
 	} else if k.last.ID != "" {
 		k.reportedAt = now
 		k.last.ConfigVersion = max(k.last.ConfigVersion, b.ConfigVersion)
+		k.last.ConfigRevision = max(k.last.ConfigRevision, b.ConfigRevision)
 	}
 	l.e.g.receive(now, l.peer(k), b)
 }
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -48,7 +48,7 @@
 		return
 	}
 	addr, sameRegion, ok := g.mesh.FindEntry(now, func(b wire.Heartbeat) bool {
-		return b.ConfigVersion > g.snapshot.ConfigVersion() || b.AsOf > g.snapshot.AsOf && g.lacksServers(now)
+		return g.lacksConfigOf(b) || b.AsOf > g.snapshot.AsOf && g.lacksServers(now)
 	})
 	if !ok {
 		g.behindSince = time.Time{}
@@ -62,7 +62,7 @@
 	}
 	g.requestingCatalog = true
 	g.nextCatalogRequest = now.Add(catalogRequestInterval)
-	request := wire.CatalogRequest{AsOf: g.snapshot.AsOf, ConfigVersion: g.snapshot.ConfigVersion()}
+	request := wire.CatalogRequest{AsOf: g.snapshot.AsOf, ConfigVersion: g.snapshot.ConfigVersion(), ConfigRevision: g.snapshot.ConfigRevision}
 	g.startCatalogRequest(addr, request)
 }
 
@@ -140,7 +140,7 @@
 	if err := peer.Unpack(packed, &config, maxConfigBytes); err != nil {
 		return response, len(packed), err
 	}
-	response.Snapshot.Config = &config
+	response.Snapshot.Config, response.Snapshot.ConfigRevision = &config, response.ConfigRevision
 	return response, len(packed), nil
 }
 
@@ -211,14 +211,17 @@
 // to peers that lack it, and not within the message.
 func newerThan(held catalog.Snapshot, request wire.CatalogRequest) (wire.CatalogResponse, *routing.Config) {
 	config := held.Config
-	if held.ConfigVersion() <= request.ConfigVersion {
+	if hasConfig(request, held) {
 		config = nil
 	}
 	if held.AsOf <= request.AsOf && config == nil {
 		return wire.CatalogResponse{}, nil
 	}
 	response := wire.CatalogResponse{}
-	held.Config = nil
+	if config != nil {
+		response.ConfigRevision = held.ConfigRevision
+	}
+	held.Config, held.ConfigRevision = nil, 0
 	if held.AsOf <= request.AsOf {
 		held.AsOf, held.Servers = 0, nil
 	}
@@ -226,6 +229,15 @@
 	return response, config
 }
 
+// hasConfig reports whether a requester has a configuration as new as the held one. One of
+// an earlier release states the revision only.
+func hasConfig(request wire.CatalogRequest, held catalog.Snapshot) bool {
+	if request.ConfigVersion == 0 && request.ConfigRevision != 0 {
+		return held.ConfigRevision <= request.ConfigRevision
+	}
+	return held.ConfigVersion() <= request.ConfigVersion
+}
+
 // packedConfig caches the configuration as it is sent to peers. It is packed once, since
 // a dozen peers request it at the same moment.
 type packedConfig struct {
--- a/daemon/gateway/peercatalog_test.go
+++ b/daemon/gateway/peercatalog_test.go
@@ -28,6 +28,18 @@
 		Expect(response.Snapshot.Config).To(BeNil())
 	})
 
+	// Guards against an upgrade after which entries of the release before are not sent a
+	// configuration, or take it for an old one.
+	It("follows the revision of the configuration, if it is of a release that does not state the version", func() {
+		held := held
+		held.ConfigRevision = 15
+		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigRevision: 12})
+		Expect(config).To(Equal(held.Config))
+		Expect(response.ConfigRevision).To(Equal(held.ConfigRevision))
+		_, config = newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigRevision: 15})
+		Expect(config).To(BeNil())
+	})
+
 	It("is nothing, if it has both", func() {
 		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigVersion: 18})
 		Expect(config).To(BeNil())
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -48,7 +48,7 @@
 	} else {
 		delete(g.sentLoads, to.ID)
 	}
-	b.ConfigVersion = g.snapshot.ConfigVersion()
+	b.ConfigVersion, b.ConfigRevision = g.snapshot.ConfigVersion(), g.snapshot.ConfigRevision
 	g.addPlatformReport(now, &b, to, form)
 	if b.Brief {
 		return b
@@ -181,7 +181,7 @@
 // too. The first report of a missing configuration is logged: the time from that line to
 // config_in_force is the time to fetch it.
 func (g *Gateway) receiveOperatorState(b wire.Heartbeat) {
-	if b.ConfigVersion <= g.snapshot.ConfigVersion() {
+	if !g.lacksConfigOf(b) {
 		g.snapshot.OperatorAsOf = max(g.snapshot.OperatorAsOf, b.OperatorAsOf)
 	}
 	if b.ConfigVersion <= max(g.newestPeerConfig, g.snapshot.ConfigVersion()) {
@@ -191,6 +191,15 @@
 	g.opts.Logger.Info("config_heard", zap.Int64("version", b.ConfigVersion), zap.String("peer", string(b.ID)))
 }
 
+// lacksConfigOf reports whether a peer has a newer configuration. A peer of an earlier
+// release reports the revision only.
+func (g *Gateway) lacksConfigOf(b wire.Heartbeat) bool {
+	if b.ConfigVersion == 0 {
+		return b.ConfigRevision > g.snapshot.ConfigRevision
+	}
+	return b.ConfigVersion > g.snapshot.ConfigVersion()
+}
+
 // receiveWantedVersion handles a version that a peer reports. The peer may have known it
 // for longer than this process, which then stops using the previous version earlier.
 //
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -195,5 +195,6 @@
 		c.lastHeartbeatAt = now
 		c.lastMentionAt = now
 		c.lastHeartbeat.ConfigVersion = max(c.lastHeartbeat.ConfigVersion, b.ConfigVersion)
+		c.lastHeartbeat.ConfigRevision = max(c.lastHeartbeat.ConfigRevision, b.ConfigRevision)
 	}
 }
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -27,6 +27,9 @@
 	// AsOf and ConfigVersion are those of the sender's catalog.
 	AsOf          catalog.Revision `cbor:"8,keyasint,omitzero"`
 	ConfigVersion int64            `cbor:"27,keyasint,omitzero"`
+	// ConfigRevision is for receivers of earlier releases. A sender of such a release has
+	// no ConfigVersion.
+	ConfigRevision catalog.Revision `cbor:"9,keyasint,omitzero"`
 	// OperatorAsOf is the revision up to which the sender knows what the operator
 	// wrote. Wanted and ConfigVersion reflect all of it.
 	OperatorAsOf catalog.Revision `cbor:"19,keyasint,omitzero"`
@@ -234,7 +237,9 @@
 	// AsOf is the revision up to which the requester knows the servers.
 	AsOf catalog.Revision `cbor:"1,keyasint"`
 	// ConfigVersion is the version of the configuration that the requester has.
-	ConfigVersion int64 `cbor:"3,keyasint,omitzero"`
+	// ConfigRevision is its revision, for receivers of earlier releases.
+	ConfigVersion  int64            `cbor:"3,keyasint,omitzero"`
+	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
 }
 
 // CatalogResponse contains what is newer; Snapshot is nil if nothing is. A snapshot as
@@ -245,6 +250,8 @@
 	// ConfigBytes is the size of the configuration that follows, compressed, in raw
 	// frames; 0 if the requester has it.
 	ConfigBytes int `cbor:"3,keyasint,omitzero"`
+	// ConfigRevision is the revision of that configuration.
+	ConfigRevision catalog.Revision `cbor:"2,keyasint,omitzero"`
 	// AgeMS is the time since the servers were read from the platform.
 	AgeMS int64 `cbor:"4,keyasint,omitzero"`
 }
