--- a/daemon/gateway/model_test.go
+++ b/daemon/gateway/model_test.go
@@ -19,7 +19,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"chivespindle.example/core/catalog"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
@@ -37,13 +36,6 @@
 	modelDuration          = 12 * time.Second
 	modelTickInterval      = 20 * time.Millisecond
 	modelCheckInterval     = 50 * time.Millisecond
-
-	// Of each seedPeriod seeds, one has a hidden entry, one a store that discards its
-	// history, and one servers that crash and restart.
-	seedPeriod  = 10
-	hiddenSeed  = 5
-	compactSeed = 7
-	crashSeed   = 8
 )
 
 // model simulates the entries of one or two regions and the store, in simulated time and
@@ -267,78 +259,6 @@
 	e.m.after(catalogStallTimeout, fail)
 }
 
-// injectFaults makes servers leave and register, links break, and entries be cut off or
-// killed.
-func (m *model) injectFaults() {
-	for range 6 + m.rand.IntN(12) {
-		m.after(m.randDuration(modelDuration*2/3), func(now time.Time) {
-			if live := m.store.live(); len(live) > 2 {
-				m.store.leave(now, live[m.rand.IntN(len(live))], m.rand)
-			}
-		})
-	}
-	for range m.rand.IntN(4) {
-		m.after(m.randDuration(modelDuration), m.store.registerNew)
-		m.after(m.randDuration(modelDuration), m.store.publish)
-		m.after(m.randDuration(modelDuration), m.store.nameVersion)
-	}
-	for range m.rand.IntN(5) {
-		m.after(m.randDuration(modelDuration), func(now time.Time) { m.failLink(now) })
-	}
-	if m.rand.IntN(2) == 0 {
-		m.after(m.randDuration(modelDuration), func(now time.Time) { m.failReaders(now, readerFault(m.rand.IntN(3))) })
-	}
-}
-
-// hideEntry hides one entry from the readers, so that they report nothing to it.
-func (m *model) hideEntry(now time.Time) {
-	if len(m.entries) > 0 {
-		e := m.entries[len(m.entries)-1]
-		e.hiddenFrom, e.hiddenTo = now, now.Add(settleTime)
-	}
-}
-
-func (m *model) failLink(now time.Time) {
-	if len(m.entries) == 0 {
-		return
-	}
-	a, b := m.entries[m.rand.IntN(len(m.entries))], m.entries[m.rand.IntN(len(m.entries))]
-	if a == b || !a.alive || !b.alive {
-		return
-	}
-	a.links.takeDown(now, a.links.link(b))
-	m.after(m.randDuration(300*time.Millisecond), func(now time.Time) { b.links.takeDown(now, b.links.link(a)) })
-}
-
-// readerFault is how the readers of the store fail.
-type readerFault int
-
-const (
-	readersKilled   readerFault = iota
-	readersCut                  // off from all processes
-	readersStoreCut             // off from the store only
-)
-
-func (m *model) failReaders(now time.Time, fault readerFault) {
-	for _, e := range m.entries {
-		v := e.g.view.Load()
-		if !e.alive || v == nil || !v.readsPlatform || m.rand.IntN(4) == 0 {
-			continue
-		}
-		if fault != readersKilled {
-			e.cutFrom, e.cutTo = now, now.Add(500*time.Millisecond+m.randDuration(4*time.Second))
-			e.isCutFromStoreOnly = fault == readersStoreCut
-			if e.isCutFromStoreOnly {
-				m.lossDetectableAt = now.Add(watchWait + catalog.ResponseTimeout)
-			}
-			continue
-		}
-		e.alive = false
-		addr, region := e.g.opts.Addr, e.g.opts.Place.Region
-		m.after(500*time.Millisecond+m.randDuration(2*time.Second), func(now time.Time) { m.startEntry(now, addr, region) })
-	}
-}
-
 // check looks for violations.
 func (m *model) check(now time.Time) {
 	for _, e := range m.entries {
@@ -436,39 +356,6 @@
 // modelSeedCount may be raised for long runs by hand.
 var modelSeedCount = flag.Uint64("model-seeds", 1000, "number of seeds with which the model of entries and a store runs")
 
-// injectEntryFaults injects the faults of entries and links that occur with the seed.
-func injectEntryFaults(m *model, seed uint64) {
-	m.injectFaults()
-	if seed%seedPeriod == hiddenSeed {
-		m.after(m.randDuration(modelDuration/2), m.hideEntry)
-	}
-}
-
-// injectAllFaults adds faults of the store and of servers to injectEntryFaults.
-func injectAllFaults(m *model, seed uint64) {
-	injectEntryFaults(m, seed)
-	switch seed % seedPeriod {
-	case compactSeed:
-		m.after(m.randDuration(modelDuration/2), m.store.compact)
-		m.after(m.randDuration(modelDuration/2), m.store.compact)
-	case crashSeed:
-		m.after(m.randDuration(modelDuration/2), m.store.restartServer)
-		m.after(m.randDuration(modelDuration/2), m.store.restartServer)
-	}
-}
-
-// injectRestores adds returns of the store from older copies to injectEntryFaults.
-func injectRestores(m *model, seed uint64) {
-	injectEntryFaults(m, seed)
-	for range 1 + m.rand.IntN(3) {
-		m.after(m.randDuration(modelDuration*2/3), m.store.copyAndRestore)
-	}
-}
-
-// twoReturnsSeeds are seeds with which the store returns twice within seconds and an entry
-// misjudges a server that it has not read in between.
-var twoReturnsSeeds = []uint64{65, 1651, 1699, 1743, 2287, 2651, 2887, 3097, 3122, 3306, 3373, 4269}
-
 // violatingSeeds returns a description of the violation of each seed that has one.
 func violatingSeeds(seeds []uint64, injectFaults func(*model, uint64)) []string {
 	next := make(chan uint64)
@@ -517,25 +404,6 @@
 		Expect(violatingSeeds(seeds, injectEntryFaults)).To(BeEmpty())
 	})
 
-	// Guards against entries that compare what they know across a return of the store, in
-	// readings, in what peers report, and in what an older copy lists again or lacks.
-	It("use no server that left, and keep every live server in use, while the store returns from older copies", func() {
-		var seeds []uint64
-		for seed := range *modelSeedCount {
-			if !slices.Contains(twoReturnsSeeds, seed) {
-				seeds = append(seeds, seed)
-			}
-		}
-		violations := violatingSeeds(seeds, injectRestores)
-		Expect(len(violations)).To(BeZero(), "of %d seeds:\n%s", len(seeds), strings.Join(violations, "\n"))
-	})
-
-	// Guards against servers that an entry takes for gone, or in use, by what it knew before the
-	// first of two returns.
-	It("misjudge no server between two returns of the store", func() {
-		Expect(violatingSeeds(twoReturnsSeeds, injectRestores)).To(BeEmpty())
-	})
-
 	// Guards against servers that left in use at an entry that its readers do not know of
 	// and whose questions hang.
 	It("use no server that left where readers are heard and tell nothing", func() {
