--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -31,9 +31,9 @@
 )
 
 // Window is one entry's part of a FleetBudget: it limits retries to a share of the
-// requests of a sliding time span, plus a part of the fixed allowance. A Budget accrues tokens with
-// time and may pay for a burst that exceeds a limit over all entries in some span; a
-// Window never does.
+// requests of a sliding time span, plus a part of the fixed allowance. A Budget accrues
+// tokens with time and may pay for a burst that exceeds a limit over all entries in some
+// span; a Window never does.
 type Window struct {
 	budget     FleetBudget
 	bucketSpan time.Duration
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -51,8 +51,8 @@
 	// LoadsComplete is true if Loads are all loads of the sender: loads that it
 	// reported before are void.
 	LoadsComplete bool `cbor:"21,keyasint,omitzero"`
-	// Brief heartbeats have no fields but ID, Role, Incarnation, ConfigVersion, Loads
-	// and LoadsComplete.
+	// Brief heartbeats have no fields but ID, Role, Incarnation, ConfigVersion,
+	// ConfigRevision, Loads and LoadsComplete.
 	Brief bool `cbor:"17,keyasint,omitzero"`
 	// Replicas are the engines that agents reported to the sender, or an agent's own.
 	Replicas []Replica `cbor:"12,keyasint,omitempty"`
