Record the servers that a change registers, not all servers at each change

Cause, of a part at least: since what is remembered of servers that left, an entry passed over all servers at each change of one of them.

Only a whole list is passed over. A platform that states no era has not returned, so nothing is looked up there.

--- a/core/catalog/departures.go
+++ b/core/catalog/departures.go
@@ -62,14 +62,28 @@
 		d.returnedAsOf, d.returnedAt = s.AsOf, now
 	}
 	for _, server := range s.Servers {
-		if server.Draining || d.Standing(now, server) == Current {
-			d.record(now, server, server.Draining, false)
-		}
+		d.observe(now, server)
 	}
 	d.dropOld(now)
 	return isFirst
 }
 
+// ObserveChanges records the servers that are registered by changes after a revision, so
+// that the cost does not grow with the number of servers.
+func (d *Departures) ObserveChanges(now time.Time, changes []Change, after Revision) {
+	for _, c := range changes {
+		if c.Server != nil && c.Revision > after {
+			d.observe(now, *c.Server)
+		}
+	}
+}
+
+func (d *Departures) observe(now time.Time, server Server) {
+	if server.Draining || d.Standing(now, server) == Current {
+		d.record(now, server, server.Draining, false)
+	}
+}
+
 // RecordRemoved records that a server's registration ended.
 func (d *Departures) RecordRemoved(now time.Time, server Server, leaving bool) {
 	d.record(now, server, leaving, true)
@@ -93,6 +107,9 @@
 // The registration of a removed server counts as well once it is listed for longer than
 // it would be without the server: it had lapsed, and the server lives.
 func (d *Departures) Standing(now time.Time, server Server) Standing {
+	if server.Revision.Era() == 0 {
+		return Current // the platform has not returned from a copy
+	}
 	known, ok := d.servers[server.ID]
 	isLater := server.Revision.Era() == known.era || server.Revision > d.returnedAsOf ||
 		server.Revision.Counter() > known.counter
--- a/daemon/gateway/catalog.go
+++ b/daemon/gateway/catalog.go
@@ -36,6 +36,7 @@
 			g.readings.leaving(current)
 		}
 	}
+	g.observeDepartures(now)
 	g.handleCatalogChange(now, r)
 }
 
@@ -69,6 +70,7 @@
 	for _, old := range removed {
 		g.handleRemoved(now, old)
 	}
+	g.departures.ObserveChanges(now, changes, before.AsOf)
 	g.logLeaving(before, changes)
 	g.groupFlushDue = g.groupFlushDue || r.origin == fromStore
 	g.handleCatalogChange(now, r)
@@ -141,7 +143,6 @@
 // configuration becomes active, unless it is invalid.
 func (g *Gateway) handleCatalogChange(now time.Time, r reading) {
 	g.changed = true
-	g.observeDepartures(now)
 	g.recordWantedVersions(now)
 	if g.snapshot.Config == nil || g.table != nil && g.table.Version() == g.snapshot.ConfigVersion() {
 		return
