--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -120,7 +120,7 @@
 	})
 
 	Describe("Newest", func() {
-		held := catalog.Snapshot{AsOf: 20, Config: &routing.Config{Version: 4},
+		held := catalog.Snapshot{AsOf: 20, ConfigRevision: 18, Config: &routing.Config{Version: 4},
 			Wanted: []catalog.Wanted{{Model: "m", Version: 2}}}
 
 		// A peer has older servers and a newer configuration. Adopting its snapshot
@@ -142,9 +142,10 @@
 		// A stale replica of the platform may list an older configuration in a
 		// snapshot with a newer revision. The active configuration must not go back.
 		It("keeps its configuration and versions when the other's are older", func() {
-			next := held.Merge(catalog.Snapshot{AsOf: 25, Config: &routing.Config{Version: 3}})
+			next := held.Merge(catalog.Snapshot{AsOf: 25, ConfigRevision: 11, Config: &routing.Config{Version: 3}})
 			Expect(next.AsOf).To(Equal(catalog.Revision(25)))
 			Expect(next.Config.Version).To(Equal(int64(4)))
+			Expect(next.ConfigRevision).To(Equal(catalog.Revision(18)))
 			Expect(next.Wanted).To(ConsistOf(catalog.Wanted{Model: "m", Version: 2}))
 		})
 	})
--- a/daemon/gateway/peercatalog_test.go
+++ b/daemon/gateway/peercatalog_test.go
@@ -11,11 +11,12 @@
 
 var _ = Describe("The part of the catalog that a peer is sent", func() {
 	held := snapshot(20, server("i-1", "10.0.1.1:80", 2))
-	held.Config, held.OperatorAsOf = config(18), 20
+	held.Config, held.ConfigRevision, held.OperatorAsOf = config(18), 17, 20
 
 	It("is the configuration only, if it knows the servers", func() {
 		response, config := newerThan(held, wire.CatalogRequest{AsOf: 20, ConfigVersion: 12})
 		Expect(config).To(Equal(held.Config))
+		Expect(response.ConfigRevision).To(Equal(held.ConfigRevision))
 		Expect(response.Snapshot.Servers).To(BeEmpty())
 		requester := snapshot(22, server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 21))
 		Expect(requester.Merge(*response.Snapshot).Servers).To(HaveLen(2))
@@ -26,6 +27,7 @@
 		Expect(config).To(BeNil())
 		Expect(response.Snapshot.Servers).To(HaveLen(1))
 		Expect(response.Snapshot.Config).To(BeNil())
+		Expect(response.Snapshot.ConfigRevision).To(BeZero())
 	})
 
 	// Guards against an upgrade after which entries of the release before are not sent a
