Log the shared parts of a prompt and the events of an attempt whose connection broke

Callers: no change. The logs could not tell which part of their prompts the requests had in common that were in flight as servers crashed, nor whether a server had begun to respond to one of them: last_event counts the events of all attempts.

--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -22,6 +22,9 @@
 // sent.
 type brokenAttempt struct {
 	fingerprint quarantine.Fingerprint
+	parts       []quarantine.Part
+	// events is the number of events that the server had returned.
+	events int
 	// server is the state of the server's process after the connection broke.
 	server Liveness
 	status quarantine.Status
@@ -35,6 +38,8 @@
 	}
 	b := &brokenAttempt{
 		fingerprint: j.contentFingerprint(),
+		parts:       j.parts,
+		events:      j.lastAttempt.Events(),
 		server:      j.g.opts.Backend.CheckLiveness(ctx, server.Addr),
 	}
 	isPlanned := j.g.balancer.IsLeaving(server.ID)
@@ -138,7 +143,8 @@
 	if b == nil {
 		return nil
 	}
-	return []zap.Field{zap.Stringer("fingerprint", b.fingerprint), zap.Stringer("server_state", b.server)}
+	return []zap.Field{zap.Stringer("fingerprint", b.fingerprint), zap.Stringer("server_state", b.server),
+		zap.String("parts", joinNames(b.parts)), zap.Int("run_events", b.events)}
 }
 
 // serverCrashed logs a crash of a server with the call in flight.
@@ -158,21 +164,21 @@
 func (l *requestLog) notPlacedQuarantined(j *job, s quarantine.Status) {
 	if l.allowed() {
 		l.logger.Info("not_placed", callFields(j, zap.String("reason", reasonQuarantined),
-			zap.Stringer("fingerprint", j.contentFingerprint()), zap.String("servers", joinIDs(s.Servers)), zap.Time("until", s.Until))...)
+			zap.Stringer("fingerprint", j.contentFingerprint()), zap.String("servers", joinNames(s.Servers)), zap.Time("until", s.Until))...)
 	}
 }
 
 // quarantined logs that a request is no longer sent to any server.
 func (l *requestLog) quarantined(request quarantine.Fingerprint, s quarantine.Status, source string) {
 	l.metrics.Counter("requests_quarantined").Inc(1)
-	l.logger.Warn("request_quarantined", zap.Stringer("fingerprint", request), zap.String("servers", joinIDs(s.Servers)),
+	l.logger.Warn("request_quarantined", zap.Stringer("fingerprint", request), zap.String("servers", joinNames(s.Servers)),
 		zap.Time("until", s.Until), zap.String("source", source))
 }
 
-func joinIDs(ids []fleet.InstanceID) string {
-	names := make([]string, len(ids))
-	for i, id := range ids {
-		names[i] = string(id)
+func joinNames[T ~string](names []T) string {
+	texts := make([]string, len(names))
+	for i, name := range names {
+		texts[i] = string(name)
 	}
-	return strings.Join(names, ",")
+	return strings.Join(texts, ",")
 }
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -32,6 +32,9 @@
 	// ExpectedTokens is the caller's estimate of the number of generated tokens, 0 if
 	// unknown.
 	ExpectedTokens int
+	// SharedParts are the IDs of the prompt's parts that other calls may have in common
+	// with this one, in order.
+	SharedParts []string
 	// LastEvent is the last event that the caller has; -1 for none.
 	LastEvent int64
 	// Native is the adapter's own representation of the request.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -36,6 +36,8 @@
 	deadline  time.Time
 	// fingerprint is a digest of the call's content, nil until it is needed.
 	fingerprint *quarantine.Fingerprint
+	// parts are the parts of the call's prompt that other calls may share.
+	parts []quarantine.Part
 
 	// refusedBefore is true if the call is a retry by a caller that was refused before.
 	refusedBefore bool
@@ -63,8 +65,8 @@
 	// lastEventAt when the last one was sent.
 	longestPause time.Duration
 	lastEventAt  time.Time
-	// lastAttempt is the response of the last server, endFramed whether that server
-	// marks the end of it.
+	// lastAttempt is the response to the last attempt, nil before there is one; endFramed is
+	// whether its server marks the end of it.
 	lastAttempt *delivery.Attempt
 	endFramed   bool
 	// progressAt is when the server last made progress: when its last event came,
@@ -164,6 +166,7 @@
 		timeout = min(timeout, j.call.Timeout)
 	}
 	j.deadline = j.call.Arrived.Add(timeout - responseMargin)
+	j.parts = quarantine.NewParts(j.service.Model, j.call.SharedParts)
 	return ErrorResponse{}, true
 }
 
@@ -213,6 +216,7 @@
 	opts := j.sendOptions(now, assignment)
 	j.serverDeadline = opts.Deadline
 	opts.StartDeadline = j.responseStartDeadline(now, opts)
+	j.lastAttempt = nil
 	response, err := j.send(ctx, now, assignment, opts)
 	if err != nil {
 		return j.handleSendError(ctx, assignment, err)
