Quarantine a part of prompts that crashes the servers of every request with it

Cause: the quarantine identified a request by its whole content. The requests have only a part of their prompts in common, and nothing read the parts. Class: an effect was tied to one attribute of its victims, their content, while any set of attributes may be the cause.

Why it works: a crash makes suspects of the parts of those requests to which the server had not been found to respond; a response clears the parts of its request. The guilty part never gets one. Of the remaining suspects the one with the most crashes explains them; they no longer count for other parts or requests. Crashes are exchanged with the reports of requests.

Ruled out: counting crashes alone blames the part that all requests share; a fixed list of parts by position misses a guilty first one.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -15,19 +15,22 @@
 	maxFirstReports = 256
 )
 
-// countedReport is a report with the number of known crashes of its request.
-type countedReport struct {
+// weightedReport is a report with its weight: the number of known crashes of its request.
+type weightedReport struct {
 	Report
-	crashes int
+	weight int
 }
 
+// pinnedWeight is the weight of reports that explain the quarantine of a part.
+const pinnedWeight = 2 * maxCrashes
+
 // Since returns the reports that a peer in the same or another group lacks, and the
 // peer's cursor once it has received them. Of a long first message only the reports of
 // requests with the most crashes are sent.
 func (r *Registry) Since(now time.Time, sent feed.Cursor, to feed.Source) ([]Report, feed.Cursor) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	backlog := feed.NewBacklog[countedReport](&r.counter, sent, to)
+	backlog := feed.NewBacklog[weightedReport](&r.counter, sent, to)
 	if backlog.IsUpToDate() {
 		return nil, sent
 	}
@@ -35,14 +38,20 @@
 		rec.expire(now)
 		for _, o := range append(slices.Clone(rec.crashes), rec.success) {
 			if backlog.Lacks(o.mark) {
-				report := Report{Request: request, Server: o.server, AgeMS: now.Sub(o.at).Milliseconds()}
-				backlog.Add(o.mark, countedReport{report, len(rec.crashes)})
+				report := Report{Request: request, Server: o.server, AgeMS: now.Sub(o.at).Milliseconds(), Parts: o.parts}
+				backlog.Add(o.mark, weightedReport{report, rec.weight()})
 			}
 		}
 	}
+	for part, rec := range r.parts.records {
+		if backlog.Lacks(rec.mark) {
+			report := Report{AgeMS: now.Sub(rec.success).Milliseconds(), Parts: []Part{part}}
+			backlog.Add(rec.mark, weightedReport{Report: report})
+		}
+	}
 	due, next := backlog.Message(maxReports)
 	if sent == 0 {
-		slices.SortFunc(due, func(a, b countedReport) int { return cmp.Compare(b.crashes, a.crashes) })
+		slices.SortFunc(due, func(a, b weightedReport) int { return cmp.Compare(b.weight, a.weight) })
 		due = due[:min(len(due), maxFirstReports)]
 	}
 	reports := make([]Report, 0, len(due))
@@ -52,31 +61,69 @@
 	return reports, next
 }
 
+func (rec *record) weight() int {
+	if rec.isPinned {
+		return pinnedWeight
+	}
+	return len(rec.crashes)
+}
+
 // Merge adds the reports of another entry and returns the requests that are
 // quarantined as a result.
 //
-// The crashes of those requests are reported to all peers again, whoever observed
-// them, so that they also spread where two entries cannot reach each other.
+// The crashes of those requests, and those that quarantine a part, are reported to all
+// peers again, whoever observed them, so that they also spread where two entries cannot
+// reach each other.
 func (r *Registry) Merge(now time.Time, reports []Report, from feed.Source) []Fingerprint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var quarantined []Fingerprint
 	for _, report := range reports {
 		at := now.Add(-time.Duration(report.AgeMS) * time.Millisecond)
+		if report.isPartSuccess() {
+			r.mergePartSuccess(at, report.Parts, from)
+			continue
+		}
 		if now.Sub(at) >= crashTTL || report.Server == "" && r.requests[report.Request] == nil {
 			continue
 		}
-		rec := r.record(now, report.Request)
-		wasQuarantined := rec.status().IsQuarantined()
-		r.add(rec, observation{server: report.Server, at: at}, from)
-		if !wasQuarantined && rec.status().IsQuarantined() {
-			r.reportAgain(rec)
+		wasQuarantined := r.status(now, report.Request, nil).IsQuarantined()
+		before := r.parts.quarantined
+		r.add(now, report.Request, observation{server: report.Server, at: at, parts: report.Parts[:min(len(report.Parts), maxParts)]}, from)
+		if !wasQuarantined && r.status(now, report.Request, nil).IsQuarantined() {
+			r.reportAgain(r.requests[report.Request])
 			quarantined = append(quarantined, report.Request)
 		}
+		r.reportPartsAgain(before)
 	}
 	return quarantined
 }
 
+func (r *Registry) mergePartSuccess(at time.Time, parts []Part, from feed.Source) {
+	for _, part := range parts {
+		if r.parts.reportedProved(part, at) {
+			r.parts.records[part].mark = r.counter.Mark(from)
+		}
+	}
+}
+
+// reportPartsAgain reports the crashes again that have led to the quarantine of a part.
+func (r *Registry) reportPartsAgain(before map[Part]partVerdict) {
+	r.settle()
+	for part := range r.parts.quarantined {
+		if _, ok := before[part]; ok {
+			continue
+		}
+		for _, rec := range r.requests {
+			for i, o := range rec.crashes {
+				if slices.Contains(o.parts, part) {
+					rec.crashes[i].mark = r.counter.Mark(feed.Local)
+				}
+			}
+		}
+	}
+}
+
 func (r *Registry) reportAgain(rec *record) {
 	for i := range rec.crashes {
 		rec.crashes[i].mark = r.counter.Mark(feed.Local)
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,5 +1,6 @@
-// Package quarantine detects requests that crash the servers that run them and
-// keeps them from reaching further servers.
+// Package quarantine detects requests that crash the servers that run them, and parts of
+// prompts that crash the servers of every request that has them, and keeps them from
+// reaching further servers.
 //
 // A crash ends all requests that the server had in flight, so a single crash says
 // little about any of them. A request is quarantined once it was in flight at three
@@ -20,6 +21,9 @@
 const (
 	// threshold is the number of crashes at which a request is quarantined.
 	threshold = 3
+	// maxRetriedCrashes is the number of crashes of one of its parts from which on the
+	// retry of a request is left to its client.
+	maxRetriedCrashes = 2
 	// crashTTL is how long a crash counts.
 	crashTTL = time.Hour
 	// successTTL is how long a success is remembered, so that late reports of earlier
@@ -37,9 +41,18 @@
 // Report is an entry's observation of a request: that it was in flight at a server
 // that crashed or, without a server, that it succeeded.
 type Report struct {
+	// Request is zero in a report of the success of parts.
 	Request Fingerprint      `cbor:"1,keyasint"`
 	Server  fleet.InstanceID `cbor:"2,keyasint,omitzero"`
 	AgeMS   int64            `cbor:"3,keyasint,omitzero"`
+	// Parts are the parts of the request that may have caused the crash or, without a
+	// server, those that requests with a response have.
+	Parts []Part `cbor:"4,keyasint,omitempty"`
+}
+
+// isPartSuccess reports whether the report is of the success of parts.
+func (r Report) isPartSuccess() bool {
+	return r.Request == Fingerprint{} && r.Server == "" && len(r.Parts) > 0
 }
 
 // Status is what is known about a request.
@@ -49,18 +62,26 @@
 	Servers []fleet.InstanceID
 	// Until is when a quarantined request may be sent again.
 	Until time.Time
+	// Part is the quarantined part of the request, if that is the reason. Servers then
+	// crashed with requests with the part in flight.
+	Part Part
+	// PartCrashes is the largest number of crashes that may have been caused by one of
+	// the request's parts.
+	PartCrashes int
 }
 
 // IsQuarantined reports whether the request must not be sent to any server.
-func (s Status) IsQuarantined() bool { return len(s.Servers) >= threshold }
+func (s Status) IsQuarantined() bool { return len(s.Servers) >= threshold || s.Part != "" }
 
 // IsSuspect reports whether the request may have crashed a server.
-func (s Status) IsSuspect() bool { return len(s.Servers) > 0 }
+func (s Status) IsSuspect() bool { return len(s.Servers) > 0 || s.PartCrashes > 0 }
 
 // CanRetry reports whether the request may be sent to another server after its
 // connection broke. One crash short of quarantine the decision is left to the
 // client, whose retry may succeed and clear the request.
-func (s Status) CanRetry() bool { return len(s.Servers) < threshold-1 }
+func (s Status) CanRetry() bool {
+	return !s.IsQuarantined() && len(s.Servers) < threshold-1 && s.PartCrashes < maxRetriedCrashes
+}
 
 // Registry holds the observations of this entry and others. It is safe for
 // concurrent use.
@@ -68,6 +89,7 @@
 	mu         sync.Mutex
 	requests   map[Fingerprint]*record
 	unresolved []unresolvedAttempt // oldest first
+	parts      parts
 	counter    feed.Counter
 }
 
@@ -76,6 +98,9 @@
 	crashes []observation // oldest first
 	// success is the newest success; zero if there is none.
 	success observation
+	// isPinned is true if a quarantined part was in flight at one of the crashes. Such a
+	// record is evicted last, since it explains the quarantine to other entries.
+	isPinned bool
 }
 
 // observation is one crash or success.
@@ -83,11 +108,13 @@
 	server fleet.InstanceID
 	at     time.Time
 	mark   feed.Mark
+	// parts are the parts of the request that may have caused the crash.
+	parts []Part
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{requests: make(map[Fingerprint]*record)}
+	return &Registry{requests: make(map[Fingerprint]*record), parts: newParts()}
 }
 
 // IsEmpty reports whether no request is known to have been in flight at a crash, in
@@ -95,29 +122,78 @@
 func (r *Registry) IsEmpty() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.requests) == 0
+	return len(r.requests) == 0 && len(r.parts.records) == 0
 }
 
-// Status returns what is known about a request.
-func (r *Registry) Status(now time.Time, request Fingerprint) Status {
+// Status returns what is known about a request with the given parts.
+func (r *Registry) Status(now time.Time, request Fingerprint, parts ...Part) Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rec := r.requests[request]
-	if rec == nil {
-		return Status{}
+	return r.status(now, request, parts)
+}
+
+func (r *Registry) status(now time.Time, request Fingerprint, parts []Part) Status {
+	r.settle()
+	var s Status
+	if rec := r.requests[request]; rec != nil {
+		rec.expire(now)
+		s = r.statusOf(rec)
+	}
+	for _, part := range parts {
+		if v, ok := r.parts.quarantined[part]; ok && now.Before(v.until) {
+			return Status{Servers: v.servers, Until: v.until, Part: part}
+		}
+		s.PartCrashes = max(s.PartCrashes, r.parts.crashes(part))
+	}
+	return s
+}
+
+// settle updates the quarantined parts after new observations.
+func (r *Registry) settle() {
+	if !r.parts.isStale {
+		return
+	}
+	r.parts.settle()
+	for _, rec := range r.requests {
+		rec.isPinned = slices.ContainsFunc(rec.crashes, func(o observation) bool {
+			return slices.ContainsFunc(o.parts, r.parts.isQuarantined)
+		})
 	}
-	rec.expire(now)
-	return rec.status()
+}
+
+// TakePartChanges returns the starts and ends of quarantines of parts since the last call.
+func (r *Registry) TakePartChanges() []PartChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	changes := r.parts.changes
+	r.parts.changes = nil
+	return changes
 }
 
 // Crashed records this entry's observation that a server crashed with a request in
-// flight, and returns the resulting status of the request.
-func (r *Registry) Crashed(now time.Time, request Fingerprint, server fleet.InstanceID) Status {
+// flight, and returns the resulting status of the request. parts are those of the
+// request's parts that may have caused the crash: none if the server had responded to it
+// for a while.
+func (r *Registry) Crashed(now time.Time, request Fingerprint, server fleet.InstanceID, parts ...Part) Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.add(now, request, observation{server: server, at: now, parts: r.parts.suspects(now, parts)}, feed.Local)
+	return r.status(now, request, parts)
+}
+
+// Proved records that a server started to respond to a request with these parts at the
+// given time and has not crashed since. A part that crashes every server that starts to
+// respond to it would not have been proved, so its earlier crashes do not count.
+func (r *Registry) Proved(at time.Time, parts []Part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rec := r.record(now, request)
-	r.add(rec, observation{server: server, at: now}, feed.Local)
-	return rec.status()
+	for _, part := range parts {
+		r.parts.proofs.add(part, at)
+		if r.parts.proved(part, at) {
+			r.parts.records[part].mark = r.counter.Mark(feed.Local)
+		}
+	}
 }
 
 // Succeeded discards the earlier crashes of a request: one that crashes every server
@@ -125,16 +201,16 @@
 func (r *Registry) Succeeded(now time.Time, request Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	rec := r.requests[request]
-	if rec == nil || len(rec.crashes) == 0 {
-		return
+	if rec := r.requests[request]; rec != nil && len(rec.crashes) > 0 {
+		r.add(now, request, observation{at: now}, feed.Local)
 	}
-	r.add(rec, observation{at: now}, feed.Local)
 }
 
-func (r *Registry) add(rec *record, o observation, from feed.Source) {
+func (r *Registry) add(now time.Time, request Fingerprint, o observation, from feed.Source) {
 	o.mark = r.counter.Mark(from)
-	rec.add(o)
+	if r.record(now, request).add(o) {
+		r.parts.crashed(request, o)
+	}
 }
 
 // record returns the record of a request. A new one may evict another.
@@ -165,6 +241,7 @@
 			delete(r.requests, request)
 		}
 	}
+	r.parts.dropExpired(now)
 }
 
 // evict drops expired records or, if there are none, the oldest record of those with
@@ -184,25 +261,32 @@
 	delete(r.requests, least)
 }
 
-func (rec *record) status() Status {
+// statusOf returns the status of a request by its own crashes. Those that a quarantined
+// part explains do not count.
+func (r *Registry) statusOf(rec *record) Status {
 	var s Status
+	var counted []observation
 	for _, c := range rec.crashes {
-		s.Servers = append(s.Servers, c.server)
+		if !r.parts.isExplained(c) {
+			counted = append(counted, c)
+			s.Servers = append(s.Servers, c.server)
+		}
 	}
-	if n := len(rec.crashes); n >= threshold {
-		s.Until = rec.crashes[n-threshold].at.Add(crashTTL)
+	if n := len(counted); n >= threshold {
+		s.Until = counted[n-threshold].at.Add(crashTTL)
 	}
 	return s
 }
 
-// add adds an observation unless it is already known or a later success cancels it.
-func (rec *record) add(o observation) {
+// add adds an observation unless it is already known or a later success cancels it. It
+// reports whether it added a crash.
+func (rec *record) add(o observation) bool {
 	if o.server == "" {
 		rec.succeed(o)
-		return
+		return false
 	}
 	if !o.at.After(rec.success.at) || slices.ContainsFunc(rec.crashes, o.isSameCrash) {
-		return
+		return false
 	}
 	at := len(rec.crashes)
 	for at > 0 && rec.crashes[at-1].at.After(o.at) {
@@ -212,6 +296,7 @@
 	if over := len(rec.crashes) - maxCrashes; over > 0 {
 		rec.crashes = slices.Delete(rec.crashes, 0, over)
 	}
+	return true
 }
 
 func (rec *record) succeed(o observation) {
@@ -234,6 +319,9 @@
 
 // isEvictedBefore reports whether rec is evicted before other.
 func (rec *record) isEvictedBefore(other *record) bool {
+	if rec.isPinned != other.isPinned {
+		return other.isPinned
+	}
 	if len(rec.crashes) != len(other.crashes) {
 		return len(rec.crashes) < len(other.crashes)
 	}
--- a/core/quarantine/unresolved.go
+++ b/core/quarantine/unresolved.go
@@ -21,14 +21,16 @@
 	request Fingerprint
 	server  fleet.InstanceID
 	at      time.Time
+	parts   []Part // that may cause a crash
 }
 
 // RecordUnresolved records that an attempt at a server ended with an unknown outcome. The
-// attempt counts as in flight if the server turns out to have crashed.
-func (r *Registry) RecordUnresolved(now time.Time, request Fingerprint, server fleet.InstanceID) {
+// attempt counts as in flight if the server turns out to have crashed. parts are those of
+// the request's parts that may cause a crash.
+func (r *Registry) RecordUnresolved(now time.Time, request Fingerprint, server fleet.InstanceID, parts ...Part) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.unresolved = append(r.unresolved, unresolvedAttempt{request, server, now})
+	r.unresolved = append(r.unresolved, unresolvedAttempt{request, server, now, r.parts.suspects(now, parts)})
 	r.dropUnresolved(func(attempt unresolvedAttempt) bool { return now.Sub(attempt.at) >= unresolvedTTL })
 	if over := len(r.unresolved) - maxUnresolved; over > 0 {
 		r.unresolved = append([]unresolvedAttempt(nil), r.unresolved[over:]...)
@@ -57,10 +59,9 @@
 		if attempt.server != server || now.Sub(attempt.at) >= unresolvedTTL {
 			continue
 		}
-		rec := r.record(now, attempt.request)
-		wasQuarantined := rec.status().IsQuarantined()
-		r.add(rec, observation{server: server, at: attempt.at}, feed.Local)
-		if !wasQuarantined && rec.status().IsQuarantined() {
+		wasQuarantined := r.status(now, attempt.request, nil).IsQuarantined()
+		r.add(now, attempt.request, observation{server: server, at: attempt.at, parts: attempt.parts}, feed.Local)
+		if !wasQuarantined && r.status(now, attempt.request, nil).IsQuarantined() {
 			quarantined = append(quarantined, attempt.request)
 		}
 	}
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -126,7 +126,7 @@
 		zap.Uint64("loaded", uint64(t.Server.LoadedVersion)), zap.Duration("predicted", t.Predicted),
 		zap.Int64("last_event", j.reply.progress.LastEvent()), zap.Error(err))
 	fields = append(fields, w.fields()...)
-	l.logger.Info("attempt_failed", append(fields, b.fields()...)...)
+	l.logger.Info("attempt_failed", append(fields, b.fields(j)...)...)
 }
 
 func (l *requestLog) countWithdrawn(w *withdrawal) {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -295,6 +295,7 @@
 		if err != nil {
 			return j.handleStreamError(ctx, assignment, response, err)
 		}
+		j.recordResponding(time.Now())
 		err = j.forwardEvent(assignment, response, j.lastAttempt, event)
 		if errorx.IsOfType(err, delivery.OutOfOrder) {
 			return j.handleStreamError(ctx, assignment, response, err)
@@ -311,6 +312,7 @@
 			assignment.End(time.Now(), placement.Abandoned)
 			assignment, response, j.serverDeadline = next.assignment, next.response, next.deadline
 			j.lastAttempt, j.endFramed = next.attempt, response.EndIsFramed()
+			j.startAttempt(j.progressAt)
 		}
 	}
 }
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -46,6 +46,10 @@
 	exclude       []fleet.InstanceID
 	holdLimiter   *placement.HoldLimiter // where the call waits, nil if it does not
 	wasHeld       bool                   // the call was held until a server could take it
+	// responseStartedAt is when the server of the current attempt started to respond, zero if
+	// it has not. isProved is true once it has responded for provingTime.
+	responseStartedAt time.Time
+	isProved          bool
 	// mayHaveRun is true once a server may have run the call.
 	mayHaveRun bool
 	// heldResponse is a server's error response. The caller gets it if all further attempts
@@ -217,6 +221,7 @@
 	j.serverDeadline = opts.Deadline
 	opts.StartDeadline = j.responseStartDeadline(now, opts)
 	j.lastAttempt = nil
+	j.startAttempt(time.Time{})
 	response, err := j.send(ctx, now, assignment, opts)
 	if err != nil {
 		return j.handleSendError(ctx, assignment, err)
