Do not end a response as complete if its server cannot be checked

Callers: a response without a length or chunks that ends with its connection could reach them as complete, though its server had been killed in the middle: if the check of the server got no answer (a lost packet, a machine that vanished), the end counted as regular. It also cleared the request of the crash.

Cause: only a refused connection counted as a sign against such an end. Now the server must be found alive; a check without an answer is done once more.

What it costs: a complete response whose server cannot be checked twice in a row is resumed elsewhere or fails.

--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -388,14 +388,26 @@
 	return false
 }
 
-// checkServerAlive fails if the end of the response was marked only by the close of its
-// connection and the server is down: the connections of a killed process are closed
-// too, so the response may be truncated.
+// livenessChecks is how often a server is checked whose check gets no answer.
+const livenessChecks = 2
+
+// checkServerAlive fails unless the end of the response is marked or the server is known to
+// be alive: the connections of a killed process are closed too, so a response that ends with
+// its connection may be truncated.
 func (j *job) checkServerAlive(ctx context.Context, server placement.Server, response Response) error {
-	if response.EndIsFramed() || j.g.opts.Backend.CheckLiveness(ctx, server.Addr) != Down {
+	if response.EndIsFramed() {
+		return nil
+	}
+	state := LivenessUnknown
+	for range livenessChecks {
+		if state = j.g.opts.Backend.CheckLiveness(ctx, server.Addr); state != LivenessUnknown {
+			break
+		}
+	}
+	if state == Alive {
 		return nil
 	}
-	return failure.WithOutcome(failure.Unavailable.New("connection closed and server down: response may be truncated"), failure.Unknown)
+	return failure.WithOutcome(failure.Unavailable.New("connection closed and server %s: response may be truncated", state), failure.Unknown)
 }
 
 func (j *job) handleStreamError(ctx context.Context, assignment *placement.Assignment, response Response, err error) bool {
--- a/daemon/gateway/scripted_test.go
+++ b/daemon/gateway/scripted_test.go
@@ -31,13 +31,15 @@
 	version   placement.ModelVersion // 1 if 0
 	unframed  bool
 	state     Liveness
-	notRun    bool
-	blocks    bool // Send blocks until the call's deadline
-	gap       bool // some ids are skipped
+	// unreachable is true if the checks of the server get no answer.
+	unreachable bool
+	notRun      bool
+	blocks      bool // Send blocks until the call's deadline
+	gap         bool // some ids are skipped
 }
 
 // isKilled reports whether the body ends because the server was killed.
-func (o outcome) isKilled() bool { return o.unframed && o.state == Down }
+func (o outcome) isKilled() bool { return o.unframed && (o.state == Down || o.unreachable) }
 
 const noID = -1
 
@@ -63,6 +65,7 @@
 	{name: "streams from the start", isStream: true, fromStart: true, ids: firstIDs(streamLength), end: io.EOF},
 	{name: "breaks off", isStream: true, ids: firstIDs(2), end: errReset},
 	{name: "is killed without a length", isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, state: Down},
+	{name: "is killed without a length and cannot be checked", isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, unreachable: true},
 	{name: "falls silent", isStream: true, ids: firstIDs(1), end: errTimeout},
 	{name: "breaks off before an event", isStream: true, end: errReset},
 	{name: "streams no event", isStream: true, end: io.EOF},
@@ -74,6 +77,7 @@
 	{name: "streams a failure", isStream: true, status: 500, ids: firstIDs(1), end: io.EOF},
 	{name: "answers 200"},
 	{name: "is killed in a body without a length", unframed: true, state: Down},
+	{name: "is killed in a body without a length and cannot be checked", unframed: true, unreachable: true},
 	{name: "answers 503 without saying that it did not run", status: 503},
 	{name: "answers 429 without saying that it did not run", status: 429},
 	{name: "answers 404", status: 404},
@@ -111,6 +115,9 @@
 	_, again := b.state[opts.Server.Addr]
 	b.sentTwice = b.sentTwice || again
 	b.state[opts.Server.Addr] = max(o.state, Alive)
+	if o.unreachable {
+		b.state[opts.Server.Addr] = LivenessUnknown
+	}
 	if o.blocks {
 		<-ctx.Done()
 		return nil, errTimeout
