--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -22,8 +22,10 @@
 	recentProof = 2 * time.Second
 	// maxPartRecords bounds the parts that are remembered.
 	maxPartRecords = 1024
-	// maxPartCrashes bounds the crashes remembered per part; the newest are kept.
-	maxPartCrashes = 4 * partThreshold
+	// maxPartCrashes bounds the observations remembered per part.
+	maxPartCrashes = 64
+	// maxRequestsPerCrash bounds the requests remembered per part and crash.
+	maxRequestsPerCrash = minPartRequests
 )
 
 // partCrash is a crash of a server while a request with the part was in flight to whose
@@ -104,27 +106,44 @@
 	for position, part := range o.parts {
 		rec := p.record(part)
 		c := partCrash{request: request, server: o.server, at: o.at, position: position}
-		if !o.at.After(rec.success) || slices.ContainsFunc(rec.crashes, c.isSame) {
-			continue
+		if o.at.After(rec.success) && rec.lacks(c) {
+			rec.add(c)
+			p.isStale = true
 		}
-		rec.add(c)
-		p.isStale = true
 	}
 }
 
-func (c partCrash) isSame(other partCrash) bool {
-	return c.request == other.request && c.isSameCrash(other.server, other.at)
+// lacks reports whether a crash is to be added: it is not known with this request, nor with
+// enough others.
+func (rec *partRecord) lacks(c partCrash) bool {
+	known := 0
+	for _, other := range rec.crashes {
+		if !c.isSameCrash(other.server, other.at) {
+			continue
+		}
+		if known++; other.request == c.request || known == maxRequestsPerCrash {
+			return false
+		}
+	}
+	return true
 }
 
+// add adds a crash. If there are too many, the oldest of those that do not count
+// separately is dropped: without the older ones that do, many crashes in a short time would
+// end a quarantine.
 func (rec *partRecord) add(c partCrash) {
 	at := len(rec.crashes)
 	for at > 0 && rec.crashes[at-1].at.After(c.at) {
 		at--
 	}
 	rec.crashes = slices.Insert(rec.crashes, at, c)
-	if over := len(rec.crashes) - maxPartCrashes; over > 0 {
-		rec.crashes = slices.Delete(rec.crashes, 0, over)
+	if len(rec.crashes) <= maxPartCrashes {
+		return
 	}
+	counted := separate(rec.crashes)
+	counted = counted[:min(len(counted), partThreshold)]
+	oldest := slices.IndexFunc(rec.crashes, func(c partCrash) bool { return !slices.Contains(counted, c) })
+	rec.crashes = slices.Delete(rec.crashes, oldest, oldest+1)
 }
 
 // proved records the start of a response at an entry. It reports whether that clears
@@ -281,11 +300,11 @@
 	for _, c := range crashes {
 		requests[c.request] = true
 	}
-	return len(requests) >= minPartRequests && countSeparate(crashes) >= partThreshold
+	return len(requests) >= minPartRequests && len(separate(crashes)) >= partThreshold
 }
 
-// countSeparate counts the crashes of different servers that are far enough apart.
-func countSeparate(crashes []partCrash) int {
+// separate returns the crashes of different servers that are far enough apart.
+func separate(crashes []partCrash) []partCrash {
 	var counted []partCrash
 	for _, c := range crashes {
 		isSame := slices.ContainsFunc(counted, func(o partCrash) bool { return o.isSameCrash(c.server, c.at) })
@@ -293,7 +312,7 @@
 			counted = append(counted, c)
 		}
 	}
-	return len(counted)
+	return counted
 }
 
 // suspicion orders parts by how likely each is to have caused its crashes.
@@ -361,5 +380,5 @@
 	if rec == nil {
 		return 0
 	}
-	return countSeparate(rec.unexplained(p.explained))
+	return len(separate(rec.unexplained(p.explained)))
 }
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -150,6 +150,17 @@
 		Expect(r.Status(at(5*apart), victim).IsSuspect()).To(BeFalse())
 	})
 
+	// Guards against a quarantine that ends since many more servers crash at once.
+	It("stays quarantined after many crashes in a short time", func() {
+		for n := range 5 {
+			crash(n, guilty)
+		}
+		for n := range 200 {
+			r.Crashed(at(6*apart+time.Duration(n)*time.Millisecond), request(100+n), serverID(100+n/3), guilty)
+			Expect(status(7, guilty).IsQuarantined()).To(BeTrue())
+		}
+	})
+
 	// Guards against a flood of other crashes that ends a quarantine here or at an entry
 	// that starts later.
 	It("stays quarantined under a flood of others", func() {
