--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -235,6 +235,10 @@
 // explainQuarantined explains why a request is not sent to any server.
 func (l *Collector) explainQuarantined() string {
 	placed, _ := l.lastRequestLine("not_placed")
+	if part := placed.Value("part"); part != "" {
+		return fmt.Sprintf("It is quarantined until %s: the servers %s crashed before they responded to requests with the part %s "+
+			"of its prompt, and none has responded to one since.", placed.Value("until"), placed.Value("servers"), part)
+	}
 	return fmt.Sprintf("It is quarantined until %s: requests with this content (fingerprint %s) were in flight as the servers %s crashed, "+
 		"and none succeeded in between.", placed.Value("until"), placed.Value("fingerprint"), placed.Value("servers"))
 }
--- a/cmd/chivespindle/internal/requestlog/requestlog_test.go
+++ b/cmd/chivespindle/internal/requestlog/requestlog_test.go
@@ -126,4 +126,17 @@
 		Expect(log.Report().Cause).To(And(ContainSubstring("quarantined until 2031-05-06T08:08:07Z"),
 			ContainSubstring("fingerprint 352bd266dae5"), ContainSubstring("i-1,i-2,i-3 crashed"), ContainSubstring("did not run")))
 	})
+
+	It("names the part of the prompt that put a request in quarantine", func() {
+		log := requestlog.NewCollector("a")
+		for _, text := range []string{
+			"ts=2031-05-06T07:08:08Z event=not_placed instance=entry-1 request=a reason=quarantined fingerprint=352bd266dae5 " +
+				"part=m1/0a1b servers=i-1,i-2,i-3,i-4 until=2031-05-06T08:08:07Z",
+			"ts=2031-05-06T07:08:08Z event=refused instance=entry-1 request=a code=unavailable reason=quarantined retry_after=59m59s",
+		} {
+			_, err := requestlog.Read(strings.NewReader(text), log.Add)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(log.Report().Cause).To(And(ContainSubstring("part m1/0a1b of its prompt"), ContainSubstring("i-1,i-2,i-3,i-4 crashed")))
+	})
 })
