Count crashes of a part as separate from 100 ms apart on, by the time of the break

Cause: crashes counted separately from 250 ms apart on. The interval only has to be longer than the spread of the breaks when many servers are lost at one moment; so the time of a break is taken before its server is checked, which may take 200 ms.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -16,7 +16,7 @@
 	minPartRequests = 2
 	// minPartInterval is the minimum time between crashes that count separately. Servers
 	// that are lost together say no more of a part than one of them.
-	minPartInterval = 250 * time.Millisecond
+	minPartInterval = 100 * time.Millisecond
 	// recentProof is how long after a response to a request with the part a crash is not
 	// attributed to it. Parts that most requests share are hardly reported that way.
 	recentProof = 2 * time.Second
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -35,13 +35,15 @@
 	if failure.OutcomeOf(err) == failure.NotRun || errorx.IsOfType(err, failure.Corrupt) {
 		return nil
 	}
+	// The check takes a while, and servers that are lost together must be seen to be.
+	now := time.Now()
 	b := &brokenAttempt{
 		fingerprint: j.contentFingerprint(),
 		events:      j.lastAttempt.Events(),
 		server:      j.g.opts.Backend.CheckLiveness(ctx, server.Addr),
 	}
 	isPlanned := j.g.balancer.IsLeaving(server.ID)
-	switch now := time.Now(); {
+	switch {
 	case isPlanned:
 	case b.server == Down:
 		b.status = j.g.quarantine.Crashed(now, b.fingerprint, server.ID, j.suspectParts()...)
