Take only a response to the prompt for a proof of its parts

Found by reading: a rejection (400), a stream without events or a comment in a stream cleared the parts of the request, though the server had not started to respond to its prompt: a part that crashes servers would have been taken for sound, and sent on. The time of the first event counts as the start, an end only after an event or with status 2xx.

Also, the quarantine of a part ended by its fourth last observation, not by its fourth last crash that counts.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -358,7 +358,8 @@
 // verdict returns the verdict on a part with the given crashes. It ends when too few of
 // them are left.
 func (rec *partRecord) verdict(crashes []partCrash) partVerdict {
-	return partVerdict{servers: serversOf(crashes), until: crashes[len(crashes)-partThreshold].at.Add(crashTTL)}
+	counted := separate(crashes)
+	return partVerdict{servers: serversOf(crashes), until: counted[len(counted)-partThreshold].at.Add(crashTTL)}
 }
 
 func (p *parts) isQuarantined(part Part) bool {
--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -86,12 +86,13 @@
 	j.responseStartedAt, j.isProved = responseStarted, false
 }
 
-// recordResponding records that the server responds to the call.
-func (j *job) recordResponding(now time.Time) {
+// recordResponding records that the server returns a part of its response to the call, and
+// whether that is the last one.
+func (j *job) recordResponding(now time.Time, isLast bool) {
 	if j.responseStartedAt.IsZero() {
 		j.responseStartedAt = now
 	}
-	if !j.isProved && now.Sub(j.responseStartedAt) >= provingTime {
+	if !j.isProved && (isLast || now.Sub(j.responseStartedAt) >= provingTime) {
 		j.recordProof()
 	}
 }
@@ -174,12 +175,6 @@
 
 // recordSuccess records that a server ran the call to its end.
 func (j *job) recordSuccess(now time.Time) {
-	if j.responseStartedAt.IsZero() {
-		j.responseStartedAt = now
-	}
-	if !j.isProved {
-		j.recordProof()
-	}
 	if !j.g.quarantine.IsEmpty() {
 		j.g.quarantine.Succeeded(now, j.contentFingerprint())
 	}
--- a/daemon/gateway/crashpart_test.go
+++ b/daemon/gateway/crashpart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/placement"
+	"chivespindle.example/core/quarantine"
 )
 
 // partCrashingEngines crash on calls whose prompt has a certain part and restart. A crash ends
@@ -58,7 +60,7 @@
 	case <-crashed:
 	case <-time.After(partRunTime):
 		if !isGuilty {
-			return emptyResponse{}, nil
+			return &scriptedResponse{outcome: outcomes[0], attempt: 1}, nil
 		}
 		e.crash(addr)
 	}
@@ -148,3 +150,29 @@
 		}
 	})
 })
+
+// Guards against a part that crashes servers and is taken for sound since a server answered
+// without working on the prompt, and against a sound part that stays a suspect.
+var _ = DescribeTable("A part of a prompt that was in flight at a crash", func(o outcome, isCleared bool) {
+	g, _ := newGateway()
+	s := snapshot(9, server("i-1", "10.0.1.1:80", 2))
+	s.Config.Routes[0].MaxAttempts, s.Config.Routes[0].Timeout = 1, time.Second
+	g.adopt(time.Now(), s, fromPlatform)
+	g.publish(time.Now())
+	g.opts.Backend = &scriptedBackend{script: []outcome{o}, state: make(map[netip.AddrPort]Liveness)}
+	parts := quarantine.NewParts("m", []string{"7a"})
+	g.quarantine.Crashed(time.Now().Add(-time.Second), quarantine.Fingerprint{1}, "i-0", parts...)
+	g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", SharedParts: []string{"7a"}, Arrived: time.Now(), LastEvent: -1}, &responseRecorder{})
+	Expect(g.quarantine.Status(time.Now(), quarantine.Fingerprint{2}, parts...).IsSuspect()).To(Equal(!isCleared))
+},
+	Entry("is cleared by a stream", outcome{isStream: true, ids: firstIDs(streamLength), end: io.EOF}, true),
+	Entry("is cleared by a whole response", outcome{}, true),
+	Entry("is cleared by an unmarked end if the server is alive", outcome{isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, state: Alive}, true),
+	Entry("stays a suspect after an unmarked end if the server is down", outcome{isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, state: Down}, false),
+	Entry("stays a suspect after an unmarked end if the server cannot be checked", outcome{isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, unreachable: true}, false),
+	Entry("stays a suspect after a stream that breaks at its start", outcome{isStream: true, ids: firstIDs(1), end: errReset}, false),
+	Entry("stays a suspect after a stream without events", outcome{isStream: true, end: io.EOF}, false),
+	Entry("stays a suspect after a rejected request", outcome{status: 400}, false),
+	Entry("stays a suspect after an error", outcome{status: 500}, false),
+	Entry("stays a suspect after a request that did not run", outcome{status: 503, notRun: true}, false),
+)
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -247,6 +247,9 @@
 	if response.Status() < http.StatusInternalServerError {
 		assignment.End(now, placement.Succeeded)
 		j.recordSuccess(now)
+		if response.Status()/100 == 2 {
+			j.recordResponding(now, true)
+		}
 		j.forward(response, body)
 		return false
 	}
@@ -295,7 +298,9 @@
 		if err != nil {
 			return j.handleStreamError(ctx, assignment, response, err)
 		}
-		j.recordResponding(time.Now())
+		if !isComment(event) {
+			j.recordResponding(time.Now(), false)
+		}
 		err = j.forwardEvent(assignment, response, j.lastAttempt, event)
 		if errorx.IsOfType(err, delivery.OutOfOrder) {
 			return j.handleStreamError(ctx, assignment, response, err)
@@ -380,6 +385,9 @@
 	now := time.Now()
 	assignment.End(now, placement.Succeeded)
 	j.recordSuccess(now)
+	if j.lastAttempt.Events() > 0 {
+		j.recordResponding(now, true)
+	}
 	if err := j.reply.complete(response, j.lastAttempt); err != nil {
 		j.endAbandonedCall()
 		return false
