--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -273,7 +273,7 @@
 		if !isEnough(crashes) {
 			continue
 		}
-		if s := p.suspicion(part, rec, crashes); best == "" || s.exceeds(bestSuspicion) {
+		if s := p.suspicion(part, crashes); best == "" || s.exceeds(bestSuspicion) {
 			best, bestSuspicion = part, s
 		}
 	}
@@ -323,9 +323,17 @@
 	part      Part
 }
 
-func (p *parts) suspicion(part Part, rec *partRecord, crashes []partCrash) suspicion {
-	_, hasProof := p.proofs.last(part)
-	s := suspicion{servers: len(serversOf(crashes)), isUnproved: !hasProof && rec.success.IsZero(), part: part}
+// hasProof reports whether a response to a request with the part is known.
+func (p *parts) hasProof(part Part) bool {
+	if _, ok := p.proofs.last(part); ok {
+		return true
+	}
+	rec := p.records[part]
+	return rec != nil && !rec.success.IsZero()
+}
+
+func (p *parts) suspicion(part Part, crashes []partCrash) suspicion {
+	s := suspicion{servers: len(serversOf(crashes)), isUnproved: !p.hasProof(part), part: part}
 	for _, c := range crashes {
 		s.positions += c.position
 	}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -66,7 +66,7 @@
 	// crashed with requests with the part in flight.
 	Part Part
 	// PartCrashes is the largest number of crashes that may have been caused by one of
-	// the request's parts.
+	// the request's parts, of those that no server is known to have responded to.
 	PartCrashes int
 }
 
@@ -143,7 +143,9 @@
 		if v, ok := r.parts.quarantined[part]; ok && now.Before(v.until) {
 			return Status{Servers: v.servers, Until: v.until, Part: part}
 		}
-		s.PartCrashes = max(s.PartCrashes, r.parts.crashes(part))
+		if !r.parts.hasProof(part) {
+			s.PartCrashes = max(s.PartCrashes, r.parts.crashes(part))
+		}
 	}
 	return s
 }
