--- a/daemon/gateway/crashpart_test.go
+++ b/daemon/gateway/crashpart_test.go
@@ -30,7 +30,8 @@
 
 const (
 	// partRunTime is how long an engine runs a call, or a call with the part until it crashes.
-	partRunTime = 20 * time.Millisecond
+	// Crashes that are closer together do not count separately.
+	partRunTime = 120 * time.Millisecond
 	// partDownTime is how long an engine is down after a crash.
 	partDownTime = 1500 * time.Millisecond
 )
@@ -116,8 +117,6 @@
 	// many calls with it may be sent after that.
 	const crashesBefore, sentAfter = 5, 3
 	const first, topic, guilty = "f0", "7a", "bad0"
-	// pace is the time between two calls with the part.
-	const pace = 300 * time.Millisecond
 
 	// Guards against a part of prompts that crashes engine after engine, under calls of which
 	// no two are alike.
@@ -133,7 +132,6 @@
 			m := region.members[n%entries]
 			m.servePartCall(path, fmt.Sprintf("guilty-%d", n), first, topic, guilty)
 			m.servePartCall(path, fmt.Sprintf("sound-%d", n), first, topic)
-			time.Sleep(pace)
 		}
 		for i, m := range region.members {
 			n := 0
@@ -141,7 +139,7 @@
 				n++
 				return m.servePartCall(path, fmt.Sprintf("again-%d-%d", i, n), first, topic, guilty)
 			}
-			Eventually(refused, "5s", pace).Should(HaveField("Reason", reasonQuarantined))
+			Eventually(refused, "5s", "300ms").Should(HaveField("Reason", reasonQuarantined))
 		}
 		Expect(backend.reachedCount()).To(BeNumerically("<=", crashesBefore+sentAfter))
 		for i, m := range region.members {
