Count the bytes of a transfer before they are sent

Cause: a piece was counted after it had been written, and the client, which has its whole body then, may read the counters first. Now it is counted before, less what was not written.

Shown: with a pause of 20 ms between the write and the count the spec failed before and passes now.

--- a/standin/platform/transfer.go
+++ b/standin/platform/transfer.go
@@ -13,7 +13,7 @@
 	writer          http.ResponseWriter
 	linkLimiter     *rate.Limiter // limits all transfers of the link together
 	transferLimiter *rate.Limiter // limits this transfer
-	onSent          func(n int)   // called with the size of each piece sent
+	onSent          func(n int)   // called with the size of each piece, and negative with what was not sent of it
 }
 
 // write sends data in pieces at the rate of the limiters. It returns false if
@@ -24,8 +24,10 @@
 		if !t.waitFor(t.transferLimiter, size) || !t.waitFor(t.linkLimiter, size) {
 			return false
 		}
+		// The client may read the counters once it has the last byte, before Write returns.
+		t.onSent(size)
 		n, err := t.writer.Write(data[:size])
-		t.onSent(n)
+		t.onSent(n - size)
 		if err != nil {
 			return false
 		}
