Wording of the crashing parts; a remaining way to a server

By reading, a request that waits for a connection as its part is quarantined is still sent: listed as remaining, not fixed.

--- a/daemon/gateway/crash.go
+++ b/daemon/gateway/crash.go
@@ -35,7 +35,8 @@
 	if failure.OutcomeOf(err) == failure.NotRun || errorx.IsOfType(err, failure.Corrupt) {
 		return nil
 	}
-	// The check takes a while, and servers that are lost together must be seen to be.
+	// Taken before the check, which may last 200 ms: the crashes of servers that are lost
+	// together must not count separately.
 	now := time.Now()
 	b := &brokenAttempt{
 		fingerprint: j.contentFingerprint(),
--- a/daemon/gateway/crashpart_test.go
+++ b/daemon/gateway/crashpart_test.go
@@ -164,7 +164,7 @@
 	Expect(g.quarantine.Status(time.Now(), quarantine.Fingerprint{2}, parts...).IsSuspect()).To(Equal(!isCleared))
 },
 	Entry("is cleared by a stream", outcome{isStream: true, ids: firstIDs(streamLength), end: io.EOF}, true),
-	Entry("is cleared by a whole response", outcome{}, true),
+	Entry("is cleared by a complete response", outcome{}, true),
 	Entry("is cleared by an unmarked end if the server is alive", outcome{isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, state: Alive}, true),
 	Entry("stays a suspect after an unmarked end if the server is down", outcome{isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, state: Down}, false),
 	Entry("stays a suspect after an unmarked end if the server cannot be checked", outcome{isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, unreachable: true}, false),
