Log server silences and responses that start on an expired version

The hypotheses on the calls that began on an outdated version differ in what an engine did between the arrival of a call and its start: it was silent, it queued the call, or the entry counted from a later time. The logs told neither how long a server had sent nothing when an attempt ended, nor when the deadline ended that it had been given, nor that a response started after the end of its version.

--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -81,7 +81,7 @@
 	}
 	l.logger.Info("served", callFields(j, zap.String("server", string(j.respondedBy)), zap.Duration("patience", j.call.Timeout), zap.Int("status", status), zap.Int64("last_event", j.reply.progress.LastEvent()),
 		zap.Int("run_events", j.lastAttempt.Events()), zap.Bool("end_framed", j.endFramed),
-		zap.Duration("predicted", j.predicted), zap.Duration("first", j.firstAfter()))...)
+		zap.Duration("predicted", j.predicted), zap.Duration("first", j.firstAfter()), zap.Duration("longest_pause", j.longestPause))...)
 }
 
 func (j *job) firstAfter() time.Duration {
@@ -143,7 +143,7 @@
 		zap.Stringer("addr", t.Server.Addr),
 		zap.Uint64("loaded", uint64(t.Server.LoadedVersion)), zap.Duration("predicted", t.Predicted),
 		zap.Int64("last_event", j.reply.progress.LastEvent()), zap.Error(err))
-	fields = append(fields, w.fields()...)
+	fields = append(append(fields, j.silenceFields(time.Now())...), w.fields()...)
 	l.logger.Info("attempt_failed", append(fields, b.fields(j)...)...)
 }
 
--- a/daemon/gateway/withdrawn_test.go
+++ b/daemon/gateway/withdrawn_test.go
@@ -104,6 +104,17 @@
 			Equal(versionTime-2*time.Second)),
 	)
 
+	// Guards against engines that begin calls late while nothing shows it.
+	DescribeTable("is logged as started late if its response starts once the version has expired",
+		func(named time.Duration, want int) {
+			place(named)
+			j.checkLateStart(failed, ticket.Server)
+			Expect(lines.FilterMessage("response_started_late").Len()).To(Equal(want))
+		},
+		Entry("before the end of its time", 7900*time.Millisecond, 0),
+		Entry("after it", 8200*time.Millisecond, 1),
+	)
+
 	It("is logged as closed at its deadline", func() {
 		place(0)
 		j.deadline = failed
