Add failing test: a silent engine begins a call after its version's time

An engine that is silent when a call arrives reads it about a second later and counts the deadline sent with it from then on. With the margins of an entry (0.4 s) the call may begin 0.8 s after the end of the version's time, as in the record (43 and 245 ms).

--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -75,11 +75,9 @@
 // and 30.33 s begin at 31.02 and 30.74 s: 10004 and 9719 ms after the newer version is
 // acknowledged, where 9700 ms are allowed.
 var _ = Describe("A call at an engine whose version is outdated", func() {
-	const (
-		timeout = 30 * time.Second
-		passed  = 4 * time.Second // of the 8 s for which the outdated version may be used
-	)
+	const timeout = 30 * time.Second
 	var (
+		passed   time.Duration // of the 8 s for which the outdated version may be used
 		g        *Gateway
 		backend  *unresponsiveBackend
 		named    time.Time
@@ -111,6 +109,7 @@
 		backend = &unresponsiveBackend{}
 		g.opts.Backend = backend
 		expected = 50
+		passed = 4 * time.Second
 	}
 	BeforeEach(prepare)
 
@@ -140,6 +139,22 @@
 		}
 	})
 
+	// Guards against calls that a silent engine reads late and therefore begins late, since it
+	// counts their deadline from then on.
+	It("is begun within the time of the version by an engine that reads it 1.2 s late", func() {
+		const silence = 1200 * time.Millisecond
+		sent := 0
+		for after := 3 * time.Second; after < 8*time.Second; after += 100 * time.Millisecond {
+			prepare()
+			passed, expected = after, 10
+			for _, o := range serve(true, 2) {
+				Expect(o.Deadline.Add(silence)).To(BeTemporally("<=", named.Add(g.opts.VersionTime)), "sent %v after the naming", after)
+				sent++
+			}
+		}
+		Expect(sent).NotTo(BeZero())
+	})
+
 	// Guards against long calls that wait there with nothing to end them, or are aborted
 	// when the time of the version is over.
 	It("is not sent there if its response is not expected in time", func() {
