Count an engine as serving if its load order was not sent

Before an order the agent reads the engine's report and every staged chunk. If the engine is silent meanwhile, both time out and no order is sent, but the plan had recorded one: entries took the engine for reloading for 1.5 s more, so a silence of 1.2 s cost about 3 s of its capacity.

An error from before the order now has a type of its own and counts like a declined order.

--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -24,6 +24,9 @@
 	settleRetryDelay = 150 * time.Millisecond
 )
 
+// orderNotSent is the error of an order that was not sent to the engine.
+var orderNotSent = failure.Namespace.NewType("order_not_sent", failure.Temporary)
+
 // order is an order to load a version, with the engine's report from before it.
 type order struct {
 	model   string
@@ -43,10 +46,10 @@
 	}
 	before, err := s.report(ctx)
 	if err != nil {
-		return err
+		return orderNotSent.Wrap(err, "report before the order")
 	}
 	if err := s.repair(ctx, v); err != nil {
-		return err
+		return orderNotSent.Wrap(err, "check of the stage before the order")
 	}
 	o := order{model: supply.Model, version: v, before: before}
 	err = s.sendOrder(ctx, o)
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -193,7 +193,7 @@
 		return
 	}
 	l.opts.Logger.Warn("load_not_ordered", zap.Uint64("version", version), zap.Error(err))
-	if errorx.IsOfType(err, Declined) {
+	if errorx.IsOfType(err, Declined) || errorx.IsOfType(err, orderNotSent) {
 		l.plan.MarkDeclined(now)
 		l.reportChanges(now)
 	}
