Allow for a silent engine in the deadline of a call at an outdated version

Callers saw answers of an outdated version: in the record two calls began on it 43 and 245 ms after its time. Both had waited 1.09 and 1.14 s at their engines.

Cause: an engine counts the deadline sent with a call from when it reads the call, the entry from when it sends it. A healthy engine may be silent for about a second and then reads, with the full deadline left, a call that should have ended. Class: a bound that holds only if the other side is awake.

The deadline now ends 1.6 s before the time of the version instead of 0.4 s, so a call that is read up to 1.2 s late still begins in time, whatever waits at its engine.

--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -10,8 +10,10 @@
 // An engine must not begin a call on outdated weights once VersionTime has passed since
 // a newer version was named. The bounds of a call on such an engine, in order of time:
 //
-//   - versionEnd: the engine ends its work on the call, as required by SendOptions.Deadline;
-//   - the end of VersionTime, maxNamingDelay and networkDelay later;
+//   - versionEnd: the engine ends its work on the call, as required by SendOptions.Deadline,
+//     if it has read the call at once;
+//   - the end of VersionTime, versionMargin later: the engine has ended its work even if it
+//     was silent as the call arrived;
 //   - latestResponseTime: the response or refusal of the engine must have arrived, else
 //     the entry gives up the attempt.
 
@@ -19,9 +21,14 @@
 	// maxNamingDelay is how much later than other entries, or than the platform's
 	// confirmation, this entry may learn of a version.
 	maxNamingDelay = 150 * time.Millisecond
-	// networkDelay is the time allowed for a call to reach a server. The server starts its
-	// own timer when the call arrives.
+	// networkDelay is the time allowed for a call to reach a server.
 	networkDelay = 250 * time.Millisecond
+	// maxServerSilence is how long a healthy server may neither read nor write. A server starts
+	// its own timer when it reads the call.
+	maxServerSilence = 1200 * time.Millisecond
+	// versionMargin is how much earlier than after VersionTime an engine must end its work by its
+	// own timer.
+	versionMargin = maxNamingDelay + networkDelay + maxServerSilence
 )
 
 // usableVersions returns a function that says whether engines with a version of the weights
@@ -58,7 +65,7 @@
 // the version is not outdated.
 func (g *Gateway) versionEnd(names loading.NamedVersions, v placement.ModelVersion) (time.Time, bool) {
 	since, outdated := names.OutdatedSince(uint64(v))
-	return since.Add(g.opts.VersionTime - maxNamingDelay - networkDelay), outdated
+	return since.Add(g.opts.VersionTime - versionMargin), outdated
 }
 
 // latestResponseTime returns when the response or refusal of a server must have arrived:
@@ -76,7 +83,7 @@
 	}
 	end, outdated := j.versionEndAt(server)
 	if !outdated {
-		end = now.Add(j.g.opts.VersionTime - maxNamingDelay - networkDelay)
+		end = now.Add(j.g.opts.VersionTime - versionMargin)
 	}
 	return earlier(j.deadline, end)
 }
