Keep the attempt at a silent server until another server takes the call

A healthy server may read and write nothing for about a second and then go on. An attempt ended once nothing had arrived for streamStallTimeout, for twice the target latency of a plain service, or by 0.5 s after its engine's deadline: without another server, the stream was aborted or the call got 502, although its server would have completed it.

The deadline of a read now starts the search for another server. The connection asks the gateway for a later deadline below the readers of the message, so that these see no error. A call without a response leaves the server once another one is assigned and the retry budget allows the retry; a started stream once another server has returned the next event. Otherwise the search is repeated each 100 ms until the attempt is of no use any more: the call's deadline, or the engine's deadline, the network delays and maxServerSilence. A view from before a pause of this process starts no search.

An attempt to resume a stream that was not sent counts as unsent, as other attempts do, and a server that refused it or sent nothing in time is recorded as such.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -100,6 +100,9 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleUntil time.Time // not reused after this time
+	// readDeadline and onSilence belong to the current exchange.
+	readDeadline time.Time
+	onSilence    OnSilence
 }
 
 // Dialled returns the number of connections established so far.
@@ -158,11 +161,9 @@
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
-	return &conn{
-		Conn: raw, addr: addr,
-		reader: bufio.NewReaderSize(raw, readBufferBytes),
-		writer: bufio.NewWriter(raw),
-	}, nil
+	c := &conn{Conn: raw, addr: addr, writer: bufio.NewWriter(raw)}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 // ProbeRefused reports whether connections to addr are refused; known is false
@@ -211,6 +212,7 @@
 		return
 	}
 	c.idleUntil = time.Now().Add(idleTimeout)
+	c.onSilence = nil
 	_ = c.SetDeadline(time.Time{}) // never fails on an open connection
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -317,6 +319,12 @@
 // The outcome of a failure is failure.NotRun only if no byte of the request was
 // sent.
 func (p *Pool) Do(ctx context.Context, addr netip.AddrPort, request func() *http.Request, deadline time.Time) (*Response, error) {
+	return p.DoExtendable(ctx, addr, request, deadline, nil)
+}
+
+// DoExtendable is Do, but onSilence may extend the deadline, and those that SetDeadline sets
+// later.
+func (p *Pool) DoExtendable(ctx context.Context, addr netip.AddrPort, request func() *http.Request, deadline time.Time, onSilence OnSilence) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, failure.WithOutcome(failure.Unavailable.Wrap(err, "not sent to %s", addr), failure.NotRun)
 	}
@@ -346,9 +354,10 @@
 	if err := c.writer.Flush(); err != nil {
 		return fail(err, "send to")
 	}
-	_ = c.SetReadDeadline(deadline)
+	c.onSilence = onSilence
+	c.setReadDeadline(deadline)
 	response, err := readFinalResponse(c.reader, r)
-	if err != nil && !time.Now().Before(deadline) {
+	if err != nil && !time.Now().Before(c.readDeadline) {
 		// net/http reports a line that was truncated by the deadline as
 		// malformed.
 		err = errors.Join(os.ErrDeadlineExceeded, err)
@@ -379,7 +388,7 @@
 }
 
 // SetDeadline bounds the reads of the body.
-func (r *Response) SetDeadline(deadline time.Time) { _ = r.conn.SetReadDeadline(deadline) }
+func (r *Response) SetDeadline(deadline time.Time) { r.conn.setReadDeadline(deadline) }
 
 // Close ends the exchange. With reuse the connection is returned to the pool,
 // unless the server closes it or the end of the body has not been read.
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -119,12 +119,22 @@
 	w.requests[w.current]++
 }
 
+// MayRetry reports whether a retry would be allowed now.
+func (w *Window) MayRetry(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	return w.isAllowed(now)
+}
+
+func (w *Window) isAllowed(now time.Time) bool { return sum(w.retries)+1 <= w.limit(now) }
+
 // TryRetry reports whether a retry is allowed, and counts it if so.
 func (w *Window) TryRetry(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	if sum(w.retries)+1 > w.limit(now) {
+	if !w.isAllowed(now) {
 		w.denied++
 		return false
 	}
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
+
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/delivery"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/placement"
@@ -54,7 +57,7 @@
 		next.End(now, placement.Abandoned)
 		return nil
 	}
-	resumed, err := j.resumeOn(ctx, now, next, j.sendOptions(now, next))
+	resumed, err := j.resumeOn(ctx, now, next, now.Add(j.targetPause()))
 	if err != nil {
 		j.g.log.handedOver(j, assignment, next, err, j.withdrawn(ctx, time.Now(), next, err))
 		return nil
@@ -63,14 +66,17 @@
 	return resumed
 }
 
-// resumeOn sends the call to another server and returns that server once it has resumed
-// the stream. It fails if that takes longer than the longest pause that the route allows.
-func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Assignment, opts SendOptions) (*successor, error) {
-	opts.StartDeadline = earlier(j.latestResponseTime(opts.Deadline), now.Add(j.targetPause()))
-	j.attempts++
+// resumeOn sends the call to another server, chosen at now, and returns that server once it
+// has resumed the stream. It fails if the server has not done so by the given time.
+func (j *job) resumeOn(ctx context.Context, now time.Time, next *placement.Assignment, by time.Time) (*successor, error) {
+	opts := j.sendOptions(now, next)
+	opts.StartDeadline = earlier(j.usualResponseTime(opts.Deadline), by)
 	response, err := j.send(ctx, now, next, opts)
+	if failure.OutcomeOf(err) != failure.NotRun {
+		j.attempts++
+	}
 	if err != nil {
-		next.End(time.Now(), placement.Abandoned)
+		next.End(time.Now(), j.resultOfResumption(next, err))
 		return nil, err
 	}
 	if response.NotRun() || response.Misdirected() {
@@ -91,12 +97,33 @@
 	}
 	if err != nil {
 		response.Close(false)
-		next.End(time.Now(), placement.Abandoned)
+		next.End(time.Now(), j.resultOfResumption(next, err))
 		return nil, err
 	}
 	return &successor{assignment: next, response: response, attempt: attempt, deadline: opts.Deadline}, nil
 }
 
+// resultOfResumption returns the result of a server that did not resume a stream.
+func (j *job) resultOfResumption(next *placement.Assignment, err error) placement.Result {
+	waited, waits := next.Elapsed(time.Now())
+	switch {
+	case errorx.IsOfType(err, exchange.Refused):
+		return placement.Refused
+	case errorx.IsOfType(err, failure.Timeout) && waits && waited >= next.Predicted+streamStallTimeout:
+		return placement.TimedOut
+	default:
+		return placement.Abandoned
+	}
+}
+
+// continueOn makes a server the one that the stream continues on.
+func (j *job) continueOn(next *successor) (*placement.Assignment, Response) {
+	j.serverDeadline, j.lastAttempt = next.deadline, next.attempt
+	j.endFramed, j.respondedBy = next.response.EndIsFramed(), next.assignment.Server.ID
+	j.startAttempt(j.progressAt)
+	return next.assignment, next.response
+}
+
 func (j *job) targetPause() time.Duration {
 	if j.route.TargetPause > 0 {
 		return j.route.TargetPause
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -321,11 +321,21 @@
 // resumption: the next server continues after the last complete event.
 func (j *job) forwardStream(ctx context.Context, assignment *placement.Assignment, response Response) bool {
 	for {
-		response.SetDeadline(j.nextEventDeadline(time.Now(), assignment.Server))
+		response.SetDeadline(j.await(assignment, j.nextEventBounds(time.Now(), assignment.Server)))
 		event, err := response.Next()
+		j.awaited = nil
 		if errors.Is(err, io.EOF) {
 			return j.handleStreamEnd(ctx, assignment, response)
 		}
+		if err != nil && j.reply.isAborted() {
+			return j.endAbandonedStream(assignment, response)
+		}
+		if next := j.takeSuccessor(); next != nil {
+			response.Close(false)
+			j.endFailedAttempt(ctx, time.Now(), assignment, err)
+			assignment, response = j.continueOn(next)
+			continue
+		}
 		if err != nil {
 			return j.handleStreamError(ctx, assignment, response, err)
 		}
@@ -346,9 +356,7 @@
 		if next != nil {
 			response.Close(false)
 			assignment.End(time.Now(), placement.Abandoned)
-			assignment, response, j.serverDeadline = next.assignment, next.response, next.deadline
-			j.lastAttempt, j.endFramed, j.respondedBy = next.attempt, response.EndIsFramed(), assignment.Server.ID
-			j.startAttempt(j.progressAt)
+			assignment, response = j.continueOn(next)
 		}
 	}
 }
@@ -387,20 +395,21 @@
 	return max(1, j.service.Engine.StepsPerPass)
 }
 
-// nextEventDeadline returns the deadline for the next event.
-func (j *job) nextEventDeadline(now time.Time, server placement.Server) time.Time {
+// nextEventBounds returns the bounds of the wait for the next event.
+func (j *job) nextEventBounds(now time.Time, server placement.Server) readBounds {
 	by := j.latestResponseTime(j.serverDeadline)
 	if !j.hasStarted() {
 		by = j.startDeadline(now, server, j.serverDeadline)
 	}
 	if !j.isRetryable() || j.attempts >= j.route.MaxAttempts {
-		return by
+		return readBounds{search: by, giveUp: by}
 	}
 	allowed := streamStallTimeout
 	if !j.hasStarted() {
 		allowed += j.predicted
 	}
-	return earlier(by, now.Add(allowed))
+	search := earlier(j.usualResponseTime(j.serverDeadline), now.Add(allowed))
+	return readBounds{search: earlier(by, search), giveUp: by}
 }
 
 // handleStreamEnd handles the end of a server's stream after a complete event.
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -56,6 +56,10 @@
 	Deadline time.Time
 	// StartDeadline is the deadline for the start of the response.
 	StartDeadline time.Time
+	// OnSilence is called by the goroutine that reads the response when nothing has arrived
+	// by StartDeadline, or by the deadline that Response.SetDeadline set last. It returns a
+	// later one, or false to let the read fail.
+	OnSilence func(now time.Time) (until time.Time, wait bool)
 	// RequiredVersion is the version of the weights that must answer, 0 if any may.
 	RequiredVersion placement.ModelVersion
 	// LastEvent is the last event that the caller has; -1 for none.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -67,6 +67,15 @@
 	// responseHold counts the bytes of buffered responses.
 	responseHold memlimit.Hold
 
+	// awaited is the attempt whose response is being read, nil if none is, and giveUpAt when
+	// it is given up even if no other server can take the call.
+	awaited  *placement.Assignment
+	giveUpAt time.Time
+	// alternative is the next attempt, placed while the server of the last one was silent;
+	// its assignment is nil if there is none.
+	alternative placedAttempt
+	// successor has resumed the stream of a server that was silent, nil if none has.
+	successor *successor
 	// handoverTried is true once a handover of the stream to another server was tried.
 	handoverTried bool
 
@@ -119,6 +128,7 @@
 	defer cancel()
 	defer j.endLevel()
 	g.budget(j.service.Name).RecordRequest(call.Arrived)
+	defer j.releaseAlternative()
 	for j.tryServer(ctx) {
 	}
 	j.leaveHold(time.Now(), false)
@@ -214,6 +224,24 @@
 		j.giveUp(reasonQuarantined, s.Until.Sub(now))
 		return false
 	}
+	placed, again := j.place(ctx, now)
+	if placed.assignment == nil {
+		return again
+	}
+	return j.attempt(ctx, placed)
+}
+
+// placedAttempt is an attempt that is about to be made.
+type placedAttempt struct {
+	assignment *placement.Assignment
+	at         time.Time
+}
+
+// place places the next attempt. If there is none, it reports whether to try again.
+func (j *job) place(ctx context.Context, now time.Time) (placed placedAttempt, again bool) {
+	if placed = j.takeAlternative(); placed.assignment != nil {
+		return placed, true
+	}
 	assignment, refusal := j.choose(now)
 	if assignment == nil && j.mayHold(now, refusal) {
 		if !j.wasHeld {
@@ -221,18 +249,24 @@
 			j.g.log.held(j, refusal)
 		}
 		wait(ctx, holdPollInterval)
-		return ctx.Err() == nil || j.endCall(ctx, time.Now(), "timeout")
+		return placedAttempt{}, ctx.Err() == nil || j.endCall(ctx, time.Now(), "timeout")
 	}
 	j.leaveHold(now, assignment != nil)
 	if assignment == nil {
 		j.handleNotPlaced(refusal)
-		return false
+		return placedAttempt{}, false
 	}
 	if j.attempts > 0 && !j.g.allowRetry(now, j.service.Name) {
 		assignment.End(now, placement.Abandoned)
 		j.giveUp("retry_budget", j.retryAfter(now))
-		return false
+		return placedAttempt{}, false
 	}
+	return placedAttempt{assignment: assignment, at: now}, true
+}
+
+// attempt sends the call to a server and reports whether to make another attempt.
+func (j *job) attempt(ctx context.Context, placed placedAttempt) bool {
+	assignment, now := placed.assignment, placed.at
 	j.predicted = assignment.Predicted
 	if !j.hasStarted() {
 		j.predictedFirst = assignment.Predicted
@@ -241,10 +275,11 @@
 	j.progressAt = now
 	opts := j.sendOptions(now, assignment)
 	j.serverDeadline = opts.Deadline
-	opts.StartDeadline = j.responseStartDeadline(now, opts)
+	opts.StartDeadline = j.await(assignment, j.responseStartBounds(now, opts))
 	j.lastAttempt = nil
 	j.startAttempt(time.Time{})
 	response, err := j.send(ctx, now, assignment, opts)
+	j.awaited = nil
 	if err != nil {
 		return j.handleSendError(ctx, assignment, err)
 	}
@@ -381,7 +416,7 @@
 
 const (
 	// streamStallTimeout is how much later than predicted a stream may begin, or how
-	// long it may pause, before it is continued on another server. It is longer than
+	// long it may pause, before another server is searched for. It is longer than
 	// any pause of a healthy engine and shorter than the timeouts of callers.
 	streamStallTimeout = 1500 * time.Millisecond
 	// plainStallFactor is the same for the response of a plain service, as a multiple of
@@ -389,18 +424,19 @@
 	plainStallFactor = 2
 )
 
-// responseStartDeadline returns the deadline for the start of the response. If another
-// attempt is allowed, it leaves time for that.
-func (j *job) responseStartDeadline(now time.Time, opts SendOptions) time.Time {
+// responseStartBounds returns the bounds of the wait for the start of the response. If another
+// attempt is allowed, the search leaves time for that.
+func (j *job) responseStartBounds(now time.Time, opts SendOptions) readBounds {
 	by := j.startDeadline(now, opts.Server, opts.Deadline)
-	switch {
-	case !j.mayRetryAfterNext():
-		return by
-	case j.service.Engine != nil:
-		return earlier(by, now.Add(j.predicted+streamStallTimeout))
-	default:
-		return earlier(by, now.Add(plainStallFactor*j.route.TargetLatency))
+	if !j.mayRetryAfterNext() {
+		return readBounds{search: by, giveUp: by}
+	}
+	allowed := plainStallFactor * j.route.TargetLatency
+	if j.service.Engine != nil {
+		allowed = j.predicted + streamStallTimeout
 	}
+	search := earlier(j.usualResponseTime(opts.Deadline), now.Add(allowed))
+	return readBounds{search: earlier(by, search), giveUp: by}
 }
 
 // mayRetryAfterNext reports whether the call may be retried on another server if the next
--- a/daemon/gateway/serverstate.go
+++ b/daemon/gateway/serverstate.go
@@ -13,6 +13,7 @@
 // send sends one attempt of the call. All attempts go through it, so that what any response
 // states about its server is recorded.
 func (j *job) send(ctx context.Context, now time.Time, assignment *placement.Assignment, opts SendOptions) (Response, error) {
+	opts.OnSilence = func(now time.Time) (time.Time, bool) { return j.handleSilence(ctx, now, assignment) }
 	response, err := j.g.opts.Backend.Send(ctx, j.call, opts)
 	if err != nil {
 		return nil, err
--- a/daemon/gateway/silence_test.go
+++ b/daemon/gateway/silence_test.go
@@ -20,9 +20,14 @@
 // silentBackend is a backend whose engines stream one event at each of the given times,
 // which may be in the future.
 type silentBackend struct {
-	// eventTimes returns the times of the events of an attempt, numbered from 0.
+	// eventTimes returns the times of the events of an attempt, numbered from 0, and
+	// headerTime that of the header of its response.
 	eventTimes func(attempt int, o SendOptions) []time.Time
+	headerTime func(attempt int) time.Time
+	// registerAt is when the second server is registered, zero if it is from the start.
+	registerAt time.Time
 	sent       []SendOptions
+	sentAt     []time.Time
 }
 
 func (*silentBackend) Retain([]placement.Server) {}
@@ -30,9 +35,14 @@
 func (*silentBackend) CheckLiveness(context.Context, netip.AddrPort) Liveness { return Alive }
 
 func (b *silentBackend) Send(_ context.Context, _ *Call, o SendOptions) (Response, error) {
-	times := b.eventTimes(len(b.sent), o)
-	b.sent = append(b.sent, o)
-	return &silentStream{options: o, left: times, next: o.LastEvent + 1}, nil
+	attempt := len(b.sent)
+	b.sent, b.sentAt = append(b.sent, o), append(b.sentAt, time.Now())
+	s := &silentStream{options: o, next: o.LastEvent + 1, deadline: o.StartDeadline}
+	if b.headerTime != nil && !s.arrives(b.headerTime(attempt)) {
+		return nil, errTimeout
+	}
+	s.left = b.eventTimes(attempt, o)
+	return s, nil
 }
 
 // silentStream returns its events when their times have come, or fails at the deadline.
@@ -44,30 +54,66 @@
 	deadline time.Time
 }
 
+// control takes the part of the control loop.
+func (b *silentBackend) control(g *Gateway, served chan struct{}) {
+	const interval = 50 * time.Millisecond
+	register := b.registerAt
+	for {
+		select {
+		case <-served:
+			return
+		case <-time.After(interval):
+		}
+		now := time.Now()
+		if !register.IsZero() && !now.Before(register) {
+			register = time.Time{}
+			second := twoServers()[1]
+			g.apply(now, []catalog.Change{{Revision: 8, Server: &second}}, 8)
+		}
+		g.publish(now)
+	}
+}
+
 func (s *silentStream) Version() placement.ModelVersion { return s.options.Server.LoadedVersion }
 func (s *silentStream) SetDeadline(by time.Time)        { s.deadline = by }
 
+// arrives waits until a time, and reports false if the deadline passes before that.
+func (s *silentStream) arrives(at time.Time) bool {
+	for at.After(s.deadline) {
+		<-time.After(time.Until(s.deadline))
+		until, wait := s.options.OnSilence(time.Now())
+		if !wait {
+			return false
+		}
+		s.deadline = until
+	}
+	<-time.After(time.Until(at))
+	return true
+}
+
 func (s *silentStream) Next() (eventstream.Event, error) {
 	if len(s.left) == 0 {
 		return eventstream.Event{}, io.EOF
 	}
-	if s.left[0].After(s.deadline) {
-		time.Sleep(time.Until(s.deadline))
+	if !s.arrives(s.left[0]) {
 		return eventstream.Event{}, errTimeout
 	}
-	time.Sleep(time.Until(s.left[0]))
 	event := eventstream.Event{ID: s.next, Raw: []byte{byte('0' + s.next)}}
 	s.left = s.left[1:]
 	s.next++
 	return event, nil
 }
 
-// serveStream serves a call at two engines, of which one has version 1 loaded and passed of
-// the version's time has gone by. It returns what the caller received.
+// serveStream serves a call at engines of version 1, of whose time the given part has passed
+// if it is outdated. It returns what the caller received.
 func serveStream(b *silentBackend, resumable bool, passed time.Duration, servers ...catalog.Server) *textRecorder {
 	g, _ := newGateway()
+	return serveStreamAt(g, b, resumable, passed, servers...)
+}
+
+func serveStreamAt(g *Gateway, b *silentBackend, resumable bool, passed time.Duration, servers ...catalog.Server) *textRecorder {
 	g.opts.Backend = b
-	s := snapshot(5, servers...)
+	s := snapshot(catalog.Revision(5), servers...)
 	s.Config.Services[0].Engine = &enginemodel.Profile{
 		Slots: 16, Layers: 4, StepTime: 10 * time.Millisecond, StepsPerPass: 5, MeanOutputTokens: 50}
 	route := &s.Config.Routes[0]
@@ -79,6 +125,9 @@
 		g.names["m"] = loading.NamedVersions{{Version: 2, Since: now.Add(-passed)}}
 	}
 	g.publish(now)
+	served := make(chan struct{})
+	defer close(served)
+	go b.control(g, served)
 	caller := &textRecorder{}
 	g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: now, Timeout: 30 * time.Second,
 		LastEvent: -1, ExpectedTokens: 50}, caller)
@@ -111,3 +160,100 @@
 		}
 	})
 }
+
+// never is the time of an event of a hung server.
+func never() time.Time { return time.Now().Add(time.Hour) }
+
+func twoServers() []catalog.Server {
+	return []catalog.Server{server("i-1", "10.0.1.1:80", 2), server("i-2", "10.0.1.2:80", 8)}
+}
+
+// Guards against a hung server that is kept though another one can take the call.
+func TestHungServerIsLeftForAnother(t *testing.T) {
+	for name, startsStream := range map[string]bool{"before the header": false, "in the stream": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &silentBackend{}
+				b.headerTime = func(attempt int) time.Time {
+					if attempt == 0 && !startsStream {
+						return never()
+					}
+					return time.Now()
+				}
+				b.eventTimes = func(attempt int, _ SendOptions) []time.Time {
+					if attempt == 0 {
+						return append(sequence(time.Now(), 1), never())
+					}
+					return sequence(time.Now(), 3)
+				}
+				caller := serveStream(b, true, 0, twoServers()...)
+				if !caller.complete || len(b.sent) != 2 || len(caller.received()) < 3 {
+					t.Fatalf("complete %v, events %q, %d attempts", caller.complete, caller.received(), len(b.sent))
+				}
+				if left := b.sentAt[1].Sub(b.sentAt[0]); left < streamStallTimeout || left > streamStallTimeout+time.Second {
+					t.Errorf("left after %v", left)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a stream that is aborted for a silence of its server since the server that
+// should resume it does not, or since the retry budget is used up.
+func TestStreamStaysAtASilentServerUnlessAnotherResumesIt(t *testing.T) {
+	for name, prepare := range map[string]func(*Gateway, *silentBackend) (attempts int){
+		"the next server returns nothing": func(*Gateway, *silentBackend) int { return 2 },
+		"the next server sends no header": func(_ *Gateway, b *silentBackend) int {
+			b.headerTime = func(attempt int) time.Time {
+				if attempt > 0 {
+					return never()
+				}
+				return time.Now()
+			}
+			return 2
+		},
+		"no budget": func(g *Gateway, _ *silentBackend) int {
+			for g.allowRetry(time.Now(), "pool") {
+			}
+			return 1
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, _ := newGateway()
+				b := &silentBackend{eventTimes: func(attempt int, _ SendOptions) []time.Time {
+					if attempt > 0 {
+						return []time.Time{never()}
+					}
+					return slices.Concat(sequence(time.Now(), 3), sequence(time.Now().Add(2*time.Second), 3))
+				}}
+				attempts := prepare(g, b)
+				caller := serveStreamAt(g, b, true, 0, twoServers()...)
+				if !caller.complete || caller.received() != "012345" || len(b.sent) != attempts {
+					t.Errorf("complete %v, events %q, %d attempts", caller.complete, caller.received(), len(b.sent))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a search that ends with its first try: the other server is registered while
+// the first one is silent.
+func TestSearchForAnotherServerContinues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newGateway()
+		b := &silentBackend{registerAt: time.Now().Add(3 * time.Second), eventTimes: func(attempt int, _ SendOptions) []time.Time {
+			if attempt == 0 {
+				return append(sequence(time.Now(), 1), never())
+			}
+			return sequence(time.Now(), 3)
+		}}
+		caller := serveStreamAt(g, b, true, 0, twoServers()[0])
+		if !caller.complete || caller.received() != "0123" {
+			t.Fatalf("complete %v, events %q, %d attempts", caller.complete, caller.received(), len(b.sent))
+		}
+		if found := b.sentAt[1].Sub(b.registerAt); found < 0 || found > 2*searchInterval {
+			t.Errorf("found %v after its registration", found)
+		}
+	})
+}
--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -12,8 +12,9 @@
 //
 //   - versionEnd: the engine ends its work on the call, as required by SendOptions.Deadline;
 //   - the end of VersionTime, maxNamingDelay and networkDelay later;
-//   - latestResponseTime: the response or refusal of the engine must have arrived, else
-//     the entry gives up the attempt.
+//   - usualResponseTime: the response or refusal of the engine must have arrived, else the
+//     entry searches for another engine;
+//   - latestResponseTime: the entry gives up the attempt.
 
 const (
 	// maxNamingDelay is how much later than other entries, or than the platform's
@@ -22,6 +23,8 @@
 	// networkDelay is the time allowed for a call to reach a server. The server starts its
 	// own timer when the call arrives.
 	networkDelay = 250 * time.Millisecond
+	// maxServerSilence is how long a healthy server may neither read nor write.
+	maxServerSilence = 1200 * time.Millisecond
 )
 
 // usableVersions returns a function that says whether engines with a version of the weights
@@ -61,12 +64,18 @@
 	return since.Add(g.opts.VersionTime - maxNamingDelay - networkDelay), outdated
 }
 
-// latestResponseTime returns when the response or refusal of a server must have arrived:
-// its deadline and the network delays of the call and the response.
-func (j *job) latestResponseTime(until time.Time) time.Time {
+// usualResponseTime returns when the response or refusal of a server that is not silent has
+// arrived: its deadline and the network delays of the call and the response.
+func (j *job) usualResponseTime(until time.Time) time.Time {
 	return earlier(j.deadline, until.Add(2*networkDelay))
 }
 
+// latestResponseTime returns when the response or refusal of a server must have arrived. The
+// server counts its deadline from when it reads the call, which is later if it is silent.
+func (j *job) latestResponseTime(until time.Time) time.Time {
+	return earlier(j.deadline, until.Add(2*networkDelay+maxServerSilence))
+}
+
 // startDeadline returns the deadline for the start of the response of a server that ends
 // its work at until. A newer version may be named while the call waits at an engine. The
 // deadline sent to the engine does not account for that, so this one does.
