Test all combinations of server faults with servers that pause and go on

The scripted servers ask for a later deadline while they are silent, as the connection does. Two more pause in the stream: one completes it, one breaks off. A later attempt may now fail to replace a silent server that goes on, so the check of the end looks at the attempt whose end was read last instead of the last one sent; for scripts without a silence these are the same.

--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -98,7 +98,7 @@
 
 // violation returns the guarantee that a call violates, empty for none.
 func (b *scriptedBackend) violation(r *responseRecorder, resumable bool) string {
-	switch violated := r.violation(b.sent, resumable); {
+	switch violated := r.violation(b.sent, b.ended, resumable); {
 	case violated != "":
 		return violated
 	case b.sentTwice:
@@ -110,8 +110,9 @@
 	}
 }
 
-// violation returns the guarantee that the caller's response violates, empty for none.
-func (r *responseRecorder) violation(sent []outcome, resumable bool) string {
+// violation returns the guarantee that the caller's response violates, empty for none. ended
+// is the last attempt whose end was read.
+func (r *responseRecorder) violation(sent []outcome, ended int, resumable bool) string {
 	switch {
 	case r.heads+len(r.refused) > 1:
 		return "a response begins twice"
@@ -125,7 +126,7 @@
 		return "a response is complete though its caller had disconnected"
 	case r.complete && r.isWhole && (r.body != r.head.body() || r.head.isKilled()):
 		return "a body is not the complete body of its server"
-	case r.complete && !r.isWhole && !r.endsComplete(sent):
+	case r.complete && !r.isWhole && !r.endsComplete(sent, ended):
 		return "an incomplete stream ends as complete"
 	default:
 		return r.orderViolation(sent, resumable)
@@ -153,11 +154,12 @@
 	return ""
 }
 
-// endsComplete reports whether the last server marked the end of the complete response.
-func (r *responseRecorder) endsComplete(sent []outcome) bool {
-	last := sent[len(sent)-1]
+// endsComplete reports whether the server of the ended attempt marked the end of the complete
+// response. A later attempt may have failed to replace it while it was silent.
+func (r *responseRecorder) endsComplete(sent []outcome, ended int) bool {
+	last := sent[ended-1]
 	marked := last.isStream && errors.Is(last.end, io.EOF) && !last.isKilled()
-	if !marked || r.head.attempt == len(sent) {
+	if !marked || r.head.attempt == ended {
 		return marked // with a single attempt, the server's end mark is the only evidence
 	}
 	for i, e := range r.events {
@@ -166,7 +168,7 @@
 		}
 	}
 	lastEvent := r.events[len(r.events)-1]
-	return lastEvent.id == streamLength-1 && (lastEvent.attempt == len(sent) || last.fromStart)
+	return lastEvent.id == streamLength-1 && (lastEvent.attempt == ended || last.fromStart)
 }
 
 // orderViolation checks the events that the caller has received.
--- a/daemon/gateway/scripted_test.go
+++ b/daemon/gateway/scripted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -38,8 +39,13 @@
 	notRun      bool
 	blocks      bool // Send blocks until the call's deadline
 	gap         bool // some ids are skipped
+	// pausesAt is the event before which the server is silent for pauseTime.
+	pausesAt int
 }
 
+// pauseTime is how long a server is silent that then goes on: for several searches.
+const pauseTime = 250 * time.Millisecond
+
 // isKilled reports whether the body ends because the server was killed.
 func (o outcome) isKilled() bool { return o.unframed && (o.state == Down || o.unreachable) }
 
@@ -69,6 +75,8 @@
 	{name: "is killed without a length", isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, state: Down},
 	{name: "is killed without a length and cannot be checked", isStream: true, ids: firstIDs(2), end: io.EOF, unframed: true, unreachable: true},
 	{name: "falls silent", isStream: true, ids: firstIDs(1), end: errTimeout},
+	{name: "pauses and streams all", isStream: true, ids: firstIDs(streamLength), end: io.EOF, pausesAt: 2},
+	{name: "pauses and breaks off", isStream: true, ids: firstIDs(2), end: errReset, pausesAt: 1},
 	{name: "breaks off before an event", isStream: true, end: errReset},
 	{name: "streams no event", isStream: true, end: io.EOF},
 	{name: "skips an event", isStream: true, ids: []int64{0, 1, 3}, end: errReset, gap: true},
@@ -100,6 +108,7 @@
 	// sentTwice is true once a server got the call twice, illegalStep once a step was attempted
 	// that the stage of the response does not allow.
 	sentTwice, illegalStep bool
+	ended                  int // the last attempt whose end was read
 }
 
 func (b *scriptedBackend) Retain([]placement.Server) {}
@@ -121,24 +130,39 @@
 		b.state[opts.Server.Addr] = LivenessUnknown
 	}
 	if o.blocks {
-		<-ctx.Done()
+		isSilentFor(time.Hour, opts)
 		return nil, errTimeout
 	}
 	if o.err != nil {
 		return nil, o.err
 	}
-	a := &scriptedResponse{outcome: o, attempt: len(b.sent)}
+	a := &scriptedResponse{outcome: o, attempt: len(b.sent), options: opts, ended: &b.ended}
 	if !o.fromStart {
 		a.first = opts.LastEvent + 1
 	}
 	return a, nil
 }
 
+// isSilentFor returns after a silence, or false if the read is given up before.
+func isSilentFor(d time.Duration, opts SendOptions) bool {
+	end := time.Now().Add(d)
+	for now := time.Now(); now.Before(end); now = time.Now() {
+		until, wait := opts.OnSilence(now)
+		if !wait {
+			return false
+		}
+		<-time.After(time.Until(earlier(until, end)))
+	}
+	return true
+}
+
 type scriptedResponse struct {
 	outcome
 	attempt int
 	first   int64
 	read    int
+	options SendOptions
+	ended   *int
 }
 
 func (a *scriptedResponse) Status() int              { return max(a.status, http.StatusOK) }
@@ -163,7 +187,12 @@
 const eventFormat = "data: attempt %d version %d id %d"
 
 func (a *scriptedResponse) Next() (eventstream.Event, error) {
+	isSilent := a.pausesAt > 0 && a.read == a.pausesAt && !isSilentFor(pauseTime, a.options)
+	if isSilent || a.read == len(a.ids) && errors.Is(a.end, errTimeout) && !isSilentFor(time.Hour, a.options) {
+		return eventstream.Event{}, errTimeout
+	}
 	if a.read == len(a.ids) {
+		*a.ended = a.attempt
 		return eventstream.Event{}, a.end
 	}
 	id := a.ids[a.read]
@@ -173,6 +202,7 @@
 	}
 	if id >= streamLength {
 		a.read = len(a.ids)
+		*a.ended = a.attempt
 		return eventstream.Event{}, a.end
 	}
 	return eventstream.Event{ID: id, Raw: fmt.Appendf(nil, eventFormat+"\n\n", a.attempt, a.Version(), id)}, nil
