--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -125,7 +125,7 @@
 	// EndIsFramed reports whether the end of the body is marked. Otherwise the close of
 	// the connection ends it, and a killed server closes its connections too.
 	EndIsFramed() bool
-	// SetDeadline bounds the reads that follow.
+	// SetDeadline bounds the reads that follow. SendOptions.OnSilence may extend it.
 	SetDeadline(by time.Time)
 	// Body returns the whole body, at most limit bytes. It counts them in hold before it
 	// buffers them. If the hold may not grow, it returns memlimit.Exceeded and the part
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -56,6 +56,7 @@
 // sendElsewhere lets another server take the call. It reports false if the silent server
 // keeps it.
 func (j *job) sendElsewhere(ctx context.Context, now time.Time, silent *placement.Assignment) bool {
+	// An attempt without a header has no part of the stream, so nothing is lost with it.
 	isResumption := j.hasStarted() && j.lastAttempt != nil
 	if isResumption && j.unsent >= maxUnsentAttempts {
 		return false
@@ -92,7 +93,7 @@
 		}
 	}
 	next, _ := j.g.balancer.Choose(now, req)
-	if next != nil && next.Refused {
+	if next != nil && next.Refused { // its process has probably ended, while the silent one lives
 		next.End(now, placement.Abandoned)
 		return nil
 	}
@@ -103,7 +104,7 @@
 // silent server is kept until then.
 func (j *job) resumeInstead(ctx context.Context, now time.Time, silent, next *placement.Assignment) bool {
 	resumed, err := j.resumeOn(ctx, now, next, now.Add(next.Predicted+streamStallTimeout))
-	j.g.log.handedOver(j, silent, next, err, j.withdrawnIfFailed(ctx, next, err))
+	j.g.log.handedOver(j, silent, next, err, j.withdrawn(ctx, time.Now(), next, err))
 	if err != nil {
 		j.exclude = placement.Exclude(j.exclude, next.Server.ID)
 		if failure.OutcomeOf(err) == failure.NotRun {
@@ -115,13 +116,6 @@
 	return true
 }
 
-func (j *job) withdrawnIfFailed(ctx context.Context, next *placement.Assignment, err error) *withdrawal {
-	if err == nil {
-		return nil
-	}
-	return j.withdrawn(ctx, time.Now(), next, err)
-}
-
 // takeSuccessor returns the server that has resumed the stream, nil if none has.
 func (j *job) takeSuccessor() *successor {
 	next := j.successor
