--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -8,14 +8,15 @@
 )
 
 // An engine must not begin a call on outdated weights once VersionTime has passed since
-// a newer version was named. The bounds of a call on such an engine, in order of time:
+// a newer version was named. The bounds of a call on such an engine are:
 //
 //   - versionEnd: the engine ends its work on the call, as required by SendOptions.Deadline,
 //     if it has read the call at once;
 //   - the end of VersionTime, versionMargin later: the engine has ended its work even if it
 //     was silent as the call arrived;
-//   - latestResponseTime: the response or refusal of the engine must have arrived, else
-//     the entry gives up the attempt.
+//   - usualResponseTime: the response or refusal of an engine that was not silent must have
+//     arrived, else the entry searches for another engine;
+//   - latestResponseTime: the entry gives up the attempt.
 
 const (
 	// maxNamingDelay is how much later than other entries, or than the platform's
@@ -68,12 +69,18 @@
 	return since.Add(g.opts.VersionTime - versionMargin), outdated
 }
 
-// latestResponseTime returns when the response or refusal of a server must have arrived:
-// its deadline and the network delays of the call and the response.
-func (j *job) latestResponseTime(until time.Time) time.Time {
+// usualResponseTime returns when the response or refusal of a server that is not silent has
+// arrived: its deadline and the network delays of the call and the response.
+func (j *job) usualResponseTime(until time.Time) time.Time {
 	return earlier(j.deadline, until.Add(2*networkDelay))
 }
 
+// latestResponseTime returns when the response or refusal of a server must have arrived. The
+// server counts its deadline from when it reads the call, which is later if it is silent.
+func (j *job) latestResponseTime(until time.Time) time.Time {
+	return earlier(j.deadline, until.Add(2*networkDelay+maxServerSilence))
+}
+
 // startDeadline returns the deadline for the start of the response of a server that ends
 // its work at until. A newer version may be named while the call waits at an engine. The
 // deadline sent to the engine does not account for that, so this one does.
