Add failing test: a sound server is not used after one silence

A server that is silent for a moment times out every request that it holds. Each of these time-outs ejects the server anew, for twice as long, and adds to a failure rate that falls with responses only. With two requests held, the server got none of 940 requests of the 9.4 s after the time-outs, where one is due after 1.05 s at most.

--- /dev/null
+++ b/core/placement/silence_test.go
@@ -0,0 +1,78 @@
+package placement_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/placement"
+)
+
+const (
+	plainTimeout = 600 * ms
+	// interval is the time between two requests of these tests.
+	interval = 10 * ms
+)
+
+// plainRequest returns a request to a plain service.
+func plainRequest() placement.Request {
+	r := newRequest()
+	r.Engine, r.TargetLatency, r.TimeLeft = nil, plainTimeout/2, 1500*ms
+	return r
+}
+
+// placeAt places n requests at the server i-00 of four.
+func placeAt(b *placement.Balancer, n int) []*placement.Assignment {
+	r := plainRequest()
+	r.Exclude = append(r.Exclude, id(1), id(2), id(3))
+	all := make([]*placement.Assignment, n)
+	for i := range all {
+		all[i], _ = b.Choose(start, r)
+	}
+	return all
+}
+
+// visits returns the times since start at which a request was placed at i-00, of those
+// between two times. Each request is answered at once, except at i-00 if it is silent.
+func visits(b *placement.Balancer, from, to time.Duration, silent bool) []time.Duration {
+	var at []time.Duration
+	var unanswered []*placement.Assignment
+	for t := from; t < to; t += interval {
+		now := start.Add(t)
+		for len(unanswered) > 0 && at[len(at)-len(unanswered)]+plainTimeout <= t {
+			unanswered[0].End(now, placement.TimedOut)
+			unanswered = unanswered[1:]
+		}
+		a, _ := b.Choose(now, plainRequest())
+		Expect(a).NotTo(BeNil())
+		if a.Server.ID != id(0) {
+			a.End(now, placement.Succeeded)
+			continue
+		}
+		at = append(at, t)
+		if silent {
+			unanswered = append(unanswered, a)
+		} else {
+			a.End(now, placement.Succeeded)
+		}
+	}
+	return at
+}
+
+var _ = Describe("A server that was silent once", func() {
+	// Guards against a server that gets nothing for minutes because each of the requests
+	// that it held counted as a failure of its own.
+	It("is used again a second later, whatever number of requests it held", func() {
+		const longestPause = 1050 * ms
+		for _, held := range []int{1, 2, 3, 8} {
+			b := newBalancer(4)
+			for _, a := range placeAt(b, held) {
+				a.End(start.Add(plainTimeout), placement.TimedOut)
+			}
+			used := visits(b, plainTimeout, 10*time.Second, false)
+			Expect(used).NotTo(BeEmpty(), "requests held: %d", held)
+			Expect(used[0]).To(BeNumerically("<=", plainTimeout+longestPause+10*interval), "requests held: %d", held)
+		}
+	})
+})
