Count the time-outs of one silence as one failure of the server

Each request that timed out at a silent server ejected it anew and added to its failure rate, although all of them had been placed before the first ejection. The server was ejected for up to 8 s, and afterwards its failure rate kept it out of use for good, since it received no requests that could lower it.

Time-outs and broken responses of requests that were placed before the latest ejection are now ignored, and a success ends the ejection of a server that timed out or broke responses. Refused connections count as before.

--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -126,7 +126,7 @@
 	if result == Succeeded {
 		g.duration += (now.Sub(a.placed) - g.duration) / durationWeight
 	}
-	a.state.health.record(now, g, result, a.balancer.rand, !a.balancer.disabled.Ejection)
+	a.state.health.record(now, a.placed, g, result, a.balancer.rand, !a.balancer.disabled.Ejection)
 }
 
 // durationWeight is the weight of the previous mean duration relative to a new one.
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -40,43 +40,76 @@
 	ejections           int
 	failureRate         float64
 	ejectedUntil        time.Time
+	// unresponsiveAt is when time-outs or broken responses were last a reason to eject the
+	// server. isUnresponsive is true until it has responded again.
+	unresponsiveAt time.Time
+	isUnresponsive bool
 	// refusedUntil is until when the server is avoided since it refused a connection.
 	refusedUntil time.Time
 }
 
-// record updates the health with the result of a request. If mayEject is false, no
-// server is ejected.
-func (h *health) record(now time.Time, g *serverGroup, result Result, r Rand, mayEject bool) {
+// record updates the health with the result of a request that was placed at the given
+// time. If mayEject is false, no server is ejected.
+func (h *health) record(now, placed time.Time, g *serverGroup, result Result, r Rand, mayEject bool) {
 	switch result {
 	case Succeeded:
-		h.consecutiveFailures = 0
-		h.ejections = 0
-		h.refusedUntil = time.Time{}
-		h.addSample(g, 0)
+		h.recordSuccess(g)
 	case Failed:
 		h.consecutiveFailures = 0
 		h.addSample(g, 1)
-	case Broken, Refused, TimedOut:
-		if result == Refused && mayEject {
-			h.refusedUntil = now.Add(refusalPause)
+	case Broken, TimedOut:
+		// A silent server times out all requests that it holds, which is one failure.
+		if placed.Before(h.unresponsiveAt) {
+			return
 		}
 		h.addSample(g, 1)
 		h.consecutiveFailures++
-		if (h.consecutiveFailures >= maxStrikes || result == TimedOut) && mayEject {
-			h.eject(now, g, r)
+		if h.consecutiveFailures >= maxStrikes || result == TimedOut {
+			h.unresponsiveAt, h.isUnresponsive = now, true
+			h.eject(now, g, r, mayEject)
 		}
+	case Refused:
+		h.recordRefusal(now, g, r, mayEject)
 	case Declined, Abandoned:
 	}
 }
 
+// recordSuccess ends the ejection of an unresponsive server. That of a server that refuses
+// connections goes on: it may still complete the requests that it holds.
+func (h *health) recordSuccess(g *serverGroup) {
+	h.consecutiveFailures = 0
+	h.ejections = 0
+	h.refusedUntil = time.Time{}
+	if h.isUnresponsive {
+		h.isUnresponsive = false
+		h.ejectedUntil = time.Time{}
+	}
+	h.addSample(g, 0)
+}
+
+func (h *health) recordRefusal(now time.Time, g *serverGroup, r Rand, mayEject bool) {
+	if mayEject {
+		h.refusedUntil = now.Add(refusalPause)
+	}
+	h.addSample(g, 1)
+	h.consecutiveFailures++
+	if h.consecutiveFailures >= maxStrikes {
+		h.isUnresponsive = false
+		h.eject(now, g, r, mayEject)
+	}
+}
+
 func (h *health) addSample(g *serverGroup, failed float64) {
 	h.failureRate += rateWeight * (failed - h.failureRate)
 	g.failureRate += groupRateWeight * (failed - g.failureRate)
 }
 
 // eject excludes the server for a random time of which the minimum doubles with
-// each repeated ejection.
-func (h *health) eject(now time.Time, g *serverGroup, r Rand) {
+// each repeated ejection. If mayEject is false, nothing is excluded.
+func (h *health) eject(now time.Time, g *serverGroup, r Rand, mayEject bool) {
+	if !mayEject {
+		return
+	}
 	ejected := 0
 	for _, st := range g.states {
 		if now.Before(st.health.ejectedUntil) {
--- a/core/placement/silence_test.go
+++ b/core/placement/silence_test.go
@@ -75,4 +75,15 @@
 			Expect(used[0]).To(BeNumerically("<=", plainTimeout+longestPause+10*interval), "requests held: %d", held)
 		}
 	})
+
+	// Guards against a server that stays ejected although it answers what it held.
+	It("is used again as soon as it answers a request that it held", func() {
+		b := newBalancer(4)
+		held := placeAt(b, 3)
+		held[0].End(start.Add(plainTimeout), placement.TimedOut)
+		Expect(visits(b, plainTimeout, plainTimeout+100*ms, false)).To(BeEmpty())
+		held[1].End(start.Add(plainTimeout+100*ms), placement.Succeeded)
+		held[2].End(start.Add(plainTimeout+100*ms), placement.TimedOut)
+		Expect(visits(b, plainTimeout+100*ms, plainTimeout+300*ms, false)).NotTo(BeEmpty())
+	})
 })
