Send one request to a server after its ejection until it responds

After an ejection for time-outs or broken responses the server gets one request each 0.7 s until it responds: with a success, or with the start of a response to a request that was placed since. An ejected server is no longer counted as another one that is ejected when its own ejection is prolonged.

The test gets 1 request now.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -136,6 +136,7 @@
 		promptTokens: req.PromptTokens, outputTokens: req.OutputTokens, suspect: req.Suspect, placed: now,
 	}
 	best.limit.take()
+	best.health.recordPlaced(now)
 	assignment.countedCold = best.takeCold(now)
 	if best.statements != nil {
 		best.statements.backoff.placed(assignment)
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -12,6 +12,10 @@
 	maxEjection = 6 * time.Second
 	// maxDoublings bounds the shift; it is enough to reach maxEjection.
 	maxDoublings = 4
+	// unresponsiveInterval is the time between two requests to a server whose ejection is
+	// over and that has not responded since. An idle server has the lowest predicted
+	// latency, so without a limit it attracts requests until the first of them times out.
+	unresponsiveInterval = 700 * time.Millisecond
 	// refusalPause is how long a server that refused a connection is avoided. Its process
 	// has ended, so each further request there costs a round trip. A server that is back
 	// under the same ID is out of use for as long.
@@ -41,7 +45,7 @@
 	failureRate         float64
 	ejectedUntil        time.Time
 	// unresponsiveAt is when time-outs or broken responses were last a reason to eject the
-	// server. isUnresponsive is true until it has responded again.
+	// server. isUnresponsive is true from such an ejection until the server responds.
 	unresponsiveAt time.Time
 	isUnresponsive bool
 	// refusedUntil is until when the server is avoided since it refused a connection.
@@ -65,8 +69,8 @@
 		h.addSample(g, 1)
 		h.consecutiveFailures++
 		if h.consecutiveFailures >= maxStrikes || result == TimedOut {
-			h.unresponsiveAt, h.isUnresponsive = now, true
-			h.eject(now, g, r, mayEject)
+			h.unresponsiveAt = now
+			h.isUnresponsive = h.eject(now, g, r, mayEject) || h.isUnresponsive
 		}
 	case Refused:
 		h.recordRefusal(now, g, r, mayEject)
@@ -87,6 +91,23 @@
 	h.addSample(g, 0)
 }
 
+// recordPlaced records that a request is placed at the server. If it is the first one after
+// an ejection, the server is avoided until it responds or the next one is due.
+func (h *health) recordPlaced(now time.Time) {
+	if h.isUnresponsive && !now.Before(h.ejectedUntil) {
+		h.ejectedUntil = now.Add(unresponsiveInterval)
+	}
+}
+
+// recordStarted records that the response to a request has started. That of a request
+// placed before the latest ejection may have been received before the server failed.
+func (h *health) recordStarted(placed time.Time) {
+	if h.isUnresponsive && placed.After(h.unresponsiveAt) {
+		h.isUnresponsive = false
+		h.ejectedUntil = time.Time{}
+	}
+}
+
 func (h *health) recordRefusal(now time.Time, g *serverGroup, r Rand, mayEject bool) {
 	if mayEject {
 		h.refusedUntil = now.Add(refusalPause)
@@ -94,8 +115,7 @@
 	h.addSample(g, 1)
 	h.consecutiveFailures++
 	if h.consecutiveFailures >= maxStrikes {
-		h.isUnresponsive = false
-		h.eject(now, g, r, mayEject)
+		h.isUnresponsive = !h.eject(now, g, r, mayEject) && h.isUnresponsive
 	}
 }
 
@@ -105,24 +125,25 @@
 }
 
 // eject excludes the server for a random time of which the minimum doubles with
-// each repeated ejection. If mayEject is false, nothing is excluded.
-func (h *health) eject(now time.Time, g *serverGroup, r Rand, mayEject bool) {
+// each repeated ejection, and reports whether it did. If mayEject is false, it does not.
+func (h *health) eject(now time.Time, g *serverGroup, r Rand, mayEject bool) bool {
 	if !mayEject {
-		return
+		return false
 	}
 	ejected := 0
 	for _, st := range g.states {
-		if now.Before(st.health.ejectedUntil) {
+		if &st.health != h && now.Before(st.health.ejectedUntil) {
 			ejected++
 		}
 	}
 	if float64(ejected+1) > maxEjectedShare*float64(len(g.states)) {
-		return
+		return false
 	}
 	pause := min(maxEjection, minEjection<<min(h.ejections, maxDoublings))
 	h.ejections++
 	h.consecutiveFailures = 0
 	h.ejectedUntil = now.Add(pause + time.Duration(r.Float64()*float64(pause)/2))
+	return true
 }
 
 // cost is the penalty for the server's failures.
--- a/core/placement/silence_test.go
+++ b/core/placement/silence_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/placement"
 )
 
@@ -86,4 +87,26 @@
 		held[2].End(start.Add(plainTimeout+100*ms), placement.TimedOut)
 		Expect(visits(b, plainTimeout+100*ms, plainTimeout+300*ms, false)).NotTo(BeEmpty())
 	})
+
+	// Guards against a server that hangs and, once its ejection is over, attracts requests
+	// until the first of them has timed out, since it is idle.
+	It("gets one request after its ejection until it responds", func() {
+		b := newBalancer(4)
+		placeAt(b, 1)[0].End(start.Add(plainTimeout), placement.TimedOut)
+		Expect(visits(b, plainTimeout, 3*plainTimeout+600*ms, true)).To(HaveLen(1))
+	})
+
+	// Guards against an engine that gets one request at a time until a whole stream ends.
+	It("is used again as soon as an engine starts a response", func() {
+		b := newBalancer(4)
+		placeAt(b, 1)[0].End(start, placement.TimedOut)
+		later := start.Add(2 * time.Second)
+		counts := map[fleet.InstanceID]int{}
+		for range 40 {
+			a, _ := b.Choose(later, smallRequest())
+			counts[a.Server.ID]++
+			a.AddTokens(1)
+		}
+		Expect(counts[id(0)]).To(BeNumerically("~", 10, 3))
+	})
 })
