Let the failure rate of a server fall with time

The failure rate fell with responses only. A server whose rate was high enough to cost more than others took no requests and so kept its rate: after responses broken together, a sound server got none of 500 requests of the next 5 s, and a server that timed out twice was not tried again in 40 s.

The rate of a server now halves each 10 s. In the tests the server is used again within 5 s, and a server that hangs is tried after growing pauses of up to 9 s.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -306,7 +306,7 @@
 		cost = time.Duration(b.occupancy(now, st) * float64(st.group.duration))
 	}
 	if !b.disabled.FailureCost {
-		cost += st.health.cost(st.group)
+		cost += st.health.cost(now, st.group)
 	}
 	if !b.disabled.Jitter {
 		cost += time.Duration(b.rand.Float64() * float64(jitter))
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxStrikes is the number of consecutive broken responses or time-outs after
@@ -23,6 +26,11 @@
 	// rateWeight is the weight of the newest response in the failure rate of a
 	// server, which thus covers about ten responses.
 	rateWeight = 0.1
+	// rateHalfLife is the time in which the failure rate of a server that receives no
+	// requests falls by half. Without it, a server whose rate is high is not tried again
+	// for as long as others have room. With a shorter one, a server that fails part of its
+	// requests is tried more often: with 5 s it receives about twice as many.
+	rateHalfLife = 10 * time.Second
 	// groupRateWeight is the same for the whole service.
 	groupRateWeight = 0.01
 	// usualSpread is by how much the failure rate of a server may exceed that of
@@ -42,8 +50,10 @@
 type health struct {
 	consecutiveFailures int
 	ejections           int
-	failureRate         float64
-	ejectedUntil        time.Time
+	// failureRate is the share of failed responses as of ratedAt.
+	failureRate  float64
+	ratedAt      time.Time
+	ejectedUntil time.Time
 	// unresponsiveAt is when time-outs or broken responses were last a reason to eject the
 	// server. isUnresponsive is true from such an ejection until the server responds.
 	unresponsiveAt time.Time
@@ -57,16 +67,16 @@
 func (h *health) record(now, placed time.Time, g *serverGroup, result Result, r Rand, mayEject bool) {
 	switch result {
 	case Succeeded:
-		h.recordSuccess(g)
+		h.recordSuccess(now, g)
 	case Failed:
 		h.consecutiveFailures = 0
-		h.addSample(g, 1)
+		h.addSample(now, g, 1)
 	case Broken, TimedOut:
 		// A silent server times out all requests that it holds, which is one failure.
 		if placed.Before(h.unresponsiveAt) {
 			return
 		}
-		h.addSample(g, 1)
+		h.addSample(now, g, 1)
 		h.consecutiveFailures++
 		if h.consecutiveFailures >= maxStrikes || result == TimedOut {
 			h.unresponsiveAt = now
@@ -80,7 +90,7 @@
 
 // recordSuccess ends the ejection of an unresponsive server. That of a server that refuses
 // connections goes on: it may still complete the requests that it holds.
-func (h *health) recordSuccess(g *serverGroup) {
+func (h *health) recordSuccess(now time.Time, g *serverGroup) {
 	h.consecutiveFailures = 0
 	h.ejections = 0
 	h.refusedUntil = time.Time{}
@@ -88,7 +98,7 @@
 		h.isUnresponsive = false
 		h.ejectedUntil = time.Time{}
 	}
-	h.addSample(g, 0)
+	h.addSample(now, g, 0)
 }
 
 // recordPlaced records that a request is placed at the server. If it is the first one after
@@ -112,18 +122,26 @@
 	if mayEject {
 		h.refusedUntil = now.Add(refusalPause)
 	}
-	h.addSample(g, 1)
+	h.addSample(now, g, 1)
 	h.consecutiveFailures++
 	if h.consecutiveFailures >= maxStrikes {
 		h.isUnresponsive = !h.eject(now, g, r, mayEject) && h.isUnresponsive
 	}
 }
 
-func (h *health) addSample(g *serverGroup, failed float64) {
+func (h *health) addSample(now time.Time, g *serverGroup, failed float64) {
+	h.failureRate = h.rate(now)
+	h.ratedAt = now
 	h.failureRate += rateWeight * (failed - h.failureRate)
 	g.failureRate += groupRateWeight * (failed - g.failureRate)
 }
 
+// rate returns the failure rate, which falls with the time since the latest response.
+func (h *health) rate(now time.Time) float64 {
+	halfLives := max(0, now.Sub(h.ratedAt)).Seconds() / rateHalfLife.Seconds()
+	return h.failureRate * math.Exp2(-halfLives)
+}
+
 // eject excludes the server for a random time of which the minimum doubles with
 // each repeated ejection, and reports whether it did. If mayEject is false, it does not.
 func (h *health) eject(now time.Time, g *serverGroup, r Rand, mayEject bool) bool {
@@ -147,10 +165,11 @@
 }
 
 // cost is the penalty for the server's failures.
-func (h *health) cost(g *serverGroup) time.Duration {
-	excess := h.failureRate - g.failureRate - usualSpread
-	if excess <= 0 {
+func (h *health) cost(now time.Time, g *serverGroup) time.Duration {
+	usual := g.failureRate + usualSpread
+	if h.failureRate <= usual {
 		return 0
 	}
+	excess := max(0, h.rate(now)-usual)
 	return time.Duration(excess * float64(failureCost))
 }
--- a/core/placement/silence_test.go
+++ b/core/placement/silence_test.go
@@ -109,4 +109,22 @@
 		}
 		Expect(counts[id(0)]).To(BeNumerically("~", 10, 3))
 	})
+
+	// Guards against a server that is never tried again since its failure rate falls with
+	// responses only.
+	It("is used again within seconds after it broke the responses that it held", func() {
+		b := newBalancer(4)
+		for _, a := range placeAt(b, 8) {
+			a.End(start.Add(interval), placement.Broken)
+		}
+		Expect(visits(b, interval, 5*time.Second, false)).NotTo(BeEmpty())
+	})
+
+	It("is tried after growing pauses if it does not respond", func() {
+		b := newBalancer(4)
+		placeAt(b, 1)[0].End(start, placement.TimedOut)
+		at := visits(b, interval, 40*time.Second, true)
+		Expect(len(at)).To(BeNumerically("~", 6, 2))
+		Expect(at[len(at)-1] - at[len(at)-2]).To(BeNumerically(">=", 6*time.Second))
+	})
 })
