Place a request at another server if the cheapest one cannot take it

The cheapest server alone decided whether a request was refused. A full server can be cheaper than an idle one that failed a few requests, is in another region or has suspects, and then requests were refused beside it: in the test, 48 of 96 requests were placed at two servers of 48.

If the cheapest server refuses, the others are considered once more, and the cheapest one that can take the request gets it. Servers that fail a quarter of their requests more than usual are left out, since they are always idle and would get all requests of an overload.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -27,6 +27,10 @@
 	// failureCost is the cost of a server whose responses all fail, relative to one
 	// whose failure rate is usual for the service.
 	failureCost = 2 * time.Second
+	// maxOverflowFailureCost is the cost of failures up to which a server takes requests
+	// that the cheapest one cannot: that of a server that fails a quarter of its requests
+	// more than usual.
+	maxOverflowFailureCost = failureCost / 4
 	// suspectCost is the cost of a server that runs a suspect request. A request
 	// that crashes its server also ends all others there; with suspects on
 	// different servers, the next crash shows which one was the cause.
@@ -128,7 +132,11 @@
 	}
 	best, predicted := b.cheapest(now, candidates, req)
 	if reason := b.refusalReason(req, predicted, b.work(now, best), best); reason != "" {
-		return nil, Refusal{Reason: reason, RetryAfter: b.retryAfter(req), Predicted: predicted, Candidates: len(candidates)}
+		considered := len(candidates)
+		if candidates = b.retainOpen(now, candidates, req); len(candidates) == 0 {
+			return nil, Refusal{Reason: reason, RetryAfter: b.retryAfter(req), Predicted: predicted, Candidates: considered}
+		}
+		best, predicted = b.cheapest(now, candidates, req)
 	}
 	assignment := &Assignment{
 		balancer: b, state: best, Server: best.Server, Predicted: predicted, ServerTimeout: req.serverTimeout(best),
@@ -299,6 +307,18 @@
 	return best, bestTime
 }
 
+// retainOpen retains the servers that can take a request which the cheapest one cannot. One
+// that fails many of its requests is always idle, so all requests of an overload would go
+// there.
+func (b *Balancer) retainOpen(now time.Time, candidates []*serverState, req Request) []*serverState {
+	return slices.DeleteFunc(candidates, func(st *serverState) bool {
+		if !b.disabled.FailureCost && st.health.cost(now, st.group) > maxOverflowFailureCost {
+			return true
+		}
+		return b.refusalReason(req, b.predict(now, st, req), b.work(now, st), st) != ""
+	})
+}
+
 // cost is the predicted latency of a server plus all penalties.
 func (b *Balancer) cost(now time.Time, st *serverState, req Request, predicted time.Duration) time.Duration {
 	cost := predicted
