Use an ejected server again after an error or a rejection

A server that answered its first request after an ejection with an error, or that it did not run it, still got one request each 0.7 s until a success: 1 of 40 requests in the test, where 10 are due. Both show that it responds again, as the start of a stream does.

--- a/core/placement/assignment.go
+++ b/core/placement/assignment.go
@@ -61,7 +61,7 @@
 	a.received += tokens
 	if !a.started {
 		a.started = true
-		a.state.health.recordStarted(a.placed)
+		a.state.health.recordResponse(a.placed)
 		a.balancer.markChanged(a.state)
 	}
 }
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -70,6 +70,7 @@
 		h.recordSuccess(now, g)
 	case Failed:
 		h.consecutiveFailures = 0
+		h.recordResponse(placed)
 		h.addSample(now, g, 1)
 	case Broken, TimedOut:
 		// A silent server times out all requests that it holds, which is one failure.
@@ -84,7 +85,9 @@
 		}
 	case Refused:
 		h.recordRefusal(now, g, r, mayEject)
-	case Declined, Abandoned:
+	case Declined:
+		h.recordResponse(placed)
+	case Abandoned:
 	}
 }
 
@@ -109,9 +112,10 @@
 	}
 }
 
-// recordStarted records that the response to a request has started. That of a request
-// placed before the latest ejection may have been received before the server failed.
-func (h *health) recordStarted(placed time.Time) {
+// recordResponse records that the server has responded to a request, if only with an error or
+// the start of a stream. With requests placed before the latest ejection this does not show
+// that it completes any now.
+func (h *health) recordResponse(placed time.Time) {
 	if h.isUnresponsive && placed.After(h.unresponsiveAt) {
 		h.isUnresponsive = false
 		h.ejectedUntil = time.Time{}
--- a/core/placement/silence_test.go
+++ b/core/placement/silence_test.go
@@ -96,8 +96,8 @@
 		Expect(visits(b, plainTimeout, 3*plainTimeout+600*ms, true)).To(HaveLen(1))
 	})
 
-	// Guards against an engine that gets one request at a time until a whole stream ends.
-	It("is used again as soon as an engine starts a response", func() {
+	// Guards against a server that gets one request at a time although it has responded.
+	DescribeTable("is used again as soon as it", func(respond func(*placement.Assignment)) {
 		b := newBalancer(4)
 		placeAt(b, 1)[0].End(start, placement.TimedOut)
 		later := start.Add(2 * time.Second)
@@ -105,10 +105,13 @@
 		for range 40 {
 			a, _ := b.Choose(later, smallRequest())
 			counts[a.Server.ID]++
-			a.AddTokens(1)
+			respond(a)
 		}
 		Expect(counts[id(0)]).To(BeNumerically("~", 10, 3))
-	})
+	},
+		Entry("starts a stream", func(a *placement.Assignment) { a.AddTokens(1) }),
+		Entry("declines a request", func(a *placement.Assignment) { a.End(start.Add(2*time.Second), placement.Declined) }),
+	)
 
 	// Guards against a server that is never tried again since its failure rate falls with
 	// responses only.
