Fix scripted responses that belong to no script

Other tests use a scriptedResponse without a script, which then has no record of the attempt whose end was read: since, five calls of the tests of crashing parts and of levels panicked in the test's own response.

--- a/daemon/gateway/scripted_test.go
+++ b/daemon/gateway/scripted_test.go
@@ -186,14 +186,20 @@
 
 const eventFormat = "data: attempt %d version %d id %d"
 
+func (a *scriptedResponse) readEnd() error {
+	if a.ended != nil { // nil if the response is not one of a script
+		*a.ended = a.attempt
+	}
+	return a.end
+}
+
 func (a *scriptedResponse) Next() (eventstream.Event, error) {
 	isSilent := a.pausesAt > 0 && a.read == a.pausesAt && !isSilentFor(pauseTime, a.options)
 	if isSilent || a.read == len(a.ids) && errors.Is(a.end, errTimeout) && !isSilentFor(time.Hour, a.options) {
 		return eventstream.Event{}, errTimeout
 	}
 	if a.read == len(a.ids) {
-		*a.ended = a.attempt
-		return eventstream.Event{}, a.end
+		return eventstream.Event{}, a.readEnd()
 	}
 	id := a.ids[a.read]
 	a.read++
@@ -202,8 +208,7 @@
 	}
 	if id >= streamLength {
 		a.read = len(a.ids)
-		*a.ended = a.attempt
-		return eventstream.Event{}, a.end
+		return eventstream.Event{}, a.readEnd()
 	}
 	return eventstream.Event{ID: id, Raw: fmt.Appendf(nil, eventFormat+"\n\n", a.attempt, a.Version(), id)}, nil
 }
