--- a/daemon/gateway/scripted_test.go
+++ b/daemon/gateway/scripted_test.go
@@ -184,23 +184,22 @@
 
 func (a *scriptedResponse) body() string { return "body of " + a.name }
 
-// recordEnd records that the end of the attempt was read, for responses of a scriptedBackend.
-func (a *scriptedResponse) recordEnd() {
-	if a.ended != nil {
+const eventFormat = "data: attempt %d version %d id %d"
+
+func (a *scriptedResponse) readEnd() error {
+	if a.ended != nil { // nil if the response is not one of a script
 		*a.ended = a.attempt
 	}
+	return a.end
 }
 
-const eventFormat = "data: attempt %d version %d id %d"
-
 func (a *scriptedResponse) Next() (eventstream.Event, error) {
 	isSilent := a.pausesAt > 0 && a.read == a.pausesAt && !isSilentFor(pauseTime, a.options)
 	if isSilent || a.read == len(a.ids) && errors.Is(a.end, errTimeout) && !isSilentFor(time.Hour, a.options) {
 		return eventstream.Event{}, errTimeout
 	}
 	if a.read == len(a.ids) {
-		a.recordEnd()
-		return eventstream.Event{}, a.end
+		return eventstream.Event{}, a.readEnd()
 	}
 	id := a.ids[a.read]
 	a.read++
@@ -209,8 +208,7 @@
 	}
 	if id >= streamLength {
 		a.read = len(a.ids)
-		a.recordEnd()
-		return eventstream.Event{}, a.end
+		return eventstream.Event{}, a.readEnd()
 	}
 	return eventstream.Event{ID: id, Raw: fmt.Appendf(nil, eventFormat+"\n\n", a.attempt, a.Version(), id)}, nil
 }
