Ask once whether to wait for a silent server

A response that ends inside its header was read on after its exchange had been given up: net/http drops the error of a line that a deadline cuts off and reads again, so the entry was asked up to four times. It then placed the call twice, of which one assignment never ended, and could take the rest of a cut header for a body.

Once the wait has ended nothing more is read. The test cuts a response after each byte of its header and failed before.

--- a/adapters/exchange/silence.go
+++ b/adapters/exchange/silence.go
@@ -8,7 +8,7 @@
 
 // OnSilence decides what follows when nothing of a response has arrived by the deadline of
 // a read. It returns a later deadline, or false to let the read fail. It is called by the
-// goroutine that reads.
+// goroutine that reads, and no more in the same exchange once it has returned false.
 type OnSilence func(now time.Time) (until time.Time, wait bool)
 
 // Read implements io.Reader. A deadline is extended below all readers of the message: those
@@ -29,6 +29,8 @@
 	}
 	until, wait := c.onSilence(time.Now())
 	if !wait || !until.After(time.Now()) {
+		// net/http reads on after a header line that the deadline cut off.
+		c.onSilence = nil
 		return false
 	}
 	c.setReadDeadline(until)
--- a/adapters/exchange/silence_test.go
+++ b/adapters/exchange/silence_test.go
@@ -63,6 +63,23 @@
 		Entry("the new deadline has passed", -time.Second, true),
 	)
 
+	// Guards against a response that is read on after its exchange was given up inside its header:
+	// net/http drops the error of a line that is cut off.
+	It("is not asked for again once the wait has ended, after whichever byte of the header", func() {
+		for n := range len(chunkedResponse) - len("0\r\n\r\n") {
+			resume := make(chan struct{})
+			asked := 0
+			r, err := exchange.New().DoExtendable(context.Background(), pausing(n, resume).addr(), newRequest, short(),
+				func(time.Time) (time.Time, bool) { asked++; return time.Time{}, false })
+			if err == nil {
+				_, err = io.ReadAll(r.Body)
+			}
+			Expect(err).To(HaveOccurred(), "silence after %d bytes", n)
+			Expect(asked).To(Equal(1), "silence after %d bytes", n)
+			close(resume)
+		}
+	})
+
 	// Guards against a broken connection that counts as a silence since the first deadline
 	// has passed.
 	It("is broken, not late, if its server closes the connection before an extended deadline", func() {
