Count the crash of a server that should resume a stream

A server that crashed under the request with which a stream was to be resumed counted as abandoned: it was not checked, stayed in use, and the request was no suspect. Found by the review; the test saw no check before.

A response that starts late on an outdated version is now logged for resumed streams too.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -76,7 +76,7 @@
 		j.attempts++
 	}
 	if err != nil {
-		next.End(time.Now(), j.resultOfResumption(next, err))
+		next.End(time.Now(), j.resultOfResumption(ctx, next, err))
 		return nil, err
 	}
 	if response.NotRun() || response.Misdirected() {
@@ -93,19 +93,31 @@
 	response.SetDeadline(opts.StartDeadline)
 	event, err := response.Next()
 	if err == nil {
+		j.checkLateStart(time.Now(), next.Server)
 		err = j.forwardEvent(next, response, attempt, event)
 	}
 	if err != nil {
 		response.Close(false)
-		next.End(time.Now(), j.resultOfResumption(next, err))
+		next.End(time.Now(), j.resultOfResumption(ctx, next, err))
 		return nil, err
 	}
 	return &successor{assignment: next, response: response, attempt: attempt, deadline: opts.Deadline}, nil
 }
 
-// resultOfResumption returns the result of a server that did not resume a stream.
-func (j *job) resultOfResumption(next *placement.Assignment, err error) placement.Result {
-	waited, waits := next.Elapsed(time.Now())
+// resultOfResumption returns the result of a server that did not resume a stream, and
+// records whether the server crashed.
+func (j *job) resultOfResumption(ctx context.Context, next *placement.Assignment, err error) placement.Result {
+	now := time.Now()
+	waited, waits := next.Elapsed(now)
+	switch {
+	case ctx.Err() != nil || j.reply.isAborted():
+		return placement.Abandoned
+	case failure.OutcomeOf(err) == failure.NotRun:
+		j.checkUnreached(ctx, now, next.Server)
+	case errorx.IsOfType(err, failure.Unavailable):
+		j.recordBrokenAttempt(ctx, next.Server, err)
+		return placement.Broken
+	}
 	switch {
 	case errorx.IsOfType(err, exchange.Refused):
 		return placement.Refused
--- a/daemon/gateway/latestart.go
+++ b/daemon/gateway/latestart.go
@@ -15,10 +15,10 @@
 	return []zap.Field{zap.Duration("silent", now.Sub(j.progressAt)), zap.Duration("server_deadline_left", j.serverDeadline.Sub(now))}
 }
 
-// checkLateStart logs a response that starts on a version whose time is over. It is called with
-// the first event of an attempt.
+// checkLateStart logs a response that starts on a version whose time is over, as far as this
+// entry knows when the newer one was named. It is called with the first event of an attempt.
 func (j *job) checkLateStart(now time.Time, server placement.Server) {
-	if j.service.Engine == nil || !j.responseStartedAt.IsZero() {
+	if j.service.Engine == nil {
 		return
 	}
 	since, outdated := j.g.view.Load().names[j.service.Model].OutdatedSince(uint64(server.LoadedVersion))
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -340,7 +340,9 @@
 			return j.handleStreamError(ctx, assignment, response, err)
 		}
 		if !isComment(event) {
-			j.checkLateStart(time.Now(), assignment.Server)
+			if j.responseStartedAt.IsZero() {
+				j.checkLateStart(time.Now(), assignment.Server)
+			}
 			j.recordResponding(time.Now(), false)
 		}
 		err = j.forwardEvent(assignment, response, j.lastAttempt, event)
--- a/daemon/gateway/silence_test.go
+++ b/daemon/gateway/silence_test.go
@@ -26,17 +26,29 @@
 	headerTime func(attempt int) time.Time
 	// registerAt is when the second server is registered, zero if it is from the start.
 	registerAt time.Time
-	sent       []SendOptions
-	sentAt     []time.Time
+	// crashes is true if all servers but the first one crash; checks counts the checks of them.
+	crashes bool
+	checks  int
+	sent    []SendOptions
+	sentAt  []time.Time
 }
 
 func (*silentBackend) Retain([]placement.Server) {}
 
-func (*silentBackend) CheckLiveness(context.Context, netip.AddrPort) Liveness { return Alive }
+func (b *silentBackend) CheckLiveness(context.Context, netip.AddrPort) Liveness {
+	b.checks++
+	if b.crashes {
+		return Down
+	}
+	return Alive
+}
 
 func (b *silentBackend) Send(_ context.Context, _ *Call, o SendOptions) (Response, error) {
 	attempt := len(b.sent)
 	b.sent, b.sentAt = append(b.sent, o), append(b.sentAt, time.Now())
+	if b.crashes && attempt > 0 {
+		return nil, errReset
+	}
 	s := &silentStream{options: o, next: o.LastEvent + 1, deadline: o.StartDeadline}
 	if b.headerTime != nil && !s.arrives(b.headerTime(attempt)) {
 		return nil, errTimeout
@@ -237,6 +249,24 @@
 	}
 }
 
+// Guards against a crash of the server that should resume a stream which counts against no
+// request.
+func TestCrashOfTheNextServerIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newGateway()
+		b := &silentBackend{crashes: true, eventTimes: func(int, SendOptions) []time.Time {
+			return slices.Concat(sequence(time.Now(), 3), sequence(time.Now().Add(2*time.Second), 3))
+		}}
+		caller := serveStreamAt(g, b, true, 0, twoServers()...)
+		if !caller.complete || caller.received() != "012345" || len(b.sent) != 2 {
+			t.Errorf("complete %v, events %q, %d attempts", caller.complete, caller.received(), len(b.sent))
+		}
+		if b.checks != 1 {
+			t.Errorf("%d checks whether the second server crashed", b.checks)
+		}
+	})
+}
+
 // Guards against a search that ends with its first try: the other server is registered while
 // the first one is silent.
 func TestSearchForAnotherServerContinues(t *testing.T) {
