Bound the wait for a stream's next server, and send nothing after its deadline

A read whose search is already due takes first what has arrived. A call is not sent once the deadline that it states is over, which a slow connection could cause. The margin for a silence no longer shortens the wait for an engine that is not outdated. All found by reading in the review.

--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -28,8 +28,7 @@
 	rateWeight = 0.1
 	// rateHalfLife is the time in which the failure rate of a server that receives no
 	// requests falls by half. Without it, a server whose rate is high is not tried again
-	// for as long as others have room. With a shorter one, a server that fails part of its
-	// requests is tried more often: with 5 s it receives about twice as many.
+	// for as long as others have room.
 	rateHalfLife = 10 * time.Second
 	// groupRateWeight is the same for the whole service.
 	groupRateWeight = 0.01
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -392,22 +392,23 @@
 
 // sendOptions returns the options of an attempt at the assigned server.
 func (j *job) sendOptions(now time.Time, assignment *placement.Assignment) SendOptions {
+	deadline := j.deadline
+	if assignment.ServerTimeout > 0 {
+		deadline = earlier(deadline, now.Add(assignment.ServerTimeout))
+	}
 	o := SendOptions{
 		Server:    assignment.Server,
 		Workspace: j.workspace,
 		Level:     j.urgency.level,
 		HasLevel:  j.urgency.isKnown,
-		Deadline:  j.deadline,
+		Deadline:  deadline,
 		LastEvent: j.reply.progress.LastEvent(),
 
 		IsRevoked: func() bool {
 			now := time.Now()
-			return assignment.IsRevoked(now) || j.g.view.Load().predatesPause(now)
+			return !now.Before(deadline) || assignment.IsRevoked(now) || j.g.view.Load().predatesPause(now)
 		},
 	}
-	if assignment.ServerTimeout > 0 {
-		o.Deadline = earlier(j.deadline, now.Add(assignment.ServerTimeout))
-	}
 	if j.service.Engine != nil {
 		o.RequiredVersion = assignment.Server.LoadedVersion
 	}
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -9,8 +9,9 @@
 )
 
 // A healthy server may be silent for about a second and then go on, and nothing distinguishes
-// that from a hung one. So an attempt at a silent server ends only once another server can
-// take the call, or at the latest time at which its response is of use.
+// that from a hung one. So a stream leaves a silent server only once another one has resumed
+// it. A call without a response leaves it once it is placed at another server, which may still
+// decline it. Both end at the latest time at which the response is of use.
 
 // searchInterval is the interval at which a server is searched for that can take the call of
 // a silent one.
@@ -24,16 +25,23 @@
 	giveUp time.Time
 }
 
+// minReadTime is the least time for a read, so that what has arrived already is read first.
+const minReadTime = 50 * time.Millisecond
+
 // await records what is read next and returns the deadline of the read.
 func (j *job) await(assignment *placement.Assignment, b readBounds) time.Time {
 	j.awaited, j.giveUpAt = assignment, b.giveUp
+	if soonest := time.Now().Add(minReadTime); b.search.Before(soonest) {
+		return earlier(b.giveUp, soonest)
+	}
 	return b.search
 }
 
 // handleSilence handles a server that sent nothing by the deadline of a read. It returns the
 // next deadline, or false if the attempt ends.
 func (j *job) handleSilence(ctx context.Context, now time.Time, assignment *placement.Assignment) (until time.Time, wait bool) {
-	if assignment != j.awaited || ctx.Err() != nil || !now.Before(j.giveUpAt) {
+	isLeft := j.alternative.assignment != nil || j.successor != nil
+	if isLeft || assignment != j.awaited || ctx.Err() != nil || !now.Before(j.giveUpAt) {
 		return time.Time{}, false
 	}
 	if j.maySendElsewhere(ctx, now) && j.sendElsewhere(ctx, now, assignment) || j.reply.isAborted() {
@@ -103,7 +111,9 @@
 // resumeInstead resumes the stream of a silent server on the next one. The connection to the
 // silent server is kept until then.
 func (j *job) resumeInstead(ctx context.Context, now time.Time, silent, next *placement.Assignment) bool {
-	resumed, err := j.resumeOn(ctx, now, next, now.Add(next.Predicted+streamStallTimeout))
+	// What the silent server sends meanwhile is held back, so this wait is shorter than one for
+	// the only server.
+	resumed, err := j.resumeOn(ctx, now, next, now.Add(next.Predicted+j.targetPause()))
 	j.g.log.handedOver(j, silent, next, err, j.withdrawn(ctx, time.Now(), next, err))
 	if err != nil {
 		j.exclude = placement.Exclude(j.exclude, next.Server.ID)
--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -90,7 +90,7 @@
 	}
 	end, outdated := j.versionEndAt(server)
 	if !outdated {
-		end = now.Add(j.g.opts.VersionTime - versionMargin)
+		end = now.Add(j.g.opts.VersionTime - maxNamingDelay - networkDelay)
 	}
 	return earlier(j.deadline, end)
 }
