--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -42,7 +42,7 @@
 	defer s.writeMu.Unlock()
 	v, err := s.versionByNumber(version)
 	if err != nil {
-		return err
+		return orderNotSent.Wrap(err, "order for version %d", version)
 	}
 	before, err := s.report(ctx)
 	if err != nil {
