Use outdated engines for long calls that start in time in spite of a silence

Only the start of a call is bound by the time of the version. Where the response fits into the shorter deadline, nothing changes: it is sent with that deadline and starts in time whatever waits at the engine. A longer one is sent with the whole deadline as long as it starts in time after a silence of 1.2 s and 0.8 s beyond the predicted start.

What it gives up: a long call that meets a silence and then waits more than 0.8 s longer than predicted may begin late.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -138,8 +138,9 @@
 		}
 		best, predicted = b.cheapest(now, candidates, req)
 	}
+	timeout, _ := b.serverTimeout(now, best, req)
 	assignment := &Assignment{
-		balancer: b, state: best, Server: best.Server, Predicted: predicted, ServerTimeout: req.serverTimeout(best),
+		balancer: b, state: best, Server: best.Server, Predicted: predicted, ServerTimeout: timeout,
 		Refused:      now.Before(best.health.refusedUntil),
 		promptTokens: req.PromptTokens, outputTokens: req.OutputTokens, suspect: req.Suspect, placed: now,
 	}
@@ -283,14 +284,8 @@
 // isVersionEligible reports whether the loaded version of an engine allows it to
 // serve the request.
 func (b *Balancer) isVersionEligible(now time.Time, st *serverState, req Request) bool {
-	switch eligibility, left := req.eligibility(st.LoadedVersion); eligibility {
-	case Eligible:
-		return true
-	case EligibleOutdated:
-		return b.endsWithin(now, st, req, left)
-	default:
-		return false
-	}
+	_, ok := b.serverTimeout(now, st, req)
+	return ok
 }
 
 // cheapest returns the server with the lowest cost and its predicted latency.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -106,6 +106,9 @@
 	// answer and, if the version is outdated, for how long; nil allows all
 	// versions.
 	Versions func(ModelVersion) (Eligibility, time.Duration)
+	// MaxSilence is how much later than it arrives a healthy engine may read the
+	// request.
+	MaxSilence time.Duration
 	// EntryPlace is the location of this entry.
 	EntryPlace fleet.Place
 	// AllowedRegions are the regions in which the request may be served.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -381,6 +381,7 @@
 	}
 	if j.service.Engine != nil {
 		a.Versions = j.usableVersions(now)
+		a.MaxSilence = maxServerSilence
 	}
 	return a
 }
--- a/daemon/gateway/versiontime.go
+++ b/daemon/gateway/versiontime.go
@@ -10,10 +10,10 @@
 // An engine must not begin a call on outdated weights once VersionTime has passed since
 // a newer version was named. The bounds of a call on such an engine are:
 //
-//   - versionEnd: the engine ends its work on the call, as required by SendOptions.Deadline,
-//     if it has read the call at once;
-//   - the end of VersionTime, versionMargin later: the engine has ended its work even if it
-//     was silent as the call arrived;
+//   - SendOptions.Deadline, at versionEnd or before: the engine ends its work on the call, if it
+//     has read the call at once. The balancer chooses it so that a call that is read up to
+//     maxServerSilence later begins in time as well;
+//   - the end of VersionTime, maxNamingDelay and networkDelay after versionEnd;
 //   - usualResponseTime: the response or refusal of an engine that was not silent must have
 //     arrived, else the entry searches for another engine;
 //   - latestResponseTime: the entry gives up the attempt.
@@ -27,9 +27,6 @@
 	// maxServerSilence is how long a healthy server may neither read nor write. A server starts
 	// its own timer when it reads the call.
 	maxServerSilence = 1200 * time.Millisecond
-	// versionMargin is how much earlier than after VersionTime an engine must end its work by its
-	// own timer.
-	versionMargin = maxNamingDelay + networkDelay + maxServerSilence
 )
 
 // usableVersions returns a function that says whether engines with a version of the weights
@@ -66,7 +63,7 @@
 // the version is not outdated.
 func (g *Gateway) versionEnd(names loading.NamedVersions, v placement.ModelVersion) (time.Time, bool) {
 	since, outdated := names.OutdatedSince(uint64(v))
-	return since.Add(g.opts.VersionTime - versionMargin), outdated
+	return since.Add(g.opts.VersionTime - maxNamingDelay - networkDelay), outdated
 }
 
 // usualResponseTime returns when the response or refusal of a server that is not silent has
--- a/daemon/gateway/versiontime_test.go
+++ b/daemon/gateway/versiontime_test.go
@@ -158,6 +158,25 @@
 		Expect(sent).NotTo(BeZero())
 	})
 
+	// Guards against long calls that a silent engine begins late. Their deadlines leave time for
+	// the response, so only the time of sending bounds their start.
+	It("is sent early enough to start in time after a silence of 1.2 s", func() {
+		const (
+			silence, others = 1200 * time.Millisecond, 400 * time.Millisecond
+			startError      = 800 * time.Millisecond // beyond the prediction
+		)
+		sent := 0
+		for after := 3 * time.Second; after < 8*time.Second; after += 100 * time.Millisecond {
+			prepare()
+			passed, expected = after, 130
+			if got := serve(true, 1); len(got) > 0 {
+				Expect(after + silence + startError).To(BeNumerically("<=", g.opts.VersionTime-others))
+				sent++
+			}
+		}
+		Expect(sent).NotTo(BeZero())
+	})
+
 	// Guards against long calls that wait there with nothing to end them, or are aborted
 	// when the time of the version is over.
 	It("is not sent there if its response is not expected in time", func() {
