Log each check of the stage and its age when the order is accepted

The logs could not tell how old the check of the staged chunks was when an engine accepted the order that it vouches for, nor whether the load that a restarted agent finds is the one that was checked. stage_checked and order_accepted state both, and engine_holds has the number of accepted orders.

--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -32,6 +32,7 @@
 	model   string
 	version *stagedVersion
 	before  loading.Engine
+	checked check // last check of the stage before the order was sent
 }
 
 // load orders the engine to load a version. Right before the order the whole stage is
@@ -48,15 +49,20 @@
 	if err != nil {
 		return orderNotSent.Wrap(err, "report before the order")
 	}
-	if err := s.repair(ctx, v); err != nil {
+	checked, err := s.repair(ctx, v)
+	if err != nil {
 		return orderNotSent.Wrap(err, "check of the stage before the order")
 	}
-	o := order{model: supply.Model, version: v, before: before}
+	o := order{model: supply.Model, version: v, before: before, checked: checked}
 	err = s.sendOrder(ctx, o)
-	if err == nil || errorx.IsOfType(err, Declined) {
-		return err
+	if err != nil && !errorx.IsOfType(err, Declined) {
+		err = s.awaitOutcome(ctx, &o, err)
+	}
+	if err == nil {
+		s.logger.Info("order_accepted", zap.Uint64("version", v.number), zap.Uint64("orders_before", before.Orders.Count),
+			zap.Duration("check_age", time.Since(o.checked.startedAt)))
 	}
-	return s.awaitOutcome(ctx, o, err)
+	return err
 }
 
 func (s *stage) report(ctx context.Context) (loading.Engine, error) {
@@ -78,7 +84,7 @@
 //
 // It ends when the engine accepts the order, when the engine's process is replaced, or
 // with ctx, that is with this process.
-func (s *stage) awaitOutcome(ctx context.Context, o order, cause error) error {
+func (s *stage) awaitOutcome(ctx context.Context, o *order, cause error) error {
 	start := time.Now()
 	for {
 		s.logger.Warn("order_not_settled", zap.Uint64("version", o.version.number), zap.Error(cause))
@@ -99,7 +105,7 @@
 
 // checkOutcome reports whether the outcome of an order is known, and the error of the
 // order. If it is not known, the error says why.
-func (s *stage) checkOutcome(ctx context.Context, o order) (bool, error) {
+func (s *stage) checkOutcome(ctx context.Context, o *order) (bool, error) {
 	current, err := s.report(ctx)
 	if err != nil {
 		return false, err
@@ -110,10 +116,12 @@
 	case loading.Lost:
 		return true, failure.Unavailable.New("the engine's process was replaced before it accepted the order")
 	}
-	if err := s.repair(ctx, o.version); err != nil {
+	checked, err := s.repair(ctx, o.version)
+	if err != nil {
 		return false, err
 	}
-	err = s.sendOrder(ctx, o)
+	o.checked = checked
+	err = s.sendOrder(ctx, *o)
 	// If the retry is declined because of its number, the first order was accepted, and
 	// the next report shows it. If it is declined because of the engine's state, an
 	// earlier one may still be accepted.
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -300,26 +300,36 @@
 	return s.origin.Chunk(ctx, v.supply, v.number, chunk.Index)
 }
 
+// check is one pass over the whole stage of a version.
+type check struct {
+	startedAt time.Time
+	repaired  int // chunks that were missing or corrupt and have been staged again
+}
+
 // repair reads every chunk of a version back from the engine's stage and stages the
 // missing and corrupt ones again.
-func (s *stage) repair(ctx context.Context, v *stagedVersion) error {
+func (s *stage) repair(ctx context.Context, v *stagedVersion) (check, error) {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
-	for _, c := range v.manifest.Chunks {
-		data, err := s.engine.Get(ctx, v.supply.Model, c.Index)
-		if err == nil && c.Verify(data) == nil {
+	c := check{startedAt: time.Now()}
+	for _, chunk := range v.manifest.Chunks {
+		data, err := s.engine.Get(ctx, v.supply.Model, chunk.Index)
+		if err == nil && chunk.Verify(data) == nil {
 			continue
 		}
-		good, ok := s.chunk(v, c.Index)
+		good, ok := s.chunk(v, chunk.Index)
 		if !ok {
-			return failure.NotFound.New("chunk %d of version %d is not held", c.Index, v.number)
+			return c, failure.NotFound.New("chunk %d of version %d is not held", chunk.Index, v.number)
 		}
-		s.logger.Warn("chunk_staged_again", zap.Int("chunk", c.Index), zap.Uint64("version", v.number), zap.Error(err))
-		if err := s.write(ctx, v, c.Index, good); err != nil {
-			return err
+		s.logger.Warn("chunk_staged_again", zap.Int("chunk", chunk.Index), zap.Uint64("version", v.number), zap.Error(err))
+		c.repaired++
+		if err := s.write(ctx, v, chunk.Index, good); err != nil {
+			return c, err
 		}
 	}
-	return nil
+	s.logger.Info("stage_checked", zap.Uint64("version", v.number), zap.Int("chunks", len(v.manifest.Chunks)),
+		zap.Int("repaired", c.repaired), zap.Duration("took", time.Since(c.startedAt)))
+	return c, nil
 }
 
 func (s *stage) versionByNumber(number uint64) (*stagedVersion, error) {
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -53,7 +53,8 @@
 		l.plan.MarkRestarted()
 	}
 	if e.Loaded != l.engine.Loaded {
-		l.opts.Logger.Info("engine_holds", zap.Uint64("version", e.Loaded), zap.Uint64("before", l.engine.Loaded))
+		l.opts.Logger.Info("engine_holds", zap.Uint64("version", e.Loaded), zap.Uint64("before", l.engine.Loaded),
+			zap.Uint64("orders", e.Orders.Count))
 	}
 	l.engine = e
 	l.updateLeaving()
