Verify each load of an engine before it is reported as ready

Callers got responses that were generated with weights of which a chunk was corrupt or of another version when the engine loaded them, until the next version replaced them.

Cause: the check of the staged chunks and the order that it vouches for are two messages, and nothing bound them. An engine loads whatever is staged when it accepts the order, and it may read the order seconds later: after a chunk has turned corrupt, or after the agent was killed and its successor has staged chunks of the next version. The lock that kept other chunks out of the stage ended with the process, the check never expired, and a version that the engine reported counted as loaded whoever had ordered it.

Now a load is identified by the engine's process, its number of accepted orders and the version. The agent reports the engine as ready only for a load that it has ordered and verified: after the acceptance it reads the whole stage again, with nothing staged in between. A chunk of another version rejects the load, a corrupt one unless the last check began less than 2 s before. A repair while an order may be accepted no longer counts as a check of that order. Loads that nobody vouches for are rejected, except what an agent finds at its start. After the start, and after a chunk without an answer, nothing is staged or ordered until the engine has answered several reports in a row, so that it has read what was sent before.

A rejected load of the wanted version is loaded again.

Two specs of daemon/loader called Load with other arguments; what they assert is unchanged.

--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -55,6 +55,27 @@
 	Orders          Orders
 	// Leaving is true if the engine's server is shutting down.
 	Leaving bool
+	// Layers are the layers that are loaded.
+	Layers Layers
+	// MustReload is true if the loaded weights may be incomplete. The engine is out of
+	// service until it has loaded the wanted version, even if it is the same one.
+	MustReload bool
+}
+
+// Layers is a range of layers of a model; the zero value is all layers.
+type Layers struct{ From, Target int }
+
+// IsPartial reports whether the range lacks some of a model's layers.
+func (l Layers) IsPartial(layers int) bool {
+	return l.From > 0 || l.Target > 0 && l.Target < layers
+}
+
+// inService returns the version that the engine serves; 0 for none.
+func (e Engine) inService() uint64 {
+	if e.MustReload {
+		return 0
+	}
+	return e.Loaded
 }
 
 // Orders is the number of orders that the engine's process has accepted.
@@ -215,9 +236,13 @@
 	p.notBefore = now.Add(declinedPause)
 }
 
-// IsReloading reports whether the engine accepts no new requests because it has been
-// ordered to load.
-func (p *Plan) IsReloading(e Engine) bool { return p.ordered != 0 && e.Loaded != p.ordered }
+// IsReloading reports whether the engine must get no new requests because it has been
+// ordered to load, or because its weights may be incomplete.
+func (p *Plan) IsReloading(e Engine) bool { return e.MustReload || p.IsOrdered(e) }
+
+// IsOrdered reports whether the engine has been ordered to load another version than it
+// has loaded.
+func (p *Plan) IsOrdered(e Engine) bool { return p.ordered != 0 && e.Loaded != p.ordered }
 
 // Target returns the version to load next, 0 if no staged version is worth loading.
 // wantedIn is the time until the wanted version is staged.
@@ -232,17 +257,17 @@
 		return 0
 	}
 	newest := p.staged[len(p.staged)-1]
-	if newest == p.Wanted() || newest <= e.Loaded {
+	if newest == p.Wanted() || newest <= e.inService() {
 		return newest
 	}
 	if p.disabled.LoadBetween || !p.usable(now, newest) {
 		return 0
 	}
-	if e.Loaded == 0 && wantedIn > worthWaiting {
+	if e.inService() == 0 && wantedIn > worthWaiting {
 		return newest
 	}
 	since, _ := p.versions.OutdatedSince(e.Loaded)
-	if e.Loaded != 0 && now.Add(wantedIn).After(since.Add(time.Duration(lastTurn*float64(p.within)))) {
+	if e.inService() != 0 && now.Add(wantedIn).After(since.Add(time.Duration(lastTurn*float64(p.within)))) {
 		return newest
 	}
 	return 0
@@ -283,9 +308,9 @@
 	wanted := p.Wanted()
 	target := p.Target(now, e, wantedIn)
 	switch {
-	case p.leaving || wanted == 0 || e.Loaded == wanted && !e.Busy:
+	case p.leaving || wanted == 0 || e.inService() == wanted && !e.Busy:
 		return Idle
-	case target == 0 || target <= e.Loaded:
+	case target == 0 || target <= e.inService():
 		return Fetch
 	case p.ordered == target && now.Sub(p.orderedAt) < orderRetryInterval || e.Busy || now.Before(p.notBefore):
 		return Wait
@@ -305,7 +330,7 @@
 // service at once.
 func (p *Plan) turn(e Engine) time.Time {
 	since, _ := p.versions.OutdatedSince(e.Loaded)
-	if e.Loaded == 0 || p.disabled.Turns {
+	if e.inService() == 0 || p.disabled.Turns {
 		return since
 	}
 	first := since.Add(fractionOf(firstTurn, p.within))
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -102,6 +102,9 @@
 	isUnlisted bool
 
 	engine          loading.Engine
+	verification    loading.Verification
+	isSettling      bool // the engine reads what the previous agent has sent to it
+	hasJudged       bool // the load that the engine had at the start has been judged
 	outdated        outdated
 	hasEngineReport bool // the engine's report was read since the start or the last pause
 	reportFailures  int
@@ -143,6 +146,7 @@
 		started:    now,
 	}
 	l.stage = newStage(opts.Engine, opts.Origin, opts.Logger)
+	l.stage.unsettle()
 	l.swarm = swarm.New(ctx, swarm.Options{
 		Self:            l.member(opts.Addr, opts.Place),
 		Loop:            opts.Loop,
@@ -207,6 +211,10 @@
 	if gap := l.clock.Elapsed(); gap > pauseThreshold {
 		l.handlePause(now, gap)
 	}
+	if !l.isSettling {
+		l.isSettling = true
+		go l.stage.settleNow(l.ctx)
+	}
 	l.mesh.Tick(now)
 	l.swarm.Tick(now)
 	l.readReport(now)
--- a/daemon/loader/notsent_test.go
+++ b/daemon/loader/notsent_test.go
@@ -39,7 +39,7 @@
 			Expect(s.Put(ctx, named.Manifest, number, chunk(2, number))).To(Succeed())
 		}
 		s.engine = silentEngine{staging}
-		err = s.load(ctx, wire.Supply{Model: "m"}, 2)
+		failed, err := s.load(ctx, wire.Supply{Model: "m"}, 2, false)
 		Expect(err).To(HaveOccurred())
 		Expect(staging.orders).To(BeZero())
 
@@ -49,7 +49,7 @@
 			plan: loading.NewPlan("10.0.0.1", 8*time.Second, policy.Disabled{}),
 		}
 		l.plan.MarkOrdered(now, 2)
-		l.handleOrderResult(now, 2, err)
+		l.handleOrderResult(now, 2, failed, err)
 		Expect(l.plan.IsReloading(loading.Engine{Loaded: 1})).To(BeFalse())
 	})
 })
--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -22,47 +22,132 @@
 	// settleRetryDelay is the pause before an engine is queried again about an order
 	// whose outcome is unknown.
 	settleRetryDelay = 150 * time.Millisecond
+	// maxCheckAge is how long after the start of a check of the stage a load is vouched for
+	// by that check alone.
+	maxCheckAge = 2 * time.Second
+	// idlePollInterval is the pause between two reports while the engine loads a part of
+	// the layers.
+	idlePollInterval = 60 * time.Millisecond
 )
 
 // orderNotSent is the error of an order that was not sent to the engine.
 var orderNotSent = failure.Namespace.NewType("order_not_sent", failure.Temporary)
 
+// loadRejected is the error of a load that the engine accepted and that may contain
+// chunks that were missing, corrupt or of another version.
+var loadRejected = failure.Namespace.NewType("load_rejected", failure.Temporary)
+
 // order is an order to load a version, with the engine's report from before it.
 type order struct {
-	model   string
 	version *stagedVersion
+	layers  loading.Layers
 	before  loading.Engine
-	checked check // last check of the stage before the order was sent
+	// checked is the last check that found all chunks intact, or repaired them, while the
+	// order was certainly not accepted yet.
+	checked check
+	// repaired is a check that repaired chunks while the engine may have accepted the order;
+	// nil if there was none, or if a report after a later check showed that it had not.
+	repaired *check
 }
 
-// load orders the engine to load a version. Right before the order the whole stage is
-// read back and repaired: chunks may have become corrupt since they were staged, or may
-// belong to another version, and the engine loads whatever is staged.
-func (s *stage) load(ctx context.Context, supply wire.Supply, version uint64) error {
+// load orders the engine to load a version and returns the load once it is verified. With
+// reload, the engine has loaded the version already and must load it again.
+//
+// Right before the order the whole stage is read back and repaired: chunks may have become
+// corrupt since they were staged, or may belong to another version, and the engine loads
+// whatever is staged when it accepts the order. It may accept it much later, so the stage is
+// read again afterwards.
+func (s *stage) load(ctx context.Context, supply wire.Supply, version uint64, reload bool) (loading.Load, error) {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
 	v, err := s.versionByNumber(version)
 	if err != nil {
-		return orderNotSent.Wrap(err, "order for version %d", version)
+		return loading.Load{}, orderNotSent.Wrap(err, "order for version %d", version)
+	}
+	if v.supply.Model != supply.Model {
+		return loading.Load{}, orderNotSent.New("version %d is of model %s, not %s", version, v.supply.Model, supply.Model)
+	}
+	if err := s.settle(ctx); err != nil {
+		return loading.Load{}, orderNotSent.Wrap(err, "earlier messages to the engine")
+	}
+	if reload {
+		if err := s.dropLayers(ctx, v, supply.Layers); err != nil {
+			return loading.Load{}, err
+		}
+	}
+	return s.loadLayers(ctx, v, loading.Layers{})
+}
+
+// dropLayers makes the engine replace all layers that it has loaded. It ignores an order for
+// what it has loaded, but a range of layers replaces a range that it does not include. After
+// the two orders all layers but the first are loaded anew, and the first is not loaded.
+func (s *stage) dropLayers(ctx context.Context, v *stagedVersion, layers int) error {
+	if layers < 2 {
+		return orderNotSent.New("version %d cannot be loaded again: the model has %d layers", v.number, layers)
 	}
+	for _, part := range []loading.Layers{{From: 0, Target: 1}, {From: 1, Target: layers}} {
+		load, err := s.loadLayers(ctx, v, part)
+		if errorx.IsOfType(err, alreadyLoaded) && part.From == 0 {
+			continue // an earlier attempt ended after this part
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.awaitIdle(ctx, load); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitIdle returns once the engine has completed a load.
+func (s *stage) awaitIdle(ctx context.Context, load loading.Load) error {
+	for {
+		current, err := s.report(ctx)
+		if err == nil && current.Orders != load.Orders {
+			return orderNotSent.New("the engine has accepted %d orders, want %d", current.Orders.Count, load.Orders.Count)
+		}
+		if err == nil && !current.Busy && current.Loaded != 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return orderNotSent.Wrap(ctx.Err(), "load of a part of the layers")
+		case <-time.After(idlePollInterval):
+		}
+	}
+}
+
+// alreadyLoaded is the error of an order that the engine ignored because it had loaded the
+// same weights.
+var alreadyLoaded = failure.Namespace.NewType("already_loaded", failure.Temporary)
+
+// loadLayers orders the engine to load layers of a version and verifies the load.
+func (s *stage) loadLayers(ctx context.Context, v *stagedVersion, layers loading.Layers) (loading.Load, error) {
 	before, err := s.report(ctx)
 	if err != nil {
-		return orderNotSent.Wrap(err, "report before the order")
+		return loading.Load{}, orderNotSent.Wrap(err, "report before the order")
 	}
 	checked, err := s.repair(ctx, v)
 	if err != nil {
-		return orderNotSent.Wrap(err, "check of the stage before the order")
+		return loading.Load{}, orderNotSent.Wrap(err, "check of the stage before the order")
 	}
-	o := order{model: supply.Model, version: v, before: before, checked: checked}
-	err = s.sendOrder(ctx, o)
+	if age := checked.age(); age > maxCheckAge {
+		return loading.Load{}, orderNotSent.New("the check of the stage began %v before the order", age)
+	}
+	o := &order{version: v, layers: layers, before: before, checked: checked}
+	begun, err := s.sendOrder(ctx, o)
 	if err != nil && !errorx.IsOfType(err, Declined) {
-		err = s.awaitOutcome(ctx, &o, err)
+		begun, err = true, s.awaitOutcome(ctx, o, err)
 	}
-	if err == nil {
-		s.logger.Info("order_accepted", zap.Uint64("version", v.number), zap.Uint64("orders_before", before.Orders.Count),
-			zap.Duration("check_age", time.Since(o.checked.startedAt)))
+	switch {
+	case err != nil:
+		return loading.Load{}, err
+	case !begun:
+		return before.Load(), alreadyLoaded.New("the engine has loaded version %d already", v.number)
+	default:
+		return s.verify(ctx, o)
 	}
-	return err
 }
 
 func (s *stage) report(ctx context.Context) (loading.Engine, error) {
@@ -71,10 +156,11 @@
 	return s.engine.Report(ctx)
 }
 
-func (s *stage) sendOrder(ctx context.Context, o order) error {
+func (s *stage) sendOrder(ctx context.Context, o *order) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return s.engine.Load(ctx, o.model, o.version.number, o.before.Orders)
+	return s.engine.Load(ctx, LoadOrder{
+		Model: o.version.supply.Model, Version: o.version.number, Layers: o.layers, After: o.before.Orders})
 }
 
 // awaitOutcome returns once an order without a response can no longer be accepted, or
@@ -106,6 +192,39 @@
 // checkOutcome reports whether the outcome of an order is known, and the error of the
 // order. If it is not known, the error says why.
 func (s *stage) checkOutcome(ctx context.Context, o *order) (bool, error) {
+	isSettled, err := s.queryOutcome(ctx, o)
+	if isSettled || err != nil {
+		return isSettled, err
+	}
+	checked, err := s.repair(ctx, o.version)
+	if checked.repaired > 0 {
+		o.repaired = &checked
+	}
+	if err != nil {
+		return false, err
+	}
+	if o.repaired != nil {
+		// Without this report it would not be known whether the engine accepted the order
+		// before or after the repair.
+		if isSettled, err := s.queryOutcome(ctx, o); isSettled || err != nil {
+			return isSettled, err
+		}
+		o.repaired = nil
+	}
+	o.checked = checked
+	begun, err := s.sendOrder(ctx, o)
+	if err == nil && !begun {
+		return false, alreadyLoaded.New("an earlier order was accepted")
+	}
+	// If the retry is declined because of its number, the first order was accepted, and
+	// the next report shows it. If it is declined because of the engine's state, an
+	// earlier one may still be accepted.
+	isDeclined := errorx.IsOfType(err, Declined) && !o.before.Orders.Reported
+	return err == nil || isDeclined, err
+}
+
+// queryOutcome reads the outcome of an order from the engine's report.
+func (s *stage) queryOutcome(ctx context.Context, o *order) (bool, error) {
 	current, err := s.report(ctx)
 	if err != nil {
 		return false, err
@@ -116,15 +235,51 @@
 	case loading.Lost:
 		return true, failure.Unavailable.New("the engine's process was replaced before it accepted the order")
 	}
-	checked, err := s.repair(ctx, o.version)
+	return false, nil
+}
+
+// verify reads the stage back after the engine has accepted an order, and returns the load
+// if its chunks were intact then.
+//
+// Chunks do not become intact by themselves, and nothing is staged between the order and
+// this check, so chunks that are intact now were intact when the order was accepted. A chunk
+// that is corrupt now and was intact shortly before the acceptance does not reject the load.
+func (s *stage) verify(ctx context.Context, o *order) (loading.Load, error) {
+	load := o.before.After(o.version.number)
+	checkAge := o.checked.age()
+	isRecent := checkAge <= maxCheckAge
+	damage, err := s.awaitDamage(ctx, o.version)
 	if err != nil {
-		return false, err
+		return load, loadRejected.Wrap(err, "stage not read after the order for version %d", o.version.number)
+	}
+	s.logger.Info("order_accepted", zap.Uint64("version", o.version.number), zap.Uint64("orders_before", o.before.Orders.Count),
+		zap.Duration("check_age", checkAge), zap.Int("corrupt_after", damage.chunks), zap.Bool("repaired_meanwhile", o.repaired != nil))
+	switch {
+	case damage.isOtherVersion:
+		return load, loadRejected.New("chunks of another version were staged before version %d was loaded", o.version.number)
+	case isRecent:
+		return load, nil
+	case o.repaired != nil:
+		return load, loadRejected.New("%d chunks were repaired before or after version %d was loaded", o.repaired.repaired, o.version.number)
+	case damage.chunks > 0:
+		return load, loadRejected.New("%d chunks of version %d were corrupt after it was loaded, %v after the last check", damage.chunks, o.version.number, checkAge)
+	default:
+		return load, nil
+	}
+}
+
+// awaitDamage reads the whole stage until the engine has returned every chunk.
+func (s *stage) awaitDamage(ctx context.Context, v *stagedVersion) (damage, error) {
+	for {
+		d, err := s.damageOf(ctx, v)
+		if err == nil {
+			return d, nil
+		}
+		s.logger.Warn("stage_not_read", zap.Uint64("version", v.number), zap.Error(err))
+		select {
+		case <-ctx.Done():
+			return d, err
+		case <-time.After(settleRetryDelay):
+		}
 	}
-	o.checked = checked
-	err = s.sendOrder(ctx, *o)
-	// If the retry is declined because of its number, the first order was accepted, and
-	// the next report shows it. If it is declined because of the engine's state, an
-	// earlier one may still be accepted.
-	isDeclined := errorx.IsOfType(err, Declined) && !o.before.Orders.Reported
-	return err == nil || isDeclined, err
 }
--- a/daemon/loader/order_test.go
+++ b/daemon/loader/order_test.go
@@ -72,19 +72,19 @@
 
 	It("is accepted according to a report with one more order", func() {
 		e.onReport = onNth(&reportsRead, 2, e.acceptPendingOrders)
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		expectLoaded()
 		Expect(ordersSent).To(Equal(1))
 	})
 
 	It("is accepted if the engine accepts it just before its retry", func() {
 		e.onLoad = onNth(&ordersSent, 2, e.acceptPendingOrders)
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		expectLoaded()
 	})
 
 	It("is replaced by an accepted retry, and not accepted after it", func() {
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		e.acceptPendingOrders()
 		expectLoaded()
 	})
@@ -94,13 +94,13 @@
 	It("remains unknown if a retry is declined for another reason than its number", func() {
 		e.onLoad = onNth(&ordersSent, 2, func() { e.declines = true })
 		e.onReport = onNth(&reportsRead, 3, e.acceptPendingOrders)
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		expectLoaded()
 	})
 
 	It("is retried with a repaired stage", func() {
 		e.onReport = onNth(&reportsRead, 2, func() { e.staged[1][0] ^= 1 })
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		expectLoaded()
 	})
 
@@ -111,7 +111,7 @@
 		func(replace func()) {
 			e.orders = 3
 			e.onReport = onNth(&reportsRead, 2, replace)
-			err := s.load(ctx, supply, 2)
+			err := load(ctx, s, supply, 2)
 			Expect(err).To(MatchError(ContainSubstring("replaced")))
 			Expect(errorx.IsOfType(err, Declined)).To(BeFalse(), "the new process has not declined the order")
 			Expect(ordersSent).To(Equal(1))
@@ -124,7 +124,7 @@
 	It("ends with the agent if the engine never responds", func() {
 		e.dropResponses = 100
 		e.onReport = onNth(&reportsRead, 3, cancel)
-		Expect(s.load(ctx, supply, 2)).NotTo(Succeed())
+		Expect(load(ctx, s, supply, 2)).NotTo(Succeed())
 		Expect(isStageLocked()).To(BeFalse(), "the stage is unlocked")
 	})
 
@@ -133,25 +133,25 @@
 
 		It("is accepted according to a report of the version", func() {
 			e.onReport = onNth(&reportsRead, 2, e.acceptPendingOrders)
-			Expect(s.load(ctx, supply, 2)).To(Succeed())
+			Expect(load(ctx, s, supply, 2)).To(Succeed())
 			expectLoaded()
 			Expect(ordersSent).To(Equal(1))
 		})
 
 		It("is accepted according to a report that the engine is busy", func() {
 			e.onReport = onNth(&reportsRead, 2, func() { e.state.Busy = true })
-			Expect(s.load(ctx, supply, 2)).To(Succeed())
+			Expect(load(ctx, s, supply, 2)).To(Succeed())
 			Expect(ordersSent).To(Equal(1))
 		})
 
 		It("is replaced by an accepted retry", func() {
-			Expect(s.load(ctx, supply, 2)).To(Succeed())
+			Expect(load(ctx, s, supply, 2)).To(Succeed())
 			expectLoaded()
 		})
 
 		It("is settled by a declined retry", func() {
 			e.onLoad = onNth(&ordersSent, 2, func() { e.declines = true })
-			Expect(errorx.IsOfType(s.load(ctx, supply, 2), Declined)).To(BeTrue())
+			Expect(errorx.IsOfType(load(ctx, s, supply, 2), Declined)).To(BeTrue())
 			Expect(ordersSent).To(Equal(2))
 		})
 	})
@@ -161,7 +161,7 @@
 	It("is not retried if it was declined", func() {
 		e.dropResponses = 0
 		e.onLoad = func() { ordersSent++; e.orders++ } // the order of another process
-		Expect(errorx.IsOfType(s.load(ctx, supply, 2), Declined)).To(BeTrue())
+		Expect(errorx.IsOfType(load(ctx, s, supply, 2), Declined)).To(BeTrue())
 		Expect(ordersSent).To(Equal(1))
 		Expect(e.loaded).To(BeNil())
 		Expect(isStageLocked()).To(BeFalse(), "the stage is unlocked")
--- a/daemon/loader/outdated_test.go
+++ b/daemon/loader/outdated_test.go
@@ -37,6 +37,7 @@
 	// lastReport is preset so that nothing is sent: there is no mesh here.
 	report := func(after time.Duration, e loading.Engine) {
 		l.lastReport.Loaded = e.Loaded
+		l.verification.Set(e.Load(), loading.Verified)
 		l.handleReport(start.Add(after), e, nil)
 	}
 
--- a/daemon/loader/ports.go
+++ b/daemon/loader/ports.go
@@ -12,6 +12,16 @@
 // Declined is the error of an order that the engine refused. The load has not started.
 var Declined = failure.Namespace.NewType("order_declined", failure.Temporary)
 
+// LoadOrder is an order to load a staged version.
+type LoadOrder struct {
+	Model   string
+	Version uint64
+	Layers  loading.Layers
+	// After is the number of orders that the engine must have accepted, otherwise it
+	// declines.
+	After loading.Orders
+}
+
 // Engine is the model engine on the same instance.
 type Engine interface {
 	Report(ctx context.Context) (loading.Engine, error)
@@ -21,11 +31,11 @@
 	Put(ctx context.Context, model string, number int, data []byte) error
 	// Get returns a staged chunk, which may have become corrupt in the stage.
 	Get(ctx context.Context, model string, number int) ([]byte, error)
-	// Load orders the engine to load the staged version, once its running calls have
-	// ended, unless it has accepted another order since after was reported. It fails
-	// with Declined if the engine refuses. After any other error the engine may still
-	// accept the order at any time.
-	Load(ctx context.Context, model string, version uint64, after loading.Orders) error
+	// Load orders the engine to load staged weights, once its running calls have ended. It
+	// returns false if the engine has loaded them already and does nothing. It fails with
+	// Declined if the engine refuses. After any other error the engine may still accept the
+	// order at any time.
+	Load(ctx context.Context, order LoadOrder) (begun bool, err error)
 }
 
 // Origin serves complete copies of a model's weights.
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/bootclock"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
@@ -45,6 +48,9 @@
 	// the engine has one location for each chunk number and would load chunks of both
 	// versions.
 	writeMu sync.Mutex
+	// isSettled is false while the engine may still read messages that nobody waits for: of
+	// a previous process of the agent, or chunks without a response. writeMu guards it.
+	isSettled bool
 }
 
 // stagedVersion is one version with its verified chunks.
@@ -59,7 +65,7 @@
 }
 
 func newStage(engine Engine, origin Origin, logger *zap.Logger) *stage {
-	return &stage{engine: engine, origin: origin, logger: logger}
+	return &stage{engine: engine, origin: origin, logger: logger, isSettled: true}
 }
 
 // readManifest reads the manifest of a version from the origin, 0 for the newest, and
@@ -231,6 +237,9 @@
 	s.setChunk(v, index, data)
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
+	if err := s.settle(ctx); err != nil {
+		return err
+	}
 	return s.write(ctx, v, index, data)
 }
 
@@ -247,7 +256,11 @@
 	defer slow.Stop()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
-	return s.engine.Put(ctx, v.supply.Model, index, data)
+	err := s.engine.Put(ctx, v.supply.Model, index, data)
+	if err != nil {
+		s.isSettled = false
+	}
+	return err
 }
 
 // Get implements weights.Stage.
@@ -302,8 +315,8 @@
 
 // check is one pass over the whole stage of a version.
 type check struct {
-	startedAt time.Time
-	repaired  int // chunks that were missing or corrupt and have been staged again
+	age      func() time.Duration // since the start of the check
+	repaired int                  // chunks that were missing or corrupt and have been staged again
 }
 
 // repair reads every chunk of a version back from the engine's stage and stages the
@@ -311,7 +324,7 @@
 func (s *stage) repair(ctx context.Context, v *stagedVersion) (check, error) {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
-	c := check{startedAt: time.Now()}
+	c := check{age: bootclock.Start()}
 	for _, chunk := range v.manifest.Chunks {
 		data, err := s.engine.Get(ctx, v.supply.Model, chunk.Index)
 		if err == nil && chunk.Verify(data) == nil {
@@ -328,10 +341,45 @@
 		}
 	}
 	s.logger.Info("stage_checked", zap.Uint64("version", v.number), zap.Int("chunks", len(v.manifest.Chunks)),
-		zap.Int("repaired", c.repaired), zap.Duration("took", time.Since(c.startedAt)))
+		zap.Int("repaired", c.repaired), zap.Duration("took", c.age()))
 	return c, nil
 }
 
+// damage is what is wrong with the staged chunks of a version.
+type damage struct {
+	chunks         int  // missing, corrupt or of another version
+	isOtherVersion bool // a chunk of another version is among them
+}
+
+// damageOf reads every chunk of a version back from the engine's stage.
+func (s *stage) damageOf(ctx context.Context, v *stagedVersion) (damage, error) {
+	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
+	defer cancel()
+	var d damage
+	for _, chunk := range v.manifest.Chunks {
+		data, err := s.engine.Get(ctx, v.supply.Model, chunk.Index)
+		if err != nil && !errorx.IsOfType(err, failure.NotFound) {
+			return d, err
+		}
+		if err == nil && chunk.Verify(data) == nil {
+			continue
+		}
+		d.chunks++
+		d.isOtherVersion = d.isOtherVersion || err == nil && s.isOfOtherVersion(v, chunk.Index, data)
+	}
+	return d, nil
+}
+
+// isOfOtherVersion reports whether data is a chunk of another known version of the model.
+func (s *stage) isOfOtherVersion(v *stagedVersion, index int, data []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.versions, func(other *stagedVersion) bool {
+		return other != v && other.supply.Model == v.supply.Model && index < len(other.manifest.Chunks) &&
+			other.manifest.Chunks[index].Verify(data) == nil
+	})
+}
+
 func (s *stage) versionByNumber(number uint64) (*stagedVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/daemon/loader/stage_test.go
+++ b/daemon/loader/stage_test.go
@@ -35,7 +35,7 @@
 	version       uint64         // version of the last accepted order
 	orders        uint64         // number of accepted orders
 	dropResponses int            // number of orders whose response is lost
-	pendingOrders []pendingOrder // orders without a response that are not yet accepted
+	pendingOrders []LoadOrder    // orders without a response that are not yet accepted
 	onReport      func()
 
 	onPut         func()
@@ -43,11 +43,6 @@
 	pendingWrites []func()                  // chunks whose write was abandoned, until they are written
 }
 
-type pendingOrder struct {
-	version uint64
-	after   loading.Orders
-}
-
 func (e *engine) Report(context.Context) (loading.Engine, error) {
 	if e.onReport != nil {
 		e.onReport()
@@ -110,29 +105,29 @@
 	return append([]byte(nil), data...), nil
 }
 
-func (e *engine) Load(_ context.Context, _ string, version uint64, after loading.Orders) error {
+func (e *engine) Load(_ context.Context, order LoadOrder) (bool, error) {
 	if e.onLoad != nil {
 		e.onLoad()
 	}
 	if e.declines {
-		return Declined.New("busy")
+		return false, Declined.New("busy")
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dropResponses > 0 {
 		e.dropResponses--
-		e.pendingOrders = append(e.pendingOrders, pendingOrder{version, after})
-		return failure.Unavailable.New("no response in time")
+		e.pendingOrders = append(e.pendingOrders, order)
+		return false, failure.Unavailable.New("no response in time")
 	}
-	return e.accept(version, after)
+	return true, e.accept(order)
 }
 
-func (e *engine) accept(version uint64, after loading.Orders) error {
-	if after.Reported && after.Count != e.orders {
-		return Declined.New("accepted %d orders, want %d", e.orders, after.Count)
+func (e *engine) accept(order LoadOrder) error {
+	if order.After.Reported && order.After.Count != e.orders {
+		return Declined.New("accepted %d orders, want %d", e.orders, order.After.Count)
 	}
 	e.orders++
-	e.version = version
+	e.version = order.Version
 	e.loaded = nil
 	for number := range chunkCount {
 		e.loaded = append(e.loaded, e.staged[number])
@@ -145,11 +140,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, o := range e.pendingOrders {
-		_ = e.accept(o.version, o.after) // no one receives the response
+		_ = e.accept(o) // no one receives the response
 	}
 	e.pendingOrders = nil
 }
 
+func load(ctx context.Context, s *stage, supply wire.Supply, version uint64) error {
+	_, err := s.load(ctx, supply, version, false)
+	return err
+}
+
 // origin serves manifests; every corruptEvery-th one is corrupt.
 type origin struct {
 	corruptEvery int
@@ -228,7 +228,7 @@
 		stageAll(2, resolve(2))
 		e.staged[1][0] ^= 1
 		delete(e.staged, 3)
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		Expect(e.loaded).To(Equal(wantChunks(2)))
 	})
 
@@ -247,7 +247,7 @@
 			<-began
 			Consistently(put, 30*time.Millisecond).ShouldNot(Receive())
 		}
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		Expect(e.loaded).To(Equal(wantChunks(2)))
 		Eventually(put).Should(Receive(BeNil()))
 	})
@@ -264,7 +264,7 @@
 			e.onLoad = nil
 			go func() { put <- s.Put(ctx, third.Manifest, 1, chunk(3, 1)) }()
 		}
-		err := s.load(ctx, supply, 2)
+		err := load(ctx, s, supply, 2)
 		Eventually(put).Should(Receive(BeNil()))
 		e.acceptPendingOrders()
 		Expect(e.loaded).To(Equal(wantChunks(2)))
@@ -277,9 +277,9 @@
 		second, third := resolve(2), resolve(3)
 		stageAll(2, second)
 		e.dropResponses = 1
-		before := s.load(ctx, supply, 2)
+		before := load(ctx, s, supply, 2)
 		stageAll(3, third)
-		Expect(s.load(ctx, supply, 3)).To(Succeed())
+		Expect(load(ctx, s, supply, 3)).To(Succeed())
 		e.acceptPendingOrders()
 		Expect(e.version).To(Equal(uint64(3)))
 		Expect(e.loaded).To(Equal(wantChunks(3)))
@@ -298,7 +298,7 @@
 		_ = s.Put(fetchCtx, second.Manifest, 1, chunk(2, 1)) // its fetch has ended
 		e.onPut = nil
 		e.onLoad = e.applyPendingWrites
-		Expect(s.load(ctx, supply, 3)).To(Succeed())
+		Expect(load(ctx, s, supply, 3)).To(Succeed())
 		Expect(e.loaded).To(Equal(wantChunks(3)))
 	})
 
@@ -323,11 +323,11 @@
 		repairCtx, end := context.WithCancel(ctx)
 		defer end()
 		e.onPut = end
-		_ = s.load(repairCtx, supply, 2) // its time has ended
+		_ = load(repairCtx, s, supply, 2) // its time has ended
 		e.onPut = nil
 		stageAll(3, third)
 		e.onLoad = e.applyPendingWrites
-		Expect(s.load(ctx, supply, 3)).To(Succeed())
+		Expect(load(ctx, s, supply, 3)).To(Succeed())
 		Expect(e.loaded).To(Equal(wantChunks(3)))
 	})
 
@@ -335,14 +335,14 @@
 		second, third := resolve(2), resolve(3)
 		stageAll(2, second)
 		stageAll(3, third)
-		Expect(s.load(ctx, supply, 2)).To(Succeed())
+		Expect(load(ctx, s, supply, 2)).To(Succeed())
 		Expect(e.loaded).To(Equal(wantChunks(2)))
 	})
 
 	It("does not order an incomplete version", func() {
 		named := resolve(2)
 		Expect(s.Put(ctx, named.Manifest, 0, chunk(2, 0))).To(Succeed())
-		Expect(s.load(ctx, supply, 2)).NotTo(Succeed())
+		Expect(load(ctx, s, supply, 2)).NotTo(Succeed())
 		Expect(e.loaded).To(BeNil())
 	})
 
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -57,6 +57,8 @@
 			zap.Uint64("orders", e.Orders.Count))
 	}
 	l.engine = e
+	l.updateStanding()
+	e = l.engine
 	l.updateLeaving()
 	l.logOutdated(now, e)
 	if l.plan.IsReloading(e) || e.Busy {
@@ -177,25 +179,33 @@
 	l.ordering = true
 	version := l.plan.Target(now, l.engine, l.timeUntilStaged(now))
 	supply := *l.supply
+	reload := l.engine.Loaded == version
 	l.plan.MarkOrdered(now, version)
 	l.reportChanges(now)
 	go func() {
-		err := l.stage.load(l.ctx, supply, version)
-		l.post(func(now time.Time) { l.handleOrderResult(now, version, err) })
+		load, err := l.stage.load(l.ctx, supply, version, reload)
+		l.post(func(now time.Time) { l.handleOrderResult(now, version, load, err) })
 	}()
 }
 
-func (l *Loader) handleOrderResult(now time.Time, version uint64, err error) {
+func (l *Loader) handleOrderResult(now time.Time, version uint64, load loading.Load, err error) {
 	l.ordering = false
 	l.nextReport = now
-	if err == nil {
+	switch {
+	case err == nil:
+		l.verification.Set(load, loading.Verified)
 		l.plan.MarkAccepted(now)
 		l.opts.Logger.Info("load_ordered", zap.Uint64("version", version), zap.Uint64("loaded", l.engine.Loaded))
-		return
-	}
-	l.opts.Logger.Warn("load_not_ordered", zap.Uint64("version", version), zap.Error(err))
-	if errorx.IsOfType(err, Declined) || errorx.IsOfType(err, orderNotSent) {
+	case errorx.IsOfType(err, loadRejected), errorx.IsOfType(err, alreadyLoaded):
+		l.reject(load, err)
 		l.plan.MarkDeclined(now)
-		l.reportChanges(now)
+	case errorx.IsOfType(err, Declined), errorx.IsOfType(err, orderNotSent):
+		l.opts.Logger.Warn("load_not_ordered", zap.Uint64("version", version), zap.Error(err))
+		l.plan.MarkDeclined(now)
+	default:
+		l.opts.Logger.Warn("load_not_ordered", zap.Uint64("version", version), zap.Error(err))
+		return
 	}
+	l.updateMustReload()
+	l.reportChanges(now)
 }
