Use a registration only for a load that an agent reported as ready

Callers got tokens of a load that no agent had verified: 2 s after the agent of an engine fell silent, entries used whatever version the platform listed.

A report expired with all that it said. After that the registration was believed, even if the last report had been that the engine was reloading, or of another version. Engines list a version as soon as it is loaded, so the X-Expect-Version of the calls fitted.

Entries now keep the last load that was reported as ready, and whether another was reported since. Once the report has expired, the registration counts only if it names that load; otherwise the engine counts as reloading until an agent reports it. The other fields of expired reports are not used. The load is dropped once no server is listed or reported at the address, is not used for a registration of a later start, and outlives a pause of the entry. Engines that no agent has reported, or whose agent has never reached them, are used as before.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -90,6 +90,7 @@
 	table         *routing.Table
 	names         map[string]loading.NamedVersions // by model
 	replicas      map[netip.Addr]replica
+	loads         map[netip.Addr]engineLoad
 	readyAt       map[netip.Addr]time.Time // when engines are expected to be ready
 	started       time.Time
 	knewAllAgents bool // knowsAllAgents at the last update of the servers
@@ -229,6 +230,7 @@
 		answerer:          addressing.New(addressing.Options{Rand: chance.Shared{}, MaxSilence: maxListedSilence(opts.SoundTime)}),
 		names:             make(map[string]loading.NamedVersions),
 		replicas:          make(map[netip.Addr]replica),
+		loads:             make(map[netip.Addr]engineLoad),
 		readyAt:           make(map[netip.Addr]time.Time),
 		started:           now,
 		listDelay:         rand.N(maxListDelay),
--- /dev/null
+++ b/daemon/gateway/loads.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"maps"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/catalog"
+	"chivespindle.example/core/placement"
+	"chivespindle.example/daemon/wire"
+)
+
+// engineLoad is what agents have reported about the load of an engine. It outlives the
+// reports: the platform lists a version as soon as the engine has loaded it, whether or not
+// the agent has found the load to be complete.
+type engineLoad struct {
+	last wire.Replica
+	// ready is the last report of the engine as ready, zero if there was none. isReplaced is
+	// true if a later report was of another load.
+	ready      wire.Replica
+	isReplaced bool
+	// isDoubtLogged is true if the registration has been logged as unverified since the
+	// last report.
+	isDoubtLogged bool
+}
+
+// add returns the load after another report.
+func (l engineLoad) add(r wire.Replica) engineLoad {
+	if r.Incarnation == l.last.Incarnation && r.Seq < l.last.Seq {
+		return l // arrived late, through another entry
+	}
+	born := l.last.Born
+	l.last, l.isDoubtLogged = r, false
+	switch {
+	case r.Loaded != 0 && !r.Reloading:
+		l.ready, l.isReplaced = r, false
+	case r.Loaded == 0 && r.Unreachable: // the agent has not read the engine's state yet
+		l.last.Born = born
+	case !isSameLoad(r, l.ready):
+		l.isReplaced = true
+	}
+	return l
+}
+
+func isSameLoad(a, b wire.Replica) bool { return a.Loaded == b.Loaded && a.Born == b.Born }
+
+// isReady reports whether an agent has reported the engine as ready with a version, and
+// with no other load since.
+func (l engineLoad) isReady(version uint64) bool {
+	return l.ready.Loaded != 0 && l.ready.Loaded == version && !l.isReplaced
+}
+
+// recordLoad stores what a report says about the load of an engine. An agent that has never
+// reached its engine knows nothing about it.
+func (g *Gateway) recordLoad(r wire.Replica) {
+	known, ok := g.loads[r.Addr]
+	if ok || r.Loaded != 0 || !r.Unreachable {
+		g.loads[r.Addr] = known.add(r)
+	}
+}
+
+// isUnverified reports whether the registration of an engine names a load that no agent has
+// reported as ready, although agents have reported the engine. Without a load it needs none.
+func (g *Gateway) isUnverified(s catalog.Server) bool {
+	addr := s.Addr.Addr()
+	load, ok := g.loads[addr]
+	if !ok || s.Loaded == 0 || predatesRegistration(load.last, s) || load.isReady(s.Loaded) {
+		return false
+	}
+	if !load.isDoubtLogged {
+		load.isDoubtLogged = true
+		g.loads[addr] = load
+		g.opts.Logger.Warn("registration_unverified", zap.String("server", string(s.ID)), zap.Uint64("registered", s.Loaded),
+			zap.Uint64("ready", load.ready.Loaded), zap.Uint64("loaded", load.last.Loaded), zap.Bool("changing", load.last.Reloading))
+	}
+	return true
+}
+
+// dropUnlistedLoads drops the loads of engines that are neither listed nor reported.
+func (g *Gateway) dropUnlistedLoads(list []placement.Server) {
+	isListed := make(map[netip.Addr]bool, len(list))
+	for _, s := range list {
+		isListed[s.Addr.Addr()] = true
+	}
+	maps.DeleteFunc(g.loads, func(addr netip.Addr, _ engineLoad) bool {
+		_, reported := g.replicas[addr]
+		return !reported && !isListed[addr]
+	})
+}
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -238,6 +238,7 @@
 		return
 	}
 	g.replicas[r.Addr] = replica{Replica: r, reportedAt: now, direct: direct || known.direct && r.IsSameReport(known.Replica)}
+	g.recordLoad(r)
 	if r.ReadyInMS > 0 {
 		g.readyAt[r.Addr] = now.Add(time.Duration(r.ReadyInMS) * time.Millisecond)
 	} else {
@@ -359,6 +360,7 @@
 			list = append(list, g.placementServer(now, lapsed, entries))
 		}
 	}
+	g.dropUnlistedLoads(list)
 	g.applyColdTimes(now, list)
 	g.detectReplaced(now, list)
 	g.balancer.SetServers(now, list)
@@ -391,7 +393,8 @@
 }
 
 // placementServer combines the registration of a server with its agent's report, which is
-// newer. Once a registration has proved wrong, the reports of all agents are awaited.
+// newer. Once a registration has proved wrong, the reports of all agents are awaited. After a
+// report has expired, the registration counts if it names the load that was reported as ready.
 func (g *Gateway) placementServer(now time.Time, s catalog.Server, entries int) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
@@ -409,7 +412,7 @@
 	r, reported := g.replicas[s.Addr.Addr()]
 	switch {
 	case !reported:
-		out.Reloading = g.suspectsRegistrations && !g.knowsAllAgents(now)
+		out.Reloading = g.suspectsRegistrations && !g.knowsAllAgents(now) || g.isUnverified(s)
 	case predatesRegistration(r.Replica, s):
 	case g.isSuperseded(now, r.Replica, s):
 		out.Reloading = true
