Send a restarted agent the load that its predecessor verified

An agent that restarts finds a load in its engine and cannot tell whether its predecessor verified it. If it takes the engine's word, callers get tokens of a load that nobody checked; if not, every restart of an agent takes an engine out of use.

The first heartbeat of an entry on a link with an agent now contains LastReady: the load that was last reported as ready, by which incarnation, whether the engine was reported with another load since, and which agent first reported another load to have begun. The entry does not know the receiver's incarnation when it sends this, so the receiver compares it with its own. Replica has the number of accepted orders, with a flag since earlier releases do not send it.

With that number, a second load of the same version shows: a registration of an engine that was ready before one is no longer used. Agents do not set the number and do not use LastReady yet.

--- a/daemon/gateway/loads.go
+++ b/daemon/gateway/loads.go
@@ -20,6 +20,9 @@
 	// true if a later report was of another load.
 	ready      wire.Replica
 	isReplaced bool
+	// reloadingBy is the incarnation of the first agent that has reported since that the
+	// engine is reloading, 0 if none has.
+	reloadingBy uint64
 	// isDoubtLogged is true if the registration has been logged as unverified since the
 	// last report.
 	isDoubtLogged bool
@@ -34,23 +37,38 @@
 	l.last, l.isDoubtLogged = r, false
 	switch {
 	case r.Loaded != 0 && !r.Reloading:
-		l.ready, l.isReplaced = r, false
+		l.ready, l.isReplaced, l.reloadingBy = r, false, 0
 	case r.Loaded == 0 && r.Unreachable: // the agent has not read the engine's state yet
 		l.last.Born = born
-	case !isSameLoad(r, l.ready):
+	case l.ready.Loaded != 0 && !r.HasSameLoad(l.ready):
 		l.isReplaced = true
 	}
+	if r.Reloading && l.reloadingBy == 0 {
+		l.reloadingBy = r.Incarnation
+	}
 	return l
 }
 
-func isSameLoad(a, b wire.Replica) bool { return a.Loaded == b.Loaded && a.Born == b.Born }
-
 // isReady reports whether an agent has reported the engine as ready with a version, and
 // with no other load since.
 func (l engineLoad) isReady(version uint64) bool {
 	return l.ready.Loaded != 0 && l.ready.Loaded == version && !l.isReplaced
 }
 
+// lastReady returns what an agent that has replaced another needs to know of its engine's
+// load, nil if nothing is known.
+func (g *Gateway) lastReady(addr netip.Addr) *wire.LastReady {
+	load := g.loads[addr]
+	if load.ready.Loaded == 0 && load.reloadingBy == 0 {
+		return nil
+	}
+	return &wire.LastReady{
+		Incarnation: load.ready.Incarnation, Loaded: load.ready.Loaded, Born: load.ready.Born,
+		Orders: load.ready.Orders, HasOrders: load.ready.HasOrders,
+		ReloadingBy: load.reloadingBy, IsReplaced: load.isReplaced,
+	}
+}
+
 // recordLoad stores what a report says about the load of an engine. An agent that has never
 // reached its engine knows nothing about it.
 func (g *Gateway) recordLoad(r wire.Replica) {
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -108,13 +108,17 @@
 	return all
 }
 
-// composeForAgent adds the source of the agent's weights and the members that load the
-// same ones. The list of members is sent only when it has changed.
+// composeForAgent adds the source of the agent's weights, the members that load the same ones
+// and what a predecessor of the agent reported. The list of members is sent only when it has
+// changed.
 func (g *Gateway) composeForAgent(b *wire.Heartbeat, to fleet.InstanceID, first bool) {
 	addr, err := netip.ParseAddr(string(to))
 	if err != nil {
 		return // no agent has such an id
 	}
+	if first {
+		b.LastReady = g.lastReady(addr)
+	}
 	plan, ok := supply.NewPlan(g.snapshot, g.opts.Regions, addr)
 	if !ok {
 		return
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -77,6 +77,9 @@
 	// earlier releases do not send it, and their OperatorAsOf says nothing of evacuations.
 	Evacuations     []catalog.Evacuation `cbor:"28,keyasint,omitempty"`
 	EvacuationsAsOf catalog.Revision     `cbor:"29,keyasint,omitzero"`
+	// LastReady is what agents have reported about the load of the receiver's engine. An
+	// entry sends it in its first heartbeat on a link with an agent, if it knows it.
+	LastReady *LastReady `cbor:"30,keyasint,omitempty"`
 }
 
 // PlatformState is the state of the platform as seen by an entry that reads it.
@@ -187,6 +190,37 @@
 	AgeMS int64 `cbor:"10,keyasint,omitzero"`
 	// Leaving is true if the engine states that it is shutting down.
 	Leaving bool `cbor:"11,keyasint,omitzero"`
+	// Orders is the number of orders that the engine's process had accepted when Loaded was
+	// read. HasOrders is false if the number is not known: the engine does not report it, or
+	// the agent is of an earlier release.
+	Orders    uint64 `cbor:"12,keyasint,omitzero"`
+	HasOrders bool   `cbor:"13,keyasint,omitzero"`
+}
+
+// LastReady is the load that a predecessor of an agent last reported as ready, and whether
+// another load has begun since. An agent that restarts cannot learn from the engine whether
+// the load that it finds was verified.
+//
+// The load is verified if the engine still reports the same Loaded, Born and Orders, and
+// IsReplaced is false. Without HasOrders, a second load of the same version by the same
+// process of the engine shows only in ReloadingBy.
+type LastReady struct {
+	// Incarnation is the one of the agent that reported the engine as ready. It is the
+	// receiver's own if only the link is new. All fields but ReloadingBy are zero if no
+	// agent has reported the engine as ready.
+	Incarnation uint64 `cbor:"1,keyasint,omitzero"`
+	// Loaded, Born, Orders and HasOrders are those of the report.
+	Loaded    uint64          `cbor:"2,keyasint,omitzero"`
+	Born      fleet.StartTime `cbor:"3,keyasint,omitzero"`
+	Orders    uint64          `cbor:"4,keyasint,omitzero"`
+	HasOrders bool            `cbor:"5,keyasint,omitzero"`
+	// ReloadingBy is the incarnation of the first agent that has reported since that the
+	// engine is reloading or about to, 0 if none has. If it is not the receiver's own, a
+	// predecessor may have sent an order that the engine has not read yet.
+	ReloadingBy uint64 `cbor:"6,keyasint,omitzero"`
+	// IsReplaced is true if the engine was reported since with another Loaded, Born or
+	// Orders.
+	IsReplaced bool `cbor:"7,keyasint,omitzero"`
 }
 
 // IsNewer reports whether r was reported after other, which was received some time
@@ -207,12 +241,20 @@
 	return r.Incarnation == other.Incarnation && r.Seq == other.Seq
 }
 
-// HasSameEngineState reports whether r and other contain the same state of the engine.
+// HasSameEngineState reports whether r and other contain the same state of the engine. The
+// number of orders is not part of it: calls are placed the same.
 func (r Replica) HasSameEngineState(other Replica) bool {
 	return r.Loaded == other.Loaded && r.Reloading == other.Reloading && r.Unreachable == other.Unreachable && r.SlowdownPercent == other.SlowdownPercent &&
 		r.Born == other.Born && r.Leaving == other.Leaving
 }
 
+// HasSameLoad reports whether the engine has loaded nothing between r and other, as far as
+// they show.
+func (r Replica) HasSameLoad(other Replica) bool {
+	isCounted := r.HasOrders && other.HasOrders
+	return r.Loaded == other.Loaded && r.Born == other.Born && (!isCounted || r.Orders == other.Orders)
+}
+
 // WithAge returns r, received some time ago, as it is forwarded.
 func (r Replica) WithAge(elapsed time.Duration) Replica {
 	r.AgeMS += elapsed.Milliseconds()
