Hold that a paused entry believes no registration of an unverified load

An entry that wakes from a pause drops all reports. Before reported loads were kept, it then believed the registrations of all engines until each agent reported again. The loads are kept through the pause; the spec failed without the check of registrations, and fails if the pause empties the loads.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -336,7 +336,8 @@
 
 // resumeAfterPause discards state that may have changed while the process was paused. The
 // age of that state does not show that it is outdated, since the clock may not have
-// counted the pause.
+// counted the pause. What agents reported of loads is kept: without it, all registrations
+// would be believed until the agents report again.
 func (g *Gateway) resumeAfterPause(now time.Time, gap time.Duration) {
 	g.opts.Logger.Warn("woke", zap.Duration("after", gap))
 	g.stale, g.resumedAt = true, now
--- a/daemon/gateway/loads_test.go
+++ b/daemon/gateway/loads_test.go
@@ -73,6 +73,16 @@
 		Expect(usedAt(at(2 * expired))).To(BeTrue())
 	})
 
+	// Guards against calls to a load that is not verified, before an agent has reported again
+	// to an entry that was paused.
+	It("is used after a pause of the entry only if it names the load that was ready last", func() {
+		report(wire.Replica{Loaded: 1}, wire.Replica{Loaded: 1, Reloading: true})
+		g.resumeAfterPause(start, 4*time.Second)
+		Expect(usedAt(start)).To(BeTrue())
+		register(start, 6, 2, 0)
+		Expect(usedAt(start)).To(BeFalse())
+	})
+
 	// Guards against calls to a load that is not verified, by a report that was forwarded late.
 	It("is not used because an earlier report arrives after the last one has expired", func() {
 		report(wire.Replica{Loaded: 1}, wire.Replica{Loaded: 2, Reloading: true})
