--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -90,6 +90,7 @@
 	table         *routing.Table
 	names         map[string]loading.NamedVersions // by model
 	replicas      map[netip.Addr]replica
+	loads         map[netip.Addr]engineLoad
 	readyAt       map[netip.Addr]time.Time // when engines are expected to be ready
 	started       time.Time
 	knewAllAgents bool // knowsAllAgents at the last update of the servers
@@ -229,6 +230,7 @@
 		answerer:          addressing.New(addressing.Options{Rand: chance.Shared{}, MaxSilence: maxListedSilence(opts.SoundTime)}),
 		names:             make(map[string]loading.NamedVersions),
 		replicas:          make(map[netip.Addr]replica),
+		loads:             make(map[netip.Addr]engineLoad),
 		readyAt:           make(map[netip.Addr]time.Time),
 		started:           now,
 		listDelay:         rand.N(maxListDelay),
@@ -334,7 +336,8 @@
 
 // resumeAfterPause discards state that may have changed while the process was paused. The
 // age of that state does not show that it is outdated, since the clock may not have
-// counted the pause.
+// counted the pause. What agents reported of loads is kept: without it, all registrations
+// would be believed until the agents report again.
 func (g *Gateway) resumeAfterPause(now time.Time, gap time.Duration) {
 	g.opts.Logger.Warn("woke", zap.Duration("after", gap))
 	g.stale, g.resumedAt = true, now
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -108,13 +108,17 @@
 	return all
 }
 
-// composeForAgent adds the source of the agent's weights and the members that load the
-// same ones. The list of members is sent only when it has changed.
+// composeForAgent adds the source of the agent's weights, the members that load the same ones
+// and what a predecessor of the agent reported. The list of members is sent only when it has
+// changed.
 func (g *Gateway) composeForAgent(b *wire.Heartbeat, to fleet.InstanceID, first bool) {
 	addr, err := netip.ParseAddr(string(to))
 	if err != nil {
 		return // no agent has such an id
 	}
+	if first {
+		b.LastReady = g.lastReady(addr)
+	}
 	plan, ok := supply.NewPlan(g.snapshot, g.opts.Regions, addr)
 	if !ok {
 		return
@@ -238,6 +242,7 @@
 		return
 	}
 	g.replicas[r.Addr] = replica{Replica: r, reportedAt: now, direct: direct || known.direct && r.IsSameReport(known.Replica)}
+	g.recordLoad(r)
 	if r.ReadyInMS > 0 {
 		g.readyAt[r.Addr] = now.Add(time.Duration(r.ReadyInMS) * time.Millisecond)
 	} else {
@@ -359,6 +364,7 @@
 			list = append(list, g.placementServer(now, lapsed, entries))
 		}
 	}
+	g.dropUnlistedLoads(list)
 	g.applyColdTimes(now, list)
 	g.detectReplaced(now, list)
 	g.balancer.SetServers(now, list)
@@ -391,7 +397,8 @@
 }
 
 // placementServer combines the registration of a server with its agent's report, which is
-// newer. Once a registration has proved wrong, the reports of all agents are awaited.
+// newer. Once a registration has proved wrong, the reports of all agents are awaited. After a
+// report has expired, the registration counts if it names the load that was reported as ready.
 func (g *Gateway) placementServer(now time.Time, s catalog.Server, entries int) placement.Server {
 	out := placement.Server{
 		ID: s.ID, Service: s.Service, Addr: s.Addr, Slots: s.Slots,
@@ -409,7 +416,7 @@
 	r, reported := g.replicas[s.Addr.Addr()]
 	switch {
 	case !reported:
-		out.Reloading = g.suspectsRegistrations && !g.knowsAllAgents(now)
+		out.Reloading = g.suspectsRegistrations && !g.knowsAllAgents(now) || g.isUnverified(s)
 	case predatesRegistration(r.Replica, s):
 	case g.isSuperseded(now, r.Replica, s):
 		out.Reloading = true
