Let a starting agent trust only what its predecessor reported as ready

An agent that starts trusted whatever the engine had loaded. Its predecessor may have died between the order and the verification, and a load takes less time than a restart of the agent, so the engine looked idle and sound.

Entries now report to a starting agent what its predecessor last reported as ready (wire.LastReady). Another load is rejected and loaded again. Until an entry has reported, for 0.7 s at most, the agent reports nothing about the engine and entries go by the predecessor's reports.

--- a/adapters/bootclock/bootclock.go
+++ b/adapters/bootclock/bootclock.go
@@ -18,10 +18,11 @@
 // Elapsed returns the time since the last call, including suspension; 0 at the
 // first call and if the clock cannot be read.
 func (w *Stopwatch) Elapsed() time.Duration {
-	current, ok := read()
-	if !ok {
+	var now unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &now) != nil {
 		return 0
 	}
+	current := time.Duration(now.Nano())
 	elapsed := current - w.last
 	if w.last == 0 {
 		elapsed = 0
@@ -29,25 +30,3 @@
 	w.last = current
 	return elapsed
 }
-
-// Start returns a function that returns the time since the call of Start, including
-// suspension. It is safe for concurrent use.
-func Start() func() time.Duration {
-	start, ok := read()
-	fallback := time.Now()
-	return func() time.Duration {
-		now, readable := read()
-		if !ok || !readable {
-			return time.Since(fallback)
-		}
-		return now - start
-	}
-}
-
-func read() (time.Duration, bool) {
-	var now unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &now) != nil {
-		return 0, false
-	}
-	return time.Duration(now.Nano()), true
-}
--- a/core/loading/verification.go
+++ b/core/loading/verification.go
@@ -49,9 +49,20 @@
 	v.load, v.standing = load, standing
 }
 
-// Of returns the standing of what the engine has loaded.
-func (v *Verification) Of(e Engine) Standing {
+// Reset forgets the last load unless it is what the engine has loaded. Without it, a load of
+// the engine's next process could be taken for one that was verified before.
+func (v *Verification) Reset(e Engine) {
 	if e.Load() != v.load {
+		*v = Verification{}
+	}
+}
+
+// Of returns the standing of what the engine has loaded.
+func (v *Verification) Of(e Engine) Standing { return v.OfLoad(e.Load()) }
+
+// OfLoad returns the standing of a load.
+func (v *Verification) OfLoad(load Load) Standing {
+	if load != v.load {
 		return Unverified
 	}
 	return v.standing
--- a/core/loading/verification_test.go
+++ b/core/loading/verification_test.go
@@ -25,6 +25,8 @@
 		other.Born = 8
 		Expect(v.Of(other)).To(Equal(loading.Unverified))
 		Expect(v.Supersedes(counted(1, 3))).To(BeTrue())
+		v.Reset(counted(0, 0))
+		Expect(v.Of(counted(2, 4))).To(Equal(loading.Unverified))
 	})
 
 	// Guards against an engine that stays out of service with incomplete weights of the
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -101,10 +101,17 @@
 	// isUnlisted is true if the members do not include this agent.
 	isUnlisted bool
 
-	engine          loading.Engine
-	verification    loading.Verification
-	isSettling      bool // the engine reads what the previous agent has sent to it
-	hasJudged       bool // the load that the engine had at the start has been judged
+	engine       loading.Engine
+	verification loading.Verification
+	isSettling   bool // the engine reads what the previous agent has sent to it
+	// found is what the engine's first report named, isLoadedAtStart whether the engine had
+	// completed that load. isFoundReady is true if the agent's predecessor has reported it as
+	// ready.
+	found                                   loading.Load
+	hasFound, isLoadedAtStart, isFoundReady bool
+	// lastReady is what entries have reported of the predecessor's load.
+	lastReady       []wire.LastReady
+	hasHeartbeat    bool // an entry has reported since the start
 	outdated        outdated
 	hasEngineReport bool // the engine's report was read since the start or the last pause
 	reportFailures  int
@@ -247,7 +254,7 @@
 	b := wire.Heartbeat{
 		ID: l.opts.Self, Role: fleet.RoleAgent, Incarnation: l.opts.Incarnation, Place: l.opts.Place,
 	}
-	if l.hasEngineReport || l.reportFailures >= maxReportFailures {
+	if l.hasEngineReport && !l.awaitsPredecessor(now) || l.reportFailures >= maxReportFailures {
 		b.Replicas = []wire.Replica{l.lastReport.WithAge(now.Sub(l.started))}
 	}
 	if l.ownManifest != nil && (form == mesh.First || !l.manifestSentTo[to.ID]) {
@@ -260,6 +267,7 @@
 // handleHeartbeat processes the heartbeat of an entry.
 func (l *Loader) handleHeartbeat(now time.Time, _ mesh.Peer, b wire.Heartbeat) {
 	l.lastHeartbeat = now
+	l.handleLastReady(now, b.LastReady)
 	if b.Supply != nil {
 		l.supply = b.Supply
 		if l.readingCatalog {
--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -22,9 +22,6 @@
 	// settleRetryDelay is the pause before an engine is queried again about an order
 	// whose outcome is unknown.
 	settleRetryDelay = 150 * time.Millisecond
-	// maxCheckAge is how long after the start of a check of the stage a load is vouched for
-	// by that check alone.
-	maxCheckAge = 2 * time.Second
 	// idlePollInterval is the pause between two reports while the engine loads a part of
 	// the layers.
 	idlePollInterval = 60 * time.Millisecond
@@ -42,12 +39,10 @@
 	version *stagedVersion
 	layers  loading.Layers
 	before  loading.Engine
-	// checked is the last check that found all chunks intact, or repaired them, while the
-	// order was certainly not accepted yet.
-	checked check
-	// repaired is a check that repaired chunks while the engine may have accepted the order;
-	// nil if there was none, or if a report after a later check showed that it had not.
-	repaired *check
+	checked check // the last one before the order was sent or repeated
+	// repaired is how many chunks were repaired while the engine may have accepted the order; 0
+	// once a later report has shown that it had not.
+	repaired int
 }
 
 // load orders the engine to load a version and returns the load once it is verified. With
@@ -78,11 +73,15 @@
 	return s.loadLayers(ctx, v, loading.Layers{})
 }
 
+// minReloadLayers is the smallest number of layers of which each can be replaced apart from
+// others.
+const minReloadLayers = 2
+
 // dropLayers makes the engine replace all layers that it has loaded. It ignores an order for
 // what it has loaded, but a range of layers replaces a range that it does not include. After
 // the two orders all layers but the first are loaded anew, and the first is not loaded.
 func (s *stage) dropLayers(ctx context.Context, v *stagedVersion, layers int) error {
-	if layers < 2 {
+	if layers < minReloadLayers {
 		return orderNotSent.New("version %d cannot be loaded again: the model has %d layers", v.number, layers)
 	}
 	for _, part := range []loading.Layers{{From: 0, Target: 1}, {From: 1, Target: layers}} {
@@ -124,30 +123,28 @@
 
 // loadLayers orders the engine to load layers of a version and verifies the load.
 func (s *stage) loadLayers(ctx context.Context, v *stagedVersion, layers loading.Layers) (loading.Load, error) {
-	before, err := s.report(ctx)
-	if err != nil {
-		return loading.Load{}, orderNotSent.Wrap(err, "report before the order")
-	}
 	checked, err := s.repair(ctx, v)
 	if err != nil {
 		return loading.Load{}, orderNotSent.Wrap(err, "check of the stage before the order")
 	}
-	if age := checked.age(); age > maxCheckAge {
-		return loading.Load{}, orderNotSent.New("the check of the stage began %v before the order", age)
+	// An order of another process that the engine has accepted during the check is in this
+	// report, so it is not mistaken for this order.
+	before, err := s.report(ctx)
+	if err != nil {
+		return loading.Load{}, orderNotSent.Wrap(err, "report before the order")
 	}
 	o := &order{version: v, layers: layers, before: before, checked: checked}
 	begun, err := s.sendOrder(ctx, o)
 	if err != nil && !errorx.IsOfType(err, Declined) {
 		begun, err = true, s.awaitOutcome(ctx, o, err)
 	}
-	switch {
-	case err != nil:
-		return loading.Load{}, err
-	case !begun:
-		return before.Load(), alreadyLoaded.New("the engine has loaded version %d already", v.number)
-	default:
-		return s.verify(ctx, o)
+	if err == nil && !begun {
+		err = alreadyLoaded.New("the engine has loaded version %d already", v.number)
+	}
+	if err != nil {
+		return before.Load(), err
 	}
+	return s.verify(ctx, o)
 }
 
 func (s *stage) report(ctx context.Context) (loading.Engine, error) {
@@ -197,24 +194,26 @@
 		return isSettled, err
 	}
 	checked, err := s.repair(ctx, o.version)
-	if checked.repaired > 0 {
-		o.repaired = &checked
-	}
+	o.repaired += checked.repaired
 	if err != nil {
 		return false, err
 	}
-	if o.repaired != nil {
+	if o.repaired > 0 {
 		// Without this report it would not be known whether the engine accepted the order
 		// before or after the repair.
 		if isSettled, err := s.queryOutcome(ctx, o); isSettled || err != nil {
 			return isSettled, err
 		}
-		o.repaired = nil
+		o.repaired = 0
 	}
 	o.checked = checked
 	begun, err := s.sendOrder(ctx, o)
 	if err == nil && !begun {
-		return false, alreadyLoaded.New("an earlier order was accepted")
+		isSettled, err := s.queryOutcome(ctx, o)
+		if isSettled || err != nil {
+			return isSettled, err
+		}
+		return true, alreadyLoaded.New("the engine had loaded version %d before the order", o.version.number)
 	}
 	// If the retry is declined because of its number, the first order was accepted, and
 	// the next report shows it. If it is declined because of the engine's state, an
@@ -242,43 +241,35 @@
 // if its chunks were intact then.
 //
 // Chunks do not become intact by themselves, and nothing is staged between the order and
-// this check, so chunks that are intact now were intact when the order was accepted. A chunk
-// that is corrupt now and was intact shortly before the acceptance does not reject the load.
+// this check, so chunks that are intact now were intact when the order was accepted.
 func (s *stage) verify(ctx context.Context, o *order) (loading.Load, error) {
 	load := o.before.After(o.version.number)
-	checkAge := o.checked.age()
-	isRecent := checkAge <= maxCheckAge
-	damage, err := s.awaitDamage(ctx, o.version)
+	checkAge := time.Since(o.checked.startedAt)
+	damaged, err := s.awaitDamaged(ctx, o.version)
 	if err != nil {
 		return load, loadRejected.Wrap(err, "stage not read after the order for version %d", o.version.number)
 	}
 	s.logger.Info("order_accepted", zap.Uint64("version", o.version.number), zap.Uint64("orders_before", o.before.Orders.Count),
-		zap.Duration("check_age", checkAge), zap.Int("corrupt_after", damage.chunks), zap.Bool("repaired_meanwhile", o.repaired != nil))
-	switch {
-	case damage.isOtherVersion:
-		return load, loadRejected.New("chunks of another version were staged before version %d was loaded", o.version.number)
-	case isRecent:
-		return load, nil
-	case o.repaired != nil:
-		return load, loadRejected.New("%d chunks were repaired before or after version %d was loaded", o.repaired.repaired, o.version.number)
-	case damage.chunks > 0:
-		return load, loadRejected.New("%d chunks of version %d were corrupt after it was loaded, %v after the last check", damage.chunks, o.version.number, checkAge)
-	default:
-		return load, nil
+		zap.Duration("check_age", checkAge), zap.Int("corrupt_after", damaged), zap.Int("repaired_meanwhile", o.repaired))
+	if damaged > 0 || o.repaired > 0 {
+		return load, loadRejected.New("of the chunks of version %d, %d were damaged after the order was accepted and %d were repaired meanwhile",
+			o.version.number, damaged, o.repaired)
 	}
+	return load, nil
 }
 
-// awaitDamage reads the whole stage until the engine has returned every chunk.
-func (s *stage) awaitDamage(ctx context.Context, v *stagedVersion) (damage, error) {
+// awaitDamaged reads the whole stage until the engine has returned every chunk, and returns
+// the number of damaged ones.
+func (s *stage) awaitDamaged(ctx context.Context, v *stagedVersion) (int, error) {
 	for {
-		d, err := s.damageOf(ctx, v)
+		damaged, err := s.countDamaged(ctx, v)
 		if err == nil {
-			return d, nil
+			return damaged, nil
 		}
 		s.logger.Warn("stage_not_read", zap.Uint64("version", v.number), zap.Error(err))
 		select {
 		case <-ctx.Done():
-			return d, err
+			return 0, err
 		case <-time.After(settleRetryDelay):
 		}
 	}
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"chivespindle.example/adapters/bootclock"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
@@ -315,8 +313,8 @@
 
 // check is one pass over the whole stage of a version.
 type check struct {
-	age      func() time.Duration // since the start of the check
-	repaired int                  // chunks that were missing or corrupt and have been staged again
+	startedAt time.Time
+	repaired  int // chunks that were missing or corrupt and have been staged again
 }
 
 // repair reads every chunk of a version back from the engine's stage and stages the
@@ -324,7 +322,7 @@
 func (s *stage) repair(ctx context.Context, v *stagedVersion) (check, error) {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
-	c := check{age: bootclock.Start()}
+	c := check{startedAt: time.Now()}
 	for _, chunk := range v.manifest.Chunks {
 		data, err := s.engine.Get(ctx, v.supply.Model, chunk.Index)
 		if err == nil && chunk.Verify(data) == nil {
@@ -341,43 +339,26 @@
 		}
 	}
 	s.logger.Info("stage_checked", zap.Uint64("version", v.number), zap.Int("chunks", len(v.manifest.Chunks)),
-		zap.Int("repaired", c.repaired), zap.Duration("took", c.age()))
+		zap.Int("repaired", c.repaired), zap.Duration("took", time.Since(c.startedAt)))
 	return c, nil
 }
 
-// damage is what is wrong with the staged chunks of a version.
-type damage struct {
-	chunks         int  // missing, corrupt or of another version
-	isOtherVersion bool // a chunk of another version is among them
-}
-
-// damageOf reads every chunk of a version back from the engine's stage.
-func (s *stage) damageOf(ctx context.Context, v *stagedVersion) (damage, error) {
+// countDamaged reads every chunk of a version back from the engine's stage and returns the
+// number of those that are missing, corrupt or of another version.
+func (s *stage) countDamaged(ctx context.Context, v *stagedVersion) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, repairTimeout)
 	defer cancel()
-	var d damage
+	damaged := 0
 	for _, chunk := range v.manifest.Chunks {
 		data, err := s.engine.Get(ctx, v.supply.Model, chunk.Index)
 		if err != nil && !errorx.IsOfType(err, failure.NotFound) {
-			return d, err
+			return damaged, err
 		}
-		if err == nil && chunk.Verify(data) == nil {
-			continue
+		if err != nil || chunk.Verify(data) != nil {
+			damaged++
 		}
-		d.chunks++
-		d.isOtherVersion = d.isOtherVersion || err == nil && s.isOfOtherVersion(v, chunk.Index, data)
 	}
-	return d, nil
-}
-
-// isOfOtherVersion reports whether data is a chunk of another known version of the model.
-func (s *stage) isOfOtherVersion(v *stagedVersion, index int, data []byte) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.versions, func(other *stagedVersion) bool {
-		return other != v && other.supply.Model == v.supply.Model && index < len(other.manifest.Chunks) &&
-			other.manifest.Chunks[index].Verify(data) == nil
-	})
+	return damaged, nil
 }
 
 func (s *stage) versionByNumber(number uint64) (*stagedVersion, error) {
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -73,6 +73,7 @@
 	state := l.lastReport
 	state.Loaded = l.engine.Loaded
 	state.Born = l.engine.Born
+	state.Orders, state.HasOrders = l.engine.Orders.Count, l.engine.Orders.Reported
 	state.Leaving = l.engine.Leaving
 	state.Reloading = l.plan.IsReloading(l.engine)
 	state.Unreachable = l.reportFailures >= maxReportFailures
@@ -146,7 +147,7 @@
 		l.readManifest(now)
 	}
 	l.startNewestFetch(now)
-	if !l.ordering && l.plan.Next(now, l.engine, l.timeUntilStaged(now)) == loading.Order {
+	if !l.ordering && l.canReload() && l.plan.Next(now, l.engine, l.timeUntilStaged(now)) == loading.Order {
 		l.orderLoad(now)
 	}
 }
@@ -180,6 +181,7 @@
 	version := l.plan.Target(now, l.engine, l.timeUntilStaged(now))
 	supply := *l.supply
 	reload := l.engine.Loaded == version
+	l.verification.Reset(l.engine)
 	l.plan.MarkOrdered(now, version)
 	l.reportChanges(now)
 	go func() {
@@ -196,6 +198,8 @@
 		l.verification.Set(load, loading.Verified)
 		l.plan.MarkAccepted(now)
 		l.opts.Logger.Info("load_ordered", zap.Uint64("version", version), zap.Uint64("loaded", l.engine.Loaded))
+	case errorx.IsOfType(err, alreadyLoaded) && l.verification.OfLoad(load) == loading.Verified:
+		l.plan.MarkAccepted(now) // the reports were outdated
 	case errorx.IsOfType(err, loadRejected), errorx.IsOfType(err, alreadyLoaded):
 		l.reject(load, err)
 		l.plan.MarkDeclined(now)
--- a/daemon/loader/verification.go
+++ b/daemon/loader/verification.go
@@ -1,20 +1,84 @@
 package loader
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"chivespindle.example/core/loading"
+	"chivespindle.example/daemon/wire"
 )
 
 // The engine is reported as ready only while its load is verified: entries send calls to
 // whatever is reported as ready.
 
+// predecessorWait is how long after its start an agent waits for an entry to report the load
+// that its predecessor has verified. Until then it reports nothing about the engine, and
+// entries use the predecessor's reports.
+const predecessorWait = 700 * time.Millisecond
+
+// awaitsPredecessor reports whether an entry may still report what the agent's predecessor
+// has verified.
+func (l *Loader) awaitsPredecessor(now time.Time) bool {
+	return !l.hasHeartbeat && now.Sub(l.started) < predecessorWait
+}
+
+// handleLastReady processes what an entry knows of the load that the agent's predecessor has
+// verified. An entry sends it in its first heartbeat.
+func (l *Loader) handleLastReady(now time.Time, last *wire.LastReady) {
+	switch {
+	case last == nil || l.isOwn(last):
+	default:
+		l.lastReady = append(l.lastReady, *last)
+		l.judgeFound(*last)
+	}
+	if !l.hasHeartbeat {
+		l.hasHeartbeat = true
+		l.mesh.Flush(now)
+	}
+}
+
+// isOwn reports whether only this process has reported what an entry knows of the load.
+func (l *Loader) isOwn(last *wire.LastReady) bool {
+	if last.Loaded == 0 {
+		return last.ReloadingBy == l.opts.Incarnation
+	}
+	return last.Incarnation == l.opts.Incarnation
+}
+
+// judgeFound confirms or rejects the load that the engine had at the agent's start: the
+// predecessor must have reported it as ready. An entry may not have received its last report,
+// so a confirmation prevails.
+func (l *Loader) judgeFound(last wire.LastReady) {
+	if !l.isLoadedAtStart || l.engine.Load() != l.found || l.ordering {
+		return
+	}
+	l.isFoundReady = l.isFoundReady || isReadyLoad(last, l.found)
+	switch standing := l.verification.Of(l.engine); {
+	case l.isFoundReady:
+		l.verification.Set(l.found, loading.Verified)
+	case standing == loading.Verified:
+		l.reject(l.found, loadRejected.New("the previous agent last reported version %d as ready", last.Loaded))
+	}
+	l.updateMustReload()
+}
+
+// isReadyLoad reports whether a load is the one that was last reported as ready.
+func isReadyLoad(last wire.LastReady, load loading.Load) bool {
+	isCounted := last.HasOrders && load.Orders.Reported
+	return last.Loaded == load.Version && last.Born == load.Born && !last.IsReplaced && (!isCounted || last.Orders == load.Orders.Count)
+}
+
 // updateStanding decides what is known of the load in a new report of the engine.
 func (l *Loader) updateStanding() {
-	isFirst := !l.hasJudged
-	l.hasJudged = true
-	if e := l.engine; e.Loaded != 0 && l.verification.Of(e) == loading.Unverified && l.isSettledLoad(e) {
-		l.judgeLoad(e, isFirst)
+	e := l.engine
+	if !l.hasFound {
+		l.hasFound = true
+		l.isLoadedAtStart = e.Loaded != 0 && !e.Busy
+		l.found = e.Load()
+	}
+	if e.Loaded != 0 && l.verification.Of(e) == loading.Unverified && l.isSettledLoad(e) {
+		l.judgeLoad(e)
 	}
 	l.updateMustReload()
 }
@@ -24,9 +88,10 @@
 }
 
 // isSettledLoad reports whether the engine's load is complete and is not the one that an
-// order of this process replaces.
+// order of this process replaces. Whether a range is all layers is known with the supply.
 func (l *Loader) isSettledLoad(e loading.Engine) bool {
-	return !l.ordering && !e.Busy && !l.plan.IsOrdered(e) && !l.verification.Supersedes(e)
+	areLayersKnown := l.supply != nil || e.Layers == loading.Layers{}
+	return !l.ordering && !e.Busy && areLayersKnown && !l.plan.IsOrdered(e) && !l.verification.Supersedes(e)
 }
 
 // judgeLoad sets the standing of a load that this process has not ordered.
@@ -34,17 +99,20 @@
 // Only what the engine has loaded when the agent starts is trusted: its predecessor has
 // verified it, unless it died in between. An order of the predecessor that the engine reads
 // later loads whatever is staged then.
-func (l *Loader) judgeLoad(e loading.Engine, isFirst bool) {
+func (l *Loader) judgeLoad(e loading.Engine) {
 	switch {
 	case l.isPartial(e):
 		l.reject(e.Load(), loadRejected.New("layers %d to %d of %d are loaded", e.Layers.From, e.Layers.Target, l.supply.Layers))
 	case e.Orders.Reported && e.Orders.Count == 0:
 		l.verification.Set(e.Load(), loading.Verified) // loaded by the engine itself
-	case !isFirst:
+	case !l.isLoadedAtStart || e.Load() != l.found:
 		l.reject(e.Load(), loadRejected.New("another process has ordered the load"))
 	default:
-		l.verification.Set(e.Load(), loading.Verified)
+		l.verification.Set(l.found, loading.Verified)
 		l.opts.Logger.Info("load_found", zap.Uint64("version", e.Loaded), zap.Uint64("orders", e.Orders.Count))
+		for _, last := range l.lastReady {
+			l.judgeFound(last)
+		}
 	}
 }
 
@@ -58,3 +126,9 @@
 	l.opts.Metrics.Counter("loads_rejected").Inc(1)
 	l.opts.Logger.Warn("load_rejected", zap.Uint64("version", load.Version), zap.Uint64("orders", load.Orders.Count), zap.Error(cause))
 }
+
+// canReload reports whether the engine can load the version again that it has loaded, if it
+// has to.
+func (l *Loader) canReload() bool {
+	return !l.engine.MustReload || l.engine.Loaded != l.plan.Wanted() || l.supply.Layers >= minReloadLayers
+}
--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -17,10 +17,6 @@
 	"chivespindle.example/daemon/wire"
 )
 
-func aged(age time.Duration, repaired int) check {
-	return check{age: func() time.Duration { return age }, repaired: repaired}
-}
-
 var _ = Describe("An accepted load", func() {
 	ctx := context.Background()
 	supply := wire.Supply{Model: "m"}
@@ -46,33 +42,50 @@
 	// Guards against a load that is reported as whole although a chunk was missing, corrupt or
 	// of another version when the engine accepted the order.
 	DescribeTable("is rejected unless its chunks were intact when it was accepted",
-		func(age time.Duration, repaired int, spoil func(), isVerified bool) {
+		func(repaired int, spoil func(), isVerified bool) {
 			v, err := s.versionByNumber(2)
 			Expect(err).NotTo(HaveOccurred())
-			o := &order{version: v, checked: aged(age, 0)}
-			if repaired > 0 {
-				meanwhile := aged(0, repaired)
-				o.repaired = &meanwhile
-			}
+			o := &order{version: v, repaired: repaired}
 			spoil()
 			load, err := s.verify(ctx, o)
 			Expect(load).To(Equal(o.before.After(2)))
 			Expect(errorx.IsOfType(err, loadRejected)).To(Equal(!isVerified))
 		},
-		Entry("intact, and the check is old", time.Minute, 0, func() {}, true),
-		Entry("corrupt, and the check is old", time.Minute, 0, func() { e.staged[1][0] ^= 1 }, false),
-		Entry("missing, and the check is old", time.Minute, 0, func() { delete(e.staged, 1) }, false),
-		Entry("repaired before or after the acceptance, and the check is old", time.Minute, 1, func() {}, false),
-		Entry("corrupt since the check, which is recent", time.Millisecond, 0, func() { e.staged[1][0] ^= 1 }, true),
-		Entry("of another version", time.Millisecond, 0, func() { e.staged[1] = chunk(3, 1) }, false),
+		Entry("intact", 0, func() {}, true),
+		Entry("corrupt", 0, func() { e.staged[1][0] ^= 1 }, false),
+		Entry("missing", 0, func() { delete(e.staged, 1) }, false),
+		Entry("of another version", 0, func() { e.staged[1] = chunk(3, 1) }, false),
+		Entry("repaired before or after the acceptance", 1, func() {}, false),
 	)
 
+	// Guards against a stage that is locked for good: the engine ignores an order without a
+	// response since it had loaded the version before.
+	It("is not waited for if the engine had loaded the version before", func() {
+		v, err := s.versionByNumber(2)
+		Expect(err).NotTo(HaveOccurred())
+		s.engine = loadedEngine{e}
+		settled, err := s.checkOutcome(ctx, &order{version: v, before: loading.Engine{Born: 1, Orders: loading.Orders{Reported: true}}})
+		Expect(settled).To(BeTrue())
+		Expect(errorx.IsOfType(err, alreadyLoaded)).To(BeTrue())
+	})
+
+	// Guards against an order of another process that is taken for this one's: it was accepted
+	// during the check before the order.
+	It("is not an order that another process has sent before", func() {
+		e.staged[1][0] ^= 1
+		e.onPut = func() { Expect(e.accept(LoadOrder{Version: 2})).To(Succeed()) }
+		e.dropResponses = 1
+		ordered, err := s.load(ctx, supply, 2, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ordered.Orders.Count).To(Equal(uint64(2)))
+	})
+
 	// Guards against a repair after the acceptance that hides a corrupt chunk from the
 	// verification.
 	It("is not vouched for by a repair that may have come too late", func() {
 		v, err := s.versionByNumber(2)
 		Expect(err).NotTo(HaveOccurred())
-		o := &order{version: v, before: loading.Engine{Born: 1, Orders: loading.Orders{Reported: true}}, checked: aged(time.Minute, 0)}
+		o := &order{version: v, before: loading.Engine{Born: 1, Orders: loading.Orders{Reported: true}}}
 		reports := 0
 		e.onReport = func() {
 			switch reports++; reports {
@@ -111,6 +124,11 @@
 	return failure.Timeout.New("no response")
 }
 
+// loadedEngine ignores orders.
+type loadedEngine struct{ *engine }
+
+func (loadedEngine) Load(context.Context, LoadOrder) (bool, error) { return false, nil }
+
 var _ = Describe("The engine's load at the agent's start", func() {
 	var l *Loader
 
@@ -146,6 +164,32 @@
 		Expect(report(1, 0, false)).To(BeFalse())
 	})
 
+	// Guards against an engine that is used with a load that the previous agent has ordered and
+	// not verified, and that has ended before this agent started.
+	DescribeTable("is used unless the previous agent last reported another one",
+		func(isReady bool, last ...wire.LastReady) {
+			for _, isEarly := range []bool{true, false} {
+				l.hasHeartbeat, l.hasFound, l.lastReady, l.isFoundReady = true, false, nil, false
+				l.verification = loading.Verification{}
+				if !isEarly {
+					report(2, 2, false)
+				}
+				for _, known := range last {
+					l.handleLastReady(time.Time{}, &known)
+				}
+				Expect(report(2, 2, false)).To(Equal(!isReady), "known before the first report: %v", isEarly)
+			}
+		},
+		Entry("the same", true, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 2, HasOrders: true}),
+		Entry("another version", false, wire.LastReady{Incarnation: 1, Loaded: 1, Orders: 1, HasOrders: true}),
+		Entry("an earlier load of the version", false, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 1, HasOrders: true}),
+		Entry("the same, replaced since", false, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 2, HasOrders: true, IsReplaced: true}),
+		Entry("none that was ready", false, wire.LastReady{ReloadingBy: 1}),
+		Entry("its own", true, wire.LastReady{Loaded: 1}, wire.LastReady{ReloadingBy: 0}),
+		Entry("another one, to an entry that missed the last report", true,
+			wire.LastReady{Incarnation: 1, Loaded: 1, Orders: 1, HasOrders: true}, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 2, HasOrders: true}),
+	)
+
 	It("is used once this process has ordered and verified it", func() {
 		Expect(report(1, 1, false)).To(BeFalse())
 		l.verification.Set(l.engine.After(2), loading.Verified)
