Refuse manifests with other chunks than the configuration

Engines loaded weights that lacked a chunk or mixed two versions. One way to that: the agent accepts a list of chunks that lacks the last ones, from the origin or through an entry. The check of the stage then passes while the chunks of the previous version are still staged under the missing numbers, and the engine loads them.

Cause: engine.chunks and engine.chunkBytes of the configuration were decoded and used nowhere.

They are now part of the engine's profile and of wire.Supply (keys 6 and 7; 0 is unknown, as from processes of the earlier release, and checks nothing).

With the check no manifest with missing numbers gets into the list that load and repair go through.

--- a/core/enginemodel/enginemodel.go
+++ b/core/enginemodel/enginemodel.go
@@ -42,6 +42,10 @@
 	LoadTime time.Duration
 	// Layers is the number of layers of a complete model.
 	Layers int
+	// Chunks and ChunkBytes are the number and the size of the chunks of a version;
+	// 0 if they are not known.
+	Chunks     int
+	ChunkBytes int
 }
 
 // Work is the known work at an engine.
--- a/daemon/gateway/follow_test.go
+++ b/daemon/gateway/follow_test.go
@@ -381,6 +381,8 @@
 		first := g.compose(start, anAgent, mesh.First)
 		Expect(first.Supply.Model).To(Equal("m"))
 		Expect(first.Supply.Layers).To(Equal(4))
+		Expect(first.Supply.Chunks).To(Equal(6))
+		Expect(first.Supply.ChunkBytes).To(Equal(4096))
 		Expect(first.Members).To(HaveLen(2))
 		Expect(g.compose(start, anAgent, mesh.Complete).Members).To(BeEmpty())
 		g.apply(start, []catalog.Change{{Revision: 9, Removed: "i-2"}}, 9)
--- a/daemon/gateway/rig_test.go
+++ b/daemon/gateway/rig_test.go
@@ -66,7 +66,7 @@
 		Routes: []routing.Route{{Name: "r", Host: "a.example", Prefix: "/",
 			Targets: []routing.Target{{Service: "pool", Weight: 1}}}},
 		Services: []routing.Service{
-			{Name: "pool", Model: "m", Engine: &enginemodel.Profile{Slots: 16, Layers: 4}},
+			{Name: "pool", Model: "m", Engine: &enginemodel.Profile{Slots: 16, Layers: 4, Chunks: 6, ChunkBytes: 4096}},
 			{Name: "weights", Origin: &routing.Origin{Addr: netip.MustParseAddrPort("10.9.0.1:80"), BytesPerSecond: 1000}},
 		},
 	}
--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -5,9 +5,11 @@
 
 	"go.uber.org/zap"
 
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/spread"
+	"chivespindle.example/core/weights"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -132,3 +134,18 @@
 	unseen := l.swarm.UnseenShare(g.fleetVersion.Manifest)
 	return l.plan.ShouldFinishFirst(now, g.version, unseen) && l.stage.isArriving(now, g, lastResponse)
 }
+
+// checkManifest checks a manifest against the number and the size of the chunks in the
+// configuration. A manifest that lacks the last chunks would let an engine load them
+// from the version that was staged before.
+func checkManifest(supply wire.Supply, m weights.Manifest) error {
+	if supply.Chunks != 0 && len(m.Chunks) != supply.Chunks {
+		return failure.Corrupt.New("the manifest lists %d chunks, want %d", len(m.Chunks), supply.Chunks)
+	}
+	for _, c := range m.Chunks {
+		if supply.ChunkBytes != 0 && c.Bytes != supply.ChunkBytes {
+			return failure.Corrupt.New("chunk %d of the manifest has %d bytes, want %d", c.Index, c.Bytes, supply.ChunkBytes)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/loader/manifest_test.go
@@ -0,0 +1,95 @@
+package loader
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/loading"
+	"chivespindle.example/core/weights"
+	"chivespindle.example/daemon/wire"
+)
+
+// chunkSize is the size of the chunks of versions below 10.
+var chunkSize = len(chunk(1, 0))
+
+// manifestOf returns the manifest of the first chunks of a version.
+func manifestOf(model string, version uint64, chunks int) weights.Manifest {
+	m := weights.Manifest{Model: model}
+	for number := range chunks {
+		data := chunk(version, number)
+		m.Chunks = append(m.Chunks, weights.Chunk{Index: number, Bytes: len(data), Digest: fleet.DigestOf(data)})
+	}
+	return m
+}
+
+func received(m weights.Manifest, version uint64) wire.Manifest {
+	raw, _, err := m.Encode()
+	Expect(err).NotTo(HaveOccurred())
+	return wire.Manifest{Model: "m", Version: version, Raw: raw}
+}
+
+// scriptedOrigin answers each read of a manifest as a function of the requested version
+// and of the number of earlier reads.
+type scriptedOrigin struct {
+	manifest func(version uint64, earlier int) (weights.Manifest, uint64)
+	requests int
+}
+
+func (o *scriptedOrigin) Manifest(_ context.Context, _ wire.Supply, version uint64) (weights.Manifest, uint64, error) {
+	o.requests++
+	m, number := o.manifest(version, o.requests-1)
+	return m, number, nil
+}
+
+func (*scriptedOrigin) Chunk(_ context.Context, _ wire.Supply, version uint64, number int) ([]byte, error) {
+	return chunk(version, number), nil
+}
+
+var _ = Describe("A manifest", func() {
+	ctx := context.Background()
+	supply := wire.Supply{Model: "m", Chunks: chunkCount, ChunkBytes: chunkSize}
+	var o *scriptedOrigin
+	var s *stage
+
+	BeforeEach(func() {
+		o = &scriptedOrigin{manifest: func(version uint64, _ int) (weights.Manifest, uint64) {
+			return manifestOf("m", version, chunkCount), version
+		}}
+		e := &engine{staged: make(map[int][]byte), state: loading.Engine{Born: 1, Orders: loading.Orders{Reported: true}}}
+		s = newStage(e, o, zap.NewNop())
+	})
+
+	// Guards against a load of mixed versions: the manifest lacks the last chunk, so the
+	// check of the stage passes while that of the previous version is staged there.
+	It("is refused if it lists another number of chunks than the configuration", func() {
+		o.manifest = func(version uint64, _ int) (weights.Manifest, uint64) {
+			return manifestOf("m", version, chunkCount-1), version
+		}
+		_, _, _, err := s.readManifest(ctx, supply, 2)
+		Expect(err).To(MatchError(ContainSubstring("3 chunks, want 4")))
+		_, err = s.addManifest(supply, received(manifestOf("m", 2, chunkCount-1), 2))
+		Expect(err).To(MatchError(ContainSubstring("3 chunks, want 4")))
+		Expect(s.versions).To(BeEmpty())
+	})
+
+	// Guards against chunks that are cut short or belong to another model.
+	It("is refused if its chunks have another size than the configuration", func() {
+		other := supply
+		other.ChunkBytes++
+		_, _, _, err := s.readManifest(ctx, other, 2)
+		Expect(err).To(MatchError(ContainSubstring("bytes, want")))
+		_, err = s.addManifest(other, received(manifestOf("m", 2, chunkCount), 2))
+		Expect(err).To(MatchError(ContainSubstring("bytes, want")))
+		Expect(s.versions).To(BeEmpty())
+	})
+
+	// Entries of earlier releases send neither the number nor the size of the chunks.
+	It("is accepted if the configuration is not known", func() {
+		_, err := s.addManifest(wire.Supply{Model: "m"}, received(manifestOf("m", 2, chunkCount), 2))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -71,6 +71,9 @@
 	if err != nil {
 		return 0, fleet.Version{}, nil, err
 	}
+	if err := checkManifest(supply, manifest); err != nil {
+		return 0, fleet.Version{}, nil, err
+	}
 	raw, digest, err := manifest.Encode()
 	if err != nil {
 		return 0, fleet.Version{}, nil, err
@@ -100,6 +103,9 @@
 	if err != nil {
 		return fleet.Version{}, err
 	}
+	if err := checkManifest(supply, manifest); err != nil {
+		return fleet.Version{}, err
+	}
 	s.add(&stagedVersion{
 		number: received.Version, supply: supply, digest: digest, manifest: manifest, raw: received.Raw, chunks: make(map[int][]byte),
 	})
--- a/daemon/supply/supply.go
+++ b/daemon/supply/supply.go
@@ -37,6 +37,7 @@
 	p := Plan{Supply: wire.Supply{
 		Model: service.Model, Origin: origin.Addr, BytesPerSecond: origin.BytesPerSecond,
 		Layers: service.Engine.Layers, LoadMS: service.Engine.LoadTime.Milliseconds(),
+		Chunks: service.Engine.Chunks, ChunkBytes: service.Engine.ChunkBytes,
 	}}
 	digest := xxhash.New()
 	for _, other := range s.Servers {
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -234,6 +234,10 @@
 	Layers         int            `cbor:"4,keyasint"`
 	// LoadMS is the time to load a complete staged version.
 	LoadMS int64 `cbor:"5,keyasint"`
+	// Chunks and ChunkBytes are the number and the size of the chunks of every version;
+	// 0 if they are not known, as from senders of earlier releases.
+	Chunks     int `cbor:"6,keyasint,omitzero"`
+	ChunkBytes int `cbor:"7,keyasint,omitzero"`
 }
 
 // CatalogRequest requests what is newer in an entry's catalog. Stream: peer.KindConfig,
