Refuse the manifest of another version than the one asked for

An origin, or a cache before it, that answers with another version made the agent label the weights of one version with the number of another. If only the number differed from the wanted one, the agent read the manifest twice on every tick, sent it to the entries and could evict a version that was being fetched.

Cause: the number in the first answer was believed even if another was asked for, the number in the second was dropped, and the digest, which both answers share, does not cover the number. A version that was not wanted counted as a successful read, so that no retry delay was set.

Both reads must now return the number asked for; the second asks for the number of the first, also if the newest was asked for. Anything else is a failed read (manifest_failed) with the usual retry delay.

Both tests failed before with "Expected an error, got nil".

--- a/daemon/loader/manifest_test.go
+++ b/daemon/loader/manifest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,6 +10,7 @@
 
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
+	"chivespindle.example/core/policy"
 	"chivespindle.example/core/weights"
 	"chivespindle.example/daemon/wire"
 )
@@ -92,4 +94,29 @@
 		_, err := s.addManifest(wire.Supply{Model: "m"}, received(manifestOf("m", 2, chunkCount), 2))
 		Expect(err).NotTo(HaveOccurred())
 	})
+
+	// Guards against weights of another version under the wanted number, and against two
+	// reads of the origin on each tick.
+	It("is refused, and read again after the retry delay, if the origin returns another version", func() {
+		o.manifest = func(uint64, int) (weights.Manifest, uint64) { return manifestOf("m", 2, chunkCount), 2 }
+		version, named, raw, err := s.readManifest(ctx, supply, 3)
+		Expect(err).To(MatchError(ContainSubstring("version 2, want 3")))
+		Expect(s.versions).To(BeEmpty())
+		now := time.Now()
+		l := &Loader{opts: Options{Logger: zap.NewNop()}, plan: loading.NewPlan("10.0.0.1", 8*time.Second, policy.Disabled{}), stage: s}
+		l.handleManifestRead(now, version, named, raw, err)
+		Expect(l.nextManifestRead).To(Equal(now.Add(manifestRetryDelay)))
+	})
+
+	// Guards against a number that only one of the two reads returned.
+	It("is refused if the second read returns another version", func() {
+		for _, wanted := range []uint64{0, 2} {
+			o.manifest = func(_ uint64, earlier int) (weights.Manifest, uint64) {
+				return manifestOf("m", 2, chunkCount), 2 + uint64(earlier%2)
+			}
+			_, _, _, err := s.readManifest(ctx, supply, wanted)
+			Expect(err).To(MatchError(ContainSubstring("version 3, want 2")), "version %d is wanted", wanted)
+			Expect(s.versions).To(BeEmpty())
+		}
+	})
 })
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -67,32 +67,42 @@
 // digest is known in advance, and with a manifest that was corrupted in transit every
 // valid chunk would fail verification.
 func (s *stage) readManifest(ctx context.Context, supply wire.Supply, wanted uint64) (uint64, fleet.Version, []byte, error) {
-	manifest, number, err := s.origin.Manifest(ctx, supply, wanted)
+	first, err := s.readVersion(ctx, supply, wanted)
 	if err != nil {
 		return 0, fleet.Version{}, nil, err
 	}
-	if err := checkManifest(supply, manifest); err != nil {
-		return 0, fleet.Version{}, nil, err
-	}
-	raw, digest, err := manifest.Encode()
+	second, err := s.readVersion(ctx, supply, first.number)
 	if err != nil {
 		return 0, fleet.Version{}, nil, err
 	}
-	second, _, err := s.origin.Manifest(ctx, supply, number)
-	if err != nil {
-		return 0, fleet.Version{}, nil, err
+	if second.digest != first.digest {
+		return 0, fleet.Version{}, nil, failure.Corrupt.New("two reads of the manifest of version %d differ", first.number)
 	}
-	_, secondDigest, err := second.Encode()
+	s.add(first)
+	return first.number, versionOf(supply, first.number, first.digest), first.raw, nil
+}
+
+// readVersion reads the manifest of a version from the origin once, 0 for the newest. It
+// fails if the origin returns another version: the digest of the manifest does not cover
+// the number.
+func (s *stage) readVersion(ctx context.Context, supply wire.Supply, wanted uint64) (*stagedVersion, error) {
+	manifest, number, err := s.origin.Manifest(ctx, supply, wanted)
 	if err != nil {
-		return 0, fleet.Version{}, nil, err
+		return nil, err
 	}
-	if secondDigest != digest {
-		return 0, fleet.Version{}, nil, failure.Corrupt.New("two reads of the manifest of version %d differ", number)
+	if wanted != 0 && number != wanted {
+		return nil, failure.Corrupt.New("the origin returned the manifest of version %d, want %d", number, wanted)
 	}
-	s.add(&stagedVersion{
+	if err := checkManifest(supply, manifest); err != nil {
+		return nil, err
+	}
+	raw, digest, err := manifest.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return &stagedVersion{
 		number: number, supply: supply, digest: digest, manifest: manifest, raw: raw, chunks: make(map[int][]byte),
-	})
-	return number, versionOf(supply, number, digest), raw, nil
+	}, nil
 }
 
 // addManifest adds a manifest that another agent has read and returns the version that
