Refuse the manifest of another model

An engine would have loaded the weights of another model: the stage passes its check against any list of chunks, and the order names the engine's own model.

Cause: the message that brings a manifest through an entry names a model, which the agent compares with its own, but the manifest inside it names a model too, and nothing compared that one, nor the one that the origin returns.

The agent now compares both with the model of its engine and refuses the manifest (manifest_refused, manifest_failed).

The test failed before with "Expected an error, got nil".

--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -135,10 +135,13 @@
 	return l.plan.ShouldFinishFirst(now, g.version, unseen) && l.stage.isArriving(now, g, lastResponse)
 }
 
-// checkManifest checks a manifest against the number and the size of the chunks in the
-// configuration. A manifest that lacks the last chunks would let an engine load them
+// checkManifest checks a manifest against the model of the engine and the number and the
+// size of the chunks in the configuration. A manifest that lacks the last chunks would let an engine load them
 // from the version that was staged before.
 func checkManifest(supply wire.Supply, m weights.Manifest) error {
+	if m.Model != supply.Model {
+		return failure.Corrupt.New("the manifest is of model %s, want %s", m.Model, supply.Model)
+	}
 	if supply.Chunks != 0 && len(m.Chunks) != supply.Chunks {
 		return failure.Corrupt.New("the manifest lists %d chunks, want %d", len(m.Chunks), supply.Chunks)
 	}
--- a/daemon/loader/manifest_test.go
+++ b/daemon/loader/manifest_test.go
@@ -119,4 +119,16 @@
 			Expect(s.versions).To(BeEmpty())
 		}
 	})
+
+	// Guards against an engine that loads the weights of another model.
+	It("is refused if it lists the chunks of another model", func() {
+		o.manifest = func(version uint64, _ int) (weights.Manifest, uint64) {
+			return manifestOf("other", version, chunkCount), version
+		}
+		_, _, _, err := s.readManifest(ctx, supply, 2)
+		Expect(err).To(MatchError(ContainSubstring("want m")))
+		_, err = s.addManifest(supply, received(manifestOf("other", 2, chunkCount), 2))
+		Expect(err).To(MatchError(ContainSubstring("want m")))
+		Expect(s.versions).To(BeEmpty())
+	})
 })
