Don't let a manifest of a too high version block later ones at an entry

After one manifest with a version number that the operator had not reached, entries passed on no manifest of that model any more: "manifest_heard" stays away, and each agent reads the manifest from the origin by itself, late and at the origin's price.

Cause: an entry held one manifest for each model and accepted only higher numbers.

An entry now holds up to four: that of the newest named version and those of higher ones, which an agent may know of before the entry does. Versions above the named one no longer count as newer. The lowest version is sent first and the highest gives way if there are too many, so that wrong numbers never displace the named version. Each is accepted once, so none circulates. While no version is known to be named, everything is as before.

--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 
 	"go.uber.org/zap"
 
@@ -10,16 +12,21 @@
 	"chivespindle.example/daemon/wire"
 )
 
-// manifests holds the manifest of the newest version of each model, and the processes to
-// which it was sent. It belongs to the control loop.
+// maxManifests bounds the manifests of one model that are held: that of the named version
+// and a few of higher versions, which an agent may know of earlier.
+const maxManifests = 4
+
+// manifests holds the manifest of the newest named version of each model and those of
+// higher versions, and the processes to which they were sent. It belongs to the control
+// loop.
 //
 // Each agent that reads a manifest from the origin uses a connection and a part of its
 // link. If all agents read it, they would use every connection that the origin has, and
 // the time of a part of a copy. So a few agents read it, and the entries send it to the
 // others.
 type manifests struct {
-	newest map[string]knownManifest
-	sent   map[sentManifest]bool
+	held map[string][]knownManifest // by model, in ascending order of versions
+	sent map[sentManifest]bool
 }
 
 type knownManifest struct {
@@ -34,17 +41,34 @@
 }
 
 func newManifests() manifests {
-	return manifests{newest: make(map[string]knownManifest), sent: make(map[sentManifest]bool)}
+	return manifests{held: make(map[string][]knownManifest), sent: make(map[sentManifest]bool)}
 }
 
-// add stores a manifest and reports whether it is newer than the known one.
-func (m *manifests) add(manifest wire.Manifest, near bool) bool {
-	known, ok := m.newest[manifest.Model]
-	if ok && known.Version >= manifest.Version {
+// add stores a manifest, unless it or that of a newer version is known, and reports
+// whether it did. named is the newest version that the operator named, 0 if none is known:
+// versions above it do not count as newer, as their numbers may be wrong.
+//
+// If too many are held, the highest version gives way. A manifest that gave way is not
+// accepted again until a newer version is named, so none circulates between entries.
+func (m *manifests) add(manifest wire.Manifest, near bool, named uint64) bool {
+	isWanted := named != 0 && manifest.Version >= named
+	oldest := manifest.Version // that is still of use
+	if isWanted {
+		oldest = named
+	}
+	held := slices.DeleteFunc(slices.Clone(m.held[manifest.Model]), func(k knownManifest) bool { return k.Version < oldest })
+	at, isKnown := slices.BinarySearchFunc(held, manifest.Version, func(k knownManifest, version uint64) int {
+		return cmp.Compare(k.Version, version)
+	})
+	if isKnown || at < len(held) && !isWanted || at >= maxManifests {
 		return false
 	}
-	m.newest[manifest.Model] = knownManifest{manifest, near}
-	maps.DeleteFunc(m.sent, func(key sentManifest, _ bool) bool { return key.model == manifest.Model })
+	held = slices.Insert(held, at, knownManifest{manifest, near})
+	held = held[:min(len(held), maxManifests)]
+	m.held[manifest.Model] = held
+	maps.DeleteFunc(m.sent, func(key sentManifest, _ bool) bool {
+		return key.model == manifest.Model && !slices.ContainsFunc(held, func(k knownManifest) bool { return k.Version == key.version })
+	})
 	return true
 }
 
@@ -52,11 +76,8 @@
 // own group gets only those that came from agents or other groups, so that no manifest
 // circulates within the group.
 func (m *manifests) forEntry(to mesh.Peer) *wire.Manifest {
-	for name, known := range m.newest {
-		if known.fromOwnGroup && to.SameGroup {
-			continue
-		}
-		if unsent := m.nextUnsent(to.ID, name); unsent != nil {
+	for model := range m.held {
+		if unsent := m.nextUnsent(to.ID, model, to.SameGroup); unsent != nil {
 			return unsent
 		}
 	}
@@ -65,19 +86,21 @@
 
 // forAgent returns the manifest to send to an agent, nil for none.
 func (m *manifests) forAgent(to fleet.InstanceID, model string) *wire.Manifest {
-	return m.nextUnsent(to, model)
+	return m.nextUnsent(to, model, false)
 }
 
-// nextUnsent returns the newest manifest of a model the first time that it is called for
-// a process, and nil after that.
-func (m *manifests) nextUnsent(to fleet.InstanceID, model string) *wire.Manifest {
-	known, ok := m.newest[model]
-	key := sentManifest{to, model, known.Version}
-	if !ok || m.sent[key] {
-		return nil
+// nextUnsent returns each manifest of a model once for a process, that of the lowest
+// version first, and nil after that. isSameGroup excludes those of the own group.
+func (m *manifests) nextUnsent(to fleet.InstanceID, model string, isSameGroup bool) *wire.Manifest {
+	for _, known := range m.held[model] {
+		key := sentManifest{to, model, known.Version}
+		if m.sent[key] || isSameGroup && known.fromOwnGroup {
+			continue
+		}
+		m.sent[key] = true
+		return &known.Manifest
 	}
-	m.sent[key] = true
-	return &known.Manifest
+	return nil
 }
 
 // reset causes the manifests to be sent again over the next link with a process.
@@ -91,7 +114,7 @@
 
 // receiveManifest stores a manifest of another process and forwards it without delay.
 func (g *Gateway) receiveManifest(manifest wire.Manifest, near bool) {
-	if !g.manifests.add(manifest, near) {
+	if !g.manifests.add(manifest, near, g.names[manifest.Model].Newest()) {
 		return
 	}
 	g.flushDue = true
