Check a load against the manifest whose chunks are fetched

If an agent came to know two manifests with one version number, its engine never loaded the version: "load_not_ordered" with "chunk ... is not held" came again every 0.3 s. If the older manifest had been the shorter one, the load would have been checked against too few chunks.

Cause: versionByNumber returned the first manifest with the number, while the swarm fetches the one that was accepted last.

The loader now marks the manifest that it fetches, and versionByNumber returns that one, or the newest if none is fetched. The newest alone would not do: a read of the origin may end after the manifest of an entry was accepted, and is not fetched then.

The test failed with versionByNumber as it was: the digest of the first manifest in place of "the newest".

--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -83,6 +83,7 @@
 			l.swarm.Stop(older.fleetVersion.Manifest)
 		}
 	}
+	l.stage.markFetched(version, named.Manifest)
 	l.fetches = append(l.fetches, versionFetch{version: version, fleetVersion: named, since: now})
 	for len(l.fetches) > keptVersions {
 		l.swarm.Drop(l.fetches[0].fleetVersion.Manifest)
--- a/daemon/loader/manifest_test.go
+++ b/daemon/loader/manifest_test.go
@@ -131,4 +131,26 @@
 		Expect(err).To(MatchError(ContainSubstring("want m")))
 		Expect(s.versions).To(BeEmpty())
 	})
+
+	// Guards against a version that is fetched completely and never loaded, or is checked
+	// against the chunks of another manifest, after an agent has read two manifests of it.
+	It("is the one that its version is checked against if two of one number differ", func() {
+		first, err := s.addManifest(supply, received(manifestOf("m", 5, chunkCount), 2))
+		Expect(err).NotTo(HaveOccurred())
+		_, second, _, err := s.readManifest(ctx, supply, 2)
+		Expect(err).NotTo(HaveOccurred())
+		checked := func() fleet.Digest {
+			v, err := s.versionByNumber(2)
+			Expect(err).NotTo(HaveOccurred())
+			return v.digest
+		}
+		Expect(checked()).To(Equal(second.Manifest), "the newest")
+		s.markFetched(2, first.Manifest)
+		Expect(checked()).To(Equal(first.Manifest), "the one that is fetched")
+		s.markFetched(2, second.Manifest)
+		for number := range chunkCount {
+			Expect(s.Put(ctx, second.Manifest, number, chunk(2, number))).To(Succeed())
+		}
+		Expect(s.load(ctx, supply, 2)).To(Succeed())
+	})
 })
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -56,6 +56,7 @@
 	raw         []byte
 	chunks      map[int][]byte
 	lastChunkAt time.Time // when a chunk was last stored
+	isFetched   bool      // its chunks are fetched, rather than those of another manifest of the number
 }
 
 func newStage(engine Engine, origin Origin, logger *zap.Logger) *stage {
@@ -348,13 +349,34 @@
 	return c, nil
 }
 
+// versionByNumber returns the manifest of a version that is fetched, or else the newest
+// one. Two manifests may have one number, and the load is checked against the returned one.
 func (s *stage) versionByNumber(number uint64) (*stagedVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var newest *stagedVersion
 	for _, v := range s.versions {
-		if v.number == number {
+		if v.number != number {
+			continue
+		}
+		if v.isFetched {
 			return v, nil
 		}
+		newest = v
+	}
+	if newest == nil {
+		return nil, failure.NotFound.New("version %d is not staged here", number)
+	}
+	return newest, nil
+}
+
+// markFetched records which manifest of a version is fetched.
+func (s *stage) markFetched(number uint64, digest fleet.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.versions {
+		if v.number == number {
+			v.isFetched = v.digest == digest
+		}
 	}
-	return nil, failure.NotFound.New("version %d is not staged here", number)
 }
