Load a version that has the content of an older one

After the operator had published the weights of an older version again under a new number, no agent loaded the new version as long as it kept the older one: "manifest_failed" stays away, "load_ordered" too, and all engines break the time for the version.

Cause: the digest of a manifest does not cover the version number, and the stage dropped each manifest whose digest it held, so the new number was not found there.

The stage now keeps one entry for each number and digest; entries with one digest share the chunks in memory. Requests by digest go to the newest one that is fetched, since the origin no longer has the versions two back. When the older number is dropped, the swarm keeps the transfers that the newer number uses.

Both tests failed before: "with the content of a kept version belongs to the new version as well" with one entry in place of two, "is not dropped while a newer version has the same" with the drop of the shared manifest.

Left: the swarm asks the engine's stage again which chunks it holds and fetches again those that another version has overwritten there, though they are in memory. This costs up to one more round of copies from the origin.

--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -86,12 +87,21 @@
 	l.stage.markFetched(version, named.Manifest)
 	l.fetches = append(l.fetches, versionFetch{version: version, fleetVersion: named, since: now})
 	for len(l.fetches) > keptVersions {
-		l.swarm.Drop(l.fetches[0].fleetVersion.Manifest)
+		dropped := l.fetches[0].fleetVersion.Manifest
 		l.fetches = l.fetches[1:]
+		if !l.fetchesManifest(dropped) {
+			l.swarm.Drop(dropped)
+		}
 	}
 	l.startNewestFetch(now)
 }
 
+// fetchesManifest reports whether a version with the manifest is fetched. Two versions
+// with the same content share the transfers of the swarm.
+func (l *Loader) fetchesManifest(digest fleet.Digest) bool {
+	return slices.ContainsFunc(l.fetches, func(g versionFetch) bool { return g.fleetVersion.Manifest == digest })
+}
+
 // startNewestFetch starts to fetch the newest version once the origin has sent all of
 // the previous one, or the previous one makes no progress.
 //
--- a/daemon/loader/manifest_test.go
+++ b/daemon/loader/manifest_test.go
@@ -12,6 +12,8 @@
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/policy"
 	"chivespindle.example/core/weights"
+	"chivespindle.example/daemon/control"
+	"chivespindle.example/daemon/swarm"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -39,6 +41,7 @@
 type scriptedOrigin struct {
 	manifest func(version uint64, earlier int) (weights.Manifest, uint64)
 	requests int
+	chunksOf uint64 // version of the last chunk that was read
 }
 
 func (o *scriptedOrigin) Manifest(_ context.Context, _ wire.Supply, version uint64) (weights.Manifest, uint64, error) {
@@ -47,7 +50,8 @@
 	return m, number, nil
 }
 
-func (*scriptedOrigin) Chunk(_ context.Context, _ wire.Supply, version uint64, number int) ([]byte, error) {
+func (o *scriptedOrigin) Chunk(_ context.Context, _ wire.Supply, version uint64, number int) ([]byte, error) {
+	o.chunksOf = version
 	return chunk(version, number), nil
 }
 
@@ -55,13 +59,14 @@
 	ctx := context.Background()
 	supply := wire.Supply{Model: "m", Chunks: chunkCount, ChunkBytes: chunkSize}
 	var o *scriptedOrigin
+	var e *engine
 	var s *stage
 
 	BeforeEach(func() {
 		o = &scriptedOrigin{manifest: func(version uint64, _ int) (weights.Manifest, uint64) {
 			return manifestOf("m", version, chunkCount), version
 		}}
-		e := &engine{staged: make(map[int][]byte), state: loading.Engine{Born: 1, Orders: loading.Orders{Reported: true}}}
+		e = &engine{staged: make(map[int][]byte), state: loading.Engine{Born: 1, Orders: loading.Orders{Reported: true}}}
 		s = newStage(e, o, zap.NewNop())
 	})
 
@@ -153,4 +158,60 @@
 		}
 		Expect(s.load(ctx, supply, 2)).To(Succeed())
 	})
+
+	// Guards against a version that no engine ever loads, after the operator has published
+	// the weights of an older version again under a new number.
+	It("with the content of a kept version belongs to the new version as well", func() {
+		o.manifest = func(version uint64, _ int) (weights.Manifest, uint64) { return manifestOf("m", 2, chunkCount), version }
+		_, older, _, err := s.readManifest(ctx, supply, 2)
+		Expect(err).NotTo(HaveOccurred())
+		s.markFetched(2, older.Manifest)
+		for number := range chunkCount {
+			Expect(s.Put(ctx, older.Manifest, number, chunk(2, number))).To(Succeed())
+		}
+		for range 2 {
+			_, newer, _, err := s.readManifest(ctx, supply, 4)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(newer).NotTo(Equal(older))
+			s.markFetched(4, newer.Manifest)
+		}
+		Expect(s.versions).To(HaveLen(2))
+		Expect(s.load(ctx, supply, 4)).To(Succeed())
+		Expect(e.version).To(Equal(uint64(4)))
+		_, err = s.Chunk(ctx, older.Manifest, weights.Chunk{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.chunksOf).To(Equal(uint64(4)), "the origin no longer has the older one")
+	})
+
+	// Guards against the end of a fetch when an older version with the same content is dropped.
+	It("is not dropped while a newer version has the same", func() {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		dropped := make(dropRecorder, 1)
+		l := &Loader{
+			opts: Options{Logger: zap.NewNop()}, stage: s, supply: &supply, plan: loading.NewPlan("10.0.0.1", 8*time.Second, policy.Disabled{}),
+			swarm: swarm.New(ctx, swarm.Options{Stage: dropped, Loop: control.New(control.Options{}), Logger: zap.NewNop()}),
+		}
+		now := time.Now()
+		same, other := fleet.Digest{1}, fleet.Digest{2}
+		for i, digest := range []fleet.Digest{same, other, same, {3}} {
+			l.addFetch(now, uint64(i+2), versionOf(supply, uint64(i+2), digest))
+		}
+		Consistently(dropped, 30*time.Millisecond).ShouldNot(Receive())
+		l.addFetch(now, 6, versionOf(supply, 6, fleet.Digest{4}))
+		Eventually(dropped).Should(Receive(Equal(other)))
+		l.addFetch(now, 7, versionOf(supply, 7, fleet.Digest{5}))
+		Eventually(dropped).Should(Receive(Equal(same)))
+	})
 })
+
+// dropRecorder is a stage that records which manifests are dropped.
+type dropRecorder chan fleet.Digest
+
+func (dropRecorder) Held(context.Context, fleet.Digest) ([]int, error)      { return nil, nil }
+func (dropRecorder) Put(context.Context, fleet.Digest, int, []byte) error   { return nil }
+func (dropRecorder) Get(context.Context, fleet.Digest, int) ([]byte, error) { return nil, nil }
+func (r dropRecorder) Drop(_ context.Context, manifest fleet.Digest) error {
+	r <- manifest
+	return nil
+}
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -127,13 +127,19 @@
 	return fleet.Version{Name: supply.Model + "/" + strconv.FormatUint(number, 10), Manifest: digest}
 }
 
+// add adds a version, unless it is held. A version with the content of another one shares
+// its chunks: the operator may publish older weights again under a new number.
 func (s *stage) add(v *stagedVersion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, held := range s.versions {
-		if held.digest == v.digest {
+		if held.digest != v.digest {
+			continue
+		}
+		if held.number == v.number {
 			return
 		}
+		v.chunks = held.chunks
 	}
 	s.versions = append(s.versions, v)
 	if len(s.versions) > keptVersions {
@@ -141,15 +147,21 @@
 	}
 }
 
+// versionByDigest returns the newest of the versions with a manifest that are fetched, or
+// else the newest of all: the origin serves the chunks of the newest versions only.
 func (s *stage) versionByDigest(digest fleet.Digest) (*stagedVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var newest *stagedVersion
 	for _, v := range s.versions {
-		if v.digest == digest {
-			return v, nil
+		if v.digest == digest && (newest == nil || v.isFetched || !newest.isFetched) {
+			newest = v
 		}
 	}
-	return nil, failure.NotFound.New("manifest %s is not staged here", digest)
+	if newest == nil {
+		return nil, failure.NotFound.New("manifest %s is not staged here", digest)
+	}
+	return newest, nil
 }
 
 // fetchStallTimeout is the time without a chunk after which a fetch counts as stalled.
