Order only the model whose stage was checked

If the service at an engine's address changed its model, the agent checked the stage of the former model and ordered the load of the new one, whose stage nobody had checked.

Cause: the check took the model from the time at which the manifest was accepted, the order the model of now.

The test failed before: the order was sent. Not solved: the loader keeps the versions that it fetches when the model changes, so that a version of the new model with a number that the former one had is not read until the agent is restarted.

--- a/daemon/loader/manifest_test.go
+++ b/daemon/loader/manifest_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -203,6 +204,19 @@
 		l.addFetch(now, 7, versionOf(supply, 7, fleet.Digest{5}))
 		Eventually(dropped).Should(Receive(Equal(same)))
 	})
+
+	// Guards against an order for one model after a check of the stage of another, once the
+	// service at the engine's address serves another model.
+	It("of another model than the service serves now is not ordered", func() {
+		_, named, _, err := s.readManifest(ctx, supply, 2)
+		Expect(err).NotTo(HaveOccurred())
+		for number := range chunkCount {
+			Expect(s.Put(ctx, named.Manifest, number, chunk(2, number))).To(Succeed())
+		}
+		err = s.load(ctx, wire.Supply{Model: "other"}, 2)
+		Expect(errorx.IsOfType(err, orderNotSent)).To(BeTrue())
+		Expect(e.orders).To(BeZero())
+	})
 })
 
 // dropRecorder is a stage that records which manifests are dropped.
--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return orderNotSent.Wrap(err, "order for version %d", version)
 	}
+	if v.supply.Model != supply.Model {
+		return orderNotSent.New("version %d is staged for model %s, want %s", version, v.supply.Model, supply.Model)
+	}
 	before, err := s.report(ctx)
 	if err != nil {
 		return orderNotSent.Wrap(err, "report before the order")
