--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -1,13 +1,16 @@
 package loader
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
 	"chivespindle.example/core/spread"
+	"chivespindle.example/core/weights"
 	"chivespindle.example/daemon/wire"
 )
 
@@ -81,14 +84,24 @@
 			l.swarm.Stop(older.fleetVersion.Manifest)
 		}
 	}
+	l.stage.markFetched(version, named.Manifest)
 	l.fetches = append(l.fetches, versionFetch{version: version, fleetVersion: named, since: now})
 	for len(l.fetches) > keptVersions {
-		l.swarm.Drop(l.fetches[0].fleetVersion.Manifest)
+		dropped := l.fetches[0].fleetVersion.Manifest
 		l.fetches = l.fetches[1:]
+		if !l.fetchesManifest(dropped) {
+			l.swarm.Drop(dropped)
+		}
 	}
 	l.startNewestFetch(now)
 }
 
+// fetchesManifest reports whether a version with the manifest is fetched. Two versions
+// with the same content share the transfers of the swarm.
+func (l *Loader) fetchesManifest(digest fleet.Digest) bool {
+	return slices.ContainsFunc(l.fetches, func(g versionFetch) bool { return g.fleetVersion.Manifest == digest })
+}
+
 // startNewestFetch starts to fetch the newest version once the origin has sent all of
 // the previous one, or the previous one makes no progress.
 //
@@ -132,3 +145,21 @@
 	unseen := l.swarm.UnseenShare(g.fleetVersion.Manifest)
 	return l.plan.ShouldFinishFirst(now, g.version, unseen) && l.stage.isArriving(now, g, lastResponse)
 }
+
+// checkManifest checks a manifest against the model of the engine and the number and the
+// size of the chunks in the configuration. A manifest that lacks the last chunks would let an engine load them
+// from the version that was staged before.
+func checkManifest(supply wire.Supply, m weights.Manifest) error {
+	if m.Model != supply.Model {
+		return failure.Corrupt.New("the manifest is of model %s, want %s", m.Model, supply.Model)
+	}
+	if supply.Chunks != 0 && len(m.Chunks) != supply.Chunks {
+		return failure.Corrupt.New("the manifest lists %d chunks, want %d", len(m.Chunks), supply.Chunks)
+	}
+	for _, c := range m.Chunks {
+		if supply.ChunkBytes != 0 && c.Bytes != supply.ChunkBytes {
+			return failure.Corrupt.New("chunk %d of the manifest has %d bytes, want %d", c.Index, c.Bytes, supply.ChunkBytes)
+		}
+	}
+	return nil
+}
--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -60,7 +60,7 @@
 		return loading.Load{}, orderNotSent.Wrap(err, "order for version %d", version)
 	}
 	if v.supply.Model != supply.Model {
-		return loading.Load{}, orderNotSent.New("version %d is of model %s, not %s", version, v.supply.Model, supply.Model)
+		return loading.Load{}, orderNotSent.New("version %d is staged for model %s, want %s", version, v.supply.Model, supply.Model)
 	}
 	if err := s.settle(ctx); err != nil {
 		return loading.Load{}, orderNotSent.Wrap(err, "earlier messages to the engine")
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -60,6 +60,7 @@
 	raw         []byte
 	chunks      map[int][]byte
 	lastChunkAt time.Time // when a chunk was last stored
+	isFetched   bool      // its chunks are fetched, rather than those of another manifest of the number
 }
 
 func newStage(engine Engine, origin Origin, logger *zap.Logger) *stage {
@@ -71,29 +72,42 @@
 // digest is known in advance, and with a manifest that was corrupted in transit every
 // valid chunk would fail verification.
 func (s *stage) readManifest(ctx context.Context, supply wire.Supply, wanted uint64) (uint64, fleet.Version, []byte, error) {
-	manifest, number, err := s.origin.Manifest(ctx, supply, wanted)
+	first, err := s.readVersion(ctx, supply, wanted)
 	if err != nil {
 		return 0, fleet.Version{}, nil, err
 	}
-	raw, digest, err := manifest.Encode()
+	second, err := s.readVersion(ctx, supply, first.number)
 	if err != nil {
 		return 0, fleet.Version{}, nil, err
 	}
-	second, _, err := s.origin.Manifest(ctx, supply, number)
-	if err != nil {
-		return 0, fleet.Version{}, nil, err
+	if second.digest != first.digest {
+		return 0, fleet.Version{}, nil, failure.Corrupt.New("two reads of the manifest of version %d differ", first.number)
 	}
-	_, secondDigest, err := second.Encode()
+	s.add(first)
+	return first.number, versionOf(supply, first.number, first.digest), first.raw, nil
+}
+
+// readVersion reads the manifest of a version from the origin once, 0 for the newest. It
+// fails if the origin returns another version: the digest of the manifest does not cover
+// the number.
+func (s *stage) readVersion(ctx context.Context, supply wire.Supply, wanted uint64) (*stagedVersion, error) {
+	manifest, number, err := s.origin.Manifest(ctx, supply, wanted)
 	if err != nil {
-		return 0, fleet.Version{}, nil, err
+		return nil, err
 	}
-	if secondDigest != digest {
-		return 0, fleet.Version{}, nil, failure.Corrupt.New("two reads of the manifest of version %d differ", number)
+	if wanted != 0 && number != wanted {
+		return nil, failure.Corrupt.New("the origin returned the manifest of version %d, want %d", number, wanted)
 	}
-	s.add(&stagedVersion{
+	if err := checkManifest(supply, manifest); err != nil {
+		return nil, err
+	}
+	raw, digest, err := manifest.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return &stagedVersion{
 		number: number, supply: supply, digest: digest, manifest: manifest, raw: raw, chunks: make(map[int][]byte),
-	})
-	return number, versionOf(supply, number, digest), raw, nil
+	}, nil
 }
 
 // addManifest adds a manifest that another agent has read and returns the version that
@@ -104,6 +118,9 @@
 	if err != nil {
 		return fleet.Version{}, err
 	}
+	if err := checkManifest(supply, manifest); err != nil {
+		return fleet.Version{}, err
+	}
 	s.add(&stagedVersion{
 		number: received.Version, supply: supply, digest: digest, manifest: manifest, raw: received.Raw, chunks: make(map[int][]byte),
 	})
@@ -114,13 +131,19 @@
 	return fleet.Version{Name: supply.Model + "/" + strconv.FormatUint(number, 10), Manifest: digest}
 }
 
+// add adds a version, unless it is held. A version with the content of another one shares
+// its chunks: the operator may publish older weights again under a new number.
 func (s *stage) add(v *stagedVersion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, held := range s.versions {
-		if held.digest == v.digest {
+		if held.digest != v.digest {
+			continue
+		}
+		if held.number == v.number {
 			return
 		}
+		v.chunks = held.chunks
 	}
 	s.versions = append(s.versions, v)
 	if len(s.versions) > keptVersions {
@@ -128,15 +151,21 @@
 	}
 }
 
+// versionByDigest returns the newest of the versions with a manifest that are fetched, or
+// else the newest of all: the origin serves the chunks of the newest versions only.
 func (s *stage) versionByDigest(digest fleet.Digest) (*stagedVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var newest *stagedVersion
 	for _, v := range s.versions {
-		if v.digest == digest {
-			return v, nil
+		if v.digest == digest && (newest == nil || v.isFetched || !newest.isFetched) {
+			newest = v
 		}
 	}
-	return nil, failure.NotFound.New("manifest %s is not staged here", digest)
+	if newest == nil {
+		return nil, failure.NotFound.New("manifest %s is not staged here", digest)
+	}
+	return newest, nil
 }
 
 // fetchStallTimeout is the time without a chunk after which a fetch counts as stalled.
@@ -361,13 +390,34 @@
 	return damaged, nil
 }
 
+// versionByNumber returns the manifest of a version that is fetched, or else the newest
+// one. Two manifests may have one number, and the load is checked against the returned one.
 func (s *stage) versionByNumber(number uint64) (*stagedVersion, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var newest *stagedVersion
 	for _, v := range s.versions {
-		if v.number == number {
+		if v.number != number {
+			continue
+		}
+		if v.isFetched {
 			return v, nil
 		}
+		newest = v
+	}
+	if newest == nil {
+		return nil, failure.NotFound.New("version %d is not staged here", number)
+	}
+	return newest, nil
+}
+
+// markFetched records which manifest of a version is fetched.
+func (s *stage) markFetched(number uint64, digest fleet.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.versions {
+		if v.number == number {
+			v.isFetched = v.digest == digest
+		}
 	}
-	return nil, failure.NotFound.New("version %d is not staged here", number)
 }
