Bound the head of a server's response

A server in trouble that sent header lines, one header line, bytes that are no head, or interim responses without end was read until the deadline of the request.

http.ReadResponse has no bound for a head, and interim responses were skipped without a limit. The transport of net/http bounds both by a reader below the parser; this package reads the connection itself and had none.

A BoundedReader now lies between the connection and its buffer. It allows 64 KiB for a head with the interim responses before it, and any number of bytes for the body. Beyond that the read fails with TooLong, a subtype of failure.Corrupt, with the outcome unknown, and the connection is closed.

The test "skips interim responses until the deadline, and no longer" sent interim responses as fast as possible, far beyond the bound. It sends one a millisecond now and still requires the timeout at the deadline.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -97,7 +97,8 @@
 type conn struct {
 	net.Conn
 	addr      netip.AddrPort
-	reader    *bufio.Reader
+	input     *BoundedReader // of the connection
+	reader    *bufio.Reader  // of input
 	writer    *bufio.Writer
 	idleUntil time.Time // not reused after this time
 	// readDeadline and onSilence belong to the current exchange.
@@ -162,7 +163,8 @@
 	p.dialled++
 	p.mu.Unlock()
 	c := &conn{Conn: raw, addr: addr, writer: bufio.NewWriter(raw)}
-	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.input = NewBoundedReader(c, MaxHeadBytes, "the head")
+	c.reader = bufio.NewReaderSize(c.input, readBufferBytes)
 	return c, nil
 }
 
@@ -356,12 +358,7 @@
 	}
 	c.onSilence = onSilence
 	c.setReadDeadline(deadline)
-	response, err := readFinalResponse(c.reader, r)
-	if err != nil && !time.Now().Before(c.readDeadline) {
-		// net/http reports a line that was truncated by the deadline as
-		// malformed.
-		err = errors.Join(os.ErrDeadlineExceeded, err)
-	}
+	response, err := c.readHead(r)
 	if err != nil {
 		return fail(err, "read from")
 	}
@@ -377,6 +374,24 @@
 	return r
 }
 
+// readHead reads the head of the final response. Its body may have any length.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.input.restart()
+	response, err := readFinalResponse(c.reader, r)
+	if err == nil {
+		c.input.unbound()
+		return response, nil
+	}
+	// net/http reports a line that was truncated by the bound or the deadline as malformed.
+	if tooLong := c.input.Err(); tooLong != nil {
+		return nil, tooLong
+	}
+	if !time.Now().Before(c.readDeadline) {
+		err = errors.Join(os.ErrDeadlineExceeded, err)
+	}
+	return nil, err
+}
+
 // readFinalResponse skips interim (1xx) responses.
 func readFinalResponse(in *bufio.Reader, r *http.Request) (*http.Response, error) {
 	for {
@@ -415,17 +430,22 @@
 		len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// failureType distinguishes a timeout from a broken connection.
+// failureType distinguishes a response without an end and a timeout from a broken
+// connection. bufio.ErrTooLong is the error of an event without an end.
 func failureType(err error) *errorx.Type {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errorx.IsOfType(err, TooLong), errors.Is(err, bufio.ErrTooLong):
+		return TooLong
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.Timeout
+	default:
+		return failure.Unavailable
 	}
-	return failure.Unavailable
 }
 
-// WrapReadError classifies an error of reading the body: failure.Timeout if
-// nothing arrived in time, else failure.Unavailable. io.EOF is returned as it
-// is.
+// WrapReadError classifies an error of reading the body: TooLong if it has exceeded a bound,
+// failure.Timeout if nothing arrived in time, else failure.Unavailable. io.EOF is returned as
+// it is.
 func WrapReadError(err error) error {
 	if errors.Is(err, io.EOF) {
 		return err
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -237,7 +237,8 @@
 
 	It("skips interim responses until the deadline, and no longer", func() {
 		s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
-			for {
+			for { // fewer than the bound of a head allows
+				<-time.After(time.Millisecond)
 				if _, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\n\r\n"); err != nil {
 					return false
 				}
--- /dev/null
+++ b/adapters/exchange/exchangetest/endless.go
@@ -0,0 +1,100 @@
+// Package exchangetest is a stand-in for servers in trouble.
+package exchangetest
+
+import (
+	"net"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+// sentBytes is how much an endless response has. It is more than any bound, and little enough
+// for a reader without one. Afterwards the server is silent and keeps the connection open, so
+// a reader without a bound waits until its deadline.
+const sentBytes = 24 << 20
+
+const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Endless is a response that begins and then repeats a text.
+type Endless struct{ Name, Begin, Repeat string }
+
+// Heads are responses whose head has no end.
+var Heads = []Endless{
+	{"one header line", "HTTP/1.1 200 OK\r\nX: ", "x"},
+	{"bytes without one", "", "\x00"},
+	{"status line", "HTTP/1.1 200 ", "O"},
+	{"header lines", "HTTP/1.1 200 OK\r\n", "X: \r\n"},
+	{"folded line", "HTTP/1.1 200 OK\r\nX: a\r\n", " a\r\n"},
+	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+}
+
+// Frames are responses in chunks whose framing has no end.
+var Frames = []Endless{
+	{"chunk extension", chunkedHead + "1;", "x"},
+	{"chunk extensions", chunkedHead, "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n"},
+	{"chunk size", chunkedHead, "0"},
+	{"trailer line", chunkedHead + "1\r\nx\r\n0\r\nX: ", "x"},
+	{"trailer lines", chunkedHead + "1\r\nx\r\n0\r\n", "X: \r\n"},
+}
+
+// Bodies are responses whose body has no end.
+var Bodies = []Endless{
+	{"without a length", "HTTP/1.1 200 OK\r\n\r\n", " "},
+	{"in chunks", chunkedHead, "400\r\n" + strings.Repeat(" ", 1<<10) + "\r\n"},
+	{"of a great length", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", " "},
+}
+
+// Server sends an endless response on each connection, as soon as something arrives.
+type Server struct {
+	Addr netip.AddrPort
+	// Closed receives a value when a client has closed a connection.
+	Closed   chan struct{}
+	Requests atomic.Int64
+	listener net.Listener
+}
+
+// Serve starts a server until the end of the test.
+func Serve(response Endless) *Server {
+	ginkgo.GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = listener.Close() })
+	s := &Server{
+		Addr:     netip.MustParseAddrPort(listener.Addr().String()),
+		Closed:   make(chan struct{}, 1<<10),
+		listener: listener,
+	}
+	go s.accept(response)
+	return s
+}
+
+func (s *Server) accept(response Endless) {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(c, response)
+	}
+}
+
+func (s *Server) serve(c net.Conn, response Endless) {
+	defer func() { _ = c.Close(); s.Closed <- struct{}{} }()
+	request := make([]byte, 64<<10)
+	if _, err := c.Read(request); err != nil {
+		return
+	}
+	s.Requests.Add(1)
+	const pieceBytes = 16 << 10
+	piece := []byte(strings.Repeat(response.Repeat, max(1, pieceBytes/len(response.Repeat))))
+	_, err := c.Write([]byte(response.Begin))
+	for sent := 0; sent < sentBytes && err == nil; sent += len(piece) {
+		_, err = c.Write(piece)
+	}
+	for err == nil {
+		_, err = c.Read(request)
+	}
+}
