Name servers whose response exceeds a bound

A call at an engine that sent a head without end was logged as withdrawn with reason=other_answer, as if it had got the answer to another call. A body over its bound had the general type failure.Corrupt, an event over its bound failure.Unavailable.

All of them now have the type exchange.TooLong: attempt_failed tells reason=too_long for an engine, names the server as before, and responses_too_long counts them.

The new test sends requests through an entry to a server that sends without end, by every kind of head, framing, body and event: each gets 502 in 1 to 15 ms, its connection is closed, and of the ten requests after a sound server has been added, all succeed.

--- a/adapters/exchange/exchangetest/endless.go
+++ b/adapters/exchange/exchangetest/endless.go
@@ -47,47 +47,60 @@
 	{"of a great length", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", " "},
 }
 
-// Server sends an endless response on each connection, as soon as something arrives.
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// Streams are responses with an event that has no end.
+var Streams = []Endless{
+	{"line of an event", streamHead + "data: ", "x"},
+	{"lines of an event", streamHead, "data: x\n"},
+	{"empty lines", streamHead, "\n"},
+}
+
+// Server answers each request with the next one of its endless responses, again from the first
+// after the last.
 type Server struct {
 	Addr netip.AddrPort
-	// Closed receives a value when a client has closed a connection.
-	Closed   chan struct{}
-	Requests atomic.Int64
-	listener net.Listener
+	// Closed receives a value when a client has closed the connection of a request.
+	Closed    chan struct{}
+	Requests  atomic.Int64
+	listener  net.Listener
+	responses []Endless
 }
 
 // Serve starts a server until the end of the test.
-func Serve(response Endless) *Server {
+func Serve(responses ...Endless) *Server {
 	ginkgo.GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(func() { _ = listener.Close() })
 	s := &Server{
-		Addr:     netip.MustParseAddrPort(listener.Addr().String()),
-		Closed:   make(chan struct{}, 1<<10),
-		listener: listener,
+		Addr:      netip.MustParseAddrPort(listener.Addr().String()),
+		Closed:    make(chan struct{}, 1<<10),
+		listener:  listener,
+		responses: responses,
 	}
-	go s.accept(response)
+	go s.accept()
 	return s
 }
 
-func (s *Server) accept(response Endless) {
+func (s *Server) accept() {
 	for {
 		c, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
-		go s.serve(c, response)
+		go s.serve(c)
 	}
 }
 
-func (s *Server) serve(c net.Conn, response Endless) {
-	defer func() { _ = c.Close(); s.Closed <- struct{}{} }()
+func (s *Server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
 	request := make([]byte, 64<<10)
 	if _, err := c.Read(request); err != nil {
-		return
+		return // a connection without a request
 	}
-	s.Requests.Add(1)
+	index := s.Requests.Add(1) - 1
+	response := s.responses[index%int64(len(s.responses))]
 	const pieceBytes = 16 << 10
 	piece := []byte(strings.Repeat(response.Repeat, max(1, pieceBytes/len(response.Repeat))))
 	_, err := c.Write([]byte(response.Begin))
@@ -97,4 +110,5 @@
 	for err == nil {
 		_, err = c.Read(request)
 	}
+	s.Closed <- struct{}{}
 }
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -5,9 +5,11 @@
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/placement"
 )
 
@@ -135,6 +137,9 @@
 // was one.
 func (l *requestLog) attemptFailed(j *job, t *placement.Assignment, err error, w *withdrawal, b *brokenAttempt) {
 	l.metrics.Counter("attempts_failed").Inc(1)
+	if errorx.IsOfType(err, exchange.TooLong) {
+		l.metrics.Counter("responses_too_long").Inc(1)
+	}
 	l.countWithdrawn(w)
 	if !l.allowed() {
 		return
--- a/daemon/gateway/withdrawn.go
+++ b/daemon/gateway/withdrawn.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/placement"
 )
@@ -20,6 +21,8 @@
 	withdrawnSilent      = "silent"
 	// withdrawnOtherAnswer: the response belonged to another call.
 	withdrawnOtherAnswer = "other_answer"
+	// withdrawnTooLong: the response exceeded a bound.
+	withdrawnTooLong = "too_long"
 )
 
 // withdrawal describes a call whose connection to an engine this entry closed before
@@ -66,6 +69,8 @@
 		return withdrawnVersionTime
 	case isTimeout:
 		return withdrawnSilent
+	case errorx.IsOfType(err, exchange.TooLong):
+		return withdrawnTooLong
 	case errorx.IsOfType(err, failure.Corrupt):
 		return withdrawnOtherAnswer
 	default:
