Bound a plain service's body that is passed on unbuffered

When an entry may hold no more bodies, it passes the response of a plain service on as it reads it, and did so without a bound: a body without end occupied the caller, the server and the link until the deadline. A buffered body has a bound of 512 KiB.

The bytes that are passed on are now read by a BoundedReader, so that both ways have the same bound. Beyond it the response is cut, visibly for the caller, and the connection to the server is closed.

The new test failed before: the caller got all of the 25,165,824 bytes that the stand-in sends, and waited until its deadline. It gets at most 524,288 now.

--- a/daemon/gateway/memory.go
+++ b/daemon/gateway/memory.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/memlimit"
 	"chivespindle.example/core/placement"
 )
@@ -51,7 +52,7 @@
 }
 
 // forwardUnbuffered forwards the response of a plain service that may not be buffered: the
-// part that was read before, and the rest as the caller reads it. The server has run the
+// part that was read before, and the rest, within the same bound, as the caller reads it. The server has run the
 // call, so it cannot be refused. An error response is dropped, since another server may
 // respond better.
 func (j *job) forwardUnbuffered(ctx context.Context, assignment *placement.Assignment, response Response, part []byte) bool {
@@ -63,13 +64,14 @@
 		return j.endAbandonedStream(assignment, response)
 	}
 	j.heldResponse = nil
+	rest := exchange.NewBoundedReader(response, maxBufferedBody-int64(len(part)), "the body")
 	buffer := make([]byte, forwardedPieceBytes)
 	for {
 		if err := j.reply.part(part); err != nil {
 			return j.endAbandonedStream(assignment, response)
 		}
 		j.responseHold.Release()
-		n, err := response.Read(buffer)
+		n, err := rest.Read(buffer)
 		part = buffer[:n]
 		if errors.Is(err, io.EOF) {
 			err = j.reply.part(part)
