--- a/adapters/exchange/exchangetest/endless.go
+++ b/adapters/exchange/exchangetest/endless.go
@@ -2,19 +2,26 @@
 package exchangetest
 
 import (
+	"context"
 	"net"
 	"net/netip"
+	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+
+	"chivespindle.example/core/failure"
 )
 
 // sentBytes is how much an endless response has. It is more than any bound, and little enough
 // for a reader without one. Afterwards the server is silent and keeps the connection open, so
 // a reader without a bound waits until its deadline.
-const sentBytes = 24 << 20
+const sentBytes = 40 << 20
 
 const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -83,6 +90,46 @@
 	return s
 }
 
+// Limits of what a call allocates together with the stand-in. net/http allows heads of 10 MB by
+// default. A body is collected in buffers of growing sizes.
+const (
+	maxHeadAllocated = 8 << 20
+	maxBodyAllocated = 256 << 20
+)
+
+// ExpectBounded expects that a call to a server fails because of each of the responses in a
+// bounded memory, not at its deadline, and that its connection is closed.
+func ExpectBounded(call func(context.Context, netip.AddrPort) error) {
+	ginkgo.GinkgoHelper()
+	expectBounded(call, maxHeadAllocated, slices.Concat(Heads, Frames))
+	expectBounded(call, maxBodyAllocated, Bodies)
+}
+
+func expectBounded(call func(context.Context, netip.AddrPort) error, maxAllocated uint64, responses []Endless) {
+	ginkgo.GinkgoHelper()
+	const timeout = 20 * time.Second // of a call that is not bounded
+	for _, response := range responses {
+		ginkgo.By(response.Name)
+		s := Serve(response)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		before := allocated()
+		err := call(ctx, s.Addr)
+		gomega.Expect(allocated()-before).To(gomega.BeNumerically("<", maxAllocated), response.Name)
+		gomega.Expect(err).To(gomega.HaveOccurred(), response.Name)
+		gomega.Expect(errorx.IsOfType(err, failure.Timeout)).To(gomega.BeFalse(), "%s: %v", response.Name, err)
+		gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), response.Name)
+		gomega.Eventually(s.Closed, timeout).Should(gomega.Receive())
+		cancel()
+	}
+}
+
+// allocated returns the bytes that were allocated so far, released ones included.
+func allocated() uint64 {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.TotalAlloc
+}
+
 func (s *Server) accept() {
 	for {
 		c, err := s.listener.Accept()
