Bound the responses on the own interfaces and at the command line

The clients of the operators' port, of entries (package callerclient, used by the command line), of the streamed calls of the command line and of the platform's services read heads with the default bound of net/http, 10 MB, of which 73 MB are allocated. callerclient collected addresses, keys, error responses and bodies without any bound, until the deadline.

All transports now have the bound of 64 KiB, and bodies that are collected are read through exchange.BoundedReader: 1 MiB for what an entry itself answers, 32 MiB for a service's response. The clients of engines and plain services had bounds already; they use the same constant and reader now.

Before, the new table failed in six of its eight entries, and in two more ways with the bound of heads alone: addresses and calls of a caller took all of a body without end and waited for their 20 s. The test of the command line's calls failed as well (73 MB for one header line). The two entries that passed before are the statuses of a plain service and of an engine.

--- a/adapters/callerclient/client.go
+++ b/adapters/callerclient/client.go
@@ -17,11 +17,19 @@
 	"github.com/joomcode/errorx"
 
 	"chivespindle.example/adapters/callerhttp"
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 )
 
+const (
+	// maxBodyBytes bounds the body of a response, which is returned whole.
+	maxBodyBytes = 32 << 20
+	// maxJSONBytes bounds what an entry itself answers; 4,000 addresses have 0.1 MB.
+	maxJSONBytes = 1 << 20
+)
+
 // Options configures a Client.
 type Options struct {
 	// Seeds are the entry addresses to try first; at least one.
@@ -48,7 +56,10 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = defaultTimeout
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second,
+		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
+	}
 	return &Client{opts: opts, http: &http.Client{Transport: transport}}
 }
 
@@ -144,12 +155,16 @@
 	if resp.StatusCode != http.StatusOK {
 		return decodeError(resp)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(into); err != nil {
+	if err := decodeJSON(resp.Body, into); err != nil {
 		return failure.Corrupt.Wrap(err, "answer of %s", target)
 	}
 	return nil
 }
 
+func decodeJSON(body io.Reader, into any) error {
+	return json.NewDecoder(exchange.NewBoundedReader(body, maxJSONBytes, "the body")).Decode(into)
+}
+
 // Do sends a request to the best entry that accepts a connection. It tries the next
 // entry only if nothing was sent. failure.OutcomeOf the error tells whether the
 // request ran.
@@ -187,7 +202,10 @@
 	}
 	response := Response{Status: resp.StatusCode, Version: resp.Header.Get(callerhttp.HeaderVersion), Entry: entry}
 	response.TimeToHeader = time.Since(startTime)
-	response.Body, err = io.ReadAll(resp.Body)
+	response.Body, err = exchange.ReadAll(resp.Body, maxBodyBytes, "the body")
+	if errorx.IsOfType(err, exchange.TooLong) {
+		return response, failure.WithOutcome(exchange.TooLong.Wrap(err, "answer of %s", entry), failure.Unknown)
+	}
 	if outcome == "" {
 		outcome = resp.Trailer.Get(callerhttp.HeaderOutcome)
 	}
--- a/adapters/callerclient/failures.go
+++ b/adapters/callerclient/failures.go
@@ -1,7 +1,6 @@
 package callerclient
 
 import (
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
@@ -33,7 +32,7 @@
 // delay.
 func decodeError(resp *http.Response) error {
 	var response callerhttp.ErrorResponse
-	if err := json.NewDecoder(resp.Body).Decode(&response); err != nil {
+	if err := decodeJSON(resp.Body, &response); err != nil {
 		err := failure.Corrupt.Wrap(err, "answer with status %d", resp.StatusCode)
 		return failure.WithOutcome(err, failure.Unknown)
 	}
--- a/adapters/engine/attempt/attempt.go
+++ b/adapters/engine/attempt/attempt.go
@@ -77,16 +77,13 @@
 }
 
 func newTransport() *http.Transport {
-	const (
-		connectTimeout = 2 * time.Second
-		maxHeader      = 64 << 10
-	)
+	const connectTimeout = 2 * time.Second
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableCompression: true, // pieces are forwarded as the server sent them
 
-		MaxResponseHeaderBytes: maxHeader,
+		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
 }
 
@@ -244,13 +241,10 @@
 		}
 		return data, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(a, limit+1))
+	data, err := exchange.ReadAll(a, limit, "the answer")
 	if err != nil {
 		return nil, a.classify(err)
 	}
-	if int64(len(data)) > limit {
-		return nil, failure.Corrupt.New("the answer is longer than %d bytes", limit)
-	}
 	return data, nil
 }
 
--- a/adapters/exchange/bound_test.go
+++ b/adapters/exchange/bound_test.go
@@ -5,17 +5,25 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"strings"
 	"testing/iotest"
+	"time"
 
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/adapters/engine"
 	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/adapters/exchange/exchangetest"
+	"chivespindle.example/adapters/opsclient"
+	"chivespindle.example/adapters/plainservice"
+	adapterplatform "chivespindle.example/adapters/platform"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
 )
 
 var _ = Describe("A server that sends without end", func() {
@@ -87,3 +95,47 @@
 	Entry("with as many bytes as the bound", "abc", false),
 	Entry("with one byte more", "abcd", true),
 )
+
+// Guards against a process that ends for want of memory, or waits until a deadline, when a
+// process or service that it calls sends without end.
+var _ = DescribeTable("A response without end is given up by a call", exchangetest.ExpectBounded,
+	Entry("for a process's status", func(ctx context.Context, addr netip.AddrPort) error {
+		_, err := opsclient.New().Status(ctx, addr)
+		return err
+	}),
+	Entry("for the entries' addresses", func(ctx context.Context, addr netip.AddrPort) error {
+		client := callerclient.New(callerclient.Options{Seeds: []netip.AddrPort{addr}, Timeout: time.Minute})
+		_, err := client.Addresses(ctx)
+		return err
+	}),
+	Entry("of a caller", func(ctx context.Context, addr netip.AddrPort) error {
+		_, err := callerclient.New(callerclient.Options{}).DoAt(ctx, addr, callerclient.Request{Service: "s"})
+		return err
+	}),
+	Entry("for a plain service's status", func(ctx context.Context, addr netip.AddrPort) error {
+		_, err := plainservice.New(plainservice.Options{Addr: addr}).Status(ctx)
+		return err
+	}),
+	Entry("for an engine's status", func(ctx context.Context, addr netip.AddrPort) error {
+		_, err := engine.New(engine.Options{Addr: addr}).Status(ctx)
+		return err
+	}),
+	Entry("for the configuration", func(ctx context.Context, addr netip.AddrPort) error {
+		source, err := adapterplatform.NewConfigSource(adapterplatform.ConfigOptions{BaseURL: "http://" + addr.String()})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = source.Read(ctx)
+		return err
+	}),
+	Entry("for the list of instances", func(ctx context.Context, addr netip.AddrPort) error {
+		list, err := adapterplatform.NewInstanceList(adapterplatform.InstanceListOptions{BaseURL: "http://" + addr.String()})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = list.Instances(ctx)
+		return err
+	}),
+	Entry("for a manifest", func(ctx context.Context, addr netip.AddrPort) error {
+		source, err := adapterplatform.NewWeightSource(adapterplatform.WeightOptions{BaseURL: "http://" + addr.String()})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = source.Manifest(ctx, fleet.Digest{})
+		return err
+	}),
+)
--- a/adapters/exchange/exchangetest/endless.go
+++ b/adapters/exchange/exchangetest/endless.go
@@ -101,10 +101,16 @@
 // bounded memory, not at its deadline, and that its connection is closed.
 func ExpectBounded(call func(context.Context, netip.AddrPort) error) {
 	ginkgo.GinkgoHelper()
-	expectBounded(call, maxHeadAllocated, slices.Concat(Heads, Frames))
+	ExpectBoundedHead(call)
 	expectBounded(call, maxBodyAllocated, Bodies)
 }
 
+// ExpectBoundedHead is ExpectBounded for a call that passes the body on.
+func ExpectBoundedHead(call func(context.Context, netip.AddrPort) error) {
+	ginkgo.GinkgoHelper()
+	expectBounded(call, maxHeadAllocated, slices.Concat(Heads, Frames))
+}
+
 func expectBounded(call func(context.Context, netip.AddrPort) error, maxAllocated uint64, responses []Endless) {
 	ginkgo.GinkgoHelper()
 	const timeout = 20 * time.Second // of a call that is not bounded
--- a/adapters/opsclient/opsclient.go
+++ b/adapters/opsclient/opsclient.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,6 +20,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/status"
@@ -48,7 +48,10 @@
 	return &Client{http: &http.Client{
 		// No proxy settings of the environment: processes are reached by IP
 		// address.
-		Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
+			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
+		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -146,13 +149,13 @@
 		return nil, transportError(addr, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	body, err := exchange.ReadAll(resp.Body, maxResponseBytes, "the body")
+	if errorx.IsOfType(err, exchange.TooLong) {
+		return nil, failure.Corrupt.New("answer of %s is larger than %d bytes", addr, maxResponseBytes)
+	}
 	if err != nil {
 		return nil, transportError(addr, err)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, failure.Corrupt.New("answer of %s is larger than %d bytes", addr, maxResponseBytes)
-	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError(addr, resp.StatusCode, body)
 	}
--- a/adapters/platform/client.go
+++ b/adapters/platform/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 )
 
@@ -85,6 +86,8 @@
 		TLSHandshakeTimeout: DefaultTimeout,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
 }
 
@@ -175,12 +178,12 @@
 // readBody reads a complete body of at most limit bytes. Fails with failure.Corrupt
 // if it is longer, failure.Unavailable if the connection ends early.
 func readBody(ctx context.Context, response *http.Response, limit int64, path string) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err := exchange.ReadAll(response.Body, limit, "the body")
+	if errorx.IsOfType(err, exchange.TooLong) {
+		return nil, failure.Corrupt.Wrap(err, "%s answered more than %d bytes", path, limit)
+	}
 	if err != nil {
 		return nil, transferFailure(ctx, err, path)
 	}
-	if int64(len(body)) > limit {
-		return nil, failure.Corrupt.New("%s answered more than %d bytes", path, limit)
-	}
 	return body, nil
 }
--- a/cmd/chivespindle/internal/callstream/callstream.go
+++ b/cmd/chivespindle/internal/callstream/callstream.go
@@ -20,6 +20,7 @@
 
 	"chivespindle.example/adapters/callerclient"
 	"chivespindle.example/adapters/callerhttp"
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
 )
@@ -46,7 +47,7 @@
 		// breaks, net/http itself resends a request that has an
 		// Idempotency-Key: the work might run twice, and only the outcome of
 		// the second request would be reported.
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: exchange.MaxHeadBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/cmd/chivespindle/internal/callstream/callstream_test.go
+++ b/cmd/chivespindle/internal/callstream/callstream_test.go
@@ -14,6 +14,7 @@
 
 	"chivespindle.example/adapters/callerclient"
 	"chivespindle.example/adapters/callerhttp"
+	"chivespindle.example/adapters/exchange/exchangetest"
 	"chivespindle.example/cmd/chivespindle/internal/callstream"
 	"chivespindle.example/core/failure"
 )
@@ -37,6 +38,14 @@
 }
 
 var _ = Describe("Send", func() {
+	// Guards against a command that ends for want of memory.
+	It("gives up a response whose head has no end", func() {
+		exchangetest.ExpectBoundedHead(func(ctx context.Context, addr netip.AddrPort) error {
+			_, err := callstream.New().Send(ctx, []netip.AddrPort{addr}, request, io.Discard)
+			return err
+		})
+	})
+
 	// Guards against a client that buffers the whole response. The entry holds
 	// the second piece back until the first one has been forwarded, so a
 	// buffering client would wait forever.
