--- a/core/loading/versions.go
+++ b/core/loading/versions.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxVersion is the highest number of a version. Higher ones are not exchanged exactly as
+// JSON numbers (RFC 8259, section 6), and a header that states one above 1<<63 is not read.
+const MaxVersion = 1<<53 - 1
+
 // maxNamed is how many versions of a model are remembered: more than are named within
 // the time allowed for one of them.
 const maxNamed = 8
@@ -36,8 +40,13 @@
 
 // Add returns the versions with one more, and whether that changed them. For a
 // version that is already present the earlier time is kept, unless the times differ by
-// at most skew; an assumed time is replaced by a known one.
+// at most skew; an assumed time is replaced by a known one. A version above MaxVersion,
+// which only a process of an earlier release reports, is not added: all engines would be
+// outdated for good.
 func (n NamedVersions) Add(added NamedVersion, skew time.Duration) (NamedVersions, bool) {
+	if added.Version > MaxVersion {
+		return n, false
+	}
 	at, found := slices.BinarySearchFunc(n, added.Version, func(have NamedVersion, version uint64) int {
 		return cmp.Compare(have.Version, version)
 	})
