Test responses that end after any of their bytes

Another operator reported successes with an empty or short body after a server stopped in the middle of its head. None was found here: net/http returns an error for a head without its empty line, so a length that lost its last digits is never used.

--- a/adapters/plainservice/framing_test.go
+++ b/adapters/plainservice/framing_test.go
@@ -56,3 +56,22 @@
 	Entry("is not marked by the end of an HTTP/1.0 connection", "HTTP/1.0 200 OK\r\nRequest-Id: a1\r\n\r\nhalf", false),
 	Entry("is not marked by a body shorter than its length", "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nContent-Length: 5\r\n\r\nhalf", false),
 )
+
+// Guards against a call that counts as run because its service stopped in the middle of a
+// head or body: a shorter length, a missing empty line, a missing last chunk.
+var _ = DescribeTable("A response that ends after any of its bytes is no success",
+	func(ctx SpecContext, text string) {
+		for n := range text {
+			client := plainservice.New(plainservice.Options{Addr: respondRaw(text[:n])})
+			_, err := client.Do(ctx, serving.Call{ID: "a1"}, func(serving.Piece) error { return nil })
+			Expect(errorx.IsOfType(err, failure.Unavailable)).To(BeTrue(), "%q: %v", text[:n], err)
+			Expect(failure.OutcomeOf(err)).To(Equal(failure.Unknown))
+			_, err = client.Status(ctx)
+			Expect(err).To(HaveOccurred(), "%q", text[:n])
+		}
+	},
+	Entry("a length", "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nContent-Length: 12\r\n\r\nhello, world"),
+	Entry("the length last in the head", "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nX-A: b\r\nContent-Length: 120\r\n\r\n"),
+	Entry("chunks", "HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nTransfer-Encoding: chunked\r\n\r\n10\r\nhalf of sixteen.\r\n0\r\n\r\n"),
+	Entry("no body", "HTTP/1.1 204 No Content\r\nRequest-Id: a1\r\n\r\n"),
+)
