Bound the spans of time in peers' messages

An age of 9e15 ms in a peer's message became a time 64 years in the future, and one of 2^63-1 ms the present: the product with time.Millisecond overflows. An engine with the previous version would not be outdated then. No process of this system states such an age; what callers would see was not measured.

All such fields are bounded by a hundred years in both directions.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chivespindle.example/core/feed"
+	"chivespindle.example/core/fleet"
 )
 
 const (
@@ -80,7 +81,7 @@
 	var quarantined []Fingerprint
 	partsBefore := r.parts.quarantined
 	for _, report := range reports {
-		at := now.Add(-time.Duration(report.AgeMS) * time.Millisecond)
+		at := now.Add(-fleet.Span(report.AgeMS))
 		if report.isPartSuccess() {
 			r.mergePartSuccess(at, report.Parts, from)
 			continue
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -404,5 +404,5 @@
 	}
 	err := failure.WithOutcome(kind.New("%s: %s", server, end.Reason), outcome)
 	err = err.WithProperty(decidedProperty, end.DecidedByHome)
-	return failure.WithRetryAfter(err, time.Duration(end.RetryAfterMS)*time.Millisecond)
+	return failure.WithRetryAfter(err, fleet.Span(end.RetryAfterMS))
 }
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/policy"
 	"chivespindle.example/daemon/wire"
 )
@@ -82,7 +83,7 @@
 // adoptState adopts the state that an entry which reads the platform reports. Of several
 // such entries, the one with the latest response decides.
 func (c *contact) adoptState(now time.Time, state wire.PlatformState) {
-	lastResponse := now.Add(-time.Duration(state.LastResponseAgoMS) * time.Millisecond)
+	lastResponse := now.Add(-fleet.Span(state.LastResponseAgoMS))
 	if lastResponse.Before(c.lastResponse) {
 		return
 	}
@@ -93,7 +94,7 @@
 		c.responses = min(2, c.responses+1)
 	}
 	c.lastResponse = lastResponse
-	c.recordOutage(now.Add(-time.Duration(state.RegainedAgoMS)*time.Millisecond), time.Duration(state.SilentMS)*time.Millisecond)
+	c.recordOutage(now.Add(-fleet.Span(state.RegainedAgoMS)), fleet.Span(state.SilentMS))
 }
 
 // recordOutage records the platform's return after a time without a response. A time
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -173,7 +173,7 @@
 func (g *Gateway) receiveGroupLoads(now time.Time, digests []wire.Digest) {
 	for _, d := range digests {
 		if d.Group != g.mesh.Group() {
-			g.balancer.UpdateGroupLoads(now, now.Add(-time.Duration(d.AgeMS)*time.Millisecond), d.Group, d.Loads)
+			g.balancer.UpdateGroupLoads(now, now.Add(-fleet.Span(d.AgeMS)), d.Group, d.Loads)
 		}
 	}
 }
@@ -239,7 +239,7 @@
 	}
 	g.replicas[r.Addr] = replica{Replica: r, reportedAt: now, direct: direct || known.direct && r.IsSameReport(known.Replica)}
 	if r.ReadyInMS > 0 {
-		g.readyAt[r.Addr] = now.Add(time.Duration(r.ReadyInMS) * time.Millisecond)
+		g.readyAt[r.Addr] = now.Add(fleet.Span(r.ReadyInMS))
 	} else {
 		delete(g.readyAt, r.Addr)
 	}
--- a/daemon/gateway/reading.go
+++ b/daemon/gateway/reading.go
@@ -41,7 +41,7 @@
 
 // readTime returns when a reading was made that has the given age.
 func readTime(now time.Time, ageMS int64) time.Time {
-	return now.Add(-time.Duration(max(0, ageMS)) * time.Millisecond)
+	return now.Add(-fleet.Span(max(0, ageMS)))
 }
 
 // watchReadTime returns the time up to which a watch has seen the platform's changes. A
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -101,7 +101,7 @@
 	if l.supply == nil || l.reportFailures >= maxReportFailures || !l.hasEngineReport {
 		return 0
 	}
-	load := time.Duration(l.supply.LoadMS)*time.Millisecond + reportLag
+	load := fleet.Span(l.supply.LoadMS) + reportLag
 	switch step := l.plan.Next(now, l.engine, l.timeUntilStaged(now)); {
 	case step == loading.Idle:
 		return 0
--- a/daemon/mesh/digests.go
+++ b/daemon/mesh/digests.go
@@ -88,7 +88,7 @@
 		if d.Entries == nil && before.Version == d.Version {
 			d.Entries = before.Entries
 		}
-		at := now.Add(-time.Duration(d.AgeMS) * time.Millisecond)
+		at := now.Add(-fleet.Span(d.AgeMS))
 		l.digests[d.Reporter] = receivedDigest{d, at}
 		if d.Reporter == l.addr && d.Version != before.Version && !m.isSameGroup(l) {
 			m.notifyGroup = true
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -161,7 +161,7 @@
 
 // NamedVersion returns the version in the receiver's time.
 func (w WantedVersion) NamedVersion(now time.Time) loading.NamedVersion {
-	since := now.Add(-time.Duration(w.AgeMS) * time.Millisecond)
+	since := now.Add(-fleet.Span(w.AgeMS))
 	return loading.NamedVersion{Version: w.Version, Since: since, Assumed: w.Assumed}
 }
 
