--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -103,10 +103,10 @@
 func (s *stage) awaitIdle(ctx context.Context, load loading.Load) error {
 	for {
 		current, err := s.report(ctx)
-		if err == nil && current.Orders != load.Orders {
-			return orderNotSent.New("the engine has accepted %d orders, want %d", current.Orders.Count, load.Orders.Count)
-		}
-		if err == nil && !current.Busy && current.Loaded != 0 {
+		if err == nil && !current.Busy {
+			if current.Load() != load {
+				return orderNotSent.New("the engine has accepted %d orders, want %d", current.Orders.Count, load.Orders.Count)
+			}
 			return nil
 		}
 		select {
--- a/daemon/loader/settle.go
+++ b/daemon/loader/settle.go
@@ -17,10 +17,12 @@
 	settleReports     = 4
 	settleInterval    = 100 * time.Millisecond
 	maxSettleResponse = 250 * time.Millisecond
+	// slowSettleThreshold is how long that may take before a warning is logged.
+	slowSettleThreshold = 5 * time.Second
 )
 
-// unsettle makes the next write or order wait until the engine has read everything that was
-// sent to it before. The kernel delivers what a process has sent even after its end, so a
+// unsettle makes the next write or order wait until the engine has had the time to read what
+// was sent to it before. The kernel delivers what a process has sent even after its end, so a
 // chunk or an order of the previous agent may take effect once this one has started.
 func (s *stage) unsettle() {
 	s.writeMu.Lock()
@@ -28,13 +30,16 @@
 	s.isSettled = false
 }
 
-// settle returns once the engine has read everything that was sent to it before. The caller
-// holds writeMu.
+// settle returns once the engine has answered several reports in a row, and so has had the
+// time to read what was sent to it before. A single connection may still stall, which the
+// verification of each load covers. The caller holds writeMu.
 func (s *stage) settle(ctx context.Context) error {
 	if s.isSettled {
 		return nil
 	}
 	start := time.Now()
+	slow := time.AfterFunc(slowSettleThreshold, func() { s.logger.Warn("engine_not_settled") })
+	defer slow.Stop()
 	for responses := 0; responses < settleReports; {
 		sentAt := time.Now()
 		_, err := s.report(ctx)
@@ -57,7 +62,5 @@
 func (s *stage) settleNow(ctx context.Context) {
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	if err := s.settle(ctx); err != nil {
-		s.logger.Warn("engine_not_settled", zap.Error(err))
-	}
+	_ = s.settle(ctx) // only fails with the process
 }
