Soak of version changes: no request runs on incomplete weights

Real entries and agents run around stand-ins of engines while versions are named in series, staged chunks turn corrupt, engines fall silent and restart, agents are killed, stopped and paused, and the origin fails. Some silences start after the last read of a check of the stage, so that the order that follows lies unread, or before a staged chunk; some concern one connection only.

Fails if a request runs on weights of which a chunk was missing, corrupt for 3 s or of another version when the engine accepted the order, if a stream has events of two versions, if an engine does not serve the newest version with complete weights 20 s after the faults, or if half of the requests outside faults are not served. A failed run writes its logs to one folder and tells for each incomplete load the chunks, the order and the agent processes.

--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 bench: build ## the measurements of the design notes
 	$(GO) run ./standin/cmd/bench
 
-# Seeds of the soak: how many, from which on, and the seconds for each.
+# Seeds of the soaks: how many, from which on, and the seconds for each.
 SEEDS ?= 50
 FIRST ?= 1
 SECONDS ?= 15
@@ -89,7 +89,12 @@
 .PHONY: soak
 soak: ## a seeded soak before servers that crash and limit themselves; SEEDS, FIRST, SECONDS
 	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) SOAK_SECONDS=$(SECONDS) \
-		$(GO) test -v -count=1 -timeout 2h ./platform -ginkgo.focus='A soak'
+		$(GO) test -v -count=1 -timeout 2h ./platform -ginkgo.focus='A soak violates'
+
+.PHONY: versionsoak
+versionsoak: ## a seeded soak of version changes beside faults of engines, agents and origin; SEEDS, FIRST, SECONDS
+	SOAK_SEEDS=$(SEEDS) SOAK_FIRST=$(FIRST) SOAK_SECONDS=$(SECONDS) \
+		$(GO) test -v -count=1 -timeout 2h ./platform -ginkgo.v -ginkgo.focus='A soak of version changes'
 
 .PHONY: capacity
 capacity: build ## the slopes of docs/CAPACITY.md
