Take an order as accepted only if the engine's report shows it

A response on a kept connection may belong to an earlier request: a server may answer twice, or late. Agents' calls carry no ID to tell. An order that was taken as accepted while it lay unread would have been verified against the stage of that moment and accepted later. Failed before: the load was vouched for without an accepted order.

--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -134,19 +134,31 @@
 		return loading.Load{}, orderNotSent.Wrap(err, "report before the order")
 	}
 	o := &order{version: v, layers: layers, before: before, checked: checked}
-	begun, err := s.sendOrder(ctx, o)
-	if err != nil && !errorx.IsOfType(err, Declined) {
-		begun, err = true, s.awaitOutcome(ctx, o, err)
-	}
-	if err == nil && !begun {
-		err = alreadyLoaded.New("the engine has loaded version %d already", v.number)
-	}
-	if err != nil {
+	if err := s.sendUntilAccepted(ctx, o); err != nil {
 		return before.Load(), err
 	}
 	return s.verify(ctx, o)
 }
 
+// sendUntilAccepted sends an order and returns once the engine's report shows that it was
+// accepted. The response alone does not: it may belong to an earlier request on its
+// connection.
+func (s *stage) sendUntilAccepted(ctx context.Context, o *order) error {
+	begun, err := s.sendOrder(ctx, o)
+	switch {
+	case errorx.IsOfType(err, Declined):
+		return err
+	case err == nil && !begun:
+		return alreadyLoaded.New("the engine has loaded version %d already", o.version.number)
+	case err == nil:
+		var isSettled bool
+		if isSettled, err = s.queryOutcome(ctx, o); isSettled {
+			return err
+		}
+	}
+	return s.awaitOutcome(ctx, o, err)
+}
+
 func (s *stage) report(ctx context.Context) (loading.Engine, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -208,9 +220,9 @@
 	}
 	o.checked = checked
 	begun, err := s.sendOrder(ctx, o)
-	if err == nil && !begun {
+	if err == nil {
 		isSettled, err := s.queryOutcome(ctx, o)
-		if isSettled || err != nil {
+		if isSettled || err != nil || begun {
 			return isSettled, err
 		}
 		return true, alreadyLoaded.New("the engine had loaded version %d before the order", o.version.number)
@@ -218,8 +230,7 @@
 	// If the retry is declined because of its number, the first order was accepted, and
 	// the next report shows it. If it is declined because of the engine's state, an
 	// earlier one may still be accepted.
-	isDeclined := errorx.IsOfType(err, Declined) && !o.before.Orders.Reported
-	return err == nil || isDeclined, err
+	return errorx.IsOfType(err, Declined) && !o.before.Orders.Reported, err
 }
 
 // queryOutcome reads the outcome of an order from the engine's report.
--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -69,6 +69,17 @@
 		Expect(errorx.IsOfType(err, alreadyLoaded)).To(BeTrue())
 	})
 
+	// Guards against a response to an earlier request that is taken for the order's, while the
+	// engine has not read the order.
+	It("is not an order that the report does not show", func() {
+		s.engine = earlyEngine{e}
+		e.onReport = onNthCall(3, e.acceptPendingOrders)
+		ordered, err := s.load(ctx, supply, 2, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ordered).To(Equal(loading.Load{Born: 1, Orders: loading.Orders{Count: 1, Reported: true}, Version: 2}))
+		Expect(e.loaded[0]).To(Equal(chunk(2, 0)))
+	})
+
 	// Guards against an order of another process that is taken for this one's: it was accepted
 	// during the check before the order.
 	It("is not an order that another process has sent before", func() {
@@ -124,6 +135,24 @@
 	return failure.Timeout.New("no response")
 }
 
+// earlyEngine answers an order before it has read it.
+type earlyEngine struct{ *engine }
+
+func (e earlyEngine) Load(_ context.Context, order LoadOrder) (bool, error) {
+	e.pendingOrders = append(e.pendingOrders, order)
+	return true, nil
+}
+
+// onNthCall returns a function that calls f when it is called for the n-th time.
+func onNthCall(n int, f func()) func() {
+	calls := 0
+	return func() {
+		if calls++; calls == n {
+			f()
+		}
+	}
+}
+
 // loadedEngine ignores orders.
 type loadedEngine struct{ *engine }
 
