--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -219,6 +219,27 @@
 			wire.LastReady{Incarnation: 1, Loaded: 1, Orders: 1, HasOrders: true}, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 2, HasOrders: true}),
 	)
 
+	// Guards against a part of the layers that an agent has left when it ended, and that counts
+	// as all of them since the number of layers is not known at the start.
+	It("is not used if it lacks layers", func() {
+		l.engine = loading.Engine{Loaded: 2, Orders: loading.Orders{Count: 1, Reported: true}, Layers: loading.Layers{Target: 1}}
+		l.updateStanding()
+		Expect(l.plan.IsReloading(l.engine)).To(BeTrue(), "the number of layers is not known")
+		l.supply = &wire.Supply{Layers: 16}
+		l.updateStanding()
+		Expect(l.verification.Of(l.engine)).To(Equal(loading.Rejected))
+	})
+
+	// Guards against a sound engine that leaves service: it was ordered once more on the basis
+	// of an outdated report.
+	It("remains verified if a second order finds it loaded", func() {
+		Expect(report(2, 2, false)).To(BeFalse())
+		l.lastReport = wire.Replica{Loaded: 2, Orders: 2, HasOrders: true}
+		l.plan.MarkOrdered(time.Time{}, 2)
+		l.handleOrderResult(time.Time{}, 2, l.engine.Load(), alreadyLoaded.New("loaded"))
+		Expect(l.plan.IsReloading(l.engine)).To(BeFalse())
+	})
+
 	It("is used once this process has ordered and verified it", func() {
 		Expect(report(1, 1, false)).To(BeFalse())
 		l.verification.Set(l.engine.After(2), loading.Verified)
