--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -103,7 +103,7 @@
 
 	engine       loading.Engine
 	verification loading.Verification
-	isSettling   bool // the engine reads what the previous agent has sent to it
+	isCatchingUp bool // the wait for the engine to catch up has begun
 	// found is what the engine's first report named, isLoadedAtStart whether the engine had
 	// completed that load. isFoundReady is true if the agent's predecessor has reported it as
 	// ready.
@@ -153,7 +153,7 @@
 		started:    now,
 	}
 	l.stage = newStage(opts.Engine, opts.Origin, opts.Logger)
-	l.stage.unsettle()
+	l.stage.markUnread()
 	l.swarm = swarm.New(ctx, swarm.Options{
 		Self:            l.member(opts.Addr, opts.Place),
 		Loop:            opts.Loop,
@@ -218,9 +218,9 @@
 	if gap := l.clock.Elapsed(); gap > pauseThreshold {
 		l.handlePause(now, gap)
 	}
-	if !l.isSettling {
-		l.isSettling = true
-		go l.stage.settleNow(l.ctx)
+	if !l.isCatchingUp {
+		l.isCatchingUp = true
+		go l.stage.catchUpAhead(l.ctx)
 	}
 	l.mesh.Tick(now)
 	l.swarm.Tick(now)
--- a/daemon/loader/order.go
+++ b/daemon/loader/order.go
@@ -62,7 +62,7 @@
 	if v.supply.Model != supply.Model {
 		return loading.Load{}, orderNotSent.New("version %d is staged for model %s, want %s", version, v.supply.Model, supply.Model)
 	}
-	if err := s.settle(ctx); err != nil {
+	if err := s.awaitCatchUp(ctx); err != nil {
 		return loading.Load{}, orderNotSent.Wrap(err, "earlier messages to the engine")
 	}
 	if reload {
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -46,9 +46,9 @@
 	// the engine has one location for each chunk number and would load chunks of both
 	// versions.
 	writeMu sync.Mutex
-	// isSettled is false while the engine may still read messages that nobody waits for: of
+	// mayHaveUnread is true while the engine may still read messages that nobody waits for: of
 	// a previous process of the agent, or chunks without a response. writeMu guards it.
-	isSettled bool
+	mayHaveUnread bool
 }
 
 // stagedVersion is one version with its verified chunks.
@@ -64,7 +64,7 @@
 }
 
 func newStage(engine Engine, origin Origin, logger *zap.Logger) *stage {
-	return &stage{engine: engine, origin: origin, logger: logger, isSettled: true}
+	return &stage{engine: engine, origin: origin, logger: logger}
 }
 
 // readManifest reads the manifest of a version from the origin, 0 for the newest, and
@@ -264,7 +264,7 @@
 	s.setChunk(v, index, data)
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	if err := s.settle(ctx); err != nil {
+	if err := s.awaitCatchUp(ctx); err != nil {
 		return err
 	}
 	return s.write(ctx, v, index, data)
@@ -285,7 +285,7 @@
 	defer cancel()
 	err := s.engine.Put(ctx, v.supply.Model, index, data)
 	if err != nil {
-		s.isSettled = false
+		s.mayHaveUnread = true
 	}
 	return err
 }
--- a/daemon/loader/verification.go
+++ b/daemon/loader/verification.go
@@ -26,9 +26,7 @@
 // handleLastReady processes what an entry knows of the load that the agent's predecessor has
 // verified. An entry sends it in its first heartbeat.
 func (l *Loader) handleLastReady(now time.Time, last *wire.LastReady) {
-	switch {
-	case last == nil || l.isOwn(last):
-	default:
+	if last != nil && !l.isOwn(last) {
 		l.lastReady = append(l.lastReady, *last)
 		l.judgeFound(*last)
 	}
@@ -77,7 +75,7 @@
 		l.isLoadedAtStart = e.Loaded != 0 && !e.Busy
 		l.found = e.Load()
 	}
-	if e.Loaded != 0 && l.verification.Of(e) == loading.Unverified && l.isSettledLoad(e) {
+	if e.Loaded != 0 && l.verification.Of(e) == loading.Unverified && l.canJudge(e) {
 		l.judgeLoad(e)
 	}
 	l.updateMustReload()
@@ -87,9 +85,9 @@
 	l.engine.MustReload = l.engine.Loaded != 0 && l.verification.Of(l.engine) != loading.Verified
 }
 
-// isSettledLoad reports whether the engine's load is complete and is not the one that an
+// canJudge reports whether the engine's load is complete and is not the one that an
 // order of this process replaces. Whether a range is all layers is known with the supply.
-func (l *Loader) isSettledLoad(e loading.Engine) bool {
+func (l *Loader) canJudge(e loading.Engine) bool {
 	areLayersKnown := l.supply != nil || e.Layers == loading.Layers{}
 	return !l.ordering && !e.Busy && areLayersKnown && !l.plan.IsOrdered(e) && !l.verification.Supersedes(e)
 }
--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -119,7 +119,7 @@
 		s.engine = e
 		reports := 0
 		e.onReport = func() {
-			if reports++; reports == settleReports {
+			if reports++; reports == catchUpReports {
 				e.staged[0] = chunk(3, 0) // read at last
 			}
 		}
