Judge a found load before it can be ordered again

A starting agent knows the number of layers, which it needs to judge what the engine has loaded, with the first heartbeat; the same heartbeat names the wanted version, which was staged already and ordered before the next report.

Only a rejected load is loaded again now; one that is not judged yet is just not reported as ready, and it is judged when the number of layers arrives.

--- a/daemon/loader/catalog.go
+++ b/daemon/loader/catalog.go
@@ -82,6 +82,7 @@
 	}
 	l.opts.Logger.Info("catalog_read", zap.Stringer("as_of", s.AsOf), zap.Int("members", len(plan.Members)))
 	l.supply = &plan.Supply
+	l.judgeWithSupply(now)
 	l.setMembers(now, plan.Members)
 	if w, named := s.WantedVersion(plan.Supply.Model); named && l.plan.Wanted() < w.Version {
 		// The time since when the version is wanted is not known here. Until an entry
--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -280,6 +280,7 @@
 	if l.supply == nil {
 		return
 	}
+	l.judgeWithSupply(now)
 	for _, w := range b.Wanted {
 		if w.Model == l.supply.Model {
 			l.addWanted(now, w.NamedVersion(now))
--- a/daemon/loader/steps.go
+++ b/daemon/loader/steps.go
@@ -61,7 +61,7 @@
 	e = l.engine
 	l.updateLeaving()
 	l.logOutdated(now, e)
-	if l.plan.IsReloading(e) || e.Busy {
+	if l.isReloading() || e.Busy {
 		l.nextReport = now.Add(reloadReportInterval)
 	}
 	l.reportChanges(now)
@@ -75,7 +75,7 @@
 	state.Born = l.engine.Born
 	state.Orders, state.HasOrders = l.engine.Orders.Count, l.engine.Orders.Reported
 	state.Leaving = l.engine.Leaving
-	state.Reloading = l.plan.IsReloading(l.engine)
+	state.Reloading = l.isReloading()
 	state.Unreachable = l.reportFailures >= maxReportFailures
 	state.SlowdownPercent = roundedSlowdown(l.engine.Slowdown)
 	state.ReadyInMS = l.timeUntilReady(now).Milliseconds()
@@ -109,9 +109,9 @@
 	switch step := l.plan.Next(now, l.engine, l.timeUntilStaged(now)); {
 	case step == loading.Idle:
 		return 0
-	case l.plan.IsReloading(l.engine) && l.engine.Loaded != 0:
+	case l.isReloading() && l.engine.Loaded != 0:
 		return load + max(0, maxDrainTime-now.Sub(l.plan.OrderedAt()))
-	case l.plan.IsReloading(l.engine):
+	case l.isReloading():
 		return max(reportLag, load-now.Sub(l.plan.OrderedAt()))
 	case step == loading.Fetch:
 		return min(loading.NotExpected, load+l.timeUntilStaged(now))
--- a/daemon/loader/verification.go
+++ b/daemon/loader/verification.go
@@ -81,8 +81,23 @@
 	l.updateMustReload()
 }
 
+// judgeWithSupply judges the engine's load once the number of layers is known.
+func (l *Loader) judgeWithSupply(now time.Time) {
+	if l.hasFound && l.verification.Of(l.engine) == loading.Unverified {
+		l.updateStanding()
+		l.reportChanges(now)
+	}
+}
+
 func (l *Loader) updateMustReload() {
-	l.engine.MustReload = l.engine.Loaded != 0 && l.verification.Of(l.engine) != loading.Verified
+	l.engine.MustReload = l.engine.Loaded != 0 && l.verification.Of(l.engine) == loading.Rejected
+}
+
+// isReloading reports whether the engine must get no new requests: it has been ordered to
+// load, or its load is not verified.
+func (l *Loader) isReloading() bool {
+	isUnverified := l.engine.Loaded != 0 && l.verification.Of(l.engine) != loading.Verified
+	return isUnverified || l.plan.IsReloading(l.engine)
 }
 
 // canJudge reports whether the engine's load is complete and is not the one that an
--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -171,7 +171,7 @@
 	report := func(version, orders uint64, busy bool) bool {
 		l.engine = loading.Engine{Loaded: version, Busy: busy, Orders: loading.Orders{Count: orders, Reported: true}}
 		l.updateStanding()
-		return l.plan.IsReloading(l.engine)
+		return l.isReloading()
 	}
 
 	// Guards against an engine that is used with a load that the previous agent has ordered
@@ -219,12 +219,26 @@
 			wire.LastReady{Incarnation: 1, Loaded: 1, Orders: 1, HasOrders: true}, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 2, HasOrders: true}),
 	)
 
+	// Guards against a fleet that loads its weights once more after all agents have restarted:
+	// the version is staged before the load could be judged.
+	It("is not loaded again while it is not judged yet", func() {
+		l.engine = loading.Engine{Loaded: 2, Orders: loading.Orders{Count: 1, Reported: true}, Layers: loading.Layers{Target: 16}}
+		l.updateStanding()
+		Expect(l.isReloading()).To(BeTrue(), "the number of layers is not known")
+		l.plan.AddWanted(loading.NamedVersion{Version: 2})
+		l.plan.MarkStaged(time.Time{}, 2)
+		Expect(l.plan.Next(time.Time{}, l.engine, 0)).To(Equal(loading.Idle))
+		l.supply = &wire.Supply{Layers: 16}
+		l.updateStanding()
+		Expect(l.isReloading()).To(BeFalse())
+	})
+
 	// Guards against a part of the layers that an agent has left when it ended, and that counts
 	// as all of them since the number of layers is not known at the start.
 	It("is not used if it lacks layers", func() {
 		l.engine = loading.Engine{Loaded: 2, Orders: loading.Orders{Count: 1, Reported: true}, Layers: loading.Layers{Target: 1}}
 		l.updateStanding()
-		Expect(l.plan.IsReloading(l.engine)).To(BeTrue(), "the number of layers is not known")
+		Expect(l.isReloading()).To(BeTrue(), "the number of layers is not known")
 		l.supply = &wire.Supply{Layers: 16}
 		l.updateStanding()
 		Expect(l.verification.Of(l.engine)).To(Equal(loading.Rejected))
@@ -237,7 +251,7 @@
 		l.lastReport = wire.Replica{Loaded: 2, Orders: 2, HasOrders: true}
 		l.plan.MarkOrdered(time.Time{}, 2)
 		l.handleOrderResult(time.Time{}, 2, l.engine.Load(), alreadyLoaded.New("loaded"))
-		Expect(l.plan.IsReloading(l.engine)).To(BeFalse())
+		Expect(l.isReloading()).To(BeFalse())
 	})
 
 	It("is used once this process has ordered and verified it", func() {
