Don't wait for an engine that has just started

If the engine has refused connections since the agent's start, no process listened, and nothing that was sent before can be read. A chunk whose connection is refused was not sent either.

--- a/daemon/loader/catchup.go
+++ b/daemon/loader/catchup.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 )
 
@@ -40,12 +42,17 @@
 	start := time.Now()
 	slow := time.AfterFunc(slowCatchUpThreshold, func() { s.logger.Warn("engine_behind") })
 	defer slow.Stop()
-	for responses := 0; responses < catchUpReports; {
+	for responses, required := 0, catchUpReports; responses < required; {
 		sentAt := time.Now()
 		_, err := s.report(ctx)
-		responses++
-		if err != nil || time.Since(sentAt) > maxCatchUpResponse {
+		switch {
+		case errorx.IsOfType(err, exchange.Refused):
+			// No process listens: what was sent before is lost with the one that did.
+			responses, required = 0, 1
+		case err != nil || time.Since(sentAt) > maxCatchUpResponse:
 			responses = 0
+		default:
+			responses++
 		}
 		select {
 		case <-ctx.Done():
--- a/daemon/loader/ports.go
+++ b/daemon/loader/ports.go
@@ -22,7 +22,8 @@
 	After loading.Orders
 }
 
-// Engine is the model engine on the same instance.
+// Engine is the model engine on the same instance. A call fails with exchange.Refused if no
+// process listens.
 type Engine interface {
 	Report(ctx context.Context) (loading.Engine, error)
 	// Held lists the numbers of the chunks that are staged for a model.
--- a/daemon/loader/stage.go
+++ b/daemon/loader/stage.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
@@ -284,7 +285,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), writeTimeout)
 	defer cancel()
 	err := s.engine.Put(ctx, v.supply.Model, index, data)
-	if err != nil {
+	if err != nil && !errorx.IsOfType(err, exchange.Refused) {
 		s.mayHaveUnread = true
 	}
 	return err
--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/loading"
@@ -80,6 +81,16 @@
 		Expect(e.loaded[0]).To(Equal(chunk(2, 0)))
 	})
 
+	// Guards against a new engine that gets its weights later than it could: nobody has sent it
+	// anything before.
+	It("does not wait for an engine that has just started", func() {
+		starting := &startingEngine{engine: e, refusals: 2}
+		s.engine = starting
+		s.markUnread()
+		Expect(s.Put(ctx, second.Manifest, 0, chunk(2, 0))).To(Succeed())
+		Expect(starting.reports).To(Equal(3))
+	})
+
 	// Guards against an order of another process that is taken for this one's: it was accepted
 	// during the check before the order.
 	It("is not an order that another process has sent before", func() {
@@ -153,6 +164,19 @@
 	}
 }
 
+// startingEngine refuses connections until it has started.
+type startingEngine struct {
+	*engine
+	refusals, reports int
+}
+
+func (e *startingEngine) Report(ctx context.Context) (loading.Engine, error) {
+	if e.reports++; e.reports <= e.refusals {
+		return loading.Engine{}, exchange.Refused.New("nothing listens")
+	}
+	return e.engine.Report(ctx)
+}
+
 // loadedEngine ignores orders.
 type loadedEngine struct{ *engine }
 
