Consider what entries know of a predecessor only for 3 s

An entry that was cut off knows what was ready before that. When it is back, its first heartbeat would have made agents reject loads that they had served with for long, all at once. The fields of the found load are one type now.

--- a/daemon/loader/loader.go
+++ b/daemon/loader/loader.go
@@ -101,16 +101,10 @@
 	// isUnlisted is true if the members do not include this agent.
 	isUnlisted bool
 
-	engine       loading.Engine
-	verification loading.Verification
-	isCatchingUp bool // the wait for the engine to catch up has begun
-	// found is what the engine's first report named, isLoadedAtStart whether the engine had
-	// completed that load. isFoundReady is true if the agent's predecessor has reported it as
-	// ready.
-	found                                   loading.Load
-	hasFound, isLoadedAtStart, isFoundReady bool
-	// lastReady is what entries have reported of the predecessor's load.
-	lastReady       []wire.LastReady
+	engine          loading.Engine
+	verification    loading.Verification
+	isCatchingUp    bool // the wait for the engine to catch up has begun
+	found           foundLoad
 	hasHeartbeat    bool // an entry has reported since the start
 	outdated        outdated
 	hasEngineReport bool // the engine's report was read since the start or the last pause
--- a/daemon/loader/verification.go
+++ b/daemon/loader/verification.go
@@ -12,10 +12,26 @@
 // The engine is reported as ready only while its load is verified: entries send calls to
 // whatever is reported as ready.
 
-// predecessorWait is how long after its start an agent waits for an entry to report the load
-// that its predecessor has verified. Until then it reports nothing about the engine, and
-// entries use the predecessor's reports.
-const predecessorWait = 700 * time.Millisecond
+const (
+	// predecessorWait is how long after its start an agent waits for an entry to report the
+	// load that its predecessor has verified. Until then it reports nothing about the engine,
+	// and entries use the predecessor's reports.
+	predecessorWait = 700 * time.Millisecond
+	// predecessorTTL is how long after its start an agent considers what entries know of its
+	// predecessor. An entry that was cut off may report later what was true long ago.
+	predecessorTTL = 3 * time.Second
+)
+
+// foundLoad is what the engine had loaded at the agent's start.
+type foundLoad struct {
+	isKnown    bool         // the engine's first report was read
+	load       loading.Load // that it named
+	isComplete bool         // the load was not in progress
+	// reports are what entries know of the predecessor's load, isConfirmed whether the
+	// predecessor has reported this load as ready.
+	reports     []wire.LastReady
+	isConfirmed bool
+}
 
 // awaitsPredecessor reports whether an entry may still report what the agent's predecessor
 // has verified.
@@ -26,8 +42,8 @@
 // handleLastReady processes what an entry knows of the load that the agent's predecessor has
 // verified. An entry sends it in its first heartbeat.
 func (l *Loader) handleLastReady(now time.Time, last *wire.LastReady) {
-	if last != nil && !l.isOwn(last) {
-		l.lastReady = append(l.lastReady, *last)
+	if last != nil && !l.isOwn(last) && now.Sub(l.started) < predecessorTTL {
+		l.found.reports = append(l.found.reports, *last)
 		l.judgeFound(*last)
 	}
 	if !l.hasHeartbeat {
@@ -48,15 +64,15 @@
 // predecessor must have reported it as ready. An entry may not have received its last report,
 // so a confirmation prevails.
 func (l *Loader) judgeFound(last wire.LastReady) {
-	if !l.isLoadedAtStart || l.engine.Load() != l.found || l.ordering {
+	if !l.found.isComplete || l.engine.Load() != l.found.load || l.ordering {
 		return
 	}
-	l.isFoundReady = l.isFoundReady || isReadyLoad(last, l.found)
+	l.found.isConfirmed = l.found.isConfirmed || isReadyLoad(last, l.found.load)
 	switch standing := l.verification.Of(l.engine); {
-	case l.isFoundReady:
-		l.verification.Set(l.found, loading.Verified)
+	case l.found.isConfirmed:
+		l.verification.Set(l.found.load, loading.Verified)
 	case standing == loading.Verified:
-		l.reject(l.found, loadRejected.New("the previous agent last reported version %d as ready", last.Loaded))
+		l.reject(l.found.load, loadRejected.New("the previous agent last reported version %d as ready", last.Loaded))
 	}
 	l.updateMustReload()
 }
@@ -70,10 +86,10 @@
 // updateStanding decides what is known of the load in a new report of the engine.
 func (l *Loader) updateStanding() {
 	e := l.engine
-	if !l.hasFound {
-		l.hasFound = true
-		l.isLoadedAtStart = e.Loaded != 0 && !e.Busy
-		l.found = e.Load()
+	if !l.found.isKnown {
+		l.found.isKnown = true
+		l.found.load = e.Load()
+		l.found.isComplete = e.Loaded != 0 && !e.Busy
 	}
 	if e.Loaded != 0 && l.verification.Of(e) == loading.Unverified && l.canJudge(e) {
 		l.judgeLoad(e)
@@ -83,7 +99,7 @@
 
 // judgeWithSupply judges the engine's load once the number of layers is known.
 func (l *Loader) judgeWithSupply(now time.Time) {
-	if l.hasFound && l.verification.Of(l.engine) == loading.Unverified {
+	if l.found.isKnown && l.verification.Of(l.engine) == loading.Unverified {
 		l.updateStanding()
 		l.reportChanges(now)
 	}
@@ -118,12 +134,12 @@
 		l.reject(e.Load(), loadRejected.New("layers %d to %d of %d are loaded", e.Layers.From, e.Layers.Target, l.supply.Layers))
 	case e.Orders.Reported && e.Orders.Count == 0:
 		l.verification.Set(e.Load(), loading.Verified) // loaded by the engine itself
-	case !l.isLoadedAtStart || e.Load() != l.found:
+	case !l.found.isComplete || e.Load() != l.found.load:
 		l.reject(e.Load(), loadRejected.New("another process has ordered the load"))
 	default:
-		l.verification.Set(l.found, loading.Verified)
+		l.verification.Set(l.found.load, loading.Verified)
 		l.opts.Logger.Info("load_found", zap.Uint64("version", e.Loaded), zap.Uint64("orders", e.Orders.Count))
-		for _, last := range l.lastReady {
+		for _, last := range l.found.reports {
 			l.judgeFound(last)
 		}
 	}
--- a/daemon/loader/verify_test.go
+++ b/daemon/loader/verify_test.go
@@ -222,7 +222,7 @@
 	DescribeTable("is used unless the previous agent last reported another one",
 		func(isReady bool, last ...wire.LastReady) {
 			for _, isEarly := range []bool{true, false} {
-				l.hasHeartbeat, l.hasFound, l.lastReady, l.isFoundReady = true, false, nil, false
+				l.hasHeartbeat, l.found = true, foundLoad{}
 				l.verification = loading.Verification{}
 				if !isEarly {
 					report(2, 2, false)
@@ -243,6 +243,15 @@
 			wire.LastReady{Incarnation: 1, Loaded: 1, Orders: 1, HasOrders: true}, wire.LastReady{Incarnation: 1, Loaded: 2, Orders: 2, HasOrders: true}),
 	)
 
+	// Guards against a fleet that leaves service when an entry is back that was cut off: it knows
+	// what was ready long ago.
+	It("is used in spite of an entry that reports late what was ready before", func() {
+		l.hasHeartbeat = true
+		Expect(report(2, 2, false)).To(BeFalse())
+		l.handleLastReady(l.started.Add(predecessorTTL), &wire.LastReady{Incarnation: 1, Loaded: 1, Orders: 1, HasOrders: true})
+		Expect(report(2, 2, false)).To(BeFalse())
+	})
+
 	// Guards against a fleet that loads its weights once more after all agents have restarted:
 	// the version is staged before the load could be judged.
 	It("is not loaded again while it is not judged yet", func() {
