--- a/core/loading/loading.go
+++ b/core/loading/loading.go
@@ -65,7 +65,8 @@
 // Layers is a range of layers of a model; the zero value is all layers.
 type Layers struct{ From, Target int }
 
-// IsPartial reports whether the range lacks some of a model's layers.
+// IsPartial reports whether the range lacks some of a model's layers. layers is their number;
+// 0 if it is not known.
 func (l Layers) IsPartial(layers int) bool {
 	return l.From > 0 || l.Target > 0 && l.Target < layers
 }
