--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -48,8 +48,8 @@
 // whether it did. named is the newest version that the operator named, 0 if none is known:
 // versions above it do not count as newer, as their numbers may be wrong.
 //
-// If too many are held, the highest version gives way. A manifest that gave way is not
-// accepted again until a newer version is named, so none circulates between entries.
+// If too many are held, the highest version is dropped. It is not accepted again until a
+// newer version is named, so none circulates between entries.
 func (m *manifests) add(manifest wire.Manifest, near bool, named uint64) bool {
 	isWanted := named != 0 && manifest.Version >= named
 	oldest := manifest.Version // that is still of use
--- a/daemon/loader/manifest.go
+++ b/daemon/loader/manifest.go
@@ -147,8 +147,8 @@
 }
 
 // checkManifest checks a manifest against the model of the engine and the number and the
-// size of the chunks in the configuration. A manifest that lacks the last chunks would let an engine load them
-// from the version that was staged before.
+// size of the chunks in the configuration. If it lacked the last chunks, the engine would
+// load those of the version that was staged before.
 func checkManifest(supply wire.Supply, m weights.Manifest) error {
 	if m.Model != supply.Model {
 		return failure.Corrupt.New("the manifest is of model %s, want %s", m.Model, supply.Model)
