--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
 	"chivespindle.example/platform/standin"
@@ -292,6 +294,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(ExitNoRun)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		r.Close()
+		os.Exit(ExitNoRun)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.Log("the case runs with the disruption: %t", trouble)
 	broken, err := run(r, trouble)
