--- a/review/cmd/part/main.go
+++ b/review/cmd/part/main.go
@@ -29,7 +29,7 @@
 	// killAfter is how long after a sound request was sent all entries are killed: it has its
 	// answer by then. downTime is how long they are down; those of the site's days are 0.57 s
 	// to 1.6 s.
-	killAfter = 200 * time.Millisecond
+	killAfter = 50 * time.Millisecond
 	downTime  = 600 * time.Millisecond
 )
 
