--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -306,10 +306,11 @@
 	_ = os.RemoveAll(r.dir)
 }
 
-// Main runs a case and exits with its code.
+// Main runs a case and exits with its code. The arguments are the program, the record file and 0
+// to leave the disruption out.
 func Main(run func(r *Rig, trouble bool) (broken bool, err error)) {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: case PROGRAM RECORD")
+	if len(os.Args) < 3 || len(os.Args) > 4 {
+		fmt.Fprintln(os.Stderr, "usage: case PROGRAM RECORD [0|1]")
 		os.Exit(ExitNoRun)
 	}
 	r, err := New(os.Args[1], os.Args[2])
@@ -324,7 +325,7 @@
 		r.Close()
 		os.Exit(ExitNoRun)
 	}()
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := len(os.Args) < 4 || os.Args[3] != "0"
 	r.Log("the case runs with the disruption: %t", trouble)
 	broken, err := run(r, trouble)
 	code := ExitHeld
