testrun: run the packages given by -alone after all others

Specs that measure the memory and the descriptors of a process while hundreds of clients use it disturb the packages that run beside them, and are disturbed. The flag -alone names such packages: they are left out of the parallel run and run afterwards, one at a time. Their known red tests have one line each and don't count against the maximum of the list.

--- a/tools/testrun/runner.go
+++ b/tools/testrun/runner.go
@@ -25,10 +25,15 @@
 	race     bool
 }
 
-// runListed tests the packages that the patterns match. It returns true if no
-// test failed except those on the list of known red tests at path.
-func (r *runner) runListed(ctx context.Context, path string, patterns []string) (bool, error) {
-	known, err := readKnown(path)
+// runListed tests the packages that the patterns match, and then those that the patterns in
+// alone match, one at a time. It returns true if no test failed except those on the list of
+// known red tests at path.
+func (r *runner) runListed(ctx context.Context, path string, patterns, alone []string) (bool, error) {
+	aloneDirs, err := r.list(ctx, alone)
+	if err != nil {
+		return false, err
+	}
+	known, err := readKnown(path, aloneDirs)
 	if err != nil {
 		return false, err
 	}
@@ -36,14 +41,24 @@
 	if err != nil {
 		return false, err
 	}
+	dirs = slices.DeleteFunc(dirs, func(dir string) bool { return slices.Contains(aloneDirs, dir) })
 	byPackage := make(map[string][]knownRed)
 	for _, test := range known {
-		if !slices.Contains(dirs, "./"+test.pkg) {
+		if !slices.Contains(dirs, test.dir()) && !slices.Contains(aloneDirs, test.dir()) {
 			return false, fmt.Errorf("%s: %s is no package of this run", path, test.pkg)
 		}
-		byPackage["./"+test.pkg] = append(byPackage["./"+test.pkg], test)
+		byPackage[test.dir()] = append(byPackage[test.dir()], test)
 	}
-	return r.runAll(ctx, dirs, byPackage)
+	green, err := r.runAll(ctx, dirs, byPackage)
+	for _, dir := range aloneDirs {
+		if err != nil {
+			return false, err
+		}
+		var passed bool
+		passed, err = r.runAll(ctx, []string{dir}, byPackage)
+		green = green && passed
+	}
+	return green && err == nil, err
 }
 
 // runAll tests each package with known red tests without these, then all other
@@ -106,6 +121,9 @@
 // list returns the directories of the packages that the patterns match, in the
 // form "./core/gossip".
 func (r *runner) list(ctx context.Context, patterns []string) ([]string, error) {
+	if len(patterns) == 0 {
+		return nil, nil // go list would list the working directory
+	}
 	var out bytes.Buffer
 	command := exec.CommandContext(ctx, "go", append([]string{"list", "-f", "{{.Dir}}"}, patterns...)...)
 	command.Stdout = &out
@@ -190,7 +208,7 @@
 	}
 	defer os.RemoveAll(dir)
 	report := filepath.Join(dir, "report.json")
-	command := r.command(ctx, []string{"./" + test.pkg}, extraArgs{specs: []string{
+	command := r.command(ctx, []string{test.dir()}, extraArgs{specs: []string{
 		"-ginkgo.focus=" + test.pattern(), "-ginkgo.json-report=" + report,
 	}})
 	command.Stdout = r.out
@@ -243,7 +261,7 @@
 // goTestFailed runs one Go test and reports whether it failed.
 func (r *runner) goTestFailed(ctx context.Context, test knownRed) (bool, error) {
 	var out bytes.Buffer
-	command := r.command(ctx, []string{"./" + test.pkg}, extraArgs{flags: []string{"-json", "-run=" + test.pattern()}})
+	command := r.command(ctx, []string{test.dir()}, extraArgs{flags: []string{"-json", "-run=" + test.pattern()}})
 	command.Stdout = &out
 	command.Stderr = r.out
 	if _, err := passed(command.Run()); err != nil {
