Notice the end of a connection while a client sends single bytes

The client wrote one byte per interval and noticed only at a later write that the server had closed the connection, so it connected again up to two intervals later. It now reads while it waits.

--- a/standin/crowd/conn.go
+++ b/standin/crowd/conn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 )
@@ -61,20 +63,19 @@
 	return nil
 }
 
-// Trickle writes a text again and again, one byte per interval, until the connection or the
-// crowd ends. The client counts as settled meanwhile.
+// Trickle writes a text again and again, one byte per interval, and discards what it receives,
+// until the connection or the crowd ends. The client counts as settled meanwhile.
 func (c *Conn) Trickle(text string, interval time.Duration) error {
 	c.Hold()
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
 	for i := 0; ; i++ {
 		if _, err := c.Write([]byte{text[i%len(text)]}); err != nil {
 			return err
 		}
-		select {
-		case <-c.ctx.Done():
-			return c.ctx.Err()
-		case <-ticker.C:
+		if err := c.SetReadDeadline(time.Now().Add(interval)); err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, c.Conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return io.EOF
 		}
 	}
 }
--- a/standin/crowd/crowd_test.go
+++ b/standin/crowd/crowd_test.go
@@ -1,6 +1,7 @@
 package crowd_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -79,6 +80,18 @@
 		Expect(c.Counts().Written).To(BeNumerically("<", 2*64<<20))
 	})
 
+	It("sends single bytes until the server closes the connection", func() {
+		addr := listen(func(c net.Conn) {
+			go func() { _, _ = io.ReadFull(c, make([]byte, 3)); _ = c.Close() }()
+		})
+		c := &crowd.Crowd{Addr: addr, Connections: 2, Speak: func(c *crowd.Conn) error {
+			return c.Trickle("x", time.Millisecond)
+		}}
+		start(c)
+		Eventually(func() int64 { return c.Counts().Closed }, eventuallyTimeout).Should(BeEquivalentTo(2))
+		Expect(c.Counts().Written).To(BeNumerically(">=", 2*3))
+	})
+
 	It("exchanges requests and responses on kept connections", func() {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }))
 		DeferCleanup(server.Close)
