--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,14 @@
 PACKAGES := $(MODULES:%=./%/...)
 SOURCES := $(MODULES) tools
 
+# Packages that are tested after all others, one at a time: they measure the memory and the
+# descriptors of processes that hundreds of clients use at once.
+ALONE := ./platform/hostileclients
+
+empty :=
+comma := ,
+ALONE_LIST := $(subst $(empty) $(empty),$(comma),$(strip $(ALONE)))
+
 # The linter is pinned here and run through the module proxy, so that it is in
 # the requirements of no module.
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
@@ -30,12 +38,12 @@
 
 .PHONY: test
 test: $(TOOLS)/testrun ## the tests of all modules
-	$(TOOLS)/testrun -p $(P) $(PACKAGES)
+	$(TOOLS)/testrun -p $(P) -alone '$(ALONE_LIST)' $(PACKAGES)
 	$(TOOLS_GO) test -count=1 -p $(P) ./...
 
 .PHONY: race
 race: $(TOOLS)/testrun ## the tests of all modules with the race detector
-	$(TOOLS)/testrun -p $(P) -race $(PACKAGES)
+	$(TOOLS)/testrun -p $(P) -alone '$(ALONE_LIST)' -race $(PACKAGES)
 
 .PHONY: lint
 lint: lint-format lint-modules lint-vet lint-staticcheck lint-house ## all linters
