Bound the connections and the concurrent requests of clients

Callers saw: 400 connections that send nothing, that stay idle after a response, whose heads arrive a byte a second or whose requests wait at a slow server were all held by an entry, on each of its ports. At the limit of its descriptors it can open no more to servers, peers and the store.

Cause: net/http keeps every connection until a timeout that is longer than a client needs to open it again, nothing counted connections or requests, and maxFds of the settings was read by nobody.

Why it works: all HTTP ports are served by a server that admits connections through a table. Its size follows from the memory and the descriptors of the settings. At the bound, the connection that has been without a whole request for longest gives way, then the one that has been idle for longest, so a new client that sends its request is served whatever others hold. A request counts once its body has arrived; if there is no place it is refused at once as not run. The times that a client has for a head and between two requests now follow the configuration.

--- /dev/null
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -0,0 +1,166 @@
+package boundedhttp_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"chivespindle.example/adapters/boundedhttp"
+	"chivespindle.example/core/connlimit"
+)
+
+const hangGuard = 10 * time.Second
+
+type testServer struct {
+	addr    string
+	logs    *observer.ObservedLogs
+	metrics tally.TestScope
+	release chan struct{}
+}
+
+// serve starts a server whose handler echoes bodies and waits at /wait.
+func serve(opts boundedhttp.Options) *testServer {
+	s := &testServer{metrics: tally.NewTestScope("", nil), release: make(chan struct{})}
+	core, logs := observer.New(zap.InfoLevel)
+	s.logs = logs
+	opts.Port, opts.Logger, opts.Metrics, opts.Handler = "test", zap.New(core), s.metrics, s
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = hangGuard
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s.addr = l.Addr().String()
+	server := boundedhttp.New(opts)
+	go func() { defer GinkgoRecover(); Expect(server.Serve(l)).To(MatchError(http.ErrServerClosed)) }()
+	DeferCleanup(func() { close(s.release); _ = server.Close() })
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if !boundedhttp.Accept(r) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusRequestTimeout)
+		return
+	}
+	switch r.URL.Path {
+	case "/wait":
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-s.release
+	default:
+		_, _ = fmt.Fprintf(w, "%s reused=%v", body, boundedhttp.IsReused(r))
+	}
+}
+
+// dial connects and sends text.
+func (s *testServer) dial(text string) net.Conn {
+	c, err := net.Dial("tcp", s.addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() })
+	Expect(c.SetDeadline(time.Now().Add(hangGuard))).To(Succeed())
+	_, err = io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+func status(c net.Conn) int {
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	Expect(err).NotTo(HaveOccurred())
+	return response.StatusCode
+}
+
+func isClosed(c net.Conn) bool {
+	_, err := c.Read(make([]byte, 1))
+	return err != nil
+}
+
+var _ = Describe("A server with bounds", func() {
+	// Guards against clients that hold all connections and lock out others, and against a log line for each.
+	It("closes the oldest connection without a request for a new one", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 2}})
+		first, second := s.dial(""), s.dial("GET / HT")
+		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+		Expect(isClosed(first)).To(BeTrue())
+		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+		_ = second
+		Expect(s.logs.FilterMessage("client_connections_closed").All()).To(HaveLen(1))
+	})
+
+	// Guards against requests without a bound that wait at servers, and a refusal that has run.
+	It("refuses a request beyond the bound", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 4, Requests: 1}})
+		Expect(status(s.dial("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusServiceUnavailable))
+		s.release <- struct{}{}
+	})
+
+	// Guards against stalled bodies that take the places of requests.
+	It("counts a request only once its body has been received", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 4, Requests: 1}})
+		s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\na")
+		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+	})
+
+	// Guards against a body that is awaited without end, also by a handler that doesn't read it.
+	It("ends the receipt of a body after the body's timeout", func() {
+		s := serve(boundedhttp.Options{BodyTimeout: 20 * time.Millisecond})
+		Expect(status(s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\na"))).To(Equal(http.StatusRequestTimeout))
+	})
+
+	// Guards against a request that is cancelled by the deadline of its own body.
+	It("keeps a request running after the body's timeout if the body was received", func() {
+		s := serve(boundedhttp.Options{BodyTimeout: 20 * time.Millisecond})
+		c := s.dial("POST /wait HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\na")
+		in := bufio.NewReader(c)
+		response, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+		Consistently(func() error { return c.SetReadDeadline(time.Now().Add(hangGuard)) }, 60*time.Millisecond).Should(Succeed())
+		s.release <- struct{}{}
+		_, err = io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a reused connection that is taken for a new one.
+	It("reports whether a connection is reused", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 1, Requests: 1}})
+		c := s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		in := bufio.NewReader(c)
+		for _, want := range []string{" reused=false", " reused=true"} {
+			response, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal(want))
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+		}
+	})
+
+	// Guards against an idle connection that is kept longer, or shorter, than configured.
+	It("closes an idle connection after the configured time", func() {
+		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
+			return boundedhttp.ClientLimits{HeadTimeout: hangGuard, IdleTimeout: time.Millisecond}
+		}})
+		c := s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		in := bufio.NewReader(c)
+		_, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, in)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/adapters/boundedhttp/server.go
@@ -0,0 +1,212 @@
+// Package boundedhttp is an HTTP server for clients that are not trusted. It bounds the
+// connections, the concurrent requests, and the time for which a
+// client may be idle or send a head.
+//
+// core/connlimit decides which connection gives way at a bound.
+package boundedhttp
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/core/connlimit"
+)
+
+// Bounds for a client while no configuration sets others.
+const (
+	DefaultHeadTimeout = 10 * time.Second
+	DefaultIdleTimeout = 2 * time.Minute
+)
+
+const (
+	// maxHeadBytes bounds a request's head.
+	maxHeadBytes = 64 << 10
+	// logInterval is the least time between two log lines of a port.
+	logInterval = 10 * time.Second
+)
+
+// ClientLimits bound what a single client may do.
+type ClientLimits struct {
+	HeadTimeout time.Duration
+	IdleTimeout time.Duration
+}
+
+// DefaultClientLimits returns the bounds while no configuration sets others.
+func DefaultClientLimits() ClientLimits {
+	return ClientLimits{HeadTimeout: DefaultHeadTimeout, IdleTimeout: DefaultIdleTimeout}
+}
+
+// Options configures a Server.
+type Options struct {
+	// Port is the name of the port in logs and metrics.
+	Port    string
+	Handler http.Handler
+	// Limits bound all clients of the port together.
+	Limits connlimit.Limits
+	// ClientLimits returns the bounds for one client; nil for the default ones.
+	ClientLimits func() ClientLimits
+	// BodyTimeout bounds the receipt of a request's body, also of one that the handler does
+	// not read.
+	BodyTimeout time.Duration
+	Logger      *zap.Logger
+	Metrics     tally.Scope
+}
+
+// Server is an HTTP server with bounds.
+type Server struct {
+	http  *http.Server
+	opts  Options
+	table *connlimit.Table
+
+	loggedAt atomic.Int64 // Unix nanoseconds
+	omitted  atomic.Int64
+}
+
+// New returns a server that accepts connections once Serve is called.
+func New(opts Options) *Server {
+	if opts.ClientLimits == nil {
+		opts.ClientLimits = DefaultClientLimits
+	}
+	s := &Server{opts: opts, table: connlimit.New(opts.Limits)}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(s.serve), ConnContext: connContext,
+		ConnState: func(c net.Conn, state http.ConnState) { c.(*conn).setState(state) },
+		// conn replaces the timeouts by those in force.
+		ReadHeaderTimeout: DefaultHeadTimeout, IdleTimeout: DefaultIdleTimeout, MaxHeaderBytes: maxHeadBytes,
+		// net/http logs panics of handlers and failures to accept connections, but nothing that
+		// a client causes.
+		ErrorLog: errorLog(opts.Logger),
+	}
+	return s
+}
+
+func errorLog(logger *zap.Logger) *log.Logger {
+	std, err := zap.NewStdLogAt(logger, zap.WarnLevel)
+	if err != nil { // only for an unknown level
+		return log.New(io.Discard, "", 0)
+	}
+	return std
+}
+
+// Serve serves the connections of a TCP listener until Shutdown or Close.
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(&listener{Listener: l, server: s})
+}
+
+// Shutdown stops accepting connections and waits for running requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// Close closes all connections.
+func (s *Server) Close() error { return s.http.Close() }
+
+type connKey struct{}
+
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// serve calls the handler with a bound on the time for the body.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		Accept(r)
+	} else {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout)) // fails only on a closed connection
+		r.Body = &boundedBody{ReadCloser: r.Body, control: control}
+	}
+	s.opts.Handler.ServeHTTP(w, r)
+}
+
+// boundedBody is the body of a request. Its deadline ends with it: a later read by net/http
+// that fails would cancel the request.
+type boundedBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+}
+
+// Read implements io.Reader.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		_ = b.control.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	}
+	return n, err
+}
+
+// Accept records that a request has been received whole, with its body, and reports whether it
+// may be served. Otherwise it must be refused at once, as not run: too many requests are being
+// served, or the connection was evicted. Until then the connection may give way to others. A
+// handler that reads no body need not call it.
+func Accept(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return !ok || c.accept(time.Now())
+}
+
+// IsReused reports whether the connection of a request has carried an earlier one.
+func IsReused(r *http.Request) bool {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return ok && c.isReused
+}
+
+// listener accepts connections within the bounds.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{TCPConn: accepted.(*net.TCPConn), server: l.server}
+		if c.entry = l.server.table.Open(time.Now(), c.evict); c.entry != nil {
+			return c, nil
+		}
+		c.evict(connlimit.NoPlace)
+	}
+}
+
+func (s *Server) clientLimits() ClientLimits { return s.opts.ClientLimits() }
+
+// countClosed records a connection that was closed for another one.
+func (s *Server) countClosed(cause connlimit.Cause) {
+	s.counted(cause).Counter("client_connections_closed").Inc(1)
+	s.log("client_connections_closed", cause)
+}
+
+// countRefused records a request that was refused.
+func (s *Server) countRefused(cause connlimit.Cause) {
+	s.counted(cause).Counter("client_requests_refused").Inc(1)
+	s.log("client_requests_refused", cause)
+}
+
+func (s *Server) counted(cause connlimit.Cause) tally.Scope {
+	return s.opts.Metrics.Tagged(map[string]string{"port": s.opts.Port, "cause": string(cause)})
+}
+
+// log writes at most one line in each logInterval, so that misbehaving clients don't fill the
+// log.
+func (s *Server) log(event string, cause connlimit.Cause) {
+	now := time.Now().UnixNano()
+	last := s.loggedAt.Load()
+	if last != 0 && now-last < int64(logInterval) || !s.loggedAt.CompareAndSwap(last, now) {
+		s.omitted.Add(1)
+		return
+	}
+	usage := s.table.Usage()
+	s.opts.Logger.Warn(event, zap.String("port", s.opts.Port), zap.String("cause", string(cause)),
+		zap.Int64("omitted", s.omitted.Swap(0)), zap.Int("connections", usage.Connections), zap.Int("unfinished", usage.Unfinished),
+		zap.Int("idle", usage.Idle), zap.Int("requests", usage.Requests))
+}
--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -18,10 +18,12 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"chivespindle.example/adapters/boundedhttp"
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
 	"chivespindle.example/adapters/settings"
 	"chivespindle.example/adapters/telemetry"
+	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/policy"
@@ -185,13 +187,20 @@
 	b.group.Add(func() error { return f(ctx) }, func(error) { cancel() })
 }
 
+// unreadBodyTimeout bounds the receipt of bodies on ports whose requests have none.
+const unreadBodyTimeout = time.Second
+
+// smallPortLimits are those of a port with few clients.
+var smallPortLimits = connlimit.Limits{Connections: 16}
+
 // addServer adds an HTTP server on addr to the group.
-func (b *platformBase) addServer(addr netip.AddrPort, handler http.Handler) (*http.Server, error) {
+func (b *platformBase) addServer(addr netip.AddrPort, opts boundedhttp.Options) (*boundedhttp.Server, error) {
 	listener, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, failure.Invalid.Wrap(err, "listen on %s", addr)
 	}
-	server := newHTTPServer(handler)
+	opts.Logger, opts.Metrics = b.logger, b.metrics
+	server := boundedhttp.New(opts)
 	interrupted := make(chan struct{})
 	b.group.Add(func() error {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
@@ -233,7 +242,9 @@
 func (b *platformBase) run(inst instance) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, b.metricsHandler)
-	if _, err := b.addServer(netip.AddrPortFrom(b.settings.IP, metricsPort), mux); err != nil {
+	if _, err := b.addServer(netip.AddrPortFrom(b.settings.IP, metricsPort), boundedhttp.Options{
+		Port: "metrics", Handler: mux, Limits: smallPortLimits, BodyTimeout: unreadBodyTimeout,
+	}); err != nil {
 		return err
 	}
 	b.addActor(b.logQueue.Run)
--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"io"
-	"log"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/boundedhttp"
+	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/memlimit"
 	"chivespindle.example/core/retry"
 	"chivespindle.example/daemon/gateway"
@@ -16,36 +15,27 @@
 	"chivespindle.example/platform"
 )
 
+// Shares of the ports of an entry in the connections, requests and memory of heads that its
+// process allows.
 const (
-	// headerTimeout bounds the reading of a request's header. It is longer than
-	// callers may take, so that only stalled connections are closed.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than callers may keep an idle connection. If the
-	// entry closed the connection first, a request already on its way would be
-	// lost.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds a request's header.
-	maxHeaderBytes = 64 << 10
+	callersShare   = 0.75
+	directoryShare = 0.2
 )
 
-func newHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		// net/http would only log broken connections of callers.
-		ErrorLog: log.New(io.Discard, "", 0),
-	}
-}
-
 // platformEntry is an entry that can shut down gracefully.
 type platformEntry struct {
 	base    *platformBase
 	gateway *gateway.Gateway
 	ingress *platform.Ingress
-	callers *http.Server
+	callers *boundedhttp.Server
 }
 
 func runPlatformEntry(b *platformBase) error {
 	s := b.settings
+	limits := connlimit.OfProcess(s.MemoryBytes, s.Descriptors)
+	callersLimits := limits.Share(callersShare)
+	directoryLimits := limits.Share(directoryShare)
+	directoryLimits.Requests = 0 // they are answered at once
 	g := gateway.New(b.ctx, time.Now(), gateway.Options{
 		Self: b.id, Addr: s.IP, Incarnation: b.incarnation, Place: s.Place,
 		CallerAddr: s.CallerAddr, PeerPort: s.PeerPort, Seeds: s.Seeds, Regions: s.Regions,
@@ -53,21 +43,28 @@
 		Source: platform.NewStore(s.StoreAddr, b.logger).WithMetrics(b.metrics), Backend: platform.NewBackend(),
 		Budget:      retry.FleetBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		VersionTime: s.VersionTime, SoundTime: s.SoundTime,
-		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Memory: memlimit.New(s.MemoryBytes), Disabled: b.disabled,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Memory: memlimit.New(s.MemoryBytes), MaxCalls: callersLimits.Requests, Disabled: b.disabled,
 		Logger: b.logger, Metrics: b.metrics,
 	})
 	b.handler.Handler = g
 	b.loop.AddTicker(g)
 	e := &platformEntry{base: b, gateway: g, ingress: platform.NewIngress(g)}
 	var err error
-	if e.callers, err = b.addServer(s.CallerAddr, e.ingress); err != nil {
+	if e.callers, err = b.addServer(s.CallerAddr, boundedhttp.Options{
+		Port: "callers", Handler: e.ingress, Limits: callersLimits,
+		ClientLimits: e.ingress.ClientLimits, BodyTimeout: platform.MaxBodyTime,
+	}); err != nil {
 		return err
 	}
-	e.callers.ConnContext = e.ingress.ConnContext
-	if _, err := b.addServer(s.ReadyAddr, platform.NewReadyHandler(g)); err != nil {
+	if _, err := b.addServer(s.DirectoryAddr, boundedhttp.Options{
+		Port: "directory", Handler: platform.NewDirectoryHandler(g), Limits: directoryLimits,
+		ClientLimits: e.ingress.ClientLimits, BodyTimeout: unreadBodyTimeout,
+	}); err != nil {
 		return err
 	}
-	if _, err := b.addServer(s.DirectoryAddr, platform.NewDirectoryHandler(g)); err != nil {
+	if _, err := b.addServer(s.ReadyAddr, boundedhttp.Options{
+		Port: "readiness", Handler: platform.NewReadyHandler(g), Limits: smallPortLimits, BodyTimeout: unreadBodyTimeout,
+	}); err != nil {
 		return err
 	}
 	b.addActor(b.endpoint.Run)
--- /dev/null
+++ b/core/connlimit/connlimit.go
@@ -0,0 +1,208 @@
+// Package connlimit decides which connections of clients a process keeps and which requests
+// it accepts, within bounds on connections and concurrent requests.
+//
+// At a bound, the connection that has made no progress for longest gives way to the new one,
+// so that clients that hold their connections don't lock out others. A connection whose
+// request is being served is never closed for another one.
+package connlimit
+
+import (
+	"container/list"
+	"sync"
+	"time"
+)
+
+const (
+	// minUnfinishedAge is the age from which an unfinished request gives way before idle
+	// connections, which a client may be about to use again.
+	minUnfinishedAge = time.Second
+	// unfinishedDivisor bounds the unfinished requests that are younger: beyond this part of
+	// all connections the oldest gives way as well.
+	unfinishedDivisor = 4
+)
+
+// Cause is why a connection was closed or a request was refused.
+type Cause string
+
+const (
+	// Unfinished: a newer connection needed the place of one without a whole request.
+	Unfinished Cause = "unfinished"
+	// Idle: a newer connection needed the place of one without a request.
+	Idle Cause = "idle"
+	// NoPlace: no other connection could give way.
+	NoPlace Cause = "no_place"
+	// Requests: too many requests were being served.
+	Requests Cause = "requests"
+)
+
+type state int
+
+const (
+	unfinished state = iota // a request has not been received whole
+	idle                    // between two requests
+	serving
+	closed
+)
+
+// Table holds the connections of one port. It is safe for concurrent use.
+type Table struct {
+	limits Limits
+
+	mu sync.Mutex
+	// unfinished and idle hold the connections in these states, the longest there first.
+	unfinished, idle list.List
+	open             int
+	requests         int
+}
+
+// New returns a table without connections.
+func New(limits Limits) *Table { return &Table{limits: limits} }
+
+// Conn is an open connection of a client.
+type Conn struct {
+	table *Table
+	// onEvict closes the connection.
+	onEvict  func(Cause)
+	state    state
+	since    time.Time // when it entered its state
+	place    *list.Element
+	accepted bool // the current request counts in Table.requests
+}
+
+// Usage is what the connections of a table use.
+type Usage struct {
+	Connections, Unfinished, Idle, Requests int
+}
+
+// Usage returns the current usage.
+func (t *Table) Usage() Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Usage{Connections: t.open, Unfinished: t.unfinished.Len(), Idle: t.idle.Len(), Requests: t.requests}
+}
+
+// Open adds a connection and evicts another one if there are too many. onEvict is called at
+// most once, when the connection has to be closed. Open returns nil if none can give way; the
+// new one must be closed then.
+func (t *Table) Open(now time.Time, onEvict func(Cause)) *Conn {
+	t.mu.Lock()
+	var evicted *Conn
+	var cause Cause
+	if t.limits.Connections > 0 && t.open >= t.limits.Connections {
+		if evicted, cause = t.victim(now); evicted == nil {
+			t.mu.Unlock()
+			return nil
+		}
+		evicted.remove()
+	}
+	c := &Conn{table: t, onEvict: onEvict}
+	t.open++
+	c.enter(unfinished, now)
+	t.mu.Unlock()
+	if evicted != nil {
+		evicted.onEvict(cause)
+	}
+	return c
+}
+
+// victim returns the connection that gives way to a new one, nil if there is none.
+func (t *Table) victim(now time.Time) (*Conn, Cause) {
+	oldest := first(&t.unfinished)
+	isStale := oldest != nil &&
+		(now.Sub(oldest.since) >= minUnfinishedAge || t.unfinished.Len() > t.limits.Connections/unfinishedDivisor)
+	if reusable := first(&t.idle); reusable != nil && !isStale {
+		return reusable, Idle
+	}
+	return oldest, Unfinished
+}
+
+func first(l *list.List) *Conn {
+	if e := l.Front(); e != nil {
+		return e.Value.(*Conn)
+	}
+	return nil
+}
+
+// ReceiveHead records the receipt of a part of a head.
+func (c *Conn) ReceiveHead(now time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state == idle {
+		c.enter(unfinished, now)
+	}
+}
+
+// BeginRequest records that a request has been received whole. It returns false if the request
+// must be refused as not run, since too many are being served or the connection was evicted.
+func (c *Conn) BeginRequest(now time.Time) bool {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.state == closed || c.accepted {
+		return c.accepted
+	}
+	c.enter(serving, now)
+	if t.limits.Requests > 0 && t.requests >= t.limits.Requests {
+		return false
+	}
+	c.accepted = true
+	t.requests++
+	return true
+}
+
+// EndRequest records that a response is complete and that the connection may carry another
+// request.
+func (c *Conn) EndRequest(now time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state == closed {
+		return
+	}
+	c.releaseRequest()
+	c.enter(idle, now)
+}
+
+// Close records that the connection is closed. It may be called more than once.
+func (c *Conn) Close() {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	if c.state != closed {
+		c.remove()
+	}
+}
+
+func (c *Conn) remove() {
+	c.releaseRequest()
+	c.leave()
+	c.state = closed
+	c.table.open--
+}
+
+// releaseRequest releases the place of the request.
+func (c *Conn) releaseRequest() {
+	if c.accepted {
+		c.accepted = false
+		c.table.requests--
+	}
+}
+
+func (c *Conn) enter(s state, now time.Time) {
+	c.leave()
+	c.state, c.since = s, now
+	switch s {
+	case unfinished:
+		c.place = c.table.unfinished.PushBack(c)
+	case idle:
+		c.place = c.table.idle.PushBack(c)
+	}
+}
+
+// leave removes the connection from the lists of its state.
+func (c *Conn) leave() {
+	if c.place != nil {
+		// Remove has no effect on a list that doesn't hold the element.
+		c.table.unfinished.Remove(c.place)
+		c.table.idle.Remove(c.place)
+		c.place = nil
+	}
+}
--- /dev/null
+++ b/core/connlimit/connlimit_test.go
@@ -0,0 +1,150 @@
+package connlimit_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/connlimit"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// client is a connection and why it was evicted.
+type client struct {
+	*connlimit.Conn
+	evicted connlimit.Cause
+}
+
+func open(t *connlimit.Table, now time.Time) *client {
+	c := &client{}
+	if c.Conn = t.Open(now, func(cause connlimit.Cause) { c.evicted = cause }); c.Conn == nil {
+		return nil
+	}
+	return c
+}
+
+// openIdle opens a connection that has carried a request.
+func openIdle(t *connlimit.Table, now time.Time) *client {
+	c := open(t, now)
+	Expect(c.BeginRequest(now)).To(BeTrue())
+	c.EndRequest(now)
+	return c
+}
+
+var _ = Describe("At the bound on connections", func() {
+	const connections = 8
+	var table *connlimit.Table
+
+	BeforeEach(func() { table = connlimit.New(connlimit.Limits{Connections: connections, Requests: 6}) })
+
+	// Guards against clients that lock out others by holding connections without a request.
+	It("the oldest unfinished request gives way, before connections that may be used again", func() {
+		reusable := openIdle(table, start)
+		var unfinished []*client
+		for range connections - 1 {
+			unfinished = append(unfinished, open(table, start))
+		}
+		Expect(open(table, start.Add(time.Second))).NotTo(BeNil())
+		Expect(unfinished[0].evicted).To(Equal(connlimit.Unfinished))
+		Expect(unfinished[1].evicted).To(BeEmpty())
+		Expect(reusable.evicted).To(BeEmpty())
+	})
+
+	// Guards against the close of a connection whose client has just opened it, for one that is idle.
+	It("the connection that is idle for longest gives way before a few new ones", func() {
+		first, second := openIdle(table, start), openIdle(table, start)
+		for range connections - 4 {
+			openIdle(table, start)
+		}
+		recent := []*client{open(table, start), open(table, start)}
+		Expect(open(table, start)).NotTo(BeNil())
+		Expect(first.evicted).To(Equal(connlimit.Idle))
+		Expect(second.evicted).To(BeEmpty())
+		for _, c := range recent {
+			Expect(c.evicted).To(BeEmpty())
+		}
+	})
+
+	// Guards against a request that is lost for a newcomer.
+	It("no request that is being served gives way", func() {
+		limits := connlimit.New(connlimit.Limits{Connections: 1})
+		served := open(limits, start)
+		Expect(served.BeginRequest(start)).To(BeTrue())
+		Expect(open(limits, start.Add(time.Hour))).To(BeNil())
+		Expect(served.evicted).To(BeEmpty())
+	})
+
+	// Guards against a request that is run though its client's connection was closed for another.
+	It("the request of an evicted connection is not accepted", func() {
+		limits := connlimit.New(connlimit.Limits{Connections: 1})
+		c := open(limits, start)
+		open(limits, start)
+		Expect(c.BeginRequest(start)).To(BeFalse())
+	})
+})
+
+var _ = Describe("At the bound on requests", func() {
+	// Guards against requests without a bound that wait at servers.
+	It("a request is refused until another one ends", func() {
+		table := connlimit.New(connlimit.Limits{Connections: 4, Requests: 1})
+		first, second := open(table, start), open(table, start)
+		Expect(first.BeginRequest(start)).To(BeTrue())
+		Expect(second.BeginRequest(start)).To(BeFalse())
+		second.EndRequest(start)
+		first.EndRequest(start)
+		Expect(second.BeginRequest(start)).To(BeTrue())
+	})
+})
+
+var _ = Describe("The usage of a table", func() {
+	// Guards against places that remain taken after their connections have ended.
+	It("is zero after all connections have ended in any order of events", func() {
+		const rounds = 20000
+		rng := rand.New(rand.NewPCG(1, 2))
+		table := connlimit.New(connlimit.Limits{Connections: 20, Requests: 5})
+		now := start
+		var clients []*client
+		for range rounds {
+			now = now.Add(time.Duration(rng.IntN(500)) * time.Millisecond)
+			if c := open(table, now); c != nil && rng.IntN(3) == 0 {
+				clients = append(clients, c)
+			} else if c != nil {
+				c.Close()
+			}
+			for _, c := range clients {
+				switch rng.IntN(4) {
+				case 0:
+					c.ReceiveHead(now)
+				case 1:
+					c.BeginRequest(now)
+				case 2:
+					c.EndRequest(now)
+				}
+			}
+			usage := table.Usage()
+			Expect(usage.Connections).To(BeNumerically("<=", 20))
+			Expect(usage.Requests).To(BeNumerically("<=", 5))
+			if len(clients) > 40 {
+				clients[0].Close()
+				clients = clients[1:]
+			}
+		}
+		for _, c := range clients {
+			c.Close()
+			c.Close()
+		}
+		Expect(table.Usage()).To(BeZero())
+	})
+})
+
+var _ = DescribeTable("The limits of a process", func(memory int64, descriptors int, want connlimit.Limits) {
+	Expect(connlimit.OfProcess(memory, descriptors)).To(Equal(want))
+},
+	Entry("follow from its memory", int64(112<<20), 4100, connlimit.Limits{Connections: 537, Requests: 402}),
+	Entry("follow from its descriptors", int64(1<<30), 500, connlimit.Limits{Connections: 180, Requests: 135}),
+	Entry("are none without settings", int64(0), 0, connlimit.Limits{}),
+	Entry("allow a connection in any case", int64(1), 201, connlimit.Limits{Connections: 1, Requests: 1}),
+)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -41,7 +41,7 @@
 	"chivespindle.example/daemon/wire"
 )
 
-// Options of a Gateway. All fields but the bounds of cold servers and Memory are required.
+// Options of a Gateway. All fields but the bounds of cold servers, Memory and MaxCalls are required.
 type Options struct {
 	Self        fleet.InstanceID
 	Addr        netip.Addr
@@ -69,6 +69,9 @@
 	SoundTime time.Duration
 	// Memory bounds the bodies of requests and responses that are held; nil for no bound.
 	Memory *memlimit.Budget
+	// MaxCalls is the number of calls that are served at the same time, 0 for no bound. The
+	// caller of Serve enforces it; one service may use a share of it.
+	MaxCalls int
 	// Disabled holds the mechanisms that are switched off.
 	Disabled policy.Disabled
 	Logger   *zap.Logger
@@ -178,6 +181,7 @@
 	// budgetsLoggedAt is when the use of the retry budgets was last logged.
 	budgetsLoggedAt time.Time
 	holdLimiters    map[fleet.ServiceName]*placement.HoldLimiter
+	serviceCalls    map[fleet.ServiceName]int // being served
 	demands         map[fleet.ServiceName]*priority.Demand
 	inFlight        atomic.Int64
 	answerer        *addressing.Resolver
@@ -252,6 +256,7 @@
 		budgets:           make(map[fleet.ServiceName]*retry.Window),
 		budgetsLoggedAt:   now,
 		holdLimiters:      make(map[fleet.ServiceName]*placement.HoldLimiter),
+		serviceCalls:      make(map[fleet.ServiceName]int),
 		demands:           make(map[fleet.ServiceName]*priority.Demand),
 		contact:           contact{lastResponse: now, disabled: opts.Disabled},
 	}
@@ -375,14 +380,23 @@
 	})
 }
 
+// ClientLimits returns what the configuration allows a client, zero if there is no
+// configuration yet.
+func (g *Gateway) ClientLimits() routing.Limits {
+	v := g.view.Load()
+	if v == nil || v.table == nil {
+		return routing.Limits{}
+	}
+	return v.table.Limits()
+}
+
 // BodyLimit returns the maximum size of a request body in bytes, fallback if there is no
 // configuration yet or it sets none.
 func (g *Gateway) BodyLimit(fallback int64) int64 {
-	v := g.view.Load()
-	if v == nil || v.table == nil || v.table.Limits().BodyBytes <= 0 {
-		return fallback
+	if limit := g.ClientLimits().BodyBytes; limit > 0 {
+		return limit
 	}
-	return v.table.Limits().BodyBytes
+	return fallback
 }
 
 // InFlight returns the number of calls being served.
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -121,6 +121,11 @@
 		j.refuse(response)
 		return
 	}
+	if !g.beginServiceCall(j.service.Name) {
+		j.refuse(overloaded())
+		return
+	}
+	defer g.endServiceCall(j.service.Name)
 	if !j.route.MayResume() {
 		j.reply.ignoreLastEvent()
 	}
