Bound the memory of request heads

Callers saw: an entry that was told 96 MB took 315 MB for 300 connections with unfinished heads of 60 KB in short fields, and more than 96 MB for complete heads inside maxHeaderBytes whose requests waited at a server. On a machine with such a limit the process is killed, and with it all requests that it serves.

Cause: net/http parses a head into a map while it arrives, which takes several times its bytes, accepts 64 KB and more from each client whatever the configuration says, and nothing counted the sum.

Why it works: what a head takes is counted by its bytes and lines as it is read. Each connection has 8 KB for it, so that ordinary heads are never refused for others; what is beyond comes from a tenth of the process's memory. At that bound, the oldest large head that is not complete gives way, or the new one is refused as not run. A head beyond maxHeaderBytes of the configuration is answered 431 at once. There is no bound on the number of fields, which a client inside maxHeaderBytes might meet.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -88,7 +89,42 @@
 	return err != nil
 }
 
+func head(size int) string {
+	text := "GET / HTTP/1.1\r\nHost: a\r\nX: "
+	return text + strings.Repeat("x", size-len(text)-4) + "\r\n\r\n"
+}
+
 var _ = Describe("A server with bounds", func() {
+	// Guards against a limit that a client inside the configured one meets, and against heads beyond it.
+	DescribeTable("serves heads up to the configured size", func(size, want int) {
+		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
+			limits := boundedhttp.DefaultClientLimits()
+			limits.HeadBytes = 16 << 10
+			return limits
+		}})
+		Expect(status(s.dial(head(size)))).To(Equal(want))
+	},
+		Entry("of the same size", 16<<10, http.StatusOK),
+		Entry("well beyond", 24<<10, http.StatusRequestHeaderFieldsTooLarge),
+		Entry("far beyond, with bytes that are never read", 600<<10, http.StatusRequestHeaderFieldsTooLarge),
+	)
+
+	// Guards against heads that together take more memory than there is.
+	It("refuses a head as not run that doesn't fit into the memory of all heads", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{HeadBytes: 10 << 10}})
+		c := s.dial(head(30 << 10))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(response.Header.Get("Retry-After")).To(Equal("0.50"))
+	})
+
+	// Guards against the bytes of a body that are counted as fields of a head.
+	It("counts only the lines of the head", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{HeadBytes: 10 << 10}})
+		Expect(status(s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("\n", 3000)))).To(Equal(http.StatusOK))
+	})
+
 	// Guards against clients that hold all connections and lock out others, and against a log line for each.
 	It("closes the oldest connection without a request for a new one", func() {
 		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 2}})
@@ -154,7 +190,7 @@
 	// Guards against an idle connection that is kept longer, or shorter, than configured.
 	It("closes an idle connection after the configured time", func() {
 		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
-			return boundedhttp.ClientLimits{HeadTimeout: hangGuard, IdleTimeout: time.Millisecond}
+			return boundedhttp.ClientLimits{HeadBytes: 4096, HeadTimeout: hangGuard, IdleTimeout: time.Millisecond}
 		}})
 		c := s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 		in := bufio.NewReader(c)
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -1,13 +1,24 @@
 package boundedhttp
 
 import (
+	"bytes"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"chivespindle.example/core/connlimit"
 )
 
+const (
+	// refusalTimeout bounds the write of the refusal of an unfinished head, and the wait for
+	// the client to read it: a close with unread bytes would reset the connection.
+	refusalTimeout = 500 * time.Millisecond
+	// maxDiscardedBytes bounds the bytes that are read meanwhile.
+	maxDiscardedBytes = 256 << 10
+)
+
 // phase is what net/http waits for at a connection.
 type phase int
 
@@ -24,6 +35,8 @@
 	server *Server
 	entry  *connlimit.Conn
 	phase  phase
+	// headBytes is the number of bytes that were read for the current head.
+	headBytes int
 	// accepted is the result of accept for the current request.
 	accepted, hasAccepted bool
 	// isReused is true if an earlier request was served.
@@ -32,13 +45,52 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.phase == serves {
+		return c.TCPConn.Read(p)
+	}
+	// net/http asks for more only if the head is not complete yet.
+	if c.headBytes > c.server.clientLimits().HeadBytes {
+		c.server.countRefused(headTooLarge)
+		return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
+	}
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && c.phase != serves {
-		c.entry.ReceiveHead(time.Now())
+	if n == 0 {
+		return n, err
+	}
+	c.headBytes += n
+	if !c.entry.ReceiveHead(time.Now(), n, countLines(p[:n])) {
+		c.server.countRefused(connlimit.HeadMemory)
+		return 0, c.refuseHead(http.StatusServiceUnavailable)
 	}
 	return n, err
 }
 
+// countLines returns the number of lines of the head in p, which may end with a part of the
+// body.
+func countLines(p []byte) int {
+	if end := bytes.Index(p, endOfHead); end >= 0 {
+		p = p[:end]
+	}
+	return bytes.Count(p, endOfLine)
+}
+
+var (
+	endOfHead = []byte("\n\r\n")
+	endOfLine = []byte("\n")
+)
+
+// refuseHead responds to a request whose head is not complete, and returns an error after
+// which net/http closes the connection without another response.
+func (c *conn) refuseHead(status int) error {
+	deadline := time.Now().Add(refusalTimeout)
+	_ = c.TCPConn.SetDeadline(deadline) // fails only on a closed connection
+	if _, err := io.WriteString(c.TCPConn, c.server.refusal(status)); err == nil {
+		_ = c.CloseWrite()
+		_, _ = io.CopyN(io.Discard, c.TCPConn, maxDiscardedBytes) // until the client closes
+	}
+	return io.EOF
+}
+
 // SetReadDeadline implements net.Conn. While no request is served, net/http sets the constant
 // timeouts of its server, which are replaced by those in force.
 func (c *conn) SetReadDeadline(t time.Time) error {
@@ -96,4 +148,16 @@
 // await prepares for the next head.
 func (c *conn) await(p phase) {
 	c.phase = p
+	c.headBytes = 0
+}
+
+// refusal returns a whole response without a body.
+func refusal(status int, header ...string) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 " + statusLine(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n")
+	for _, line := range header {
+		b.WriteString(line + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.String()
 }
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -1,5 +1,5 @@
 // Package boundedhttp is an HTTP server for clients that are not trusted. It bounds the
-// connections, the concurrent requests, and the time for which a
+// connections, the memory of request heads, the concurrent requests, and the time for which a
 // client may be idle or send a head.
 //
 // core/connlimit decides which connection gives way at a bound.
@@ -8,10 +8,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -23,26 +25,33 @@
 
 // Bounds for a client while no configuration sets others.
 const (
+	DefaultHeadBytes   = 64 << 10
 	DefaultHeadTimeout = 10 * time.Second
 	DefaultIdleTimeout = 2 * time.Minute
 )
 
 const (
-	// maxHeadBytes bounds a request's head.
-	maxHeadBytes = 64 << 10
+	// maxHeadBytes is the bound of net/http, above those that a configuration may set.
+	maxHeadBytes = 16 << 20
+	// RetryAfter is the Retry-After of refused requests.
+	RetryAfter = 500 * time.Millisecond
 	// logInterval is the least time between two log lines of a port.
 	logInterval = 10 * time.Second
 )
 
+// headTooLarge is why a request is refused whose head is longer than one client may send.
+const headTooLarge connlimit.Cause = "head_too_large"
+
 // ClientLimits bound what a single client may do.
 type ClientLimits struct {
+	HeadBytes   int
 	HeadTimeout time.Duration
 	IdleTimeout time.Duration
 }
 
 // DefaultClientLimits returns the bounds while no configuration sets others.
 func DefaultClientLimits() ClientLimits {
-	return ClientLimits{HeadTimeout: DefaultHeadTimeout, IdleTimeout: DefaultIdleTimeout}
+	return ClientLimits{HeadBytes: DefaultHeadBytes, HeadTimeout: DefaultHeadTimeout, IdleTimeout: DefaultIdleTimeout}
 }
 
 // Options configures a Server.
@@ -208,5 +217,15 @@
 	usage := s.table.Usage()
 	s.opts.Logger.Warn(event, zap.String("port", s.opts.Port), zap.String("cause", string(cause)),
 		zap.Int64("omitted", s.omitted.Swap(0)), zap.Int("connections", usage.Connections), zap.Int("unfinished", usage.Unfinished),
-		zap.Int("idle", usage.Idle), zap.Int("requests", usage.Requests))
+		zap.Int("idle", usage.Idle), zap.Int("requests", usage.Requests), zap.Int64("head_bytes", usage.HeadBytes))
 }
+
+// refusal returns the response to a request whose head is not complete.
+func (s *Server) refusal(status int) string {
+	if status == http.StatusServiceUnavailable {
+		return refusal(status, "Retry-After: "+strconv.FormatFloat(RetryAfter.Seconds(), 'f', 2, 64))
+	}
+	return refusal(status)
+}
+
+func statusLine(status int) string { return fmt.Sprintf("%d %s", status, http.StatusText(status)) }
--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -1,5 +1,6 @@
 // Package connlimit decides which connections of clients a process keeps and which requests
-// it accepts, within bounds on connections and concurrent requests.
+// it accepts, within bounds on connections, concurrent requests and the memory of request
+// heads.
 //
 // At a bound, the connection that has made no progress for longest gives way to the new one,
 // so that clients that hold their connections don't lock out others. A connection whose
@@ -29,6 +30,8 @@
 	Unfinished Cause = "unfinished"
 	// Idle: a newer connection needed the place of one without a request.
 	Idle Cause = "idle"
+	// HeadMemory: the heads of all clients together exceeded their memory.
+	HeadMemory Cause = "head_memory"
 	// NoPlace: no other connection could give way.
 	NoPlace Cause = "no_place"
 	// Requests: too many requests were being served.
@@ -51,8 +54,12 @@
 	mu sync.Mutex
 	// unfinished and idle hold the connections in these states, the longest there first.
 	unfinished, idle list.List
-	open             int
-	requests         int
+	// large holds the connections with an unfinished request whose head is beyond
+	// HeadAllowance, the oldest first.
+	large     list.List
+	open      int
+	requests  int
+	headBytes int64
 }
 
 // New returns a table without connections.
@@ -62,23 +69,28 @@
 type Conn struct {
 	table *Table
 	// onEvict closes the connection.
-	onEvict  func(Cause)
-	state    state
-	since    time.Time // when it entered its state
-	place    *list.Element
+	onEvict func(Cause)
+	state   state
+	since   time.Time // when it entered its state
+	place   *list.Element
+	large   *list.Element
+	// cost is the memory of the current head; what is beyond HeadAllowance is counted in
+	// Table.headBytes.
+	cost     int64
 	accepted bool // the current request counts in Table.requests
 }
 
 // Usage is what the connections of a table use.
 type Usage struct {
 	Connections, Unfinished, Idle, Requests int
+	HeadBytes                               int64
 }
 
 // Usage returns the current usage.
 func (t *Table) Usage() Usage {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Usage{Connections: t.open, Unfinished: t.unfinished.Len(), Idle: t.idle.Len(), Requests: t.requests}
+	return Usage{Connections: t.open, Unfinished: t.unfinished.Len(), Idle: t.idle.Len(), Requests: t.requests, HeadBytes: t.headBytes}
 }
 
 // Open adds a connection and evicts another one if there are too many. onEvict is called at
@@ -123,15 +135,51 @@
 	return nil
 }
 
-// ReceiveHead records the receipt of a part of a head.
-func (c *Conn) ReceiveHead(now time.Time) {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
+// ReceiveHead records the receipt of a part of a head. If the heads of all clients take too
+// much memory, the oldest large ones are evicted. It returns false if there are none but
+// this one, which must be refused then.
+func (c *Conn) ReceiveHead(now time.Time, bytes, fields int) bool {
+	t := c.table
+	t.mu.Lock()
 	if c.state == idle {
 		c.enter(unfinished, now)
 	}
+	if c.state != unfinished {
+		t.mu.Unlock()
+		return c.state == serving
+	}
+	before := c.excess()
+	c.cost += headCost(bytes, fields)
+	t.headBytes += c.excess() - before
+	if c.excess() > 0 && c.large == nil {
+		c.large = t.large.PushBack(c)
+	}
+	evicted, fits := c.makeRoom()
+	t.mu.Unlock()
+	for _, other := range evicted {
+		other.onEvict(HeadMemory)
+	}
+	return fits
 }
 
+// makeRoom evicts unfinished large heads, the oldest first, until all heads fit. It returns
+// false if that would evict c.
+func (c *Conn) makeRoom() (evicted []*Conn, fits bool) {
+	t := c.table
+	for t.limits.HeadBytes > 0 && c.large != nil && t.headBytes > t.limits.HeadBytes {
+		oldest := first(&t.large)
+		if oldest == c {
+			return evicted, false
+		}
+		oldest.remove()
+		evicted = append(evicted, oldest)
+	}
+	return evicted, true
+}
+
+// excess returns the memory of the head that is counted in Table.headBytes.
+func (c *Conn) excess() int64 { return max(0, c.cost-HeadAllowance) }
+
 // BeginRequest records that a request has been received whole. It returns false if the request
 // must be refused as not run, since too many are being served or the connection was evicted.
 func (c *Conn) BeginRequest(now time.Time) bool {
@@ -178,8 +226,10 @@
 	c.table.open--
 }
 
-// releaseRequest releases the place of the request.
+// releaseRequest releases the memory of the head and the place of the request.
 func (c *Conn) releaseRequest() {
+	c.table.headBytes -= c.excess()
+	c.cost = 0
 	if c.accepted {
 		c.accepted = false
 		c.table.requests--
@@ -205,4 +255,8 @@
 		c.table.idle.Remove(c.place)
 		c.place = nil
 	}
+	if c.large != nil {
+		c.table.large.Remove(c.large)
+		c.large = nil
+	}
 }
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -99,12 +99,51 @@
 	})
 })
 
+var _ = Describe("At the bound on the memory of heads", func() {
+	const headBytes = 100 << 10
+	var table *connlimit.Table
+
+	BeforeEach(func() { table = connlimit.New(connlimit.Limits{Connections: 100, HeadBytes: headBytes}) })
+
+	// Guards against many heads of a size that is allowed for one, which take more than the process has.
+	It("the oldest large unfinished head gives way", func() {
+		small, oldest, next := open(table, start), open(table, start), open(table, start)
+		Expect(small.ReceiveHead(start, 500, 12)).To(BeTrue())
+		for _, c := range []*client{oldest, next} {
+			Expect(c.ReceiveHead(start, 50<<10, 10)).To(BeTrue())
+		}
+		newest := open(table, start)
+		Expect(newest.ReceiveHead(start, 50<<10, 10)).To(BeTrue())
+		Expect(oldest.evicted).To(Equal(connlimit.HeadMemory))
+		Expect(next.evicted).To(BeEmpty())
+		Expect(small.evicted).To(BeEmpty())
+	})
+
+	// Guards against heads of many short fields, which take several times their bytes.
+	It("fields are counted besides bytes", func() {
+		c := open(table, start)
+		Expect(c.ReceiveHead(start, 16<<10, 500)).To(BeTrue())
+		Expect(c.ReceiveHead(start, 16<<10, 1000)).To(BeFalse())
+	})
+
+	// Guards against ordinary requests that are refused while large ones run.
+	It("small heads are received while large ones are being served", func() {
+		large := open(table, start)
+		Expect(large.ReceiveHead(start, headBytes, 0)).To(BeTrue())
+		Expect(large.BeginRequest(start)).To(BeTrue())
+		other, small := open(table, start), open(table, start)
+		Expect(other.ReceiveHead(start, 20<<10, 0)).To(BeFalse())
+		Expect(small.ReceiveHead(start, 4<<10, 20)).To(BeTrue())
+		Expect(large.evicted).To(BeEmpty())
+	})
+})
+
 var _ = Describe("The usage of a table", func() {
 	// Guards against places that remain taken after their connections have ended.
 	It("is zero after all connections have ended in any order of events", func() {
 		const rounds = 20000
 		rng := rand.New(rand.NewPCG(1, 2))
-		table := connlimit.New(connlimit.Limits{Connections: 20, Requests: 5})
+		table := connlimit.New(connlimit.Limits{Connections: 20, Requests: 5, HeadBytes: 64 << 10})
 		now := start
 		var clients []*client
 		for range rounds {
@@ -117,7 +156,7 @@
 			for _, c := range clients {
 				switch rng.IntN(4) {
 				case 0:
-					c.ReceiveHead(now)
+					c.ReceiveHead(now, rng.IntN(20<<10), rng.IntN(200))
 				case 1:
 					c.BeginRequest(now)
 				case 2:
@@ -143,8 +182,8 @@
 var _ = DescribeTable("The limits of a process", func(memory int64, descriptors int, want connlimit.Limits) {
 	Expect(connlimit.OfProcess(memory, descriptors)).To(Equal(want))
 },
-	Entry("follow from its memory", int64(112<<20), 4100, connlimit.Limits{Connections: 537, Requests: 402}),
-	Entry("follow from its descriptors", int64(1<<30), 500, connlimit.Limits{Connections: 180, Requests: 135}),
+	Entry("follow from its memory", int64(112<<20), 4100, connlimit.Limits{Connections: 537, Requests: 402, HeadBytes: 11744051}),
+	Entry("follow from its descriptors", int64(1<<30), 500, connlimit.Limits{Connections: 180, Requests: 135, HeadBytes: 107374182}),
 	Entry("are none without settings", int64(0), 0, connlimit.Limits{}),
 	Entry("allow a connection in any case", int64(1), 201, connlimit.Limits{Connections: 1, Requests: 1}),
 )
--- a/core/connlimit/limits.go
+++ b/core/connlimit/limits.go
@@ -4,10 +4,18 @@
 
 const (
 	// connectionBytes is the memory that a connection may take: its buffers and stacks, a
-	// head of usual size, and what the kernel holds of bytes that are not read yet.
+	// head of HeadAllowance, and what the kernel holds of bytes that are not read yet.
 	connectionBytes = 64 << 10
-	// memoryShare is the share of a process's memory for connections.
+	// HeadAllowance is the memory for a head that each connection has; what a head takes
+	// beyond it is counted against Limits.HeadBytes.
+	HeadAllowance = 8 << 10
+	// bytesPerField is the memory that net/http takes for a header field beyond its bytes.
+	bytesPerField = 128
+
+	// memoryShare and headShare are the shares of a process's memory for connections and
+	// for heads.
 	memoryShare = 0.3
+	headShare   = 0.1
 	// descriptorShare is the share of a process's sockets for clients' connections. The
 	// rest is for connections to backend servers, other processes and the platform.
 	descriptorShare = 0.6
@@ -24,6 +32,8 @@
 	Connections int
 	// Requests is the number of requests that are served at the same time.
 	Requests int
+	// HeadBytes is the memory of request heads beyond HeadAllowance for each connection.
+	HeadBytes int64
 }
 
 // OfProcess returns the limits that all ports of a process have together. A process without
@@ -43,6 +53,7 @@
 	return Limits{
 		Connections: connections,
 		Requests:    max(1, int(requestShare*float64(connections))),
+		HeadBytes:   int64(headShare * float64(memoryBytes)),
 	}
 }
 
@@ -51,6 +62,7 @@
 	return Limits{
 		Connections: atLeastOne(l.Connections, share),
 		Requests:    atLeastOne(l.Requests, share),
+		HeadBytes:   int64(share * float64(l.HeadBytes)),
 	}
 }
 
@@ -61,3 +73,6 @@
 	}
 	return max(1, int(share*float64(n)))
 }
+
+// headCost returns the memory that a part of a head takes.
+func headCost(bytes, fields int) int64 { return int64(bytes) + bytesPerField*int64(fields) }
