End responses that their clients don't read

Cause: no write to a client had a deadline.

Evidence: the specs of slow readers on the real program; those of large responses and of pipelined requests failed on the code before. A long stream that is not read held before.

Why it works: a write fails when the client accepts nothing for 10 s. At a bound, a connection whose client has accepted nothing for 2 s gives way to others. A client that reads slowly makes progress and keeps its response.

--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -12,6 +12,14 @@
 )
 
 const (
+	// writeStallTimeout is how long a client may accept nothing of a response.
+	writeStallTimeout = 10 * time.Second
+	// writeDeadlineStep is the age of a write deadline after which it is renewed: a renewal
+	// for each event of a stream would cost more than the write.
+	writeDeadlineStep = time.Second
+	// writePieceBytes is the size of the pieces in which a response is written. A client
+	// that accepts one makes progress.
+	writePieceBytes = 64 << 10
 	// refusalTimeout bounds the write of the refusal of an unfinished head, and the wait for
 	// the client to read it: a close with unread bytes would reset the connection.
 	refusalTimeout = 500 * time.Millisecond
@@ -41,6 +49,9 @@
 	accepted, hasAccepted bool
 	// isReused is true if an earlier request was served.
 	isReused bool
+	// writeDeadline is the time by which the handler wants the response to be written, zero
+	// for none, and stallDeadline the deadline that is set at the connection.
+	writeDeadline, stallDeadline time.Time
 }
 
 // Read implements net.Conn.
@@ -106,6 +117,47 @@
 	return c.TCPConn.SetReadDeadline(time.Now().Add(timeout))
 }
 
+// Write implements net.Conn. It fails if the client accepts nothing for writeStallTimeout.
+func (c *conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+writePieceBytes)]
+		now := time.Now()
+		c.renewWriteDeadline(now)
+		c.entry.BeginWrite(now)
+		n, err := c.TCPConn.Write(piece)
+		c.entry.EndWrite()
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *conn) renewWriteDeadline(now time.Time) {
+	deadline := now.Add(writeStallTimeout)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	if d := deadline.Sub(c.stallDeadline); d < 0 || d >= writeDeadlineStep {
+		c.stallDeadline = deadline
+		_ = c.TCPConn.SetWriteDeadline(deadline) // fails only on a closed connection
+	}
+}
+
+// SetWriteDeadline implements net.Conn. The deadline holds besides the one for a client that
+// accepts nothing.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.writeDeadline = t
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.writeDeadline = t
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.entry.Close()
@@ -127,6 +179,7 @@
 		c.phase = serves
 		c.hasAccepted = false
 	case http.StateIdle:
+		c.writeDeadline = time.Time{}
 		c.entry.EndRequest(time.Now())
 		c.isReused = true
 		c.await(awaitsRequest)
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -1,6 +1,6 @@
 // Package boundedhttp is an HTTP server for clients that are not trusted. It bounds the
 // connections, the memory of request heads, the concurrent requests, and the time for which a
-// client may be idle or send a head.
+// client may be idle, send a head or accept nothing of a response.
 //
 // core/connlimit decides which connection gives way at a bound.
 package boundedhttp
--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -4,12 +4,13 @@
 //
 // At a bound, the connection that has made no progress for longest gives way to the new one,
 // so that clients that hold their connections don't lock out others. A connection whose
-// request is being served is never closed for another one.
+// request is being served gives way only if its client accepts nothing of the response.
 package connlimit
 
 import (
 	"container/list"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	// unfinishedDivisor bounds the unfinished requests that are younger: beyond this part of
 	// all connections the oldest gives way as well.
 	unfinishedDivisor = 4
+	// minStall is how long a client must have accepted nothing of its response to give way.
+	minStall = 2 * time.Second
 )
 
 // Cause is why a connection was closed or a request was refused.
@@ -30,6 +33,9 @@
 	Unfinished Cause = "unfinished"
 	// Idle: a newer connection needed the place of one without a request.
 	Idle Cause = "idle"
+	// Stalled: another connection or request needed the place of one whose client accepted
+	// nothing of its response.
+	Stalled Cause = "stalled"
 	// HeadMemory: the heads of all clients together exceeded their memory.
 	HeadMemory Cause = "head_memory"
 	// NoPlace: no other connection could give way.
@@ -52,8 +58,9 @@
 	limits Limits
 
 	mu sync.Mutex
-	// unfinished and idle hold the connections in these states, the longest there first.
-	unfinished, idle list.List
+	// unfinished, idle and serving hold the connections in these states, the longest there
+	// first.
+	unfinished, idle, serving list.List
 	// large holds the connections with an unfinished request whose head is beyond
 	// HeadAllowance, the oldest first.
 	large     list.List
@@ -78,6 +85,9 @@
 	// Table.headBytes.
 	cost     int64
 	accepted bool // the current request counts in Table.requests
+	// writingSince is when the current write of a response began, in Unix nanoseconds, 0 if
+	// there is none.
+	writingSince atomic.Int64
 }
 
 // Usage is what the connections of a table use.
@@ -125,9 +135,33 @@
 	if reusable := first(&t.idle); reusable != nil && !isStale {
 		return reusable, Idle
 	}
-	return oldest, Unfinished
+	if oldest != nil {
+		return oldest, Unfinished
+	}
+	return t.stalled(now), Stalled
 }
 
+// stalled returns the connection whose client has accepted nothing of a response for longest,
+// nil if there is none.
+func (t *Table) stalled(now time.Time) *Conn {
+	var longest *Conn
+	since := now.Add(-minStall).UnixNano()
+	for e := t.serving.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if started := c.writingSince.Load(); c.accepted && started != 0 && started <= since {
+			longest, since = c, started
+		}
+	}
+	return longest
+}
+
+// BeginWrite records that a part of a response is being written; EndWrite that the client has
+// accepted it.
+func (c *Conn) BeginWrite(now time.Time) { c.writingSince.Store(now.UnixNano()) }
+
+// EndWrite records the end of a write.
+func (c *Conn) EndWrite() { c.writingSince.Store(0) }
+
 func first(l *list.List) *Conn {
 	if e := l.Front(); e != nil {
 		return e.Value.(*Conn)
@@ -183,19 +217,30 @@
 // BeginRequest records that a request has been received whole. It returns false if the request
 // must be refused as not run, since too many are being served or the connection was evicted.
 func (c *Conn) BeginRequest(now time.Time) bool {
+	evicted, ok := c.beginRequest(now)
+	if evicted != nil {
+		evicted.onEvict(Stalled)
+	}
+	return ok
+}
+
+func (c *Conn) beginRequest(now time.Time) (evicted *Conn, ok bool) {
 	t := c.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if c.state == closed || c.accepted {
-		return c.accepted
+		return nil, c.accepted
 	}
 	c.enter(serving, now)
 	if t.limits.Requests > 0 && t.requests >= t.limits.Requests {
-		return false
+		if evicted = t.stalled(now); evicted == nil {
+			return nil, false
+		}
+		evicted.remove()
 	}
 	c.accepted = true
 	t.requests++
-	return true
+	return evicted, true
 }
 
 // EndRequest records that a response is complete and that the connection may carry another
@@ -244,6 +289,8 @@
 		c.place = c.table.unfinished.PushBack(c)
 	case idle:
 		c.place = c.table.idle.PushBack(c)
+	case serving:
+		c.place = c.table.serving.PushBack(c)
 	}
 }
 
@@ -253,6 +300,7 @@
 		// Remove has no effect on a list that doesn't hold the element.
 		c.table.unfinished.Remove(c.place)
 		c.table.idle.Remove(c.place)
+		c.table.serving.Remove(c.place)
 		c.place = nil
 	}
 	if c.large != nil {
