Bound the bytes of clients that the kernel holds unread

Callers saw: 600 clients whose requests wait at a server and that go on sending took an entry of 64 MB up to 116 MB, of which a large part was unread bytes in its sockets. They count towards the memory of the machine.

Cause: while a request is being served, nothing more is read from its connection, and the kernel accepts 64 KB and more for each.

Why it works: the receive buffer of each client's connection is 16 KB, which is part of what a connection counts in the bound on connections. It is enlarged while a body beyond that is read, so that links with a delay are used, for one connection in 16 at a time: what has arrived then stays unread if it belongs to later requests.

--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"chivespindle.example/core/connlimit"
@@ -47,6 +48,8 @@
 	headBytes int
 	// accepted is the result of accept for the current request.
 	accepted, hasAccepted bool
+	// isEnlarged is true if the receive buffer was enlarged for the body of the current request.
+	isEnlarged atomic.Bool
 	// isReused is true if an earlier request was served.
 	isReused bool
 	// writeDeadline is the time by which the handler wants the response to be written, zero
@@ -161,6 +164,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.entry.Close()
+	c.releaseBuffer()
 	return c.TCPConn.Close()
 }
 
@@ -186,6 +190,30 @@
 	}
 }
 
+// enlargeBuffer enlarges the receive buffer, unless too many others are enlarged.
+func (c *conn) enlargeBuffer() bool {
+	connections := int64(c.server.opts.Limits.Connections)
+	if n := c.server.enlarged.Add(1); connections > 0 && n > max(1, connections/enlargedDivisor) {
+		c.server.enlarged.Add(-1)
+		return false
+	}
+	c.isEnlarged.Store(true)
+	_ = c.SetReadBuffer(bodyBufferBytes) // fails only on a closed connection
+	return true
+}
+
+// shrinkBuffer restores the size of the receive buffer. What the larger one holds stays there.
+func (c *conn) shrinkBuffer() {
+	_ = c.SetReadBuffer(receiveBufferBytes) // fails only on a closed connection
+}
+
+// releaseBuffer lets another connection enlarge its buffer.
+func (c *conn) releaseBuffer() {
+	if c.isEnlarged.Swap(false) {
+		c.server.enlarged.Add(-1)
+	}
+}
+
 // accept records that the current request has been received and reports whether it may be
 // served.
 func (c *conn) accept(now time.Time) bool {
@@ -202,6 +230,10 @@
 func (c *conn) await(p phase) {
 	c.phase = p
 	c.headBytes = 0
+	if c.isEnlarged.Load() { // the body of the last request may not have been read whole
+		c.shrinkBuffer()
+		c.releaseBuffer()
+	}
 }
 
 // refusal returns a whole response without a body.
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -35,6 +36,14 @@
 	maxHeadBytes = 16 << 20
 	// RetryAfter is the Retry-After of refused requests.
 	RetryAfter = 500 * time.Millisecond
+	// receiveBufferBytes bounds what the kernel holds of the bytes that a client has sent and
+	// that are not read, since its request is being served. bodyBufferBytes is the bound while
+	// a larger body is read: with the other one, a link with a delay could not be used fully.
+	// What arrived meanwhile stays unread if it belongs to later requests, so only one in
+	// enlargedDivisor of the connections may have the larger buffer at a time.
+	receiveBufferBytes = 16 << 10
+	bodyBufferBytes    = 128 << 10
+	enlargedDivisor    = 16
 	// logInterval is the least time between two log lines of a port.
 	logInterval = 10 * time.Second
 )
@@ -75,6 +84,9 @@
 	http  *http.Server
 	opts  Options
 	table *connlimit.Table
+	// enlarged is the number of connections whose receive buffer was enlarged and whose
+	// request has not ended.
+	enlarged atomic.Int64
 
 	loggedAt atomic.Int64 // Unix nanoseconds
 	omitted  atomic.Int64
@@ -108,6 +120,7 @@
 
 // Serve serves the connections of a TCP listener until Shutdown or Close.
 func (s *Server) Serve(l net.Listener) error {
+	setReceiveBuffer(l, s.opts.Logger)
 	return s.http.Serve(&listener{Listener: l, server: s})
 }
 
@@ -130,16 +143,27 @@
 	} else {
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout)) // fails only on a closed connection
-		r.Body = &boundedBody{ReadCloser: r.Body, control: control}
+		r.Body = &boundedBody{ReadCloser: r.Body, control: control, large: s.largeBody(r)}
 	}
 	s.opts.Handler.ServeHTTP(w, r)
 }
 
+// largeBody enlarges the receive buffer of a request's connection if its body may be larger,
+// unless many others are enlarged. It returns the connection then, nil otherwise.
+func (s *Server) largeBody(r *http.Request) *conn {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || r.ContentLength > 0 && r.ContentLength <= receiveBufferBytes || !c.enlargeBuffer() {
+		return nil
+	}
+	return c
+}
+
 // boundedBody is the body of a request. Its deadline ends with it: a later read by net/http
 // that fails would cancel the request.
 type boundedBody struct {
 	io.ReadCloser
 	control *http.ResponseController
+	large   *conn // whose receive buffer was enlarged, nil if it was not
 }
 
 // Read implements io.Reader.
@@ -147,6 +171,9 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		_ = b.control.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		if b.large != nil {
+			b.large.shrinkBuffer()
+		}
 	}
 	return n, err
 }
@@ -166,6 +193,21 @@
 	return ok && c.isReused
 }
 
+// setReceiveBuffer bounds the receive buffers of the connections that a listener accepts.
+func setReceiveBuffer(l net.Listener, logger *zap.Logger) {
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		var failed error
+		err = raw.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+		})
+		err = errors.Join(err, failed)
+	}
+	if err != nil {
+		logger.Warn("receive_buffer_not_set", zap.Error(err))
+	}
+}
+
 // listener accepts connections within the bounds.
 type listener struct {
 	net.Listener
