--- a/core/memlimit/memlimit.go
+++ b/core/memlimit/memlimit.go
@@ -85,6 +85,19 @@
 	return true
 }
 
+// Fits reports whether Grow would add n bytes now. It adds none.
+func (h *Hold) Fits(n int64) bool {
+	return h.budget == nil || n <= h.budget.limit-h.budget.held.Load()
+}
+
+// Shrink returns n bytes of the Hold to the budget.
+func (h *Hold) Shrink(n int64) {
+	if h.budget != nil {
+		h.budget.held.Add(-n)
+		h.bytes -= n
+	}
+}
+
 // Release returns all bytes of the Hold to the budget.
 func (h *Hold) Release() {
 	if h.budget != nil {
