memlimit: let bodies that are not completed give way

Clients that sent most of a large body and then stalled held the memory budget until their timeouts, up to 30 s. Until then every other request with a body was refused, however small.

When the budget is used up, the oldest bodies that have been received for more than 3 s now give way: their reads end and they are refused as not run. Bodies that arrive within that time, requests that have been received whole and bodies whose memory would not be enough stay. An eighth of the budget is kept for bodies of up to 32 KB.

Budget uses a mutex instead of an atomic number, and Grow takes the time, since core does not read the clock. The interrupt of a read is called without the mutex held; EndReceipt waits for it, so that it cannot reach the next request of a connection.

Before the change, with two bodies of 100 KB at a budget of 256 KB that lacked an eighth, a third was refused for the 10 s that the spec waited, and a body of 20 KB was refused while large ones held the budget.

--- a/daemon/gateway/memory_test.go
+++ b/daemon/gateway/memory_test.go
@@ -19,7 +19,7 @@
 func (sizedResponse) IsEventStream() bool { return false }
 
 func (r sizedResponse) Body(_ int64, hold *memlimit.Hold) ([]byte, error) {
-	if !hold.Grow(int64(r.size)) {
+	if !hold.Grow(time.Now(), int64(r.size)) {
 		return nil, memlimit.Exceeded.New("%d bytes", r.size)
 	}
 	return make([]byte, r.size), nil
