gateway: end a begun response that its client does not accept

A stream whose client read nothing blocked in the write to the client. Its server's connection was closed at the call's deadline, but the call itself lasted as long as the client liked: its place at the server stayed taken in the entry's placement, its body stayed counted in the memory budget, and it counted as in flight when the entry shut down. The same held for responses of plain services that are forwarded as they arrive.

Writes of a response that has begun now fail half a second after the call's deadline, and the call ends as if the client had disconnected. The slack covers a full link. Buffered responses have no such deadline, since they are ready and a slow client still reads them.

--- a/daemon/gateway/delivery_test.go
+++ b/daemon/gateway/delivery_test.go
@@ -48,6 +48,8 @@
 
 var errDisconnected = errors.New("caller disconnected")
 
+func (r *responseRecorder) SetWriteDeadline(time.Time) {}
+
 func (r *responseRecorder) Begin(a Response) error {
 	r.head = a.(*scriptedResponse)
 	r.heads++
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -122,6 +122,7 @@
 	writes        int
 }
 
+func (*textRecorder) SetWriteDeadline(time.Time)           {}
 func (*textRecorder) WriteResponse(Response, []byte) error { return nil }
 func (*textRecorder) Begin(Response) error                 { return nil }
 func (*textRecorder) Refuse(ErrorResponse)                 {}
--- a/daemon/gateway/memory.go
+++ b/daemon/gateway/memory.go
@@ -21,6 +21,10 @@
 	// forwardedPieceBytes is the size of the pieces in which a response is forwarded that
 	// may not be buffered.
 	forwardedPieceBytes = 16 << 10
+	// writeSlack is how long after the deadline of a call its caller may take for the rest of a
+	// response that has begun, such as when packets wait at a full link. A response that is
+	// complete is delivered for as long as the caller accepts parts of it.
+	writeSlack = 500 * time.Millisecond
 
 	reasonNoMemory = "memory"
 )
--- a/daemon/gateway/memory_test.go
+++ b/daemon/gateway/memory_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"chivespindle.example/adapters/eventstream"
 	"chivespindle.example/core/memlimit"
 )
 
@@ -72,3 +73,85 @@
 		Expect(g.opts.Memory.Held()).To(BeZero())
 	})
 })
+
+// stalledCaller is a caller that accepts the header of its response and nothing else.
+type stalledCaller struct {
+	refusalRecorder
+	writing chan struct{} // closed once a part of the body is written
+	release chan struct{}
+	writeBy time.Time
+}
+
+func (c *stalledCaller) SetWriteDeadline(by time.Time) { c.writeBy = by }
+
+func (c *stalledCaller) Write([]byte) error {
+	close(c.writing)
+	if c.writeBy.IsZero() {
+		<-c.release
+		return nil
+	}
+	select {
+	case <-time.After(time.Until(c.writeBy)):
+		return errDisconnected
+	case <-c.release:
+		return nil
+	}
+}
+
+// endlessStream is a stream of events without end.
+type endlessStream struct{ emptyResponse }
+
+func (endlessStream) Next() (eventstream.Event, error) {
+	return eventstream.Event{ID: 0, Raw: []byte("id: 0\ndata: x\n\n")}, nil
+}
+
+// partlyRead is a response of a plain service that must be forwarded as it arrives.
+type partlyRead struct{ emptyResponse }
+
+func (partlyRead) IsEventStream() bool { return false }
+
+func (partlyRead) Body(int64, *memlimit.Hold) ([]byte, error) {
+	return []byte("part"), memlimit.Exceeded.New("4 bytes")
+}
+
+// responseBackend is a backend that returns a certain response.
+type responseBackend struct {
+	emptyStreamBackend
+	response Response
+}
+
+func (b *responseBackend) Send(context.Context, *Call, SendOptions) (Response, error) {
+	return b.response, nil
+}
+
+var _ = Describe("A response that has begun, for a caller that accepts nothing of it", func() {
+	// Guards against a call whose slot and memory a caller takes for as long as it likes.
+	DescribeTable("ends once the time of the call is over", func(isPlain bool, response Response) {
+		g, _ := newGateway()
+		g.opts.Memory, g.opts.Backend = memlimit.New(1000), &responseBackend{response: response}
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
+		if isPlain {
+			s.Config.Services[0].Engine = nil
+		}
+		s.Config.Routes[0].TargetLatency, s.Config.Routes[0].Timeout = 200*time.Millisecond, 400*time.Millisecond
+		g.adopt(time.Now(), s, fromPlatform)
+		g.publish(time.Now())
+		caller := &stalledCaller{make(refusalRecorder, 1), make(chan struct{}), make(chan struct{}), time.Time{}}
+		arrived, served := time.Now(), make(chan struct{})
+		go func() {
+			defer close(served)
+			g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: arrived, LastEvent: -1}, caller)
+		}()
+		DeferCleanup(func() {
+			close(caller.release)
+			<-served
+		})
+		Eventually(caller.writing, "5s").Should(BeClosed())
+		Eventually(served, "10s").Should(BeClosed())
+		Expect(time.Since(arrived)).To(BeNumerically(">=", 400*time.Millisecond))
+		Expect(g.InFlight()).To(BeZero())
+	},
+		Entry("a stream", false, endlessStream{}),
+		Entry("one that is forwarded as it arrives", true, partlyRead{}),
+	)
+})
--- a/daemon/gateway/ports.go
+++ b/daemon/gateway/ports.go
@@ -184,6 +184,9 @@
 // A response is complete only after WriteResponse, Complete or Refuse. If it is not when Serve
 // returns, the client must be able to see that it is truncated.
 type Caller interface {
+	// SetWriteDeadline bounds the writes of the response that follow: what the client has not
+	// accepted by then is not sent.
+	SetWriteDeadline(by time.Time)
 	// WriteResponse sends a server's response with its complete body.
 	WriteResponse(response Response, body []byte) error
 	// Begin sends the header of a server's response. The body follows.
--- a/daemon/gateway/reply.go
+++ b/daemon/gateway/reply.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
@@ -15,6 +17,8 @@
 	progress *delivery.Progress
 	log      *requestLog
 	id       string
+	// writeBy is when a response that has begun must have been written.
+	writeBy time.Time
 }
 
 func newReply(g *Gateway, call *Call, caller Caller) *reply {
@@ -49,7 +53,7 @@
 		return false, r.checkStep(err)
 	}
 	if isFirst {
-		err = r.caller.Begin(response)
+		err = r.beginBody(response)
 	}
 	if err == nil {
 		err = r.caller.Write(event.Raw)
@@ -84,7 +88,7 @@
 		return err
 	}
 	if isFirst {
-		if err := r.caller.Begin(response); err != nil {
+		if err := r.beginBody(response); err != nil {
 			return err
 		}
 	}
@@ -104,6 +108,12 @@
 	if err := r.checkStep(r.progress.BeginUnstreamed()); err != nil {
 		return err
 	}
+	return r.beginBody(response)
+}
+
+// beginBody sends the header of a response whose body follows in parts.
+func (r *reply) beginBody(response Response) error {
+	r.caller.SetWriteDeadline(r.writeBy)
 	return r.caller.Begin(response)
 }
 
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -124,6 +124,7 @@
 	if !j.route.MayResume() {
 		j.reply.ignoreLastEvent()
 	}
+	j.reply.writeBy = j.deadline.Add(writeSlack)
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	defer j.endLevel()
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -55,6 +55,7 @@
 // refusalRecorder is a caller that records the error response it gets.
 type refusalRecorder chan ErrorResponse
 
+func (refusalRecorder) SetWriteDeadline(time.Time)           {}
 func (refusalRecorder) WriteResponse(Response, []byte) error { return nil }
 func (refusalRecorder) Begin(Response) error                 { return nil }
 func (refusalRecorder) Write([]byte) error                   { return nil }
