--- a/core/enginemodel/enginemodel.go
+++ b/core/enginemodel/enginemodel.go
@@ -83,6 +83,19 @@
 	return Work{Running: (w.Running + half) / n, PendingPrefill: (w.PendingPrefill + half) / n, Context: (w.Context + half) / n}
 }
 
+// maxTime bounds each predicted time. It is beyond all deadlines and so far below the range of
+// time.Duration that sums of predictions do not overflow: token counts come from callers, and
+// the overflowed prediction of a huge prompt was negative.
+const maxTime = 24 * time.Hour
+
+// bounded converts nanoseconds to a time of at most maxTime.
+func bounded(nanoseconds float64) time.Duration {
+	if nanoseconds < float64(maxTime) {
+		return time.Duration(nanoseconds)
+	}
+	return maxTime
+}
+
 // PrefillTime returns the time to prefill a prompt of this many tokens.
 func (p *Profile) PrefillTime(tokens int) time.Duration {
 	if p.PrefillTokensPerSecond <= 0 {
@@ -91,14 +104,14 @@
 	const million = 1e6
 	linear := float64(tokens) / p.PrefillTokensPerSecond * float64(time.Second)
 	pairs := float64(tokens) * float64(tokens) / 2 / million * float64(p.PrefillTimePerMillionPairs)
-	return time.Duration(linear + pairs)
+	return bounded(linear + pairs)
 }
 
 // PassTime returns the time of one pass over the work, without prefills.
 func (p *Profile) PassTime(w Work) time.Duration {
 	decoding := min(w.Running, p.Slots)
 	step := p.StepTime + time.Duration(decoding)*p.StepTimePerSequence
-	step += time.Duration(float64(w.Context) / 1000 * float64(p.StepTimePer1000Context))
+	step += bounded(float64(w.Context) / 1000 * float64(p.StepTimePer1000Context))
 	return time.Duration(max(1, p.StepsPerPass)) * step
 }
 
@@ -117,7 +130,7 @@
 	if passes <= 0 {
 		return 0
 	}
-	return time.Duration(passes * float64(p.meanPassTime(w)))
+	return bounded(passes * float64(p.meanPassTime(w)))
 }
 
 // meanPasses is the number of passes that decode a response of mean length.
--- a/core/enginemodel/enginemodel_test.go
+++ b/core/enginemodel/enginemodel_test.go
@@ -1,6 +1,7 @@
 package enginemodel_test
 
 import (
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -41,6 +42,17 @@
 		Expect(profile().PassTime(enginemodel.Work{Running: 40})).To(Equal(full))
 	})
 
+	// Guards against a prediction that overflows for a token count that no model has: an engine
+	// with such a request looked idle.
+	It("predicts no negative times for huge token counts", func() {
+		const huge = math.MaxInt64
+		p := profile()
+		Expect(p.PrefillTime(huge)).To(BeNumerically(">=", time.Hour))
+		Expect(p.DecodeTime(enginemodel.Work{}, huge)).To(BeNumerically(">=", time.Hour))
+		Expect(p.TimeToFirstEvent(enginemodel.Work{}, huge)).To(BeNumerically(">=", time.Hour))
+		Expect(p.TimeToFirstEvent(enginemodel.Work{Running: 1000, PendingPrefill: huge, Context: huge}, huge)).To(BeNumerically(">=", time.Hour))
+	})
+
 	It("predicts the first event of an idle engine: half a pass, the prefill, one pass", func() {
 		Expect(profile().TimeToFirstEvent(enginemodel.Work{}, 979)).To(BeNumerically("~", 117*ms, 2*ms))
 	})
