placement: refuse at once what no engine can hold

A request with more tokens than the memory of an engine found "no place" like one that comes at a busy moment. It was held for a third of its time, took one of the few holds of late requests, made less urgent requests yield to it and counted as a sign that room is short, so that slots were reserved. Repeated by a client with an urgent key it kept others waiting for nothing. If the sum of its counts overflowed, it even seemed to fit.

Such a request is now refused with a reason of its own, too_large, that is no sign of a shortage.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -92,6 +92,8 @@
 	Evacuated Reason = "evacuated"
 	// TooLong: the response would not be complete before the caller's deadline.
 	TooLong Reason = "too_long"
+	// TooLarge: the request needs more memory than an idle server has.
+	TooLarge Reason = "too_large"
 )
 
 // Refusal describes why a request was not placed and when the caller may retry.
@@ -120,6 +122,9 @@
 	if g == nil {
 		return nil, Refusal{Reason: NoServer, RetryAfter: maxRetryAfter(req.TimeLeft)}
 	}
+	if req.IsTooLarge() {
+		return nil, Refusal{Reason: TooLarge, RetryAfter: maxRetryAfter(req.TimeLeft)}
+	}
 	candidates, cold := b.candidates(now, g, req)
 	if len(candidates) == 0 && len(cold) > 0 {
 		return nil, b.coldRefusal(now, g, req, cold)
@@ -245,6 +250,16 @@
 	return w.Context+r.PromptTokens+r.OutputTokens <= r.Engine.MemoryTokens
 }
 
+// IsTooLarge reports whether the request needs more memory than an idle engine has. No wait
+// helps such a request, and none must yield to it.
+func (r Request) IsTooLarge() bool {
+	if r.Engine == nil || r.Engine.MemoryTokens == 0 {
+		return false
+	}
+	left := r.Engine.MemoryTokens - r.PromptTokens // the sum of the counts may overflow
+	return left < 0 || r.OutputTokens > left
+}
+
 // candidates returns the servers that may serve the request. Ejected and paused servers
 // are left out unless there are no others: a false alarm must not make the service
 // unavailable. A cold server is a candidate only within the quota for it. Servers that
--- a/daemon/gateway/levels.go
+++ b/daemon/gateway/levels.go
@@ -75,7 +75,7 @@
 func (j *job) choose(now time.Time) (*placement.Assignment, placement.Refusal) {
 	req := j.placementRequest(now)
 	waiting := j.urgency.request
-	if waiting == nil {
+	if waiting == nil || req.IsTooLarge() {
 		return j.g.balancer.Choose(now, req)
 	}
 	req.Limits = waiting.Limits(now)
--- a/daemon/gateway/levels_test.go
+++ b/daemon/gateway/levels_test.go
@@ -123,6 +123,18 @@
 		Eventually(func() int64 { return metrics.Snapshot().Counters()["calls_by_level+level=1,outcome=held"].Value() }).Should(Equal(int64(1)))
 	})
 
+	// Guards against a call that no engine can hold and that keeps less urgent ones waiting.
+	It("are refused at once if they need more memory than an engine has", func() {
+		g.demand("pool").Arrived(time.Now(), 2)
+		g.table.Service("pool").Engine.MemoryTokens = 10_000
+		caller := make(refusalRecorder, 1)
+		g.Serve(context.Background(), &Call{ID: "large", Host: "a.example", Path: "/d/1", Arrived: time.Now(), Timeout: timeout,
+			PromptTokens: 10, MaxTokens: 9_991, LastEvent: -1}, caller)
+		Expect(caller).To(Receive(And(HaveField("Code", Unavailable), HaveField("Reason", "too_large"))))
+		Expect(held()).To(BeZero())
+		Expect(g.demand("pool").Limits(time.Now(), 2).ReservedSlots).To(BeZero(), "slots reserved since room seems short")
+	})
+
 	// Guards against more calls that wait here than can be placed.
 	It("are shed from the least urgent level up, with a Retry-After that can be met", func() {
 		g.demand("pool").Arrived(time.Now(), 0)
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -323,7 +323,7 @@
 	reason := refusal.Reason
 	timeout := j.deadline.Sub(j.call.Arrived)
 	until := j.call.Arrived.Add(min(maxHold, timeout/holdDivisor))
-	if !now.Before(until) || reason == placement.TooLong || reason == placement.Evacuated {
+	if !now.Before(until) || reason == placement.TooLong || reason == placement.TooLarge || reason == placement.Evacuated {
 		return false
 	}
 	v := j.g.view.Load()
