gateway: forward a rejection that any server would repeat

A request without an id got 503, for which clients come back, instead of the server's 400. On the way it went to as many servers as its route allows, each time from the retry budget that all entries share, and each of those servers got nothing for a moment, since it had rejected a request. A client that sends such requests, or names X-Request-Id in its Connection header, could so use up the retries of others and pause sound servers.

The entry treated each response with X-Not-Run as that of a server that had no room. Now one whose status blames the request (4xx but 408, 421 and 429) is forwarded at once and says nothing about its server. It does not count as a success of the request either, which would clear a record of crashes.

Both cases failed before with 503.

--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -284,6 +284,9 @@
 		return j.handleSendError(ctx, assignment, err)
 	}
 	j.attempts++
+	if rejectsCall(response) && !j.mayHaveRun {
+		return j.forwardRejection(ctx, assignment, response)
+	}
 	if response.NotRun() || response.Misdirected() {
 		response.Close(true)
 		assignment.End(time.Now(), placement.Declined)
--- a/daemon/gateway/serverstate.go
+++ b/daemon/gateway/serverstate.go
@@ -36,7 +36,7 @@
 	j.recordLimit(sent, server, response.Status(), state.Limit)
 	j.g.recordLeaving(server, state)
 	j.g.recordCold(sent, server, state.Cold)
-	j.g.recordBackoff(server, response.NotRun(), state.Backoff)
+	j.g.recordBackoff(server, response.NotRun() && !rejectsCall(response), state.Backoff)
 }
 
 // recordLeaving records that a server states that it is shutting down.
