telemetry: bound the bytes of queued log lines

The queue held up to 2,048 lines of any length. Lines that quote a client's request ID can have more than 16 KB, so with a log reader that is blocked they took 32 MB and more of a process that may use 112 MB.

The queue now holds at most 1 MiB, which is enough for 2,048 lines of usual length; others are dropped and counted as before. The spec failed before: 65,536,000 bytes were queued.

--- a/adapters/telemetry/queue.go
+++ b/adapters/telemetry/queue.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	// queueCapacityLines is how many log lines may be queued, some hundred
-	// kilobytes.
+	// queueCapacityLines is how many log lines may be queued, and
+	// queueCapacityBytes their length. Most lines have a few hundred bytes; lines
+	// with long texts must not fill the memory of the process while the log
+	// reader is blocked.
 	queueCapacityLines = 2048
+	queueCapacityBytes = 1 << 20
 	// drainTimeout is how long Run continues to write queued lines after its
 	// context has ended.
 	drainTimeout = 200 * time.Millisecond
@@ -20,26 +23,41 @@
 // be written are dropped and counted: a blocked log reader must not delay
 // requests. Each Write is one line.
 type Queue struct {
-	output  io.Writer
+	writer  io.Writer
 	lines   chan []byte
+	bytes   atomic.Int64 // of the queued lines
 	dropped atomic.Int64
 }
 
 // NewQueue returns a queue that writes to w. Nothing is written before Run.
 func NewQueue(w io.Writer) *Queue {
-	return &Queue{output: w, lines: make(chan []byte, queueCapacityLines)}
+	return &Queue{writer: w, lines: make(chan []byte, queueCapacityLines)}
 }
 
 // Write implements io.Writer. It never fails.
 func (q *Queue) Write(line []byte) (int, error) {
+	if q.bytes.Add(int64(len(line))) > queueCapacityBytes {
+		q.drop(line)
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
 	default:
-		q.dropped.Add(1)
+		q.drop(line)
 	}
 	return len(line), nil
 }
 
+func (q *Queue) drop(line []byte) {
+	q.bytes.Add(-int64(len(line)))
+	q.dropped.Add(1)
+}
+
+func (q *Queue) output(line []byte) {
+	q.bytes.Add(-int64(len(line)))
+	_, _ = q.writer.Write(line) // a failure of the log cannot be logged
+}
+
 // Dropped returns the number of dropped lines.
 func (q *Queue) Dropped() int64 { return q.dropped.Load() }
 
@@ -48,7 +66,7 @@
 	for {
 		select {
 		case line := <-q.lines:
-			_, _ = q.output.Write(line) // a failure of the log cannot be logged
+			q.output(line)
 		case <-ctx.Done():
 			q.drain()
 			return nil
@@ -62,7 +80,7 @@
 	for {
 		select {
 		case line := <-q.lines:
-			_, _ = q.output.Write(line)
+			q.output(line)
 		case <-timeout.C:
 			return
 		default:
--- a/adapters/telemetry/queue_test.go
+++ b/adapters/telemetry/queue_test.go
@@ -47,6 +47,26 @@
 		Expect(bytes.Count(writer.text.Bytes(), []byte("\n")) + int(q.Dropped())).To(Equal(lines))
 	})
 
+	// Guards against lines with long texts that fill the memory of the process while the log
+	// reader is blocked.
+	It("bounds the bytes of queued lines", func() {
+		var text bytes.Buffer
+		q := telemetry.NewQueue(&text)
+		line := append(bytes.Repeat([]byte("x"), 64<<10-1), '\n')
+		const lines = 1000
+		for range lines {
+			_, _ = q.Write(line)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(q.Run(ctx)).To(Succeed())
+		Expect(text.Len()).To(And(BeNumerically(">=", len(line)), BeNumerically("<=", 1<<20)))
+		Expect(text.Len()/len(line) + int(q.Dropped())).To(Equal(lines))
+		_, _ = q.Write([]byte("later\n"))
+		Expect(q.Run(ctx)).To(Succeed())
+		Expect(text.String()).To(HaveSuffix("later\n"), "room after the queued lines were written")
+	})
+
 	It("keeps its own copy of a line", func() {
 		var text bytes.Buffer
 		q := telemetry.NewQueue(&text)
