gateway: log the start of a request ID only

Each line about a call quotes the ID that the client chose, up to the length of a head, and up to 150 such lines are written per second. Lines now have the first 64 bytes. The error about a response with the ID of another request is bounded in the same way.

--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -44,7 +44,7 @@
 
 // callFields returns the fields that every line about a call has, followed by fields.
 func callFields(j *job, fields ...zap.Field) []zap.Field {
-	all := []zap.Field{zap.String("request", j.call.ID), zap.Duration("age", time.Since(j.call.Arrived))}
+	all := []zap.Field{requestField(j.call.ID), zap.Duration("age", time.Since(j.call.Arrived))}
 	all = append(all, j.levelFields()...)
 	if j.route != nil {
 		all = append(all, zap.String("route", j.route.Name), zap.Stringer("kind", j.route.Kind),
@@ -53,6 +53,15 @@
 	return append(all, fields...)
 }
 
+// shownIDBytes bounds the ID of a call in log lines. Longer than a UUID or a digest in
+// hexadecimal, it is enough to find the lines of a call.
+const shownIDBytes = 64
+
+// requestField returns the field with the ID of a call, of which callers choose the length.
+func requestField(id string) zap.Field {
+	return zap.String("request", id[:min(shownIDBytes, len(id))])
+}
+
 func (l *requestLog) allowed() bool {
 	ok, left := l.limiter.allow(time.Now())
 	if left > 0 {
@@ -205,7 +214,7 @@
 		return
 	}
 	l.metrics.Counter("calls_panicked").Inc(1)
-	l.logger.Error("request_panicked", zap.String("request", call.ID), zap.Any("panic", p), zap.StackSkip("stack", 1))
+	l.logger.Error("request_panicked", requestField(call.ID), zap.Any("panic", p), zap.StackSkip("stack", 1))
 	panic(p)
 }
 
--- a/daemon/gateway/reply.go
+++ b/daemon/gateway/reply.go
@@ -148,5 +148,5 @@
 
 func (l *requestLog) illegalStep(request string, err error) {
 	l.metrics.Counter("illegal_deliveries").Inc(1)
-	l.logger.Error("illegal_delivery", zap.String("request", request), zap.Error(err))
+	l.logger.Error("illegal_delivery", requestField(request), zap.Error(err))
 }
