--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -89,7 +89,7 @@
 		if now.Sub(at) >= crashTTL || report.Server == "" && r.requests[report.Request] == nil {
 			continue
 		}
-		o := observation{server: report.Server, at: at, parts: report.Parts[:min(len(report.Parts), maxParts)]}
+		o := observation{server: report.Server, at: at, parts: report.Parts[:min(len(report.Parts), MaxParts)]}
 		if r.addQuarantines(now, report.Request, o, from) {
 			r.reportAgain(r.requests[report.Request])
 			quarantined = append(quarantined, report.Request)
--- a/core/quarantine/part.go
+++ b/core/quarantine/part.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxParts bounds the parts of a request that are considered.
-	maxParts = 32
+	// MaxParts bounds the parts of a request that are considered.
+	MaxParts = 32
 	// maxPartID is the longest ID of a part, in bytes, that is used as it is. Longer ones
 	// are replaced by a digest, which bounds messages and log lines.
 	maxPartID = 32
@@ -33,7 +33,7 @@
 		if p := Part(model + "/" + id); !slices.Contains(parts, p) {
 			parts = append(parts, p)
 		}
-		if len(parts) == maxParts {
+		if len(parts) == MaxParts {
 			break
 		}
 	}
