exchange: read the response of a server that stops reading

A server that rejects a request before it has read the body, such as with 413 or, while it is full, with 503, closes the connection while the body is still being sent. The client got 502 instead of that response, the request counted as one that may have run, and the failure counted against the server, so that two large requests took a sound server out of use.

The response is in the receive buffer at that time. When sending fails since the connection was closed, it is now read, if it is complete and an error; a success cannot be of a request that has not arrived. The connection is not reused.

Both entries of the spec failed before with "connection reset by peer"; they passed 30 times in a row afterwards.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -38,6 +38,9 @@
 	// writeTimeout bounds the sending of a request to a server that does not
 	// read.
 	writeTimeout = 2 * time.Second
+	// earlyResponseTime bounds the read of a response on a connection that the server
+	// has closed, where what was sent before has arrived.
+	earlyResponseTime = 10 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is pooled if the server
 	// advertises no timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -349,11 +352,10 @@
 		_ = c.Close()
 		return nil, failure.WithOutcome(failureType(err).Wrap(err, "%s %s", operation, addr), failure.Unknown)
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := r.Write(c.writer); err != nil {
-		return fail(err, "send to")
-	}
-	if err := c.writer.Flush(); err != nil {
+	if err := c.send(r); err != nil {
+		if response := c.readEarlyResponse(r); response != nil {
+			return newResponse(p, c, response, stopAbort), nil
+		}
 		return fail(err, "send to")
 	}
 	c.onSilence = onSilence
@@ -365,6 +367,32 @@
 	return newResponse(p, c, response, stopAbort), nil
 }
 
+func (c *conn) send(r *http.Request) error {
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := r.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// readEarlyResponse returns the error response of a server that closed the connection before it
+// had read the whole request, nil if there is none: it rejects requests that are too large, or
+// any while it is full. A success would be of a request that has not arrived.
+func (c *conn) readEarlyResponse(r *http.Request) *http.Response {
+	// net/http hides the type of an error of writing the body; the writer repeats it.
+	_, err := c.writer.Write(nil)
+	if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	c.setReadDeadline(time.Now().Add(earlyResponseTime))
+	response, err := c.readHead(r)
+	if err != nil || response.StatusCode < http.StatusBadRequest {
+		return nil
+	}
+	response.Close = true
+	return response
+}
+
 func newResponse(p *Pool, c *conn, response *http.Response, stopAbort func() bool) *Response {
 	r := &Response{Response: response, pool: p, conn: c, stopAbort: stopAbort}
 	if response.Body != http.NoBody {
