exchange: release the request once its response has started

http.ReadResponse refers to the request in its response, and with it to the copy of the client's header fields that was sent to the server. It was kept until the stream ended or the response was forwarded. The spec failed before.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -394,6 +394,9 @@
 }
 
 func newResponse(p *Pool, c *conn, response *http.Response, stopAbort func() bool) *Response {
+	// Callers keep the response for as long as a stream lasts, and a head with thousands of
+	// short fields takes many times its length.
+	response.Request = nil
 	r := &Response{Response: response, pool: p, conn: c, stopAbort: stopAbort}
 	if response.Body != http.NoBody {
 		r.body = &bodyReader{ReadCloser: response.Body}
--- a/adapters/exchange/exchange_test.go
+++ b/adapters/exchange/exchange_test.go
@@ -111,6 +111,16 @@
 		Expect(p.Dialled()).To(Equal(int64(1)))
 	})
 
+	// Guards against heads of requests that are kept until their streams end.
+	It("keeps no request once its response has started", func() {
+		s := serve(func(c net.Conn, _ *http.Request, _ int) bool { write(c, chunkedResponse); return true })
+		r, err := exchange.New().Do(context.Background(), s.addr(), newRequest, waitDeadline())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Request).To(BeNil())
+		Expect(io.ReadAll(r.Body)).To(Equal([]byte("hi")))
+		r.Close(true, 0)
+	})
+
 	DescribeTable("does not reuse a connection that is not reusable",
 		func(response string, wantBody string) {
 			s := serve(func(c net.Conn, _ *http.Request, n int) bool {
