placement: forget absurd times of callers

On a route without calls on reused connections, a call counts as a client's retry if it has clearly less time left than the longest time ever seen. One call with an X-Deadline-Ms of years made all later calls of that route count as retries, for as long as the process lived: they are late from the start, may use fewer slots and wait less.

The longest time is now that of the latest 64 calls, without the longest of them once there are 8. Both specs failed before. Once a call on a reused connection has come, its own samples decide, as before.

--- a/core/placement/retrydetector.go
+++ b/core/placement/retrydetector.go
@@ -20,6 +20,8 @@
 	// taken for the minimum, so that a single outlier does not decide.
 	newCallSamples = 64
 	newCallRank    = 1
+	// minOutlierSamples is the number of times from which on the longest one may be an outlier.
+	minOutlierSamples = 8
 )
 
 // RetryDetector tells client retries after a refusal from new calls, by the time
@@ -36,12 +38,17 @@
 
 // routeTimes holds the times left of new calls on a route.
 type routeTimes struct {
-	longest time.Duration
-	samples []time.Duration // ring buffer of the times of calls on reused connections
-	next    int
+	all     timeSamples   // of all calls, until one on a reused connection arrives
+	reused  timeSamples   // of calls on reused connections
 	minimum time.Duration // 0 until such a call arrives
 }
 
+// timeSamples is a ring buffer of the latest times.
+type timeSamples struct {
+	times []time.Duration
+	next  int
+}
+
 // IsClientRetry reports whether a call on a route with this time left is a client
 // retry. isReused is true for a call on a connection that has carried an earlier
 // call. A time of 0 means that the caller gave no deadline.
@@ -52,13 +59,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.timesOf(route)
-	r.longest = max(r.longest, left)
 	if isReused {
-		r.addSample(left)
+		sorted := r.reused.add(left)
+		r.minimum = sorted[min(newCallRank, len(sorted)-1)]
+		r.all = timeSamples{}
 		return false
 	}
 	if r.minimum == 0 {
-		return float64(left) < unknownSpreadShare*float64(r.longest)
+		return float64(left) < unknownSpreadShare*float64(longest(r.all.add(left)))
 	}
 	return left < r.minimum-retryMargin
 }
@@ -75,14 +83,23 @@
 	return r
 }
 
-// addSample records the time left of a new call.
-func (r *routeTimes) addSample(left time.Duration) {
-	if len(r.samples) < newCallSamples {
-		r.samples = append(r.samples, left)
+// longest returns the longest of the sorted times, without an outlier. Callers choose the
+// times, so a single one must not decide about all that follow.
+func longest(sorted []time.Duration) time.Duration {
+	last := len(sorted) - 1
+	if len(sorted) >= minOutlierSamples {
+		last--
+	}
+	return sorted[last]
+}
+
+// add adds a time and returns all in order.
+func (s *timeSamples) add(left time.Duration) []time.Duration {
+	if len(s.times) < newCallSamples {
+		s.times = append(s.times, left)
 	} else {
-		r.samples[r.next] = left
-		r.next = (r.next + 1) % newCallSamples
+		s.times[s.next] = left
+		s.next = (s.next + 1) % newCallSamples
 	}
-	sorted := slices.Sorted(slices.Values(r.samples))
-	r.minimum = sorted[min(newCallRank, len(sorted)-1)]
+	return slices.Sorted(slices.Values(s.times))
 }
--- a/core/placement/retrydetector_test.go
+++ b/core/placement/retrydetector_test.go
@@ -62,4 +62,27 @@
 		}
 		Expect(p.IsClientRetry("a", 5*time.Second, isNew)).To(BeTrue())
 	})
+
+	// Guards against a caller that states an absurd timeout, after which all new calls of the
+	// route count as late.
+	It("is not misled for long by a single call with much time left", func() {
+		var p placement.RetryDetector
+		p.IsClientRetry("a", 1e9*time.Second, isNew)
+		for range 10 {
+			p.IsClientRetry("a", 6*time.Second, isNew)
+		}
+		Expect(p.IsClientRetry("a", 6*time.Second, isNew)).To(BeFalse())
+		Expect(p.IsClientRetry("a", 5*time.Second, isNew)).To(BeTrue())
+	})
+
+	It("forgets the times of calls long ago", func() {
+		var p placement.RetryDetector
+		for range 3 {
+			p.IsClientRetry("a", time.Hour, isNew)
+		}
+		for range 64 {
+			p.IsClientRetry("a", 6*time.Second, isNew)
+		}
+		Expect(p.IsClientRetry("a", 6*time.Second, isNew)).To(BeFalse())
+	})
 })
