quarantine: attribute a crash faster when requests have many parts

A client may name 32 parts that others share in each request. When servers crash while such requests are in flight, all their parts are suspects of each crash, up to 1,024 parts with 64 crashes.

Crashes are now looked up by server, compared only with those of the last second, for which they are in order, and not copied while nothing is explained.

--- a/core/quarantine/bench_test.go
+++ b/core/quarantine/bench_test.go
@@ -56,3 +56,31 @@
 		r.Proved(start, parts)
 	}
 }
+
+// BenchmarkCrashedManyParts measures a crash of a server with 32 requests in flight, each with
+// as many parts as are considered, after the same parts were in flight at 64 other crashes.
+func BenchmarkCrashedManyParts(b *testing.B) {
+	const requests, crashes = 32, 64
+	var parts [requests][]quarantine.Part
+	for n := range parts {
+		var ids []string
+		for part := range quarantine.MaxParts {
+			ids = append(ids, fmt.Sprintf("%x", n*quarantine.MaxParts+part))
+		}
+		parts[n] = quarantine.NewParts("m", ids)
+	}
+	r, now, last := quarantine.New(), start, 0
+	crash := func() {
+		last++
+		now = now.Add(2 * time.Second)
+		for n := range parts {
+			r.Crashed(now.Add(time.Duration(n)*time.Millisecond), request(last*requests+n), serverID(last), parts[n]...)
+		}
+	}
+	for range crashes {
+		crash()
+	}
+	for b.Loop() {
+		crash()
+	}
+}
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -43,6 +43,21 @@
 	return c.server == server && c.at.Sub(at).Abs() < minRestartTime
 }
 
+// crashIndex holds the times of crashes by server. Callers choose the parts and their number,
+// and each new crash is compared with all known ones.
+type crashIndex map[fleet.InstanceID][]time.Time
+
+func (x crashIndex) add(crashes []partCrash) {
+	for _, c := range crashes {
+		x[c.server] = append(x[c.server], c.at)
+	}
+}
+
+// has reports whether the index holds the same crash of a server.
+func (x crashIndex) has(server fleet.InstanceID, at time.Time) bool {
+	return slices.ContainsFunc(x[server], func(known time.Time) bool { return known.Sub(at).Abs() < minRestartTime })
+}
+
 // partRecord holds the observations of one part.
 type partRecord struct {
 	crashes []partCrash // since the success, oldest first
@@ -74,7 +89,7 @@
 	isStale     bool
 	quarantined map[Part]partVerdict
 	// explained are the crashes at which a quarantined part was in flight.
-	explained []partCrash
+	explained crashIndex
 	// changes are the quarantines and releases that TakePartChanges has not returned yet.
 	changes []PartChange
 }
@@ -234,7 +249,7 @@
 func (p *parts) settle() {
 	p.isStale = false
 	before := p.quarantined
-	p.quarantined, p.explained = make(map[Part]partVerdict), nil
+	p.quarantined, p.explained = make(map[Part]partVerdict), make(crashIndex)
 	for {
 		part, found := p.mostSuspect()
 		if !found {
@@ -242,7 +257,7 @@
 		}
 		rec := p.records[part]
 		p.quarantined[part] = rec.verdict(rec.unexplained(p.explained))
-		p.explained = append(p.explained, rec.crashes...)
+		p.explained.add(rec.crashes)
 	}
 	p.recordChanges(before)
 }
@@ -281,10 +296,13 @@
 }
 
 // unexplained returns the crashes of the part that none of the given ones explains.
-func (rec *partRecord) unexplained(explained []partCrash) []partCrash {
+func (rec *partRecord) unexplained(explained crashIndex) []partCrash {
+	if len(explained) == 0 {
+		return rec.crashes
+	}
 	var left []partCrash
 	for _, c := range rec.crashes {
-		if !slices.ContainsFunc(explained, func(e partCrash) bool { return e.isSameCrash(c.server, c.at) }) {
+		if !explained.has(c.server, c.at) {
 			left = append(left, c)
 		}
 	}
@@ -293,25 +311,42 @@
 
 // isEnough reports whether the crashes suffice to quarantine a part.
 func isEnough(crashes []partCrash) bool {
-	requests := make(map[Fingerprint]bool)
+	requests := make(map[Fingerprint]bool, minPartRequests)
 	for _, c := range crashes {
-		requests[c.request] = true
+		if requests[c.request] = true; len(requests) == minPartRequests {
+			return len(separate(crashes)) >= partThreshold
+		}
 	}
-	return len(requests) >= minPartRequests && len(separate(crashes)) >= partThreshold
+	return false
 }
 
-// separate returns the crashes of different servers that are far enough apart.
+// separate returns the crashes of different servers that are far enough apart. crashes are in
+// the order of time.
 func separate(crashes []partCrash) []partCrash {
 	var counted []partCrash
 	for _, c := range crashes {
-		isSame := slices.ContainsFunc(counted, func(o partCrash) bool { return o.isSameCrash(c.server, c.at) })
-		if n := len(counted); !isSame && (n == 0 || c.at.Sub(counted[n-1].at) >= minPartInterval) {
+		n := len(counted)
+		if n == 0 || c.at.Sub(counted[n-1].at) >= minPartInterval && !isLatestCrash(counted, c) {
 			counted = append(counted, c)
 		}
 	}
 	return counted
 }
 
+// isLatestCrash reports whether c is the same crash as one of the last of the given ones, which
+// are in the order of time and not later.
+func isLatestCrash(crashes []partCrash, c partCrash) bool {
+	for _, earlier := range slices.Backward(crashes) {
+		if c.at.Sub(earlier.at) >= minRestartTime {
+			return false
+		}
+		if earlier.server == c.server {
+			return true
+		}
+	}
+	return false
+}
+
 // suspicion orders parts by how likely each is to have caused its crashes.
 type suspicion struct {
 	// isUnproved is true if no response to a request with the part is known.
@@ -355,8 +390,10 @@
 
 func serversOf(crashes []partCrash) []fleet.InstanceID {
 	var servers []fleet.InstanceID
+	seen := make(map[fleet.InstanceID]bool, len(crashes))
 	for _, c := range crashes {
-		if !slices.Contains(servers, c.server) {
+		if !seen[c.server] {
+			seen[c.server] = true
 			servers = append(servers, c.server)
 		}
 	}
@@ -377,7 +414,7 @@
 
 // isExplained reports whether a quarantined part was in flight at a crash.
 func (p *parts) isExplained(o observation) bool {
-	return slices.ContainsFunc(p.explained, func(c partCrash) bool { return c.isSameCrash(o.server, o.at) })
+	return p.explained.has(o.server, o.at)
 }
 
 // crashes returns the number of separate crashes of a part that are not explained.
