gateway: place no call whose time is over

A client that sends X-Deadline-Ms: 1 leaves no time after the margin for the response. Its call was still placed: it took from the server's rate limit, from the quota of a cold server or the one request that may try a server after a backoff, and was then not sent. The limits of servers could be used up that way without a request to them.

Such a call is now refused before it is placed, with the same promise. The spec failed before: the load of the entry had changed.

--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -219,6 +219,9 @@
 		return j.endCall(ctx, time.Now(), "no_view")
 	}
 	now := time.Now()
+	if j.isCallOver(ctx, now) {
+		return j.endCall(ctx, now, "timeout")
+	}
 	if s := j.quarantineStatus(now); s.IsQuarantined() {
 		j.g.log.notPlacedQuarantined(j, s)
 		j.giveUp(reasonQuarantined, s.Until.Sub(now))
--- a/daemon/gateway/serve_test.go
+++ b/daemon/gateway/serve_test.go
@@ -242,6 +242,22 @@
 	})
 })
 
+var _ = Describe("A call whose time is over when it arrives", func() {
+	// Guards against calls that use up the rate limits of servers, to which they are never sent.
+	It("is not placed", func() {
+		g, _ := newGateway()
+		s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
+		s.Config.Routes[0].TargetLatency, s.Config.Routes[0].Timeout = time.Second, time.Minute
+		g.adopt(time.Now(), s, "platform")
+		g.publish(time.Now())
+		_, before := g.balancer.LoadsSince(0)
+		caller := make(refusalRecorder, 1)
+		g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), Timeout: time.Millisecond, LastEvent: -1}, caller)
+		Expect(caller).To(Receive(Equal(ErrorResponse{Code: Unavailable, Reason: "timeout"})))
+		Expect(g.balancer.HasChangedSince(before)).To(BeFalse())
+	})
+})
+
 // panickingBackend is a backend whose Send panics.
 type panickingBackend struct{ emptyStreamBackend }
 
