gateway: don't blame a server for a caller that does not read

While a caller does not read, nothing is read from its server either. When the call then reached its deadline, the time since the last event counted as silence of the server, and a single time-out takes a server out of use. A client could so eject up to half of the servers of a service, with a stream that fills the buffers of its connection.

The time of a server's last progress is now that at which its last event was passed on. The test failed before: the server got none of the next 50 requests.

--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -388,6 +388,7 @@
 	}
 	j.longestPause = max(j.longestPause, j.progressAt.Sub(j.lastEventAt))
 	j.lastEventAt = j.progressAt
+	j.progressAt = time.Now() // while the caller does not read, nothing is read from the server
 	return nil
 }
 
