--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -225,6 +225,9 @@
 		return j.endCall(ctx, time.Now(), "no_view")
 	}
 	now := time.Now()
+	if j.isCallOver(ctx, now) {
+		return j.endCall(ctx, now, "timeout")
+	}
 	if s := j.quarantineStatus(now); s.IsQuarantined() {
 		j.g.log.notPlacedQuarantined(j, s)
 		j.giveUp(reasonQuarantined, s.Until.Sub(now))
@@ -290,6 +293,9 @@
 		return j.handleSendError(ctx, assignment, err)
 	}
 	j.attempts++
+	if rejectsCall(response) && !j.mayHaveRun {
+		return j.forwardRejection(ctx, assignment, response)
+	}
 	if response.NotRun() || response.Misdirected() {
 		response.Close(true)
 		assignment.End(time.Now(), placement.Declined)
@@ -329,7 +335,7 @@
 	reason := refusal.Reason
 	timeout := j.deadline.Sub(j.call.Arrived)
 	until := j.call.Arrived.Add(min(maxHold, timeout/holdDivisor))
-	if !now.Before(until) || reason == placement.TooLong || reason == placement.Evacuated {
+	if !now.Before(until) || reason == placement.TooLong || reason == placement.TooLarge || reason == placement.Evacuated {
 		return false
 	}
 	v := j.g.view.Load()
