peer: bound the memory of received messages

An entry of 112 MB took 250 to 306 MB for heartbeats of 1 MiB that consist of empty maps: the decoder bounded each array, but not the sum of a message, and an empty map of one byte becomes a struct of some hundred. It took 717 MB for 200 connections with unfinished messages: each stream kept what it had received, up to 1 MiB, for as long as its peer wanted.

What messages hold while they are received and handled is charged, by decoded size, to a budget of the endpoint; a connection has 32 KiB beside it, so that ordinary heartbeats pass when others have used up the budget, and may take at most half of it. A message waits for a second for its share and fails then; refusals are counted as message_memory.

--- a/adapters/peer/connection.go
+++ b/adapters/peer/connection.go
@@ -21,15 +21,17 @@
 // connection is a QUIC connection to a peer and the state that the endpoint
 // keeps for it.
 type connection struct {
-	quic    *quic.Conn
-	peer    keys.Identity
-	addr    netip.AddrPort
-	dialled bool
-	expires time.Time // expiry of the peer's certificate
+	quic     *quic.Conn
+	peer     keys.Identity
+	addr     netip.AddrPort
+	dialled  bool
+	expires  time.Time // expiry of the peer's certificate
+	messages *messageMemory
 
 	mu                sync.Mutex
 	checkedGeneration uint64    // generation of the keys with which the peer was last verified
 	active            int       // open streams
+	messageBytes      int64     // held by the messages of its streams
 	lastUsed          time.Time // when active last fell to 0
 	retired           bool      // takes no new streams; closed once unused
 	suspect           bool      // a stream timed out
@@ -39,7 +41,7 @@
 // newConnection reads the peer's identity from the handshake. generation is
 // that of the keys before the handshake began, so that a reload during the
 // handshake is not missed.
-func newConnection(conn *quic.Conn, dialled bool, generation uint64) (*connection, error) {
+func (e *Endpoint) newConnection(conn *quic.Conn, dialled bool, generation uint64) (*connection, error) {
 	cert := conn.ConnectionState().TLS.PeerCertificates[0]
 	peer, err := keys.IdentityOf(cert)
 	if err != nil {
@@ -47,6 +49,7 @@
 	}
 	return &connection{
 		quic:              conn,
+		messages:          e.messages,
 		peer:              peer,
 		addr:              addrPortOf(conn.RemoteAddr()),
 		dialled:           dialled,
--- a/adapters/peer/dial.go
+++ b/adapters/peer/dial.go
@@ -42,7 +42,7 @@
 		raw, err := e.openStream(openCtx, c, want)
 		if err == nil {
 			traffic.opened.Inc(1)
-			return newStream(ctx, raw, c, kind, e.opts.MaxMessage, traffic), nil
+			return e.newStream(ctx, raw, c, kind), nil
 		}
 		lastErr = openFailure(err, addr)
 		if isNew || openCtx.Err() != nil {
@@ -92,7 +92,7 @@
 		e.opts.Logger.Debug("peer_dial_failed", zap.Stringer("addr", addr), zap.Error(err))
 		return nil, err
 	}
-	c, err := newConnection(conn, true, generation)
+	c, err := e.newConnection(conn, true, generation)
 	if err != nil {
 		_ = conn.CloseWithError(connRefused, "")
 		return nil, err
--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -45,6 +45,7 @@
 	transport  *quic.Transport
 	listener   *quic.Listener // nil without a Handler
 	handshakes *handshakeLimiter
+	messages   *messageMemory
 	pool       *pool
 	metrics    *metrics
 
@@ -81,6 +82,7 @@
 		socket:      socket,
 		addr:        addrPortOf(socket.LocalAddr()),
 		handshakes:  newHandshakeLimiter(),
+		messages:    newMessageMemory(int64(opts.MessageMemory)),
 		metrics:     newMetrics(opts.Metrics, opts.Logger),
 		connections: make(map[*connection]struct{}),
 	}
--- a/adapters/peer/frame.go
+++ b/adapters/peer/frame.go
@@ -106,18 +106,29 @@
 }
 
 // readMessage reads one CBOR frame into v, using buf as scratch space, and
-// returns the size of the frame in bytes.
-func readMessage(r io.Reader, buf *bytes.Buffer, v any, limit int) (int, error) {
+// returns the size of the frame in bytes. hold is called with the memory that
+// the message takes before it is taken, and may fail.
+func readMessage(r io.Reader, buf *bytes.Buffer, v any, limit int, hold func(bytes int) error) (int, error) {
 	length, err := readHeader(r, frameMessage, limit)
 	if err != nil {
 		return 0, err
 	}
 	for buf.Len() < length {
 		step := min(length-buf.Len(), readStepBytes)
+		if err := hold(step); err != nil {
+			return 0, err
+		}
 		if _, err := io.CopyN(buf, r, int64(step)); err != nil {
 			return 0, truncated(err)
 		}
 	}
+	containers, err := countContainers(buf.Bytes())
+	if err != nil {
+		return 0, err
+	}
+	if err := hold(containers * containerBytes); err != nil {
+		return 0, err
+	}
 	if err := decoder.Unmarshal(buf.Bytes(), v); err != nil {
 		return 0, failure.Corrupt.Wrap(err, "decode a message of type %T", v)
 	}
--- a/adapters/peer/frame_test.go
+++ b/adapters/peer/frame_test.go
@@ -12,6 +12,8 @@
 	"chivespindle.example/core/failure"
 )
 
+func unlimited(int) error { return nil }
+
 // FuzzFrames passes arbitrary bytes to the frame decoder. It must neither panic
 // nor return more than the limit, and each failure must be of a known type. A
 // decoded frame must encode to the same bytes.
@@ -41,11 +43,11 @@
 			Text  string `cbor:"1,keyasint"`
 			Parts []int  `cbor:"2,keyasint"`
 		}
-		if _, err := readMessage(bytes.NewReader(input), new(bytes.Buffer), &typed, limit); err != nil {
+		if _, err := readMessage(bytes.NewReader(input), new(bytes.Buffer), &typed, limit, unlimited); err != nil {
 			expectKnown(err)
 		}
 		var untyped any
-		if _, err := readMessage(bytes.NewReader(input), new(bytes.Buffer), &untyped, limit); err != nil {
+		if _, err := readMessage(bytes.NewReader(input), new(bytes.Buffer), &untyped, limit, unlimited); err != nil {
 			expectKnown(err)
 		}
 		payload, err := readRaw(bytes.NewReader(input), nil)
--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -13,6 +13,7 @@
 const (
 	refusedHandshakeFailed = "handshake"       // certificate missing or not accepted, or the peer disconnected
 	refusedHandshakeLimit  = "handshake_limit" // too many pending handshakes
+	refusedMessageMemory   = "message_memory"  // messages that are being received take too much memory
 	refusedRole            = "role"            // refused by Options.Allow
 	refusedKind            = "kind"            // unknown kind
 	refusedCertificate     = "certificate"     // accepted before, but not since the keys were reloaded or it expired
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -76,6 +76,7 @@
 	DefaultUnusedTimeout    = time.Minute
 	DefaultMaxStreams       = 256
 	DefaultMaxMessage       = 1 << 20
+	DefaultMessageMemory    = 64 << 20
 )
 
 // Handler serves the streams that peers open.
@@ -116,6 +117,10 @@
 	MaxStreams int
 	// MaxMessage bounds one CBOR message, in bytes, in both directions.
 	MaxMessage int
+	// MessageMemory bounds the bytes of the messages that are being received, and of those
+	// that were received last on each stream, as they are in memory. Each connection may
+	// have freeMessageBytes beside it, and at most half of it.
+	MessageMemory int
 	// Allow decides whether a peer may open a stream of a kind. Nil means
 	// DefaultAllow.
 	Allow func(from keys.Identity, kind Kind) bool
@@ -151,6 +156,7 @@
 	setDefault(&o.UnusedTimeout, DefaultUnusedTimeout)
 	setDefault(&o.MaxStreams, DefaultMaxStreams)
 	setDefault(&o.MaxMessage, DefaultMaxMessage)
+	setDefault(&o.MessageMemory, DefaultMessageMemory)
 	if o.KeepAlive > o.IdleTimeout/2 {
 		return o, failure.Invalid.New("keep-alive %s must be at most half of the idle timeout %s", o.KeepAlive, o.IdleTimeout)
 	}
--- a/adapters/peer/serve.go
+++ b/adapters/peer/serve.go
@@ -11,7 +11,7 @@
 
 // accept starts to serve a connection whose handshake is complete.
 func (e *Endpoint) accept(conn *quic.Conn, generation uint64) {
-	c, err := newConnection(conn, false, generation)
+	c, err := e.newConnection(conn, false, generation)
 	if err != nil || !e.register(c) {
 		_ = conn.CloseWithError(connRefused, "")
 		return
@@ -56,12 +56,11 @@
 		rejectStream(raw, streamRetired)
 		return
 	}
-	traffic := e.metrics.kinds[kind]
-	traffic.served.Inc(1)
+	e.metrics.kinds[kind].served.Inc(1)
 	// The stream ends with its connection, so it needs no parent context. With
 	// the endpoint's context as parent, Close would reset the streams before it
 	// reports to the peers that the process is stopping.
-	s := newStream(context.Background(), raw, c, kind, e.opts.MaxMessage, traffic)
+	s := e.newStream(context.Background(), raw, c, kind)
 	s.kindSent = true // the kind is sent only by the side that opens the stream
 	defer s.Close()
 	e.opts.Handler.ServeStream(s.ctx, c.peer, kind, s)
--- a/adapters/peer/stream.go
+++ b/adapters/peer/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/quic-go/quic-go"
+	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/keys"
 )
@@ -40,16 +41,22 @@
 	recvMu  sync.Mutex
 	recvErr error // returned by all later receives
 
-	endMu     sync.Mutex
-	sendDone  bool
-	recvDone  bool
-	ended     bool
-	stopHooks []func() bool
+	onMessageRefused func() // by messageMemory
+
+	endMu        sync.Mutex
+	sendDone     bool
+	recvDone     bool
+	ended        bool
+	stopHooks    []func() bool
+	messageBytes int64 // held of messageMemory
 }
 
 // newStream wraps a QUIC stream. The stream is aborted when parent ends.
-func newStream(parent context.Context, raw *quic.Stream, c *connection, kind Kind, limit int, traffic *kindMetrics) *Stream {
-	s := &Stream{raw: raw, conn: c, kind: kind, maxMessage: limit, traffic: traffic}
+func (e *Endpoint) newStream(parent context.Context, raw *quic.Stream, c *connection, kind Kind) *Stream {
+	s := &Stream{raw: raw, conn: c, kind: kind, maxMessage: e.opts.MaxMessage, traffic: e.metrics.kinds[kind]}
+	s.onMessageRefused = func() {
+		e.metrics.refused(refusedMessageMemory, zap.Stringer("peer", c.peer), zap.Stringer("from", c.addr), zap.Stringer("kind", kind))
+	}
 	s.ctx, s.cancel = context.WithCancelCause(parent)
 	raw.SetPriority(urgencies[kind], true)
 	s.endMu.Lock()
@@ -159,7 +166,7 @@
 	s.recvMu.Lock()
 	defer s.recvMu.Unlock()
 	return s.read(func(r io.Reader) error {
-		_, err := readMessage(r, buf, v, s.maxMessage)
+		_, err := readMessage(r, buf, v, s.maxMessage, s.holdMessage)
 		return err
 	})
 }
@@ -185,6 +192,9 @@
 	if err := s.sendKind(); err != nil {
 		return err
 	}
+	s.endMu.Lock()
+	s.releaseMessage()
+	s.endMu.Unlock()
 	s.setReadDeadline()
 	counted := &countingReader{r: s.raw}
 	err := frame(counted)
@@ -300,6 +310,7 @@
 		return false
 	}
 	s.ended = true
+	s.releaseMessage()
 	stops := s.stopHooks
 	s.endMu.Unlock()
 	for _, stop := range stops {
