peer: bound accepted connections, in all and of one address

200 connections of one client, each with streams, took an entry of 112 MB to 744 MB: accepted connections had no bound once their handshake was complete, and only the dialling side closes them.

Connections of one address are counted with its unfinished handshakes and refused before the handshake. Above the bound on all, the accepted connection that has had no streams for longest is closed for the new one, which costs its peer a handshake; without such a connection the new one is refused. The defaults are above what the first entries of 410 entries and 3,500 agents see when all start together.

--- a/adapters/peer/connection.go
+++ b/adapters/peer/connection.go
@@ -68,6 +68,13 @@
 	return netip.AddrPortFrom(port.Addr().Unmap(), port.Port())
 }
 
+// unusedSince returns since when the connection has had no streams; false if it has one.
+func (c *connection) unusedSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastUsed, c.active == 0
+}
+
 // acquire adds one open stream. It returns false on a retired connection.
 func (c *connection) acquire() bool {
 	c.mu.Lock()
--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
@@ -54,6 +55,7 @@
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
+	accepted    int // connections that were not dialled
 	closed      bool
 	draining    bool           // accepted connections take no new streams
 	work        sync.WaitGroup // dials, connections and handlers; added to only while not closed
@@ -81,7 +83,7 @@
 		opts:        opts,
 		socket:      socket,
 		addr:        addrPortOf(socket.LocalAddr()),
-		handshakes:  newHandshakeLimiter(),
+		handshakes:  newHandshakeLimiter(opts.MaxAcceptedPerAddress),
 		messages:    newMessageMemory(int64(opts.MessageMemory)),
 		metrics:     newMetrics(opts.Metrics, opts.Logger),
 		connections: make(map[*connection]struct{}),
@@ -89,8 +91,8 @@
 	e.ctx, e.cancel = context.WithCancelCause(context.Background())
 	e.pool = newPool(e.dial)
 	e.handshakes.generation = opts.Keys.Generation
-	e.handshakes.onLimitReached = func(from netip.AddrPort) {
-		e.metrics.refused(refusedHandshakeLimit, zap.Stringer("from", from))
+	e.handshakes.onLimitReached = func(reason string, from netip.AddrPort) {
+		e.metrics.refused(reason, zap.Stringer("from", from))
 	}
 	e.handshakes.onFailed = e.handshakeFailed
 	if err := e.listen(); err != nil {
@@ -268,7 +270,14 @@
 	if e.closed {
 		return false
 	}
+	if !c.dialled && e.accepted >= e.opts.MaxAccepted && !e.closeUnused() {
+		e.metrics.refused(refusedConnectionLimit, zap.Stringer("peer", c.peer), zap.Stringer("from", c.addr))
+		return false
+	}
 	e.connections[c] = struct{}{}
+	if !c.dialled {
+		e.accepted++
+	}
 	if e.draining && !c.dialled {
 		c.retire()
 	}
@@ -283,7 +292,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.connections, c)
+	e.forget(c)
 	e.sideMetrics(c).closed.Inc(1)
 	if c.dialled {
 		e.opts.Logger.Debug("peer_connection_closed", zap.Stringer("peer", c.peer), zap.Stringer("addr", c.addr),
@@ -291,6 +300,37 @@
 	}
 }
 
+// forget removes a connection from the live ones. The caller holds mu.
+func (e *Endpoint) forget(c *connection) {
+	if _, live := e.connections[c]; !live {
+		return
+	}
+	delete(e.connections, c)
+	if !c.dialled {
+		e.accepted--
+	}
+}
+
+// closeUnused closes the accepted connection that has had no streams for longest, and
+// reports whether there is one. The caller holds mu.
+func (e *Endpoint) closeUnused() bool {
+	var oldest *connection
+	var oldestSince time.Time
+	for c := range e.connections {
+		since, unused := c.unusedSince()
+		if !c.dialled && unused && (oldest == nil || since.Before(oldestSince)) {
+			oldest, oldestSince = c, since
+		}
+	}
+	if oldest == nil || !oldest.retireIfUnused(time.Now(), closeDelay) {
+		return false
+	}
+	e.forget(oldest)
+	e.metrics.refused(refusedConnectionLimit, zap.Stringer("peer", oldest.peer), zap.Stringer("from", oldest.addr))
+	go func() { _ = oldest.quic.CloseWithError(connUnused, "") }()
+	return true
+}
+
 func (e *Endpoint) sideMetrics(c *connection) sideMetrics {
 	if c.dialled {
 		return e.metrics.dialled
--- a/adapters/peer/handshake.go
+++ b/adapters/peer/handshake.go
@@ -27,22 +27,28 @@
 	unverifiedBurst     = 200
 )
 
-// handshakeLimiter bounds the pending handshakes of peers.
+// handshakeLimiter bounds the pending handshakes of peers, and the connections of one
+// address.
 type handshakeLimiter struct {
 	unverified     *rate.Limiter
 	generation     func() uint64 // of the keys
-	onLimitReached func(from netip.AddrPort)
+	onLimitReached func(reason string, from netip.AddrPort)
 	onFailed       func(from netip.AddrPort, cause error)
 
+	maxPerAddress int // connections, with pending handshakes
+
 	mu            sync.Mutex
 	pending       int
 	pendingByAddr map[netip.Addr]int
+	openByAddr    map[netip.Addr]int // connections, with pending handshakes
 }
 
-func newHandshakeLimiter() *handshakeLimiter {
+func newHandshakeLimiter(maxPerAddress int) *handshakeLimiter {
 	return &handshakeLimiter{
 		unverified:    rate.NewLimiter(unverifiedPerSecond, unverifiedBurst),
+		maxPerAddress: maxPerAddress,
 		pendingByAddr: make(map[netip.Addr]int),
+		openByAddr:    make(map[netip.Addr]int),
 	}
 }
 
@@ -64,13 +70,14 @@
 // on it.
 func (g *handshakeLimiter) admit(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 	from := addrPortOf(info.RemoteAddr)
-	if !g.acquire(from.Addr()) {
-		g.onLimitReached(from)
-		return nil, failure.RateLimited.New("too many unfinished handshakes")
+	if reason := g.acquire(from.Addr()); reason != "" {
+		g.onLimitReached(reason, from)
+		return nil, failure.RateLimited.New("too many connections or unfinished handshakes")
 	}
 	h := &handshake{limiter: g, from: from, generation: g.generation()}
 	ctx = context.WithValue(ctx, handshakeKey{}, h)
 	context.AfterFunc(ctx, func() {
+		g.closed(from.Addr())
 		if h.finish() {
 			g.onFailed(from, context.Cause(ctx))
 		}
@@ -78,15 +85,31 @@
 	return ctx, nil
 }
 
-func (g *handshakeLimiter) acquire(addr netip.Addr) bool {
+// acquire adds a connection with a pending handshake. It returns the reason for which it is
+// refused, or "".
+func (g *handshakeLimiter) acquire(addr netip.Addr) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.pending >= maxHandshakes || g.pendingByAddr[addr] >= maxHandshakesPerAddress {
-		return false
+		return refusedHandshakeLimit
+	}
+	if g.openByAddr[addr] >= g.maxPerAddress {
+		return refusedConnectionLimit
 	}
 	g.pending++
 	g.pendingByAddr[addr]++
-	return true
+	g.openByAddr[addr]++
+	return ""
+}
+
+// closed removes a connection.
+func (g *handshakeLimiter) closed(addr netip.Addr) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.openByAddr[addr]--
+	if g.openByAddr[addr] == 0 {
+		delete(g.openByAddr, addr)
+	}
 }
 
 func (g *handshakeLimiter) release(addr netip.Addr) {
--- a/adapters/peer/limits_test.go
+++ b/adapters/peer/limits_test.go
@@ -11,14 +11,22 @@
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
+	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
 	"chivespindle.example/standin/pki"
 )
 
 const (
-	refusedMessages = "refusals+reason=message_memory"
+	refusedConnections = "refusals+reason=connection_limit"
+	refusedMessages    = "refusals+reason=message_memory"
 )
 
+// another starts a further endpoint that may dial the server.
+func (p pair) another(id fleet.InstanceID) *peer.Endpoint {
+	ginkgo.GinkgoHelper()
+	return start(peer.Options{Keys: newStore(p.authority, fleet.RoleEntry, id)})
+}
+
 // dialRaw connects without this package, so that the test decides on each byte.
 func (p pair) dialRaw() *quic.Conn {
 	ginkgo.GinkgoHelper()
@@ -47,6 +55,43 @@
 var _ = ginkgo.Describe("the limits of an endpoint", func() {
 	ginkgo.BeforeEach(checkLeaks)
 
+	// Guards against a machine that takes the memory of the endpoint with many connections.
+	ginkgo.It("refuse connections of one address above its limit", func() {
+		p := newPair(echo, func(server, _ *peer.Options) { server.MaxAcceptedPerAddress = 2 })
+		gomega.Expect(roundTrip(p.client, p.server.Addr(), peer.KindGossip, "one")).To(gomega.Equal("one"))
+		second := p.another("entry-2")
+		gomega.Expect(roundTrip(second, p.server.Addr(), peer.KindGossip, "two")).To(gomega.Equal("two"))
+		third := p.another("entry-3")
+		_, err := roundTrip(third, p.server.Addr(), peer.KindGossip, "three")
+		expectNotRun(err)
+		gomega.Expect(p.count(refusedConnections)()).To(gomega.BeNumerically(">=", 1))
+
+		gomega.Expect(second.Close()).To(gomega.Succeed())
+		gomega.Eventually(func() string {
+			text, _ := roundTrip(third, p.server.Addr(), peer.KindGossip, "three")
+			return text
+		}, waitTimeout).Should(gomega.Equal("three"))
+	})
+
+	// Guards against many machines that take the memory of the endpoint with connections.
+	ginkgo.It("close an unused connection for a new one, and refuse the new one if all are used", func() {
+		p := newPair(echo, func(server, _ *peer.Options) { server.MaxAccepted = 1 })
+		running := p.open(peer.KindGossip)
+		gomega.Expect(running.Send(testMessage{Text: "1"})).To(gomega.Succeed())
+		gomega.Expect(running.Recv(&testMessage{})).To(gomega.Succeed())
+		other := p.another("entry-2")
+		_, err := roundTrip(other, p.server.Addr(), peer.KindGossip, "2")
+		gomega.Expect(err).To(beFailureOfType(failure.Unavailable))
+		gomega.Expect(p.count(refusedConnections)()).To(gomega.BeEquivalentTo(1))
+
+		running.Abort()
+		gomega.Eventually(func() string {
+			text, _ := roundTrip(other, p.server.Addr(), peer.KindGossip, "2")
+			return text
+		}, waitTimeout).Should(gomega.Equal("2"))
+		gomega.Eventually(func() int { return p.client.Stats().Dialled }, waitTimeout).Should(gomega.BeZero())
+	})
+
 	// Guards against peers that take the memory of the endpoint with unfinished messages.
 	ginkgo.It("refuse messages above the memory for messages, but not small ones", func() {
 		const large = 100 << 10
--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -11,12 +11,13 @@
 // Reasons of refusals: a tag of the counter "refusals" and a field of the log
 // event.
 const (
-	refusedHandshakeFailed = "handshake"       // certificate missing or not accepted, or the peer disconnected
-	refusedHandshakeLimit  = "handshake_limit" // too many pending handshakes
-	refusedMessageMemory   = "message_memory"  // messages that are being received take too much memory
-	refusedRole            = "role"            // refused by Options.Allow
-	refusedKind            = "kind"            // unknown kind
-	refusedCertificate     = "certificate"     // accepted before, but not since the keys were reloaded or it expired
+	refusedHandshakeFailed = "handshake"        // certificate missing or not accepted, or the peer disconnected
+	refusedHandshakeLimit  = "handshake_limit"  // too many pending handshakes
+	refusedConnectionLimit = "connection_limit" // too many connections, in all or of one address
+	refusedMessageMemory   = "message_memory"   // messages that are being received take too much memory
+	refusedRole            = "role"             // refused by Options.Allow
+	refusedKind            = "kind"             // unknown kind
+	refusedCertificate     = "certificate"      // accepted before, but not since the keys were reloaded or it expired
 )
 
 // Unauthenticated peers can cause refusals at any rate, so the log is
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -76,7 +76,11 @@
 	DefaultUnusedTimeout    = time.Minute
 	DefaultMaxStreams       = 256
 	DefaultMaxMessage       = 1 << 20
-	DefaultMessageMemory    = 64 << 20
+	// The first processes of a fleet that starts are dialled by all others: 3,500 agents
+	// dial two of three entries each, and 410 entries all three.
+	DefaultMaxAccepted           = 4096
+	DefaultMaxAcceptedPerAddress = 2048
+	DefaultMessageMemory         = 64 << 20
 )
 
 // Handler serves the streams that peers open.
@@ -117,6 +121,12 @@
 	MaxStreams int
 	// MaxMessage bounds one CBOR message, in bytes, in both directions.
 	MaxMessage int
+	// MaxAccepted bounds the connections that peers have open to this endpoint, and
+	// MaxAcceptedPerAddress those of one IP address. Above the first, the connection that
+	// has had no streams for longest is closed for a new one; without such a connection, and
+	// above the second, the new one is refused.
+	MaxAccepted           int
+	MaxAcceptedPerAddress int
 	// MessageMemory bounds the bytes of the messages that are being received, and of those
 	// that were received last on each stream, as they are in memory. Each connection may
 	// have freeMessageBytes beside it, and at most half of it.
@@ -156,6 +166,8 @@
 	setDefault(&o.UnusedTimeout, DefaultUnusedTimeout)
 	setDefault(&o.MaxStreams, DefaultMaxStreams)
 	setDefault(&o.MaxMessage, DefaultMaxMessage)
+	setDefault(&o.MaxAccepted, DefaultMaxAccepted)
+	setDefault(&o.MaxAcceptedPerAddress, DefaultMaxAcceptedPerAddress)
 	setDefault(&o.MessageMemory, DefaultMessageMemory)
 	if o.KeepAlive > o.IdleTimeout/2 {
 		return o, failure.Invalid.New("keep-alive %s must be at most half of the idle timeout %s", o.KeepAlive, o.IdleTimeout)
