peer: bound served streams and unread bytes

Each connection might have 256 streams and 4 MiB that nobody had read, and nothing bounded the sum over connections. Streams above MaxServed are refused as not run, and ReceiveWindow bounds what an accepted connection may have sent ahead of the reader. The dialling side, which receives chunks, keeps its windows.

--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,7 @@
 	listener   *quic.Listener // nil without a Handler
 	handshakes *handshakeLimiter
 	messages   *messageMemory
+	served     atomic.Int64 // streams of peers
 	pool       *pool
 	metrics    *metrics
 
@@ -173,6 +175,12 @@
 func (e *Endpoint) serverConfig() *quic.Config {
 	conf := e.baseConfig()
 	conf.MaxIncomingStreams = int64(e.opts.MaxStreams)
+	for _, window := range []*uint64{
+		&conf.InitialStreamReceiveWindow, &conf.MaxStreamReceiveWindow,
+		&conf.InitialConnectionReceiveWindow, &conf.MaxConnectionReceiveWindow,
+	} {
+		*window = min(*window, uint64(e.opts.ReceiveWindow))
+	}
 	return conf
 }
 
--- a/adapters/peer/limits_test.go
+++ b/adapters/peer/limits_test.go
@@ -18,6 +18,7 @@
 
 const (
 	refusedConnections = "refusals+reason=connection_limit"
+	refusedStreams     = "refusals+reason=stream_limit"
 	refusedMessages    = "refusals+reason=message_memory"
 )
 
@@ -92,6 +93,18 @@
 		gomega.Eventually(func() int { return p.client.Stats().Dialled }, waitTimeout).Should(gomega.BeZero())
 	})
 
+	// Guards against peers that take the memory of the endpoint with streams.
+	ginkgo.It("refuse streams above the limit as not run", func() {
+		p := newPair(waitForEnd, func(server, _ *peer.Options) { server.MaxServed = 1 })
+		running := p.open(peer.KindGossip)
+		gomega.Expect(running.Send(testMessage{Text: "1"})).To(gomega.Succeed())
+		gomega.Eventually(p.count("streams_served+kind=gossip"), waitTimeout).Should(gomega.BeEquivalentTo(1))
+		_, err := roundTrip(p.client, p.server.Addr(), peer.KindGossip, "2")
+		gomega.Expect(err).To(beFailureOfType(failure.Refused))
+		gomega.Expect(failure.OutcomeOf(err)).To(gomega.Equal(failure.NotRun))
+		gomega.Expect(p.count(refusedStreams)()).To(gomega.BeEquivalentTo(1))
+	})
+
 	// Guards against peers that take the memory of the endpoint with unfinished messages.
 	ginkgo.It("refuse messages above the memory for messages, but not small ones", func() {
 		const large = 100 << 10
--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -14,6 +14,7 @@
 	refusedHandshakeFailed = "handshake"        // certificate missing or not accepted, or the peer disconnected
 	refusedHandshakeLimit  = "handshake_limit"  // too many pending handshakes
 	refusedConnectionLimit = "connection_limit" // too many connections, in all or of one address
+	refusedStreamLimit     = "stream_limit"     // too many streams of all peers
 	refusedMessageMemory   = "message_memory"   // messages that are being received take too much memory
 	refusedRole            = "role"             // refused by Options.Allow
 	refusedKind            = "kind"             // unknown kind
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -80,6 +80,8 @@
 	// dial two of three entries each, and 410 entries all three.
 	DefaultMaxAccepted           = 4096
 	DefaultMaxAcceptedPerAddress = 2048
+	DefaultMaxServed             = 1 << 16
+	DefaultReceiveWindow         = maxConnectionWindow
 	DefaultMessageMemory         = 64 << 20
 )
 
@@ -127,6 +129,12 @@
 	// above the second, the new one is refused.
 	MaxAccepted           int
 	MaxAcceptedPerAddress int
+	// MaxServed bounds the streams of all peers that are served at a time. More are
+	// refused as not run.
+	MaxServed int
+	// ReceiveWindow bounds the bytes that a peer may have sent on one accepted connection
+	// and that were not read yet.
+	ReceiveWindow int
 	// MessageMemory bounds the bytes of the messages that are being received, and of those
 	// that were received last on each stream, as they are in memory. Each connection may
 	// have freeMessageBytes beside it, and at most half of it.
@@ -168,6 +176,8 @@
 	setDefault(&o.MaxMessage, DefaultMaxMessage)
 	setDefault(&o.MaxAccepted, DefaultMaxAccepted)
 	setDefault(&o.MaxAcceptedPerAddress, DefaultMaxAcceptedPerAddress)
+	setDefault(&o.MaxServed, DefaultMaxServed)
+	setDefault(&o.ReceiveWindow, DefaultReceiveWindow)
 	setDefault(&o.MessageMemory, DefaultMessageMemory)
 	if o.KeepAlive > o.IdleTimeout/2 {
 		return o, failure.Invalid.New("keep-alive %s must be at most half of the idle timeout %s", o.KeepAlive, o.IdleTimeout)
--- a/adapters/peer/serve.go
+++ b/adapters/peer/serve.go
@@ -52,6 +52,12 @@
 		rejectStream(raw, streamRefused)
 		return
 	}
+	defer e.served.Add(-1)
+	if e.served.Add(1) > int64(e.opts.MaxServed) {
+		e.metrics.refused(refusedStreamLimit, zap.Stringer("peer", c.peer), zap.Stringer("from", c.addr), zap.Stringer("kind", kind))
+		rejectStream(raw, streamRefused)
+		return
+	}
 	if !c.acquire() {
 		rejectStream(raw, streamRetired)
 		return
