mesh: handle a heartbeat before the next one is received

A peer that sends heartbeats faster than the control loop handles them filled its queue, 1,024 events of any size. Waiting for the loop lets the flow control of the stream hold the sender back, and ends the charge of a message to the endpoint's budget only when it was handled.

--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -123,6 +123,8 @@
 	}
 }
 
+// receiveLoop receives a heartbeat only once the previous one was handled: the queue of the
+// control loop would hold a thousand of them, of any size, while the loop is busy.
 func (m *Mesh) receiveLoop(l *link) {
 	for {
 		var b wire.Heartbeat
@@ -130,7 +132,9 @@
 			m.post(func(now time.Time) { m.removeLink(now, l, "closed") })
 			return
 		}
-		m.post(func(now time.Time) { m.handleHeartbeat(now, l, b) })
+		if m.opts.Loop.Do(m.ctx, func(now time.Time) { m.handleHeartbeat(now, l, b) }) != nil {
+			return // the process ends
+		}
 	}
 }
 
