mesh: bound what is remembered of others' reports

A single peer that reported 10,000 other entries in each of 100 heartbeats took an entry of 112 MB to 255 to 296 MB: each became a contact for 30 s, and the digests and the last whole heartbeat were kept as well.

At most 1,024 contacts come from reports, more than twice the entries of the target; an entry with a link of its own is always one. Digests of a link have a bound, names a length, and addresses no IPv6 zone. Of the last heartbeat only the fields without lists are kept; no other was read. What is left out is counted.

--- a/daemon/mesh/contacts.go
+++ b/daemon/mesh/contacts.go
@@ -77,6 +77,24 @@
 	return c
 }
 
+// mayMention reports whether an entry that another one mentions may become a contact. An
+// entry that has a link becomes one in any case.
+func (m *Mesh) mayMention(addr netip.Addr) bool {
+	isAllowed := isPlainAddr(addr) && (m.contacts[addr] != nil || len(m.contacts) < maxContacts)
+	if !isAllowed {
+		m.opts.Metrics.Counter("entries_left_out").Inc(1)
+	}
+	return isAllowed
+}
+
+// isPlainAddr reports whether an address is valid and has no zone, which could be a text of
+// any length.
+func isPlainAddr(addr netip.Addr) bool { return addr.IsValid() && addr.Zone() == "" }
+
+func isShortPlace(p fleet.Place) bool {
+	return len(p.Zone) <= maxNameBytes && len(p.Region) <= maxNameBytes
+}
+
 // learnEntries marks the entries that a heartbeat lists as preferred. An entry lists
 // the other entries of the agent's region, and is preferred itself if it is in that
 // region and not leaving.
@@ -88,7 +106,9 @@
 		}
 	}
 	for _, addr := range b.Entries {
-		m.contact(now, addr).preferred = true
+		if m.mayMention(addr) {
+			m.contact(now, addr).preferred = true
+		}
 	}
 	from.preferred = from.preferred || isPreferred
 }
--- a/daemon/mesh/digests.go
+++ b/daemon/mesh/digests.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -83,11 +84,24 @@
 
 // handleDigests processes the digests of a heartbeat.
 func (m *Mesh) handleDigests(now time.Time, l *link, digests []wire.Digest) {
+	if len(digests) > maxContacts {
+		m.opts.Metrics.Counter("digests_left_out").Inc(int64(len(digests) - maxContacts))
+		digests = digests[:maxContacts]
+	}
 	for _, d := range digests {
-		before := l.digests[d.Reporter]
+		before, isKnown := l.digests[d.Reporter]
+		keptItems := 0
+		if isKnown {
+			keptItems = before.Items()
+		}
 		if d.Entries == nil && before.Version == d.Version {
 			d.Entries = before.Entries
 		}
+		if !l.hasRoom(now, d, keptItems) {
+			m.opts.Metrics.Counter("digests_left_out").Inc(1)
+			continue
+		}
+		l.digestItems += d.Items() - keptItems
 		at := now.Add(-fleet.Span(d.AgeMS))
 		l.digests[d.Reporter] = receivedDigest{d, at}
 		if d.Reporter == l.addr && d.Version != before.Version && !m.isSameGroup(l) {
@@ -99,9 +113,29 @@
 	}
 }
 
+// hasRoom reports whether a digest may be kept in place of its predecessor, which has
+// keptItems, beside the others that were received over the link. If there is no room, the expired ones are
+// dropped.
+func (l *link) hasRoom(now time.Time, d wire.Digest, keptItems int) bool {
+	if !isPlainAddr(d.Reporter) || len(d.Group) > maxNameBytes {
+		return false
+	}
+	if l.digestItems-keptItems+d.Items() <= maxDigestItems {
+		return true
+	}
+	maps.DeleteFunc(l.digests, func(reporter netip.Addr, kept receivedDigest) bool {
+		isExpired := reporter != d.Reporter && now.Sub(kept.at) > digestLifetime
+		if isExpired {
+			l.digestItems -= kept.Items()
+		}
+		return isExpired
+	})
+	return l.digestItems-keptItems+d.Items() <= maxDigestItems
+}
+
 // handleEntryReport processes the state of an entry that another entry reports.
 func (m *Mesh) handleEntryReport(now time.Time, e wire.EntryState, at time.Time) {
-	if IDOf(e.Addr) == m.opts.Self || !e.Addr.IsValid() {
+	if IDOf(e.Addr) == m.opts.Self || !isShortPlace(e.Place) || !m.mayMention(e.Addr) {
 		return
 	}
 	c := m.contact(now, e.Addr)
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -33,6 +33,7 @@
 	// versions of the digests sent over it, both by reporter.
 	digests      map[netip.Addr]receivedDigest
 	sentVersions map[netip.Addr]uint64
+	digestItems  int // of digests
 	// lastCompleteAt and lastSentAt are when the last complete and the last heartbeat
 	// were sent.
 	lastCompleteAt, lastSentAt time.Time
@@ -169,8 +170,12 @@
 
 // handleComplete processes a complete heartbeat and reports whether it is valid.
 func (m *Mesh) handleComplete(now time.Time, l *link, b wire.Heartbeat) bool {
-	if !l.addr.IsValid() {
-		m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.String("reason", "its id is no address"))
+	if !isPlainAddr(l.addr) || !isShortPlace(b.Place) {
+		m.opts.Metrics.Counter("beats_refused").Inc(1)
+		if !now.Before(m.nextRefusalLogAt) {
+			m.nextRefusalLogAt = now.Add(refusalLogInterval)
+			m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.String("reason", "its id is no address, or its place is too long"))
+		}
 		return false
 	}
 	isFirst := l.place == fleet.Place{}
@@ -183,7 +188,7 @@
 	}
 	c := m.contact(now, l.addr)
 	m.recordChange(c.lastHeartbeat, b, l.addr)
-	c.lastHeartbeat = b
+	c.lastHeartbeat = b.WithoutLists()
 	c.lastHeartbeatAt = now
 	if m.opts.Role == fleet.RoleAgent {
 		m.learnEntries(now, c, b)
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -87,6 +87,16 @@
 	// sendQueueLen bounds the heartbeats that wait for a slow link. The next heartbeat
 	// contains all that was left out.
 	sendQueueLen = 1
+	// maxContacts bounds the contacts that are only known from others, and the digests of
+	// one heartbeat: more than twice the entries of the largest fleet, which has 410.
+	maxContacts = 1024
+	// maxDigestItems bounds the entries and loads of the digests that are kept of a link.
+	// In the largest fleet, 13 groups report some 60 entries each, twice.
+	maxDigestItems = 8192
+	// maxNameBytes bounds the names of zones, regions and groups.
+	maxNameBytes = 256
+	// refusalLogInterval is the minimum pause between two lines about refused heartbeats.
+	refusalLogInterval = time.Second
 	// crossedDialWindow is the time within which two links between the same processes
 	// count as dialled simultaneously.
 	crossedDialWindow = 300 * time.Millisecond
@@ -181,6 +191,7 @@
 	// that may happen.
 	notifyOtherGroups, notifyGroup bool
 	nextNotifyAt                   time.Time
+	nextRefusalLogAt               time.Time
 }
 
 // New returns a mesh that dials its links from the next Tick on. It ends with ctx.
--- a/daemon/wire/heartbeat.go
+++ b/daemon/wire/heartbeat.go
@@ -124,6 +124,9 @@
 	Loads []placement.RegionLoad `cbor:"6,keyasint,omitempty"`
 }
 
+// Items returns the size of the digest, for limits.
+func (d Digest) Items() int { return 1 + len(d.Entries) + len(d.Loads) }
+
 // EntryState is the state of an entry that other entries need.
 type EntryState struct {
 	Addr                 netip.Addr     `cbor:"1,keyasint"`
@@ -135,6 +138,16 @@
 	PlatformUnresponsive bool           `cbor:"7,keyasint,omitzero"`
 }
 
+// WithoutLists returns the heartbeat without the fields whose size depends on the fleet.
+func (b Heartbeat) WithoutLists() Heartbeat {
+	return Heartbeat{
+		ID: b.ID, Role: b.Role, Incarnation: b.Incarnation, Place: b.Place, CallerAddr: b.CallerAddr,
+		Ready: b.Ready, Leaving: b.Leaving, AsOf: b.AsOf, ConfigVersion: b.ConfigVersion,
+		ConfigRevision: b.ConfigRevision, OperatorAsOf: b.OperatorAsOf, ReachesPlatform: b.ReachesPlatform,
+		PlatformUnresponsive: b.PlatformUnresponsive, EvacuationsAsOf: b.EvacuationsAsOf,
+	}
+}
+
 // State returns the state of an entry from its heartbeat.
 func (b Heartbeat) State(addr netip.Addr) EntryState {
 	return EntryState{
