chivespindled: bound what peers hold by the memory of the machine

On the users' platform certificates are not verified, so any client that reaches the peers' port is let in, and the defaults of the transport are above the memory of the smallest machines. Connections, streams and messages get shares of memoryMb; a machine may have 16 connections, of 32 streams and 64 KiB ahead of the reader each.

--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -40,6 +40,20 @@
 	// peerHandshakeTimeout bounds the handshake of a connection, which takes
 	// several round trips.
 	peerHandshakeTimeout = 900 * time.Millisecond
+	// Any client that reaches the peers' port may connect, since certificates are not
+	// verified: see keys.Ephemeral. So what it may hold is bounded by shares of the memory.
+	// An idle accepted connection takes 82 KB, and one whose peer sends what nobody reads
+	// peerReceiveWindow more. A process has one connection to another, and a few for the
+	// idle timeout after it was restarted.
+	peerConnectionsShare = 0.25
+	peerConnectionBytes  = 128 << 10
+	peerMaxPerAddress    = 16
+	peerReceiveWindow    = 64 << 10
+	// A pair of processes has one gossip, one catalog and a few chunk streams.
+	peerMaxStreams    = 32
+	peerStreamsShare  = 0.06
+	peerStreamBytes   = 8 << 10
+	peerMessagesShare = 0.125
 	// memoryLimitShare is the share of the machine's memory that is set as the
 	// soft memory limit. Above it the garbage collector works harder, so that
 	// the process is not killed for its memory use.
@@ -159,6 +173,9 @@
 		Listen: netip.AddrPortFrom(s.IP, s.PeerPort), Keys: store, Handler: b.handler,
 		Logger: b.logger, Metrics: b.metrics,
 		IdleTimeout: peerIdleTimeout, KeepAlive: peerKeepAliveInterval, HandshakeTimeout: peerHandshakeTimeout,
+		MaxAccepted: peerShare(s.MemoryBytes, peerConnectionsShare, peerConnectionBytes), MaxAcceptedPerAddress: peerMaxPerAddress,
+		MaxStreams: peerMaxStreams, MaxServed: peerShare(s.MemoryBytes, peerStreamsShare, peerStreamBytes),
+		ReceiveWindow: peerReceiveWindow, MessageMemory: peerShare(s.MemoryBytes, peerMessagesShare, 1),
 	})
 	if err != nil {
 		b.cancel()
@@ -166,6 +183,12 @@
 	return b, err
 }
 
+// peerShare returns how many items of a size take a share of the memory; 0, which selects
+// the default, if the memory has no limit.
+func peerShare(memoryBytes int64, share float64, itemBytes int) int {
+	return int(share * float64(memoryBytes) / float64(itemBytes))
+}
+
 func tickInterval(role fleet.Role) time.Duration {
 	if role == fleet.RoleEntry {
 		return entryTickInterval
