gateway: bound the engines and models remembered of peers' reports

A peer that reported 10,000 engines in each of 100 heartbeats took an entry of 112 MB to 152 MB, and one that reported models to 154 MB. Expected times of readiness were kept for good, also of engines that no longer exist, and so were models.

At most 8,192 engines and 1,024 models are remembered; the largest fleet has 3,500 and 9. An engine that the catalog lists is always remembered, so that made-up ones cannot keep it out. Times of readiness end with the other reports of an engine.

--- /dev/null
+++ b/daemon/gateway/bounds_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivespindle.example/core/fleet"
+	"chivespindle.example/daemon/wire"
+)
+
+// Guards against memory that grows with whatever a peer reports.
+var _ = Describe("An entry whose peer reports what does not exist", func() {
+	var g *Gateway
+
+	BeforeEach(func() {
+		g, _ = newGateway()
+		g.adopt(start, snapshot(5, server("i-1", "10.0.1.1:80", 2)), "platform")
+	})
+
+	It("remembers a bounded number of engines, and always one that is listed", func() {
+		var replicas []wire.Replica
+		for n := range maxReplicas + 100 {
+			addr := netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)})
+			replicas = append(replicas, wire.Replica{Addr: addr, Incarnation: 1, Seq: 1, Loaded: 1, ReadyInMS: 1})
+		}
+		replicas = append(replicas, wire.Replica{Addr: netip.MustParseAddr("10.0.1.1"), Incarnation: 1, Seq: 1, Loaded: 2})
+		g.receive(start, nearEntry, wire.Heartbeat{ID: nearEntry.ID, Role: fleet.RoleEntry, Replicas: replicas})
+		Expect(g.replicas).To(HaveLen(maxReplicas + 1))
+		Expect(g.replicas).To(HaveKey(netip.MustParseAddr("10.0.1.1")))
+
+		later := start.Add(2 * replicaReportTTL)
+		g.publishServers(later, 1)
+		Expect(g.readyAt).To(BeEmpty())
+		Expect(len(g.loads)).To(BeNumerically("<=", 1))
+	})
+
+	It("remembers a bounded number of models", func() {
+		var wanted []wire.WantedVersion
+		for n := range maxModels + 100 {
+			wanted = append(wanted, wire.WantedVersion{Model: fmt.Sprint("made-up-", n), Version: 1})
+		}
+		g.receive(start, nearEntry, wire.Heartbeat{ID: nearEntry.ID, Role: fleet.RoleEntry, Wanted: wanted})
+		Expect(g.names).To(HaveLen(maxModels))
+	})
+})
--- a/daemon/gateway/loads.go
+++ b/daemon/gateway/loads.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -95,14 +96,17 @@
 	return true
 }
 
-// dropUnlistedLoads drops the loads of engines that are neither listed nor reported.
+// dropUnlistedLoads drops the loads, and the times of being ready, of engines that are neither
+// listed nor reported.
 func (g *Gateway) dropUnlistedLoads(list []placement.Server) {
 	isListed := make(map[netip.Addr]bool, len(list))
 	for _, s := range list {
 		isListed[s.Addr.Addr()] = true
 	}
-	maps.DeleteFunc(g.loads, func(addr netip.Addr, _ engineLoad) bool {
+	isUnlisted := func(addr netip.Addr) bool {
 		_, reported := g.replicas[addr]
 		return !reported && !isListed[addr]
-	})
+	}
+	maps.DeleteFunc(g.loads, func(addr netip.Addr, _ engineLoad) bool { return isUnlisted(addr) })
+	maps.DeleteFunc(g.readyAt, func(addr netip.Addr, _ time.Time) bool { return isUnlisted(addr) })
 }
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -24,6 +24,14 @@
 // registration. An agent reports several times within it.
 const replicaReportTTL = 2 * time.Second
 
+// Bounds on what is remembered of peers' reports, above what the largest fleet has, which is
+// 3,500 engines and 9 models. Engines that the catalog lists are remembered in any case.
+const (
+	maxReplicas  = 8192
+	maxModels    = 1024
+	maxNameBytes = 256
+)
+
 // ServeStream implements peer.Handler.
 func (g *Gateway) ServeStream(ctx context.Context, from keys.Identity, kind peer.Kind, s *peer.Stream) {
 	switch kind {
@@ -213,6 +221,10 @@
 // first to report one, this process knows better, since its own catalog did not have the
 // version.
 func (g *Gateway) receiveWantedVersion(now time.Time, w wire.WantedVersion) {
+	if _, isKnown := g.names[w.Model]; !isKnown && (len(g.names) >= maxModels || len(w.Model) > maxNameBytes) {
+		g.opts.Metrics.Counter("reports_left_out").Inc(1)
+		return
+	}
 	named := w.NamedVersion(now)
 	if g.table != nil {
 		named = g.names[w.Model].Reconcile(named, g.newlyNamedVersion(now, w.Version))
@@ -236,8 +248,20 @@
 		zap.Time("since", named.Since), zap.Bool("assumed", named.Assumed))
 }
 
+// mayRemember reports whether a report about another engine may be remembered.
+func (g *Gateway) mayRemember(addr netip.Addr) bool {
+	if len(g.replicas) < maxReplicas {
+		return addr.Zone() == "" // which could be a text of any length
+	}
+	return slices.ContainsFunc(g.snapshot.Servers, func(s catalog.Server) bool { return s.Addr.Addr() == addr })
+}
+
 func (g *Gateway) receiveReplica(now time.Time, r wire.Replica, direct bool) {
 	known, ok := g.replicas[r.Addr]
+	if !ok && !g.mayRemember(r.Addr) {
+		g.opts.Metrics.Counter("reports_left_out").Inc(1)
+		return
+	}
 	if ok && !r.IsNewer(known.Replica, now.Sub(known.reportedAt)) && !r.IsSameReport(known.Replica) {
 		return
 	}
