gateway: bound the bytes of the manifests that are held

Four manifests of up to 1 MiB were held of each model, and a peer may name any model: 100 heartbeats took an entry of 112 MB to 131 MB, for good. The sum is now at most 16 MiB, and 8 MiB for models without a named version, so that made-up ones leave room for those that the operator named.

--- a/daemon/gateway/bounds_test.go
+++ b/daemon/gateway/bounds_test.go
@@ -45,4 +45,17 @@
 		g.receive(start, nearEntry, wire.Heartbeat{ID: nearEntry.ID, Role: fleet.RoleEntry, Wanted: wanted})
 		Expect(g.names).To(HaveLen(maxModels))
 	})
+
+	It("holds a bounded number of bytes of manifests, and more of models with a named version", func() {
+		m := newManifests()
+		raw := make([]byte, 1<<20)
+		add := func(n int, named uint64) bool {
+			return m.add(wire.Manifest{Model: fmt.Sprint("made-up-", n), Version: 1, Raw: raw}, false, named)
+		}
+		for n := range maxUnnamedBytes / len(raw) {
+			Expect(add(n, 0)).To(BeTrue())
+		}
+		Expect(add(100, 0)).To(BeFalse())
+		Expect(add(101, 1)).To(BeTrue())
+	})
 })
--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -16,6 +16,14 @@
 // and a few of higher versions, which an agent may know of earlier.
 const maxManifests = 4
 
+// maxManifestBytes bounds the manifests of all models, and maxUnnamedBytes up to which
+// total one is held whose model has no named version: peers may send any. The largest fleet
+// has nine models, with manifests of up to 1 MB.
+const (
+	maxManifestBytes = 16 << 20
+	maxUnnamedBytes  = maxManifestBytes / 2
+)
+
 // manifests holds the manifest of the newest named version of each model and those of
 // higher versions, and the processes to which they were sent. It belongs to the control
 // loop.
@@ -44,11 +52,30 @@
 	return manifests{held: make(map[string][]knownManifest), sent: make(map[sentManifest]bool)}
 }
 
+func bytesOf(held []knownManifest) int {
+	n := 0
+	for _, k := range held {
+		n += len(k.Raw)
+	}
+	return n
+}
+
+// bytesBesides returns the size of the manifests that are held of other models.
+func (m *manifests) bytesBesides(model string) int {
+	n := 0
+	for name, held := range m.held {
+		if name != model {
+			n += bytesOf(held)
+		}
+	}
+	return n
+}
+
 // add stores a manifest, unless it or that of a newer version is known, and reports
 // whether it did. named is the newest version that the operator named, 0 if none is known:
 // versions above it do not count as newer, as their numbers may be wrong.
 //
-// If too many are held, the highest version is dropped. It is not accepted again until a
+// If those of all models take too many bytes, it is not stored. If too many are held, the highest version is dropped. It is not accepted again until a
 // newer version is named, so none circulates between entries.
 func (m *manifests) add(manifest wire.Manifest, near bool, named uint64) bool {
 	isWanted := named != 0 && manifest.Version >= named
@@ -63,6 +90,13 @@
 	if isKnown || at < len(held) && !isWanted || at >= maxManifests {
 		return false
 	}
+	limit := maxManifestBytes
+	if !isWanted {
+		limit = maxUnnamedBytes
+	}
+	if m.bytesBesides(manifest.Model)+bytesOf(held)+len(manifest.Raw) > limit {
+		return false
+	}
 	held = slices.Insert(held, at, knownManifest{manifest, near})
 	held = held[:min(len(held), maxManifests)]
 	m.held[manifest.Model] = held
