placement: bound the loads that other entries report

An entry may report 8,192 servers and there may be 256 groups with 1,024 loads each, with names of at most 256 bytes.

--- a/core/placement/regions.go
+++ b/core/placement/regions.go
@@ -13,6 +13,14 @@
 // digest intervals, plus the time until a lost digest is replaced.
 const groupLoadTTL = 4 * time.Second
 
+// Bounds on the reports of other groups. The largest fleet, of 410 entries and nine
+// services, has at most as many groups as regions and thirteen more.
+const (
+	maxGroups     = 256
+	maxGroupLoads = 1024
+	maxNameBytes  = 256
+)
+
 // RegionLoad is the total work of a group of entries at all servers of a service in
 // a region.
 type RegionLoad struct {
@@ -60,13 +68,21 @@
 func (b *Balancer) UpdateGroupLoads(now, at time.Time, group string, loads []RegionLoad) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if known, ok := b.regions.groups[group]; ok && !at.After(known.reportedAt) {
+	known, ok := b.regions.groups[group]
+	if ok && !at.After(known.reportedAt) || !ok && len(b.regions.groups) >= maxGroups || !isBounded(group, loads) {
 		return
 	}
 	b.regions.groups[group] = groupLoads{at, loads}
 	b.regions.distribute(now)
 }
 
+// isBounded reports whether a report is within the bounds of its size.
+func isBounded(group string, loads []RegionLoad) bool {
+	return len(group) <= maxNameBytes && len(loads) <= maxGroupLoads && !slices.ContainsFunc(loads, func(l RegionLoad) bool {
+		return len(l.Service) > maxNameBytes || len(l.Region) > maxNameBytes
+	})
+}
+
 // RegionLoads returns the total load of this entry and of the entries whose reports
 // it receives.
 func (b *Balancer) RegionLoads(now time.Time) []RegionLoad {
--- a/core/placement/remoteloads.go
+++ b/core/placement/remoteloads.go
@@ -61,6 +61,9 @@
 		r.oldest = now
 	}
 	for _, l := range changed {
+		if _, isKnown := e.loads[l.Server]; !isKnown && (len(e.loads) >= maxEntryLoads || len(l.Server) > maxNameBytes) {
+			continue
+		}
 		r.adjust(now, l.Server, l.Work.Sub(e.loads[l.Server]))
 		if l.Work == (enginemodel.Work{}) {
 			delete(e.loads, l.Server)
@@ -70,6 +73,10 @@
 	}
 }
 
+// maxEntryLoads bounds the servers of which the work of one entry is known: more than twice
+// the servers of the largest fleet, which has 3,500.
+const maxEntryLoads = 8192
+
 // remove drops the reports of an entry.
 func (r *remoteLoads) remove(entry fleet.InstanceID) {
 	if e := r.entries[entry]; e != nil && e.isCurrent {
