peer: log one refusal a second

Clients that nobody controls cause refusals; the counter has all of them. Five lines a second, after 20, cost a small machine processor time for nothing new.

--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -24,8 +24,8 @@
 // Unauthenticated peers can cause refusals at any rate, so the log is
 // rate-limited. The counter includes all of them.
 const (
-	refusalLogsPerSecond = 5
-	refusalLogBurst      = 20
+	refusalLogsPerSecond = 1
+	refusalLogBurst      = 5
 )
 
 // metrics are the endpoint's counters. The sides are "dialled" and "accepted".
