--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -88,7 +88,9 @@
 	go m.receiveLoop(l)
 	go m.sendLoop(l)
 	m.send(now, l, First)
-	m.opts.Logger.Info("link_up", zap.String("peer", string(l.id)), zap.String("role", string(l.role)))
+	if m.mayLog(now, l) {
+		m.opts.Logger.Info("link_up", zap.String("peer", string(l.id)), zap.String("role", string(l.role)))
+	}
 }
 
 func (m *Mesh) removeLink(now time.Time, l *link, reason string) {
@@ -98,11 +100,18 @@
 	}
 	delete(m.links, l.id)
 	m.notifyOtherGroups = m.notifyOtherGroups || l.role == fleet.RoleEntry
-	m.opts.Logger.Info("link_down", zap.String("peer", string(l.id)), zap.String("role", string(l.role)),
-		zap.String("reason", reason), zap.Duration("heard_ago", now.Sub(l.lastReceivedAt)))
+	if m.mayLog(now, l) {
+		m.opts.Logger.Info("link_down", zap.String("peer", string(l.id)), zap.String("role", string(l.role)),
+			zap.String("reason", reason), zap.Duration("heard_ago", now.Sub(l.lastReceivedAt)))
+	}
 	m.opts.OnLost(now, l.id)
 }
 
+// mayLog reports whether a line about a link may be logged.
+func (m *Mesh) mayLog(now time.Time, l *link) bool {
+	return l.dialer == m.opts.Self || m.linkLogs.AllowN(now, 1)
+}
+
 // dropSilentLinks closes links that receive nothing, so that they are dialled again.
 func (m *Mesh) dropSilentLinks(now time.Time) {
 	for _, l := range m.links {
--- a/daemon/mesh/mesh.go
+++ b/daemon/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"chivespindle.example/adapters/keys"
 	"chivespindle.example/adapters/peer"
@@ -97,6 +98,11 @@
 	maxNameBytes = 256
 	// refusalLogInterval is the minimum pause between two lines about refused heartbeats.
 	refusalLogInterval = time.Second
+	// linkLogsPerSecond and linkLogBurst bound the lines about links that others dialled,
+	// since one process may open and close any number. The links of the largest fleet's
+	// first entries at its start exceed the burst; those lines are left out.
+	linkLogsPerSecond = 5
+	linkLogBurst      = 200
 	// crossedDialWindow is the time within which two links between the same processes
 	// count as dialled simultaneously.
 	crossedDialWindow = 300 * time.Millisecond
@@ -192,6 +198,8 @@
 	notifyOtherGroups, notifyGroup bool
 	nextNotifyAt                   time.Time
 	nextRefusalLogAt               time.Time
+	// linkLogs limits the lines about links that others dialled.
+	linkLogs *rate.Limiter
 }
 
 // New returns a mesh that dials its links from the next Tick on. It ends with ctx.
@@ -202,6 +210,7 @@
 		addr:     addrOf(opts.Self),
 		contacts: make(map[netip.Addr]*contact),
 		links:    make(map[fleet.InstanceID]*link),
+		linkLogs: rate.NewLimiter(linkLogsPerSecond, linkLogBurst),
 	}
 	for _, seed := range opts.Seeds {
 		m.contact(now, seed).seed = true
