--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"chivespindle.example/adapters/bootclock"
 	"chivespindle.example/adapters/peer"
@@ -157,6 +158,7 @@
 	// platform.
 	refusedUntil time.Time
 	manifests    manifests
+	catalogLogs  *rate.Limiter // of catalogs that were not given
 	// quarantine holds the requests that crash servers. announceCrashes is true while
 	// a newly quarantined request has to be reported to all peers without delay.
 	quarantine      *quarantine.Registry
@@ -240,6 +242,7 @@
 		evacuationEnds:    make(map[fleet.Zone]time.Time),
 		sentMembersDigest: make(map[fleet.InstanceID]uint64),
 		manifests:         newManifests(),
+		catalogLogs:       rate.NewLimiter(catalogLogsPerSecond, 1),
 		sentLoads:         make(map[fleet.InstanceID]uint64),
 		sentServers:       make(map[fleet.InstanceID]catalog.Revision),
 		changesReadAt:     now,
--- a/daemon/gateway/peercatalog.go
+++ b/daemon/gateway/peercatalog.go
@@ -35,6 +35,9 @@
 	// configPieceBytes is the size of the pieces in which a configuration is sent. Each
 	// piece counts as progress.
 	configPieceBytes = 16 << 10
+	// catalogLogsPerSecond bounds the lines about catalogs that were not given: a peer may
+	// request any number and read none.
+	catalogLogsPerSecond = 1
 	// maxConfigBytes bounds the uncompressed size of a configuration that a peer sends:
 	// the platform's largest item is 1 MB.
 	maxConfigBytes = 8 << 20
@@ -172,7 +175,7 @@
 		s.Abort()
 		return
 	}
-	if err := g.sendCatalog(ctx, s, request); err != nil {
+	if err := g.sendCatalog(ctx, s, request); err != nil && g.catalogLogs.Allow() {
 		g.opts.Logger.Warn("catalog_not_given", zap.String("peer", string(s.Peer().ID)), zap.Error(err))
 	}
 }
