--- a/adapters/peer/endpoint.go
+++ b/adapters/peer/endpoint.go
@@ -9,7 +9,9 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"go.uber.org/zap"
@@ -45,6 +47,8 @@
 	transport  *quic.Transport
 	listener   *quic.Listener // nil without a Handler
 	handshakes *handshakeLimiter
+	messages   *messageMemory
+	served     atomic.Int64 // streams of peers
 	pool       *pool
 	metrics    *metrics
 
@@ -53,6 +57,7 @@
 
 	mu          sync.Mutex
 	connections map[*connection]struct{}
+	accepted    int // connections that were not dialled
 	closed      bool
 	draining    bool           // accepted connections take no new streams
 	work        sync.WaitGroup // dials, connections and handlers; added to only while not closed
@@ -80,15 +85,16 @@
 		opts:        opts,
 		socket:      socket,
 		addr:        addrPortOf(socket.LocalAddr()),
-		handshakes:  newHandshakeLimiter(),
+		handshakes:  newHandshakeLimiter(opts.MaxAcceptedPerAddress),
+		messages:    newMessageMemory(int64(opts.MessageMemory)),
 		metrics:     newMetrics(opts.Metrics, opts.Logger),
 		connections: make(map[*connection]struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancelCause(context.Background())
 	e.pool = newPool(e.dial)
 	e.handshakes.generation = opts.Keys.Generation
-	e.handshakes.onLimitReached = func(from netip.AddrPort) {
-		e.metrics.refused(refusedHandshakeLimit, zap.Stringer("from", from))
+	e.handshakes.onLimitReached = func(reason string, from netip.AddrPort) {
+		e.metrics.refused(reason, zap.Stringer("from", from))
 	}
 	e.handshakes.onFailed = e.handshakeFailed
 	if err := e.listen(); err != nil {
@@ -169,6 +175,12 @@
 func (e *Endpoint) serverConfig() *quic.Config {
 	conf := e.baseConfig()
 	conf.MaxIncomingStreams = int64(e.opts.MaxStreams)
+	for _, window := range []*uint64{
+		&conf.InitialStreamReceiveWindow, &conf.MaxStreamReceiveWindow,
+		&conf.InitialConnectionReceiveWindow, &conf.MaxConnectionReceiveWindow,
+	} {
+		*window = min(*window, uint64(e.opts.ReceiveWindow))
+	}
 	return conf
 }
 
@@ -266,7 +278,14 @@
 	if e.closed {
 		return false
 	}
+	if !c.dialled && e.accepted >= e.opts.MaxAccepted && !e.closeUnused() {
+		e.metrics.refused(refusedConnectionLimit, zap.Stringer("peer", c.peer), zap.Stringer("from", c.addr))
+		return false
+	}
 	e.connections[c] = struct{}{}
+	if !c.dialled {
+		e.accepted++
+	}
 	if e.draining && !c.dialled {
 		c.retire()
 	}
@@ -281,7 +300,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(e.connections, c)
+	e.forget(c)
 	e.sideMetrics(c).closed.Inc(1)
 	if c.dialled {
 		e.opts.Logger.Debug("peer_connection_closed", zap.Stringer("peer", c.peer), zap.Stringer("addr", c.addr),
@@ -289,6 +308,37 @@
 	}
 }
 
+// forget removes a connection from the live ones. The caller holds mu.
+func (e *Endpoint) forget(c *connection) {
+	if _, live := e.connections[c]; !live {
+		return
+	}
+	delete(e.connections, c)
+	if !c.dialled {
+		e.accepted--
+	}
+}
+
+// closeUnused closes the accepted connection that has had no streams for longest, and
+// reports whether there is one. The caller holds mu.
+func (e *Endpoint) closeUnused() bool {
+	var oldest *connection
+	var oldestSince time.Time
+	for c := range e.connections {
+		since, unused := c.unusedSince()
+		if !c.dialled && unused && (oldest == nil || since.Before(oldestSince)) {
+			oldest, oldestSince = c, since
+		}
+	}
+	if oldest == nil || !oldest.retireIfUnused(time.Now(), closeDelay) {
+		return false
+	}
+	e.forget(oldest)
+	e.metrics.refused(refusedConnectionLimit, zap.Stringer("peer", oldest.peer), zap.Stringer("from", oldest.addr))
+	go func() { _ = oldest.quic.CloseWithError(connUnused, "") }()
+	return true
+}
+
 func (e *Endpoint) sideMetrics(c *connection) sideMetrics {
 	if c.dialled {
 		return e.metrics.dialled
--- a/adapters/peer/metrics.go
+++ b/adapters/peer/metrics.go
@@ -11,18 +11,21 @@
 // Reasons of refusals: a tag of the counter "refusals" and a field of the log
 // event.
 const (
-	refusedHandshakeFailed = "handshake"       // certificate missing or not accepted, or the peer disconnected
-	refusedHandshakeLimit  = "handshake_limit" // too many pending handshakes
-	refusedRole            = "role"            // refused by Options.Allow
-	refusedKind            = "kind"            // unknown kind
-	refusedCertificate     = "certificate"     // accepted before, but not since the keys were reloaded or it expired
+	refusedHandshakeFailed = "handshake"        // certificate missing or not accepted, or the peer disconnected
+	refusedHandshakeLimit  = "handshake_limit"  // too many pending handshakes
+	refusedConnectionLimit = "connection_limit" // too many connections, in all or of one address
+	refusedStreamLimit     = "stream_limit"     // too many streams of all peers
+	refusedMessageMemory   = "message_memory"   // messages that are being received take too much memory
+	refusedRole            = "role"             // refused by Options.Allow
+	refusedKind            = "kind"             // unknown kind
+	refusedCertificate     = "certificate"      // accepted before, but not since the keys were reloaded or it expired
 )
 
 // Unauthenticated peers can cause refusals at any rate, so the log is
 // rate-limited. The counter includes all of them.
 const (
-	refusalLogsPerSecond = 5
-	refusalLogBurst      = 20
+	refusalLogsPerSecond = 1
+	refusalLogBurst      = 5
 )
 
 // metrics are the endpoint's counters. The sides are "dialled" and "accepted".
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -76,6 +76,13 @@
 	DefaultUnusedTimeout    = time.Minute
 	DefaultMaxStreams       = 256
 	DefaultMaxMessage       = 1 << 20
+	// The first processes of a fleet that starts are dialled by all others: 3,500 agents
+	// dial two of three entries each, and 410 entries all three.
+	DefaultMaxAccepted           = 4096
+	DefaultMaxAcceptedPerAddress = 2048
+	DefaultMaxServed             = 1 << 16
+	DefaultReceiveWindow         = maxConnectionWindow
+	DefaultMessageMemory         = 64 << 20
 )
 
 // Handler serves the streams that peers open.
@@ -116,6 +123,22 @@
 	MaxStreams int
 	// MaxMessage bounds one CBOR message, in bytes, in both directions.
 	MaxMessage int
+	// MaxAccepted bounds the connections that peers have open to this endpoint, and
+	// MaxAcceptedPerAddress those of one IP address. Above the first, the connection that
+	// has had no streams for longest is closed for a new one; without such a connection, and
+	// above the second, the new one is refused.
+	MaxAccepted           int
+	MaxAcceptedPerAddress int
+	// MaxServed bounds the streams of all peers that are served at a time. More are
+	// refused as not run.
+	MaxServed int
+	// ReceiveWindow bounds the bytes that a peer may have sent on one accepted connection
+	// and that were not read yet.
+	ReceiveWindow int
+	// MessageMemory bounds the bytes of the messages that are being received, and of those
+	// that were received last on each stream, as they are in memory. Each connection may
+	// have freeMessageBytes beside it, and at most half of it.
+	MessageMemory int
 	// Allow decides whether a peer may open a stream of a kind. Nil means
 	// DefaultAllow.
 	Allow func(from keys.Identity, kind Kind) bool
@@ -151,6 +174,11 @@
 	setDefault(&o.UnusedTimeout, DefaultUnusedTimeout)
 	setDefault(&o.MaxStreams, DefaultMaxStreams)
 	setDefault(&o.MaxMessage, DefaultMaxMessage)
+	setDefault(&o.MaxAccepted, DefaultMaxAccepted)
+	setDefault(&o.MaxAcceptedPerAddress, DefaultMaxAcceptedPerAddress)
+	setDefault(&o.MaxServed, DefaultMaxServed)
+	setDefault(&o.ReceiveWindow, DefaultReceiveWindow)
+	setDefault(&o.MessageMemory, DefaultMessageMemory)
 	if o.KeepAlive > o.IdleTimeout/2 {
 		return o, failure.Invalid.New("keep-alive %s must be at most half of the idle timeout %s", o.KeepAlive, o.IdleTimeout)
 	}
--- a/daemon/mesh/link.go
+++ b/daemon/mesh/link.go
@@ -33,6 +33,7 @@
 	// versions of the digests sent over it, both by reporter.
 	digests      map[netip.Addr]receivedDigest
 	sentVersions map[netip.Addr]uint64
+	digestItems  int // of digests
 	// lastCompleteAt and lastSentAt are when the last complete and the last heartbeat
 	// were sent.
 	lastCompleteAt, lastSentAt time.Time
@@ -87,7 +88,9 @@
 	go m.receiveLoop(l)
 	go m.sendLoop(l)
 	m.send(now, l, First)
-	m.opts.Logger.Info("link_up", zap.String("peer", string(l.id)), zap.String("role", string(l.role)))
+	if m.mayLog(now, l) {
+		m.opts.Logger.Info("link_up", zap.String("peer", string(l.id)), zap.String("role", string(l.role)))
+	}
 }
 
 func (m *Mesh) removeLink(now time.Time, l *link, reason string) {
@@ -97,11 +100,18 @@
 	}
 	delete(m.links, l.id)
 	m.notifyOtherGroups = m.notifyOtherGroups || l.role == fleet.RoleEntry
-	m.opts.Logger.Info("link_down", zap.String("peer", string(l.id)), zap.String("role", string(l.role)),
-		zap.String("reason", reason), zap.Duration("heard_ago", now.Sub(l.lastReceivedAt)))
+	if m.mayLog(now, l) {
+		m.opts.Logger.Info("link_down", zap.String("peer", string(l.id)), zap.String("role", string(l.role)),
+			zap.String("reason", reason), zap.Duration("heard_ago", now.Sub(l.lastReceivedAt)))
+	}
 	m.opts.OnLost(now, l.id)
 }
 
+// mayLog reports whether a line about a link may be logged.
+func (m *Mesh) mayLog(now time.Time, l *link) bool {
+	return l.dialer == m.opts.Self || m.linkLogs.AllowN(now, 1)
+}
+
 // dropSilentLinks closes links that receive nothing, so that they are dialled again.
 func (m *Mesh) dropSilentLinks(now time.Time) {
 	for _, l := range m.links {
@@ -123,6 +133,8 @@
 	}
 }
 
+// receiveLoop receives a heartbeat only once the previous one was handled: the queue of the
+// control loop would hold a thousand of them, of any size, while the loop is busy.
 func (m *Mesh) receiveLoop(l *link) {
 	for {
 		var b wire.Heartbeat
@@ -130,7 +142,9 @@
 			m.post(func(now time.Time) { m.removeLink(now, l, "closed") })
 			return
 		}
-		m.post(func(now time.Time) { m.handleHeartbeat(now, l, b) })
+		if m.opts.Loop.Do(m.ctx, func(now time.Time) { m.handleHeartbeat(now, l, b) }) != nil {
+			return // the process ends
+		}
 	}
 }
 
@@ -165,8 +179,12 @@
 
 // handleComplete processes a complete heartbeat and reports whether it is valid.
 func (m *Mesh) handleComplete(now time.Time, l *link, b wire.Heartbeat) bool {
-	if !l.addr.IsValid() {
-		m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.String("reason", "its id is no address"))
+	if !isPlainAddr(l.addr) || !isShortPlace(b.Place) {
+		m.opts.Metrics.Counter("beats_refused").Inc(1)
+		if !now.Before(m.nextRefusalLogAt) {
+			m.nextRefusalLogAt = now.Add(refusalLogInterval)
+			m.opts.Logger.Warn("beat_refused", zap.String("peer", string(l.id)), zap.String("reason", "its id is no address, or its place is too long"))
+		}
 		return false
 	}
 	isFirst := l.place == fleet.Place{}
@@ -179,7 +197,7 @@
 	}
 	c := m.contact(now, l.addr)
 	m.recordChange(c.lastHeartbeat, b, l.addr)
-	c.lastHeartbeat = b
+	c.lastHeartbeat = b.WithoutLists()
 	c.lastHeartbeatAt = now
 	if m.opts.Role == fleet.RoleAgent {
 		m.learnEntries(now, c, b)
