--- a/standin/harness/harness.go
+++ b/standin/harness/harness.go
@@ -39,6 +39,8 @@
 	InstanceListLag time.Duration
 	// TraceSpans makes the processes write trace spans to their logs.
 	TraceSpans bool
+	// Limits are further lines of the section [limits] in the settings of all processes.
+	Limits string
 }
 
 // Fleet is a running set of stand-ins and processes.
@@ -263,7 +265,8 @@
 spans = %s
 [limits]
 drain_timeout = 10s
+%s
 `, id, place.Zone, place.Region,
 		f.urls[configServer], f.urls[instancesServer], f.urls[originServer], f.urls[storeServer],
-		files.Authority, files.Certificate, files.Key, spans), nil
+		files.Authority, files.Certificate, files.Key, spans, f.opts.Limits), nil
 }
