opshttp: answer operators while clients hold all connections

64 connections that sent nothing, an unfinished head, or nothing after a request kept operators and probes out: the listener accepted no more, and with 400 such clients /readyz was not answered within 30 s. The bounded server closes the connection that has made no progress for longest instead. It also bounds the memory of all heads and ends responses that a client does not read; the bound of 30 s for a whole response remains. The port logs and counts such clients now.

--- a/adapters/opshttp/opshttp.go
+++ b/adapters/opshttp/opshttp.go
@@ -17,19 +17,24 @@
 	"strings"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
+	"chivespindle.example/adapters/boundedhttp"
+	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/failure"
 )
 
 // Limits on the resources that clients of the port can use.
 const (
-	maxConnections    = 64
+	maxConnections = 64
+	maxRequests    = 48
+	// maxHeadMemory bounds the memory of all request heads, beyond a few kilobytes for each.
+	maxHeadMemory     = 2 << 20
 	maxHeaderBytes    = 16 << 10
 	maxBodyBytes      = 64 << 10
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 10 * time.Second
+	readBodyTimeout   = 10 * time.Second
 	writeTimeout      = 30 * time.Second
 	idleTimeout       = 30 * time.Second
 	// responseTimeout limits Status and Ready, which may wait for the control loop.
@@ -55,12 +60,14 @@
 	Extra map[string]http.Handler
 	// Logger receives the log events of the port; nil for none.
 	Logger *zap.Logger
+	// Scope receives the metrics of the port itself; nil for none.
+	Scope tally.Scope
 }
 
 // Server is the operators' port of one process.
 type Server struct {
 	listener net.Listener
-	server   *http.Server
+	server   *boundedhttp.Server
 	logger   *zap.Logger
 	stop     context.CancelFunc
 	stopped  context.Context // canceled by Close and at the end of Run
@@ -73,36 +80,48 @@
 	if opts.Logger == nil {
 		opts.Logger = zap.NewNop()
 	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
 	mux, err := newMux(opts)
 	if err != nil {
 		return nil, err
 	}
-	errorLog, err := zap.NewStdLogAt(opts.Logger, zap.WarnLevel)
-	if err != nil {
-		return nil, failure.Internal.Wrap(err, "create the error log of the operators' port")
-	}
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(opts.Listen))
 	if err != nil {
 		return nil, failure.Unavailable.Wrap(err, "listen on the operators' port")
 	}
 	stopped, stop := context.WithCancel(context.Background())
 	return &Server{
-		listener: netutil.LimitListener(listener, maxConnections),
+		listener: listener,
 		logger:   opts.Logger,
 		stop:     stop,
 		stopped:  stopped,
-		server: &http.Server{
-			Handler:           http.MaxBytesHandler(mux, maxBodyBytes),
-			MaxHeaderBytes:    maxHeaderBytes,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ReadTimeout:       readTimeout,
-			WriteTimeout:      writeTimeout,
-			IdleTimeout:       idleTimeout,
-			ErrorLog:          errorLog,
-		},
+		server: boundedhttp.New(boundedhttp.Options{
+			Port:         "ops",
+			Handler:      withWriteTimeout(http.MaxBytesHandler(mux, maxBodyBytes)),
+			Limits:       connlimit.Limits{Connections: maxConnections, Requests: maxRequests, HeadBytes: maxHeadMemory},
+			ClientLimits: clientLimits,
+			BodyTimeout:  readBodyTimeout,
+			Logger:       opts.Logger,
+			Metrics:      opts.Scope,
+		}),
 	}, nil
 }
 
+func clientLimits() boundedhttp.ClientLimits {
+	return boundedhttp.ClientLimits{HeadBytes: maxHeaderBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
+// withWriteTimeout bounds the time for a response to a client that reads slowly.
+func withWriteTimeout(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// It fails only on a closed connection.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Addr returns the address that the port listens on.
 func (s *Server) Addr() netip.AddrPort {
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
--- a/daemon/process/agent.go
+++ b/daemon/process/agent.go
@@ -93,6 +93,8 @@
 		Metrics: p.metricsHandler,
 		Status:  func() any { return p.role.Status() },
 		Ready:   p.role.Ready,
+		Logger:  p.logger,
+		Scope:   p.metrics,
 	})
 	p.ops = ops
 	return err
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -77,6 +77,8 @@
 		Status:  func() any { return p.role.Status() },
 		Ready:   p.role.Ready,
 		Extra:   map[string]http.Handler{"GET /explain": p.role.ExplainHandler()},
+		Logger:  p.logger,
+		Scope:   p.metrics,
 	})
 	return err
 }
