callerhttp: bound the connections, heads and requests of callers

400 callers with unfinished heads of 60 KB took 404 MB of an entry, whose memory limit was 64 MB; 400 that sent nothing or stayed idle kept 400 sockets, idle ones for ever; one that reads nothing of its response kept its request, its body and its place among max_in_flight for as long as it liked, since no write had a deadline. The callers' server had one bound, 5 s for a head, and net/http accepts heads of 1 MB.

A request that is whole while too many others run is refused as the interface says: 503 not run, or 502 unknown if only the home of its key may say so.

--- a/adapters/callerhttp/callerhttptest/callerhttptest.go
+++ b/adapters/callerhttp/callerhttptest/callerhttptest.go
@@ -69,11 +69,19 @@
 // ServeWith is Serve with metrics and a logger.
 func ServeWith(d Dispatcher, b AddressBook, metrics tally.Scope, logger *zap.Logger) netip.AddrPort {
 	ginkgo.GinkgoHelper()
-	server, err := callerhttp.New(callerhttp.Options{
+	return ServeConfigured(d, b, func(opts *callerhttp.Options) { opts.Metrics, opts.Logger = metrics, logger })
+}
+
+// ServeConfigured is Serve with other options.
+func ServeConfigured(d Dispatcher, b AddressBook, configure func(opts *callerhttp.Options)) netip.AddrPort {
+	ginkgo.GinkgoHelper()
+	opts := callerhttp.Options{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Dispatcher: d, Addresses: b, Keys: b,
-		MaxBody: MaxBody, DefaultDeadline: DefaultDeadline,
-		Tracer: telemetry.NewTracer("test", nil), Logger: logger, Metrics: metrics,
-	})
+		MaxBody: MaxBody, BodyTimeout: WaitTimeout, DefaultDeadline: DefaultDeadline,
+		Tracer: telemetry.NewTracer("test", nil), Logger: zap.NewNop(), Metrics: tally.NoopScope,
+	}
+	configure(&opts)
+	server, err := callerhttp.New(opts)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	done := make(chan error, 1)
 	go func() { done <- server.Run() }()
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"hash/fnv"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -98,56 +96,49 @@
 	s.opts.Logger.Info("request_answered", fields...)
 }
 
+// parse reads a request with its body.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (calls.Request, error) {
-	if !r.ProtoAtLeast(1, 1) {
-		return calls.Request{}, badRequest("%s has no trailer to mark a complete answer", r.Proto)
-	}
-	body, err := s.readBody(w, r)
+	req, timeout, err := s.parseHead(r, id)
 	if err != nil {
 		return calls.Request{}, err
 	}
-	req := calls.Request{
+	if req.Body, err = s.receiveBody(w, r, req); err != nil {
+		return calls.Request{}, err
+	}
+	req.Deadline = time.Now().Add(timeout)
+	return req, nil
+}
+
+// parseHead returns a request without its body, and the time until its deadline.
+func (s *Server) parseHead(r *http.Request, id string) (req calls.Request, timeout time.Duration, err error) {
+	if !r.ProtoAtLeast(1, 1) {
+		return req, 0, badRequest("%s has no trailer to mark a complete answer", r.Proto)
+	}
+	req = calls.Request{
 		ID:             id,
 		Service:        fleet.ServiceName(r.PathValue("service")),
 		Path:           r.PathValue("path"),
 		Workspace:      fleet.Workspace(r.Header.Get(HeaderWorkspace)),
 		IdempotencyKey: r.Header.Get(HeaderKey),
-		Body:           body,
 		PrefixKey:      PrefixKey(r.Header.Get(HeaderPrefix)),
 	}
 	if len(req.IdempotencyKey) > maxKeyBytes {
-		return calls.Request{}, badRequest("%s is longer than %d bytes", HeaderKey, maxKeyBytes)
+		return req, 0, badRequest("%s is longer than %d bytes", HeaderKey, maxKeyBytes)
 	}
 	if req.NonIdempotent, err = parseBool(r.Header, HeaderNonIdempotent); err != nil {
-		return calls.Request{}, err
+		return req, 0, err
 	}
 	if req.FirstAttempt, err = parseBool(r.Header, HeaderFirstAttempt); err != nil {
-		return calls.Request{}, err
+		return req, 0, err
 	}
 	if req.NonIdempotent && req.IdempotencyKey == "" {
-		return calls.Request{}, badRequest("a non-idempotent request needs an %s", HeaderKey)
+		return req, 0, badRequest("a non-idempotent request needs an %s", HeaderKey)
 	}
 	if req.Priority, err = parsePriority(r.Header.Get(HeaderPriority)); err != nil {
-		return calls.Request{}, err
-	}
-	timeout, err := s.parseDeadline(r.Header.Get(HeaderDeadline))
-	if err != nil {
-		return calls.Request{}, err
-	}
-	req.Deadline = time.Now().Add(timeout)
-	return req, nil
-}
-
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.MaxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, badRequest("body is larger than %d bytes", s.opts.MaxBody)
-	}
-	if err != nil {
-		return nil, badRequest("body could not be read: %v", err)
+		return req, 0, err
 	}
-	return body, nil
+	timeout, err = s.parseDeadline(r.Header.Get(HeaderDeadline))
+	return req, timeout, err
 }
 
 func badRequest(format string, args ...any) error {
--- a/adapters/callerhttp/server.go
+++ b/adapters/callerhttp/server.go
@@ -14,8 +14,10 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"chivespindle.example/adapters/boundedhttp"
 	"chivespindle.example/adapters/telemetry"
 	"chivespindle.example/core/calls"
+	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/failure"
 )
 
@@ -27,6 +29,10 @@
 	Keys       calls.KeyIssuer
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// BodyTimeout bounds the receipt of a request body.
+	BodyTimeout time.Duration
+	// Limits bound what all callers use together.
+	Limits connlimit.Limits
 	// DefaultDeadline applies to requests that specify none.
 	DefaultDeadline time.Duration
 	Tracer          *telemetry.Tracer
@@ -38,17 +44,13 @@
 type Server struct {
 	opts     Options
 	listener net.Listener
-	http     *http.Server
+	http     *boundedhttp.Server
 	aborted  tally.Counter // responses aborted after their start
 }
 
 // New binds the callers' address. The server accepts connections once Run is
 // called.
 func New(opts Options) (*Server, error) {
-	errorLog, err := zap.NewStdLogAt(opts.Logger, zap.WarnLevel)
-	if err != nil {
-		return nil, failure.Internal.Wrap(err, "create the error log of the callers' server")
-	}
 	listener, err := net.Listen("tcp", opts.Listen.String())
 	if err != nil {
 		return nil, failure.Unavailable.Wrap(err, "listen for callers on %s", opts.Listen)
@@ -59,11 +61,18 @@
 	mux.HandleFunc("POST /v1/keys/{service}", s.serveKey)
 	mux.HandleFunc("POST /v1/services/{service}", s.serveRequest)
 	mux.HandleFunc("POST /v1/services/{service}/{path...}", s.serveRequest)
-	const headerTimeout = 5 * time.Second
-	s.http = &http.Server{Handler: s.route(mux), ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
+	s.http = boundedhttp.New(boundedhttp.Options{
+		Port: "callers", Handler: s.route(mux), Limits: opts.Limits, ClientLimits: clientLimits,
+		BodyTimeout: opts.BodyTimeout, Logger: opts.Logger, Metrics: opts.Metrics,
+	})
 	return s, nil
 }
 
+// clientLimits returns the bounds for one caller that docs/CALLERS.md states.
+func clientLimits() boundedhttp.ClientLimits {
+	return boundedhttp.ClientLimits{HeadBytes: 64 << 10, HeadTimeout: 5 * time.Second, IdleTimeout: 2 * time.Minute}
+}
+
 // route sends an error response for a request that matches no route.
 //
 // http.ServeMux would respond in plain text, and would redirect a request whose
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -114,6 +114,9 @@
 type Limits struct {
 	// MaxInFlight is the largest number of concurrent requests.
 	MaxInFlight int
+	// MaxConnections is the largest number of connections of callers; 0 for twice
+	// MaxInFlight.
+	MaxConnections int
 	// DrainTimeout is the longest time to wait for requests in progress at a
 	// planned stop.
 	DrainTimeout time.Duration
@@ -147,6 +150,8 @@
 	AddressTTL time.Duration
 	// MaxBody is the largest size of a request body in bytes.
 	MaxBody int64
+	// BodyTimeout is the longest time for the receipt of a request body.
+	BodyTimeout time.Duration
 	// DefaultDeadline is the deadline of a request that does not set one.
 	DefaultDeadline time.Duration
 }
@@ -170,6 +175,15 @@
 	MaxFetches int
 }
 
+// ConnectionLimit returns the largest number of connections of callers. By default each
+// request in progress may leave an idle connection to another caller.
+func (l Limits) ConnectionLimit() int {
+	if l.MaxConnections > 0 {
+		return l.MaxConnections
+	}
+	return 2 * l.MaxInFlight
+}
+
 // Self returns the process as an item of the platform's instance list.
 func (s *Settings) Self() fleet.Instance {
 	return fleet.Instance{
--- a/adapters/settings/settings_test.go
+++ b/adapters/settings/settings_test.go
@@ -107,11 +107,18 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(loaded.Platform.WatchWait).To(Equal(30 * time.Second))
 		Expect(loaded.Limits).To(Equal(settings.Limits{MaxInFlight: 1024, DrainTimeout: 30 * time.Second, MemoryLimit: 64_000_000}))
-		Expect(loaded.Entry).To(Equal(settings.Entry{AddressTTL: 10 * time.Second, MaxBody: 1_000_000, DefaultDeadline: 30 * time.Second}))
+		Expect(loaded.Entry).To(Equal(settings.Entry{AddressTTL: 10 * time.Second, MaxBody: 1_000_000, BodyTimeout: 30 * time.Second, DefaultDeadline: 30 * time.Second}))
+		Expect(loaded.Limits.ConnectionLimit()).To(Equal(2048))
 		Expect(loaded.Agent).To(BeZero())
 		Expect(loaded.Backend).To(BeZero())
 	})
 
+	It("takes the number of connections as it is given", func() {
+		loaded, err := settings.Load(fleet.RoleEntry, minimalEntry, nil, map[string]string{"limits.max_connections": "300"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(loaded.Limits.ConnectionLimit()).To(Equal(300))
+	})
+
 	DescribeTable("prefers flags over the environment, the file and the default",
 		func(env []string, flags map[string]string, want time.Duration) {
 			loaded, err := settings.Load(fleet.RoleEntry, minimalEntry, env, flags)
--- a/adapters/settings/table.go
+++ b/adapters/settings/table.go
@@ -151,9 +151,12 @@
 
 func limitsKeys() []Key {
 	const section = "limits"
+	entry := []fleet.Role{fleet.RoleEntry}
 	return []Key{
 		key(section, "max_in_flight", allRoles(), number(func(s *Settings) *int { return &s.Limits.MaxInFlight }, 1, 1_000_000).withUnit("requests"), defaultTo("1024"),
 			"Largest number of requests at once; one more is answered at once as not run."),
+		key(section, "max_connections", entry, number(func(s *Settings) *int { return &s.Limits.MaxConnections }, 0, 1_000_000).withUnit("connections"), defaultTo("0"),
+			"Largest number of callers' connections, each of up to 64 KB; 0 is twice max_in_flight. At this number, or at 0.6 of the open files that the system allows, the one that has been idle or without a whole request for longest is closed for a new one."),
 		key(section, "drain_timeout", allRoles(), duration(func(s *Settings) *time.Duration { return &s.Limits.DrainTimeout }, time.Second, maxDuration), defaultTo("30s"),
 			"Longest wait for requests in progress at a planned stop."),
 		key(section, "memory_limit", allRoles(), size(func(s *Settings) *int64 { return &s.Limits.MemoryLimit }, 16*megabyte, 1000*gigabyte), defaultTo("64MB"),
@@ -179,6 +182,8 @@
 			"How long a caller may keep an address answer. A leaving entry serves on until those that name it have expired."),
 		key(section, "max_body", entry, size(func(s *Settings) *int64 { return &s.Entry.MaxBody }, kilobyte, gigabyte), defaultTo("1MB"),
 			"Largest body of a request; a larger one is refused as not run."),
+		key(section, "body_timeout", entry, duration(func(s *Settings) *time.Duration { return &s.Entry.BodyTimeout }, minDuration, maxDuration), defaultTo("30s"),
+			"Longest receipt of a request's body; one that is not whole by then is refused as not run."),
 		key(section, "default_deadline", entry, duration(func(s *Settings) *time.Duration { return &s.Entry.DefaultDeadline }, minDuration, maxDuration), defaultTo("30s"),
 			"Deadline of a request that names none."),
 	}
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -39,6 +39,11 @@
 	PrefixKey uint64
 }
 
+// MayBeNotRun reports whether an entry that could not forward the request may say by itself
+// that it was not run. Otherwise only the home of its key may: it may have run an earlier one
+// with the same key.
+func (r Request) MayBeNotRun() bool { return !r.NonIdempotent || r.FirstAttempt }
+
 // ResponseHeader is what is known when a response starts.
 type ResponseHeader struct {
 	Status  int           // HTTP status of the backend server
--- a/daemon/entry/dispatch.go
+++ b/daemon/entry/dispatch.go
@@ -84,7 +84,7 @@
 // does not rule out that the home ran an earlier one with the same key. Only a
 // caller that declares its first request with the key may be told "not run".
 func correctOutcome(r calls.Request, err error) error {
-	if !r.NonIdempotent || r.FirstAttempt || failure.OutcomeOf(err) != failure.NotRun || isDecidedByHome(err) {
+	if r.MayBeNotRun() || failure.OutcomeOf(err) != failure.NotRun || isDecidedByHome(err) {
 		return err
 	}
 	if typed := errorx.Cast(err); typed != nil {
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -62,6 +62,8 @@
 		Addresses:       p.role,
 		Keys:            p.role,
 		MaxBody:         s.Entry.MaxBody,
+		BodyTimeout:     s.Entry.BodyTimeout,
+		Limits:          callerLimits(s, openFileLimit()),
 		DefaultDeadline: s.Entry.DefaultDeadline,
 		Tracer:          p.tracer,
 		Logger:          p.logger,
