callerhttp: bound the memory of request bodies

400 callers whose bodies of 1 MB stalled took 535 MB of an entry with a memory limit of 64 MB, for as long as they stayed connected: a body was read whole before the request counted in max_in_flight, and the sum had no bound.

Bodies are counted in a budget of 0.35 of memory_limit as they arrive.

--- a/adapters/callerhttp/bounds_test.go
+++ b/adapters/callerhttp/bounds_test.go
@@ -15,6 +15,7 @@
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/memlimit"
 )
 
 const (
@@ -60,6 +61,14 @@
 	Entry("as not run if its key was not sent before", smallFirst, "503-full"),
 )
 
+// Guards against bodies that together take more memory than the process has.
+var _ = It("A body is refused while others use all memory", func() {
+	addr := serveOccupied(func(opts *callerhttp.Options) {
+		opts.Bodies = memlimit.New(10) // 3 bytes: a body and the byte after it
+	})
+	expectGolden("503-memory", exchangeRaw(addr, small))
+})
+
 // Guards against a body that holds memory until its client disconnects.
 var _ = It("A body that stalls is refused", func() {
 	addr := callerhttptest.ServeConfigured(callerhttptest.Fail(nil), callerhttptest.AddressBook{}, func(opts *callerhttp.Options) {
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -15,6 +15,7 @@
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/memlimit"
 )
 
 // Header names of the callers' interface.
@@ -46,7 +47,9 @@
 	w.Header().Set(HeaderRequestID, id)
 	ctx, span := s.opts.Tracer.Start(telemetry.Extract(r.Context(), r.Header.Get("Traceparent")), "entry.request")
 	defer span.End()
-	req, err := s.parse(w, r, id)
+	hold := s.opts.Bodies.NewHold()
+	defer hold.Release()
+	req, err := s.parse(w, r, id, &hold)
 	if err != nil {
 		s.writeError(w, id, err)
 		return
@@ -96,13 +99,13 @@
 	s.opts.Logger.Info("request_answered", fields...)
 }
 
-// parse reads a request with its body.
-func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string) (calls.Request, error) {
+// parse reads a request with its body, which is counted in hold.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string, hold *memlimit.Hold) (calls.Request, error) {
 	req, timeout, err := s.parseHead(r, id)
 	if err != nil {
 		return calls.Request{}, err
 	}
-	if req.Body, err = s.receiveBody(w, r, req); err != nil {
+	if req.Body, err = s.receiveBody(w, r, req, hold); err != nil {
 		return calls.Request{}, err
 	}
 	req.Deadline = time.Now().Add(timeout)
--- a/adapters/callerhttp/server.go
+++ b/adapters/callerhttp/server.go
@@ -19,6 +19,7 @@
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/memlimit"
 )
 
 // Options configures a Server.
@@ -31,6 +32,8 @@
 	MaxBody int64
 	// BodyTimeout bounds the receipt of a request body.
 	BodyTimeout time.Duration
+	// Bodies is the memory for request bodies; nil for no bound.
+	Bodies *memlimit.Budget
 	// Limits bound what all callers use together.
 	Limits connlimit.Limits
 	// DefaultDeadline applies to requests that specify none.
--- a/adapters/settings/table.go
+++ b/adapters/settings/table.go
@@ -160,7 +160,7 @@
 		key(section, "drain_timeout", allRoles(), duration(func(s *Settings) *time.Duration { return &s.Limits.DrainTimeout }, time.Second, maxDuration), defaultTo("30s"),
 			"Longest wait for requests in progress at a planned stop."),
 		key(section, "memory_limit", allRoles(), size(func(s *Settings) *int64 { return &s.Limits.MemoryLimit }, 16*megabyte, 1000*gigabyte), defaultTo("64MB"),
-			"Soft limit of the Go runtime's memory, as GOMEMLIMIT. With agent.stage = memory it must also hold the weights."),
+			"Soft limit of the Go runtime's memory, as GOMEMLIMIT. With agent.stage = memory it must also hold the weights. An entry holds bodies of requests up to 0.35 of it, at least two of max_body; one more is refused as not run."),
 	}
 }
 
--- a/daemon/process/entry.go
+++ b/daemon/process/entry.go
@@ -63,6 +63,7 @@
 		Keys:            p.role,
 		MaxBody:         s.Entry.MaxBody,
 		BodyTimeout:     s.Entry.BodyTimeout,
+		Bodies:          bodyBudget(s),
 		Limits:          callerLimits(s, openFileLimit()),
 		DefaultDeadline: s.Entry.DefaultDeadline,
 		Tracer:          p.tracer,
--- /dev/null
+++ b/daemon/process/export_test.go
@@ -0,0 +1,7 @@
+package process
+
+// For tests.
+var (
+	CallerLimits = callerLimits
+	BodyBudget   = bodyBudget
+)
--- a/daemon/process/limits.go
+++ b/daemon/process/limits.go
@@ -6,10 +6,16 @@
 
 	"chivespindle.example/adapters/settings"
 	"chivespindle.example/core/connlimit"
+	"chivespindle.example/core/memlimit"
 )
 
-// headShare is the share of the memory limit for request heads.
-const headShare = 0.1
+const (
+	// headShare is the share of the memory limit for request heads.
+	headShare = 0.1
+	// bodyMultiple is how many of the largest bodies fit into the memory limit that the budget
+	// of bodies is computed from, at least.
+	bodyMultiple = 2 / memlimit.Share
+)
 
 // callerLimits returns the bounds on what callers use together. openFiles is the number of
 // files and sockets that the process may have open, 0 for no limit.
@@ -26,6 +32,11 @@
 	}
 }
 
+// bodyBudget returns the memory for bodies of requests.
+func bodyBudget(s *settings.Settings) *memlimit.Budget {
+	return memlimit.New(max(s.Limits.MemoryLimit, int64(math.Ceil(bodyMultiple*float64(s.Entry.MaxBody)))))
+}
+
 // openFileLimit returns the number of files and sockets that this process may have open, 0 if
 // that is unknown.
 func openFileLimit() int {
