admission: bound the workspaces without a limit that are measured

A caller that makes up a workspace for each request had the entry keep a record of each for half a minute, with a name of up to 1 MB, and report all of them to up to 32 other entries every second. Beyond 1 MB such a report is not sent, so that the shares of all workspaces fell back to equal parts. The spec counted 6 MB of names for 10,000 requests.

Demand without a limit is only measured for a limit that may come. 1,024 such workspaces with names of up to 256 bytes are enough for that; the requests of others are admitted as before, and workspaces with a limit always have a record.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -54,6 +54,7 @@
 
 	mu      sync.Mutex
 	buckets map[fleet.Workspace]*bucket
+	shares  int // number of buckets of workspaces with a share
 }
 
 // bucket is the token bucket and the measured demand of one workspace.
@@ -97,6 +98,7 @@
 		}
 		b.limited = named
 	}
+	l.shares = len(shares)
 	for name, rate := range shares {
 		b := l.buckets[name]
 		if b == nil {
@@ -122,6 +124,14 @@
 	}
 }
 
+// Callers choose the names of workspaces. The demand of those without a share, which may get
+// one later, is measured within these bounds: a report of the demand must fit into a message to
+// another entry.
+const (
+	maxUnshared  = 1024
+	maxNameBytes = 256
+)
+
 // negligible is the demand, in requests per second, below which a workspace is dropped.
 const negligible = 0.001
 
@@ -132,6 +142,9 @@
 	defer l.mu.Unlock()
 	b := l.buckets[workspace]
 	if b == nil {
+		if len(workspace) > maxNameBytes || len(l.buckets)-l.shares >= maxUnshared {
+			return true, 0
+		}
 		b = &bucket{lastSeen: now}
 		l.buckets[workspace] = b
 	}
--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,6 +198,36 @@
 		Expect(pause).To(BeNumerically("<=", 90*time.Second))
 	})
 
+	// Guards against callers that make up workspaces, which take the memory of the entry and make
+	// its reports of demand too long to be sent.
+	It("measures the demand of a bounded number of workspaces without a limit", func() {
+		l := admission.NewLimiter(admission.LimiterOptions{Rand: newRand(1)})
+		l.SetShares(start, map[fleet.Workspace]float64{workshop: 1})
+		long := strings.Repeat("x", 60<<10)
+		for n := range 10_000 {
+			name := fmt.Sprint(n)
+			if n%100 == 0 {
+				name = long + name
+			}
+			ok, _ := l.Allow(start, fleet.Workspace(name))
+			Expect(ok).To(BeTrue())
+		}
+		size := 0
+		for name := range l.Demand(start) {
+			size += len(name)
+		}
+		Expect(size).To(BeNumerically("<", 512<<10), "a message of a peer has at most 1 MB")
+		Expect(len(l.Demand(start))).To(BeNumerically("<", 2000))
+		const other = "workshop-8"
+		l.SetShares(start, map[fleet.Workspace]float64{workshop: 1, other: 1})
+		for _, name := range []fleet.Workspace{workshop, other} {
+			ok, _ := l.Allow(start, name)
+			Expect(ok).To(BeTrue())
+			ok, _ = l.Allow(start, name)
+			Expect(ok).To(BeFalse(), "a workspace with a limit has its own count")
+		}
+	})
+
 	It("admits a workspace without a limit and drops it when it is idle", func() {
 		l := admission.NewLimiter(admission.LimiterOptions{Rand: newRand(1)})
 		for range 1000 {
