callerhttp: bound the names of callers in log lines

Each request is logged with its service and workspace, which a caller could make as long as a head may be: 64 KB of log for each request. No configuration has names of more than 63 bytes, so a longer workspace is shortened in the log, and a longer service is refused as unknown without a line.

--- a/adapters/callerhttp/bounds_test.go
+++ b/adapters/callerhttp/bounds_test.go
@@ -9,12 +9,16 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"chivespindle.example/adapters/callerhttp"
 	"chivespindle.example/adapters/callerhttp/callerhttptest"
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/connlimit"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/fleettext"
 	"chivespindle.example/core/memlimit"
 )
 
@@ -83,3 +87,15 @@
 	request := "GET /v1/addresses HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("x", longHeadSize)
 	expectGolden("431", exchangeRaw(addr, request))
 })
+
+// Guards against a log that grows by the size of each request's head.
+var _ = It("The names that a caller makes up are shortened in logs", func() {
+	core, logs := observer.New(zap.InfoLevel)
+	addr := callerhttptest.ServeWith(callerhttptest.Respond(200, fleet.Version{}, nil), callerhttptest.AddressBook{}, tally.NoopScope, zap.New(core))
+	long := strings.Repeat("x", 10<<10)
+	_ = exchangeRaw(addr, strings.Replace(small, "Host: x", "Host: x\r\nChivespindle-Workspace: "+long, 1))
+	Eventually(logs.Len, callerhttptest.WaitTimeout).Should(Equal(1))
+	Expect(len(logs.All()[0].ContextMap()["workspace"].(string))).To(Equal(fleettext.MaxNameBytes))
+	expectGolden("404-long-name", exchangeRaw(addr, strings.Replace(small, "workshop-api", long, 1)))
+	Expect(logs.Len()).To(Equal(1))
+})
--- a/adapters/callerhttp/request.go
+++ b/adapters/callerhttp/request.go
@@ -15,6 +15,7 @@
 	"chivespindle.example/core/calls"
 	"chivespindle.example/core/failure"
 	"chivespindle.example/core/fleet"
+	"chivespindle.example/core/fleettext"
 	"chivespindle.example/core/memlimit"
 )
 
@@ -87,7 +88,7 @@
 	fields := []zap.Field{
 		zap.String("request_id", req.ID),
 		zap.String("service", string(req.Service)),
-		zap.String("workspace", string(req.Workspace)),
+		zap.String("workspace", loggedName(string(req.Workspace))),
 		zap.Duration("took", time.Since(startTime)),
 	}
 	if err != nil {
@@ -99,6 +100,10 @@
 	s.opts.Logger.Info("request_answered", fields...)
 }
 
+// loggedName returns a name that a caller has chosen as it is logged: a longer one than any in
+// the configuration is shortened.
+func loggedName(name string) string { return name[:min(len(name), fleettext.MaxNameBytes)] }
+
 // parse reads a request with its body, which is counted in hold.
 func (s *Server) parse(w http.ResponseWriter, r *http.Request, id string, hold *memlimit.Hold) (calls.Request, error) {
 	req, timeout, err := s.parseHead(r, id)
@@ -125,6 +130,9 @@
 		IdempotencyKey: r.Header.Get(HeaderKey),
 		PrefixKey:      PrefixKey(r.Header.Get(HeaderPrefix)),
 	}
+	if len(req.Service) > fleettext.MaxNameBytes {
+		return req, 0, failure.WithOutcome(calls.UnknownService.New("no service has a name of %d bytes", len(req.Service)), failure.NotRun)
+	}
 	if len(req.IdempotencyKey) > maxKeyBytes {
 		return req, 0, badRequest("%s is longer than %d bytes", HeaderKey, maxKeyBytes)
 	}
