--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 # Packages that are tested after all others, one at a time: they measure the memory and the
 # descriptors of processes that hundreds of clients use at once.
-ALONE := ./platform/hostileclients
+ALONE := ./platform/hostileclients ./platform/hostilepeers ./cmd/hostileclients
 
 empty :=
 comma := ,
--- a/daemon/gateway/slowcaller_test.go
+++ b/daemon/gateway/slowcaller_test.go
@@ -40,10 +40,10 @@
 	return eventstream.Event{ID: r.events, Raw: []byte("id\n\n")}, nil
 }
 
-// stalledCaller is a caller that reads nothing until long after its deadline.
-type stalledCaller struct{ refusalRecorder }
+// unresponsiveCaller is a caller that reads nothing until long after its deadline.
+type unresponsiveCaller struct{ refusalRecorder }
 
-func (stalledCaller) Write([]byte) error {
+func (unresponsiveCaller) Write([]byte) error {
 	<-time.After(time.Minute)
 	return nil
 }
@@ -61,7 +61,7 @@
 		g.adopt(time.Now(), s, fromPlatform)
 		g.publish(time.Now())
 		g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: time.Now(), LastEvent: -1},
-			stalledCaller{make(refusalRecorder, 1)})
+			unresponsiveCaller{make(refusalRecorder, 1)})
 		chosen := 0
 		for range 50 {
 			a, _ := g.balancer.Choose(time.Now(), placement.Request{Service: "pool", TimeLeft: time.Second})
