Add specs of what clients hold beyond the bounds

Guard against heads and trailers that net/http's buffers hide from the count, refusals that are lost or delayed since a body is not read, uploads that give way to idle connections, and places and memory of heads that few clients hold for as long as they like.

--- /dev/null
+++ b/adapters/boundedhttp/review_test.go
@@ -0,0 +1,171 @@
+package boundedhttp_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"chivespindle.example/adapters/boundedhttp"
+	"chivespindle.example/core/connlimit"
+)
+
+// serveWith starts a server with a handler and returns its address.
+func serveWith(opts boundedhttp.Options, handler http.HandlerFunc) string {
+	opts.Port, opts.Logger, opts.Metrics, opts.Handler = "test", zap.NewNop(), tally.NoopScope, handler
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = hangGuard
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := boundedhttp.New(opts)
+	go func() { defer GinkgoRecover(); Expect(server.Serve(l)).To(MatchError(http.ErrServerClosed)) }()
+	DeferCleanup(func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+func dialTo(addr string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() })
+	Expect(c.SetDeadline(time.Now().Add(hangGuard))).To(Succeed())
+	return c
+}
+
+func respond(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+}
+
+// heapOfRequests returns the size of the heap while requests with trailers are being served.
+func heapOfRequests(n int, trailers string) int64 {
+	received, release := make(chan struct{}), make(chan struct{})
+	addr := serveWith(boundedhttp.Options{}, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		received <- struct{}{}
+		<-release
+	})
+	for range n {
+		_, err := io.WriteString(dialTo(addr), "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"+trailers+"\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(received, hangGuard).Should(Receive())
+	}
+	defer close(release)
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+var _ = Describe("Bounds that net/http's buffers bypass", func() {
+	limits := connlimit.Limits{HeadBytes: 10 << 10}
+	manyFields := strings.Repeat("a:\n", 1000)
+
+	// Guards against heads that arrive with an earlier request and are not counted.
+	It("counts a head that is read together with an earlier request", func() {
+		s := serve(boundedhttp.Options{Limits: limits})
+		c := s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n" + manyFields + "\r\n")
+		in := bufio.NewReader(c)
+		first, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.StatusCode).To(Equal(http.StatusOK))
+		_, err = io.Copy(io.Discard, first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	// Guards against trailers that are kept while a request is served and are not counted.
+	It("keeps little of the trailers of requests", func() {
+		const requests, perRequest = 32, 16 << 10
+		var trailers strings.Builder
+		for i := range 400 {
+			_, _ = fmt.Fprintf(&trailers, "a%x:\r\n", i)
+		}
+		with, without := heapOfRequests(requests, trailers.String()), heapOfRequests(requests, "")
+		Expect(with - without).To(BeNumerically("<", requests*perRequest))
+	})
+
+	// Guards against a refusal that is lost since the close with unread bytes resets the connection.
+	It("lets the client read the response to a request whose body is not read", func() {
+		arrived := make(chan struct{})
+		addr := serveWith(boundedhttp.Options{}, func(w http.ResponseWriter, _ *http.Request) {
+			<-arrived
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		c := dialTo(addr)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Write(make([]byte, 12<<10)) // less than the receive buffer
+		Expect(err).NotTo(HaveOccurred())
+		close(arrived)
+		in := bufio.NewReader(c)
+		response, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		_, err = in.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	// Guards against a client that waits for "100 Continue" and gets no response until the body's timeout.
+	It("responds at once to a client that waits before it sends the body", func() {
+		addr := serveWith(boundedhttp.Options{BodyTimeout: 3 * hangGuard}, respond(http.StatusServiceUnavailable))
+		c := dialTo(addr)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status(c)).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	// Guards against responses that are not read and take the kernel's memory.
+	It("bounds what a client that reads nothing makes the kernel hold", func() {
+		var written atomic.Int64
+		ended := make(chan struct{})
+		addr := serveWith(boundedhttp.Options{}, func(w http.ResponseWriter, _ *http.Request) {
+			defer close(ended)
+			for {
+				n, err := w.Write(make([]byte, 4<<10))
+				if err != nil {
+					return
+				}
+				written.Add(int64(n))
+			}
+		})
+		l, err := net.Dial("tcp", addr)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = l.Close() })
+		Expect(l.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+		_, err = io.WriteString(l, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(ended, 3*hangGuard).Should(BeClosed())
+		Expect(written.Load()).To(BeNumerically("<=", 256<<10))
+	})
+
+	// Guards against idle clients whose newcomers close the upload of an ordinary client.
+	It("closes an idle connection before one whose body arrives steadily", func() {
+		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 8, Requests: 6}})
+		for range 7 {
+			Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+		}
+		upload := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
+		sent := 0
+		for began := time.Now(); time.Since(began) < 1200*time.Millisecond; sent++ {
+			_, err := upload.Write([]byte("a"))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(20 * time.Millisecond) // the pace of the body
+		}
+		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+		_, err := io.WriteString(upload, strings.Repeat("a", 100-sent))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status(upload)).To(Equal(http.StatusOK))
+	})
+})
