connlimit: let unread refusals give way to new connections

A client whose requests are refused at the bound and that reads no refusal held its place until the write timed out, since only connections with an accepted request could be stalled. Together with requests that run, such clients left no place for a new connection.

A refusal that is not read now counts as stalled for a new connection; at the bound on requests it doesn't, since it has no place there. The spec failed before and passes.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -138,17 +138,17 @@
 	if oldest != nil {
 		return oldest, Unfinished
 	}
-	return t.stalled(now), Stalled
+	return t.stalled(now, false), Stalled
 }
 
 // stalled returns the connection whose client has accepted nothing of a response for longest,
-// nil if there is none.
-func (t *Table) stalled(now time.Time) *Conn {
+// nil if there is none. If onlyAccepted is true, the responses to refused requests don't count.
+func (t *Table) stalled(now time.Time, onlyAccepted bool) *Conn {
 	var longest *Conn
 	since := now.Add(-minStall).UnixNano()
 	for e := t.serving.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*Conn)
-		if started := c.writingSince.Load(); c.accepted && started != 0 && started <= since {
+		if started := c.writingSince.Load(); (c.accepted || !onlyAccepted) && started != 0 && started <= since {
 			longest, since = c, started
 		}
 	}
@@ -233,7 +233,7 @@
 	}
 	c.enter(serving, now)
 	if t.limits.Requests > 0 && t.requests >= t.limits.Requests {
-		if evicted = t.stalled(now); evicted == nil {
+		if evicted = t.stalled(now, true); evicted == nil {
 			return nil, false
 		}
 		evicted.remove()
