boundedhttp: keep net/http's handling of unread bodies

The wrapper around a request's body replaced the one that net/http looks at. For a body that the handler doesn't read, net/http then waited for up to 256 KB of it until the body's timeout, also from a client that waits for 100 Continue, and closed the connection at once, which resets it while bytes are unread.

The handler now gets a copy of the request. Two specs ran into their 10 s guard before and pass.

--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -143,7 +143,11 @@
 	} else {
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(s.opts.BodyTimeout)) // fails only on a closed connection
-		r.Body = &boundedBody{ReadCloser: r.Body, control: control, large: s.largeBody(r)}
+		// A copy, since net/http decides by the type of the original's body whether it waits for
+		// the client to read the response, and whether it reads what the handler did not.
+		body := &boundedBody{ReadCloser: r.Body, control: control, large: s.largeBody(r)}
+		r = r.WithContext(r.Context())
+		r.Body = body
 	}
 	s.opts.Handler.ServeHTTP(w, r)
 }
