boundedhttp: count heads that arrive with an earlier request

What net/http's buffer of 4 KB holds beyond a request, up to a thousand fields of the next one, was parsed without being counted, so pipelining clients exceeded the memory of heads.

The fields that were not counted line by line are counted before the request is handled; one that doesn't fit is refused as not run.

--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -46,6 +46,8 @@
 	phase  phase
 	// headBytes is the number of bytes that were read for the current head.
 	headBytes int
+	// headLines is the number of its lines that were counted.
+	headLines int
 	// accepted is the result of accept for the current request.
 	accepted, hasAccepted bool
 	// isEnlarged is true if the receive buffer was enlarged for the body of the current request.
@@ -72,7 +74,9 @@
 		return n, err
 	}
 	c.headBytes += n
-	if !c.entry.ReceiveHead(time.Now(), n, countLines(p[:n])) {
+	lines := countLines(p[:n])
+	c.headLines += lines
+	if !c.entry.ReceiveHead(time.Now(), n, lines) {
 		c.server.countRefused(connlimit.HeadMemory)
 		return 0, c.refuseHead(http.StatusServiceUnavailable)
 	}
@@ -214,6 +218,17 @@
 	}
 }
 
+// countBuffered counts the fields of a head that net/http read together with an earlier request.
+// Its bytes are in net/http's buffer, which is part of what a connection counts. It returns false
+// if the request must be refused.
+func (c *conn) countBuffered(header http.Header) bool {
+	fields := -c.headLines
+	for _, values := range header {
+		fields += len(values)
+	}
+	return !c.isReused || fields <= 0 || c.entry.ReceiveHead(time.Now(), 0, fields)
+}
+
 // accept records that the current request has been received and reports whether it may be
 // served.
 func (c *conn) accept(now time.Time) bool {
@@ -229,7 +244,7 @@
 // await prepares for the next head.
 func (c *conn) await(p phase) {
 	c.phase = p
-	c.headBytes = 0
+	c.headBytes, c.headLines = 0, 0
 	if c.isEnlarged.Load() { // the body of the last request may not have been read whole
 		c.shrinkBuffer()
 		c.releaseBuffer()
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -138,6 +138,13 @@
 
 // serve calls the handler with a bound on the time for the body.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.countBuffered(r.Header) {
+		s.countRefused(connlimit.HeadMemory)
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", retryAfterText)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.ContentLength == 0 {
 		Accept(r)
 	} else {
@@ -268,10 +275,12 @@
 		zap.Int("idle", usage.Idle), zap.Int("requests", usage.Requests), zap.Int64("head_bytes", usage.HeadBytes))
 }
 
+var retryAfterText = strconv.FormatFloat(RetryAfter.Seconds(), 'f', 2, 64)
+
 // refusal returns the response to a request whose head is not complete.
 func (s *Server) refusal(status int) string {
 	if status == http.StatusServiceUnavailable {
-		return refusal(status, "Retry-After: "+strconv.FormatFloat(RetryAfter.Seconds(), 'f', 2, 64))
+		return refusal(status, "Retry-After: "+retryAfterText)
 	}
 	return refusal(status)
 }
