--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -179,8 +179,9 @@
 		c.enter(unfinished, now)
 	}
 	if c.state != unfinished {
+		isServing := c.state == serving
 		t.mu.Unlock()
-		return c.state == serving
+		return isServing
 	}
 	before := c.excess()
 	c.cost += headCost(bytes, fields)
