connlimit: let uploads that make progress keep their connections

A request whose body arrived for over a second counted as stale, so any newcomer at the bound on connections closed it, though idle connections were left: an ordinary upload over a slow link was lost. An unfinished request is now stale after a second without progress. Slow clients can't use that to hold all places: beyond a quarter of the connections, the oldest unfinished one gives way as before.

--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -62,7 +62,7 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.phase == serves {
-		return c.TCPConn.Read(p)
+		return c.readBody(p)
 	}
 	// net/http asks for more only if the head is not complete yet.
 	if c.headBytes > c.server.clientLimits().HeadBytes {
@@ -83,6 +83,16 @@
 	return n, err
 }
 
+// readBody reads a part of the body of the current request, or what follows it.
+func (c *conn) readBody(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	// net/http reads a single byte while it waits for the client to close the connection.
+	if n > 0 && len(p) > 1 {
+		c.entry.ReceiveBody(time.Now())
+	}
+	return n, err
+}
+
 // countLines returns the number of lines of the head in p, which may end with a part of the
 // body.
 func countLines(p []byte) int {
--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -15,11 +15,11 @@
 )
 
 const (
-	// minUnfinishedAge is the age from which an unfinished request gives way before idle
-	// connections, which a client may be about to use again.
+	// minUnfinishedAge is the time without progress from which an unfinished request gives way
+	// before idle connections, which a client may be about to use again.
 	minUnfinishedAge = time.Second
-	// unfinishedDivisor bounds the unfinished requests that are younger: beyond this part of
-	// all connections the oldest gives way as well.
+	// unfinishedDivisor bounds the unfinished requests that make progress, which slow clients
+	// hold for long: beyond this part of all connections the oldest gives way as well.
 	unfinishedDivisor = 4
 	// minStall is how long a client must have accepted nothing of its response to give way.
 	minStall = 2 * time.Second
@@ -79,6 +79,8 @@
 	onEvict func(Cause)
 	state   state
 	since   time.Time // when it entered its state
+	// progressAt is when a part of the current request was received last.
+	progressAt time.Time
 	place   *list.Element
 	large   *list.Element
 	// cost is the memory of the current head; what is beyond HeadAllowance is counted in
@@ -130,9 +132,15 @@
 // victim returns the connection that gives way to a new one, nil if there is none.
 func (t *Table) victim(now time.Time) (*Conn, Cause) {
 	oldest := first(&t.unfinished)
-	isStale := oldest != nil &&
-		(now.Sub(oldest.since) >= minUnfinishedAge || t.unfinished.Len() > t.limits.Connections/unfinishedDivisor)
-	if reusable := first(&t.idle); reusable != nil && !isStale {
+	if t.unfinished.Len() > t.limits.Connections/unfinishedDivisor {
+		return oldest, Unfinished
+	}
+	for e := t.unfinished.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*Conn); now.Sub(c.progressAt) >= minUnfinishedAge {
+			return c, Unfinished
+		}
+	}
+	if reusable := first(&t.idle); reusable != nil {
 		return reusable, Idle
 	}
 	if oldest != nil {
@@ -178,6 +186,7 @@
 	if c.state == idle {
 		c.enter(unfinished, now)
 	}
+	c.progressAt = now
 	if c.state != unfinished {
 		isServing := c.state == serving
 		t.mu.Unlock()
@@ -197,6 +206,13 @@
 	return fits
 }
 
+// ReceiveBody records the receipt of a part of a body.
+func (c *Conn) ReceiveBody(now time.Time) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.progressAt = now
+}
+
 // makeRoom evicts unfinished large heads, the oldest first, until all heads fit. It returns
 // false if that would evict c.
 func (c *Conn) makeRoom() (evicted []*Conn, fits bool) {
@@ -284,7 +300,7 @@
 
 func (c *Conn) enter(s state, now time.Time) {
 	c.leave()
-	c.state, c.since = s, now
+	c.state, c.since, c.progressAt = s, now, now
 	switch s {
 	case unfinished:
 		c.place = c.table.unfinished.PushBack(c)
