connlimit: leave room for heads beside those of running requests

A few requests with heads of thousands of fields that wait at a server took the whole memory of heads for as long as their routes allow: a head of 10 KB was refused meanwhile, though it is inside the operator's limit. A head may now take half of what the others leave, so large ones run out first.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -81,8 +81,8 @@
 	since   time.Time // when it entered its state
 	// progressAt is when a part of the current request was received last.
 	progressAt time.Time
-	place   *list.Element
-	large   *list.Element
+	place      *list.Element
+	large      *list.Element
 	// cost is the memory of the current head; what is beyond HeadAllowance is counted in
 	// Table.headBytes.
 	cost     int64
@@ -213,11 +213,12 @@
 	c.progressAt = now
 }
 
-// makeRoom evicts unfinished large heads, the oldest first, until all heads fit. It returns
-// false if that would evict c.
+// makeRoom evicts unfinished large heads, the oldest first, until the head of c takes at most
+// half of what the others leave, so that a few large heads leave room for smaller ones. It
+// returns false if that would evict c.
 func (c *Conn) makeRoom() (evicted []*Conn, fits bool) {
 	t := c.table
-	for t.limits.HeadBytes > 0 && c.large != nil && t.headBytes > t.limits.HeadBytes {
+	for t.limits.HeadBytes > 0 && c.large != nil && t.headBytes+c.excess() > t.limits.HeadBytes {
 		oldest := first(&t.large)
 		if oldest == c {
 			return evicted, false
