connlimit: let slow readers give way when nothing else can

At a port without a bound on requests, clients that accept a little of their responses now and then held all connections for good, and every new one was closed at once. If no other connection can give way, the one whose client has been reading its response for longest does after 30 s.

--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -23,6 +23,9 @@
 	unfinishedDivisor = 4
 	// minStall is how long a client must have accepted nothing of its response to give way.
 	minStall = 2 * time.Second
+	// maxSlowRead is how long a client may read its response slowly while no other connection
+	// can give way.
+	maxSlowRead = 30 * time.Second
 )
 
 // Cause is why a connection was closed or a request was refused.
@@ -34,7 +37,7 @@
 	// Idle: a newer connection needed the place of one without a request.
 	Idle Cause = "idle"
 	// Stalled: another connection or request needed the place of one whose client accepted
-	// nothing of its response.
+	// nothing of its response, or read it slowly.
 	Stalled Cause = "stalled"
 	// HeadMemory: the heads of all clients together exceeded their memory.
 	HeadMemory Cause = "head_memory"
@@ -146,7 +149,25 @@
 	if oldest != nil {
 		return oldest, Unfinished
 	}
-	return t.stalled(now, false), Stalled
+	if stalled := t.stalled(now, false); stalled != nil {
+		return stalled, Stalled
+	}
+	return t.slowest(now), Stalled
+}
+
+// slowest returns the connection whose client has been reading a response for longest, nil if
+// none has for maxSlowRead.
+func (t *Table) slowest(now time.Time) *Conn {
+	for e := t.serving.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*Conn)
+		if now.Sub(c.since) < maxSlowRead {
+			return nil
+		}
+		if c.writingSince.Load() != 0 {
+			return c
+		}
+	}
+	return nil
 }
 
 // stalled returns the connection whose client has accepted nothing of a response for longest,
