boundedhttp: bound what the kernel holds of unread responses

A client that reads nothing of a long response made the kernel hold 3.9 MB for its connection, as its send buffer grew. The buffer is 64 KB now. The pace of a body in another spec is a ticker's.

--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -158,10 +158,12 @@
 		}
 		upload := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
 		sent := 0
+		ticker := time.NewTicker(20 * time.Millisecond) // the pace of the body
+		defer ticker.Stop()
 		for began := time.Now(); time.Since(began) < 1200*time.Millisecond; sent++ {
 			_, err := upload.Write([]byte("a"))
 			Expect(err).NotTo(HaveOccurred())
-			time.Sleep(20 * time.Millisecond) // the pace of the body
+			<-ticker.C
 		}
 		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
 		_, err := io.WriteString(upload, strings.Repeat("a", 100-sent))
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -44,6 +44,8 @@
 	receiveBufferBytes = 16 << 10
 	bodyBufferBytes    = 128 << 10
 	enlargedDivisor    = 16
+	// sendBufferBytes bounds what the kernel holds of a response that the client doesn't read.
+	sendBufferBytes = 64 << 10
 	// logInterval is the least time between two log lines of a port.
 	logInterval = 10 * time.Second
 )
@@ -235,6 +237,8 @@
 			return nil, err
 		}
 		c := &conn{TCPConn: accepted.(*net.TCPConn), server: l.server}
+		// Unlike the receive buffer, it is not inherited from the listener. Fails only on a closed connection.
+		_ = c.SetWriteBuffer(sendBufferBytes)
 		if c.entry = l.server.table.Open(time.Now(), c.evict); c.entry != nil {
 			return c, nil
 		}
