gateway: don't blame a server that closes on a large head

Servers bound the heads that they read, and some close the connection of a longer one without a response. The entry forwards heads up to its own bound, a quarter longer if their fields are short, and counted each close as a failure of the server: two requests of one client took a server out of use, up to half of those of a service.

If a connection breaks after a head of more than 4 KiB, several times that of ordinary requests, and the server's process lives, the attempt now says nothing about the server. A process that has ended is still found and counted.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -63,6 +63,10 @@
 // refusal takes a round trip, unlike a connection attempt that times out.
 var Refused = failure.Unavailable.NewSubtype("connection_refused")
 
+// LargeHead is the type of the error of a request with a large head whose connection broke.
+// Servers bound the heads that they read, and some close the connection of a longer one.
+var LargeHead = failure.Unavailable.NewSubtype("request_head_large")
+
 // Pool is a pool of connections to servers. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -85,6 +85,9 @@
 		assignment.End(now, placement.Failed)
 	case errorx.IsOfType(err, exchange.Refused):
 		assignment.End(now, placement.Refused)
+	case errorx.IsOfType(err, exchange.LargeHead):
+		broken = j.recordBrokenAttempt(ctx, assignment.Server, err)
+		assignment.End(now, resultOfLargeHead(broken))
 	default:
 		assignment.End(now, placement.Broken)
 		broken = j.recordBrokenAttempt(ctx, assignment.Server, err)
--- a/daemon/gateway/rejected.go
+++ b/daemon/gateway/rejected.go
@@ -29,3 +29,12 @@
 	j.forward(response, body)
 	return false
 }
+
+// resultOfLargeHead returns the result of an attempt whose connection broke after a large head.
+// That a server closes it says nothing about the server, unless its process has ended.
+func resultOfLargeHead(b *brokenAttempt) placement.Result {
+	if b != nil && b.server == Alive {
+		return placement.Abandoned
+	}
+	return placement.Broken
+}
