peer: leave places of an address to handshakes that prove it

Once a quarter of the places is in use, a handshake has to answer a QUIC Retry, which costs a round trip and which only the address itself gets. Without it the spec's peer is refused.

--- a/adapters/peer/handshake.go
+++ b/adapters/peer/handshake.go
@@ -25,6 +25,8 @@
 	// next to nothing.
 	unverifiedPerSecond = 200
 	unverifiedBurst     = 200
+	// One in unverifiedPart of an address's places may be used without such proof.
+	unverifiedPart = 4
 )
 
 // handshakeLimiter bounds the pending handshakes of peers, and the connections of one
@@ -63,8 +65,18 @@
 
 type handshakeKey struct{}
 
-// verifySource requests a Retry while handshakes arrive faster than the limit.
-func (g *handshakeLimiter) verifySource(net.Addr) bool { return !g.unverified.Allow() }
+// verifySource requests a Retry while handshakes arrive faster than the limit, and from an
+// address that has a share of its places in use. Otherwise a client that forges the address
+// of a peer could use up the places of that peer.
+func (g *handshakeLimiter) verifySource(from net.Addr) bool {
+	return !g.unverified.Allow() || g.isMuchUsed(addrPortOf(from).Addr())
+}
+
+func (g *handshakeLimiter) isMuchUsed(addr netip.Addr) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pendingByAddr[addr] >= maxHandshakesPerAddress/unverifiedPart || g.openByAddr[addr] >= max(1, g.maxPerAddress/unverifiedPart)
+}
 
 // admit is called for each new connection, before any processor time is spent
 // on it.
--- a/adapters/peer/limits_test.go
+++ b/adapters/peer/limits_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"crypto/tls"
 	"encoding/binary"
+	"net"
+	"sync"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -42,6 +45,17 @@
 	return conn
 }
 
+// deafSocket sends datagrams and drops those that it receives.
+type deafSocket struct{ net.PacketConn }
+
+func (s deafSocket) ReadFrom(p []byte) (int, net.Addr, error) {
+	for {
+		if _, _, err := s.PacketConn.ReadFrom(p); err != nil {
+			return 0, nil, err
+		}
+	}
+}
+
 // sendUnfinished opens a stream and sends a message without its last byte.
 func sendUnfinished(conn *quic.Conn, length int) *quic.Stream {
 	ginkgo.GinkgoHelper()
@@ -74,6 +88,30 @@
 		}, waitTimeout).Should(gomega.Equal("three"))
 	})
 
+	// Guards against a client that keeps a peer out by handshakes that it begins in the
+	// peer's name: it doesn't get the responses, so it cannot continue them.
+	ginkgo.It("leave places of an address to handshakes that prove it", func() {
+		const begun = 20
+		p := newPair(echo, func(server, _ *peer.Options) { server.MaxAcceptedPerAddress = 8 })
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		transport := &quic.Transport{Conn: deafSocket{socket}}
+		var dials sync.WaitGroup
+		for range begun {
+			dials.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+				defer cancel()
+				_, _ = transport.Dial(ctx, net.UDPAddrFromAddrPort(p.server.Addr()), &tls.Config{
+					InsecureSkipVerify: true, NextProtos: []string{keys.Protocol},
+				}, nil)
+			})
+		}
+		dials.Wait()
+		gomega.Expect(roundTrip(p.client, p.server.Addr(), peer.KindGossip, "mine")).To(gomega.Equal("mine"))
+		_ = transport.Close()
+		_ = socket.Close()
+	})
+
 	// Guards against many machines that take the memory of the endpoint with connections.
 	ginkgo.It("close an unused connection for a new one, and refuse the new one if all are used", func() {
 		p := newPair(echo, func(server, _ *peer.Options) { server.MaxAccepted = 1 })
