opshttp: bound the pages that are sent at a time

Each client that asks for the status has the whole page held twice until it has read it, and that of a fleet of thousands of instances takes megabytes. 64 such clients could take more than the process has. Eight pages are composed and sent at a time now; one more is refused with 503. Probes and the index are answered beside them.

--- a/adapters/opshttp/opshttp.go
+++ b/adapters/opshttp/opshttp.go
@@ -30,7 +30,10 @@
 	maxConnections = 64
 	maxRequests    = 48
 	// maxHeadMemory bounds the memory of all request heads, beyond a few kilobytes for each.
-	maxHeadMemory     = 2 << 20
+	maxHeadMemory = 2 << 20
+	// maxPages is the number of pages that are composed and sent at a time, apart from those of
+	// probes. The status of a large fleet takes megabytes for each client until it is sent.
+	maxPages          = 8
 	maxHeaderBytes    = 16 << 10
 	maxBodyBytes      = 64 << 10
 	readHeaderTimeout = 5 * time.Second
@@ -171,15 +174,16 @@
 
 // newMux returns the request multiplexer of the port.
 func newMux(opts Options) (*http.ServeMux, error) {
+	pages := make(chan struct{}, maxPages)
 	routes := map[string]http.Handler{
 		"GET /healthz": http.HandlerFunc(serveHealth),
 		"GET /readyz":  withTimeout(serveReady(opts.Ready)),
 	}
 	if opts.Metrics != nil {
-		routes["GET /metrics"] = opts.Metrics
+		routes["GET /metrics"] = limited(pages, opts.Metrics)
 	}
 	if opts.Status != nil {
-		routes["GET /status"] = withTimeout(serveStatus(opts.Status, opts.Logger))
+		routes["GET /status"] = limited(pages, withTimeout(serveStatus(opts.Status, opts.Logger)))
 	}
 	mux := http.NewServeMux()
 	patterns := slices.Sorted(maps.Keys(routes))
@@ -187,7 +191,7 @@
 		mux.Handle(pattern, routes[pattern])
 	}
 	for _, pattern := range slices.Sorted(maps.Keys(opts.Extra)) {
-		if err := register(mux, pattern, opts.Extra[pattern]); err != nil {
+		if err := register(mux, pattern, limited(pages, opts.Extra[pattern])); err != nil {
 			return nil, err
 		}
 		patterns = append(patterns, pattern)
@@ -208,6 +212,21 @@
 	return nil
 }
 
+// limited responds with 503 while as many pages are being sent as places has room for.
+func limited(places chan struct{}, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case places <- struct{}{}:
+		default:
+			w.Header().Set("Retry-After", "1")
+			writeText(w, http.StatusServiceUnavailable, "too many pages are being sent\n")
+			return
+		}
+		defer func() { <-places }()
+		handler.ServeHTTP(w, r)
+	})
+}
+
 func withTimeout(handler http.HandlerFunc) http.Handler {
 	return http.TimeoutHandler(handler, responseTimeout, "no answer from the process in time\n")
 }
--- a/adapters/opshttp/opshttp_test.go
+++ b/adapters/opshttp/opshttp_test.go
@@ -104,6 +104,36 @@
 		Expect(<-failed).To(BeAssignableToTypeOf(tooLarge))
 	})
 
+	// Guards against pages of several megabytes that are held for clients which don't read them.
+	It("sends a bounded number of pages at a time, and probes besides them", func() {
+		const clients = 20
+		running := make(chan struct{}, clients)
+		end := make(chan struct{})
+		base := start(opshttp.Options{Metrics: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			running <- struct{}{}
+			<-end
+		})})
+		statuses := make(chan int, clients)
+		for range clients {
+			go func() {
+				defer GinkgoRecover()
+				status, _ := request("GET", base+"/metrics", nil)
+				statuses <- status
+			}()
+		}
+		const pages = 8
+		for range clients - pages {
+			Eventually(statuses, "5s").Should(Receive(Equal(http.StatusServiceUnavailable)))
+		}
+		Expect(running).To(HaveLen(pages))
+		status, _ := request("GET", base+"/healthz", nil)
+		Expect(status).To(Equal(http.StatusOK))
+		close(end)
+		for range pages {
+			Eventually(statuses, "5s").Should(Receive(Equal(http.StatusOK)))
+		}
+	})
+
 	// A process is stopped while an operator reads a page. The response in progress
 	// must be sent completely before Run returns.
 	It("completes a response before it stops", func() {
