--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -13,7 +13,6 @@
 	"log"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,8 +33,9 @@
 const (
 	// maxHeadBytes is the bound of net/http, above those that a configuration may set.
 	maxHeadBytes = 16 << 20
-	// RetryAfter is the Retry-After of refused requests.
-	RetryAfter = 500 * time.Millisecond
+	// retryAfter is the Retry-After of requests that are refused before a handler is called, in
+	// seconds.
+	retryAfter = "1"
 	// receiveBufferBytes bounds what the kernel holds of the bytes that a client has sent and
 	// that are not read, since its request is being served. bodyBufferBytes is the bound while
 	// a larger body is read: with the other one, a link with a delay could not be used fully.
@@ -143,7 +143,7 @@
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.countBuffered(r.Header) {
 		s.countRefused(connlimit.HeadMemory)
 		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", retryAfterText)
+		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -279,12 +279,10 @@
 		zap.Int("idle", usage.Idle), zap.Int("requests", usage.Requests), zap.Int64("head_bytes", usage.HeadBytes))
 }
 
-var retryAfterText = strconv.FormatFloat(RetryAfter.Seconds(), 'f', 2, 64)
-
 // refusal returns the response to a request whose head is not complete.
 func (s *Server) refusal(status int) string {
 	if status == http.StatusServiceUnavailable {
-		return refusal(status, "Retry-After: "+retryAfterText)
+		return refusal(status, "Retry-After: "+retryAfter)
 	}
 	return refusal(status)
 }
