boundedhttp: count no lines of a body as fields of a head

If the empty line after a head was split between two reads, or came without carriage returns, up to 4 KB of the body's lines counted as fields, at 128 bytes each, and a request inside the limits could be refused for their memory. Lines are now followed across reads.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -127,10 +127,14 @@
 	})
 
 	// Guards against the bytes of a body that are counted as fields of a head.
-	It("counts only the lines of the head", func() {
-		s := serve(boundedhttp.Options{Limits: connlimit.Limits{HeadBytes: 10 << 10}})
-		Expect(status(s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("\n", 3000)))).To(Equal(http.StatusOK))
-	})
+	DescribeTable("counts only the lines of the head", func(parts ...string) {
+		Expect(boundedhttp.CountLines(parts...)).To(Equal(3))
+	},
+		Entry("that arrives with the body", "POST / HTTP/1.1\r\nHost: a\r\n\r\n\n\n\n"),
+		Entry("whose end is split", "POST / HTTP/1.1\r\nHost: a\r", "\n\r", "\n\n\n\n"),
+		Entry("without carriage returns", "POST / HTTP/1.1\nHost: a\n\n", "\n\n"),
+		Entry("in small pieces", "POST / HTT", "P/1.1\r\nHost", ": a\r\n", "\r\n", "a\nb\n"),
+	)
 
 	// Guards against clients that hold all connections and lock out others, and against a log line for each.
 	It("closes the oldest connection without a request for a new one", func() {
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -46,8 +46,10 @@
 	phase  phase
 	// headBytes is the number of bytes that were read for the current head.
 	headBytes int
-	// headLines is the number of its lines that were counted.
-	headLines int
+	// headLines is the number of its lines that were counted, lineBytes the length of the line
+	// that has begun, and headEnded is true once the empty line was read.
+	headLines, lineBytes int
+	headEnded            bool
 	// accepted is the result of accept for the current request.
 	accepted, hasAccepted bool
 	// isEnlarged is true if the receive buffer was enlarged for the body of the current request.
@@ -74,7 +76,7 @@
 		return n, err
 	}
 	c.headBytes += n
-	lines := countLines(p[:n])
+	lines := c.countLines(p[:n])
 	c.headLines += lines
 	if !c.entry.ReceiveHead(time.Now(), n, lines) {
 		c.server.countRefused(connlimit.HeadMemory)
@@ -95,17 +97,24 @@
 
 // countLines returns the number of lines of the head in p, which may end with a part of the
 // body.
-func countLines(p []byte) int {
-	if end := bytes.Index(p, endOfHead); end >= 0 {
-		p = p[:end]
+func (c *conn) countLines(p []byte) int {
+	lines := 0
+	for len(p) > 0 && !c.headEnded {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			c.lineBytes += countVisible(p)
+			break
+		}
+		lines++
+		c.headEnded = c.lineBytes+countVisible(p[:end]) == 0
+		c.lineBytes = 0
+		p = p[end+1:]
 	}
-	return bytes.Count(p, endOfLine)
+	return lines
 }
 
-var (
-	endOfHead = []byte("\n\r\n")
-	endOfLine = []byte("\n")
-)
+// countVisible returns the number of bytes that are no carriage returns.
+func countVisible(p []byte) int { return len(p) - bytes.Count(p, []byte{'\r'}) }
 
 // refuseHead responds to a request whose head is not complete, and returns an error after
 // which net/http closes the connection without another response.
@@ -254,7 +263,7 @@
 // await prepares for the next head.
 func (c *conn) await(p phase) {
 	c.phase = p
-	c.headBytes, c.headLines = 0, 0
+	c.headBytes, c.headLines, c.lineBytes, c.headEnded = 0, 0, 0, false
 	if c.isEnlarged.Load() { // the body of the last request may not have been read whole
 		c.shrinkBuffer()
 		c.releaseBuffer()
--- /dev/null
+++ b/adapters/boundedhttp/export_test.go
@@ -0,0 +1,11 @@
+package boundedhttp
+
+// CountLines returns the number of lines of a head that are counted if it arrives in parts.
+func CountLines(parts ...string) int {
+	var c conn
+	lines := 0
+	for _, part := range parts {
+		lines += c.countLines([]byte(part))
+	}
+	return lines
+}
