boundedhttp: recognize the progress of slow readers earlier

A client that read less than 64 KB within 2 s counted as one that accepts nothing, so it could lose its response to another client at a bound. Pieces of 16 KB make a quarter of that rate enough. The refusals of heads no longer count connections that were evicted while a part of a head arrived.

--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -20,7 +20,7 @@
 	writeDeadlineStep = time.Second
 	// writePieceBytes is the size of the pieces in which a response is written. A client
 	// that accepts one makes progress.
-	writePieceBytes = 64 << 10
+	writePieceBytes = 16 << 10
 	// refusalTimeout bounds the write of the refusal of an unfinished head, and the wait for
 	// the client to read it: a close with unread bytes would reset the connection.
 	refusalTimeout = 500 * time.Millisecond
--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -209,9 +209,8 @@
 	}
 	c.progressAt = now
 	if c.state != unfinished {
-		isServing := c.state == serving
 		t.mu.Unlock()
-		return isServing
+		return true // of an evicted connection, nothing more can be read
 	}
 	before := c.excess()
 	c.cost += headCost(bytes, fields)
