exchange: bound what the kernel holds of responses that are not read

While a client doesn't read a stream, nothing is read from its server, whose bytes pile up unread and count as memory of the machine, for each of some hundred connections. The receive buffer of a connection to a server is 64 KB now.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -82,7 +82,7 @@
 // New returns a pool without connections.
 func New() *Pool {
 	return &Pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setTCPUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setSocketOptions},
 		idle:   make(map[netip.AddrPort][]*conn),
 	}
 }
@@ -90,14 +90,20 @@
 // optTCPUserTimeout is TCP_USER_TIMEOUT, which package syscall does not define.
 const optTCPUserTimeout = 18
 
-// setTCPUserTimeout makes the kernel close a connection on which sent bytes
-// stay unacknowledged: a network partition closes nothing by itself.
-func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
+// receiveBufferBytes bounds what the kernel holds of a response while nothing is read from its
+// server, since the client does not read.
+const receiveBufferBytes = 64 << 10
+
+// setSocketOptions makes the kernel close a connection on which sent bytes
+// stay unacknowledged: a network partition closes nothing by itself. It also
+// bounds the receive buffer.
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
+	var timeoutErr, bufferErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(unacknowledgedTimeout/time.Millisecond))
+		timeoutErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optTCPUserTimeout, int(unacknowledgedTimeout/time.Millisecond))
+		bufferErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
 	})
-	return errors.Join(err, optErr)
+	return errors.Join(err, timeoutErr, bufferErr)
 }
 
 // conn is a connection, used for one exchange at a time.
