platform: refuse as not run what the first configuration may allow

Before an entry has its first configuration, it applies default limits to heads and bodies. A client with a larger head or body got 431 or 413, after which no client comes back, though the configuration may allow it. It is refused with 503 now. Found by a review; the new entry and spec check the answers, which were not run on the code before.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -103,17 +103,18 @@
 
 var _ = Describe("A server with bounds", func() {
 	// Guards against a limit that a client inside the configured one meets, and against heads beyond it.
-	DescribeTable("serves heads up to the configured size", func(size, want int) {
+	DescribeTable("serves heads up to the configured size", func(isProvisional bool, size, want int) {
 		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
 			limits := boundedhttp.DefaultClientLimits()
-			limits.HeadBytes = 16 << 10
+			limits.HeadBytes, limits.IsProvisional = 16<<10, isProvisional
 			return limits
 		}})
 		Expect(status(s.dial(head(size)))).To(Equal(want))
 	},
-		Entry("of the same size", 16<<10, http.StatusOK),
-		Entry("well beyond", 24<<10, http.StatusRequestHeaderFieldsTooLarge),
-		Entry("far beyond, with bytes that are never read", 600<<10, http.StatusRequestHeaderFieldsTooLarge),
+		Entry("of the same size", false, 16<<10, http.StatusOK),
+		Entry("well beyond, while the configuration is not known", true, 24<<10, http.StatusServiceUnavailable),
+		Entry("well beyond", false, 24<<10, http.StatusRequestHeaderFieldsTooLarge),
+		Entry("far beyond, with bytes that are never read", false, 600<<10, http.StatusRequestHeaderFieldsTooLarge),
 	)
 
 	// Guards against heads that together take more memory than there is.
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -67,9 +67,13 @@
 		return c.readBody(p)
 	}
 	// net/http asks for more only if the head is not complete yet.
-	if c.headBytes > c.server.clientLimits().HeadBytes {
+	if limits := c.server.clientLimits(); c.headBytes > limits.HeadBytes {
 		c.server.countRefused(headTooLarge)
-		return 0, c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
+		status := http.StatusRequestHeaderFieldsTooLarge
+		if limits.IsProvisional {
+			status = http.StatusServiceUnavailable
+		}
+		return 0, c.refuseHead(status)
 	}
 	n, err := c.TCPConn.Read(p)
 	if n == 0 {
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -58,6 +58,9 @@
 	HeadBytes   int
 	HeadTimeout time.Duration
 	IdleTimeout time.Duration
+	// IsProvisional is true if a longer head may be allowed later, so that it is refused as not
+	// run rather than as too large.
+	IsProvisional bool
 }
 
 // DefaultClientLimits returns the bounds while no configuration sets others.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -383,21 +383,21 @@
 	})
 }
 
-// ClientLimits returns what the configuration allows a client, zero if there is no
+// ClientLimits returns what the configuration allows a client, false if there is no
 // configuration yet.
-func (g *Gateway) ClientLimits() routing.Limits {
+func (g *Gateway) ClientLimits() (limits routing.Limits, known bool) {
 	v := g.view.Load()
 	if v == nil || v.table == nil {
-		return routing.Limits{}
+		return routing.Limits{}, false
 	}
-	return v.table.Limits()
+	return v.table.Limits(), true
 }
 
 // BodyLimit returns the maximum size of a request body in bytes, fallback if there is no
 // configuration yet or it sets none.
 func (g *Gateway) BodyLimit(fallback int64) int64 {
-	if limit := g.ClientLimits().BodyBytes; limit > 0 {
-		return limit
+	if limits, _ := g.ClientLimits(); limits.BodyBytes > 0 {
+		return limits.BodyBytes
 	}
 	return fallback
 }
