chivespindled: let large heartbeats arrive within the timeout of a silent link

With 64 KB ahead of the reader, a heartbeat of 1 MB takes 16 round trips, 3.2 s of the 4 s after which a link counts as silent at round trips of 0.2 s. The window is 128 KB now (by calculation).

--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -50,7 +50,9 @@
 	peerConnectionsShare = 0.25
 	peerConnectionBytes  = 128 << 10
 	peerMaxPerAddress    = 16
-	peerReceiveWindow    = 64 << 10
+	// A heartbeat of 1 MB, which a manifest can take, must arrive within the timeout of a
+	// silent link, at round trips of 0.2 s.
+	peerReceiveWindow = 128 << 10
 	// A pair of processes has one gossip, one catalog and a few chunk streams.
 	peerMaxStreams    = 32
 	peerStreamsShare  = 0.06
