--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -268,13 +268,13 @@
 func (c *conn) await(p phase) {
 	c.phase = p
 	c.headBytes, c.headLines, c.lineBytes, c.headEnded = 0, 0, 0, false
-	if c.isEnlarged.Load() { // the body of the last request may not have been read whole
+	if c.isEnlarged.Load() { // the body of the last request may not have been read completely
 		c.shrinkBuffer()
 		c.releaseBuffer()
 	}
 }
 
-// refusal returns a whole response without a body.
+// refusal returns a response without a body.
 func refusal(status int, header ...string) string {
 	var b strings.Builder
 	b.WriteString("HTTP/1.1 " + statusLine(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n")
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -2,7 +2,7 @@
 // connections, the memory of request heads, the concurrent requests, and the time for which a
 // client may be idle, send a head or accept nothing of a response.
 //
-// core/connlimit decides which connection gives way at a bound.
+// core/connlimit decides which connection is evicted at a bound.
 package boundedhttp
 
 import (
@@ -196,9 +196,9 @@
 	return n, err
 }
 
-// Accept records that a request has been received whole, with its body, and reports whether it
+// Accept records that a request has been received completely, with its body, and reports whether it
 // may be served. Otherwise it must be refused at once, as not run: too many requests are being
-// served, or the connection was evicted. Until then the connection may give way to others. A
+// served, or the connection was evicted. Until then the connection may be evicted for others. A
 // handler that reads no body need not call it.
 func Accept(r *http.Request) bool {
 	c, ok := r.Context().Value(connKey{}).(*conn)
--- a/adapters/callerhttp/body.go
+++ b/adapters/callerhttp/body.go
@@ -20,7 +20,7 @@
 	// arrive: a client may send less than it states.
 	firstBodyBytes = 8 << 10
 	// overloadRetryAfter is the retry delay while requests or their bodies use all places or
-	// all memory. A body gives way after memlimit.ReceiptTime.
+	// all memory. A body is evicted after memlimit.ReceiptTime.
 	overloadRetryAfter = time.Second
 )
 
@@ -52,7 +52,7 @@
 }
 
 // readBody reads the body of a request. Its buffer is counted in hold before it is allocated. It
-// returns memlimit.Exceeded if the hold may not grow or gave way to others.
+// returns memlimit.Exceeded if the hold may not grow or was evicted for others.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, hold *memlimit.Hold) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -2,9 +2,9 @@
 // it accepts, within bounds on connections, concurrent requests and the memory of request
 // heads.
 //
-// At a bound, the connection that has made no progress for longest gives way to the new one,
+// At a bound, the connection that has made no progress for longest is evicted for the new one,
 // so that clients that hold their connections don't lock out others. A connection whose
-// request is being served gives way only if its client accepts nothing of the response.
+// request is being served is evicted only if its client accepts nothing of the response.
 package connlimit
 
 import (
@@ -15,16 +15,16 @@
 )
 
 const (
-	// minUnfinishedAge is the time without progress from which an unfinished request gives way
+	// minUnfinishedAge is the time without progress from which an unfinished request is evicted
 	// before idle connections, which a client may be about to use again.
 	minUnfinishedAge = time.Second
 	// unfinishedDivisor bounds the unfinished requests that make progress, which slow clients
-	// hold for long: beyond this part of all connections the oldest gives way as well.
+	// hold for long: beyond this part of all connections the oldest is evicted as well.
 	unfinishedDivisor = 4
-	// minStall is how long a client must have accepted nothing of its response to give way.
+	// minStall is how long a client must have accepted nothing of its response to be evicted.
 	minStall = 2 * time.Second
 	// maxSlowRead is how long a client may read its response slowly while no other connection
-	// can give way.
+	// can be evicted.
 	maxSlowRead = 30 * time.Second
 )
 
@@ -32,7 +32,7 @@
 type Cause string
 
 const (
-	// Unfinished: a newer connection needed the place of one without a whole request.
+	// Unfinished: a newer connection needed the place of one without a complete request.
 	Unfinished Cause = "unfinished"
 	// Idle: a newer connection needed the place of one without a request.
 	Idle Cause = "idle"
@@ -41,7 +41,7 @@
 	Stalled Cause = "stalled"
 	// HeadMemory: the heads of all clients together exceeded their memory.
 	HeadMemory Cause = "head_memory"
-	// NoPlace: no other connection could give way.
+	// NoPlace: no other connection could be evicted.
 	NoPlace Cause = "no_place"
 	// Requests: too many requests were being served.
 	Requests Cause = "requests"
@@ -50,7 +50,7 @@
 type state int
 
 const (
-	unfinished state = iota // a request has not been received whole
+	unfinished state = iota // a request has not been received completely
 	idle                    // between two requests
 	serving
 	closed
@@ -109,7 +109,7 @@
 }
 
 // Open adds a connection and evicts another one if there are too many. onEvict is called at
-// most once, when the connection has to be closed. Open returns nil if none can give way; the
+// most once, when the connection has to be closed. Open returns nil if none can be evicted; the
 // new one must be closed then.
 func (t *Table) Open(now time.Time, onEvict func(Cause)) *Conn {
 	t.mu.Lock()
@@ -132,7 +132,7 @@
 	return c
 }
 
-// victim returns the connection that gives way to a new one, nil if there is none.
+// victim returns the connection that is evicted for a new one, nil if there is none.
 func (t *Table) victim(now time.Time) (*Conn, Cause) {
 	oldest := first(&t.unfinished)
 	if t.unfinished.Len() > t.limits.Connections/unfinishedDivisor {
@@ -252,7 +252,7 @@
 // excess returns the memory of the head that is counted in Table.headBytes.
 func (c *Conn) excess() int64 { return max(0, c.cost-HeadAllowance) }
 
-// BeginRequest records that a request has been received whole. It returns false if the request
+// BeginRequest records that a request has been received completely. It returns false if the request
 // must be refused as not run, since too many are being served or the connection was evicted.
 func (c *Conn) BeginRequest(now time.Time) bool {
 	evicted, ok := c.beginRequest(now)
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -41,7 +41,7 @@
 	BeforeEach(func() { table = connlimit.New(connlimit.Limits{Connections: connections, Requests: 6}) })
 
 	// Guards against clients that lock out others by holding connections without a request.
-	It("the oldest unfinished request gives way, before connections that may be used again", func() {
+	It("the oldest unfinished request is evicted, before connections that may be used again", func() {
 		reusable := openIdle(table, start)
 		var unfinished []*client
 		for range connections - 1 {
@@ -54,7 +54,7 @@
 	})
 
 	// Guards against the close of a connection whose client has just opened it, for one that is idle.
-	It("the connection that is idle for longest gives way before a few new ones", func() {
+	It("the connection that is idle for longest is evicted before a few new ones", func() {
 		first, second := openIdle(table, start), openIdle(table, start)
 		for range connections - 4 {
 			openIdle(table, start)
@@ -69,7 +69,7 @@
 	})
 
 	// Guards against a request that is lost for a newcomer.
-	It("no request that is being served gives way unless its client accepts nothing", func() {
+	It("no request that is being served is evicted unless its client accepts nothing", func() {
 		limits := connlimit.New(connlimit.Limits{Connections: 2})
 		served, stalled := open(limits, start), open(limits, start)
 		for _, c := range []*client{served, stalled} {
@@ -105,7 +105,7 @@
 	})
 
 	// Guards against clients that read no response and so lock out the requests of others.
-	It("a request whose client accepts nothing of the response gives way", func() {
+	It("a request whose client accepts nothing of the response is evicted", func() {
 		table := connlimit.New(connlimit.Limits{Connections: 4, Requests: 1})
 		stalled, other := open(table, start), open(table, start)
 		Expect(stalled.BeginRequest(start)).To(BeTrue())
@@ -122,7 +122,7 @@
 	BeforeEach(func() { table = connlimit.New(connlimit.Limits{Connections: 100, HeadBytes: headBytes}) })
 
 	// Guards against many heads of a size that is allowed for one, which take more than the process has.
-	It("the oldest large unfinished head gives way", func() {
+	It("the oldest large unfinished head is evicted", func() {
 		small, oldest, next := open(table, start), open(table, start), open(table, start)
 		Expect(small.ReceiveHead(start, 500, 12)).To(BeTrue())
 		Expect(oldest.ReceiveHead(start, 40<<10, 10)).To(BeTrue())
--- a/core/connlimit/places_test.go
+++ b/core/connlimit/places_test.go
@@ -11,7 +11,7 @@
 
 var _ = Describe("With clients that hold their places", func() {
 	// Guards against refusals that are not read and hold places which no newcomer gets.
-	It("a refused request whose client accepts nothing of the refusal gives way", func() {
+	It("a refused request whose client accepts nothing of the refusal is evicted", func() {
 		table := connlimit.New(connlimit.Limits{Connections: 2, Requests: 1})
 		served, refused := open(table, start), open(table, start)
 		Expect(served.BeginRequest(start)).To(BeTrue())
--- a/core/memlimit/memlimit.go
+++ b/core/memlimit/memlimit.go
@@ -1,5 +1,5 @@
 // Package memlimit decides whether a process may hold more bytes of its clients' requests
-// and of servers' responses, and which bodies that are still being received give way if not.
+// and of servers' responses, and which bodies that are still being received are evicted if not.
 package memlimit
 
 import (
@@ -21,7 +21,7 @@
 	// smallDivisor is the part of the budget that larger bodies may not use, so that small
 	// requests are served while large ones hold the rest.
 	smallDivisor = 8
-	// ReceiptTime is how long a body may be received before it may have to give way. The
+	// ReceiptTime is how long a body may be received before it may be evicted. The
 	// largest one takes half of it over a link of 24 Mbit/s.
 	ReceiptTime = 3 * time.Second
 )
@@ -84,7 +84,7 @@
 	return b.held + n - limit, true
 }
 
-// victims returns the receipts that give way so that a number of bytes is released for h: the
+// victims returns the receipts that are evicted so that a number of bytes is released for h: the
 // oldest, provided that they are older than ReceiptTime and than that of h. It returns false if
 // they do not hold enough.
 func (b *Budget) victims(now time.Time, h *Hold, shortage int64) ([]*receipt, bool) {
@@ -114,7 +114,7 @@
 	// interrupt ends the read of the body.
 	interrupt func()
 	place     *list.Element
-	// interrupted is closed when interrupt has returned; nil unless the body gave way.
+	// interrupted is closed when interrupt has returned; nil unless the body was evicted.
 	interrupted chan struct{}
 }
 
@@ -122,7 +122,7 @@
 // must not be called concurrently, and it must not be copied once it is used.
 type Hold struct {
 	budget *Budget
-	// The following are guarded by the budget, since a receipt gives way at any time.
+	// The following are guarded by the budget, since a receipt is evicted at any time.
 	bytes   int64
 	receipt *receipt // nil unless a body is being received
 }
@@ -135,7 +135,7 @@
 
 // BeginReceipt begins the receipt of a body, whose bytes are to be added as they arrive. size is
 // its length, negative if unknown. It returns false if the body would not fit now, even if others
-// gave way.
+// were evicted.
 //
 // If the budget is used up and the receipt is the oldest, interrupt is called by another
 // goroutine, once at most and never after EndReceipt has returned. It must end the read, and
@@ -159,7 +159,7 @@
 	return true
 }
 
-// EndReceipt ends the receipt of a body, after which it does not give way. It returns false if it
+// EndReceipt ends the receipt of a body, after which it is not evicted. It returns false if it
 // has: the body must be dropped.
 func (h *Hold) EndReceipt() bool {
 	if h.budget == nil {
@@ -180,7 +180,7 @@
 	return false
 }
 
-// Grow adds n bytes and reports whether the budget allows them, after receipts that give way. If
+// Grow adds n bytes and reports whether the budget allows them, after receipts that are evicted. If
 // not, the Hold remains as it is.
 func (h *Hold) Grow(now time.Time, n int64) bool {
 	if h.budget == nil {
@@ -225,7 +225,7 @@
 }
 
 func (b *Budget) release(h *Hold, n int64) {
-	n = min(n, h.bytes) // a body that gave way holds nothing
+	n = min(n, h.bytes) // a body that was evicted holds nothing
 	h.bytes -= n
 	b.held -= n
 }
--- a/core/memlimit/memlimit_test.go
+++ b/core/memlimit/memlimit_test.go
@@ -107,7 +107,7 @@
 	old, now := start, start.Add(memlimit.ReceiptTime)
 
 	// Guards against clients that hold the budget by sending a part of their bodies.
-	It("gives way once it is old, the oldest first and no more than needed", func() {
+	It("is evicted once it is old, the oldest first and no more than needed", func() {
 		first, second := receive("first", old, 40), receive("second", old, 40)
 		hold := b.NewHold()
 		Expect(hold.Grow(now, 50)).To(BeTrue())
@@ -125,7 +125,7 @@
 	})
 
 	// Guards against bodies that are dropped for one that is refused all the same.
-	It("does not give way in vain", func() {
+	It("is not evicted in vain", func() {
 		receive("first", old, 30)
 		receive("young", now, 60)
 		hold := b.NewHold()
@@ -140,7 +140,7 @@
 	})
 
 	// Guards against bodies of clients with usual links that are dropped.
-	It("does not give way while it is young", func() {
+	It("is not evicted while it is young", func() {
 		receive("young", old.Add(time.Nanosecond), limit)
 		hold := b.NewHold()
 		Expect(hold.Grow(now, 1)).To(BeFalse())
@@ -148,7 +148,7 @@
 	})
 
 	// Guards against requests that are answered as not run while they run.
-	It("does not give way once it has been received", func() {
+	It("is not evicted once it has been received", func() {
 		whole := receive("whole", old, limit)
 		Expect(whole.EndReceipt()).To(BeTrue())
 		hold := b.NewHold()
--- a/daemon/gateway/manifests.go
+++ b/daemon/gateway/manifests.go
@@ -75,8 +75,9 @@
 // whether it did. named is the newest version that the operator named, 0 if none is known:
 // versions above it do not count as newer, as their numbers may be wrong.
 //
-// If those of all models take too many bytes, it is not stored. If too many are held, the highest version is dropped. It is not accepted again until a
-// newer version is named, so none circulates between entries.
+// If those of all models take too many bytes, it is not stored. If too many are held, the
+// highest version is dropped. It is not accepted again until a newer version is named, so
+// none circulates between entries.
 func (m *manifests) add(manifest wire.Manifest, near bool, named uint64) bool {
 	isWanted := named != 0 && manifest.Version >= named
 	oldest := manifest.Version // that is still of use
