connlimit: let a single head take all memory for heads of a port

A head may take at most half of what the others leave, so a few large ones don't lock out smaller ones. That held without others too, and the memory of these ports, 2 MiB or a fifth of a tenth of the machine's, was less than twice what one head may cost. A large head without others may take all of it now, and each port has at least 2.1 MiB, which a head of 64 KiB with as many fields as fit can take.

--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -216,7 +216,7 @@
 const unreadBodyTimeout = time.Second
 
 // smallPortLimits are those of a port with few clients.
-var smallPortLimits = connlimit.Limits{Connections: 16, HeadBytes: 2 << 20}
+var smallPortLimits = connlimit.Limits{Connections: 16, HeadBytes: connlimit.MinHeadBytes}
 
 // addServer adds an HTTP server on addr to the group.
 func (b *platformBase) addServer(addr netip.AddrPort, opts boundedhttp.Options) (*boundedhttp.Server, error) {
--- a/core/connlimit/connlimit.go
+++ b/core/connlimit/connlimit.go
@@ -235,10 +235,13 @@
 
 // makeRoom evicts unfinished large heads, the oldest first, until the head of c takes at most
 // half of what the others leave, so that a few large heads leave room for smaller ones. It
-// returns false if that would evict c.
+// returns false if that would evict c. A large head without others may take all memory.
 func (c *Conn) makeRoom() (evicted []*Conn, fits bool) {
 	t := c.table
 	for t.limits.HeadBytes > 0 && c.large != nil && t.headBytes+c.excess() > t.limits.HeadBytes {
+		if isAlone := t.headBytes == c.excess(); isAlone && t.headBytes <= t.limits.HeadBytes {
+			return evicted, true
+		}
 		oldest := first(&t.large)
 		if oldest == c {
 			return evicted, false
--- a/core/connlimit/limits.go
+++ b/core/connlimit/limits.go
@@ -12,6 +12,12 @@
 	// bytesPerField is the memory that net/http takes for a header field beyond its bytes.
 	bytesPerField = 128
 
+	// MinHeadBytes is the least memory for the heads of a port. A head of 64 KiB fits, however
+	// many fields it has.
+	MinHeadBytes = 64<<10 + bytesPerField*(64<<10)/minFieldBytes
+	// minFieldBytes is the least length of a field, with the end of its line.
+	minFieldBytes = 4
+
 	// memoryShare and headShare are the shares of a process's memory for connections and
 	// for heads.
 	memoryShare = 0.3
@@ -62,7 +68,7 @@
 	return Limits{
 		Connections: atLeastOne(l.Connections, share),
 		Requests:    atLeastOne(l.Requests, share),
-		HeadBytes:   int64(share * float64(l.HeadBytes)),
+		HeadBytes:   max(int64(share*float64(l.HeadBytes)), min(l.HeadBytes, MinHeadBytes)),
 	}
 }
 
