boundedhttp: extend the deadline of idle connections if the timeout rises

A client may reuse a connection that was idle for up to four fifths of the configured idleTimeoutMs. When the operator raised it, a connection that was idle already was closed after the earlier time, so a request that its client sent later met a close.

The deadline was set once, as the connection became idle. When it expires, the timeout in force is looked up again now, and the deadline is extended if it has become longer. The new spec failed before (the connection was closed) and passes with this change.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -206,6 +206,36 @@
 		}
 	})
 
+	// Guards against an idle connection that is closed while its client may still reuse it, since
+	// the idle timeout was shorter when it became idle.
+	It("keeps an idle connection for longer if the configured time has become longer", func() {
+		const short = 100 * time.Millisecond
+		start, extended := time.Now(), make(chan struct{}, 1)
+		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
+			limits := boundedhttp.ClientLimits{HeadBytes: 4096, HeadTimeout: hangGuard, IdleTimeout: short}
+			if time.Since(start) >= short {
+				limits.IdleTimeout = hangGuard
+				select {
+				case extended <- struct{}{}:
+				default:
+				}
+			}
+			return limits
+		}})
+		const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+		c := s.dial(request)
+		in := bufio.NewReader(c)
+		response, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(extended, hangGuard).Should(Receive()) // after the first deadline
+		_, err = io.WriteString(c, request)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against an idle connection that is kept longer, or shorter, than configured.
 	It("closes an idle connection after the configured time", func() {
 		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -56,6 +58,8 @@
 	isEnlarged atomic.Bool
 	// isReused is true if an earlier request was served.
 	isReused bool
+	// idleSince is when the last request ended, zero once a part of the next one was read.
+	idleSince time.Time
 	// writeDeadline is the time by which the handler wants the response to be written, zero
 	// for none, and stallDeadline the deadline that is set at the connection.
 	writeDeadline, stallDeadline time.Time
@@ -75,7 +79,7 @@
 		}
 		return 0, c.refuseHead(status)
 	}
-	n, err := c.TCPConn.Read(p)
+	n, err := c.readHead(p)
 	if n == 0 {
 		return n, err
 	}
@@ -89,6 +93,26 @@
 	return n, err
 }
 
+// readHead reads a part of a head. A deadline of an idle connection is extended if the idle
+// timeout has become longer since it was set.
+func (c *conn) readHead(p []byte) (int, error) {
+	for {
+		n, err := c.TCPConn.Read(p)
+		if n > 0 {
+			c.idleSince = time.Time{}
+			return n, err
+		}
+		if c.idleSince.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		deadline := c.idleSince.Add(c.server.clientLimits().IdleTimeout)
+		if !deadline.After(time.Now()) {
+			return n, err
+		}
+		_ = c.TCPConn.SetReadDeadline(deadline) // fails only on a closed connection
+	}
+}
+
 // readBody reads a part of the body of the current request, or what follows it.
 func (c *conn) readBody(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
@@ -142,6 +166,7 @@
 	timeout := limits.HeadTimeout
 	if c.phase == awaitsRequest {
 		c.phase = readsHead
+		c.idleSince = time.Now()
 		timeout = limits.IdleTimeout
 	}
 	return c.TCPConn.SetReadDeadline(time.Now().Add(timeout))
