chivespindled: fit the sum of all bounds into the memory of the machine

With crowds at all ports of an entry at once (large bodies held while a server does not answer, large heads, responses that nobody reads, unfinished heads at four ports, unfinished messages at the port between processes) the process took 206 and 216 MiB of a machine with 112, which ends it. Each of these crowds alone was borne.

The bounds were shares of the memory, each chosen for itself: 0.3 for connections, 0.35 for bodies, 0.1 and twice 2 MiB for heads, 0.44 for what peers hold, 1.2 in all beside the program; what the kernel holds of servers' responses that are not passed on counted nowhere. Live heap at the peak was 133 MB, of which no collection frees anything.

The shares are of the memory that the program leaves now, 24 MiB less, and their sum is 0.64: 0.25 for connections, 0.15 for bodies, 0.05 for heads, 0.12, 0.02 and 0.05 for connections, streams and messages of peers. Large bodies meet their bound earlier: 24 MiB of them instead of 64 at an entry of 184 MB, 39 instead of 99 at one of 284. The own interface keeps its shares.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -92,7 +92,7 @@
 
 // receiveBufferBytes bounds what the kernel holds of a response while nothing is read from its
 // server, since the client does not read.
-const receiveBufferBytes = 64 << 10
+const receiveBufferBytes = 32 << 10
 
 // setSocketOptions makes the kernel close a connection on which sent bytes
 // stay unacknowledged: a network partition closes nothing by itself. It also
--- a/cmd/chivespindled/platform.go
+++ b/cmd/chivespindled/platform.go
@@ -47,7 +47,7 @@
 	// An idle accepted connection takes 82 KB, and one whose peer sends what nobody reads
 	// peerReceiveWindow more. A process has one connection to another, and a few for the
 	// idle timeout after it was restarted.
-	peerConnectionsShare = 0.25
+	peerConnectionsShare = 0.12
 	peerConnectionBytes  = 128 << 10
 	peerMaxPerAddress    = 16
 	// A heartbeat of 1 MB, which a manifest can take, must arrive within the timeout of a
@@ -55,9 +55,11 @@
 	peerReceiveWindow = 128 << 10
 	// A pair of processes has one gossip, one catalog and a few chunk streams.
 	peerMaxStreams    = 32
-	peerStreamsShare  = 0.06
+	peerStreamsShare  = 0.02
 	peerStreamBytes   = 8 << 10
-	peerMessagesShare = 0.125
+	peerMessagesShare = 0.05
+	// programBytes is the memory of the program without clients, with the pages of its file.
+	programBytes = 24 << 20
 	// memoryLimitShare is the share of the machine's memory that is set as the
 	// soft memory limit. Above it the garbage collector works harder, so that
 	// the process is not killed for its memory use.
@@ -169,6 +171,7 @@
 	b.logQueue = telemetry.NewQueue(os.Stdout)
 	b.logger = telemetry.NewLogger(zapcore.InfoLevel, b.logQueue).With(zap.String("instance", s.NodeName))
 	b.ctx, b.cancel = context.WithCancel(context.Background())
+	memory := clientMemory(s)
 	store, err := keys.Ephemeral(keys.Identity{ID: b.id, Role: role})
 	if err != nil {
 		return nil, err
@@ -177,9 +180,9 @@
 		Listen: netip.AddrPortFrom(s.IP, s.PeerPort), Keys: store, Handler: b.handler,
 		Logger: b.logger, Metrics: b.metrics,
 		IdleTimeout: peerIdleTimeout, KeepAlive: peerKeepAliveInterval, HandshakeTimeout: peerHandshakeTimeout,
-		MaxAccepted: peerShare(s.MemoryBytes, peerConnectionsShare, peerConnectionBytes), MaxAcceptedPerAddress: peerMaxPerAddress,
-		MaxStreams: peerMaxStreams, MaxServed: peerShare(s.MemoryBytes, peerStreamsShare, peerStreamBytes),
-		ReceiveWindow: peerReceiveWindow, MessageMemory: peerShare(s.MemoryBytes, peerMessagesShare, 1),
+		MaxAccepted: peerShare(memory, peerConnectionsShare, peerConnectionBytes), MaxAcceptedPerAddress: peerMaxPerAddress,
+		MaxStreams: peerMaxStreams, MaxServed: peerShare(memory, peerStreamsShare, peerStreamBytes),
+		ReceiveWindow: peerReceiveWindow, MessageMemory: peerShare(memory, peerMessagesShare, 1),
 	})
 	if err != nil {
 		b.cancel()
@@ -187,6 +190,16 @@
 	return b, err
 }
 
+// clientMemory returns the memory that clients and peers may use together, 0 if the memory of
+// the machine has no limit. A share for each of them is a bound on what they hold; a third is
+// left for garbage and for what the kernel holds.
+func clientMemory(s *platform.Settings) int64 {
+	if s.MemoryBytes <= 0 {
+		return 0
+	}
+	return max(s.MemoryBytes-programBytes, s.MemoryBytes/4)
+}
+
 // peerShare returns how many items of a size take a share of the memory; 0, which selects
 // the default, if the memory has no limit.
 func peerShare(memoryBytes int64, share float64, itemBytes int) int {
--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -22,6 +22,9 @@
 	directoryShare = 0.2
 )
 
+// bodyShare is the share of the process's memory for bodies of requests and buffered responses.
+const bodyShare = 0.15
+
 // platformEntry is an entry that can shut down gracefully.
 type platformEntry struct {
 	base    *platformBase
@@ -31,8 +34,8 @@
 }
 
 func runPlatformEntry(b *platformBase) error {
-	s := b.settings
-	limits := connlimit.OfProcess(s.MemoryBytes, s.Descriptors)
+	s, memory := b.settings, clientMemory(b.settings)
+	limits := connlimit.OfProcess(memory, s.Descriptors)
 	callersLimits := limits.Share(callersShare)
 	directoryLimits := limits.Share(directoryShare)
 	directoryLimits.Requests = 0 // they are answered at once
@@ -43,7 +46,7 @@
 		Source: platform.NewStore(s.StoreAddr, b.logger).WithMetrics(b.metrics), Backend: platform.NewBackend(),
 		Budget:      retry.FleetBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		VersionTime: s.VersionTime, SoundTime: s.SoundTime,
-		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Memory: memlimit.New(s.MemoryBytes), MaxCalls: callersLimits.Requests, Disabled: b.disabled,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Memory: memlimit.NewShare(memory, bodyShare), MaxCalls: callersLimits.Requests, Disabled: b.disabled,
 		Logger: b.logger, Metrics: b.metrics,
 	})
 	b.handler.Handler = g
--- a/core/connlimit/connlimit_test.go
+++ b/core/connlimit/connlimit_test.go
@@ -210,8 +210,8 @@
 var _ = DescribeTable("The limits of a process", func(memory int64, descriptors int, want connlimit.Limits) {
 	Expect(connlimit.OfProcess(memory, descriptors)).To(Equal(want))
 },
-	Entry("follow from its memory", int64(112<<20), 4100, connlimit.Limits{Connections: 537, Requests: 402, HeadBytes: 11744051}),
-	Entry("follow from its descriptors", int64(1<<30), 500, connlimit.Limits{Connections: 180, Requests: 135, HeadBytes: 107374182}),
+	Entry("follow from its memory", int64(112<<20), 4100, connlimit.Limits{Connections: 448, Requests: 336, HeadBytes: 5872025}),
+	Entry("follow from its descriptors", int64(1<<30), 500, connlimit.Limits{Connections: 180, Requests: 135, HeadBytes: 53687091}),
 	Entry("are none without settings", int64(0), 0, connlimit.Limits{}),
 	Entry("allow a connection in any case", int64(1), 201, connlimit.Limits{Connections: 1, Requests: 1}),
 )
--- a/core/connlimit/limits.go
+++ b/core/connlimit/limits.go
@@ -20,8 +20,8 @@
 
 	// memoryShare and headShare are the shares of a process's memory for connections and
 	// for heads.
-	memoryShare = 0.3
-	headShare   = 0.1
+	memoryShare = 0.25
+	headShare   = 0.05
 	// descriptorShare is the share of a process's sockets for clients' connections. The
 	// rest is for connections to backend servers, other processes and the platform.
 	descriptorShare = 0.6
--- a/core/memlimit/memlimit.go
+++ b/core/memlimit/memlimit.go
@@ -41,11 +41,14 @@
 }
 
 // New returns the budget of a process with a memory limit, nil if it has none.
-func New(processBytes int64) *Budget {
+func New(processBytes int64) *Budget { return NewShare(processBytes, Share) }
+
+// NewShare returns a budget of a share of a process's memory limit, nil if it has none.
+func NewShare(processBytes int64, share float64) *Budget {
 	if processBytes <= 0 {
 		return nil
 	}
-	return &Budget{limit: int64(Share * float64(processBytes))}
+	return &Budget{limit: int64(share * float64(processBytes))}
 }
 
 // Limit returns the number of bytes that may be held, 0 for a nil Budget.
