boundedhttp: count the fields of a head after an empty line

After a POST, net/http skips up to four carriage returns and line feeds before the next request.

An empty line ends the head now only after one that is not empty, as in net/http.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -137,6 +137,15 @@
 		Entry("in small pieces", "POST / HTT", "P/1.1\r\nHost", ": a\r\n", "\r\n", "a\nb\n"),
 	)
 
+	// Guards against an empty line before a request, which net/http skips after a POST, that stops the
+	// count of the fields.
+	DescribeTable("counts the lines of a head after empty lines", func(parts ...string) {
+		Expect(boundedhttp.CountLines(parts...)).To(Equal(5))
+	},
+		Entry("at once", "\r\nGET / HTTP/1.1\r\nHost: a\r\nA: a\r\n\r\n\n"),
+		Entry("in small pieces", "\r", "\nGET / HT", "TP/1.1\r\nHost: a\r\n", "A: a\r\n", "\r\n", "\n"),
+	)
+
 	// Guards against clients that hold all connections and lock out others, and against a log line for each.
 	It("closes the oldest connection without a request for a new one", func() {
 		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 2}})
--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -85,6 +85,22 @@
 		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against heads without end whose fields are not counted, since an empty line precedes them.
+	It("counts a head after an empty line", func() {
+		s := serve(boundedhttp.Options{Limits: limits})
+		c := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		in := bufio.NewReader(c)
+		first, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, "\r\nGET / HTTP/1.1\r\nHost: a\r\n"+manyFields)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against trailers that are kept while a request is served and are not counted.
 	It("keeps little of the trailers of requests", func() {
 		const requests, perRequest = 32, 16 << 10
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -49,9 +49,10 @@
 	// headBytes is the number of bytes that were read for the current head.
 	headBytes int
 	// headLines is the number of its lines that were counted, lineBytes the length of the line
-	// that has begun, and headEnded is true once the empty line was read.
+	// that has begun, headBegun is true once a line that is not empty was read, and headEnded
+	// once the empty line after it was.
 	headLines, lineBytes int
-	headEnded            bool
+	headBegun, headEnded bool
 	// accepted is the result of accept for the current request.
 	accepted, hasAccepted bool
 	// isEnlarged is true if the receive buffer was enlarged for the body of the current request.
@@ -124,7 +125,7 @@
 }
 
 // countLines returns the number of lines of the head in p, which may end with a part of the
-// body.
+// body. Empty lines before the head don't end it: net/http skips them after a POST.
 func (c *conn) countLines(p []byte) int {
 	lines := 0
 	for len(p) > 0 && !c.headEnded {
@@ -134,7 +135,9 @@
 			break
 		}
 		lines++
-		c.headEnded = c.lineBytes+countVisible(p[:end]) == 0
+		isEmpty := c.lineBytes+countVisible(p[:end]) == 0
+		c.headEnded = isEmpty && c.headBegun
+		c.headBegun = c.headBegun || !isEmpty
 		c.lineBytes = 0
 		p = p[end+1:]
 	}
@@ -292,7 +295,7 @@
 // await prepares for the next head.
 func (c *conn) await(p phase) {
 	c.phase = p
-	c.headBytes, c.headLines, c.lineBytes, c.headEnded = 0, 0, 0, false
+	c.headBytes, c.headLines, c.lineBytes, c.headBegun, c.headEnded = 0, 0, 0, false, false
 	if c.isEnlarged.Load() { // the body of the last request may not have been read completely
 		c.shrinkBuffer()
 		c.releaseBuffer()
