boundedhttp: apply the timeout of heads to one that begins with an earlier request

A client that sends the beginning of a head together with an earlier request, and nothing more, kept its connection for the idle timeout, 2 min by default, instead of the time for a head.

It is no longer idle once net/http sets the deadline of a head.

--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -85,6 +85,28 @@
 		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against heads without end that take the idle timeout, since they begin in net/http's buffer.
+	It("bounds the time for a head that begins with an earlier request", func() {
+		var isServed atomic.Bool
+		addr := serveWith(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
+			limits := boundedhttp.ClientLimits{HeadBytes: 4096, HeadTimeout: hangGuard, IdleTimeout: 3 * hangGuard}
+			if isServed.Load() {
+				limits.HeadTimeout = time.Millisecond
+			}
+			return limits
+		}}, func(http.ResponseWriter, *http.Request) { isServed.Store(true) })
+		c := dialTo(addr)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost")
+		Expect(err).NotTo(HaveOccurred())
+		in := bufio.NewReader(c)
+		first, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, in) // until the server closes the connection
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against heads without end whose fields are not counted, since an empty line precedes them.
 	It("counts a head after an empty line", func() {
 		s := serve(boundedhttp.Options{Limits: limits})
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -171,6 +171,8 @@
 		c.phase = readsHead
 		c.idleSince = time.Now()
 		timeout = limits.IdleTimeout
+	} else {
+		c.idleSince = time.Time{} // a part of the head may have been read with the last request
 	}
 	return c.TCPConn.SetReadDeadline(time.Now().Add(timeout))
 }
