boundedhttp: bound the time for the body of a request whose head is refused

A client that sends a request together with an earlier one, with a head that is refused for the memory of heads and a body of up to 256 KB that it doesn't send, kept its connection without a bound on time.

net/http reads what is left of a short body before it closes the connection, and the refusal came before the deadline for the body was set. It is set for the refusal too now.

--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -85,6 +85,22 @@
 		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against a refused request whose body is awaited without end.
+	It("bounds the time for the body of a request whose head is refused", func() {
+		s := serve(boundedhttp.Options{Limits: limits, BodyTimeout: time.Millisecond})
+		c := s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n" + manyFields + "\r\n")
+		in := bufio.NewReader(c)
+		for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			response, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(want))
+			_, err = io.Copy(io.Discard, response.Body) // the second one ends with the connection
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := in.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	// Guards against heads without end that take the idle timeout, since they begin in net/http's buffer.
 	It("bounds the time for a head that begins with an earlier request", func() {
 		var isServed atomic.Bool
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -145,6 +145,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.countBuffered(r.Header) {
 		s.countRefused(connlimit.HeadMemory)
+		// net/http reads what is left of a short body. Fails only on a closed connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
