boundedhttp: count a head that begins with an earlier request before it ends

A client that sends 4 KB of a head together with an earlier request, and doesn't end it, made the process hold up to a thousand fields that nothing counted, as a map of several times the bytes, at each of its connections. The connection also counted as idle rather than as one with a head.

What net/http has in its buffer when it begins to read a head is counted now at that time: the lines of the last read, without those of the head that it was for. Lines of an earlier body in the same read count as well, 4 KB at most. A connection whose next head is read from the connection, as that of every client that awaits its response, counts as before. If the lines don't fit, the head is refused as not run.

The spec got no response to the second head until its 10 s guard before, and gets 503, with and without a body before it.

--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -85,6 +85,24 @@
 		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against heads without end in net/http's buffer, which no later read counts.
+	It("counts a head that begins with an earlier request and doesn't end", func() {
+		for _, first := range []string{
+			"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+			"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("a", 5000),
+		} {
+			s := serve(boundedhttp.Options{Limits: limits})
+			in := bufio.NewReader(s.dial(first + "GET / HTTP/1.1\r\nHost: a\r\n" + manyFields))
+			for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+				response, err := http.ReadResponse(in, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(want))
+				_, err = io.Copy(io.Discard, response.Body)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+	})
+
 	// Guards against a refused request whose body is awaited without end.
 	It("bounds the time for the body of a request whose head is refused", func() {
 		s := serve(boundedhttp.Options{Limits: limits, BodyTimeout: time.Millisecond})
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -28,6 +28,8 @@
 	refusalTimeout = 500 * time.Millisecond
 	// maxDiscardedBytes bounds the bytes that are read meanwhile.
 	maxDiscardedBytes = 256 << 10
+	// bufferBytes is the size of net/http's buffer. A longer read doesn't go through it.
+	bufferBytes = 4 << 10
 )
 
 // phase is what net/http waits for at a connection.
@@ -53,6 +55,12 @@
 	// once the empty line after it was.
 	headLines, lineBytes int
 	headBegun, headEnded bool
+	// bufferedLines is the number of lines of the last read, without those of the head that it
+	// was for. Some may belong to the next head.
+	bufferedLines int
+	// isRefused is true if the part of the current head that was read with an earlier request
+	// takes too much memory.
+	isRefused bool
 	// accepted is the result of accept for the current request.
 	accepted, hasAccepted bool
 	// isEnlarged is true if the receive buffer was enlarged for the body of the current request.
@@ -71,6 +79,10 @@
 	if c.phase == serves {
 		return c.readBody(p)
 	}
+	if c.isRefused {
+		c.server.countRefused(connlimit.HeadMemory)
+		return 0, c.refuseHead(http.StatusServiceUnavailable)
+	}
 	// net/http asks for more only if the head is not complete yet.
 	if limits := c.server.clientLimits(); c.headBytes > limits.HeadBytes {
 		c.server.countRefused(headTooLarge)
@@ -87,6 +99,7 @@
 	c.headBytes += n
 	lines := c.countLines(p[:n])
 	c.headLines += lines
+	c.bufferedLines = bytes.Count(p[:n], []byte{'\n'}) - lines
 	if !c.entry.ReceiveHead(time.Now(), n, lines) {
 		c.server.countRefused(connlimit.HeadMemory)
 		return 0, c.refuseHead(http.StatusServiceUnavailable)
@@ -120,6 +133,10 @@
 	// net/http reads a single byte while it waits for the client to close the connection.
 	if n > 0 && len(p) > 1 {
 		c.entry.ReceiveBody(time.Now())
+		c.bufferedLines = 0
+		if len(p) <= bufferBytes {
+			c.bufferedLines = bytes.Count(p[:n], []byte{'\n'})
+		}
 	}
 	return n, err
 }
@@ -171,8 +188,9 @@
 		c.phase = readsHead
 		c.idleSince = time.Now()
 		timeout = limits.IdleTimeout
-	} else {
-		c.idleSince = time.Time{} // a part of the head may have been read with the last request
+	} else if !c.idleSince.IsZero() {
+		c.idleSince = time.Time{}
+		c.beginBuffered()
 	}
 	return c.TCPConn.SetReadDeadline(time.Now().Add(timeout))
 }
@@ -271,10 +289,20 @@
 	}
 }
 
+// beginBuffered counts the lines that may belong to a head that begins in net/http's buffer, where
+// it was read together with an earlier request.
+func (c *conn) beginBuffered() {
+	c.headBegun, c.headLines = true, c.bufferedLines
+	c.isRefused = !c.entry.ReceiveHead(time.Now(), 0, c.bufferedLines)
+}
+
 // countBuffered counts the fields of a head that net/http read together with an earlier request.
 // Its bytes are in net/http's buffer, which is part of what a connection counts. It returns false
 // if the request must be refused.
 func (c *conn) countBuffered(header http.Header) bool {
+	if c.isRefused {
+		return false
+	}
 	fields := -c.headLines
 	for _, values := range header {
 		fields += len(values)
@@ -298,6 +326,7 @@
 func (c *conn) await(p phase) {
 	c.phase = p
 	c.headBytes, c.headLines, c.lineBytes, c.headBegun, c.headEnded = 0, 0, 0, false, false
+	c.isRefused = false
 	if c.isEnlarged.Load() { // the body of the last request may not have been read completely
 		c.shrinkBuffer()
 		c.releaseBuffer()
