opshttp: bound the pages that are composed for clients that have disconnected

Clients that ask for the status and disconnect made the process compose any number of pages at a time, megabytes each in a large fleet.

http.TimeoutHandler returns when the client disconnects, and at the timeout, while the page is still being composed; the place of the page was given back then. The composition has places of its own now, as many, which are given back when it ends.

In the spec a ninth page was composed beside eight whose clients had disconnected (200); it is refused with 503 now.

--- a/adapters/opshttp/opshttp.go
+++ b/adapters/opshttp/opshttp.go
@@ -174,7 +174,7 @@
 
 // newMux returns the request multiplexer of the port.
 func newMux(opts Options) (*http.ServeMux, error) {
-	pages := make(chan struct{}, maxPages)
+	pages, composed := make(chan struct{}, maxPages), make(chan struct{}, maxPages)
 	routes := map[string]http.Handler{
 		"GET /healthz": http.HandlerFunc(serveHealth),
 		"GET /readyz":  withTimeout(serveReady(opts.Ready)),
@@ -183,7 +183,8 @@
 		routes["GET /metrics"] = limited(pages, opts.Metrics)
 	}
 	if opts.Status != nil {
-		routes["GET /status"] = limited(pages, withTimeout(serveStatus(opts.Status, opts.Logger)))
+		// When its client disconnects, withTimeout returns while the page is still being composed.
+		routes["GET /status"] = limited(pages, withTimeout(limited(composed, serveStatus(opts.Status, opts.Logger))))
 	}
 	mux := http.NewServeMux()
 	patterns := slices.Sorted(maps.Keys(routes))
@@ -227,7 +228,7 @@
 	})
 }
 
-func withTimeout(handler http.HandlerFunc) http.Handler {
+func withTimeout(handler http.Handler) http.Handler {
 	return http.TimeoutHandler(handler, responseTimeout, "no answer from the process in time\n")
 }
 
--- a/adapters/opshttp/opshttp_test.go
+++ b/adapters/opshttp/opshttp_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 
@@ -134,6 +135,33 @@
 		}
 	})
 
+	// Guards against pages that are still composed for clients which have disconnected, beyond the bound.
+	It("composes a bounded number of pages at a time, also for clients that have disconnected", func() {
+		const pages = 8
+		disconnects := make(chan func(), 1)
+		started := 0
+		release := make(chan struct{})
+		defer close(release)
+		handler, err := opshttp.NewHandler(opshttp.Options{Status: func() any {
+			if started++; started <= pages {
+				(<-disconnects)()
+				<-release
+			}
+			return nil
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		for range pages {
+			ctx, disconnect := context.WithCancel(context.Background())
+			defer disconnect()
+			disconnects <- disconnect
+			handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, "GET", "/status", nil))
+		}
+		response := httptest.NewRecorder()
+		handler.ServeHTTP(response, httptest.NewRequest("GET", "/status", nil))
+		Expect(response.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(started).To(Equal(pages))
+	})
+
 	// A process is stopped while an operator reads a page. The response in progress
 	// must be sent completely before Run returns.
 	It("completes a response before it stops", func() {
