boundedhttp: go on accepting connections when the kernel lacks memory

When accept(2) fails since the kernel has no memory or no buffers, or with an error of the network that concerns one client, as the manual page says, the port stopped serving, and with it the process ended.

net/http tries again after an error that is temporary, and package net reports only interrupts, time-outs, resets and a lack of descriptors as such. The others of the manual page are reported as temporary now. An error of the listener itself still ends the process.

The entries for no memory, no buffers and a network that is down failed before.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -96,6 +99,19 @@
 	return err != nil
 }
 
+// failingListener is a listener that cannot accept connections.
+type failingListener struct {
+	net.Listener
+	err error
+}
+
+// Accept implements net.Listener.
+func (l failingListener) Accept() (net.Conn, error) { return nil, l.err }
+
+func acceptError(cause syscall.Errno) error {
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", cause)}
+}
+
 func head(size int) string {
 	text := "GET / HTTP/1.1\r\nHost: a\r\nX: "
 	return text + strings.Repeat("x", size-len(text)-4) + "\r\n\r\n"
@@ -137,6 +153,23 @@
 		Entry("in small pieces", "POST / HTT", "P/1.1\r\nHost", ": a\r\n", "\r\n", "a\nb\n"),
 	)
 
+	// Guards against a shortage of the kernel's memory that ends the process: net/http stops serving
+	// at an error that is not temporary.
+	DescribeTable("goes on accepting connections after an error of a single one", func(cause error, want bool) {
+		_, err := boundedhttp.AcceptFrom(failingListener{err: cause})
+		Expect(err).To(MatchError(cause))
+		var temporary interface{ Temporary() bool }
+		Expect(errors.As(err, &temporary) && temporary.Temporary()).To(Equal(want))
+		_, isNetError := err.(net.Error)
+		Expect(isNetError).To(BeTrue())
+	},
+		Entry("no memory", acceptError(syscall.ENOMEM), true),
+		Entry("no buffers", acceptError(syscall.ENOBUFS), true),
+		Entry("the network of the client is down", acceptError(syscall.ENETDOWN), true),
+		Entry("too many open files", acceptError(syscall.EMFILE), true),
+		Entry("not an open socket", acceptError(syscall.EBADF), false),
+	)
+
 	// Guards against an empty line before a request, which net/http skips after a POST, that stops the
 	// count of the fields.
 	DescribeTable("counts the lines of a head after empty lines", func(parts ...string) {
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -13,6 +13,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -239,7 +240,7 @@
 	for {
 		accepted, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, acceptError(err)
 		}
 		c := &conn{TCPConn: accepted.(*net.TCPConn), server: l.server}
 		// Unlike the receive buffer, it is not inherited from the listener. Fails only on a closed connection.
@@ -251,6 +252,38 @@
 	}
 }
 
+// singleErrors are errors of accept(2) that concern one connection, or a shortage that passes,
+// and that package net doesn't report as temporary.
+var singleErrors = []syscall.Errno{
+	syscall.ENOMEM, syscall.ENOBUFS, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH,
+	syscall.ENONET, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EPERM,
+}
+
+// acceptError returns an error after which net/http goes on accepting connections if err concerns
+// a single one.
+func acceptError(err error) error {
+	var errno syscall.Errno
+	if errors.As(err, &errno) && slices.Contains(singleErrors, errno) {
+		return temporaryError{cause: err}
+	}
+	return err
+}
+
+// temporaryError is an error after which net/http tries again. It implements net.Error.
+type temporaryError struct{ cause error }
+
+// Error implements error.
+func (e temporaryError) Error() string { return e.cause.Error() }
+
+// Timeout implements net.Error.
+func (temporaryError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (temporaryError) Temporary() bool { return true }
+
+// Unwrap returns the cause.
+func (e temporaryError) Unwrap() error { return e.cause }
+
 func (s *Server) clientLimits() ClientLimits { return s.opts.ClientLimits() }
 
 // countClosed records a connection that was closed for another one.
