boundedhttp: bound the requests that net/http responds to itself

A client that sends "OPTIONS *" with the length of a body and no body kept its connection without a bound on time, at every port.

net/http responds to such a request itself and awaits up to 4 KB of its body, without the deadline for bodies. Requests of this kind go to the handler of the port as all others do now, which responds 404, 405 or 400.

--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -103,6 +103,14 @@
 		}
 	})
 
+	// Guards against requests that net/http responds to itself, without any bound.
+	It("bounds the time for the body of a request for the options of the server", func() {
+		s := serve(boundedhttp.Options{BodyTimeout: time.Millisecond})
+		c := s.dial("OPTIONS * HTTP/1.1\r\nHost: a\r\nContent-Length: 10000\r\n\r\n")
+		_, err := io.Copy(io.Discard, c) // until the server closes the connection
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// Guards against a refused request whose body is awaited without end.
 	It("bounds the time for the body of a request whose head is refused", func() {
 		s := serve(boundedhttp.Options{Limits: limits, BodyTimeout: time.Millisecond})
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -105,7 +105,7 @@
 	}
 	s := &Server{opts: opts, table: connlimit.New(opts.Limits)}
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serve), ConnContext: connContext,
+		Handler: http.HandlerFunc(s.serve), ConnContext: connContext, DisableGeneralOptionsHandler: true,
 		ConnState: func(c net.Conn, state http.ConnState) { c.(*conn).setState(state) },
 		// conn replaces the timeouts by those in force.
 		ReadHeaderTimeout: DefaultHeadTimeout, IdleTimeout: DefaultIdleTimeout, MaxHeaderBytes: maxHeadBytes,
