process: let a single head of a caller fit into the memory of heads

Callers of an entry with a memory_limit below 22 MB saw 503 in calm for a single request with a head of 64 KB, which docs/CALLERS.md allows, if its fields are as short as possible. The least memory_limit is 16 MB.

The spec failed before.

--- a/daemon/process/limits.go
+++ b/daemon/process/limits.go
@@ -28,7 +28,7 @@
 		Connections: connections,
 		// There are always connections that can be closed for a new one.
 		Requests:  max(1, connections-connections/4),
-		HeadBytes: int64(headShare * float64(s.Limits.MemoryLimit)),
+		HeadBytes: max(int64(headShare*float64(s.Limits.MemoryLimit)), connlimit.MinHeadBytes),
 	}
 }
 
--- a/daemon/process/limits_test.go
+++ b/daemon/process/limits_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"chivespindle.example/adapters/settings"
+	"chivespindle.example/core/connlimit"
 	"chivespindle.example/daemon/process"
 )
 
@@ -25,6 +26,15 @@
 	Entry("if the system allows next to none", settings.Limits{MaxInFlight: 1024}, 100, 1),
 )
 
+// Guards against a single request inside the limit of heads that is refused for their memory, since
+// each of its fields counts 128 bytes more.
+var _ = It("serves a single head of 64 KiB with the shortest fields at the least memory", func() {
+	limits := process.CallerLimits(&settings.Settings{Limits: settings.Limits{MaxInFlight: 64, MemoryLimit: 16_000_000}}, 0)
+	const bytes, fieldBytes = 64 << 10, 4
+	conn := connlimit.New(limits).Open(start, func(connlimit.Cause) {})
+	Expect(conn.ReceiveHead(start, bytes, bytes/fieldBytes)).To(BeTrue())
+})
+
 // Guards against a configuration whose largest bodies are refused for ever.
 var _ = DescribeTable("The largest body fits into the memory for bodies", func(maxBody, memoryLimit int64) {
 	hold := process.BodyBudget(&settings.Settings{
