--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -85,6 +85,86 @@
 		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
 	})
 
+	// Guards against heads without end in net/http's buffer, which no later read counts.
+	It("counts a head that begins with an earlier request and doesn't end", func() {
+		for _, first := range []string{
+			"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+			"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" + strings.Repeat("a", 5000),
+		} {
+			s := serve(boundedhttp.Options{Limits: limits})
+			in := bufio.NewReader(s.dial(first + "GET / HTTP/1.1\r\nHost: a\r\n" + manyFields))
+			for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+				response, err := http.ReadResponse(in, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(response.StatusCode).To(Equal(want))
+				_, err = io.Copy(io.Discard, response.Body)
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+	})
+
+	// Guards against requests that net/http responds to itself, without any bound.
+	It("bounds the time for the body of a request for the options of the server", func() {
+		s := serve(boundedhttp.Options{BodyTimeout: time.Millisecond})
+		c := s.dial("OPTIONS * HTTP/1.1\r\nHost: a\r\nContent-Length: 10000\r\n\r\n")
+		_, err := io.Copy(io.Discard, c) // until the server closes the connection
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a refused request whose body is awaited without end.
+	It("bounds the time for the body of a request whose head is refused", func() {
+		s := serve(boundedhttp.Options{Limits: limits, BodyTimeout: time.Millisecond})
+		c := s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n" + manyFields + "\r\n")
+		in := bufio.NewReader(c)
+		for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			response, err := http.ReadResponse(in, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.StatusCode).To(Equal(want))
+			_, err = io.Copy(io.Discard, response.Body) // the second one ends with the connection
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := in.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	// Guards against heads without end that take the idle timeout, since they begin in net/http's buffer.
+	It("bounds the time for a head that begins with an earlier request", func() {
+		var isServed atomic.Bool
+		addr := serveWith(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
+			limits := boundedhttp.ClientLimits{HeadBytes: 4096, HeadTimeout: hangGuard, IdleTimeout: 3 * hangGuard}
+			if isServed.Load() {
+				limits.HeadTimeout = time.Millisecond
+			}
+			return limits
+		}}, func(http.ResponseWriter, *http.Request) { isServed.Store(true) })
+		c := dialTo(addr)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost")
+		Expect(err).NotTo(HaveOccurred())
+		in := bufio.NewReader(c)
+		first, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, in) // until the server closes the connection
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against heads without end whose fields are not counted, since an empty line precedes them.
+	It("counts a head after an empty line", func() {
+		s := serve(boundedhttp.Options{Limits: limits})
+		c := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+		in := bufio.NewReader(c)
+		first, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, first.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(c, "\r\nGET / HTTP/1.1\r\nHost: a\r\n"+manyFields)
+		Expect(err).NotTo(HaveOccurred())
+		second, err := http.ReadResponse(in, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	})
+
 	// Guards against trailers that are kept while a request is served and are not counted.
 	It("keeps little of the trailers of requests", func() {
 		const requests, perRequest = 32, 16 << 10
--- a/adapters/boundedhttp/server.go
+++ b/adapters/boundedhttp/server.go
@@ -13,6 +13,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -104,7 +105,7 @@
 	}
 	s := &Server{opts: opts, table: connlimit.New(opts.Limits)}
 	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serve), ConnContext: connContext,
+		Handler: http.HandlerFunc(s.serve), ConnContext: connContext, DisableGeneralOptionsHandler: true,
 		ConnState: func(c net.Conn, state http.ConnState) { c.(*conn).setState(state) },
 		// conn replaces the timeouts by those in force.
 		ReadHeaderTimeout: DefaultHeadTimeout, IdleTimeout: DefaultIdleTimeout, MaxHeaderBytes: maxHeadBytes,
@@ -145,6 +146,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.countBuffered(r.Header) {
 		s.countRefused(connlimit.HeadMemory)
+		// net/http reads what is left of a short body. Fails only on a closed connection.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opts.BodyTimeout))
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", retryAfter)
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -237,7 +240,7 @@
 	for {
 		accepted, err := l.Listener.Accept()
 		if err != nil {
-			return nil, err
+			return nil, acceptError(err)
 		}
 		c := &conn{TCPConn: accepted.(*net.TCPConn), server: l.server}
 		// Unlike the receive buffer, it is not inherited from the listener. Fails only on a closed connection.
@@ -249,6 +252,38 @@
 	}
 }
 
+// singleErrors are errors of accept(2) that concern one connection, or a shortage that passes,
+// and that package net doesn't report as temporary.
+var singleErrors = []syscall.Errno{
+	syscall.ENOMEM, syscall.ENOBUFS, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTDOWN, syscall.EHOSTUNREACH,
+	syscall.ENONET, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EOPNOTSUPP, syscall.EPERM,
+}
+
+// acceptError returns an error after which net/http goes on accepting connections if err concerns
+// a single one.
+func acceptError(err error) error {
+	var errno syscall.Errno
+	if errors.As(err, &errno) && slices.Contains(singleErrors, errno) {
+		return temporaryError{cause: err}
+	}
+	return err
+}
+
+// temporaryError is an error after which net/http tries again. It implements net.Error.
+type temporaryError struct{ cause error }
+
+// Error implements error.
+func (e temporaryError) Error() string { return e.cause.Error() }
+
+// Timeout implements net.Error.
+func (temporaryError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (temporaryError) Temporary() bool { return true }
+
+// Unwrap returns the cause.
+func (e temporaryError) Unwrap() error { return e.cause }
+
 func (s *Server) clientLimits() ClientLimits { return s.opts.ClientLimits() }
 
 // countClosed records a connection that was closed for another one.
