boundedhttp: make the steady body test independent of pauses of the machine

"closes an idle connection before one whose body arrives steadily" sent a body for 1.2 s and expected the newcomer to close an idle connection. If the machine stood still for a second between the last byte and the newcomer, the body had made no progress for a second and its connection was closed, as it should be: the test failed without a fault. It also assumed that what it had written had been received.

The test now waits for the receipt of each byte and repeats an attempt whose newcomer was not served within a second of the last byte, which shows nothing. What it asserts of a valid attempt is unchanged, and the newcomer still comes when the request is older than a second.

--- a/adapters/boundedhttp/buffers_test.go
+++ b/adapters/boundedhttp/buffers_test.go
@@ -152,22 +152,66 @@
 
 	// Guards against idle clients whose newcomers close the upload of an ordinary client.
 	It("closes an idle connection before one whose body arrives steadily", func() {
-		s := serve(boundedhttp.Options{Limits: connlimit.Limits{Connections: 8, Requests: 6}})
-		for range 7 {
-			Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
+		const (
+			age   = time.Second // from which a request without progress may be evicted
+			idle  = 7
+			tries = 20
+		)
+		received := make(chan struct{})
+		addr := serveWith(boundedhttp.Options{Limits: connlimit.Limits{Connections: idle + 1, Requests: idle - 1}}, func(_ http.ResponseWriter, r *http.Request) {
+			for piece := make([]byte, 1); r.ContentLength > 0; received <- struct{}{} {
+				if _, err := io.ReadFull(r.Body, piece); err != nil {
+					return
+				}
+			}
+		})
+		get := func() net.Conn {
+			c := dialTo(addr)
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status(c)).To(Equal(http.StatusOK))
+			return c
+		}
+		for range idle {
+			get()
 		}
-		upload := s.dial("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n")
-		sent := 0
-		ticker := time.NewTicker(20 * time.Millisecond) // the pace of the body
-		defer ticker.Stop()
-		for began := time.Now(); time.Since(began) < 1200*time.Millisecond; sent++ {
-			_, err := upload.Write([]byte("a"))
+		// attempt reports whether the newcomer came within age of the last byte that it knows
+		// was received. If the machine stood still in between, either may be evicted.
+		attempt := func() bool {
+			upload := dialTo(addr)
+			_, err := io.WriteString(upload, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
 			Expect(err).NotTo(HaveOccurred())
-			<-ticker.C
+			send := func() bool {
+				if _, err := upload.Write([]byte("a")); err != nil {
+					return false
+				}
+				select {
+				case <-received:
+					return true
+				case <-time.After(hangGuard):
+					return false
+				}
+			}
+			Expect(send()).To(BeTrue())
+			for began := time.Now(); time.Since(began) <= age; {
+				Expect(send()).To(BeTrue())
+				<-time.After(20 * time.Millisecond) // the pace of the body
+			}
+			sent := time.Now()
+			Expect(send()).To(BeTrue())
+			get()
+			if time.Since(sent) >= age {
+				_ = upload.Close()
+				return false
+			}
+			Expect(send()).To(BeTrue(), "the upload goes on")
+			return true
 		}
-		Expect(status(s.dial("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))).To(Equal(http.StatusOK))
-		_, err := io.WriteString(upload, strings.Repeat("a", 100-sent))
-		Expect(err).NotTo(HaveOccurred())
-		Expect(status(upload)).To(Equal(http.StatusOK))
+		for range tries {
+			if attempt() {
+				return
+			}
+		}
+		Fail("each newcomer came too late after the body's last byte")
 	})
 })
