gateway: test calls whose responses are not accepted in simulated time

"ends once the time of the call is over" gave the call 400 ms of real time and expected its response to begin: if the machine stood still for as long after the call arrived, the call was refused, as it should be, and the test failed.

The test now runs in simulated time, in which a pause takes no time, as the other tests of deadlines do. It still expects that the response began, that the call ended no sooner than its time was over and that its place is free, and now also that it ended within writeSlack of that rather than within 10 s.

--- a/daemon/gateway/memory_test.go
+++ b/daemon/gateway/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -124,34 +126,38 @@
 	return b.response, nil
 }
 
-var _ = Describe("A response that has begun, for a caller that accepts nothing of it", func() {
-	// Guards against a call whose slot and memory a caller takes for as long as it likes.
-	DescribeTable("ends once the time of the call is over", func(isPlain bool, response Response) {
-		g, _ := newGateway()
-		g.opts.Memory, g.opts.Backend = memlimit.New(1000), &responseBackend{response: response}
-		s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
-		if isPlain {
-			s.Config.Services[0].Engine = nil
-		}
-		s.Config.Routes[0].TargetLatency, s.Config.Routes[0].Timeout = 200*time.Millisecond, 400*time.Millisecond
-		g.adopt(time.Now(), s, fromPlatform)
-		g.publish(time.Now())
-		caller := &stalledCaller{make(refusalRecorder, 1), make(chan struct{}), make(chan struct{}), time.Time{}}
-		arrived, served := time.Now(), make(chan struct{})
-		go func() {
-			defer close(served)
-			g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: arrived, LastEvent: -1}, caller)
-		}()
-		DeferCleanup(func() {
-			close(caller.release)
-			<-served
+// Guards against a call whose slot and memory a caller takes for as long as it likes, when a
+// response has begun and the caller accepts nothing of it.
+func TestResponseThatIsNotAcceptedEndsWithTheTimeOfTheCall(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		isPlain  bool
+		response Response
+	}{
+		"a stream":                            {response: endlessStream{}},
+		"one that is forwarded as it arrives": {isPlain: true, response: partlyRead{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := NewWithT(t)
+				g, _ := newGateway()
+				g.opts.Memory, g.opts.Backend = memlimit.New(1000), &responseBackend{response: c.response}
+				s := snapshot(5, server("i-1", "10.0.1.1:80", 2))
+				if c.isPlain {
+					s.Config.Services[0].Engine = nil
+				}
+				s.Config.Routes[0].TargetLatency, s.Config.Routes[0].Timeout = timeout/2, timeout
+				g.adopt(time.Now(), s, fromPlatform)
+				g.publish(time.Now())
+				caller := &stalledCaller{make(refusalRecorder, 1), make(chan struct{}), make(chan struct{}), time.Time{}}
+				release := time.AfterFunc(time.Minute, func() { close(caller.release) }) // ends a call that would not
+				defer release.Stop()
+				arrived := time.Now()
+				g.Serve(context.Background(), &Call{ID: "c", Host: "a.example", Path: "/", Arrived: arrived, LastEvent: -1}, caller)
+				o.Expect(caller.writing).To(BeClosed())
+				o.Expect(time.Since(arrived)).To(And(BeNumerically(">=", timeout), BeNumerically("<=", timeout+writeSlack)))
+				o.Expect(g.InFlight()).To(BeZero())
+			})
 		})
-		Eventually(caller.writing, "5s").Should(BeClosed())
-		Eventually(served, "10s").Should(BeClosed())
-		Expect(time.Since(arrived)).To(BeNumerically(">=", 400*time.Millisecond))
-		Expect(g.InFlight()).To(BeZero())
-	},
-		Entry("a stream", false, endlessStream{}),
-		Entry("one that is forwarded as it arrives", true, partlyRead{}),
-	)
-})
+	}
+}
