opshttp: wait for the admitted pages in the test of their number

"sends a bounded number of pages at a time" expected eight handlers to run at the moment when the other twelve requests had been refused. A request is admitted before its handler runs, so on a busy machine a handler may not have begun then.

The test now waits until eight handlers run; that there are no more follows, as before, from the twelve refusals. The handlers are released if it fails.

--- a/adapters/opshttp/opshttp_test.go
+++ b/adapters/opshttp/opshttp_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 
 	"github.com/joomcode/errorx"
 	. "github.com/onsi/ginkgo/v2"
@@ -109,10 +110,12 @@
 		const clients = 20
 		running := make(chan struct{}, clients)
 		end := make(chan struct{})
+		release := sync.OnceFunc(func() { close(end) })
 		base := start(opshttp.Options{Metrics: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 			running <- struct{}{}
 			<-end
 		})})
+		DeferCleanup(release) // before start's, which waits for the handlers
 		statuses := make(chan int, clients)
 		for range clients {
 			go func() {
@@ -125,10 +128,10 @@
 		for range clients - pages {
 			Eventually(statuses, "5s").Should(Receive(Equal(http.StatusServiceUnavailable)))
 		}
-		Expect(running).To(HaveLen(pages))
+		Eventually(running, "5s").Should(HaveLen(pages)) // admitted, but perhaps not yet at the handler
 		status, _ := request("GET", base+"/healthz", nil)
 		Expect(status).To(Equal(http.StatusOK))
-		close(end)
+		release()
 		for range pages {
 			Eventually(statuses, "5s").Should(Receive(Equal(http.StatusOK)))
 		}
