fleet: don't take a peer's report for one of the future

A single heartbeat with a negative age displaced what true peers reported: the time of its report lay in the future, by up to 100 years, so each later report was older and was ignored, and the report never expired. The same holds for the limits of servers, crashes, the loads of groups and the platform's state. Directories list such entries, so ordinary callers may be sent to addresses that do not answer.

A negative age now counts as 0, as readTime has it for readings already. The age of a version that was named may still be negative. Without the change the three new tests fail in a scratch copy, with it they pass.

--- a/core/fleet/span.go
+++ b/core/fleet/span.go
@@ -12,3 +12,7 @@
 func Span(ms int64) time.Duration {
 	return time.Duration(min(max(-maxSpan.Milliseconds(), ms), maxSpan.Milliseconds())) * time.Millisecond
 }
+
+// Ago returns the time that another process reports by its age in milliseconds. It is never
+// in the future, or the report would displace all later ones and not expire.
+func Ago(now time.Time, ageMS int64) time.Time { return now.Add(-Span(max(0, ageMS))) }
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -81,7 +81,7 @@
 	var quarantined []Fingerprint
 	partsBefore := r.parts.quarantined
 	for _, report := range reports {
-		at := now.Add(-fleet.Span(report.AgeMS))
+		at := fleet.Ago(now, report.AgeMS)
 		if report.isPartSuccess() {
 			r.mergePartSuccess(at, report.Parts, from)
 			continue
--- a/core/serverlimit/exchange.go
+++ b/core/serverlimit/exchange.go
@@ -55,7 +55,7 @@
 }
 
 func (r *Registry) merge(now time.Time, report Report, from feed.Source) bool {
-	at := now.Add(-fleet.Span(report.AgeMS))
+	at := fleet.Ago(now, report.AgeMS)
 	known := r.limits[report.Server]
 	if known == nil {
 		r.set(report.Server, limit{perSecond: report.PerSecond, ended: report.Ended, at: at}, from)
--- a/core/serverlimit/exchange_test.go
+++ b/core/serverlimit/exchange_test.go
@@ -54,6 +54,13 @@
 		Expect(due).To(Equal([]serverlimit.Report{report(3, time.Second)}))
 	})
 
+	// Guards against a single report from which on those of all others are ignored.
+	It("are replaced by a newer one although they have a negative age", func() {
+		merge(0, report(2, -time.Hour))
+		Expect(merge(time.Second, report(3, 0))).To(HaveLen(1))
+		Expect(perSecond(time.Second)).To(Equal(3.0))
+	})
+
 	It("end a limit that was advertised before", func() {
 		merge(0, report(1, 0))
 		Expect(merge(3*time.Second, endReport(time.Second))).To(HaveLen(1))
--- a/daemon/gateway/bounds_test.go
+++ b/daemon/gateway/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -58,4 +59,13 @@
 		Expect(add(100, 0)).To(BeFalse())
 		Expect(add(101, 1)).To(BeTrue())
 	})
+
+	// Guards against a single report from which on those of all others are ignored.
+	It("takes a report with a negative age for one of the moment", func() {
+		const hour = int64(time.Hour / time.Millisecond)
+		c := &contact{}
+		c.adoptState(start, wire.PlatformState{LastResponseAgoMS: -hour, RegainedAgoMS: -hour, SilentMS: hour})
+		Expect(c.lastResponse).To(Equal(start))
+		Expect(c.outageEnd).To(Equal(start))
+	})
 })
--- a/daemon/gateway/contact.go
+++ b/daemon/gateway/contact.go
@@ -83,7 +83,7 @@
 // adoptState adopts the state that an entry which reads the platform reports. Of several
 // such entries, the one with the latest response decides.
 func (c *contact) adoptState(now time.Time, state wire.PlatformState) {
-	lastResponse := now.Add(-fleet.Span(state.LastResponseAgoMS))
+	lastResponse := fleet.Ago(now, state.LastResponseAgoMS)
 	if lastResponse.Before(c.lastResponse) {
 		return
 	}
@@ -94,7 +94,7 @@
 		c.responses = min(2, c.responses+1)
 	}
 	c.lastResponse = lastResponse
-	c.recordOutage(now.Add(-fleet.Span(state.RegainedAgoMS)), fleet.Span(state.SilentMS))
+	c.recordOutage(fleet.Ago(now, state.RegainedAgoMS), fleet.Span(state.SilentMS))
 }
 
 // recordOutage records the platform's return after a time without a response. A time
--- a/daemon/gateway/peers.go
+++ b/daemon/gateway/peers.go
@@ -185,7 +185,7 @@
 func (g *Gateway) receiveGroupLoads(now time.Time, digests []wire.Digest) {
 	for _, d := range digests {
 		if d.Group != g.mesh.Group() {
-			g.balancer.UpdateGroupLoads(now, now.Add(-fleet.Span(d.AgeMS)), d.Group, d.Loads)
+			g.balancer.UpdateGroupLoads(now, fleet.Ago(now, d.AgeMS), d.Group, d.Loads)
 		}
 	}
 }
--- a/daemon/mesh/digests.go
+++ b/daemon/mesh/digests.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		l.digestItems += d.Items() - keptItems
-		at := now.Add(-fleet.Span(d.AgeMS))
+		at := fleet.Ago(now, d.AgeMS)
 		l.digests[d.Reporter] = receivedDigest{d, at}
 		if d.Reporter == l.addr && d.Version != before.Version && !m.isSameGroup(l) {
 			m.notifyGroup = true
--- a/daemon/mesh/limits_test.go
+++ b/daemon/mesh/limits_test.go
@@ -26,6 +26,19 @@
 	return all
 }
 
+// openGossip opens a stream of heartbeats from an address where no process of the fleet runs.
+func openGossip(from string, to *node, port uint16) *peer.Stream {
+	GinkgoHelper()
+	store, err := keys.Ephemeral(keys.Identity{ID: mesh.IDOf(netip.MustParseAddr(from)), Role: fleet.RoleEntry})
+	Expect(err).NotTo(HaveOccurred())
+	endpoint, err := peer.New(peer.Options{Listen: netip.MustParseAddrPort(from + ":0"), Keys: store})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(endpoint.Close)
+	stream, err := endpoint.Open(context.Background(), netip.AddrPortFrom(netip.MustParseAddr(string(to.id)), port), to.id, peer.KindGossip)
+	Expect(err).NotTo(HaveOccurred())
+	return stream
+}
+
 var _ = Describe("A mesh with a peer that reports entries that do not exist", func() {
 	const address, stranger, late = "127.0.5.1", "127.0.5.8", "127.0.5.2"
 	place := fleet.Place{Zone: "hall", Region: "lagos"}
@@ -36,14 +49,7 @@
 	BeforeEach(func() {
 		port = freePort()
 		one = start(port, fleet.RoleEntry, address)
-		id := mesh.IDOf(netip.MustParseAddr(stranger))
-		store, err := keys.Ephemeral(keys.Identity{ID: id, Role: fleet.RoleEntry})
-		Expect(err).NotTo(HaveOccurred())
-		endpoint, err := peer.New(peer.Options{Listen: netip.MustParseAddrPort(stranger + ":0"), Keys: store})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(endpoint.Close)
-		stream, err = endpoint.Open(context.Background(), netip.AddrPortFrom(netip.MustParseAddr(address), port), one.id, peer.KindGossip)
-		Expect(err).NotTo(HaveOccurred())
+		stream = openGossip(stranger, one, port)
 	})
 
 	report := func(entries []wire.EntryState) {
@@ -79,3 +85,33 @@
 		Eventually(known, eventualTimeout).Should(Equal(3)) // the stranger and two of them
 	})
 })
+
+// Guards against a single heartbeat from which on the reports of all others about an entry are
+// ignored, and by which an entry that does not exist is live for ever.
+var _ = It("A mesh with a peer that reports states of the future does not keep them", func() {
+	const address, stranger, other, madeUp = "127.0.5.1", "127.0.5.8", "127.0.5.9", "127.0.5.7"
+	const future = -int64(time.Hour / time.Millisecond)
+	port := freePort()
+	one := start(port, fleet.RoleEntry, address)
+	report := func(from string, ageMS int64, isReady bool) {
+		self := netip.MustParseAddr(from)
+		state := wire.EntryState{Addr: netip.MustParseAddr(madeUp), Place: one.place, Ready: isReady}
+		Expect(openGossip(from, one, port).Send(wire.Heartbeat{
+			ID: mesh.IDOf(self), Role: fleet.RoleEntry, Place: one.place, Ready: true,
+			Digests: []wire.Digest{{Reporter: self, Group: "made up", Version: 1, AgeMS: ageMS, Entries: []wire.EntryState{state}}},
+		})).To(Succeed())
+	}
+	isReady := func() bool {
+		e, _ := one.liveEntry(mesh.IDOf(netip.MustParseAddr(madeUp)))
+		return e.Ready
+	}
+	isLive := func() bool {
+		_, live := one.liveEntry(mesh.IDOf(netip.MustParseAddr(madeUp)))
+		return live
+	}
+	report(stranger, future, false)
+	Eventually(isLive, eventualTimeout).Should(BeTrue())
+	report(other, 0, true)
+	Eventually(isReady, eventualTimeout).Should(BeTrue())
+	Eventually(isLive, eventualTimeout).Should(BeFalse())
+})
