boundedhttp: close a connection whose head is late without a response

A client whose head did not arrive in time got 400 if a line of it had begun, after which no client comes back, and a close otherwise. Ordinary clients meet it when the process is paused for longer than the addition to the time for a head: the deadline passes before bytes that arrived in time are read.

net/http's reader of lines returns a line that has begun as a complete one when the read fails, and the parser refuses it as malformed. The connection is closed now when the deadline has passed, so that nothing is sent.

--- a/adapters/boundedhttp/boundedhttp_test.go
+++ b/adapters/boundedhttp/boundedhttp_test.go
@@ -248,6 +248,17 @@
 		}
 	})
 
+	// Guards against a client that never comes back, since its head arrived during a pause of the
+	// process and was refused as malformed.
+	It("closes a connection whose head is late without a response", func() {
+		s := serve(boundedhttp.Options{ClientLimits: func() boundedhttp.ClientLimits {
+			return boundedhttp.ClientLimits{HeadBytes: 4096, HeadTimeout: 20 * time.Millisecond, IdleTimeout: hangGuard}
+		}})
+		response, err := io.ReadAll(s.dial("GET / HTTP/1.1\r\nHost"))
+		Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse()) // a reset is allowed
+		Expect(string(response)).To(BeEmpty())
+	})
+
 	// Guards against an idle connection that is closed while its client may still reuse it, since
 	// the idle timeout was shorter when it became idle.
 	It("keeps an idle connection for longer if the configured time has become longer", func() {
--- a/adapters/boundedhttp/conn.go
+++ b/adapters/boundedhttp/conn.go
@@ -94,6 +94,9 @@
 	}
 	n, err := c.readHead(p)
 	if n == 0 {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			_ = c.TCPConn.Close() // net/http would take the line that has begun for a complete one and respond 400
+		}
 		return n, err
 	}
 	c.headBytes += n
