Crowd tests: require that the crowds connected

A crowd that never connects settles at once, and everything that is asserted of the process afterwards holds: with the address of the crowd replaced by a port where nothing listens, "bears unfinished heads of short fields" passed in a scratch copy.

The specs with TCP crowds now require that at least as many connections were opened as there are clients; one that the process closes at once counts.

--- a/cmd/hostileclients/clients_test.go
+++ b/cmd/hostileclients/clients_test.go
@@ -32,6 +32,7 @@
 	DeferCleanup(c.Stop)
 	Eventually(c.Settled).Should(BeTrue())
 	AddReportEntry("crowd", fmt.Sprintf("%+v", c.Counts()))
+	Expect(c.Counts().Opened).To(BeNumerically(">=", c.Connections), "opened connections")
 	Eventually(p.serve).Should(Succeed(), "while the crowd holds")
 	u.sample() // the connections of the crowd were accepted before this request's
 	c.Stop()
