--- a/adapters/peer/limits_test.go
+++ b/adapters/peer/limits_test.go
@@ -6,7 +6,7 @@
 	"encoding/binary"
 	"net"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -46,9 +46,17 @@
 }
 
 // deafSocket sends datagrams and drops those that it receives.
-type deafSocket struct{ net.PacketConn }
+type deafSocket struct {
+	net.PacketConn
+	sent atomic.Int64
+}
+
+func (s *deafSocket) WriteTo(p []byte, to net.Addr) (int, error) {
+	s.sent.Add(1)
+	return s.PacketConn.WriteTo(p, to)
+}
 
-func (s deafSocket) ReadFrom(p []byte) (int, net.Addr, error) {
+func (s *deafSocket) ReadFrom(p []byte) (int, net.Addr, error) {
 	for {
 		if _, _, err := s.PacketConn.ReadFrom(p); err != nil {
 			return 0, nil, err
@@ -95,19 +103,23 @@
 		p := newPair(echo, func(server, _ *peer.Options) { server.MaxAcceptedPerAddress = 8 })
 		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		transport := &quic.Transport{Conn: deafSocket{socket}}
+		deaf := &deafSocket{PacketConn: socket}
+		transport := &quic.Transport{Conn: deaf}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
 		var dials sync.WaitGroup
 		for range begun {
 			dials.Go(func() {
-				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-				defer cancel()
 				_, _ = transport.Dial(ctx, net.UDPAddrFromAddrPort(p.server.Addr()), &tls.Config{
 					InsecureSkipVerify: true, NextProtos: []string{keys.Protocol},
 				}, nil)
 			})
 		}
-		dials.Wait()
+		// The first flight has two datagrams, and is repeated.
+		gomega.Eventually(deaf.sent.Load, waitTimeout).Should(gomega.BeNumerically(">=", 3*begun))
 		gomega.Expect(roundTrip(p.client, p.server.Addr(), peer.KindGossip, "mine")).To(gomega.Equal("mine"))
+		cancel()
+		dials.Wait()
 		_ = transport.Close()
 		_ = socket.Close()
 	})
