--- /dev/null
+++ b/review/second/internal/rig/server.go
@@ -0,0 +1,135 @@
+package rig
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Plain is a server of a plain service that speaks HTTP/1.1 on bare connections, so that it
+// can send bytes that belong to no request.
+type Plain struct {
+	ID      string
+	Address string
+	// WorkTime is how long a request runs.
+	WorkTime time.Duration
+	// BeforeAnswer returns bytes that the server sends late: on a connection that has
+	// carried an answer before, at the point where the answer to the n-th request that runs
+	// here is expected. It is empty for none.
+	BeforeAnswer func(n int) string
+	// LosesAnswer reports whether the server runs the n-th request and resets the
+	// connection instead of answering.
+	LosesAnswer func(n int) bool
+
+	rig  *Rig
+	mu   sync.Mutex
+	runs map[string]int // by the ID of the request
+	n    int
+	late int
+}
+
+// NewPlain starts a sound server and registers it.
+func (r *Rig) NewPlain(id, service, ip string) *Plain {
+	l := Listen(ip)
+	s := &Plain{ID: id, Address: l.Addr().String(), WorkTime: 5 * time.Millisecond, rig: r, runs: make(map[string]int)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	r.Register(id, service, s.Address, 6)
+	return s
+}
+
+// Runs returns how often each request has run here.
+func (s *Plain) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for id, n := range s.runs {
+		out[id] = n
+	}
+	return out
+}
+
+// Counts returns the number of requests that have run and of those before whose answer late
+// bytes were sent.
+func (s *Plain) Counts() (runs, late int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.n, s.late
+}
+
+func (s *Plain) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for isReused := false; ; isReused = true {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if !s.answer(c, request, string(body), isReused) {
+			return
+		}
+	}
+}
+
+// answer answers one request and reports whether the connection stays open.
+func (s *Plain) answer(c net.Conn, request *http.Request, body string, isReused bool) bool {
+	id := request.Header.Get("X-Request-Id")
+	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != s.ID {
+		return s.write(c, "421 Misdirected Request", id, "X-Not-Run: 1\r\n", "")
+	}
+	if id == "" {
+		return s.write(c, "400 Bad Request", id, "X-Not-Run: 1\r\n", "")
+	}
+	n := s.begin(id)
+	s.rig.Note("run %s at %s %s %s", id, s.ID, request.Method, request.RequestURI)
+	if isReused && s.BeforeAnswer != nil {
+		if extra := s.BeforeAnswer(n); extra != "" {
+			s.mu.Lock()
+			s.late++
+			s.mu.Unlock()
+			s.rig.Note("late bytes at %s while %s runs: %.60q", s.ID, id, extra)
+			if _, err := io.WriteString(c, extra); err != nil {
+				return false
+			}
+		}
+	}
+	time.Sleep(s.WorkTime)
+	if s.LosesAnswer != nil && s.LosesAnswer(n) {
+		s.rig.Note("answer of %s lost at %s", id, s.ID)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	return s.write(c, "200 OK", id, fmt.Sprintf("X-Response-Stamp: %s.%s\r\n", s.ID, id), "done "+id+" "+body)
+}
+
+func (s *Plain) begin(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+	s.n++
+	return s.n
+}
+
+func (s *Plain) write(c net.Conn, status, id, header, body string) bool {
+	echo := ""
+	if id != "" {
+		echo = "X-Request-Id: " + id + "\r\n"
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s%sContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", status, echo, header, len(body), body)
+	return err == nil
+}
