--- a/review/second/cmd/lateextra/main.go
+++ b/review/second/cmd/lateextra/main.go
@@ -20,59 +20,24 @@
 func main() {
 	r := rig.New()
 	entry := r.Entry(1)
-	servers := []*rig.Plain{r.NewPlain("w-1", "workshop-api", rig.Loopback(101)), r.NewPlain("w-2", "workshop-api", rig.Loopback(102))}
-	r.Config(1, rig.Route("parts-lookup", "/parts/", "unsafe", "workshop-api", 2))
+	servers := []*rig.Plain{r.NewPlain("w-1", rig.Workshop, rig.Loopback(101)), r.NewPlain("w-2", rig.Workshop, rig.Loopback(102))}
+	r.Config(1, rig.Route("parts-lookup", "/parts/", "unsafe", rig.Workshop, 2))
 	if r.Trouble {
-		turn := 0
-		servers[0].BeforeAnswer = func(n int) string {
-			if n%every != 0 {
-				return ""
-			}
-			if turn++; turn%2 == 1 {
-				return notRun
-			}
-			return success
-		}
+		servers[0].BeforeAnswer = lateBytes()
 	}
 	r.AwaitReady(entry)
-	foreign, promised := 0, 0
 	answers := make(map[string]rig.Answer, requests)
 	for n := range requests {
 		id := fmt.Sprintf("req-%04d", n)
 		answers[id] = r.Do(entry, rig.Call{Method: "POST", Host: "jobs.example", Path: "/parts/7", ID: id, Body: "part " + id, DeadlineMS: 3000})
 	}
-	runs := make(map[string]int)
 	for _, s := range servers {
-		for id, n := range s.Runs() {
-			runs[id] += n
-		}
 		total, late := s.Counts()
-		r.Note("%s ran %d requests and sent %d late extra answers", s.ID, total, late)
-	}
-	twice := 0
-	for id, answer := range answers {
-		if runs[id] > 1 {
-			twice++
-			r.Note("TWICE: %s ran %d times", id, runs[id])
-		}
-		if answer.Status == 200 && (answer.Stamp == "" || answer.Body != "done "+id+" part "+id) {
-			foreign++
-			r.Note("MIXED: %s got 200 with stamp %q and body %q", id, answer.Stamp, answer.Body)
-		}
-		if answer.Status == 503 && runs[id] > 0 {
-			promised++
-			r.Note("REFUSED: %s got 503 and ran", id)
-		}
+		r.Note("%s ran %d requests and sent late bytes %d times", s.ID, total, late)
 	}
-	ok := 0
-	for _, answer := range answers {
-		if answer.Status == 200 {
-			ok++
-		}
-	}
-	r.Note("of %d requests %d got 200; twice %d, foreign %d, promised %d", requests, ok, twice, foreign, promised)
+	broken, ok := judge(r, answers, rig.CountRuns(servers...))
 	switch {
-	case twice+foreign+promised > 0:
+	case broken > 0:
 		r.End(rig.Broken)
 	case ok < requests*9/10:
 		r.End(rig.CouldNot)
@@ -80,3 +45,39 @@
 		r.End(rig.Held)
 	}
 }
+
+// lateBytes returns what the faulty server sends before the answer to its n-th request.
+func lateBytes() func(n int) string {
+	turn := 0
+	return func(n int) string {
+		if n%every != 0 {
+			return ""
+		}
+		if turn++; turn%2 == 1 {
+			return notRun
+		}
+		return success
+	}
+}
+
+// judge counts the broken rules and the requests that were served.
+func judge(r *rig.Rig, answers map[string]rig.Answer, runs map[string]int) (broken, ok int) {
+	for id, answer := range answers {
+		isOwn := answer.Stamp != "" && answer.Body == "done "+id+" part "+id
+		switch {
+		case runs[id] > 1:
+			broken++
+			r.Note("TWICE: %s ran %d times", id, runs[id])
+		case answer.Status == 200 && !isOwn:
+			broken++
+			r.Note("MIXED: %s got 200 with stamp %q and body %q", id, answer.Stamp, answer.Body)
+		case answer.Status == 503 && runs[id] > 0:
+			broken++
+			r.Note("REFUSED: %s got 503 and ran", id)
+		case answer.Status == 200:
+			ok++
+		}
+	}
+	r.Note("of %d unsafe requests %d were served, %d broke a rule", len(answers), ok, broken)
+	return broken, ok
+}
--- a/review/second/internal/rig/rig.go
+++ b/review/second/internal/rig/rig.go
@@ -10,9 +10,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"chivespindle.example/platform/standin"
@@ -28,6 +30,12 @@
 // program is the program that the deploy file builds, from the root of the repository.
 const program = "target/chivespindled"
 
+// mostTime is how long a case may run.
+const mostTime = 110 * time.Second
+
+// MemoryMB is the memory of a front machine of ffsan-relay.
+const MemoryMB = 284
+
 // Rig is a small deployment.
 type Rig struct {
 	Store *standin.Store
@@ -39,6 +47,8 @@
 	peerPort  int
 	processes []*Process
 
+	endOnce sync.Mutex
+
 	mu     sync.Mutex
 	record *os.File
 	start  time.Time
@@ -47,6 +57,7 @@
 // Process is a process of the program.
 type Process struct {
 	Name    string
+	role    string
 	command *exec.Cmd
 	ended   chan struct{}
 }
@@ -67,6 +78,13 @@
 	}
 	r.storeAddr = Serve(Loopback(250), r.Store)
 	r.Note("trouble %t", r.Trouble)
+	time.AfterFunc(mostTime, func() { r.End(CouldNot) })
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		r.End(CouldNot)
+	}()
 	return r
 }
 
@@ -126,7 +144,7 @@
 	settings := map[string]any{
 		"nodeName": role + "-" + ip, "ip": ip, "zone": "apapa-hall", "region": "lagos", "zones": map[string]string{"apapa-hall": "lagos"},
 		"portRange": []int{r.peerPort, r.peerPort + 15}, "seeds": []string{Loopback(1) + ":18000", Loopback(2) + ":18000"},
-		"limits": map[string]any{"memoryMb": 284, "maxFds": 4200, "linkMbps": 1000},
+		"limits": map[string]any{"memoryMb": MemoryMB, "maxFds": 4200, "linkMbps": 1000},
 		"bounds": map[string]any{"graceS": 8, "contactMs": 3000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
 			"budgetSlack": 100, "version_ms": 8000},
 		"platform": map[string]string{"address": r.storeAddr},
@@ -136,27 +154,48 @@
 	}
 	raw, err := json.Marshal(settings)
 	check(err)
-	p := &Process{Name: role + "-" + ip, ended: make(chan struct{})}
-	file := filepath.Join(r.dir, p.Name+".json")
-	check(os.WriteFile(file, raw, 0o600))
-	output, err := os.Create(filepath.Join(r.dir, p.Name+".log"))
+	p := &Process{Name: role + "-" + ip, role: role}
+	check(os.WriteFile(filepath.Join(r.dir, p.Name+".json"), raw, 0o600))
+	p.run(r)
+	r.processes = append(r.processes, p)
+	r.Note("started %s", p.Name)
+}
+
+// HasEnded reports whether a process has ended by itself.
+func (r *Rig) HasEnded() bool {
+	for _, p := range r.processes {
+		select {
+		case <-p.ended:
+			return true
+		default:
+		}
+	}
+	return false
+}
+
+func (p *Process) run(r *Rig) {
+	output, err := os.OpenFile(filepath.Join(r.dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
-	p.command = exec.Command(program, "platform", role)
-	p.command.Env = []string{"CHIVESPINDLE_NODE_FILE=" + file}
+	p.ended = make(chan struct{})
+	p.command = exec.Command(program, "platform", p.role)
+	p.command.Env = []string{"CHIVESPINDLE_NODE_FILE=" + filepath.Join(r.dir, p.Name+".json")}
 	p.command.Stdout, p.command.Stderr = output, output
 	check(p.command.Start())
-	go func() {
-		_ = p.command.Wait()
-		close(p.ended)
-	}()
-	r.processes = append(r.processes, p)
-	r.Note("started %s", p.Name)
+	go func(command *exec.Cmd, ended chan struct{}) {
+		_ = command.Wait()
+		_ = output.Close()
+		close(ended)
+	}(p.command, p.ended)
 }
 
-// Register registers a server.
-func (r *Rig) Register(id, service, address string, slots int) {
-	r.Store.Put("servers/"+id, map[string]any{"service": service, "address": address, "zone": "apapa-hall",
-		"version": "1", "slots": slots, "state": "ready", "seqNo": 0, "coldLeftMs": 0})
+// Register registers a server. more are further fields of its entry.
+func (r *Rig) Register(id, service, address string, slots int, more map[string]any) {
+	entry := map[string]any{"service": service, "address": address, "zone": "apapa-hall",
+		"version": "1", "slots": slots, "state": "ready", "seqNo": 0, "coldLeftMs": 0}
+	for name, value := range more {
+		entry[name] = value
+	}
+	r.Store.Put("servers/"+id, entry)
 }
 
 // AwaitReady waits until all entries say that they are ready.
@@ -182,13 +221,10 @@
 
 // End ends all processes that were started and the driver, with its exit code.
 func (r *Rig) End(code int) {
+	r.endOnce.Lock() // never unlocked: the driver ends
 	for _, p := range r.processes {
 		_ = p.command.Process.Kill()
 		<-p.ended
-		if os.Getenv("KEEP_LOGS") != "" {
-			continue
-		}
-		_ = os.Remove(filepath.Join(r.dir, p.Name+".log"))
 	}
 	if os.Getenv("KEEP_LOGS") == "" {
 		_ = os.RemoveAll(r.dir)
@@ -199,3 +235,15 @@
 	_ = r.record.Close()
 	os.Exit(code)
 }
+
+// PeakMB returns the largest memory that the first process has used so far, in MB.
+func (r *Rig) PeakMB() int {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.processes[0].command.Process.Pid)) // empty once it has ended
+	for _, line := range strings.Split(string(status), "\n") {
+		var kb int
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kb); err == nil {
+			return kb >> 10
+		}
+	}
+	return 0
+}
--- a/review/second/internal/rig/server.go
+++ b/review/second/internal/rig/server.go
@@ -45,19 +45,21 @@
 			go s.serve(c)
 		}
 	}()
-	r.Register(id, service, s.Address, 6)
+	r.Register(id, service, s.Address, 6, nil)
 	return s
 }
 
-// Runs returns how often each request has run here.
-func (s *Plain) Runs() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for id, n := range s.runs {
-		out[id] = n
+// CountRuns returns how often each request has run at the servers.
+func CountRuns(servers ...*Plain) map[string]int {
+	runs := make(map[string]int)
+	for _, s := range servers {
+		s.mu.Lock()
+		for id, n := range s.runs {
+			runs[id] += n
+		}
+		s.mu.Unlock()
 	}
-	return out
+	return runs
 }
 
 // Counts returns the number of requests that have run and of those before whose answer late
