--- a/review/second/cmd/endless/main.go
+++ b/review/second/cmd/endless/main.go
@@ -67,6 +67,7 @@
 // drive sends requests at a steady rate and returns how many were served and the largest
 // memory of the entry.
 func drive(r *rig.Rig, entry string) (served int64, peak int) {
+	noted := false
 	var wg sync.WaitGroup
 	var whole atomic.Int64
 	ticker := time.NewTicker(time.Second / perSecond)
@@ -74,9 +75,9 @@
 	for n := range perSecond * seconds {
 		<-ticker.C
 		peak = max(peak, r.PeakMB())
-		if peak > rig.MemoryMB || r.HasEnded() {
+		if isOver := peak > rig.MemoryMB || r.HasEnded(); isOver && !noted {
+			noted = true
 			r.Note("over the limit after %d requests", n)
-			break
 		}
 		wg.Add(1)
 		go func() {
