--- a/review/second/cmd/endless/main.go
+++ b/review/second/cmd/endless/main.go
@@ -39,7 +39,7 @@
 			}
 		}
 	}
-	r.Config(1, rig.StreamRoute())
+	r.Config(1, "", rig.StreamRoute())
 	r.AwaitReady(entry)
 	served, peak := drive(r, entry)
 	r.Note("%d of %d requests served, the entry took up to %d MB of %d", served, perSecond*seconds, peak, rig.MemoryMB)
--- a/review/second/cmd/escapedpath/main.go
+++ b/review/second/cmd/escapedpath/main.go
@@ -25,7 +25,7 @@
 			s.LosesAnswer = func(n int) bool { return n%every == 0 }
 		}
 	}
-	r.Config(1,
+	r.Config(1, "",
 		rig.Route("job-orders", "/", "unsafe", rig.Workshop, 2),
 		rig.Route("job-status", "/status/", "safe", rig.Portal, 2))
 	r.AwaitReady(entry)
--- a/review/second/internal/rig/config.go
+++ b/review/second/internal/rig/config.go
@@ -7,15 +7,19 @@
 	Pool     = "spindle-pool"
 )
 
-// Config writes a configuration with the given routes.
-func (r *Rig) Config(version int, routes ...map[string]any) {
+// Config writes a configuration with the given routes. origin is the address of the origin of
+// weights, empty for none.
+func (r *Rig) Config(version int, origin string, routes ...map[string]any) {
+	services := []map[string]any{
+		{"name": Workshop, "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false},
+		{"name": Portal, "healthPath": "/health", "maxConns": 48, "protocol": "h1", "tls": false},
+		{"name": Pool, "healthPath": "/health", "maxConns": 424, "protocol": "h1", "tls": false, "engine": engine()},
+	}
+	if origin != "" {
+		services = append(services, map[string]any{"name": "member-portal", "origin": origin, "zone": "apapa-hall", "linkMbps": 15.0, "maxConns": 48})
+	}
 	r.Store.Put("op/config", map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{
-			{"name": Workshop, "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false},
-			{"name": Portal, "healthPath": "/health", "maxConns": 48, "protocol": "h1", "tls": false},
-			{"name": Pool, "healthPath": "/health", "maxConns": 424, "protocol": "h1", "tls": false, "engine": engine()},
-		},
+		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{},
 	})
@@ -25,10 +29,10 @@
 func engine() map[string]any {
 	return map[string]any{
 		"slots": 16, "kvCapacity": 317000, "kvTokenBytes": 262144, "stride": 5, "mb": 149000.0,
-		"models":  []map[string]any{{"name": "m1", "pace": 1.0, "warmS": 0.3}},
+		"models":  []map[string]any{{"name": Model, "pace": 1.0, "warmS": 0.3}},
 		"step_ms": 9.27, "per_seq_ms": 0.0232, "context_per_k": 0.0322, "read_per_s": 20700.0, "pairs_per_m": 1.18,
 		"chunk": 2048, "report_lag_ms": 200.0, "usual": map[string]any{"prompt": 979, "answer": 92},
-		"layers": 16, "chunks": 48, "chunkBytes": 49152,
+		"layers": 16, "chunks": Chunks, "chunkBytes": ChunkBytes,
 	}
 }
 
