--- a/review/second/internal/rig/rig.go
+++ b/review/second/internal/rig/rig.go
@@ -143,7 +143,7 @@
 func (r *Rig) startProcess(role, ip string, more map[string]any) {
 	settings := map[string]any{
 		"nodeName": role + "-" + ip, "ip": ip, "zone": "apapa-hall", "region": "lagos", "zones": map[string]string{"apapa-hall": "lagos"},
-		"portRange": []int{r.peerPort, r.peerPort + 15}, "seeds": []string{Loopback(1) + ":18000", Loopback(2) + ":18000"},
+		"portRange": []int{r.peerPort, r.peerPort + 15}, "seeds": []string{Loopback(1) + ":18000", Loopback(2) + ":18000", Loopback(3) + ":18000"},
 		"limits": map[string]any{"memoryMb": MemoryMB, "maxFds": 4200, "linkMbps": 1000},
 		"bounds": map[string]any{"graceS": 8, "contactMs": 3000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
 			"budgetSlack": 100, "version_ms": 8000},
@@ -161,6 +161,32 @@
 	r.Note("started %s", p.Name)
 }
 
+// Kill ends a process for good.
+func (r *Rig) Kill(p *Process) {
+	r.Note("killed %s", p.Name)
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// Restart stops a process as planned and starts it again.
+func (r *Rig) Restart(p *Process) {
+	r.Note("%s is stopped and started again", p.Name)
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	<-p.ended
+	p.run(r)
+}
+
+// Processes returns the processes of a role, in the order of their start.
+func (r *Rig) Processes(role string) []*Process {
+	var list []*Process
+	for _, p := range r.processes {
+		if p.role == role {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // HasEnded reports whether a process has ended by itself.
 func (r *Rig) HasEnded() bool {
 	for _, p := range r.processes {
