--- a/review/second/cmd/seedsdown/main.go
+++ b/review/second/cmd/seedsdown/main.go
@@ -1,5 +1,5 @@
-// Seedsdown shows what becomes of model servers whose agents are restarted while the machines
-// that are named as seeds are down, once a new version of the weights is named.
+// Seedsdown shows what becomes of model servers whose agents are restarted after the machines
+// that are named as seeds have left as planned, once a new version of the weights is named.
 package main
 
 import (
@@ -12,8 +12,8 @@
 	fronts = 6
 	seeds  = 3 // the first of the fronts
 	models = 6
-	// betweenRestarts is the pause between the stops of two agents, as on the standard days.
-	betweenRestarts = 1300 * time.Millisecond
+	// betweenStops is the pause between two planned stops, as on the standard days.
+	betweenStops = 1300 * time.Millisecond
 	// settled is how long after the naming of the version requests are counted: the time for
 	// the version (8 s), contactMs (3 s) and some seconds.
 	settled   = 16 * time.Second
@@ -37,14 +37,15 @@
 	time.Sleep(5 * time.Second)
 	if r.Trouble {
 		for _, p := range r.Processes("entry")[:seeds] {
-			r.Kill(p)
+			r.Remove(p)
+			time.Sleep(betweenStops)
 		}
 		time.Sleep(4 * time.Second)
 	}
 	entries = entries[seeds:]
 	for _, p := range r.Processes("agent") {
 		r.Restart(p)
-		time.Sleep(betweenRestarts)
+		time.Sleep(betweenStops)
 	}
 	time.Sleep(4 * time.Second)
 	for _, entry := range entries {
--- a/review/second/internal/rig/rig.go
+++ b/review/second/internal/rig/rig.go
@@ -161,10 +161,10 @@
 	r.Note("started %s", p.Name)
 }
 
-// Kill ends a process for good.
-func (r *Rig) Kill(p *Process) {
-	r.Note("killed %s", p.Name)
-	_ = p.command.Process.Kill()
+// Remove stops a process as planned, for good.
+func (r *Rig) Remove(p *Process) {
+	r.Note("%s leaves as planned", p.Name)
+	_ = p.command.Process.Signal(syscall.SIGTERM)
 	<-p.ended
 }
 
