Reject responses with a status that HTTP does not allow

A server in trouble sent a response with the status 000. Here, tests with a stand-in on showed:

- 000, 001, 099, "+12", "-00" and 101 were skipped like interim responses, and the body of the response was parsed as the next head.
A body like a response reached the caller, and X-Not-Run in it was believed: the caller of an unsafe request that had run got 503 ("Expected 503 to equal 502").
With another body the caller got 502, or 504 at the deadline.
- 600 and 999 reached the caller ("Expected 600 to equal 502").
- A chunk that an engine answered with 000 counted as staged, and calls to the store, the origin and an engine accepted a status line of HTTP/2.0 ("Expected an error to have occurred").

Cause: net/http accepts any three characters that strconv.Atoi does, and every status below 200 counted as interim. Nothing compared what arrived with what HTTP allows.

headReader checks the bytes of each head below the parser, and fails before the parser can see the end of a malformed one. All readers of HTTP responses have it: the pool of connections to servers, and Transport, which replaces http.Transport for the store, the origin, engines, the platform's services, the operators' port, callers and the command line. net/http gives a connection to one request at a time, so the transport expects a head after httptrace.GotConn.

Such a request has run with an unknown outcome: it is sent to another server only if it may run twice, otherwise its caller gets 502. Nothing that the response states is used, the connection is closed, and the attempt counts against the server's health. It is logged with the type malformed_response and counted in responses_malformed.

RFC 9110 calls codes outside of 100 to 599 invalid. 101 is one as well here, since no request asks for an upgrade. Bytes that do not begin like HTTP are left to net/http, which rejects them as before.

--- a/adapters/callerclient/client.go
+++ b/adapters/callerclient/client.go
@@ -56,10 +56,7 @@
 	if opts.Timeout == 0 {
 		opts.Timeout = defaultTimeout
 	}
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second,
-		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
-	}
+	transport := exchange.NewTransport(&http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second})
 	return &Client{opts: opts, http: &http.Client{Transport: transport}}
 }
 
--- a/adapters/engine/attempt/attempt.go
+++ b/adapters/engine/attempt/attempt.go
@@ -82,8 +82,6 @@
 	return &http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableCompression: true, // pieces are forwarded as the server sent them
-
-		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
 	}
 }
 
@@ -91,7 +89,7 @@
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		server: addr.String(),
-		http:   &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		http:   &http.Client{Transport: exchange.NewTransport(transport), CheckRedirect: noRedirect},
 	}
 }
 
--- a/adapters/exchange/bound_test.go
+++ b/adapters/exchange/bound_test.go
@@ -32,7 +32,7 @@
 	const maxAllocated = 8 << 20
 
 	// fails expects a failure within the bound, and a closed connection.
-	fails := func(response exchangetest.Endless, want *errorx.Type) {
+	fails := func(response exchangetest.Response, want *errorx.Type) {
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
 		s := exchangetest.Serve(response)
--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -111,7 +111,8 @@
 	net.Conn
 	addr      netip.AddrPort
 	input     *BoundedReader // of the connection
-	reader    *bufio.Reader  // of input
+	head      *headReader    // of input
+	reader    *bufio.Reader  // of head
 	writer    *bufio.Writer
 	idleUntil time.Time // not reused after this time
 	// readDeadline and onSilence belong to the current exchange.
@@ -177,7 +178,8 @@
 	p.mu.Unlock()
 	c := &conn{Conn: raw, addr: addr, writer: bufio.NewWriter(raw)}
 	c.input = NewBoundedReader(c, MaxHeadBytes, "the head")
-	c.reader = bufio.NewReaderSize(c.input, readBufferBytes)
+	c.head = newHeadReader(c.input)
+	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
 	return c, nil
 }
 
@@ -415,34 +417,6 @@
 	return r
 }
 
-// readHead reads the head of the final response. Its body may have any length.
-func (c *conn) readHead(r *http.Request) (*http.Response, error) {
-	c.input.restart()
-	response, err := readFinalResponse(c.reader, r)
-	if err == nil {
-		c.input.unbound()
-		return response, nil
-	}
-	// net/http reports a line that was truncated by the bound or the deadline as malformed.
-	if tooLong := c.input.Err(); tooLong != nil {
-		return nil, tooLong
-	}
-	if !time.Now().Before(c.readDeadline) {
-		err = errors.Join(os.ErrDeadlineExceeded, err)
-	}
-	return nil, err
-}
-
-// readFinalResponse skips interim (1xx) responses.
-func readFinalResponse(in *bufio.Reader, r *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(in, r)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
-}
-
 // SetDeadline bounds the reads of the body.
 func (r *Response) SetDeadline(deadline time.Time) { r.conn.setReadDeadline(deadline) }
 
@@ -471,12 +445,14 @@
 		len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// failureType distinguishes a response without an end and a timeout from a broken
-// connection. bufio.ErrTooLong is the error of an event without an end.
+// failureType distinguishes a response without an end, a malformed one and a timeout from a
+// broken connection. bufio.ErrTooLong is the error of an event without an end.
 func failureType(err error) *errorx.Type {
 	switch {
 	case errorx.IsOfType(err, TooLong), errors.Is(err, bufio.ErrTooLong):
 		return TooLong
+	case errorx.IsOfType(err, Malformed):
+		return Malformed
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.Timeout
 	default:
--- a/adapters/exchange/exchangetest/endless.go
+++ b/adapters/exchange/exchangetest/endless.go
@@ -25,11 +25,12 @@
 
 const chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-// Endless is a response that begins and then repeats a text.
-type Endless struct{ Name, Begin, Repeat string }
+// Response is a response that begins and then repeats a text. Without the latter, its server
+// sends nothing more.
+type Response struct{ Name, Begin, Repeat string }
 
 // Heads are responses whose head has no end.
-var Heads = []Endless{
+var Heads = []Response{
 	{"one header line", "HTTP/1.1 200 OK\r\nX: ", "x"},
 	{"bytes without one", "", "\x00"},
 	{"status line", "HTTP/1.1 200 ", "O"},
@@ -39,7 +40,7 @@
 }
 
 // Frames are responses in chunks whose framing has no end.
-var Frames = []Endless{
+var Frames = []Response{
 	{"chunk extension", chunkedHead + "1;", "x"},
 	{"chunk extensions", chunkedHead, "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n"},
 	{"chunk size", chunkedHead, "0"},
@@ -48,7 +49,7 @@
 }
 
 // Bodies are responses whose body has no end.
-var Bodies = []Endless{
+var Bodies = []Response{
 	{"without a length", "HTTP/1.1 200 OK\r\n\r\n", " "},
 	{"in chunks", chunkedHead, "400\r\n" + strings.Repeat(" ", 1<<10) + "\r\n"},
 	{"of a great length", "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\n", " "},
@@ -57,25 +58,25 @@
 const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 // Streams are responses with an event that has no end.
-var Streams = []Endless{
+var Streams = []Response{
 	{"line of an event", streamHead + "data: ", "x"},
 	{"lines of an event", streamHead, "data: x\n"},
 	{"empty lines", streamHead, "\n"},
 }
 
-// Server answers each request with the next one of its endless responses, again from the first
-// after the last.
+// Server answers each request with the next one of its responses, again from the first after the
+// last, and keeps the connection open.
 type Server struct {
 	Addr netip.AddrPort
 	// Closed receives a value when a client has closed the connection of a request.
 	Closed    chan struct{}
 	Requests  atomic.Int64
 	listener  net.Listener
-	responses []Endless
+	responses []Response
 }
 
 // Serve starts a server until the end of the test.
-func Serve(responses ...Endless) *Server {
+func Serve(responses ...Response) *Server {
 	ginkgo.GinkgoHelper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -111,7 +112,7 @@
 	expectBounded(call, maxHeadAllocated, slices.Concat(Heads, Frames))
 }
 
-func expectBounded(call func(context.Context, netip.AddrPort) error, maxAllocated uint64, responses []Endless) {
+func expectBounded(call func(context.Context, netip.AddrPort) error, maxAllocated uint64, responses []Response) {
 	ginkgo.GinkgoHelper()
 	const timeout = 20 * time.Second // of a call that is not bounded
 	for _, response := range responses {
@@ -154,14 +155,24 @@
 	}
 	index := s.Requests.Add(1) - 1
 	response := s.responses[index%int64(len(s.responses))]
-	const pieceBytes = 16 << 10
-	piece := []byte(strings.Repeat(response.Repeat, max(1, pieceBytes/len(response.Repeat))))
 	_, err := c.Write([]byte(response.Begin))
-	for sent := 0; sent < sentBytes && err == nil; sent += len(piece) {
-		_, err = c.Write(piece)
+	if response.Repeat != "" && err == nil {
+		err = writeRepeated(c, response.Repeat)
 	}
 	for err == nil {
 		_, err = c.Read(request)
 	}
 	s.Closed <- struct{}{}
 }
+
+// writeRepeated writes sentBytes that repeat a text.
+func writeRepeated(c net.Conn, text string) error {
+	const pieceBytes = 16 << 10
+	piece := []byte(strings.Repeat(text, max(1, pieceBytes/len(text))))
+	for sent := 0; sent < sentBytes; sent += len(piece) {
+		if _, err := c.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/adapters/exchange/exchangetest/malformed.go
@@ -0,0 +1,62 @@
+package exchangetest
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"chivespindle.example/core/failure"
+)
+
+// Sound returns a response with a body. lines are further lines of its head.
+func Sound(lines, body string) Response {
+	return Response{Name: "sound", Begin: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", lines, len(body), body)}
+}
+
+// invalidStatuses are no status codes of HTTP, or not of a response to a request that asks for
+// no upgrade.
+var invalidStatuses = []string{"000", "001", "099", "+12", "-00", "101", "600", "999"}
+
+// Malformed returns responses like that of Sound whose head HTTP does not allow although
+// net/http accepts it.
+func Malformed(lines, body string) []Response {
+	sound := Sound(lines, body).Begin
+	var all []Response
+	for _, status := range invalidStatuses {
+		// The body is a sound response, which a reader that skips the head would accept.
+		begin := fmt.Sprintf("HTTP/1.1 %s Trouble\r\nContent-Length: %d\r\n\r\n%s", status, len(sound), sound)
+		all = append(all, Response{Name: "status " + status, Begin: begin})
+	}
+	all = append(all,
+		Response{Name: "status 000 after an interim response", Begin: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble\r\n\r\n" + sound},
+		Response{Name: "another major version", Begin: "HTTP/2.0" + strings.TrimPrefix(sound, "HTTP/1.1")},
+	)
+	return all
+}
+
+// ExpectRejected expects that a call succeeds with a sound response, and fails because of each
+// malformed one like it before its deadline and closes the connection. lines are further lines
+// of the head.
+func ExpectRejected(call func(context.Context, netip.AddrPort) error, lines, body string) {
+	ginkgo.GinkgoHelper()
+	const timeout = 20 * time.Second // of a call that waits for more
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	gomega.Expect(call(ctx, Serve(Sound(lines, body)).Addr)).To(gomega.Succeed())
+	for _, response := range Malformed(lines, body) {
+		ginkgo.By(response.Name)
+		s := Serve(response)
+		err := call(ctx, s.Addr)
+		gomega.Expect(err).To(gomega.HaveOccurred(), response.Name)
+		gomega.Expect(errorx.IsOfType(err, failure.Timeout)).To(gomega.BeFalse(), "%s: %v", response.Name, err)
+		gomega.Expect(ctx.Err()).NotTo(gomega.HaveOccurred(), response.Name)
+		gomega.Eventually(s.Closed, timeout).Should(gomega.Receive(), response.Name)
+		gomega.Expect(s.Requests.Load()).To(gomega.BeEquivalentTo(1), "%s: requests", response.Name)
+	}
+}
--- /dev/null
+++ b/adapters/exchange/head.go
@@ -0,0 +1,213 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"chivespindle.example/core/failure"
+)
+
+// Malformed is the type of the error of a response whose head HTTP does not allow although
+// net/http accepts it. Nothing in such a response may be relied on.
+var Malformed = failure.Corrupt.NewSubtype("malformed_response")
+
+// maxStatusCode is the highest status code of RFC 9110, section 15.
+const maxStatusCode = 599
+
+// maxKeptBytes is how much of a line is kept for its check and for an error. The status code is
+// near the beginning of its line.
+const maxKeptBytes = 64
+
+// headPart is the part of a response that the next byte belongs to.
+type headPart uint8
+
+const (
+	partStatusLine headPart = iota
+	partLineStart           // of a field line, or of the empty line that ends the head
+	partName
+	partValue // what follows the name in a field line, and folded lines
+	partBody  // also what does not begin like a response, which net/http rejects
+)
+
+// headReader passes on the bytes of a connection and checks the heads of responses in them. It
+// fails within a malformed head, so that a parser that reads from it does not find the end of
+// the head.
+type headReader struct {
+	source io.Reader
+	part   headPart
+	// line holds the first bytes of the current line.
+	line []byte
+	// isInterim is true if a further head follows the current one.
+	isInterim bool
+	err       error
+}
+
+func newHeadReader(source io.Reader) *headReader {
+	return &headReader{source: source, line: make([]byte, 0, maxKeptBytes)}
+}
+
+// restart lets the head of a response follow.
+func (h *headReader) restart() { h.part, h.line, h.err = partStatusLine, h.line[:0], nil }
+
+// Err returns the failure of the check. Parsers may return another one for a line that is cut
+// off by it.
+func (h *headReader) Err() error { return h.err }
+
+// Read implements io.Reader. It returns what precedes an error in the head: net/http repeats
+// some requests if reading fails before the first byte of the response.
+func (h *headReader) Read(p []byte) (int, error) {
+	if h.err != nil {
+		return 0, h.err
+	}
+	n, err := h.source.Read(p)
+	if valid := h.check(p[:n]); h.err != nil {
+		if valid == 0 {
+			return 0, h.err
+		}
+		return valid, nil
+	}
+	return n, err
+}
+
+// check checks the bytes of p that belong to a head. It returns how many precede an error.
+func (h *headReader) check(p []byte) int {
+	for i, b := range p {
+		if h.part == partBody {
+			break
+		}
+		if h.checkByte(b); h.err != nil {
+			return i
+		}
+	}
+	return len(p)
+}
+
+func (h *headReader) checkByte(b byte) {
+	isLineEnd := b == '\n'
+	switch h.part {
+	case partStatusLine:
+		h.keep(b)
+		if isLineEnd {
+			h.endStatusLine()
+		}
+	case partLineStart:
+		h.startLine(b)
+	case partName:
+		h.checkNameByte(b)
+	case partValue:
+		if isLineEnd {
+			h.part = partLineStart
+		}
+	}
+}
+
+// keep adds a byte to the kept part of the line.
+func (h *headReader) keep(b byte) {
+	if len(h.line) < maxKeptBytes {
+		h.line = append(h.line, b)
+	}
+}
+
+// endStatusLine checks the status line.
+func (h *headReader) endStatusLine() {
+	if !bytes.HasPrefix(h.line, []byte("HTTP/")) {
+		h.part = partBody
+		return
+	}
+	status := statusCode(h.line)
+	if status < http.StatusContinue || status > maxStatusCode || status == http.StatusSwitchingProtocols {
+		h.err = Malformed.New("the response begins with %q", h.line)
+		return
+	}
+	h.part, h.isInterim = partLineStart, status < http.StatusOK
+}
+
+// statusCode returns the code of a status line, 0 if there is none of three digits. The reason
+// phrase may be missing, and several spaces may precede the code.
+func statusCode(line []byte) int {
+	line, found := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !found || len(line) < 2 || !isDigit(line[0]) || line[1] != ' ' {
+		return 0
+	}
+	code, _, _ := bytes.Cut(bytes.Trim(line[1:], " \r\n"), []byte(" "))
+	if len(code) != 3 || !isDigit(code[0]) || !isDigit(code[1]) || !isDigit(code[2]) {
+		return 0
+	}
+	return 100*int(code[0]-'0') + 10*int(code[1]-'0') + int(code[2]-'0')
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// startLine checks the first byte of a line after the status line.
+func (h *headReader) startLine(b byte) {
+	h.line = h.line[:0]
+	switch b {
+	case '\n':
+		h.endHead()
+	case ' ', '\t':
+		h.part = partValue // a folded line
+	default:
+		h.part = partName
+		h.checkNameByte(b)
+	}
+}
+
+// endHead handles the empty line after the fields.
+func (h *headReader) endHead() {
+	h.part = partBody
+	if h.isInterim {
+		h.restart()
+	}
+}
+
+// checkNameByte checks a byte of the name of a field.
+func (h *headReader) checkNameByte(b byte) {
+	isEmptyLine := len(h.line) == 1 && h.line[0] == '\r'
+	h.keep(b)
+	switch {
+	case b == '\n' && isEmptyLine:
+		h.endHead()
+	case b == '\n':
+		h.part = partLineStart
+	case b == ':':
+		h.part = partValue
+	}
+}
+
+// readHead reads the head of the final response. Its body may have any length.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.input.restart()
+	c.head.restart()
+	response, err := readFinalResponse(c.reader, r)
+	if err == nil {
+		c.input.unbound()
+		return response, nil
+	}
+	// net/http reports a line that was truncated by the bound, the check or the deadline as
+	// malformed.
+	if tooLong := c.input.Err(); tooLong != nil {
+		return nil, tooLong
+	}
+	if malformed := c.head.Err(); malformed != nil {
+		return nil, malformed
+	}
+	if !time.Now().Before(c.readDeadline) {
+		err = errors.Join(os.ErrDeadlineExceeded, err)
+	}
+	return nil, err
+}
+
+// readFinalResponse skips interim (1xx) responses.
+func readFinalResponse(in *bufio.Reader, r *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(in, r)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
--- /dev/null
+++ b/adapters/exchange/transport.go
@@ -0,0 +1,130 @@
+package exchange
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// Transport is a transport of net/http that fails with Malformed, and closes the connection,
+// instead of returning a response whose head is malformed.
+type Transport struct{ base *http.Transport }
+
+var _ http.RoundTripper = (*Transport)(nil)
+
+// NewTransport adds the check to base, which must not be used by itself, and bounds the heads
+// of responses to MaxHeadBytes.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		raw, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return newCheckedConn(raw), nil
+	}
+	base.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		raw, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return dialTLS(ctx, base, raw, addr)
+	}
+	base.MaxResponseHeaderBytes = MaxHeadBytes
+	return &Transport{base: base}
+}
+
+// dialTLS returns a connection that checks the decrypted bytes.
+func dialTLS(ctx context.Context, base *http.Transport, raw net.Conn, addr string) (net.Conn, error) {
+	config := base.TLSClientConfig.Clone()
+	if config == nil {
+		config = &tls.Config{}
+	}
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		config.ServerName = host
+	}
+	if base.TLSHandshakeTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, base.TLSHandshakeTimeout)
+		defer cancel()
+	}
+	encrypted := tls.Client(raw, config)
+	if err := encrypted.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return newCheckedConn(encrypted), nil
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var used *checkedConn
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		used = info.Conn.(*checkedConn) // of the dial functions above
+		used.awaitsResponse.Store(true)
+	}})
+	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	if used == nil {
+		return response, err
+	}
+	if malformed := used.malformed.Load(); err != nil && malformed != nil {
+		return nil, *malformed
+	}
+	if err == nil && used.awaitsResponse.Load() {
+		_ = response.Body.Close()
+		return nil, Malformed.New("the response arrived before its request was sent")
+	}
+	return response, err
+}
+
+// CloseIdleConnections closes the connections without a request; see http.Client.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// checkedConn is a connection that checks the heads of responses.
+type checkedConn struct {
+	net.Conn
+	head *headReader
+	// awaitsResponse is true from when the connection is given to a request until a byte of
+	// the response, and so of a head, arrives.
+	awaitsResponse atomic.Bool
+	malformed      atomic.Pointer[error]
+}
+
+func newCheckedConn(raw net.Conn) *checkedConn {
+	c := &checkedConn{Conn: raw}
+	c.head = newHeadReader(responseBytes{c})
+	return c
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.head.Read(p)
+	if malformed := c.head.Err(); malformed != nil {
+		c.malformed.Store(&malformed)
+	}
+	return n, err
+}
+
+// responseBytes reads the bytes that a headReader checks. net/http waits for a response before it
+// sends the request, so a new one begins with the first bytes after that.
+type responseBytes struct{ conn *checkedConn }
+
+// Read implements io.Reader.
+func (r responseBytes) Read(p []byte) (int, error) {
+	n, err := r.conn.Conn.Read(p)
+	if n > 0 && r.conn.awaitsResponse.Swap(false) {
+		r.conn.head.restart()
+	}
+	return n, err
+}
--- a/adapters/opsclient/opsclient.go
+++ b/adapters/opsclient/opsclient.go
@@ -48,10 +48,7 @@
 	return &Client{http: &http.Client{
 		// No proxy settings of the environment: processes are reached by IP
 		// address.
-		Transport: &http.Transport{
-			MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout,
-			MaxResponseHeaderBytes: exchange.MaxHeadBytes,
-		},
+		Transport: exchange.NewTransport(&http.Transport{MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/adapters/platform/client.go
+++ b/adapters/platform/client.go
@@ -79,16 +79,14 @@
 
 // newTransport returns a transport that ignores the proxy settings of the
 // environment and does not request compression, so that bodies arrive as stored.
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	dialer := net.Dialer{Timeout: DefaultTimeout}
-	return &http.Transport{
+	return exchange.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: DefaultTimeout,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: exchange.MaxHeadBytes,
-	}
+	})
 }
 
 // Close closes idle connections.
--- a/cmd/chivespindle/internal/callstream/callstream.go
+++ b/cmd/chivespindle/internal/callstream/callstream.go
@@ -47,7 +47,7 @@
 		// breaks, net/http itself resends a request that has an
 		// Idempotency-Key: the work might run twice, and only the outcome of
 		// the second request would be reported.
-		Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: exchange.MaxHeadBytes},
+		Transport: exchange.NewTransport(&http.Transport{DisableKeepAlives: true}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -114,7 +114,7 @@
 		return placement.Abandoned
 	case failure.OutcomeOf(err) == failure.NotRun:
 		j.checkUnreached(ctx, now, next.Server)
-	case errorx.IsOfType(err, failure.Unavailable), errorx.IsOfType(err, exchange.TooLong):
+	case errorx.IsOfType(err, failure.Unavailable), errorx.IsOfType(err, exchange.TooLong), errorx.IsOfType(err, exchange.Malformed):
 		j.recordBrokenAttempt(ctx, next.Server, err)
 		return placement.Broken
 	}
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -146,8 +146,11 @@
 // was one.
 func (l *requestLog) attemptFailed(j *job, t *placement.Assignment, err error, w *withdrawal, b *brokenAttempt) {
 	l.metrics.Counter("attempts_failed").Inc(1)
-	if errorx.IsOfType(err, exchange.TooLong) {
+	switch {
+	case errorx.IsOfType(err, exchange.TooLong):
 		l.metrics.Counter("responses_too_long").Inc(1)
+	case errorx.IsOfType(err, exchange.Malformed):
+		l.metrics.Counter("responses_malformed").Inc(1)
 	}
 	l.countWithdrawn(w)
 	if !l.allowed() {
--- a/daemon/gateway/withdrawn.go
+++ b/daemon/gateway/withdrawn.go
@@ -23,6 +23,8 @@
 	withdrawnOtherAnswer = "other_answer"
 	// withdrawnTooLong: the response exceeded a bound.
 	withdrawnTooLong = "too_long"
+	// withdrawnMalformed: HTTP does not allow the head of the response.
+	withdrawnMalformed = "malformed"
 )
 
 // withdrawal describes a call whose connection to an engine this entry closed before
@@ -71,6 +73,8 @@
 		return withdrawnSilent
 	case errorx.IsOfType(err, exchange.TooLong):
 		return withdrawnTooLong
+	case errorx.IsOfType(err, exchange.Malformed):
+		return withdrawnMalformed
 	case errorx.IsOfType(err, failure.Corrupt):
 		return withdrawnOtherAnswer
 	default:
