Reject responses with an invalid name of a field

A server in trouble sent a response in whose head the name of a field held a blank or a control byte. Operators of other systems of this kind saw clients get it, with that line passed on or with a body that was not the server's. Here, tests with a stand-in on the commit before showed:

- With a space in a name or before the colon ("X Y: 1", "X : 1") the response was used without that field, by callers and by all calls to the store, the origin, engines and the platform's services ("Expected an error to have occurred").
With "Transfer-Encoding : chunked" the frames of the chunks became the body, or as many bytes of them as a Content-Length beside it stated.
An X-Not-Run in such a head was believed, so that an unsafe request that had run was answered 503 ("Expected 503 to equal 502").
- A tab, NUL, another control byte, a byte that no token has, an empty name and a line without a colon were rejected by net/http already.
Their tests passed before and are kept; the failure has the type malformed_response now.

Cause: net/textproto keeps a name with spaces as it is, as a field that nobody asks for. Another reader of the same bytes frames the body by it.

headReader now also checks that each name is a token of RFC 9110, without white space before the colon, in interim responses as well.

--- a/adapters/exchange/exchangetest/malformed.go
+++ b/adapters/exchange/exchangetest/malformed.go
@@ -23,6 +23,10 @@
 // no upgrade.
 var invalidStatuses = []string{"000", "001", "099", "+12", "-00", "101", "600", "999"}
 
+// invalidNames are no names of fields of HTTP. A field whose name ends with white space, and one
+// with a control byte, are among them.
+var invalidNames = []string{"X Y", "X ", "X\t", "X\tY", "X\x00Y", "X\x1b", "X\x7f", "X\r", "\rX", "\r", "X(1)", "X\xe9", ""}
+
 // Malformed returns responses like that of Sound whose head HTTP does not allow although
 // net/http accepts it.
 func Malformed(lines, body string) []Response {
@@ -37,7 +41,17 @@
 		Response{Name: "status 000 after an interim response", Begin: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble\r\n\r\n" + sound},
 		Response{Name: "another major version", Begin: "HTTP/2.0" + strings.TrimPrefix(sound, "HTTP/1.1")},
 	)
-	return all
+	status, rest, _ := strings.Cut(sound, "\r\n")
+	for _, name := range invalidNames {
+		all = append(all, Response{Name: fmt.Sprintf("name %q", name), Begin: status + "\r\n" + name + ": 1\r\n" + rest})
+	}
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	return append(all,
+		Response{Name: "invalid name in an interim response", Begin: "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + sound},
+		Response{Name: "line without a name", Begin: status + "\r\nX\r\n" + rest},
+		Response{Name: "blank before the colon of the framing", Begin: fmt.Sprintf(
+			"%s\r\n%sTransfer-Encoding : chunked\r\nContent-Length: %d\r\n\r\n%s", status, lines, len(chunks), chunks)},
+	)
 }
 
 // ExpectRejected expects that a call succeeds with a sound response, and fails because of each
--- a/adapters/exchange/head.go
+++ b/adapters/exchange/head.go
@@ -9,6 +9,8 @@
 	"os"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"chivespindle.example/core/failure"
 )
 
@@ -29,6 +31,7 @@
 const (
 	partStatusLine headPart = iota
 	partLineStart           // of a field line, or of the empty line that ends the head
+	partEmptyLine           // after its carriage return
 	partName
 	partValue // what follows the name in a field line, and folded lines
 	partBody  // also what does not begin like a response, which net/http rejects
@@ -97,6 +100,8 @@
 		}
 	case partLineStart:
 		h.startLine(b)
+	case partEmptyLine:
+		h.endEmptyLine(b)
 	case partName:
 		h.checkNameByte(b)
 	case partValue:
@@ -121,7 +126,7 @@
 	}
 	status := statusCode(h.line)
 	if status < http.StatusContinue || status > maxStatusCode || status == http.StatusSwitchingProtocols {
-		h.err = Malformed.New("the response begins with %q", h.line)
+		h.fail("the response begins with")
 		return
 	}
 	h.part, h.isInterim = partLineStart, status < http.StatusOK
@@ -149,6 +154,8 @@
 	switch b {
 	case '\n':
 		h.endHead()
+	case '\r':
+		h.part = partEmptyLine
 	case ' ', '\t':
 		h.part = partValue // a folded line
 	default:
@@ -157,6 +164,17 @@
 	}
 }
 
+// endEmptyLine checks the byte after the carriage return of an empty line.
+func (h *headReader) endEmptyLine(b byte) {
+	if b == '\n' {
+		h.endHead()
+		return
+	}
+	h.keep('\r')
+	h.keep(b)
+	h.fail("a field begins with")
+}
+
 // endHead handles the empty line after the fields.
 func (h *headReader) endHead() {
 	h.part = partBody
@@ -165,20 +183,21 @@
 	}
 }
 
-// checkNameByte checks a byte of the name of a field.
+// checkNameByte checks a byte of the name of a field, which is a token of RFC 9110, section 5.6.2.
 func (h *headReader) checkNameByte(b byte) {
-	isEmptyLine := len(h.line) == 1 && h.line[0] == '\r'
+	isEmpty := len(h.line) == 0
 	h.keep(b)
 	switch {
-	case b == '\n' && isEmptyLine:
-		h.endHead()
-	case b == '\n':
-		h.part = partLineStart
-	case b == ':':
+	case b == ':' && !isEmpty:
 		h.part = partValue
+	case !httpguts.IsTokenRune(rune(b)):
+		h.fail("a field begins with")
 	}
 }
 
+// fail fails because of the kept part of the line.
+func (h *headReader) fail(what string) { h.err = Malformed.New("%s %q", what, h.line) }
+
 // readHead reads the head of the final response. Its body may have any length.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
 	c.input.restart()
--- a/adapters/exchange/head_test.go
+++ b/adapters/exchange/head_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/iotest"
 
+	"golang.org/x/net/http/httpguts"
+
 	"chivespindle.example/adapters/exchange/exchangetest"
 )
 
@@ -31,6 +33,11 @@
 			if response.StatusCode < http.StatusOK || response.StatusCode > maxStatusCode {
 				t.Errorf("status %d is accepted", response.StatusCode)
 			}
+			for name := range response.Header {
+				if !httpguts.ValidHeaderFieldName(name) {
+					t.Errorf("the name %q is accepted", name)
+				}
+			}
 		}
 	})
 }
