Bound the memory of all servers' large heads and events together

Servers in trouble sent heads and bodies without end. The machine that had called them kept the bytes and ran out of memory, and the requests of other clients on it ended with its process.

Each response had its bounds here, 64 KiB for a head and 1 MiB for an event, but nothing bounded their sum.

Cause: a parsed field takes about a hundred bytes beside its text, a head of 64 KiB has room for thousands of them, and an unfinished event is held for as long as a silence of its server is tolerated. core/memlimit counted bodies of requests and of plain services only.

- A head has at most 256 fields, with the interim responses before it; headReader counts them, so the bound holds for all readers.
More is TooLong, as other heads without end.
- Heads of 4 KiB and more, and the buffers of events beyond 2 KiB, are counted before they are kept, in a budget of 0.05 of the memory.
It is apart from that of bodies, so that servers in trouble take nothing from requests.
What does not fit fails at once with an unknown outcome, and another server gets the request if it may run twice.
It is logged as attempt_failed with reason=memory and counted in memory_refused; the server is not blamed.

--- a/adapters/eventstream/eventstream.go
+++ b/adapters/eventstream/eventstream.go
@@ -8,8 +8,10 @@
 	"io"
 	"iter"
 	"strconv"
+	"time"
 
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/memlimit"
 )
 
 // maxEventBytes limits one event.
@@ -50,11 +52,15 @@
 	scanner   *bufio.Scanner
 	started   bool // an event has been returned
 	truncated bool
+	// hold counts what the scanner's buffer has beyond its initial size.
+	hold        *memlimit.Hold
+	bufferBytes int
 }
 
-// NewReader returns a Reader of r.
-func NewReader(r io.Reader) *Reader {
-	reader := &Reader{scanner: bufio.NewScanner(r)}
+// NewReader returns a Reader of r. The buffer of large events is counted in hold before it is
+// allocated. The caller releases the hold after the last call of Next.
+func NewReader(r io.Reader, hold *memlimit.Hold) *Reader {
+	reader := &Reader{scanner: bufio.NewScanner(r), hold: hold, bufferBytes: initialBufferBytes}
 	reader.scanner.Buffer(make([]byte, 0, initialBufferBytes), maxEventBytes)
 	reader.scanner.Split(reader.split)
 	return reader
@@ -62,8 +68,8 @@
 
 // Next returns the next event. Its bytes are valid until the next call. Next fails
 // with io.EOF at the end of a stream that ended between two events, with
-// failure.Corrupt if the stream ended inside an event, and otherwise with the error
-// of the underlying reader.
+// failure.Corrupt if the stream ended inside an event, with memlimit.Exceeded if the hold may
+// not grow for an event, and otherwise with the error of the underlying reader.
 func (r *Reader) Next() (Event, error) {
 	if r.scanner.Scan() {
 		raw := r.scanner.Bytes()
@@ -95,7 +101,7 @@
 		case next > 0:
 			return end, data[:end], nil
 		case !atEOF || len(data) == 0:
-			return 0, nil, nil
+			return 0, nil, r.growFor(len(data) + 1)
 		case isEmpty && end == len(data):
 			return end, data, nil
 		default:
@@ -105,6 +111,18 @@
 	}
 }
 
+// growFor counts a buffer of at least size bytes, which the scanner doubles until they fit.
+func (r *Reader) growFor(size int) error {
+	for r.bufferBytes < min(size, maxEventBytes) {
+		step := min(r.bufferBytes, maxEventBytes-r.bufferBytes)
+		if !r.hold.Grow(time.Now(), int64(step)) {
+			return memlimit.Exceeded.New("an event of more than %d bytes", r.bufferBytes)
+		}
+		r.bufferBytes += step
+	}
+	return nil
+}
+
 // nextLine returns the length of the first line and the offset of the next one, 0
 // if the line is incomplete. A line ends with a carriage return, a line feed or
 // both.
--- a/adapters/eventstream/eventstream_test.go
+++ b/adapters/eventstream/eventstream_test.go
@@ -13,11 +13,12 @@
 
 	"chivespindle.example/adapters/eventstream"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/memlimit"
 )
 
 // readAll returns all events and the error that ended the stream.
 func readAll(r io.Reader) (raw []string, ids []int64, err error) {
-	reader := eventstream.NewReader(r)
+	reader := eventstream.NewReader(r, new(memlimit.Hold))
 	for {
 		e, err := reader.Next()
 		if err != nil {
@@ -133,3 +134,32 @@
 		}
 	})
 }
+
+// Guards against a process that ends for want of memory by large events of many streams.
+var _ = Describe("A reader of large events", func() {
+	const limit = 1 << 20
+
+	// next reads an event of a size and returns what the reader holds then.
+	next := func(size int) (held int64, err error) {
+		budget := memlimit.NewShare(limit, 1)
+		hold := budget.NewHold()
+		reader := eventstream.NewReader(strings.NewReader("data: "+strings.Repeat("x", size)+"\n\n"), &hold)
+		_, err = reader.Next()
+		return budget.Held(), err
+	}
+
+	It("counts the buffer of an event", func() {
+		for _, size := range []int{0, 1 << 10, 4 << 10, 100 << 10, 400 << 10} {
+			held, err := next(size)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(held).To(BeNumerically(">=", size-2<<10))
+			Expect(held).To(BeNumerically("<=", 4*size))
+		}
+	})
+
+	It("fails before the buffer exceeds the budget", func() {
+		held, err := next(1000 << 10)
+		Expect(errorx.IsOfType(err, memlimit.Exceeded)).To(BeTrue(), "%v", err)
+		Expect(held).To(BeNumerically("<=", limit))
+	})
+})
--- a/adapters/exchange/bound_test.go
+++ b/adapters/exchange/bound_test.go
@@ -65,6 +65,26 @@
 		}
 	})
 
+	// Guards against a process that ends for want of memory by the parsed fields of many heads.
+	It("is told from one with as many fields as the bound", func() {
+		const interim, end = "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n", "Content-Length: 2\r\n\r\nhi"
+		const maxFields = 256
+		for _, excess := range []int{-1, 0, 1} {
+			fields := strings.Repeat("X: 1\r\n", maxFields-2+excess) // two others are above
+			s := serve(func(c net.Conn, _ *http.Request, _ int) bool {
+				write(c, interim+"HTTP/1.1 200 OK\r\n"+fields+end)
+				return true
+			})
+			p, client := exchange.New(), newTransportClient()
+			for range 2 {
+				_, err := roundTrip(p, s)
+				Expect(errorx.IsOfType(err, exchange.TooLong)).To(Equal(excess > 0), "%v", err)
+				_, err = getAll(client, "http://"+s.addr().String())
+				Expect(err != nil).To(Equal(excess > 0), "%v", err)
+			}
+		}
+	})
+
 	// Guards against a bound that also cuts bodies, or heads shorter than it.
 	It("is told from one with a head as long as the bound", func() {
 		begin, end := "HTTP/1.1 200 OK\r\nX: ", "\r\nContent-Length: 100000\r\n\r\n"
--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -311,6 +311,7 @@
 	pool      *Pool
 	conn      *conn
 	body      *bodyReader
+	headBytes int64
 	stopAbort func() bool
 }
 
@@ -409,7 +410,7 @@
 	// Callers keep the response for as long as a stream lasts, and a head with thousands of
 	// short fields takes many times its length.
 	response.Request = nil
-	r := &Response{Response: response, pool: p, conn: c, stopAbort: stopAbort}
+	r := &Response{Response: response, pool: p, conn: c, headBytes: c.head.bytes, stopAbort: stopAbort}
 	if response.Body != http.NoBody {
 		r.body = &bodyReader{ReadCloser: response.Body}
 		response.Body = r.body
@@ -432,6 +433,9 @@
 	r.pool.put(r.conn, serverTimeout)
 }
 
+// HeadBytes returns the length of the head, with the interim responses before it.
+func (r *Response) HeadBytes() int64 { return r.headBytes }
+
 // EndIsFramed reports whether the sender marks the end of the body; see the
 // function EndIsFramed.
 func (r *Response) EndIsFramed() bool { return EndIsFramed(r.Response) }
--- a/adapters/exchange/head.go
+++ b/adapters/exchange/head.go
@@ -21,6 +21,10 @@
 // maxStatusCode is the highest status code of RFC 9110, section 15.
 const maxStatusCode = 599
 
+// maxFields bounds the fields of a head, together with those of the interim responses before
+// it. A parsed field takes about a hundred bytes more than its text.
+const maxFields = 256
+
 // maxKeptBytes is how much of a line is kept for its check and for an error. The status code is
 // near the beginning of its line.
 const maxKeptBytes = 64
@@ -49,15 +53,21 @@
 	isInterim bool
 	// isHTTP10 is true if the version is 1.0, which has no transfer encodings.
 	isHTTP10 bool
-	err      error
+	// fields and bytes are those of the head and of the interim responses before it.
+	fields int
+	bytes  int64
+	err    error
 }
 
 func newHeadReader(source io.Reader) *headReader {
 	return &headReader{source: source, line: make([]byte, 0, maxKeptBytes)}
 }
 
-// restart lets the head of a response follow.
-func (h *headReader) restart() { h.part, h.line, h.err = partStatusLine, h.line[:0], nil }
+// restart lets the head of the response to another request follow.
+func (h *headReader) restart() {
+	h.part, h.line, h.err = partStatusLine, h.line[:0], nil
+	h.fields, h.bytes = 0, 0
+}
 
 // Err returns the failure of the check. Parsers may return another one for a line that is cut
 // off by it.
@@ -85,6 +95,7 @@
 		if h.part == partBody {
 			break
 		}
+		h.bytes++
 		if h.checkByte(b); h.err != nil {
 			return i
 		}
@@ -162,9 +173,18 @@
 	case ' ', '\t':
 		h.part = partValue // a folded line
 	default:
-		h.part = partName
-		h.checkNameByte(b)
+		h.startField(b)
+	}
+}
+
+// startField checks the first byte of a field.
+func (h *headReader) startField(b byte) {
+	if h.fields++; h.fields > maxFields {
+		h.err = TooLong.New("the head has more than %d fields", maxFields)
+		return
 	}
+	h.part = partName
+	h.checkNameByte(b)
 }
 
 // endEmptyLine checks the byte after the carriage return of an empty line.
@@ -182,7 +202,7 @@
 func (h *headReader) endHead() {
 	h.part = partBody
 	if h.isInterim {
-		h.restart()
+		h.part, h.line = partStatusLine, h.line[:0]
 	}
 }
 
@@ -218,8 +238,8 @@
 	if tooLong := c.input.Err(); tooLong != nil {
 		return nil, tooLong
 	}
-	if malformed := c.head.Err(); malformed != nil {
-		return nil, malformed
+	if err := c.head.Err(); err != nil {
+		return nil, err
 	}
 	if !time.Now().Before(c.readDeadline) {
 		err = errors.Join(os.ErrDeadlineExceeded, err)
--- a/adapters/exchange/transport.go
+++ b/adapters/exchange/transport.go
@@ -9,14 +9,14 @@
 	"sync/atomic"
 )
 
-// Transport is a transport of net/http that fails with Malformed, and closes the connection,
-// instead of returning a response whose head is malformed.
+// Transport is a transport of net/http that fails with Malformed or TooLong, and closes the
+// connection, instead of returning a response whose head is malformed or has too many fields.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
 
 // NewTransport adds the check to base, which must not be used by itself, and bounds the heads
-// of responses to MaxHeadBytes.
+// of responses to MaxHeadBytes as well.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
@@ -78,8 +78,8 @@
 	if used == nil {
 		return response, err
 	}
-	if malformed := used.malformed.Load(); err != nil && malformed != nil {
-		return nil, *malformed
+	if invalid := used.headErr.Load(); err != nil && invalid != nil {
+		return nil, *invalid
 	}
 	if err == nil && used.awaitsResponse.Load() {
 		_ = response.Body.Close()
@@ -98,7 +98,7 @@
 	// awaitsResponse is true from when the connection is given to a request until a byte of
 	// the response, and so of a head, arrives.
 	awaitsResponse atomic.Bool
-	malformed      atomic.Pointer[error]
+	headErr        atomic.Pointer[error]
 }
 
 func newCheckedConn(raw net.Conn) *checkedConn {
@@ -110,8 +110,8 @@
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.head.Read(p)
-	if malformed := c.head.Err(); malformed != nil {
-		c.malformed.Store(&malformed)
+	if invalid := c.head.Err(); invalid != nil {
+		c.headErr.Store(&invalid)
 	}
 	return n, err
 }
--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -22,8 +22,13 @@
 	directoryShare = 0.2
 )
 
-// bodyShare is the share of the process's memory for bodies of requests and buffered responses.
-const bodyShare = 0.15
+// Shares of the process's memory.
+const (
+	// bodyShare is for bodies of requests and buffered responses.
+	bodyShare = 0.15
+	// responseShare is for large heads of responses, and large events that are not complete.
+	responseShare = 0.05
+)
 
 // platformEntry is an entry that can shut down gracefully.
 type platformEntry struct {
@@ -43,7 +48,7 @@
 		Self: b.id, Addr: s.IP, Incarnation: b.incarnation, Place: s.Place,
 		CallerAddr: s.CallerAddr, PeerPort: s.PeerPort, Seeds: s.Seeds, Regions: s.Regions,
 		Loop: b.loop, Endpoint: b.endpoint,
-		Source: platform.NewStore(s.StoreAddr, b.logger).WithMetrics(b.metrics), Backend: platform.NewBackend(),
+		Source: platform.NewStore(s.StoreAddr, b.logger).WithMetrics(b.metrics), Backend: platform.NewBackend().WithMemory(memlimit.NewShare(memory, responseShare)),
 		Budget:      retry.FleetBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		VersionTime: s.VersionTime, SoundTime: s.SoundTime,
 		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack, Memory: memlimit.NewShare(memory, bodyShare), MaxCalls: callersLimits.Requests, Disabled: b.disabled,
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"chivespindle.example/adapters/exchange"
+	"chivespindle.example/core/memlimit"
 	"chivespindle.example/core/placement"
 )
 
@@ -151,6 +152,8 @@
 		l.metrics.Counter("responses_too_long").Inc(1)
 	case errorx.IsOfType(err, exchange.Malformed):
 		l.metrics.Counter("responses_malformed").Inc(1)
+	case errorx.IsOfType(err, memlimit.Exceeded):
+		l.metrics.Tagged(map[string]string{"what": whatPartial}).Counter("memory_refused").Inc(1)
 	}
 	l.countWithdrawn(w)
 	if !l.allowed() {
--- a/daemon/gateway/memory.go
+++ b/daemon/gateway/memory.go
@@ -44,6 +44,8 @@
 const (
 	whatRequest  = "request"
 	whatResponse = "response"
+	// whatPartial is the head of a response, or an event of which a part has arrived.
+	whatPartial = "partial_response"
 )
 
 // memoryRefused records a body that may not be held.
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -77,7 +77,7 @@
 		assignment.End(now, placement.TimedOut)
 	case j.isServerDeadlineOver(now), !j.hasStarted() && errorx.IsOfType(err, failure.Timeout) && j.isVersionExpired(now, assignment.Server):
 		assignment.End(now, placement.Abandoned)
-	case errorx.IsOfType(err, exchange.Revoked):
+	case errorx.IsOfType(err, exchange.Revoked), errorx.IsOfType(err, memlimit.Exceeded):
 		assignment.End(now, placement.Abandoned)
 	case errorx.IsOfType(err, failure.Timeout):
 		assignment.End(now, placement.TimedOut)
--- a/daemon/gateway/withdrawn.go
+++ b/daemon/gateway/withdrawn.go
@@ -10,6 +10,7 @@
 
 	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/memlimit"
 	"chivespindle.example/core/placement"
 )
 
@@ -25,6 +26,8 @@
 	withdrawnTooLong = "too_long"
 	// withdrawnMalformed: HTTP does not allow the head of the response.
 	withdrawnMalformed = "malformed"
+	// withdrawnNoMemory: the response may not be held.
+	withdrawnNoMemory = reasonNoMemory
 )
 
 // withdrawal describes a call whose connection to an engine this entry closed before
@@ -75,6 +78,8 @@
 		return withdrawnTooLong
 	case errorx.IsOfType(err, exchange.Malformed):
 		return withdrawnMalformed
+	case errorx.IsOfType(err, memlimit.Exceeded):
+		return withdrawnNoMemory
 	case errorx.IsOfType(err, failure.Corrupt):
 		return withdrawnOtherAnswer
 	default:
