Answer each request before an entry that stops ends

In a planned stop of one front machine, in calm, requests that came late in the grace period were passed on and cut at its end with no answer, among them requests that may not be repeated (reported by operators of other systems of this kind).

Cause: an entry accepted requests for 3 s, or half of a shorter grace period, and closed its connections 0.5 s before the end, whatever time a request had, and nothing answered what was still running.

- A request that may not be repeated, and whose time ends after that of the entry, is refused as not run if another entry accepts requests.
Its caller loses a round trip; after a cut it never learns whether the request ran.
Requests that may be repeated are still served, since most end in time.
- What has not ended 0.75 s before the end of the grace period is answered: 504 if a server may have run it, 503 if it was sent to none.
A stream that has begun is cut as before, so that it does not look complete.

--- a/cmd/chivespindle/internal/requestlog/cause.go
+++ b/cmd/chivespindle/internal/requestlog/cause.go
@@ -152,6 +152,8 @@
 		return l.explainNotConfigured(last)
 	case "timeout":
 		return l.explainTimeout(last)
+	case "shutdown":
+		return "The entry was shutting down, and the request could have outlasted its process."
 	case "declined":
 		return fmt.Sprintf("It was sent to %d servers, and each said that it did not run it.", last.Int("attempts"))
 	case "retry_budget":
--- a/cmd/chivespindled/platform_entry.go
+++ b/cmd/chivespindled/platform_entry.go
@@ -90,15 +90,17 @@
 
 // Leave shuts the entry down gracefully. Callers may keep its address for a
 // while, so it accepts requests until the address lists that name it have
-// expired, and then finishes the requests in flight.
+// expired, and then finishes the requests in flight. Those that have not ended
+// shortly before the end of the grace period get an error response.
 func (e *platformEntry) Leave() {
 	times := e.base.settings.DrainTimes()
+	endsAt := time.Now().Add(times.Accept + times.Finish)
 	e.ingress.DisableKeepAlives()
-	if err := e.gateway.Leave(e.base.ctx); err != nil {
+	if err := e.gateway.Leave(e.base.ctx, endsAt); err != nil {
 		e.base.logger.Error("leaving_not_told", zap.Error(err))
 	}
 	sleep(e.base.ctx, times.Accept)
-	ctx, cancel := context.WithTimeout(e.base.ctx, times.Finish)
+	ctx, cancel := context.WithDeadline(e.base.ctx, endsAt.Add(times.Respond))
 	defer cancel()
 	err := e.callers.Shutdown(ctx)
 	e.base.logger.Info("left", zap.Bool("all_finished", err == nil), zap.Int64("in_flight", e.gateway.InFlight()))
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -105,6 +105,7 @@
 	// a call.
 	suspectsRegistrations bool
 	leaving               bool
+	shutdown              *shutdown
 	changed               bool
 	// published is the time of the latest view.
 	published time.Time
@@ -230,6 +231,7 @@
 func New(ctx context.Context, now time.Time, opts Options) *Gateway {
 	g := &Gateway{
 		opts:              opts,
+		shutdown:          newShutdown(),
 		ctx:               ctx,
 		balancer:          placement.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), opts.Disabled),
 		log:               newRequestLog(now, opts.Logger, opts.Metrics),
@@ -263,8 +265,7 @@
 		demands:           make(map[fleet.ServiceName]*priority.Demand),
 		contact:           contact{lastResponse: now, disabled: opts.Disabled},
 	}
-	g.crashReports = newReportSender[quarantine.Report](g.quarantine)
-	g.limitReports = newReportSender[serverlimit.Report](g.limits)
+	g.crashReports, g.limitReports = newReportSender[quarantine.Report](g.quarantine), newReportSender[serverlimit.Report](g.limits)
 	g.startCatalogRequest = func(addr netip.Addr, ask wire.CatalogRequest) { go g.requestCatalog(addr, ask) }
 	g.balancer.SetSelf(opts.Self, opts.Place)
 	g.mesh = mesh.New(ctx, now, mesh.Options{
@@ -372,17 +373,6 @@
 	return v != nil && v.table != nil && !v.leaving && !v.stale
 }
 
-// Leave reports to the other entries without delay that this one leaves, so that they no
-// longer list it.
-func (g *Gateway) Leave(ctx context.Context) error {
-	return g.opts.Loop.Do(ctx, func(now time.Time) {
-		g.leaving = true
-		g.changed = true
-		g.publish(now)
-		g.mesh.Flush(now)
-	})
-}
-
 // ClientLimits returns what the configuration allows a client, false if there is no
 // configuration yet.
 func (g *Gateway) ClientLimits() (limits routing.Limits, known bool) {
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -23,6 +23,8 @@
 	maxBufferedBody = 512 << 10
 	// minAttemptTime is the time that must be left for another attempt.
 	minAttemptTime = 60 * time.Millisecond
+
+	reasonTimeout = "timeout"
 )
 
 // handleSendError handles an error of Send and reports whether to make another attempt.
@@ -68,7 +70,7 @@
 	j.exclude = placement.Exclude(j.exclude, assignment.Server.ID)
 	var broken *brokenAttempt
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case hasDisconnected(ctx):
 		assignment.End(now, placement.Abandoned)
 		j.recordDisconnect(now, assignment.Server)
 	case j.isCallOver(ctx, now) && !j.isSilent(now):
@@ -183,13 +185,17 @@
 func (j *job) endCall(ctx context.Context, now time.Time, reason string) bool {
 	j.endLevel()
 	isOver := j.isCallOver(ctx, now)
+	overReason := reasonTimeout
+	if isShutDown(ctx) {
+		overReason = reasonShutdown
+	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case hasDisconnected(ctx):
 		j.endAbandonedCall()
 	case isOver && j.mayHaveRun && j.heldResponse == nil && !j.hasStarted():
-		j.refuse(ErrorResponse{Code: TimedOut, Reason: "timeout"})
+		j.refuse(ErrorResponse{Code: TimedOut, Reason: overReason})
 	case isOver:
-		j.giveUp("timeout", 0)
+		j.giveUp(overReason, 0)
 	default:
 		j.giveUp(reason, j.retryAfter(now))
 	}
--- a/daemon/gateway/serve.go
+++ b/daemon/gateway/serve.go
@@ -121,6 +121,10 @@
 		j.refuse(response)
 		return
 	}
+	if j.mayOutlastProcess(time.Now()) {
+		j.refuse(ErrorResponse{Code: Unavailable, Reason: reasonShutdown})
+		return
+	}
 	if !g.beginServiceCall(j.service.Name) {
 		j.refuse(overloaded())
 		return
@@ -130,7 +134,7 @@
 		j.reply.ignoreLastEvent()
 	}
 	j.reply.writeBy = j.deadline.Add(writeSlack)
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	ctx, cancel := g.callContext(ctx, j.deadline)
 	defer cancel()
 	defer j.endLevel()
 	g.budget(j.service.Name).RecordRequest(call.Arrived)
@@ -226,7 +230,7 @@
 	}
 	now := time.Now()
 	if j.isCallOver(ctx, now) {
-		return j.endCall(ctx, now, "timeout")
+		return j.endCall(ctx, now, reasonTimeout)
 	}
 	if s := j.quarantineStatus(now); s.IsQuarantined() {
 		j.g.log.notPlacedQuarantined(j, s)
@@ -258,7 +262,7 @@
 			j.g.log.held(j, refusal)
 		}
 		wait(ctx, holdPollInterval)
-		return placedAttempt{}, ctx.Err() == nil || j.endCall(ctx, time.Now(), "timeout")
+		return placedAttempt{}, ctx.Err() == nil || j.endCall(ctx, time.Now(), reasonTimeout)
 	}
 	j.leaveHold(now, assignment != nil)
 	if assignment == nil {
--- a/daemon/gateway/withdrawn.go
+++ b/daemon/gateway/withdrawn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -18,6 +17,7 @@
 const (
 	withdrawnCallerLeft  = "caller_left"
 	withdrawnDeadline    = "deadline"
+	withdrawnShutdown    = reasonShutdown
 	withdrawnVersionTime = "version_time"
 	withdrawnSilent      = "silent"
 	// withdrawnOtherAnswer: the response belonged to another call.
@@ -66,8 +66,10 @@
 func (j *job) withdrawReason(ctx context.Context, now time.Time, server placement.Server, err error) string {
 	isTimeout := errorx.IsOfType(err, failure.Timeout)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case hasDisconnected(ctx):
 		return withdrawnCallerLeft
+	case isShutDown(ctx):
+		return withdrawnShutdown
 	case j.isCallOver(ctx, now):
 		return withdrawnDeadline
 	case isTimeout && j.isVersionExpired(now, server):
