exchange: close the connection of a response that arrived early

A response whose bytes arrived before its request was sent fails since the check of heads, but its connection could be kept. It is closed. Comments say when the head of a response begins, and what Malformed covers.

Found when reading the change; without a test, since the order needs bytes that arrive between two steps of net/http.

--- a/adapters/exchange/head.go
+++ b/adapters/exchange/head.go
@@ -14,8 +14,8 @@
 	"chivespindle.example/core/failure"
 )
 
-// Malformed is the type of the error of a response whose head HTTP does not allow although
-// net/http accepts it. Nothing in such a response may be relied on.
+// Malformed is the type of the error of a response whose head HTTP does not allow; net/http
+// accepts some of these. Nothing in such a response may be relied on.
 var Malformed = failure.Corrupt.NewSubtype("malformed_response")
 
 // maxStatusCode is the highest status code of RFC 9110, section 15.
--- a/adapters/exchange/transport.go
+++ b/adapters/exchange/transport.go
@@ -83,6 +83,7 @@
 	}
 	if err == nil && used.awaitsResponse.Load() {
 		_ = response.Body.Close()
+		_ = used.Close()
 		return nil, Malformed.New("the response arrived before its request was sent")
 	}
 	return response, err
@@ -116,8 +117,9 @@
 	return n, err
 }
 
-// responseBytes reads the bytes that a headReader checks. net/http waits for a response before it
-// sends the request, so a new one begins with the first bytes after that.
+// responseBytes reads the bytes that a headReader checks. net/http reads from an idle connection
+// already, so the head of a response begins with the first bytes that arrive once the connection
+// is given to a request.
 type responseBytes struct{ conn *checkedConn }
 
 // Read implements io.Reader.
