--- a/adapters/exchange/exchangetest/malformed.go
+++ b/adapters/exchange/exchangetest/malformed.go
@@ -19,16 +19,14 @@
 	return Response{Name: "sound", Begin: fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", lines, len(body), body)}
 }
 
-// invalidStatuses are no status codes of HTTP, or not of a response to a request that asks for
-// no upgrade.
+// invalidStatuses are status codes that HTTP does not allow, 101 without an upgrade.
 var invalidStatuses = []string{"000", "001", "099", "+12", "-00", "101", "600", "999"}
 
-// invalidNames are no names of fields of HTTP. A field whose name ends with white space, and one
-// with a control byte, are among them.
+// invalidNames are names of fields that HTTP does not allow. net/http accepts those with a space.
 var invalidNames = []string{"X Y", "X ", "X\t", "X\tY", "X\x00Y", "X\x1b", "X\x7f", "X\r", "\rX", "\r", "X(1)", "X\xe9", ""}
 
-// Malformed returns responses like that of Sound whose head HTTP does not allow although
-// net/http accepts it.
+// Malformed returns responses like that of Sound whose head HTTP does not allow. net/http accepts
+// most of them.
 func Malformed(lines, body string) []Response {
 	sound := Sound(lines, body).Begin
 	var all []Response
