Do not blame servers whose rejection of an upload is cut off

A server that rejects an upload, with 413 for example, may close its connection without reading the body. Its kernel then resets the connection, and the end of the response is lost.

Cause: a connection that breaks in the middle of a body counted as a failure of the server, whatever its response said.

The error of a body that was cut off in a rejection (4xx or 503) of a request with a body has a type of its own. Such an attempt says nothing about a server that still accepts connections, like that of a request with a large head. The outcome stays unknown.

--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -67,6 +67,10 @@
 // Servers bound the heads that they read, and some close the connection of a longer one.
 var LargeHead = failure.Unavailable.NewSubtype("request_head_large")
 
+// UploadRejected is the type of the error of a request with a body whose rejection was cut off:
+// servers that reject a request may close its connection without reading the body.
+var UploadRejected = failure.Unavailable.NewSubtype("upload_rejected")
+
 // Pool is a pool of connections to servers. It is safe for concurrent use.
 type Pool struct {
 	dialer net.Dialer
--- a/daemon/gateway/outcome.go
+++ b/daemon/gateway/outcome.go
@@ -87,9 +87,9 @@
 		assignment.End(now, placement.Failed)
 	case errorx.IsOfType(err, exchange.Refused):
 		assignment.End(now, placement.Refused)
-	case errorx.IsOfType(err, exchange.LargeHead):
+	case errorx.IsOfType(err, exchange.LargeHead), errorx.IsOfType(err, exchange.UploadRejected):
 		broken = j.recordBrokenAttempt(ctx, assignment.Server, err)
-		assignment.End(now, resultOfLargeHead(broken))
+		assignment.End(now, resultOfRejectedRequest(broken))
 	default:
 		assignment.End(now, placement.Broken)
 		broken = j.recordBrokenAttempt(ctx, assignment.Server, err)
--- a/daemon/gateway/rejected.go
+++ b/daemon/gateway/rejected.go
@@ -30,9 +30,10 @@
 	return false
 }
 
-// resultOfLargeHead returns the result of an attempt whose connection broke after a large head.
-// That a server closes it says nothing about the server, unless its process has ended.
-func resultOfLargeHead(b *brokenAttempt) placement.Result {
+// resultOfRejectedRequest returns the result of an attempt whose connection broke since the
+// request has a large head or a body that the server did not read. That a server closes it says
+// nothing about the server, unless its process has ended.
+func resultOfRejectedRequest(b *brokenAttempt) placement.Result {
 	if b != nil && b.server == Alive {
 		return placement.Abandoned
 	}
--- a/daemon/gateway/rejected_test.go
+++ b/daemon/gateway/rejected_test.go
@@ -10,7 +10,7 @@
 // Guards against a crash that goes unnoticed, and a sound server that is avoided.
 var _ = DescribeTable("A server that closes the connection of a request with a large head",
 	func(b *brokenAttempt, want placement.Result) {
-		Expect(resultOfLargeHead(b)).To(Equal(want))
+		Expect(resultOfRejectedRequest(b)).To(Equal(want))
 	},
 	Entry("is not blamed if it lives", &brokenAttempt{server: Alive}, placement.Abandoned),
 	Entry("has failed if it has ended", &brokenAttempt{server: Down}, placement.Broken),
