Do not take a reset connection for the end of a response

A server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as a complete response.

Cause: a body without a length ends with io.EOF, and io.EOF does not show that the connection ended in order. The kernel reports a reset to one call only. If that is a write, as during an upload, the next read returns io.EOF; a reset that follows the end of the server's side is not reported to reads at all. The check whether the server's process lives does not see this.

All readers of HTTP responses read from a connection of adapters/exchange. At io.EOF it now checks, if the body ends with the connection, that the whole request was written, that the server's kernel has acknowledged it and that the socket was not closed by a reset (TCP_INFO). Otherwise the read fails with Truncated: the request has run with an unknown outcome, and the caller gets 502, another server's response, or a stream that is cut visibly. Responses with a length or chunks are not affected.

413 and 503 without a length that a reset cuts off were passed on as they were if the write failed first, and are 502 now: what is missing of their body cannot be known. With a length they are passed on as before.

--- /dev/null
+++ b/adapters/exchange/end.go
@@ -0,0 +1,147 @@
+package exchange
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chivespindle.example/core/failure"
+)
+
+// Truncated is the type of the error of a response that would end with its connection, if that
+// did not end in order or ended before the server had received the request.
+var Truncated = failure.Unavailable.NewSubtype("response_truncated")
+
+const (
+	// deliveryTimeout bounds the wait until a server has received the rest of a request after
+	// the end of its response.
+	deliveryTimeout = writeTimeout
+	// deliveryPollInterval is the time between two checks of that.
+	deliveryPollInterval = 5 * time.Millisecond
+)
+
+// sendState is how far a request has been written to its connection.
+type sendState int32
+
+const (
+	sending sendState = iota
+	sent
+	sendFailed
+)
+
+// connEnd decides whether the end of a connection is that of a complete response.
+//
+// io.EOF does not show that. The kernel reports a reset to one call only: if that is a write,
+// the next read returns io.EOF. A read does so too if the reset follows the end of the server's
+// side.
+type connEnd struct {
+	socket net.Conn // the TCP connection
+	// endsBody is true while a body is read that ends with the connection.
+	endsBody  atomic.Bool
+	sendState atomic.Int32
+}
+
+// expectResponse begins the exchange of a request that is about to be sent.
+func (e *connEnd) expectResponse() {
+	e.endsBody.Store(false)
+	e.sendState.Store(int32(sending))
+}
+
+// recordSend records the end of sending the request, or an error of it.
+func (e *connEnd) recordSend(err error) {
+	if err != nil {
+		e.sendState.Store(int32(sendFailed))
+		return
+	}
+	e.sendState.CompareAndSwap(int32(sending), int32(sent))
+}
+
+// expectBody records that the head of a response was read.
+func (e *connEnd) expectBody(response *http.Response) {
+	e.endsBody.Store(!EndIsFramed(response))
+}
+
+// check returns the error of a read, Truncated instead of an io.EOF that does not end a complete
+// response. It waits until the server has received the request, for deliveryTimeout at most and
+// not beyond deadline; the zero deadline is none.
+func (e *connEnd) check(err error, deadline time.Time) error {
+	if err != io.EOF || !e.endsBody.Load() {
+		return err
+	}
+	until := time.Now().Add(deliveryTimeout)
+	if !deadline.IsZero() && deadline.Before(until) {
+		until = deadline
+	}
+	for {
+		isReceived, err := e.isRequestReceived()
+		switch {
+		case err != nil:
+			return err
+		case isReceived:
+			return io.EOF
+		case !time.Now().Before(until):
+			return Truncated.New("the response ended before its request was received")
+		}
+		time.Sleep(deliveryPollInterval)
+	}
+}
+
+// isRequestReceived reports whether the server's kernel has acknowledged the whole request. It
+// fails if that will not happen, or the connection was reset.
+func (e *connEnd) isRequestReceived() (bool, error) {
+	sendState := sendState(e.sendState.Load()) // before the state of the socket, which it may change
+	if sendState == sendFailed {
+		return false, Truncated.New("the response ended while its request could not be sent")
+	}
+	state, err := readTCPState(e.socket)
+	if err != nil {
+		return false, Truncated.Wrap(err, "check the end of the response")
+	}
+	if state.isClosed {
+		return false, Truncated.New("the connection was reset")
+	}
+	return sendState == sent && !state.isUnacknowledged, nil
+}
+
+// tcpState is the state of a TCP connection whose peer has ended its side.
+type tcpState struct {
+	// isClosed is true if the connection was reset or given up.
+	isClosed bool
+	// isUnacknowledged is true if the peer has not acknowledged all bytes that were written.
+	isUnacknowledged bool
+}
+
+// tcpClose is TCP_CLOSE, which package unix does not define.
+const tcpClose = 7
+
+// readTCPState returns the state of a connection, the zero value if it cannot be known. It fails
+// if this process has closed the connection.
+func readTCPState(c net.Conn) (tcpState, error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return tcpState{}, nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return tcpState{}, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	if err := raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	}); err != nil {
+		return tcpState{}, err
+	}
+	if infoErr != nil {
+		return tcpState{}, nil
+	}
+	return tcpState{
+		isClosed:         info.State == tcpClose,
+		isUnacknowledged: info.Unacked > 0 || info.Notsent_bytes > 0,
+	}, nil
+}
--- a/adapters/exchange/exchange.go
+++ b/adapters/exchange/exchange.go
@@ -116,7 +116,8 @@
 	addr      netip.AddrPort
 	input     *BoundedReader // of the connection
 	head      *headReader    // of input
-	reader    *bufio.Reader  // of head
+	end       connEnd
+	reader    *bufio.Reader // of head
 	writer    *bufio.Writer
 	idleUntil time.Time // not reused after this time
 	// readDeadline and onSilence belong to the current exchange.
@@ -180,7 +181,7 @@
 	p.mu.Lock()
 	p.dialled++
 	p.mu.Unlock()
-	c := &conn{Conn: raw, addr: addr, writer: bufio.NewWriter(raw)}
+	c := &conn{Conn: raw, addr: addr, writer: bufio.NewWriter(raw), end: connEnd{socket: raw}}
 	c.input = NewBoundedReader(c, MaxHeadBytes, "the head")
 	c.head = newHeadReader(c.input)
 	c.reader = bufio.NewReaderSize(c.head, readBufferBytes)
@@ -385,11 +386,14 @@
 }
 
 func (c *conn) send(r *http.Request) error {
+	c.end.expectResponse()
 	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err := r.Write(c.writer); err != nil {
-		return err
+	err := r.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
 	}
-	return c.writer.Flush()
+	c.end.recordSend(err)
+	return err
 }
 
 // readEarlyResponse returns the error response of a server that closed the connection before it
@@ -453,14 +457,16 @@
 		len(r.TransferEncoding) > 0 && r.TransferEncoding[0] == "chunked"
 }
 
-// failureType distinguishes a response without an end, a malformed one and a timeout from a
-// broken connection. bufio.ErrTooLong is the error of an event without an end.
+// failureType distinguishes a response without an end, a malformed one, a truncated one and a
+// timeout from a broken connection. bufio.ErrTooLong is the error of an event without an end.
 func failureType(err error) *errorx.Type {
 	switch {
 	case errorx.IsOfType(err, TooLong), errors.Is(err, bufio.ErrTooLong):
 		return TooLong
 	case errorx.IsOfType(err, Malformed):
 		return Malformed
+	case errorx.IsOfType(err, Truncated):
+		return Truncated
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return failure.Timeout
 	default:
@@ -469,8 +475,8 @@
 }
 
 // WrapReadError classifies an error of reading the body: TooLong if it has exceeded a bound,
-// failure.Timeout if nothing arrived in time, else failure.Unavailable. io.EOF is returned as
-// it is.
+// failure.Timeout if nothing arrived in time, else failure.Unavailable or its subtype Truncated.
+// io.EOF is returned as it is.
 func WrapReadError(err error) error {
 	if errors.Is(err, io.EOF) {
 		return err
--- a/adapters/exchange/head.go
+++ b/adapters/exchange/head.go
@@ -231,6 +231,7 @@
 	response, err := readFinalResponse(c.reader, r)
 	if err == nil {
 		c.input.unbound()
+		c.end.expectBody(response)
 		return response, nil
 	}
 	// net/http reports a line that was truncated by the bound, the check or the deadline as
--- a/adapters/exchange/silence.go
+++ b/adapters/exchange/silence.go
@@ -17,7 +17,7 @@
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.extendDeadline() {
-			return n, err
+			return n, c.end.check(err, c.readDeadline)
 		}
 	}
 }
--- a/adapters/exchange/transport.go
+++ b/adapters/exchange/transport.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // Transport is a transport of net/http that fails with Malformed or TooLong, and closes the
 // connection, instead of returning a response whose head is malformed or has too many fields.
+// Reading a body fails with Truncated instead of io.EOF if it may not be complete.
 type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
@@ -27,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newCheckedConn(raw), nil
+		return newCheckedConn(raw, raw), nil
 	}
 	base.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		raw, err := dial(ctx, network, addr)
@@ -64,17 +66,23 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return newCheckedConn(encrypted), nil
+	return newCheckedConn(encrypted, raw), nil
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var used *checkedConn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		used = info.Conn.(*checkedConn) // of the dial functions above
-		used.awaitsResponse.Store(true)
-	}})
+	var current atomic.Pointer[checkedConn]
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			c := info.Conn.(*checkedConn) // of the dial functions above
+			c.end.expectResponse()
+			c.awaitsResponse.Store(true)
+			current.Store(c)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { current.Load().end.recordSend(info.Err) },
+	})
 	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	used := current.Load()
 	if used == nil {
 		return response, err
 	}
@@ -86,13 +94,16 @@
 		_ = used.Close()
 		return nil, Malformed.New("the response arrived before its request was sent")
 	}
+	if err == nil {
+		used.end.expectBody(response)
+	}
 	return response, err
 }
 
 // CloseIdleConnections closes the connections without a request; see http.Client.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-// checkedConn is a connection that checks the heads of responses.
+// checkedConn is a connection that checks the heads of responses, and its own end.
 type checkedConn struct {
 	net.Conn
 	head *headReader
@@ -100,12 +111,23 @@
 	// the response, and so of a head, arrives.
 	awaitsResponse atomic.Bool
 	headErr        atomic.Pointer[error]
+	end            connEnd
+}
+
+// newCheckedConn returns a connection that reads from c, whose TCP connection is socket.
+func newCheckedConn(c, socket net.Conn) *checkedConn {
+	checked := &checkedConn{Conn: c, end: connEnd{socket: socket}}
+	checked.head = newHeadReader(responseBytes{checked})
+	return checked
 }
 
-func newCheckedConn(raw net.Conn) *checkedConn {
-	c := &checkedConn{Conn: raw}
-	c.head = newHeadReader(responseBytes{c})
-	return c
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.end.recordSend(err)
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -128,5 +150,5 @@
 	if n > 0 && r.conn.awaitsResponse.Swap(false) {
 		r.conn.head.restart()
 	}
-	return n, err
+	return n, r.conn.end.check(err, time.Time{})
 }
