engine: a staged chunk counts once its response is complete

On the own interface, a chunk that an engine had not read counted as staged: the engine answered 200 without a length, sent a part of the body and reset the connection during the upload.

The body is now read to its end, as platform/call.go does, for orders too.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -190,7 +190,8 @@
 		*r.raw, err = a.ReadAll(weights.MaxChunkBytes)
 		return err
 	default:
-		return nil
+		_, err := a.ReadAll(maxReportBytes) // shows whether the response is complete
+		return err
 	}
 }
 
--- a/adapters/exchange/reset_test.go
+++ b/adapters/exchange/reset_test.go
@@ -17,10 +17,12 @@
 	. "github.com/onsi/gomega"
 
 	"chivespindle.example/adapters/callerclient"
+	"chivespindle.example/adapters/engine"
 	"chivespindle.example/adapters/exchange"
 	"chivespindle.example/adapters/exchange/exchangetest"
 	"chivespindle.example/adapters/plainservice"
 	"chivespindle.example/core/failure"
+	"chivespindle.example/core/fleet"
 	"chivespindle.example/core/serving"
 )
 
@@ -148,6 +150,9 @@
 		}
 	}
 },
+	Entry("that stages a chunk", func(ctx context.Context, addr netip.AddrPort, body []byte) error {
+		return engine.New(engine.Options{Addr: addr}).Put(ctx, fleet.Digest{}, 0, body)
+	}),
 	Entry("of a plain service", func(ctx context.Context, addr netip.AddrPort, body []byte) error {
 		_, err := plainservice.New(plainservice.Options{Addr: addr}).Do(ctx, serving.Call{ID: "a", Body: body}, func(serving.Piece) error { return nil })
 		return err
