--- a/adapters/exchange/end.go
+++ b/adapters/exchange/end.go
@@ -25,13 +25,11 @@
 	deliveryPollInterval = 5 * time.Millisecond
 )
 
-// sendState is how far a request has been written to its connection.
-type sendState int32
-
+// How far a request has been written to its connection.
 const (
-	sending sendState = iota
-	sent
-	sendFailed
+	requestSending int32 = iota
+	requestSent
+	requestFailed
 )
 
 // connEnd decides whether the end of a connection is that of a complete response.
@@ -42,26 +40,27 @@
 type connEnd struct {
 	socket net.Conn // the TCP connection
 	// endsBody is true while a body is read that ends with the connection.
-	endsBody  atomic.Bool
-	sendState atomic.Int32
+	endsBody atomic.Bool
+	// request is requestSending, requestSent or requestFailed.
+	request atomic.Int32
 }
 
 // expectResponse begins the exchange of a request that is about to be sent.
 func (e *connEnd) expectResponse() {
 	e.endsBody.Store(false)
-	e.sendState.Store(int32(sending))
+	e.request.Store(requestSending)
 }
 
 // recordSend records the end of sending the request, or an error of it.
 func (e *connEnd) recordSend(err error) {
 	if err != nil {
-		e.sendState.Store(int32(sendFailed))
+		e.request.Store(requestFailed)
 		return
 	}
-	e.sendState.CompareAndSwap(int32(sending), int32(sent))
+	e.request.CompareAndSwap(requestSending, requestSent)
 }
 
-// expectBody records that the head of a response was read.
+// expectBody records that the head of a response was read, and its body follows.
 func (e *connEnd) expectBody(response *http.Response) {
 	e.endsBody.Store(!EndIsFramed(response))
 }
@@ -94,8 +93,8 @@
 // isRequestReceived reports whether the server's kernel has acknowledged the whole request. It
 // fails if that will not happen, or the connection was reset.
 func (e *connEnd) isRequestReceived() (bool, error) {
-	sendState := sendState(e.sendState.Load()) // before the state of the socket, which it may change
-	if sendState == sendFailed {
+	request := e.request.Load() // first, since what is written later is not yet in the state below
+	if request == requestFailed {
 		return false, Truncated.New("the response ended while its request could not be sent")
 	}
 	state, err := readTCPState(e.socket)
@@ -105,7 +104,7 @@
 	if state.isClosed {
 		return false, Truncated.New("the connection was reset")
 	}
-	return sendState == sent && !state.isUnacknowledged, nil
+	return request == requestSent && !state.isUnacknowledged, nil
 }
 
 // tcpState is the state of a TCP connection whose peer has ended its side.
