--- a/adapters/exchange/end.go
+++ b/adapters/exchange/end.go
@@ -118,8 +118,9 @@
 // tcpClose is TCP_CLOSE, which package unix does not define.
 const tcpClose = 7
 
-// readTCPState returns the state of a connection, the zero value if it cannot be known. It fails
-// if this process has closed the connection.
+// readTCPState returns the state of a connection, the zero value if the system does not tell it, so
+// that only what is known to be truncated is rejected. It fails if this process has closed the
+// connection.
 func readTCPState(c net.Conn) (tcpState, error) {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
