Count truncated responses, whichever call meets the reset

A response without a length that a reset had cut off was logged with the type response_truncated if a write had taken the error of the reset, and as any broken connection if the read got it. Nothing counted them, so that an operator could not see a server that does this.

connEnd now returns Truncated for both, and responses_truncated counts them, rejections of uploads included. Each has its one attempt_failed line.

--- a/adapters/exchange/end.go
+++ b/adapters/exchange/end.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -65,11 +66,16 @@
 	e.endsBody.Store(!EndIsFramed(response))
 }
 
-// check returns the error of a read, Truncated instead of an io.EOF that does not end a complete
-// response. It waits until the server has received the request, for deliveryTimeout at most and
+// check returns the error of a read, Truncated instead of a reset or an io.EOF that does not end a
+// complete response. It waits until the server has received the request, for deliveryTimeout at most and
 // not beyond deadline; the zero deadline is none.
 func (e *connEnd) check(err error, deadline time.Time) error {
-	if err != io.EOF || !e.endsBody.Load() {
+	switch {
+	case !e.endsBody.Load():
+		return err
+	case errors.Is(err, syscall.ECONNRESET):
+		return Truncated.Wrap(err, "the connection was reset")
+	case err != io.EOF:
 		return err
 	}
 	until := time.Now().Add(deliveryTimeout)
@@ -90,7 +96,7 @@
 	}
 }
 
-// isRequestReceived reports whether the server's kernel has acknowledged the whole request. It
+// isRequestReceived reports whether the server's kernel has acknowledged the entire request. It
 // fails if that will not happen, or the connection was reset.
 func (e *connEnd) isRequestReceived() (bool, error) {
 	request := e.request.Load() // first, since what is written later is not yet in the state below
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -152,6 +152,8 @@
 		l.metrics.Counter("responses_too_long").Inc(1)
 	case errorx.IsOfType(err, exchange.Malformed):
 		l.metrics.Counter("responses_malformed").Inc(1)
+	case errorx.IsOfType(err, exchange.Truncated), errorx.IsOfType(err, exchange.UploadRejected):
+		l.metrics.Counter("responses_truncated").Inc(1)
 	case errorx.IsOfType(err, memlimit.Exceeded):
 		l.metrics.Tagged(map[string]string{"what": whatPartial}).Counter("memory_refused").Inc(1)
 	}
