--- a/adapters/exchange/exchangetest/reset.go
+++ b/adapters/exchange/exchangetest/reset.go
@@ -73,6 +73,25 @@
 	}})
 }
 
+// ServeThenReset starts a server that answers the first request on each connection, which has no
+// body, with Sound, and the second one like a server of ServeReset, until the end of the test.
+func ServeThenReset(response string, reset Reset) *EarlyServer {
+	ginkgo.GinkgoHelper()
+	s := ServeReset(response, reset)
+	second := s.behavior.Load().respond
+	s.behavior.Store(&earlyBehavior{respond: func(c *net.TCPConn) {
+		if _, err := c.Read(make([]byte, 4<<10)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, Sound("", "hi").Begin)
+		if _, err := io.CopyN(io.Discard, c, int64(reset.ReadBytes)); err == nil {
+			s.Requests.Add(1)
+			second(c)
+		}
+	}})
+	return s
+}
+
 // ServeBeforeReading starts a server that sends a response, ends its side of the connection and
 // then reads the request to its end, until the end of the test.
 func ServeBeforeReading(response string) *EarlyServer {
--- a/adapters/exchange/reset_test.go
+++ b/adapters/exchange/reset_test.go
@@ -29,9 +29,13 @@
 // upload sends a body to a server and returns the response.
 type upload func(addr netip.AddrPort, body []byte) (status int, response []byte, err error)
 
-// uploadByPool sends a body over a Pool.
+// uploadByPool sends a body over a new Pool.
 func uploadByPool(addr netip.AddrPort, body []byte) (int, []byte, error) {
-	r, err := exchange.New().Do(context.Background(), addr, func() *http.Request {
+	return uploadOver(exchange.New(), addr, body)
+}
+
+func uploadOver(p *exchange.Pool, addr netip.AddrPort, body []byte) (int, []byte, error) {
+	r, err := p.Do(context.Background(), addr, func() *http.Request {
 		r := newRequest()
 		r.Method, r.Body, r.ContentLength = http.MethodPost, io.NopCloser(bytes.NewReader(body)), int64(len(body))
 		return r
@@ -47,9 +51,13 @@
 	return r.StatusCode, response, err
 }
 
-// uploadByTransport sends a body through a Transport.
+// uploadByTransport sends a body through a new Transport.
 func uploadByTransport(addr netip.AddrPort, body []byte) (int, []byte, error) {
-	r, err := newTransportClient().Post("http://"+addr.String(), "", bytes.NewReader(body))
+	return uploadThrough(newTransportClient(), addr, body)
+}
+
+func uploadThrough(client *http.Client, addr netip.AddrPort, body []byte) (int, []byte, error) {
+	r, err := client.Post("http://"+addr.String(), "", bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -68,7 +76,7 @@
 }
 
 // Guards against the part of a response that a reset of its connection has cut off and that is
-// taken for the whole.
+// taken for a complete one.
 var _ = DescribeTable("A response without a length whose connection is reset during the upload is a failure", func(send upload) {
 	var complete []string
 	for _, reset := range exchangetest.Resets {
@@ -89,6 +97,31 @@
 	Entry("through a transport", upload(uploadByTransport)),
 )
 
+// Guards against a check of the first response on a connection only, and against a connection that
+// is used again.
+var _ = It("A response without a length whose reused connection is reset is a failure", func() {
+	pool, client := exchange.New(), newTransportClient()
+	for _, send := range []upload{
+		func(addr netip.AddrPort, body []byte) (int, []byte, error) { return uploadOver(pool, addr, body) },
+		func(addr netip.AddrPort, body []byte) (int, []byte, error) {
+			return uploadThrough(client, addr, body)
+		},
+	} {
+		for _, reset := range exchangetest.Resets {
+			s := exchangetest.ServeThenReset(headsWithoutEnd[0]+"part", reset)
+			for _, size := range exchangetest.UploadBytes {
+				_, response, err := send(s.Addr, nil)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(response)).To(Equal("hi"))
+				before := s.Requests.Load()
+				_, _, err = send(s.Addr, make([]byte, size))
+				Expect(err).To(HaveOccurred(), "%s, %d bytes", reset.Name, size)
+				Expect(s.Requests.Load()).To(Equal(before+1), "on the same connection, and once")
+			}
+		}
+	}
+})
+
 // Guards against a wait without an end for a server that does not read.
 var _ = It("A response without a length that ends before its request is received is a failure", func() {
 	s := exchangetest.ServeReset(headsWithoutEnd[0]+"part", exchangetest.Reset{EndsFirst: true, Delay: waitTimeout})
